Lay the skeleton: build, schema, role interfaces

Cause: the work is to go on side by side, so every subsystem needs the same messages and the same inputs and outputs before any of them exists. Ruled out: hand-written codecs (FlatBuffers' object API gives typed messages) and fibers inside the decisions (they would tie them to sockets and clocks). Conclusion: nothing serves yet; the subsystems can start.

--- /dev/null
+++ b/include/gooseberrysail/placement/planner.hpp
@@ -0,0 +1,99 @@
+#pragma once
+
+#include "gooseberrysail/catalogue/entry.hpp"
+#include "gooseberrysail/core/ids.hpp"
+#include "gooseberrysail/core/time.hpp"
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <span>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace gooseberrysail {
+
+/// \brief A target VM as the control leader sees it now.
+struct VmView
+{
+  VmId vm;
+  FailureDomainId failureDomain;
+  FabricDomainId fabricDomain;
+  std::uint32_t accelerators = 0;
+  GroupId group;         ///< None when free: released, or its lease certainly ended.
+  bool reachable = true; ///< Heard of lately, directly or through its head.
+  TimePoint lastHeard{};
+  bool draining = false;   ///< By the catalogue, or its agent was told to stop.
+  std::string loadedModel; ///< "entry@version" whose weights it holds; "" when none.
+};
+
+/// \brief A group as the control leader sees it now.
+struct GroupView
+{
+  GroupId group;
+  EntryName entry;
+  std::string modelVersion;
+  std::span<const VmId> members;
+  bool draining = false;
+  bool serving = false; ///< Its head reported all members present and weights loaded.
+  TimePoint formedAt{};
+  std::optional<TimePoint> brokenSince; ///< A member has been missing since then.
+};
+
+struct ModelView
+{
+  EntryName entry;
+  PriorityClass priorityClass = PriorityClass::kStandard;
+  const ModelSpec* spec = nullptr;
+};
+
+struct PlannerInput
+{
+  std::span<const VmView> vms;
+  std::span<const GroupView> groups;
+  std::span<const ModelView> models;
+  const PolicySpec* policy = nullptr;
+};
+
+/// \brief Form a group of free VMs of one fabric domain; the first is its head.
+struct FormGroupAction
+{
+  EntryName entry;
+  std::string modelVersion;
+  std::vector<VmId> members;
+};
+
+/// \brief Give up a group; its members are freed once that is certain.
+struct DissolveGroupAction
+{
+  GroupId group;
+  std::string reason;
+};
+
+/// \brief Let a group finish what it has, then dissolve it.
+struct DrainGroupAction
+{
+  GroupId group;
+  std::string reason;
+};
+
+using PlannerAction = std::variant<FormGroupAction, DissolveGroupAction, DrainGroupAction>;
+
+/// \brief Weighs waiting, spares and merging by expected downtime and stranded accelerators.
+class PlacementPlanner
+{
+public:
+  PlacementPlanner();
+  ~PlacementPlanner();
+  PlacementPlanner(PlacementPlanner&&) noexcept;
+
+  /// \brief Decides on the next steps; called by the control leader about once a second.
+  [[nodiscard]] std::vector<PlannerAction> Plan(TimePoint now, const PlannerInput& input);
+
+private:
+  struct Impl;
+  std::unique_ptr<Impl> m_impl;
+};
+
+} // namespace gooseberrysail
--- /dev/null
+++ b/include/gooseberrysail/routing/router.hpp
@@ -0,0 +1,92 @@
+#pragma once
+
+#include "gooseberrysail/core/ids.hpp"
+#include "gooseberrysail/core/time.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace gooseberrysail {
+
+/// \brief A group an entry may send work to.
+struct RouteCandidate
+{
+  GroupId group;
+  Epoch epoch;
+  EntryName entry; ///< The catalogue entry it serves.
+  ProcessId head;  ///< The head's agent.
+  VmId headVm;
+  std::string address;
+  FailureDomainId failureDomain;
+};
+
+/// \brief What a group said of its load, `age` before it arrived.
+struct LoadObservation
+{
+  std::uint32_t running = 0;
+  std::uint32_t queued = 0;
+  std::uint32_t kvUsedPermille = 0;
+  bool open = true;
+  bool leaving = false;
+  Duration age{};
+};
+
+/// \brief How an attempt ended, as far as it tells something about the group.
+enum class AttemptResult
+{
+  kCompleted,
+  kRefused, ///< Refused before start.
+  kFailed,  ///< Cut, silent or answered with a server error.
+  kCancelled,
+};
+
+struct RouteQuery
+{
+  EntryName entry;
+  std::span<const std::uint64_t>
+    prefixHashes;                 ///< Hash of each further prompt block, shortest first.
+  std::span<const GroupId> tried; ///< Groups to avoid, latest last.
+  std::size_t promptBytes = 0;
+};
+
+/// \brief Chooses a group for each attempt. The decision sees a bounded candidate set.
+class Router
+{
+public:
+  Router(FailureDomainId ownDomain, std::function<std::uint64_t()> random);
+  ~Router();
+  Router(Router&&) noexcept;
+
+  void Upsert(const RouteCandidate& candidate);
+  void Remove(GroupId group);
+  [[nodiscard]] const RouteCandidate* Find(GroupId group) const;
+  [[nodiscard]] std::size_t CandidateCount(const EntryName& entry) const;
+
+  /// \returns None when no candidate may take work now.
+  [[nodiscard]] std::optional<GroupId> Choose(TimePoint now, const RouteQuery& query);
+
+  void OnSent(TimePoint now, GroupId group, const RouteQuery& query);
+  void OnFirstByte(TimePoint now, GroupId group, Duration sinceSent);
+  void OnFinished(TimePoint now, GroupId group, AttemptResult result, Duration sinceSent);
+  void OnLoad(TimePoint now, GroupId group, const LoadObservation& load);
+  void OnCacheReport(TimePoint now,
+                     GroupId group,
+                     std::uint64_t sequence,
+                     std::span<const std::uint64_t> added,
+                     std::span<const std::uint64_t> removed,
+                     bool reset);
+
+  /// \brief Whether a retry may be sent now; every first attempt earns a part of one.
+  [[nodiscard]] bool TakeRetry(TimePoint now);
+
+private:
+  struct Impl;
+  std::unique_ptr<Impl> m_impl;
+};
+
+} // namespace gooseberrysail
--- /dev/null
+++ b/include/gooseberrysail/shell/clock.hpp
@@ -0,0 +1,13 @@
+#pragma once
+
+#include "gooseberrysail/core/time.hpp"
+
+namespace gooseberrysail {
+
+/// \brief Reads CLOCK_BOOTTIME.
+[[nodiscard]] TimePoint BootNow() noexcept;
+
+/// \brief Reads the wall clock, for records people read.
+[[nodiscard]] WallMillis WallNow() noexcept;
+
+} // namespace gooseberrysail
