--- /dev/null
+++ b/tests/support/http_call.hpp
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <chrono>
+#include <functional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace gooseberrysail::test {
+
+using Headers = std::vector<std::pair<std::string, std::string>>;
+
+struct HttpReply
+{
+  unsigned status = 0; ///< 0: no answer, see `failure`.
+  Headers headers;
+  std::string body;
+  bool whole = false; ///< The answer ended as HTTP says it must.
+  std::string failure;
+
+  [[nodiscard]] std::string Header(std::string_view name) const;
+};
+
+struct HttpCall
+{
+  std::string address; ///< "ip:port"
+  std::string method = "GET";
+  std::string target = "/";
+  Headers headers;
+  std::string body;
+  std::chrono::milliseconds timeout{ 30'000 };
+  /// \brief Called with all of the body that arrived so far, each time more arrives.
+  std::function<void(const std::string& soFar)> onBody;
+};
+
+/// \brief One blocking call on a connection of its own, through Beast.
+[[nodiscard]] HttpReply Call(const HttpCall& call);
+
+} // namespace gooseberrysail::test
