--- /dev/null
+++ b/include/gooseberrysail/http/http_client.hpp
@@ -0,0 +1,85 @@
+#pragma once
+
+#include "gooseberrysail/core/result.hpp"
+#include "gooseberrysail/core/time.hpp"
+#include "gooseberrysail/net/fiber_runtime.hpp"
+#include "gooseberrysail/roles/inputs.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace gooseberrysail {
+
+struct HttpClientSettings
+{
+  Duration connectTimeout = std::chrono::seconds(2);
+  Duration idleFor = std::chrono::seconds(15); ///< How long an unused connection is kept.
+  std::size_t maxIdlePerAddress = 64;
+  std::uint32_t maxHeaderBytes = 64 * 1024;
+  std::uint64_t maxFetchedBytes = 64 * 1024 * 1024; ///< Largest body that Fetch takes.
+  /// \brief Whether an answer without length or chunking, ended by closing, counts as whole.
+  /// \remarks Such an answer looks the same when the server died half way.
+  bool acceptCloseDelimited = false;
+};
+
+/// \brief What the client tells its owner. Hooks must not wait; they may call Start and Cancel.
+struct HttpClientHooks
+{
+  std::function<void(TargetAnswerIn)> onAnswer;
+  std::function<void(TargetFailedIn)> onFailed;
+};
+
+/// \brief A whole answer.
+struct HttpReply
+{
+  unsigned status = 0;
+  std::vector<HttpHeader> headers;
+  std::string body;
+};
+
+/// \brief The value of the first header of this name, compared without case; "" when absent.
+[[nodiscard]] std::string_view FindHeader(const std::vector<HttpHeader>& headers,
+                                          std::string_view name) noexcept;
+
+/// \brief An HTTP/1.1 client whose answers stream in part by part.
+/// \code
+/// HttpClient client(runtime, {}, { onAnswer, onFailed });
+/// client.Start("127.0.0.1:8000", TargetCallOut{ .exchange = id, .method = "GET", .path = "/health"
+/// }); \endcode
+class HttpClient
+{
+public:
+  HttpClient(IoRuntime& runtime, HttpClientSettings settings, HttpClientHooks hooks = {});
+  /// \brief Closes; must run in a fiber of the runtime's thread.
+  ~HttpClient();
+  HttpClient(const HttpClient&) = delete;
+  HttpClient& operator=(const HttpClient&) = delete;
+
+  /// \brief Begins a call to `address` ("ip:port"); the hooks tell how it goes.
+  void Start(std::string_view address, TargetCallOut call);
+
+  /// \brief Closes the connection of a call; no hook is called for it any more.
+  void Cancel(ExchangeId exchange);
+
+  /// \brief Makes a call and suspends the fiber until the whole answer is there.
+  /// \param timeout For the whole call.
+  [[nodiscard]] Result<HttpReply> Fetch(std::string_view address,
+                                        std::string_view method,
+                                        std::string_view path,
+                                        std::vector<HttpHeader> headers,
+                                        std::string body,
+                                        Duration timeout);
+
+  /// \brief Cancels every call and waits for the client's fibers to end.
+  void Close();
+
+private:
+  struct Impl;
+  std::shared_ptr<Impl> m_impl;
+};
+
+} // namespace gooseberrysail
