--- /dev/null
+++ b/src/placement/fleet.hpp
@@ -0,0 +1,99 @@
+#pragma once
+
+#include "gooseberrysail/placement/planner.hpp"
+
+#include <cstdint>
+#include <limits>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace gooseberrysail::impl {
+
+/// \brief Row numbers in the tables of one Fleet.
+using Row = std::uint32_t;
+inline constexpr Row kNoRow = std::numeric_limits<Row>::max();
+
+/// \brief What the planner adds to a VmView.
+struct FleetVm
+{
+  const VmView* view = nullptr;
+  Row fabric = kNoRow;
+  Row group = kNoRow;     ///< The group that lists it as a member.
+  bool available = false; ///< Free, reachable, staying, and not promised to a group yet.
+  bool doubtful = false;  ///< Usable, but only when no better VM is left.
+};
+
+/// \brief What the planner adds to a GroupView.
+struct FleetGroup
+{
+  const GroupView* view = nullptr;
+  Row model = kNoRow; ///< None when the catalogue no longer has its model.
+  Row fabric = kNoRow;
+  std::vector<Row> members;  ///< Those that the input knows.
+  std::vector<Row> missing;  ///< Members out of reach.
+  std::uint32_t unknown = 0; ///< Members that the input doesn't list at all.
+  bool ending = false;       ///< Draining or given up: no longer counts as a replica.
+  bool broken = false;
+  bool leaving = false; ///< A member is draining.
+  bool current = false; ///< Has the version and the size that the catalogue asks for.
+  TimePoint brokenSince{};
+};
+
+/// \brief A model with its groups.
+struct FleetModel
+{
+  const ModelView* view = nullptr;
+  std::string weights; ///< As VmView::loadedModel spells them.
+  std::vector<Row> groups;
+
+  [[nodiscard]] std::uint32_t Wanted() const noexcept { return view->spec->replicas; }
+  [[nodiscard]] std::uint32_t Size() const noexcept { return view->spec->membersPerReplica; }
+};
+
+/// \brief A fabric domain with what can be done in it.
+struct FleetFabric
+{
+  FabricDomainId id;
+  FailureDomainId failureDomain;
+  std::uint32_t vms = 0;
+  std::uint32_t unreachable = 0;
+  std::vector<Row> available;
+  std::vector<Row> broken; ///< Broken groups that still count as replicas.
+};
+
+/// \brief Decisions handed out that the input doesn't show yet.
+/// \remarks Without them the planner would repeat itself each second until the log has caught up,
+/// and could promise one VM to two groups.
+struct Promises
+{
+  std::unordered_map<std::string, TimePoint> vms;       ///< Promised to a new group, until when.
+  std::unordered_map<std::uint64_t, TimePoint> endings; ///< Groups told to end, until when.
+
+  void DropOverdue(TimePoint now);
+};
+
+/// \brief One call's view of everything, joined and indexed.
+struct Fleet
+{
+  TimePoint now{};
+  const PolicySpec* policy = nullptr;
+  std::vector<FleetVm> vms;
+  std::vector<FleetGroup> groups;
+  std::vector<FleetModel> models; ///< The most urgent class first, then by name.
+  std::vector<FleetFabric> fabrics;
+
+  /// \brief Whether `vm` holds the weights that `model` needs.
+  [[nodiscard]] bool HoldsWeights(Row vm, Row model) const
+  {
+    return vms[vm].view->loadedModel == models[model].weights;
+  }
+};
+
+[[nodiscard]] Fleet BuildFleet(TimePoint now, const PlannerInput& input, const Promises& promises);
+
+/// \brief "entry@version".
+[[nodiscard]] std::string WeightsName(const EntryName& entry, std::string_view version);
+
+} // namespace gooseberrysail::impl
