Serve callers at the entry: admission, attempts, outcomes, claims

Cause: an entry had interfaces only. The entry's decisions now run over tables at each tick, without I/O: callers' API, config confirmation, routes, attempts with resume and seal, claims, records and look-ups. Ruled out: holding a long answer back until it is whole (memory, first token); so only answers with a stated length under 16 KB are held.

--- /dev/null
+++ b/include/gooseberrysail/entry/outcome.hpp
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <string_view>
+
+namespace gooseberrysail {
+
+/// \brief What is known of a request's run.
+enum class Outcome
+{
+  kRunning,   ///< Not over yet.
+  kCompleted, ///< The target's whole answer arrived, whatever its status.
+  kNotRun,    ///< Certainly never ran and never will.
+  kCut,       ///< It ran or may have run, and its answer is not whole.
+};
+
+/// \brief The word used in answers and records: `running`, `completed`, `not-run`, `cut`.
+[[nodiscard]] std::string_view ToString(Outcome outcome) noexcept;
+
+/// \brief Reasons told beside an outcome; docs/operators/requests.md explains each.
+namespace reason {
+inline constexpr std::string_view kBadRequest = "bad-request";
+inline constexpr std::string_view kUnauthorized = "unauthorized";
+inline constexpr std::string_view kForbidden = "forbidden";
+inline constexpr std::string_view kNotFound = "not-found";
+inline constexpr std::string_view kTooLarge = "too-large";
+inline constexpr std::string_view kShuttingDown = "shutting-down";
+inline constexpr std::string_view kUnconfirmed = "configuration-unconfirmed";
+inline constexpr std::string_view kWorkspaceRate = "workspace-rate";
+inline constexpr std::string_view kWorkspaceConcurrency = "workspace-concurrency";
+inline constexpr std::string_view kOverload = "overload";
+inline constexpr std::string_view kNoGroup = "no-group-open";
+inline constexpr std::string_view kSealed = "sealed-before-start";
+inline constexpr std::string_view kDeadline = "deadline-passed";
+inline constexpr std::string_view kCallerGone = "caller-gone";
+inline constexpr std::string_view kAgentUnreachable = "agent-unreachable";
+inline constexpr std::string_view kAgentRestarted = "agent-restarted";
+inline constexpr std::string_view kAnswerLost = "answer-lost-at-agent";
+inline constexpr std::string_view kNoClaim = "claim-not-granted-in-time";
+inline constexpr std::string_view kClaimRunning = "same-key-running";
+inline constexpr std::string_view kClaimUnknown = "same-key-unknown";
+inline constexpr std::string_view kClaimAnswerGone = "same-key-answer-gone";
+inline constexpr std::string_view kKeyReused = "same-key-other-request";
+} // namespace reason
+
+} // namespace gooseberrysail
--- /dev/null
+++ b/include/gooseberrysail/entry/peer_table.hpp
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "gooseberrysail/core/ids.hpp"
+#include "gooseberrysail/roles/inputs.hpp"
+
+#include <string>
+#include <unordered_map>
+
+namespace gooseberrysail {
+
+/// \brief A process with which a connection stands.
+struct Peer
+{
+  std::string role;
+  Incarnation incarnation;
+  std::string address;
+};
+
+/// \brief Which processes are connected now.
+class PeerTable
+{
+public:
+  void OnUp(const PeerUp& up) { m_peers[up.peer] = { up.role, up.incarnation, up.address }; }
+
+  /// \returns Whether the peer is without connection now; false when a newer life of it stands.
+  bool OnDown(const PeerDown& down)
+  {
+    const auto found = m_peers.find(down.peer);
+    if (found == m_peers.end()) {
+      return true;
+    }
+    if (found->second.incarnation != down.incarnation) {
+      return false;
+    }
+    m_peers.erase(found);
+    return true;
+  }
+
+  [[nodiscard]] const Peer* Find(const ProcessId& peer) const
+  {
+    const auto found = m_peers.find(peer);
+    return found == m_peers.end() ? nullptr : &found->second;
+  }
+
+private:
+  std::unordered_map<ProcessId, Peer> m_peers;
+};
+
+} // namespace gooseberrysail
--- /dev/null
+++ b/src/entry/attempt_flow.cpp
@@ -0,0 +1,311 @@
+#include "gooseberrysail/entry/attempt_flow.hpp"
+
+#include "gooseberrysail/entry/caller_stream.hpp"
+#include "gooseberrysail/entry/output_order.hpp"
+#include "gooseberrysail/entry/request_end.hpp"
+
+#include <algorithm>
+
+namespace gooseberrysail::impl {
+
+namespace {
+
+constexpr std::uint32_t kMaxAttempts = 4;
+constexpr Duration kNoGroupRetryAfter = std::chrono::seconds(2);
+constexpr Duration kAskInterval = std::chrono::milliseconds(500);
+
+std::vector<std::pair<std::string, std::string>> AttemptFields(const Request& request)
+{
+  return { { "request", request.id.Get() },
+           { "attempt", std::to_string(request.attempt->number) },
+           { "head", request.attempt->head.Get() } };
+}
+
+RouteQuery MakeQuery(const Request& request)
+{
+  RouteQuery query;
+  query.entry = request.entry;
+  query.prefixHashes = request.prefixHashes;
+  query.tried = request.tried;
+  query.promptBytes = request.promptBytes;
+  return query;
+}
+
+void NoteAttempt(EntryContext& context, const Request& request, const RouteCandidate& route)
+{
+  wire::RequestRecordT* record = context.records.Find(request.id.Get());
+  if (record == nullptr) {
+    return;
+  }
+  auto line = std::make_unique<wire::RequestAttemptT>();
+  line->attempt = request.attempt->number;
+  line->group = route.group.Get();
+  line->epoch = route.epoch.Get();
+  line->vm = route.headVm.Get();
+  line->result = ToString(Outcome::kRunning);
+  line->startedMillis = context.hooks.wallMillis();
+  record->attempts.push_back(std::move(line));
+}
+
+Attempt MakeAttempt(const EntryContext& context,
+                    const RouteCandidate& route,
+                    const Peer& peer,
+                    std::uint32_t number)
+{
+  Attempt attempt;
+  attempt.number = number;
+  attempt.group = route.group;
+  attempt.epoch = route.epoch;
+  attempt.head = route.head;
+  attempt.incarnation = peer.incarnation;
+  attempt.address = route.address;
+  attempt.sentAt = context.now;
+  return attempt;
+}
+
+void SendStart(EntryContext& context, const Request& request)
+{
+  const Attempt& attempt = *request.attempt;
+  wire::StartT start = *request.start;
+  start.attempt = attempt.number;
+  start.agentIncarnation = attempt.incarnation.Get();
+  start.group = attempt.group.Get();
+  start.epoch = attempt.epoch.Get();
+  start.configVersion = context.catalogue.Version().Get();
+  const std::int64_t left = ToMillis(request.deadline - context.now);
+  start.deadlineMillis = static_cast<std::uint32_t>(std::max<std::int64_t>(1, left));
+  context.Send(attempt.head, attempt.address, std::move(start));
+}
+
+/// \returns False when no group may take the request now.
+bool TrySend(EntryContext& context, Request& request)
+{
+  const RouteQuery query = MakeQuery(request);
+  const std::optional<GroupId> group = context.router.Choose(context.now, query);
+  if (!group ||
+      std::find(request.tried.begin(), request.tried.end(), *group) != request.tried.end()) {
+    return false;
+  }
+  const RouteCandidate* route = context.router.Find(*group);
+  const Peer* peer = route == nullptr ? nullptr : context.peers.Find(route->head);
+  if (peer == nullptr) {
+    return false;
+  }
+  request.stage = RequestStage::kAttempting;
+  request.attempt = MakeAttempt(context, *route, *peer, ++request.attempts);
+  NoteAttempt(context, request, *route);
+  SendStart(context, request);
+  context.router.OnSent(context.now, *group, query);
+  auto fields = AttemptFields(request);
+  fields.emplace_back("group", std::to_string(group->Get()));
+  fields.emplace_back("epoch", std::to_string(route->epoch.Get()));
+  context.Emit(EventNumber::kAttemptSent, std::move(fields));
+  return true;
+}
+
+CallerError NotRunError(std::string_view why, std::string message, Duration retryAfter)
+{
+  CallerError error;
+  error.status = 503;
+  error.type = "unavailable";
+  error.reason = why;
+  error.message = std::move(message);
+  error.retryAfter = retryAfter;
+  return error;
+}
+
+void MarkAck(EntryContext& context, Request& request)
+{
+  if (!request.attempt->ackDue) {
+    request.attempt->ackDue = true;
+    context.acksDue.push_back(request.id);
+  }
+}
+
+void SendAck(EntryContext& context, const Request& request, bool done)
+{
+  wire::AckT ack;
+  ack.request = request.id.Get();
+  ack.attempt = request.attempt->number;
+  ack.offset = request.attempt->nextOffset;
+  ack.done = done;
+  context.Send(request.attempt->head, {}, std::move(ack));
+}
+
+/// Output of a request that is over here: its agent must not hold it for ever.
+void AckForeign(EntryContext& context, const ProcessId& from, const wire::OutputT& output)
+{
+  wire::AckT ack;
+  ack.request = output.request;
+  ack.attempt = output.attempt;
+  ack.offset = output.offset + output.bytes.size();
+  ack.done = output.end;
+  context.Send(from, {}, std::move(ack));
+}
+
+/// After this the request may not go to another group: the target has started.
+void NoteStarted(EntryContext& context, Request& request)
+{
+  Attempt& attempt = *request.attempt;
+  attempt.headSeen = true;
+  request.start.reset();
+  context.router.OnFirstByte(context.now, attempt.group, context.now - attempt.sentAt);
+}
+
+void OnEnd(EntryContext& context, Request& request, const wire::OutputT& output)
+{
+  SendAck(context, request, true);
+  if (output.cutReason.empty()) {
+    CloseAttempt(context, request, AttemptResult::kCompleted, ToString(Outcome::kCompleted));
+    EndCompleted(context, request);
+    return;
+  }
+  const bool cancelled = request.attempt->cancelled;
+  const AttemptResult result = cancelled ? AttemptResult::kCancelled : AttemptResult::kFailed;
+  CloseAttempt(context, request, result, "cut: " + output.cutReason);
+  EndCut(context, request, output.cutReason);
+}
+
+} // namespace
+
+void StartFirstAttempt(EntryContext& context, Request& request)
+{
+  if (!TrySend(context, request)) {
+    EndNotRun(context,
+              request,
+              NotRunError(reason::kNoGroup,
+                          "No group serves " + request.entry.Get() + " at the moment.",
+                          kNoGroupRetryAfter));
+  }
+}
+
+void OnNeverStarted(EntryContext& context,
+                    Request& request,
+                    std::string_view why,
+                    Duration retryAfter)
+{
+  auto fields = AttemptFields(request);
+  fields.emplace_back("group", std::to_string(request.attempt->group.Get()));
+  fields.emplace_back("reason", std::string(why));
+  context.Emit(EventNumber::kAttemptNeverStarted, std::move(fields));
+  request.tried.push_back(request.attempt->group);
+  CloseAttempt(context, request, AttemptResult::kRefused, "never started: " + std::string(why));
+  const bool wanted = request.caller.waiting && request.start != nullptr;
+  const bool inTime = context.now < request.deadline && request.attempts < kMaxAttempts;
+  if (wanted && inTime && context.router.TakeRetry(context.now) && TrySend(context, request)) {
+    return;
+  }
+  const Duration wait = retryAfter > Duration{} ? retryAfter : kNoGroupRetryAfter;
+  EndNotRun(context,
+            request,
+            NotRunError(why, "The request was refused before it started and did not run.", wait));
+}
+
+void OnRefused(EntryContext& context, const ProcessId& from, const wire::RefusedT& refused)
+{
+  Request* request = FindAttempt(context, from, refused.request, refused.attempt);
+  // An agent can't take back a start whose output is here already.
+  if (request == nullptr || request->attempt->headSeen) {
+    return;
+  }
+  OnNeverStarted(
+    context, *request, refused.reason, std::chrono::milliseconds(refused.retryAfterMillis));
+}
+
+void OnOutput(EntryContext& context, const ProcessId& from, const wire::OutputT& output)
+{
+  Request* request = FindAttempt(context, from, output.request, output.attempt);
+  if (request == nullptr) {
+    AckForeign(context, from, output);
+    return;
+  }
+  const FittedOutput fitted = FitOutput(*request->attempt, output);
+  if (fitted.fit == FittedOutput::Fit::kGap) {
+    if (context.now >= request->attempt->askAgainAt) {
+      SendResume(context, *request);
+    }
+    return;
+  }
+  MarkAck(context, *request);
+  if (fitted.fit == FittedOutput::Fit::kDuplicate) {
+    return;
+  }
+  if (fitted.head) {
+    NoteStarted(context, *request);
+  }
+  request->attempt->state = AttemptState::kLive;
+  request->attempt->nextOffset += fitted.bytes.size();
+  if (wire::RequestRecordT* record = context.records.Find(output.request)) {
+    record->bytes += fitted.bytes.size();
+  }
+  ForwardOutput(context, *request, fitted, output);
+  if (fitted.end) {
+    OnEnd(context, *request, output);
+  }
+}
+
+Request* FindAttempt(EntryContext& context,
+                     const ProcessId& from,
+                     std::string_view request,
+                     std::uint32_t attempt)
+{
+  Request* found = context.requests.Find(request);
+  const bool current = found != nullptr && found->attempt && found->attempt->number == attempt &&
+                       found->attempt->head == from;
+  return current ? found : nullptr;
+}
+
+void SendResume(EntryContext& context, Request& request)
+{
+  Attempt& attempt = *request.attempt;
+  attempt.askAgainAt = context.now + kAskInterval;
+  wire::ResumeT resume;
+  resume.request = request.id.Get();
+  resume.attempt = attempt.number;
+  resume.agentIncarnation = attempt.incarnation.Get();
+  resume.offset = attempt.nextOffset;
+  context.Send(attempt.head, attempt.address, std::move(resume));
+  auto fields = AttemptFields(request);
+  fields.emplace_back("offset", std::to_string(attempt.nextOffset));
+  context.Emit(EventNumber::kAttemptResumed, std::move(fields));
+}
+
+void SendSeal(EntryContext& context, Request& request)
+{
+  Attempt& attempt = *request.attempt;
+  attempt.state = AttemptState::kSealing;
+  attempt.askAgainAt = context.now + kAskInterval;
+  wire::SealT seal;
+  seal.request = request.id.Get();
+  seal.attempt = attempt.number;
+  seal.agentIncarnation = attempt.incarnation.Get();
+  context.Send(attempt.head, attempt.address, std::move(seal));
+  context.Emit(EventNumber::kAttemptSealing, AttemptFields(request));
+}
+
+void SendCancel(EntryContext& context, Request& request, std::string_view why)
+{
+  Attempt& attempt = *request.attempt;
+  attempt.cancelled = true;
+  wire::CancelT cancel;
+  cancel.request = request.id.Get();
+  cancel.attempt = attempt.number;
+  cancel.reason = why;
+  context.Send(attempt.head, attempt.address, std::move(cancel));
+}
+
+void FlushAcks(EntryContext& context)
+{
+  std::vector<RequestId> due;
+  due.swap(context.acksDue);
+  for (const RequestId& id : due) {
+    Request* request = context.requests.Find(id.Get());
+    if (request == nullptr || !request->attempt || !request->attempt->ackDue) {
+      continue;
+    }
+    request->attempt->ackDue = false;
+    SendAck(context, *request, false);
+  }
+}
+
+} // namespace gooseberrysail::impl
--- /dev/null
+++ b/src/entry/claim_flow.cpp
@@ -0,0 +1,171 @@
+#include "gooseberrysail/entry/claim_flow.hpp"
+
+#include "gooseberrysail/entry/attempt_flow.hpp"
+#include "gooseberrysail/entry/caller_stream.hpp"
+#include "gooseberrysail/entry/request_end.hpp"
+
+namespace gooseberrysail::impl {
+
+namespace {
+
+constexpr Duration kRunningRetryAfter = std::chrono::seconds(1);
+
+CallerError OtherClaimError(const wire::ClaimReplyT& reply,
+                            Outcome outcome,
+                            std::string_view why,
+                            std::string message)
+{
+  CallerError error;
+  error.status = 409;
+  error.type = "idempotency";
+  error.outcome = outcome;
+  error.reason = why;
+  error.message = std::move(message);
+  error.holder = RequestId(reply.holder);
+  return error;
+}
+
+void AnswerError(EntryContext& context, Request& request, const CallerError& error)
+{
+  request.caller.status = error.status;
+  TellError(context, request, error);
+  EndByOtherClaim(context, request, error.reason);
+}
+
+void AnswerRunning(EntryContext& context, Request& request, const wire::ClaimReplyT& reply)
+{
+  CallerError error = OtherClaimError(reply,
+                                      Outcome::kRunning,
+                                      reason::kClaimRunning,
+                                      "A request with this Idempotency-Key is running.");
+  error.retryAfter = kRunningRetryAfter;
+  AnswerError(context, request, error);
+}
+
+void AnswerUnknown(EntryContext& context, Request& request, const wire::ClaimReplyT& reply)
+{
+  AnswerError(context,
+              request,
+              OtherClaimError(reply,
+                              Outcome::kCut,
+                              reason::kClaimUnknown,
+                              "An earlier request with this Idempotency-Key may have run; its "
+                              "outcome is unknown and it is not run again."));
+}
+
+/// The same key on another request is a mistake of the caller's; running it would be a guess.
+void AnswerKeyReused(EntryContext& context, Request& request, const wire::ClaimReplyT& reply)
+{
+  CallerError error = OtherClaimError(reply,
+                                      Outcome::kNotRun,
+                                      reason::kKeyReused,
+                                      "This Idempotency-Key belongs to a different request.");
+  error.status = 422;
+  AnswerError(context, request, error);
+}
+
+void Replay(EntryContext& context, Request& request, const wire::ClaimReplyT& reply)
+{
+  HttpAnswerOut answer;
+  answer.exchange = request.caller.exchange;
+  answer.status = reply.status;
+  answer.headers = AnswerHeaders(reply.headers, request.id);
+  answer.headers.push_back({ "Idempotent-Replayed", "true" });
+  answer.bytes.assign(reply.body.begin(), reply.body.end());
+  answer.end = true;
+  request.caller.status = reply.status;
+  context.Answer(std::move(answer));
+  context.requests.ForgetCaller(request);
+  EndByOtherClaim(context, request, "answered by " + reply.holder);
+}
+
+void AnswerFinished(EntryContext& context, Request& request, const wire::ClaimReplyT& reply)
+{
+  if (reply.status != 0) {
+    Replay(context, request, reply);
+    return;
+  }
+  const bool completed = reply.outcome == ToString(Outcome::kCompleted);
+  if (completed) {
+    AnswerError(context,
+                request,
+                OtherClaimError(reply,
+                                Outcome::kCompleted,
+                                reason::kClaimAnswerGone,
+                                "The request with this Idempotency-Key ran to its end; its answer "
+                                "is no longer held."));
+    return;
+  }
+  CallerError error = OtherClaimError(reply,
+                                      Outcome::kCut,
+                                      reply.reason,
+                                      "The request with this Idempotency-Key was cut; it is not "
+                                      "run again.");
+  AnswerError(context, request, error);
+}
+
+/// A grant for a request that is over here: without giving it back, the key would stay taken for
+/// work that nobody runs. Only what certainly never ran is given back.
+void GiveBackLateGrant(EntryContext& context, const wire::ClaimReplyT& reply)
+{
+  const wire::RequestRecordT* record = context.records.Find(reply.request);
+  const bool neverRan = record != nullptr && record->outcome == ToString(Outcome::kNotRun);
+  if (reply.state != wire::ClaimState::Granted || !neverRan) {
+    return;
+  }
+  wire::ClaimOutcomeT outcome;
+  outcome.workspace = reply.workspace;
+  outcome.key = reply.key;
+  outcome.request = reply.request;
+  outcome.ran = false;
+  outcome.outcome = ToString(Outcome::kNotRun);
+  outcome.reason = record->reason;
+  context.claims.Report(std::move(outcome));
+}
+
+} // namespace
+
+void AskClaim(EntryContext& context, Request& request)
+{
+  request.stage = RequestStage::kClaiming;
+  wire::ClaimRequestT claim;
+  claim.workspace = request.workspace.Get();
+  claim.key = request.key;
+  claim.bodyHash = request.bodyHash;
+  claim.request = request.id.Get();
+  context.claims.Ask(std::move(claim));
+  context.Emit(EventNumber::kClaimAsked,
+               { { "request", request.id.Get() }, { "workspace", request.workspace.Get() } });
+}
+
+void OnClaimReply(EntryContext& context, const wire::ClaimReplyT& reply)
+{
+  context.claims.StopAsking(reply.request);
+  Request* request = context.requests.Find(reply.request);
+  if (request == nullptr) {
+    GiveBackLateGrant(context, reply);
+    return;
+  }
+  if (request->stage != RequestStage::kClaiming) {
+    return;
+  }
+  context.Emit(EventNumber::kClaimAnswered,
+               { { "request", reply.request },
+                 { "state", wire::EnumNameClaimState(reply.state) },
+                 { "holder", reply.holder } });
+  const bool ours = reply.holder == reply.request;
+  if (reply.state == wire::ClaimState::Granted ||
+      (reply.state == wire::ClaimState::Running && ours)) {
+    StartFirstAttempt(context, *request);
+  } else if (!reply.bodyMatches) {
+    AnswerKeyReused(context, *request, reply);
+  } else if (reply.state == wire::ClaimState::Running) {
+    AnswerRunning(context, *request, reply);
+  } else if (reply.state == wire::ClaimState::Finished) {
+    AnswerFinished(context, *request, reply);
+  } else {
+    AnswerUnknown(context, *request, reply);
+  }
+}
+
+} // namespace gooseberrysail::impl
--- /dev/null
+++ b/src/entry/request_end.cpp
@@ -0,0 +1,195 @@
+#include "gooseberrysail/entry/request_end.hpp"
+
+#include "gooseberrysail/entry/caller_stream.hpp"
+
+namespace gooseberrysail::impl {
+
+namespace {
+
+constexpr Duration kCutRetryAfter = std::chrono::seconds(1);
+constexpr Duration kResolveFor = std::chrono::seconds(60);
+constexpr Duration kResolveKeyedFor = std::chrono::minutes(10);
+constexpr std::string_view kAnswerTooLarge = "answer-too-large-to-keep";
+constexpr std::string_view kRanAfterAnswer = "; the target finished after the caller was answered";
+
+/// The request is over for its caller: once for the record, admission and the log.
+void CloseForCaller(EntryContext& context,
+                    Request& request,
+                    Outcome outcome,
+                    std::string_view why,
+                    unsigned status)
+{
+  if (request.closed) {
+    return;
+  }
+  request.closed = true;
+  const Duration took = context.now - request.received;
+  context.records.Close(
+    context.now, request.id.Get(), outcome, why, status, context.hooks.wallMillis());
+  context.admission.OnFinished(context.now, request.workspace, request.entry, took, request.tokens);
+  context.Emit(EventNumber::kRequestEnded,
+               { { "request", request.id.Get() },
+                 { "workspace", request.workspace.Get() },
+                 { "entry", request.entry.Get() },
+                 { "outcome", std::string(ToString(outcome)) },
+                 { "reason", std::string(why) },
+                 { "status", std::to_string(status) },
+                 { "attempts", std::to_string(request.attempts) },
+                 { "millis", std::to_string(ToMillis(took)) } });
+}
+
+void Amend(EntryContext& context, const Request& request, Outcome outcome, const std::string& why)
+{
+  context.records.Amend(request.id.Get(), outcome, why);
+  context.Emit(EventNumber::kRequestAmended,
+               { { "request", request.id.Get() },
+                 { "outcome", std::string(ToString(outcome)) },
+                 { "reason", why } });
+}
+
+wire::ClaimOutcomeT MakeClaimOutcome(const Request& request,
+                                     bool ran,
+                                     Outcome outcome,
+                                     std::string_view why)
+{
+  wire::ClaimOutcomeT report;
+  report.workspace = request.workspace.Get();
+  report.key = request.key;
+  report.request = request.id.Get();
+  report.ran = ran;
+  report.outcome = ToString(outcome);
+  report.reason = why;
+  return report;
+}
+
+void TakeAnswer(wire::ClaimOutcomeT& report, const CapturedAnswer& answer)
+{
+  if (answer.tooLarge) {
+    report.reason = kAnswerTooLarge;
+    return;
+  }
+  report.status = answer.status;
+  report.body.assign(answer.body.begin(), answer.body.end());
+  for (const HttpHeader& header : answer.headers) {
+    auto copy = std::make_unique<wire::HeaderT>();
+    copy->name = header.name;
+    copy->value = header.value;
+    report.headers.push_back(std::move(copy));
+  }
+}
+
+void ReportClaim(EntryContext& context,
+                 const Request& request,
+                 bool ran,
+                 Outcome outcome,
+                 std::string_view why)
+{
+  if (request.key.empty()) {
+    return;
+  }
+  wire::ClaimOutcomeT report = MakeClaimOutcome(request, ran, outcome, why);
+  if (outcome == Outcome::kCompleted && request.captured) {
+    TakeAnswer(report, *request.captured);
+  }
+  context.Emit(EventNumber::kClaimReported,
+               { { "request", request.id.Get() },
+                 { "ran", ran ? "true" : "false" },
+                 { "outcome", std::string(ToString(outcome)) } });
+  context.claims.Report(std::move(report));
+}
+
+std::string RecordedReason(const EntryContext& context, const Request& request)
+{
+  const wire::RequestRecordT* record = context.records.Find(request.id.Get());
+  return record == nullptr ? std::string() : record->reason;
+}
+
+} // namespace
+
+void EndCompleted(EntryContext& context, Request& request)
+{
+  ReportClaim(context, request, true, Outcome::kCompleted, {});
+  if (request.closed) {
+    // The caller was told `cut`, which stays true for it; the record says what the target did.
+    std::string why = RecordedReason(context, request);
+    why += kRanAfterAnswer;
+    Amend(context, request, Outcome::kCut, why);
+  }
+  CloseForCaller(context, request, Outcome::kCompleted, {}, request.caller.status);
+  context.requests.Erase(request.id);
+}
+
+void EndNotRun(EntryContext& context, Request& request, CallerError error)
+{
+  error.outcome = Outcome::kNotRun;
+  ReportClaim(context, request, false, Outcome::kNotRun, error.reason);
+  if (request.closed) {
+    Amend(context, request, Outcome::kNotRun, error.reason);
+  }
+  TellError(context, request, error);
+  CloseForCaller(context, request, Outcome::kNotRun, error.reason, error.status);
+  context.requests.Erase(request.id);
+}
+
+void EndCut(EntryContext& context, Request& request, std::string_view why)
+{
+  ReportClaim(context, request, true, Outcome::kCut, why);
+  const CallerError error = CutError(request, why);
+  const unsigned status = request.caller.headSent ? request.caller.status : error.status;
+  TellError(context, request, error);
+  CloseForCaller(context, request, Outcome::kCut, why, status);
+  context.requests.Erase(request.id);
+}
+
+void AnswerCutAndResolve(EntryContext& context, Request& request, std::string_view why)
+{
+  const CallerError error = CutError(request, why);
+  const unsigned status = request.caller.headSent ? request.caller.status : error.status;
+  TellError(context, request, error);
+  CloseForCaller(context, request, Outcome::kCut, why, status);
+  request.stage = RequestStage::kResolving;
+  request.resolveUntil = context.now + (request.key.empty() ? kResolveFor : kResolveKeyedFor);
+}
+
+void EndByOtherClaim(EntryContext& context, Request& request, std::string_view why)
+{
+  CloseForCaller(context, request, Outcome::kNotRun, why, request.caller.status);
+  context.requests.Erase(request.id);
+}
+
+void CloseAttempt(EntryContext& context,
+                  Request& request,
+                  AttemptResult result,
+                  std::string_view detail)
+{
+  if (!request.attempt) {
+    return;
+  }
+  const Attempt& attempt = *request.attempt;
+  context.router.OnFinished(context.now, attempt.group, result, context.now - attempt.sentAt);
+  wire::RequestRecordT* record = context.records.Find(request.id.Get());
+  if (record != nullptr && !record->attempts.empty()) {
+    wire::RequestAttemptT& last = *record->attempts.back();
+    last.result = detail;
+    last.endedMillis = context.hooks.wallMillis();
+  }
+  request.attempt.reset();
+}
+
+CallerError CutError(const Request& request, std::string_view why)
+{
+  const bool late = why == reason::kDeadline;
+  CallerError error;
+  error.status = late ? 504 : 502;
+  error.outcome = Outcome::kCut;
+  error.type = late ? "deadline" : "upstream_cut";
+  error.reason = why;
+  error.message = "The request may have run; its answer is not whole.";
+  // Trying again is safe when the call may be repeated or its key meets the claim.
+  if (request.repeatable || !request.key.empty()) {
+    error.retryAfter = kCutRetryAfter;
+  }
+  return error;
+}
+
+} // namespace gooseberrysail::impl
