Read settings from one table of keys; write events as log lines

Settings: a daemon's INI file is parsed by Program_options and checked as a whole against one table of keys. The library names no line and stops at the first fault, so it is handed one line at a time under its section; every fault is then reported at once with file, line, key and range. docs/SETTINGS.md comes from the same table. A key that fails its check is not printed.

Logs: one event is one line whatever its values hold; easylogging++ writes the finished line and adds nothing.

--- /dev/null
+++ b/include/gooseberrysail/logging/logger.hpp
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "gooseberrysail/core/ids.hpp"
+#include "gooseberrysail/core/time.hpp"
+#include "gooseberrysail/observe/event_catalog.hpp"
+#include "gooseberrysail/roles/inputs.hpp"
+
+#include <functional>
+
+namespace gooseberrysail {
+
+/// \brief Writes events to standard output, one line each, through easylogging++.
+/// \code
+/// Logger log(settings.process, settings.observe.logLevel, WallNow);
+/// log.Write(MakeEvent(EventNumber::kProcessStarted, { { "role", "entry" } }));
+/// \endcode
+class Logger
+{
+public:
+  /// \param minimum Events below this level are left out.
+  /// \param wallMillis The time written in each line.
+  Logger(ProcessId process, EventLevel minimum, std::function<WallMillis()> wallMillis);
+
+  void Write(const EventOut& event);
+
+private:
+  ProcessId m_process;
+  EventLevel m_minimum;
+  std::function<WallMillis()> m_wallMillis;
+};
+
+} // namespace gooseberrysail
--- /dev/null
+++ b/src/settings/setting_key.hpp
@@ -0,0 +1,76 @@
+#pragma once
+
+#include "gooseberrysail/settings/settings.hpp"
+
+#include <cstdint>
+#include <span>
+#include <string>
+#include <string_view>
+
+namespace gooseberrysail::impl {
+
+enum class SettingType
+{
+  kChoice,        ///< One of the words in `choices`.
+  kName,          ///< Letters, digits, '.', '_' and '-'.
+  kCount,         ///< A whole number of `unit`.
+  kListenAddress, ///< "ip:port"; port 0 takes a free one.
+  kAddress,       ///< "ip:port".
+  kPath,
+  kHexHash, ///< 64 hexadecimal digits.
+  kSecret,  ///< Text never printed.
+  kPeer,    ///< "name=ip:port"; the key may be given several times.
+};
+
+/// \brief A set of roles, one bit each.
+using RoleSet = unsigned;
+
+inline constexpr RoleSet kNoRole = 0;
+inline constexpr RoleSet kEntryRole = 1U << static_cast<unsigned>(ProcessRole::kEntry);
+inline constexpr RoleSet kControlRole = 1U << static_cast<unsigned>(ProcessRole::kControl);
+inline constexpr RoleSet kAgentRole = 1U << static_cast<unsigned>(ProcessRole::kAgent);
+inline constexpr RoleSet kEveryRole = kEntryRole | kControlRole | kAgentRole;
+
+[[nodiscard]] constexpr bool Contains(RoleSet roles, ProcessRole role) noexcept
+{
+  return ((roles >> static_cast<unsigned>(role)) & 1U) != 0;
+}
+
+/// \brief A value that passed the check of its key.
+struct SettingValue
+{
+  std::string text;
+  std::int64_t number = 0; ///< kCount only.
+};
+
+/// \brief One key: parsing, checking and docs/SETTINGS.md all come from these rows.
+struct SettingKey
+{
+  std::string_view key; ///< "section.key".
+  SettingType type;
+  std::string_view unit; ///< kCount only.
+  std::int64_t minimum;
+  std::int64_t maximum;
+  std::string_view choices;      ///< kChoice only: words separated by '|'.
+  std::string_view defaultValue; ///< "": none.
+  RoleSet roles;                 ///< Where the key may stand.
+  RoleSet required;              ///< Where it must stand.
+  std::string_view help;
+  void (*store)(ProcessSettings& settings, const SettingValue& value);
+};
+
+[[nodiscard]] std::span<const SettingKey> SettingKeys() noexcept;
+
+/// \returns The row of `key`, or null.
+[[nodiscard]] const SettingKey* FindSettingKey(std::string_view key) noexcept;
+
+/// \brief What values the key takes, for faults and the docs: "1 to 65535 bytes".
+[[nodiscard]] std::string DescribeRange(const SettingKey& key);
+
+/// \brief Checks one value as written in the file.
+[[nodiscard]] Result<SettingValue> CheckSettingValue(const SettingKey& key, std::string_view text);
+
+/// \brief Splits "name=ip:port".
+[[nodiscard]] PeerAddress SplitPeer(std::string_view text);
+
+} // namespace gooseberrysail::impl
