--- a/include/gooseberrysail/net/fiber_runtime.hpp
+++ b/include/gooseberrysail/net/fiber_runtime.hpp
@@ -6,6 +6,7 @@
 #include <boost/fiber/condition_variable.hpp>
 #include <boost/fiber/context.hpp>
 #include <boost/fiber/mutex.hpp>
+#include <boost/fiber/waker.hpp>
 #include <boost/system/error_code.hpp>
 #include <cstddef>
 #include <functional>
@@ -85,7 +86,8 @@
   boost::system::error_code error;
   std::size_t size = 0;
   bool done = false;
-  boost::fibers::context* waiter = nullptr;
+  bool waiting = false;
+  boost::fibers::waker waker;
 };
 
 /// \brief Suspends the fiber until `completion` is done.
--- /dev/null
+++ b/src/net/fiber_runtime.cpp
@@ -0,0 +1,173 @@
+#include "gooseberrysail/net/fiber_runtime.hpp"
+
+#include "net/fiber_scheduler.hpp"
+
+#include <boost/asio/signal_set.hpp>
+#include <boost/fiber/fiber.hpp>
+#include <boost/fiber/operations.hpp>
+#include <boost/fiber/protected_fixedsize_stack.hpp>
+#include <chrono>
+#include <mutex>
+#include <utility>
+
+namespace gooseberrysail {
+
+namespace {
+
+// Address space, not memory: pages are taken when touched. The guard page behind each stack turns
+// an overflow into a crash at the spot instead of damage to another fiber's data.
+constexpr std::size_t kStackBytes = 256 * 1024;
+
+// A thread has one fiber scheduler for its whole life: replacing it would lose the fibers that
+// wait in the old one. So the first runtime of a thread installs it and later ones share it.
+std::shared_ptr<boost::asio::io_context> ThreadIo()
+{
+  thread_local const auto kIo = [] {
+    auto io = std::make_shared<boost::asio::io_context>(1);
+    boost::fibers::use_scheduling_algorithm<impl::FiberScheduler>(io);
+    return io;
+  }();
+  return kIo;
+}
+
+std::chrono::steady_clock::time_point SteadyAfter(Duration duration)
+{
+  return std::chrono::steady_clock::now() +
+         std::chrono::duration_cast<std::chrono::steady_clock::duration>(duration);
+}
+
+} // namespace
+
+void Signal::Notify()
+{
+  const std::lock_guard lock(m_mutex);
+  m_notified = true;
+  m_condition.notify_one();
+}
+
+void Signal::Wait()
+{
+  std::unique_lock lock(m_mutex);
+  m_condition.wait(lock, [this] { return m_notified; });
+  m_notified = false;
+}
+
+bool Signal::WaitFor(Duration timeout)
+{
+  std::unique_lock lock(m_mutex);
+  const bool notified =
+    m_condition.wait_until(lock, SteadyAfter(timeout), [this] { return m_notified; });
+  m_notified = false;
+  return notified;
+}
+
+struct IoRuntime::State
+{
+  explicit State(boost::asio::io_context& io)
+    : signals(io)
+  {
+  }
+
+  boost::asio::signal_set signals;
+  std::size_t fibers = 0;
+  bool stopped = false;
+  Signal stop;
+  Signal fiberEnded;
+};
+
+IoRuntime::IoRuntime()
+  : m_io(ThreadIo())
+  , m_state(std::make_shared<State>(*m_io))
+{
+}
+
+IoRuntime::~IoRuntime()
+{
+  Stop();
+  while (m_state->fibers > 0) {
+    m_state->fiberEnded.Wait();
+  }
+}
+
+void IoRuntime::Spawn(std::function<void()> work)
+{
+  ++m_state->fibers;
+  boost::fibers::fiber(boost::fibers::launch::post,
+                       std::allocator_arg,
+                       boost::fibers::protected_fixedsize_stack(kStackBytes),
+                       [state = m_state, work = std::move(work)]() mutable {
+                         work();
+                         work = nullptr;
+                         --state->fibers;
+                         state->fiberEnded.Notify();
+                       })
+    .detach();
+}
+
+void IoRuntime::SleepFor(Duration duration)
+{
+  boost::this_fiber::sleep_until(SteadyAfter(duration));
+}
+
+void IoRuntime::OnSignals(std::vector<int> numbers, std::function<void(int)> hook)
+{
+  for (const int number : numbers) {
+    m_state->signals.add(number);
+  }
+  Spawn([state = m_state, hook = std::move(hook)] {
+    while (!state->stopped) {
+      int number = 0;
+      const auto [error, size] = Await([&](auto done) {
+        state->signals.async_wait([&number, done](boost::system::error_code failure, int received) {
+          number = received;
+          done(failure);
+        });
+      });
+      if (error) {
+        return;
+      }
+      hook(number);
+    }
+  });
+}
+
+void IoRuntime::Run()
+{
+  while (!m_state->stopped) {
+    m_state->stop.Wait();
+  }
+}
+
+void IoRuntime::Stop()
+{
+  m_state->stopped = true;
+  boost::system::error_code ignored;
+  m_state->signals.cancel(ignored);
+  m_state->stop.Notify();
+}
+
+namespace impl {
+
+void Suspend(Completion& completion)
+{
+  while (!completion.done) {
+    boost::fibers::context* const fiber = boost::fibers::context::active();
+    completion.waker = fiber->create_waker();
+    completion.waiting = true;
+    fiber->suspend();
+  }
+}
+
+void Complete(Completion& completion, boost::system::error_code error, std::size_t size)
+{
+  completion.error = error;
+  completion.size = size;
+  completion.done = true;
+  if (completion.waiting) {
+    completion.waker.wake();
+  }
+}
+
+} // namespace impl
+
+} // namespace gooseberrysail
--- /dev/null
+++ b/src/net/fiber_scheduler.hpp
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/fiber/algo/algorithm.hpp>
+#include <boost/fiber/context.hpp>
+#include <boost/fiber/scheduler.hpp>
+#include <chrono>
+#include <cstddef>
+#include <memory>
+
+namespace gooseberrysail::impl {
+
+/// \brief Runs ready fibers in turn; with none, sleeps in the io_context until a handler runs or
+/// the next fiber timer is due.
+class FiberScheduler : public boost::fibers::algo::algorithm
+{
+public:
+  explicit FiberScheduler(std::shared_ptr<boost::asio::io_context> io);
+
+  void awakened(boost::fibers::context* fiber) noexcept override;
+  boost::fibers::context* pick_next() noexcept override;
+  bool has_ready_fibers() const noexcept override;
+  void suspend_until(const std::chrono::steady_clock::time_point& until) noexcept override;
+  void notify() noexcept override;
+
+private:
+  std::shared_ptr<boost::asio::io_context> m_io;
+  boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_work;
+  boost::fibers::scheduler::ready_queue_type m_ready;
+  std::size_t m_readyWorkers = 0;
+};
+
+} // namespace gooseberrysail::impl
--- /dev/null
+++ b/src/net/frame_codec.cpp
@@ -0,0 +1,116 @@
+#include "net/frame_codec.hpp"
+
+#include <cstring>
+
+namespace gooseberrysail::impl {
+
+namespace {
+
+constexpr std::size_t kAlignment = 8;
+constexpr std::size_t kMinRoom = 2 * 1024;
+constexpr std::size_t kStartBytes = 4 * 1024;
+constexpr std::size_t kKeptBytes = 64 * 1024;
+// A frame at the front of the buffer lies aligned behind its prefix.
+constexpr std::size_t kFront = kAlignment - kFramePrefixBytes;
+
+} // namespace
+
+std::vector<std::uint8_t> EncodeFrame(const wire::EnvelopeT& envelope)
+{
+  const std::vector<std::uint8_t> payload = EncodeEnvelope(envelope);
+  std::vector<std::uint8_t> frame;
+  frame.reserve(kFramePrefixBytes + payload.size());
+  for (std::size_t i = 0; i < kFramePrefixBytes; ++i) {
+    frame.push_back(static_cast<std::uint8_t>(payload.size() >> (8 * i)));
+  }
+  frame.insert(frame.end(), payload.begin(), payload.end());
+  return frame;
+}
+
+FrameReader::FrameReader(std::size_t maxFrameBytes)
+  : m_maxFrameBytes(maxFrameBytes)
+  , m_buffer(kStartBytes)
+  , m_begin(kFront)
+  , m_end(kFront)
+{
+}
+
+std::span<std::uint8_t> FrameReader::Prepare()
+{
+  if (Unread() == 0 && m_buffer.size() > kKeptBytes) {
+    // One large frame must not hold its memory for the rest of the connection's life.
+    m_buffer = std::vector<std::uint8_t>(kStartBytes);
+    m_begin = kFront;
+    m_end = kFront;
+  }
+  if (m_buffer.size() - m_end < kMinRoom) {
+    MoveToFront();
+  }
+  if (m_buffer.size() - m_end < kMinRoom) {
+    // Grows with what has arrived, not with what a length prefix claims: a peer that announces
+    // large frames and sends nothing would otherwise take our memory.
+    m_buffer.resize(m_buffer.size() * 2);
+  }
+  return std::span(m_buffer).subspan(m_end);
+}
+
+void FrameReader::Commit(std::size_t size) noexcept
+{
+  m_end += size;
+}
+
+void FrameReader::MoveToFront()
+{
+  if (m_begin <= kFront) {
+    return;
+  }
+  const std::size_t unread = Unread();
+  std::memmove(m_buffer.data() + kFront, m_buffer.data() + m_begin, unread);
+  m_begin = kFront;
+  m_end = kFront + unread;
+}
+
+std::size_t FrameReader::FrameLength() const noexcept
+{
+  std::size_t length = 0;
+  for (std::size_t i = 0; i < kFramePrefixBytes; ++i) {
+    length |= static_cast<std::size_t>(m_buffer[m_begin + i]) << (8 * i);
+  }
+  return length;
+}
+
+Result<std::optional<std::span<const std::uint8_t>>> FrameReader::Next(const std::string& peer)
+{
+  if (Unread() == 0) {
+    m_begin = kFront;
+    m_end = kFront;
+  }
+  if (Unread() < kFramePrefixBytes) {
+    return std::nullopt;
+  }
+  const std::size_t length = FrameLength();
+  if (length == 0) {
+    return Error{ ErrorCode::kCorrupt, "read frame", peer, "a frame of no bytes" };
+  }
+  if (length > m_maxFrameBytes) {
+    return Error{ ErrorCode::kTooLarge,
+                  "read frame",
+                  peer,
+                  "a frame of " + std::to_string(length) + " bytes, over the limit of " +
+                    std::to_string(m_maxFrameBytes) };
+  }
+  if (Unread() < kFramePrefixBytes + length) {
+    return std::nullopt;
+  }
+  const std::size_t found = m_begin + kFramePrefixBytes;
+  m_begin = found + length;
+  // FlatBuffers reads numbers in place. A frame behind others may lie anywhere, and reading a
+  // misaligned number is undefined; the bytes before it are spent, so it can move back a little.
+  const std::size_t aligned = found / kAlignment * kAlignment;
+  if (aligned != found) {
+    std::memmove(m_buffer.data() + aligned, m_buffer.data() + found, length);
+  }
+  return std::optional(std::span<const std::uint8_t>(m_buffer).subspan(aligned, length));
+}
+
+} // namespace gooseberrysail::impl
--- /dev/null
+++ b/src/net/handshake.cpp
@@ -0,0 +1,115 @@
+#include "net/handshake.hpp"
+
+#include <cstdlib>
+#include <openssl/crypto.h>
+#include <openssl/evp.h>
+#include <openssl/hmac.h>
+#include <openssl/rand.h>
+
+namespace gooseberrysail::impl {
+
+namespace {
+
+constexpr std::string_view kPurpose = "gooseberrysail peer handshake";
+constexpr std::size_t kMaxNameBytes = 256;
+
+void AppendNumber(std::string& out, std::uint64_t number)
+{
+  for (unsigned shift = 0; shift < 64; shift += 8) {
+    out.push_back(static_cast<char>(number >> shift));
+  }
+}
+
+// Each text goes in with its length. Without it "ab"+"c" and "a"+"bc" would have one proof, and a
+// process could pass for another whose name runs over into the next field.
+void AppendText(std::string& out, std::string_view text)
+{
+  AppendNumber(out, text.size());
+  out.append(text);
+}
+
+void AppendHello(std::string& out, const wire::HelloT& hello)
+{
+  AppendText(out, hello.process);
+  AppendText(out, hello.role);
+  AppendNumber(out, hello.incarnation);
+  AppendText(out, hello.address);
+  AppendNumber(out, hello.protocol);
+  AppendText(out, std::string(hello.nonce.begin(), hello.nonce.end()));
+}
+
+Error Refusal(ErrorCode code, const std::string& address, std::string description)
+{
+  return Error{ code, "read hello", address, std::move(description) };
+}
+
+} // namespace
+
+std::vector<std::uint8_t> MakeNonce()
+{
+  std::vector<std::uint8_t> nonce(kNonceBytes);
+  if (RAND_bytes(nonce.data(), static_cast<int>(nonce.size())) != 1) {
+    // A guessable nonce would let an eavesdropper replay an old proof. There is no way on.
+    std::abort();
+  }
+  return nonce;
+}
+
+Proof MakeProof(std::string_view clusterKey,
+                ProofSide side,
+                const wire::HelloT& dialler,
+                const wire::HelloT& acceptor)
+{
+  // The side is part of the proof: otherwise a stranger could dial us, echo our own proof from a
+  // second connection, and be taken for a peer.
+  std::string message;
+  AppendText(message, kPurpose);
+  AppendNumber(message, static_cast<std::uint64_t>(side));
+  AppendHello(message, dialler);
+  AppendHello(message, acceptor);
+  Proof proof{};
+  unsigned size = 0;
+  const auto* const bytes = reinterpret_cast<const unsigned char*>(message.data());
+  const auto* const made = HMAC(EVP_sha256(),
+                                clusterKey.data(),
+                                static_cast<int>(clusterKey.size()),
+                                bytes,
+                                message.size(),
+                                proof.data(),
+                                &size);
+  if (made == nullptr || size != proof.size()) {
+    std::abort();
+  }
+  return proof;
+}
+
+bool IsProof(const Proof& expected, std::span<const std::uint8_t> received) noexcept
+{
+  // A comparison that stops at the first difference tells by its time how much was right.
+  return received.size() == expected.size() &&
+         CRYPTO_memcmp(expected.data(), received.data(), expected.size()) == 0;
+}
+
+Result<void> CheckHello(const wire::HelloT& own,
+                        const wire::HelloT& peer,
+                        const std::string& address)
+{
+  if (peer.protocol != kProtocol) {
+    return Refusal(ErrorCode::kDenied,
+                   address,
+                   "protocol " + std::to_string(peer.protocol) + " instead of " +
+                     std::to_string(kProtocol));
+  }
+  if (peer.process.empty() || peer.process.size() > kMaxNameBytes) {
+    return Refusal(ErrorCode::kInvalid, address, "no process name, or one too long");
+  }
+  if (peer.process == own.process) {
+    return Refusal(ErrorCode::kConflict, address, "a peer with our own name, " + own.process);
+  }
+  if (peer.nonce.size() != kNonceBytes || peer.nonce == own.nonce) {
+    return Refusal(ErrorCode::kInvalid, address, "a nonce of the wrong size, or our own");
+  }
+  return outcome::success();
+}
+
+} // namespace gooseberrysail::impl
--- /dev/null
+++ b/src/net/peer_connection.hpp
@@ -0,0 +1,94 @@
+#pragma once
+
+#include "gooseberrysail/core/ids.hpp"
+#include "gooseberrysail/core/time.hpp"
+#include "net/frame_codec.hpp"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace gooseberrysail::impl {
+
+using ConnectionId = StrongId<struct ConnectionTag, std::uint64_t>;
+
+/// \brief One TCP connection with a peer: its socket, what it has yet to send and what is known
+/// of the other side.
+class PeerConnection : public std::enable_shared_from_this<PeerConnection>
+{
+public:
+  enum class Phase
+  {
+    kConnecting,
+    kHandshake,
+    kEstablished,
+    kClosed,
+  };
+
+  PeerConnection(ConnectionId id, boost::asio::ip::tcp::socket socket, bool dialled);
+
+  [[nodiscard]] ConnectionId Id() const noexcept { return m_id; }
+  [[nodiscard]] bool Dialled() const noexcept { return m_dialled; }
+  [[nodiscard]] bool Closed() const noexcept { return phase == Phase::kClosed; }
+
+  /// \brief Closes the socket; the first reason given is kept. Completes every wait on it.
+  void Close(std::string reason);
+  [[nodiscard]] const std::string& CloseReason() const noexcept { return m_closeReason; }
+
+  /// \brief Closes the connection when the timeout passes without DisarmTimeout.
+  void ArmTimeout(Duration timeout, std::string reason);
+  void DisarmTimeout();
+
+  /// \brief Queues a frame for sending.
+  void Queue(std::vector<std::uint8_t> frame);
+
+  /// \brief Queues a frame that goes before all frames not yet being written.
+  void QueueFirst(const std::vector<std::uint8_t>& frame);
+
+  [[nodiscard]] std::size_t QueuedBytes() const noexcept { return m_queuedBytes; }
+
+  boost::asio::ip::tcp::socket socket;
+  FrameReader reader;
+  Phase phase = Phase::kHandshake;
+  std::string address; ///< The other end of the socket.
+
+  // Known once the handshake is done.
+  ProcessId process;
+  std::string role;
+  Incarnation incarnation;
+  std::string dialableAddress;
+  std::uint64_t establishedOrder = 0; ///< Comparable with ids: both come from one counter.
+
+  TimePoint answeredAt{}; ///< When the last answer to one of our heartbeats arrived.
+  bool silent = false;    ///< Given up for silence; being replaced.
+
+  /// \brief Called after each write with its size.
+  std::function<void(std::size_t)> onWritten;
+
+private:
+  void WriteSoon();
+  void WriteNext();
+  void OnWritten(boost::system::error_code error, std::size_t size);
+
+  ConnectionId m_id;
+  bool m_dialled;
+  std::string m_closeReason;
+  boost::asio::steady_timer m_timer;
+  std::uint64_t m_timeouts = 0;
+
+  std::deque<std::vector<std::uint8_t>> m_chunks;
+  std::vector<std::uint8_t> m_first;
+  std::vector<std::uint8_t> m_writingFirst;
+  std::vector<std::uint8_t> m_writing;
+  std::size_t m_queuedBytes = 0;
+  bool m_isWriting = false;
+};
+
+using PeerConnectionPtr = std::shared_ptr<PeerConnection>;
+
+} // namespace gooseberrysail::impl
--- /dev/null
+++ b/src/net/peer_mesh.cpp
@@ -0,0 +1,293 @@
+#include "gooseberrysail/net/peer_mesh.hpp"
+
+#include "gooseberrysail/net/endpoint.hpp"
+#include "gooseberrysail/shell/clock.hpp"
+#include "net/peer_mesh_impl.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace gooseberrysail {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+PeerMesh::Impl::Impl(IoRuntime& ioRuntime, PeerMeshSettings meshSettings, PeerMeshHooks meshHooks)
+  : runtime(ioRuntime)
+  , settings(std::move(meshSettings))
+  , hooks(std::move(meshHooks))
+  , acceptor(ioRuntime.Io())
+{
+  std::uint32_t seed = 0;
+  for (const std::uint8_t byte : impl::MakeNonce()) {
+    seed = seed * 31 + byte;
+  }
+  jitter.seed(seed);
+}
+
+Result<void> PeerMesh::Impl::Start()
+{
+  if (settings.clusterKey.empty()) {
+    return Error{ ErrorCode::kInvalid, "start mesh", settings.process.Get(), "no cluster key" };
+  }
+  BOOST_OUTCOME_TRY(auto listening, Listen(runtime.Io(), settings.listenAddress));
+  acceptor = std::move(listening);
+  boost::system::error_code error;
+  const tcp::endpoint bound = acceptor.local_endpoint(error);
+  if (error) {
+    return Error{ ErrorCode::kIo, "listen", settings.listenAddress, error.message() };
+  }
+  listenAddress = ToAddress(bound);
+  // A wildcard address can't be dialled, so it isn't announced.
+  if (settings.announcedAddress.empty() && !bound.address().is_unspecified()) {
+    settings.announcedAddress = listenAddress;
+  }
+  Spawn([this] { Accept(); });
+  Spawn([this] { Beat(); });
+  return outcome::success();
+}
+
+void PeerMesh::Impl::Spawn(std::function<void()> work)
+{
+  ++fibers;
+  runtime.Spawn([this, work = std::move(work)] {
+    work();
+    --fibers;
+    fiberEnded.Notify();
+  });
+}
+
+void PeerMesh::Impl::Close()
+{
+  closed = true;
+  boost::system::error_code ignored;
+  acceptor.close(ignored);
+  for (const auto& [id, connection] : connections) {
+    connection->Close("this process stops");
+  }
+  for (auto& [name, peer] : peers) {
+    peer.changed.Notify();
+  }
+  wakeBeat.Notify();
+  while (fibers > 0) {
+    fiberEnded.Wait();
+  }
+}
+
+void PeerMesh::Impl::Flush(Duration timeout)
+{
+  const TimePoint until = BootNow() + timeout;
+  const auto isQueued = [](const auto& row) { return row.second->QueuedBytes() > 0; };
+  while (std::any_of(connections.begin(), connections.end(), isQueued)) {
+    const TimePoint now = BootNow();
+    if (now >= until || !written.WaitFor(until - now)) {
+      return;
+    }
+  }
+}
+
+void PeerMesh::Impl::Emit(EventNumber number,
+                          std::vector<std::pair<std::string, std::string>> fields) const
+{
+  if (hooks.onEvent && !closed) {
+    hooks.onEvent(MakeEvent(number, std::move(fields)));
+  }
+}
+
+PeerMesh::Impl::ConnectionPtr PeerMesh::Impl::Register(tcp::socket socket,
+                                                       bool dialled,
+                                                       std::string address)
+{
+  const impl::ConnectionId id(++lastOrder);
+  auto connection = std::make_shared<Connection>(id, std::move(socket), dialled);
+  connection->address = std::move(address);
+  connection->reader.SetLimit(impl::kMaxHandshakeBytes);
+  connection->onWritten = [this](std::size_t size) {
+    counters.bytesSent += size;
+    ++counters.writes;
+    written.Notify();
+  };
+  connections.emplace(id, connection);
+  return connection;
+}
+
+PeerMesh::Impl::ConnectionPtr PeerMesh::Impl::Find(impl::ConnectionId id) const
+{
+  const auto found = connections.find(id);
+  return found == connections.end() ? nullptr : found->second;
+}
+
+void PeerMesh::Impl::Send(const FrameOut& out)
+{
+  if (closed) {
+    return;
+  }
+  Frame frame = impl::EncodeFrame(*out.envelope);
+  if (frame.size() - impl::kFramePrefixBytes > kMaxFrameBytes) {
+    // The peer would close the connection on it, and again on each retry.
+    Emit(EventNumber::kPeerFrameTooLarge,
+         { { "peer", out.peer.Get() },
+           { "kind", BodyName(*out.envelope) },
+           { "bytes", std::to_string(frame.size()) },
+           { "limit", std::to_string(kMaxFrameBytes) } });
+    return;
+  }
+  Peer& peer = peers[out.peer];
+  peer.usedAt = BootNow();
+  if (!out.address.empty()) {
+    peer.address = out.address;
+  }
+  const ConnectionPtr connection = Find(peer.connection);
+  if (!connection) {
+    if (!out.address.empty()) {
+      Keep(out.peer, peer, std::move(frame));
+    }
+    return;
+  }
+  if (connection->QueuedBytes() + frame.size() > settings.maxQueuedBytes) {
+    // A peer that reads slower than we write would take all our memory.
+    Emit(EventNumber::kPeerQueueFull,
+         { { "peer", out.peer.Get() },
+           { "queuedBytes", std::to_string(connection->QueuedBytes()) },
+           { "limit", std::to_string(settings.maxQueuedBytes) } });
+    Lose(connection, "send frame", "outbound queue full");
+    return;
+  }
+  ++counters.framesSent;
+  connection->Queue(std::move(frame));
+}
+
+void PeerMesh::Impl::Keep(const ProcessId& name, Peer& peer, Frame frame)
+{
+  if (peer.waitingBytes + frame.size() > settings.maxQueuedBytes) {
+    Emit(EventNumber::kPeerQueueFull,
+         { { "peer", name.Get() },
+           { "queuedBytes", std::to_string(peer.waitingBytes) },
+           { "limit", std::to_string(settings.maxQueuedBytes) } });
+    peer.waiting.clear();
+    peer.waitingBytes = 0;
+    Down(name, Incarnation(), "outbound queue full before a connection stood");
+    return;
+  }
+  peer.waitingBytes += frame.size();
+  peer.waiting.push_back(std::move(frame));
+  StartDial(name, peer);
+}
+
+void PeerMesh::Impl::Establish(const ConnectionPtr& connection)
+{
+  Peer& peer = peers[connection->process];
+  if (const ConnectionPtr old = Find(peer.connection)) {
+    // The old one must be told as down first: frames on it may be lost, and the role that gets
+    // PeerUp sends them again.
+    Lose(old, "replace connection", old->silent ? "went silent" : "replaced by a newer one");
+  }
+  connection->DisarmTimeout();
+  connection->reader.SetLimit(kMaxFrameBytes);
+  connection->phase = Connection::Phase::kEstablished;
+  connection->establishedOrder = ++lastOrder;
+  connection->answeredAt = BootNow();
+  peer.connection = connection->Id();
+  if (!connection->Dialled() && !connection->dialableAddress.empty()) {
+    peer.address = connection->dialableAddress;
+  }
+  peer.failures = 0;
+  peer.retryAt = TimePoint{};
+  peer.usedAt = connection->answeredAt;
+  peer.changed.Notify();
+  ++standing;
+  for (Frame& frame : std::exchange(peer.waiting, {})) {
+    ++counters.framesSent;
+    connection->Queue(std::move(frame));
+  }
+  peer.waitingBytes = 0;
+  Emit(EventNumber::kPeerConnected,
+       { { "peer", connection->process.Get() },
+         { "role", connection->role },
+         { "incarnation", std::to_string(connection->incarnation.Get()) },
+         { "address", connection->address },
+         { "side", connection->Dialled() ? "dialled" : "accepted" } });
+  if (hooks.onUp) {
+    hooks.onUp(PeerUp{ connection->process,
+                       connection->role,
+                       connection->incarnation,
+                       connection->dialableAddress });
+  }
+}
+
+void PeerMesh::Impl::Lose(const ConnectionPtr& connection,
+                          std::string_view step,
+                          const std::string& reason)
+{
+  connection->Close(reason);
+  if (connections.erase(connection->Id()) == 0 || connection->establishedOrder == 0) {
+    return;
+  }
+  --standing;
+  const auto found = peers.find(connection->process);
+  if (found == peers.end() || found->second.connection != connection->Id()) {
+    return;
+  }
+  found->second.connection = impl::ConnectionId();
+  found->second.changed.Notify();
+  Emit(EventNumber::kPeerLost,
+       { { "peer", connection->process.Get() },
+         { "incarnation", std::to_string(connection->incarnation.Get()) },
+         { "step", std::string(step) },
+         { "reason", reason } });
+  Down(connection->process, connection->incarnation, reason);
+}
+
+void PeerMesh::Impl::Down(const ProcessId& name, Incarnation incarnation, std::string reason) const
+{
+  if (hooks.onDown && !closed) {
+    hooks.onDown(PeerDown{ name, incarnation, std::move(reason) });
+  }
+}
+
+PeerMesh::PeerMesh(IoRuntime& runtime, PeerMeshSettings settings, PeerMeshHooks hooks)
+  : m_impl(std::make_shared<Impl>(runtime, std::move(settings), std::move(hooks)))
+{
+}
+
+PeerMesh::~PeerMesh()
+{
+  Close();
+}
+
+Result<void> PeerMesh::Start()
+{
+  return m_impl->Start();
+}
+
+std::string PeerMesh::ListenAddress() const
+{
+  return m_impl->listenAddress;
+}
+
+void PeerMesh::Send(const FrameOut& frame)
+{
+  m_impl->Send(frame);
+}
+
+void PeerMesh::Close()
+{
+  m_impl->Close();
+}
+
+void PeerMesh::Flush(Duration timeout)
+{
+  m_impl->Flush(timeout);
+}
+
+const PeerMeshCounters& PeerMesh::Counters() const noexcept
+{
+  return m_impl->counters;
+}
+
+std::size_t PeerMesh::ConnectionCount() const noexcept
+{
+  return m_impl->standing;
+}
+
+} // namespace gooseberrysail
