--- /dev/null
+++ b/include/gooseberrysail/agent/lease.hpp
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "gooseberrysail/agent/nonce_ring.hpp"
+#include "gooseberrysail/core/time.hpp"
+
+#include <cstdint>
+#include <optional>
+
+namespace gooseberrysail {
+
+/// \brief The head's permission from control to serve as this group epoch.
+/// \remarks Counted from when the report was sent: control grants from when it answered, which is
+/// later, so the holder always stops first.
+class GroupLease
+{
+public:
+  static constexpr Duration kReportInterval = std::chrono::seconds(1);
+
+  void Clear();
+  [[nodiscard]] bool ReportDue(TimePoint now) const noexcept;
+  void OnReportSent(TimePoint now, std::uint64_t nonce);
+  /// \returns When the report of that nonce was sent; none when it is not among the latest.
+  std::optional<TimePoint> OnGrant(std::uint64_t nonce, Duration length);
+  [[nodiscard]] bool Holds(TimePoint now) const noexcept { return m_until && now < *m_until; }
+
+private:
+  impl::NonceRing m_reports;
+  std::optional<TimePoint> m_until;
+};
+
+} // namespace gooseberrysail
--- /dev/null
+++ b/include/gooseberrysail/agent/request_system.hpp
@@ -0,0 +1,180 @@
+#pragma once
+
+#include "gooseberrysail/agent/context.hpp"
+#include "gooseberrysail/agent/gate.hpp"
+#include "gooseberrysail/agent/held_output.hpp"
+#include "gooseberrysail/agent/ledger.hpp"
+#include "gooseberrysail/agent/start_queue.hpp"
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace gooseberrysail {
+
+/// \brief How much work the catalogue lets one group take.
+struct RequestLimits
+{
+  std::uint32_t maxConcurrent = 0;
+  std::uint32_t maxQueued = 0;
+};
+
+/// \brief What the request system must know of the group, asked at each use.
+struct RequestHooks
+{
+  std::function<GateState(TimePoint)> gate;  ///< For new work.
+  std::function<GateState(TimePoint)> whole; ///< For output of running work.
+  std::function<bool(GroupId, Epoch)> holds;
+  std::function<RequestLimits()> limits;
+};
+
+/// \brief Requests on this target: started at most once, answered whole or cut with a reason.
+class RequestSystem
+{
+public:
+  /// How long answers are kept for an entry that does not return.
+  static constexpr Duration kHoldFor = std::chrono::seconds(60);
+  /// How long output is withheld while the group isn't whole, before the requests are cut.
+  static constexpr Duration kWithholdGrace = std::chrono::seconds(3);
+  /// How long queued requests wait for the gate before they are refused and routed elsewhere.
+  static constexpr Duration kQueuePatience = std::chrono::milliseconds(500);
+
+  RequestSystem(Incarnation incarnation, std::size_t maxHeldBytes, RequestHooks hooks);
+
+  void OnPeerUp(impl::AgentContext& context, const ProcessId& peer, Incarnation incarnation);
+  void OnPeerDown(impl::AgentContext& context, const ProcessId& peer);
+
+  void OnStart(impl::AgentContext& context, const FrameIn& frame, const wire::StartT& start);
+  void OnSeal(impl::AgentContext& context, const FrameIn& frame, const wire::SealT& seal);
+  void OnResume(impl::AgentContext& context, const FrameIn& frame, const wire::ResumeT& resume);
+  void OnCancel(impl::AgentContext& context, const FrameIn& frame, const wire::CancelT& cancel);
+  void OnAck(impl::AgentContext& context, const FrameIn& frame, const wire::AckT& ack);
+
+  /// \returns True when the exchange was a request's.
+  bool OnAnswer(impl::AgentContext& context, const TargetAnswerIn& answer);
+  bool OnFailed(impl::AgentContext& context, const TargetFailedIn& failure);
+
+  /// \brief Deadlines, withheld output, queued work and what is held too long.
+  void Tick(impl::AgentContext& context);
+  /// \brief The group is no longer ours: cuts what runs, refuses what waits.
+  void EndAll(impl::AgentContext& context, const std::string& reason);
+
+  [[nodiscard]] std::uint32_t Running() const noexcept { return m_running; }
+  [[nodiscard]] std::uint32_t Queued() const noexcept
+  {
+    return static_cast<std::uint32_t>(m_queue.Size());
+  }
+  [[nodiscard]] std::size_t HeldBytes() const noexcept { return m_heldBytes; }
+  /// \brief Every answer was handed over.
+  [[nodiscard]] bool Idle() const noexcept { return m_attempts.empty(); }
+
+private:
+  enum class State : std::uint8_t
+  {
+    kQueued,
+    kRunning,
+    kEnded,
+  };
+  /// What only a request still waiting for its start needs.
+  struct Call
+  {
+    std::string method;
+    std::string path;
+    std::vector<HttpHeader> headers;
+    std::string body;
+  };
+  struct Attempt
+  {
+    ProcessId entry;
+    Incarnation entryIncarnation;
+    Epoch epoch;
+    State state = State::kQueued;
+    bool repeatable = true;
+    std::uint8_t priority = 0;
+    bool connected = true;
+    std::optional<Call> call;
+    std::optional<TimePoint> deadline;
+    std::optional<TimePoint> lostAt; ///< When the entry's connection went down.
+    TimePoint startedAt{};
+    TimePoint lastContact{};
+    ExchangeId exchange;
+    HeldOutput output;
+    /// Output before this offset arrived, or was waited for, while the group was whole.
+    std::uint64_t cleared = 0;
+    bool endCleared = false;
+    std::uint64_t sent = 0; ///< Offset up to which output went out on the current connection.
+    bool headSent = false;
+    bool endSent = false;
+  };
+  using Table = std::unordered_map<AttemptKey, Attempt, AttemptKeyHash>;
+
+  // Starting.
+  void Enqueue(impl::AgentContext& context,
+               const FrameIn& frame,
+               const wire::StartT& start,
+               const AttemptKey& key);
+  void AnswerKnown(impl::AgentContext& context, const ProcessId& peer, const AttemptKey& key);
+  bool MakeRoom(impl::AgentContext& context, std::uint8_t priority);
+  void StartWaiting(impl::AgentContext& context);
+  void Run(impl::AgentContext& context, const AttemptKey& key, Attempt& attempt);
+  void SendRefused(impl::AgentContext& context,
+                   const ProcessId& peer,
+                   const AttemptKey& key,
+                   const std::string& reason,
+                   Duration retryAfter);
+  void Refuse(impl::AgentContext& context,
+              const ProcessId& peer,
+              const AttemptKey& key,
+              const std::string& reason,
+              Duration retryAfter);
+  void RefuseQueued(impl::AgentContext& context, const AttemptKey& key, const std::string& reason);
+  void RefuseAllQueued(impl::AgentContext& context, const std::string& reason);
+  [[nodiscard]] Duration ExpectedWait() const;
+
+  // Ending.
+  void Finish(impl::AgentContext& context, Attempt& attempt);
+  void Cut(impl::AgentContext& context,
+           const AttemptKey& key,
+           Attempt& attempt,
+           const std::string& reason);
+  void CutRunning(impl::AgentContext& context, const std::string& reason);
+  void Remove(impl::AgentContext& context, Table::iterator row);
+
+  // Delivering.
+  void Clear(TimePoint now, Attempt& attempt);
+  void Replay(impl::AgentContext& context,
+              const AttemptKey& key,
+              Attempt& attempt,
+              std::uint64_t offset);
+  void Deliver(impl::AgentContext& context, const AttemptKey& key, Attempt& attempt);
+  void SendCutNotice(impl::AgentContext& context,
+                     const ProcessId& peer,
+                     const AttemptKey& key,
+                     std::uint64_t offset,
+                     const std::string& reason);
+  void KeepWithinBound(impl::AgentContext& context);
+  void DropHeld(Attempt& attempt);
+
+  // Sweeping.
+  void SweepGate(impl::AgentContext& context);
+  void SweepAttempts(impl::AgentContext& context);
+  [[nodiscard]] bool SweepOne(impl::AgentContext& context, const AttemptKey& key, Attempt& attempt);
+
+  Incarnation m_incarnation;
+  std::size_t m_maxHeldBytes;
+  RequestHooks m_hooks;
+  RequestLedger m_ledger;
+  Table m_attempts;
+  std::unordered_map<ExchangeId, AttemptKey> m_byExchange;
+  StartQueue m_queue;
+  std::uint32_t m_running = 0;
+  std::size_t m_heldBytes = 0;
+  double m_serviceMillis = 0; ///< Moving mean of how long a request runs.
+  std::optional<TimePoint> m_brokenSince;
+  std::optional<TimePoint> m_closedSince;
+  std::optional<TimePoint> m_lastSweep;
+};
+
+} // namespace gooseberrysail
--- /dev/null
+++ b/include/gooseberrysail/agent/start_queue.hpp
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "gooseberrysail/agent/ledger.hpp"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <utility>
+
+namespace gooseberrysail {
+
+/// \brief Requests waiting for a slot: more urgent class first, then in order of arrival.
+class StartQueue
+{
+public:
+  void Push(std::uint8_t priority, const AttemptKey& key);
+  bool Remove(const AttemptKey& key);
+  [[nodiscard]] std::optional<AttemptKey> Front() const;
+  /// \brief The latest of the least urgent class, when that is less urgent than `priority`.
+  [[nodiscard]] std::optional<AttemptKey> Displaceable(std::uint8_t priority) const;
+  [[nodiscard]] std::size_t Size() const noexcept { return m_waiting.size(); }
+
+private:
+  using Place = std::pair<std::uint8_t, std::uint64_t>;
+  std::map<Place, AttemptKey> m_waiting;
+  std::map<AttemptKey, Place> m_places;
+  std::uint64_t m_arrivals = 0;
+};
+
+} // namespace gooseberrysail
--- /dev/null
+++ b/src/agent/agent_role.cpp
@@ -0,0 +1,246 @@
+#include "gooseberrysail/roles/agent_role.hpp"
+
+#include "gooseberrysail/agent/announcer.hpp"
+#include "gooseberrysail/agent/config_client.hpp"
+#include "gooseberrysail/agent/control_link.hpp"
+#include "gooseberrysail/agent/engine_orders.hpp"
+#include "gooseberrysail/agent/group_system.hpp"
+#include "gooseberrysail/agent/load_reports.hpp"
+#include "gooseberrysail/agent/request_system.hpp"
+#include "gooseberrysail/agent/target_probe.hpp"
+
+#include <utility>
+
+namespace gooseberrysail {
+
+namespace {
+
+/// How long a stopping agent, idle itself, waits for control to release its group.
+constexpr Duration kStopPatience = std::chrono::seconds(30);
+
+} // namespace
+
+struct AgentRole::Impl
+{
+  Impl(AgentSettings initialSettings, const RoleHooks& hooks)
+    : settings(std::move(initialSettings))
+    , link(settings.controls)
+    , config(hooks.random)
+    , group(settings, GroupSystem::Parts{ link, config, probe, orders }, hooks.random)
+    , requests(
+        settings.incarnation,
+        settings.maxHeldOutputBytes,
+        RequestHooks{ [this](TimePoint now) { return group.Gate(now); },
+                      [this](TimePoint now) { return group.Whole(now); },
+                      [this](GroupId id, Epoch epoch) { return group.Members().Holds(id, epoch); },
+                      [this] { return group.Limits(); } })
+  {
+  }
+
+  void Take(impl::AgentContext& context, const PeerUp& up);
+  void Take(impl::AgentContext& context, const PeerDown& down);
+  void Take(impl::AgentContext& context, const FrameIn& frame);
+  void Take(impl::AgentContext& context, const TargetAnswerIn& answer);
+  void Take(impl::AgentContext& context, const TargetFailedIn& failure);
+  void Take(impl::AgentContext& context, const StopRequested&);
+  void TakeGroupFrame(impl::AgentContext& context, const FrameIn& frame);
+  void TakeRequestFrame(impl::AgentContext& context, const FrameIn& frame);
+  void RunSystems(impl::AgentContext& context);
+  void ReportLoad(impl::AgentContext& context);
+  void AdvanceStop(impl::AgentContext& context);
+  [[nodiscard]] Duration ConfigInterval(TimePoint now) const;
+  [[nodiscard]] std::string LoadedModel() const;
+
+  AgentSettings settings;
+  ControlLink link;
+  ConfigClient config;
+  TargetProbe probe;
+  EngineOrders orders;
+  GroupSystem group;
+  RequestSystem requests;
+  Announcer announcer;
+  LoadReports loadReports;
+  std::uint64_t lastExchange = 0;
+  GroupId lastGroup;
+  Epoch lastEpoch;
+  bool leaving = false;
+  bool stopped = false;
+  std::optional<TimePoint> idleSince;
+};
+
+void AgentRole::Impl::Take(impl::AgentContext& context, const PeerUp& up)
+{
+  requests.OnPeerUp(context, up.peer, up.incarnation);
+}
+
+void AgentRole::Impl::Take(impl::AgentContext& context, const PeerDown& down)
+{
+  requests.OnPeerDown(context, down.peer);
+  loadReports.OnDown(down.peer);
+  link.OnDown(down.peer);
+}
+
+void AgentRole::Impl::Take(impl::AgentContext& context, const FrameIn& frame)
+{
+  if (!frame.envelope) {
+    return;
+  }
+  config.OnVersionSeen(LogIndex(frame.envelope->version));
+  TakeGroupFrame(context, frame);
+  TakeRequestFrame(context, frame);
+}
+
+void AgentRole::Impl::TakeGroupFrame(impl::AgentContext& context, const FrameIn& frame)
+{
+  const auto& body = frame.envelope->body;
+  if (const auto* beatRequest = body.AsBeatRequest()) {
+    group.OnBeatRequest(context, frame, *beatRequest);
+  } else if (const auto* beatReply = body.AsBeatReply()) {
+    group.OnBeatReply(*beatReply);
+  } else if (!link.IsControl(frame.peer)) {
+    return; // What follows only a configured control may say.
+  } else if (const auto* state = body.AsConfigState()) {
+    config.OnState(context, link, frame.peer, *state);
+  } else if (const auto* assign = body.AsAssign()) {
+    group.OnAssign(context, requests, frame, *assign);
+  } else if (const auto* release = body.AsRelease()) {
+    group.OnRelease(context, frame, *release);
+  } else if (const auto* grant = body.AsLeaseGrant()) {
+    group.OnGrant(context, frame, *grant);
+  }
+}
+
+void AgentRole::Impl::TakeRequestFrame(impl::AgentContext& context, const FrameIn& frame)
+{
+  const auto& body = frame.envelope->body;
+  if (const auto* start = body.AsStart()) {
+    loadReports.OnWork(context.Now(), frame.peer);
+    requests.OnStart(context, frame, *start);
+  } else if (const auto* seal = body.AsSeal()) {
+    requests.OnSeal(context, frame, *seal);
+  } else if (const auto* resume = body.AsResume()) {
+    loadReports.OnWork(context.Now(), frame.peer);
+    requests.OnResume(context, frame, *resume);
+  } else if (const auto* cancel = body.AsCancel()) {
+    requests.OnCancel(context, frame, *cancel);
+  } else if (const auto* ack = body.AsAck()) {
+    requests.OnAck(context, frame, *ack);
+  }
+}
+
+void AgentRole::Impl::Take(impl::AgentContext& context, const TargetAnswerIn& answer)
+{
+  if (!probe.OnAnswer(answer) && !orders.OnAnswer(context, answer, probe)) {
+    requests.OnAnswer(context, answer);
+  }
+}
+
+void AgentRole::Impl::Take(impl::AgentContext& context, const TargetFailedIn& failure)
+{
+  if (!probe.OnFailed(failure) && !orders.OnFailed(context, failure)) {
+    requests.OnFailed(context, failure);
+  }
+}
+
+void AgentRole::Impl::Take(impl::AgentContext& context, const StopRequested&)
+{
+  if (std::exchange(leaving, true)) {
+    return;
+  }
+  // The gate first: whoever hears of the leaving may already count on it.
+  group.SetLeaving();
+  context.Emit(EventNumber::kAgentLeaving,
+               { { "inFlight", std::to_string(requests.Running() + requests.Queued()) } });
+}
+
+Duration AgentRole::Impl::ConfigInterval(TimePoint now) const
+{
+  const bool relayed = group.Members().Current() && !group.Members().IsHead() &&
+                       group.HearsHead(now) && config.ConfirmedAt();
+  return relayed ? ConfigClient::kRelayedInterval : ConfigClient::kInterval;
+}
+
+std::string AgentRole::Impl::LoadedModel() const
+{
+  const TargetStatus& status = probe.Status();
+  if (settings.kind == wire::TargetKind::Service || status.model.empty()) {
+    return "";
+  }
+  return status.model + "@" + status.version;
+}
+
+void AgentRole::Impl::RunSystems(impl::AgentContext& context)
+{
+  probe.Tick(context);
+  config.Tick(context, link, ConfigInterval(context.Now()));
+  orders.Tick(context, probe);
+  group.Tick(context, requests);
+  requests.Tick(context);
+  announcer.Tick(context, link, group.Members().Current(), LoadedModel(), leaving);
+  ReportLoad(context);
+  AdvanceStop(context);
+}
+
+void AgentRole::Impl::ReportLoad(impl::AgentContext& context)
+{
+  if (const auto& assignment = group.Members().Current()) {
+    lastGroup = assignment->group;
+    lastEpoch = assignment->epoch;
+  }
+  const GateState gate = group.Gate(context.Now());
+  const TargetStatus& status = probe.Status();
+  GroupLoad load{ lastGroup, lastEpoch };
+  load.running = requests.Running();
+  load.queued = requests.Queued();
+  load.kvUsedPermille = status.kvUsedPermille;
+  load.tokensPerSecond = status.tokensPerSecond;
+  load.open = gate.Open();
+  load.leaving = gate.reason == GateReason::kLeaving || gate.reason == GateReason::kReleasing ||
+                 gate.reason == GateReason::kDraining || gate.reason == GateReason::kNoGroup;
+  load.age = status.aliveAskedAt ? context.Now() - *status.aliveAskedAt : Duration{};
+  loadReports.Tick(context, load);
+}
+
+void AgentRole::Impl::AdvanceStop(impl::AgentContext& context)
+{
+  if (!leaving || stopped) {
+    return;
+  }
+  if (!requests.Idle()) {
+    idleSince.reset();
+    return;
+  }
+  idleSince = idleSince.value_or(context.Now());
+  const bool released = !group.Members().Current().has_value();
+  const bool patienceOver = context.Now() - *idleSince >= kStopPatience;
+  if (!released && !patienceOver) {
+    // A member whose head still finishes work goes on vouching until control dissolves the group.
+    return;
+  }
+  if (!released) {
+    context.Emit(EventNumber::kAgentStopPatienceEnded, {});
+  }
+  stopped = true;
+  context.Stopped();
+}
+
+AgentRole::AgentRole(AgentSettings settings, RoleHooks hooks)
+  : m_impl(std::make_unique<Impl>(std::move(settings), hooks))
+{
+}
+
+AgentRole::~AgentRole() = default;
+
+void AgentRole::Tick(TimePoint now,
+                     std::span<const AgentInput> inbox,
+                     std::vector<AgentOutput>& outbox)
+{
+  impl::AgentContext context(
+    now, m_impl->settings, outbox, m_impl->lastExchange, m_impl->config.Version());
+  for (const AgentInput& input : inbox) {
+    std::visit([this, &context](const auto& each) { m_impl->Take(context, each); }, input);
+  }
+  m_impl->RunSystems(context);
+}
+
+} // namespace gooseberrysail
