--- a/include/gooseberrysail/entry/config_client.hpp
+++ b/include/gooseberrysail/entry/catalogue_client.hpp
@@ -17,12 +17,12 @@
 
 /// \brief Keeps the catalogue copy at the newest committed version, and knows how old the latest
 /// proof of that is.
-class ConfigClient
+class CatalogueClient
 {
 public:
   using Send = std::function<void(const EntrySettings::Control& to, wire::ConfigQueryT query)>;
 
-  explicit ConfigClient(std::vector<EntrySettings::Control> controls);
+  explicit CatalogueClient(std::vector<EntrySettings::Control> controls);
 
   /// \brief Asks when it is time to, and turns to the next control when this one is silent.
   void Tick(TimePoint now, const Send& send);
--- a/include/gooseberrysail/entry/entry_context.hpp
+++ b/include/gooseberrysail/entry/entry_context.hpp
@@ -2,8 +2,8 @@
 
 #include "gooseberrysail/admission/admission.hpp"
 #include "gooseberrysail/catalogue/catalogue.hpp"
+#include "gooseberrysail/entry/catalogue_client.hpp"
 #include "gooseberrysail/entry/claims_client.hpp"
-#include "gooseberrysail/entry/config_client.hpp"
 #include "gooseberrysail/entry/outcome_records.hpp"
 #include "gooseberrysail/entry/peer_table.hpp"
 #include "gooseberrysail/entry/request_table.hpp"
@@ -30,7 +30,7 @@
 
   PeerTable peers;
   Catalogue catalogue;
-  ConfigClient config;
+  CatalogueClient config;
   RouteClient routes;
   Router router;
   Admission admission;
--- a/src/entry/config_client.cpp
+++ b/src/entry/catalogue_client.cpp
@@ -1,4 +1,4 @@
-#include "gooseberrysail/entry/config_client.hpp"
+#include "gooseberrysail/entry/catalogue_client.hpp"
 
 #include <algorithm>
 
@@ -10,12 +10,12 @@
 
 } // namespace
 
-ConfigClient::ConfigClient(std::vector<EntrySettings::Control> controls)
+CatalogueClient::CatalogueClient(std::vector<EntrySettings::Control> controls)
   : m_controls(std::move(controls))
 {
 }
 
-void ConfigClient::Tick(TimePoint now, const Send& send)
+void CatalogueClient::Tick(TimePoint now, const Send& send)
 {
   if (m_controls.empty()) {
     return;
@@ -40,16 +40,16 @@
   send(Current(), std::move(query));
 }
 
-void ConfigClient::OnPeerDown(const ProcessId& peer)
+void CatalogueClient::OnPeerDown(const ProcessId& peer)
 {
   if (!m_controls.empty() && Current().process == peer) {
     TurnToNext();
   }
 }
 
-Result<bool> ConfigClient::OnState(const ProcessId& from,
-                                   const wire::ConfigStateT& state,
-                                   Catalogue& catalogue)
+Result<bool> CatalogueClient::OnState(const ProcessId& from,
+                                      const wire::ConfigStateT& state,
+                                      Catalogue& catalogue)
 {
   Result<bool> moved = catalogue.Apply(state);
   m_haveVersion = catalogue.Version();
@@ -74,14 +74,14 @@
   return moved;
 }
 
-bool ConfigClient::IsControl(const ProcessId& peer) const
+bool CatalogueClient::IsControl(const ProcessId& peer) const
 {
   return std::any_of(m_controls.begin(), m_controls.end(), [&](const auto& control) {
     return control.process == peer;
   });
 }
 
-std::optional<Duration> ConfigClient::ConfirmationAge(TimePoint now) const
+std::optional<Duration> CatalogueClient::ConfirmationAge(TimePoint now) const
 {
   if (!m_confirmedAt) {
     return std::nullopt;
@@ -89,7 +89,7 @@
   return now - *m_confirmedAt;
 }
 
-bool ConfigClient::Confirmed(TimePoint now, const PolicySpec& policy) const
+bool CatalogueClient::Confirmed(TimePoint now, const PolicySpec& policy) const
 {
   if (!m_confirmedAt) {
     return false;
@@ -97,14 +97,14 @@
   return policy.serveUnconfirmed || now - *m_confirmedAt <= policy.confirmationLimit;
 }
 
-void ConfigClient::TurnToNext()
+void CatalogueClient::TurnToNext()
 {
   m_current = (m_current + 1) % m_controls.size();
   m_waiting = false;
   m_nextQuery = TimePoint{};
 }
 
-std::optional<TimePoint> ConfigClient::SentAt(std::uint64_t nonce) const
+std::optional<TimePoint> CatalogueClient::SentAt(std::uint64_t nonce) const
 {
   for (const Asked& asked : m_asked) {
     if (asked.nonce == nonce) {
--- a/src/entry/request_end.cpp
+++ b/src/entry/request_end.cpp
@@ -27,7 +27,7 @@
   context.records.Close(
     context.now, request.id.Get(), outcome, why, status, context.hooks.wallMillis());
   context.admission.OnFinished(context.now, request.workspace, request.entry, took, request.tokens);
-  context.Emit(EventNumber::kRequestEnded,
+  context.Emit(EventNumber::kCallerAnswered,
                { { "request", request.id.Get() },
                  { "workspace", request.workspace.Get() },
                  { "entry", request.entry.Get() },
@@ -41,7 +41,7 @@
 void Amend(EntryContext& context, const Request& request, Outcome outcome, const std::string& why)
 {
   context.records.Amend(request.id.Get(), outcome, why);
-  context.Emit(EventNumber::kRequestAmended,
+  context.Emit(EventNumber::kOutcomeAmended,
                { { "request", request.id.Get() },
                  { "outcome", std::string(ToString(outcome)) },
                  { "reason", why } });
