--- /dev/null
+++ b/src/observe/timeline_report.cpp
@@ -0,0 +1,251 @@
+#include "gooseberrysail/observe/timeline_report.hpp"
+
+#include "gooseberrysail/observe/event_catalog.hpp"
+#include "gooseberrysail/observe/event_line.hpp"
+#include "gooseberrysail/observe/hybrid_clock.hpp"
+
+#include <algorithm>
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+#include <memory>
+#include <set>
+#include <tuple>
+
+namespace gooseberrysail {
+
+namespace {
+
+namespace json = boost::json;
+
+constexpr std::string_view kRequestField = "request";
+
+std::string_view NameOf(const wire::EventT& event)
+{
+  const EventInfo* info = FindEvent(event.number);
+  return info != nullptr ? info->name : "UnknownEvent";
+}
+
+const char* LevelOf(const wire::EventT& event)
+{
+  const EventInfo* info = FindEvent(event.number);
+  return ToString(info != nullptr ? info->level : EventLevel::kError);
+}
+
+auto OrderOf(const wire::EventT& event)
+{
+  return std::tie(event.hlcWall, event.hlcLogical, event.process);
+}
+
+std::vector<std::pair<std::string, std::string>> FieldsOf(const wire::EventT& event)
+{
+  std::vector<std::pair<std::string, std::string>> fields;
+  for (const auto& field : event.fields) {
+    fields.emplace_back(field->name, field->value);
+  }
+  return fields;
+}
+
+std::string TextOf(const wire::EventT& event)
+{
+  std::string line = FormatWallTime(event.hlcWall) + "+" + std::to_string(event.hlcLogical);
+  line += " " + event.process + " " + LevelOf(event) + " " + std::to_string(event.number) + " ";
+  line += NameOf(event);
+  const std::string fields = FormatFields(FieldsOf(event));
+  return line + (fields.empty() ? "" : " ") + fields + "\n";
+}
+
+json::object FieldsToJson(const wire::EventT& event)
+{
+  json::object fields;
+  for (const auto& field : event.fields) {
+    fields[field->name] = field->value;
+  }
+  return fields;
+}
+
+json::object EventToJson(const wire::EventT& event)
+{
+  json::object object;
+  object["number"] = event.number;
+  object["name"] = NameOf(event);
+  object["level"] = LevelOf(event);
+  object["hlcWall"] = event.hlcWall;
+  object["hlcLogical"] = event.hlcLogical;
+  object["process"] = event.process;
+  object["fields"] = FieldsToJson(event);
+  return object;
+}
+
+wire::EventT EventFromJson(const json::object& object)
+{
+  wire::EventT event;
+  event.number = object.at("number").to_number<std::uint32_t>();
+  event.hlcWall = object.at("hlcWall").to_number<std::int64_t>();
+  event.hlcLogical = object.at("hlcLogical").to_number<std::uint32_t>();
+  event.process = object.at("process").as_string();
+  for (const auto& [name, value] : object.at("fields").as_object()) {
+    auto field = std::make_unique<wire::EventFieldT>();
+    field->name = name;
+    field->value = value.as_string();
+    event.fields.push_back(std::move(field));
+  }
+  return event;
+}
+
+/// \brief Builds the trace of one timeline.
+class TraceWriter
+{
+public:
+  void Add(const wire::EventT& event)
+  {
+    const int process = ProcessNumber(event.process);
+    json::object instant = Base(event, process, "i");
+    instant["s"] = "p";
+    json::object arguments = FieldsToJson(event);
+    arguments["number"] = event.number;
+    arguments["level"] = LevelOf(event);
+    arguments["hlc"] = std::to_string(event.hlcWall) + "+" + std::to_string(event.hlcLogical);
+    instant["args"] = std::move(arguments);
+    m_events.push_back(std::move(instant));
+    TieToRequest(event, process);
+  }
+
+  std::string Take()
+  {
+    json::object file;
+    file["displayTimeUnit"] = "ms";
+    file["traceEvents"] = std::move(m_events);
+    return json::serialize(file);
+  }
+
+private:
+  int ProcessNumber(const std::string& process)
+  {
+    const auto [found, fresh] = m_numbers.emplace(process, static_cast<int>(m_numbers.size()) + 1);
+    if (fresh) {
+      json::object name;
+      name["name"] = "process_name";
+      name["ph"] = "M";
+      name["pid"] = found->second;
+      name["tid"] = 1;
+      name["args"] = json::object{ { "name", process } };
+      m_events.push_back(std::move(name));
+    }
+    return found->second;
+  }
+
+  // Viewers sort by microsecond. Events of one millisecond are set apart by their logical part, so
+  // that they keep their order; those beyond the 999th share the last microsecond.
+  static json::object Base(const wire::EventT& event, int process, const char* phase)
+  {
+    constexpr std::int64_t kMicrosPerMilli = 1000;
+    const auto logical = std::min<std::int64_t>(event.hlcLogical, kMicrosPerMilli - 1);
+    json::object base;
+    base["name"] = NameOf(event);
+    base["cat"] = "event";
+    base["ph"] = phase;
+    base["ts"] = event.hlcWall * kMicrosPerMilli + logical;
+    base["pid"] = process;
+    base["tid"] = 1;
+    return base;
+  }
+
+  void TieToRequest(const wire::EventT& event, int process)
+  {
+    const auto field = std::ranges::find_if(
+      event.fields, [](const auto& candidate) { return candidate->name == kRequestField; });
+    if (field == event.fields.end()) {
+      return;
+    }
+    const bool first = m_requests.insert((*field)->value).second;
+    json::object arrow = Base(event, process, first ? "s" : "t");
+    arrow["name"] = "request";
+    arrow["cat"] = "request";
+    arrow["id"] = (*field)->value;
+    m_events.push_back(std::move(arrow));
+  }
+
+  json::array m_events;
+  std::map<std::string, int> m_numbers;
+  std::set<std::string> m_requests;
+};
+
+} // namespace
+
+MergedTimeline MergeTimelines(std::span<const wire::TimelineAnswerT> answers)
+{
+  MergedTimeline merged;
+  for (const wire::TimelineAnswerT& answer : answers) {
+    for (const auto& event : answer.events) {
+      merged.events.push_back(*event);
+    }
+    if (answer.dropped != 0) {
+      merged.dropped[answer.process] = answer.dropped;
+    }
+  }
+  std::ranges::stable_sort(merged.events, {}, OrderOf);
+  return merged;
+}
+
+std::string TimelineText(const MergedTimeline& timeline)
+{
+  std::string text;
+  for (const std::string& process : timeline.silent) {
+    text += "# " + process + " did not answer; its events are missing\n";
+  }
+  for (const auto& [process, count] : timeline.dropped) {
+    text += "# " + process + " dropped its " + std::to_string(count) + " oldest events\n";
+  }
+  for (const wire::EventT& event : timeline.events) {
+    text += TextOf(event);
+  }
+  return text;
+}
+
+std::string TimelineChromeTrace(const MergedTimeline& timeline)
+{
+  TraceWriter writer;
+  for (const wire::EventT& event : timeline.events) {
+    writer.Add(event);
+  }
+  return writer.Take();
+}
+
+json::value TimelineToJson(const MergedTimeline& timeline)
+{
+  json::array events;
+  for (const wire::EventT& event : timeline.events) {
+    events.push_back(EventToJson(event));
+  }
+  json::object dropped;
+  for (const auto& [process, count] : timeline.dropped) {
+    dropped[process] = count;
+  }
+  json::array silent(timeline.silent.begin(), timeline.silent.end());
+  return json::object{ { "events", std::move(events) },
+                       { "dropped", std::move(dropped) },
+                       { "silent", std::move(silent) } };
+}
+
+Result<MergedTimeline> TimelineFromJson(const json::value& json, std::string_view peer)
+{
+  MergedTimeline timeline;
+  try {
+    const json::object& object = json.as_object();
+    for (const json::value& event : object.at("events").as_array()) {
+      timeline.events.push_back(EventFromJson(event.as_object()));
+    }
+    for (const auto& [process, count] : object.at("dropped").as_object()) {
+      timeline.dropped[process] = count.to_number<std::uint64_t>();
+    }
+    for (const json::value& process : object.at("silent").as_array()) {
+      timeline.silent.emplace_back(process.as_string());
+    }
+  } catch (const std::exception& fault) {
+    return Error{ ErrorCode::kCorrupt, "read timeline", std::string(peer), fault.what() };
+  }
+  return timeline;
+}
+
+} // namespace gooseberrysail
