--- a/include/gooseberrysail/consensus/raft_node.hpp
+++ b/include/gooseberrysail/consensus/raft_node.hpp
@@ -23,8 +23,8 @@
   /// \brief Silence of the leader before an election; drawn anew between this and twice this.
   Duration electionTimeout = std::chrono::milliseconds(1000);
   std::size_t maxCommandBytes = 4 * 1024 * 1024;
-  std::size_t maxAppendBytes = 256 * 1024;      ///< Entries in one message, unless one is larger.
-  std::size_t maxInFlight = 32;                 ///< Unanswered appends to one peer.
+  std::size_t maxAppendBytes = 256 * 1024;        ///< Entries in one message, unless one is larger.
+  std::size_t maxInFlight = 32;                   ///< Unanswered appends to one peer.
   std::size_t maxBacklogBytes = 16 * 1024 * 1024; ///< Proposed and not yet committed.
   std::size_t snapshotChunkBytes = 256 * 1024;
   std::uint64_t snapshotEvery = 256; ///< Applied entries between snapshots.
--- /dev/null
+++ b/src/consensus/raft_core.hpp
@@ -0,0 +1,209 @@
+#pragma once
+
+#include "consensus/raft_log.hpp"
+#include "gooseberrysail/consensus/raft_node.hpp"
+#include "gooseberrysail/observe/event.hpp"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace gooseberrysail::impl {
+
+enum class RaftRole
+{
+  kFollower,
+  kPreCandidate,
+  kCandidate,
+  kLeader
+};
+
+/// \brief An encoded snapshot on its way to peers.
+struct SnapshotImage
+{
+  std::uint64_t index = 0;
+  std::uint64_t term = 0;
+  std::vector<std::uint8_t> bytes;
+};
+
+/// \brief What the leader knows of one peer.
+struct Progress
+{
+  enum class Mode
+  {
+    kProbe,     ///< Looking for the last common entry: one append at a time.
+    kReplicate, ///< Sending ahead of the answers.
+    kSnapshot   ///< Its next entry is compacted away: sending the snapshot.
+  };
+
+  StorageIdentity identity;
+  bool voter = false;
+  Mode mode = Mode::kProbe;
+  std::uint64_t match = 0; ///< Known to be synced there.
+  std::uint64_t next = 1;  ///< To send next.
+  std::size_t inFlight = 0;
+  bool probeSent = false;
+  TimePoint heardSentAt{};                    ///< When the latest append was sent that it answered.
+  TimePoint repliedAt{};                      ///< When it last answered.
+  std::shared_ptr<const SnapshotImage> image; ///< Being sent; kept although a newer one appears.
+  std::uint64_t snapshotOffset = 0;
+  bool chunkSent = false;
+};
+
+/// \brief What an empty process heard of the others before the founding.
+struct FoundingAnswer
+{
+  StorageIdentity identity;
+  bool empty = false;
+  std::uint64_t nonce = 0;
+};
+
+} // namespace gooseberrysail::impl
+
+namespace gooseberrysail {
+
+/// \brief The node's state; its functions stand in the raft_*.cpp file of their matter.
+struct RaftNode::Impl
+{
+  using Message = wire::RaftMessageT;
+  using Kind = wire::RaftKind;
+
+  // ---- raft_node.cpp: life cycle, dispatch, ready ----
+  Impl(RaftSettings settings, RaftHooks hooks, RecoveredLog recovered);
+  void Tick(TimePoint moment);
+  void Step(TimePoint moment, const Message& message);
+  [[nodiscard]] bool FromMyCluster(const Message& message);
+  [[nodiscard]] bool HandleTerm(const Message& message);
+  void Dispatch(const Message& message);
+  [[nodiscard]] bool HasReady() const;
+  [[nodiscard]] ReadyOutput TakeReady();
+  void TakeCommitted(ReadyOutput& ready);
+  void Advance();
+  void Advanced(TimePoint moment);
+  [[nodiscard]] Message NewMessage(Kind kind, const std::string& to) const;
+  void Send(Message message);
+  void Emit(EventNumber number, std::vector<std::pair<std::string, std::string>> fields);
+
+  // ---- raft_election.cpp ----
+  void BecomeFollower(std::uint64_t newTerm, const std::string& newLeader, const char* reason);
+  void StartPreVote();
+  void StartElection();
+  void BecomeLeader();
+  void AskForVotes(Kind kind, std::uint64_t forTerm);
+  void OnVoteRequest(const Message& message);
+  void OnVoteReply(const Message& message);
+  [[nodiscard]] bool HeardFromLeader() const;
+  [[nodiscard]] bool IsVoter() const;
+  void ResetElectionTimer();
+  void CheckQuorum();
+  [[nodiscard]] TimePoint QuorumHeardAt() const;
+
+  // ---- raft_replication.cpp ----
+  std::uint64_t AppendAsLeader(LogEntryKind kind, std::vector<std::uint8_t> payload);
+  void SendHeartbeats();
+  void SendAppends();
+  void SendAppend(const std::string& to, impl::Progress& peer, bool heartbeat);
+  void SendSnapshotChunk(const std::string& to, impl::Progress& peer);
+  void OnAppend(const Message& message);
+  void RejectAppend(const Message& message);
+  void AcceptEntries(const Message& message);
+  void OnAppendReply(const Message& message);
+  void OnAppendRejected(const Message& message, impl::Progress& peer);
+  void OnSnapshotChunk(const Message& message);
+  void InstallSnapshot(std::vector<std::uint8_t> bytes, const Message& message);
+  void OnSnapshotReply(const Message& message);
+  [[nodiscard]] impl::Progress* CountedPeer(const Message& message);
+  void AdvanceCommit();
+  void SetCommit(std::uint64_t index);
+  void TakeOverSnapshot(std::uint64_t index, std::vector<std::uint8_t> state);
+
+  // ---- raft_membership.cpp ----
+  void AskToJoin();
+  void OnJoinQuery(const Message& message);
+  void OnJoinReply(const Message& message);
+  void FoundIfAllEmpty();
+  void Found(Membership founded);
+  [[nodiscard]] bool IsEmpty() const;
+  [[nodiscard]] bool IsMember() const;
+  [[nodiscard]] const ProcessId& Founder() const;
+  [[nodiscard]] bool IsConfigured(const ProcessId& process) const;
+  void OnUnknownDisk(const ProcessId& process, StorageIdentity identity);
+  [[nodiscard]] bool MayChangeMembers() const;
+  std::uint64_t ProposeMembership(const Membership& changed);
+  void PromoteLearners();
+  void UseMembership(Membership newest, std::uint64_t index);
+  void RecomputeMembership();
+  [[nodiscard]] Membership MembershipAt(std::uint64_t index) const;
+
+  RaftSettings settings;
+  RaftHooks hooks;
+  StorageIdentity identity;
+  std::string self;
+
+  // Promised and stored.
+  HardState hardState;
+  HardState storedHardState;
+  impl::RaftLog log;
+  std::shared_ptr<const RaftSnapshot> snapshot;
+  std::uint64_t persisted = 0; ///< Last index that is synced here.
+
+  // Known.
+  TimePoint now{};
+  bool started = false;
+  impl::RaftRole role = impl::RaftRole::kFollower;
+  std::string leader;
+  std::uint64_t commit = 0;
+  std::uint64_t applied = 0;
+  Membership membership;
+  std::uint64_t membershipIndex = 0;
+  TimePoint electionDeadline{};
+  TimePoint leaderHeardAt{};
+  std::map<std::string, bool> votes;
+
+  // Leading.
+  std::map<std::string, impl::Progress> peers;
+  TimePoint leadingSince{};
+  TimePoint heartbeatAt{};
+  std::uint64_t termStartIndex = 0; ///< The leader's first entry of its term.
+  std::shared_ptr<const impl::SnapshotImage> newestImage;
+
+  // Joining.
+  std::uint64_t joinNonce = 0;
+  TimePoint joinAskedAt{};
+  bool joinAsked = false;
+  std::map<std::string, impl::FoundingAnswer> foundingAnswers;
+  std::uint64_t pledgedCluster = 0;
+  TimePoint pledgedUntil{};
+  bool waitingToJoinTold = false;
+  std::set<std::string> otherClusterTold;
+
+  // Receiving a snapshot.
+  std::vector<std::uint8_t> incoming;
+  std::string incomingFrom;
+  std::uint64_t incomingTerm = 0;
+  std::uint64_t incomingIndex = 0;
+
+  // Going out with the next ready.
+  std::vector<Message> messages;
+  std::vector<EventOut> events;
+  std::shared_ptr<const RaftSnapshot> persistSnapshot;
+  std::shared_ptr<const RaftSnapshot> restoreSnapshot;
+  bool snapshotReplacesLog = false;
+
+  // The ready that is being carried out.
+  struct Carried
+  {
+    HardState hardState;
+    std::uint64_t lastIndex = 0;
+    std::uint64_t lastTerm = 0;
+    std::uint64_t applied = 0;
+  };
+  std::optional<Carried> carried;
+};
+
+} // namespace gooseberrysail
--- /dev/null
+++ b/src/consensus/raft_node.cpp
@@ -0,0 +1,363 @@
+#include "gooseberrysail/consensus/raft_node.hpp"
+
+#include "consensus/raft_core.hpp"
+
+#include <algorithm>
+#include <cassert>
+
+namespace gooseberrysail {
+
+RaftNode::Impl::Impl(RaftSettings given, RaftHooks givenHooks, RecoveredLog recovered)
+  : settings(std::move(given))
+  , hooks(std::move(givenHooks))
+  , identity(recovered.identity)
+  , self(settings.self.Get())
+  , hardState(recovered.hardState)
+  , storedHardState(recovered.hardState)
+  , snapshot(recovered.snapshot)
+  , joinNonce(hooks.random())
+  , restoreSnapshot(recovered.snapshot)
+{
+  if (snapshot) {
+    log.Reset(snapshot->index.Get(), snapshot->term.Get());
+    commit = applied = snapshot->index.Get();
+  }
+  for (LogRecord& entry : recovered.entries) {
+    log.Append(std::move(entry));
+  }
+  persisted = log.LastIndex();
+  RecomputeMembership();
+}
+
+void RaftNode::Impl::Tick(TimePoint moment)
+{
+  Advanced(moment);
+  if (role == impl::RaftRole::kLeader) {
+    CheckQuorum();
+  }
+  if (role == impl::RaftRole::kLeader) {
+    PromoteLearners();
+    if (now >= heartbeatAt) {
+      SendHeartbeats();
+    }
+    return;
+  }
+  if (!IsMember()) {
+    AskToJoin();
+    return;
+  }
+  if (IsVoter() && now >= electionDeadline) {
+    StartPreVote();
+  }
+}
+
+// Takes over the time; it never goes back, whatever order calls come in.
+void RaftNode::Impl::Advanced(TimePoint moment)
+{
+  now = std::max(now, moment);
+  if (started) {
+    return;
+  }
+  started = true;
+  ResetElectionTimer();
+  // Nobody else can lead a cluster of one, so nothing is gained by waiting.
+  if (IsVoter() && membership.VoterCount() == 1) {
+    electionDeadline = now;
+  }
+}
+
+void RaftNode::Impl::Step(TimePoint moment, const Message& message)
+{
+  Advanced(moment);
+  if (message.to != self || message.from == self) {
+    return;
+  }
+  if (message.kind == Kind::JoinQuery) {
+    OnJoinQuery(message);
+    return;
+  }
+  if (message.kind == Kind::JoinReply) {
+    OnJoinReply(message);
+    return;
+  }
+  if (!FromMyCluster(message) || !HandleTerm(message)) {
+    return;
+  }
+  Dispatch(message);
+}
+
+// Without this check two clusters that were set up with one another's addresses would overwrite
+// each other's logs: terms and indexes say nothing about which cluster they belong to.
+bool RaftNode::Impl::FromMyCluster(const Message& message)
+{
+  const bool pledged = pledgedCluster != 0 && now < pledgedUntil;
+  const std::uint64_t expected =
+    hardState.cluster != 0 ? hardState.cluster : (pledged ? pledgedCluster : message.cluster);
+  const bool known = hardState.cluster != 0 || IsConfigured(ProcessId(message.from));
+  if (message.cluster == expected && expected != 0 && known) {
+    if (message.kind != Kind::PreVote && message.kind != Kind::PreVoteReply) {
+      hardState.cluster = expected;
+    }
+    return true;
+  }
+  if (otherClusterTold.insert(message.from).second) {
+    Emit(EventNumber::kRaftOtherCluster,
+         { { "peer", message.from },
+           { "cluster", std::to_string(message.cluster) },
+           { "expected", std::to_string(expected) } });
+  }
+  return false;
+}
+
+/// \returns Whether the message is to be handled further.
+bool RaftNode::Impl::HandleTerm(const Message& message)
+{
+  const std::uint64_t term = hardState.term.Get();
+  if (message.kind == Kind::PreVote) {
+    return true; // Asks about a term that nobody has entered yet.
+  }
+  if (message.kind == Kind::PreVoteReply && message.granted) {
+    return true;
+  }
+  if (message.term > term) {
+    // A voter that hears from its leader keeps it: otherwise one that was cut off, or is asked by a
+    // removed process, would depose a healthy leader again and again.
+    if (message.kind == Kind::Vote && HeardFromLeader()) {
+      return false;
+    }
+    const bool fromLeader = message.kind == Kind::Append || message.kind == Kind::Snapshot;
+    BecomeFollower(message.term, fromLeader ? message.from : "", "a higher term");
+    return true;
+  }
+  if (message.term < term) {
+    // A leader of an older term learns of the newer one from the answer, and steps down. Without
+    // it a process that came back with a higher term could never be led again.
+    if (message.kind == Kind::Append || message.kind == Kind::Snapshot) {
+      Message reply = NewMessage(Kind::AppendReply, message.from);
+      reply.readContext = message.readContext;
+      Send(std::move(reply));
+    }
+    return message.kind == Kind::Vote; // Refused there, with the newer term.
+  }
+  return true;
+}
+
+void RaftNode::Impl::Dispatch(const Message& message)
+{
+  switch (message.kind) {
+    case Kind::PreVote:
+    case Kind::Vote:
+      OnVoteRequest(message);
+      return;
+    case Kind::PreVoteReply:
+    case Kind::VoteReply:
+      OnVoteReply(message);
+      return;
+    case Kind::Append:
+      OnAppend(message);
+      return;
+    case Kind::AppendReply:
+      OnAppendReply(message);
+      return;
+    case Kind::Snapshot:
+      OnSnapshotChunk(message);
+      return;
+    case Kind::SnapshotReply:
+      OnSnapshotReply(message);
+      return;
+    default:
+      return;
+  }
+}
+
+bool RaftNode::Impl::HasReady() const
+{
+  return !messages.empty() || !events.empty() || persistSnapshot || restoreSnapshot ||
+         hardState != storedHardState || log.LastIndex() > persisted || commit > applied;
+}
+
+ReadyOutput RaftNode::Impl::TakeReady()
+{
+  assert(!carried);
+  if (role == impl::RaftRole::kLeader) {
+    SendAppends();
+  }
+  ReadyOutput ready;
+  ready.persistSnapshot = std::exchange(persistSnapshot, nullptr);
+  ready.snapshotReplacesLog = std::exchange(snapshotReplacesLog, false);
+  ready.restoreSnapshot = std::exchange(restoreSnapshot, nullptr);
+  if (hardState != storedHardState) {
+    ready.hardState = hardState;
+  }
+  const auto unstored = log.Slice(persisted + 1, log.LastIndex());
+  ready.entries.assign(unstored.begin(), unstored.end());
+  TakeCommitted(ready);
+  ready.messages = std::exchange(messages, {});
+  ready.events = std::exchange(events, {});
+  carried = Carried{ hardState, log.LastIndex(), log.LastTerm(), commit };
+  return ready;
+}
+
+void RaftNode::Impl::TakeCommitted(ReadyOutput& ready)
+{
+  for (const LogRecord& entry : log.Slice(applied + 1, commit)) {
+    if (entry.kind == LogEntryKind::kCommand) {
+      ready.committed.push_back(entry);
+    }
+  }
+}
+
+void RaftNode::Impl::Advance()
+{
+  assert(carried);
+  const Carried done = *std::exchange(carried, std::nullopt);
+  storedHardState = done.hardState;
+  // Entries may have been replaced while they were written; then they are written once more.
+  if (log.TermAt(done.lastIndex) == done.lastTerm) {
+    persisted = std::max(persisted, done.lastIndex);
+  }
+  applied = std::max(applied, done.applied);
+  if (role == impl::RaftRole::kLeader) {
+    AdvanceCommit();
+  }
+}
+
+RaftNode::Impl::Message RaftNode::Impl::NewMessage(Kind kind, const std::string& to) const
+{
+  Message message;
+  message.kind = kind;
+  message.term = hardState.term.Get();
+  message.from = self;
+  message.to = to;
+  message.identity = identity.Get();
+  message.cluster = hardState.cluster;
+  return message;
+}
+
+void RaftNode::Impl::Send(Message message)
+{
+  messages.push_back(std::move(message));
+}
+
+void RaftNode::Impl::Emit(EventNumber number,
+                          std::vector<std::pair<std::string, std::string>> fields)
+{
+  events.push_back(MakeEvent(number, std::move(fields)));
+}
+
+// ---- the public face ----
+
+RaftNode::RaftNode(RaftSettings settings, RaftHooks hooks, RecoveredLog recovered)
+  : m_impl(std::make_unique<Impl>(std::move(settings), std::move(hooks), std::move(recovered)))
+{
+}
+
+RaftNode::~RaftNode() = default;
+
+void RaftNode::Tick(TimePoint now)
+{
+  m_impl->Tick(now);
+}
+
+void RaftNode::Step(TimePoint now, const wire::RaftMessageT& message)
+{
+  m_impl->Step(now, message);
+}
+
+Result<LogIndex> RaftNode::Propose(std::vector<std::uint8_t> command)
+{
+  if (m_impl->role != impl::RaftRole::kLeader) {
+    return Error{
+      ErrorCode::kUnavailable, "propose", m_impl->leader, "this process does not lead"
+    };
+  }
+  if (command.size() > m_impl->settings.maxCommandBytes) {
+    return Error{ ErrorCode::kTooLarge,
+                  "propose",
+                  "",
+                  "the command has " + std::to_string(command.size()) + " bytes, the limit is " +
+                    std::to_string(m_impl->settings.maxCommandBytes) };
+  }
+  if (m_impl->log.BytesAfter(m_impl->commit) + command.size() > m_impl->settings.maxBacklogBytes) {
+    return Error{
+      ErrorCode::kUnavailable, "propose", "", "too much is proposed and not yet committed"
+    };
+  }
+  return LogIndex(m_impl->AppendAsLeader(LogEntryKind::kCommand, std::move(command)));
+}
+
+Result<LogIndex> RaftNode::RemoveMember(const ProcessId& process)
+{
+  const Member* member = m_impl->membership.Find(process);
+  if (member == nullptr) {
+    return Error{ ErrorCode::kNotFound, "remove member", process.Get(), "not in the cluster" };
+  }
+  if (process.Get() == m_impl->self) {
+    return Error{
+      ErrorCode::kConflict, "remove member", process.Get(), "ask another process after this stopped"
+    };
+  }
+  if (!m_impl->MayChangeMembers()) {
+    return Error{ ErrorCode::kUnavailable,
+                  "remove member",
+                  m_impl->leader,
+                  "not leading, or an earlier change has not committed yet" };
+  }
+  Membership changed = m_impl->membership;
+  std::erase_if(changed.members, [&](const Member& each) { return each.process == process; });
+  return LogIndex(m_impl->ProposeMembership(changed));
+}
+
+bool RaftNode::HasReady() const
+{
+  return m_impl->HasReady();
+}
+
+ReadyOutput RaftNode::TakeReady()
+{
+  return m_impl->TakeReady();
+}
+
+void RaftNode::Advance()
+{
+  m_impl->Advance();
+}
+
+bool RaftNode::WantsSnapshot() const
+{
+  const std::uint64_t last = m_impl->snapshot ? m_impl->snapshot->index.Get() : 0;
+  return m_impl->applied >= last + m_impl->settings.snapshotEvery;
+}
+
+void RaftNode::OnSnapshotTaken(LogIndex index, std::vector<std::uint8_t> state)
+{
+  m_impl->TakeOverSnapshot(index.Get(), std::move(state));
+}
+
+ReplicationStatus RaftNode::Status() const
+{
+  ReplicationStatus status;
+  status.leader = m_impl->role == impl::RaftRole::kLeader;
+  status.term = m_impl->hardState.term;
+  status.committed = LogIndex(m_impl->commit);
+  status.applied = LogIndex(m_impl->applied);
+  status.leaderHint = ProcessId(m_impl->leader);
+  // Before an entry of its own term committed, a new leader may not know the newest committed
+  // index: a read would then miss changes that its predecessor acknowledged.
+  if (status.leader && m_impl->commit >= m_impl->termStartIndex) {
+    status.quorumHeardAt = m_impl->QuorumHeardAt();
+  }
+  return status;
+}
+
+const Membership& RaftNode::CurrentMembership() const noexcept
+{
+  return m_impl->membership;
+}
+
+std::span<const LogRecord> RaftNode::Entries() const noexcept
+{
+  return m_impl->log.All();
+}
+
+} // namespace gooseberrysail
