--- /dev/null
+++ b/src/http/http_session_read.cpp
@@ -0,0 +1,270 @@
+#include "http/http_session.hpp"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/rfc7230.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <cerrno>
+#include <sys/socket.h>
+#include <tuple>
+#include <utility>
+
+namespace gooseberrysail::impl {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using asio::ip::tcp;
+
+using Parser = http::request_parser<http::string_body>;
+
+constexpr std::size_t kReadAheadBytes = 64 * 1024;
+constexpr std::size_t kKeptBufferBytes = 16 * 1024;
+constexpr std::size_t kFirstReadBytes = 4 * 1024;
+constexpr Duration kLingerTimeout = std::chrono::seconds(1);
+constexpr std::size_t kLingerBytes = 16 * 1024 * 1024;
+// A connection that was accepted while the server stops may bring one request, without delay.
+constexpr Duration kStoppingIdleTimeout = std::chrono::seconds(1);
+
+constexpr const char* kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
+
+unsigned StatusFor(const beast::error_code& error)
+{
+  if (error == http::error::header_limit || error == http::error::buffer_overflow) {
+    return 431;
+  }
+  return error == http::error::body_limit ? 413 : 400;
+}
+
+bool IsMalformed(const beast::error_code& error)
+{
+  return error.category() == http::make_error_code(http::error::bad_method).category() &&
+         error != http::error::end_of_stream && error != http::error::partial_message;
+}
+
+std::vector<HttpHeader> CopyHeaders(const http::fields& fields)
+{
+  std::vector<HttpHeader> headers;
+  for (const auto& field : fields) {
+    headers.push_back(HttpHeader{ std::string(field.name_string()), std::string(field.value()) });
+  }
+  return headers;
+}
+
+bool ExpectsContinue(const Parser& parser)
+{
+  return !parser.is_done() && beast::iequals(parser.get()[http::field::expect], "100-continue");
+}
+
+} // namespace
+
+HttpSession::HttpSession(tcp::socket socket,
+                         std::string peer,
+                         const HttpServerSettings& settings,
+                         const HttpSessionHooks& hooks)
+  : m_socket(std::move(socket))
+  , m_peer(std::move(peer))
+  , m_settings(settings)
+  , m_hooks(hooks)
+  , m_deadline(m_socket.get_executor())
+{
+}
+
+void HttpSession::Serve()
+{
+  while (auto request = ReadRequest()) {
+    m_exchange = m_hooks.onBegin(*this);
+    request->message.exchange = m_exchange;
+    m_hooks.onRequest(std::move(request->message));
+    WatchCaller();
+    const Written written = WriteAnswer(*request);
+    const ExchangeId ended = std::exchange(m_exchange, ExchangeId());
+    m_parts.clear();
+    m_queuedBytes = 0;
+    m_hooks.onEnd(ended);
+    if (written == Written::kMustClose) {
+      Linger();
+    }
+    if (written != Written::kMayReuse) {
+      break;
+    }
+  }
+  Close();
+}
+
+void HttpSession::Close()
+{
+  m_closed = true;
+  m_deadline.Disarm();
+  boost::system::error_code ignored;
+  m_socket.close(ignored);
+  m_changed.Notify();
+}
+
+void HttpSession::CloseIfIdle()
+{
+  // A request whose first bytes the kernel already holds is in flight: it gets its answer.
+  boost::system::error_code error;
+  if (m_idle && m_buffer.size() == 0 && m_socket.available(error) == 0) {
+    Close();
+  }
+}
+
+bool HttpSession::WaitForRequest()
+{
+  if (m_buffer.size() > 0) {
+    return true;
+  }
+  m_idle = true;
+  const Duration timeout = m_hooks.isStopping() ? kStoppingIdleTimeout : m_settings.idleTimeout;
+  m_deadline.Arm(timeout, [this] { Close(); });
+  const auto [error, size] =
+    Await([&](auto done) { m_socket.async_read_some(m_buffer.prepare(kFirstReadBytes), done); });
+  m_idle = false;
+  m_deadline.Disarm();
+  if (m_closed || error) {
+    return false;
+  }
+  m_buffer.commit(size);
+  return true;
+}
+
+std::optional<HttpSession::Request> HttpSession::ReadRequest()
+{
+  if (m_buffer.size() == 0 && m_buffer.capacity() > kKeptBufferBytes) {
+    m_buffer.shrink_to_fit();
+  }
+  if (!WaitForRequest()) {
+    return std::nullopt;
+  }
+  // A caller that sends a byte now and then would hold the connection for ever.
+  m_timedOut = false;
+  m_deadline.Arm(m_settings.requestTimeout, [this] {
+    m_timedOut = true;
+    boost::system::error_code ignored;
+    m_socket.cancel(ignored);
+  });
+  Parser parser;
+  parser.header_limit(m_settings.maxHeaderBytes);
+  parser.body_limit(m_settings.maxBodyBytes);
+  auto [error, size] =
+    Await([&](auto done) { http::async_read_header(m_socket, m_buffer, parser, done); });
+  if (!error && ExpectsContinue(parser)) {
+    std::tie(error, size) = Await([&](auto done) {
+      asio::async_write(m_socket, asio::buffer(std::string_view(kContinue)), done);
+    });
+  }
+  if (!error && !parser.is_done()) {
+    std::tie(error, size) =
+      Await([&](auto done) { http::async_read(m_socket, m_buffer, parser, done); });
+  }
+  m_deadline.Disarm();
+  if (m_closed) {
+    return std::nullopt;
+  }
+  if (m_timedOut) {
+    Reject(408, "the request did not arrive in time");
+    return std::nullopt;
+  }
+  if (error) {
+    if (IsMalformed(error)) {
+      Reject(StatusFor(error), error.message());
+    }
+    return std::nullopt;
+  }
+  auto message = parser.release();
+  Request request;
+  request.version = message.version();
+  request.keepAlive = message.keep_alive();
+  request.head = message.method() == http::verb::head;
+  request.message.method = std::string(message.method_string());
+  request.message.target = std::string(message.target());
+  request.message.headers = CopyHeaders(message);
+  request.message.body = std::move(message.body());
+  request.message.peer = m_peer;
+  return request;
+}
+
+void HttpSession::Reject(unsigned status, std::string_view message)
+{
+  m_hooks.onRejected(*this, status, message);
+  if (WriteRejection(status, m_hooks.errorBody(status, message))) {
+    Linger();
+  }
+}
+
+// Closing while bytes of the caller lie unread makes the kernel send a reset, and the caller may
+// then lose the answer that says why. So its bytes are read and dropped for a moment first.
+void HttpSession::Linger()
+{
+  boost::system::error_code failure;
+  m_socket.shutdown(tcp::socket::shutdown_send, failure);
+  m_deadline.Arm(kLingerTimeout, [this] { Close(); });
+  std::size_t dropped = 0;
+  while (!failure && !m_closed && dropped < kLingerBytes) {
+    m_buffer.clear();
+    const auto [error, size] =
+      Await([&](auto done) { m_socket.async_read_some(m_buffer.prepare(kFirstReadBytes), done); });
+    failure = error;
+    dropped += size;
+  }
+  m_deadline.Disarm();
+}
+
+// While an answer is pending nobody reads the socket, so that a caller who leaves would go
+// unnoticed and its work would run on for nobody.
+void HttpSession::WatchCaller()
+{
+  if (m_watching || m_closed || m_exchange.IsNone()) {
+    return;
+  }
+  m_watching = true;
+  m_socket.async_wait(tcp::socket::wait_read,
+                      [self = shared_from_this()](boost::system::error_code error) {
+                        self->m_watching = false;
+                        if (!self->m_closed && !self->m_exchange.IsNone()) {
+                          self->OnReadable(static_cast<bool>(error));
+                        }
+                      });
+}
+
+void HttpSession::OnReadable(bool failed)
+{
+  char byte = 0;
+  const ssize_t seen =
+    failed ? 0 : ::recv(m_socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  const bool nothingYet = seen < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR);
+  if (nothingYet) {
+    WatchCaller();
+    return;
+  }
+  if (seen <= 0) {
+    LoseCaller();
+    return;
+  }
+  // The caller sent its next request already. It is kept, or the end behind it would not be seen.
+  if (m_buffer.size() >= kReadAheadBytes) {
+    return;
+  }
+  boost::system::error_code error;
+  const std::size_t size = m_socket.read_some(m_buffer.prepare(kFirstReadBytes), error);
+  m_buffer.commit(size);
+  if (error) {
+    LoseCaller();
+    return;
+  }
+  WatchCaller();
+}
+
+void HttpSession::LoseCaller()
+{
+  const ExchangeId exchange = m_exchange;
+  Close();
+  m_hooks.onCallerGone(exchange);
+}
+
+} // namespace gooseberrysail::impl
--- /dev/null
+++ b/src/net/deadline.hpp
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "gooseberrysail/core/time.hpp"
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <cstdint>
+#include <functional>
+#include <memory>
+
+namespace gooseberrysail::impl {
+
+/// \brief Calls a hook when something did not happen in time.
+/// \remarks The hook runs in an Asio handler and must not wait. It is never called once the
+/// deadline was disarmed, armed anew or destroyed, even when it had already passed.
+class Deadline
+{
+public:
+  explicit Deadline(const boost::asio::any_io_executor& executor);
+  ~Deadline();
+  Deadline(const Deadline&) = delete;
+  Deadline& operator=(const Deadline&) = delete;
+
+  void Arm(Duration timeout, std::function<void()> onPassed);
+  void Disarm();
+  [[nodiscard]] bool IsArmed() const noexcept { return m_state->armed; }
+
+private:
+  struct State
+  {
+    explicit State(const boost::asio::any_io_executor& executor)
+      : timer(executor)
+    {
+    }
+
+    boost::asio::steady_timer timer;
+    std::uint64_t number = 0;
+    bool armed = false;
+  };
+
+  std::shared_ptr<State> m_state;
+};
+
+} // namespace gooseberrysail::impl
--- a/src/net/peer_connection.cpp
+++ b/src/net/peer_connection.cpp
@@ -4,7 +4,6 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
-#include <chrono>
 #include <utility>
 
 namespace gooseberrysail::impl {
@@ -24,7 +23,7 @@
   , reader(kMaxFrameBytes)
   , m_id(id)
   , m_dialled(dialled)
-  , m_timer(socket.get_executor())
+  , m_deadline(socket.get_executor())
 {
 }
 
@@ -35,7 +34,7 @@
   }
   phase = Phase::kClosed;
   m_closeReason = std::move(reason);
-  m_timer.cancel();
+  m_deadline.Disarm();
   boost::system::error_code ignored;
   socket.close(ignored);
   m_chunks.clear();
@@ -45,20 +44,7 @@
 
 void PeerConnection::ArmTimeout(Duration timeout, std::string reason)
 {
-  const std::uint64_t number = ++m_timeouts;
-  m_timer.expires_after(std::chrono::duration_cast<std::chrono::steady_clock::duration>(timeout));
-  m_timer.async_wait(
-    [self = shared_from_this(), number, reason = std::move(reason)](boost::system::error_code) {
-      if (number == self->m_timeouts) {
-        self->Close(reason);
-      }
-    });
-}
-
-void PeerConnection::DisarmTimeout()
-{
-  ++m_timeouts;
-  m_timer.cancel();
+  m_deadline.Arm(timeout, [this, reason = std::move(reason)] { Close(reason); });
 }
 
 void PeerConnection::Queue(std::vector<std::uint8_t> frame)
--- a/src/net/peer_connection.hpp
+++ b/src/net/peer_connection.hpp
@@ -2,10 +2,10 @@
 
 #include "gooseberrysail/core/ids.hpp"
 #include "gooseberrysail/core/time.hpp"
+#include "net/deadline.hpp"
 #include "net/frame_codec.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <cstdint>
 #include <deque>
 #include <functional>
@@ -42,7 +42,7 @@
 
   /// \brief Closes the connection when the timeout passes without DisarmTimeout.
   void ArmTimeout(Duration timeout, std::string reason);
-  void DisarmTimeout();
+  void DisarmTimeout() { m_deadline.Disarm(); }
 
   /// \brief Queues a frame for sending.
   void Queue(std::vector<std::uint8_t> frame);
@@ -78,8 +78,7 @@
   ConnectionId m_id;
   bool m_dialled;
   std::string m_closeReason;
-  boost::asio::steady_timer m_timer;
-  std::uint64_t m_timeouts = 0;
+  Deadline m_deadline;
 
   std::deque<std::vector<std::uint8_t>> m_chunks;
   std::vector<std::uint8_t> m_first;
