--- /dev/null
+++ b/tests/unit/agent_requests_test.cpp
@@ -0,0 +1,321 @@
+#include "gooseberrysail/agent/request_system.hpp"
+#include "support/agent_harness.hpp"
+#include "support/section.hpp"
+
+namespace gooseberrysail::test {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+wire::SealResult SealOf(AgentHarness& agent, const std::string& request)
+{
+  agent.Seal(request);
+  return agent.Last<wire::SealReplyT>()->result;
+}
+
+TEST(AgentRequests, AnAnswerIsForwardedWholeAndForgottenOnceAcknowledged)
+{
+  AgentHarness agent;
+  agent.FormGroup(7);
+  agent.Start("entry-1.1.1");
+  ASSERT_NE(agent.CallOf("entry-1.1.1"), nullptr);
+  EXPECT_EQ(agent.CallOf("entry-1.1.1")->path, "/v1/chat/completions");
+  EXPECT_EQ(agent.CallOf("entry-1.1.1")->body, "body of entry-1.1.1");
+  agent.AnswerCall("entry-1.1.1", "one ", false);
+  agent.AnswerCall("entry-1.1.1", "two", true, false);
+  const auto received = agent.ReceivedOf("entry-1.1.1");
+  EXPECT_EQ(received.status, 200U);
+  EXPECT_EQ(received.bytes, "one two");
+  EXPECT_TRUE(received.ended);
+  EXPECT_EQ(received.cutReason, "");
+}
+
+// Symptom: a booking is made twice.
+// Sequence: the entry sends Start; its connection goes silent; it sends the frame again on a new
+// one, while the call runs, and once more after it finished.
+// Cause: the entry can't know which of its frames arrived.
+TEST(AgentRequests, TheSameStartAgainNeverRunsASecondTime)
+{
+  AgentHarness agent;
+  agent.FormGroup(7);
+  agent.Start("entry-1.1.1");
+  agent.Start("entry-1.1.1");
+  EXPECT_EQ(agent.RunsOf("entry-1.1.1"), 1U);
+  agent.Give(PeerDown{ ProcessId("entry-1"), Incarnation(1), "silent" });
+  agent.AnswerCall("entry-1.1.1", "booked", true);
+  EXPECT_FALSE(agent.ReceivedOf("entry-1.1.1").ended);
+  agent.Start("entry-1.1.1");
+  EXPECT_EQ(agent.RunsOf("entry-1.1.1"), 1U);
+  EXPECT_EQ(agent.ReceivedOf("entry-1.1.1").bytes, "booked");
+  agent.Acknowledge("entry-1.1.1", 6, true);
+  agent.Start("entry-1.1.1");
+  EXPECT_EQ(agent.RunsOf("entry-1.1.1"), 1U);
+  EXPECT_EQ(agent.ReceivedOf("entry-1.1.1").cutReason, "already ran; its answer is no longer held");
+}
+
+// Symptom: "not run" is told and the request runs afterwards, or it ran and "not run" is told.
+// Sequence: the entry seals an attempt whose Start it sent; the two arrive in either order.
+// Cause: after a lost connection the order of frames says nothing.
+TEST(AgentRequests, SealAndStartAgreeInBothOrders)
+{
+  AgentHarness agent;
+  agent.FormGroup(7);
+  SECTION("the seal first: the Start that comes after it never runs")
+  {
+    EXPECT_EQ(SealOf(agent, "entry-1.1.1"), wire::SealResult::Sealed);
+    agent.Start("entry-1.1.1");
+    EXPECT_EQ(agent.RunsOf("entry-1.1.1"), 0U);
+    EXPECT_EQ(agent.RefusalOf("entry-1.1.1"), "refused or sealed before");
+    EXPECT_EQ(SealOf(agent, "entry-1.1.1"), wire::SealResult::Sealed);
+  }
+  SECTION("the start first: the seal is told so, while it runs and afterwards")
+  {
+    agent.Start("entry-1.1.2");
+    EXPECT_EQ(SealOf(agent, "entry-1.1.2"), wire::SealResult::Started);
+    agent.AnswerCall("entry-1.1.2", "x", true);
+    agent.Acknowledge("entry-1.1.2", 1, true);
+    EXPECT_EQ(SealOf(agent, "entry-1.1.2"), wire::SealResult::Started);
+  }
+  SECTION("refused before start counts as sealed")
+  {
+    AgentHarness::StartOptions old;
+    old.epoch = 3;
+    agent.Start("entry-1.1.3", old);
+    EXPECT_EQ(SealOf(agent, "entry-1.1.3"), wire::SealResult::Sealed);
+    agent.Start("entry-1.1.3");
+    EXPECT_EQ(agent.RunsOf("entry-1.1.3"), 0U);
+  }
+}
+
+TEST(AgentRequests, AQueuedRequestCanBeSealedAndThenNeverRuns)
+{
+  AgentHarness agent;
+  agent.FormGroup(7);
+  for (int index = 1; index <= 5; ++index) {
+    agent.Start("entry-1.1." + std::to_string(index));
+  }
+  ASSERT_EQ(agent.RunsOf("entry-1.1.5"), 0U);
+  EXPECT_EQ(SealOf(agent, "entry-1.1.5"), wire::SealResult::Sealed);
+  agent.AnswerCall("entry-1.1.1", "x", true);
+  agent.Settle();
+  EXPECT_EQ(agent.RunsOf("entry-1.1.5"), 0U);
+}
+
+// Symptom: a request runs on an agent that answered "never started" in its former life, or the
+// other way round.
+// Sequence: the agent restarts; frames meant for its predecessor arrive.
+// Cause: the restarted process has the same name and address, and its ledger is empty.
+TEST(AgentRequests, FramesForAPredecessorAreRefused)
+{
+  AgentHarness agent;
+  agent.FormGroup(7);
+  AgentHarness::StartOptions former;
+  former.incarnation = 10;
+  agent.Start("entry-1.1.1", former);
+  EXPECT_EQ(agent.RunsOf("entry-1.1.1"), 0U);
+  ASSERT_NE(agent.Last<wire::UnknownRequestT>(), nullptr);
+  EXPECT_EQ(agent.Last<wire::UnknownRequestT>()->agentIncarnation, 11U);
+  EXPECT_EQ(agent.RefusalOf("entry-1.1.1"), "") << "the predecessor may have run it";
+  agent.Seal("entry-1.1.1", 1, 10);
+  EXPECT_EQ(agent.Last<wire::SealReplyT>()->result, wire::SealResult::WrongIncarnation);
+  agent.Resume("entry-1.1.1", 0, 10);
+  EXPECT_EQ(agent.Sent<wire::UnknownRequestT>().size(), 2U);
+}
+
+// Symptom: a streamed answer misses a piece or has one twice.
+// Sequence: the entry's connection swallows frames for a while; it resumes on a new connection from
+// the offset it has.
+// Cause: what was written to a dead connection is gone for its sender.
+TEST(AgentRequests, AResumedAnswerIsByteIdentical)
+{
+  AgentHarness agent;
+  agent.FormGroup(7);
+  agent.Start("entry-1.1.1");
+  agent.AnswerCall("entry-1.1.1", "alpha ", false);
+  agent.Acknowledge("entry-1.1.1", 3, false);
+  agent.Give(PeerDown{ ProcessId("entry-1"), Incarnation(1), "silent" });
+  agent.AnswerCall("entry-1.1.1", "beta ", false, false);
+  agent.AnswerCall("entry-1.1.1", "gamma", true, false);
+  agent.Advance(seconds(5));
+  agent.Forget();
+  agent.Resume("entry-1.1.1", 3);
+  std::string rest;
+  for (const auto* frame : agent.Sent<wire::OutputT>()) {
+    EXPECT_EQ(frame->offset, 3 + rest.size());
+    rest.append(frame->bytes.begin(), frame->bytes.end());
+  }
+  EXPECT_EQ("alp" + rest, "alpha beta gamma");
+  EXPECT_TRUE(agent.Last<wire::OutputT>()->end);
+  SECTION("an offset that was acknowledged away is answered with a cut, never with a gap")
+  {
+    agent.Resume("entry-1.1.1", 1);
+    EXPECT_EQ(agent.Last<wire::OutputT>()->cutReason, "output from the wanted offset is not held");
+    EXPECT_TRUE(agent.Last<wire::OutputT>()->bytes.empty());
+  }
+  SECTION("and acknowledged as done it is forgotten")
+  {
+    agent.Acknowledge("entry-1.1.1", 16, true);
+    agent.Resume("entry-1.1.1", 0);
+    EXPECT_EQ(agent.Last<wire::OutputT>()->cutReason, "already ran; its answer is no longer held");
+  }
+}
+
+// Symptom: the agent's memory grows without end, or one slow reader ends every request.
+// Sequence: answers are longer than the bound and one entry acknowledges nothing.
+// Cause: output is held until it is acknowledged.
+TEST(AgentRequests, HeldOutputIsBoundedAndTheOneHoldingMostIsCut)
+{
+  AgentHarness agent({ .maxHeldOutputBytes = 1000 });
+  agent.FormGroup(7);
+  agent.Start("entry-1.1.1");
+  agent.Start("entry-1.1.2");
+  agent.AnswerCall("entry-1.1.1", std::string(700, 'a'), false);
+  agent.AnswerCall("entry-1.1.2", std::string(200, 'b'), false);
+  agent.AnswerCall("entry-1.1.2", std::string(200, 'b'), false, false);
+  EXPECT_EQ(agent.ReceivedOf("entry-1.1.1").cutReason, "held output limit reached");
+  EXPECT_TRUE(agent.CallOf("entry-1.1.1")->cancelled);
+  EXPECT_FALSE(agent.CallOf("entry-1.1.2")->cancelled);
+  agent.AnswerCall("entry-1.1.2", std::string(200, 'b'), true, false);
+  EXPECT_EQ(agent.ReceivedOf("entry-1.1.2").bytes.size(), 600U);
+  EXPECT_EQ(agent.ReceivedOf("entry-1.1.2").cutReason, "");
+}
+
+TEST(AgentRequests, AcknowledgedOutputNeverReachesTheBound)
+{
+  AgentHarness agent({ .maxHeldOutputBytes = 1000 });
+  agent.FormGroup(7);
+  agent.Start("entry-1.1.1");
+  for (std::uint64_t part = 1; part <= 20; ++part) {
+    agent.AnswerCall("entry-1.1.1", std::string(400, 'a'), part == 20, part == 1);
+    agent.Acknowledge("entry-1.1.1", part * 400, false);
+  }
+  EXPECT_EQ(agent.ReceivedOf("entry-1.1.1").bytes.size(), 8000U);
+  EXPECT_EQ(agent.ReceivedOf("entry-1.1.1").cutReason, "");
+}
+
+// Symptom: answers of an entry that will not return fill the agent.
+// Sequence: an entry dies for good with a request running and one answered.
+// Cause: nobody acknowledges them any more.
+TEST(AgentRequests, AnswersForAnEntryThatNeverReturnsAreHeldForABoundedTime)
+{
+  AgentHarness agent;
+  agent.FormGroup(7);
+  agent.Start("entry-1.1.1");
+  agent.Start("entry-1.1.2");
+  AgentHarness::StartOptions booking;
+  booking.repeatable = false;
+  agent.Start("entry-1.1.3", booking);
+  agent.AnswerCall("entry-1.1.1", "done", true);
+  agent.Give(PeerDown{ ProcessId("entry-1"), Incarnation(1), "closed" });
+  agent.Advance(RequestSystem::kHoldFor + seconds(1));
+  EXPECT_TRUE(agent.CallOf("entry-1.1.2")->cancelled);
+  EXPECT_FALSE(agent.CallOf("entry-1.1.3")->cancelled) << "a begun booking runs to its end";
+  EXPECT_EQ(SealOf(agent, "entry-1.1.1"), wire::SealResult::Started);
+  agent.Resume("entry-1.1.1", 0);
+  EXPECT_NE(agent.Last<wire::OutputT>()->cutReason, "");
+}
+
+TEST(AgentRequests, AnEntrysRestartCutsItsRepeatableWorkOnly)
+{
+  AgentHarness agent;
+  agent.FormGroup(7);
+  AgentHarness::StartOptions booking;
+  booking.repeatable = false;
+  agent.Start("entry-1.1.1");
+  agent.Start("entry-1.1.2", booking);
+  agent.Give(PeerUp{ ProcessId("entry-1"), "entry", Incarnation(2), "10.0.2.1:7000" });
+  EXPECT_TRUE(agent.CallOf("entry-1.1.1")->cancelled);
+  EXPECT_FALSE(agent.CallOf("entry-1.1.2")->cancelled);
+}
+
+TEST(AgentRequests, TheQueueIsBoundedAndUrgentWorkGoesFirst)
+{
+  AgentHarness agent({ .maxConcurrent = 1, .maxQueued = 2 });
+  agent.FormGroup(7);
+  AgentHarness::StartOptions batch;
+  batch.priority = 2;
+  agent.Start("entry-1.1.1", batch);
+  agent.Start("entry-1.1.2", batch);
+  agent.Start("entry-1.1.3", batch);
+  SECTION("a full queue refuses with a time to come back")
+  {
+    agent.Start("entry-1.1.4", batch);
+    EXPECT_EQ(agent.RefusalOf("entry-1.1.4"), "queue full");
+    EXPECT_GT(agent.Last<wire::RefusedT>()->retryAfterMillis, 0U);
+  }
+  SECTION("more urgent work displaces the latest of the least urgent, which never started")
+  {
+    agent.Start("entry-1.1.5");
+    EXPECT_EQ(agent.RefusalOf("entry-1.1.3"), "displaced by more urgent work");
+    agent.AnswerCall("entry-1.1.1", "x", true);
+    EXPECT_EQ(agent.RunsOf("entry-1.1.5"), 1U);
+    EXPECT_EQ(agent.RunsOf("entry-1.1.2"), 0U);
+  }
+}
+
+TEST(AgentRequests, DeadlinesRefuseWhatWaitsAndCutWhatMayBeRepeated)
+{
+  AgentHarness agent({ .maxConcurrent = 2 });
+  agent.FormGroup(7);
+  AgentHarness::StartOptions hurried;
+  hurried.deadlineMillis = 300;
+  AgentHarness::StartOptions booking = hurried;
+  booking.repeatable = false;
+  agent.Start("entry-1.1.1", hurried);
+  agent.Start("entry-1.1.2", booking);
+  agent.Start("entry-1.1.3", hurried);
+  agent.Advance(milliseconds(400));
+  EXPECT_EQ(agent.ReceivedOf("entry-1.1.1").cutReason, "deadline passed");
+  EXPECT_TRUE(agent.CallOf("entry-1.1.1")->cancelled);
+  EXPECT_FALSE(agent.CallOf("entry-1.1.2")->cancelled);
+  EXPECT_EQ(agent.RefusalOf("entry-1.1.3"), "deadline passed while queued");
+}
+
+TEST(AgentRequests, CancelEndsTheCallAndFreesItsSlot)
+{
+  AgentHarness agent({ .maxConcurrent = 1 });
+  agent.FormGroup(7);
+  agent.Start("entry-1.1.1");
+  agent.Start("entry-1.1.2");
+  agent.Cancel("entry-1.1.1", "caller gone");
+  EXPECT_TRUE(agent.CallOf("entry-1.1.1")->cancelled);
+  EXPECT_EQ(agent.ReceivedOf("entry-1.1.1").cutReason, "cancelled: caller gone");
+  EXPECT_EQ(agent.RunsOf("entry-1.1.2"), 1U);
+}
+
+// Symptom: "not run" although the target may have run the call.
+// Sequence: the connection to the target breaks, before or after the call was written.
+// Cause: only a call of which no byte left is certain not to have run.
+TEST(AgentRequests, ATargetThatFailsIsToldTruly)
+{
+  AgentHarness agent;
+  agent.FormGroup(7);
+  agent.Start("entry-1.1.1");
+  agent.FailCall("entry-1.1.1", true);
+  EXPECT_TRUE(agent.RefusalOf("entry-1.1.1").starts_with("target unreachable"));
+  agent.Start("entry-1.1.2");
+  agent.FailCall("entry-1.1.2", false);
+  EXPECT_EQ(agent.RefusalOf("entry-1.1.2"), "");
+  EXPECT_TRUE(agent.ReceivedOf("entry-1.1.2").cutReason.starts_with("target failed"));
+  EXPECT_EQ(SealOf(agent, "entry-1.1.2"), wire::SealResult::Started);
+}
+
+// Symptom: an answer that was whole is cut because its group was dissolved before a resume.
+// Sequence: the answer ends while the group is whole; its entry's connection is down; a new epoch.
+// Cause: what counts is whether the group was whole when the output came, not when it is read.
+TEST(AgentRequests, AnAnswerMadeByAWholeGroupOutlivesTheGroup)
+{
+  AgentHarness agent;
+  agent.FormGroup(7);
+  agent.Start("entry-1.1.1");
+  agent.Give(PeerDown{ ProcessId("entry-1"), Incarnation(1), "silent" });
+  agent.AnswerCall("entry-1.1.1", "whole", true);
+  agent.Assign(8);
+  agent.Resume("entry-1.1.1", 0);
+  EXPECT_EQ(agent.ReceivedOf("entry-1.1.1").bytes, "whole");
+  EXPECT_EQ(agent.ReceivedOf("entry-1.1.1").cutReason, "");
+}
+
+} // namespace
+} // namespace gooseberrysail::test
