--- /dev/null
+++ b/src/http/http_call.cpp
@@ -0,0 +1,251 @@
+#include "http/http_call.hpp"
+
+#include "gooseberrysail/net/endpoint.hpp"
+#include "http/http_headers.hpp"
+
+#include <algorithm>
+#include <array>
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/write.hpp>
+#include <optional>
+#include <utility>
+
+namespace gooseberrysail::impl {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+
+using Parser = http::response_parser<http::buffer_body>;
+
+constexpr std::size_t kPartBytes = 16 * 1024;
+
+bool IsSafe(const TargetCallOut& call)
+{
+  return IsSafeToken(call.method) && IsSafeToken(call.path) &&
+         std::all_of(call.headers.begin(), call.headers.end(), IsSafeHeader);
+}
+
+http::request<http::string_body> MakeRequest(const std::string& address, TargetCallOut& call)
+{
+  http::request<http::string_body> request;
+  request.version(11);
+  request.method_string(call.method);
+  request.target(call.path);
+  for (const HttpHeader& header : call.headers) {
+    if (!IsHopHeader(header.name)) {
+      request.insert(header.name, header.value);
+    }
+  }
+  if (request.find(http::field::host) == request.end()) {
+    request.set(http::field::host, address);
+  }
+  request.body() = std::move(call.body);
+  const bool bare = request.method() == http::verb::get || request.method() == http::verb::head;
+  if (!bare || !request.body().empty()) {
+    request.content_length(request.body().size());
+  }
+  return request;
+}
+
+TargetAnswerIn MakePart(ExchangeId exchange)
+{
+  TargetAnswerIn part;
+  part.exchange = exchange;
+  return part;
+}
+
+TargetAnswerIn MakeFirstPart(ExchangeId exchange, const http::response_header<>& head)
+{
+  TargetAnswerIn part = MakePart(exchange);
+  part.status = head.result_int();
+  for (const auto& field : head) {
+    const std::string name(field.name_string());
+    if (!IsHopHeader(name)) {
+      part.headers.push_back(HttpHeader{ name, std::string(field.value()) });
+    }
+  }
+  return part;
+}
+
+} // namespace
+
+HttpCall::HttpCall(asio::io_context& io,
+                   const HttpClientSettings& settings,
+                   std::string address,
+                   TargetCallOut call,
+                   HttpCallHooks hooks)
+  : m_settings(settings)
+  , m_address(std::move(address))
+  , m_call(std::move(call))
+  , m_hooks(std::move(hooks))
+  , m_socket(io)
+  , m_deadline(io.get_executor())
+{
+}
+
+void HttpCall::Reuse(tcp::socket socket)
+{
+  m_socket = std::move(socket);
+  m_reused = true;
+}
+
+bool HttpCall::Run()
+{
+  const bool reusable = (m_reused || Connect()) && SendRequest() && ReadAnswer();
+  m_deadline.Disarm();
+  return reusable && !m_cancelled;
+}
+
+void HttpCall::Cancel()
+{
+  m_cancelled = true;
+  m_deadline.Disarm();
+  boost::system::error_code ignored;
+  m_socket.close(ignored);
+}
+
+void HttpCall::ArmTimeout(Duration timeout)
+{
+  if (timeout == Duration::zero()) {
+    return;
+  }
+  m_deadline.Arm(timeout, [this] {
+    m_timedOut = true;
+    boost::system::error_code ignored;
+    m_socket.close(ignored);
+  });
+}
+
+bool HttpCall::Fail(ErrorCode code, std::string step, std::string description, bool neverSent)
+{
+  m_deadline.Disarm();
+  if (m_cancelled) {
+    return false;
+  }
+  boost::system::error_code ignored;
+  m_socket.close(ignored);
+  if (m_timedOut) {
+    code = ErrorCode::kTimeout;
+    description = "no byte in time";
+  }
+  m_cancelled = true;
+  m_hooks.onFailed(
+    TargetFailedIn{ m_call.exchange,
+                    Error{ code, std::move(step), m_address, std::move(description) },
+                    neverSent });
+  return false;
+}
+
+bool HttpCall::Connect()
+{
+  const Result<tcp::endpoint> endpoint = ParseEndpoint(m_address);
+  if (!endpoint) {
+    return Fail(ErrorCode::kInvalid, "connect to target", endpoint.error().description, true);
+  }
+  ArmTimeout(m_settings.connectTimeout);
+  const auto [error, size] =
+    Await([&](auto done) { m_socket.async_connect(endpoint.value(), done); });
+  m_deadline.Disarm();
+  if (error || m_timedOut || m_cancelled) {
+    return Fail(ErrorCode::kUnavailable, "connect to target", error.message(), true);
+  }
+  boost::system::error_code ignored;
+  m_socket.set_option(tcp::no_delay(true), ignored);
+  return true;
+}
+
+bool HttpCall::SendRequest()
+{
+  if (!IsSafe(m_call)) {
+    return Fail(ErrorCode::kInvalid,
+                "send call",
+                "the method, the path or a header holds a letter that HTTP does not allow there",
+                true);
+  }
+  ArmTimeout(m_call.timeout);
+  const auto request = MakeRequest(m_address, m_call);
+  http::request_serializer<http::string_body> serializer(request);
+  const auto [error, size] =
+    Await([&](auto done) { http::async_write(m_socket, serializer, done); });
+  if (error || m_timedOut || m_cancelled) {
+    // A write that failed before the kernel took its first byte sent nothing.
+    return Fail(ErrorCode::kIo, "send call", error.message(), size == 0);
+  }
+  return true;
+}
+
+bool HttpCall::FailRead(const boost::system::error_code& error)
+{
+  const bool ended = error == http::error::end_of_stream || error == http::error::partial_message;
+  return Fail(ended ? ErrorCode::kUnavailable : ErrorCode::kIo,
+              "read answer",
+              ended ? "closed before the answer was whole" : error.message(),
+              false);
+}
+
+bool HttpCall::Deliver(TargetAnswerIn part)
+{
+  if (!m_cancelled) {
+    m_hooks.onAnswer(std::move(part));
+  }
+  return !m_cancelled;
+}
+
+bool HttpCall::ReadAnswer()
+{
+  std::optional<Parser> parser;
+  do {
+    // An answer of the 100s only announces the real one.
+    parser.emplace();
+    parser->header_limit(m_settings.maxHeaderBytes);
+    parser->body_limit(boost::none);
+    parser->skip(m_call.method == "HEAD");
+    const auto [error, size] =
+      Await([&](auto done) { http::async_read_header(m_socket, m_buffer, *parser, done); });
+    if (error || m_timedOut || m_cancelled) {
+      return FailRead(error);
+    }
+  } while (parser->get().result_int() / 100 == 1);
+
+  if (parser->need_eof() && !m_settings.acceptCloseDelimited) {
+    return Fail(ErrorCode::kCorrupt,
+                "read answer",
+                "neither length nor chunks: a cut answer would look whole",
+                false);
+  }
+  TargetAnswerIn part = MakeFirstPart(m_call.exchange, parser->get());
+  std::array<char, kPartBytes> bytes;
+  while (!parser->is_done()) {
+    // What the last read brought is delivered before waiting for more.
+    const bool waits = m_buffer.size() == 0 || part.bytes.size() >= kPartBytes;
+    if (waits && (part.status || !part.bytes.empty())) {
+      if (!Deliver(std::exchange(part, MakePart(m_call.exchange)))) {
+        return false;
+      }
+    }
+    ArmTimeout(m_call.timeout);
+    parser->get().body().data = bytes.data();
+    parser->get().body().size = bytes.size();
+    parser->get().body().more = true;
+    const auto [error, size] =
+      Await([&](auto done) { http::async_read_some(m_socket, m_buffer, *parser, done); });
+    if (m_timedOut || m_cancelled || (error && error != http::error::need_buffer)) {
+      return FailRead(error);
+    }
+    part.bytes.append(bytes.data(), bytes.size() - parser->get().body().size);
+  }
+  m_deadline.Disarm();
+  part.end = true;
+  const bool reusable = parser->keep_alive() && m_buffer.size() == 0;
+  return Deliver(std::move(part)) && reusable;
+}
+
+} // namespace gooseberrysail::impl
--- /dev/null
+++ b/src/http/http_call.hpp
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "gooseberrysail/http/http_client.hpp"
+#include "net/deadline.hpp"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace gooseberrysail::impl {
+
+/// \brief Where the parts and the failure of one call go.
+struct HttpCallHooks
+{
+  std::function<void(TargetAnswerIn)> onAnswer;
+  std::function<void(TargetFailedIn)> onFailed;
+};
+
+/// \brief One call over one connection.
+class HttpCall : public std::enable_shared_from_this<HttpCall>
+{
+public:
+  HttpCall(boost::asio::io_context& io,
+           const HttpClientSettings& settings,
+           std::string address,
+           TargetCallOut call,
+           HttpCallHooks hooks);
+
+  /// \brief Takes over an idle connection instead of opening one.
+  void Reuse(boost::asio::ip::tcp::socket socket);
+
+  /// \brief Makes the call; the body of a fiber.
+  /// \returns Whether the connection can carry another call.
+  bool Run();
+
+  /// \brief Closes the connection; no hook is called any more.
+  void Cancel();
+
+  [[nodiscard]] const std::string& Address() const noexcept { return m_address; }
+  [[nodiscard]] const ExchangeId& Exchange() const noexcept { return m_call.exchange; }
+  [[nodiscard]] boost::asio::ip::tcp::socket TakeSocket() noexcept { return std::move(m_socket); }
+
+private:
+  bool Connect();
+  bool SendRequest();
+  bool ReadAnswer();
+  bool Fail(ErrorCode code, std::string step, std::string description, bool neverSent);
+  bool FailRead(const boost::system::error_code& error);
+  bool Deliver(TargetAnswerIn part);
+  void ArmTimeout(Duration timeout);
+
+  const HttpClientSettings& m_settings;
+  std::string m_address;
+  TargetCallOut m_call;
+  HttpCallHooks m_hooks;
+  boost::asio::ip::tcp::socket m_socket;
+  boost::beast::flat_buffer m_buffer;
+  Deadline m_deadline;
+  bool m_reused = false;
+  bool m_timedOut = false;
+  bool m_cancelled = false;
+};
+
+} // namespace gooseberrysail::impl
--- /dev/null
+++ b/src/http/http_client.cpp
@@ -0,0 +1,252 @@
+#include "gooseberrysail/http/http_client.hpp"
+
+#include "gooseberrysail/shell/clock.hpp"
+#include "http/http_call.hpp"
+
+#include <cerrno>
+#include <deque>
+#include <sys/socket.h>
+#include <unordered_map>
+#include <utility>
+
+namespace gooseberrysail {
+
+namespace {
+
+using boost::asio::ip::tcp;
+
+// An idle connection that turned readable was closed by the server, or holds bytes that belong to
+// no call; either way the next call on it would fail.
+bool IsUsable(tcp::socket& socket)
+{
+  char byte = 0;
+  const ssize_t seen = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return seen < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+} // namespace
+
+struct HttpClient::Impl
+{
+  using CallPtr = std::shared_ptr<impl::HttpCall>;
+
+  struct Idle
+  {
+    tcp::socket socket;
+    TimePoint since;
+  };
+
+  Impl(IoRuntime& ioRuntime, HttpClientSettings clientSettings, HttpClientHooks clientHooks)
+    : runtime(ioRuntime)
+    , settings(std::move(clientSettings))
+    , hooks(std::move(clientHooks))
+    , expiry(ioRuntime.Io().get_executor())
+  {
+  }
+
+  std::uint64_t Begin(std::string_view address, TargetCallOut call, impl::HttpCallHooks callHooks);
+  void Run(std::uint64_t number, const CallPtr& call);
+  void Cancel(std::uint64_t number);
+  void Close();
+  void TakeIdle(impl::HttpCall& call);
+  void KeepIdle(impl::HttpCall& call);
+  void ExpireIdle();
+
+  IoRuntime& runtime;
+  HttpClientSettings settings;
+  HttpClientHooks hooks;
+  std::unordered_map<std::uint64_t, CallPtr> calls;
+  std::unordered_map<ExchangeId, std::uint64_t> exchanges;
+  std::unordered_map<std::string, std::deque<Idle>> idle;
+  impl::Deadline expiry;
+  std::uint64_t lastCall = 0;
+  std::size_t fibers = 0;
+  bool closed = false;
+  Signal fiberEnded;
+};
+
+std::uint64_t HttpClient::Impl::Begin(std::string_view address,
+                                      TargetCallOut call,
+                                      impl::HttpCallHooks callHooks)
+{
+  const std::uint64_t number = ++lastCall;
+  const auto made = std::make_shared<impl::HttpCall>(
+    runtime.Io(), settings, std::string(address), std::move(call), std::move(callHooks));
+  calls.emplace(number, made);
+  ++fibers;
+  runtime.Spawn([this, number, made] {
+    Run(number, made);
+    --fibers;
+    fiberEnded.Notify();
+  });
+  return number;
+}
+
+void HttpClient::Impl::Run(std::uint64_t number, const CallPtr& call)
+{
+  // Taken only now: between the call's start and this fiber's turn the server may have closed it.
+  TakeIdle(*call);
+  const bool reusable = call->Run();
+  calls.erase(number);
+  const auto found = exchanges.find(call->Exchange());
+  if (found != exchanges.end() && found->second == number) {
+    exchanges.erase(found);
+  }
+  if (reusable && !closed) {
+    KeepIdle(*call);
+  }
+}
+
+void HttpClient::Impl::TakeIdle(impl::HttpCall& call)
+{
+  const auto found = idle.find(call.Address());
+  while (found != idle.end() && !found->second.empty()) {
+    // The latest used first: the others may expire.
+    Idle last = std::move(found->second.back());
+    found->second.pop_back();
+    if (BootNow() - last.since < settings.idleFor && IsUsable(last.socket)) {
+      call.Reuse(std::move(last.socket));
+      return;
+    }
+  }
+}
+
+void HttpClient::Impl::KeepIdle(impl::HttpCall& call)
+{
+  std::deque<Idle>& kept = idle[call.Address()];
+  if (kept.size() >= settings.maxIdlePerAddress) {
+    kept.pop_front();
+  }
+  kept.push_back(Idle{ call.TakeSocket(), BootNow() });
+  if (!expiry.IsArmed()) {
+    expiry.Arm(settings.idleFor, [this] { ExpireIdle(); });
+  }
+}
+
+void HttpClient::Impl::ExpireIdle()
+{
+  const TimePoint now = BootNow();
+  for (auto& [address, kept] : idle) {
+    while (!kept.empty() && now - kept.front().since >= settings.idleFor) {
+      kept.pop_front();
+    }
+  }
+  std::erase_if(idle, [](const auto& row) { return row.second.empty(); });
+  if (!idle.empty()) {
+    expiry.Arm(settings.idleFor, [this] { ExpireIdle(); });
+  }
+}
+
+void HttpClient::Impl::Cancel(std::uint64_t number)
+{
+  const auto found = calls.find(number);
+  if (found != calls.end()) {
+    const CallPtr call = found->second;
+    call->Cancel();
+  }
+}
+
+void HttpClient::Impl::Close()
+{
+  closed = true;
+  expiry.Disarm();
+  idle.clear();
+  for (const auto& [number, call] : calls) {
+    call->Cancel();
+  }
+  while (fibers > 0) {
+    fiberEnded.Wait();
+  }
+}
+
+HttpClient::HttpClient(IoRuntime& runtime, HttpClientSettings settings, HttpClientHooks hooks)
+  : m_impl(std::make_shared<Impl>(runtime, std::move(settings), std::move(hooks)))
+{
+}
+
+HttpClient::~HttpClient()
+{
+  Close();
+}
+
+void HttpClient::Start(std::string_view address, TargetCallOut call)
+{
+  const ExchangeId exchange = call.exchange;
+  impl::HttpCallHooks callHooks;
+  callHooks.onAnswer = m_impl->hooks.onAnswer;
+  callHooks.onFailed = m_impl->hooks.onFailed;
+  m_impl->exchanges[exchange] = m_impl->Begin(address, std::move(call), std::move(callHooks));
+}
+
+void HttpClient::Cancel(ExchangeId exchange)
+{
+  const auto found = m_impl->exchanges.find(exchange);
+  if (found != m_impl->exchanges.end()) {
+    m_impl->Cancel(found->second);
+  }
+}
+
+Result<HttpReply> HttpClient::Fetch(std::string_view address,
+                                    std::string_view method,
+                                    std::string_view path,
+                                    std::vector<HttpHeader> headers,
+                                    std::string body,
+                                    Duration timeout)
+{
+  struct Fetched
+  {
+    HttpReply reply;
+    std::optional<Error> error;
+    bool done = false;
+    Signal changed;
+  };
+  const auto fetched = std::make_shared<Fetched>();
+  const std::string peer(address);
+  const std::uint64_t limit = m_impl->settings.maxFetchedBytes;
+  impl::HttpCallHooks callHooks;
+  callHooks.onAnswer = [fetched, limit, peer](TargetAnswerIn part) {
+    if (part.status) {
+      fetched->reply.status = *part.status;
+      fetched->reply.headers = std::move(part.headers);
+    }
+    fetched->reply.body += part.bytes;
+    if (fetched->reply.body.size() > limit) {
+      fetched->error =
+        Error{ ErrorCode::kTooLarge, "read answer", peer, "the answer is too large" };
+    }
+    fetched->done = part.end;
+    fetched->changed.Notify();
+  };
+  callHooks.onFailed = [fetched](TargetFailedIn failed) {
+    fetched->error = std::move(failed.error);
+    fetched->changed.Notify();
+  };
+  TargetCallOut call;
+  call.method = std::string(method);
+  call.path = std::string(path);
+  call.headers = std::move(headers);
+  call.body = std::move(body);
+  call.timeout = timeout;
+  const std::uint64_t number = m_impl->Begin(address, std::move(call), std::move(callHooks));
+  const TimePoint until = BootNow() + timeout;
+  while (!fetched->done && !fetched->error) {
+    const TimePoint now = BootNow();
+    if (now >= until || m_impl->closed) {
+      fetched->error = Error{ ErrorCode::kTimeout, "read answer", peer, "not whole in time" };
+      break;
+    }
+    fetched->changed.WaitFor(until - now);
+  }
+  if (fetched->error) {
+    m_impl->Cancel(number);
+    return std::move(*fetched->error);
+  }
+  return std::move(fetched->reply);
+}
+
+void HttpClient::Close()
+{
+  m_impl->Close();
+}
+
+} // namespace gooseberrysail
