--- a/include/gooseberrysail/http/http_client.hpp
+++ b/include/gooseberrysail/http/http_client.hpp
@@ -47,9 +47,9 @@
 
 /// \brief An HTTP/1.1 client whose answers stream in part by part.
 /// \code
-/// HttpClient client(runtime, {}, { onAnswer, onFailed });
-/// client.Start("127.0.0.1:8000", TargetCallOut{ .exchange = id, .method = "GET", .path = "/health"
-/// }); \endcode
+/// HttpClient client(runtime, {});
+/// Result<HttpReply> reply = client.Fetch("10.0.0.1:7200", "GET", "/healthz", {}, "", timeout);
+/// \endcode
 class HttpClient
 {
 public:
