--- a/include/gooseberrysail/http/http_server.hpp
+++ b/include/gooseberrysail/http/http_server.hpp
@@ -47,10 +47,16 @@
 
 /// \brief An HTTP/1.1 server that hands requests over and streams answers part by part.
 /// \code
-/// HttpServer server(runtime, { .listenAddress = "127.0.0.1:0" }, hooks);
+/// HttpServer server(runtime, settings, hooks);
 /// BOOST_OUTCOME_TRY(server.Start());
-/// server.Send(HttpAnswerOut{ .exchange = request.exchange, .status = 200, .bytes = "ok", .end =
-/// true }); \endcode
+/// // In the owner's tick, for a request that onRequest brought:
+/// HttpAnswerOut answer;
+/// answer.exchange = request.exchange;
+/// answer.status = 200;
+/// answer.bytes = "ok";
+/// answer.end = true;
+/// server.Send(std::move(answer));
+/// \endcode
 class HttpServer
 {
 public:
