--- a/src/consensus/raft_core.hpp
+++ b/src/consensus/raft_core.hpp
@@ -91,6 +91,7 @@
 
   // ---- raft_election.cpp ----
   void BecomeFollower(std::uint64_t newTerm, const std::string& newLeader, const char* reason);
+  void CampaignIfDue();
   void StartPreVote();
   void StartElection();
   void BecomeLeader();
@@ -177,8 +178,6 @@
   TimePoint joinAskedAt{};
   bool joinAsked = false;
   std::map<std::string, impl::FoundingAnswer> foundingAnswers;
-  std::uint64_t pledgedCluster = 0;
-  TimePoint pledgedUntil{};
   bool waitingToJoinTold = false;
   std::set<std::string> otherClusterTold;
 
--- a/src/consensus/raft_election.cpp
+++ b/src/consensus/raft_election.cpp
@@ -55,6 +55,13 @@
   return !leader.empty() && now < leaderHeardAt + settings.electionTimeout;
 }
 
+void RaftNode::Impl::CampaignIfDue()
+{
+  if (IsVoter() && now >= electionDeadline && membershipIndex <= persisted) {
+    StartPreVote();
+  }
+}
+
 // Asks first whether an election could be won, without entering a new term. Without it, a voter
 // that was frozen or cut off would come back with a higher term and depose the leader.
 void RaftNode::Impl::StartPreVote()
--- a/src/consensus/raft_membership.cpp
+++ b/src/consensus/raft_membership.cpp
@@ -70,12 +70,6 @@
     OnUnknownDisk(process, StorageIdentity(message.identity));
   }
   const bool empty = IsEmpty();
-  // Telling the founder "empty" is a promise to follow no other cluster until it can no longer act
-  // on that answer: a late frame of a cluster that was given up could otherwise end up here.
-  if (empty && message.granted && process == Founder()) {
-    pledgedCluster = message.identity;
-    pledgedUntil = now + 2 * settings.electionTimeout;
-  }
   Message reply = NewMessage(Kind::JoinReply, message.from);
   reply.granted = !empty || process != Founder();
   reply.readContext = message.readContext;
@@ -119,15 +113,15 @@
 
 void RaftNode::Impl::Found(Membership founded)
 {
+  // The term stays 0 until this entry is synced: a crash in between must leave a disk that counts
+  // as empty, or nobody could found the cluster any more.
   hardState.cluster = founded.cluster;
-  hardState.term = Term(1);
-  hardState.vote = settings.self;
-  log.Append({ LogIndex(1), Term(1), LogEntryKind::kMembership, EncodeMembership(founded) });
+  log.Append({ LogIndex(1), Term(0), LogEntryKind::kMembership, EncodeMembership(founded) });
   Emit(EventNumber::kRaftFounded,
        { { "cluster", std::to_string(founded.cluster) },
          { "members", std::to_string(founded.members.size()) } });
   RecomputeMembership();
-  StartPreVote();
+  electionDeadline = now;
 }
 
 // A configured process came with a disk that the membership doesn't hold. One change takes the lost
--- a/src/consensus/raft_node.cpp
+++ b/src/consensus/raft_node.cpp
@@ -46,9 +46,7 @@
     AskToJoin();
     return;
   }
-  if (IsVoter() && now >= electionDeadline) {
-    StartPreVote();
-  }
+  CampaignIfDue();
 }
 
 // Takes over the time; it never goes back, whatever order calls come in.
@@ -90,9 +88,7 @@
 // each other's logs: terms and indexes say nothing about which cluster they belong to.
 bool RaftNode::Impl::FromMyCluster(const Message& message)
 {
-  const bool pledged = pledgedCluster != 0 && now < pledgedUntil;
-  const std::uint64_t expected =
-    hardState.cluster != 0 ? hardState.cluster : (pledged ? pledgedCluster : message.cluster);
+  const std::uint64_t expected = hardState.cluster != 0 ? hardState.cluster : message.cluster;
   const bool known = hardState.cluster != 0 || IsConfigured(ProcessId(message.from));
   if (message.cluster == expected && expected != 0 && known) {
     if (message.kind != Kind::PreVote && message.kind != Kind::PreVoteReply) {
@@ -219,6 +215,8 @@
   applied = std::max(applied, done.applied);
   if (role == impl::RaftRole::kLeader) {
     AdvanceCommit();
+  } else {
+    CampaignIfDue(); // The founder starts as soon as the founding is synced.
   }
 }
 
--- /dev/null
+++ b/tests/fakes/raft_cluster.cpp
@@ -0,0 +1,571 @@
+#include "fakes/raft_cluster.hpp"
+
+#include <algorithm>
+#include <cstring>
+#include <sstream>
+#include <xxhash.h>
+
+namespace gooseberrysail::fakes {
+
+namespace {
+
+constexpr std::size_t kStateWords = 16; // The chain and ballast: several chunks in a transfer.
+
+std::vector<std::uint8_t> ToBytes(std::span<const std::uint64_t> values)
+{
+  std::vector<std::uint8_t> bytes(values.size_bytes());
+  std::memcpy(bytes.data(), values.data(), bytes.size());
+  return bytes;
+}
+
+std::uint64_t ToValue(std::span<const std::uint8_t> bytes)
+{
+  std::uint64_t value = 0;
+  std::memcpy(&value, bytes.data(), std::min(bytes.size(), sizeof value));
+  return value;
+}
+
+std::uint64_t HashOf(std::span<const std::uint8_t> bytes, std::uint64_t seed)
+{
+  return XXH3_64bits_withSeed(bytes.data(), bytes.size(), seed);
+}
+
+std::string Describe(const wire::RaftMessageT& message)
+{
+  std::ostringstream text;
+  text << wire::EnumNameRaftKind(message.kind) << " " << message.from << ">" << message.to
+       << " term " << message.term << " last " << message.lastIndex << "/" << message.lastTerm
+       << " commit " << message.commit << (message.granted ? " granted" : "") << " entries "
+       << message.entries.size();
+  return text.str();
+}
+
+} // namespace
+
+void FakeDisk::StoreSnapshot(const ReadyOutput& ready)
+{
+  if (!ready.persistSnapshot) {
+    return;
+  }
+  snapshot = ready.persistSnapshot;
+  if (ready.snapshotReplacesLog) {
+    entries.clear();
+  }
+  std::erase_if(entries, [&](const LogRecord& entry) { return entry.index <= snapshot->index; });
+}
+
+void FakeDisk::StoreEntries(const std::vector<LogRecord>& added)
+{
+  if (added.empty()) {
+    return;
+  }
+  std::erase_if(entries,
+                [&](const LogRecord& entry) { return entry.index >= added.front().index; });
+  entries.insert(entries.end(), added.begin(), added.end());
+}
+
+RaftCluster::RaftCluster(Options options)
+  : m_options(std::move(options))
+  , m_random(m_options.seed)
+{
+  for (std::size_t i = 0; i < m_options.voters; ++i) {
+    m_names.emplace_back("c" + std::to_string(i + 1));
+  }
+  for (const ProcessId& name : m_names) {
+    Process process;
+    process.name = name.Get();
+    process.disk.identity = StorageIdentity(m_nextIdentity++);
+    process.clockOffset = std::chrono::milliseconds(m_random() % 100000);
+    m_processes.push_back(std::move(process));
+  }
+  for (Process& process : m_processes) {
+    Start(process);
+  }
+}
+
+void RaftCluster::Start(Process& process)
+{
+  RaftSettings settings = m_options.settings;
+  settings.self = ProcessId(process.name);
+  settings.voters = m_names;
+  RecoveredLog recovered;
+  recovered.identity = process.disk.identity;
+  recovered.hardState = process.disk.hardState;
+  recovered.snapshot = process.disk.snapshot;
+  recovered.entries = process.disk.entries;
+  process.applied = 0;
+  process.chain = 0;
+  process.restores = 0;
+  process.replayed = 0;
+  process.proposed.clear();
+  process.crashAt.reset();
+  process.node = std::make_unique<RaftNode>(
+    std::move(settings), RaftHooks{ [this] { return m_random(); } }, std::move(recovered));
+}
+
+TimePoint RaftCluster::NowOf(const Process& process) const
+{
+  return TimePoint(m_now + process.clockOffset);
+}
+
+void RaftCluster::Note(const std::string& text)
+{
+  if (m_options.trace) {
+    m_trace.push_back(std::to_string(ToMillis(m_now)) + " ms  " + text);
+  }
+}
+
+void RaftCluster::Fail(const std::string& what)
+{
+  if (m_violation.empty()) {
+    m_violation = what;
+    Note("VIOLATION: " + what);
+  }
+}
+
+// ---- the script ----
+
+void RaftCluster::Advance(Duration step)
+{
+  m_now += step;
+  Deliver();
+  for (std::size_t i = 0; i < m_processes.size(); ++i) {
+    Process& process = m_processes[i];
+    if (process.node && !process.frozen) {
+      process.node->Tick(NowOf(process));
+      Drain(i);
+    }
+  }
+}
+
+bool RaftCluster::RunUntil(Duration limit, const std::function<bool()>& condition)
+{
+  constexpr Duration kStep = std::chrono::milliseconds(10);
+  for (const Duration end = m_now + limit; m_now < end && !condition();) {
+    Advance(kStep);
+  }
+  return condition();
+}
+
+void RaftCluster::Crash(std::size_t index)
+{
+  Note("kill " + m_processes[index].name);
+  m_processes[index].node = nullptr;
+  m_processes[index].frozen = false;
+  if (m_options.broken.forgetVote) {
+    m_processes[index].disk.hardState.vote = ProcessId();
+  }
+}
+
+void RaftCluster::CrashDuringNextReady(std::size_t index, CrashPoint point)
+{
+  m_processes[index].crashAt = point;
+}
+
+void RaftCluster::Restart(std::size_t index)
+{
+  Note("start " + m_processes[index].name);
+  Start(m_processes[index]);
+}
+
+void RaftCluster::Wipe(std::size_t index)
+{
+  Note("wipe the disk of " + m_processes[index].name);
+  const StorageIdentity before = m_processes[index].disk.identity;
+  m_processes[index].disk = {};
+  m_processes[index].disk.identity =
+    m_options.broken.keepIdentity ? before : StorageIdentity(m_nextIdentity++);
+}
+
+void RaftCluster::Freeze(std::size_t index)
+{
+  Note("freeze " + m_processes[index].name);
+  m_processes[index].frozen = true;
+}
+
+void RaftCluster::Thaw(std::size_t index)
+{
+  Note("thaw " + m_processes[index].name);
+  m_processes[index].frozen = false;
+}
+
+void RaftCluster::Block(std::size_t from, std::size_t to)
+{
+  Note("cut the link " + m_processes[from].name + ">" + m_processes[to].name);
+  m_blocked.insert({ from, to });
+}
+
+void RaftCluster::Isolate(std::size_t index)
+{
+  for (std::size_t i = 0; i < m_processes.size(); ++i) {
+    Block(i, index);
+    Block(index, i);
+  }
+}
+
+void RaftCluster::HealLinks()
+{
+  Note("heal all links");
+  m_blocked.clear();
+}
+
+void RaftCluster::SetNetwork(unsigned lossPercent, unsigned duplicatePercent, Duration longestDelay)
+{
+  m_lossPercent = lossPercent;
+  m_duplicatePercent = duplicatePercent;
+  m_longestDelay = longestDelay;
+}
+
+bool RaftCluster::Propose(std::size_t index, std::uint64_t value)
+{
+  Process& process = m_processes[index];
+  if (!process.node || process.frozen) {
+    return false;
+  }
+  const std::uint64_t term = process.node->Status().term.Get();
+  const Result<LogIndex> proposed = process.node->Propose(ToBytes(std::span(&value, 1)));
+  if (!proposed) {
+    return false;
+  }
+  Note("propose " + std::to_string(value) + " at " + process.name + " as index " +
+       std::to_string(proposed.value().Get()) + " term " + std::to_string(term));
+  process.proposed[proposed.value().Get()] = { term, value };
+  Drain(index);
+  return true;
+}
+
+// ---- carrying out ----
+
+void RaftCluster::Drain(std::size_t index)
+{
+  while (m_processes[index].node && m_processes[index].node->HasReady()) {
+    const ReadyOutput ready = m_processes[index].node->TakeReady();
+    if (!CarryOut(index, ready)) {
+      return;
+    }
+    m_processes[index].node->Advance();
+    TakeSnapshot(m_processes[index]);
+  }
+  if (m_processes[index].node) {
+    Check(index);
+  }
+}
+
+bool RaftCluster::CarryOut(std::size_t index, const ReadyOutput& ready)
+{
+  Process& process = m_processes[index];
+  CheckAppended(process, ready);
+  const bool crashes = process.crashAt.has_value();
+  const CrashPoint point = process.crashAt.value_or(CrashPoint::kAfterSending);
+  if (m_options.broken.sendBeforePersist) {
+    Post(index, ready.messages);
+  }
+  Persist(process, ready, point);
+  process.events.insert(process.events.end(), ready.events.begin(), ready.events.end());
+  if (!m_options.broken.sendBeforePersist && point == CrashPoint::kAfterSending) {
+    Post(index, ready.messages);
+  }
+  if (crashes) {
+    Note("crash point " + std::to_string(static_cast<int>(point)));
+    Crash(index);
+    return false;
+  }
+  Apply(process, ready);
+  return true;
+}
+
+void RaftCluster::Persist(Process& process, const ReadyOutput& ready, CrashPoint until)
+{
+  if (until >= CrashPoint::kAfterHardState && ready.hardState) {
+    process.disk.hardState = *ready.hardState;
+  }
+  if (until >= CrashPoint::kAfterSnapshot) {
+    process.disk.StoreSnapshot(ready);
+  }
+  if (until >= CrashPoint::kAfterEntries) {
+    process.disk.StoreEntries(ready.entries);
+  }
+}
+
+std::size_t RaftCluster::IndexOf(const std::string& name) const
+{
+  const auto found = std::find_if(m_processes.begin(),
+                                  m_processes.end(),
+                                  [&](const Process& process) { return process.name == name; });
+  return static_cast<std::size_t>(found - m_processes.begin());
+}
+
+void RaftCluster::Post(std::size_t from, const std::vector<wire::RaftMessageT>& messages)
+{
+  for (const wire::RaftMessageT& message : messages) {
+    const std::size_t to = IndexOf(message.to);
+    if (m_blocked.contains({ from, to }) || m_random() % 100 < m_lossPercent) {
+      Note("lost " + Describe(message));
+      continue;
+    }
+    const std::size_t copies = m_random() % 100 < m_duplicatePercent ? 2 : 1;
+    for (std::size_t copy = 0; copy < copies; ++copy) {
+      const auto longest = static_cast<std::uint64_t>(m_longestDelay.count());
+      InFlight flight;
+      flight.dueNanos = static_cast<std::uint64_t>(m_now.count()) + 1 + m_random() % (longest + 1);
+      flight.order = m_order++;
+      flight.to = to;
+      flight.message = message;
+      m_inFlight.push_back(std::move(flight));
+    }
+  }
+}
+
+void RaftCluster::Deliver()
+{
+  const auto now = static_cast<std::uint64_t>(m_now.count());
+  const auto split =
+    std::stable_partition(m_inFlight.begin(), m_inFlight.end(), [&](const InFlight& flight) {
+      return flight.dueNanos > now || m_processes[flight.to].frozen;
+    });
+  std::vector<InFlight> due(std::make_move_iterator(split),
+                            std::make_move_iterator(m_inFlight.end()));
+  m_inFlight.erase(split, m_inFlight.end());
+  std::sort(due.begin(), due.end(), [](const InFlight& a, const InFlight& b) {
+    return std::pair(a.dueNanos, a.order) < std::pair(b.dueNanos, b.order);
+  });
+  for (const InFlight& flight : due) {
+    Process& process = m_processes[flight.to];
+    if (!process.node) {
+      continue;
+    }
+    Note("deliver " + Describe(flight.message));
+    process.node->Step(NowOf(process), flight.message);
+    Drain(flight.to);
+  }
+}
+
+void RaftCluster::Apply(Process& process, const ReadyOutput& ready)
+{
+  if (ready.restoreSnapshot) {
+    const RaftSnapshot& snapshot = *ready.restoreSnapshot;
+    process.applied = snapshot.index.Get();
+    process.chain = ToValue(snapshot.state);
+    ++process.restores;
+    const auto after = m_committed.upper_bound(process.applied);
+    const std::uint64_t expected =
+      after == m_committed.begin() ? 0 : std::prev(after)->second.chain;
+    if (process.chain != expected) {
+      Fail("state machine safety: the snapshot at " + std::to_string(process.applied) + " that " +
+           process.name + " restored differs from what was applied elsewhere");
+    }
+  }
+  for (const LogRecord& entry : ready.committed) {
+    ApplyOne(process, entry);
+  }
+}
+
+void RaftCluster::ApplyOne(Process& process, const LogRecord& entry)
+{
+  const std::uint64_t index = entry.index.Get();
+  const std::uint64_t value = ToValue(entry.payload);
+  if (index <= process.applied) {
+    Fail("index " + std::to_string(index) + " was applied twice at " + process.name);
+  }
+  process.applied = index;
+  process.chain = HashOf(entry.payload, process.chain);
+  ++process.replayed;
+  const Committed now{ entry.term.Get(), value, process.chain };
+  const auto [known, fresh] = m_committed.emplace(index, now);
+  const bool skipped = fresh && std::next(known) != m_committed.end();
+  if (skipped || known->second.term != now.term || known->second.value != value ||
+      known->second.chain != now.chain) {
+    Fail("state machine safety: " + process.name + " applied another command at index " +
+         std::to_string(index));
+  }
+  const auto mine = process.proposed.find(index);
+  if (mine != process.proposed.end() && mine->second.term == now.term &&
+      mine->second.value == value) {
+    m_acknowledged[value] = index;
+    const std::uint64_t highest =
+      m_acknowledgedAt.empty() ? index : std::max(index, m_acknowledgedAt.back().second);
+    m_acknowledgedAt.emplace_back(m_now, highest);
+  }
+}
+
+void RaftCluster::TakeSnapshot(Process& process)
+{
+  if (process.node->WantsSnapshot()) {
+    std::vector<std::uint64_t> state(kStateWords, process.applied);
+    state[0] = process.chain;
+    process.node->OnSnapshotTaken(process.node->Status().applied, ToBytes(state));
+  }
+}
+
+// ---- checks ----
+
+void RaftCluster::Check(std::size_t index)
+{
+  const Process& process = m_processes[index];
+  const ReplicationStatus status = process.node->Status();
+  LearnCommittedMembership(process, status);
+  if (!status.leader) {
+    return;
+  }
+  CheckElectionSafety(process, status);
+  CheckRead(process, status);
+}
+
+void RaftCluster::CheckElectionSafety(const Process& process, const ReplicationStatus& status)
+{
+  const auto [leader, fresh] = m_leaders.emplace(status.term.Get(), process.name);
+  if (leader->second != process.name) {
+    Fail("election safety: " + leader->second + " and " + process.name + " both lead term " +
+         std::to_string(status.term.Get()));
+  }
+  if (fresh) {
+    CheckLeaderCompleteness(process, status);
+  }
+}
+
+void RaftCluster::CheckLeaderCompleteness(const Process& process, const ReplicationStatus& status)
+{
+  std::map<std::uint64_t, std::uint64_t> termOf;
+  for (const LogRecord& entry : process.node->Entries()) {
+    termOf[entry.index.Get()] = entry.term.Get();
+  }
+  const std::uint64_t first = termOf.empty() ? status.committed.Get() + 1 : termOf.begin()->first;
+  for (auto entry = m_committed.lower_bound(first); entry != m_committed.end(); ++entry) {
+    const auto found = termOf.find(entry->first);
+    const bool there = found != termOf.end() && found->second == entry->second.term;
+    if (!there && entry->second.term < status.term.Get()) {
+      Fail("leader completeness: the leader " + process.name + " of term " +
+           std::to_string(status.term.Get()) + " lacks the committed index " +
+           std::to_string(entry->first));
+      return;
+    }
+  }
+}
+
+// A leader that claims to have heard a quorum at some moment must know everything that anyone was
+// told before that moment.
+void RaftCluster::CheckRead(const Process& process, const ReplicationStatus& status)
+{
+  if (status.quorumHeardAt == TimePoint{}) {
+    return;
+  }
+  const Duration heard = status.quorumHeardAt.time_since_epoch() - process.clockOffset;
+  const auto later = std::lower_bound(
+    m_acknowledgedAt.begin(),
+    m_acknowledgedAt.end(),
+    heard,
+    [](const auto& acknowledged, Duration moment) { return acknowledged.first < moment; });
+  if (later == m_acknowledgedAt.begin()) {
+    return;
+  }
+  if (std::prev(later)->second > status.committed.Get()) {
+    Fail("stale read: the leader " + process.name + " answers without the acknowledged index " +
+         std::to_string(std::prev(later)->second));
+  }
+}
+
+// By induction: when index and term fix both an entry's content and the term before it, two logs
+// that share an entry share everything before it.
+void RaftCluster::CheckAppended(const Process& process, const ReadyOutput& ready)
+{
+  const auto entries = process.node->Entries();
+  for (const LogRecord& entry : ready.entries) {
+    const std::uint64_t index = entry.index.Get();
+    const std::uint64_t first = entries.empty() ? index : entries.front().index.Get();
+    if (index <= first) {
+      continue;
+    }
+    const std::uint64_t before = entries[index - first - 1].term.Get();
+    const Appended appended{ HashOf(entry.payload, 0), before };
+    const auto key = std::pair(index, entry.term.Get());
+    const auto [known, fresh] = m_appended.emplace(key, appended);
+    if (!fresh && known->second != appended) {
+      Fail("log matching: two entries with index " + std::to_string(index) + " and term " +
+           std::to_string(entry.term.Get()) + " differ; the second one is at " + process.name);
+    }
+  }
+}
+
+void RaftCluster::LearnCommittedMembership(const Process& process, const ReplicationStatus& status)
+{
+  const auto& snapshot = process.disk.snapshot;
+  if (snapshot && snapshot->index.Get() > m_membershipIndex) {
+    m_membership = snapshot->membership;
+    m_membershipIndex = snapshot->index.Get();
+  }
+  for (const LogRecord& entry : process.node->Entries()) {
+    const bool news =
+      entry.kind == LogEntryKind::kMembership && entry.index.Get() > m_membershipIndex;
+    if (!news || entry.index > status.committed) {
+      continue;
+    }
+    const Result<Membership> decoded = DecodeMembership(entry.payload);
+    if (decoded) {
+      m_membership = decoded.value();
+      m_membershipIndex = entry.index.Get();
+    }
+  }
+}
+
+// ---- what there is ----
+
+std::optional<std::size_t> RaftCluster::Leader() const
+{
+  std::optional<std::size_t> leader;
+  Term highest;
+  for (std::size_t i = 0; i < m_processes.size(); ++i) {
+    const Process& process = m_processes[i];
+    if (!process.node || process.frozen) {
+      continue;
+    }
+    const ReplicationStatus status = process.node->Status();
+    if (status.leader && status.term > highest) {
+      highest = status.term;
+      leader = i;
+    }
+  }
+  return leader;
+}
+
+bool RaftCluster::IsCommitted(std::uint64_t value) const
+{
+  return std::any_of(m_committed.begin(), m_committed.end(), [&](const auto& entry) {
+    return entry.second.value == value;
+  });
+}
+
+bool RaftCluster::Converged() const
+{
+  const std::uint64_t chain = m_committed.empty() ? 0 : m_committed.rbegin()->second.chain;
+  return std::all_of(m_processes.begin(), m_processes.end(), [&](const Process& process) {
+    return process.node && !process.frozen && process.chain == chain;
+  });
+}
+
+std::uint64_t RaftCluster::HighestTerm() const
+{
+  std::uint64_t highest = 0;
+  for (const Process& process : m_processes) {
+    highest = std::max(highest, process.disk.hardState.term.Get());
+  }
+  return highest;
+}
+
+std::size_t RaftCluster::WipedAndNotVoting() const
+{
+  return static_cast<std::size_t>(
+    std::count_if(m_processes.begin(), m_processes.end(), [&](const Process& process) {
+      const Member* member = m_membership.Find(ProcessId(process.name));
+      return member == nullptr || !member->voter || member->identity != process.disk.identity;
+    }));
+}
+
+bool RaftCluster::HasEvent(std::size_t index, EventNumber number) const
+{
+  const auto& events = m_processes[index].events;
+  return std::any_of(events.begin(), events.end(), [&](const EventOut& event) {
+    return event.number == static_cast<std::uint32_t>(number);
+  });
+}
+
+} // namespace gooseberrysail::fakes
--- /dev/null
+++ b/tests/fakes/raft_cluster.hpp
@@ -0,0 +1,197 @@
+#pragma once
+
+#include "gooseberrysail/consensus/raft_node.hpp"
+#include "gooseberrysail/observe/event_catalog.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace gooseberrysail::fakes {
+
+/// \brief What outlives a crash: only what was synced.
+struct FakeDisk
+{
+  StorageIdentity identity;
+  HardState hardState;
+  std::shared_ptr<const RaftSnapshot> snapshot;
+  std::vector<LogRecord> entries;
+
+  void StoreSnapshot(const ReadyOutput& ready);
+  void StoreEntries(const std::vector<LogRecord>& added);
+};
+
+/// \brief How far a ready output is carried out when its process is killed.
+enum class CrashPoint
+{
+  kBeforePersisting,
+  kAfterHardState,
+  kAfterSnapshot,
+  kAfterEntries, ///< Synced, nothing sent.
+  kAfterSending  ///< Sent, not applied.
+};
+
+/// \brief Deliberate faults of the surroundings, to see that the checks bite.
+struct BrokenPromises
+{
+  bool forgetVote = false; ///< The vote does not outlive a crash.
+  bool sendBeforePersist = false;
+  bool keepIdentity = false; ///< A wiped disk comes back under its old identity.
+};
+
+/// \brief Several RaftNodes with one scripted network, clock and set of disks; checks what must
+/// hold after every step.
+class RaftCluster
+{
+public:
+  struct Options
+  {
+    std::size_t voters = 3;
+    std::uint64_t seed = 1;
+    RaftSettings settings; ///< `self` and `voters` are filled in.
+    BrokenPromises broken;
+    bool trace = false;
+  };
+
+  struct Proposal
+  {
+    std::uint64_t term = 0;
+    std::uint64_t value = 0;
+  };
+
+  struct Process
+  {
+    std::string name;
+    FakeDisk disk;
+    std::unique_ptr<RaftNode> node; ///< Null while it is down.
+    bool frozen = false;
+    Duration clockOffset{};
+    std::uint64_t applied = 0;                  ///< Highest index applied.
+    std::uint64_t chain = 0;                    ///< Hash over all applied commands.
+    std::uint64_t restores = 0;                 ///< Snapshots restored in this life.
+    std::uint64_t replayed = 0;                 ///< Commands applied in this life.
+    std::map<std::uint64_t, Proposal> proposed; ///< By index.
+    std::optional<CrashPoint> crashAt;
+    std::vector<EventOut> events;
+  };
+
+  explicit RaftCluster(Options options);
+
+  // ---- the script ----
+  void Advance(Duration step); ///< Passes time: delivers what is due and ticks every process.
+  bool RunUntil(Duration limit, const std::function<bool()>& condition);
+  void Crash(std::size_t index);
+  void CrashDuringNextReady(std::size_t index, CrashPoint point);
+  void Restart(std::size_t index);
+  void Wipe(std::size_t index); ///< The process must be down.
+  void Freeze(std::size_t index);
+  void Thaw(std::size_t index);
+  void Block(std::size_t from, std::size_t to);
+  void Isolate(std::size_t index);
+  void HealLinks();
+  bool Propose(std::size_t index, std::uint64_t value);
+
+  /// \brief Chance of a hundred that a message is lost or doubled, and its longest delay.
+  void SetNetwork(unsigned lossPercent, unsigned duplicatePercent, Duration longestDelay);
+
+  // ---- what there is ----
+  [[nodiscard]] std::optional<std::size_t> Leader() const; ///< The running one of the highest term.
+  [[nodiscard]] Process& At(std::size_t index) { return m_processes[index]; }
+  [[nodiscard]] std::size_t Size() const { return m_processes.size(); }
+  [[nodiscard]] const std::map<std::uint64_t, std::uint64_t>& Acknowledged() const
+  {
+    return m_acknowledged;
+  }
+  [[nodiscard]] bool IsAcknowledged(std::uint64_t value) const
+  {
+    return m_acknowledged.contains(value);
+  }
+  [[nodiscard]] bool IsCommitted(std::uint64_t value) const;
+  [[nodiscard]] bool Converged() const; ///< All run and have applied everything committed.
+  [[nodiscard]] std::uint64_t HighestTerm() const;
+  [[nodiscard]] std::size_t WipedAndNotVoting() const;
+  [[nodiscard]] bool HasEvent(std::size_t index, EventNumber number) const;
+  [[nodiscard]] std::uint64_t Random() { return m_random(); }
+
+  /// \brief The first broken invariant; "" while all hold.
+  [[nodiscard]] const std::string& Violation() const { return m_violation; }
+  [[nodiscard]] const std::vector<std::string>& Trace() const { return m_trace; }
+  void Note(const std::string& text);
+
+private:
+  struct InFlight
+  {
+    std::uint64_t dueNanos = 0;
+    std::uint64_t order = 0;
+    std::size_t to = 0;
+    wire::RaftMessageT message;
+  };
+
+  struct Committed
+  {
+    std::uint64_t term = 0;
+    std::uint64_t value = 0;
+    std::uint64_t chain = 0; ///< Hash over all commands up to here.
+  };
+
+  struct Appended
+  {
+    std::uint64_t payloadHash = 0;
+    std::uint64_t termBefore = 0;
+
+    friend bool operator==(const Appended&, const Appended&) = default;
+  };
+
+  void Start(Process& process);
+  [[nodiscard]] TimePoint NowOf(const Process& process) const;
+  void Drain(std::size_t index);
+  bool CarryOut(std::size_t index, const ReadyOutput& ready); ///< false: crashed on the way.
+  void Persist(Process& process, const ReadyOutput& ready, CrashPoint until);
+  void Post(std::size_t from, const std::vector<wire::RaftMessageT>& messages);
+  void Deliver();
+  void Apply(Process& process, const ReadyOutput& ready);
+  void ApplyOne(Process& process, const LogRecord& entry);
+  void TakeSnapshot(Process& process);
+  [[nodiscard]] std::size_t IndexOf(const std::string& name) const;
+
+  // ---- checks ----
+  void Check(std::size_t index);
+  void CheckElectionSafety(const Process& process, const ReplicationStatus& status);
+  void CheckLeaderCompleteness(const Process& process, const ReplicationStatus& status);
+  void CheckRead(const Process& process, const ReplicationStatus& status);
+  void CheckAppended(const Process& process, const ReadyOutput& ready);
+  void LearnCommittedMembership(const Process& process, const ReplicationStatus& status);
+  void Fail(const std::string& what);
+
+  Options m_options;
+  std::vector<ProcessId> m_names;
+  std::vector<Process> m_processes;
+  std::mt19937_64 m_random;
+  Duration m_now = std::chrono::seconds(1);
+  std::vector<InFlight> m_inFlight;
+  std::uint64_t m_order = 0;
+  std::set<std::pair<std::size_t, std::size_t>> m_blocked; ///< From, to.
+  unsigned m_lossPercent = 0;
+  unsigned m_duplicatePercent = 0;
+  Duration m_longestDelay = std::chrono::milliseconds(2);
+  std::uint64_t m_nextIdentity = 100;
+
+  std::map<std::uint64_t, Committed> m_committed;        ///< Commands by index, as first applied.
+  std::map<std::uint64_t, std::uint64_t> m_acknowledged; ///< value -> index
+  std::vector<std::pair<Duration, std::uint64_t>> m_acknowledgedAt;       ///< time -> highest index
+  std::map<std::uint64_t, std::string> m_leaders;                         ///< term -> process
+  std::map<std::pair<std::uint64_t, std::uint64_t>, Appended> m_appended; ///< By index and term.
+  Membership m_membership;                                                ///< Newest committed.
+  std::uint64_t m_membershipIndex = 0;
+  std::string m_violation;
+  std::vector<std::string> m_trace;
+};
+
+} // namespace gooseberrysail::fakes
