--- a/include/gooseberrysail/agent/config_client.hpp
+++ b/include/gooseberrysail/agent/config_client.hpp
@@ -16,18 +16,21 @@
 class ConfigClient
 {
 public:
-  /// Heads ask this often; several questions fit into the confirmation limit.
-  static constexpr Duration kInterval = std::chrono::seconds(1);
-  /// A member of a group whose head beats asks as rarely as this.
-  static constexpr Duration kRelayedInterval = std::chrono::seconds(10);
+  /// An older confirmation is renewed; several questions fit into the confirmation limit. A head
+  /// that control answers gets younger ones with each lease and asks nothing.
+  static constexpr Duration kRenewAfter = std::chrono::seconds(2);
+  /// For a member whose head beats: the beats tell it of new versions.
+  static constexpr Duration kRelayedRenewAfter = std::chrono::seconds(10);
 
   explicit ConfigClient(std::function<std::uint64_t()> random);
 
-  void Tick(impl::AgentContext& context, const ControlLink& link, Duration interval);
+  void Tick(impl::AgentContext& context, const ControlLink& link, Duration renewAfter);
   void OnState(impl::AgentContext& context,
                ControlLink& link,
                const ProcessId& from,
                const wire::ConfigStateT& state);
+  /// \brief Control proved that `version` was the newest at some moment after `askedAt`.
+  void OnConfirmed(TimePoint askedAt, LogIndex version) noexcept;
   /// \brief Some message bore this version.
   void OnVersionSeen(LogIndex version) noexcept;
 
@@ -37,8 +40,11 @@
   [[nodiscard]] std::optional<TimePoint> ConfirmedAt() const noexcept { return m_confirmedAt; }
 
 private:
+  static constexpr Duration kAskInterval = std::chrono::seconds(1);
   static constexpr Duration kCatchUpInterval = std::chrono::milliseconds(100);
 
+  void ReportInForce(impl::AgentContext& context, const ProcessId& control);
+
   std::function<std::uint64_t()> m_random;
   Catalogue m_catalogue;
   impl::NonceRing m_queries;
--- a/include/gooseberrysail/agent/control_link.hpp
+++ b/include/gooseberrysail/agent/control_link.hpp
@@ -19,6 +19,7 @@
   /// \brief Only an answer that a leader alone can give.
   void OnAnswer(TimePoint now, const ProcessId& control);
   void OnDown(const ProcessId& control);
+  [[nodiscard]] bool Answers(TimePoint now) const noexcept;
   /// \brief The answering one, or all when none answers.
   [[nodiscard]] std::span<const EntrySettings::Control> Targets(TimePoint now) const;
   [[nodiscard]] bool IsControl(const ProcessId& process) const noexcept;
--- a/include/gooseberrysail/agent/lease.hpp
+++ b/include/gooseberrysail/agent/lease.hpp
@@ -20,7 +20,12 @@
   [[nodiscard]] bool ReportDue(TimePoint now) const noexcept;
   void OnReportSent(TimePoint now, std::uint64_t nonce);
   /// \returns When the report of that nonce was sent; none when it is not among the latest.
-  std::optional<TimePoint> OnGrant(std::uint64_t nonce, Duration length);
+  [[nodiscard]] std::optional<TimePoint> SentAt(std::uint64_t nonce) const noexcept
+  {
+    return m_reports.SentAt(nonce);
+  }
+  /// \param until The sending of the granted report plus the granted length.
+  void Extend(TimePoint until) noexcept;
   [[nodiscard]] bool Holds(TimePoint now) const noexcept { return m_until && now < *m_until; }
 
 private:
--- a/include/gooseberrysail/agent/request_system.hpp
+++ b/include/gooseberrysail/agent/request_system.hpp
@@ -116,6 +116,7 @@
                const wire::StartT& start,
                const AttemptKey& key);
   void AnswerKnown(impl::AgentContext& context, const ProcessId& peer, const AttemptKey& key);
+  void SendUnknown(impl::AgentContext& context, const ProcessId& peer, const AttemptKey& key);
   bool MakeRoom(impl::AgentContext& context, std::uint8_t priority);
   void StartWaiting(impl::AgentContext& context);
   void Run(impl::AgentContext& context, const AttemptKey& key, Attempt& attempt);
--- a/src/agent/agent_role.cpp
+++ b/src/agent/agent_role.cpp
@@ -48,7 +48,7 @@
   void RunSystems(impl::AgentContext& context);
   void ReportLoad(impl::AgentContext& context);
   void AdvanceStop(impl::AgentContext& context);
-  [[nodiscard]] Duration ConfigInterval(TimePoint now) const;
+  [[nodiscard]] Duration ConfigRenewAfter(TimePoint now) const;
   [[nodiscard]] std::string LoadedModel() const;
 
   AgentSettings settings;
@@ -153,11 +153,11 @@
                { { "inFlight", std::to_string(requests.Running() + requests.Queued()) } });
 }
 
-Duration AgentRole::Impl::ConfigInterval(TimePoint now) const
+Duration AgentRole::Impl::ConfigRenewAfter(TimePoint now) const
 {
-  const bool relayed = group.Members().Current() && !group.Members().IsHead() &&
-                       group.HearsHead(now) && config.ConfirmedAt();
-  return relayed ? ConfigClient::kRelayedInterval : ConfigClient::kInterval;
+  const bool relayed =
+    group.Members().Current() && !group.Members().IsHead() && group.HearsHead(now);
+  return relayed ? ConfigClient::kRelayedRenewAfter : ConfigClient::kRenewAfter;
 }
 
 std::string AgentRole::Impl::LoadedModel() const
@@ -172,7 +172,7 @@
 void AgentRole::Impl::RunSystems(impl::AgentContext& context)
 {
   probe.Tick(context);
-  config.Tick(context, link, ConfigInterval(context.Now()));
+  config.Tick(context, link, ConfigRenewAfter(context.Now()));
   orders.Tick(context, probe);
   group.Tick(context, requests);
   requests.Tick(context);
--- a/src/agent/control_link.cpp
+++ b/src/agent/control_link.cpp
@@ -27,9 +27,14 @@
   }
 }
 
+bool ControlLink::Answers(TimePoint now) const noexcept
+{
+  return m_answering && now - m_answeredAt < kSilence;
+}
+
 std::span<const EntrySettings::Control> ControlLink::Targets(TimePoint now) const
 {
-  if (m_answering && now - m_answeredAt < kSilence) {
+  if (Answers(now)) {
     return std::span(m_controls).subspan(*m_answering, 1);
   }
   return m_controls;
--- a/src/agent/group_system.cpp
+++ b/src/agent/group_system.cpp
@@ -118,12 +118,19 @@
                           const FrameIn& frame,
                           const wire::LeaseGrantT& grant)
 {
-  m_parts.config.OnVersionSeen(LogIndex(grant.configVersion));
-  if (!m_membership.Holds(GroupId(grant.group), Epoch(grant.epoch)) || !grant.granted) {
-    return; // Without a grant the lease runs out by itself.
+  if (!m_membership.Holds(GroupId(grant.group), Epoch(grant.epoch))) {
+    return;
+  }
+  const auto sentAt = m_lease.SentAt(grant.nonce);
+  if (!sentAt) {
+    return;
   }
-  if (m_lease.OnGrant(grant.nonce, std::chrono::milliseconds(grant.leaseMillis))) {
-    m_parts.link.OnAnswer(context.Now(), frame.peer);
+  m_parts.link.OnAnswer(context.Now(), frame.peer);
+  // Control answers reports only once a quorum confirmed it after they came in: the answer proves
+  // as much about the configuration as that to a query.
+  m_parts.config.OnConfirmed(*sentAt, LogIndex(grant.configVersion));
+  if (grant.granted) {
+    m_lease.Extend(*sentAt + std::chrono::milliseconds(grant.leaseMillis));
   }
 }
 
--- a/src/agent/lease.cpp
+++ b/src/agent/lease.cpp
@@ -19,15 +19,10 @@
   m_reports.OnSent(now, nonce);
 }
 
-std::optional<TimePoint> GroupLease::OnGrant(std::uint64_t nonce, Duration length)
+void GroupLease::Extend(TimePoint until) noexcept
 {
-  const auto sentAt = m_reports.SentAt(nonce);
-  if (!sentAt) {
-    return std::nullopt;
-  }
-  const TimePoint until = *sentAt + length;
-  m_until = m_until ? std::max(*m_until, until) : until;
-  return sentAt;
+  // A grant overtaken by a later one must not shorten it.
+  m_until = std::max(m_until.value_or(until), until);
 }
 
 } // namespace gooseberrysail
--- a/src/agent/request_output.cpp
+++ b/src/agent/request_output.cpp
@@ -69,7 +69,11 @@
 {
   const AttemptKey key{ RequestId(resume.request), resume.attempt };
   const auto row = m_attempts.find(key);
-  if (Incarnation(resume.agentIncarnation) != m_incarnation || row == m_attempts.end()) {
+  if (Incarnation(resume.agentIncarnation) != m_incarnation) {
+    SendUnknown(context, frame.peer, key);
+    return;
+  }
+  if (row == m_attempts.end()) {
     AnswerKnown(context, frame.peer, key);
     return;
   }
@@ -138,7 +142,7 @@
   if (answer.end) {
     Finish(context, attempt);
     attempt.output.End("");
-    context.Emit(EventNumber::kRequestEnded,
+    context.Emit(EventNumber::kTargetCallEnded,
                  { { "request", key.request.Get() },
                    { "attempt", std::to_string(key.attempt) },
                    { "status", std::to_string(attempt.output.Status()) } });
--- a/src/agent/request_start.cpp
+++ b/src/agent/request_start.cpp
@@ -48,11 +48,7 @@
   if (Incarnation(start.agentIncarnation) != m_incarnation) {
     // Meant for our predecessor, which may have run it before it died: running it here could be
     // a second run, and "never started" would be a guess.
-    wire::UnknownRequestT unknown;
-    unknown.request = start.request;
-    unknown.attempt = start.attempt;
-    unknown.agentIncarnation = m_incarnation.Get();
-    context.Send(frame.peer, "", unknown);
+    SendUnknown(context, frame.peer, key);
     return;
   }
   const auto row = m_attempts.find(key);
@@ -96,6 +92,18 @@
     SendCutNotice(context, peer, key, 0, "already ran; its answer is no longer held");
     return;
   }
+  if (m_ledger.MayHaveForgotten(key.request)) {
+    // Asking further leads nowhere: whether it ran is not known here any more, and never will be.
+    SendCutNotice(context, peer, key, 0, "the record of it was dropped; whether it ran is unknown");
+    return;
+  }
+  SendUnknown(context, peer, key);
+}
+
+void RequestSystem::SendUnknown(impl::AgentContext& context,
+                                const ProcessId& peer,
+                                const AttemptKey& key)
+{
   wire::UnknownRequestT unknown;
   unknown.request = key.request.Get();
   unknown.attempt = key.attempt;
@@ -187,7 +195,7 @@
   attempt.startedAt = context.Now();
   m_byExchange.emplace(attempt.exchange, key);
   ++m_running;
-  context.Emit(EventNumber::kRequestStarted,
+  context.Emit(EventNumber::kTargetCallStarted,
                { { "request", key.request.Get() },
                  { "attempt", std::to_string(key.attempt) },
                  { "epoch", std::to_string(attempt.epoch.Get()) } });
--- a/tests/support/agent_harness.cpp
+++ b/tests/support/agent_harness.cpp
@@ -132,7 +132,7 @@
     grant.epoch = report->epoch;
     grant.leaseMillis = kLeaseMillis;
     grant.granted = true;
-    grant.configVersion = 1;
+    grant.configVersion = catalogueVersion;
     reply(grant);
   } else if (const auto* beat = body.AsBeatRequest()) {
     const std::string vm = frame.peer.Get().substr(std::string_view("agent-").size());
@@ -154,7 +154,7 @@
 wire::ConfigStateT AgentHarness::Catalogue() const
 {
   wire::ConfigStateT state;
-  state.version = drainingVm.empty() ? 1 : 2;
+  state.version = catalogueVersion;
   state.leaderTerm = 1;
   ModelSpec model;
   model.version = "2026-11";
--- a/tests/support/agent_harness.hpp
+++ b/tests/support/agent_harness.hpp
@@ -50,6 +50,7 @@
   std::set<std::string> leavingMembers;
   PolicySpec policy;
   std::string drainingVm;
+  std::uint64_t catalogueVersion = 1; ///< What control says is the newest.
 
   /// \brief Ticks every 50 ms, with the surroundings answering.
   void Advance(Duration duration);
--- a/tests/unit/agent_gate_test.cpp
+++ b/tests/unit/agent_gate_test.cpp
@@ -95,13 +95,15 @@
 }
 
 // Symptom: a process cut off from control serves by limits that were changed long ago.
-// Sequence: confirmations stop; members and lease are fine.
+// Sequence: control grants leases and says that there is a newer version, but the changes don't get
+// through; members and lease are fine.
 // Cause: a copy of the catalogue doesn't show its age.
 TEST(AgentGate, RefusesWhenTheConfigurationIsNotConfirmed)
 {
   AgentHarness agent;
   agent.FormGroup(7);
   agent.controlAnswersConfig = false;
+  agent.catalogueVersion = 2;
   agent.Advance(agent.policy.confirmationLimit + seconds(1));
   EXPECT_FALSE(agent.Serves());
   EXPECT_EQ(agent.WhyNot(), "configuration not confirmed");
@@ -116,6 +118,7 @@
   agent.policy.serveUnconfirmed = true;
   agent.FormGroup(7);
   agent.controlAnswersConfig = false;
+  agent.catalogueVersion = 2;
   agent.Advance(seconds(30));
   EXPECT_TRUE(agent.Serves()) << agent.WhyNot();
 }
--- a/tests/unit/agent_leaving_test.cpp
+++ b/tests/unit/agent_leaving_test.cpp
@@ -79,6 +79,7 @@
   agent.FormGroup(7);
   ASSERT_TRUE(agent.Serves());
   agent.drainingVm = "vm-3";
+  agent.catalogueVersion = 2;
   agent.Advance(seconds(3));
   EXPECT_FALSE(agent.Serves());
   EXPECT_EQ(agent.WhyNot(), "draining: vm-3");
