--- a/tests/support/mesh_process.hpp
+++ b/tests/support/mesh_process.hpp
@@ -35,9 +35,9 @@
 {
 public:
   explicit MeshProcess(IoRuntime& runtime,
-                       const std::string& name,
+                       const std::string& processName,
                        const std::function<void(PeerMeshSettings&)>& adjust = {})
-    : mesh(runtime, MakeSettings(name, adjust), MakeHooks())
+    : mesh(runtime, MakeSettings(processName, adjust), MakeHooks())
   {
     started = mesh.Start().has_value();
   }
--- a/tests/unit/peer_mesh_test.cpp
+++ b/tests/unit/peer_mesh_test.cpp
@@ -130,11 +130,13 @@
 TEST(PeerMesh, ASilentPeerThatCannotBeDialledGoesDown)
 {
   IoRuntime runtime;
-  MeshProcess entry(runtime, "entry-1", QuickHeartbeats);
-  MeshProcess agent(runtime, "agent-1", [](PeerMeshSettings& settings) {
+  // Nothing listens at the announced addresses, so that only the relay leads from one to the other.
+  const auto unreachable = [](PeerMeshSettings& settings) {
     QuickHeartbeats(settings);
     settings.announcedAddress = "127.0.0.1:1";
-  });
+  };
+  MeshProcess entry(runtime, "entry-1", unreachable);
+  MeshProcess agent(runtime, "agent-1", unreachable);
   Relay relay(runtime, agent.mesh.ListenAddress());
   ASSERT_TRUE(relay.Start());
   entry.SendNumber(agent, 1, relay.ListenAddress());
@@ -268,7 +270,7 @@
   output.bytes.assign(kMaxFrameBytes - 4096, 42);
   entry.mesh.Send(
     FrameOut{ agent.name, agent.mesh.ListenAddress(), MakeEnvelope(std::move(output)) });
-  entry.SendNumber(agent, 9, "");
+  entry.SendNumber(agent, 9, agent.mesh.ListenAddress());
   ASSERT_TRUE(agent.WaitFor([&] { return agent.numbers.size() == 2; }));
   EXPECT_EQ(agent.numbers[1], 9U);
 }
