--- a/include/gooseberrysail/control/admin_http.hpp
+++ b/include/gooseberrysail/control/admin_http.hpp
@@ -30,8 +30,4 @@
 /// \brief `{"error":{"code","step","reason"}}` with the status that fits the code.
 [[nodiscard]] HttpAnswerOut ErrorAnswer(ExchangeId exchange, unsigned status, const Error& error);
 
-/// \returns "" when there is no such header.
-[[nodiscard]] std::string_view FindHeader(const std::vector<HttpHeader>& headers,
-                                          std::string_view name);
-
 } // namespace gooseberrysail
--- a/include/gooseberrysail/http/http_client.hpp
+++ b/include/gooseberrysail/http/http_client.hpp
@@ -41,10 +41,6 @@
   std::string body;
 };
 
-/// \brief The value of the first header of this name, compared without case; "" when absent.
-[[nodiscard]] std::string_view FindHeader(const std::vector<HttpHeader>& headers,
-                                          std::string_view name) noexcept;
-
 /// \brief An HTTP/1.1 client whose answers stream in part by part.
 /// \code
 /// HttpClient client(runtime, {});
--- a/include/gooseberrysail/roles/inputs.hpp
+++ b/include/gooseberrysail/roles/inputs.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gooseberrysail/core/http_header.hpp"
 #include "gooseberrysail/core/ids.hpp"
 #include "gooseberrysail/core/result.hpp"
 #include "gooseberrysail/core/time.hpp"
@@ -17,13 +18,6 @@
 
 namespace gooseberrysail {
 
-/// \brief A header of an HTTP message; names compare without case.
-struct HttpHeader
-{
-  std::string name;
-  std::string value;
-};
-
 /// \brief One HTTP exchange of the process, numbered by the shell.
 using ExchangeId = impl::StrongId<struct ExchangeTag, std::uint64_t>;
 
--- a/src/control/admin_http.cpp
+++ b/src/control/admin_http.cpp
@@ -138,18 +138,4 @@
   return answer;
 }
 
-std::string_view FindHeader(const std::vector<HttpHeader>& headers, std::string_view name)
-{
-  const auto sameLetter = [](char left, char right) {
-    return std::tolower(static_cast<unsigned char>(left)) ==
-           std::tolower(static_cast<unsigned char>(right));
-  };
-  for (const HttpHeader& header : headers) {
-    if (std::equal(header.name.begin(), header.name.end(), name.begin(), name.end(), sameLetter)) {
-      return header.value;
-    }
-  }
-  return {};
-}
-
 } // namespace gooseberrysail
--- a/src/entry/caller_api.cpp
+++ b/src/entry/caller_api.cpp
@@ -19,14 +19,6 @@
 constexpr std::int64_t kMaxDeadlineMillis = 24LL * 3600 * 1000;
 constexpr std::int64_t kMaxExpectedTokens = 1'000'000;
 
-bool EqualsNoCase(std::string_view left, std::string_view right) noexcept
-{
-  return std::equal(left.begin(), left.end(), right.begin(), right.end(), [](char a, char b) {
-    return std::tolower(static_cast<unsigned char>(a)) ==
-           std::tolower(static_cast<unsigned char>(b));
-  });
-}
-
 Error MakeError(ErrorCode code, const HttpRequestIn& request, std::string description)
 {
   return Error{ code, std::string(kStep), request.peer, std::move(description) };
@@ -220,16 +212,6 @@
   return options;
 }
 
-std::string_view FindHeader(const std::vector<HttpHeader>& headers, std::string_view name) noexcept
-{
-  for (const HttpHeader& header : headers) {
-    if (EqualsNoCase(header.name, name)) {
-      return header.value;
-    }
-  }
-  return {};
-}
-
 bool IsHopHeader(std::string_view name) noexcept
 {
   // Authorization is the workspace's token for this system; a target has no business with it.
@@ -241,7 +223,7 @@
     "x-request-id"
   };
   return std::any_of(kHopHeaders.begin(), kHopHeaders.end(), [name](std::string_view hop) {
-    return EqualsNoCase(name, hop);
+    return SameHeaderName(name, hop);
   });
 }
 
--- a/src/http/http_headers.cpp
+++ b/src/http/http_headers.cpp
@@ -16,11 +16,6 @@
   "upgrade",    "transfer-encoding", "expect",           "content-length",
 };
 
-char Lower(char letter) noexcept
-{
-  return letter >= 'A' && letter <= 'Z' ? static_cast<char>(letter - 'A' + 'a') : letter;
-}
-
 bool IsTokenLetter(char letter) noexcept
 {
   return letter > ' ' && letter < 0x7f;
@@ -39,17 +34,10 @@
 
 } // namespace
 
-bool SameHeader(std::string_view left, std::string_view right) noexcept
-{
-  return std::equal(left.begin(), left.end(), right.begin(), right.end(), [](char a, char b) {
-    return Lower(a) == Lower(b);
-  });
-}
-
 bool IsHopHeader(std::string_view name) noexcept
 {
   return std::any_of(kHopHeaders.begin(), kHopHeaders.end(), [&](std::string_view hop) {
-    return SameHeader(name, hop);
+    return SameHeaderName(name, hop);
   });
 }
 
@@ -67,12 +55,4 @@
 
 } // namespace impl
 
-std::string_view FindHeader(const std::vector<HttpHeader>& headers, std::string_view name) noexcept
-{
-  const auto found = std::find_if(headers.begin(), headers.end(), [&](const HttpHeader& header) {
-    return impl::SameHeader(header.name, name);
-  });
-  return found == headers.end() ? std::string_view() : std::string_view(found->value);
-}
-
 } // namespace gooseberrysail
--- a/src/http/http_headers.hpp
+++ b/src/http/http_headers.hpp
@@ -6,9 +6,6 @@
 
 namespace gooseberrysail::impl {
 
-/// \brief Whether two header names are the same, compared without case.
-[[nodiscard]] bool SameHeader(std::string_view left, std::string_view right) noexcept;
-
 /// \brief Whether the header concerns one connection only; each side of us sets its own.
 [[nodiscard]] bool IsHopHeader(std::string_view name) noexcept;
 
--- a/tests/support/test_cluster.cpp
+++ b/tests/support/test_cluster.cpp
@@ -132,7 +132,8 @@
 HttpReply TestCluster::Apply(const std::string& entriesJson)
 {
   std::string writes;
-  for (const boost::json::value& entry : boost::json::parse(entriesJson).as_array()) {
+  const boost::json::value entries = boost::json::parse(entriesJson);
+  for (const boost::json::value& entry : entries.as_array()) {
     writes += writes.empty() ? "" : ",";
     writes += R"({"expectedRevision":null,"entry":)" + boost::json::serialize(entry) + "}";
   }
@@ -182,15 +183,12 @@
 
 HttpReply TestCluster::Chat(std::size_t entry, const std::string& prompt, bool stream) const
 {
-  boost::json::value body = boost::json::parse(
-    R"({"model":"hire-assist","messages":[{"role":"user","content":""}]})");
-  body.as_object()["stream"] = stream;
-  body.at("messages").at(0).at("content") = prompt;
-  return CallEntry(entry,
-                   "POST",
-                   "/v1/chat/completions",
-                   boost::json::serialize(body),
-                   { { "Content-Type", "application/json" } });
+  const std::string body = std::string(R"({"model":"hire-assist","stream":)") +
+                           (stream ? "true" : "false") +
+                           R"(,"messages":[{"role":"user","content":)" +
+                           boost::json::serialize(boost::json::value(prompt)) + "}]}";
+  return CallEntry(
+    entry, "POST", "/v1/chat/completions", body, { { "Content-Type", "application/json" } });
 }
 
 HttpReply TestCluster::CallTarget(const std::string& vm,
