Agent: a stopping member stays while its head counts on it; capacity bench

Cause: a member has no requests of its own, so SIGTERM ended it after 30 s although its head still streamed a longer answer, which the loss of the member then cut.

--- /dev/null
+++ b/bench/agent_capacity.cpp
@@ -0,0 +1,228 @@
+/// \file What an agent costs, as slopes over sizes: processor time and bytes of a head and a member
+/// for the group's upkeep, processor time and memory for requests. Prints tables with the fit
+/// (least squares) and its largest residual. Drives the real systems under scripted time; sockets
+/// are not in it.
+
+#include "support/agent_harness.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <cstdio>
+#include <ctime>
+#include <malloc.h>
+#include <string>
+#include <vector>
+
+namespace {
+
+using namespace gooseberrysail;
+using test::AgentHarness;
+
+constexpr std::size_t kFramePrefixBytes = 4;
+constexpr int kUpkeepSeconds = 60;
+constexpr double kNanosPerMicro = 1000.0;
+
+double CpuMicros()
+{
+  timespec spent{};
+  clock_gettime(CLOCK_THREAD_CPUTIME_ID, &spent);
+  return static_cast<double>(spent.tv_sec) * 1e6 +
+         static_cast<double>(spent.tv_nsec) / kNanosPerMicro;
+}
+
+/// Processor time of the role alone, and bytes of frames to and from everybody but entries.
+class Meter
+{
+public:
+  explicit Meter(AgentHarness& agent)
+  {
+    agent.beforeTick = [this] { m_began = CpuMicros(); };
+    agent.afterTick = [this] { cpuMicros += CpuMicros() - m_began; };
+    agent.onOutput = [this](TimePoint, const AgentOutput& output) {
+      if (const auto* frame = std::get_if<FrameOut>(&output)) {
+        Count(frame->peer, *frame->envelope);
+      }
+    };
+    agent.onInput = [this](TimePoint, const AgentInput& input) {
+      if (const auto* frame = std::get_if<FrameIn>(&input)) {
+        Count(frame->peer, *frame->envelope);
+      }
+    };
+  }
+
+  double cpuMicros = 0;
+  std::size_t controlBytes = 0;
+  std::size_t frames = 0;
+
+private:
+  void Count(const ProcessId& peer, const wire::EnvelopeT& envelope)
+  {
+    if (!peer.Get().starts_with("entry")) {
+      controlBytes += EncodeEnvelope(envelope).size() + kFramePrefixBytes;
+      ++frames;
+    }
+  }
+  double m_began = 0;
+};
+
+struct Point
+{
+  double size = 0;
+  double value = 0;
+};
+
+void PrintFit(const char* what, const char* unit, const std::vector<Point>& points)
+{
+  double sizes = 0;
+  double values = 0;
+  double products = 0;
+  double squares = 0;
+  for (const Point& point : points) {
+    sizes += point.size;
+    values += point.value;
+    products += point.size * point.value;
+    squares += point.size * point.size;
+  }
+  const auto count = static_cast<double>(points.size());
+  const double slope = (count * products - sizes * values) / (count * squares - sizes * sizes);
+  const double base = (values - slope * sizes) / count;
+  double worst = 0;
+  for (const Point& point : points) {
+    worst = std::max(worst, std::abs(point.value - base - slope * point.size));
+  }
+  std::printf("%s: %.4g + %.4g x size %s, largest residual %.3g\n", what, base, slope, unit, worst);
+}
+
+void MeasureHeads()
+{
+  std::printf("head of a group, idle, %d s\n%8s %14s %14s %12s\n",
+              kUpkeepSeconds,
+              "members",
+              "control B/s",
+              "frames/s",
+              "cpu us/s");
+  std::vector<Point> bytes;
+  std::vector<Point> cpu;
+  for (const std::size_t members : { 1, 2, 4, 8, 16 }) {
+    AgentHarness agent({ .members = members });
+    agent.FormGroup(7);
+    Meter meter(agent);
+    agent.Advance(std::chrono::seconds(kUpkeepSeconds));
+    const double bytesPerSecond = static_cast<double>(meter.controlBytes) / kUpkeepSeconds;
+    const double cpuPerSecond = meter.cpuMicros / kUpkeepSeconds;
+    std::printf("%8zu %14.1f %14.2f %12.1f\n",
+                members,
+                bytesPerSecond,
+                static_cast<double>(meter.frames) / kUpkeepSeconds,
+                cpuPerSecond);
+    bytes.push_back({ static_cast<double>(members), bytesPerSecond });
+    cpu.push_back({ static_cast<double>(members), cpuPerSecond });
+  }
+  PrintFit("control bytes of a head", "B/s", bytes);
+  PrintFit("cpu of a head", "us/s", cpu);
+}
+
+void MeasureMember()
+{
+  std::printf("\nmember of a group of 4, by beats asked a second, %d s\n%8s %14s %12s\n",
+              kUpkeepSeconds,
+              "beats/s",
+              "control B/s",
+              "cpu us/s");
+  std::vector<Point> bytes;
+  std::vector<Point> cpu;
+  for (const int beatsPerSecond : { 1, 2, 4, 10 }) {
+    AgentHarness agent;
+    agent.Advance(std::chrono::seconds(1));
+    agent.Assign(7, "vm-2");
+    agent.Advance(std::chrono::seconds(2));
+    Meter meter(agent);
+    wire::BeatRequestT beat;
+    beat.group = 5;
+    beat.epoch = 7;
+    beat.configVersion = 1;
+    for (int sent = 0; sent < kUpkeepSeconds * beatsPerSecond; ++sent) {
+      beat.nonce = 0x123456789abcdefU + static_cast<std::uint64_t>(sent);
+      agent.Frame("agent-vm-2", beat);
+      agent.Advance(std::chrono::milliseconds(1000 / beatsPerSecond));
+    }
+    const double bytesPerSecond = static_cast<double>(meter.controlBytes) / kUpkeepSeconds;
+    const double cpuPerSecond = meter.cpuMicros / kUpkeepSeconds;
+    std::printf("%8d %14.1f %12.1f\n", beatsPerSecond, bytesPerSecond, cpuPerSecond);
+    bytes.push_back({ static_cast<double>(beatsPerSecond), bytesPerSecond });
+    cpu.push_back({ static_cast<double>(beatsPerSecond), cpuPerSecond });
+  }
+  PrintFit("control bytes of a member by beats/s", "B/s", bytes);
+  PrintFit("cpu of a member by beats/s", "us/s", cpu);
+}
+
+std::string RequestName(std::size_t index)
+{
+  return "entry-1.1700000000000." + std::to_string(index);
+}
+
+void MeasureInFlight()
+{
+  constexpr std::size_t kHeldEach = 1024;
+  std::printf("\nrequests in flight, each with %zu B of answer not acknowledged\n%8s %14s\n",
+              kHeldEach,
+              "requests",
+              "heap bytes");
+  std::vector<Point> memory;
+  for (const std::size_t requests : { 0, 125, 250, 500, 1000 }) {
+    AgentHarness agent({ .maxConcurrent = 2000 });
+    agent.FormGroup(7);
+    const auto before = mallinfo2().uordblks;
+    for (std::size_t index = 0; index < requests; ++index) {
+      agent.Start(RequestName(index));
+      agent.AnswerCall(RequestName(index), std::string(kHeldEach, 'x'), false);
+      agent.Forget();
+    }
+    agent.Advance(std::chrono::milliseconds(50));
+    agent.Forget();
+    const double grown = static_cast<double>(mallinfo2().uordblks) - static_cast<double>(before);
+    std::printf("%8zu %14.0f\n", requests, grown);
+    memory.push_back({ static_cast<double>(requests), grown });
+  }
+  PrintFit(
+    "heap by requests in flight (the stand-ins' own record of each call included)", "B", memory);
+}
+
+void MeasureRequests()
+{
+  constexpr std::size_t kRequests = 500;
+  std::printf("\ncpu of one request by parts of its answer, %zu requests one after the other\n"
+              "%8s %16s\n",
+              kRequests,
+              "parts",
+              "cpu us/request");
+  std::vector<Point> cpu;
+  for (const std::size_t parts : { 1, 16, 64, 256 }) {
+    AgentHarness agent;
+    agent.FormGroup(7);
+    Meter meter(agent);
+    for (std::size_t index = 0; index < kRequests; ++index) {
+      const std::string name = RequestName(index);
+      agent.Start(name);
+      for (std::size_t part = 1; part <= parts; ++part) {
+        agent.AnswerCall(name, std::string(100, 'x'), part == parts, part == 1);
+      }
+      agent.Acknowledge(name, parts * 100, true);
+      agent.Forget();
+    }
+    const double each = meter.cpuMicros / kRequests;
+    std::printf("%8zu %16.2f\n", parts, each);
+    cpu.push_back({ static_cast<double>(parts), each });
+  }
+  PrintFit("cpu of a request", "us", cpu);
+}
+
+} // namespace
+
+int main()
+{
+  MeasureHeads();
+  MeasureMember();
+  MeasureInFlight();
+  MeasureRequests();
+}
--- a/include/gooseberrysail/agent/request_system.hpp
+++ b/include/gooseberrysail/agent/request_system.hpp
@@ -36,6 +36,8 @@
 public:
   /// How long answers are kept for an entry that does not return.
   static constexpr Duration kHoldFor = std::chrono::seconds(60);
+  /// How long past its deadline a call that must not be repeated may still end.
+  static constexpr Duration kOverdueLimit = std::chrono::minutes(5);
   /// How long output is withheld while the group isn't whole, before the requests are cut.
   static constexpr Duration kWithholdGrace = std::chrono::seconds(3);
   /// How long queued requests wait for the gate before they are refused and routed elsewhere.
--- a/src/agent/agent_role.cpp
+++ b/src/agent/agent_role.cpp
@@ -17,6 +17,8 @@
 
 /// How long a stopping agent, idle itself, waits for control to release its group.
 constexpr Duration kStopPatience = std::chrono::seconds(30);
+/// The same while its head still counts on it, perhaps for a long answer.
+constexpr Duration kStopPatienceHeard = std::chrono::minutes(15);
 
 } // namespace
 
@@ -212,9 +214,10 @@
   }
   idleSince = idleSince.value_or(context.Now());
   const bool released = !group.Members().Current().has_value();
-  const bool patienceOver = context.Now() - *idleSince >= kStopPatience;
-  if (!released && !patienceOver) {
-    // A member whose head still finishes work goes on vouching until control dissolves the group.
+  // A member that left while its head finishes an answer would cut that answer.
+  const bool counted = !group.Members().IsHead() && group.HearsHead(context.Now());
+  const Duration patience = counted ? kStopPatienceHeard : kStopPatience;
+  if (!released && context.Now() - *idleSince < patience) {
     return;
   }
   if (!released) {
--- a/src/agent/request_output.cpp
+++ b/src/agent/request_output.cpp
@@ -365,10 +365,13 @@
 {
   const TimePoint now = context.Now();
   const bool lost = attempt.lostAt && now - *attempt.lostAt >= kHoldFor;
-  if (attempt.state == State::kRunning && attempt.repeatable) {
-    if (attempt.deadline && *attempt.deadline <= now) {
+  // A call that must not be repeated is let run to its end, but a target that hangs must not keep
+  // its slot for ever.
+  const Duration extra = attempt.repeatable ? Duration{} : kOverdueLimit;
+  if (attempt.state == State::kRunning) {
+    if (attempt.deadline && *attempt.deadline + extra <= now) {
       Cut(context, key, attempt, "deadline passed");
-    } else if (lost) {
+    } else if (lost && attempt.repeatable) {
       Cut(context, key, attempt, "entry did not return");
     }
   }
--- a/tests/support/agent_harness.cpp
+++ b/tests/support/agent_harness.cpp
@@ -90,7 +90,13 @@
     }
   }
   std::vector<AgentOutput> outbox;
+  if (beforeTick) {
+    beforeTick();
+  }
   m_role->Tick(m_now, inbox, outbox);
+  if (afterTick) {
+    afterTick();
+  }
   for (const AgentOutput& output : outbox) {
     if (onOutput) {
       onOutput(m_now, output);
--- a/tests/support/agent_harness.hpp
+++ b/tests/support/agent_harness.hpp
@@ -158,6 +158,8 @@
   /// \brief Called with every output, for session files.
   std::function<void(TimePoint, const AgentOutput&)> onOutput;
   std::function<void(TimePoint, const AgentInput&)> onInput;
+  std::function<void()> beforeTick; ///< Round the role's own work, for measurements.
+  std::function<void()> afterTick;
 
 private:
   void Tick();
--- a/tests/unit/agent_leaving_test.cpp
+++ b/tests/unit/agent_leaving_test.cpp
@@ -146,6 +146,30 @@
   }
 }
 
+// Symptom: a long answer is cut when the VM of a member is restarted.
+// Sequence: a member's agent gets SIGTERM; its head streams an answer for a minute more.
+// Cause: the member has no request of its own and would stop at once.
+TEST(AgentLeaving, AStoppingMemberStaysWhileItsHeadCountsOnIt)
+{
+  AgentHarness agent;
+  agent.Advance(milliseconds(500));
+  agent.Assign(7, "vm-2");
+  agent.Give(StopRequested{});
+  wire::BeatRequestT beat;
+  beat.group = 5;
+  beat.epoch = 7;
+  for (int second = 0; second < 60; ++second) {
+    agent.Frame("agent-vm-2", beat);
+    agent.Advance(seconds(1));
+  }
+  EXPECT_FALSE(agent.Stopped());
+  EXPECT_TRUE(agent.Last<wire::BeatReplyT>()->leaving);
+  EXPECT_TRUE(agent.Last<wire::BeatReplyT>()->engineAlive);
+  agent.Release(7, 0);
+  agent.Advance(agent.policy.memberTimeout * 2);
+  EXPECT_TRUE(agent.Stopped());
+}
+
 TEST(AgentLeaving, AStoppingAgentDoesNotWaitForAControlThatIsGoneForEver)
 {
   AgentHarness agent;
--- a/tests/unit/agent_requests_test.cpp
+++ b/tests/unit/agent_requests_test.cpp
@@ -271,6 +271,11 @@
   EXPECT_TRUE(agent.CallOf("entry-1.1.1")->cancelled);
   EXPECT_FALSE(agent.CallOf("entry-1.1.2")->cancelled);
   EXPECT_EQ(agent.RefusalOf("entry-1.1.3"), "deadline passed while queued");
+  SECTION("a booking whose target hangs gives its slot back in the end")
+  {
+    agent.Advance(RequestSystem::kOverdueLimit);
+    EXPECT_EQ(agent.ReceivedOf("entry-1.1.2").cutReason, "deadline passed");
+  }
 }
 
 TEST(AgentRequests, CancelEndsTheCallAndFreesItsSlot)
