--- /dev/null
+++ b/bench/routing.cpp
@@ -0,0 +1,114 @@
+// Routing and admission against the usual baselines, on small stand-ins for engines.
+//
+//   bench_routing            tuning seeds, all cases
+//   bench_routing --held-out the seeds that no constant was chosen with
+//   bench_routing --cost     decision time and memory by number of known replicas
+//   bench_routing --limits   error of workspace limits shared by several entries
+
+#include "routing/simulation.hpp"
+
+#include <cstdio>
+#include <cstring>
+
+namespace {
+
+using namespace gooseberrysail;
+using namespace gooseberrysail::bench;
+
+constexpr std::array kTuningSeeds{ 11U, 12U, 13U };
+constexpr std::array kHeldOutSeeds{ 901U, 902U, 903U, 904U, 905U };
+constexpr std::array kPolicies{ Policy::kRandom,
+                                Policy::kRoundRobin,
+                                Policy::kLeastInFlight,
+                                Policy::kLeastWithAdmission,
+                                Policy::kOurs };
+
+std::vector<Scenario> Scenarios()
+{
+  return { { "steady", Fault::kNone },
+           { "overload 2x", Fault::kNone, 340 },
+           { "straggler", Fault::kStraggler },
+           { "dark domain", Fault::kDarkDomain },
+           { "returning target", Fault::kReturningTarget } };
+}
+
+void Append(std::vector<double>& all, const std::vector<double>& some)
+{
+  all.insert(all.end(), some.begin(), some.end());
+}
+
+void RunCase(const Scenario& scenario, Policy policy, std::span<const unsigned> seeds)
+{
+  Metrics sum;
+  for (const unsigned seed : seeds) {
+    const Metrics one = Simulation(scenario, policy, seed).Run();
+    sum.goodput += one.goodput;
+    sum.wasted += one.wasted;
+    sum.hitRate += one.hitRate;
+    sum.attemptsPerRequest += one.attemptsPerRequest;
+    sum.refusedPart += one.refusedPart;
+    Append(sum.first, one.first);
+    Append(sum.whole, one.whole);
+    Append(sum.fromStart, one.fromStart);
+  }
+  const auto n = static_cast<double>(seeds.size());
+  std::printf("%-17s %-18s %7.1f  %6.2f %6.2f %6.2f  %6.2f %6.2f %6.2f  %6.2f  %5.1f%% %5.1f%%  "
+              "%5.3f  %5.1f%%\n",
+              std::string(scenario.name).c_str(),
+              std::string(Name(policy)).c_str(),
+              sum.goodput / n,
+              Percentile(sum.first, 0.5),
+              Percentile(sum.first, 0.95),
+              Percentile(sum.first, 0.99),
+              Percentile(sum.whole, 0.5),
+              Percentile(sum.whole, 0.95),
+              Percentile(sum.whole, 0.99),
+              Percentile(sum.fromStart, 0.99),
+              100 * sum.wasted / n,
+              100 * sum.hitRate / n,
+              sum.attemptsPerRequest / n,
+              100 * sum.refusedPart / n);
+}
+
+void RunPolicies(std::span<const unsigned> seeds)
+{
+  std::printf("%zu seeds; seconds; first token and whole answer from the accepted call, "
+              "'waited' from the first sending\n",
+              seeds.size());
+  std::printf("%-17s %-18s %7s  %6s %6s %6s  %6s %6s %6s  %6s  %6s %6s  %5s  %6s\n",
+              "case",
+              "policy",
+              "good/s",
+              "f50",
+              "f95",
+              "f99",
+              "w50",
+              "w95",
+              "w99",
+              "wait99",
+              "wasted",
+              "hits",
+              "att.",
+              "none");
+  for (const Scenario& scenario : Scenarios()) {
+    for (const Policy policy : kPolicies) {
+      RunCase(scenario, policy, seeds);
+    }
+  }
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+  const std::string_view mode = argc > 1 ? argv[1] : "";
+  if (mode.empty()) {
+    RunPolicies(kTuningSeeds);
+  } else if (mode == "--held-out") {
+    RunPolicies(kHeldOutSeeds);
+  } else {
+    std::fprintf(stderr, "unknown argument %s\n", argv[1]);
+    return 2;
+  }
+  return 0;
+}
--- /dev/null
+++ b/bench/routing/workload.hpp
@@ -0,0 +1,88 @@
+#pragma once
+
+#include "gooseberrysail/catalogue/entry.hpp"
+
+#include <array>
+#include <cstdint>
+#include <random>
+#include <vector>
+
+namespace gooseberrysail::bench {
+
+inline constexpr std::size_t kBlockBytes = 512;
+
+/// \brief One call as its caller means it.
+struct Call
+{
+  double arrival = 0;
+  std::size_t workspace = 0;
+  PriorityClass priorityClass = PriorityClass::kStandard;
+  double deadline = 30; ///< Seconds for the whole answer, from the first sending.
+  std::uint32_t tokens = 1;
+  std::vector<std::uint64_t> hashes;
+};
+
+/// \brief Conversations of ten workspaces, a few of them large: shared instructions, a document of
+/// its own, and turns that repeat all that was said before.
+inline std::vector<Call> MakeCalls(std::uint64_t seed, double perSecond, double seconds)
+{
+  struct Conversation
+  {
+    std::size_t workspace = 0;
+    std::vector<std::uint64_t> hashes;
+    std::uint32_t turns = 0;
+  };
+  std::mt19937_64 random(seed);
+  const std::array<double, 10> weights{ 30, 22, 14, 8, 7, 6, 5, 4, 3, 1 };
+  std::discrete_distribution<std::size_t> pickWorkspace(weights.begin(), weights.end());
+  std::exponential_distribution<double> gap(perSecond);
+  std::uniform_real_distribution<double> unit(0, 1);
+  const auto between = [&](std::size_t low, std::size_t high) {
+    return std::uniform_int_distribution<std::size_t>(low, high)(random);
+  };
+  const auto extend = [&](std::vector<std::uint64_t>& hashes, std::size_t blocks) {
+    for (std::size_t i = 0; i < blocks; ++i) {
+      hashes.push_back(random());
+    }
+  };
+  std::array<std::array<std::vector<std::uint64_t>, 2>, weights.size()> instructions;
+  for (auto& ofWorkspace : instructions) {
+    for (auto& hashes : ofWorkspace) {
+      extend(hashes, between(4, 10));
+    }
+  }
+  constexpr std::size_t kOpen = 1500;
+  constexpr std::uint32_t kMostTurns = 8;
+  std::vector<Conversation> open;
+  std::vector<Call> calls;
+  for (double at = gap(random); at < seconds; at += gap(random)) {
+    std::size_t index = open.size();
+    if (open.size() > 50 && unit(random) < 0.6) {
+      index = between(0, open.size() - 1);
+    } else {
+      const std::size_t workspace = pickWorkspace(random);
+      Conversation fresh{ workspace, instructions[workspace][between(0, 1)], 0 };
+      extend(fresh.hashes, between(1, 6));
+      open.push_back(std::move(fresh));
+    }
+    Conversation& conversation = open[index];
+    extend(conversation.hashes, between(1, 3));
+    Call call;
+    call.arrival = at;
+    call.workspace = conversation.workspace;
+    const double kind = unit(random);
+    call.priorityClass = kind < 0.3   ? PriorityClass::kInteractive
+                         : kind < 0.9 ? PriorityClass::kStandard
+                                      : PriorityClass::kBatch;
+    call.tokens = static_cast<std::uint32_t>(
+      std::clamp(std::lognormal_distribution<double>(4.7, 0.7)(random), 8.0, 800.0));
+    call.hashes = conversation.hashes;
+    calls.push_back(std::move(call));
+    if (++conversation.turns >= kMostTurns || open.size() > kOpen) {
+      open.erase(open.begin() + static_cast<std::ptrdiff_t>(index));
+    }
+  }
+  return calls;
+}
+
+} // namespace gooseberrysail::bench
--- a/include/gooseberrysail/admission/admission.hpp
+++ b/include/gooseberrysail/admission/admission.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gooseberrysail/admission/policy.hpp"
 #include "gooseberrysail/catalogue/entry.hpp"
 #include "gooseberrysail/core/ids.hpp"
 #include "gooseberrysail/core/time.hpp"
@@ -41,7 +42,7 @@
 class Admission
 {
 public:
-  Admission();
+  explicit Admission(const AdmissionPolicy& policy = {});
   ~Admission();
   Admission(Admission&&) noexcept;
 
@@ -49,6 +50,8 @@
   void SetLimits(const WorkspaceId& workspace, const WorkspaceSpec& limits);
   void RemoveWorkspace(const WorkspaceId& workspace);
   /// \brief This entry's part of a workspace's limits, from control.
+  /// \remarks Before the first share the whole limits apply; when shares cease to arrive the last
+  /// one stays in force and follows changes of the limits.
   void SetShare(TimePoint now,
                 const WorkspaceId& workspace,
                 double requestsPerSecond,
@@ -56,9 +59,15 @@
                 std::uint32_t concurrent);
   /// \brief The open capacity known for a catalogue entry: slots over all candidates.
   void SetCapacity(const EntryName& entry, std::uint32_t slots);
+  /// \brief Requests in flight from all senders, as Router::Load tells; call it about every tick.
+  /// \remarks Without it only this entry's own requests count against the capacity.
+  void SetOccupancy(const EntryName& entry, double inFlight);
 
   [[nodiscard]] AdmissionDecision Decide(TimePoint now, const AdmissionQuery& query);
+  /// \brief When to come back, for a request that was admitted but that no group took.
+  [[nodiscard]] Duration RetryAfter(TimePoint now, const EntryName& entry);
   /// \brief An admitted request ended.
+  /// \param serviceTime From its admission to its end; zero when it did not run.
   void OnFinished(TimePoint now,
                   const WorkspaceId& workspace,
                   const EntryName& entry,
--- a/include/gooseberrysail/routing/router.hpp
+++ b/include/gooseberrysail/routing/router.hpp
@@ -2,6 +2,7 @@
 
 #include "gooseberrysail/core/ids.hpp"
 #include "gooseberrysail/core/time.hpp"
+#include "gooseberrysail/routing/policy.hpp"
 
 #include <cstdint>
 #include <functional>
@@ -54,11 +55,21 @@
   std::size_t promptBytes = 0;
 };
 
+/// \brief What a router believes of the work at one catalogue entry's groups.
+struct EntryLoad
+{
+  std::size_t open = 0; ///< Candidates that take work.
+  double inFlight = 0;  ///< Requests at all open candidates, from every sender.
+  std::size_t ejected = 0;
+};
+
 /// \brief Chooses a group for each attempt. The decision sees a bounded candidate set.
 class Router
 {
 public:
-  Router(FailureDomainId ownDomain, std::function<std::uint64_t()> random);
+  Router(FailureDomainId ownDomain,
+         std::function<std::uint64_t()> random,
+         const RouterPolicy& policy = {});
   ~Router();
   Router(Router&&) noexcept;
 
@@ -84,6 +95,11 @@
   /// \brief Whether a retry may be sent now; every first attempt earns a part of one.
   [[nodiscard]] bool TakeRetry(TimePoint now);
 
+  /// \brief Own requests counted exactly, those of other senders from their groups' reports.
+  [[nodiscard]] EntryLoad Load(const EntryName& entry) const;
+  /// \brief Whether a group is left out for now as a straggler or for its failures.
+  [[nodiscard]] bool IsEjected(TimePoint now, GroupId group) const;
+
 private:
   struct Impl;
   std::unique_ptr<Impl> m_impl;
--- a/src/admission/admission.cpp
+++ b/src/admission/admission.cpp
@@ -1,5 +1,9 @@
 #include "gooseberrysail/admission/admission.hpp"
 
+#include "admission/meter.hpp"
+#include "admission/return_schedule.hpp"
+#include "admission/token_bucket.hpp"
+
 #include <algorithm>
 #include <unordered_map>
 
@@ -7,67 +11,122 @@
 
 namespace {
 
-constexpr double kBurstSeconds = 1;
-constexpr Duration kConcurrencyRetry = std::chrono::seconds(1);
+using impl::FromSeconds;
+using impl::Seconds;
+
+/// Assumed until the first answer ended.
+constexpr double kFirstServiceSeconds = 1;
+constexpr double kLeastServiceSeconds = 1e-4;
 
-double Seconds(Duration duration)
+/// This entry's part of a limit, as a fraction of it: so it follows changes of the limit while no
+/// new shares arrive.
+struct Share
 {
-  return std::chrono::duration<double>(duration).count();
-}
+  bool known = false;
+  double requests = 1;
+  double tokens = 1;
+  double concurrent = 1;
+};
 
-Duration FromSeconds(double seconds)
+struct WorkspaceRow
 {
-  return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
-}
+  WorkspaceSpec limits;
+  Share share;
+  impl::TokenBucket requests;
+  impl::TokenBucket tokens;
+  std::uint32_t maxConcurrent = 0; ///< In force here, when the workspace has such a limit.
+  std::uint32_t running = 0;
+  double reserved = 0; ///< Tokens taken for running requests, before their cost is known.
+  impl::Mean tokensPerRequest;
+  impl::Mean serviceSeconds;
+  impl::Meter offered;
+  std::uint64_t admitted = 0;
+  std::uint64_t used = 0;
+  impl::ReturnSchedule returns;
+};
 
-/// A rate limit. It may go into debt: what an answer costs is known only at its end.
-struct TokenBucket
+struct EntryRow
 {
-  double rate = 0; ///< 0: no limit.
-  double level = 0;
-  TimePoint filledAt{};
+  std::uint32_t slots = 0; ///< 0: not known.
+  double occupancy = 0;
+  std::uint32_t running = 0;
+  std::uint32_t runningAtOccupancy = 0;
+  impl::Mean serviceSeconds;
+  std::unordered_map<WorkspaceId, std::uint32_t> byWorkspace; ///< Running, none at zero.
+  impl::ReturnSchedule returns;
 
-  void SetRate(double newRate)
-  {
-    const bool fresh = rate <= 0;
-    rate = newRate;
-    level = fresh ? Capacity() : std::min(level, Capacity());
-  }
-  [[nodiscard]] double Capacity() const { return std::max(rate * kBurstSeconds, 1.0); }
-  void Refill(TimePoint now)
+  [[nodiscard]] double InFlight() const
   {
-    if (now > filledAt) {
-      level = std::min(level + Seconds(now - filledAt) * rate, Capacity());
-      filledAt = now;
-    }
+    const double change = static_cast<double>(running) - runningAtOccupancy;
+    return std::max(occupancy + change, static_cast<double>(running));
   }
-  [[nodiscard]] Duration Wait(double amount) const
+  [[nodiscard]] double Service() const
   {
-    const double missing = std::min(amount, Capacity()) - level;
-    return rate <= 0 || missing <= 0 ? Duration{} : FromSeconds(missing / rate);
+    const double known = serviceSeconds.Known() ? serviceSeconds.Value() : kFirstServiceSeconds;
+    return std::max(known, kLeastServiceSeconds);
   }
+  /// Ends per second over all entries, by Little's law.
+  [[nodiscard]] double Drain() const { return std::max(InFlight(), 1.0) / Service(); }
+  [[nodiscard]] double OwnDrain() const { return std::max<double>(running, 1) / Service(); }
 };
 
-struct WorkspaceRow
+double Fraction(double share, double limit)
 {
-  TokenBucket requests;
-  TokenBucket tokens;
-  std::uint32_t maxConcurrent = 0;
-  std::uint32_t running = 0;
-  std::uint64_t admitted = 0;
-  std::uint64_t used = 0;
-};
+  return limit > 0 ? std::clamp(share / limit, 0.0, 1.0) : 1;
+}
 
 } // namespace
 
 struct Admission::Impl
 {
+  AdmissionPolicy policy;
   std::unordered_map<WorkspaceId, WorkspaceRow> workspaces;
+  std::unordered_map<EntryName, EntryRow> entries;
+
+  void ApplyLimits(WorkspaceRow& row) const
+  {
+    const WorkspaceSpec& limits = row.limits;
+    row.requests.SetRate(limits.requestsPerSecond > 0,
+                         limits.requestsPerSecond * row.share.requests,
+                         policy.burstSeconds);
+    row.tokens.SetRate(
+      limits.tokensPerSecond > 0, limits.tokensPerSecond * row.share.tokens, policy.burstSeconds);
+    row.maxConcurrent =
+      static_cast<std::uint32_t>(limits.maxConcurrent * row.share.concurrent + 0.5);
+  }
+
+  [[nodiscard]] impl::ReturnSchedule::Bounds Bounds(double least) const
+  {
+    return { std::max(least, Seconds(policy.leastRetryAfter)),
+             Seconds(policy.mostRetryAfter),
+             policy.returnJitter };
+  }
+
+  [[nodiscard]] static double ExpectedTokens(const WorkspaceRow& row, const AdmissionQuery& query)
+  {
+    if (!row.tokensPerRequest.Known()) {
+      return query.expectedTokens;
+    }
+    // Callers state the most they would take, often far above what they use; charged in full it
+    // would hold back work that the limit allows.
+    const double usual = row.tokensPerRequest.Value();
+    return query.expectedTokens == 0 ? usual : std::min<double>(query.expectedTokens, usual);
+  }
+
+  [[nodiscard]] AdmissionDecision CheckWorkspace(TimePoint now,
+                                                 WorkspaceRow& row,
+                                                 double expectedTokens) const;
+  [[nodiscard]] AdmissionDecision CheckLoad(TimePoint now,
+                                            EntryRow& entry,
+                                            const AdmissionQuery& query) const;
+  [[nodiscard]] double AllowedWait(const EntryRow& entry, const AdmissionQuery& query) const;
+  [[nodiscard]] double FairPart(const EntryRow& entry, const WorkspaceId& workspace) const;
 };
 
-Admission::Admission()
+Admission::Admission(const AdmissionPolicy& policy)
   : m_impl(std::make_unique<Impl>())
 {
+  m_impl->policy = policy;
 }
 
 Admission::~Admission() = default;
@@ -76,9 +135,8 @@
 void Admission::SetLimits(const WorkspaceId& workspace, const WorkspaceSpec& limits)
 {
   WorkspaceRow& row = m_impl->workspaces[workspace];
-  row.requests.SetRate(limits.requestsPerSecond);
-  row.tokens.SetRate(limits.tokensPerSecond);
-  row.maxConcurrent = limits.maxConcurrent;
+  row.limits = limits;
+  m_impl->ApplyLimits(row);
 }
 
 void Admission::RemoveWorkspace(const WorkspaceId& workspace)
@@ -86,7 +144,7 @@
   m_impl->workspaces.erase(workspace);
 }
 
-void Admission::SetShare(TimePoint,
+void Admission::SetShare(TimePoint now,
                          const WorkspaceId& workspace,
                          double requestsPerSecond,
                          double tokensPerSecond,
@@ -96,53 +154,166 @@
   if (found == m_impl->workspaces.end()) {
     return;
   }
-  found->second.requests.SetRate(requestsPerSecond);
-  found->second.tokens.SetRate(tokensPerSecond);
-  found->second.maxConcurrent = concurrent;
+  WorkspaceRow& row = found->second;
+  // What was earned so far was earned at the former rate.
+  row.requests.Refill(now);
+  row.tokens.Refill(now);
+  row.share = { true,
+                Fraction(requestsPerSecond, row.limits.requestsPerSecond),
+                Fraction(tokensPerSecond, row.limits.tokensPerSecond),
+                Fraction(concurrent, row.limits.maxConcurrent) };
+  m_impl->ApplyLimits(row);
+}
+
+void Admission::SetCapacity(const EntryName& entry, std::uint32_t slots)
+{
+  m_impl->entries[entry].slots = slots;
+}
+
+void Admission::SetOccupancy(const EntryName& entry, double inFlight)
+{
+  EntryRow& row = m_impl->entries[entry];
+  row.occupancy = inFlight;
+  row.runningAtOccupancy = row.running;
+}
+
+AdmissionDecision Admission::Impl::CheckWorkspace(TimePoint now,
+                                                  WorkspaceRow& row,
+                                                  double expectedTokens) const
+{
+  const double requestWait = row.requests.Wait(1);
+  const double tokenWait = row.tokens.Wait(expectedTokens);
+  if (requestWait > 0 || tokenWait > 0) {
+    const double byTokens = row.tokens.Rate() / std::max(expectedTokens, 1.0);
+    const double rate = requestWait >= tokenWait ? row.requests.Rate() : byTokens;
+    return { RefusalReason::kWorkspaceRate,
+             row.returns.Next(now, rate, Bounds(std::max(requestWait, tokenWait))) };
+  }
+  if (row.limits.maxConcurrent > 0 && row.running >= row.maxConcurrent) {
+    const double service =
+      row.serviceSeconds.Known() ? row.serviceSeconds.Value() : kFirstServiceSeconds;
+    const double ends = std::max<double>(row.running, 1) / std::max(service, 1e-3);
+    return { RefusalReason::kWorkspaceConcurrency, row.returns.Next(now, ends, Bounds(1 / ends)) };
+  }
+  return {};
 }
 
-void Admission::SetCapacity(const EntryName&, std::uint32_t) {}
+double Admission::Impl::FairPart(const EntryRow& entry, const WorkspaceId& workspace) const
+{
+  const auto found = entry.byWorkspace.find(workspace);
+  if (found == entry.byWorkspace.end()) {
+    return 1;
+  }
+  const double mean =
+    static_cast<double>(entry.running) / static_cast<double>(entry.byWorkspace.size());
+  return std::clamp(mean / found->second, policy.leastFairPart, 1.0);
+}
+
+double Admission::Impl::AllowedWait(const EntryRow& entry, const AdmissionQuery& query) const
+{
+  const double service = entry.Service();
+  if (query.priorityClass == PriorityClass::kBatch) {
+    return -policy.batchHeadroom * service;
+  }
+  const double spare =
+    query.deadline > Duration{} ? Seconds(query.deadline) - service : policy.mostWaitPart * service;
+  const double most = std::clamp(spare, 0.0, policy.mostWaitPart * service);
+  const double part = query.priorityClass == PriorityClass::kStandard ? policy.standardPart : 1;
+  // Under contention a workspace with much in flight gives way first: otherwise whoever sends most
+  // fills every free slot, and a workspace with little work finds none.
+  return most * part * FairPart(entry, query.workspace);
+}
+
+AdmissionDecision Admission::Impl::CheckLoad(TimePoint now,
+                                             EntryRow& entry,
+                                             const AdmissionQuery& query) const
+{
+  if (entry.slots == 0) {
+    return {};
+  }
+  const double drain = entry.Drain();
+  const double excess = entry.InFlight() + 1 - entry.slots;
+  const double wait = excess / drain;
+  const double allowed = AllowedWait(entry, query);
+  if (wait <= allowed || (wait <= 0 && allowed >= 0)) {
+    return {};
+  }
+  const double rate = entry.OwnDrain() * policy.returnPart;
+  return { RefusalReason::kOverload, entry.returns.Next(now, rate, Bounds(wait - allowed)) };
+}
 
 AdmissionDecision Admission::Decide(TimePoint now, const AdmissionQuery& query)
 {
   WorkspaceRow& row = m_impl->workspaces[query.workspace];
+  row.offered.Add(now);
   row.requests.Refill(now);
   row.tokens.Refill(now);
-  const Duration wait = std::max(row.requests.Wait(1), row.tokens.Wait(query.expectedTokens));
-  if (wait > Duration{}) {
-    return { RefusalReason::kWorkspaceRate, wait };
+  const double expectedTokens = Impl::ExpectedTokens(row, query);
+  AdmissionDecision decision = m_impl->CheckWorkspace(now, row, expectedTokens);
+  if (!decision.Admitted()) {
+    return decision;
   }
-  if (row.maxConcurrent != 0 && row.running >= row.maxConcurrent) {
-    return { RefusalReason::kWorkspaceConcurrency, kConcurrencyRetry };
+  EntryRow& entry = m_impl->entries[query.entry];
+  decision = m_impl->CheckLoad(now, entry, query);
+  if (!decision.Admitted()) {
+    return decision;
   }
-  row.requests.level -= row.requests.rate > 0 ? 1 : 0;
+  row.requests.Take(1);
+  row.tokens.Take(expectedTokens);
+  row.reserved += expectedTokens;
   ++row.running;
   ++row.admitted;
-  return {};
+  ++entry.running;
+  ++entry.byWorkspace[query.workspace];
+  return decision;
+}
+
+Duration Admission::RetryAfter(TimePoint now, const EntryName& entryName)
+{
+  EntryRow& entry = m_impl->entries[entryName];
+  const double oneEnd = 1 / entry.OwnDrain();
+  return entry.returns.Next(now, entry.OwnDrain() * m_impl->policy.returnPart, m_impl->Bounds(oneEnd));
 }
 
 void Admission::OnFinished(TimePoint now,
                            const WorkspaceId& workspace,
-                           const EntryName&,
-                           Duration,
+                           const EntryName& entryName,
+                           Duration serviceTime,
                            std::uint32_t tokens)
 {
+  EntryRow& entry = m_impl->entries[entryName];
+  entry.running -= entry.running > 0 ? 1 : 0;
+  if (const auto count = entry.byWorkspace.find(workspace);
+      count != entry.byWorkspace.end() && --count->second == 0) {
+    entry.byWorkspace.erase(count);
+  }
+  const bool ran = serviceTime > Duration{};
+  if (ran) {
+    entry.serviceSeconds.Add(Seconds(serviceTime));
+  }
   const auto found = m_impl->workspaces.find(workspace);
-  if (found == m_impl->workspaces.end()) {
+  if (found == m_impl->workspaces.end() || found->second.running == 0) {
     return;
   }
   WorkspaceRow& row = found->second;
+  const double reserved = row.reserved / row.running;
   row.tokens.Refill(now);
-  row.tokens.level -= row.tokens.rate > 0 ? tokens : 0;
+  row.tokens.Take(tokens - reserved);
+  row.reserved -= reserved;
+  --row.running;
   row.used += tokens;
-  row.running -= row.running > 0 ? 1 : 0;
+  if (ran) {
+    row.tokensPerRequest.Add(tokens);
+    row.serviceSeconds.Add(Seconds(serviceTime));
+  }
 }
 
-std::vector<Admission::Usage> Admission::CurrentUsage(TimePoint) const
+std::vector<Admission::Usage> Admission::CurrentUsage(TimePoint now) const
 {
   std::vector<Usage> all;
+  all.reserve(m_impl->workspaces.size());
   for (const auto& [workspace, row] : m_impl->workspaces) {
-    all.push_back({ workspace, row.admitted, row.used, 0 });
+    all.push_back({ workspace, row.admitted, row.used, row.offered.PerSecond(now) });
   }
   return all;
 }
--- /dev/null
+++ b/src/routing/prefix_index.hpp
@@ -0,0 +1,93 @@
+#pragma once
+
+#include "gooseberrysail/core/time.hpp"
+#include "gooseberrysail/routing/policy.hpp"
+
+#include <array>
+#include <cstdint>
+#include <span>
+#include <vector>
+
+namespace gooseberrysail::impl {
+
+/// \brief Position of a group in the router's tables.
+using Slot = std::uint16_t;
+inline constexpr Slot kNoSlot = 0xFFFF;
+
+/// \brief How far the events of one group's cache can be trusted.
+struct CacheFeed
+{
+  std::uint64_t sequence = 0; ///< The latest one applied.
+  TimePoint validSince{};     ///< Older records belong to an emptied cache or a former group.
+  TimePoint gapAt{};          ///< When the latest gap was noticed.
+};
+
+/// \brief A group believed to hold the first `blocks` blocks of a prompt.
+struct PrefixMatch
+{
+  Slot slot = kNoSlot;
+  std::uint32_t blocks = 0;
+  float confidence = 0;
+};
+
+/// \brief Remembers which groups hold which prompt blocks, in fixed memory.
+/// \remarks Each block hash covers the whole prompt up to its end, so one lookup of a deep block
+/// tells of all blocks before it.
+class PrefixIndex
+{
+public:
+  explicit PrefixIndex(const RouterPolicy& policy);
+
+  void OnSent(TimePoint now, Slot slot, std::span<const std::uint64_t> hashes);
+  void OnReport(TimePoint now,
+                Slot slot,
+                CacheFeed& feed,
+                std::uint64_t sequence,
+                std::span<const std::uint64_t> added,
+                std::span<const std::uint64_t> removed,
+                bool reset);
+
+  static constexpr std::size_t kMaxMatches = 32;
+  using Matches = std::array<PrefixMatch, kMaxMatches>;
+  /// \brief Finds holders of the prompt's leading blocks.
+  /// \returns How many of `matches` were filled; a slot may stand there more than once.
+  [[nodiscard]] std::size_t Find(TimePoint now,
+                                 std::span<const std::uint64_t> hashes,
+                                 std::span<const CacheFeed> feeds,
+                                 Matches& matches) const;
+
+  [[nodiscard]] std::size_t Bytes() const noexcept { return m_rows.size() * sizeof(Row); }
+
+private:
+  struct Holder
+  {
+    Slot slot = kNoSlot;
+    bool confirmed = false;
+    std::uint32_t seenAt = 0; ///< In units of kTick.
+  };
+  static constexpr std::size_t kHolders = 7;
+  struct Row
+  {
+    std::uint64_t hash = 0;
+    std::array<Holder, kHolders> holders;
+  };
+  static constexpr std::size_t kWays = 4;
+
+  [[nodiscard]] const Row* Lookup(std::uint64_t hash) const;
+  [[nodiscard]] Row* Lookup(std::uint64_t hash);
+  Row& Claim(std::uint64_t hash);
+  void Add(Row& row, Slot slot, std::uint32_t tick, bool confirmed);
+  void Remove(std::uint64_t hash, Slot slot, std::uint32_t before);
+  [[nodiscard]] float Confidence(const Holder& holder,
+                                 const CacheFeed& feed,
+                                 std::uint32_t tick) const;
+
+  std::size_t m_maxBlocks;
+  std::uint32_t m_lagTicks;
+  float m_predictionTicks;
+  float m_confirmationTicks;
+  float m_afterGap;
+  std::vector<Row> m_rows;
+};
+
+} // namespace gooseberrysail::impl
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -1,44 +1,124 @@
 #include "gooseberrysail/routing/router.hpp"
 
+#include "routing/group_table.hpp"
+#include "routing/retry_budget.hpp"
+
 #include <algorithm>
-#include <unordered_map>
 
 namespace gooseberrysail {
 
 namespace {
 
-constexpr double kRetryFraction = 0.1;
-constexpr double kRetryFloor = 3;
+using impl::kNoSlot;
+using impl::Slot;
 
-struct GroupRow
-{
-  RouteCandidate candidate;
-  std::uint32_t inFlight = 0;
-  bool open = true;
-};
+constexpr float kSameDomainAgainPenalty = 100;
+constexpr double kBytesPerKilobyte = 1024;
+/// A group that appears this long after the first use of its entry starts slowly; before, all of
+/// them are new.
+constexpr Duration kSettled = std::chrono::seconds(5);
+constexpr double kIntervalGain = 0.2;
 
 } // namespace
 
 struct Router::Impl
 {
-  FailureDomainId ownDomain;
+  RouterPolicy policy;
   std::function<std::uint64_t()> random;
-  std::unordered_map<GroupId, GroupRow> groups;
-  std::unordered_map<EntryName, std::vector<GroupId>> byEntry;
-  double retryTokens = kRetryFloor;
+  impl::GroupTable groups;
+  std::unordered_map<EntryName, impl::EntryTable> entries;
+  std::unordered_map<FailureDomainId, impl::DomainIndex> domains;
+  impl::DomainIndex ownDomain = 0;
+  impl::PrefixIndex prefixes;
+  impl::RetryBudget retries;
+  TimePoint latest{};
+  std::vector<float> hits; ///< Scratch by slot: known part of the prompt, all zero between calls.
+
+  Impl(FailureDomainId domain,
+       std::function<std::uint64_t()> randomHook,
+       const RouterPolicy& thePolicy)
+    : policy(thePolicy)
+    , random(std::move(randomHook))
+    , prefixes(policy)
+    , retries(policy.retry)
+  {
+    ownDomain = Domain(domain);
+  }
+
+  impl::DomainIndex Domain(const FailureDomainId& name)
+  {
+    return domains.try_emplace(name, static_cast<impl::DomainIndex>(domains.size())).first->second;
+  }
+
+  void Refresh(TimePoint now, impl::EntryTable& entry)
+  {
+    if (!entry.used) {
+      entry.used = true;
+      entry.firstUsed = now;
+    }
+    if (now - entry.refreshedAt >= policy.refreshInterval) {
+      impl::HealthRefresh(policy, groups, domains.size()).Run(now, entry);
+    }
+  }
+
+  void CountOwn(TimePoint now, Slot slot, std::int32_t change)
+  {
+    impl::GroupScore& score = groups.scores[slot];
+    impl::GroupHealth& health = groups.health[slot];
+    health.whole.Advance(now, score.own);
+    score.own = change < 0 && score.own == 0 ? 0 : score.own + static_cast<std::uint32_t>(change);
+    groups.histories[slot].Set(now, score.own);
+  }
+
+  /// \param change Requests that began or ceased to wait for their first byte.
+  void CountAwaiting(TimePoint now, Slot slot, double change)
+  {
+    impl::GroupHealth& health = groups.health[slot];
+    health.first.Advance(now, health.awaitingFirst);
+    const auto most = static_cast<double>(groups.scores[slot].own);
+    health.awaitingFirst = std::clamp(health.awaitingFirst + change, 0.0, most);
+  }
 
-  GroupRow* Row(GroupId group)
+  /// A cut or cancelled attempt may or may not have had its first byte. Counted as neither, it
+  /// would seem to wait forever, and a group whose callers hang up would look stuck.
+  void CountAbandoned(TimePoint now, Slot slot)
   {
-    const auto found = groups.find(group);
-    return found == groups.end() ? nullptr : &found->second;
+    const double own = std::max<double>(groups.scores[slot].own, 1);
+    CountAwaiting(now, slot, -groups.health[slot].awaitingFirst / own);
   }
+
+  void BeginRamp(Slot slot)
+  {
+    groups.health[slot].ramping = true;
+    groups.health[slot].rampFrom = latest;
+    groups.scores[slot].ownMost = 1;
+  }
+
+  void SpreadHits(TimePoint now, const RouteQuery& query);
+  void ClearHits(const RouteQuery& query);
+  [[nodiscard]] double Score(TimePoint now,
+                             const RouteQuery& query,
+                             Slot slot,
+                             double missCost) const;
+  [[nodiscard]] double MissCost(const RouteQuery& query) const;
+  [[nodiscard]] impl::DomainIndex LastTriedDomain(const RouteQuery& query) const;
+
+  impl::PrefixIndex::Matches matches{};
+  std::size_t matchCount = 0;
+  impl::DomainIndex avoidDomain = 0;
 };
 
-Router::Router(FailureDomainId ownDomain, std::function<std::uint64_t()> random)
-  : m_impl(std::make_unique<Impl>())
+namespace {
+
+constexpr impl::DomainIndex kNoDomain = 0xFFFF;
+
+} // namespace
+
+Router::Router(FailureDomainId ownDomain,
+               std::function<std::uint64_t()> random,
+               const RouterPolicy& policy)
+  : m_impl(std::make_unique<Impl>(std::move(ownDomain), std::move(random), policy))
 {
-  m_impl->ownDomain = std::move(ownDomain);
-  m_impl->random = std::move(random);
 }
 
 Router::~Router() = default;
@@ -46,111 +126,286 @@
 
 void Router::Upsert(const RouteCandidate& candidate)
 {
-  if (GroupRow* row = m_impl->Row(candidate.group);
-      row && row->candidate.entry == candidate.entry) {
-    row->candidate = candidate;
+  impl::GroupTable& groups = m_impl->groups;
+  Slot slot = groups.Find(candidate.group);
+  if (slot != kNoSlot && groups.candidates[slot].entry == candidate.entry) {
+    groups.candidates[slot] = candidate;
+    groups.scores[slot].domain = m_impl->Domain(candidate.failureDomain);
     return;
   }
   Remove(candidate.group);
-  m_impl->groups[candidate.group].candidate = candidate;
-  m_impl->byEntry[candidate.entry].push_back(candidate.group);
+  slot = groups.Insert(candidate);
+  groups.scores[slot].domain = m_impl->Domain(candidate.failureDomain);
+  groups.health[slot].heardAt = m_impl->latest;
+  groups.feeds[slot] = {};
+  groups.feeds[slot].validSince = m_impl->latest;
+  m_impl->hits.resize(groups.scores.size());
+  impl::EntryTable& entry = m_impl->entries[candidate.entry];
+  entry.slots.push_back(slot);
+  if (entry.used && m_impl->latest - entry.firstUsed > kSettled) {
+    m_impl->BeginRamp(slot);
+    groups.scores[slot].others = static_cast<float>(entry.meanOthers);
+  }
 }
 
 void Router::Remove(GroupId group)
 {
-  const auto found = m_impl->groups.find(group);
-  if (found == m_impl->groups.end()) {
+  impl::GroupTable& groups = m_impl->groups;
+  const Slot slot = groups.Find(group);
+  if (slot == kNoSlot) {
     return;
   }
-  const auto list = m_impl->byEntry.find(found->second.candidate.entry);
-  std::erase(list->second, group);
-  if (list->second.empty()) {
-    m_impl->byEntry.erase(list);
-  }
-  m_impl->groups.erase(found);
+  const auto entry = m_impl->entries.find(groups.candidates[slot].entry);
+  std::erase(entry->second.slots, slot);
+  groups.Erase(slot);
 }
 
 const RouteCandidate* Router::Find(GroupId group) const
 {
-  const GroupRow* row = m_impl->Row(group);
-  return row ? &row->candidate : nullptr;
+  const Slot slot = m_impl->groups.Find(group);
+  return slot == kNoSlot ? nullptr : &m_impl->groups.candidates[slot];
 }
 
 std::size_t Router::CandidateCount(const EntryName& entry) const
 {
-  const auto found = m_impl->byEntry.find(entry);
-  return found == m_impl->byEntry.end() ? 0 : found->second.size();
+  const auto found = m_impl->entries.find(entry);
+  return found == m_impl->entries.end() ? 0 : found->second.slots.size();
+}
+
+double Router::Impl::MissCost(const RouteQuery& query) const
+{
+  const double kilobytes = static_cast<double>(query.promptBytes) / kBytesPerKilobyte;
+  return std::min(kilobytes * policy.cost.missedKilobyte, policy.cost.missedMost);
+}
+
+void Router::Impl::SpreadHits(TimePoint now, const RouteQuery& query)
+{
+  matchCount = prefixes.Find(now, query.prefixHashes, groups.feeds, matches);
+  const auto blocks =
+    static_cast<float>(std::min(query.prefixHashes.size(), policy.scan.prefixBlocks));
+  for (std::size_t i = 0; i < matchCount; ++i) {
+    const impl::PrefixMatch& match = matches[i];
+    const float hit = static_cast<float>(match.blocks) / blocks * match.confidence;
+    hits[match.slot] = std::max(hits[match.slot], hit);
+  }
 }
 
-std::optional<GroupId> Router::Choose(TimePoint, const RouteQuery& query)
+void Router::Impl::ClearHits(const RouteQuery&)
 {
-  const auto found = m_impl->byEntry.find(query.entry);
-  if (found == m_impl->byEntry.end()) {
+  for (std::size_t i = 0; i < matchCount; ++i) {
+    hits[matches[i].slot] = 0;
+  }
+  matchCount = 0;
+}
+
+impl::DomainIndex Router::Impl::LastTriedDomain(const RouteQuery& query) const
+{
+  if (query.tried.empty()) {
+    return kNoDomain;
+  }
+  const Slot slot = groups.Find(query.tried.back());
+  return slot == kNoSlot ? kNoDomain : groups.scores[slot].domain;
+}
+
+double Router::Impl::Score(TimePoint now, const RouteQuery&, Slot slot, double missCost) const
+{
+  const impl::GroupScore& row = groups.scores[slot];
+  const double load = row.own + row.others + 1;
+  double score = (load + missCost * (1 - hits[slot])) * row.slowness + row.penalty;
+  score += row.domain == ownDomain ? 0 : policy.cost.otherDomain;
+  score += row.domain == avoidDomain ? kSameDomainAgainPenalty : 0;
+  score += row.own >= row.ownMost ? impl::kOverRampPenalty : 0;
+  score += row.backoffUntil > now ? impl::kBackoffPenalty : 0;
+  return score;
+}
+
+std::optional<GroupId> Router::Choose(TimePoint now, const RouteQuery& query)
+{
+  m_impl->latest = std::max(m_impl->latest, now);
+  const auto found = m_impl->entries.find(query.entry);
+  if (found == m_impl->entries.end() || found->second.slots.empty()) {
     return std::nullopt;
   }
-  std::optional<GroupId> best;
-  std::pair<std::uint32_t, bool> bestKey;
-  std::uint64_t ties = 0;
-  for (const GroupId group : found->second) {
-    const GroupRow& row = *m_impl->Row(group);
-    const bool tried = std::ranges::find(query.tried, group) != query.tried.end();
-    if (!row.open || tried) {
-      continue;
+  impl::EntryTable& entry = found->second;
+  m_impl->Refresh(now, entry);
+  m_impl->SpreadHits(now, query);
+  m_impl->avoidDomain = m_impl->LastTriedDomain(query);
+
+  const double missCost = m_impl->MissCost(query);
+  const std::size_t count = entry.slots.size();
+  const std::size_t scan = std::min(count, m_impl->policy.scan.candidates);
+  std::uint64_t noise = m_impl->random();
+  std::size_t at = noise % count;
+  Slot best = kNoSlot;
+  double bestScore = 0;
+  const auto consider = [&](Slot slot) {
+    const impl::GroupScore& row = m_impl->groups.scores[slot];
+    if (!row.open || std::ranges::find(query.tried, row.group) != query.tried.end()) {
+      return;
     }
-    const std::pair key(row.inFlight, row.candidate.failureDomain != m_impl->ownDomain);
-    ties = best && key == bestKey ? ties + 1 : 0;
-    const bool wins =
-      !best || key < bestKey || (key == bestKey && m_impl->random() % (ties + 1) == 0);
-    if (wins) {
-      best = group;
-      bestKey = key;
+    noise = noise * 6364136223846793005U + 1442695040888963407U;
+    const double part = static_cast<double>(noise >> 40U) / static_cast<double>(1U << 24U);
+    const double score =
+      m_impl->Score(now, query, slot, missCost) + part * m_impl->policy.cost.noise;
+    if (best == kNoSlot || score < bestScore) {
+      best = slot;
+      bestScore = score;
+    }
+  };
+  // Beyond the scan limit this is a random window plus the holders of the prefix. Unusable groups
+  // in the window don't count, or a window of closed ones would look like no capacity at all.
+  std::size_t usable = 0;
+  for (std::size_t step = 0; step < count && usable < scan; ++step) {
+    usable += m_impl->groups.scores[entry.slots[at]].open ? 1 : 0;
+    consider(entry.slots[at]);
+    at = at + 1 == count ? 0 : at + 1;
+  }
+  for (std::size_t i = 0; scan < count && i < m_impl->matchCount; ++i) {
+    const Slot slot = m_impl->matches[i].slot;
+    if (m_impl->groups.candidates[slot].entry == query.entry) {
+      consider(slot);
     }
   }
-  return best;
+  m_impl->ClearHits(query);
+  return best == kNoSlot ? std::nullopt : std::optional(m_impl->groups.scores[best].group);
 }
 
-void Router::OnSent(TimePoint, GroupId group, const RouteQuery& query)
+void Router::OnSent(TimePoint now, GroupId group, const RouteQuery& query)
 {
-  if (GroupRow* row = m_impl->Row(group)) {
-    ++row->inFlight;
-  }
+  m_impl->latest = std::max(m_impl->latest, now);
   if (query.tried.empty()) {
-    m_impl->retryTokens = std::min(m_impl->retryTokens + kRetryFraction, kRetryFloor * 10);
+    m_impl->retries.OnFirstAttempt(now);
+  }
+  const Slot slot = m_impl->groups.Find(group);
+  if (slot == kNoSlot) {
+    return;
+  }
+  m_impl->CountOwn(now, slot, 1);
+  m_impl->CountAwaiting(now, slot, 1);
+  m_impl->prefixes.OnSent(now, slot, query.prefixHashes);
+}
+
+void Router::OnFirstByte(TimePoint now, GroupId group, Duration)
+{
+  const Slot slot = m_impl->groups.Find(group);
+  if (slot == kNoSlot) {
+    return;
   }
+  m_impl->CountAwaiting(now, slot, -1);
+  m_impl->groups.health[slot].first.Complete();
+  m_impl->groups.health[slot].heardAt = now;
 }
 
-void Router::OnFirstByte(TimePoint, GroupId, Duration) {}
+void Router::OnFinished(TimePoint now, GroupId group, AttemptResult result, Duration)
+{
+  const Slot slot = m_impl->groups.Find(group);
+  if (slot == kNoSlot) {
+    return;
+  }
+  impl::GroupHealth& health = m_impl->groups.health[slot];
+  switch (result) {
+    case AttemptResult::kCompleted:
+      health.whole.Complete();
+      health.heardAt = now;
+      health.failures = 0;
+      health.refusals = 0;
+      break;
+    case AttemptResult::kRefused: {
+      m_impl->CountAwaiting(now, slot, -1);
+      health.heardAt = now;
+      const auto doublings = std::min<std::uint32_t>(health.refusals++, 8);
+      const Duration backoff =
+        m_impl->policy.retry.refusalBackoff * (std::int64_t{ 1 } << doublings);
+      m_impl->groups.scores[slot].backoffUntil =
+        now + std::min(backoff, m_impl->policy.retry.refusalBackoffMost);
+      break;
+    }
+    case AttemptResult::kFailed:
+      m_impl->CountAbandoned(now, slot);
+      ++health.failures;
+      health.failedAt = now;
+      break;
+    case AttemptResult::kCancelled:
+      m_impl->CountAbandoned(now, slot);
+      break;
+  }
+  m_impl->CountOwn(now, slot, -1);
+  m_impl->CountAwaiting(now, slot, 0);
+}
 
-void Router::OnFinished(TimePoint, GroupId group, AttemptResult, Duration)
+void Router::OnLoad(TimePoint now, GroupId group, const LoadObservation& load)
 {
-  if (GroupRow* row = m_impl->Row(group); row && row->inFlight > 0) {
-    --row->inFlight;
+  m_impl->latest = std::max(m_impl->latest, now);
+  const Slot slot = m_impl->groups.Find(group);
+  if (slot == kNoSlot) {
+    return;
+  }
+  impl::GroupScore& score = m_impl->groups.scores[slot];
+  impl::GroupHealth& health = m_impl->groups.health[slot];
+  const TimePoint tellsOf = now - load.age;
+  if (tellsOf < health.reportedFor) {
+    return;
+  }
+  const bool opened = !score.open && load.open && !load.leaving;
+  score.open = load.open && !load.leaving;
+  if (opened) {
+    m_impl->BeginRamp(slot);
+  }
+  const double total = load.running + load.queued;
+  const double own = m_impl->groups.histories[slot].At(tellsOf);
+  health.reportedOthers = std::max(0.0, total - own);
+  score.others = static_cast<float>(health.reportedOthers);
+  health.reportedFor = tellsOf;
+  if (health.reportArrived != TimePoint{}) {
+    const Duration gap = now - health.reportArrived;
+    const auto gain = health.reportInterval == Duration{} ? 1 : kIntervalGain;
+    health.reportInterval +=
+      std::chrono::duration_cast<Duration>((gap - health.reportInterval) * gain);
   }
+  health.reportArrived = now;
+  health.heardAt = now;
 }
 
-void Router::OnLoad(TimePoint, GroupId group, const LoadObservation& load)
+void Router::OnCacheReport(TimePoint now,
+                           GroupId group,
+                           std::uint64_t sequence,
+                           std::span<const std::uint64_t> added,
+                           std::span<const std::uint64_t> removed,
+                           bool reset)
 {
-  if (GroupRow* row = m_impl->Row(group)) {
-    row->open = load.open && !load.leaving;
+  m_impl->latest = std::max(m_impl->latest, now);
+  const Slot slot = m_impl->groups.Find(group);
+  if (slot != kNoSlot) {
+    m_impl->prefixes.OnReport(
+      now, slot, m_impl->groups.feeds[slot], sequence, added, removed, reset);
   }
 }
 
-void Router::OnCacheReport(TimePoint,
-                           GroupId,
-                           std::uint64_t,
-                           std::span<const std::uint64_t>,
-                           std::span<const std::uint64_t>,
-                           bool)
+bool Router::TakeRetry(TimePoint now)
 {
+  return m_impl->retries.Take(now);
 }
 
-bool Router::TakeRetry(TimePoint)
+EntryLoad Router::Load(const EntryName& entry) const
 {
-  if (m_impl->retryTokens < 1) {
-    return false;
+  EntryLoad load;
+  const auto found = m_impl->entries.find(entry);
+  if (found == m_impl->entries.end()) {
+    return load;
   }
-  m_impl->retryTokens -= 1;
-  return true;
+  for (const Slot slot : found->second.slots) {
+    const impl::GroupScore& row = m_impl->groups.scores[slot];
+    load.open += row.open ? 1 : 0;
+    load.inFlight += row.open ? row.own + row.others : 0;
+    load.ejected += m_impl->groups.health[slot].ejectedUntil > m_impl->latest ? 1 : 0;
+  }
+  return load;
+}
+
+bool Router::IsEjected(TimePoint now, GroupId group) const
+{
+  const Slot slot = m_impl->groups.Find(group);
+  return slot != kNoSlot && m_impl->groups.health[slot].ejectedUntil > now;
 }
 
 } // namespace gooseberrysail
