--- a/bench/routing.cpp
+++ b/bench/routing.cpp
@@ -5,10 +5,13 @@
 //   bench_routing --cost     decision time and memory by number of known replicas
 //   bench_routing --limits   error of workspace limits shared by several entries
 
+#include "routing/cost.hpp"
+#include "routing/limits.hpp"
 #include "routing/simulation.hpp"
 
 #include <cstdio>
-#include <cstring>
+#include <string>
+#include <string_view>
 
 namespace {
 
@@ -106,6 +109,10 @@
     RunPolicies(kTuningSeeds);
   } else if (mode == "--held-out") {
     RunPolicies(kHeldOutSeeds);
+  } else if (mode == "--cost") {
+    CostBench().Run();
+  } else if (mode == "--limits") {
+    LimitsBench().Run();
   } else {
     std::fprintf(stderr, "unknown argument %s\n", argv[1]);
     return 2;
--- /dev/null
+++ b/bench/routing/limits.hpp
@@ -0,0 +1,180 @@
+#pragma once
+
+#include "gooseberrysail/admission/admission.hpp"
+#include "gooseberrysail/admission/shares.hpp"
+
+#include <cstdio>
+#include <random>
+#include <vector>
+
+namespace gooseberrysail::bench {
+
+/// \brief How far several entries together miss one workspace's limits.
+/// \remarks Control divides anew each second from usage that is up to half a second old; the
+/// division arrives 50 ms later. Demand is three times the limit and moves between the entries.
+class LimitsBench
+{
+public:
+  void Run()
+  {
+    std::printf("limit %.0f requests/s and %u at once; error of what all entries admitted\n",
+                kRate,
+                kConcurrent);
+    std::printf("%-34s %9s %9s %9s %9s %11s\n",
+                "case",
+                "mean",
+                "over 1s",
+                "over 10s",
+                "under 10s",
+                "concurrent");
+    for (const std::size_t entries : { 1, 3, 6, 12 }) {
+      One("steady demand", entries, Mode::kSteady);
+      One("demand moves every 8 s", entries, Mode::kMoving);
+      One("shares lapse, then demand moves", entries, Mode::kLapse);
+      One("one entry cut off from control", entries, Mode::kOneCutOff);
+    }
+  }
+
+private:
+  enum class Mode
+  {
+    kSteady,
+    kMoving,
+    kLapse,
+    kOneCutOff,
+  };
+  static constexpr double kRate = 60;
+  static constexpr std::uint32_t kConcurrent = 90;
+  static constexpr double kService = 1.2; ///< Mean seconds; 72 at once when the rate is used.
+  static constexpr int kSeconds = 120;
+  static constexpr int kWarmUp = 20;
+  static constexpr int kStepsPerSecond = 200;
+  static constexpr int kLapseAt = 40;
+
+  static WorkspaceId Workspace() { return WorkspaceId("hire"); }
+  static EntryName Model() { return EntryName("model"); }
+
+  struct Ending
+  {
+    int step = 0;
+    std::size_t entry = 0;
+  };
+
+  static double Weight(Mode mode, int second, std::size_t entry, std::size_t entries)
+  {
+    const bool moves = mode == Mode::kMoving ||
+                       ((mode == Mode::kLapse || mode == Mode::kOneCutOff) && second >= kLapseAt);
+    if (!moves || entries == 1) {
+      return 1.0 / static_cast<double>(entries);
+    }
+    // One entry at a time has four fifths of the demand.
+    const auto hot = static_cast<std::size_t>(second / 8) % entries;
+    return entry == hot ? 0.8 : 0.2 / static_cast<double>(entries - 1);
+  }
+
+  static void One(const char* name, std::size_t entries, Mode mode)
+  {
+    std::mt19937_64 random(77);
+    std::uniform_real_distribution<double> unit(0, 1);
+    std::exponential_distribution<double> service(1 / kService);
+    std::vector<Admission> admissions(entries);
+    WorkspaceSpec spec;
+    spec.requestsPerSecond = kRate;
+    spec.maxConcurrent = kConcurrent;
+    for (Admission& admission : admissions) {
+      admission.SetLimits(Workspace(), spec);
+    }
+    std::vector<double> perSecond(kSeconds);
+    std::vector<Ending> running;
+    std::vector<double> demands(entries, 0);
+    std::size_t mostRunning = 0;
+    for (int step = 0; step < kSeconds * kStepsPerSecond; ++step) {
+      const int second = step / kStepsPerSecond;
+      const int part = step % kStepsPerSecond;
+      const TimePoint now{ std::chrono::hours(1) +
+                           std::chrono::milliseconds(step * 1000 / kStepsPerSecond) };
+      std::erase_if(running, [&](const Ending& ending) {
+        if (ending.step > step) {
+          return false;
+        }
+        admissions[ending.entry].OnFinished(now, Workspace(), Model(), std::chrono::seconds(1), 0);
+        return true;
+      });
+      if (part == kStepsPerSecond / 2) {
+        for (std::size_t i = 0; i < entries; ++i) {
+          demands[i] = admissions[i].CurrentUsage(now).front().demandPerSecond;
+        }
+      }
+      const bool lapsed = mode == Mode::kLapse && second >= kLapseAt;
+      if (part == kStepsPerSecond / 20 && second > 0 && !lapsed) {
+        Divide(now, admissions, demands, mode == Mode::kOneCutOff && second >= kLapseAt);
+      }
+      for (std::size_t i = 0; i < entries; ++i) {
+        const double offered = 3 * kRate * Weight(mode, second, i, entries) / kStepsPerSecond;
+        if (unit(random) >= offered) {
+          continue;
+        }
+        AdmissionQuery query;
+        query.workspace = Workspace();
+        query.entry = Model();
+        query.deadline = std::chrono::seconds(30);
+        if (admissions[i].Decide(now, query).Admitted()) {
+          perSecond[static_cast<std::size_t>(second)] += 1;
+          running.push_back({ step + static_cast<int>(service(random) * kStepsPerSecond), i });
+        }
+      }
+      mostRunning = second >= kWarmUp ? std::max(mostRunning, running.size()) : 0;
+    }
+    Print(name, entries, perSecond, mostRunning);
+  }
+
+  static void Divide(TimePoint now,
+                     std::vector<Admission>& admissions,
+                     const std::vector<double>& demands,
+                     bool firstIsCutOff)
+  {
+    // Control counts on the last share of an entry it does not hear from, so the others' parts go
+    // on as if that one had none only after it is given up; here it never hears again.
+    const std::size_t from = firstIsCutOff && admissions.size() > 1 ? 1 : 0;
+    const std::span<const double> heard = std::span(demands).subspan(from);
+    const std::vector<double> rates = DivideShares(kRate, heard);
+    const std::vector<std::uint32_t> counts = DivideCount(kConcurrent, heard);
+    for (std::size_t i = 0; i < heard.size(); ++i) {
+      admissions[from + i].SetShare(now, Workspace(), rates[i], 0, counts[i]);
+    }
+  }
+
+  static void Print(const char* name,
+                    std::size_t entries,
+                    const std::vector<double>& perSecond,
+                    std::size_t mostRunning)
+  {
+    double sum = 0;
+    double over1 = 0;
+    double over10 = -1;
+    double under10 = 1;
+    int seconds = 0;
+    for (std::size_t s = kWarmUp; s < perSecond.size(); ++s) {
+      sum += perSecond[s];
+      ++seconds;
+      over1 = std::max(over1, perSecond[s] / kRate - 1);
+      double ten = 0;
+      for (std::size_t i = s - 9; i <= s; ++i) {
+        ten += perSecond[i];
+      }
+      over10 = std::max(over10, ten / 10 / kRate - 1);
+      under10 = std::min(under10, ten / 10 / kRate - 1);
+    }
+    const std::string title = std::string(name) + ", " + std::to_string(entries);
+    std::printf("%-34s %+8.1f%% %+8.1f%% %+8.1f%% %+8.1f%% %6zu/%u\n",
+                title.c_str(),
+                100 * (sum / seconds / kRate - 1),
+                100 * over1,
+                100 * over10,
+                100 * under10,
+                mostRunning,
+                kConcurrent);
+  }
+};
+
+} // namespace gooseberrysail::bench
--- a/src/admission/meter.hpp
+++ b/src/admission/meter.hpp
@@ -22,7 +22,7 @@
   }
 
 private:
-  static constexpr double kMemorySeconds = 3;
+  static constexpr double kMemorySeconds = 2;
 
   [[nodiscard]] double Keep(TimePoint now) const
   {
--- a/src/routing/health_refresh.cpp
+++ b/src/routing/health_refresh.cpp
@@ -10,6 +10,10 @@
 /// Peers compared; a median needs no more, and a refresh must not grow with the whole fleet.
 constexpr std::size_t kPeers = 64;
 constexpr double kLeastCompleted = 2;
+/// Answers of a group that a judgement looks back on, within these times.
+constexpr double kRemembered = 12;
+constexpr double kLeastMemory = 4;
+constexpr double kMostMemory = 30;
 /// Differences up to this are noise of prompt and answer lengths.
 constexpr double kSlownessNoise = 1.25;
 constexpr float kMostSlowness = 20;
@@ -104,12 +108,14 @@
 {
   std::vector<double> whole;
   std::vector<double> first;
+  double perSecond = 0;
   const std::size_t peers = std::min(entry.slots.size(), kPeers);
   for (std::size_t i = 0; i < entry.slots.size(); ++i) {
     const Slot slot = entry.slots[i];
     GroupHealth& health = m_groups.health[slot];
     health.whole.Advance(now, m_groups.scores[slot].own);
     health.first.Advance(now, health.awaitingFirst);
+    perSecond += health.whole.PerSecond() / static_cast<double>(entry.slots.size());
     if (i < peers && health.whole.Completed() >= kLeastCompleted) {
       whole.push_back(health.whole.Raw());
     }
@@ -120,8 +126,12 @@
   const bool enough = whole.size() >= kLeastPeers;
   entry.medianWhole = enough ? Median(whole) : 0;
   entry.medianFirst = first.size() >= kLeastPeers ? Median(first) : 0;
+  const double memory =
+    std::clamp(kRemembered / std::max(perSecond, 1e-3), kLeastMemory, kMostMemory);
   for (const Slot slot : entry.slots) {
-    const GroupHealth& health = m_groups.health[slot];
+    GroupHealth& health = m_groups.health[slot];
+    health.whole.SetMemory(memory);
+    health.first.SetMemory(memory);
     const double ratio =
       entry.medianWhole > 0 ? health.whole.Mean(entry.medianWhole) / entry.medianWhole : 1;
     m_groups.scores[slot].slowness =
--- a/src/routing/prefix_index.cpp
+++ b/src/routing/prefix_index.cpp
@@ -8,14 +8,13 @@
 
 namespace {
 
-constexpr Duration kTick = std::chrono::milliseconds(16);
 /// Record written by this sender only; the engine may have refused or evicted it since.
 constexpr float kPredictionTrust = 0.9F;
 constexpr float kLeastConfidence = 0.05F;
 
 std::uint32_t Ticks(Duration duration)
 {
-  return static_cast<std::uint32_t>(std::max<std::int64_t>(duration / kTick, 0));
+  return static_cast<std::uint32_t>(std::max<std::int64_t>(duration / kPrefixTick, 0));
 }
 
 std::uint32_t Ticks(TimePoint time)
@@ -130,7 +129,8 @@
   // was known before the time it tells of. One that comes out of order tells of a time before the
   // gap it left.
   const std::uint32_t lagged = Ticks(now) - std::min(Ticks(now), m_lagTicks);
-  const std::uint32_t removedBefore = late ? std::min(lagged, Ticks(feed.gapAt)) : lagged;
+  const std::uint32_t beforeGap = std::max(Ticks(feed.gapAt), 1U) - 1;
+  const std::uint32_t removedBefore = late ? std::min(lagged, beforeGap) : lagged;
   for (const std::uint64_t hash : removed) {
     Remove(hash, slot, removedBefore);
   }
--- a/src/routing/prefix_index.hpp
+++ b/src/routing/prefix_index.hpp
@@ -13,6 +13,8 @@
 /// \brief Position of a group in the router's tables.
 using Slot = std::uint16_t;
 inline constexpr Slot kNoSlot = 0xFFFF;
+/// \brief Resolution of the times in the index.
+inline constexpr Duration kPrefixTick = std::chrono::milliseconds(16);
 
 /// \brief How far the events of one group's cache can be trusted.
 struct CacheFeed
@@ -63,7 +65,7 @@
   {
     Slot slot = kNoSlot;
     bool confirmed = false;
-    std::uint32_t seenAt = 0; ///< In units of kTick.
+    std::uint32_t seenAt = 0; ///< In units of kPrefixTick.
   };
   static constexpr std::size_t kHolders = 7;
   struct Row
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -138,7 +138,8 @@
   groups.scores[slot].domain = m_impl->Domain(candidate.failureDomain);
   groups.health[slot].heardAt = m_impl->latest;
   groups.feeds[slot] = {};
-  groups.feeds[slot].validSince = m_impl->latest;
+  // The slot may have been another group's until just now; its records must not become this one's.
+  groups.feeds[slot].validSince = m_impl->latest + impl::kPrefixTick;
   m_impl->hits.resize(groups.scores.size());
   impl::EntryTable& entry = m_impl->entries[candidate.entry];
   entry.slots.push_back(slot);
--- a/src/routing/sojourn.hpp
+++ b/src/routing/sojourn.hpp
@@ -20,9 +20,9 @@
       return;
     }
     const double seconds = std::chrono::duration<double>(now - m_at).count();
-    const double keep = std::exp(-seconds / kMemorySeconds);
+    const double keep = std::exp(-seconds / m_memory);
     // The integral of `waiting` over the gap, decayed as it grows.
-    m_waited = m_waited * keep + waiting * kMemorySeconds * (1 - keep);
+    m_waited = m_waited * keep + waiting * m_memory * (1 - keep);
     m_completed *= keep;
     m_at = now;
   }
@@ -43,16 +43,23 @@
     return std::max(m_completed, peers > 0 ? m_waited / peers : 0);
   }
 
+  [[nodiscard]] double PerSecond() const { return m_completed / m_memory; }
+
+  /// \brief How long an answer counts: short where there are many, or a group that was well for
+  /// long would be taken to be well for long after.
+  void SetMemory(double seconds) { m_memory = seconds; }
+
   void Forget(TimePoint now)
   {
-    *this = Sojourn{};
+    m_waited = 0;
+    m_completed = 0;
     m_at = now;
   }
 
 private:
-  static constexpr double kMemorySeconds = 15;
   static constexpr double kPrior = 2;
 
+  double m_memory = 10;
   double m_waited = 0;
   double m_completed = 0;
   TimePoint m_at{};
--- /dev/null
+++ b/tests/unit/router_prefix_test.cpp
@@ -0,0 +1,158 @@
+#include "routing/prefix_index.hpp"
+#include "support/routing.hpp"
+#include "support/section.hpp"
+
+#include <algorithm>
+
+namespace gooseberrysail {
+namespace {
+
+using impl::CacheFeed;
+using impl::PrefixIndex;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using testing::RouterWorld;
+
+constexpr impl::Slot kSlot = 1;
+
+class PrefixIndexTest : public ::testing::Test
+{
+protected:
+  float Confidence(std::span<const std::uint64_t> hashes)
+  {
+    PrefixIndex::Matches matches;
+    const std::size_t count = index.Find(now, hashes, feeds, matches);
+    float best = 0;
+    for (std::size_t i = 0; i < count; ++i) {
+      best = matches[i].slot == kSlot ? std::max(best, matches[i].confidence) : best;
+    }
+    return best;
+  }
+
+  void Report(std::uint64_t sequence,
+              std::span<const std::uint64_t> added,
+              std::span<const std::uint64_t> removed,
+              bool reset = false)
+  {
+    index.OnReport(now, kSlot, feeds[kSlot], sequence, added, removed, reset);
+  }
+
+  RouterPolicy policy;
+  PrefixIndex index{ policy };
+  std::vector<CacheFeed> feeds{ 2 };
+  TimePoint now{ std::chrono::hours(1) };
+  std::vector<std::uint64_t> prompt{ 101, 102, 103, 104 };
+};
+
+// Symptom: prompts go on being sent to a group for prefixes it dropped long ago.
+// Sequence: a batch of events is lost, among them the removal.
+// Cause: nothing will ever take the record back.
+TEST_F(PrefixIndexTest, AGapInTheEventsLowersTrustInWhatWasKnownBefore)
+{
+  Report(1, prompt, {});
+  EXPECT_GT(Confidence(prompt), 0.95F);
+  now += seconds(1);
+  Report(5, {}, {});
+  EXPECT_LT(Confidence(prompt), 0.6F);
+  EXPECT_GT(Confidence(prompt), 0.3F);
+  SECTION("what is seen again counts in full")
+  {
+    now += seconds(1);
+    Report(6, prompt, {});
+    EXPECT_GT(Confidence(prompt), 0.95F);
+  }
+}
+
+// Symptom: a conversation's second turn goes to another group and is prefilled anew.
+// Sequence: a removal that tells of the time before the first turn arrives after it was sent.
+// Cause: cache events are late, and the newer own record is undone by the older news.
+TEST_F(PrefixIndexTest, ALateRemovalDoesNotUndoWhatWasSentSince)
+{
+  index.OnSent(now, kSlot, prompt);
+  now += milliseconds(700);
+  Report(1, {}, prompt);
+  EXPECT_GT(Confidence(prompt), 0.8F);
+  SECTION("a removal that can only be newer does")
+  {
+    now += seconds(5);
+    Report(2, {}, prompt);
+    EXPECT_EQ(Confidence(prompt), 0);
+  }
+}
+
+// Symptom and cause as above; here two batches overtook each other.
+TEST_F(PrefixIndexTest, ABatchOutOfOrderDoesNotUndoTheOneAfterIt)
+{
+  Report(1, {}, {});
+  now += milliseconds(100);
+  Report(3, prompt, {});
+  now += seconds(4);
+  Report(2, {}, prompt);
+  EXPECT_GT(Confidence(prompt), 0.9F);
+}
+
+TEST_F(PrefixIndexTest, AResetForgetsTheGroup)
+{
+  Report(1, prompt, {});
+  now += seconds(1);
+  Report(1, {}, {}, true);
+  EXPECT_EQ(Confidence(prompt), 0);
+}
+
+// Symptom: an entry grows until it is killed.
+// Sequence: a caller sends a million different prompts.
+// Cause: a record for each of them.
+TEST_F(PrefixIndexTest, MemoryStaysFixedAndTheLatestIsKept)
+{
+  const std::size_t before = index.Bytes();
+  std::mt19937_64 random(3);
+  std::vector<std::uint64_t> other(4);
+  for (int i = 0; i < 250000; ++i) {
+    std::ranges::generate(other, std::ref(random));
+    index.OnSent(now, kSlot, other);
+    now += milliseconds(20);
+  }
+  EXPECT_EQ(index.Bytes(), before);
+  EXPECT_GT(Confidence(other), 0.5F);
+}
+
+TEST(RouterPrefix, SendsAPromptWhereItsBeginningIsCached)
+{
+  RouterWorld world(10);
+  world.prompt = { 1, 2, 3, 4, 5, 6, 7, 8 };
+  const GroupId first = world.Send();
+  world.Run(seconds(3), 0);
+  world.prompt = { 1, 2, 3, 4, 5, 6, 7, 8, 9, 10 };
+  EXPECT_EQ(world.Send(), first);
+
+  SECTION("a new group in its place in the tables holds nothing")
+  {
+    world.router.Remove(first);
+    world.Announce(20);
+    int chosen = 0;
+    for (int i = 0; i < 30; ++i) {
+      chosen += world.router.Choose(world.now, world.Query()) == GroupId(20) ? 1 : 0;
+    }
+    EXPECT_LT(chosen, 15);
+  }
+}
+
+// Symptom: one group is swamped while its peers idle.
+// Sequence: every prompt begins with the same long instructions, known to one group.
+// Cause: the saved prefill outweighs any queue.
+TEST(RouterPrefix, APromptThatAllSendMakesNoHotSpot)
+{
+  RouterWorld world(10);
+  for (std::uint64_t block = 1; block <= 64; ++block) {
+    world.prompt.push_back(block * 7919);
+  }
+  world.Run(seconds(20), 100);
+  std::uint32_t most = 0;
+  for (const auto& [group, running] : world.inFlight) {
+    most = std::max(most, running);
+  }
+  EXPECT_LE(most, 30U); // The mean is 10.
+}
+
+} // namespace
+} // namespace gooseberrysail
