--- /dev/null
+++ b/tests/unit/admission_limits_test.cpp
@@ -0,0 +1,162 @@
+#include "gooseberrysail/admission/shares.hpp"
+#include "support/admission.hpp"
+#include "support/section.hpp"
+
+#include <array>
+#include <numeric>
+
+namespace gooseberrysail {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using testing::AdmissionWorld;
+using testing::Limits;
+
+TEST(AdmissionLimits, BoundTheRate)
+{
+  AdmissionWorld world;
+  world.admission.SetLimits(AdmissionWorld::Registre(), Limits(2));
+  EXPECT_TRUE(world.Decide().Admitted());
+  EXPECT_TRUE(world.Decide().Admitted());
+
+  const AdmissionDecision refused = world.Decide();
+  EXPECT_EQ(refused.reason, RefusalReason::kWorkspaceRate);
+  EXPECT_GE(refused.retryAfter, milliseconds(500));
+
+  SECTION("the time told is enough")
+  {
+    world.now += refused.retryAfter;
+    EXPECT_TRUE(world.Decide().Admitted());
+  }
+}
+
+TEST(AdmissionLimits, BoundConcurrency)
+{
+  AdmissionWorld world;
+  world.admission.SetLimits(AdmissionWorld::Registre(), Limits(0, 0, 1));
+  EXPECT_TRUE(world.Decide().Admitted());
+  EXPECT_EQ(world.Decide().reason, RefusalReason::kWorkspaceConcurrency);
+  world.Finish();
+  EXPECT_TRUE(world.Decide().Admitted());
+}
+
+TEST(AdmissionLimits, ChargeTokensByWhatWasUsed)
+{
+  AdmissionWorld world;
+  world.admission.SetLimits(AdmissionWorld::Registre(), Limits(0, 1000));
+  EXPECT_TRUE(world.Decide().Admitted());
+  SECTION("an answer that cost more than a second's worth leaves a debt")
+  {
+    world.Finish(AdmissionWorld::Registre(), seconds(1), 3000);
+    EXPECT_EQ(world.Decide().reason, RefusalReason::kWorkspaceRate);
+    world.now += milliseconds(1900);
+    EXPECT_FALSE(world.Decide().Admitted());
+    world.now += milliseconds(1200);
+    EXPECT_TRUE(world.Decide().Admitted());
+  }
+  SECTION("running requests count with the usual cost before their end")
+  {
+    EXPECT_FALSE(world.Decide().Admitted());
+  }
+}
+
+/// Three entries before callers that send three times the limit, balanced evenly or not.
+class SharedLimit
+{
+public:
+  static constexpr double kLimit = 30;
+
+  explicit SharedLimit(double limit = kLimit)
+  {
+    for (AdmissionWorld& entry : entries) {
+      entry.admission.SetLimits(AdmissionWorld::Registre(), Limits(limit));
+    }
+  }
+
+  void Divide()
+  {
+    std::array<double, 3> demands{};
+    for (std::size_t i = 0; i < entries.size(); ++i) {
+      demands[i] = entries[i].admission.CurrentUsage(entries[i].now).front().demandPerSecond;
+    }
+    const std::vector<double> shares = DivideShares(kLimit, demands);
+    for (std::size_t i = 0; i < entries.size(); ++i) {
+      entries[i].admission.SetShare(entries[i].now, AdmissionWorld::Registre(), shares[i], 0, 0);
+    }
+  }
+
+  /// \returns Requests admitted per second by all entries.
+  double Run(int length, bool divide, std::array<int, 3> perSecond)
+  {
+    int admitted = 0;
+    for (int second = 0; second < length; ++second) {
+      for (int part = 0; part < 100; ++part) {
+        for (std::size_t i = 0; i < entries.size(); ++i) {
+          entries[i].now += milliseconds(10);
+          const bool sends = part * perSecond[i] / 100 != (part + 1) * perSecond[i] / 100;
+          if (sends && entries[i].Decide().Admitted()) {
+            ++admitted;
+          }
+        }
+      }
+      if (divide) {
+        Divide();
+      }
+    }
+    return static_cast<double>(admitted) / length;
+  }
+
+  std::array<AdmissionWorld, 3> entries;
+};
+
+// Symptom: a workspace gets three times what it pays for.
+// Sequence: its calls are balanced over three entries.
+// Cause: each entry grants the whole limit.
+TEST(AdmissionLimits, AreSharedByThreeEntries)
+{
+  SharedLimit shared;
+  shared.Run(10, true, { 30, 30, 30 });
+  EXPECT_NEAR(shared.Run(20, true, { 30, 30, 30 }), SharedLimit::kLimit, 1);
+
+  SECTION("when the balancer sends most to one of them, its share grows")
+  {
+    shared.Run(10, true, { 70, 10, 10 });
+    EXPECT_NEAR(shared.Run(20, true, { 70, 10, 10 }), SharedLimit::kLimit, 2);
+  }
+}
+
+// Symptom: limits treble for as long as control is away.
+// Sequence: shares cease to arrive; each entry takes up the catalogue's limit again.
+// Cause: without news an entry can't tell how many share the limit.
+TEST(AdmissionLimits, HoldWhenSharesLapse)
+{
+  SharedLimit shared;
+  shared.Run(10, true, { 30, 30, 30 });
+  EXPECT_LE(shared.Run(60, false, { 30, 30, 30 }), SharedLimit::kLimit + 1);
+  EXPECT_GE(shared.Run(60, false, { 30, 30, 30 }), SharedLimit::kLimit - 1);
+
+  SECTION("a new limit from the catalogue is divided as the last one was")
+  {
+    for (AdmissionWorld& entry : shared.entries) {
+      entry.admission.SetLimits(AdmissionWorld::Registre(), Limits(SharedLimit::kLimit / 2));
+    }
+    EXPECT_NEAR(shared.Run(30, false, { 30, 30, 30 }), SharedLimit::kLimit / 2, 1);
+  }
+}
+
+TEST(AdmissionLimits, DividingLosesNothing)
+{
+  const std::array demands{ 5.0, 0.0, 50.0, 17.0 };
+  const std::vector<double> shares = DivideShares(30, demands);
+  EXPECT_NEAR(std::accumulate(shares.begin(), shares.end(), 0.0), 30, 1e-9);
+  EXPECT_GT(shares[1], 0); // A first request must pass.
+  for (const std::uint32_t limit : { 0U, 1U, 3U, 4U, 90U }) {
+    const std::vector<std::uint32_t> counts = DivideCount(limit, demands);
+    EXPECT_EQ(std::accumulate(counts.begin(), counts.end(), 0U), limit);
+  }
+  EXPECT_TRUE(DivideShares(30, {}).empty());
+}
+
+} // namespace
+} // namespace gooseberrysail
