Remember groups that go and come; bench services and unrelated prompts

A lost connection takes a group off the list and back. It came back with no requests in flight, though those resumed over the new connection still ran there, and with an unknown cache. RouterFailure.AGroupThatComesBackIsTheSameGroup tells that story; it can't pass on the code before, where Remove erased the row.

--- a/bench/routing.cpp
+++ b/bench/routing.cpp
@@ -28,11 +28,26 @@
 
 std::vector<Scenario> Scenarios()
 {
-  return { { "steady", Fault::kNone },
-           { "overload 2x", Fault::kNone, 350 },
-           { "straggler", Fault::kStraggler },
-           { "dark domain", Fault::kDarkDomain },
-           { "returning target", Fault::kReturningTarget } };
+  const auto make = [](std::string_view name, Fault fault, double perSecond) {
+    Scenario scenario;
+    scenario.name = name;
+    scenario.fault = fault;
+    scenario.perSecond = perSecond;
+    return scenario;
+  };
+  constexpr double kSteady = 110;
+  constexpr double kTwiceCapacity = 350;
+  std::vector<Scenario> all{ make("steady", Fault::kNone, kSteady),
+                             make("overload 2x", Fault::kNone, kTwiceCapacity),
+                             make("straggler", Fault::kStraggler, kSteady),
+                             make("dark domain", Fault::kDarkDomain, kSteady),
+                             make("returning target", Fault::kReturningTarget, kSteady) };
+  all.push_back(make("unrelated prompts", Fault::kNone, kSteady));
+  all.back().work = Work::kUnrelatedPrompts;
+  all.push_back(make("service, straggler", Fault::kStraggler, 300));
+  all.back().work = Work::kServiceCalls;
+  all.back().groups = 3;
+  return all;
 }
 
 void Append(std::vector<double>& all, const std::vector<double>& some)
@@ -55,7 +70,7 @@
     Append(sum.fromStart, one.fromStart);
   }
   const auto n = static_cast<double>(seeds.size());
-  std::printf("%-17s %-18s %7.1f  %6.2f %6.2f %6.2f  %6.2f %6.2f %6.2f  %6.2f  %5.1f%% %5.1f%%  "
+  std::printf("%-18s %-18s %7.1f  %6.2f %6.2f %6.2f  %6.2f %6.2f %6.2f  %6.2f  %5.1f%% %5.1f%%  "
               "%5.3f  %5.1f%%\n",
               std::string(scenario.name).c_str(),
               std::string(Name(policy)).c_str(),
@@ -78,7 +93,7 @@
   std::printf("%zu seeds; seconds; first token and whole answer from the accepted call, "
               "'waited' from the first sending\n",
               seeds.size());
-  std::printf("%-17s %-18s %7s  %6s %6s %6s  %6s %6s %6s  %6s  %6s %6s  %5s  %6s\n",
+  std::printf("%-18s %-18s %7s  %6s %6s %6s  %6s %6s %6s  %6s  %6s %6s  %5s  %6s\n",
               "case",
               "policy",
               "good/s",
--- a/bench/routing/simulation.hpp
+++ b/bench/routing/simulation.hpp
@@ -29,6 +29,8 @@
   double faultEnd = 70;
   std::size_t groups = 30;
   std::size_t entries = 3;
+  Work work = Work::kConversations;
+  std::size_t straggler = 1;
 };
 
 struct Metrics
@@ -65,7 +67,7 @@
     : m_scenario(scenario)
     , m_policy(policy)
     , m_random(seed * 7919 + 17)
-    , m_calls(MakeCalls(seed, scenario.perSecond, scenario.seconds))
+    , m_calls(MakeCalls(seed, scenario.perSecond, scenario.seconds, scenario.work))
     , m_requests(m_calls.size())
   {
     for (std::size_t i = 0; i < scenario.groups; ++i) {
@@ -211,8 +213,8 @@
       case Fault::kNone:
         break;
       case Fault::kStraggler:
-        At(m_scenario.faultAt, [this] { m_engines[4].slowdown = 4; });
-        At(m_scenario.faultEnd, [this] { m_engines[4].slowdown = 1; });
+        At(m_scenario.faultAt, [this] { m_engines[m_scenario.straggler].slowdown = 4; });
+        At(m_scenario.faultEnd, [this] { m_engines[m_scenario.straggler].slowdown = 1; });
         break;
       case Fault::kDarkDomain:
         At(m_scenario.faultAt, [this] { SetDark(true); });
--- a/bench/routing/workload.hpp
+++ b/bench/routing/workload.hpp
@@ -2,8 +2,10 @@
 
 #include "gooseberrysail/catalogue/entry.hpp"
 
+#include <algorithm>
 #include <array>
 #include <cstdint>
+#include <functional>
 #include <random>
 #include <vector>
 
@@ -22,9 +24,16 @@
   std::vector<std::uint64_t> hashes;
 };
 
+enum class Work
+{
+  kConversations,
+  kUnrelatedPrompts, ///< Nothing is shared: affinity has nothing to win.
+  kServiceCalls,     ///< Short calls of a plain service, without prompts.
+};
+
 /// \brief Conversations of ten workspaces, a few of them large: shared instructions, a document of
 /// its own, and turns that repeat all that was said before.
-inline std::vector<Call> MakeCalls(std::uint64_t seed, double perSecond, double seconds)
+inline std::vector<Call> MakeCalls(std::uint64_t seed, double perSecond, double seconds, Work work)
 {
   struct Conversation
   {
@@ -77,6 +86,13 @@
     call.tokens = static_cast<std::uint32_t>(
       std::clamp(std::lognormal_distribution<double>(4.7, 0.7)(random), 8.0, 800.0));
     call.hashes = conversation.hashes;
+    if (work == Work::kUnrelatedPrompts) {
+      std::ranges::generate(call.hashes, std::ref(random));
+    }
+    if (work == Work::kServiceCalls) {
+      call.hashes.clear();
+      call.tokens = static_cast<std::uint32_t>(between(2, 6));
+    }
     calls.push_back(std::move(call));
     if (++conversation.turns >= kMostTurns || open.size() > kOpen) {
       open.erase(open.begin() + static_cast<std::ptrdiff_t>(index));
--- a/src/routing/group_table.cpp
+++ b/src/routing/group_table.cpp
@@ -1,5 +1,7 @@
 #include "routing/group_table.hpp"
 
+#include <algorithm>
+
 namespace gooseberrysail::impl {
 
 Slot GroupTable::Insert(const RouteCandidate& candidate)
@@ -34,4 +36,26 @@
   free.push_back(slot);
 }
 
+void GroupTable::Park(TimePoint now, Slot slot)
+{
+  scores[slot].listed = false;
+  m_parked.push_back({ scores[slot].group, now });
+  ErasePastParked(now);
+}
+
+void GroupTable::ErasePastParked(TimePoint now)
+{
+  while (!m_parked.empty() &&
+         (m_parked.size() > kMostParked || now - m_parked.front().since > kParkedFor)) {
+    // It may have been listed again or even parked a second time since; then a later mark counts.
+    const GroupId group = m_parked.front().group;
+    m_parked.pop_front();
+    const Slot slot = Find(group);
+    const bool markedAgain = std::ranges::find(m_parked, group, &Parked::group) != m_parked.end();
+    if (slot != kNoSlot && !scores[slot].listed && !markedAgain) {
+      Erase(slot);
+    }
+  }
+}
+
 } // namespace gooseberrysail::impl
--- a/src/routing/group_table.hpp
+++ b/src/routing/group_table.hpp
@@ -5,6 +5,7 @@
 #include "routing/prefix_index.hpp"
 #include "routing/sojourn.hpp"
 
+#include <deque>
 #include <unordered_map>
 
 namespace gooseberrysail::impl {
@@ -24,6 +25,7 @@
   TimePoint backoffUntil{};           ///< It refused lately.
   DomainIndex domain = 0;
   bool open = true;
+  bool listed = true; ///< A candidate now; false while only remembered.
 };
 
 /// \brief What the refresh and the feedback need of a group.
@@ -70,6 +72,22 @@
 
   Slot Insert(const RouteCandidate& candidate);
   void Erase(Slot slot);
+  /// \brief Takes a group off the list but remembers it for a while.
+  /// \remarks Groups go and come with each lost connection. Forgotten, a group would come back
+  /// without the requests that are still running there and with an unknown cache.
+  void Park(TimePoint now, Slot slot);
+
+private:
+  static constexpr std::size_t kMostParked = 64;
+  static constexpr Duration kParkedFor = std::chrono::seconds(60);
+  struct Parked
+  {
+    GroupId group;
+    TimePoint since{};
+  };
+  void ErasePastParked(TimePoint now);
+
+  std::deque<Parked> m_parked;
 };
 
 /// \brief The candidates of one catalogue entry.
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -90,6 +90,30 @@
     CountAwaiting(now, slot, -groups.health[slot].awaitingFirst / own);
   }
 
+  Slot Insert(const RouteCandidate& candidate)
+  {
+    const Slot slot = groups.Insert(candidate);
+    groups.scores[slot].listed = false;
+    // The slot may have been another group's until just now; its records must not become this
+    // one's.
+    groups.feeds[slot] = {};
+    groups.feeds[slot].validSince = latest + impl::kPrefixTick;
+    hits.resize(groups.scores.size());
+    return slot;
+  }
+
+  void List(Slot slot)
+  {
+    impl::EntryTable& entry = entries[groups.candidates[slot].entry];
+    entry.slots.push_back(slot);
+    groups.scores[slot].listed = true;
+    groups.health[slot].heardAt = latest;
+    if (entry.used && latest - entry.firstUsed > kSettled) {
+      BeginRamp(slot);
+      groups.scores[slot].others = static_cast<float>(entry.meanOthers);
+    }
+  }
+
   void BeginRamp(Slot slot)
   {
     groups.health[slot].ramping = true;
@@ -128,24 +152,19 @@
 {
   impl::GroupTable& groups = m_impl->groups;
   Slot slot = groups.Find(candidate.group);
-  if (slot != kNoSlot && groups.candidates[slot].entry == candidate.entry) {
-    groups.candidates[slot] = candidate;
-    groups.scores[slot].domain = m_impl->Domain(candidate.failureDomain);
-    return;
+  const bool same = slot != kNoSlot && groups.candidates[slot].entry == candidate.entry &&
+                    groups.candidates[slot].epoch == candidate.epoch;
+  if (slot != kNoSlot && !same) {
+    Remove(candidate.group);
+    groups.Erase(slot);
+  }
+  if (!same) {
+    slot = m_impl->Insert(candidate);
   }
-  Remove(candidate.group);
-  slot = groups.Insert(candidate);
+  groups.candidates[slot] = candidate;
   groups.scores[slot].domain = m_impl->Domain(candidate.failureDomain);
-  groups.health[slot].heardAt = m_impl->latest;
-  groups.feeds[slot] = {};
-  // The slot may have been another group's until just now; its records must not become this one's.
-  groups.feeds[slot].validSince = m_impl->latest + impl::kPrefixTick;
-  m_impl->hits.resize(groups.scores.size());
-  impl::EntryTable& entry = m_impl->entries[candidate.entry];
-  entry.slots.push_back(slot);
-  if (entry.used && m_impl->latest - entry.firstUsed > kSettled) {
-    m_impl->BeginRamp(slot);
-    groups.scores[slot].others = static_cast<float>(entry.meanOthers);
+  if (!groups.scores[slot].listed) {
+    m_impl->List(slot);
   }
 }
 
@@ -153,18 +172,19 @@
 {
   impl::GroupTable& groups = m_impl->groups;
   const Slot slot = groups.Find(group);
-  if (slot == kNoSlot) {
+  if (slot == kNoSlot || !groups.scores[slot].listed) {
     return;
   }
   const auto entry = m_impl->entries.find(groups.candidates[slot].entry);
   std::erase(entry->second.slots, slot);
-  groups.Erase(slot);
+  groups.Park(m_impl->latest, slot);
 }
 
 const RouteCandidate* Router::Find(GroupId group) const
 {
   const Slot slot = m_impl->groups.Find(group);
-  return slot == kNoSlot ? nullptr : &m_impl->groups.candidates[slot];
+  const bool listed = slot != kNoSlot && m_impl->groups.scores[slot].listed;
+  return listed ? &m_impl->groups.candidates[slot] : nullptr;
 }
 
 std::size_t Router::CandidateCount(const EntryName& entry) const
@@ -267,7 +287,8 @@
   }
   for (std::size_t i = 0; scan < count && i < m_impl->matchCount; ++i) {
     const Slot slot = m_impl->matches[i].slot;
-    if (m_impl->groups.candidates[slot].entry == query.entry) {
+    const bool listed = m_impl->groups.scores[slot].listed;
+    if (listed && m_impl->groups.candidates[slot].entry == query.entry) {
       consider(slot);
     }
   }
--- a/tests/unit/router_failure_test.cpp
+++ b/tests/unit/router_failure_test.cpp
@@ -123,6 +123,40 @@
   }
 }
 
+// Symptom: after each lost connection a group is overfilled and its cached prefixes are forgotten.
+// Sequence: the connection to its agent dies and is replaced; the answers go on over the new one.
+// Cause: a group off the list is taken for a group that ended.
+TEST(RouterFailure, AGroupThatComesBackIsTheSameGroup)
+{
+  RouterWorld world(5);
+  world.prompt = { 1, 2, 3, 4 };
+  const GroupId group = world.Send();
+  world.now += seconds(1);
+  world.router.Remove(group);
+  EXPECT_EQ(world.router.Find(group), nullptr);
+  EXPECT_EQ(world.router.CandidateCount(RouterWorld::Model()), 4U);
+  for (int i = 0; i < 20; ++i) {
+    EXPECT_NE(world.router.Choose(world.now, world.Query()), group);
+  }
+  SECTION("back on the list with what still runs there and its cache")
+  {
+    world.Announce(group.Get());
+    EXPECT_EQ(world.router.Load(RouterWorld::Model()).inFlight, 1);
+    EXPECT_EQ(world.router.Choose(world.now, world.Query()), group);
+    world.router.OnFinished(world.now, group, AttemptResult::kCompleted, {});
+    EXPECT_EQ(world.router.Load(RouterWorld::Model()).inFlight, 0);
+  }
+  SECTION("a new epoch is a new start")
+  {
+    RouteCandidate formed = *world.router.Find(group);
+    formed.epoch = Epoch(9);
+    world.Send();
+    world.router.Upsert(formed);
+    EXPECT_EQ(world.router.CandidateCount(RouterWorld::Model()), 5U);
+    EXPECT_EQ(world.router.Load(RouterWorld::Model()).inFlight, 0);
+  }
+}
+
 // Symptom: a group that cuts every answer keeps getting requests.
 // Sequence: its failures are fast, so it always has the least in flight.
 // Cause: failing fast looks like being free.
