--- a/src/http/http_call.cpp
+++ b/src/http/http_call.cpp
@@ -224,8 +224,9 @@
   TargetAnswerIn part = MakeFirstPart(m_call.exchange, parser->get());
   std::array<char, kPartBytes> bytes;
   while (!parser->is_done()) {
-    // What the last read brought is delivered before waiting for more.
-    const bool waits = m_buffer.size() == 0 || part.bytes.size() >= kPartBytes;
+    // What the last read brought is delivered before waiting for more. With a length the rest of
+    // the buffer is body too and joins it; with chunks the buffer may hold a bare line end.
+    const bool waits = parser->chunked() || m_buffer.size() == 0 || part.bytes.size() >= kPartBytes;
     if (waits && (part.status || !part.bytes.empty())) {
       if (!Deliver(std::exchange(part, MakePart(m_call.exchange)))) {
         return false;
--- a/src/http/http_session_read.cpp
+++ b/src/http/http_session_read.cpp
@@ -72,6 +72,9 @@
   , m_hooks(hooks)
   , m_deadline(m_socket.get_executor())
 {
+  // A read on readiness that turned out false must return, not stop the whole thread.
+  boost::system::error_code ignored;
+  m_socket.non_blocking(true, ignored);
 }
 
 void HttpSession::Serve()
@@ -122,15 +125,20 @@
   m_idle = true;
   const Duration timeout = m_hooks.isStopping() ? kStoppingIdleTimeout : m_settings.idleTimeout;
   m_deadline.Arm(timeout, [this] { Close(); });
-  const auto [error, size] =
-    Await([&](auto done) { m_socket.async_read_some(m_buffer.prepare(kFirstReadBytes), done); });
+  // Only waits, and reads afterwards: bytes already read but not yet seen by this fiber would look
+  // like an idle connection to CloseIfIdle. An idle connection so needs no buffer either.
+  boost::system::error_code error = asio::error::would_block;
+  while (error == asio::error::would_block) {
+    const auto [failed, none] =
+      Await([&](auto done) { m_socket.async_wait(tcp::socket::wait_read, done); });
+    if (m_closed || failed) {
+      return false;
+    }
+    m_buffer.commit(m_socket.read_some(m_buffer.prepare(kFirstReadBytes), error));
+  }
   m_idle = false;
   m_deadline.Disarm();
-  if (m_closed || error) {
-    return false;
-  }
-  m_buffer.commit(size);
-  return true;
+  return !error;
 }
 
 std::optional<HttpSession::Request> HttpSession::ReadRequest()
@@ -253,7 +261,7 @@
   boost::system::error_code error;
   const std::size_t size = m_socket.read_some(m_buffer.prepare(kFirstReadBytes), error);
   m_buffer.commit(size);
-  if (error) {
+  if (error && error != asio::error::would_block) {
     LoseCaller();
     return;
   }
--- /dev/null
+++ b/tests/support/raw_connection.hpp
@@ -0,0 +1,143 @@
+#pragma once
+
+#include "gooseberrysail/net/endpoint.hpp"
+#include "gooseberrysail/net/fiber_runtime.hpp"
+
+#include <array>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/write.hpp>
+#include <cstddef>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace gooseberrysail::tests {
+
+/// \brief A plain TCP connection that sends and shows bytes as they are.
+class RawConnection
+{
+public:
+  RawConnection(IoRuntime& runtime, const std::string& address)
+    : socket(runtime.Io())
+  {
+    const auto endpoint = ParseEndpoint(address);
+    const auto [error, size] =
+      Await([&](auto done) { socket.async_connect(endpoint.value(), done); });
+    connected = !error;
+  }
+
+  bool Write(std::string_view bytes)
+  {
+    const auto [error, size] =
+      Await([&](auto done) { boost::asio::async_write(socket, boost::asio::buffer(bytes), done); });
+    return !error;
+  }
+
+  /// \brief Reads until `text` arrived; false when the connection ended first.
+  bool ReadUntil(std::string_view text)
+  {
+    while (received.find(text) == std::string::npos) {
+      if (!ReadSome()) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  /// \brief Reads until at least `size` bytes arrived.
+  bool ReadSize(std::size_t size)
+  {
+    while (received.size() < size) {
+      if (!ReadSome()) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  /// \returns All that arrived until the connection ended.
+  const std::string& ReadToEnd()
+  {
+    while (ReadSome()) {
+    }
+    return received;
+  }
+
+  void Close()
+  {
+    boost::system::error_code ignored;
+    socket.close(ignored);
+  }
+
+  boost::asio::ip::tcp::socket socket;
+  bool connected = false;
+  std::string received;
+
+private:
+  bool ReadSome()
+  {
+    std::array<char, 4096> bytes{};
+    const auto [error, size] =
+      Await([&](auto done) { socket.async_read_some(boost::asio::buffer(bytes), done); });
+    received.append(bytes.data(), size);
+    return !error;
+  }
+};
+
+/// \brief A server that gives each connection the same bytes after the first it receives, and
+/// closes.
+class RawServer
+{
+public:
+  RawServer(IoRuntime& runtime, std::string answer)
+    : m_runtime(runtime)
+    , m_answer(std::move(answer))
+    , m_acceptor(Listen(runtime.Io(), "127.0.0.1:0").value())
+    , m_ended(std::make_shared<Signal>())
+  {
+    address = ToAddress(m_acceptor.local_endpoint());
+    runtime.Spawn([this] {
+      Serve();
+      m_running = false;
+      m_ended->Notify();
+    });
+  }
+
+  ~RawServer()
+  {
+    boost::system::error_code ignored;
+    m_acceptor.close(ignored);
+    while (m_running) {
+      m_ended->Wait();
+    }
+  }
+
+  RawServer(const RawServer&) = delete;
+  RawServer& operator=(const RawServer&) = delete;
+
+  std::string address;
+
+private:
+  void Serve()
+  {
+    for (;;) {
+      boost::asio::ip::tcp::socket socket(m_runtime.Io());
+      const auto [error, size] = Await([&](auto done) { m_acceptor.async_accept(socket, done); });
+      if (error) {
+        return;
+      }
+      std::array<char, 4096> bytes{};
+      Await([&](auto done) { socket.async_read_some(boost::asio::buffer(bytes), done); });
+      Await(
+        [&](auto done) { boost::asio::async_write(socket, boost::asio::buffer(m_answer), done); });
+    }
+  }
+
+  IoRuntime& m_runtime;
+  std::string m_answer;
+  boost::asio::ip::tcp::acceptor m_acceptor;
+  std::shared_ptr<Signal> m_ended;
+  bool m_running = true;
+};
+
+} // namespace gooseberrysail::tests
--- /dev/null
+++ b/tests/unit/frame_codec_test.cpp
@@ -0,0 +1,115 @@
+#include "net/frame_codec.hpp"
+#include "support/section.hpp"
+
+#include <algorithm>
+
+namespace gooseberrysail::impl {
+namespace {
+
+std::vector<std::uint8_t> NumberFrame(std::uint64_t number)
+{
+  wire::InForceT message;
+  message.version = number;
+  return EncodeFrame(*MakeEnvelope(std::move(message)));
+}
+
+void Feed(FrameReader& reader, std::span<const std::uint8_t> bytes)
+{
+  while (!bytes.empty()) {
+    const auto room = reader.Prepare();
+    const std::size_t size = std::min(room.size(), bytes.size());
+    std::copy_n(bytes.begin(), size, room.begin());
+    reader.Commit(size);
+    bytes = bytes.subspan(size);
+  }
+}
+
+std::vector<std::uint64_t> Numbers(FrameReader& reader)
+{
+  std::vector<std::uint64_t> numbers;
+  for (;;) {
+    const auto frame = reader.Next("peer");
+    if (!frame || !frame.value()) {
+      return numbers;
+    }
+    EXPECT_EQ(reinterpret_cast<std::uintptr_t>((*frame.value()).data()) % 8, 0U);
+    const auto envelope = DecodeEnvelope(*frame.value(), "peer");
+    numbers.push_back(envelope ? envelope.value()->body.AsInForce()->version : 0);
+  }
+}
+
+TEST(FrameCodec, CutsAStreamIntoFramesWhereverItIsSplit)
+{
+  std::vector<std::uint8_t> stream;
+  for (std::uint64_t number = 1; number <= 5; ++number) {
+    const auto frame = NumberFrame(number);
+    stream.insert(stream.end(), frame.begin(), frame.end());
+  }
+  for (std::size_t piece = 1; piece <= stream.size(); ++piece) {
+    FrameReader reader(kMaxFrameBytes);
+    std::vector<std::uint64_t> numbers;
+    for (std::size_t at = 0; at < stream.size(); at += piece) {
+      Feed(reader, std::span(stream).subspan(at, std::min(piece, stream.size() - at)));
+      const auto found = Numbers(reader);
+      numbers.insert(numbers.end(), found.begin(), found.end());
+    }
+    EXPECT_EQ(numbers, (std::vector<std::uint64_t>{ 1, 2, 3, 4, 5 })) << "pieces of " << piece;
+  }
+}
+
+TEST(FrameCodec, RefusesAFrameOverTheLimitBeforeItsBytesArrive)
+{
+  FrameReader reader(100);
+  Feed(reader, std::vector<std::uint8_t>{ 101, 0, 0, 0 });
+  const auto frame = reader.Next("agent-1");
+  ASSERT_FALSE(frame);
+  EXPECT_EQ(frame.error().code, ErrorCode::kTooLarge);
+  EXPECT_EQ(frame.error().peer, "agent-1");
+  SECTION("a frame of exactly the limit is waited for")
+  {
+    FrameReader exact(100);
+    Feed(exact, std::vector<std::uint8_t>{ 100, 0, 0, 0 });
+    const auto waiting = exact.Next("agent-1");
+    ASSERT_TRUE(waiting);
+    EXPECT_FALSE(waiting.value());
+  }
+}
+
+TEST(FrameCodec, RefusesAFrameOfNoBytes)
+{
+  FrameReader reader(100);
+  Feed(reader, std::vector<std::uint8_t>{ 0, 0, 0, 0 });
+  const auto frame = reader.Next("agent-1");
+  ASSERT_FALSE(frame);
+  EXPECT_EQ(frame.error().code, ErrorCode::kCorrupt);
+}
+
+// Symptom: a stranger makes the process allocate gigabytes with a few small packets.
+// Cause: memory taken for the length that a prefix claims instead of for the bytes that came.
+TEST(FrameCodec, GrowsWithWhatArrivedNotWithWhatIsClaimed)
+{
+  FrameReader reader(kMaxFrameBytes);
+  Feed(reader, std::vector<std::uint8_t>{ 0, 0, 0xff, 0 });
+  ASSERT_TRUE(reader.Next("peer"));
+  EXPECT_LE(reader.Prepare().size(), 64U * 1024U);
+}
+
+TEST(FrameCodec, EveryDamagedByteIsRefusedOrDecodedButNeverReadOutside)
+{
+  const auto frame = NumberFrame(77);
+  for (std::size_t at = kFramePrefixBytes; at < frame.size(); ++at) {
+    for (const std::uint8_t value : { 0x00, 0x7f, 0x80, 0xff }) {
+      auto damaged = frame;
+      damaged[at] = value;
+      FrameReader reader(kMaxFrameBytes);
+      Feed(reader, damaged);
+      const auto bytes = reader.Next("peer");
+      ASSERT_TRUE(bytes && bytes.value());
+      const auto envelope = DecodeEnvelope(*bytes.value(), "peer");
+      EXPECT_TRUE(envelope || envelope.error().code == ErrorCode::kCorrupt);
+    }
+  }
+}
+
+} // namespace
+} // namespace gooseberrysail::impl
--- /dev/null
+++ b/tests/unit/http_client_test.cpp
@@ -0,0 +1,188 @@
+#include "support/http_exchange.hpp"
+#include "support/raw_connection.hpp"
+#include "support/section.hpp"
+
+namespace gooseberrysail {
+namespace {
+
+using tests::kPatience;
+using tests::NotingClient;
+using tests::NotingServer;
+using tests::RawServer;
+
+TEST(HttpClient, StreamsAnAnswerPartByPart)
+{
+  IoRuntime runtime;
+  NotingServer target(runtime);
+  NotingClient agent(runtime);
+  agent.Start(target.address, 7, Duration::zero(), "prompt");
+  EXPECT_EQ(target.Request(1).body, "prompt");
+  EXPECT_EQ(FindHeader(target.Request(1).headers, "Host"), target.address);
+
+  target.Send(target.Request(1), "one", false);
+  ASSERT_TRUE(agent.WaitFor([&] { return agent.Body() == "one"; }));
+  EXPECT_EQ(agent.parts[0].status, 200U);
+  EXPECT_EQ(agent.parts[0].exchange, ExchangeId(7));
+  EXPECT_EQ(FindHeader(agent.parts[0].headers, "content-type"), "text/plain");
+  EXPECT_FALSE(agent.IsWhole());
+
+  target.Send(target.Request(1), "two", true);
+  ASSERT_TRUE(agent.WaitFor([&] { return agent.IsWhole(); }));
+  EXPECT_EQ(agent.Body(), "onetwo");
+  EXPECT_TRUE(agent.failures.empty());
+}
+
+TEST(HttpClient, ReusesAConnectionWhoseAnswerWasWhole)
+{
+  IoRuntime runtime;
+  NotingServer target(runtime);
+  target.onRequest = [&](const HttpRequestIn& request) { target.Send(request, "ok", true); };
+  HttpClient client(runtime, {});
+  for (int i = 0; i < 3; ++i) {
+    const auto reply = client.Fetch(target.address, "GET", "/", {}, "", kPatience);
+    ASSERT_TRUE(reply) << reply.error();
+    EXPECT_EQ(reply.value().status, 200U);
+    EXPECT_EQ(reply.value().body, "ok");
+  }
+  EXPECT_EQ(target.server.Counters().connections, 1U);
+}
+
+// Symptom: half an answer is handed on as a whole one.
+TEST(HttpClient, AnAnswerThatEndsTooEarlyFails)
+{
+  const std::vector<std::pair<std::string, std::string>> cases{
+    { "short of its length", "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf" },
+    { "without its last chunk",
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n" },
+    { "in the middle of a chunk",
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n8\r\nhalf" },
+    { "in its headers", "HTTP/1.1 200 OK\r\nContent-Le" },
+    { "before its first byte", "" },
+    { "or that nobody can tell whole from cut", "HTTP/1.1 200 OK\r\n\r\nhalf" },
+  };
+  for (const auto& [name, bytes] : cases) {
+    SECTION(name)
+    {
+      IoRuntime runtime;
+      RawServer target(runtime, bytes);
+      NotingClient agent(runtime);
+      agent.Start(target.address, 1);
+      ASSERT_TRUE(agent.WaitFor([&] { return !agent.failures.empty(); }));
+      EXPECT_FALSE(agent.IsWhole());
+      EXPECT_FALSE(agent.failures[0].neverSent);
+      EXPECT_EQ(agent.failures[0].error.peer, target.address);
+      EXPECT_EQ(agent.failures[0].error.step, "read answer");
+    }
+  }
+}
+
+TEST(HttpClient, SkipsAnAnnouncementBeforeTheAnswer)
+{
+  IoRuntime runtime;
+  RawServer target(
+    runtime, "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 201 Created\r\nContent-Length: 2\r\n\r\nok");
+  HttpClient client(runtime, {});
+  const auto reply = client.Fetch(target.address, "GET", "/", {}, "", kPatience);
+  ASSERT_TRUE(reply) << reply.error();
+  EXPECT_EQ(reply.value().status, 201U);
+}
+
+TEST(HttpClient, SaysNeverSentOnlyWhenNoByteLeft)
+{
+  IoRuntime runtime;
+  SECTION("nobody listens")
+  {
+    std::string address;
+    {
+      RawServer gone(runtime, "");
+      address = gone.address;
+    }
+    NotingClient agent(runtime);
+    agent.Start(address, 1);
+    ASSERT_TRUE(agent.WaitFor([&] { return !agent.failures.empty(); }));
+    EXPECT_TRUE(agent.failures[0].neverSent);
+    EXPECT_EQ(agent.failures[0].error.step, "connect to target");
+  }
+  SECTION("a path that would forge a second request is never sent")
+  {
+    NotingServer target(runtime);
+    HttpClient client(runtime, {});
+    const auto reply = client.Fetch(target.address, "GET", "/ HTTP/1.1\r\nX: y", {}, "", kPatience);
+    ASSERT_FALSE(reply);
+    EXPECT_EQ(reply.error().code, ErrorCode::kInvalid);
+    EXPECT_TRUE(target.requests.empty());
+  }
+  SECTION("the target got the request and says nothing")
+  {
+    NotingServer target(runtime);
+    NotingClient agent(runtime);
+    agent.Start(target.address, 1, std::chrono::milliseconds(50));
+    ASSERT_TRUE(agent.WaitFor([&] { return !agent.failures.empty(); }));
+    EXPECT_FALSE(agent.failures[0].neverSent);
+    EXPECT_EQ(agent.failures[0].error.code, ErrorCode::kTimeout);
+    SECTION("and sees its caller gone")
+    {
+      EXPECT_TRUE(target.WaitFor([&] { return target.gone.size() == 1; }));
+    }
+  }
+}
+
+TEST(HttpClient, ACancelledCallIsSeenByTheTargetAndNoHookIsCalled)
+{
+  IoRuntime runtime;
+  NotingServer target(runtime);
+  NotingClient agent(runtime);
+  agent.Start(target.address, 1);
+  target.Send(target.Request(1), "begun", false);
+  ASSERT_TRUE(agent.WaitFor([&] { return agent.Body() == "begun"; }));
+  const std::size_t partsBefore = agent.parts.size();
+  agent.client.Cancel(ExchangeId(1));
+  ASSERT_TRUE(target.WaitFor([&] { return target.gone.size() == 1; }));
+  EXPECT_EQ(agent.parts.size(), partsBefore);
+  EXPECT_TRUE(agent.failures.empty());
+}
+
+TEST(HttpClient, AFetchThatIsNotWholeInTimeFails)
+{
+  IoRuntime runtime;
+  NotingServer target(runtime);
+  target.onRequest = [&](const HttpRequestIn& request) { target.Send(request, "begun", false); };
+  HttpClient client(runtime, {});
+  const auto reply =
+    client.Fetch(target.address, "GET", "/", {}, "", std::chrono::milliseconds(100));
+  ASSERT_FALSE(reply);
+  EXPECT_EQ(reply.error().code, ErrorCode::kTimeout);
+  EXPECT_EQ(reply.error().peer, target.address);
+}
+
+TEST(HttpClient, AnAnswerOverTheLimitIsNotCollected)
+{
+  IoRuntime runtime;
+  NotingServer target(runtime);
+  target.onRequest = [&](const HttpRequestIn& request) {
+    target.Send(request, std::string(5000, 'x'), true);
+  };
+  HttpClientSettings settings;
+  settings.maxFetchedBytes = 4000;
+  HttpClient client(runtime, settings);
+  const auto reply = client.Fetch(target.address, "GET", "/", {}, "", kPatience);
+  ASSERT_FALSE(reply);
+  EXPECT_EQ(reply.error().code, ErrorCode::kTooLarge);
+}
+
+TEST(HttpClient, CarriesALargeBodyAndAnswerWhole)
+{
+  IoRuntime runtime;
+  NotingServer target(runtime);
+  target.onRequest = [&](const HttpRequestIn& request) {
+    target.Send(request, request.body, true);
+  };
+  HttpClient client(runtime, {});
+  const std::string body(5 * 1024 * 1024, 'b');
+  const auto reply = client.Fetch(target.address, "POST", "/", {}, body, kPatience);
+  ASSERT_TRUE(reply) << reply.error();
+  EXPECT_TRUE(reply.value().body == body);
+}
+
+} // namespace
+} // namespace gooseberrysail
--- /dev/null
+++ b/tests/unit/http_server_test.cpp
@@ -0,0 +1,327 @@
+#include "support/http_exchange.hpp"
+#include "support/raw_connection.hpp"
+#include "support/section.hpp"
+
+namespace gooseberrysail {
+namespace {
+
+using tests::kPatience;
+using tests::NotingServer;
+using tests::RawConnection;
+
+constexpr const char* kGet = "GET /health HTTP/1.1\r\nHost: x\r\n\r\n";
+
+bool Contains(const std::string& text, const std::string& part)
+{
+  return text.find(part) != std::string::npos;
+}
+
+TEST(HttpServer, AnswersOneRequestAfterAnotherOnOneConnection)
+{
+  IoRuntime runtime;
+  NotingServer server(runtime);
+  ASSERT_TRUE(server.started);
+  RawConnection caller(runtime, server.address);
+
+  SECTION("the request arrives with method, target, headers, body and the caller's address")
+  {
+    caller.Write(
+      "POST /a?b=c HTTP/1.1\r\nHost: x\r\nX-Kind: roller\r\nContent-Length: 4\r\n\r\nbody");
+    const HttpRequestIn& request = server.Request(1);
+    EXPECT_EQ(request.method, "POST");
+    EXPECT_EQ(request.target, "/a?b=c");
+    EXPECT_EQ(FindHeader(request.headers, "x-kind"), "roller");
+    EXPECT_EQ(request.body, "body");
+    EXPECT_EQ(request.peer, ToAddress(caller.socket.local_endpoint()));
+  }
+  SECTION("a whole answer carries its length")
+  {
+    server.Send(server.Request(1), "hello", true);
+    ASSERT_TRUE(caller.ReadUntil("\r\n\r\nhello"));
+    EXPECT_TRUE(Contains(caller.received, "Content-Length: 5"));
+    EXPECT_FALSE(Contains(caller.received, "chunked"));
+  }
+  SECTION("a streamed answer leaves part by part")
+  {
+    caller.received.clear();
+    caller.Write(kGet);
+    server.Send(server.Request(2), "one", false);
+    ASSERT_TRUE(caller.ReadUntil("one\r\n"));
+    EXPECT_TRUE(Contains(caller.received, "Transfer-Encoding: chunked"));
+    server.Send(server.Request(2), "two", false);
+    ASSERT_TRUE(caller.ReadUntil("two\r\n"));
+    server.Send(server.Request(2), "", true);
+    ASSERT_TRUE(caller.ReadUntil("0\r\n\r\n"));
+  }
+  SECTION("an answer to HEAD has the length and no body")
+  {
+    caller.received.clear();
+    caller.Write("HEAD / HTTP/1.1\r\nHost: x\r\n\r\n");
+    server.Send(server.Request(3), "hidden", true);
+    caller.Write(kGet);
+    server.Send(server.Request(4), "shown", true);
+    ASSERT_TRUE(caller.ReadUntil("shown"));
+    EXPECT_TRUE(Contains(caller.received, "Content-Length: 6"));
+    EXPECT_FALSE(Contains(caller.received, "hidden"));
+  }
+  EXPECT_EQ(server.server.Counters().connections, 1U);
+  EXPECT_EQ(server.server.Counters().requests, 4U);
+  EXPECT_EQ(server.server.PendingExchanges(), 0U);
+}
+
+// Symptom: a caller takes half an answer for a whole one.
+// Sequence: the engine dies in the middle of a stream; the answer is aborted.
+TEST(HttpServer, AnAbortedAnswerCannotLookWhole)
+{
+  IoRuntime runtime;
+  SECTION("chunked: the last chunk is missing")
+  {
+    NotingServer server(runtime);
+    RawConnection caller(runtime, server.address);
+    caller.Write(kGet);
+    server.Send(server.Request(1), "half", false);
+    ASSERT_TRUE(caller.ReadUntil("half"));
+    server.Send(server.Request(1), " more", false, true);
+    EXPECT_TRUE(Contains(caller.ReadToEnd(), " more"));
+    EXPECT_FALSE(Contains(caller.received, "0\r\n\r\n"));
+    EXPECT_EQ(server.server.Counters().aborted, 1U);
+    EXPECT_TRUE(server.gone.empty());
+  }
+  SECTION("HTTP/1.0 has no chunks: nothing is sent before the end is known")
+  {
+    NotingServer server(runtime);
+    RawConnection caller(runtime, server.address);
+    caller.Write("GET / HTTP/1.0\r\n\r\n");
+    server.Send(server.Request(1), "half", false);
+    server.Send(server.Request(1), "", false, true);
+    EXPECT_EQ(caller.ReadToEnd(), "");
+  }
+  SECTION("HTTP/1.0: a stream that ends is sent with its length")
+  {
+    NotingServer server(runtime);
+    RawConnection caller(runtime, server.address);
+    caller.Write("GET / HTTP/1.0\r\n\r\n");
+    server.Send(server.Request(1), "half", false);
+    server.Send(server.Request(1), "half", true);
+    EXPECT_TRUE(Contains(caller.ReadToEnd(), "Content-Length: 8\r\n"));
+    EXPECT_TRUE(Contains(caller.received, "halfhalf"));
+  }
+}
+
+TEST(HttpServer, RefusesWhatIsMalformedOrTooLargeWithAJsonError)
+{
+  struct Case
+  {
+    std::string name;
+    std::string bytes;
+    std::string status;
+  };
+  const std::vector<Case> cases{
+    { "not HTTP", "what is this\r\n\r\n", "400 " },
+    { "a bad length", "POST / HTTP/1.1\r\nContent-Length: x\r\n\r\n", "400 " },
+    { "two lengths", "POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n", "400 " },
+    { "length and chunks",
+      "POST / HTTP/1.1\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n",
+      "400 " },
+    { "headers over the limit",
+      "GET / HTTP/1.1\r\nX: " + std::string(2000, 'x') + "\r\n\r\n",
+      "431 " },
+    { "headers without end over the limit",
+      "GET / HTTP/1.1\r\nX: " + std::string(2000, 'x'),
+      "431 " },
+    { "a body announced over the limit",
+      "POST / HTTP/1.1\r\nContent-Length: 2001\r\n\r\n" + std::string(2001, 'x'),
+      "413 " },
+    { "a body announced over the limit that waits for a go-ahead",
+      "POST / HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 2001\r\n\r\n",
+      "413 " },
+    { "chunks over the limit",
+      "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n7d1\r\n" + std::string(2001, 'x') +
+        "\r\n0\r\n\r\n",
+      "413 " },
+  };
+  IoRuntime runtime;
+  NotingServer server(runtime, [](HttpServerSettings& settings) {
+    settings.maxHeaderBytes = 1000;
+    settings.maxBodyBytes = 2000;
+  });
+  for (const Case& one : cases) {
+    SECTION(one.name)
+    {
+      RawConnection caller(runtime, server.address);
+      caller.Write(one.bytes);
+      const std::string& answer = caller.ReadToEnd();
+      EXPECT_EQ(answer.substr(0, 13), "HTTP/1.1 " + one.status);
+      EXPECT_TRUE(Contains(answer, "application/json"));
+      EXPECT_TRUE(Contains(answer, "\"outcome\":\"not-run\""));
+      EXPECT_TRUE(Contains(answer, "Connection: close"));
+    }
+  }
+  EXPECT_TRUE(server.requests.empty());
+  EXPECT_EQ(server.server.Counters().rejected, cases.size());
+
+  SECTION("a body of exactly the limit is taken, after a go-ahead where one is asked for")
+  {
+    RawConnection caller(runtime, server.address);
+    caller.Write("POST / HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 2000\r\n\r\n");
+    ASSERT_TRUE(caller.ReadUntil("100 Continue\r\n\r\n"));
+    caller.Write(std::string(2000, 'x'));
+    EXPECT_EQ(server.Request(1).body.size(), 2000U);
+    server.Send(server.Request(1), "taken", true);
+    EXPECT_TRUE(caller.ReadUntil("taken"));
+  }
+}
+
+// Symptom: engines work on for callers who gave up long ago.
+TEST(HttpServer, NoticesThatTheCallerLeftWhileItsAnswerIsPending)
+{
+  IoRuntime runtime;
+  NotingServer server(runtime);
+  SECTION("before the answer began")
+  {
+    RawConnection caller(runtime, server.address);
+    caller.Write(kGet);
+    const ExchangeId exchange = server.Request(1).exchange;
+    caller.Close();
+    ASSERT_TRUE(server.WaitFor([&] { return server.gone.size() == 1; }));
+    EXPECT_EQ(server.gone[0], exchange);
+  }
+  SECTION("in the middle of a stream")
+  {
+    RawConnection caller(runtime, server.address);
+    caller.Write(kGet);
+    server.Send(server.Request(2), "part", false);
+    ASSERT_TRUE(caller.ReadUntil("part"));
+    caller.Close();
+    ASSERT_TRUE(server.WaitFor([&] { return server.gone.size() == 2; }));
+  }
+  SECTION("having sent its next request already")
+  {
+    RawConnection caller(runtime, server.address);
+    caller.Write(std::string(kGet) + kGet);
+    server.Request(3);
+    caller.Close();
+    ASSERT_TRUE(server.WaitFor([&] { return server.gone.size() == 3; }));
+  }
+  SECTION("an answer for it is dropped")
+  {
+    server.Send(server.Request(3), "late", true);
+    EXPECT_EQ(server.server.PendingExchanges(), 0U);
+  }
+  EXPECT_EQ(server.server.Counters().callersGone, 3U);
+}
+
+TEST(HttpServer, AnswersPipelinedRequestsInOrder)
+{
+  IoRuntime runtime;
+  NotingServer server(runtime);
+  RawConnection caller(runtime, server.address);
+  caller.Write(std::string(kGet) + kGet);
+  server.Send(server.Request(1), "first", true);
+  server.Send(server.Request(2), "second", true);
+  ASSERT_TRUE(caller.ReadUntil("second"));
+  EXPECT_LT(caller.received.find("first"), caller.received.find("second"));
+}
+
+// Symptom: the process grows while a caller reads nothing of a long stream.
+TEST(HttpServer, CutsACallerWhoReadsTooSlowly)
+{
+  IoRuntime runtime;
+  NotingServer server(
+    runtime, [](HttpServerSettings& settings) { settings.maxQueuedAnswerBytes = 1024 * 1024; });
+  RawConnection caller(runtime, server.address);
+  caller.Write(kGet);
+  const HttpRequestIn request = server.Request(1);
+  std::size_t queued = 0;
+  for (int i = 0; i < 1000 && server.gone.empty(); ++i) {
+    server.Send(request, std::string(100 * 1024, 'x'), false);
+    queued = std::max(queued, server.server.QueuedBytes(request.exchange));
+    runtime.SleepFor(std::chrono::milliseconds(1));
+  }
+  ASSERT_EQ(server.gone.size(), 1U);
+  EXPECT_LE(queued, 1024U * 1024U);
+  EXPECT_EQ(server.server.Counters().aborted, 1U);
+  caller.ReadToEnd();
+  EXPECT_NE(caller.received.substr(caller.received.size() - 5), "0\r\n\r\n");
+}
+
+TEST(HttpServer, AGracefulStopCutsNoRequestInFlight)
+{
+  IoRuntime runtime;
+  NotingServer server(runtime);
+  RawConnection idle(runtime, server.address);
+  RawConnection busy(runtime, server.address);
+  idle.Write(kGet);
+  server.Send(server.Request(1), "done", true);
+  ASSERT_TRUE(idle.ReadUntil("done"));
+  busy.Write(kGet);
+  const HttpRequestIn request = server.Request(2);
+  server.Send(request, "begun", false);
+  ASSERT_TRUE(busy.ReadUntil("begun"));
+  RawConnection asking(runtime, server.address);
+  asking.Write(kGet);
+
+  server.server.StopAccepting();
+  SECTION("the idle connection is closed, and new ones are refused")
+  {
+    idle.ReadToEnd();
+    EXPECT_FALSE(RawConnection(runtime, server.address).connected);
+  }
+  SECTION("a request that was under way when the stop came is handed over still")
+  {
+    server.Send(server.Request(3), "served", true);
+    ASSERT_TRUE(Contains(asking.ReadToEnd(), "served"));
+    EXPECT_TRUE(Contains(asking.received, "Connection: close"));
+  }
+  SECTION("the stream goes on to its end, and only then the server is drained")
+  {
+    EXPECT_FALSE(server.server.WaitDrained(std::chrono::milliseconds(20)));
+    server.Send(request, "ended", true);
+    ASSERT_TRUE(busy.ReadUntil("0\r\n\r\n"));
+    busy.Close();
+    EXPECT_TRUE(server.server.WaitDrained(kPatience));
+  }
+}
+
+TEST(HttpServer, ClosesCallersWhoSendTooSlowly)
+{
+  IoRuntime runtime;
+  NotingServer server(runtime, [](HttpServerSettings& settings) {
+    settings.requestTimeout = std::chrono::milliseconds(50);
+    settings.idleTimeout = std::chrono::milliseconds(50);
+  });
+  RawConnection slow(runtime, server.address);
+  slow.Write("GET / HT");
+  EXPECT_TRUE(Contains(slow.ReadToEnd(), "HTTP/1.1 408 "));
+  RawConnection idle(runtime, server.address);
+  EXPECT_EQ(idle.ReadToEnd(), "");
+  EXPECT_TRUE(server.requests.empty());
+}
+
+// Symptom: an answer with forged headers or a second, made-up answer behind it.
+// Cause: a target's header value that holds a line break.
+TEST(HttpServer, DropsHeadersThatWouldForgeOthers)
+{
+  IoRuntime runtime;
+  NotingServer server(runtime);
+  RawConnection caller(runtime, server.address);
+  caller.Write(kGet);
+  HttpAnswerOut part;
+  part.exchange = server.Request(1).exchange;
+  part.status = 200;
+  part.headers = { { "X-Good", "yes" },
+                   { "X-Bad", "no\r\nSet-Cookie: stolen" },
+                   { "Content-Length", "99" },
+                   { "Transfer-Encoding", "chunked" } };
+  part.bytes = "fine";
+  part.end = true;
+  server.server.Send(std::move(part));
+  ASSERT_TRUE(caller.ReadUntil("fine"));
+  EXPECT_TRUE(Contains(caller.received, "X-Good: yes"));
+  EXPECT_FALSE(Contains(caller.received, "stolen"));
+  EXPECT_TRUE(Contains(caller.received, "Content-Length: 4"));
+  EXPECT_FALSE(Contains(caller.received, "99"));
+}
+
+} // namespace
+} // namespace gooseberrysail
