--- a/tests/support/control_cluster.hpp
+++ b/tests/support/control_cluster.hpp
@@ -299,9 +299,12 @@
          R"(","replicas":1}},"expectedRevision":)" + expectedRevision + "}";
 }
 
-inline std::string Change(const std::string& id, const std::string& writes)
+inline std::string Change(const std::string& id,
+                          const std::string& writes,
+                          const std::string& operatorName = "winsome")
 {
-  return R"({"changeId":")" + id + R"(","operator":"winsome","writes":[)" + writes + "]}";
+  return R"({"changeId":")" + id + R"(","operator":")" + operatorName + R"(","writes":[)" + writes +
+         "]}";
 }
 
 } // namespace gooseberrysail::test
