--- a/include/gooseberrysail/observe/timeline_report.hpp
+++ b/include/gooseberrysail/observe/timeline_report.hpp
@@ -4,7 +4,6 @@
 
 #include <boost/json/value.hpp>
 #include <cstdint>
-#include <map>
 #include <span>
 #include <string>
 #include <vector>
@@ -16,8 +15,10 @@
 struct MergedTimeline
 {
   std::vector<wire::EventT> events;
-  std::map<std::string, std::uint64_t> dropped; ///< Events each process has dropped, where any.
-  std::vector<std::string> silent;              ///< Processes that gave no answer.
+  std::vector<std::string> notReached; ///< Processes that gave no answer.
+  std::uint64_t notAsked = 0;          ///< Processes beyond those that one query asks.
+  std::uint64_t dropped = 0;           ///< Events that the processes' rings no longer hold.
+  bool truncated = false;              ///< More events matched than one answer holds.
 };
 
 /// \brief Merges the processes' answers by their stamps.
@@ -31,10 +32,7 @@
 /// stamps, and the events of one request are tied together by arrows.
 [[nodiscard]] std::string TimelineChromeTrace(const MergedTimeline& timeline);
 
-/// \brief The form of the admin API: {"events":[...],"dropped":{...},"silent":[...]}.
-[[nodiscard]] boost::json::value TimelineToJson(const MergedTimeline& timeline);
-
-/// \brief The inverse of TimelineToJson.
+/// \brief Reads an answer of the admin API's `timeline` and sorts its events.
 /// \param peer Where the JSON came from, for the error.
 [[nodiscard]] Result<MergedTimeline> TimelineFromJson(const boost::json::value& json,
                                                       std::string_view peer);
--- /dev/null
+++ b/src/cli/change_commands.cpp
@@ -0,0 +1,327 @@
+#include "cli/catalogue_file.hpp"
+#include "cli/commands.hpp"
+#include "cli/json_view.hpp"
+#include "cli/text_table.hpp"
+#include "gooseberrysail/catalogue/codec.hpp"
+
+#include <algorithm>
+#include <array>
+#include <boost/json/parse.hpp>
+#include <cstdio>
+#include <set>
+
+namespace gooseberrysail::impl {
+
+namespace {
+
+namespace json = boost::json;
+
+constexpr unsigned kOk = 200;
+constexpr unsigned kConflict = 409;
+constexpr std::string_view kCataloguePath = "/admin/v1/catalogue";
+/// Every change that control still remembers.
+constexpr std::string_view kHistoryPath = "/admin/v1/history?limit=4000";
+
+std::string DrawChangeId(CommandContext& context)
+{
+  std::array<char, 40> text{};
+  const auto high = static_cast<unsigned long long>(context.environment.random());
+  const auto low = static_cast<unsigned long long>(context.environment.random());
+  const int length = std::snprintf(text.data(), text.size(), "%016llx%016llx", high, low);
+  return { text.data(), static_cast<std::size_t>(length) };
+}
+
+std::string OperatorName(const CommandContext& context)
+{
+  for (const std::string& name : { context.line.operatorName,
+                                   context.environment.variable("GOOSEBERRYSAIL_OPERATOR"),
+                                   context.environment.variable("USER") }) {
+    if (!name.empty()) {
+      return name;
+    }
+  }
+  return "";
+}
+
+const json::object* FindEntry(const json::object& answer,
+                              std::string_view list,
+                              const CatalogueWrite& write)
+{
+  for (const json::object* entry : ObjectsAt(answer, list)) {
+    if (CellAt(*entry, "kind") == write.kind && CellAt(*entry, "name") == write.name) {
+      return entry;
+    }
+  }
+  return nullptr;
+}
+
+std::uint64_t RevisionOf(const json::object* entry)
+{
+  const json::value* revision = entry != nullptr ? entry->if_contains("revision") : nullptr;
+  const std::int64_t* number = revision != nullptr ? revision->if_int64() : nullptr;
+  return number != nullptr ? static_cast<std::uint64_t>(*number) : 0;
+}
+
+/// \brief One change on its way to control.
+class ChangeSender
+{
+public:
+  ChangeSender(CommandContext& context, std::vector<CatalogueWrite> writes)
+    : m_context(context)
+    , m_writes(std::move(writes))
+    , m_resent(!context.line.changeId.empty())
+    , m_changeId(m_resent ? context.line.changeId : DrawChangeId(context))
+    , m_operator(OperatorName(context))
+  {
+  }
+
+  ExitCode Send()
+  {
+    if (m_operator.empty()) {
+      return Fail(m_context, ExitCode::kUsage, "give --operator or set GOOSEBERRYSAIL_OPERATOR");
+    }
+    Result<ControlClient> client = MakeControlClient(m_context);
+    if (!client) {
+      return Fail(m_context, ExitCodeOf(client.error()), ToString(client.error()));
+    }
+    const ExitCode revisions = FillRevisions(client.value());
+    if (revisions != ExitCode::kDone) {
+      return revisions;
+    }
+    if (m_resent) {
+      const ExitCode earlier = LookForEarlier(client.value());
+      if (earlier != ExitCode::kDone || m_reported) {
+        return earlier;
+      }
+    }
+    return Post(client.value());
+  }
+
+private:
+  /// \brief Takes the revisions that the file leaves open from the catalogue as it is now.
+  ExitCode FillRevisions(ControlClient& client)
+  {
+    const bool complete = std::ranges::all_of(
+      m_writes, [](const CatalogueWrite& write) { return write.expectedRevision.has_value(); });
+    if (complete) {
+      return ExitCode::kDone;
+    }
+    json::value answer;
+    const ExitCode code = Read(client, kCataloguePath, answer);
+    if (code != ExitCode::kDone) {
+      return code;
+    }
+    for (CatalogueWrite& write : m_writes) {
+      const json::object* entry = FindEntry(AsObject(answer), "entries", write);
+      if (write.remove && entry == nullptr) {
+        return Fail(
+          m_context, ExitCode::kNotFound, "no " + write.kind + " is named " + write.name);
+      }
+      write.expectedRevision = write.expectedRevision.value_or(RevisionOf(entry));
+    }
+    return ExitCode::kDone;
+  }
+
+  // The try whose answer was lost may have taken effect. Its entries then have new revisions, and
+  // sending them again with these would look like another change under a used id. So the history is
+  // asked first, after the revisions were read: a change missing from it had not taken effect then.
+  ExitCode LookForEarlier(ControlClient& client)
+  {
+    json::value answer;
+    const ExitCode code = Read(client, kHistoryPath, answer);
+    if (code != ExitCode::kDone) {
+      return code;
+    }
+    for (const json::object* change : ObjectsAt(AsObject(answer), "changes")) {
+      if (CellAt(*change, "changeId") != m_changeId) {
+        continue;
+      }
+      m_reported = true;
+      const json::value* ok = change->if_contains("ok");
+      const bool succeeded = ok != nullptr && ok->is_bool() && ok->get_bool();
+      if (succeeded && !IsSameChange(*change, m_writes)) {
+        return Fail(m_context,
+                    ExitCode::kConflict,
+                    "change id " + m_changeId + " was used before for another change");
+      }
+      return succeeded ? ReportDone(*change) : ReportConflict(*change);
+    }
+    return ExitCode::kDone;
+  }
+
+  ExitCode Read(ControlClient& client, std::string_view path, json::value& answer)
+  {
+    const Result<AdminReply> reply = client.Call("GET", path);
+    if (!reply) {
+      return Fail(m_context,
+                  ExitCode::kUnavailable,
+                  ToString(reply.error()) + "; nothing was changed");
+    }
+    if (reply.value().status != kOk) {
+      return Fail(m_context, ExitCodeOf(reply.value().status), ReasonOf(reply.value()));
+    }
+    answer = reply.value().body;
+    return ExitCode::kDone;
+  }
+
+  ExitCode Post(ControlClient& client)
+  {
+    const std::string body = ChangeBody(m_changeId, m_operator, m_writes);
+    const Result<AdminReply> reply = client.Call("POST", kCataloguePath, body);
+    if (!reply) {
+      return ReportNoAnswer(reply.error());
+    }
+    const json::object& answer = AsObject(reply.value().body);
+    if (reply.value().status == kOk) {
+      return ReportDone(answer);
+    }
+    if (reply.value().status == kConflict && answer.contains("ok")) {
+      return ReportConflict(answer);
+    }
+    return Fail(m_context, ExitCodeOf(reply.value().status), ReasonOf(reply.value()));
+  }
+
+  ExitCode ReportNoAnswer(const Error& error)
+  {
+    if (error.code == ErrorCode::kTimeout) {
+      return Fail(m_context,
+                  ExitCode::kUnknown,
+                  ToString(error) + "\nwhether the change took effect is not known; run the same "
+                                    "command again with --change-id " +
+                    m_changeId);
+    }
+    return Fail(m_context, ExitCode::kUnavailable, ToString(error) + "; nothing was changed");
+  }
+
+  ExitCode ReportDone(const json::object& answer)
+  {
+    if (m_context.line.json) {
+      PrintJson(m_context, answer);
+      return ExitCode::kDone;
+    }
+    m_context.environment.out << "change " << m_changeId << " committed as version "
+                              << CellAt(answer, "version") << "\n";
+    TextTable table({ "KIND", "NAME", "REVISION", "" });
+    for (const json::object* entry : ObjectsAt(answer, "entries")) {
+      table.Add({ CellAt(*entry, "kind"),
+                  CellAt(*entry, "name"),
+                  CellAt(*entry, "revision"),
+                  entry->contains("deleted") ? "deleted" : "written" });
+    }
+    m_context.environment.out << table.Text();
+    return ExitCode::kDone;
+  }
+
+  ExitCode ReportConflict(const json::object& answer)
+  {
+    if (m_context.line.json) {
+      PrintJson(m_context, answer);
+    }
+    Fail(m_context,
+         ExitCode::kConflict,
+         "conflict, nothing was changed: " + CellAt(answer, "reason"));
+    if (!m_context.line.json) {
+      for (const CatalogueWrite& write : m_writes) {
+        ShowBothSides(write, FindEntry(answer, "current", write));
+      }
+    }
+    return ExitCode::kConflict;
+  }
+
+  void ShowBothSides(const CatalogueWrite& write, const json::object* current)
+  {
+    const std::uint64_t expected = write.expectedRevision.value_or(0);
+    if (current == nullptr) {
+      if (expected != 0) {
+        m_context.environment.err << "\n" << write.kind << " " << write.name << " does not exist\n";
+      }
+      return;
+    }
+    if (RevisionOf(current) == expected && !current->contains("deleted")) {
+      return;
+    }
+    TextTable table({ "FIELD", "IN THE CATALOGUE", "YOURS" });
+    table.Add({ "revision",
+                CellAt(*current, "revision") + (current->contains("deleted") ? " (deleted)" : ""),
+                std::to_string(expected) + " (expected)" });
+    AddDifferences(table, *current, Canonical(write));
+    m_context.environment.err << "\n" << write.kind << " " << write.name << "\n" << table.Text();
+  }
+
+  /// \brief The entry as control would store it, with every default filled in.
+  static json::object Canonical(const CatalogueWrite& write)
+  {
+    const Result<wire::CatalogueItemT> item = ParseItemJson(json::value(write.entry));
+    return item ? ItemToJson(item.value()) : json::object();
+  }
+
+  static void AddDifferences(TextTable& table, const json::object& theirs, const json::object& ours)
+  {
+    const auto compare = [&table](const std::string& label,
+                                  const std::string& their,
+                                  const std::string& own) {
+      if (their != own) {
+        table.Add({ label, their, own });
+      }
+    };
+    compare("owner", CellAt(theirs, "owner"), CellAt(ours, "owner"));
+    compare("class", CellAt(theirs, "class"), CellAt(ours, "class"));
+    const json::object& theirSpec = ObjectAt(theirs, "spec");
+    const json::object& ourSpec = ObjectAt(ours, "spec");
+    std::set<std::string> fields;
+    for (const json::object* spec : { &theirSpec, &ourSpec }) {
+      for (const auto& field : *spec) {
+        fields.emplace(field.key());
+      }
+    }
+    for (const std::string& field : fields) {
+      compare("spec." + field, CellAt(theirSpec, field), CellAt(ourSpec, field));
+    }
+  }
+
+  CommandContext& m_context;
+  std::vector<CatalogueWrite> m_writes;
+  bool m_resent;
+  std::string m_changeId;
+  std::string m_operator;
+  bool m_reported = false; ///< The outcome of an earlier try was found and told.
+};
+
+} // namespace
+
+ExitCode RunCatalogueApply(CommandContext& context)
+{
+  const std::string& path = context.line.arguments.front();
+  const Result<std::string> text = context.environment.readFile(path);
+  if (!text) {
+    return Fail(context, ExitCode::kInvalid, ToString(text.error()));
+  }
+  Result<std::vector<CatalogueWrite>> writes = ParseCatalogueFile(text.value(), path);
+  if (!writes) {
+    return Fail(context, ExitCode::kInvalid, ToString(writes.error()));
+  }
+  if (context.line.check) {
+    context.environment.out << path << ": " << writes.value().size() << " entries without fault\n";
+    return ExitCode::kDone;
+  }
+  return ChangeSender(context, std::move(writes.value())).Send();
+}
+
+ExitCode RunCatalogueDelete(CommandContext& context)
+{
+  CatalogueWrite write;
+  write.kind = context.line.arguments[0];
+  write.name = context.line.arguments[1];
+  if (!FindKind(write.kind)) {
+    return Fail(context,
+                ExitCode::kUsage,
+                "'" + write.kind + "' is not one of model, service, workspace, target, policy");
+  }
+  write.entry["kind"] = write.kind;
+  write.entry["name"] = write.name;
+  write.expectedRevision = context.line.revision;
+  write.remove = true;
+  return ChangeSender(context, { std::move(write) }).Send();
+}
+
+} // namespace gooseberrysail::impl
--- a/src/observe/metrics.cpp
+++ b/src/observe/metrics.cpp
@@ -173,15 +173,19 @@
 {
   const EventInfo* info = FindEvent(event.number);
   m_impl->Add(MetricId::kEvents, 1, info != nullptr ? std::string(info->name) : "UnknownEvent");
-  if (info == nullptr) {
-    return;
-  }
-  if (info->name == "CallerAnswered") {
-    m_impl->OnCallerAnswered(event);
-  } else if (info->name == "GateOpened") {
-    m_impl->Set(MetricId::kGateOpen, 1);
-  } else if (info->name == "GateClosed" || info->name == "AgentReleased") {
-    m_impl->Set(MetricId::kGateOpen, 0);
+  switch (static_cast<EventNumber>(event.number)) {
+    case EventNumber::kCallerAnswered:
+      m_impl->OnCallerAnswered(event);
+      break;
+    case EventNumber::kGateOpened:
+      m_impl->Set(MetricId::kGateOpen, 1);
+      break;
+    case EventNumber::kGateClosed:
+    case EventNumber::kAgentReleased:
+      m_impl->Set(MetricId::kGateOpen, 0);
+      break;
+    default:
+      break;
   }
 }
 
--- a/src/observe/timeline_report.cpp
+++ b/src/observe/timeline_report.cpp
@@ -8,6 +8,7 @@
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
+#include <map>
 #include <memory>
 #include <set>
 #include <tuple>
@@ -37,6 +38,11 @@
   return std::tie(event.hlcWall, event.hlcLogical, event.process);
 }
 
+void Sort(MergedTimeline& timeline)
+{
+  std::ranges::stable_sort(timeline.events, {}, OrderOf);
+}
+
 std::vector<std::pair<std::string, std::string>> FieldsOf(const wire::EventT& event)
 {
   std::vector<std::pair<std::string, std::string>> fields;
@@ -64,19 +70,6 @@
   return fields;
 }
 
-json::object EventToJson(const wire::EventT& event)
-{
-  json::object object;
-  object["number"] = event.number;
-  object["name"] = NameOf(event);
-  object["level"] = LevelOf(event);
-  object["hlcWall"] = event.hlcWall;
-  object["hlcLogical"] = event.hlcLogical;
-  object["process"] = event.process;
-  object["fields"] = FieldsToJson(event);
-  return object;
-}
-
 wire::EventT EventFromJson(const json::object& object)
 {
   wire::EventT event;
@@ -180,22 +173,26 @@
     for (const auto& event : answer.events) {
       merged.events.push_back(*event);
     }
-    if (answer.dropped != 0) {
-      merged.dropped[answer.process] = answer.dropped;
-    }
+    merged.dropped += answer.dropped;
   }
-  std::ranges::stable_sort(merged.events, {}, OrderOf);
+  Sort(merged);
   return merged;
 }
 
 std::string TimelineText(const MergedTimeline& timeline)
 {
   std::string text;
-  for (const std::string& process : timeline.silent) {
+  for (const std::string& process : timeline.notReached) {
     text += "# " + process + " did not answer; its events are missing\n";
   }
-  for (const auto& [process, count] : timeline.dropped) {
-    text += "# " + process + " dropped its " + std::to_string(count) + " oldest events\n";
+  if (timeline.notAsked != 0) {
+    text += "# " + std::to_string(timeline.notAsked) + " more processes were not asked\n";
+  }
+  if (timeline.dropped != 0) {
+    text += "# " + std::to_string(timeline.dropped) + " older events are kept no longer\n";
+  }
+  if (timeline.truncated) {
+    text += "# more events matched than fit; narrow the query\n";
   }
   for (const wire::EventT& event : timeline.events) {
     text += TextOf(event);
@@ -212,22 +209,6 @@
   return writer.Take();
 }
 
-json::value TimelineToJson(const MergedTimeline& timeline)
-{
-  json::array events;
-  for (const wire::EventT& event : timeline.events) {
-    events.push_back(EventToJson(event));
-  }
-  json::object dropped;
-  for (const auto& [process, count] : timeline.dropped) {
-    dropped[process] = count;
-  }
-  json::array silent(timeline.silent.begin(), timeline.silent.end());
-  return json::object{ { "events", std::move(events) },
-                       { "dropped", std::move(dropped) },
-                       { "silent", std::move(silent) } };
-}
-
 Result<MergedTimeline> TimelineFromJson(const json::value& json, std::string_view peer)
 {
   MergedTimeline timeline;
@@ -236,15 +217,16 @@
     for (const json::value& event : object.at("events").as_array()) {
       timeline.events.push_back(EventFromJson(event.as_object()));
     }
-    for (const auto& [process, count] : object.at("dropped").as_object()) {
-      timeline.dropped[process] = count.to_number<std::uint64_t>();
-    }
-    for (const json::value& process : object.at("silent").as_array()) {
-      timeline.silent.emplace_back(process.as_string());
+    for (const json::value& process : object.at("notReached").as_array()) {
+      timeline.notReached.emplace_back(process.as_string());
     }
+    timeline.notAsked = object.at("notAsked").to_number<std::uint64_t>();
+    timeline.dropped = object.at("dropped").to_number<std::uint64_t>();
+    timeline.truncated = object.at("truncated").as_bool();
   } catch (const std::exception& fault) {
     return Error{ ErrorCode::kCorrupt, "read timeline", std::string(peer), fault.what() };
   }
+  Sort(timeline);
   return timeline;
 }
 
--- a/tests/unit/metrics_test.cpp
+++ b/tests/unit/metrics_test.cpp
@@ -78,9 +78,13 @@
   Metrics metrics(ProcessRole::kEntry);
   const TimePoint start{};
   const ExchangeId exchange(7);
-  metrics.OnRequest(start, HttpRequestIn{ .exchange = exchange });
-  metrics.OnAnswer(start + std::chrono::milliseconds(300), HttpAnswerOut{ .exchange = exchange });
-  metrics.OnAnswer(start + std::chrono::seconds(9), HttpAnswerOut{ .exchange = exchange });
+  HttpRequestIn request;
+  request.exchange = exchange;
+  HttpAnswerOut answer;
+  answer.exchange = exchange;
+  metrics.OnRequest(start, request);
+  metrics.OnAnswer(start + std::chrono::milliseconds(300), answer);
+  metrics.OnAnswer(start + std::chrono::seconds(9), answer);
   metrics.OnEvent(
     MakeEvent(EventNumber::kCallerAnswered,
               { { "outcome", "complete" }, { "attempts", "2" }, { "millis", "9000" } }));
@@ -98,9 +102,12 @@
 TEST(Metrics, RaiseTotalsCountedElsewhereOnce)
 {
   Metrics metrics(ProcessRole::kAgent);
-  metrics.Sample({ .peerFramesSent = 10 });
-  metrics.Sample({ .peerFramesSent = 12 });
-  metrics.Sample({ .peerFramesSent = 12 });
+  MetricsSample sample;
+  sample.peerFramesSent = 10;
+  metrics.Sample(sample);
+  sample.peerFramesSent = 12;
+  metrics.Sample(sample);
+  metrics.Sample(sample);
   EXPECT_THAT(metrics.Text(), HasSubstr("gooseberrysail_peer_frames_sent_total 12"));
 }
 
--- a/tests/unit/timeline_test.cpp
+++ b/tests/unit/timeline_test.cpp
@@ -141,7 +141,7 @@
   const std::vector<wire::TimelineAnswerT> answers{ timeline.Answer({}) };
   const MergedTimeline merged = MergeTimelines(answers);
   EXPECT_THAT(Steps(merged), ElementsAre("3", "4", "5"));
-  EXPECT_THAT(TimelineText(merged), HasSubstr("# entry-1 dropped its 2 oldest events\n"));
+  EXPECT_THAT(TimelineText(merged), HasSubstr("# 2 older events are kept no longer\n"));
 }
 
 TEST(Timeline, IsFilteredByRequestGroupTargetAndTime)
@@ -196,7 +196,7 @@
   timeline.Record(kNoon, MakeEvent(EventNumber::kProcessStopped, { { "request", "entry-1.7.1" } }));
   const std::vector<wire::TimelineAnswerT> answers{ timeline.Answer({}) };
   MergedTimeline merged = MergeTimelines(answers);
-  merged.silent.emplace_back("agent-2");
+  merged.notReached.emplace_back("agent-2");
   EXPECT_EQ(TimelineText(merged),
             "# agent-2 did not answer; its events are missing\n"
             "2026-12-02T12:00:00.000Z+0 entry-1 info 101 ProcessStopping request=entry-1.7.1 "
@@ -220,8 +220,16 @@
   }
   SECTION("the admin API's form gives it back")
   {
-    const auto again = TimelineFromJson(TimelineToJson(merged), "control-1");
-    ASSERT_TRUE(again.has_value());
+    const auto again = TimelineFromJson(boost::json::parse(R"({
+      "events":[
+        {"number":102,"name":"ProcessStopped","hlcWall":1796212800000,"hlcLogical":1,
+         "process":"entry-1","fields":{"request":"entry-1.7.1"}},
+        {"number":101,"name":"ProcessStopping","hlcWall":1796212800000,"hlcLogical":0,
+         "process":"entry-1","fields":{"request":"entry-1.7.1","inFlight":"1 2"}}],
+      "answered":["entry-1"],"notReached":["agent-2"],"notAsked":0,"dropped":0,
+      "truncated":false})"),
+                                        "control-1");
+    ASSERT_TRUE(again.has_value()) << again.error();
     EXPECT_EQ(TimelineText(again.value()), TimelineText(merged));
   }
   SECTION("another form is refused with the peer's name")
