--- a/src/cli/catalogue_file.cpp
+++ b/src/cli/catalogue_file.cpp
@@ -30,10 +30,11 @@
   if (!fault && text.find_first_not_of(" \t\r\n", read) == std::string::npos) {
     return parser.release();
   }
-  const auto line = 1 + std::count(text.begin(), text.begin() + static_cast<std::ptrdiff_t>(read), '\n');
+  const auto line =
+    1 + std::count(text.begin(), text.begin() + static_cast<std::ptrdiff_t>(read), '\n');
   return Invalid(path,
-                 "line " + std::to_string(line) + ": not JSON: " +
-                   (fault ? fault.message() : "text after the end"));
+                 "line " + std::to_string(line) +
+                   ": not JSON: " + (fault ? fault.message() : "text after the end"));
 }
 
 /// \brief The entries wherever the file keeps them; empty when it is of another form.
@@ -68,7 +69,8 @@
       return Error{ ErrorCode::kInvalid,
                     "read revision",
                     write.name,
-                    "revision is " + json::serialize(*revision) + ", allowed: a whole number from 0" };
+                    "revision is " + json::serialize(*revision) +
+                      ", allowed: a whole number from 0" };
     }
     write.expectedRevision = static_cast<std::uint64_t>(*number);
   }
@@ -108,7 +110,8 @@
     Result<CatalogueWrite> write = ReadEntry(*entry);
     if (!write) {
       const Error& error = write.error();
-      faults += where + (error.peer.empty() ? "" : " (" + error.peer + ")") + ": " + error.description;
+      faults +=
+        where + (error.peer.empty() ? "" : " (" + error.peer + ")") + ": " + error.description;
     } else if (!names.emplace(write.value().kind, write.value().name).second) {
       faults += where + ": a second " + write.value().kind + " " + write.value().name;
     } else {
--- a/src/cli/catalogue_file.hpp
+++ b/src/cli/catalogue_file.hpp
@@ -18,7 +18,7 @@
 {
   std::string kind;
   std::string name;
-  boost::json::object entry;                  ///< Without revision and version.
+  boost::json::object entry;                     ///< Without revision and version.
   std::optional<std::uint64_t> expectedRevision; ///< None: to be read from the catalogue.
   bool remove = false;
 };
--- a/src/cli/change_commands.cpp
+++ b/src/cli/change_commands.cpp
@@ -114,8 +114,7 @@
     for (CatalogueWrite& write : m_writes) {
       const json::object* entry = FindEntry(AsObject(answer), "entries", write);
       if (write.remove && entry == nullptr) {
-        return Fail(
-          m_context, ExitCode::kNotFound, "no " + write.kind + " is named " + write.name);
+        return Fail(m_context, ExitCode::kNotFound, "no " + write.kind + " is named " + write.name);
       }
       write.expectedRevision = write.expectedRevision.value_or(RevisionOf(entry));
     }
@@ -153,9 +152,8 @@
   {
     const Result<AdminReply> reply = client.Call("GET", path);
     if (!reply) {
-      return Fail(m_context,
-                  ExitCode::kUnavailable,
-                  ToString(reply.error()) + "; nothing was changed");
+      return Fail(
+        m_context, ExitCode::kUnavailable, ToString(reply.error()) + "; nothing was changed");
     }
     if (reply.value().status != kOk) {
       return Fail(m_context, ExitCodeOf(reply.value().status), ReasonOf(reply.value()));
@@ -186,8 +184,9 @@
     if (error.code == ErrorCode::kTimeout) {
       return Fail(m_context,
                   ExitCode::kUnknown,
-                  ToString(error) + "\nwhether the change took effect is not known; run the same "
-                                    "command again with --change-id " +
+                  ToString(error) +
+                    "\nwhether the change took effect is not known; run the same "
+                    "command again with --change-id " +
                     m_changeId);
     }
     return Fail(m_context, ExitCode::kUnavailable, ToString(error) + "; nothing was changed");
@@ -217,9 +216,8 @@
     if (m_context.line.json) {
       PrintJson(m_context, answer);
     }
-    Fail(m_context,
-         ExitCode::kConflict,
-         "conflict, nothing was changed: " + CellAt(answer, "reason"));
+    Fail(
+      m_context, ExitCode::kConflict, "conflict, nothing was changed: " + CellAt(answer, "reason"));
     if (!m_context.line.json) {
       for (const CatalogueWrite& write : m_writes) {
         ShowBothSides(write, FindEntry(answer, "current", write));
@@ -257,13 +255,12 @@
 
   static void AddDifferences(TextTable& table, const json::object& theirs, const json::object& ours)
   {
-    const auto compare = [&table](const std::string& label,
-                                  const std::string& their,
-                                  const std::string& own) {
-      if (their != own) {
-        table.Add({ label, their, own });
-      }
-    };
+    const auto compare =
+      [&table](const std::string& label, const std::string& their, const std::string& own) {
+        if (their != own) {
+          table.Add({ label, their, own });
+        }
+      };
     compare("owner", CellAt(theirs, "owner"), CellAt(ours, "owner"));
     compare("class", CellAt(theirs, "class"), CellAt(ours, "class"));
     const json::object& theirSpec = ObjectAt(theirs, "spec");
--- a/src/cli/command_line.cpp
+++ b/src/cli/command_line.cpp
@@ -173,7 +173,8 @@
     po::positional_options_description positional;
     positional.add("words", -1);
     // Shortened names would change their meaning with the next option that is added.
-    constexpr int kStyle = po::command_line_style::unix_style & ~po::command_line_style::allow_guessing;
+    constexpr int kStyle =
+      po::command_line_style::unix_style & ~po::command_line_style::allow_guessing;
     po::variables_map given;
     po::store(po::command_line_parser({ arguments.begin(), arguments.end() })
                 .options(description)
--- a/src/cli/control_client.cpp
+++ b/src/cli/control_client.cpp
@@ -87,7 +87,8 @@
   Attempt attempt;
   if (!reply) {
     // Once connected, the bytes may have arrived whatever happened to the answer. Any step but the
-    // connecting counts as that, so that a step added to the client can't make a change look unsent.
+    // connecting counts as that, so that a step added to the client can't make a change look
+    // unsent.
     attempt.error = reply.error();
     attempt.mayHaveTakenEffect = reply.error().step != kConnectStep;
     Advance();
@@ -145,8 +146,7 @@
 Result<ControlEndpoint> ParseControlEndpoint(std::string_view text)
 {
   const bool named = text.find('=') != std::string_view::npos;
-  const auto& row =
-    *impl::FindSettingKey(named ? "cluster.control" : "agent.targetAddress");
+  const auto& row = *impl::FindSettingKey(named ? "cluster.control" : "agent.targetAddress");
   if (!impl::CheckSettingValue(row, text)) {
     return Error{ ErrorCode::kInvalid,
                   "read --control",
--- a/src/cli/help.cpp
+++ b/src/cli/help.cpp
@@ -72,7 +72,8 @@
   if (command != nullptr) {
     return HelpOf(*command);
   }
-  std::string text = "gooseberrysail drives and shows a gooseberrysail installation.\n\ncommands:\n";
+  std::string text =
+    "gooseberrysail drives and shows a gooseberrysail installation.\n\ncommands:\n";
   for (const CommandInfo& each : AllCommands()) {
     text += "  " + Usage(each) + "\n" + Wrap(each.summary);
   }
--- a/src/cli/read_commands.cpp
+++ b/src/cli/read_commands.cpp
@@ -205,15 +205,22 @@
 
 ExitCode RunStatus(CommandContext& context)
 {
-  return Show(
-    context, "status", [&](const json::object& status) { PrintStatus(context, status); });
+  return Show(context, "status", [&](const json::object& status) { PrintStatus(context, status); });
 }
 
 ExitCode RunGroups(CommandContext& context)
 {
   return Show(context, "groups", [&](const json::object& groups) {
-    TextTable table({ "GROUP", "ENTRY", "MODEL VERSION", "STATE", "HEAD", "MEMBERS", "MISSING",
-                      "RUNNING", "QUEUED", "REASON" });
+    TextTable table({ "GROUP",
+                      "ENTRY",
+                      "MODEL VERSION",
+                      "STATE",
+                      "HEAD",
+                      "MEMBERS",
+                      "MISSING",
+                      "RUNNING",
+                      "QUEUED",
+                      "REASON" });
     for (const json::object* group : ObjectsAt(groups, "groups")) {
       table.Add({ CellAt(*group, "group"),
                   CellAt(*group, "entry"),
@@ -233,8 +240,17 @@
 ExitCode RunTargets(CommandContext& context)
 {
   return Show(context, "targets", [&](const json::object& targets) {
-    TextTable table({ "TARGET", "KIND", "SERVICE", "FAILURE DOMAIN", "FABRIC DOMAIN", "ACCELERATORS",
-                      "GROUP", "REACHABLE", "LEAVING", "MODEL", "HEARD" });
+    TextTable table({ "TARGET",
+                      "KIND",
+                      "SERVICE",
+                      "FAILURE DOMAIN",
+                      "FABRIC DOMAIN",
+                      "ACCELERATORS",
+                      "GROUP",
+                      "REACHABLE",
+                      "LEAVING",
+                      "MODEL",
+                      "HEARD" });
     for (const json::object* target : ObjectsAt(targets, "targets")) {
       table.Add({ CellAt(*target, "target"),
                   CellAt(*target, "kind"),
@@ -255,8 +271,7 @@
 ExitCode RunRequestShow(CommandContext& context)
 {
   const std::string path = "requests/" + EncodeUrlPart(context.line.arguments.front());
-  return Show(
-    context, path, [&](const json::object& request) { PrintRequest(context, request); });
+  return Show(context, path, [&](const json::object& request) { PrintRequest(context, request); });
 }
 
 } // namespace gooseberrysail::impl
--- a/src/cli/text_table.cpp
+++ b/src/cli/text_table.cpp
@@ -24,9 +24,7 @@
 {
   constexpr char kDelete = 0x7f;
   std::ranges::replace_if(
-    text,
-    [](char byte) { return (byte >= 0 && byte < ' ') || byte == kDelete; },
-    '?');
+    text, [](char byte) { return (byte >= 0 && byte < ' ') || byte == kDelete; }, '?');
   return text;
 }
 
--- a/src/cli/timeline_command.cpp
+++ b/src/cli/timeline_command.cpp
@@ -102,9 +102,8 @@
     return Fail(context, ExitCode::kUnavailable, ToString(timeline.error()));
   }
   const bool trace = format == "trace";
-  return Write(context,
-               trace ? TimelineChromeTrace(timeline.value()) + "\n"
-                     : TimelineText(timeline.value()));
+  return Write(
+    context, trace ? TimelineChromeTrace(timeline.value()) + "\n" : TimelineText(timeline.value()));
 }
 
 } // namespace gooseberrysail::impl
