--- a/src/cli/help.cpp
+++ b/src/cli/help.cpp
@@ -12,21 +12,19 @@
 /// \brief Breaks a sentence into lines.
 std::string Wrap(std::string_view text)
 {
-  std::string wrapped(kIndent, ' ');
-  std::size_t column = kIndent;
+  std::string wrapped;
+  std::string line;
   while (!text.empty()) {
     const auto end = std::min(text.find(' '), text.size());
     const std::string_view word = text.substr(0, end);
-    if (column + word.size() > kLineWidth) {
-      wrapped += "\n" + std::string(kIndent, ' ');
-      column = kIndent;
+    if (!line.empty() && kIndent + line.size() + 1 + word.size() > kLineWidth) {
+      wrapped += std::string(kIndent, ' ') + line + "\n";
+      line.clear();
     }
-    wrapped += std::string(word) + " ";
-    column += word.size() + 1;
+    line += (line.empty() ? "" : " ") + std::string(word);
     text.remove_prefix(std::min(end + 1, text.size()));
   }
-  wrapped.pop_back();
-  return wrapped + "\n";
+  return wrapped + std::string(kIndent, ' ') + line + "\n";
 }
 
 std::string Usage(const CommandInfo& command)
