--- a/tests/support/temporary_folder.hpp
+++ b/tests/support/temporary_folder.hpp
@@ -2,6 +2,8 @@
 
 #include "gooseberrysail/storage/file_system.hpp"
 
+#include <cerrno>
+#include <cstdio>
 #include <cstdlib>
 #include <filesystem>
 #include <string>
@@ -14,6 +16,11 @@
   FileSystem files = RealFileSystem();
   files.sync = [](int) { return 0; };
   files.syncFolder = [](const std::string&) { return 0; };
+  // Some file systems write a file out when it is renamed over another one.
+  files.rename = [](const std::string& from, const std::string& to) {
+    (void)std::remove(to.c_str());
+    return std::rename(from.c_str(), to.c_str()) == 0 ? 0 : errno;
+  };
   return files;
 }
 
