Process tests of control, request and shutdown failures (not yet run)

Cause: kills, freezes and lost disks are matters of the operating system. Ruled out: only I/O-free tests (they prove the decisions, not the daemon). Conclusion: open.

--- /dev/null
+++ b/tests/process/request_failure_test.cpp
@@ -0,0 +1,231 @@
+#include "support/section.hpp"
+#include "support/test_cluster.hpp"
+
+#include <atomic>
+#include <boost/json.hpp>
+#include <csignal>
+#include <thread>
+
+namespace gooseberrysail::test {
+namespace {
+
+constexpr const char* kBookings = "/services/booking-portal/bookings";
+
+std::uint64_t TimesBooked(const TestCluster& cluster, const std::string& vm, const std::string& key)
+{
+  const HttpReply reply = cluster.CallTarget(vm, "GET", "/counters");
+  const auto counters = boost::json::parse(reply.body);
+  const auto& bookings = counters.at("bookings").as_object();
+  return bookings.contains(key) ? bookings.at(key).to_number<std::uint64_t>() : 0;
+}
+
+HttpReply Book(const TestCluster& cluster, std::size_t entry, const std::string& key)
+{
+  return cluster.CallEntry(
+    entry, "POST", kBookings, R"({"machine":"roller-3"})", { { "Idempotency-Key", key } });
+}
+
+class AtMostOnce : public ::testing::Test
+{
+protected:
+  void SetUp() override
+  {
+    m_cluster.AddServiceVm("vm-portal", "booking-portal");
+    ASSERT_EQ(m_cluster.Apply(TestCluster::DefaultCatalogue()).status, 200U);
+    ASSERT_TRUE(m_cluster.WaitService("/services/booking-portal/stock/kingston"))
+      << m_cluster.Outputs();
+  }
+
+  TestCluster m_cluster{ { .controls = 1, .entries = 2 } };
+};
+
+// Symptom: a contractor is billed twice for one roller.
+// Sequence: the booking goes to two entries at the same time with the same Idempotency-Key.
+// Cause: each entry alone can't know of the other's attempt.
+TEST_F(AtMostOnce, OneKeyThroughTwoEntriesAtOnceRunsOnce)
+{
+  static_cast<void>(
+    m_cluster.CallTarget("vm-portal", "POST", "/switch", R"({"answerDelayMs":300})"));
+  HttpReply first;
+  std::thread other([&] { first = Book(m_cluster, 0, "booking-1"); });
+  const HttpReply second = Book(m_cluster, 1, "booking-1");
+  other.join();
+  EXPECT_EQ(TimesBooked(m_cluster, "vm-portal", "booking-1"), 1U);
+  EXPECT_TRUE(first.status == 201 || second.status == 201) << first.body << second.body;
+
+  SECTION("asking again gives the first answer")
+  {
+    HttpReply again;
+    ASSERT_TRUE(WaitUntil(
+      [&] {
+        again = Book(m_cluster, 0, "booking-1");
+        return again.status == 201;
+      },
+      kReadyTimeout))
+      << again.status << again.body;
+    EXPECT_EQ(TimesBooked(m_cluster, "vm-portal", "booking-1"), 1U);
+  }
+}
+
+// Symptom: a booking is made twice after an entry VM died.
+// Sequence: the entry is killed while the service works on the booking; the caller, without an
+// answer, sends it again through another entry.
+// Cause: the claim must outlive the entry that holds it.
+TEST_F(AtMostOnce, AKeyResentAfterItsEntryWasKilledDoesNotRunAgain)
+{
+  static_cast<void>(
+    m_cluster.CallTarget("vm-portal", "POST", "/switch", R"({"answerDelayMs":500})"));
+  std::thread caller([&] { static_cast<void>(Book(m_cluster, 0, "booking-2")); });
+  ASSERT_TRUE(WaitUntil([&] { return TimesBooked(m_cluster, "vm-portal", "booking-2") == 1; },
+                        kReadyTimeout));
+  m_cluster.Process("entry-1").Kill();
+  caller.join();
+  const HttpReply resent = Book(m_cluster, 1, "booking-2");
+  EXPECT_NE(resent.status, 201U) << "nobody holds that answer";
+  EXPECT_NE(resent.body.find("reason"), std::string::npos) << resent.body;
+  EXPECT_EQ(TimesBooked(m_cluster, "vm-portal", "booking-2"), 1U);
+}
+
+// Symptom: a booking is made twice after the agent beside the service died.
+// Sequence: the agent is killed while the service works; the caller sends the booking again.
+// Cause: the new agent knows nothing of the booking, and "unknown" is not "never ran".
+TEST_F(AtMostOnce, AKeyResentAfterItsAgentWasKilledDoesNotRunAgain)
+{
+  static_cast<void>(
+    m_cluster.CallTarget("vm-portal", "POST", "/switch", R"({"answerDelayMs":500})"));
+  HttpReply answer;
+  std::thread caller([&] { answer = Book(m_cluster, 0, "booking-3"); });
+  ASSERT_TRUE(WaitUntil([&] { return TimesBooked(m_cluster, "vm-portal", "booking-3") == 1; },
+                        kReadyTimeout));
+  m_cluster.Process("agent-vm-portal").Kill();
+  m_cluster.Restart("agent-vm-portal");
+  caller.join();
+  EXPECT_NE(answer.status, 201U);
+  EXPECT_EQ(answer.body.find("not-run"), std::string::npos) << "it ran: " << answer.body;
+  const HttpReply resent = Book(m_cluster, 1, "booking-3");
+  EXPECT_NE(resent.status, 201U) << resent.body;
+  EXPECT_EQ(TimesBooked(m_cluster, "vm-portal", "booking-3"), 1U);
+}
+
+// Symptom: a replica goes on answering while one of its VMs is frozen, or never serves again.
+// Sequence: one member's agent is frozen by SIGSTOP, past the member timeout, and thawed.
+// Cause: a frozen process keeps its connections; only missing beats tell.
+TEST(Membership, AFrozenMemberClosesTheGateUntilItIsBack)
+{
+  TestCluster cluster({ .controls = 1, .entries = 1 });
+  cluster.AddEngineVms("vm", 4, "fabric-a");
+  ASSERT_EQ(cluster.Apply(TestCluster::DefaultCatalogue()).status, 200U);
+  ASSERT_TRUE(cluster.WaitServing()) << cluster.Outputs();
+  cluster.Process("agent-vm-3").Signal(SIGSTOP);
+  HttpReply refused;
+  EXPECT_TRUE(WaitUntil(
+    [&] {
+      refused = cluster.Chat(0, "anyone?");
+      return refused.status == 503;
+    },
+    kReadyTimeout));
+  EXPECT_NE(refused.body.find("not-run"), std::string::npos) << refused.body;
+  cluster.Process("agent-vm-3").Signal(SIGCONT);
+  EXPECT_TRUE(cluster.WaitServing()) << cluster.Outputs();
+}
+
+/// Callers that ask one after another until told to stop, and what they got.
+class Load
+{
+public:
+  Load(const TestCluster& cluster, std::size_t callers)
+  {
+    for (std::size_t index = 0; index < callers; ++index) {
+      const bool stream = index % 4 == 0;
+      m_threads.emplace_back([this, &cluster, stream] { Work(cluster, stream); });
+    }
+  }
+  ~Load() { Stop(); }
+  Load(const Load&) = delete;
+  Load& operator=(const Load&) = delete;
+
+  void Stop()
+  {
+    m_stop = true;
+    for (std::thread& thread : m_threads) {
+      if (thread.joinable()) {
+        thread.join();
+      }
+    }
+  }
+  [[nodiscard]] std::size_t Whole() const { return m_whole; }
+  [[nodiscard]] std::size_t Cut() const { return m_cut; }
+
+private:
+  void Work(const TestCluster& cluster, bool stream)
+  {
+    while (!m_stop) {
+      const HttpReply reply = cluster.Chat(0, "Draft a long hire agreement for a crane.", stream);
+      if (reply.status == 200) {
+        const bool whole =
+          reply.whole && (!stream || reply.body.find("[DONE]") != std::string::npos);
+        ++(whole ? m_whole : m_cut);
+      } else if (reply.status == 0 || reply.status == 502 || reply.status == 504) {
+        // A closed listener is no cut: nothing was taken in. Everything else is.
+        m_cut += reply.failure.find("refused") == std::string::npos ? 1 : 0;
+        m_stop = m_stop || reply.status == 0;
+      }
+    }
+  }
+
+  std::vector<std::thread> m_threads;
+  std::atomic<bool> m_stop = false;
+  std::atomic<std::size_t> m_whole = 0;
+  std::atomic<std::size_t> m_cut = 0;
+};
+
+class GracefulStop : public ::testing::Test
+{
+protected:
+  void SetUp() override
+  {
+    m_cluster.AddEngineVms("vm", 4, "fabric-a");
+    ASSERT_EQ(m_cluster.Apply(TestCluster::DefaultCatalogue()).status, 200U);
+    ASSERT_TRUE(m_cluster.WaitServing()) << m_cluster.Outputs();
+    for (const char* vm : { "vm-1", "vm-2", "vm-3", "vm-4" }) {
+      static_cast<void>(m_cluster.CallTarget(vm, "POST", "/switch", R"({"tokenDelayMs":5})"));
+    }
+  }
+
+  /// Runs load, stops `process` by SIGTERM in the midst of it, and expects that nothing was cut.
+  void StopUnderLoad(const std::string& process)
+  {
+    Load load(m_cluster, 32);
+    ASSERT_TRUE(WaitUntil([&] { return load.Whole() >= 1000; }, std::chrono::seconds(60)))
+      << load.Whole();
+    m_cluster.Process(process).Signal(SIGTERM);
+    EXPECT_EQ(m_cluster.Process(process).WaitForExit(std::chrono::seconds(30)), 0)
+      << m_cluster.Outputs();
+    load.Stop();
+    EXPECT_EQ(load.Cut(), 0U) << m_cluster.Outputs();
+    RecordProperty("whole", static_cast<int>(load.Whole()));
+  }
+
+  TestCluster m_cluster{ { .controls = 1, .entries = 1 } };
+};
+
+// Symptom: at each update of a process some answers end in the middle.
+// Sequence: a process gets SIGTERM while many requests run, long streams among them.
+// Cause: leaving before the last answer was taken by its caller.
+TEST_F(GracefulStop, AnEntryLeavesWithoutCuttingAnAnswer)
+{
+  StopUnderLoad("entry-1");
+}
+
+TEST_F(GracefulStop, EveryAgentOfAGroupLeavesWithoutCuttingAnAnswer)
+{
+  StopUnderLoad("agent-vm-1");
+}
+
+TEST_F(GracefulStop, ControlLeavesWithoutCuttingAnAnswer)
+{
+  StopUnderLoad("control-1");
+}
+
+} // namespace
+} // namespace gooseberrysail::test
