--- a/include/gooseberrysail/control/claim_service.hpp
+++ b/include/gooseberrysail/control/claim_service.hpp
@@ -20,8 +20,9 @@
                  const wire::ClaimOutcomeT& outcome);
   void Tick(ControlContext& context);
 
-  /// \brief How long a key is remembered.
+  /// \brief How long a key is remembered; while the table is over half full, the shorter time.
   static constexpr std::chrono::hours kRetention{ 24 };
+  static constexpr std::chrono::hours kCrowdedRetention{ 1 };
 
 private:
   struct WaitingClaim
--- a/include/gooseberrysail/control/group_planning.hpp
+++ b/include/gooseberrysail/control/group_planning.hpp
@@ -3,7 +3,9 @@
 #include "gooseberrysail/control/membership.hpp"
 #include "gooseberrysail/placement/planner.hpp"
 
+#include <cstdint>
 #include <functional>
+#include <utility>
 #include <vector>
 
 namespace gooseberrysail {
@@ -34,7 +36,8 @@
 
   PlanHook m_plan;
   TimePoint m_nextPlan{};
-  LogIndex m_plannedIndex; ///< State at the latest planning: news speeds the next one up.
+  /// What was planned on: news of the fleet or the catalogue speed the next planning up.
+  std::pair<std::uint64_t, LogIndex> m_plannedOn;
   TimePoint m_lastPlan{};
 };
 
--- a/include/gooseberrysail/control/group_table.hpp
+++ b/include/gooseberrysail/control/group_table.hpp
@@ -4,6 +4,7 @@
 #include "gooseberrysail/core/result.hpp"
 
 #include <commands_generated.h>
+#include <cstdint>
 #include <map>
 #include <string>
 #include <unordered_map>
@@ -58,6 +59,9 @@
   [[nodiscard]] const std::unordered_map<VmId, VmRow>& Vms() const noexcept { return m_vms; }
   [[nodiscard]] const std::map<GroupId, GroupRow>& Groups() const noexcept { return m_groups; }
 
+  /// \brief Counts the commands that had an effect, so that readers can skip an unchanged table.
+  [[nodiscard]] std::uint64_t Revision() const noexcept { return m_revision; }
+
   void SaveTo(wire::ControlSnapshotT& snapshot) const;
   void LoadFrom(const wire::ControlSnapshotT& snapshot);
 
@@ -68,6 +72,7 @@
 
   std::unordered_map<VmId, VmRow> m_vms;
   std::map<GroupId, GroupRow> m_groups;
+  std::uint64_t m_revision = 0;
 };
 
 } // namespace gooseberrysail
--- a/include/gooseberrysail/control/membership.hpp
+++ b/include/gooseberrysail/control/membership.hpp
@@ -3,7 +3,6 @@
 #include "gooseberrysail/control/context.hpp"
 
 #include <deque>
-#include <map>
 #include <optional>
 #include <string>
 #include <unordered_map>
@@ -110,7 +109,9 @@
 
   std::unordered_map<VmId, VmLive> m_vms;
   std::unordered_map<ProcessId, VmId> m_vmOfProcess;
-  std::map<GroupId, GroupLive> m_groups;
+  std::unordered_map<GroupId, GroupLive> m_groups;
+  std::unordered_set<VmId> m_leaving; ///< Whose agents were told to stop.
+  std::uint64_t m_tendedRevision = 0;
   std::deque<WaitingReport> m_waiting;
   TimePoint m_nextTend{};
   TimePoint m_nextSweep{};
--- a/include/gooseberrysail/control/route_distribution.hpp
+++ b/include/gooseberrysail/control/route_distribution.hpp
@@ -54,7 +54,14 @@
   {
     wire::RouteT route;
   };
+  struct OpenGroup
+  {
+    GroupId group;
+    std::string failureDomain;
+  };
 
+  [[nodiscard]] bool RowsAreCurrent(const ControlContext& context,
+                                    const Membership& membership) const;
   void RefreshRows(ControlContext& context, const Membership& membership);
   [[nodiscard]] std::map<GroupId, wire::RouteState> Desired(const ControlContext& context,
                                                             const ProcessId& process,
@@ -66,10 +73,10 @@
   void SendClosed(ControlContext& context, const ProcessId& process, Client& client);
 
   std::unordered_map<ProcessId, Client> m_clients;
-  std::map<GroupId, Row> m_rows;                         ///< Open and draining groups.
-  std::map<std::string, std::vector<GroupId>> m_byEntry; ///< Open groups of each catalogue entry.
-  std::set<GroupId> m_closed;                            ///< Not open any more since the last tick.
-  bool m_opened = false; ///< Some group was opened since the last choice.
+  std::map<GroupId, Row> m_rows;                           ///< Open and draining groups.
+  std::map<std::string, std::vector<OpenGroup>> m_byEntry; ///< Open groups of each catalogue entry.
+  std::set<GroupId> m_closed; ///< Not open any more since the last tick.
+  bool m_opened = false;      ///< Some group was opened since the last choice.
   TimePoint m_nextChoice{};
   TimePoint m_nextRefresh{};
 };
--- a/src/control/catalogue_table.cpp
+++ b/src/control/catalogue_table.cpp
@@ -113,13 +113,17 @@
       after.insert_or_assign(key, write->item.get());
     }
   }
+  const bool writesWorkspace =
+    std::any_of(change.writes.begin(), change.writes.end(), [](const auto& write) {
+      return write->item->kind == wire::EntryKind::Workspace;
+    });
   std::map<std::string, std::string> workspaceByToken;
   for (const auto& [key, item] : after) {
     if (key.first == wire::EntryKind::Service &&
         after.contains(Key(wire::EntryKind::Model, key.second))) {
       verdict.Refuse(key.second + " would be both a model and a service", nullptr);
     }
-    if (key.first == wire::EntryKind::Workspace) {
+    if (writesWorkspace && key.first == wire::EntryKind::Workspace) {
       const auto [other, isNew] = workspaceByToken.emplace(TokenHashOf(*item), key.second);
       if (!isNew) {
         verdict.Refuse(
--- a/src/control/claim_service.cpp
+++ b/src/control/claim_service.cpp
@@ -189,8 +189,8 @@
     return;
   }
   m_nextExpiry = context.now + kExpiryInterval;
-  const WallMillis limit =
-    context.wallMillis - std::chrono::duration_cast<std::chrono::milliseconds>(kRetention).count();
+  const bool crowded = context.state.GetClaims().Size() > ClaimTable::kMaxClaims / 2;
+  const WallMillis limit = context.wallMillis - ToMillis(crowded ? kCrowdedRetention : kRetention);
   const WallMillis oldest = context.state.GetClaims().OldestMillis();
   if (oldest != 0 && oldest < limit) {
     wire::ExpireClaimsT command;
--- a/src/control/config_service.cpp
+++ b/src/control/config_service.cpp
@@ -124,6 +124,9 @@
 void ConfigService::NoteInForceEverywhere(const ControlContext& context)
 {
   LogIndex everywhere = context.state.GetCatalogue().Version();
+  if (m_everywhereAt.contains(everywhere)) {
+    return;
+  }
   for (const auto& [process, peer] : context.peers) {
     if (MustReport(context, peer)) {
       const InForce* row = FindInForce(process);
--- a/src/control/group_planning.cpp
+++ b/src/control/group_planning.cpp
@@ -39,13 +39,14 @@
   if (!context.HasFreshQuorum()) {
     return;
   }
-  const bool news = context.state.Index() != m_plannedIndex;
+  const std::pair now(context.state.GetGroups().Revision(), context.catalogue.Version());
+  const bool news = now != m_plannedOn;
   if (context.now < m_nextPlan && !(news && context.now - m_lastPlan >= kSoonestPlan)) {
     return;
   }
   m_lastPlan = context.now;
   m_nextPlan = context.now + kPlanInterval;
-  m_plannedIndex = context.state.Index();
+  m_plannedOn = now;
   DrainOrphans(context);
   FormServiceGroups(context, membership);
   RunPlanner(context, membership);
@@ -84,28 +85,32 @@
     views.models.push_back(
       ModelView{ entry.name, entry.priorityClass, &std::get<ModelSpec>(entry.spec) });
   }
+  std::vector<const VmRow*> engines;
+  engines.reserve(table.Vms().size());
   for (const auto& [vm, row] : table.Vms()) {
-    if (row.record.kind != wire::TargetKind::Engine) {
-      continue;
+    if (row.record.kind == wire::TargetKind::Engine) {
+      engines.push_back(&row);
     }
-    VmView view;
-    view.vm = vm;
-    view.failureDomain = FailureDomainId(row.record.failureDomain);
-    view.fabricDomain = FabricDomainId(row.record.fabricDomain);
-    view.accelerators = row.record.accelerators;
-    view.group = row.group;
-    view.reachable = membership.IsReachable(context, row);
-    view.draining = membership.IsLeaving(context, vm);
-    if (const VmLive* live = membership.FindVm(vm)) {
+  }
+  // Sorted, so that equal states give equal plans whatever the order of the hash table.
+  std::sort(engines.begin(), engines.end(), [](const VmRow* left, const VmRow* right) {
+    return left->record.vm < right->record.vm;
+  });
+  views.vms.reserve(engines.size());
+  for (const VmRow* row : engines) {
+    VmView& view = views.vms.emplace_back();
+    view.vm = VmId(row->record.vm);
+    view.failureDomain = FailureDomainId(row->record.failureDomain);
+    view.fabricDomain = FabricDomainId(row->record.fabricDomain);
+    view.accelerators = row->record.accelerators;
+    view.group = row->group;
+    view.reachable = membership.IsReachable(context, *row);
+    view.draining = membership.IsLeaving(context, view.vm);
+    if (const VmLive* live = membership.FindVm(view.vm)) {
       view.lastHeard = live->lastHeard;
       view.loadedModel = live->loadedModel;
     }
-    views.vms.push_back(std::move(view));
   }
-  // Sorted, so that equal states give equal plans whatever the order of the hash table.
-  std::sort(views.vms.begin(), views.vms.end(), [](const VmView& left, const VmView& right) {
-    return left.vm < right.vm;
-  });
   for (const auto& [group, row] : table.Groups()) {
     if (row.dissolved || context.catalogue.FindModel(row.entry) == nullptr) {
       continue;
--- a/src/control/group_table.cpp
+++ b/src/control/group_table.cpp
@@ -53,9 +53,11 @@
       return "there are already " + std::to_string(kMaxVms) + " VMs";
     }
     m_vms.emplace(vm, VmRow{ record, GroupId() });
+    ++m_revision;
     return {};
   }
   found->second.record = record;
+  ++m_revision;
   return {};
 }
 
@@ -69,6 +71,7 @@
     return "the VM belongs to a group";
   }
   m_vms.erase(found);
+  ++m_revision;
   return {};
 }
 
@@ -117,6 +120,7 @@
     m_vms.at(vm).group = row.group;
   }
   m_groups.emplace(row.group, std::move(row));
+  ++m_revision;
   return {};
 }
 
@@ -131,6 +135,7 @@
   }
   found->second.draining = true;
   found->second.reason = reason;
+  ++m_revision;
   return {};
 }
 
@@ -145,6 +150,7 @@
   }
   found->second.dissolved = true;
   found->second.reason = reason;
+  ++m_revision;
   return {};
 }
 
@@ -166,6 +172,7 @@
   if (row.freed.size() == row.members.size()) {
     m_groups.erase(found);
   }
+  ++m_revision;
   return {};
 }
 
@@ -215,6 +222,7 @@
 {
   m_vms.clear();
   m_groups.clear();
+  ++m_revision;
   for (const auto& record : snapshot.vms) {
     m_vms.emplace(VmId(record->vm), VmRow{ *record, GroupId() });
   }
--- a/src/control/membership.cpp
+++ b/src/control/membership.cpp
@@ -101,6 +101,11 @@
   live.lastHeard = context.now;
   live.connected = true;
   live.leaving = announce.leaving;
+  if (live.leaving) {
+    m_leaving.insert(vm);
+  } else {
+    m_leaving.erase(vm);
+  }
   live.loadedModel = announce.loadedModel;
   live.reportedGroup = GroupId(announce.group);
   live.reportedEpoch = Epoch(announce.epoch);
@@ -289,9 +294,12 @@
     return;
   }
   m_nextTend = context.now + kTendInterval;
-  std::erase_if(m_groups, [&](const auto& item) {
-    return context.state.GetGroups().FindGroup(item.first) == nullptr;
-  });
+  const GroupTable& table = context.state.GetGroups();
+  if (table.Revision() != m_tendedRevision) {
+    m_tendedRevision = table.Revision();
+    std::erase_if(m_groups,
+                  [&](const auto& item) { return table.FindGroup(item.first) == nullptr; });
+  }
   TendGroups(context);
   DrainLeaving(context);
   if (context.now >= m_nextSweep) {
@@ -448,10 +456,8 @@
       drain(VmId(name));
     }
   }
-  for (const auto& [vm, live] : m_vms) {
-    if (live.leaving) {
-      drain(vm);
-    }
+  for (const VmId& vm : m_leaving) {
+    drain(vm);
   }
 }
 
@@ -470,7 +476,8 @@
     }
   }
   std::erase_if(m_vms, [&](const auto& item) {
-    return !item.second.connected && context.now - item.second.lastHeard >= kForgetVmAfter;
+    return !item.second.connected && !item.second.leaving &&
+           context.now - item.second.lastHeard >= kForgetVmAfter;
   });
 }
 
--- a/src/control/route_distribution.cpp
+++ b/src/control/route_distribution.cpp
@@ -16,9 +16,13 @@
 constexpr Duration kChoiceInterval = std::chrono::seconds(1);
 constexpr std::size_t kFewGroups = 200;
 
-std::uint64_t WeightOf(const ProcessId& process, GroupId group)
+std::uint64_t SeedOf(const ProcessId& process)
+{
+  return XXH3_64bits(process.Get().data(), process.Get().size());
+}
+
+std::uint64_t WeightOf(std::uint64_t seed, GroupId group)
 {
-  const std::uint64_t seed = XXH3_64bits(process.Get().data(), process.Get().size());
   const std::uint64_t id = group.Get();
   return XXH3_64bits_withSeed(&id, sizeof id, seed);
 }
@@ -92,8 +96,28 @@
     }));
 }
 
+bool RouteDistribution::RowsAreCurrent(const ControlContext& context,
+                                       const Membership& membership) const
+{
+  auto known = m_rows.begin();
+  for (const auto& [group, row] : context.state.GetGroups().Groups()) {
+    if (!membership.IsServing(context, row)) {
+      continue;
+    }
+    const auto state = row.draining ? wire::RouteState::Draining : wire::RouteState::Open;
+    if (known == m_rows.end() || known->first != group || known->second.route.state != state) {
+      return false;
+    }
+    ++known;
+  }
+  return known == m_rows.end();
+}
+
 void RouteDistribution::RefreshRows(ControlContext& context, const Membership& membership)
 {
+  if (RowsAreCurrent(context, membership)) {
+    return;
+  }
   std::map<GroupId, Row> rows;
   for (const auto& [group, row] : context.state.GetGroups().Groups()) {
     if (row.dissolved || !membership.IsServing(context, row)) {
@@ -139,7 +163,7 @@
     m_byEntry.clear();
     for (const auto& [group, row] : m_rows) {
       if (row.route.state == wire::RouteState::Open) {
-        m_byEntry[row.route.entry].push_back(group);
+        m_byEntry[row.route.entry].push_back(OpenGroup{ group, row.route.failureDomain });
       }
     }
   }
@@ -150,12 +174,13 @@
                                                                const Client& client) const
 {
   std::map<GroupId, wire::RouteState> desired;
+  const std::uint64_t seed = SeedOf(process);
   for (const auto& [entry, groups] : m_byEntry) {
     std::vector<RouteWeight> weights;
     weights.reserve(groups.size());
-    for (const GroupId group : groups) {
-      const bool same = m_rows.at(group).route.failureDomain == client.failureDomain;
-      weights.push_back(RouteWeight{ group, same, WeightOf(process, group) });
+    for (const OpenGroup& open : groups) {
+      const bool same = open.failureDomain == client.failureDomain;
+      weights.push_back(RouteWeight{ open.group, same, WeightOf(seed, open.group) });
     }
     for (const GroupId group : ChooseRoutes(std::move(weights), context.settings.routesPerEntry)) {
       desired.emplace(group, wire::RouteState::Open);
