Control: act on news at once, on timers every 250 ms

Cause: groups, routes and clients were walked ten times a second whether or not anything had changed. Membership counts what it saw to change; groups and routes are tended on a change or every 250 ms.

--- a/include/gooseberrysail/control/config_service.hpp
+++ b/include/gooseberrysail/control/config_service.hpp
@@ -55,7 +55,9 @@
   void AnswerQueries(ControlContext& context);
   void PushNewVersion(ControlContext& context);
   void NoteInForceEverywhere(const ControlContext& context);
-  [[nodiscard]] static bool MustReport(const ControlContext& context, const PeerRow& peer);
+  [[nodiscard]] static bool MustReport(const ControlContext& context,
+                                       const PeerRow& peer,
+                                       Duration limit);
 
   std::deque<Waiting> m_waiting;
   LogIndex m_pushed;
--- a/include/gooseberrysail/control/group_planning.hpp
+++ b/include/gooseberrysail/control/group_planning.hpp
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -29,16 +30,18 @@
 
 private:
   struct Views;
+  void SortEngines(const GroupTable& table);
   void RunPlanner(ControlContext& context, const Membership& membership);
   void FormServiceGroups(ControlContext& context, const Membership& membership);
   void DrainOrphans(ControlContext& context);
   void Propose(ControlContext& context, const Membership& membership, const PlannerAction& action);
 
   PlanHook m_plan;
-  TimePoint m_nextPlan{};
   /// What was planned on: news of the fleet or the catalogue speed the next planning up.
-  std::pair<std::uint64_t, LogIndex> m_plannedOn;
+  std::tuple<std::uint64_t, std::uint64_t, LogIndex> m_plannedOn;
   TimePoint m_lastPlan{};
+  std::vector<VmId> m_engines; ///< In order, as of m_sortedRevision.
+  std::uint64_t m_sortedRevision = 0;
 };
 
 } // namespace gooseberrysail
--- a/include/gooseberrysail/control/membership.hpp
+++ b/include/gooseberrysail/control/membership.hpp
@@ -79,6 +79,9 @@
   /// \brief Whether enough was heard since the start of this leader to judge who is silent.
   [[nodiscard]] bool HasHeardAll(const ControlContext& context) const;
 
+  /// \brief Counts what was seen to change: a connection, a group's readiness, a missing member.
+  [[nodiscard]] std::uint64_t Observations() const noexcept { return m_observations; }
+
   static constexpr Duration kReportTimeout = std::chrono::seconds(3);
   static constexpr Duration kAnnounceTimeout = std::chrono::seconds(10);
   static constexpr Duration kOrderInterval = std::chrono::seconds(1);
@@ -112,6 +115,8 @@
   std::unordered_map<GroupId, GroupLive> m_groups;
   std::unordered_set<VmId> m_leaving; ///< Whose agents were told to stop.
   std::uint64_t m_tendedRevision = 0;
+  std::uint64_t m_observations = 0;
+  std::uint64_t m_tendedObservations = 0;
   std::deque<WaitingReport> m_waiting;
   TimePoint m_nextTend{};
   TimePoint m_nextSweep{};
--- a/include/gooseberrysail/control/route_distribution.hpp
+++ b/include/gooseberrysail/control/route_distribution.hpp
@@ -30,7 +30,7 @@
 class RouteDistribution
 {
 public:
-  void OnLeaderStart() { *this = RouteDistribution(); }
+  void OnLeaderStart(const ControlContext& context);
   void OnPeerUp(const ProcessId& peer, Incarnation incarnation);
   void OnPeerDown(const ProcessId& peer);
   void OnAck(const ProcessId& peer, const wire::RoutesAckT& ack);
@@ -63,6 +63,7 @@
   [[nodiscard]] bool RowsAreCurrent(const ControlContext& context,
                                     const Membership& membership) const;
   void RefreshRows(ControlContext& context, const Membership& membership);
+  void RefreshClients(const ControlContext& context, const ConfigService& config);
   [[nodiscard]] std::map<GroupId, wire::RouteState> Desired(const ControlContext& context,
                                                             const ProcessId& process,
                                                             const Client& client) const;
@@ -79,6 +80,7 @@
   bool m_opened = false;      ///< Some group was opened since the last choice.
   TimePoint m_nextChoice{};
   TimePoint m_nextRefresh{};
+  std::pair<std::uint64_t, std::uint64_t> m_refreshedOn; ///< Revisions of what was looked at.
 };
 
 } // namespace gooseberrysail
--- a/src/control/config_service.cpp
+++ b/src/control/config_service.cpp
@@ -97,19 +97,19 @@
   return found == m_inForce.end() ? nullptr : &found->second;
 }
 
-bool ConfigService::MustReport(const ControlContext& context, const PeerRow& peer)
+bool ConfigService::MustReport(const ControlContext& context, const PeerRow& peer, Duration limit)
 {
   // A process that is cut off stops relying on its copy within the confirmation limit, so after
   // that it holds back no change.
-  const Duration limit = context.catalogue.Policy().confirmationLimit;
   return TakesConfiguration(peer) && (peer.up || context.now - peer.since < limit);
 }
 
 std::vector<ProcessId> ConfigService::Lagging(const ControlContext& context, LogIndex version) const
 {
   std::vector<ProcessId> lagging;
+  const Duration limit = context.catalogue.Policy().confirmationLimit;
   for (const auto& [process, peer] : context.peers) {
-    if (!MustReport(context, peer)) {
+    if (!MustReport(context, peer, limit)) {
       continue;
     }
     const InForce* row = FindInForce(process);
@@ -127,8 +127,9 @@
   if (m_everywhereAt.contains(everywhere)) {
     return;
   }
+  const Duration limit = context.catalogue.Policy().confirmationLimit;
   for (const auto& [process, peer] : context.peers) {
-    if (MustReport(context, peer)) {
+    if (MustReport(context, peer, limit)) {
       const InForce* row = FindInForce(process);
       everywhere = std::min(everywhere, row != nullptr ? row->version : LogIndex());
     }
--- a/src/control/control_role.cpp
+++ b/src/control/control_role.cpp
@@ -221,7 +221,7 @@
     proposer.Clear();
     config.OnLeaderStart(context);
     membership.OnLeaderStart(context);
-    routes.OnLeaderStart();
+    routes.OnLeaderStart(context);
     claims.OnLeaderStart();
     shares.OnLeaderStart();
   }
--- a/src/control/group_planning.cpp
+++ b/src/control/group_planning.cpp
@@ -39,13 +39,13 @@
   if (!context.HasFreshQuorum()) {
     return;
   }
-  const std::pair now(context.state.GetGroups().Revision(), context.catalogue.Version());
-  const bool news = now != m_plannedOn;
-  if (context.now < m_nextPlan && !(news && context.now - m_lastPlan >= kSoonestPlan)) {
+  const std::tuple now(
+    context.state.GetGroups().Revision(), membership.Observations(), context.catalogue.Version());
+  const Duration interval = now == m_plannedOn ? kPlanInterval : kSoonestPlan;
+  if (context.now - m_lastPlan < interval) {
     return;
   }
   m_lastPlan = context.now;
-  m_nextPlan = context.now + kPlanInterval;
   m_plannedOn = now;
   DrainOrphans(context);
   FormServiceGroups(context, membership);
@@ -77,6 +77,22 @@
   }
 }
 
+void GroupPlanning::SortEngines(const GroupTable& table)
+{
+  if (m_sortedRevision == table.Revision()) {
+    return;
+  }
+  m_sortedRevision = table.Revision();
+  m_engines.clear();
+  for (const auto& [vm, row] : table.Vms()) {
+    if (row.record.kind == wire::TargetKind::Engine) {
+      m_engines.push_back(vm);
+    }
+  }
+  // Equal states give equal plans whatever the order of the hash table.
+  std::sort(m_engines.begin(), m_engines.end());
+}
+
 void GroupPlanning::RunPlanner(ControlContext& context, const Membership& membership)
 {
   Views views;
@@ -85,21 +101,12 @@
     views.models.push_back(
       ModelView{ entry.name, entry.priorityClass, &std::get<ModelSpec>(entry.spec) });
   }
-  std::vector<const VmRow*> engines;
-  engines.reserve(table.Vms().size());
-  for (const auto& [vm, row] : table.Vms()) {
-    if (row.record.kind == wire::TargetKind::Engine) {
-      engines.push_back(&row);
-    }
-  }
-  // Sorted, so that equal states give equal plans whatever the order of the hash table.
-  std::sort(engines.begin(), engines.end(), [](const VmRow* left, const VmRow* right) {
-    return left->record.vm < right->record.vm;
-  });
-  views.vms.reserve(engines.size());
-  for (const VmRow* row : engines) {
+  SortEngines(table);
+  views.vms.reserve(m_engines.size());
+  for (const VmId& vm : m_engines) {
+    const VmRow* row = table.FindVm(vm);
     VmView& view = views.vms.emplace_back();
-    view.vm = VmId(row->record.vm);
+    view.vm = vm;
     view.failureDomain = FailureDomainId(row->record.failureDomain);
     view.fabricDomain = FabricDomainId(row->record.fabricDomain);
     view.accelerators = row->record.accelerators;
--- a/src/control/membership.cpp
+++ b/src/control/membership.cpp
@@ -8,7 +8,8 @@
 
 namespace {
 
-constexpr Duration kTendInterval = std::chrono::milliseconds(100);
+/// \brief Timers of groups may run late by this; news are tended at once.
+constexpr Duration kTendInterval = std::chrono::milliseconds(250);
 constexpr Duration kSweepInterval = std::chrono::seconds(10);
 constexpr Duration kForgetVmAfter = std::chrono::hours(1);
 constexpr Duration kReportWaitLimit = std::chrono::seconds(5);
@@ -75,6 +76,7 @@
   const auto vm = m_vmOfProcess.find(peer);
   if (vm != m_vmOfProcess.end()) {
     m_vms[vm->second].connected = false;
+    ++m_observations;
   }
 }
 
@@ -97,6 +99,9 @@
       { { "vm", vm.Get() }, { "holder", live.process.Get() }, { "refused", peer.Get() } }));
     return;
   }
+  const bool changed =
+    !live.connected || live.leaving != announce.leaving || live.loadedModel != announce.loadedModel;
+  m_observations += changed ? 1 : 0;
   live.process = peer;
   live.lastHeard = context.now;
   live.connected = true;
@@ -160,6 +165,7 @@
   if (found != m_groups.end() && sameEpoch && SpeaksFor(context, peer, VmId(released.vm))) {
     found->second.released.insert(VmId(released.vm));
     found->second.nextOrders = TimePoint{};
+    ++m_observations;
   }
 }
 
@@ -175,6 +181,9 @@
     return;
   }
   GroupLive& live = m_groups[row->group];
+  const bool changed =
+    !live.reported || live.ready != report.ready || live.missing.size() != report.missing.size();
+  m_observations += changed ? 1 : 0;
   live.lastReport = context.now;
   live.reported = true;
   live.ready = report.ready;
@@ -290,11 +299,13 @@
 void Membership::Tick(ControlContext& context)
 {
   AnswerReports(context);
-  if (context.now < m_nextTend) {
+  const GroupTable& table = context.state.GetGroups();
+  const bool news = table.Revision() != m_tendedRevision || m_observations != m_tendedObservations;
+  if (!news && context.now < m_nextTend) {
     return;
   }
   m_nextTend = context.now + kTendInterval;
-  const GroupTable& table = context.state.GetGroups();
+  m_tendedObservations = m_observations;
   if (table.Revision() != m_tendedRevision) {
     m_tendedRevision = table.Revision();
     std::erase_if(m_groups,
--- a/src/control/route_distribution.cpp
+++ b/src/control/route_distribution.cpp
@@ -9,7 +9,8 @@
 
 namespace {
 
-constexpr Duration kRefreshInterval = std::chrono::milliseconds(100);
+/// \brief Reports that grow too old are noticed this late; news are told at once.
+constexpr Duration kRefreshInterval = std::chrono::milliseconds(250);
 constexpr Duration kResendAfter = std::chrono::seconds(5);
 /// \brief A choice for every entry process costs time in proportion to entries times groups, so
 /// with many groups it is made at most this often. Closing a route never waits for it.
@@ -69,6 +70,16 @@
   return chosen;
 }
 
+void RouteDistribution::OnLeaderStart(const ControlContext& context)
+{
+  *this = RouteDistribution();
+  for (const auto& [process, peer] : context.peers) {
+    if (peer.up && peer.role == "entry") {
+      m_clients.emplace(process, Client{});
+    }
+  }
+}
+
 void RouteDistribution::OnPeerUp(const ProcessId& peer, Incarnation)
 {
   m_clients[peer] = Client{};
@@ -254,27 +265,9 @@
   SendUpdate(context, process, client, desired);
 }
 
-void RouteDistribution::Tick(ControlContext& context,
-                             const Membership& membership,
-                             const ConfigService& config)
+void RouteDistribution::RefreshClients(const ControlContext& context, const ConfigService& config)
 {
-  // A new leader that spoke before it heard the heads would take every route away at once; until
-  // then the entries keep what its predecessor told them.
-  if (!context.HasFreshQuorum() || !membership.HasHeardAll(context)) {
-    return;
-  }
-  if (context.now < m_nextRefresh) {
-    return;
-  }
-  m_nextRefresh = context.now + kRefreshInterval;
-  RefreshRows(context, membership);
-
-  bool newClient = false;
-  for (const auto& [process, peer] : context.peers) {
-    if (!peer.up || peer.role != "entry") {
-      continue;
-    }
-    Client& client = m_clients[process];
+  for (auto& [process, client] : m_clients) {
     const ConfigService::InForce* inForce = config.FindInForce(process);
     if (inForce != nullptr && inForce->failureDomain != client.failureDomain) {
       client.failureDomain = inForce->failureDomain;
@@ -284,15 +277,28 @@
     if (unacked && context.now - client.sentAt >= kResendAfter) {
       client.needsWhole = true;
     }
-    newClient = newClient || client.needsWhole;
   }
+}
 
+void RouteDistribution::Tick(ControlContext& context,
+                             const Membership& membership,
+                             const ConfigService& config)
+{
+  // A new leader that spoke before it heard the heads would take every route away at once; until
+  // then the entries keep what its predecessor told them.
+  if (!context.HasFreshQuorum() || !membership.HasHeardAll(context)) {
+    return;
+  }
+  const std::pair now(context.state.GetGroups().Revision(), membership.Observations());
+  if (now != m_refreshedOn || context.now >= m_nextRefresh) {
+    m_refreshedOn = now;
+    m_nextRefresh = context.now + kRefreshInterval;
+    RefreshRows(context, membership);
+    RefreshClients(context, config);
+  }
   const bool mayChoose = m_rows.size() <= kFewGroups || context.now >= m_nextChoice;
   const bool chooseAll = mayChoose && (m_opened || !m_closed.empty());
   for (auto& [process, client] : m_clients) {
-    if (!context.IsUp(process)) {
-      continue;
-    }
     if (chooseAll || client.needsWhole) {
       SendUpdate(context, process, client, Desired(context, process, client));
     } else if (!m_closed.empty()) {
