Control: bound the memory of changes by bytes; push new versions to entries only

Cause: 4,000 remembered changes of up to 2 MB each had no bound in bytes, and a change sent 337 bytes to each of 7,200 agents, which ignore an answer they did not ask for and learn of the version from their next lease or beat.

--- a/include/gooseberrysail/control/catalogue_table.hpp
+++ b/include/gooseberrysail/control/catalogue_table.hpp
@@ -62,6 +62,7 @@
   void LoadFrom(const wire::ControlSnapshotT& snapshot);
 
   static constexpr std::size_t kMaxChanges = 4'000;
+  static constexpr std::size_t kMaxChangeBytes = 8 * 1024 * 1024;
   static constexpr std::size_t kMaxItems = 20'000;
   static constexpr std::size_t kMaxItemBytes = 8 * 1024 * 1024;
 
@@ -78,6 +79,7 @@
   /// Removals up to this version are forgotten: who is behind it needs a whole copy.
   std::uint64_t m_forgottenRemovals = 0;
   std::deque<wire::ChangeRecordT> m_changes;
+  std::size_t m_changeBytes = 0;
   std::uint64_t m_firstChange = 0; ///< Number of the oldest remembered change.
   std::unordered_map<std::string, std::uint64_t> m_changeById;
 };
--- a/src/control/catalogue_table.cpp
+++ b/src/control/catalogue_table.cpp
@@ -17,6 +17,16 @@
   return item.name.size() + item.owner.size() + item.spec.size() + sizeof(item);
 }
 
+std::size_t BytesOf(const wire::ChangeRecordT& change)
+{
+  std::size_t bytes = sizeof(change) + change.changeId.size() + change.operatorName.size() +
+                      change.detail.size() + change.digest.size();
+  for (const auto& item : change.items) {
+    bytes += BytesOf(*item);
+  }
+  return bytes;
+}
+
 std::string Title(const wire::CatalogueItemT& item)
 {
   return std::string(KindName(item.kind)) + " " + item.name;
@@ -192,8 +202,11 @@
 void CatalogueTable::Remember(wire::ChangeRecordT record)
 {
   m_changeById[record.changeId] = m_firstChange + m_changes.size();
+  m_changeBytes += BytesOf(record);
   m_changes.push_back(std::move(record));
-  if (m_changes.size() > kMaxChanges) {
+  while (m_changes.size() > kMaxChanges ||
+         (m_changeBytes > kMaxChangeBytes && m_changes.size() > 1)) {
+    m_changeBytes -= BytesOf(m_changes.front());
     m_changeById.erase(m_changes.front().changeId);
     m_changes.pop_front();
     ++m_firstChange;
--- a/src/control/config_service.cpp
+++ b/src/control/config_service.cpp
@@ -79,12 +79,14 @@
   if (version <= m_pushed) {
     return;
   }
-  // Nonce 0 answers no question: it brings the change at once but confirms nothing.
+  // Nonce 0 answers no question: it brings the change at once but confirms nothing. Only entries
+  // are told so; agents see the new version with their next lease or beat and ask, which spares
+  // the leader a frame to every target VM.
   wire::ConfigStateT state = context.state.GetCatalogue().StateSince(m_pushed);
   state.leaderTerm = context.replication.term.Get();
   const auto envelope = MakeEnvelope(std::move(state));
   for (const auto& [process, peer] : context.peers) {
-    if (peer.up && TakesConfiguration(peer)) {
+    if (peer.up && peer.role == "entry") {
       context.Send(process, envelope);
     }
   }
