--- a/tests/support/agent_harness.cpp
+++ b/tests/support/agent_harness.cpp
@@ -90,7 +90,13 @@
     }
   }
   std::vector<AgentOutput> outbox;
+  if (beforeTick) {
+    beforeTick();
+  }
   m_role->Tick(m_now, inbox, outbox);
+  if (afterTick) {
+    afterTick();
+  }
   for (const AgentOutput& output : outbox) {
     if (onOutput) {
       onOutput(m_now, output);
@@ -132,7 +138,7 @@
     grant.epoch = report->epoch;
     grant.leaseMillis = kLeaseMillis;
     grant.granted = true;
-    grant.configVersion = 1;
+    grant.configVersion = catalogueVersion;
     reply(grant);
   } else if (const auto* beat = body.AsBeatRequest()) {
     const std::string vm = frame.peer.Get().substr(std::string_view("agent-").size());
@@ -154,7 +160,7 @@
 wire::ConfigStateT AgentHarness::Catalogue() const
 {
   wire::ConfigStateT state;
-  state.version = drainingVm.empty() ? 1 : 2;
+  state.version = catalogueVersion;
   state.leaderTerm = 1;
   ModelSpec model;
   model.version = "2026-11";
@@ -264,7 +270,7 @@
   assign.group = group;
   assign.epoch = epoch;
   assign.entry = service ? "booking-portal" : "hire-assist";
-  assign.modelVersion = service ? "" : "2026-11";
+  assign.modelVersion = service ? "" : assignedVersion;
   assign.head = head;
   assign.version = 1;
   for (std::size_t index = 0; index < (service ? 1 : m_shape.members); ++index) {
