--- a/include/gooseberrysail/control/route_distribution.hpp
+++ b/include/gooseberrysail/control/route_distribution.hpp
@@ -30,7 +30,7 @@
 class RouteDistribution
 {
 public:
-  void OnLeaderStart() { *this = RouteDistribution(); }
+  void OnLeaderStart(const ControlContext& context);
   void OnPeerUp(const ProcessId& peer, Incarnation incarnation);
   void OnPeerDown(const ProcessId& peer);
   void OnAck(const ProcessId& peer, const wire::RoutesAckT& ack);
@@ -54,8 +54,16 @@
   {
     wire::RouteT route;
   };
+  struct OpenGroup
+  {
+    GroupId group;
+    std::string failureDomain;
+  };
 
+  [[nodiscard]] bool RowsAreCurrent(const ControlContext& context,
+                                    const Membership& membership) const;
   void RefreshRows(ControlContext& context, const Membership& membership);
+  void RefreshClients(const ControlContext& context, const ConfigService& config);
   [[nodiscard]] std::map<GroupId, wire::RouteState> Desired(const ControlContext& context,
                                                             const ProcessId& process,
                                                             const Client& client) const;
@@ -66,12 +74,13 @@
   void SendClosed(ControlContext& context, const ProcessId& process, Client& client);
 
   std::unordered_map<ProcessId, Client> m_clients;
-  std::map<GroupId, Row> m_rows;                         ///< Open and draining groups.
-  std::map<std::string, std::vector<GroupId>> m_byEntry; ///< Open groups of each catalogue entry.
-  std::set<GroupId> m_closed;                            ///< Not open any more since the last tick.
-  bool m_opened = false; ///< Some group was opened since the last choice.
+  std::map<GroupId, Row> m_rows;                           ///< Open and draining groups.
+  std::map<std::string, std::vector<OpenGroup>> m_byEntry; ///< Open groups of each catalogue entry.
+  std::set<GroupId> m_closed; ///< Not open any more since the last tick.
+  bool m_opened = false;      ///< Some group was opened since the last choice.
   TimePoint m_nextChoice{};
   TimePoint m_nextRefresh{};
+  std::pair<std::uint64_t, std::uint64_t> m_refreshedOn; ///< Revisions of what was looked at.
 };
 
 } // namespace gooseberrysail
