--- a/src/cli/change_commands.cpp
+++ b/src/cli/change_commands.cpp
@@ -200,7 +200,7 @@
     }
     m_context.environment.out << "change " << m_changeId << " committed as version "
                               << CellAt(answer, "version") << "\n";
-    TextTable table({ "KIND", "NAME", "REVISION", "" });
+    TextTable table({ "KIND", "NAME", "REVISION", "RESULT" });
     for (const json::object* entry : ObjectsAt(answer, "entries")) {
       table.Add({ CellAt(*entry, "kind"),
                   CellAt(*entry, "name"),
@@ -298,7 +298,9 @@
     return Fail(context, ExitCode::kInvalid, ToString(writes.error()));
   }
   if (context.line.check) {
-    context.environment.out << path << ": " << writes.value().size() << " entries without fault\n";
+    const std::size_t count = writes.value().size();
+    context.environment.out << path << ": " << count << (count == 1 ? " entry" : " entries")
+                            << " without fault\n";
     return ExitCode::kDone;
   }
   return ChangeSender(context, std::move(writes.value())).Send();
