--- a/tests/unit/examples_test.cpp
+++ b/tests/unit/examples_test.cpp
@@ -1,5 +1,6 @@
 #include "gooseberrysail/cli/read_file.hpp"
 #include "gooseberrysail/settings/settings.hpp"
+#include "support/cli_runner.hpp"
 #include "support/section.hpp"
 
 #include <filesystem>
@@ -30,5 +31,19 @@
   }
 }
 
+TEST(Examples, CataloguesOfBothDeploymentsHaveNoFault)
+{
+  for (const char* deployment : { "hire-authority", "registry" }) {
+    test::CliRunner cli;
+    const auto text = ReadWholeFile(std::string(GOOSEBERRYSAIL_SOURCE_DIR "/examples/") +
+                                    deployment + "/catalogue.json");
+    ASSERT_TRUE(text.has_value()) << text.error();
+    cli.files["catalogue.json"] = text.value();
+    const auto outcome = cli.Run({ "catalogue", "apply", "--check", "catalogue.json" });
+    EXPECT_EQ(outcome.code, ExitCode::kDone) << deployment << ": " << outcome.err;
+    EXPECT_EQ(outcome.out, "catalogue.json: 13 entries without fault\n");
+  }
+}
+
 } // namespace
 } // namespace gooseberrysail
