--- a/src/observe/metrics.cpp
+++ b/src/observe/metrics.cpp
@@ -153,6 +153,7 @@
   }
 
   ProcessRole role;
+  LogIndex configVersion;
   prometheus::Registry registry;
   std::map<MetricId, prometheus::Family<prometheus::Counter>*> counters;
   std::map<MetricId, prometheus::Family<prometheus::Gauge>*> gauges;
@@ -225,7 +226,9 @@
 
 void Metrics::OnConfigVersion(LogIndex version)
 {
-  m_impl->Set(MetricId::kConfigVersion, static_cast<double>(version.Get()));
+  // Frames of the replicated log bear no version; taking their 0 would show a step back.
+  m_impl->configVersion = std::max(m_impl->configVersion, version);
+  m_impl->Set(MetricId::kConfigVersion, static_cast<double>(m_impl->configVersion.Get()));
 }
 
 void Metrics::Sample(const MetricsSample& sample)
