Peer heartbeats: the dialling side's alone prove both ways

Ping gains 'answered' (additive), so that the accepting side sees by the advancing number that its own bytes arrive, too.

--- /dev/null
+++ b/bench/net_roundtrip.cpp
@@ -0,0 +1,313 @@
+// What a peer connection costs: memory, processor time and bytes when idle, at several numbers of
+// connections, and the latency and processor time of frames. The peers live in a child process, so
+// that the figures are those of one process alone.
+
+#include "gooseberrysail/net/peer_mesh.hpp"
+#include "gooseberrysail/shell/clock.hpp"
+#include "gooseberrysail/wire/envelope.hpp"
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+#include <ctime>
+#include <fstream>
+#include <memory>
+#include <numeric>
+#include <string>
+#include <sys/wait.h>
+#include <unistd.h>
+#include <vector>
+
+namespace gooseberrysail {
+namespace {
+
+constexpr std::array<std::size_t, 4> kConnections{ 50, 100, 200, 400 };
+constexpr Duration kWatched = std::chrono::seconds(4);
+constexpr std::size_t kRoundTrips = 20000;
+constexpr std::size_t kStreamedFrames = 200000;
+constexpr std::size_t kWindow = 64;
+constexpr const char* kFirstPeer = "peer-0";
+
+struct Sample
+{
+  double connections = 0;
+  double value = 0;
+};
+
+Duration ProcessorTime()
+{
+  timespec time{};
+  clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &time);
+  return std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec);
+}
+
+double Micros(Duration duration)
+{
+  return std::chrono::duration<double, std::micro>(duration).count();
+}
+
+double ResidentKilobytes()
+{
+  std::ifstream file("/proc/self/statm");
+  double total = 0;
+  double resident = 0;
+  file >> total >> resident;
+  return resident * static_cast<double>(sysconf(_SC_PAGESIZE)) / 1024;
+}
+
+// Least squares: the slope is the cost of one more connection, whatever the process costs itself.
+double Slope(const std::vector<Sample>& samples)
+{
+  double meanX = 0;
+  double meanY = 0;
+  for (const Sample& sample : samples) {
+    meanX += sample.connections / static_cast<double>(samples.size());
+    meanY += sample.value / static_cast<double>(samples.size());
+  }
+  double above = 0;
+  double below = 0;
+  for (const Sample& sample : samples) {
+    above += (sample.connections - meanX) * (sample.value - meanY);
+    below += (sample.connections - meanX) * (sample.connections - meanX);
+  }
+  return above / below;
+}
+
+PeerMeshSettings MakeSettings(const std::string& name)
+{
+  PeerMeshSettings settings;
+  settings.process = ProcessId(name);
+  settings.role = "bench";
+  settings.incarnation = Incarnation(1);
+  settings.listenAddress = "127.0.0.1:0";
+  settings.clusterKey = "a key of the bench";
+  return settings;
+}
+
+// The child: as many meshes as the hub asks for, each of which echoes what it gets.
+class Peers
+{
+public:
+  explicit Peers(std::string hubAddress)
+    : m_hubAddress(std::move(hubAddress))
+  {
+    Add();
+  }
+
+  void Serve() { m_runtime.Run(); }
+
+private:
+  void Add()
+  {
+    const std::string name = "peer-" + std::to_string(m_meshes.size());
+    PeerMeshHooks hooks;
+    const std::size_t index = m_meshes.size();
+    hooks.onFrame = [this, index](FrameIn frame) { Take(index, frame); };
+    hooks.onDown = [this](PeerDown) { m_runtime.Stop(); };
+    m_meshes.push_back(std::make_unique<PeerMesh>(m_runtime, MakeSettings(name), hooks));
+    if (!m_meshes.back()->Start()) {
+      std::fputs("a peer could not listen\n", stderr);
+      return;
+    }
+    m_meshes.back()->Send(
+      FrameOut{ ProcessId("hub"), m_hubAddress, MakeEnvelope(wire::ConfigQueryT{}) });
+  }
+
+  void Take(std::size_t index, const FrameIn& frame)
+  {
+    if (const auto* wanted = frame.envelope->body.AsInForce()) {
+      while (m_meshes.size() < wanted->version) {
+        Add();
+      }
+      return;
+    }
+    m_meshes[index]->Send(
+      FrameOut{ frame.peer, "", std::make_shared<wire::EnvelopeT>(*frame.envelope) });
+  }
+
+  IoRuntime m_runtime;
+  std::string m_hubAddress;
+  std::vector<std::unique_ptr<PeerMesh>> m_meshes;
+};
+
+class Hub
+{
+public:
+  Hub()
+    : m_mesh(m_runtime, MakeSettings("hub"), MakeHooks())
+  {
+    m_started = m_mesh.Start().has_value();
+  }
+
+  [[nodiscard]] bool Started() const { return m_started; }
+  [[nodiscard]] std::string Address() const { return m_mesh.ListenAddress(); }
+
+  void Measure()
+  {
+    WaitForConnections(1);
+    MeasureConnections();
+    MeasureRoundTrips();
+    MeasureStream();
+    m_mesh.Close();
+  }
+
+private:
+  PeerMeshHooks MakeHooks()
+  {
+    PeerMeshHooks hooks;
+    hooks.onUp = [this](const PeerUp&) { m_changed.Notify(); };
+    hooks.onFrame = [this](const FrameIn&) {
+      ++m_received;
+      m_changed.Notify();
+    };
+    return hooks;
+  }
+
+  void WaitForConnections(std::size_t count)
+  {
+    while (m_mesh.ConnectionCount() < count) {
+      m_changed.Wait();
+    }
+  }
+
+  void SendOutput(std::size_t bytes)
+  {
+    wire::OutputT output;
+    output.request = "entry-1.1.123456";
+    output.bytes.resize(bytes);
+    m_mesh.Send(FrameOut{ ProcessId(kFirstPeer), "", MakeEnvelope(std::move(output)) });
+  }
+
+  void MeasureRoundTrips()
+  {
+    std::printf("\nframe round trips, one at a time (%zu each)\n", kRoundTrips);
+    std::printf("%8s %10s %10s %10s %16s\n", "bytes", "p50 us", "p99 us", "max us", "cpu us/frame");
+    for (const std::size_t bytes : { 64, 1024, 65536 }) {
+      std::vector<double> micros;
+      const Duration before = ProcessorTime();
+      for (std::size_t i = 0; i < kRoundTrips; ++i) {
+        const TimePoint sent = BootNow();
+        const std::size_t wanted = m_received + 1;
+        SendOutput(bytes);
+        while (m_received < wanted) {
+          m_changed.Wait();
+        }
+        micros.push_back(Micros(BootNow() - sent));
+      }
+      const Duration used = ProcessorTime() - before;
+      std::sort(micros.begin(), micros.end());
+      std::printf("%8zu %10.1f %10.1f %10.1f %16.2f\n",
+                  bytes,
+                  micros[micros.size() / 2],
+                  micros[micros.size() * 99 / 100],
+                  micros.back(),
+                  Micros(used) / (2.0 * kRoundTrips));
+    }
+  }
+
+  void MeasureStream()
+  {
+    std::printf(
+      "\nframes streamed and echoed, %zu in flight (%zu each)\n", kWindow, kStreamedFrames);
+    std::printf("%8s %14s %16s %14s\n", "bytes", "frames/s", "cpu us/frame", "frames/write");
+    for (const std::size_t bytes : { 64, 1024 }) {
+      const std::size_t first = m_received;
+      const std::uint64_t writes = m_mesh.Counters().writes;
+      const Duration before = ProcessorTime();
+      const TimePoint begun = BootNow();
+      std::size_t sent = 0;
+      while (m_received - first < kStreamedFrames) {
+        while (sent < kStreamedFrames && sent - (m_received - first) < kWindow) {
+          SendOutput(bytes);
+          ++sent;
+        }
+        m_changed.Wait();
+      }
+      const double seconds = Micros(BootNow() - begun) / 1e6;
+      std::printf("%8zu %14.0f %16.2f %14.1f\n",
+                  bytes,
+                  2.0 * kStreamedFrames / seconds,
+                  Micros(ProcessorTime() - before) / (2.0 * kStreamedFrames),
+                  static_cast<double>(kStreamedFrames) /
+                    static_cast<double>(m_mesh.Counters().writes - writes));
+    }
+  }
+
+  void MeasureConnections()
+  {
+    std::printf("idle connections, watched for %lld ms each; heartbeats as by default\n",
+                static_cast<long long>(ToMillis(kWatched)));
+    std::printf(
+      "%12s %12s %16s %18s\n", "connections", "rss KB", "cpu % of a core", "sent bytes/s");
+    std::vector<Sample> memory;
+    std::vector<Sample> processor;
+    std::vector<Sample> bytes;
+    for (const std::size_t count : kConnections) {
+      wire::InForceT wanted;
+      wanted.version = count;
+      m_mesh.Send(FrameOut{ ProcessId(kFirstPeer), "", MakeEnvelope(std::move(wanted)) });
+      WaitForConnections(count);
+      m_runtime.SleepFor(std::chrono::seconds(1));
+      const Duration before = ProcessorTime();
+      const std::uint64_t sentBefore = m_mesh.Counters().bytesSent;
+      m_runtime.SleepFor(kWatched);
+      const double seconds = Micros(kWatched) / 1e6;
+      const double share = 100 * Micros(ProcessorTime() - before) / Micros(kWatched);
+      const double sent = static_cast<double>(m_mesh.Counters().bytesSent - sentBefore) / seconds;
+      const double resident = ResidentKilobytes();
+      const auto connections = static_cast<double>(count);
+      memory.push_back({ connections, resident });
+      processor.push_back({ connections, share });
+      bytes.push_back({ connections, sent });
+      std::printf("%12zu %12.0f %16.3f %18.0f\n", count, resident, share, sent);
+    }
+    std::printf("slope for one more connection: %.1f KB, %.4f %% of a core, %.0f bytes/s sent\n",
+                Slope(memory),
+                Slope(processor),
+                Slope(bytes));
+  }
+
+  IoRuntime m_runtime;
+  std::size_t m_received = 0;
+  Signal m_changed;
+  bool m_started = false;
+  PeerMesh m_mesh;
+};
+
+int RunPeers(int pipe)
+{
+  std::array<char, 64> address{};
+  const ssize_t size = read(pipe, address.data(), address.size());
+  if (size <= 0) {
+    return 1;
+  }
+  Peers peers(std::string(address.data(), static_cast<std::size_t>(size)));
+  peers.Serve();
+  return 0;
+}
+
+} // namespace
+} // namespace gooseberrysail
+
+int main()
+{
+  std::array<int, 2> ends{};
+  if (pipe(ends.data()) != 0) {
+    return 1;
+  }
+  const pid_t child = fork();
+  if (child == 0) {
+    return gooseberrysail::RunPeers(ends[0]);
+  }
+  {
+    gooseberrysail::Hub hub;
+    const std::string address = hub.Address();
+    if (!hub.Started() || write(ends[1], address.data(), address.size()) < 0) {
+      return 1;
+    }
+    hub.Measure();
+  }
+  int status = 0;
+  waitpid(child, &status, 0);
+  return status;
+}
--- a/src/net/peer_connection.hpp
+++ b/src/net/peer_connection.hpp
@@ -64,8 +64,10 @@
   std::string dialableAddress;
   std::uint64_t establishedOrder = 0; ///< Comparable with ids: both come from one counter.
 
-  TimePoint answeredAt{}; ///< When the last answer to one of our heartbeats arrived.
-  bool silent = false;    ///< Given up for silence; being replaced.
+  std::uint64_t pinged = 0;   ///< The last heartbeat sent, on the side that dialled.
+  std::uint64_t answered = 0; ///< The newest heartbeat whose answer is known to have arrived.
+  TimePoint answeredAt{};     ///< When that became known.
+  bool silent = false;        ///< Given up for silence; being replaced.
 
   /// \brief Called after each write with its size.
   std::function<void(std::size_t)> onWritten;
--- a/src/net/peer_mesh_impl.hpp
+++ b/src/net/peer_mesh_impl.hpp
@@ -76,6 +76,7 @@
   Result<void> TakeFrames(const ConnectionPtr& connection);
   Result<void> TakeFrame(const ConnectionPtr& connection,
                          const std::shared_ptr<const wire::EnvelopeT>& envelope);
+  void NoteAnswered(Connection& connection, std::uint64_t sequence) const;
   void Beat();
   void BeatOnce(TimePoint now, Duration period, bool stalled);
   void GiveUpSilent(const ConnectionPtr& connection, TimePoint now);
@@ -90,7 +91,6 @@
   std::unordered_map<impl::ConnectionId, ConnectionPtr> connections;
   std::unordered_map<ProcessId, Peer> peers;
   std::uint64_t lastOrder = 0; ///< Numbers connections and the moments they were established.
-  std::uint64_t lastPing = 0;
   std::size_t standing = 0;
   std::size_t handshakes = 0;
   std::size_t fibers = 0;
--- a/src/net/peer_traffic.cpp
+++ b/src/net/peer_traffic.cpp
@@ -68,13 +68,15 @@
 {
   switch (envelope->body.type) {
     case wire::Body::Ping: {
+      const wire::PingT& ping = *envelope->body.AsPing();
+      NoteAnswered(*connection, ping.answered);
       wire::PongT pong;
-      pong.sequence = envelope->body.AsPing()->sequence;
+      pong.sequence = ping.sequence;
       connection->QueueFirst(impl::EncodeFrame(*MakeEnvelope(std::move(pong))));
       break;
     }
     case wire::Body::Pong:
-      connection->answeredAt = BootNow();
+      NoteAnswered(*connection, envelope->body.AsPong()->sequence);
       break;
     case wire::Body::Hello:
     case wire::Body::HelloProof:
@@ -91,6 +93,16 @@
   return outcome::success();
 }
 
+// Only a newer number counts: when the way to the dialler swallows everything, its heartbeats go on
+// arriving here, but they repeat the same answer.
+void PeerMesh::Impl::NoteAnswered(Connection& connection, std::uint64_t sequence) const
+{
+  if (sequence > connection.answered) {
+    connection.answered = sequence;
+    connection.answeredAt = BootNow();
+  }
+}
+
 void PeerMesh::Impl::Beat()
 {
   const Duration period = std::min(settings.heartbeatInterval, settings.silenceTimeout / 4);
@@ -118,11 +130,14 @@
       present.push_back(connection);
     }
   }
-  wire::PingT ping;
-  ping.sequence = ++lastPing;
-  const Frame frame = impl::EncodeFrame(*MakeEnvelope(std::move(ping)));
   for (const ConnectionPtr& connection : present) {
-    connection->QueueFirst(frame);
+    // One side's heartbeats prove both ways for both sides, at half the bytes.
+    if (connection->Dialled()) {
+      wire::PingT ping;
+      ping.sequence = ++connection->pinged;
+      ping.answered = connection->answered;
+      connection->QueueFirst(impl::EncodeFrame(*MakeEnvelope(std::move(ping))));
+    }
     if (stalled) {
       connection->answeredAt = now;
     }
