--- a/src/agent/agent_role.cpp
+++ b/src/agent/agent_role.cpp
@@ -17,6 +17,8 @@
 
 /// How long a stopping agent, idle itself, waits for control to release its group.
 constexpr Duration kStopPatience = std::chrono::seconds(30);
+/// The same while its head still counts on it, perhaps for a long answer.
+constexpr Duration kStopPatienceHeard = std::chrono::minutes(15);
 
 } // namespace
 
@@ -48,7 +50,7 @@
   void RunSystems(impl::AgentContext& context);
   void ReportLoad(impl::AgentContext& context);
   void AdvanceStop(impl::AgentContext& context);
-  [[nodiscard]] Duration ConfigInterval(TimePoint now) const;
+  [[nodiscard]] Duration ConfigRenewAfter(TimePoint now) const;
   [[nodiscard]] std::string LoadedModel() const;
 
   AgentSettings settings;
@@ -153,11 +155,11 @@
                { { "inFlight", std::to_string(requests.Running() + requests.Queued()) } });
 }
 
-Duration AgentRole::Impl::ConfigInterval(TimePoint now) const
+Duration AgentRole::Impl::ConfigRenewAfter(TimePoint now) const
 {
-  const bool relayed = group.Members().Current() && !group.Members().IsHead() &&
-                       group.HearsHead(now) && config.ConfirmedAt();
-  return relayed ? ConfigClient::kRelayedInterval : ConfigClient::kInterval;
+  const bool relayed =
+    group.Members().Current() && !group.Members().IsHead() && group.HearsHead(now);
+  return relayed ? ConfigClient::kRelayedRenewAfter : ConfigClient::kRenewAfter;
 }
 
 std::string AgentRole::Impl::LoadedModel() const
@@ -172,7 +174,7 @@
 void AgentRole::Impl::RunSystems(impl::AgentContext& context)
 {
   probe.Tick(context);
-  config.Tick(context, link, ConfigInterval(context.Now()));
+  config.Tick(context, link, ConfigRenewAfter(context.Now()));
   orders.Tick(context, probe);
   group.Tick(context, requests);
   requests.Tick(context);
@@ -212,9 +214,10 @@
   }
   idleSince = idleSince.value_or(context.Now());
   const bool released = !group.Members().Current().has_value();
-  const bool patienceOver = context.Now() - *idleSince >= kStopPatience;
-  if (!released && !patienceOver) {
-    // A member whose head still finishes work goes on vouching until control dissolves the group.
+  // A member that left while its head finishes an answer would cut that answer.
+  const bool counted = !group.Members().IsHead() && group.HearsHead(context.Now());
+  const Duration patience = counted ? kStopPatienceHeard : kStopPatience;
+  if (!released && context.Now() - *idleSince < patience) {
     return;
   }
   if (!released) {
--- a/src/agent/request_output.cpp
+++ b/src/agent/request_output.cpp
@@ -69,7 +69,11 @@
 {
   const AttemptKey key{ RequestId(resume.request), resume.attempt };
   const auto row = m_attempts.find(key);
-  if (Incarnation(resume.agentIncarnation) != m_incarnation || row == m_attempts.end()) {
+  if (Incarnation(resume.agentIncarnation) != m_incarnation) {
+    SendUnknown(context, frame.peer, key);
+    return;
+  }
+  if (row == m_attempts.end()) {
     AnswerKnown(context, frame.peer, key);
     return;
   }
@@ -138,7 +142,7 @@
   if (answer.end) {
     Finish(context, attempt);
     attempt.output.End("");
-    context.Emit(EventNumber::kRequestEnded,
+    context.Emit(EventNumber::kTargetCallEnded,
                  { { "request", key.request.Get() },
                    { "attempt", std::to_string(key.attempt) },
                    { "status", std::to_string(attempt.output.Status()) } });
@@ -361,10 +365,13 @@
 {
   const TimePoint now = context.Now();
   const bool lost = attempt.lostAt && now - *attempt.lostAt >= kHoldFor;
-  if (attempt.state == State::kRunning && attempt.repeatable) {
-    if (attempt.deadline && *attempt.deadline <= now) {
+  // A call that must not be repeated is let run to its end, but a target that hangs must not keep
+  // its slot for ever.
+  const Duration extra = attempt.repeatable ? Duration{} : kOverdueLimit;
+  if (attempt.state == State::kRunning) {
+    if (attempt.deadline && *attempt.deadline + extra <= now) {
       Cut(context, key, attempt, "deadline passed");
-    } else if (lost) {
+    } else if (lost && attempt.repeatable) {
       Cut(context, key, attempt, "entry did not return");
     }
   }
