--- a/tests/unit/idle_cost_test.cpp
+++ b/tests/unit/idle_cost_test.cpp
@@ -28,6 +28,9 @@
   constexpr double kAllowedShare = 0.01;
   constexpr int kPeers = 5;
 
+  // Outlive the runtime, which waits for the fiber that uses them.
+  bool stopping = false;
+  Signal tick;
   IoRuntime runtime;
   NotingServer server(runtime);
   MeshProcess entry(runtime, "entry-1");
@@ -37,8 +40,6 @@
     entry.SendNumber(*agents.back(), 1, agents.back()->mesh.ListenAddress());
     ASSERT_TRUE(agents.back()->WaitForStep("up entry-1"));
   }
-  bool stopping = false;
-  Signal tick;
   runtime.Spawn([&] {
     while (!stopping) {
       tick.WaitFor(EntryRole::kTickInterval);
