--- a/include/gooseberrysail/agent/request_system.hpp
+++ b/include/gooseberrysail/agent/request_system.hpp
@@ -118,6 +118,7 @@
                const wire::StartT& start,
                const AttemptKey& key);
   void AnswerKnown(impl::AgentContext& context, const ProcessId& peer, const AttemptKey& key);
+  [[nodiscard]] wire::SealResult SealOwn(TimePoint now, const AttemptKey& key);
   void SendUnknown(impl::AgentContext& context, const ProcessId& peer, const AttemptKey& key);
   bool MakeRoom(impl::AgentContext& context, std::uint8_t priority);
   void StartWaiting(impl::AgentContext& context);
--- a/src/agent/agent_role.cpp
+++ b/src/agent/agent_role.cpp
@@ -24,8 +24,9 @@
 
 struct AgentRole::Impl
 {
-  Impl(AgentSettings initialSettings, const RoleHooks& hooks)
+  Impl(AgentSettings initialSettings, RoleHooks initialHooks)
     : settings(std::move(initialSettings))
+    , hooks(std::move(initialHooks))
     , link(settings.controls)
     , config(hooks.random)
     , group(settings, GroupSystem::Parts{ link, config, probe, orders }, hooks.random)
@@ -54,6 +55,7 @@
   [[nodiscard]] std::string LoadedModel() const;
 
   AgentSettings settings;
+  RoleHooks hooks;
   ControlLink link;
   ConfigClient config;
   TargetProbe probe;
@@ -228,7 +230,7 @@
 }
 
 AgentRole::AgentRole(AgentSettings settings, RoleHooks hooks)
-  : m_impl(std::make_unique<Impl>(std::move(settings), hooks))
+  : m_impl(std::make_unique<Impl>(std::move(settings), std::move(hooks)))
 {
 }
 
--- a/src/agent/gate.cpp
+++ b/src/agent/gate.cpp
@@ -86,7 +86,7 @@
   if (facts.drainingMember) {
     return Closed(GateReason::kDraining, *facts.drainingMember);
   }
-  const GateState whole = CheckWhole(now, facts);
+  GateState whole = CheckWhole(now, facts);
   if (!whole.Open()) {
     return whole;
   }
--- a/src/agent/request_start.cpp
+++ b/src/agent/request_start.cpp
@@ -231,10 +231,9 @@
 }
 
 void RequestSystem::RefuseQueued(impl::AgentContext& context,
-                                 const AttemptKey& queued,
+                                 const AttemptKey& key,
                                  const std::string& reason)
 {
-  const AttemptKey key = queued;
   const ProcessId entry = m_attempts.at(key).entry;
   m_queue.Remove(key);
   m_attempts.erase(key);
@@ -256,6 +255,26 @@
   return std::chrono::milliseconds(static_cast<std::int64_t>(bounded));
 }
 
+wire::SealResult RequestSystem::SealOwn(TimePoint now, const AttemptKey& key)
+{
+  const auto row = m_attempts.find(key);
+  if (row != m_attempts.end() && row->second.state != State::kQueued) {
+    return wire::SealResult::Started;
+  }
+  const auto verdict = m_ledger.Find(key);
+  const bool unsure = !verdict && m_ledger.MayHaveForgotten(key.request);
+  if (verdict == Verdict::kStarted || (unsure && row == m_attempts.end())) {
+    return wire::SealResult::Started;
+  }
+  if (row != m_attempts.end()) {
+    m_queue.Remove(key);
+    m_attempts.erase(row);
+  }
+  // Noted before it is said: the Start may still be under way.
+  m_ledger.Note(now, key, Verdict::kNeverStarted);
+  return wire::SealResult::Sealed;
+}
+
 void RequestSystem::OnSeal(impl::AgentContext& context,
                            const FrameIn& frame,
                            const wire::SealT& seal)
@@ -264,25 +283,8 @@
   wire::SealReplyT reply;
   reply.request = seal.request;
   reply.attempt = seal.attempt;
-  const auto row = m_attempts.find(key);
-  if (Incarnation(seal.agentIncarnation) != m_incarnation) {
-    reply.result = wire::SealResult::WrongIncarnation;
-  } else if (row != m_attempts.end() && row->second.state == State::kQueued) {
-    m_queue.Remove(key);
-    m_attempts.erase(row);
-    m_ledger.Note(context.Now(), key, Verdict::kNeverStarted);
-    reply.result = wire::SealResult::Sealed;
-  } else if (row != m_attempts.end()) {
-    reply.result = wire::SealResult::Started;
-  } else if (const auto verdict = m_ledger.Find(key)) {
-    reply.result =
-      *verdict == Verdict::kNeverStarted ? wire::SealResult::Sealed : wire::SealResult::Started;
-  } else if (m_ledger.MayHaveForgotten(key.request)) {
-    reply.result = wire::SealResult::Started;
-  } else {
-    m_ledger.Note(context.Now(), key, Verdict::kNeverStarted);
-    reply.result = wire::SealResult::Sealed;
-  }
+  const bool ours = Incarnation(seal.agentIncarnation) == m_incarnation;
+  reply.result = ours ? SealOwn(context.Now(), key) : wire::SealResult::WrongIncarnation;
   context.Send(frame.peer, "", reply);
   context.Emit(EventNumber::kRequestSealed,
                { { "request", seal.request },
--- a/tests/support/agent_harness.cpp
+++ b/tests/support/agent_harness.cpp
@@ -299,7 +299,7 @@
   Frame("control-1", release);
 }
 
-void AgentHarness::Start(const std::string& request, StartOptions options)
+void AgentHarness::Start(const std::string& request, const StartOptions& options)
 {
   wire::StartT start;
   start.request = request;
--- a/tests/support/agent_harness.hpp
+++ b/tests/support/agent_harness.hpp
@@ -77,7 +77,7 @@
     std::string entry = "entry-1";
     std::uint64_t entryIncarnation = 1;
   };
-  void Start(const std::string& request, StartOptions options);
+  void Start(const std::string& request, const StartOptions& options);
   void Start(const std::string& request) { Start(request, StartOptions{}); }
   void Seal(const std::string& request, std::uint32_t attempt = 1, std::uint64_t incarnation = 0);
   void Resume(const std::string& request, std::uint64_t offset, std::uint64_t incarnation = 0);
