--- a/src/consensus/raft_core.hpp
+++ b/src/consensus/raft_core.hpp
@@ -128,7 +128,7 @@
   void OnJoinQuery(const Message& message);
   void OnJoinReply(const Message& message);
   void FoundIfAllEmpty();
-  void Found(Membership founded);
+  void Found(const Membership& founded);
   [[nodiscard]] bool IsEmpty() const;
   [[nodiscard]] bool IsMember() const;
   [[nodiscard]] const ProcessId& Founder() const;
--- a/src/consensus/raft_membership.cpp
+++ b/src/consensus/raft_membership.cpp
@@ -108,10 +108,10 @@
     }
     founded.members.push_back({ process, answer->second.identity, true });
   }
-  Found(std::move(founded));
+  Found(founded);
 }
 
-void RaftNode::Impl::Found(Membership founded)
+void RaftNode::Impl::Found(const Membership& founded)
 {
   // The term stays 0 until this entry is synced: a crash in between must leave a disk that counts
   // as empty, or nobody could found the cluster any more.
--- a/src/storage/data_folder.cpp
+++ b/src/storage/data_folder.cpp
@@ -159,7 +159,8 @@
 void RemoveFiles(const std::string& folder, std::span<const std::string> names)
 {
   for (const std::string& name : names) {
-    ::unlink((folder + "/" + name).c_str());
+    const std::filesystem::path path = std::filesystem::path(folder) / name;
+    ::unlink(path.c_str());
   }
 }
 
