--- a/tests/unit/agent_leaving_test.cpp
+++ b/tests/unit/agent_leaving_test.cpp
@@ -39,12 +39,12 @@
     agent.AnswerCall("entry-1.1.1", "last", true, false);
     EXPECT_EQ(agent.ReceivedOf("entry-1.1.1").bytes, "first last");
     EXPECT_EQ(agent.ReceivedOf("entry-1.1.1").cutReason, "");
+    agent.Release(7, 30000);
     agent.Advance(seconds(1));
+    EXPECT_NE(agent.Last<wire::ReleasedT>("control-1"), nullptr);
     EXPECT_FALSE(agent.Stopped()) << "the answer is not acknowledged yet";
     agent.Acknowledge("entry-1.1.1", 10, true);
-    agent.Release(7, 30000);
     agent.Settle();
-    EXPECT_NE(agent.Last<wire::ReleasedT>("control-1"), nullptr);
     EXPECT_TRUE(agent.Stopped());
   }
 }
@@ -146,6 +146,30 @@
   }
 }
 
+// Symptom: a long answer is cut when the VM of a member is restarted.
+// Sequence: a member's agent gets SIGTERM; its head streams an answer for a minute more.
+// Cause: the member has no request of its own and would stop at once.
+TEST(AgentLeaving, AStoppingMemberStaysWhileItsHeadCountsOnIt)
+{
+  AgentHarness agent;
+  agent.Advance(milliseconds(500));
+  agent.Assign(7, "vm-2");
+  agent.Give(StopRequested{});
+  wire::BeatRequestT beat;
+  beat.group = 5;
+  beat.epoch = 7;
+  for (int second = 0; second < 60; ++second) {
+    agent.Frame("agent-vm-2", beat);
+    agent.Advance(seconds(1));
+  }
+  EXPECT_FALSE(agent.Stopped());
+  EXPECT_TRUE(agent.Last<wire::BeatReplyT>()->leaving);
+  EXPECT_TRUE(agent.Last<wire::BeatReplyT>()->engineAlive);
+  agent.Release(7, 0);
+  agent.Advance(agent.policy.memberTimeout * 2);
+  EXPECT_TRUE(agent.Stopped());
+}
+
 TEST(AgentLeaving, AStoppingAgentDoesNotWaitForAControlThatIsGoneForEver)
 {
   AgentHarness agent;
