--- a/bench/routing.cpp
+++ b/bench/routing.cpp
@@ -55,6 +55,15 @@
   all.insert(all.end(), some.begin(), some.end());
 }
 
+template<std::size_t Size>
+void Add(std::array<Losses, Size>& sums, const std::array<Losses, Size>& some)
+{
+  for (std::size_t i = 0; i < Size; ++i) {
+    sums[i].calls += some[i].calls;
+    sums[i].lost += some[i].lost;
+  }
+}
+
 void RunCase(const Scenario& scenario, Policy policy, std::span<const unsigned> seeds)
 {
   Metrics sum;
@@ -115,6 +124,32 @@
   }
 }
 
+/// Who bears the refusals when there are too many calls.
+void RunOverloadLosses(std::span<const unsigned> seeds)
+{
+  std::printf(
+    "\noverload 2x: lost calls by class, and by workspace from 30%% of all calls to 1%%\n");
+  const Scenario scenario = Scenarios()[1];
+  for (const Policy policy : { Policy::kLeastInFlight, Policy::kOurs }) {
+    std::array<Losses, 3> byClass;
+    std::array<Losses, kWorkspaces> byWorkspace;
+    for (const unsigned seed : seeds) {
+      const Metrics one = Simulation(scenario, policy, seed).Run();
+      Add(byClass, one.byClass);
+      Add(byWorkspace, one.byWorkspace);
+    }
+    std::printf("%-16s interactive %3.0f%% standard %3.0f%% batch %3.0f%%; workspaces",
+                std::string(Name(policy)).c_str(),
+                100 * byClass[0].Part(),
+                100 * byClass[1].Part(),
+                100 * byClass[2].Part());
+    for (const Losses& losses : byWorkspace) {
+      std::printf(" %3.0f%%", 100 * losses.Part());
+    }
+    std::printf("\n");
+  }
+}
+
 } // namespace
 
 int main(int argc, char** argv)
@@ -122,8 +157,10 @@
   const std::string_view mode = argc > 1 ? argv[1] : "";
   if (mode.empty()) {
     RunPolicies(kTuningSeeds);
+    RunOverloadLosses(kTuningSeeds);
   } else if (mode == "--held-out") {
     RunPolicies(kHeldOutSeeds);
+    RunOverloadLosses(kHeldOutSeeds);
   } else if (mode == "--cost") {
     CostBench().Run();
   } else if (mode == "--limits") {
--- a/bench/routing/simulation.hpp
+++ b/bench/routing/simulation.hpp
@@ -33,6 +33,20 @@
   std::size_t straggler = 1;
 };
 
+/// \brief Calls of one kind, and those of them without a whole answer in time.
+struct Losses
+{
+  double calls = 0;
+  double lost = 0;
+
+  void Count(bool isLost)
+  {
+    calls += 1;
+    lost += isLost ? 1 : 0;
+  }
+  [[nodiscard]] double Part() const { return lost / std::max(calls, 1.0); }
+};
+
 struct Metrics
 {
   double goodput = 0; ///< Whole answers in time, per second of arrivals.
@@ -42,7 +56,9 @@
   double wasted = 0;
   double hitRate = 0;
   double attemptsPerRequest = 0;
-  double lostPart = 0; ///< Calls without a whole answer in time.
+  double lostPart = 0;
+  std::array<Losses, 3> byClass;
+  std::array<Losses, kWorkspaces> byWorkspace;
 };
 
 inline double Percentile(std::vector<double>& values, double part)
@@ -545,8 +561,7 @@
     Metrics metrics;
     double good = 0;
     double useful = 0;
-    double refused = 0;
-    double judged = 0;
+    Losses all;
     for (std::size_t id = 0; id < m_requests.size(); ++id) {
       const Request& request = m_requests[id];
       const bool inTime =
@@ -554,8 +569,11 @@
       const double arrival = m_calls[id].arrival;
       const bool isJudged =
         arrival >= kWarmUp && arrival + m_calls[id].deadline <= m_scenario.seconds;
-      judged += isJudged ? 1 : 0;
-      refused += isJudged && !inTime ? 1 : 0;
+      if (isJudged) {
+        all.Count(!inTime);
+        metrics.byClass[static_cast<std::size_t>(m_calls[id].priorityClass)].Count(!inTime);
+        metrics.byWorkspace[m_calls[id].workspace].Count(!inTime);
+      }
       useful += inTime ? request.usefulWork : 0;
       if (!inTime || request.doneAt < kWarmUp || request.doneAt > m_scenario.seconds) {
         continue;
@@ -566,17 +584,17 @@
       metrics.fromStart.push_back(request.doneAt - m_calls[id].arrival);
     }
     double hit = 0;
-    double all = 0;
+    double blocks = 0;
     for (const Engine& engine : m_engines) {
       hit += static_cast<double>(engine.blocksHit);
-      all += static_cast<double>(engine.blocksAll);
+      blocks += static_cast<double>(engine.blocksAll);
     }
     metrics.goodput = good / (m_scenario.seconds - kWarmUp);
     metrics.wasted = 1 - useful / std::max(m_doneWork + m_lostWork, 1e-9);
-    metrics.hitRate = hit / std::max(all, 1.0);
+    metrics.hitRate = hit / std::max(blocks, 1.0);
     metrics.attemptsPerRequest =
       static_cast<double>(m_attempts) / static_cast<double>(m_requests.size());
-    metrics.lostPart = refused / std::max(judged, 1.0);
+    metrics.lostPart = all.Part();
     return metrics;
   }
 
--- a/bench/routing/workload.hpp
+++ b/bench/routing/workload.hpp
@@ -12,6 +12,7 @@
 namespace gooseberrysail::bench {
 
 inline constexpr std::size_t kBlockBytes = 512;
+inline constexpr std::size_t kWorkspaces = 10;
 
 /// \brief One call as its caller means it.
 struct Call
@@ -42,7 +43,7 @@
     std::uint32_t turns = 0;
   };
   std::mt19937_64 random(seed);
-  const std::array<double, 10> weights{ 30, 22, 14, 8, 7, 6, 5, 4, 3, 1 };
+  const std::array<double, kWorkspaces> weights{ 30, 22, 14, 8, 7, 6, 5, 4, 3, 1 };
   std::discrete_distribution<std::size_t> pickWorkspace(weights.begin(), weights.end());
   std::exponential_distribution<double> gap(perSecond);
   std::uniform_real_distribution<double> unit(0, 1);
