Rename control's Membership to TargetMembership

Symptom: control's tests crash in destructors once consensus is linked in. Cause: two classes named Membership in one namespace, one of the log's voters and one of the target VMs; the linker kept one destructor for both. Ruled out: a fault in either class (both pass alone). Change: the control one says whose membership it is.

--- a/include/gooseberrysail/control/admin_views.hpp
+++ b/include/gooseberrysail/control/admin_views.hpp
@@ -14,7 +14,7 @@
 /// \brief The systems that reads look into.
 struct AdminSources
 {
-  const Membership& membership;
+  const TargetMembership& membership;
   const ConfigService& config;
   const RouteDistribution& routes;
 };
--- a/include/gooseberrysail/control/group_planning.hpp
+++ b/include/gooseberrysail/control/group_planning.hpp
@@ -24,17 +24,19 @@
   {
   }
 
-  void Tick(ControlContext& context, const Membership& membership);
+  void Tick(ControlContext& context, const TargetMembership& membership);
 
   static constexpr Duration kPlanInterval = std::chrono::seconds(1);
 
 private:
   struct Views;
   void SortEngines(const GroupTable& table);
-  void RunPlanner(ControlContext& context, const Membership& membership);
-  void FormServiceGroups(ControlContext& context, const Membership& membership);
+  void RunPlanner(ControlContext& context, const TargetMembership& membership);
+  void FormServiceGroups(ControlContext& context, const TargetMembership& membership);
   void DrainOrphans(ControlContext& context);
-  void Propose(ControlContext& context, const Membership& membership, const PlannerAction& action);
+  void Propose(ControlContext& context,
+               const TargetMembership& membership,
+               const PlannerAction& action);
 
   PlanHook m_plan;
   /// What was planned on: news of the fleet or the catalogue speed the next planning up.
--- a/include/gooseberrysail/control/membership.hpp
+++ b/include/gooseberrysail/control/membership.hpp
@@ -43,7 +43,7 @@
 };
 
 /// \brief Hears agents and their groups, grants leases, gives orders and frees VMs.
-class Membership
+class TargetMembership
 {
 public:
   void OnLeaderStart(const ControlContext& context);
--- a/include/gooseberrysail/control/route_distribution.hpp
+++ b/include/gooseberrysail/control/route_distribution.hpp
@@ -35,7 +35,9 @@
   void OnPeerDown(const ProcessId& peer);
   void OnAck(const ProcessId& peer, const wire::RoutesAckT& ack);
 
-  void Tick(ControlContext& context, const Membership& membership, const ConfigService& config);
+  void Tick(ControlContext& context,
+            const TargetMembership& membership,
+            const ConfigService& config);
 
   /// \brief How many entry processes hold a group's route as open.
   [[nodiscard]] std::size_t HolderCount(GroupId group) const;
@@ -61,8 +63,8 @@
   };
 
   [[nodiscard]] bool RowsAreCurrent(const ControlContext& context,
-                                    const Membership& membership) const;
-  void RefreshRows(ControlContext& context, const Membership& membership);
+                                    const TargetMembership& membership) const;
+  void RefreshRows(ControlContext& context, const TargetMembership& membership);
   void RefreshClients(const ControlContext& context, const ConfigService& config);
   [[nodiscard]] std::map<GroupId, wire::RouteState> Desired(const ControlContext& context,
                                                             const ProcessId& process,
--- a/src/control/control_role.cpp
+++ b/src/control/control_role.cpp
@@ -62,7 +62,7 @@
   Proposer proposer;
 
   ConfigService config;
-  Membership membership;
+  TargetMembership membership;
   GroupPlanning planning;
   RouteDistribution routes;
   ClaimService claims;
--- a/src/control/group_planning.cpp
+++ b/src/control/group_planning.cpp
@@ -9,7 +9,7 @@
 constexpr Duration kSoonestPlan = std::chrono::milliseconds(200);
 
 /// \brief Whether a VM may join a group now.
-bool IsUsable(const ControlContext& context, const Membership& membership, const VmId& vm)
+bool IsUsable(const ControlContext& context, const TargetMembership& membership, const VmId& vm)
 {
   const VmRow* row = context.state.GetGroups().FindVm(vm);
   return row != nullptr && row->group.IsNone() && membership.IsReachable(context, *row) &&
@@ -34,7 +34,7 @@
   std::vector<ModelView> models;
 };
 
-void GroupPlanning::Tick(ControlContext& context, const Membership& membership)
+void GroupPlanning::Tick(ControlContext& context, const TargetMembership& membership)
 {
   if (!context.HasFreshQuorum()) {
     return;
@@ -63,7 +63,7 @@
   }
 }
 
-void GroupPlanning::FormServiceGroups(ControlContext& context, const Membership& membership)
+void GroupPlanning::FormServiceGroups(ControlContext& context, const TargetMembership& membership)
 {
   if (context.catalogue.All(wire::EntryKind::Service).empty()) {
     return;
@@ -93,7 +93,7 @@
   std::sort(m_engines.begin(), m_engines.end());
 }
 
-void GroupPlanning::RunPlanner(ControlContext& context, const Membership& membership)
+void GroupPlanning::RunPlanner(ControlContext& context, const TargetMembership& membership)
 {
   Views views;
   const GroupTable& table = context.state.GetGroups();
@@ -146,7 +146,7 @@
 }
 
 void GroupPlanning::Propose(ControlContext& context,
-                            const Membership& membership,
+                            const TargetMembership& membership,
                             const PlannerAction& action)
 {
   if (const auto* form = std::get_if<FormGroupAction>(&action)) {
--- a/src/control/membership.cpp
+++ b/src/control/membership.cpp
@@ -64,14 +64,14 @@
 
 } // namespace
 
-void Membership::OnLeaderStart(const ControlContext&)
+void TargetMembership::OnLeaderStart(const ControlContext&)
 {
   // What an earlier term of leadership heard and granted may be long out of date.
   m_groups.clear();
   m_waiting.clear();
 }
 
-void Membership::OnPeerDown(const ProcessId& peer)
+void TargetMembership::OnPeerDown(const ProcessId& peer)
 {
   const auto vm = m_vmOfProcess.find(peer);
   if (vm != m_vmOfProcess.end()) {
@@ -80,9 +80,9 @@
   }
 }
 
-void Membership::OnAnnounce(ControlContext& context,
-                            const ProcessId& peer,
-                            const wire::AnnounceT& announce)
+void TargetMembership::OnAnnounce(ControlContext& context,
+                                  const ProcessId& peer,
+                                  const wire::AnnounceT& announce)
 {
   const VmId vm(announce.vm);
   if (vm.IsNone()) {
@@ -146,9 +146,9 @@
   }
 }
 
-void Membership::OnAssignReply(const ControlContext& context,
-                               const ProcessId& peer,
-                               const wire::AssignReplyT& reply)
+void TargetMembership::OnAssignReply(const ControlContext& context,
+                                     const ProcessId& peer,
+                                     const wire::AssignReplyT& reply)
 {
   const auto found = m_groups.find(GroupId(reply.group));
   if (found != m_groups.end() && reply.accepted && SpeaksFor(context, peer, VmId(reply.vm))) {
@@ -156,9 +156,9 @@
   }
 }
 
-void Membership::OnReleased(const ControlContext& context,
-                            const ProcessId& peer,
-                            const wire::ReleasedT& released)
+void TargetMembership::OnReleased(const ControlContext& context,
+                                  const ProcessId& peer,
+                                  const wire::ReleasedT& released)
 {
   const auto found = m_groups.find(GroupId(released.group));
   const bool sameEpoch = released.epoch == released.group;
@@ -169,9 +169,9 @@
   }
 }
 
-void Membership::OnReport(const ControlContext& context,
-                          const ProcessId& peer,
-                          const wire::GroupReportT& report)
+void TargetMembership::OnReport(const ControlContext& context,
+                                const ProcessId& peer,
+                                const wire::GroupReportT& report)
 {
   if (m_waiting.size() < kMaxWaitingReports) {
     m_waiting.push_back(WaitingReport{ peer, report, TakeTicket(context) });
@@ -197,16 +197,16 @@
   NoteBroken(context, *row, live);
 }
 
-bool Membership::MayHoldLease(const ControlContext& context,
-                              const ProcessId& peer,
-                              const wire::GroupReportT& report)
+bool TargetMembership::MayHoldLease(const ControlContext& context,
+                                    const ProcessId& peer,
+                                    const wire::GroupReportT& report)
 {
   const GroupRow* row = context.state.GetGroups().FindGroup(GroupId(report.group));
   return row != nullptr && !row->dissolved && report.epoch == row->group.Get() &&
          row->head.Get() == report.vm && SpeaksFor(context, peer, row->head);
 }
 
-void Membership::AnswerReports(ControlContext& context)
+void TargetMembership::AnswerReports(ControlContext& context)
 {
   // A lease granted by a leader that was deposed without noticing would outlive the wait of its
   // successor, and a VM would be in two groups. So a grant, too, waits for the quorum: a leader
@@ -232,7 +232,7 @@
   }
 }
 
-TimePoint Membership::LeaseEnd(const ControlContext& context, GroupId group) const
+TimePoint TargetMembership::LeaseEnd(const ControlContext& context, GroupId group) const
 {
   // A predecessor may have granted a lease up to the moment at which this leader was elected.
   TimePoint latest = context.leaderSince;
@@ -244,14 +244,14 @@
   return latest + Duration(static_cast<Duration::rep>(lease / (1 - context.settings.clockDrift)));
 }
 
-bool Membership::IsServing(const ControlContext& context, const GroupRow& row) const
+bool TargetMembership::IsServing(const ControlContext& context, const GroupRow& row) const
 {
   const GroupLive* live = FindGroup(row.group);
   return live != nullptr && !row.dissolved && live->reported && live->ready &&
          context.now - live->lastReport < kReportTimeout;
 }
 
-bool Membership::IsReachable(const ControlContext& context, const VmRow& row) const
+bool TargetMembership::IsReachable(const ControlContext& context, const VmRow& row) const
 {
   const VmId vm(row.record.vm);
   const VmLive* live = FindVm(vm);
@@ -263,14 +263,14 @@
          std::find(group->missing.begin(), group->missing.end(), vm) == group->missing.end();
 }
 
-bool Membership::IsLeaving(const ControlContext& context, const VmId& vm) const
+bool TargetMembership::IsLeaving(const ControlContext& context, const VmId& vm) const
 {
   const TargetSpec* target = context.catalogue.FindTarget(vm);
   const VmLive* live = FindVm(vm);
   return (target != nullptr && target->draining) || (live != nullptr && live->leaving);
 }
 
-bool Membership::HasHeardAll(const ControlContext& context) const
+bool TargetMembership::HasHeardAll(const ControlContext& context) const
 {
   if (context.now - context.leaderSince >= kReportTimeout) {
     return true;
@@ -284,19 +284,19 @@
   return true;
 }
 
-const VmLive* Membership::FindVm(const VmId& vm) const
+const VmLive* TargetMembership::FindVm(const VmId& vm) const
 {
   const auto found = m_vms.find(vm);
   return found == m_vms.end() ? nullptr : &found->second;
 }
 
-const GroupLive* Membership::FindGroup(GroupId group) const
+const GroupLive* TargetMembership::FindGroup(GroupId group) const
 {
   const auto found = m_groups.find(group);
   return found == m_groups.end() ? nullptr : &found->second;
 }
 
-void Membership::Tick(ControlContext& context)
+void TargetMembership::Tick(ControlContext& context)
 {
   AnswerReports(context);
   const GroupTable& table = context.state.GetGroups();
@@ -320,7 +320,7 @@
   }
 }
 
-void Membership::TendGroups(ControlContext& context)
+void TargetMembership::TendGroups(ControlContext& context)
 {
   const bool mayOrder = context.HasFreshQuorum();
   for (const auto& [group, row] : context.state.GetGroups().Groups()) {
@@ -344,7 +344,9 @@
   }
 }
 
-void Membership::NoteBroken(const ControlContext& context, const GroupRow&, GroupLive& live) const
+void TargetMembership::NoteBroken(const ControlContext& context,
+                                  const GroupRow&,
+                                  GroupLive& live) const
 {
   const TimePoint heard = std::max({ live.lastReport, live.firstSeen, context.leaderSince });
   const bool silent = context.now - heard >= kReportTimeout;
@@ -355,7 +357,9 @@
   }
 }
 
-void Membership::SendAssigns(ControlContext& context, const GroupRow& row, GroupLive& live) const
+void TargetMembership::SendAssigns(ControlContext& context,
+                                   const GroupRow& row,
+                                   GroupLive& live) const
 {
   wire::AssignT assign;
   assign.group = row.group.Get();
@@ -381,10 +385,10 @@
   }
 }
 
-void Membership::SendRelease(ControlContext& context,
-                             const GroupRow& row,
-                             const VmId& vm,
-                             Duration grace) const
+void TargetMembership::SendRelease(ControlContext& context,
+                                   const GroupRow& row,
+                                   const VmId& vm,
+                                   Duration grace) const
 {
   const ProcessId agent(context.state.GetGroups().FindVm(vm)->record.process);
   if (!context.IsUp(agent)) {
@@ -397,7 +401,7 @@
   context.SendMessage(agent, std::move(release));
 }
 
-void Membership::TendDraining(ControlContext& context, const GroupRow& row, GroupLive& live)
+void TargetMembership::TendDraining(ControlContext& context, const GroupRow& row, GroupLive& live)
 {
   if (!live.drainSince) {
     live.drainSince = context.now;
@@ -421,7 +425,7 @@
   }
 }
 
-void Membership::TendDissolved(ControlContext& context, const GroupRow& row, GroupLive& live)
+void TargetMembership::TendDissolved(ControlContext& context, const GroupRow& row, GroupLive& live)
 {
   const bool leaseEnded = context.now >= LeaseEnd(context, row.group);
   // The head goes first: while it may still serve, a member that is given away would be in two
@@ -448,7 +452,7 @@
   }
 }
 
-void Membership::DrainLeaving(ControlContext& context)
+void TargetMembership::DrainLeaving(ControlContext& context)
 {
   const auto drain = [&](const VmId& vm) {
     const VmRow* row = context.state.GetGroups().FindVm(vm);
@@ -472,7 +476,7 @@
   }
 }
 
-void Membership::ForgetVms(ControlContext& context)
+void TargetMembership::ForgetVms(ControlContext& context)
 {
   if (context.now - context.leaderSince < kForgetVmAfter) {
     return;
--- a/src/control/route_distribution.cpp
+++ b/src/control/route_distribution.cpp
@@ -108,7 +108,7 @@
 }
 
 bool RouteDistribution::RowsAreCurrent(const ControlContext& context,
-                                       const Membership& membership) const
+                                       const TargetMembership& membership) const
 {
   auto known = m_rows.begin();
   for (const auto& [group, row] : context.state.GetGroups().Groups()) {
@@ -124,7 +124,7 @@
   return known == m_rows.end();
 }
 
-void RouteDistribution::RefreshRows(ControlContext& context, const Membership& membership)
+void RouteDistribution::RefreshRows(ControlContext& context, const TargetMembership& membership)
 {
   if (RowsAreCurrent(context, membership)) {
     return;
@@ -281,7 +281,7 @@
 }
 
 void RouteDistribution::Tick(ControlContext& context,
-                             const Membership& membership,
+                             const TargetMembership& membership,
                              const ConfigService& config)
 {
   // A new leader that spoke before it heard the heads would take every route away at once; until
