Shutdown: answer requests that arrived late before the loop ends

Symptom: of 32 callers under load, 30 had their connection closed without an answer when an entry got SIGTERM, after ten seconds of waiting. Cause: the loop ended with the role's last request, but the listener still took connections in; nobody answered those, so draining ran into its limit. Ruled out: cut streams (every answer that had begun ended whole). Change: first no more connections, then wait for the callers with the loop still answering not-run, then end the loop.

--- a/src/shell/agent_shell.cpp
+++ b/src/shell/agent_shell.cpp
@@ -54,7 +54,7 @@
     [&](TargetCallOut& call) { target.Start(settings.agent.address, std::move(call)); },
     [&](TargetCancelOut& cancel) { target.Cancel(cancel.exchange); },
     [&](EventOut& event) { shell.Record(event); },
-    [&](StoppedOut&) { loop->Stop(); },
+    [&](StoppedOut&) { shell.DrainCallers([&] { loop->Stop(); }); },
   };
   loop = std::make_unique<Loop>(
     AgentRole::kTickInterval,
--- a/src/shell/control_shell.cpp
+++ b/src/shell/control_shell.cpp
@@ -187,7 +187,7 @@
       [this](FrameOut& frame) { m_shell.Send(frame); },
       [this](HttpAnswerOut& answer) { m_shell.Send(std::move(answer)); },
       [this](EventOut& event) { m_shell.Record(event); },
-      [this](StoppedOut&) { m_loop.Stop(); },
+      [this](StoppedOut&) { m_shell.DrainCallers([this] { m_loop.Stop(); }); },
     };
     std::visit(handle, output);
   }
--- a/src/shell/entry_shell.cpp
+++ b/src/shell/entry_shell.cpp
@@ -31,7 +31,7 @@
     [&](FrameOut& frame) { shell.Send(frame); },
     [&](HttpAnswerOut& answer) { shell.Send(std::move(answer)); },
     [&](EventOut& event) { shell.Record(event); },
-    [&](StoppedOut&) { loop->Stop(); },
+    [&](StoppedOut&) { shell.DrainCallers([&] { loop->Stop(); }); },
   };
   loop = std::make_unique<Loop>(
     EntryRole::kTickInterval,
--- a/src/shell/process_shell.cpp
+++ b/src/shell/process_shell.cpp
@@ -83,10 +83,17 @@
   return outcome::success();
 }
 
+void ProcessShell::DrainCallers(std::function<void()> drained)
+{
+  m_runtime.Spawn([this, drained = std::move(drained)] {
+    m_http->StopAccepting();
+    m_http->WaitDrained(kDrainTimeout);
+    drained();
+  });
+}
+
 void ProcessShell::Finish()
 {
-  m_http->StopAccepting();
-  m_http->WaitDrained(kDrainTimeout);
   m_mesh->Flush(kFlushTimeout);
   m_http->Close();
   m_mesh->Close();
--- a/src/shell/process_shell.hpp
+++ b/src/shell/process_shell.hpp
@@ -34,7 +34,11 @@
   /// \brief Opens both listeners.
   [[nodiscard]] Result<void> Start(ShellHooks hooks);
 
-  /// \brief Lets callers and peers take what is queued, then ends Run.
+  /// \brief Takes no more connections and calls `drained` once every caller has its answer.
+  /// \remarks The role's loop must go on meanwhile: it answers requests that had already arrived.
+  void DrainCallers(std::function<void()> drained);
+
+  /// \brief Lets peers take what is queued, then ends Run.
   void Finish();
 
   /// \brief Logs an event and keeps it for the time line.
