Agent: rename Membership to GroupMembership

Cause: consensus has a struct of the same name; one of the two destructors was linked for both, and unit_tests died with SIGSEGV in ControlCatalogue.AChangeIsCommitted... (gdb: ~Member from a table of the other type). Ruled out: that test itself.

--- a/include/gooseberrysail/agent/assignment.hpp
+++ b/include/gooseberrysail/agent/assignment.hpp
@@ -29,10 +29,10 @@
 };
 
 /// \brief Which group this VM belongs to; refuses everything older than what it accepted.
-class Membership
+class GroupMembership
 {
 public:
-  explicit Membership(VmId ownVm);
+  explicit GroupMembership(VmId ownVm);
 
   enum class Verdict
   {
--- a/include/gooseberrysail/agent/group_system.hpp
+++ b/include/gooseberrysail/agent/group_system.hpp
@@ -46,7 +46,7 @@
   [[nodiscard]] GateState Gate(TimePoint now) const;
   [[nodiscard]] GateState Whole(TimePoint now) const;
   [[nodiscard]] RequestLimits Limits() const;
-  [[nodiscard]] const Membership& Members() const noexcept { return m_membership; }
+  [[nodiscard]] const GroupMembership& Members() const noexcept { return m_membership; }
   /// \brief Whether a head's beat request was answered lately.
   [[nodiscard]] bool HearsHead(TimePoint now) const noexcept;
   [[nodiscard]] bool WeightsLoaded() const noexcept;
@@ -65,7 +65,7 @@
   const AgentSettings& m_settings;
   Parts m_parts;
   std::function<std::uint64_t()> m_random;
-  Membership m_membership;
+  GroupMembership m_membership;
   BeatTable m_beats;
   GroupLease m_lease;
   bool m_leaving = false;
--- a/src/agent/assignment.cpp
+++ b/src/agent/assignment.cpp
@@ -5,12 +5,12 @@
 
 namespace gooseberrysail {
 
-Membership::Membership(VmId ownVm)
+GroupMembership::GroupMembership(VmId ownVm)
   : m_ownVm(std::move(ownVm))
 {
 }
 
-Membership::Verdict Membership::Accept(const Assignment& assignment)
+GroupMembership::Verdict GroupMembership::Accept(const Assignment& assignment)
 {
   if (Holds(assignment.group, assignment.epoch)) {
     return Verdict::kRepeated;
@@ -24,9 +24,9 @@
   return Verdict::kAccepted;
 }
 
-Membership::ReleaseVerdict Membership::StartRelease(GroupId group,
-                                                    Epoch epoch,
-                                                    TimePoint graceUntil)
+GroupMembership::ReleaseVerdict GroupMembership::StartRelease(GroupId group,
+                                                              Epoch epoch,
+                                                              TimePoint graceUntil)
 {
   m_highestEpoch = std::max(m_highestEpoch, epoch);
   // A release also ends older epochs of the same group: whoever sent it has seen those end.
@@ -41,18 +41,18 @@
   return ReleaseVerdict::kStarted;
 }
 
-void Membership::Leave()
+void GroupMembership::Leave()
 {
   m_current.reset();
   m_graceUntil.reset();
 }
 
-bool Membership::Holds(GroupId group, Epoch epoch) const noexcept
+bool GroupMembership::Holds(GroupId group, Epoch epoch) const noexcept
 {
   return m_current && m_current->group == group && m_current->epoch == epoch;
 }
 
-bool Membership::IsHead() const noexcept
+bool GroupMembership::IsHead() const noexcept
 {
   return m_current && m_current->head == m_ownVm;
 }
--- a/src/agent/group_system.cpp
+++ b/src/agent/group_system.cpp
@@ -51,15 +51,15 @@
 {
   const Assignment assignment = FromWire(assign);
   const bool fits = Names(assignment, m_settings.vm) && Names(assignment, assignment.head);
-  const auto verdict = fits ? m_membership.Accept(assignment) : Membership::Verdict::kRefused;
+  const auto verdict = fits ? m_membership.Accept(assignment) : GroupMembership::Verdict::kRefused;
   wire::AssignReplyT reply;
   reply.vm = m_settings.vm.Get();
   reply.group = assign.group;
   reply.epoch = assign.epoch;
-  reply.accepted = verdict != Membership::Verdict::kRefused;
+  reply.accepted = verdict != GroupMembership::Verdict::kRefused;
   reply.heldEpoch = m_membership.HighestEpoch().Get();
   context.Send(frame.peer, "", reply);
-  if (verdict == Membership::Verdict::kRefused) {
+  if (verdict == GroupMembership::Verdict::kRefused) {
     context.Emit(EventNumber::kAgentAssignRefused,
                  { { "group", std::to_string(assign.group) },
                    { "epoch", std::to_string(assign.epoch) },
@@ -69,7 +69,7 @@
   }
   m_parts.link.OnAnswer(context.Now(), frame.peer);
   m_parts.config.OnVersionSeen(LogIndex(assign.version));
-  if (verdict == Membership::Verdict::kRepeated) {
+  if (verdict == GroupMembership::Verdict::kRepeated) {
     return;
   }
   requests.EndAll(context, "group epoch superseded");
@@ -98,7 +98,7 @@
   const TimePoint graceUntil = context.Now() + std::chrono::milliseconds(release.graceMillis);
   const auto verdict =
     m_membership.StartRelease(GroupId(release.group), Epoch(release.epoch), graceUntil);
-  if (verdict == Membership::ReleaseVerdict::kNotHeld) {
+  if (verdict == GroupMembership::ReleaseVerdict::kNotHeld) {
     // While a former head may count on us, stay silent: control asks again.
     if (context.Now() >= m_quietUntil) {
       SendReleased(context, frame.peer, GroupId(release.group), Epoch(release.epoch));
@@ -106,7 +106,7 @@
     return;
   }
   m_releasedBy = frame.peer;
-  if (verdict == Membership::ReleaseVerdict::kStarted) {
+  if (verdict == GroupMembership::ReleaseVerdict::kStarted) {
     context.Emit(EventNumber::kAgentReleaseStarted,
                  { { "group", std::to_string(release.group) },
                    { "epoch", std::to_string(release.epoch) },
