--- a/src/control/group_planning.cpp
+++ b/src/control/group_planning.cpp
@@ -9,7 +9,7 @@
 constexpr Duration kSoonestPlan = std::chrono::milliseconds(200);
 
 /// \brief Whether a VM may join a group now.
-bool IsUsable(const ControlContext& context, const Membership& membership, const VmId& vm)
+bool IsUsable(const ControlContext& context, const TargetMembership& membership, const VmId& vm)
 {
   const VmRow* row = context.state.GetGroups().FindVm(vm);
   return row != nullptr && row->group.IsNone() && membership.IsReachable(context, *row) &&
@@ -34,18 +34,19 @@
   std::vector<ModelView> models;
 };
 
-void GroupPlanning::Tick(ControlContext& context, const Membership& membership)
+void GroupPlanning::Tick(ControlContext& context, const TargetMembership& membership)
 {
   if (!context.HasFreshQuorum()) {
     return;
   }
-  const bool news = context.state.Index() != m_plannedIndex;
-  if (context.now < m_nextPlan && !(news && context.now - m_lastPlan >= kSoonestPlan)) {
+  const std::tuple now(
+    context.state.GetGroups().Revision(), membership.Observations(), context.catalogue.Version());
+  const Duration interval = now == m_plannedOn ? kPlanInterval : kSoonestPlan;
+  if (context.now - m_lastPlan < interval) {
     return;
   }
   m_lastPlan = context.now;
-  m_nextPlan = context.now + kPlanInterval;
-  m_plannedIndex = context.state.Index();
+  m_plannedOn = now;
   DrainOrphans(context);
   FormServiceGroups(context, membership);
   RunPlanner(context, membership);
@@ -62,7 +63,7 @@
   }
 }
 
-void GroupPlanning::FormServiceGroups(ControlContext& context, const Membership& membership)
+void GroupPlanning::FormServiceGroups(ControlContext& context, const TargetMembership& membership)
 {
   if (context.catalogue.All(wire::EntryKind::Service).empty()) {
     return;
@@ -76,7 +77,23 @@
   }
 }
 
-void GroupPlanning::RunPlanner(ControlContext& context, const Membership& membership)
+void GroupPlanning::SortEngines(const GroupTable& table)
+{
+  if (m_sortedRevision == table.Revision()) {
+    return;
+  }
+  m_sortedRevision = table.Revision();
+  m_engines.clear();
+  for (const auto& [vm, row] : table.Vms()) {
+    if (row.record.kind == wire::TargetKind::Engine) {
+      m_engines.push_back(vm);
+    }
+  }
+  // Equal states give equal plans whatever the order of the hash table.
+  std::sort(m_engines.begin(), m_engines.end());
+}
+
+void GroupPlanning::RunPlanner(ControlContext& context, const TargetMembership& membership)
 {
   Views views;
   const GroupTable& table = context.state.GetGroups();
@@ -84,28 +101,23 @@
     views.models.push_back(
       ModelView{ entry.name, entry.priorityClass, &std::get<ModelSpec>(entry.spec) });
   }
-  for (const auto& [vm, row] : table.Vms()) {
-    if (row.record.kind != wire::TargetKind::Engine) {
-      continue;
-    }
-    VmView view;
+  SortEngines(table);
+  views.vms.reserve(m_engines.size());
+  for (const VmId& vm : m_engines) {
+    const VmRow* row = table.FindVm(vm);
+    VmView& view = views.vms.emplace_back();
     view.vm = vm;
-    view.failureDomain = FailureDomainId(row.record.failureDomain);
-    view.fabricDomain = FabricDomainId(row.record.fabricDomain);
-    view.accelerators = row.record.accelerators;
-    view.group = row.group;
-    view.reachable = membership.IsReachable(context, row);
-    view.draining = membership.IsLeaving(context, vm);
-    if (const VmLive* live = membership.FindVm(vm)) {
+    view.failureDomain = FailureDomainId(row->record.failureDomain);
+    view.fabricDomain = FabricDomainId(row->record.fabricDomain);
+    view.accelerators = row->record.accelerators;
+    view.group = row->group;
+    view.reachable = membership.IsReachable(context, *row);
+    view.draining = membership.IsLeaving(context, view.vm);
+    if (const VmLive* live = membership.FindVm(view.vm)) {
       view.lastHeard = live->lastHeard;
       view.loadedModel = live->loadedModel;
     }
-    views.vms.push_back(std::move(view));
   }
-  // Sorted, so that equal states give equal plans whatever the order of the hash table.
-  std::sort(views.vms.begin(), views.vms.end(), [](const VmView& left, const VmView& right) {
-    return left.vm < right.vm;
-  });
   for (const auto& [group, row] : table.Groups()) {
     if (row.dissolved || context.catalogue.FindModel(row.entry) == nullptr) {
       continue;
@@ -134,7 +146,7 @@
 }
 
 void GroupPlanning::Propose(ControlContext& context,
-                            const Membership& membership,
+                            const TargetMembership& membership,
                             const PlannerAction& action)
 {
   if (const auto* form = std::get_if<FormGroupAction>(&action)) {
