Agent: pass the engine's cache events on to entries

Cause: the router can learn what a group's cache holds, but nothing told it. The stand-in hashes prompt blocks as entries do.

--- a/include/gooseberrysail/agent/load_reports.hpp
+++ b/include/gooseberrysail/agent/load_reports.hpp
@@ -6,6 +6,7 @@
 
 #include <map>
 #include <optional>
+#include <vector>
 
 namespace gooseberrysail {
 
@@ -35,6 +36,8 @@
   void OnWork(TimePoint now, const ProcessId& entry);
   void OnDown(const ProcessId& entry);
   void Tick(impl::AgentContext& context, const GroupLoad& load);
+  /// \brief Entries that sent work lately.
+  [[nodiscard]] std::vector<ProcessId> Interested() const;
 
 private:
   struct Row
--- a/src/agent/agent_role.cpp
+++ b/src/agent/agent_role.cpp
@@ -1,6 +1,7 @@
 #include "gooseberrysail/roles/agent_role.hpp"
 
 #include "gooseberrysail/agent/announcer.hpp"
+#include "gooseberrysail/agent/cache_feed.hpp"
 #include "gooseberrysail/agent/config_client.hpp"
 #include "gooseberrysail/agent/control_link.hpp"
 #include "gooseberrysail/agent/engine_orders.hpp"
@@ -64,6 +65,7 @@
   RequestSystem requests;
   Announcer announcer;
   LoadReports loadReports;
+  CacheFeed cacheFeed;
   std::uint64_t lastExchange = 0;
   GroupId lastGroup;
   Epoch lastEpoch;
@@ -134,14 +136,18 @@
 
 void AgentRole::Impl::Take(impl::AgentContext& context, const TargetAnswerIn& answer)
 {
-  if (!probe.OnAnswer(answer) && !orders.OnAnswer(context, answer, probe)) {
+  if (probe.OnAnswer(answer) || orders.OnAnswer(context, answer, probe)) {
+    return;
+  }
+  if (!cacheFeed.OnAnswer(context, answer, lastGroup, loadReports.Interested())) {
     requests.OnAnswer(context, answer);
   }
 }
 
 void AgentRole::Impl::Take(impl::AgentContext& context, const TargetFailedIn& failure)
 {
-  if (!probe.OnFailed(failure) && !orders.OnFailed(context, failure)) {
+  if (!probe.OnFailed(failure) && !orders.OnFailed(context, failure) &&
+      !cacheFeed.OnFailed(failure)) {
     requests.OnFailed(context, failure);
   }
 }
@@ -182,12 +188,17 @@
   requests.Tick(context);
   announcer.Tick(context, link, group.Members().Current(), LoadedModel(), leaving);
   ReportLoad(context);
+  const bool feeding = settings.kind == wire::TargetKind::Engine && group.Members().IsHead();
+  cacheFeed.Tick(context, feeding && !loadReports.Interested().empty());
   AdvanceStop(context);
 }
 
 void AgentRole::Impl::ReportLoad(impl::AgentContext& context)
 {
   if (const auto& assignment = group.Members().Current()) {
+    if (lastGroup != assignment->group) {
+      cacheFeed.Reset();
+    }
     lastGroup = assignment->group;
     lastEpoch = assignment->epoch;
   }
--- a/src/agent/load_reports.cpp
+++ b/src/agent/load_reports.cpp
@@ -12,6 +12,16 @@
   m_entries.erase(entry);
 }
 
+std::vector<ProcessId> LoadReports::Interested() const
+{
+  std::vector<ProcessId> entries;
+  entries.reserve(m_entries.size());
+  for (const auto& [entry, row] : m_entries) {
+    entries.push_back(entry);
+  }
+  return entries;
+}
+
 bool LoadReports::Due(TimePoint now, const Row& row, const GroupLoad& load)
 {
   if (!row.lastReport) {
--- a/tests/fakes/fake_target.cpp
+++ b/tests/fakes/fake_target.cpp
@@ -6,6 +6,7 @@
 #include <boost/json.hpp>
 #include <charconv>
 #include <utility>
+#include <xxhash.h>
 
 namespace gooseberrysail::fakes {
 
@@ -19,7 +20,8 @@
 constexpr unsigned kNotFound = 404;
 constexpr unsigned kConflict = 409;
 constexpr unsigned kUnavailable = 503;
-constexpr std::size_t kBlockBytes = 64;
+/// Blocks as entries hash them, so that both speak of the same prefixes.
+constexpr std::size_t kBlockBytes = 256;
 constexpr std::size_t kCachedBlocks = 4096;
 
 std::string_view PathOf(std::string_view target)
@@ -296,11 +298,9 @@
 
 void FakeTarget::NoteCached(std::string_view prompt)
 {
-  std::uint64_t hash = 0xcbf29ce484222325U;
+  std::uint64_t hash = 0;
   for (std::size_t at = 0; at + kBlockBytes <= prompt.size(); at += kBlockBytes) {
-    for (const char each : prompt.substr(at, kBlockBytes)) {
-      hash = (hash ^ static_cast<unsigned char>(each)) * 0x100000001b3U;
-    }
+    hash = XXH64(prompt.data() + at, kBlockBytes, hash);
     if (m_cached.size() >= kCachedBlocks || !m_cached.insert(hash).second) {
       continue;
     }
@@ -328,15 +328,22 @@
     const char* begin = request.target.data() + equals + std::string_view("after=").size();
     std::from_chars(begin, request.target.data() + request.target.size(), after);
   }
+  std::uint64_t latest = 0;
   json::array events;
   for (const CacheEvent& event : m_cacheEvents) {
-    if (event.sequence > after && event.visibleAt <= BootNow()) {
+    if (event.visibleAt > BootNow()) {
+      continue;
+    }
+    latest = event.sequence;
+    if (event.sequence > after) {
       events.push_back({ { "sequence", event.sequence },
                          { "block", event.block },
                          { "kind", event.added ? "added" : "removed" } });
     }
   }
-  Answer(request.exchange, kOk, json::serialize(json::object{ { "events", events } }));
+  Answer(request.exchange,
+         kOk,
+         json::serialize(json::object{ { "events", events }, { "latest", latest } }));
 }
 
 } // namespace gooseberrysail::fakes
--- a/tests/support/agent_harness.cpp
+++ b/tests/support/agent_harness.cpp
@@ -13,6 +13,7 @@
 constexpr Duration kStep = std::chrono::milliseconds(50);
 constexpr std::uint32_t kLeaseMillis = 4000;
 constexpr unsigned kOk = 200;
+constexpr unsigned kNotFound = 404;
 constexpr unsigned kConflict = 409;
 constexpr std::uint64_t kGroup = 5;
 
@@ -213,6 +214,10 @@
     TakeOrder(call);
     return;
   }
+  if (call.path.starts_with("/cache_events")) {
+    Answer(call.exchange, cacheEvents.empty() ? kNotFound : kOk, cacheEvents);
+    return;
+  }
   std::string request;
   for (const HttpHeader& header : call.headers) {
     request = header.name == "X-Request-Id" ? header.value : request;
--- a/tests/support/agent_harness.hpp
+++ b/tests/support/agent_harness.hpp
@@ -51,6 +51,7 @@
   PolicySpec policy;
   std::string drainingVm;
   std::string assignedVersion = "2026-11"; ///< Of the weights that Assign asks for.
+  std::string cacheEvents;                 ///< The engine's answer to that path; "": it has none.
   std::uint64_t catalogueVersion = 1;      ///< What control says is the newest.
 
   /// \brief Ticks every 50 ms, with the surroundings answering.
