--- a/tests/unit/agent_requests_test.cpp
+++ b/tests/unit/agent_requests_test.cpp
@@ -31,6 +31,37 @@
   EXPECT_EQ(received.cutReason, "");
 }
 
+// Symptom: a request runs after "not run" was told for it, or runs twice, a quarter of an hour
+// later. Sequence: it was sealed, or ran; the ledger's bound dropped its line; a Start that was
+// stuck on its way arrives. Cause: to a bounded ledger a forgotten request looks new.
+TEST(AgentRequests, AStartThatTheLedgerMayHaveForgottenNeverRuns)
+{
+  AgentHarness agent;
+  agent.FormGroup(7);
+  EXPECT_EQ(SealOf(agent, "entry-1.1.1"), wire::SealResult::Sealed);
+  agent.Start("entry-1.1.2");
+  agent.AnswerCall("entry-1.1.2", "x", true);
+  agent.Acknowledge("entry-1.1.2", 1, true);
+  agent.Advance(std::chrono::minutes(11));
+  agent.Start("entry-1.1.1");
+  agent.Start("entry-1.1.2");
+  EXPECT_EQ(agent.RunsOf("entry-1.1.1"), 0U);
+  EXPECT_EQ(agent.RunsOf("entry-1.1.2"), 1U);
+  EXPECT_EQ(SealOf(agent, "entry-1.1.2"), wire::SealResult::Started);
+  SECTION("and a Resume ends the asking with a cut")
+  {
+    agent.Forget();
+    agent.Resume("entry-1.1.2", 0);
+    EXPECT_TRUE(agent.Sent<wire::UnknownRequestT>().empty());
+    EXPECT_NE(agent.ReceivedOf("entry-1.1.2").cutReason, "");
+  }
+  SECTION("newer requests run")
+  {
+    agent.Start("entry-1.1.3");
+    EXPECT_EQ(agent.RunsOf("entry-1.1.3"), 1U);
+  }
+}
+
 // Symptom: a booking is made twice.
 // Sequence: the entry sends Start; its connection goes silent; it sends the frame again on a new
 // one, while the call runs, and once more after it finished.
