--- a/tests/unit/raft_failure_test.cpp
+++ b/tests/unit/raft_failure_test.cpp
@@ -392,7 +392,10 @@
       cluster.Crash(gone);
       const ProcessId name(cluster.At(gone).name);
       EXPECT_TRUE(cluster.At(leader).node->RemoveMember(name));
-      EXPECT_FALSE(cluster.At(leader).node->RemoveMember(name)) << "one change at a time";
+      const ProcessId other(cluster.At((leader + 3) % 5).name);
+      const Result<LogIndex> tooEarly = cluster.At(leader).node->RemoveMember(other);
+      ASSERT_FALSE(tooEarly) << "one change at a time";
+      EXPECT_EQ(tooEarly.error().code, ErrorCode::kUnavailable);
       cluster.RunUntil(seconds(1), [] { return false; });
     }
     EXPECT_EQ(cluster.At(leader).node->CurrentMembership().VoterCount(), 3U);
