--- a/src/control/route_distribution.cpp
+++ b/src/control/route_distribution.cpp
@@ -9,16 +9,21 @@
 
 namespace {
 
-constexpr Duration kRefreshInterval = std::chrono::milliseconds(100);
+/// \brief Reports that grow too old are noticed this late; news are told at once.
+constexpr Duration kRefreshInterval = std::chrono::milliseconds(250);
 constexpr Duration kResendAfter = std::chrono::seconds(5);
 /// \brief A choice for every entry process costs time in proportion to entries times groups, so
 /// with many groups it is made at most this often. Closing a route never waits for it.
 constexpr Duration kChoiceInterval = std::chrono::seconds(1);
 constexpr std::size_t kFewGroups = 200;
 
-std::uint64_t WeightOf(const ProcessId& process, GroupId group)
+std::uint64_t SeedOf(const ProcessId& process)
+{
+  return XXH3_64bits(process.Get().data(), process.Get().size());
+}
+
+std::uint64_t WeightOf(std::uint64_t seed, GroupId group)
 {
-  const std::uint64_t seed = XXH3_64bits(process.Get().data(), process.Get().size());
   const std::uint64_t id = group.Get();
   return XXH3_64bits_withSeed(&id, sizeof id, seed);
 }
@@ -65,6 +70,16 @@
   return chosen;
 }
 
+void RouteDistribution::OnLeaderStart(const ControlContext& context)
+{
+  *this = RouteDistribution();
+  for (const auto& [process, peer] : context.peers) {
+    if (peer.up && peer.role == "entry") {
+      m_clients.emplace(process, Client{});
+    }
+  }
+}
+
 void RouteDistribution::OnPeerUp(const ProcessId& peer, Incarnation)
 {
   m_clients[peer] = Client{};
@@ -92,8 +107,28 @@
     }));
 }
 
-void RouteDistribution::RefreshRows(ControlContext& context, const Membership& membership)
+bool RouteDistribution::RowsAreCurrent(const ControlContext& context,
+                                       const TargetMembership& membership) const
 {
+  auto known = m_rows.begin();
+  for (const auto& [group, row] : context.state.GetGroups().Groups()) {
+    if (!membership.IsServing(context, row)) {
+      continue;
+    }
+    const auto state = row.draining ? wire::RouteState::Draining : wire::RouteState::Open;
+    if (known == m_rows.end() || known->first != group || known->second.route.state != state) {
+      return false;
+    }
+    ++known;
+  }
+  return known == m_rows.end();
+}
+
+void RouteDistribution::RefreshRows(ControlContext& context, const TargetMembership& membership)
+{
+  if (RowsAreCurrent(context, membership)) {
+    return;
+  }
   std::map<GroupId, Row> rows;
   for (const auto& [group, row] : context.state.GetGroups().Groups()) {
     if (row.dissolved || !membership.IsServing(context, row)) {
@@ -139,7 +174,7 @@
     m_byEntry.clear();
     for (const auto& [group, row] : m_rows) {
       if (row.route.state == wire::RouteState::Open) {
-        m_byEntry[row.route.entry].push_back(group);
+        m_byEntry[row.route.entry].push_back(OpenGroup{ group, row.route.failureDomain });
       }
     }
   }
@@ -150,12 +185,13 @@
                                                                const Client& client) const
 {
   std::map<GroupId, wire::RouteState> desired;
+  const std::uint64_t seed = SeedOf(process);
   for (const auto& [entry, groups] : m_byEntry) {
     std::vector<RouteWeight> weights;
     weights.reserve(groups.size());
-    for (const GroupId group : groups) {
-      const bool same = m_rows.at(group).route.failureDomain == client.failureDomain;
-      weights.push_back(RouteWeight{ group, same, WeightOf(process, group) });
+    for (const OpenGroup& open : groups) {
+      const bool same = open.failureDomain == client.failureDomain;
+      weights.push_back(RouteWeight{ open.group, same, WeightOf(seed, open.group) });
     }
     for (const GroupId group : ChooseRoutes(std::move(weights), context.settings.routesPerEntry)) {
       desired.emplace(group, wire::RouteState::Open);
@@ -229,27 +265,9 @@
   SendUpdate(context, process, client, desired);
 }
 
-void RouteDistribution::Tick(ControlContext& context,
-                             const Membership& membership,
-                             const ConfigService& config)
+void RouteDistribution::RefreshClients(const ControlContext& context, const ConfigService& config)
 {
-  // A new leader that spoke before it heard the heads would take every route away at once; until
-  // then the entries keep what its predecessor told them.
-  if (!context.HasFreshQuorum() || !membership.HasHeardAll(context)) {
-    return;
-  }
-  if (context.now < m_nextRefresh) {
-    return;
-  }
-  m_nextRefresh = context.now + kRefreshInterval;
-  RefreshRows(context, membership);
-
-  bool newClient = false;
-  for (const auto& [process, peer] : context.peers) {
-    if (!peer.up || peer.role != "entry") {
-      continue;
-    }
-    Client& client = m_clients[process];
+  for (auto& [process, client] : m_clients) {
     const ConfigService::InForce* inForce = config.FindInForce(process);
     if (inForce != nullptr && inForce->failureDomain != client.failureDomain) {
       client.failureDomain = inForce->failureDomain;
@@ -259,15 +277,28 @@
     if (unacked && context.now - client.sentAt >= kResendAfter) {
       client.needsWhole = true;
     }
-    newClient = newClient || client.needsWhole;
   }
+}
 
+void RouteDistribution::Tick(ControlContext& context,
+                             const TargetMembership& membership,
+                             const ConfigService& config)
+{
+  // A new leader that spoke before it heard the heads would take every route away at once; until
+  // then the entries keep what its predecessor told them.
+  if (!context.HasFreshQuorum() || !membership.HasHeardAll(context)) {
+    return;
+  }
+  const std::pair now(context.state.GetGroups().Revision(), membership.Observations());
+  if (now != m_refreshedOn || context.now >= m_nextRefresh) {
+    m_refreshedOn = now;
+    m_nextRefresh = context.now + kRefreshInterval;
+    RefreshRows(context, membership);
+    RefreshClients(context, config);
+  }
   const bool mayChoose = m_rows.size() <= kFewGroups || context.now >= m_nextChoice;
   const bool chooseAll = mayChoose && (m_opened || !m_closed.empty());
   for (auto& [process, client] : m_clients) {
-    if (!context.IsUp(process)) {
-      continue;
-    }
     if (chooseAll || client.needsWhole) {
       SendUpdate(context, process, client, Desired(context, process, client));
     } else if (!m_closed.empty()) {
