--- a/src/control/catalogue_table.cpp
+++ b/src/control/catalogue_table.cpp
@@ -60,7 +60,7 @@
 {
   std::string refusal;
   std::vector<const wire::CatalogueItemT*> current;
-  void Refuse(std::string reason, const wire::CatalogueItemT* item)
+  void Refuse(const std::string& reason, const wire::CatalogueItemT* item)
   {
     refusal += refusal.empty() ? reason : "; " + reason;
     if (item != nullptr) {
--- a/src/control/claim_service.cpp
+++ b/src/control/claim_service.cpp
@@ -195,7 +195,7 @@
   if (oldest != 0 && oldest < limit) {
     wire::ExpireClaimsT command;
     command.olderThanMillis = limit;
-    context.proposer.Propose(std::move(command));
+    context.proposer.Propose(command);
   }
 }
 
--- a/src/control/membership.cpp
+++ b/src/control/membership.cpp
@@ -142,7 +142,7 @@
     wire::ReleaseT release;
     release.group = announce.group;
     release.epoch = announce.epoch;
-    context.SendMessage(peer, std::move(release));
+    context.SendMessage(peer, release);
   }
 }
 
@@ -225,7 +225,7 @@
       grant.leaseMillis = static_cast<std::uint32_t>(ToMillis(context.settings.groupLease));
       m_groups[GroupId(grant.group)].lastGrant = context.now;
     }
-    context.SendMessage(waiting.peer, std::move(grant));
+    context.SendMessage(waiting.peer, grant);
   }
   while (!m_waiting.empty() && context.now - m_waiting.front().ticket.asked > kReportWaitLimit) {
     m_waiting.pop_front();
@@ -394,7 +394,7 @@
   release.group = row.group.Get();
   release.epoch = row.group.Get();
   release.graceMillis = static_cast<std::uint32_t>(ToMillis(grace));
-  context.SendMessage(agent, std::move(release));
+  context.SendMessage(agent, release);
 }
 
 void Membership::TendDraining(ControlContext& context, const GroupRow& row, GroupLive& live)
