--- a/tests/unit/control_membership_test.cpp
+++ b/tests/unit/control_membership_test.cpp
@@ -356,6 +356,40 @@
   EXPECT_EQ(FreedVms(fleet.second.Run(seconds(1))).size(), 4U);
 }
 
+// Symptom: a process is told that an old version is the newest, or a lease is refused to a group
+// that exists, right after a change of leader.
+// Sequence: the new leader has the committed commands in its log, but has not applied them yet.
+// Cause: taking the election for knowledge of what was committed.
+TEST(ControlMembership, ANewLeaderAnswersNothingBeforeItAppliedWhatWasCommitted)
+{
+  Fleet fleet;
+  const std::uint64_t group = fleet.Form();
+  fleet.first.leader = false;
+  fleet.log->holdBack = true;
+  fleet.second.now = fleet.first.now;
+  fleet.second.Lead(2);
+  wire::ConfigQueryT query;
+  query.nonce = 5;
+  auto outbox = fleet.second.Tick({ From("entry-1", wire::ConfigQueryT(query)),
+                                    Reported("vm-1", group),
+                                    Called(7, "GET", "/admin/v1/catalogue") });
+  const auto more = fleet.second.Run(seconds(1));
+  outbox.insert(outbox.end(), more.begin(), more.end());
+  EXPECT_THAT(Sent<wire::ConfigStateT>(outbox), IsEmpty());
+  EXPECT_THAT(Sent<wire::LeaseGrantT>(outbox), IsEmpty());
+  EXPECT_EQ(AnswerOf(outbox, 7)->status, 503U);
+  SECTION("with its first command applied, it does")
+  {
+    fleet.log->Commit();
+    fleet.log->holdBack = false;
+    fleet.second.Tick();
+    const auto states =
+      Sent<wire::ConfigStateT>(fleet.second.Tick({ From("entry-1", std::move(query)) }));
+    ASSERT_EQ(states.size(), 1U);
+    EXPECT_EQ(states[0].second.items.size(), 1U);
+  }
+}
+
 // Symptom: every caller is refused for seconds after a change of leader although all groups serve.
 // Sequence: the new leader hears the entries before the heads and tells them that no group serves.
 // Cause: taking "not heard yet" for "gone".
