--- a/include/gooseberrysail/entry/caller_api.hpp
+++ b/include/gooseberrysail/entry/caller_api.hpp
@@ -65,8 +65,8 @@
 [[nodiscard]] Result<CallerOptions> ParseOptions(const HttpRequestIn& request);
 
 /// \returns The value of the first header of this name, "" when absent.
-[[nodiscard]] std::string_view FindHeader(const std::vector<HttpHeader>& headers,
-                                          std::string_view name) noexcept;
+[[nodiscard]] std::string_view HeaderValue(const std::vector<HttpHeader>& headers,
+                                           std::string_view name) noexcept;
 
 /// \brief Whether a header concerns one connection only, or is ours, and isn't passed on.
 [[nodiscard]] bool IsHopHeader(std::string_view name) noexcept;
--- a/src/entry/caller_api.cpp
+++ b/src/entry/caller_api.cpp
@@ -196,14 +196,14 @@
 Result<CallerOptions> ParseOptions(const HttpRequestIn& request)
 {
   CallerOptions options;
-  options.idempotencyKey = std::string(FindHeader(request.headers, "Idempotency-Key"));
+  options.idempotencyKey = std::string(HeaderValue(request.headers, "Idempotency-Key"));
   if (options.idempotencyKey.size() > kMaxIdempotencyKeyBytes) {
     return MakeError(ErrorCode::kInvalid,
                      request,
                      "Idempotency-Key exceeds " + std::to_string(kMaxIdempotencyKeyBytes) +
                        " bytes");
   }
-  const std::string_view text = FindHeader(request.headers, "X-Deadline-Ms");
+  const std::string_view text = HeaderValue(request.headers, "X-Deadline-Ms");
   if (text.empty()) {
     return options;
   }
@@ -220,7 +220,7 @@
   return options;
 }
 
-std::string_view FindHeader(const std::vector<HttpHeader>& headers, std::string_view name) noexcept
+std::string_view HeaderValue(const std::vector<HttpHeader>& headers, std::string_view name) noexcept
 {
   for (const HttpHeader& header : headers) {
     if (EqualsNoCase(header.name, name)) {
--- a/src/entry/caller_stream.cpp
+++ b/src/entry/caller_stream.cpp
@@ -18,7 +18,7 @@
 bool IsShort(const std::vector<std::unique_ptr<wire::HeaderT>>& headers)
 {
   for (const auto& header : headers) {
-    if (FindHeader({ { header->name, header->value } }, "Content-Length").empty()) {
+    if (HeaderValue({ { header->name, header->value } }, "Content-Length").empty()) {
       continue;
     }
     std::size_t length = 0;
@@ -34,7 +34,7 @@
   CallerSide& caller = request.caller;
   caller.status = output.status;
   caller.headers = AnswerHeaders(output.headers, request.id);
-  caller.eventStream = FindHeader(caller.headers, "Content-Type").starts_with(kEventStream);
+  caller.eventStream = HeaderValue(caller.headers, "Content-Type").starts_with(kEventStream);
   caller.holdBack = !caller.eventStream && IsShort(output.headers);
   if (request.captured) {
     request.captured->status = output.status;
--- a/src/entry/intake.cpp
+++ b/src/entry/intake.cpp
@@ -117,7 +117,7 @@
 /// \returns Whether the caller belongs to a workspace; else it was told so.
 bool Authenticate(EntryContext& context, Arrival& arrival)
 {
-  const std::string_view header = FindHeader(arrival.http.headers, "Authorization");
+  const std::string_view header = HeaderValue(arrival.http.headers, "Authorization");
   const std::string hash = TokenHash(BearerToken(header));
   const CatalogueEntry* entry = context.catalogue.FindWorkspaceByToken(hash);
   const auto* spec = entry == nullptr ? nullptr : std::get_if<WorkspaceSpec>(&entry->spec);
--- a/tests/support/entry_fixture.cpp
+++ b/tests/support/entry_fixture.cpp
@@ -83,7 +83,7 @@
 
 std::string CallerView::Header(std::string_view name) const
 {
-  return std::string(FindHeader(headers, name));
+  return std::string(HeaderValue(headers, name));
 }
 
 EntryFixture::EntryFixture(Incarnation incarnation)
