Golden sessions of requests through entries and an agent

The entry's and the agent's systems are joined under scripted time with played control and target; every input and output of the entry is a line. Now it begins 5 s after the start; a gap is asked for by a time of its own.

--- a/include/gooseberrysail/entry/attempt_flow.hpp
+++ b/include/gooseberrysail/entry/attempt_flow.hpp
@@ -7,6 +7,10 @@
 
 namespace gooseberrysail::impl {
 
+/// \brief An attempt that said nothing for this long is asked for, in case a frame was lost
+/// unnoticed.
+inline constexpr Duration kProbeInterval = std::chrono::seconds(5);
+
 /// \brief Sends a request's first attempt, or ends it as not run.
 void StartFirstAttempt(EntryContext& context, Request& request);
 
--- a/include/gooseberrysail/entry/peer_table.hpp
+++ b/include/gooseberrysail/entry/connected_peers.hpp
@@ -17,7 +17,7 @@
 };
 
 /// \brief Which processes are connected now.
-class PeerTable
+class ConnectedPeers
 {
 public:
   void OnUp(const PeerUp& up) { m_peers[up.peer] = { up.role, up.incarnation, up.address }; }
--- a/include/gooseberrysail/entry/entry_context.hpp
+++ b/include/gooseberrysail/entry/entry_context.hpp
@@ -4,8 +4,8 @@
 #include "gooseberrysail/catalogue/catalogue.hpp"
 #include "gooseberrysail/entry/catalogue_client.hpp"
 #include "gooseberrysail/entry/claims_client.hpp"
+#include "gooseberrysail/entry/connected_peers.hpp"
 #include "gooseberrysail/entry/outcome_records.hpp"
-#include "gooseberrysail/entry/peer_table.hpp"
 #include "gooseberrysail/entry/request_table.hpp"
 #include "gooseberrysail/entry/route_client.hpp"
 #include "gooseberrysail/observe/event.hpp"
@@ -28,7 +28,7 @@
   EntrySettings settings;
   RoleHooks hooks;
 
-  PeerTable peers;
+  ConnectedPeers peers;
   Catalogue catalogue;
   CatalogueClient config;
   RouteClient routes;
--- a/include/gooseberrysail/entry/request.hpp
+++ b/include/gooseberrysail/entry/request.hpp
@@ -35,6 +35,7 @@
   TimePoint sentAt{};
   TimePoint silentSince{};
   TimePoint askAgainAt{};       ///< When Resume or Seal goes out once more.
+  TimePoint gapAskAt{};         ///< Before this, a gap isn't asked for once more.
   std::uint64_t nextOffset = 0; ///< Bytes of the answer taken over.
   bool headSeen = false;        ///< Status and headers arrived: the target has started.
   bool cancelled = false;
--- a/include/gooseberrysail/entry/route_client.hpp
+++ b/include/gooseberrysail/entry/route_client.hpp
@@ -2,7 +2,7 @@
 
 #include "gooseberrysail/core/ids.hpp"
 #include "gooseberrysail/core/time.hpp"
-#include "gooseberrysail/entry/peer_table.hpp"
+#include "gooseberrysail/entry/connected_peers.hpp"
 #include "gooseberrysail/routing/router.hpp"
 
 #include <functional>
@@ -26,14 +26,14 @@
   /// leader, the former one's changes would mix with the new one's list.
   [[nodiscard]] bool OnUpdate(const ProcessId& from,
                               const wire::RoutesUpdateT& update,
-                              const PeerTable& peers,
+                              const ConnectedPeers& peers,
                               Router& router);
 
   void OnPeerUp(const ProcessId& head, Router& router);
   void OnPeerDown(const ProcessId& head, Router& router);
 
   /// \brief Dials heads without connection.
-  void Tick(TimePoint now, const PeerTable& peers, const Dial& dial);
+  void Tick(TimePoint now, const ConnectedPeers& peers, const Dial& dial);
 
   [[nodiscard]] const RouteCandidate* Find(GroupId group) const;
   /// \brief Open groups of a catalogue entry, connected or not.
@@ -48,7 +48,7 @@
     wire::RouteState state = wire::RouteState::Open;
   };
 
-  void Take(const wire::RouteT& route, const PeerTable& peers, Router& router);
+  void Take(const wire::RouteT& route, const ConnectedPeers& peers, Router& router);
   void Drop(GroupId group, Router& router);
   void DropUnlisted(const wire::RoutesUpdateT& update, Router& router);
 
--- a/src/entry/attempt_flow.cpp
+++ b/src/entry/attempt_flow.cpp
@@ -60,6 +60,7 @@
   attempt.incarnation = peer.incarnation;
   attempt.address = route.address;
   attempt.sentAt = context.now;
+  attempt.askAgainAt = context.now + kProbeInterval;
   return attempt;
 }
 
@@ -221,7 +222,8 @@
   }
   const FittedOutput fitted = FitOutput(*request->attempt, output);
   if (fitted.fit == FittedOutput::Fit::kGap) {
-    if (context.now >= request->attempt->askAgainAt) {
+    if (context.now >= request->attempt->gapAskAt) {
+      request->attempt->gapAskAt = context.now + kAskInterval;
       SendResume(context, *request);
     }
     return;
@@ -234,6 +236,7 @@
     NoteStarted(context, *request);
   }
   request->attempt->state = AttemptState::kLive;
+  request->attempt->askAgainAt = context.now + kProbeInterval;
   request->attempt->nextOffset += fitted.bytes.size();
   if (wire::RequestRecordT* record = context.records.Find(output.request)) {
     record->bytes += fitted.bytes.size();
@@ -258,7 +261,7 @@
 void SendResume(EntryContext& context, Request& request)
 {
   Attempt& attempt = *request.attempt;
-  attempt.askAgainAt = context.now + kAskInterval;
+  attempt.askAgainAt = context.now + kProbeInterval;
   wire::ResumeT resume;
   resume.request = request.id.Get();
   resume.attempt = attempt.number;
--- a/src/entry/attempt_recovery.cpp
+++ b/src/entry/attempt_recovery.cpp
@@ -9,8 +9,6 @@
 
 /// How long a caller waits for an agent that can't be reached.
 constexpr Duration kUnreachableLimit = std::chrono::seconds(5);
-/// An attempt that said nothing for this long is asked for, in case a frame was lost unnoticed.
-constexpr Duration kProbeInterval = std::chrono::seconds(5);
 constexpr Duration kRetryAfter = std::chrono::seconds(1);
 
 void CutAttempt(EntryContext& context, Request& request, std::string_view why)
@@ -36,10 +34,10 @@
 void StopWanting(EntryContext& context, Request& request, std::string_view why)
 {
   Attempt& attempt = *request.attempt;
-  attempt.askAgainAt = context.now + kProbeInterval;
   if (attempt.state == AttemptState::kSilent) {
     return;
   }
+  attempt.askAgainAt = context.now + kProbeInterval;
   if (request.repeatable) {
     SendCancel(context, request, why);
   } else if (!attempt.headSeen) {
@@ -70,7 +68,6 @@
     return;
   }
   SendResume(context, request);
-  attempt.askAgainAt = context.now + kProbeInterval;
 }
 
 void Redial(EntryContext& context, Attempt& attempt)
@@ -183,7 +180,6 @@
     return;
   }
   SendResume(context, *request);
-  request->attempt->askAgainAt = context.now + kProbeInterval;
 }
 
 void OnUnknownRequest(EntryContext& context,
--- a/src/entry/route_client.cpp
+++ b/src/entry/route_client.cpp
@@ -24,7 +24,7 @@
 
 bool RouteClient::OnUpdate(const ProcessId& from,
                            const wire::RoutesUpdateT& update,
-                           const PeerTable& peers,
+                           const ConnectedPeers& peers,
                            Router& router)
 {
   if (!update.whole && from != m_source) {
@@ -60,7 +60,7 @@
   m_nextDial = TimePoint{};
 }
 
-void RouteClient::Tick(TimePoint now, const PeerTable& peers, const Dial& dial)
+void RouteClient::Tick(TimePoint now, const ConnectedPeers& peers, const Dial& dial)
 {
   if (now < m_nextDial) {
     return;
@@ -88,7 +88,7 @@
   return static_cast<std::size_t>(open);
 }
 
-void RouteClient::Take(const wire::RouteT& route, const PeerTable& peers, Router& router)
+void RouteClient::Take(const wire::RouteT& route, const ConnectedPeers& peers, Router& router)
 {
   const GroupId group(route.group);
   if (route.state == wire::RouteState::Gone) {
--- /dev/null
+++ b/tests/golden/request_session_test.cpp
@@ -0,0 +1,184 @@
+#include "support/request_world.hpp"
+
+#include <algorithm>
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+// Sessions of requests through entries and an agent. After a wanted change of behaviour, write them
+// anew with GOOSEBERRYSAIL_WRITE_GOLDEN=1 and read the difference before committing it.
+
+namespace gooseberrysail::test {
+namespace {
+
+using ::testing::HasSubstr;
+
+constexpr const char* kFirst = "entry-1.1.1";
+
+TEST(RequestSession, ARequestIsServedEndToEnd)
+{
+  RequestWorld world;
+  world.Story("a chat completion");
+  const std::uint64_t chat = world.Chat("entry-1", false);
+  world.Settle();
+  world.Target().AnswerCall(kFirst, "two rollers are free", true);
+  world.Settle();
+  EXPECT_EQ(world.BodyOf("entry-1", chat), "two rollers are free");
+  world.Story("a streamed one");
+  const std::uint64_t stream = world.Chat("entry-1", true);
+  world.Settle();
+  world.Target().AnswerCall("entry-1.1.2", "data: one | ", false);
+  world.Settle();
+  world.Target().AnswerCall("entry-1.1.2", "data: two", true, false);
+  world.Settle();
+  EXPECT_EQ(world.BodyOf("entry-1", stream), "data: one | data: two");
+  world.Story("what became of the first");
+  const std::uint64_t show = world.Get("entry-1", std::string("/requests/") + kFirst);
+  world.Settle();
+  EXPECT_THAT(world.BodyOf("entry-1", show), HasSubstr(R"("outcome":"completed")"));
+  world.Compare("request_path.txt");
+}
+
+// Symptom: a streamed answer stops for good half-way, though both machines are well.
+// Sequence: something between entry and agent forgets their connection while the engine goes on;
+// heartbeats run out, a new connection works.
+// Cause: answers tied to a connection; nobody could ask for the part that was swallowed.
+TEST(RequestSession, ASilentConnectionIsResumedByteForByte)
+{
+  RequestWorld world;
+  const std::uint64_t chat = world.Chat("entry-1", true);
+  world.Settle();
+  world.Target().AnswerCall(kFirst, "data: 1 | ", false);
+  world.Settle();
+  world.Story("from here on the connection swallows everything, both ways");
+  world.Swallow("entry-1", true);
+  world.Target().AnswerCall(kFirst, "data: 2 | ", false, false);
+  world.Settle();
+  world.Target().AnswerCall(kFirst, "data: 3 | ", false, false);
+  world.Settle();
+  world.Story("heartbeats ran out; a new connection stands");
+  world.Reconnect("entry-1");
+  world.Target().AnswerCall(kFirst, "data: 4", true, false);
+  world.Settle();
+  EXPECT_EQ(world.BodyOf("entry-1", chat), "data: 1 | data: 2 | data: 3 | data: 4");
+  EXPECT_EQ(world.Runs(), 1U);
+  world.Compare("request_silent_connection.txt");
+}
+
+// Symptom: answers mixed up or with parts in the wrong place.
+// Sequence: two answers run at once; their frames arrive in reversed order, each frame twice.
+// Cause: frames taken in order of arrival.
+TEST(RequestSession, LateAndReversedFramesReachTheirOwnCallerWhole)
+{
+  RequestWorld world;
+  const std::uint64_t first = world.Chat("entry-1", true);
+  const std::uint64_t second = world.Chat("entry-1", true);
+  world.Settle();
+  world.Story("frames of both answers arrive in reversed order, each of them twice");
+  world.shuffle = [](std::vector<FrameIn>& frames) {
+    std::vector<FrameIn> twice = frames;
+    twice.insert(twice.end(), frames.begin(), frames.end());
+    std::reverse(twice.begin(), twice.end());
+    frames = std::move(twice);
+  };
+  world.Target().AnswerCall(kFirst, "rollers ", false);
+  world.Target().AnswerCall("entry-1.1.2", "cranes ", false);
+  world.Target().AnswerCall(kFirst, "for Monday", true, false);
+  world.Target().AnswerCall("entry-1.1.2", "for Tuesday", true, false);
+  world.Settle();
+  world.Story("the network is well again");
+  world.shuffle = nullptr;
+  world.Advance(std::chrono::seconds(1));
+  EXPECT_EQ(world.BodyOf("entry-1", first), "rollers for Monday");
+  EXPECT_EQ(world.BodyOf("entry-1", second), "cranes for Tuesday");
+  world.Compare("request_out_of_order.txt");
+}
+
+// Symptom: a foreman is told "not run", books again, and two rollers come.
+// Sequence: the booking's frame hangs on a connection that seems dead; the agent, asked over a new
+// one, doesn't know it; the frame arrives after that.
+// Cause: "unknown" told as "not run". Only what the agent has sealed can never start.
+TEST(RequestSession, NotRunIsTrueAlsoWhenTheFrameArrivesLate)
+{
+  RequestWorld world({ wire::TargetKind::Service, { "entry-1" } });
+  world.Story("the booking leaves the entry and hangs on its way");
+  world.holdStarts = true;
+  const std::uint64_t booking = world.Book("entry-1", "");
+  world.Settle();
+  world.Story("a new connection; the agent does not know the request and seals it");
+  world.Reconnect("entry-1");
+  world.Advance(std::chrono::milliseconds(200));
+  EXPECT_EQ(world.StatusOf("entry-1", booking), 503U);
+  EXPECT_THAT(world.BodyOf("entry-1", booking), HasSubstr(R"("outcome":"not-run")"));
+  world.Story("the frame arrives after all");
+  world.ReleaseHeld();
+  world.Settle();
+  EXPECT_EQ(world.Runs(), 0U);
+  world.Compare("request_not_run.txt");
+}
+
+// Symptom: "not run" is told of a booking that was made.
+// Sequence: the agent hands the booking to the service and dies; the next agent knows nothing.
+// Cause: the new agent's ignorance taken for proof.
+TEST(RequestSession, AfterAnAgentsDeathTheOutcomeIsCut)
+{
+  RequestWorld world({ wire::TargetKind::Service, { "entry-1" } });
+  const std::uint64_t booking = world.Book("entry-1", "");
+  world.Settle();
+  EXPECT_EQ(world.Runs(), 1U);
+  world.Story("kill -9 of the agent; a new one with an empty memory");
+  world.RestartAgent();
+  EXPECT_EQ(world.StatusOf("entry-1", booking), 502U);
+  EXPECT_THAT(world.BodyOf("entry-1", booking), HasSubstr(R"("outcome":"cut")"));
+  world.Advance(std::chrono::seconds(2));
+  EXPECT_EQ(world.Runs(), 1U);
+  world.Compare("request_cut.txt");
+}
+
+// Symptom: a contractor is billed twice for one booking.
+// Sequence: the portal sends a booking through two entries at once; then resends another one after
+// its entry was killed, and a third one after the agent was killed.
+// Cause: each entry, or each life of one, decides by itself whether a key is new.
+TEST(RequestSession, AKeyedBookingRunsAtMostOnce)
+{
+  RequestWorld world({ wire::TargetKind::Service, { "entry-1", "entry-2" } });
+  world.Story("the same key through two entries at once");
+  const std::uint64_t first = world.Book("entry-1", "order-1");
+  const std::uint64_t second = world.Book("entry-2", "order-1");
+  world.Settle();
+  EXPECT_EQ(world.Runs(), 1U);
+  EXPECT_EQ(world.StatusOf("entry-2", second), 409U);
+  world.Target().AnswerCall(kFirst, "booked 1", true);
+  world.Settle();
+  EXPECT_EQ(world.BodyOf("entry-1", first), "booked 1");
+  world.Story("resent: the first answer again");
+  const std::uint64_t again = world.Book("entry-2", "order-1");
+  world.Settle();
+  EXPECT_EQ(world.BodyOf("entry-2", again), "booked 1");
+  EXPECT_EQ(world.Runs(), 1U);
+
+  world.Story("entry-1 is killed while its booking runs; resent through entry-2");
+  world.Book("entry-1", "order-2");
+  world.Settle();
+  EXPECT_EQ(world.Runs(), 2U);
+  world.RestartEntry("entry-1");
+  const std::uint64_t orphan = world.Book("entry-2", "order-2");
+  world.Settle();
+  EXPECT_EQ(world.StatusOf("entry-2", orphan), 409U);
+  EXPECT_THAT(world.BodyOf("entry-2", orphan), HasSubstr("same-key-unknown"));
+  EXPECT_EQ(world.Runs(), 2U);
+
+  world.Story("the agent is killed while a booking runs; resent through the same entry");
+  const std::uint64_t third = world.Book("entry-1", "order-3");
+  world.Settle();
+  EXPECT_EQ(world.Runs(), 3U);
+  world.RestartAgent();
+  EXPECT_THAT(world.BodyOf("entry-1", third), HasSubstr(R"("outcome":"cut")"));
+  const std::uint64_t resent = world.Book("entry-1", "order-3");
+  world.Settle();
+  EXPECT_EQ(world.StatusOf("entry-1", resent), 409U);
+  EXPECT_EQ(world.Runs(), 3U);
+  world.Compare("request_keyed_once.txt");
+}
+
+} // namespace
+} // namespace gooseberrysail::test
--- a/tests/support/golden_session.cpp
+++ b/tests/support/golden_session.cpp
@@ -16,7 +16,15 @@
 template<class Bytes>
 std::string Quoted(const Bytes& bytes)
 {
-  return "\"" + std::string(bytes.begin(), bytes.end()) + "\"";
+  std::string text = "\"";
+  for (const auto byte : bytes) {
+    if (byte == '\n') {
+      text += "\\n"; // A session has one line an input or output.
+    } else {
+      text += static_cast<char>(byte);
+    }
+  }
+  return text + "\"";
 }
 
 class Fields
@@ -59,6 +67,32 @@
   return fields.Text();
 }
 
+std::string RecoveryFields(const wire::BodyUnion& body)
+{
+  Fields fields;
+  if (const auto* resume = body.AsResume()) {
+    fields("request", resume->request)("attempt", resume->attempt)("offset", resume->offset);
+  } else if (const auto* cancel = body.AsCancel()) {
+    fields("request", cancel->request)("reason", Quoted(cancel->reason));
+  } else if (const auto* unknown = body.AsUnknownRequest()) {
+    fields("request", unknown->request)("attempt", unknown->attempt)("agentIncarnation",
+                                                                     unknown->agentIncarnation);
+  } else if (const auto* claim = body.AsClaimRequest()) {
+    fields("request", claim->request)("key", claim->key);
+  } else if (const auto* reply = body.AsClaimReply()) {
+    fields("request", reply->request)("state", wire::EnumNameClaimState(reply->state))(
+      "holder", reply->holder)("outcome", Quoted(reply->outcome));
+  } else if (const auto* outcome = body.AsClaimOutcome()) {
+    fields("request", outcome->request)("ran", outcome->ran)("outcome", outcome->outcome)(
+      "reason", Quoted(outcome->reason))("status", outcome->status);
+  } else if (const auto* ack = body.AsClaimOutcomeAck()) {
+    fields("request", ack->request);
+  } else if (const auto* routes = body.AsRoutesUpdate()) {
+    fields("sequence", routes->sequence)("routes", routes->routes.size());
+  }
+  return fields.Text();
+}
+
 std::string GroupFields(const wire::BodyUnion& body)
 {
   Fields fields;
@@ -100,7 +134,7 @@
 std::string Describe(const ProcessId& peer, const wire::EnvelopeT& envelope)
 {
   return peer.Get() + ' ' + BodyName(envelope) + RequestFields(envelope.body) +
-         GroupFields(envelope.body);
+         RecoveryFields(envelope.body) + GroupFields(envelope.body);
 }
 
 struct Describer
@@ -156,6 +190,36 @@
     return text;
   }
   std::string operator()(const StoppedOut&) const { return "stopped"; }
+  std::string operator()(const HttpRequestIn& http) const
+  {
+    std::string text = "caller " + std::to_string(http.exchange.Get()) + ' ' + http.method + ' ' +
+                       http.target + HeaderText(http.headers);
+    return text + " body=" + Quoted(http.body);
+  }
+  std::string operator()(const HttpCallerGone& gone) const
+  {
+    return "caller " + std::to_string(gone.exchange.Get()) + " gone";
+  }
+  std::string operator()(const HttpAnswerOut& answer) const
+  {
+    Fields fields;
+    if (answer.status) {
+      fields("status", *answer.status);
+    }
+    return "caller " + std::to_string(answer.exchange.Get()) + fields.Text() +
+           HeaderText(answer.headers) + " bytes=" + Quoted(answer.bytes) +
+           (answer.end ? " end" : "") + (answer.abort ? " abort" : "");
+  }
+
+private:
+  static std::string HeaderText(const std::vector<HttpHeader>& headers)
+  {
+    std::string text;
+    for (const HttpHeader& header : headers) {
+      text += ' ' + header.name + ':' + Quoted(header.value);
+    }
+    return text;
+  }
 };
 
 } // namespace
@@ -184,6 +248,26 @@
   Line(now, ">", std::visit(Describer{}, output));
 }
 
+void GoldenSession::Came(TimePoint now, std::string_view process, const AgentInput& input)
+{
+  Line(now, std::string(process) + " <", std::visit(Describer{}, input));
+}
+
+void GoldenSession::Left(TimePoint now, std::string_view process, const AgentOutput& output)
+{
+  Line(now, std::string(process) + " >", std::visit(Describer{}, output));
+}
+
+void GoldenSession::Came(TimePoint now, std::string_view process, const EntryInput& input)
+{
+  Line(now, std::string(process) + " <", std::visit(Describer{}, input));
+}
+
+void GoldenSession::Left(TimePoint now, std::string_view process, const EntryOutput& output)
+{
+  Line(now, std::string(process) + " >", std::visit(Describer{}, output));
+}
+
 void GoldenSession::Compare(const std::string& path) const
 {
   if (std::getenv("GOOSEBERRYSAIL_WRITE_GOLDEN") != nullptr) {
--- a/tests/support/golden_session.hpp
+++ b/tests/support/golden_session.hpp
@@ -26,6 +26,12 @@
   void Came(TimePoint now, const AgentInput& input);
   void Left(TimePoint now, const AgentOutput& output);
 
+  /// \brief The same in a session of several processes: each line names its own.
+  void Came(TimePoint now, std::string_view process, const AgentInput& input);
+  void Left(TimePoint now, std::string_view process, const AgentOutput& output);
+  void Came(TimePoint now, std::string_view process, const EntryInput& input);
+  void Left(TimePoint now, std::string_view process, const EntryOutput& output);
+
   /// \brief Fails the test where the session differs from this file.
   /// \remarks With GOOSEBERRYSAIL_WRITE_GOLDEN set, writes it instead and fails.
   void Compare(const std::string& path) const;
--- a/tests/unit/entry_recovery_test.cpp
+++ b/tests/unit/entry_recovery_test.cpp
@@ -110,6 +110,22 @@
   EXPECT_TRUE(entry.Caller(chat).ended);
 }
 
+TEST(EntryRecovery, AnAgentIsNotAskedWithoutNeed)
+{
+  // Symptom: each request costs a second frame. Events: a request waits for its first byte. Cause:
+  // the time of the next question was left at zero, so that the first sweep asked.
+  EntryFixture entry;
+  Prepare(entry);
+  entry.Chat(true);
+  entry.Advance(std::chrono::milliseconds(4900));
+  EXPECT_TRUE(entry.Sent<wire::ResumeT>().empty());
+  SECTION("only after five silent seconds, in case a frame was lost unnoticed")
+  {
+    entry.Advance(std::chrono::milliseconds(200));
+    EXPECT_EQ(entry.Sent<wire::ResumeT>().size(), 1U);
+  }
+}
+
 TEST(EntryRecovery, RefusedBeforeStartGoesElsewhereWithinBounds)
 {
   EntryFixture entry;
