Entry: count waiting callers as in flight; stop despite answered requests

A request whose caller was answered stays until what happened is known. Counted as in flight, those of one dead agent would have used up the places of all callers; and each would have held a shutdown up for a minute. A target's 5xx now counts as a failure for routing.

--- a/src/entry/attempt_flow.cpp
+++ b/src/entry/attempt_flow.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr std::uint32_t kMaxAttempts = 4;
+constexpr unsigned kServerError = 500;
 constexpr Duration kNoGroupRetryAfter = std::chrono::seconds(2);
 constexpr Duration kAskInterval = std::chrono::milliseconds(500);
 
@@ -157,7 +158,9 @@
 {
   SendAck(context, request, true);
   if (output.cutReason.empty()) {
-    CloseAttempt(context, request, AttemptResult::kCompleted, ToString(Outcome::kCompleted));
+    const bool served = request.caller.status < kServerError;
+    const AttemptResult whole = served ? AttemptResult::kCompleted : AttemptResult::kFailed;
+    CloseAttempt(context, request, whole, ToString(Outcome::kCompleted));
     EndCompleted(context, request);
     return;
   }
--- a/src/entry/entry_role.cpp
+++ b/src/entry/entry_role.cpp
@@ -10,7 +10,7 @@
 #include "gooseberrysail/entry/request_end.hpp"
 #include "gooseberrysail/entry/request_lookups.hpp"
 
-#include <optional>
+#include <algorithm>
 
 namespace gooseberrysail {
 
@@ -150,10 +150,22 @@
     reports.Tick(context);
   }
 
+  /// Whether somebody waits for what becomes of a request. The mere record of one whose caller was
+  /// answered goes with this process anyway.
+  [[nodiscard]] bool IsOwed(const RequestId& id)
+  {
+    const Request* request = context.requests.Find(id.Get());
+    return request != nullptr && (request->caller.waiting || !request->key.empty());
+  }
+
   /// Stopping before a claim's outcome is acknowledged would leave its key "unknown" for ever.
-  [[nodiscard]] bool AllDone() const
+  [[nodiscard]] bool AllDone()
   {
-    return context.requests.Size() == 0 && context.claims.Unreported() == 0 && lookups.Empty();
+    if (context.claims.Unreported() != 0 || !lookups.Empty()) {
+      return false;
+    }
+    const std::vector<RequestId> ids = context.requests.Ids();
+    return std::none_of(ids.begin(), ids.end(), [this](const RequestId& id) { return IsOwed(id); });
   }
 
   void StopWhenDone()
--- a/src/entry/intake.cpp
+++ b/src/entry/intake.cpp
@@ -13,6 +13,7 @@
 
 constexpr Duration kShutdownRetryAfter = std::chrono::seconds(1);
 constexpr Duration kUnconfirmedRetryAfter = std::chrono::seconds(2);
+constexpr std::size_t kUnresolvedFactor = 4;
 constexpr Duration kOverloadRetryAfter = std::chrono::seconds(1);
 
 CallerError MakeError(unsigned status,
@@ -249,7 +250,12 @@
                                      const TargetCall& call,
                                      const CatalogueEntry& entry)
 {
-  if (context.requests.Size() >= context.settings.maxInFlight) {
+  // Requests whose caller was answered are small and don't count until they are many: an agent that
+  // is gone must not use up the places of callers of other groups.
+  const std::size_t limit = context.settings.maxInFlight;
+  const bool full =
+    context.requests.Waiting() >= limit || context.requests.Size() >= limit * kUnresolvedFactor;
+  if (full) {
     CallerError error = MakeError(
       503, "overloaded", reason::kOverload, "This entry has as many requests in flight as it may.");
     error.retryAfter = kOverloadRetryAfter;
--- a/tests/unit/entry_recovery_test.cpp
+++ b/tests/unit/entry_recovery_test.cpp
@@ -358,6 +358,14 @@
     EXPECT_TRUE(entry.Caller(chat).ended);
     EXPECT_TRUE(entry.Stopped());
   }
+  SECTION("a request whose caller has left holds nothing up")
+  {
+    EntryFixture other;
+    Prepare(other);
+    other.Tick({ HttpCallerGone{ ExchangeId(other.Chat()) } });
+    other.Tick({ StopRequested{} });
+    EXPECT_TRUE(other.Stopped());
+  }
 }
 
 } // namespace
