--- /dev/null
+++ b/bench/entry_capacity.cpp
@@ -0,0 +1,278 @@
+// What an entry's decisions cost: processor time and bytes a request, memory a request in flight,
+// each at several sizes, with a straight line fitted through them. Sockets and HTTP aren't in it.
+#include "gooseberrysail/roles/entry_role.hpp"
+#include "gooseberrysail/wire/envelope.hpp"
+#include "support/entry_fixture.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <cstdio>
+#include <cstdlib>
+#include <ctime>
+#include <functional>
+#include <malloc.h>
+#include <string>
+#include <vector>
+
+namespace gooseberrysail {
+namespace {
+
+constexpr std::size_t kBodyBytes = 2048;
+constexpr std::size_t kFrames = 20;
+constexpr std::size_t kFrameBytes = 64;
+constexpr Duration kRunTime = std::chrono::seconds(10);
+constexpr std::size_t kMaxInFlight = 100'000;
+constexpr double kLengthPrefix = 4;
+const std::string kAgent = "agent-1";
+const std::string kControl = "control-1";
+
+struct Sample
+{
+  double requests = 0;
+  double cpuMicros = 0;
+  double bytesSent = 0;     ///< Frames to the agent.
+  double bytesReceived = 0; ///< Frames of the agent.
+  double heapBytes = 0;     ///< With all of the requests in flight.
+  double recordBytes = 0;   ///< With all of them finished, as records.
+};
+
+double CpuMicros()
+{
+  timespec time{};
+  clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &time);
+  return static_cast<double>(time.tv_sec) * 1e6 + static_cast<double>(time.tv_nsec) / 1e3;
+}
+
+double HeapBytes()
+{
+  return static_cast<double>(mallinfo2().uordblks);
+}
+
+template<class MessageT>
+FrameIn MakeFrame(const std::string& peer, MessageT message)
+{
+  const Incarnation incarnation(peer == kAgent ? 3 : 1);
+  return FrameIn{ ProcessId(peer), incarnation, MakeEnvelope(std::move(message)) };
+}
+
+/// \brief One entry whose ticks are timed; what surrounds it is not.
+class Entry
+{
+public:
+  explicit Entry(std::size_t requests)
+    : m_step(kRunTime / (requests * (kFrames + 1)))
+    , m_role(MakeSettings(), RoleHooks{ [this] { return ++m_random; }, [] { return 1; } })
+  {
+    Give(PeerUp{ ProcessId(kControl), "control", Incarnation(1), "" });
+    Give(PeerUp{ ProcessId(kAgent), "agent", Incarnation(3), "" });
+    wire::RoutesUpdateT update;
+    update.whole = true;
+    auto route = std::make_unique<wire::RouteT>();
+    route->group = 11;
+    route->epoch = 11;
+    route->entry = "hire-assist";
+    route->head = kAgent;
+    update.routes.push_back(std::move(route));
+    Give(MakeFrame(kControl, std::move(update)));
+  }
+
+  void Give(EntryInput input)
+  {
+    m_now += m_step;
+    m_inbox.clear();
+    m_inbox.push_back(std::move(input));
+    while (!m_inbox.empty()) {
+      m_outbox.clear();
+      const double before = CpuMicros();
+      m_role.Tick(m_now, m_inbox, m_outbox);
+      cpuMicros += CpuMicros() - before;
+      m_inbox.clear();
+      Take();
+    }
+  }
+
+  /// \brief Frees what belongs to the surroundings.
+  void Rest()
+  {
+    m_inbox = {};
+    m_outbox = {};
+  }
+
+  double cpuMicros = 0;
+  double bytesSent = 0;
+  std::size_t ended = 0;
+
+private:
+  static EntrySettings MakeSettings()
+  {
+    EntrySettings settings;
+    settings.process = ProcessId("entry-1");
+    settings.incarnation = Incarnation(7);
+    settings.controls = { { ProcessId(kControl), "" } };
+    settings.maxInFlight = kMaxInFlight;
+    settings.maxRecords = kMaxInFlight;
+    return settings;
+  }
+
+  void Take()
+  {
+    for (const EntryOutput& output : m_outbox) {
+      if (const auto* answer = std::get_if<HttpAnswerOut>(&output)) {
+        ended += answer->end && answer->status.value_or(200) == 200 ? 1 : 0;
+      }
+      const auto* frame = std::get_if<FrameOut>(&output);
+      if (frame == nullptr) {
+        continue;
+      }
+      if (frame->peer.Get() == kAgent) {
+        bytesSent += static_cast<double>(EncodeEnvelope(*frame->envelope).size()) + kLengthPrefix;
+      } else if (const auto* query = frame->envelope->body.AsConfigQuery()) {
+        wire::ConfigStateT state = test::MakeCatalogueState(40);
+        state.nonce = query->nonce;
+        m_inbox.emplace_back(MakeFrame(kControl, std::move(state)));
+      }
+    }
+  }
+
+  Duration m_step;
+  TimePoint m_now{ std::chrono::seconds(100) };
+  std::uint64_t m_random = 0;
+  EntryRole m_role;
+  std::vector<EntryInput> m_inbox;
+  std::vector<EntryOutput> m_outbox;
+};
+
+HttpRequestIn MakeCall(std::size_t number)
+{
+  HttpRequestIn http;
+  http.exchange = ExchangeId(number);
+  http.method = "POST";
+  http.target = "/v1/chat/completions";
+  http.headers = { { "Authorization", "Bearer " + std::string(test::kToken) },
+                   { "Content-Type", "application/json" },
+                   { "User-Agent", "hire-desk/4.2" } };
+  http.body = R"({"model":"hire-assist","stream":true,"messages":[{"role":"user","content":")";
+  http.body += std::string(kBodyBytes - http.body.size() - 4, 'x') + R"("}]})";
+  return http;
+}
+
+wire::OutputT MakePart(std::size_t number, std::size_t frame)
+{
+  wire::OutputT output = test::MakeOutput("entry-1.7." + std::to_string(number),
+                                          1,
+                                          frame * kFrameBytes,
+                                          std::string(kFrameBytes, 'y'),
+                                          frame == 0 ? 200 : 0,
+                                          frame + 1 == kFrames);
+  if (frame == 0) {
+    output.headers.push_back(test::MakeWireHeader("Content-Type", "text/event-stream"));
+  }
+  return output;
+}
+
+Sample Measure(std::size_t requests)
+{
+  Sample sample;
+  sample.requests = static_cast<double>(requests);
+  Entry entry(requests);
+  entry.Rest();
+  const double heapBefore = HeapBytes();
+  entry.cpuMicros = 0;
+  for (std::size_t number = 1; number <= requests; ++number) {
+    entry.Give(MakeCall(number));
+  }
+  entry.Rest();
+  sample.heapBytes = HeapBytes() - heapBefore;
+  for (std::size_t frame = 0; frame < kFrames; ++frame) {
+    for (std::size_t number = 1; number <= requests; ++number) {
+      FrameIn arrival = MakeFrame(kAgent, MakePart(number, frame));
+      sample.bytesReceived +=
+        static_cast<double>(EncodeEnvelope(*arrival.envelope).size()) + kLengthPrefix;
+      entry.Give(std::move(arrival));
+    }
+  }
+  entry.Rest();
+  sample.recordBytes = HeapBytes() - heapBefore;
+  sample.cpuMicros = entry.cpuMicros;
+  sample.bytesSent = entry.bytesSent;
+  if (entry.ended != requests) {
+    std::printf("only %zu of %zu requests were answered whole\n", entry.ended, requests);
+    std::exit(1);
+  }
+  return sample;
+}
+
+void Fit(const char* what,
+         const char* unit,
+         const std::vector<Sample>& samples,
+         const std::function<double(const Sample&)>& value)
+{
+  double sumX = 0;
+  double sumY = 0;
+  double sumXX = 0;
+  double sumXY = 0;
+  const auto count = static_cast<double>(samples.size());
+  for (const Sample& sample : samples) {
+    sumX += sample.requests;
+    sumY += value(sample);
+    sumXX += sample.requests * sample.requests;
+    sumXY += sample.requests * value(sample);
+  }
+  const double slope = (count * sumXY - sumX * sumY) / (count * sumXX - sumX * sumX);
+  const double offset = (sumY - slope * sumX) / count;
+  double worst = 0;
+  for (const Sample& sample : samples) {
+    const double fitted = offset + slope * sample.requests;
+    worst = std::max(worst, std::abs(value(sample) - fitted) / value(sample));
+  }
+  std::printf("%-34s %10.2f %s a request, offset %.0f, largest residual %.1f%%\n",
+              what,
+              slope,
+              unit,
+              offset,
+              worst * 100);
+}
+
+int Run()
+{
+  std::printf("entry decisions: %zu-byte bodies, %zu frames of %zu bytes an answer, 10 s a run\n",
+              kBodyBytes,
+              kFrames,
+              kFrameBytes);
+  std::printf("%9s %12s %12s %12s %12s %12s\n",
+              "requests",
+              "CPU us/req",
+              "sent B/req",
+              "recv B/req",
+              "heap B/req",
+              "record B/req");
+  std::vector<Sample> samples;
+  Measure(100); // Fills the allocator and the caches.
+  for (const std::size_t requests : { 125, 250, 500, 1000, 2000 }) {
+    const Sample sample = Measure(requests);
+    samples.push_back(sample);
+    std::printf("%9zu %12.1f %12.0f %12.0f %12.0f %12.0f\n",
+                requests,
+                sample.cpuMicros / sample.requests,
+                sample.bytesSent / sample.requests,
+                sample.bytesReceived / sample.requests,
+                sample.heapBytes / sample.requests,
+                sample.recordBytes / sample.requests);
+  }
+  Fit("processor time", "us", samples, [](const Sample& s) { return s.cpuMicros; });
+  Fit("bytes to the agent", "B", samples, [](const Sample& s) { return s.bytesSent; });
+  Fit("bytes from the agent", "B", samples, [](const Sample& s) { return s.bytesReceived; });
+  Fit("memory in flight", "B", samples, [](const Sample& s) { return s.heapBytes; });
+  Fit("memory of a finished one's record", "B", samples, [](const Sample& s) {
+    return s.recordBytes;
+  });
+  return 0;
+}
+
+} // namespace
+} // namespace gooseberrysail
+
+int main()
+{
+  return gooseberrysail::Run();
+}
--- a/include/gooseberrysail/entry/request_table.hpp
+++ b/include/gooseberrysail/entry/request_table.hpp
@@ -6,6 +6,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace gooseberrysail {
@@ -21,8 +22,21 @@
   [[nodiscard]] Request* Find(std::string_view id);
   [[nodiscard]] Request* FindByExchange(ExchangeId exchange);
 
-  /// \brief Ids in order of arrival, so that a sweep may erase rows and is the same on every run.
-  [[nodiscard]] std::vector<RequestId> Ids() const;
+  /// \brief Ids of the requests that a sweep is about, in order of arrival: it may erase rows, and
+  /// is the same on every run.
+  template<class Predicate>
+  [[nodiscard]] std::vector<RequestId> IdsWhere(const Predicate& wanted) const
+  {
+    // Most sweeps are about few rows; copying and sorting the ids of all cost more than the
+    // requests themselves.
+    std::vector<std::pair<std::uint64_t, RequestId>> found;
+    for (const auto& [id, row] : m_rows) {
+      if (wanted(row.request)) {
+        found.emplace_back(row.order, row.request.id);
+      }
+    }
+    return InOrder(std::move(found));
+  }
   [[nodiscard]] std::size_t Size() const noexcept { return m_rows.size(); }
   /// \brief Requests whose caller still waits.
   [[nodiscard]] std::size_t Waiting() const noexcept { return m_byExchange.size(); }
@@ -31,6 +45,9 @@
   void ForgetCaller(Request& request);
 
 private:
+  [[nodiscard]] static std::vector<RequestId> InOrder(
+    std::vector<std::pair<std::uint64_t, RequestId>> found);
+
   struct Row
   {
     std::uint64_t order = 0;
--- a/src/entry/attempt_recovery.cpp
+++ b/src/entry/attempt_recovery.cpp
@@ -109,6 +109,25 @@
   }
 }
 
+bool IsDue(TimePoint now, const Request& request)
+{
+  if (!request.attempt) {
+    return now >= request.deadline;
+  }
+  const bool resolving = request.stage == RequestStage::kResolving;
+  const Attempt& attempt = *request.attempt;
+  return now >= (resolving ? request.resolveUntil : request.deadline) ||
+         now >= attempt.askAgainAt || attempt.state == AttemptState::kSilent;
+}
+
+/// The requests whose attempt is at this agent.
+std::vector<RequestId> RequestsAt(const EntryContext& context, const ProcessId& head)
+{
+  return context.requests.IdsWhere([&](const Request& request) {
+    return request.attempt.has_value() && request.attempt->head == head;
+  });
+}
+
 void SweepRequest(EntryContext& context, Request& request)
 {
   if (request.attempt) {
@@ -124,9 +143,9 @@
 
 void ResumeAttempts(EntryContext& context, const PeerUp& up)
 {
-  for (const RequestId& id : context.requests.Ids()) {
+  for (const RequestId& id : RequestsAt(context, up.peer)) {
     Request* request = context.requests.Find(id.Get());
-    if (request == nullptr || !request->attempt || request->attempt->head != up.peer) {
+    if (request == nullptr || !request->attempt) {
       continue;
     }
     if (request->attempt->incarnation != up.incarnation) {
@@ -140,10 +159,9 @@
 
 void SilenceAttempts(EntryContext& context, const PeerDown& down)
 {
-  for (const RequestId& id : context.requests.Ids()) {
+  for (const RequestId& id : RequestsAt(context, down.peer)) {
     Request* request = context.requests.Find(id.Get());
-    if (request == nullptr || !request->attempt || request->attempt->head != down.peer ||
-        request->attempt->state == AttemptState::kSilent) {
+    if (request == nullptr || request->attempt->state == AttemptState::kSilent) {
       continue;
     }
     Attempt& attempt = *request->attempt;
@@ -218,7 +236,9 @@
 
 void SweepRequests(EntryContext& context)
 {
-  for (const RequestId& id : context.requests.Ids()) {
+  const auto due =
+    context.requests.IdsWhere([&](const Request& request) { return IsDue(context.now, request); });
+  for (const RequestId& id : due) {
     if (Request* request = context.requests.Find(id.Get())) {
       SweepRequest(context, *request);
     }
--- a/src/entry/catalogue_client.cpp
+++ b/src/entry/catalogue_client.cpp
@@ -37,7 +37,7 @@
   wire::ConfigQueryT query;
   query.nonce = m_asked.back().nonce;
   query.haveVersion = m_haveVersion.Get();
-  send(Current(), std::move(query));
+  send(Current(), query);
 }
 
 void CatalogueClient::OnPeerDown(const ProcessId& peer)
--- a/src/entry/configuration_flow.cpp
+++ b/src/entry/configuration_flow.cpp
@@ -59,7 +59,7 @@
   }
   wire::RoutesAckT ack;
   ack.sequence = update.sequence;
-  context.Send(from, {}, std::move(ack));
+  context.Send(from, {}, ack);
   UpdateCapacity(context);
 }
 
@@ -77,7 +77,7 @@
 void ConfigurationFlow::Tick(EntryContext& context)
 {
   context.config.Tick(context.now, [&](const EntrySettings::Control& to, wire::ConfigQueryT query) {
-    context.Send(to.process, to.address, std::move(query));
+    context.Send(to.process, to.address, query);
   });
   const bool confirmed = context.config.Confirmed(context.now, context.catalogue.Policy());
   if (confirmed == m_wasConfirmed) {
--- a/src/entry/entry_role.cpp
+++ b/src/entry/entry_role.cpp
@@ -10,8 +10,6 @@
 #include "gooseberrysail/entry/request_end.hpp"
 #include "gooseberrysail/entry/request_lookups.hpp"
 
-#include <algorithm>
-
 namespace gooseberrysail {
 
 struct EntryRole::Impl
@@ -150,22 +148,15 @@
     reports.Tick(context);
   }
 
-  /// Whether somebody waits for what becomes of a request. The mere record of one whose caller was
-  /// answered goes with this process anyway.
-  [[nodiscard]] bool IsOwed(const RequestId& id)
+  /// Stopping before a claim's outcome is acknowledged would leave its key "unknown" for ever. The
+  /// mere record of a request whose caller was answered goes with this process anyway.
+  [[nodiscard]] bool AllDone() const
   {
-    const Request* request = context.requests.Find(id.Get());
-    return request != nullptr && (request->caller.waiting || !request->key.empty());
-  }
-
-  /// Stopping before a claim's outcome is acknowledged would leave its key "unknown" for ever.
-  [[nodiscard]] bool AllDone()
-  {
-    if (context.claims.Unreported() != 0 || !lookups.Empty()) {
-      return false;
-    }
-    const std::vector<RequestId> ids = context.requests.Ids();
-    return std::none_of(ids.begin(), ids.end(), [this](const RequestId& id) { return IsOwed(id); });
+    const auto isOwed = [](const Request& request) {
+      return request.caller.waiting || !request.key.empty();
+    };
+    return context.claims.Unreported() == 0 && lookups.Empty() &&
+           context.requests.IdsWhere(isOwed).empty();
   }
 
   void StopWhenDone()
--- a/src/entry/request_table.cpp
+++ b/src/entry/request_table.cpp
@@ -35,17 +35,12 @@
   return found == m_byExchange.end() ? nullptr : Find(found->second);
 }
 
-std::vector<RequestId> RequestTable::Ids() const
+std::vector<RequestId> RequestTable::InOrder(std::vector<std::pair<std::uint64_t, RequestId>> found)
 {
-  std::vector<std::pair<std::uint64_t, RequestId>> ordered;
-  ordered.reserve(m_rows.size());
-  for (const auto& [id, row] : m_rows) {
-    ordered.emplace_back(row.order, row.request.id);
-  }
-  std::sort(ordered.begin(), ordered.end());
+  std::sort(found.begin(), found.end());
   std::vector<RequestId> ids;
-  ids.reserve(ordered.size());
-  for (auto& [order, id] : ordered) {
+  ids.reserve(found.size());
+  for (auto& [order, id] : found) {
     ids.push_back(std::move(id));
   }
   return ids;
