--- a/src/control/catalogue_table.cpp
+++ b/src/control/catalogue_table.cpp
@@ -17,6 +17,16 @@
   return item.name.size() + item.owner.size() + item.spec.size() + sizeof(item);
 }
 
+std::size_t BytesOf(const wire::ChangeRecordT& change)
+{
+  std::size_t bytes = sizeof(change) + change.changeId.size() + change.operatorName.size() +
+                      change.detail.size() + change.digest.size();
+  for (const auto& item : change.items) {
+    bytes += BytesOf(*item);
+  }
+  return bytes;
+}
+
 std::string Title(const wire::CatalogueItemT& item)
 {
   return std::string(KindName(item.kind)) + " " + item.name;
@@ -113,13 +123,17 @@
       after.insert_or_assign(key, write->item.get());
     }
   }
+  const bool writesWorkspace =
+    std::any_of(change.writes.begin(), change.writes.end(), [](const auto& write) {
+      return write->item->kind == wire::EntryKind::Workspace;
+    });
   std::map<std::string, std::string> workspaceByToken;
   for (const auto& [key, item] : after) {
     if (key.first == wire::EntryKind::Service &&
         after.contains(Key(wire::EntryKind::Model, key.second))) {
       verdict.Refuse(key.second + " would be both a model and a service", nullptr);
     }
-    if (key.first == wire::EntryKind::Workspace) {
+    if (writesWorkspace && key.first == wire::EntryKind::Workspace) {
       const auto [other, isNew] = workspaceByToken.emplace(TokenHashOf(*item), key.second);
       if (!isNew) {
         verdict.Refuse(
@@ -188,8 +202,11 @@
 void CatalogueTable::Remember(wire::ChangeRecordT record)
 {
   m_changeById[record.changeId] = m_firstChange + m_changes.size();
+  m_changeBytes += BytesOf(record);
   m_changes.push_back(std::move(record));
-  if (m_changes.size() > kMaxChanges) {
+  while (m_changes.size() > kMaxChanges ||
+         (m_changeBytes > kMaxChangeBytes && m_changes.size() > 1)) {
+    m_changeBytes -= BytesOf(m_changes.front());
     m_changeById.erase(m_changes.front().changeId);
     m_changes.pop_front();
     ++m_firstChange;
--- a/src/control/config_service.cpp
+++ b/src/control/config_service.cpp
@@ -79,12 +79,14 @@
   if (version <= m_pushed) {
     return;
   }
-  // Nonce 0 answers no question: it brings the change at once but confirms nothing.
+  // Nonce 0 answers no question: it brings the change at once but confirms nothing. Only entries
+  // are told so; agents see the new version with their next lease or beat and ask, which spares
+  // the leader a frame to every target VM.
   wire::ConfigStateT state = context.state.GetCatalogue().StateSince(m_pushed);
   state.leaderTerm = context.replication.term.Get();
   const auto envelope = MakeEnvelope(std::move(state));
   for (const auto& [process, peer] : context.peers) {
-    if (peer.up && TakesConfiguration(peer)) {
+    if (peer.up && peer.role == "entry") {
       context.Send(process, envelope);
     }
   }
@@ -97,19 +99,19 @@
   return found == m_inForce.end() ? nullptr : &found->second;
 }
 
-bool ConfigService::MustReport(const ControlContext& context, const PeerRow& peer)
+bool ConfigService::MustReport(const ControlContext& context, const PeerRow& peer, Duration limit)
 {
   // A process that is cut off stops relying on its copy within the confirmation limit, so after
   // that it holds back no change.
-  const Duration limit = context.catalogue.Policy().confirmationLimit;
   return TakesConfiguration(peer) && (peer.up || context.now - peer.since < limit);
 }
 
 std::vector<ProcessId> ConfigService::Lagging(const ControlContext& context, LogIndex version) const
 {
   std::vector<ProcessId> lagging;
+  const Duration limit = context.catalogue.Policy().confirmationLimit;
   for (const auto& [process, peer] : context.peers) {
-    if (!MustReport(context, peer)) {
+    if (!MustReport(context, peer, limit)) {
       continue;
     }
     const InForce* row = FindInForce(process);
@@ -124,8 +126,12 @@
 void ConfigService::NoteInForceEverywhere(const ControlContext& context)
 {
   LogIndex everywhere = context.state.GetCatalogue().Version();
+  if (m_everywhereAt.contains(everywhere)) {
+    return;
+  }
+  const Duration limit = context.catalogue.Policy().confirmationLimit;
   for (const auto& [process, peer] : context.peers) {
-    if (MustReport(context, peer)) {
+    if (MustReport(context, peer, limit)) {
       const InForce* row = FindInForce(process);
       everywhere = std::min(everywhere, row != nullptr ? row->version : LogIndex());
     }
