--- a/src/entry/attempt_flow.cpp
+++ b/src/entry/attempt_flow.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr std::uint32_t kMaxAttempts = 4;
+constexpr unsigned kServerError = 500;
 constexpr Duration kNoGroupRetryAfter = std::chrono::seconds(2);
 constexpr Duration kAskInterval = std::chrono::milliseconds(500);
 
@@ -60,6 +61,7 @@
   attempt.incarnation = peer.incarnation;
   attempt.address = route.address;
   attempt.sentAt = context.now;
+  attempt.askAgainAt = context.now + kProbeInterval;
   return attempt;
 }
 
@@ -156,7 +158,9 @@
 {
   SendAck(context, request, true);
   if (output.cutReason.empty()) {
-    CloseAttempt(context, request, AttemptResult::kCompleted, ToString(Outcome::kCompleted));
+    const bool served = request.caller.status < kServerError;
+    const AttemptResult whole = served ? AttemptResult::kCompleted : AttemptResult::kFailed;
+    CloseAttempt(context, request, whole, ToString(Outcome::kCompleted));
     EndCompleted(context, request);
     return;
   }
@@ -221,7 +225,8 @@
   }
   const FittedOutput fitted = FitOutput(*request->attempt, output);
   if (fitted.fit == FittedOutput::Fit::kGap) {
-    if (context.now >= request->attempt->askAgainAt) {
+    if (context.now >= request->attempt->gapAskAt) {
+      request->attempt->gapAskAt = context.now + kAskInterval;
       SendResume(context, *request);
     }
     return;
@@ -234,6 +239,7 @@
     NoteStarted(context, *request);
   }
   request->attempt->state = AttemptState::kLive;
+  request->attempt->askAgainAt = context.now + kProbeInterval;
   request->attempt->nextOffset += fitted.bytes.size();
   if (wire::RequestRecordT* record = context.records.Find(output.request)) {
     record->bytes += fitted.bytes.size();
@@ -258,7 +264,7 @@
 void SendResume(EntryContext& context, Request& request)
 {
   Attempt& attempt = *request.attempt;
-  attempt.askAgainAt = context.now + kAskInterval;
+  attempt.askAgainAt = context.now + kProbeInterval;
   wire::ResumeT resume;
   resume.request = request.id.Get();
   resume.attempt = attempt.number;
