--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -36,9 +36,9 @@
     TimePoint since;
   };
 
-  Impl(IoRuntime& ioRuntime, HttpClientSettings clientSettings, HttpClientHooks clientHooks)
+  Impl(IoRuntime& ioRuntime, const HttpClientSettings& clientSettings, HttpClientHooks clientHooks)
     : runtime(ioRuntime)
-    , settings(std::move(clientSettings))
+    , settings(clientSettings)
     , hooks(std::move(clientHooks))
     , expiry(ioRuntime.Io().get_executor())
   {
@@ -160,7 +160,7 @@
 }
 
 HttpClient::HttpClient(IoRuntime& runtime, HttpClientSettings settings, HttpClientHooks hooks)
-  : m_impl(std::make_shared<Impl>(runtime, std::move(settings), std::move(hooks)))
+  : m_impl(std::make_shared<Impl>(runtime, settings, std::move(hooks)))
 {
 }
 
--- a/src/net/fiber_runtime.cpp
+++ b/src/net/fiber_runtime.cpp
@@ -109,7 +109,7 @@
   boost::this_fiber::sleep_until(SteadyAfter(duration));
 }
 
-void IoRuntime::OnSignals(std::vector<int> numbers, std::function<void(int)> hook)
+void IoRuntime::OnSignals(const std::vector<int>& numbers, std::function<void(int)> hook)
 {
   for (const int number : numbers) {
     m_state->signals.add(number);
--- a/src/net/peer_traffic.cpp
+++ b/src/net/peer_traffic.cpp
@@ -72,7 +72,7 @@
       NoteAnswered(*connection, ping.answered);
       wire::PongT pong;
       pong.sequence = ping.sequence;
-      connection->QueueFirst(impl::EncodeFrame(*MakeEnvelope(std::move(pong))));
+      connection->QueueFirst(impl::EncodeFrame(*MakeEnvelope(pong)));
       break;
     }
     case wire::Body::Pong:
@@ -136,7 +136,7 @@
       wire::PingT ping;
       ping.sequence = ++connection->pinged;
       ping.answered = connection->answered;
-      connection->QueueFirst(impl::EncodeFrame(*MakeEnvelope(std::move(ping))));
+      connection->QueueFirst(impl::EncodeFrame(*MakeEnvelope(ping)));
     }
     if (stalled) {
       connection->answeredAt = now;
--- a/tests/unit/peer_mesh_test.cpp
+++ b/tests/unit/peer_mesh_test.cpp
@@ -4,6 +4,7 @@
 
 #include <memory>
 #include <numeric>
+#include <thread>
 
 namespace gooseberrysail {
 namespace {
@@ -148,6 +149,22 @@
   EXPECT_EQ(entry.mesh.ConnectionCount(), 0U);
 }
 
+// Symptom: after a VM was paused, all its connections are replaced and all its requests resent.
+// Sequence: the process stands still for longer than the silence timeout and goes on.
+// Cause: it missed the answers itself, and takes every peer for silent.
+TEST(PeerMesh, AfterAPauseOfTheProcessItsConnectionsStay)
+{
+  IoRuntime runtime;
+  MeshProcess entry(runtime, "entry-1", QuickHeartbeats);
+  MeshProcess agent(runtime, "agent-1", QuickHeartbeats);
+  entry.SendNumber(agent, 1, agent.mesh.ListenAddress());
+  ASSERT_TRUE(agent.WaitFor([&] { return agent.numbers.size() == 1; }));
+  std::this_thread::sleep_for(2 * kSilence);
+  runtime.SleepFor(2 * kSilence);
+  EXPECT_EQ(entry.diary, std::vector<std::string>{ "up agent-1" });
+  EXPECT_EQ(agent.diary, std::vector<std::string>{ "up entry-1" });
+}
+
 TEST(PeerMesh, ACutConnectionIsDialledAgainOnlyForANewFrame)
 {
   IoRuntime runtime;
