--- a/tests/process/agent_process_test.cpp
+++ b/tests/process/agent_process_test.cpp
@@ -123,6 +123,7 @@
   std::atomic<int> notRun = 0;
   std::atomic<int> other = 0;
   std::vector<std::thread> callers;
+  callers.reserve(kCallers);
   for (int caller = 0; caller < kCallers; ++caller) {
     callers.emplace_back([&, caller] {
       for (int call = 0; call < kCallsEach; ++call) {
