--- a/tests/unit/raft_failure_test.cpp
+++ b/tests/unit/raft_failure_test.cpp
@@ -96,6 +96,7 @@
   const std::size_t first = *cluster.Leader();
   const std::size_t follower = (first + 1) % 5;
   const std::uint64_t older = lastOf(first) + 1;
+  const Term firstTerm = cluster.At(first).node->Status().term;
   SECTION("two entries reach one follower")
   {
     cluster.SetFilter([&](const wire::RaftMessageT& message) {
@@ -115,6 +116,7 @@
     second = *cluster.Leader();
     ASSERT_EQ(lastOf(second), older);
     cluster.Crash(second);
+    cluster.RunUntil(milliseconds(20), [] { return false; }); // Nothing of it is on its way.
   }
   std::size_t third = 0;
   while (third == first || third == follower || third == second) {
@@ -131,6 +133,8 @@
     cluster.Restart(follower);
     ASSERT_TRUE(cluster.RunUntil(kLongEnough, [&] { return lastOf(third) == older; }));
     cluster.RunUntil(milliseconds(100), [] { return false; });
+    EXPECT_EQ(cluster.At(third).node->Entries().back().term, firstTerm);
+    EXPECT_FALSE(cluster.IsCommitted(2));
     cluster.Crash(first);
     cluster.Crash(follower);
   }
