--- /dev/null
+++ b/tests/unit/entry_lookup_test.cpp
@@ -0,0 +1,95 @@
+#include "support/entry_fixture.hpp"
+#include "support/section.hpp"
+
+#include <gmock/gmock.h>
+
+namespace gooseberrysail::test {
+namespace {
+
+using ::testing::HasSubstr;
+
+constexpr const char* kElsewhere = "entry-2.5.8";
+
+wire::RequestAnswerT Told(std::uint64_t nonce, const std::string& request)
+{
+  wire::RequestAnswerT answer;
+  answer.nonce = nonce;
+  answer.found = true;
+  answer.record = std::make_unique<wire::RequestRecordT>();
+  answer.record->request = request;
+  answer.record->workspace = "hire-desk";
+  answer.record->outcome = "cut";
+  return answer;
+}
+
+TEST(EntryLookup, TheEntryThatTheIdNamesIsAsked)
+{
+  EntryFixture entry;
+  entry.Boot();
+  SECTION("over control while no connection with it stands")
+  {
+    entry.Call("GET", std::string("/requests/") + kElsewhere);
+    EXPECT_EQ(entry.LastReceiver<wire::RequestQueryT>(), "control-1");
+  }
+  SECTION("else directly, for the caller's workspace only")
+  {
+    entry.PeerUpFrom("entry-2", 5, "entry");
+    entry.Clear();
+    const std::uint64_t asked = entry.Call("GET", std::string("/requests/") + kElsewhere);
+    ASSERT_EQ(entry.Sent<wire::RequestQueryT>("entry-2").size(), 1U);
+    const wire::RequestQueryT query = entry.Sent<wire::RequestQueryT>("entry-2")[0];
+    EXPECT_EQ(query.workspace, "hire-desk");
+    entry.Frame("entry-2", Told(query.nonce, kElsewhere));
+    EXPECT_EQ(entry.Caller(asked).status, 200U);
+    EXPECT_THAT(entry.Caller(asked).body, HasSubstr(R"("outcome":"cut")"));
+  }
+  SECTION("an answer about another request isn't taken for it")
+  {
+    entry.Clear();
+    const std::uint64_t asked = entry.Call("GET", std::string("/requests/") + kElsewhere);
+    const wire::RequestQueryT query = entry.Sent<wire::RequestQueryT>().at(0);
+    entry.Frame("entry-2", Told(query.nonce, "entry-2.5.9"));
+    EXPECT_EQ(entry.Caller(asked).status, 404U);
+  }
+  SECTION("nobody answers: said so, and when to ask again")
+  {
+    const std::uint64_t asked = entry.Call("GET", std::string("/requests/") + kElsewhere);
+    entry.Advance(std::chrono::milliseconds(2100));
+    EXPECT_EQ(entry.Caller(asked).status, 503U);
+    EXPECT_THAT(entry.Caller(asked).body, HasSubstr("entry-2"));
+    EXPECT_EQ(entry.Caller(asked).Header("Retry-After"), "1");
+  }
+}
+
+TEST(EntryLookup, OthersAreToldByWorkspace)
+{
+  EntryFixture entry;
+  entry.Boot();
+  entry.PeerUpFrom("agent-1", 3);
+  entry.Routes({ { 11, "agent-1" } });
+  entry.Chat();
+  struct Case
+  {
+    const char* story;
+    const char* workspace;
+    bool found;
+  };
+  for (const Case& each : { Case{ "its own", "hire-desk", true },
+                            Case{ "another's", "registry", false },
+                            Case{ "an operator's question", "", true } }) {
+    SECTION(each.story)
+    {
+      entry.Clear();
+      wire::RequestQueryT query;
+      query.nonce = 9;
+      query.request = "entry-1.7.1";
+      query.workspace = each.workspace;
+      entry.Frame("control-1", query);
+      ASSERT_EQ(entry.Sent<wire::RequestAnswerT>("control-1").size(), 1U);
+      EXPECT_EQ(entry.Sent<wire::RequestAnswerT>("control-1")[0].found, each.found);
+    }
+  }
+}
+
+} // namespace
+} // namespace gooseberrysail::test
