Prove that the accepting side notices lost bytes by itself; share the bench's meters

Cause: with the advance of 'answered' ignored, both silence tests still passed, since the dialling side replaces the connection first: the accepting side's own noticing was unproved. The new test keeps the dialler patient. It fails after 20 s when a repeated answer counts as a new one, and passes else.

--- a/bench/http_roundtrip.cpp
+++ b/bench/http_roundtrip.cpp
@@ -2,6 +2,7 @@
 // of streamed answers. The callers live in a child process, so that the figures are those of the
 // server alone.
 
+#include "cost_meter.hpp"
 #include "gooseberrysail/http/http_client.hpp"
 #include "gooseberrysail/http/http_server.hpp"
 #include "gooseberrysail/shell/clock.hpp"
@@ -9,8 +10,6 @@
 #include <algorithm>
 #include <array>
 #include <cstdio>
-#include <ctime>
-#include <fstream>
 #include <memory>
 #include <string>
 #include <sys/wait.h>
@@ -28,26 +27,11 @@
 constexpr std::size_t kPartsOfAStream = 100;
 constexpr Duration kPatience = std::chrono::seconds(60);
 
-Duration ProcessorTime()
-{
-  timespec time{};
-  clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &time);
-  return std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec);
-}
-
-double Micros(Duration duration)
-{
-  return std::chrono::duration<double, std::micro>(duration).count();
-}
-
-double ResidentKilobytes()
-{
-  std::ifstream file("/proc/self/statm");
-  double total = 0;
-  double resident = 0;
-  file >> total >> resident;
-  return resident * static_cast<double>(sysconf(_SC_PAGESIZE)) / 1024;
-}
+using bench::Micros;
+using bench::ProcessorTime;
+using bench::ResidentKilobytes;
+using bench::Sample;
+using bench::Slope;
 
 // The child: makes the calls of one phase after the other and tells the server by `/phase/...`.
 class Callers
@@ -215,31 +199,14 @@
     }
     const double resident = ResidentKilobytes();
     std::printf("%zu exchanges open: %.0f KB resident\n", wanted, resident);
-    m_points.emplace_back(static_cast<double>(wanted), resident);
+    m_points.push_back({ static_cast<double>(wanted), resident });
     for (const ExchangeId exchange : m_held) {
       Answer(exchange, 200, true);
     }
     m_held.clear();
     if (wanted == kConnections.back()) {
-      PrintSlope();
-    }
-  }
-
-  void PrintSlope() const
-  {
-    double meanX = 0;
-    double meanY = 0;
-    for (const auto& [x, y] : m_points) {
-      meanX += x / static_cast<double>(m_points.size());
-      meanY += y / static_cast<double>(m_points.size());
-    }
-    double above = 0;
-    double below = 0;
-    for (const auto& [x, y] : m_points) {
-      above += (x - meanX) * (y - meanY);
-      below += (x - meanX) * (x - meanX);
+      std::printf("slope for one more open exchange: %.1f KB\n", Slope(m_points));
     }
-    std::printf("slope for one more open exchange: %.1f KB\n", above / below);
   }
 
   void EndPhase(const HttpRequestIn& request)
@@ -270,7 +237,7 @@
   IoRuntime m_runtime;
   bool m_started = false;
   std::vector<ExchangeId> m_held;
-  std::vector<std::pair<double, double>> m_points;
+  std::vector<Sample> m_points;
   std::string m_phase;
   std::size_t m_requests = 0;
   Duration m_usedBefore{};
--- a/bench/net_roundtrip.cpp
+++ b/bench/net_roundtrip.cpp
@@ -2,6 +2,7 @@
 // connections, and the latency and processor time of frames. The peers live in a child process, so
 // that the figures are those of one process alone.
 
+#include "cost_meter.hpp"
 #include "gooseberrysail/net/peer_mesh.hpp"
 #include "gooseberrysail/shell/clock.hpp"
 #include "gooseberrysail/wire/envelope.hpp"
@@ -9,10 +10,7 @@
 #include <algorithm>
 #include <array>
 #include <cstdio>
-#include <ctime>
-#include <fstream>
 #include <memory>
-#include <numeric>
 #include <string>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -28,50 +26,11 @@
 constexpr std::size_t kWindow = 64;
 constexpr const char* kFirstPeer = "peer-0";
 
-struct Sample
-{
-  double connections = 0;
-  double value = 0;
-};
-
-Duration ProcessorTime()
-{
-  timespec time{};
-  clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &time);
-  return std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec);
-}
-
-double Micros(Duration duration)
-{
-  return std::chrono::duration<double, std::micro>(duration).count();
-}
-
-double ResidentKilobytes()
-{
-  std::ifstream file("/proc/self/statm");
-  double total = 0;
-  double resident = 0;
-  file >> total >> resident;
-  return resident * static_cast<double>(sysconf(_SC_PAGESIZE)) / 1024;
-}
-
-// Least squares: the slope is the cost of one more connection, whatever the process costs itself.
-double Slope(const std::vector<Sample>& samples)
-{
-  double meanX = 0;
-  double meanY = 0;
-  for (const Sample& sample : samples) {
-    meanX += sample.connections / static_cast<double>(samples.size());
-    meanY += sample.value / static_cast<double>(samples.size());
-  }
-  double above = 0;
-  double below = 0;
-  for (const Sample& sample : samples) {
-    above += (sample.connections - meanX) * (sample.value - meanY);
-    below += (sample.connections - meanX) * (sample.connections - meanX);
-  }
-  return above / below;
-}
+using bench::Micros;
+using bench::ProcessorTime;
+using bench::ResidentKilobytes;
+using bench::Sample;
+using bench::Slope;
 
 PeerMeshSettings MakeSettings(const std::string& name)
 {
@@ -102,8 +61,8 @@
     const std::string name = "peer-" + std::to_string(m_meshes.size());
     PeerMeshHooks hooks;
     const std::size_t index = m_meshes.size();
-    hooks.onFrame = [this, index](FrameIn frame) { Take(index, frame); };
-    hooks.onDown = [this](PeerDown) { m_runtime.Stop(); };
+    hooks.onFrame = [this, index](const FrameIn& frame) { Take(index, frame); };
+    hooks.onDown = [this](const PeerDown&) { m_runtime.Stop(); };
     m_meshes.push_back(std::make_unique<PeerMesh>(m_runtime, MakeSettings(name), hooks));
     if (!m_meshes.back()->Start()) {
       std::fputs("a peer could not listen\n", stderr);
--- a/tests/unit/peer_mesh_test.cpp
+++ b/tests/unit/peer_mesh_test.cpp
@@ -126,6 +126,31 @@
   }
 }
 
+// Symptom: an agent's answers vanish while its entry still seems well.
+// Sequence: only the way back to the dialler is lost, and the dialler is slow to give up; its
+// heartbeats go on arriving.
+// Cause: taking what arrives as proof that what leaves arrives, too.
+TEST(PeerMesh, TheAcceptingSideNoticesByItselfThatItsBytesAreLost)
+{
+  for (const auto swallow : { Relay::Swallow::kToCaller, Relay::Swallow::kToTarget }) {
+    IoRuntime runtime;
+    MeshProcess entry(runtime, "entry-1", [](PeerMeshSettings& settings) {
+      settings.heartbeatInterval = kSilence / 4;
+      settings.silenceTimeout = 10 * tests::kPatience;
+    });
+    MeshProcess agent(runtime, "agent-1", QuickHeartbeats);
+    Relay relay(runtime, agent.mesh.ListenAddress());
+    ASSERT_TRUE(relay.Start());
+    entry.SendNumber(agent, 1, relay.ListenAddress());
+    ASSERT_TRUE(agent.WaitFor([&] { return agent.numbers.size() == 1; }));
+    runtime.SleepFor(2 * kSilence);
+    EXPECT_EQ(agent.diary, std::vector<std::string>{ "up entry-1" });
+    relay.SwallowExisting(swallow);
+    ASSERT_TRUE(agent.WaitForStep("up entry-1", 2));
+    EXPECT_EQ(agent.mesh.Counters().silent, 1U);
+  }
+}
+
 // Symptom: a peer that is cut off for good is still taken as connected.
 // Sequence: the open connection goes silent, and new ones can't be made either.
 TEST(PeerMesh, ASilentPeerThatCannotBeDialledGoesDown)
