--- a/tests/support/agent_harness.cpp
+++ b/tests/support/agent_harness.cpp
@@ -13,6 +13,7 @@
 constexpr Duration kStep = std::chrono::milliseconds(50);
 constexpr std::uint32_t kLeaseMillis = 4000;
 constexpr unsigned kOk = 200;
+constexpr unsigned kNotFound = 404;
 constexpr unsigned kConflict = 409;
 constexpr std::uint64_t kGroup = 5;
 
@@ -213,6 +214,10 @@
     TakeOrder(call);
     return;
   }
+  if (call.path.starts_with("/cache_events")) {
+    Answer(call.exchange, cacheEvents.empty() ? kNotFound : kOk, cacheEvents);
+    return;
+  }
   std::string request;
   for (const HttpHeader& header : call.headers) {
     request = header.name == "X-Request-Id" ? header.value : request;
@@ -299,7 +304,7 @@
   Frame("control-1", release);
 }
 
-void AgentHarness::Start(const std::string& request, StartOptions options)
+void AgentHarness::Start(const std::string& request, const StartOptions& options)
 {
   wire::StartT start;
   start.request = request;
--- a/tests/support/agent_harness.hpp
+++ b/tests/support/agent_harness.hpp
@@ -51,6 +51,7 @@
   PolicySpec policy;
   std::string drainingVm;
   std::string assignedVersion = "2026-11"; ///< Of the weights that Assign asks for.
+  std::string cacheEvents;                 ///< The engine's answer to that path; "": it has none.
   std::uint64_t catalogueVersion = 1;      ///< What control says is the newest.
 
   /// \brief Ticks every 50 ms, with the surroundings answering.
@@ -77,7 +78,7 @@
     std::string entry = "entry-1";
     std::uint64_t entryIncarnation = 1;
   };
-  void Start(const std::string& request, StartOptions options);
+  void Start(const std::string& request, const StartOptions& options);
   void Start(const std::string& request) { Start(request, StartOptions{}); }
   void Seal(const std::string& request, std::uint32_t attempt = 1, std::uint64_t incarnation = 0);
   void Resume(const std::string& request, std::uint64_t offset, std::uint64_t incarnation = 0);
