--- a/include/gooseberrysail/placement/planner.hpp
+++ b/include/gooseberrysail/placement/planner.hpp
@@ -5,6 +5,7 @@
 #include "gooseberrysail/core/time.hpp"
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <span>
@@ -26,6 +27,7 @@
   TimePoint lastHeard{};
   bool draining = false;   ///< By the catalogue, or its agent was told to stop.
   std::string loadedModel; ///< "entry@version" whose weights it holds; "" when none.
+  bool straggler = false;  ///< Works far slower than its peers, by reports or heartbeats.
 };
 
 /// \brief A group as the control leader sees it now.
@@ -80,11 +82,21 @@
 
 using PlannerAction = std::variant<FormGroupAction, DissolveGroupAction, DrainGroupAction>;
 
+namespace impl {
+struct RepairInput;
+} // namespace impl
+
+/// \brief Chooses broken groups to give up, by their row in the input's fleet.
+using RepairPolicy = std::function<std::vector<std::uint32_t>(const impl::RepairInput&)>;
+
 /// \brief Weighs waiting, spares and merging by expected downtime and stranded accelerators.
 class PlacementPlanner
 {
 public:
+  /// \brief Repairs by expected cost.
   PlacementPlanner();
+  /// \brief Repairs by another policy, such as a baseline that a bench compares with.
+  explicit PlacementPlanner(RepairPolicy policy);
   ~PlacementPlanner();
   PlacementPlanner(PlacementPlanner&&) noexcept;
 
--- a/src/placement/fleet.cpp
+++ b/src/placement/fleet.cpp
@@ -8,37 +8,35 @@
 
 using RowByName = std::unordered_map<std::string_view, Row>;
 
-Row FabricRow(const VmView& vm, RowByName& rows, std::vector<FleetFabric>& fabrics)
+void AddVms(const PlannerInput& input,
+            const Promises& promises,
+            const History& history,
+            Fleet& fleet)
 {
-  const auto [found, isNew] =
-    rows.try_emplace(vm.fabricDomain.Get(), static_cast<Row>(fabrics.size()));
-  if (isNew) {
-    fabrics.push_back({ vm.fabricDomain, vm.failureDomain, 0, 0, {}, {} });
-  }
-  return found->second;
-}
-
-RowByName AddVms(const PlannerInput& input, const Promises& promises, Fleet& fleet)
-{
-  RowByName rows;
-  RowByName fabricRows;
-  rows.reserve(input.vms.size());
   fleet.vms.reserve(input.vms.size());
+  fleet.fabrics.resize(history.CountFabrics());
   for (const VmView& view : input.vms) {
     const auto row = static_cast<Row>(fleet.vms.size());
-    // A name listed twice would let one VM into two groups: only its first row is ever used.
-    const bool isNew = rows.try_emplace(view.vm.Get(), row).second;
+    const VmHistory& past = history.At(row);
     FleetVm vm;
     vm.view = &view;
-    vm.fabric = FabricRow(view, fabricRows, fleet.fabrics);
-    vm.available = isNew && view.group.IsNone() && view.reachable && !view.draining &&
-                   !promises.vms.contains(view.vm.Get());
+    vm.fabric = past.fabric;
+    vm.doubtful = view.straggler || fleet.now < past.doubtfulUntil;
+    vm.available = view.group.IsNone() && view.reachable && !view.draining;
+    if (vm.available) {
+      // A name listed twice would let one VM into two groups: only one of its rows is ever used.
+      vm.available = history.Find(view.vm) == row && !promises.vms.contains(view.vm.Get()) &&
+                     !history.IsQuarantined(row, fleet.now);
+    }
     FleetFabric& fabric = fleet.fabrics[vm.fabric];
+    if (fabric.vms == 0) {
+      fabric.id = view.fabricDomain;
+      fabric.failureDomain = view.failureDomain;
+    }
     ++fabric.vms;
     fabric.unreachable += view.reachable ? 0 : 1;
     fleet.vms.push_back(vm);
   }
-  return rows;
 }
 
 RowByName AddModels(const PlannerInput& input, Fleet& fleet)
@@ -59,26 +57,51 @@
   return rows;
 }
 
-void AddMembers(const RowByName& vmRows, Row groupRow, FleetGroup& group, Fleet& fleet)
+void AddMembers(const History& history, Row groupRow, FleetGroup& group, Fleet& fleet)
 {
+  group.members.reserve(group.view->members.size());
   for (const VmId& member : group.view->members) {
-    const auto found = vmRows.find(member.Get());
-    if (found == vmRows.end()) {
+    const Row row = history.Find(member);
+    if (row == kNoRow) {
       ++group.unknown;
       continue;
     }
-    FleetVm& vm = fleet.vms[found->second];
-    vm.available = false;
-    vm.group = groupRow;
-    group.members.push_back(found->second);
+    FleetVm& vm = fleet.vms[row];
+    // A group that ends lets its members go one by one; until it ends they are its own, even
+    // where the tables disagree for a moment.
+    if (!group.ending || vm.view->group == group.view->group) {
+      vm.available = false;
+      vm.group = groupRow;
+    }
+    group.members.push_back(row);
     group.fabric = vm.fabric;
     group.leaving = group.leaving || vm.view->draining;
     if (!vm.view->reachable) {
-      group.missing.push_back(found->second);
+      group.missing.push_back(row);
     }
   }
 }
 
+bool HoldsSurvivor(const Fleet& fleet, const FleetGroup& group)
+{
+  return std::ranges::any_of(group.members, [&](Row vm) {
+    const VmView& view = *fleet.vms[vm].view;
+    return view.reachable && view.group == group.view->group;
+  });
+}
+
+void AddToFabric(Row row, const FleetGroup& group, FleetFabric& fabric)
+{
+  fabric.isReleasing = fabric.isReleasing || group.releasing;
+  if (group.ending) {
+    return;
+  }
+  fabric.groups.push_back(row);
+  if (group.broken) {
+    fabric.broken.push_back(row);
+  }
+}
+
 TimePoint BrokenSince(const FleetGroup& group, const Fleet& fleet)
 {
   if (group.view->brokenSince) {
@@ -93,7 +116,7 @@
 
 void AddGroups(const PlannerInput& input,
                const Promises& promises,
-               const RowByName& vmRows,
+               const History& history,
                const RowByName& modelRows,
                Fleet& fleet)
 {
@@ -102,8 +125,11 @@
     const auto row = static_cast<Row>(fleet.groups.size());
     FleetGroup group;
     group.view = &view;
-    AddMembers(vmRows, row, group, fleet);
-    group.ending = view.draining || promises.endings.contains(view.group.Get());
+    const auto promise = promises.endings.find(view.group.Get());
+    const bool isPromised = promise != promises.endings.end();
+    group.ending = view.draining || isPromised;
+    AddMembers(history, row, group, fleet);
+    group.releasing = isPromised && promise->second.isDissolved && HoldsSurvivor(fleet, group);
     group.broken = view.brokenSince.has_value() || !group.missing.empty() || group.unknown > 0;
     if (group.broken) {
       group.brokenSince = BrokenSince(group, fleet);
@@ -115,38 +141,43 @@
       group.current =
         view.modelVersion == model.view->spec->version && view.members.size() == model.Size();
     }
-    if (group.broken && !group.ending && group.fabric != kNoRow) {
-      fleet.fabrics[group.fabric].broken.push_back(row);
+    if (group.fabric != kNoRow) {
+      AddToFabric(row, group, fleet.fabrics[group.fabric]);
     }
     fleet.groups.push_back(std::move(group));
   }
 }
 
-template<class Map>
-void EraseOverdue(TimePoint now, Map& map)
-{
-  std::erase_if(map, [now](const auto& entry) { return entry.second <= now; });
-}
-
 } // namespace
 
 void Promises::DropOverdue(TimePoint now)
 {
-  EraseOverdue(now, vms);
-  EraseOverdue(now, endings);
+  std::erase_if(vms, [now](const auto& entry) { return entry.second <= now; });
+  std::erase_if(endings, [now](const auto& entry) { return entry.second.until <= now; });
 }
 
-Fleet BuildFleet(TimePoint now, const PlannerInput& input, const Promises& promises)
+Fleet BuildFleet(TimePoint now,
+                 const PlannerInput& input,
+                 const Promises& promises,
+                 const History& history)
 {
   Fleet fleet;
   fleet.now = now;
   fleet.policy = input.policy;
-  const RowByName vmRows = AddVms(input, promises, fleet);
+  AddVms(input, promises, history, fleet);
   const RowByName modelRows = AddModels(input, fleet);
-  AddGroups(input, promises, vmRows, modelRows, fleet);
+  AddGroups(input, promises, history, modelRows, fleet);
   for (Row row = 0; row < fleet.vms.size(); ++row) {
-    if (fleet.vms[row].available) {
-      fleet.fabrics[fleet.vms[row].fabric].available.push_back(row);
+    const FleetVm& vm = fleet.vms[row];
+    FleetFabric& fabric = fleet.fabrics[vm.fabric];
+    if (vm.available) {
+      fabric.available.push_back(row);
+    }
+    if (!vm.view->reachable) {
+      fabric.away.push_back(row);
+    }
+    if (!vm.view->reachable && vm.group == kNoRow) {
+      fabric.awaySpares.push_back(row);
     }
   }
   return fleet;
--- a/src/placement/fleet.hpp
+++ b/src/placement/fleet.hpp
@@ -1,9 +1,10 @@
 #pragma once
 
 #include "gooseberrysail/placement/planner.hpp"
+#include "placement/history.hpp"
+#include "placement/rows.hpp"
 
 #include <cstdint>
-#include <limits>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -11,10 +12,6 @@
 
 namespace gooseberrysail::impl {
 
-/// \brief Row numbers in the tables of one Fleet.
-using Row = std::uint32_t;
-inline constexpr Row kNoRow = std::numeric_limits<Row>::max();
-
 /// \brief What the planner adds to a VmView.
 struct FleetVm
 {
@@ -35,6 +32,7 @@
   std::vector<Row> missing;  ///< Members out of reach.
   std::uint32_t unknown = 0; ///< Members that the input doesn't list at all.
   bool ending = false;       ///< Draining or given up: no longer counts as a replica.
+  bool releasing = false;    ///< Given up lately: its survivors are free in a moment.
   bool broken = false;
   bool leaving = false; ///< A member is draining.
   bool current = false; ///< Has the version and the size that the catalogue asks for.
@@ -58,9 +56,13 @@
   FabricDomainId id;
   FailureDomainId failureDomain;
   std::uint32_t vms = 0;
-  std::uint32_t unreachable = 0;
+  std::uint32_t unreachable = 0; ///< Free or not.
+  bool isReleasing = false;      ///< A group was given up, and its survivors aren't free yet.
   std::vector<Row> available;
-  std::vector<Row> broken; ///< Broken groups that still count as replicas.
+  std::vector<Row> away;       ///< VMs out of reach.
+  std::vector<Row> awaySpares; ///< Those of them in no group.
+  std::vector<Row> groups;     ///< Groups that count as replicas.
+  std::vector<Row> broken;     ///< Those of them that are broken.
 };
 
 /// \brief Decisions handed out that the input doesn't show yet.
@@ -68,8 +70,14 @@
 /// and could promise one VM to two groups.
 struct Promises
 {
-  std::unordered_map<std::string, TimePoint> vms;       ///< Promised to a new group, until when.
-  std::unordered_map<std::uint64_t, TimePoint> endings; ///< Groups told to end, until when.
+  struct Ending
+  {
+    TimePoint until{};
+    bool isDissolved = false; ///< Not drained: its members are free soon.
+  };
+
+  std::unordered_map<std::string, TimePoint> vms;    ///< Promised to a new group, until when.
+  std::unordered_map<std::uint64_t, Ending> endings; ///< Groups told to end.
 
   void DropOverdue(TimePoint now);
 };
@@ -91,7 +99,11 @@
   }
 };
 
-[[nodiscard]] Fleet BuildFleet(TimePoint now, const PlannerInput& input, const Promises& promises);
+/// \param history Has observed this very input.
+[[nodiscard]] Fleet BuildFleet(TimePoint now,
+                               const PlannerInput& input,
+                               const Promises& promises,
+                               const History& history);
 
 /// \brief "entry@version".
 [[nodiscard]] std::string WeightsName(const EntryName& entry, std::string_view version);
--- a/src/placement/formation.cpp
+++ b/src/placement/formation.cpp
@@ -24,16 +24,18 @@
   Row fabric = kNoRow;
   std::vector<Row> members;
   bool needsLoad = true;
+  std::size_t coldMembers = 0;
   std::uint32_t replicasInFailureDomain = 0;
   std::size_t available = 0;
 };
 
-/// Without a load a group serves at once, which is worth more than balance; among equals, an
-/// even spread keeps a dark failure domain from taking more than its share of the replicas.
+/// Without a load a group serves at once, which is worth more than balance, and each member less
+/// to load spares the weight store; among equals, an even spread keeps a dark failure domain from
+/// taking more than its share of the replicas.
 bool IsBetter(const Proposal& left, const Proposal& right)
 {
-  return std::tuple(left.needsLoad, left.replicasInFailureDomain, right.available, left.fabric) <
-         std::tuple(right.needsLoad, right.replicasInFailureDomain, left.available, right.fabric);
+  return std::tuple(left.coldMembers, left.replicasInFailureDomain, right.available, left.fabric) <
+         std::tuple(right.coldMembers, right.replicasInFailureDomain, left.available, right.fabric);
 }
 
 using ReplicaCounts = std::map<FailureDomainId, std::uint32_t>;
@@ -93,8 +95,10 @@
 
 std::uint32_t CountReplicas(const Fleet& fleet, const FleetModel& model)
 {
-  return static_cast<std::uint32_t>(
-    std::ranges::count_if(model.groups, [&](Row row) { return !fleet.groups[row].ending; }));
+  return static_cast<std::uint32_t>(std::ranges::count_if(model.groups, [&](Row row) {
+    // One given up a moment ago still counts: what replaces it is to use its survivors.
+    return !fleet.groups[row].ending || fleet.groups[row].releasing;
+  }));
 }
 
 } // namespace
--- /dev/null
+++ b/src/placement/history.cpp
@@ -0,0 +1,237 @@
+#include "placement/history.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace gooseberrysail::impl {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/// Assumed until seen otherwise: pauses, restarts, replacements and deaths.
+constexpr std::array<OutageKind, 4> kAloneMix{ {
+  { 0.40, 20, 0.95 },
+  { 0.25, 120, 0.05 },
+  { 0.20, 900, 0.02 },
+  { 0.15, 21600, 0 },
+} };
+constexpr double kAloneAssumed = 20;
+
+/// Assumed until seen otherwise: a blip of the network, a switch, a failure domain.
+constexpr std::array<OutageKind, 3> kTogetherMix{ {
+  { 0.60, 45, 0.95 },
+  { 0.25, 900, 0.5 },
+  { 0.15, 7200, 0.2 },
+} };
+constexpr double kTogetherAssumed = 5;
+
+/// So many VMs of one fabric domain lost within the window were lost by one cause.
+constexpr std::size_t kTogetherCount = 3;
+constexpr Duration kTogetherWindow = 6s;
+
+/// 300 outages a day on 7,200 VMs.
+constexpr double kAssumedRate = 300.0 / 7200 / 86400;
+constexpr double kAssumedOutages = 2;
+
+constexpr Duration kFlapWindow = 30min;
+constexpr std::size_t kFlapCount = 3;
+constexpr Duration kFirstQuarantine = 2min;
+constexpr Duration kLongestQuarantine = 1h;
+constexpr std::size_t kMostOutagesKept = 16;
+
+std::size_t CountRecent(const VmHistory& history, TimePoint now)
+{
+  return static_cast<std::size_t>(std::ranges::count_if(
+    history.outages, [now](TimePoint outage) { return now - outage < kFlapWindow; }));
+}
+
+/// Doubles with each outage beyond the first that count as flapping: a VM that has calmed down
+/// is back soon, one that hasn't does less and less harm.
+Duration QuarantineTime(std::size_t outages)
+{
+  Duration time = kFirstQuarantine;
+  for (std::size_t count = kFlapCount; count < outages && time < kLongestQuarantine; ++count) {
+    time *= 2;
+  }
+  return std::min(time, kLongestQuarantine);
+}
+
+} // namespace
+
+History::History()
+  : m_alone(kAloneMix, kAloneAssumed)
+  , m_together(kTogetherMix, kTogetherAssumed)
+  , m_outages(kAssumedOutages)
+  , m_vmSeconds(kAssumedOutages / kAssumedRate)
+{
+}
+
+void History::Observe(TimePoint now, const PlannerInput& input)
+{
+  Align(input);
+  if (m_lastCall) {
+    m_vmSeconds += ToSeconds(now - *m_lastCall) * static_cast<double>(input.vms.size());
+  }
+  m_lastCall = now;
+  for (std::vector<Row>& lost : m_lostLately) {
+    std::erase_if(lost, [&](Row row) { return now - m_vms[row].awaySince > kTogetherWindow; });
+  }
+  for (Row row = 0; row < m_vms.size(); ++row) {
+    const VmView& view = input.vms[row];
+    VmHistory& history = m_vms[row];
+    if (!view.reachable) {
+      NoteAway(now, row, view);
+      continue;
+    }
+    if (history.isAway) {
+      NoteReturn(now, history, view);
+    }
+    if (history.weights != view.loadedModel) {
+      history.weights = view.loadedModel;
+    }
+    NoteStraggling(now, history, view);
+  }
+  m_alone.Refresh();
+  m_together.Refresh();
+}
+
+/// The control leader keeps its tables in one order, so that almost always nothing has moved.
+void History::Align(const PlannerInput& input)
+{
+  const auto isSame = [](const VmHistory& history, const VmView& view) {
+    return history.vm == view.vm && history.fabricDomain == view.fabricDomain;
+  };
+  if (std::ranges::equal(m_vms, input.vms, isSame)) {
+    return;
+  }
+  std::vector<VmHistory> old = std::move(m_vms);
+  const std::unordered_map<std::string, Row> oldRows = std::move(m_rows);
+  m_vms.clear();
+  m_rows.clear();
+  m_lostLately.assign(m_lostLately.size(), {});
+  for (const VmView& view : input.vms) {
+    const auto row = static_cast<Row>(m_vms.size());
+    const bool isNew = m_rows.try_emplace(view.vm.Get(), row).second;
+    VmHistory& history = m_vms.emplace_back();
+    const auto found = oldRows.find(view.vm.Get());
+    if (isNew && found != oldRows.end()) {
+      history = std::move(old[found->second]);
+    }
+    history.vm = view.vm;
+    history.fabricDomain = view.fabricDomain;
+    history.fabric =
+      m_fabrics.try_emplace(view.fabricDomain.Get(), static_cast<Row>(m_fabrics.size()))
+        .first->second;
+  }
+  m_lostLately.resize(m_fabrics.size());
+}
+
+Row History::Find(const VmId& vm) const
+{
+  const auto found = m_rows.find(vm.Get());
+  return found == m_rows.end() ? kNoRow : found->second;
+}
+
+void History::NoteAway(TimePoint now, Row row, const VmView& view)
+{
+  VmHistory& history = m_vms[row];
+  if (history.isAway) {
+    CountAway(history, now);
+    return;
+  }
+  history.isAway = true;
+  history.isTogether = false;
+  history.weight = 1;
+  // A new leader may not have heard of the VM at all: then its outage begins now.
+  history.awaySince = view.lastHeard == TimePoint{} ? now : std::min(now, view.lastHeard);
+  history.countedUntil = history.awaySince;
+  history.outages.push_back(history.awaySince);
+  if (history.outages.size() > kMostOutagesKept) {
+    history.outages.erase(history.outages.begin());
+  }
+  m_outages += 1;
+  m_lostLately[history.fabric].push_back(row);
+  NoteTogether(history);
+  CountAway(history, now);
+}
+
+void History::NoteTogether(const VmHistory& history)
+{
+  const std::vector<Row>& lost = m_lostLately[history.fabric];
+  if (lost.size() < kTogetherCount) {
+    return;
+  }
+  for (const Row row : lost) {
+    VmHistory& other = m_vms[row];
+    if (!other.isTogether) {
+      other.isTogether = true;
+      // A VM that goes dark with its fabric domain isn't a VM that flaps.
+      other.outages.pop_back();
+      m_outages -= 1;
+    }
+    other.weight = 1.0 / static_cast<double>(lost.size());
+  }
+}
+
+void History::CountAway(VmHistory& history, TimePoint until)
+{
+  ReturnTimes& times = history.isTogether ? m_together : m_alone;
+  times.AddAway(ToSeconds(history.countedUntil - history.awaySince),
+                ToSeconds(until - history.awaySince),
+                history.weight);
+  history.countedUntil = until;
+}
+
+void History::NoteReturn(TimePoint now, VmHistory& history, const VmView& view)
+{
+  CountAway(history, now);
+  const bool keptWeights = !view.loadedModel.empty() && view.loadedModel == history.weights;
+  ReturnTimes& times = history.isTogether ? m_together : m_alone;
+  times.AddReturn(ToSeconds(now - history.awaySince), keptWeights, history.weight);
+  history.isAway = false;
+  history.returnedAt = now;
+}
+
+void History::NoteStraggling(TimePoint now, VmHistory& history, const VmView& view) const
+{
+  if (!view.straggler) {
+    history.stragglesSince.reset();
+  } else if (!history.stragglesSince) {
+    history.stragglesSince = now;
+  }
+}
+
+bool History::IsQuarantined(Row vm, TimePoint now) const
+{
+  const VmHistory& history = m_vms[vm];
+  if (history.outages.size() < kFlapCount || !history.returnedAt) {
+    return false;
+  }
+  // Counted at its latest return: the quarantine's end must not move while it lasts.
+  const std::size_t outages = CountRecent(history, *history.returnedAt);
+  return outages >= kFlapCount && now - *history.returnedAt < QuarantineTime(outages);
+}
+
+double History::FlapRate(Row vm, TimePoint now) const
+{
+  const VmHistory& history = m_vms[vm];
+  const std::size_t recent = history.outages.size() < 2 ? 0 : CountRecent(history, now);
+  return recent < 2 ? 0 : static_cast<double>(recent - 1) / ToSeconds(kFlapWindow);
+}
+
+double History::StillAway(Row vm, TimePoint now, double wait) const
+{
+  const VmHistory& history = m_vms[vm];
+  const ReturnTimes& times = history.isTogether ? m_together : m_alone;
+  return times.StillAway(ToSeconds(now - history.awaySince), wait);
+}
+
+double History::KeepsWeights(Row vm, double age) const
+{
+  const VmHistory& history = m_vms[vm];
+  const ReturnTimes& times = history.isTogether ? m_together : m_alone;
+  return times.KeepsWeights(age);
+}
+
+} // namespace gooseberrysail::impl
--- a/src/placement/planner.cpp
+++ b/src/placement/planner.cpp
@@ -2,71 +2,140 @@
 
 #include "placement/fleet.hpp"
 #include "placement/formation.hpp"
+#include "placement/repair.hpp"
 #include "placement/retirement.hpp"
+#include "placement/weight_loads.hpp"
 
 #include <algorithm>
+#include <iterator>
 
 namespace gooseberrysail {
 
 namespace {
 
+using namespace std::chrono_literals;
+
 /// How long a decision may take through the log before it is taken again.
-constexpr Duration kPromiseTime = std::chrono::seconds(5);
+constexpr Duration kPromiseTime = 5s;
+/// A planner that just began to plan repairs nothing for this long: a new leader hasn't heard
+/// most VMs yet, and would give up groups that serve.
+constexpr Duration kSettleTime = 5s;
+/// After such a gap between calls the planner counts as one that just began.
+constexpr Duration kLongestGap = 5min;
+/// Members of a group that broke although all were in reach, or that got stuck, are avoided.
+constexpr Duration kDoubtTime = 10min;
 
-/// A group that never serves although no member is missing.
-std::uint32_t CountLoads(const impl::Fleet& fleet)
-{
-  return static_cast<std::uint32_t>(
-    std::ranges::count_if(fleet.groups, [&](const impl::FleetGroup& group) {
-      return !group.view->serving && !group.broken && !group.ending;
-    }));
-}
+const PolicySpec kDefaultPolicy;
 
-std::vector<PlannerAction> DissolveBroken(impl::Fleet& fleet)
+std::vector<impl::Row> ChooseByCost(const impl::RepairInput& input)
 {
-  std::vector<PlannerAction> actions;
-  for (impl::FleetFabric& fabric : fleet.fabrics) {
-    std::size_t spares = fabric.available.size();
-    for (const impl::Row row : fabric.broken) {
-      impl::FleetGroup& group = fleet.groups[row];
-      const std::size_t lost = group.missing.size() + group.unknown;
-      const bool isOverdue = fleet.now - group.brokenSince >= fleet.policy->repairPatience;
-      if (group.ending || !isOverdue || lost > spares) {
-        continue;
-      }
-      spares -= lost;
-      group.ending = true;
-      actions.emplace_back(DissolveGroupAction{ group.view->group, "a spare takes over" });
-    }
+  std::vector<impl::Row> rows;
+  for (const impl::Repair& repair : impl::ChooseRepairs(input)) {
+    rows.insert(rows.end(), repair.dissolve.begin(), repair.dissolve.end());
   }
-  return actions;
+  return rows;
 }
 
 } // namespace
 
 struct PlacementPlanner::Impl
 {
+  RepairPolicy policy;
+  impl::History history;
+  impl::WeightLoads loads;
   impl::Promises promises;
+  std::optional<TimePoint> begunAt;
+  TimePoint lastCall{};
+
+  bool IsSettled(TimePoint now)
+  {
+    if (!begunAt || now - lastCall > kLongestGap) {
+      begunAt = now;
+    }
+    lastCall = now;
+    return now - *begunAt >= kSettleTime;
+  }
 
-  void Remember(TimePoint now, const std::vector<PlannerAction>& actions)
+  void Remember(const impl::Fleet& fleet, const std::vector<PlannerAction>& actions)
   {
+    const TimePoint until = fleet.now + kPromiseTime;
     for (const PlannerAction& action : actions) {
       if (const auto* form = std::get_if<FormGroupAction>(&action)) {
         for (const VmId& vm : form->members) {
-          promises.vms[vm.Get()] = now + kPromiseTime;
+          promises.vms[vm.Get()] = until;
         }
       } else if (const auto* dissolve = std::get_if<DissolveGroupAction>(&action)) {
-        promises.endings[dissolve->group.Get()] = now + kPromiseTime;
+        promises.endings[dissolve->group.Get()] = { until, true };
       } else if (const auto* drain = std::get_if<DrainGroupAction>(&action)) {
-        promises.endings[drain->group.Get()] = now + kPromiseTime;
+        promises.endings[drain->group.Get()] = { until, false };
+      }
+    }
+  }
+
+  /// Nobody can tell which member is the cause: all of them step back behind other VMs.
+  void DoubtMembers(const impl::Fleet& fleet, const impl::FleetGroup& group)
+  {
+    if (!group.missing.empty() || group.unknown > 0) {
+      return;
+    }
+    for (const impl::Row vm : group.members) {
+      history.Doubt(vm, fleet.now + kDoubtTime);
+    }
+  }
+
+  std::uint32_t LoadsLeft(const impl::Fleet& fleet) const
+  {
+    const auto promised =
+      static_cast<std::uint32_t>(std::ranges::count_if(fleet.groups, &impl::FleetGroup::releasing));
+    const std::uint32_t left = loads.CountLeft(*fleet.policy);
+    return left - std::min(left, promised);
+  }
+
+  void GiveUp(impl::Fleet& fleet, impl::Row row, std::vector<PlannerAction>& actions)
+  {
+    impl::FleetGroup& group = fleet.groups[row];
+    if (group.ending) {
+      return;
+    }
+    group.ending = true;
+    group.releasing = true;
+    DoubtMembers(fleet, group);
+    actions.emplace_back(
+      DissolveGroupAction{ group.view->group, "its survivors serve sooner in a new group" });
+  }
+
+  std::vector<PlannerAction> Plan(impl::Fleet& fleet, bool isSettled)
+  {
+    impl::Retirement retired = impl::RetireGroups(fleet, history, loads);
+    std::vector<PlannerAction> actions = std::move(retired.actions);
+    std::vector<std::uint32_t> extra = std::move(retired.surge);
+    if (isSettled) {
+      for (const impl::Row row : policy({ fleet, history, loads, LoadsLeft(fleet) })) {
+        GiveUp(fleet, row, actions);
       }
     }
+    std::uint32_t loadsLeft = LoadsLeft(fleet);
+    if (isSettled && hasStandIns) {
+      const auto standIns = impl::CountStandIns({ fleet, history, loads, loadsLeft });
+      std::ranges::transform(extra, standIns, extra.begin(), std::plus{});
+    }
+    std::ranges::move(impl::FormGroups(fleet, extra, loadsLeft), std::back_inserter(actions));
+    return actions;
   }
+
+  bool hasStandIns = false;
 };
 
 PlacementPlanner::PlacementPlanner()
+  : PlacementPlanner(&ChooseByCost)
+{
+  m_impl->hasStandIns = true;
+}
+
+PlacementPlanner::PlacementPlanner(RepairPolicy policy)
   : m_impl(std::make_unique<Impl>())
 {
+  m_impl->policy = std::move(policy);
 }
 
 PlacementPlanner::~PlacementPlanner() = default;
@@ -74,18 +143,14 @@
 
 std::vector<PlannerAction> PlacementPlanner::Plan(TimePoint now, const PlannerInput& input)
 {
-  static const PolicySpec kDefaultPolicy;
-  m_impl->promises.DropOverdue(now);
-  impl::Fleet fleet = impl::BuildFleet(now, input, m_impl->promises);
+  Impl& planner = *m_impl;
+  planner.promises.DropOverdue(now);
+  planner.history.Observe(now, input);
+  impl::Fleet fleet = impl::BuildFleet(now, input, planner.promises, planner.history);
   fleet.policy = input.policy != nullptr ? input.policy : &kDefaultPolicy;
-  std::vector<PlannerAction> actions = impl::RetireGroups(fleet);
-  std::ranges::move(DissolveBroken(fleet), std::back_inserter(actions));
-  const std::uint32_t loads = CountLoads(fleet);
-  std::uint32_t loadsLeft =
-    fleet.policy->weightLoadsAtOnce - std::min(fleet.policy->weightLoadsAtOnce, loads);
-  const std::vector<std::uint32_t> noExtra(fleet.models.size(), 0);
-  std::ranges::move(impl::FormGroups(fleet, noExtra, loadsLeft), std::back_inserter(actions));
-  m_impl->Remember(now, actions);
+  planner.loads.Observe(fleet);
+  std::vector<PlannerAction> actions = planner.Plan(fleet, planner.IsSettled(now));
+  planner.Remember(fleet, actions);
   return actions;
 }
 
--- a/src/placement/retirement.cpp
+++ b/src/placement/retirement.cpp
@@ -1,12 +1,25 @@
 #include "placement/retirement.hpp"
 
+#include "placement/repair_cost.hpp"
+
 #include <algorithm>
+#include <iterator>
 #include <tuple>
 
 namespace gooseberrysail::impl {
 
 namespace {
 
+using namespace std::chrono_literals;
+
+/// Load reports come late: a straggler counts as one once it was slow for this long.
+constexpr Duration kStragglerTime = 60s;
+/// Spares that must be left before one is used against a mere straggler.
+constexpr std::size_t kSparesBesidesStraggler = 1;
+/// A group that takes so many times the usual load is stuck.
+constexpr double kStuckFactor = 10;
+constexpr double kLeastStuckSeconds = 600;
+
 /// A broken group has nothing to finish, so it is given up instead of drained.
 void End(FleetGroup& group, std::string reason, std::vector<PlannerAction>& actions)
 {
@@ -18,6 +31,32 @@
   }
 }
 
+bool Serves(const FleetGroup& group)
+{
+  return group.view->serving && !group.broken && !group.ending;
+}
+
+bool Loads(const FleetGroup& group)
+{
+  return !group.view->serving && !group.broken && !group.ending;
+}
+
+template<class Predicate>
+std::vector<Row> Select(const Fleet& fleet, const FleetModel& model, Predicate predicate)
+{
+  std::vector<Row> rows;
+  std::ranges::copy_if(model.groups, std::back_inserter(rows), [&](Row row) {
+    return !fleet.groups[row].ending && predicate(fleet.groups[row]);
+  });
+  return rows;
+}
+
+std::uint32_t CountServing(const Fleet& fleet, const FleetModel& model)
+{
+  return static_cast<std::uint32_t>(
+    std::ranges::count_if(model.groups, [&](Row row) { return Serves(fleet.groups[row]); }));
+}
+
 void RetireUnwanted(Fleet& fleet, std::vector<PlannerAction>& actions)
 {
   for (FleetGroup& group : fleet.groups) {
@@ -32,78 +71,135 @@
   }
 }
 
-std::vector<Row> Replicas(const Fleet& fleet, const FleetModel& model)
-{
-  std::vector<Row> rows;
-  std::ranges::copy_if(
-    model.groups, std::back_inserter(rows), [&](Row row) { return !fleet.groups[row].ending; });
-  return rows;
-}
-
-bool Serves(const FleetGroup& group)
-{
-  return group.view->serving && !group.broken && !group.ending;
-}
-
-/// Those that do least for the callers go first; among equals, the youngest.
+/// Broken groups stay while replicas are down, even beyond those wanted: a stand-in may be slower
+/// to serve than they are to come back. Of those that aren't broken the ones go first that do
+/// least for the callers, then the youngest.
 void RetireSurplus(Fleet& fleet, const FleetModel& model, std::vector<PlannerAction>& actions)
 {
-  std::vector<Row> replicas = Replicas(fleet, model);
-  if (replicas.size() <= model.Wanted()) {
+  if (CountServing(fleet, model) >= model.Wanted()) {
+    for (const Row row : Select(fleet, model, [](const FleetGroup& g) { return g.broken; })) {
+      End(fleet.groups[row], "enough replicas serve without it", actions);
+    }
+  }
+  std::vector<Row> whole = Select(fleet, model, [](const FleetGroup& g) { return !g.broken; });
+  if (whole.size() <= model.Wanted()) {
     return;
   }
-  std::ranges::sort(replicas, std::less{}, [&](Row row) {
+  const auto rank = [&](Row row) {
     const FleetGroup& group = fleet.groups[row];
-    return std::tuple(Serves(group),
-                      group.current,
-                      -group.view->formedAt.time_since_epoch().count(),
-                      group.view->group);
-  });
-  const std::size_t surplus = replicas.size() - model.Wanted();
+    const auto age = -group.view->formedAt.time_since_epoch().count();
+    return std::tuple(Serves(group), group.current, age, group.view->group);
+  };
+  std::ranges::sort(whole, std::less{}, rank);
+  const bool isRollout =
+    std::ranges::any_of(whole, [&](Row row) { return !fleet.groups[row].current; });
+  const std::size_t surplus = whole.size() - model.Wanted();
   for (std::size_t index = 0; index < surplus; ++index) {
-    End(fleet.groups[replicas[index]], "more replicas than wanted", actions);
+    FleetGroup& group = fleet.groups[whole[index]];
+    // During a rollout this is the new version's group that an old one waits for.
+    if (!(isRollout && group.current && Loads(group))) {
+      End(group, "more replicas than wanted", actions);
+    }
   }
 }
 
-std::uint32_t Serving(const Fleet& fleet, const FleetModel& model)
+bool HasRoom(const Fleet& fleet, const FleetModel& model)
 {
-  return static_cast<std::uint32_t>(
-    std::ranges::count_if(model.groups, [&](Row row) { return Serves(fleet.groups[row]); }));
+  return std::ranges::any_of(fleet.fabrics, [&](const FleetFabric& fabric) {
+    return fabric.available.size() >= model.Size();
+  });
 }
 
 /// A new version may never take a model out of service by itself: each step waits until the
 /// groups formed before serve again, so a version that doesn't load stops the rollout by itself.
-void RollOut(Fleet& fleet, const FleetModel& model, std::vector<PlannerAction>& actions)
+/// \returns Replicas to form before an old one goes: a model of few replicas can spare none.
+std::uint32_t RollOut(Fleet& fleet,
+                      const FleetModel& model,
+                      std::uint32_t loadsLeft,
+                      std::vector<PlannerAction>& actions)
 {
+  const std::vector<Row> old =
+    Select(fleet, model, [](const FleetGroup& group) { return !group.current && !group.broken; });
+  if (old.empty()) {
+    return 0;
+  }
   const auto share = static_cast<std::uint32_t>(kRolloutShare * model.Wanted());
+  if (share == 0) {
+    const bool isSurging = !Select(fleet, model, Loads).empty();
+    if (isSurging || HasRoom(fleet, model)) {
+      return 1;
+    }
+  }
   const std::uint32_t maxDown = std::max(1U, share);
-  const std::uint32_t serving = Serving(fleet, model);
-  const std::uint32_t down = model.Wanted() - std::min(model.Wanted(), serving);
-  std::uint32_t allowed = maxDown - std::min(maxDown, down);
+  const std::uint32_t down = model.Wanted() - std::min(model.Wanted(), CountServing(fleet, model));
+  std::uint32_t allowed = std::min(maxDown - std::min(maxDown, down), loadsLeft);
+  for (const Row row : old) {
+    if (allowed == 0) {
+      break;
+    }
+    End(fleet.groups[row], "the catalogue has another version or size", actions);
+    --allowed;
+  }
+  return 0;
+}
+
+bool HasStraggler(const Fleet& fleet, const History& history, const FleetGroup& group)
+{
+  return std::ranges::any_of(group.members, [&](Row vm) {
+    const std::optional<TimePoint>& since = history.At(vm).stragglesSince;
+    return since && fleet.now - *since >= kStragglerTime;
+  });
+}
+
+/// One group of a model at a time, and none while one is down: replacing a member costs a load,
+/// and a straggler still does some work.
+void RetireStraggler(Fleet& fleet,
+                     const History& history,
+                     const FleetModel& model,
+                     std::vector<PlannerAction>& actions)
+{
+  if (CountServing(fleet, model) < model.Wanted()) {
+    return;
+  }
   for (const Row row : model.groups) {
     FleetGroup& group = fleet.groups[row];
-    if (allowed == 0) {
+    if (Serves(group) && HasStraggler(fleet, history, group) &&
+        CountSpares(fleet, group.fabric) > kSparesBesidesStraggler) {
+      End(group, "a member straggles", actions);
       return;
     }
-    if (group.current || group.ending || group.broken) {
+  }
+}
+
+void RetireStuck(Fleet& fleet, const WeightLoads& loads, std::vector<PlannerAction>& actions)
+{
+  for (FleetGroup& group : fleet.groups) {
+    if (group.model == kNoRow || !Loads(group)) {
       continue;
     }
-    End(group, "the catalogue has another version or size", actions);
-    --allowed;
+    const double usual = loads.LoadSeconds(group.view->entry);
+    const double limit = std::max(kLeastStuckSeconds, kStuckFactor * usual);
+    if (loads.SecondsLoading(fleet, group) > limit) {
+      group.ending = true;
+      actions.emplace_back(DissolveGroupAction{ group.view->group, "it doesn't begin to serve" });
+    }
   }
 }
 
 } // namespace
 
-std::vector<PlannerAction> RetireGroups(Fleet& fleet)
+Retirement RetireGroups(Fleet& fleet, const History& history, const WeightLoads& loads)
 {
-  std::vector<PlannerAction> actions;
-  RetireUnwanted(fleet, actions);
+  Retirement result;
+  const std::uint32_t loadsLeft = loads.CountLeft(*fleet.policy);
+  RetireUnwanted(fleet, result.actions);
+  RetireStuck(fleet, loads, result.actions);
   for (const FleetModel& model : fleet.models) {
-    RetireSurplus(fleet, model, actions);
-    RollOut(fleet, model, actions);
+    RetireSurplus(fleet, model, result.actions);
+    result.surge.push_back(RollOut(fleet, model, loadsLeft, result.actions));
+    RetireStraggler(fleet, history, model, result.actions);
   }
-  return actions;
+  return result;
 }
 
 } // namespace gooseberrysail::impl
--- /dev/null
+++ b/src/placement/rows.hpp
@@ -0,0 +1,12 @@
+#pragma once
+
+#include <cstdint>
+#include <limits>
+
+namespace gooseberrysail::impl {
+
+/// \brief Row numbers in the planner's tables.
+using Row = std::uint32_t;
+inline constexpr Row kNoRow = std::numeric_limits<Row>::max();
+
+} // namespace gooseberrysail::impl
--- /dev/null
+++ b/src/placement/weight_loads.cpp
@@ -0,0 +1,97 @@
+#include "placement/weight_loads.hpp"
+
+#include "placement/return_times.hpp"
+
+#include <algorithm>
+
+namespace gooseberrysail::impl {
+
+namespace {
+
+/// Assumed for a model that no group was seen to load yet.
+constexpr double kAssumedLoadSeconds = 120;
+/// A group first seen to start within this time was formed for it.
+constexpr Duration kNewTime = std::chrono::seconds(10);
+/// How much the latest load counts against those before.
+constexpr double kLatestShare = 0.3;
+
+void Learn(double& estimate, double sample)
+{
+  estimate += kLatestShare * (sample - estimate);
+}
+
+} // namespace
+
+bool NeedsLoad(const Fleet& fleet, const FleetGroup& group)
+{
+  const std::string weights = WeightsName(group.view->entry, group.view->modelVersion);
+  return std::ranges::any_of(group.members,
+                             [&](Row vm) { return fleet.vms[vm].view->loadedModel != weights; });
+}
+
+void WeightLoads::Observe(const Fleet& fleet)
+{
+  m_running = 0;
+  for (auto& [group, start] : m_starts) {
+    start.isSeen = false;
+  }
+  for (const FleetGroup& group : fleet.groups) {
+    const bool isStarting = !group.view->serving && !group.broken && !group.ending;
+    if (isStarting) {
+      NoteStart(fleet, group);
+      continue;
+    }
+    const auto found = m_starts.empty() ? m_starts.end() : m_starts.find(group.view->group.Get());
+    if (found == m_starts.end()) {
+      continue;
+    }
+    if (group.view->serving) {
+      NoteServing(fleet, group, found->second);
+    }
+    m_starts.erase(found);
+  }
+  std::erase_if(m_starts, [](const auto& entry) { return !entry.second.isSeen; });
+}
+
+void WeightLoads::NoteStart(const Fleet& fleet, const FleetGroup& group)
+{
+  const bool isLoad = NeedsLoad(fleet, group);
+  const auto [found, isFirst] = m_starts.try_emplace(group.view->group.Get(), Start{ fleet.now });
+  if (isFirst) {
+    found->second.isNew = fleet.now - group.view->formedAt < kNewTime;
+  }
+  found->second.isLoad = found->second.isLoad || isLoad;
+  found->second.isSeen = true;
+  m_running += isLoad ? 1 : 0;
+}
+
+void WeightLoads::NoteServing(const Fleet& fleet, const FleetGroup& group, const Start& start)
+{
+  const double sample = ToSeconds(fleet.now - start.at);
+  if (!start.isLoad) {
+    Learn(start.isNew ? m_formSeconds : m_resumeSeconds, sample);
+    return;
+  }
+  double& estimate =
+    m_loadSeconds.try_emplace(group.view->entry.Get(), kAssumedLoadSeconds).first->second;
+  Learn(estimate, sample);
+}
+
+std::uint32_t WeightLoads::CountLeft(const PolicySpec& policy) const noexcept
+{
+  return policy.weightLoadsAtOnce - std::min(policy.weightLoadsAtOnce, m_running);
+}
+
+double WeightLoads::SecondsLoading(const Fleet& fleet, const FleetGroup& group) const
+{
+  const auto found = m_starts.find(group.view->group.Get());
+  return found == m_starts.end() ? 0 : ToSeconds(fleet.now - found->second.at);
+}
+
+double WeightLoads::LoadSeconds(const EntryName& entry) const
+{
+  const auto found = m_loadSeconds.find(entry.Get());
+  return found == m_loadSeconds.end() ? kAssumedLoadSeconds : found->second;
+}
+
+} // namespace gooseberrysail::impl
