--- a/src/placement/fleet.cpp
+++ b/src/placement/fleet.cpp
@@ -57,15 +57,11 @@
   return rows;
 }
 
-void AddMembers(const History& history, Row groupRow, FleetGroup& group, Fleet& fleet)
+void AddMembers(const MemberRows::Rows& rows, Row groupRow, FleetGroup& group, Fleet& fleet)
 {
-  group.members.reserve(group.view->members.size());
-  for (const VmId& member : group.view->members) {
-    const Row row = history.Find(member);
-    if (row == kNoRow) {
-      ++group.unknown;
-      continue;
-    }
+  group.members = rows.known;
+  group.unknown = rows.unknown;
+  for (const Row row : rows.known) {
     FleetVm& vm = fleet.vms[row];
     // A group that ends lets its members go one by one; until it ends they are its own, even
     // where the tables disagree for a moment.
@@ -73,7 +69,6 @@
       vm.available = false;
       vm.group = groupRow;
     }
-    group.members.push_back(row);
     group.fabric = vm.fabric;
     group.leaving = group.leaving || vm.view->draining;
     if (!vm.view->reachable) {
@@ -117,6 +112,7 @@
 void AddGroups(const PlannerInput& input,
                const Promises& promises,
                const History& history,
+               MemberRows& memberRows,
                const RowByName& modelRows,
                Fleet& fleet)
 {
@@ -128,7 +124,7 @@
     const auto promise = promises.endings.find(view.group.Get());
     const bool isPromised = promise != promises.endings.end();
     group.ending = view.draining || isPromised;
-    AddMembers(history, row, group, fleet);
+    AddMembers(memberRows.Of(view, history), row, group, fleet);
     group.releasing = isPromised && promise->second.isDissolved && HoldsSurvivor(fleet, group);
     group.broken = view.brokenSince.has_value() || !group.missing.empty() || group.unknown > 0;
     if (group.broken) {
@@ -156,17 +152,49 @@
   std::erase_if(endings, [now](const auto& entry) { return entry.second.until <= now; });
 }
 
+const MemberRows::Rows& MemberRows::Of(const GroupView& group, const History& history)
+{
+  Entry& entry = m_entries[group.group.Get()];
+  entry.isUsed = true;
+  const auto isSame = [&](Row row, const VmId& vm) {
+    return row < history.CountVms() && history.At(row).vm == vm;
+  };
+  if (entry.rows.unknown == 0 && std::ranges::equal(entry.rows.known, group.members, isSame)) {
+    return entry.rows;
+  }
+  entry.rows = {};
+  for (const VmId& member : group.members) {
+    const Row row = history.Find(member);
+    if (row == kNoRow) {
+      ++entry.rows.unknown;
+    } else {
+      entry.rows.known.push_back(row);
+    }
+  }
+  return entry.rows;
+}
+
+void MemberRows::DropUnused()
+{
+  std::erase_if(m_entries, [](const auto& entry) { return !entry.second.isUsed; });
+  for (auto& [group, entry] : m_entries) {
+    entry.isUsed = false;
+  }
+}
+
 Fleet BuildFleet(TimePoint now,
                  const PlannerInput& input,
                  const Promises& promises,
-                 const History& history)
+                 const History& history,
+                 MemberRows& memberRows)
 {
   Fleet fleet;
   fleet.now = now;
   fleet.policy = input.policy;
   AddVms(input, promises, history, fleet);
   const RowByName modelRows = AddModels(input, fleet);
-  AddGroups(input, promises, history, modelRows, fleet);
+  memberRows.DropUnused();
+  AddGroups(input, promises, history, memberRows, modelRows, fleet);
   for (Row row = 0; row < fleet.vms.size(); ++row) {
     const FleetVm& vm = fleet.vms[row];
     FleetFabric& fabric = fleet.fabrics[vm.fabric];
--- a/src/placement/fleet.hpp
+++ b/src/placement/fleet.hpp
@@ -5,6 +5,7 @@
 #include "placement/rows.hpp"
 
 #include <cstdint>
+#include <span>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -82,6 +83,32 @@
   void DropOverdue(TimePoint now);
 };
 
+/// \brief Remembers the rows of groups' members, as looking up each name in each call is what
+/// a call would spend most of its time on.
+class MemberRows
+{
+public:
+  struct Rows
+  {
+    std::vector<Row> known;
+    std::uint32_t unknown = 0;
+  };
+
+  /// \returns Rows that stay valid until the next call of DropUnused.
+  [[nodiscard]] const Rows& Of(const GroupView& group, const History& history);
+  /// \brief Forgets groups that weren't asked for since the last call.
+  void DropUnused();
+
+private:
+  struct Entry
+  {
+    Rows rows;
+    bool isUsed = false;
+  };
+
+  std::unordered_map<std::uint64_t, Entry> m_entries; ///< By group.
+};
+
 /// \brief One call's view of everything, joined and indexed.
 struct Fleet
 {
@@ -103,7 +130,8 @@
 [[nodiscard]] Fleet BuildFleet(TimePoint now,
                                const PlannerInput& input,
                                const Promises& promises,
-                               const History& history);
+                               const History& history,
+                               MemberRows& memberRows);
 
 /// \brief "entry@version".
 [[nodiscard]] std::string WeightsName(const EntryName& entry, std::string_view version);
--- a/src/placement/history.cpp
+++ b/src/placement/history.cpp
@@ -18,13 +18,23 @@
 } };
 constexpr double kAloneAssumed = 20;
 
-/// Assumed until seen otherwise: a blip of the network, a switch, a failure domain.
-constexpr std::array<OutageKind, 3> kTogetherMix{ {
-  { 0.60, 45, 0.95 },
-  { 0.25, 900, 0.5 },
-  { 0.15, 7200, 0.2 },
+/// Assumed until seen otherwise: a rack or a switch.
+constexpr std::array<OutageKind, 3> kPartMix{ {
+  { 0.25, 45, 0.95 },
+  { 0.55, 1200, 0.5 },
+  { 0.20, 7200, 0.2 },
 } };
-constexpr double kTogetherAssumed = 5;
+
+/// Assumed until seen otherwise: a blip of the network, a failure domain.
+constexpr std::array<OutageKind, 3> kWholeMix{ {
+  { 0.75, 45, 0.95 },
+  { 0.15, 1200, 0.5 },
+  { 0.10, 7200, 0.2 },
+} };
+constexpr double kManyAssumed = 5;
+
+/// Share of a fabric domain's VMs that makes it dark as a whole.
+constexpr double kWholeShare = 0.8;
 
 /// So many VMs of one fabric domain lost within the window were lost by one cause.
 constexpr std::size_t kTogetherCount = 3;
@@ -60,8 +70,9 @@
 } // namespace
 
 History::History()
-  : m_alone(kAloneMix, kAloneAssumed)
-  , m_together(kTogetherMix, kTogetherAssumed)
+  : m_times{ ReturnTimes(kAloneMix, kAloneAssumed),
+             ReturnTimes(kPartMix, kManyAssumed),
+             ReturnTimes(kWholeMix, kManyAssumed) }
   , m_outages(kAssumedOutages)
   , m_vmSeconds(kAssumedOutages / kAssumedRate)
 {
@@ -92,8 +103,9 @@
     }
     NoteStraggling(now, history, view);
   }
-  m_alone.Refresh();
-  m_together.Refresh();
+  for (ReturnTimes& times : m_times) {
+    times.Refresh();
+  }
 }
 
 /// The control leader keeps its tables in one order, so that almost always nothing has moved.
@@ -125,6 +137,10 @@
         .first->second;
   }
   m_lostLately.resize(m_fabrics.size());
+  m_fabricSizes.assign(m_fabrics.size(), 0);
+  for (const VmHistory& history : m_vms) {
+    ++m_fabricSizes[history.fabric];
+  }
 }
 
 Row History::Find(const VmId& vm) const
@@ -141,7 +157,7 @@
     return;
   }
   history.isAway = true;
-  history.isTogether = false;
+  history.span = OutageSpan::kAlone;
   history.weight = 1;
   // A new leader may not have heard of the VM at all: then its outage begins now.
   history.awaySince = view.lastHeard == TimePoint{} ? now : std::min(now, view.lastHeard);
@@ -162,24 +178,26 @@
   if (lost.size() < kTogetherCount) {
     return;
   }
+  const double share = kWholeShare * static_cast<double>(m_fabricSizes[history.fabric]);
+  const OutageSpan span =
+    static_cast<double>(lost.size()) >= share ? OutageSpan::kWhole : OutageSpan::kPart;
   for (const Row row : lost) {
     VmHistory& other = m_vms[row];
-    if (!other.isTogether) {
-      other.isTogether = true;
+    if (other.span == OutageSpan::kAlone) {
       // A VM that goes dark with its fabric domain isn't a VM that flaps.
       other.outages.pop_back();
       m_outages -= 1;
     }
+    other.span = span;
     other.weight = 1.0 / static_cast<double>(lost.size());
   }
 }
 
 void History::CountAway(VmHistory& history, TimePoint until)
 {
-  ReturnTimes& times = history.isTogether ? m_together : m_alone;
-  times.AddAway(ToSeconds(history.countedUntil - history.awaySince),
-                ToSeconds(until - history.awaySince),
-                history.weight);
+  TimesOf(history).AddAway(ToSeconds(history.countedUntil - history.awaySince),
+                           ToSeconds(until - history.awaySince),
+                           history.weight);
   history.countedUntil = until;
 }
 
@@ -187,8 +205,7 @@
 {
   CountAway(history, now);
   const bool keptWeights = !view.loadedModel.empty() && view.loadedModel == history.weights;
-  ReturnTimes& times = history.isTogether ? m_together : m_alone;
-  times.AddReturn(ToSeconds(now - history.awaySince), keptWeights, history.weight);
+  TimesOf(history).AddReturn(ToSeconds(now - history.awaySince), keptWeights, history.weight);
   history.isAway = false;
   history.returnedAt = now;
 }
@@ -223,15 +240,13 @@
 double History::StillAway(Row vm, TimePoint now, double wait) const
 {
   const VmHistory& history = m_vms[vm];
-  const ReturnTimes& times = history.isTogether ? m_together : m_alone;
-  return times.StillAway(ToSeconds(now - history.awaySince), wait);
+  return Times(history.span).StillAway(ToSeconds(now - history.awaySince), wait);
 }
 
 double History::KeepsWeights(Row vm, double age) const
 {
   const VmHistory& history = m_vms[vm];
-  const ReturnTimes& times = history.isTogether ? m_together : m_alone;
-  return times.KeepsWeights(age);
+  return Times(history.span).KeepsWeights(age);
 }
 
 } // namespace gooseberrysail::impl
--- a/src/placement/outlook.cpp
+++ b/src/placement/outlook.cpp
@@ -39,7 +39,7 @@
 {
   Loss loss;
   for (const Row vm : group.missing) {
-    if (!history.At(vm).isTogether) {
+    if (history.At(vm).span == OutageSpan::kAlone) {
       loss.alone.push_back(vm);
     } else if (loss.together == kNoRow ||
                history.At(vm).awaySince < history.At(loss.together).awaySince) {
@@ -64,7 +64,7 @@
   if (causes.empty()) {
     // All members are in reach of control, but not of each other.
     const double age = ToSeconds(fleet.now - group.brokenSince);
-    return history.Alone().StillAway(age, wait);
+    return history.Times(OutageSpan::kAlone).StillAway(age, wait);
   }
   double whole = 1;
   for (const Row vm : causes) {
@@ -243,7 +243,7 @@
     return 0;
   }
   const auto together = static_cast<std::size_t>(
-    std::ranges::count_if(away, [&](Row vm) { return history.At(vm).isTogether; }));
+    std::ranges::count_if(away, [&](Row vm) { return history.At(vm).span != OutageSpan::kAlone; }));
   const bool isOneCause = together * 2 > away.size();
   double sum = 0;
   double timeBefore = 0;
--- a/src/placement/outlook.hpp
+++ b/src/placement/outlook.hpp
@@ -16,11 +16,11 @@
   std::array<double, kSteps> down{}; ///< Chance that it isn't whole at StepTimes()[step].
   /// Members that will come back with their weights, expected when it isn't whole at that step.
   std::array<double, kSteps + 1> warmReturns{};
-  double warmWorth = 0; ///< Cost that one more warm spare will save.
-  double reloadSeconds = 0;          ///< Expected load once it is whole again.
-  double flapSeconds = 0;            ///< Expected downtime soon after, as a member flaps.
-  double rate = 0;                   ///< Cost of a second down, with its survivors idle.
-  double patienceLeft = 0;           ///< Seconds after which waiting has to be given up.
+  double warmWorth = 0;     ///< Cost that one more warm spare will save.
+  double reloadSeconds = 0; ///< Expected load once it is whole again.
+  double flapSeconds = 0;   ///< Expected downtime soon after, as a member flaps.
+  double rate = 0;          ///< Cost of a second down, with its survivors idle.
+  double patienceLeft = 0;  ///< Seconds after which waiting has to be given up.
   std::uint32_t survivors = 0;
   std::uint32_t lost = 0;
 };
@@ -36,8 +36,8 @@
 /// \brief The same, free to take another step at `fallback` cost at the best time from `first` on.
 /// \param price Of the spares that the other step uses, whenever it is taken: what makes it dear
 /// is an outage that lasts, and one that lasts meets it anyhow.
-/// \param fallback Without that price, and without the worth of members that come back as warm spares.
-/// \param first Seconds from now before which the other step isn't taken.
+/// \param fallback Without that price, and without the worth of members that come back as warm
+/// spares. \param first Seconds from now before which the other step isn't taken.
 [[nodiscard]] double CostOfWaiting(const Outlook& outlook,
                                    double fallback,
                                    double price,
--- a/src/placement/planner.cpp
+++ b/src/placement/planner.cpp
@@ -44,6 +44,7 @@
   impl::History history;
   impl::WeightLoads loads;
   impl::Promises promises;
+  impl::MemberRows memberRows;
   std::optional<TimePoint> begunAt;
   TimePoint lastCall{};
 
@@ -146,7 +147,8 @@
   Impl& planner = *m_impl;
   planner.promises.DropOverdue(now);
   planner.history.Observe(now, input);
-  impl::Fleet fleet = impl::BuildFleet(now, input, planner.promises, planner.history);
+  impl::Fleet fleet =
+    impl::BuildFleet(now, input, planner.promises, planner.history, planner.memberRows);
   fleet.policy = input.policy != nullptr ? input.policy : &kDefaultPolicy;
   planner.loads.Observe(fleet);
   std::vector<PlannerAction> actions = planner.Plan(fleet, planner.IsSettled(now));
--- a/src/placement/repair.cpp
+++ b/src/placement/repair.cpp
@@ -157,6 +157,9 @@
   std::vector<std::uint32_t> counts(fleet.models.size(), 0);
   std::vector<Outlook> outlooks;
   for (const FleetFabric& fabric : fleet.fabrics) {
+    if (fabric.isReleasing || GoesOnLosing(input, fabric)) {
+      continue;
+    }
     for (const Row row : fabric.broken) {
       if (MayGiveUp(input, fleet.groups[row])) {
         outlooks.push_back(ForeseeGroup(fleet, input.history, input.loads, row));
--- a/src/placement/repair_cost.cpp
+++ b/src/placement/repair_cost.cpp
@@ -173,8 +173,10 @@
   const auto vms = static_cast<double>(domain.vms - domain.unreachable);
   const double outageRate = input.history.OutageRate() * vms;
   const double refill = ExpectedDown(cause, StepTimes().back());
-  const double downEach = DownWithoutSpare(cause, input.history.Alone()) / std::max(refill, 1.0);
-  const double leftOut = OutagesLeftOut(CountSpares(input.fleet, fabric), used, outageRate * refill);
+  const double downEach =
+    DownWithoutSpare(cause, input.history.Times(OutageSpan::kAlone)) / std::max(refill, 1.0);
+  const double leftOut =
+    OutagesLeftOut(CountSpares(input.fleet, fabric), used, outageRate * refill);
   return cause.rate * downEach * leftOut;
 }
 
--- a/src/placement/retirement.cpp
+++ b/src/placement/retirement.cpp
@@ -186,6 +186,28 @@
   }
 }
 
+/// Symptom without this: a failure domain comes back empty, all its groups load at once, each at
+/// a small share of the weight store's rate, and the first serves only when the last does. Those
+/// given up are formed again as the budget allows, so that half of them serve in half the time.
+void RetireExcessLoads(Fleet& fleet, const WeightLoads& loads, std::vector<PlannerAction>& actions)
+{
+  const std::uint32_t budget = std::max(1U, fleet.policy->weightLoadsAtOnce);
+  if (loads.CountRunning() <= budget) {
+    return;
+  }
+  std::size_t excess = loads.CountRunning() - budget;
+  for (const Row row : loads.BegunLately(fleet)) {
+    if (excess == 0) {
+      return;
+    }
+    FleetGroup& group = fleet.groups[row];
+    group.ending = true;
+    actions.emplace_back(
+      DissolveGroupAction{ group.view->group, "the weight store feeds others first" });
+    --excess;
+  }
+}
+
 } // namespace
 
 Retirement RetireGroups(Fleet& fleet, const History& history, const WeightLoads& loads)
@@ -194,6 +216,7 @@
   const std::uint32_t loadsLeft = loads.CountLeft(*fleet.policy);
   RetireUnwanted(fleet, result.actions);
   RetireStuck(fleet, loads, result.actions);
+  RetireExcessLoads(fleet, loads, result.actions);
   for (const FleetModel& model : fleet.models) {
     RetireSurplus(fleet, model, result.actions);
     result.surge.push_back(RollOut(fleet, model, loadsLeft, result.actions));
--- a/src/placement/weight_loads.cpp
+++ b/src/placement/weight_loads.cpp
@@ -3,6 +3,9 @@
 #include "placement/return_times.hpp"
 
 #include <algorithm>
+#include <functional>
+#include <iterator>
+#include <utility>
 
 namespace gooseberrysail::impl {
 
@@ -12,6 +15,8 @@
 constexpr double kAssumedLoadSeconds = 120;
 /// A group first seen to start within this time was formed for it.
 constexpr Duration kNewTime = std::chrono::seconds(10);
+/// A load that began within this time has cost the store little yet.
+constexpr Duration kLatelyTime = std::chrono::seconds(10);
 /// How much the latest load counts against those before.
 constexpr double kLatestShare = 0.3;
 
@@ -50,6 +55,7 @@
     }
     m_starts.erase(found);
   }
+  m_lastCall = fleet.now;
   std::erase_if(m_starts, [](const auto& entry) { return !entry.second.isSeen; });
 }
 
@@ -59,6 +65,7 @@
   const auto [found, isFirst] = m_starts.try_emplace(group.view->group.Get(), Start{ fleet.now });
   if (isFirst) {
     found->second.isNew = fleet.now - group.view->formedAt < kNewTime;
+    found->second.isTimed = m_lastCall && fleet.now - *m_lastCall < kLatelyTime;
   }
   found->second.isLoad = found->second.isLoad || isLoad;
   found->second.isSeen = true;
@@ -82,6 +89,27 @@
   return policy.weightLoadsAtOnce - std::min(policy.weightLoadsAtOnce, m_running);
 }
 
+std::vector<Row> WeightLoads::BegunLately(const Fleet& fleet) const
+{
+  std::vector<std::pair<TimePoint, Row>> begun;
+  for (Row row = 0; row < fleet.groups.size(); ++row) {
+    const FleetGroup& group = fleet.groups[row];
+    const auto found = m_starts.empty() ? m_starts.end() : m_starts.find(group.view->group.Get());
+    if (found == m_starts.end() || group.ending) {
+      continue;
+    }
+    const Start& start = found->second;
+    if (start.isLoad && start.isTimed && fleet.now - start.at < kLatelyTime) {
+      begun.emplace_back(start.at, row);
+    }
+  }
+  std::ranges::sort(begun, std::greater{});
+  std::vector<Row> rows;
+  std::ranges::transform(
+    begun, std::back_inserter(rows), [](const auto& entry) { return entry.second; });
+  return rows;
+}
+
 double WeightLoads::SecondsLoading(const Fleet& fleet, const FleetGroup& group) const
 {
   const auto found = m_starts.find(group.view->group.Get());
--- a/src/placement/weight_loads.hpp
+++ b/src/placement/weight_loads.hpp
@@ -2,8 +2,10 @@
 
 #include "placement/fleet.hpp"
 
+#include <optional>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 namespace gooseberrysail::impl {
 
@@ -20,6 +22,8 @@
   [[nodiscard]] std::uint32_t CountLeft(const PolicySpec& policy) const noexcept;
   /// \brief For how long a group that doesn't serve yet was seen to start.
   [[nodiscard]] double SecondsLoading(const Fleet& fleet, const FleetGroup& group) const;
+  /// \brief Groups seen to begin a load within the last seconds, the latest first.
+  [[nodiscard]] std::vector<Row> BegunLately(const Fleet& fleet) const;
   /// \brief Expected seconds from forming a group to serving, when a member lacks the weights.
   [[nodiscard]] double LoadSeconds(const EntryName& entry) const;
   /// \brief The same when all members hold the weights.
@@ -32,8 +36,9 @@
   {
     TimePoint at{};
     bool isLoad = false;
-    bool isNew = false;  ///< Formed just now, not broken before.
-    bool isSeen = false; ///< In the latest input.
+    bool isNew = false;   ///< Formed just now, not broken before.
+    bool isSeen = false;  ///< In the latest input.
+    bool isTimed = false; ///< Its beginning was seen, too.
   };
 
   void NoteStart(const Fleet& fleet, const FleetGroup& group);
@@ -44,6 +49,7 @@
   double m_formSeconds = 8;
   double m_resumeSeconds = 3;
   std::uint32_t m_running = 0;
+  std::optional<TimePoint> m_lastCall;
 };
 
 /// \brief Whether a member of the group lacks the weights of the group's version.
