--- a/src/placement/history.cpp
+++ b/src/placement/history.cpp
@@ -167,7 +167,11 @@
     history.outages.erase(history.outages.begin());
   }
   m_outages += 1;
-  m_lostLately[history.fabric].push_back(row);
+  // One VM that comes and goes within the window is still one VM.
+  std::vector<Row>& lost = m_lostLately[history.fabric];
+  if (std::ranges::find(lost, row) == lost.end()) {
+    lost.push_back(row);
+  }
   NoteTogether(history);
   CountAway(history, now);
 }
--- a/src/placement/planner.cpp
+++ b/src/placement/planner.cpp
@@ -108,6 +108,9 @@
   std::vector<PlannerAction> Plan(impl::Fleet& fleet, bool isSettled)
   {
     impl::Retirement retired = impl::RetireGroups(fleet, history, loads);
+    for (const impl::Row row : retired.stuck) {
+      DoubtMembers(fleet, fleet.groups[row]);
+    }
     std::vector<PlannerAction> actions = std::move(retired.actions);
     std::vector<std::uint32_t> extra = std::move(retired.surge);
     if (isSettled) {
--- a/src/placement/retirement.cpp
+++ b/src/placement/retirement.cpp
@@ -171,9 +171,10 @@
   }
 }
 
-void RetireStuck(Fleet& fleet, const WeightLoads& loads, std::vector<PlannerAction>& actions)
+void RetireStuck(Fleet& fleet, const WeightLoads& loads, Retirement& result)
 {
-  for (FleetGroup& group : fleet.groups) {
+  for (Row row = 0; row < fleet.groups.size(); ++row) {
+    FleetGroup& group = fleet.groups[row];
     if (group.model == kNoRow || !Loads(group)) {
       continue;
     }
@@ -181,7 +182,9 @@
     const double limit = std::max(kLeastStuckSeconds, kStuckFactor * usual);
     if (loads.SecondsLoading(fleet, group) > limit) {
       group.ending = true;
-      actions.emplace_back(DissolveGroupAction{ group.view->group, "it doesn't begin to serve" });
+      result.stuck.push_back(row);
+      result.actions.emplace_back(
+        DissolveGroupAction{ group.view->group, "it doesn't begin to serve" });
     }
   }
 }
@@ -215,7 +218,7 @@
   Retirement result;
   const std::uint32_t loadsLeft = loads.CountLeft(*fleet.policy);
   RetireUnwanted(fleet, result.actions);
-  RetireStuck(fleet, loads, result.actions);
+  RetireStuck(fleet, loads, result);
   RetireExcessLoads(fleet, loads, result.actions);
   for (const FleetModel& model : fleet.models) {
     RetireSurplus(fleet, model, result.actions);
--- a/src/placement/retirement.hpp
+++ b/src/placement/retirement.hpp
@@ -15,6 +15,7 @@
   std::vector<PlannerAction> actions;
   /// Replicas to form beyond those wanted, by model row, before an old one may go.
   std::vector<std::uint32_t> surge;
+  std::vector<Row> stuck; ///< Groups that never began to serve.
 };
 
 /// \brief Ends groups that the catalogue no longer wants: members that leave, models and versions
