--- a/include/gooseberrysail/placement/planner.hpp
+++ b/include/gooseberrysail/placement/planner.hpp
@@ -80,6 +80,14 @@
   std::string reason;
 };
 
+/// \brief A spare that should load weights ahead of need; it stays free.
+struct PreloadWish
+{
+  VmId vm;
+  EntryName entry;
+  std::string modelVersion;
+};
+
 using PlannerAction = std::variant<FormGroupAction, DissolveGroupAction, DrainGroupAction>;
 
 namespace impl {
@@ -103,6 +111,10 @@
   /// \brief Decides on the next steps; called by the control leader about once a second.
   [[nodiscard]] std::vector<PlannerAction> Plan(TimePoint now, const PlannerInput& input);
 
+  /// \brief Spares that should load weights now, after the latest Plan.
+  /// \remarks A caller that can't order a free VM to load may ignore them: the planner notices.
+  [[nodiscard]] std::span<const PreloadWish> Preloads() const noexcept;
+
 private:
   struct Impl;
   std::unique_ptr<Impl> m_impl;
--- a/src/placement/planner.cpp
+++ b/src/placement/planner.cpp
@@ -2,6 +2,7 @@
 
 #include "placement/fleet.hpp"
 #include "placement/formation.hpp"
+#include "placement/preloads.hpp"
 #include "placement/repair.hpp"
 #include "placement/retirement.hpp"
 #include "placement/weight_loads.hpp"
@@ -45,6 +46,7 @@
   impl::WeightLoads loads;
   impl::Promises promises;
   impl::MemberRows memberRows;
+  impl::Preloads preloads;
   std::optional<TimePoint> begunAt;
   TimePoint lastCall{};
 
@@ -114,16 +116,19 @@
     std::vector<PlannerAction> actions = std::move(retired.actions);
     std::vector<std::uint32_t> extra = std::move(retired.surge);
     if (isSettled) {
-      for (const impl::Row row : policy({ fleet, history, loads, LoadsLeft(fleet) })) {
+      for (const impl::Row row :
+           policy({ fleet, history, loads, LoadsLeft(fleet), preloads.AreGranted() })) {
         GiveUp(fleet, row, actions);
       }
     }
     std::uint32_t loadsLeft = LoadsLeft(fleet);
     if (isSettled && hasStandIns) {
-      const auto standIns = impl::CountStandIns({ fleet, history, loads, loadsLeft });
+      const auto standIns =
+        impl::CountStandIns({ fleet, history, loads, loadsLeft, preloads.AreGranted() });
       std::ranges::transform(extra, standIns, extra.begin(), std::plus{});
     }
     std::ranges::move(impl::FormGroups(fleet, extra, loadsLeft), std::back_inserter(actions));
+    preloads.Choose(fleet, loadsLeft);
     return actions;
   }
 
@@ -154,9 +159,15 @@
     impl::BuildFleet(now, input, planner.promises, planner.history, planner.memberRows);
   fleet.policy = input.policy != nullptr ? input.policy : &kDefaultPolicy;
   planner.loads.Observe(fleet);
+  planner.preloads.Observe(fleet);
   std::vector<PlannerAction> actions = planner.Plan(fleet, planner.IsSettled(now));
   planner.Remember(fleet, actions);
   return actions;
 }
 
+std::span<const PreloadWish> PlacementPlanner::Preloads() const noexcept
+{
+  return m_impl->preloads.Wishes();
+}
+
 } // namespace gooseberrysail
--- a/src/placement/repair.hpp
+++ b/src/placement/repair.hpp
@@ -13,7 +13,8 @@
   const Fleet& fleet;
   const History& history;
   const WeightLoads& loads;
-  std::uint32_t loadsLeft = 0; ///< Groups that may begin to load now.
+  std::uint32_t loadsLeft = 0;  ///< Groups that may begin to load now.
+  bool areSparesLoaded = false; ///< Spares load weights ahead of need.
 };
 
 /// \brief Groups of one fabric domain to give up together, so that their survivors, with spares,
--- a/src/placement/repair_cost.cpp
+++ b/src/placement/repair_cost.cpp
@@ -9,6 +9,8 @@
 
 /// From giving up a group until its survivors are free.
 constexpr double kReleaseSeconds = 2;
+/// What a warm spare is still worth where the next one is loaded ahead of need anyhow.
+constexpr double kRefilledWorth = 0.1;
 /// Time that one more decision costs if the group's members come back right away.
 constexpr double kNextLookSeconds = 1;
 
@@ -144,7 +146,8 @@
     after = found == pool.warm.end() ? 0 : found->second;
   }
   const double load = input.loads.LoadSeconds(input.fleet.models[model].view->entry);
-  const double loadCost = first.rate * std::max(0.0, load - input.loads.FormSeconds());
+  const double share = input.areSparesLoaded ? kRefilledWorth : 1;
+  const double loadCost = share * first.rate * std::max(0.0, load - input.loads.FormSeconds());
   WarmChange change;
   change.cost = WorthOfWarm(before, loadCost) - WorthOfWarm(after, loadCost);
   change.worthOfNext = WorthOfWarm(after + 1, loadCost) - WorthOfWarm(after, loadCost);
--- a/tests/fakes/placement_replay.hpp
+++ b/tests/fakes/placement_replay.hpp
@@ -19,8 +19,9 @@
   std::uint32_t replicas = 30;
   std::uint32_t acceleratorsPerVm = 2;
   PolicySpec policy;
-  double loadSeconds = 120; ///< At the weight store's full rate.
-  double formSeconds = 10;  ///< Until a new group serves whose members hold the weights.
+  double loadSeconds = 120;    ///< At the weight store's full rate.
+  double formSeconds = 10;     ///< Until a new group serves whose members hold the weights.
+  bool grantsPreloads = false; ///< Spares load when the planner wishes it.
   double days = 30;
 
   [[nodiscard]] std::uint32_t CountFabrics() const
