--- a/bench/placement.cpp
+++ b/bench/placement.cpp
@@ -82,14 +82,14 @@
   full.fleet.fabricsPerFailureDomain = 4;
   full.fleet.vmsPerFabric = 108;
   full.fleet.replicas = 1800;
-  full.fleet.days = 2;
+  full.fleet.days = 0.5;
   full.fleet.policy.downtimeWeight = 4;
   full.fleet.policy.strandedWeight = 0.5;
   full.fleet.policy.weightLoadsAtOnce = 32;
   full.rates = RatesOfLetter(full.fleet.CountVms());
-  full.rates.switches = 0.5;
-  full.rates.blips = 0.5;
-  full.rates.domains = 0.25;
+  full.rates.switches = 2;
+  full.rates.blips = 2;
+  full.rates.domains = 1;
   return full;
 }
 
--- a/src/placement/planner.cpp
+++ b/src/placement/planner.cpp
@@ -47,6 +47,7 @@
   impl::Promises promises;
   impl::MemberRows memberRows;
   impl::Preloads preloads;
+  std::vector<TimePoint> owedLoads; ///< Of groups given up and not formed again, until when.
   std::optional<TimePoint> begunAt;
   TimePoint lastCall{};
 
@@ -86,6 +87,21 @@
     }
   }
 
+  /// Until a group given up is formed again, the load that it will need is spoken for: another
+  /// repair that took its place at the store would leave both groups down.
+  std::uint32_t LoadsLeftForRepairs(const impl::Fleet& fleet)
+  {
+    std::erase_if(owedLoads, [&](TimePoint until) { return until <= fleet.now; });
+    const std::uint32_t left = loads.CountLeft(*fleet.policy);
+    return left - std::min(left, static_cast<std::uint32_t>(owedLoads.size()));
+  }
+
+  void PayLoads(std::size_t formed)
+  {
+    const auto paid = static_cast<std::ptrdiff_t>(std::min(formed, owedLoads.size()));
+    owedLoads.erase(owedLoads.begin(), owedLoads.begin() + paid);
+  }
+
   std::uint32_t LoadsLeft(const impl::Fleet& fleet) const
   {
     const auto promised =
@@ -102,6 +118,7 @@
     }
     group.ending = true;
     group.releasing = true;
+    owedLoads.push_back(fleet.now + kPromiseTime);
     DoubtMembers(fleet, group);
     actions.emplace_back(
       DissolveGroupAction{ group.view->group, "its survivors serve sooner in a new group" });
@@ -117,7 +134,7 @@
     std::vector<std::uint32_t> extra = std::move(retired.surge);
     if (isSettled) {
       for (const impl::Row row :
-           policy({ fleet, history, loads, LoadsLeft(fleet), preloads.AreGranted() })) {
+           policy({ fleet, history, loads, LoadsLeftForRepairs(fleet), preloads.AreGranted() })) {
         GiveUp(fleet, row, actions);
       }
     }
@@ -127,7 +144,9 @@
         impl::CountStandIns({ fleet, history, loads, loadsLeft, preloads.AreGranted() });
       std::ranges::transform(extra, standIns, extra.begin(), std::plus{});
     }
-    std::ranges::move(impl::FormGroups(fleet, extra, loadsLeft), std::back_inserter(actions));
+    std::vector<FormGroupAction> formed = impl::FormGroups(fleet, extra, loadsLeft);
+    PayLoads(formed.size());
+    std::ranges::move(formed, std::back_inserter(actions));
     preloads.Choose(fleet, loadsLeft);
     return actions;
   }
--- a/tests/unit/placement_repair_test.cpp
+++ b/tests/unit/placement_repair_test.cpp
@@ -317,6 +317,56 @@
   EXPECT_THAT(Only<DissolveGroupAction>(tables.Run(10s)), SizeIs(1));
 }
 
+TEST(PlacementLoads, RepairsOfSeveralFabricDomainsShareTheStore)
+{
+  PlacementTables tables;
+  tables.policy.weightLoadsAtOnce = 1;
+  tables.AddModel("m", 2, 2);
+  tables.AddVms("fabric-a", "a", 3);
+  tables.AddVms("fabric-b", "b", 3);
+  tables.AddGroup("m", { "a0", "a1" });
+  tables.AddGroup("m", { "b0", "b1" });
+  tables.Run(10s);
+  tables.Lose("a0");
+  tables.Lose("b0");
+  EXPECT_THAT(Only<DissolveGroupAction>(tables.Run(2min)), SizeIs(1));
+}
+
+TEST(PlacementLoads, SparesAreToLoadAheadOfNeed)
+{
+  PlacementTables tables = MakeGroups(2, 3);
+  tables.policy.weightLoadsAtOnce = 4;
+  const auto wished = [&] {
+    std::vector<VmId> vms;
+    for (const PreloadWish& wish : tables.planner.Preloads()) {
+      EXPECT_EQ(wish.entry.Get() + "@" + wish.modelVersion, "m@v1");
+      vms.push_back(wish.vm);
+    }
+    return Names(vms);
+  };
+  EXPECT_THAT(wished(), ElementsAre("a8", "a9")) << "half of the store's budget";
+  SECTION("a wish that came true makes room for the next, and the others stay")
+  {
+    tables.Vm("a8").loadedModel = "m@v1";
+    tables.Run(1s);
+    EXPECT_THAT(wished(), ElementsAre("a9", "a10"));
+  }
+  SECTION("a lost spare loads nothing")
+  {
+    tables.Lose("a9");
+    tables.Run(1s);
+    EXPECT_THAT(wished(), ElementsAre("a10"));
+  }
+  SECTION("groups that have to load go first")
+  {
+    tables.policy.weightLoadsAtOnce = 1;
+    tables.AddModel("other", 1, 1, PriorityClass::kBatch);
+    tables.AddVms("fabric-b", "b", 1);
+    tables.Run(3s);
+    EXPECT_THAT(wished(), IsEmpty());
+  }
+}
+
 TEST(PlacementLoads, GroupsThatComeBackEmptyLoadInTurns)
 {
   // Symptom: a failure domain comes back empty, and its first group serves only when the last
