--- a/tests/unit/placement_estimates_test.cpp
+++ b/tests/unit/placement_estimates_test.cpp
@@ -78,6 +78,23 @@
   EXPECT_LT(history.Times(OutageSpan::kWhole).StillAway(0, 60), whole);
 }
 
+TEST(PlacementEstimates, AnOutageCountsWhileItLasts)
+{
+  test::PlacementTables tables;
+  tables.AddVms("fabric-a", "a", 2);
+  History history;
+  const auto observe = [&](Duration step) {
+    tables.now += step;
+    history.Observe(tables.now, { tables.vms, {}, {}, nullptr });
+  };
+  observe(1s);
+  tables.Lose("a0");
+  observe(1s);
+  const double before = history.Times(OutageSpan::kAlone).StillAway(3600, 3600);
+  observe(48h);
+  EXPECT_GT(history.Times(OutageSpan::kAlone).StillAway(3600, 3600), before + 0.02);
+}
+
 TEST(PlacementEstimates, TheLastSpareIsTheDearest)
 {
   EXPECT_GT(OutagesLeftOut(1, 1, 0.3), 5 * OutagesLeftOut(3, 1, 0.3));
