--- a/src/shell/agent_shell.cpp
+++ b/src/shell/agent_shell.cpp
@@ -59,7 +59,7 @@
   loop = std::make_unique<Loop>(
     AgentRole::kTickInterval,
     [&](TimePoint now, std::span<const AgentInput> inbox, std::vector<AgentOutput>& outbox) {
-      role.Tick(now, inbox, outbox);
+      shell.RunTick([&] { role.Tick(now, inbox, outbox); });
     },
     [&](AgentOutput& output) { std::visit(handle, output); });
   const Result<void> started =
--- a/src/shell/control_shell.cpp
+++ b/src/shell/control_shell.cpp
@@ -55,7 +55,10 @@
                .plan = {} })
     , m_loop(
         ControlRole::kTickInterval,
-        [this](TimePoint now, auto inbox, auto& outbox) { Tick(now, inbox, outbox); },
+        [this](TimePoint now, auto inbox, auto& outbox) {
+          m_shell.RunTick([&] { Tick(now, inbox, outbox); });
+          m_shell.OnReplication(m_raft.Status());
+        },
         [this](ControlOutput& output) { Handle(output); })
   {
     for (const PeerAddress& control : settings.controls) {
--- a/src/shell/entry_shell.cpp
+++ b/src/shell/entry_shell.cpp
@@ -36,7 +36,7 @@
   loop = std::make_unique<Loop>(
     EntryRole::kTickInterval,
     [&](TimePoint now, std::span<const EntryInput> inbox, std::vector<EntryOutput>& outbox) {
-      role.Tick(now, inbox, outbox);
+      shell.RunTick([&] { role.Tick(now, inbox, outbox); });
     },
     [&](EntryOutput& output) { std::visit(handle, output); });
   const Result<void> started =
--- a/src/shell/process_shell.cpp
+++ b/src/shell/process_shell.cpp
@@ -1,6 +1,7 @@
 #include "shell/process_shell.hpp"
 
 #include "gooseberrysail/observe/event.hpp"
+#include "gooseberrysail/process/usage.hpp"
 #include "gooseberrysail/shell/clock.hpp"
 
 #include <csignal>
@@ -51,6 +52,9 @@
   , m_random(std::random_device{}())
   , m_incarnation(DrawIncarnation(m_random))
   , m_logger(settings.process, settings.observe.logLevel, WallNow)
+  , m_observer(settings, m_incarnation, { .wallMillis = WallNow, .sample = [this] {
+                                           return SampleMetrics();
+                                         } })
 {
 }
 
@@ -58,18 +62,19 @@
 {
   m_hooks = std::move(hooks);
   const auto record = [this](const EventOut& event) { Record(event); };
-  m_mesh = std::make_unique<PeerMesh>(m_runtime,
-                                      MeshSettings(m_settings, m_incarnation),
-                                      PeerMeshHooks{ .onUp = m_hooks.onUp,
-                                                     .onDown = m_hooks.onDown,
-                                                     .onFrame = m_hooks.onFrame,
-                                                     .onEvent = record });
+  m_mesh = std::make_unique<PeerMesh>(
+    m_runtime,
+    MeshSettings(m_settings, m_incarnation),
+    PeerMeshHooks{ .onUp = m_hooks.onUp,
+                   .onDown = m_hooks.onDown,
+                   .onFrame = [this](FrameIn frame) { OnFrame(std::move(frame)); },
+                   .onEvent = record });
   BOOST_OUTCOME_TRY(m_mesh->Start());
   m_http = std::make_unique<HttpServer>(
     m_runtime,
     HttpSettings(m_settings),
     HttpServerHooks{ .onRequest = [this](HttpRequestIn request) { OnRequest(std::move(request)); },
-                     .onCallerGone = m_hooks.onCallerGone,
+                     .onCallerGone = [this](HttpCallerGone gone) { OnCallerGone(gone); },
                      .onEvent = record,
                      .errorBody = {} });
   BOOST_OUTCOME_TRY(m_http->Start());
@@ -97,6 +102,7 @@
 void ProcessShell::Record(const EventOut& event)
 {
   m_logger.Write(event);
+  m_observer.OnEvent(event);
 }
 
 void ProcessShell::RecordFailure(const Error& error)
@@ -126,9 +132,61 @@
 
 void ProcessShell::OnRequest(HttpRequestIn request)
 {
+  if (std::optional<HttpAnswerOut> page = m_observer.OnRequest(BootNow(), request)) {
+    m_http->Send(std::move(*page));
+    return;
+  }
   m_hooks.onRequest(std::move(request));
 }
 
+void ProcessShell::OnCallerGone(HttpCallerGone gone)
+{
+  m_observer.OnCallerGone(gone);
+  m_hooks.onCallerGone(gone);
+}
+
+void ProcessShell::OnFrame(FrameIn frame)
+{
+  if (const std::optional<FrameOut> answer = m_observer.OnFrameIn(frame)) {
+    Send(*answer);
+    return;
+  }
+  m_hooks.onFrame(std::move(frame));
+}
+
+void ProcessShell::Send(const FrameOut& frame)
+{
+  if (std::optional<FrameIn> looped = m_observer.OnFrameOut(frame)) {
+    m_hooks.onFrame(std::move(*looped));
+    return;
+  }
+  m_mesh->Send(frame);
+}
+
+void ProcessShell::Send(HttpAnswerOut answer)
+{
+  m_observer.OnAnswer(BootNow(), answer);
+  m_http->Send(std::move(answer));
+}
+
+MetricsSample ProcessShell::SampleMetrics() const
+{
+  MetricsSample sample;
+  if (const Result<ProcessUsage> usage = ReadProcessUsage()) {
+    sample.cpuSeconds = usage.value().cpuSeconds;
+    sample.residentBytes = usage.value().residentBytes;
+  }
+  const PeerMeshCounters& peers = m_mesh->Counters();
+  sample.peerFramesSent = peers.framesSent;
+  sample.peerFramesReceived = peers.framesReceived;
+  sample.peerBytesSent = peers.bytesSent;
+  sample.peerBytesReceived = peers.bytesReceived;
+  sample.httpRequests = m_http->Counters().requests;
+  sample.httpRejected = m_http->Counters().rejected;
+  sample.httpInFlight = m_http->PendingExchanges();
+  return sample;
+}
+
 std::vector<EntrySettings::Control> ControlsOf(const ProcessSettings& settings)
 {
   std::vector<EntrySettings::Control> controls;
--- a/src/shell/process_shell.hpp
+++ b/src/shell/process_shell.hpp
@@ -4,12 +4,15 @@
 #include "gooseberrysail/logging/logger.hpp"
 #include "gooseberrysail/net/fiber_runtime.hpp"
 #include "gooseberrysail/net/peer_mesh.hpp"
+#include "gooseberrysail/observe/process_observer.hpp"
 #include "gooseberrysail/roles/entry_role.hpp"
 #include "gooseberrysail/settings/settings.hpp"
+#include "gooseberrysail/shell/clock.hpp"
 
 #include <functional>
 #include <memory>
 #include <random>
+#include <utility>
 #include <vector>
 
 namespace gooseberrysail::impl {
@@ -43,8 +46,20 @@
   /// \brief Logs a failure that ends the process.
   void RecordFailure(const Error& error);
 
-  void Send(const FrameOut& frame) { m_mesh->Send(frame); }
-  void Send(HttpAnswerOut answer) { m_http->Send(std::move(answer)); }
+  void Send(const FrameOut& frame);
+  void Send(HttpAnswerOut answer);
+
+  /// \brief Runs one tick of the role and counts the time it took.
+  template<class Tick>
+  void RunTick(Tick&& tick)
+  {
+    const TimePoint before = BootNow();
+    std::forward<Tick>(tick)();
+    m_observer.OnTick(BootNow() - before);
+  }
+
+  /// \brief For the metrics; control only.
+  void OnReplication(const ReplicationStatus& status) { m_observer.OnReplication(status); }
 
   [[nodiscard]] IoRuntime& Runtime() noexcept { return m_runtime; }
   [[nodiscard]] Incarnation OwnIncarnation() const noexcept { return m_incarnation; }
@@ -55,11 +70,15 @@
 private:
   void OnSignal();
   void OnRequest(HttpRequestIn request);
+  void OnCallerGone(HttpCallerGone gone);
+  void OnFrame(FrameIn frame);
+  [[nodiscard]] MetricsSample SampleMetrics() const;
 
   const ProcessSettings& m_settings;
   std::mt19937_64 m_random;
   Incarnation m_incarnation;
   Logger m_logger;
+  ProcessObserver m_observer;
   IoRuntime m_runtime;
   ShellHooks m_hooks;
   std::unique_ptr<PeerMesh> m_mesh;
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -7,6 +7,7 @@
 import hashlib
 import http.client
 import json
+import os
 import pathlib
 import signal
 import socket
@@ -91,9 +92,10 @@
         return address
 
     def tool(self, *arguments):
-        command = [str(self.build / "gooseberrysail"), "--control", self.control_http]
-        command += ["--token", OPERATOR_TOKEN, *arguments]
-        done = subprocess.run(command, text=True, capture_output=True)
+        command = [str(self.build / "gooseberrysail"), "--control", self.control_http, *arguments]
+        environment = {**os.environ, "GOOSEBERRYSAIL_TOKEN": OPERATOR_TOKEN,
+                       "GOOSEBERRYSAIL_OPERATOR": "demo"}
+        done = subprocess.run(command, text=True, capture_output=True, env=environment)
         return done.returncode, done.stdout + done.stderr
 
     def call(self, method, path, body=None, headers=None):
