--- a/tools/demo.py
+++ b/tools/demo.py
@@ -109,11 +109,16 @@
         return answer, text
 
     def stop(self):
-        for name, process in reversed(self.processes):
+        """Agents first: while control lives, it releases their groups and they leave at once."""
+        for role in ("agent", "entry", "target", "control"):
+            self.stop_all([entry for entry in self.processes if entry[0].startswith(role)])
+
+    def stop_all(self, processes):
+        for _, process in processes:
             process.send_signal(signal.SIGTERM)
-        for name, process in self.processes:
+        for name, process in processes:
             try:
-                process.wait(timeout=15)
+                process.wait(timeout=40)
             except subprocess.TimeoutExpired:
                 print("demo: %s did not stop, killing it" % name)
                 process.kill()
