--- a/src/shell/control_shell.cpp
+++ b/src/shell/control_shell.cpp
@@ -55,7 +55,10 @@
                .plan = {} })
     , m_loop(
         ControlRole::kTickInterval,
-        [this](TimePoint now, auto inbox, auto& outbox) { Tick(now, inbox, outbox); },
+        [this](TimePoint now, auto inbox, auto& outbox) {
+          m_shell.RunTick([&] { Tick(now, inbox, outbox); });
+          m_shell.OnReplication(m_raft.Status());
+        },
         [this](ControlOutput& output) { Handle(output); })
   {
     for (const PeerAddress& control : settings.controls) {
@@ -187,7 +190,7 @@
       [this](FrameOut& frame) { m_shell.Send(frame); },
       [this](HttpAnswerOut& answer) { m_shell.Send(std::move(answer)); },
       [this](EventOut& event) { m_shell.Record(event); },
-      [this](StoppedOut&) { m_loop.Stop(); },
+      [this](StoppedOut&) { m_shell.DrainCallers([this] { m_loop.Stop(); }); },
     };
     std::visit(handle, output);
   }
--- a/src/shell/entry_shell.cpp
+++ b/src/shell/entry_shell.cpp
@@ -31,12 +31,12 @@
     [&](FrameOut& frame) { shell.Send(frame); },
     [&](HttpAnswerOut& answer) { shell.Send(std::move(answer)); },
     [&](EventOut& event) { shell.Record(event); },
-    [&](StoppedOut&) { loop->Stop(); },
+    [&](StoppedOut&) { shell.DrainCallers([&] { loop->Stop(); }); },
   };
   loop = std::make_unique<Loop>(
     EntryRole::kTickInterval,
     [&](TimePoint now, std::span<const EntryInput> inbox, std::vector<EntryOutput>& outbox) {
-      role.Tick(now, inbox, outbox);
+      shell.RunTick([&] { role.Tick(now, inbox, outbox); });
     },
     [&](EntryOutput& output) { std::visit(handle, output); });
   const Result<void> started =
