--- a/include/gooseberrysail/observe/event_catalog.hpp
+++ b/include/gooseberrysail/observe/event_catalog.hpp
@@ -28,7 +28,7 @@
 /// EVENT(Name, number, level, "field names", "meaning").
 enum class EventNumber : std::uint32_t
 {
-#define EVENT(name, number, level, fields, meaning) k##name = number,
+#define EVENT(name, number, level, fields, meaning) k##name = (number),
 #include "gooseberrysail/observe/events/all.def"
 #undef EVENT
 };
--- a/tests/support/test_cluster.hpp
+++ b/tests/support/test_cluster.hpp
@@ -69,6 +69,7 @@
 
   [[nodiscard]] ChildProcess& Process(const std::string& name);
   [[nodiscard]] std::string EntryAddress(std::size_t entry) const;
+  [[nodiscard]] std::string TargetAddress(const std::string& vm) const { return m_targets.at(vm); }
   [[nodiscard]] std::string ControlAddress(std::size_t control) const;
   [[nodiscard]] std::string DataFolder(std::size_t control) const;
   /// \brief Starts a daemon again with the settings it had.
