Relay look-ups between entries through control; entries tell their failure domain

Symptom: GET /requests/{id} at an entry that had not taken the request ended in 503 after two seconds. Cause: control dropped an entry's RequestQuery; entries have no connections with each other. And entries left InForce.failureDomain empty, so routes never preferred their own domain. Ruled out: connections between entries (390 squared at the full size). Change: control/request_relay, and one line in the entry's report. Conclusion: any entry can tell.

--- a/src/control/control_role.cpp
+++ b/src/control/control_role.cpp
@@ -5,6 +5,7 @@
 #include "gooseberrysail/control/config_service.hpp"
 #include "gooseberrysail/control/group_planning.hpp"
 #include "gooseberrysail/control/membership.hpp"
+#include "gooseberrysail/control/request_relay.hpp"
 #include "gooseberrysail/control/route_distribution.hpp"
 #include "gooseberrysail/control/usage_shares.hpp"
 #include "gooseberrysail/observe/event.hpp"
@@ -67,6 +68,7 @@
   RouteDistribution routes;
   ClaimService claims;
   UsageShares shares;
+  RequestRelay relay;
   AdminApi admin;
 
   std::vector<EventOut> events; ///< Of commands applied since the last tick.
@@ -199,6 +201,7 @@
   planning.Tick(context, membership);
   routes.Tick(context, membership, config);
   claims.Tick(context);
+  relay.Tick(context);
   shares.Tick(context);
   admin.Tick(context, Sources());
 }
@@ -310,8 +313,13 @@
     case wire::Body::UsageReport:
       shares.OnReport(context, peer, *body.AsUsageReport());
       break;
+    case wire::Body::RequestQuery:
+      relay.OnQuery(context, peer, *body.AsRequestQuery());
+      break;
     case wire::Body::RequestAnswer:
-      admin.OnRequestAnswer(context, peer, *body.AsRequestAnswer());
+      if (!relay.OnAnswer(context, peer, *body.AsRequestAnswer())) {
+        admin.OnRequestAnswer(context, peer, *body.AsRequestAnswer());
+      }
       break;
     case wire::Body::TimelineAnswer:
       admin.OnTimelineAnswer(context, peer, *body.AsTimelineAnswer());
--- a/src/entry/control_reports.cpp
+++ b/src/entry/control_reports.cpp
@@ -29,6 +29,7 @@
   }
   wire::InForceT report;
   report.version = m_reported.Get();
+  report.failureDomain = context.settings.failureDomain.Get();
   context.SendToControl(std::move(report));
 }
 
--- a/tests/process/thin_path_test.cpp
+++ b/tests/process/thin_path_test.cpp
@@ -67,6 +67,27 @@
   }
 }
 
+// Symptom: an engineer asks an entry what became of a request and is told that nobody knows.
+// Sequence: the balancer sends the request to one entry and the question to another.
+// Cause: entries have no connections with each other; the question must pass through control.
+TEST(ThinPath, AnyEntryTellsWhatBecameOfARequest)
+{
+  TestCluster cluster({ .controls = 1, .entries = 2 });
+  cluster.AddEngineVms("vm", 4, "fabric-a");
+  ASSERT_EQ(cluster.Apply(TestCluster::DefaultCatalogue()).status, 200U);
+  ASSERT_TRUE(cluster.WaitServing()) << cluster.Outputs();
+  const HttpReply answer = cluster.Chat(0, "Is a crane free?");
+  ASSERT_EQ(answer.status, 200U);
+  const std::string path = "/requests/" + answer.Header("X-Request-Id");
+  for (const std::size_t entry : { 0UL, 1UL }) {
+    const HttpReply record = cluster.CallEntry(entry, "GET", path);
+    EXPECT_EQ(record.status, 200U) << entry << record.body;
+    EXPECT_NE(record.body.find("completed"), std::string::npos) << record.body;
+  }
+  const HttpReply unknown = cluster.CallEntry(1, "GET", "/requests/entry-1.1.999999");
+  EXPECT_EQ(unknown.status, 404U) << unknown.body;
+}
+
 // Symptom: a replica that lost one of its VMs would answer with garbage or hang.
 // Sequence: the group serves; one member's agent is killed; the next request arrives.
 // Cause: nothing but the beats of its members tells a head that one is gone.
