--- a/src/cli/read_commands.cpp
+++ b/src/cli/read_commands.cpp
@@ -80,7 +80,7 @@
 
 std::string InForceText(const json::object& change)
 {
-  const std::string everywhere = TimeAt(change, "inForceEverywhereAtMs");
+  std::string everywhere = TimeAt(change, "inForceEverywhereAtMs");
   if (!everywhere.empty()) {
     return everywhere;
   }
