--- a/src/placement/repair.cpp
+++ b/src/placement/repair.cpp
@@ -125,6 +125,18 @@
   return best;
 }
 
+/// Replicas beyond those wanted: stand-ins that earlier calls formed.
+std::vector<std::uint32_t> CountSurplus(const Fleet& fleet)
+{
+  std::vector<std::uint32_t> surplus;
+  for (const FleetModel& model : fleet.models) {
+    const auto replicas = static_cast<std::uint32_t>(
+      std::ranges::count_if(model.groups, [&](Row row) { return !fleet.groups[row].ending; }));
+    surplus.push_back(replicas - std::min(replicas, model.Wanted()));
+  }
+  return surplus;
+}
+
 } // namespace
 
 std::vector<Repair> ChooseRepairs(const RepairInput& input)
@@ -178,8 +190,14 @@
     return std::tuple(fleet.groups[left.group].model, CostOfWaiting(right)) <
            std::tuple(fleet.groups[right.group].model, CostOfWaiting(left));
   });
+  std::vector<std::uint32_t> covered = CountSurplus(fleet);
+  counts = covered;
   for (const Outlook& outlook : outlooks) {
     const Row model = fleet.groups[outlook.group].model;
+    if (covered[model] > 0) {
+      --covered[model];
+      continue;
+    }
     const std::size_t size = fleet.models[model].Size();
     const auto most = std::ranges::max_element(spares);
     if (most == spares.end() || *most < size) {
--- a/tests/unit/placement_repair_test.cpp
+++ b/tests/unit/placement_repair_test.cpp
@@ -244,6 +244,22 @@
   EXPECT_THAT(tables.groups, SizeIs(2)) << "one too many is ended";
 }
 
+TEST(PlacementRepair, FurtherStandInsFollowAsTheStoreAllows)
+{
+  // Symptom: of several dark groups only the first few are ever stood in for. The spares used by
+  // those were no longer there to be counted, so the number asked for fell below what existed.
+  PlacementTables tables = MakeGroups(2, 0);
+  tables.policy.weightLoadsAtOnce = 1;
+  tables.AddVms("fabric-b", "b", 8);
+  tables.Run(10s);
+  for (int vm = 0; vm < 8; ++vm) {
+    tables.Lose("a" + std::to_string(vm));
+  }
+  ASSERT_THAT(Only<FormGroupAction>(tables.Run(2min)), SizeIs(1));
+  tables.Load(tables.groups.back().view.group);
+  EXPECT_THAT(Only<FormGroupAction>(tables.Run(2min)), SizeIs(1));
+}
+
 TEST(PlacementRepair, AFlappingVmIsKeptOutForAWhile)
 {
   // Symptom: one VM comes and goes for an hour, and each time takes a group of four down with it.
