--- a/tests/support/placement_tables.hpp
+++ b/tests/support/placement_tables.hpp
@@ -59,6 +59,11 @@
     }
   }
 
+  static std::string Weights(std::string model, const std::string& version)
+  {
+    return model.append("@").append(version);
+  }
+
   VmView& Vm(const std::string& name) { return *std::ranges::find(vms, VmId(name), &VmView::vm); }
 
   /// \brief A group that serves, as if formed before the story begins.
@@ -75,7 +80,7 @@
     for (const std::string& name : members) {
       group.members.emplace_back(name);
       Vm(name).group = group.view.group;
-      Vm(name).loadedModel = model + "@" + version;
+      Vm(name).loadedModel = Weights(model, version);
     }
     return group.view.group;
   }
@@ -116,7 +121,7 @@
   {
     const auto holds = [&](const VmId& id) {
       const VmView& vm = Vm(id.Get());
-      return vm.loadedModel == group.view.entry.Get() + "@" + group.view.modelVersion;
+      return vm.loadedModel == Weights(group.view.entry.Get(), group.view.modelVersion);
     };
     if (std::ranges::all_of(group.members,
                             [&](const VmId& id) { return Vm(id.Get()).reachable; })) {
@@ -130,7 +135,7 @@
   {
     Group& group = *Find(id);
     for (const VmId& member : group.members) {
-      Vm(member.Get()).loadedModel = group.view.entry.Get() + "@" + group.view.modelVersion;
+      Vm(member.Get()).loadedModel = Weights(group.view.entry.Get(), group.view.modelVersion);
     }
     Heal(group);
   }
