--- a/bench/routing/chooser.hpp
+++ b/bench/routing/chooser.hpp
@@ -46,11 +46,14 @@
 class Chooser
 {
 public:
-  Chooser(Policy policy, FailureDomainId domain, std::uint64_t seed, const RouterPolicy& tuning)
+  Chooser(Policy policy,
+          const FailureDomainId& domain,
+          std::uint64_t seed,
+          const RouterPolicy& tuning)
     : m_policy(policy)
     , m_random(seed)
     , router(
-        std::move(domain),
+        domain,
         [this] { return m_random(); },
         tuning)
   {
--- a/bench/routing/cost.hpp
+++ b/bench/routing/cost.hpp
@@ -2,6 +2,7 @@
 
 #include "gooseberrysail/admission/admission.hpp"
 #include "gooseberrysail/routing/router.hpp"
+#include "routing/prefix_index.hpp"
 
 #include <array>
 #include <chrono>
@@ -31,6 +32,8 @@
       times.push_back(cost.choose);
     }
     Fit(sizes, times);
+    std::printf("prefix index, whatever is known: %zu bytes\n",
+                impl::PrefixIndex(RouterPolicy{}).Bytes());
     std::printf("all in one catalogue entry (more than control hands out)\n");
     Print(1800, Measure(1800, 1800));
     MeasureAdmission();
--- a/bench/routing/simulation.hpp
+++ b/bench/routing/simulation.hpp
@@ -155,11 +155,11 @@
   struct EntryState
   {
     EntryState(Policy policy,
-               FailureDomainId domain,
+               const FailureDomainId& domain,
                std::uint64_t seed,
                const RouterPolicy& tuning,
                const AdmissionPolicy& admissionTuning)
-      : chooser(policy, std::move(domain), seed, tuning)
+      : chooser(policy, domain, seed, tuning)
       , admission(admissionTuning)
     {
     }
@@ -487,8 +487,8 @@
     if (!engine.stepping) {
       return;
     }
-    auto result = engine.Step();
-    In(result.seconds, [this, index, done = std::move(result)] { StepEnds(index, done); });
+    auto result = std::make_shared<Engine::StepResult>(engine.Step());
+    In(result->seconds, [this, index, result] { StepEnds(index, *result); });
   }
 
   void StepEnds(std::size_t index, const Engine::StepResult& result)
--- a/include/gooseberrysail/routing/router.hpp
+++ b/include/gooseberrysail/routing/router.hpp
@@ -67,7 +67,7 @@
 class Router
 {
 public:
-  Router(FailureDomainId ownDomain,
+  Router(const FailureDomainId& ownDomain,
          std::function<std::uint64_t()> random,
          const RouterPolicy& policy = {});
   ~Router();
--- a/src/admission/admission.cpp
+++ b/src/admission/admission.cpp
@@ -5,6 +5,7 @@
 #include "admission/token_bucket.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <unordered_map>
 
 namespace gooseberrysail {
@@ -92,7 +93,7 @@
     row.tokens.SetRate(
       limits.tokensPerSecond > 0, limits.tokensPerSecond * row.share.tokens, policy.burstSeconds);
     row.maxConcurrent =
-      static_cast<std::uint32_t>(limits.maxConcurrent * row.share.concurrent + 0.5);
+      static_cast<std::uint32_t>(std::lround(limits.maxConcurrent * row.share.concurrent));
   }
 
   [[nodiscard]] impl::ReturnSchedule::Bounds Bounds(double least) const
@@ -272,7 +273,8 @@
 {
   EntryRow& entry = m_impl->entries[entryName];
   const double oneEnd = 1 / entry.OwnDrain();
-  return entry.returns.Next(now, entry.OwnDrain() * m_impl->policy.returnPart, m_impl->Bounds(oneEnd));
+  return entry.returns.Next(
+    now, entry.OwnDrain() * m_impl->policy.returnPart, m_impl->Bounds(oneEnd));
 }
 
 void Admission::OnFinished(TimePoint now,
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -35,7 +35,7 @@
   TimePoint latest{};
   std::vector<float> hits; ///< Scratch by slot: known part of the prompt, all zero between calls.
 
-  Impl(FailureDomainId domain,
+  Impl(const FailureDomainId& domain,
        std::function<std::uint64_t()> randomHook,
        const RouterPolicy& thePolicy)
     : policy(thePolicy)
@@ -138,10 +138,10 @@
 
 } // namespace
 
-Router::Router(FailureDomainId ownDomain,
+Router::Router(const FailureDomainId& ownDomain,
                std::function<std::uint64_t()> random,
                const RouterPolicy& policy)
-  : m_impl(std::make_unique<Impl>(std::move(ownDomain), std::move(random), policy))
+  : m_impl(std::make_unique<Impl>(ownDomain, std::move(random), policy))
 {
 }
 
--- a/tests/unit/admission_overload_test.cpp
+++ b/tests/unit/admission_overload_test.cpp
@@ -35,7 +35,7 @@
 // Cause: what can't be served in time was let in.
 TEST_F(AdmissionOverload, RefusesEarlyAndTellsWhenThereIsRoom)
 {
-  Occupy(kSlots / 2);
+  Occupy(kSlots * 0.5);
   EXPECT_TRUE(world.Decide().Admitted());
 
   Occupy(kSlots * 2);
@@ -55,7 +55,7 @@
     world.deadline = seconds(1);
     Occupy(kSlots);
     EXPECT_FALSE(world.Decide().Admitted());
-    Occupy(kSlots / 2);
+    Occupy(kSlots * 0.5);
     EXPECT_TRUE(world.Decide().Admitted());
   }
 }
@@ -107,6 +107,7 @@
 {
   Occupy(kSlots * 2);
   std::vector<Duration> returns;
+  returns.reserve(200);
   for (int i = 0; i < 200; ++i) {
     returns.push_back(world.Decide().retryAfter);
   }
