--- a/src/control/membership.cpp
+++ b/src/control/membership.cpp
@@ -8,7 +8,8 @@
 
 namespace {
 
-constexpr Duration kTendInterval = std::chrono::milliseconds(100);
+/// \brief Timers of groups may run late by this; news are tended at once.
+constexpr Duration kTendInterval = std::chrono::milliseconds(250);
 constexpr Duration kSweepInterval = std::chrono::seconds(10);
 constexpr Duration kForgetVmAfter = std::chrono::hours(1);
 constexpr Duration kReportWaitLimit = std::chrono::seconds(5);
@@ -63,24 +64,25 @@
 
 } // namespace
 
-void Membership::OnLeaderStart(const ControlContext&)
+void TargetMembership::OnLeaderStart(const ControlContext&)
 {
   // What an earlier term of leadership heard and granted may be long out of date.
   m_groups.clear();
   m_waiting.clear();
 }
 
-void Membership::OnPeerDown(const ProcessId& peer)
+void TargetMembership::OnPeerDown(const ProcessId& peer)
 {
   const auto vm = m_vmOfProcess.find(peer);
   if (vm != m_vmOfProcess.end()) {
     m_vms[vm->second].connected = false;
+    ++m_observations;
   }
 }
 
-void Membership::OnAnnounce(ControlContext& context,
-                            const ProcessId& peer,
-                            const wire::AnnounceT& announce)
+void TargetMembership::OnAnnounce(ControlContext& context,
+                                  const ProcessId& peer,
+                                  const wire::AnnounceT& announce)
 {
   const VmId vm(announce.vm);
   if (vm.IsNone()) {
@@ -97,10 +99,18 @@
       { { "vm", vm.Get() }, { "holder", live.process.Get() }, { "refused", peer.Get() } }));
     return;
   }
+  const bool changed =
+    !live.connected || live.leaving != announce.leaving || live.loadedModel != announce.loadedModel;
+  m_observations += changed ? 1 : 0;
   live.process = peer;
   live.lastHeard = context.now;
   live.connected = true;
   live.leaving = announce.leaving;
+  if (live.leaving) {
+    m_leaving.insert(vm);
+  } else {
+    m_leaving.erase(vm);
+  }
   live.loadedModel = announce.loadedModel;
   live.reportedGroup = GroupId(announce.group);
   live.reportedEpoch = Epoch(announce.epoch);
@@ -132,13 +142,13 @@
     wire::ReleaseT release;
     release.group = announce.group;
     release.epoch = announce.epoch;
-    context.SendMessage(peer, std::move(release));
+    context.SendMessage(peer, release);
   }
 }
 
-void Membership::OnAssignReply(const ControlContext& context,
-                               const ProcessId& peer,
-                               const wire::AssignReplyT& reply)
+void TargetMembership::OnAssignReply(const ControlContext& context,
+                                     const ProcessId& peer,
+                                     const wire::AssignReplyT& reply)
 {
   const auto found = m_groups.find(GroupId(reply.group));
   if (found != m_groups.end() && reply.accepted && SpeaksFor(context, peer, VmId(reply.vm))) {
@@ -146,21 +156,22 @@
   }
 }
 
-void Membership::OnReleased(const ControlContext& context,
-                            const ProcessId& peer,
-                            const wire::ReleasedT& released)
+void TargetMembership::OnReleased(const ControlContext& context,
+                                  const ProcessId& peer,
+                                  const wire::ReleasedT& released)
 {
   const auto found = m_groups.find(GroupId(released.group));
   const bool sameEpoch = released.epoch == released.group;
   if (found != m_groups.end() && sameEpoch && SpeaksFor(context, peer, VmId(released.vm))) {
     found->second.released.insert(VmId(released.vm));
     found->second.nextOrders = TimePoint{};
+    ++m_observations;
   }
 }
 
-void Membership::OnReport(const ControlContext& context,
-                          const ProcessId& peer,
-                          const wire::GroupReportT& report)
+void TargetMembership::OnReport(const ControlContext& context,
+                                const ProcessId& peer,
+                                const wire::GroupReportT& report)
 {
   if (m_waiting.size() < kMaxWaitingReports) {
     m_waiting.push_back(WaitingReport{ peer, report, TakeTicket(context) });
@@ -170,6 +181,9 @@
     return;
   }
   GroupLive& live = m_groups[row->group];
+  const bool changed =
+    !live.reported || live.ready != report.ready || live.missing.size() != report.missing.size();
+  m_observations += changed ? 1 : 0;
   live.lastReport = context.now;
   live.reported = true;
   live.ready = report.ready;
@@ -183,16 +197,16 @@
   NoteBroken(context, *row, live);
 }
 
-bool Membership::MayHoldLease(const ControlContext& context,
-                              const ProcessId& peer,
-                              const wire::GroupReportT& report)
+bool TargetMembership::MayHoldLease(const ControlContext& context,
+                                    const ProcessId& peer,
+                                    const wire::GroupReportT& report)
 {
   const GroupRow* row = context.state.GetGroups().FindGroup(GroupId(report.group));
   return row != nullptr && !row->dissolved && report.epoch == row->group.Get() &&
          row->head.Get() == report.vm && SpeaksFor(context, peer, row->head);
 }
 
-void Membership::AnswerReports(ControlContext& context)
+void TargetMembership::AnswerReports(ControlContext& context)
 {
   // A lease granted by a leader that was deposed without noticing would outlive the wait of its
   // successor, and a VM would be in two groups. So a grant, too, waits for the quorum: a leader
@@ -211,14 +225,14 @@
       grant.leaseMillis = static_cast<std::uint32_t>(ToMillis(context.settings.groupLease));
       m_groups[GroupId(grant.group)].lastGrant = context.now;
     }
-    context.SendMessage(waiting.peer, std::move(grant));
+    context.SendMessage(waiting.peer, grant);
   }
   while (!m_waiting.empty() && context.now - m_waiting.front().ticket.asked > kReportWaitLimit) {
     m_waiting.pop_front();
   }
 }
 
-TimePoint Membership::LeaseEnd(const ControlContext& context, GroupId group) const
+TimePoint TargetMembership::LeaseEnd(const ControlContext& context, GroupId group) const
 {
   // A predecessor may have granted a lease up to the moment at which this leader was elected.
   TimePoint latest = context.leaderSince;
@@ -230,14 +244,14 @@
   return latest + Duration(static_cast<Duration::rep>(lease / (1 - context.settings.clockDrift)));
 }
 
-bool Membership::IsServing(const ControlContext& context, const GroupRow& row) const
+bool TargetMembership::IsServing(const ControlContext& context, const GroupRow& row) const
 {
   const GroupLive* live = FindGroup(row.group);
   return live != nullptr && !row.dissolved && live->reported && live->ready &&
          context.now - live->lastReport < kReportTimeout;
 }
 
-bool Membership::IsReachable(const ControlContext& context, const VmRow& row) const
+bool TargetMembership::IsReachable(const ControlContext& context, const VmRow& row) const
 {
   const VmId vm(row.record.vm);
   const VmLive* live = FindVm(vm);
@@ -249,14 +263,14 @@
          std::find(group->missing.begin(), group->missing.end(), vm) == group->missing.end();
 }
 
-bool Membership::IsLeaving(const ControlContext& context, const VmId& vm) const
+bool TargetMembership::IsLeaving(const ControlContext& context, const VmId& vm) const
 {
   const TargetSpec* target = context.catalogue.FindTarget(vm);
   const VmLive* live = FindVm(vm);
   return (target != nullptr && target->draining) || (live != nullptr && live->leaving);
 }
 
-bool Membership::HasHeardAll(const ControlContext& context) const
+bool TargetMembership::HasHeardAll(const ControlContext& context) const
 {
   if (context.now - context.leaderSince >= kReportTimeout) {
     return true;
@@ -270,28 +284,33 @@
   return true;
 }
 
-const VmLive* Membership::FindVm(const VmId& vm) const
+const VmLive* TargetMembership::FindVm(const VmId& vm) const
 {
   const auto found = m_vms.find(vm);
   return found == m_vms.end() ? nullptr : &found->second;
 }
 
-const GroupLive* Membership::FindGroup(GroupId group) const
+const GroupLive* TargetMembership::FindGroup(GroupId group) const
 {
   const auto found = m_groups.find(group);
   return found == m_groups.end() ? nullptr : &found->second;
 }
 
-void Membership::Tick(ControlContext& context)
+void TargetMembership::Tick(ControlContext& context)
 {
   AnswerReports(context);
-  if (context.now < m_nextTend) {
+  const GroupTable& table = context.state.GetGroups();
+  const bool news = table.Revision() != m_tendedRevision || m_observations != m_tendedObservations;
+  if (!news && context.now < m_nextTend) {
     return;
   }
   m_nextTend = context.now + kTendInterval;
-  std::erase_if(m_groups, [&](const auto& item) {
-    return context.state.GetGroups().FindGroup(item.first) == nullptr;
-  });
+  m_tendedObservations = m_observations;
+  if (table.Revision() != m_tendedRevision) {
+    m_tendedRevision = table.Revision();
+    std::erase_if(m_groups,
+                  [&](const auto& item) { return table.FindGroup(item.first) == nullptr; });
+  }
   TendGroups(context);
   DrainLeaving(context);
   if (context.now >= m_nextSweep) {
@@ -301,7 +320,7 @@
   }
 }
 
-void Membership::TendGroups(ControlContext& context)
+void TargetMembership::TendGroups(ControlContext& context)
 {
   const bool mayOrder = context.HasFreshQuorum();
   for (const auto& [group, row] : context.state.GetGroups().Groups()) {
@@ -325,7 +344,9 @@
   }
 }
 
-void Membership::NoteBroken(const ControlContext& context, const GroupRow&, GroupLive& live) const
+void TargetMembership::NoteBroken(const ControlContext& context,
+                                  const GroupRow&,
+                                  GroupLive& live) const
 {
   const TimePoint heard = std::max({ live.lastReport, live.firstSeen, context.leaderSince });
   const bool silent = context.now - heard >= kReportTimeout;
@@ -336,7 +357,9 @@
   }
 }
 
-void Membership::SendAssigns(ControlContext& context, const GroupRow& row, GroupLive& live) const
+void TargetMembership::SendAssigns(ControlContext& context,
+                                   const GroupRow& row,
+                                   GroupLive& live) const
 {
   wire::AssignT assign;
   assign.group = row.group.Get();
@@ -362,10 +385,10 @@
   }
 }
 
-void Membership::SendRelease(ControlContext& context,
-                             const GroupRow& row,
-                             const VmId& vm,
-                             Duration grace) const
+void TargetMembership::SendRelease(ControlContext& context,
+                                   const GroupRow& row,
+                                   const VmId& vm,
+                                   Duration grace) const
 {
   const ProcessId agent(context.state.GetGroups().FindVm(vm)->record.process);
   if (!context.IsUp(agent)) {
@@ -375,10 +398,10 @@
   release.group = row.group.Get();
   release.epoch = row.group.Get();
   release.graceMillis = static_cast<std::uint32_t>(ToMillis(grace));
-  context.SendMessage(agent, std::move(release));
+  context.SendMessage(agent, release);
 }
 
-void Membership::TendDraining(ControlContext& context, const GroupRow& row, GroupLive& live)
+void TargetMembership::TendDraining(ControlContext& context, const GroupRow& row, GroupLive& live)
 {
   if (!live.drainSince) {
     live.drainSince = context.now;
@@ -402,7 +425,7 @@
   }
 }
 
-void Membership::TendDissolved(ControlContext& context, const GroupRow& row, GroupLive& live)
+void TargetMembership::TendDissolved(ControlContext& context, const GroupRow& row, GroupLive& live)
 {
   const bool leaseEnded = context.now >= LeaseEnd(context, row.group);
   // The head goes first: while it may still serve, a member that is given away would be in two
@@ -429,7 +452,7 @@
   }
 }
 
-void Membership::DrainLeaving(ControlContext& context)
+void TargetMembership::DrainLeaving(ControlContext& context)
 {
   const auto drain = [&](const VmId& vm) {
     const VmRow* row = context.state.GetGroups().FindVm(vm);
@@ -448,14 +471,12 @@
       drain(VmId(name));
     }
   }
-  for (const auto& [vm, live] : m_vms) {
-    if (live.leaving) {
-      drain(vm);
-    }
+  for (const VmId& vm : m_leaving) {
+    drain(vm);
   }
 }
 
-void Membership::ForgetVms(ControlContext& context)
+void TargetMembership::ForgetVms(ControlContext& context)
 {
   if (context.now - context.leaderSince < kForgetVmAfter) {
     return;
@@ -470,7 +491,8 @@
     }
   }
   std::erase_if(m_vms, [&](const auto& item) {
-    return !item.second.connected && context.now - item.second.lastHeard >= kForgetVmAfter;
+    return !item.second.connected && !item.second.leaving &&
+           context.now - item.second.lastHeard >= kForgetVmAfter;
   });
 }
 
--- a/src/entry/entry_role.cpp
+++ b/src/entry/entry_role.cpp
@@ -10,8 +10,6 @@
 #include "gooseberrysail/entry/request_end.hpp"
 #include "gooseberrysail/entry/request_lookups.hpp"
 
-#include <optional>
-
 namespace gooseberrysail {
 
 struct EntryRole::Impl
@@ -150,10 +148,15 @@
     reports.Tick(context);
   }
 
-  /// Stopping before a claim's outcome is acknowledged would leave its key "unknown" for ever.
+  /// Stopping before a claim's outcome is acknowledged would leave its key "unknown" for ever. The
+  /// mere record of a request whose caller was answered goes with this process anyway.
   [[nodiscard]] bool AllDone() const
   {
-    return context.requests.Size() == 0 && context.claims.Unreported() == 0 && lookups.Empty();
+    const auto isOwed = [](const Request& request) {
+      return request.caller.waiting || !request.key.empty();
+    };
+    return context.claims.Unreported() == 0 && lookups.Empty() &&
+           context.requests.IdsWhere(isOwed).empty();
   }
 
   void StopWhenDone()
--- a/src/shell/agent_shell.cpp
+++ b/src/shell/agent_shell.cpp
@@ -54,12 +54,12 @@
     [&](TargetCallOut& call) { target.Start(settings.agent.address, std::move(call)); },
     [&](TargetCancelOut& cancel) { target.Cancel(cancel.exchange); },
     [&](EventOut& event) { shell.Record(event); },
-    [&](StoppedOut&) { loop->Stop(); },
+    [&](StoppedOut&) { shell.DrainCallers([&] { loop->Stop(); }); },
   };
   loop = std::make_unique<Loop>(
     AgentRole::kTickInterval,
     [&](TimePoint now, std::span<const AgentInput> inbox, std::vector<AgentOutput>& outbox) {
-      role.Tick(now, inbox, outbox);
+      shell.RunTick([&] { role.Tick(now, inbox, outbox); });
     },
     [&](AgentOutput& output) { std::visit(handle, output); });
   const Result<void> started =
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -7,6 +7,7 @@
 import hashlib
 import http.client
 import json
+import os
 import pathlib
 import signal
 import socket
@@ -91,9 +92,10 @@
         return address
 
     def tool(self, *arguments):
-        command = [str(self.build / "gooseberrysail"), "--control", self.control_http]
-        command += ["--token", OPERATOR_TOKEN, *arguments]
-        done = subprocess.run(command, text=True, capture_output=True)
+        command = [str(self.build / "gooseberrysail"), "--control", self.control_http, *arguments]
+        environment = {**os.environ, "GOOSEBERRYSAIL_TOKEN": OPERATOR_TOKEN,
+                       "GOOSEBERRYSAIL_OPERATOR": "demo"}
+        done = subprocess.run(command, text=True, capture_output=True, env=environment)
         return done.returncode, done.stdout + done.stderr
 
     def call(self, method, path, body=None, headers=None):
@@ -107,11 +109,16 @@
         return answer, text
 
     def stop(self):
-        for name, process in reversed(self.processes):
+        """Agents first: while control lives, it releases their groups and they leave at once."""
+        for role in ("agent", "entry", "target", "control"):
+            self.stop_all([entry for entry in self.processes if entry[0].startswith(role)])
+
+    def stop_all(self, processes):
+        for _, process in processes:
             process.send_signal(signal.SIGTERM)
-        for name, process in self.processes:
+        for name, process in processes:
             try:
-                process.wait(timeout=15)
+                process.wait(timeout=40)
             except subprocess.TimeoutExpired:
                 print("demo: %s did not stop, killing it" % name)
                 process.kill()
