Entry: admission knows the work of all senders; refusals are no service time

Ruled out: passing every load report into admission (the router already keeps own counts exact and ages the rest). The effect under overload over real sockets was not measured.

--- a/include/gooseberrysail/entry/configuration_flow.hpp
+++ b/include/gooseberrysail/entry/configuration_flow.hpp
@@ -29,4 +29,7 @@
 /// \brief Tells admission how much the open groups can take.
 void UpdateCapacity(EntryContext& context);
 
+/// \brief Tells admission how many requests of all senders are in flight, as the groups report.
+void UpdateOccupancy(EntryContext& context);
+
 } // namespace gooseberrysail::impl
--- a/src/entry/configuration_flow.cpp
+++ b/src/entry/configuration_flow.cpp
@@ -106,4 +106,13 @@
   }
 }
 
+void UpdateOccupancy(EntryContext& context)
+{
+  for (const wire::EntryKind kind : { wire::EntryKind::Model, wire::EntryKind::Service }) {
+    for (const auto& [name, entry] : context.catalogue.All(kind)) {
+      context.admission.SetOccupancy(entry.name, context.router.Load(entry.name).inFlight);
+    }
+  }
+}
+
 } // namespace gooseberrysail::impl
--- a/src/entry/entry_role.cpp
+++ b/src/entry/entry_role.cpp
@@ -133,6 +133,7 @@
     if (context.now >= nextSweep) {
       nextSweep = context.now + EntryRole::kTickInterval;
       impl::SweepRequests(context);
+      impl::UpdateOccupancy(context);
       context.records.Expire(context.now);
       lookups.Tick(context);
     }
--- a/src/entry/request_end.cpp
+++ b/src/entry/request_end.cpp
@@ -26,7 +26,10 @@
   const Duration took = context.now - request.received;
   context.records.Close(
     context.now, request.id.Get(), outcome, why, status, context.hooks.wallMillis());
-  context.admission.OnFinished(context.now, request.workspace, request.entry, took, request.tokens);
+  // A refusal takes no service time; counted as one, it would make admission expect short waits.
+  const Duration served = outcome == Outcome::kNotRun ? Duration{} : took;
+  context.admission.OnFinished(
+    context.now, request.workspace, request.entry, served, request.tokens);
   context.Emit(EventNumber::kCallerAnswered,
                { { "request", request.id.Get() },
                  { "workspace", request.workspace.Get() },
