--- a/bench/request_path.cpp
+++ b/bench/request_path.cpp
@@ -146,6 +146,27 @@
               ResidentMegabytes(cluster, "agent-vm-1"));
 }
 
+/// What each process spends while nobody calls: beats, reports, confirmations, timers.
+void MeasureIdle(test::TestCluster& cluster)
+{
+  constexpr double kWatchSeconds = 10;
+  const std::vector<std::string> processes = { "control-1", "entry-1", "agent-vm-1", "agent-vm-2" };
+  std::vector<double> before;
+  for (const std::string& process : processes) {
+    before.push_back(CpuSeconds(cluster, process));
+  }
+  IoRuntime runtime;
+  runtime.SleepFor(
+    std::chrono::duration_cast<Duration>(std::chrono::duration<double>(kWatchSeconds)));
+  for (std::size_t index = 0; index < processes.size(); ++index) {
+    const double spent = CpuSeconds(cluster, processes[index]) - before[index];
+    std::printf("idle %-10s %.2f %% of a core, %.1f MB resident\n",
+                processes[index].c_str(),
+                spent / kWatchSeconds * 100,
+                ResidentMegabytes(cluster, processes[index]));
+  }
+}
+
 std::string HeadName(test::TestCluster& cluster)
 {
   for (const char* vm : { "vm-1", "vm-2", "vm-3", "vm-4" }) {
@@ -176,6 +197,7 @@
   const Path direct{ "direct", cluster.TargetAddress(head), { json } };
   const Path through{ "through", cluster.EntryAddress(0), { json, token } };
   std::printf("head: %s\n", head.c_str());
+  MeasureIdle(cluster);
   ComparePaths(cluster, direct, through);
   MeasureInFlight(cluster, through);
   return 0;
--- a/src/settings/setting_key.cpp
+++ b/src/settings/setting_key.cpp
@@ -138,7 +138,7 @@
            "milliseconds",
            20,
            60'000,
-           "500",
+           "1000",
            kEveryRole,
            "Between two pings on a connection with a peer.",
            [](ProcessSettings& settings, const SettingValue& value) {
@@ -148,7 +148,7 @@
            "milliseconds",
            40,
            600'000,
-           "2000",
+           "3000",
            kEveryRole,
            "A connection without a byte for this long is replaced by a new one. At least twice the "
            "heartbeat interval.",
