--- a/src/shell/agent_shell.cpp
+++ b/src/shell/agent_shell.cpp
@@ -62,13 +62,13 @@
       shell.RunTick([&] { role.Tick(now, inbox, outbox); });
     },
     [&](AgentOutput& output) { std::visit(handle, output); });
-  const Result<void> started =
-    shell.Start({ .onUp = [&](PeerUp up) { loop->Post(std::move(up)); },
-                  .onDown = [&](PeerDown down) { loop->Post(std::move(down)); },
-                  .onFrame = [&](FrameIn frame) { loop->Post(std::move(frame)); },
-                  .onRequest = [&](HttpRequestIn request) { shell.Send(AnswerHealth(request)); },
-                  .onCallerGone = [](HttpCallerGone) {},
-                  .onStop = [&] { loop->Post(StopRequested{}); } });
+  const Result<void> started = shell.Start(
+    { .onUp = [&](PeerUp up) { loop->Post(std::move(up)); },
+      .onDown = [&](PeerDown down) { loop->Post(std::move(down)); },
+      .onFrame = [&](FrameIn frame) { loop->Post(std::move(frame)); },
+      .onRequest = [&](const HttpRequestIn& request) { shell.Send(AnswerHealth(request)); },
+      .onCallerGone = [](HttpCallerGone) {},
+      .onStop = [&] { loop->Post(StopRequested{}); } });
   if (!started) {
     shell.RecordFailure(started.error());
     return DaemonExit::kFailed;
--- a/src/shell/process_shell.hpp
+++ b/src/shell/process_shell.hpp
@@ -100,4 +100,9 @@
   using Handlers::operator()...;
 };
 
+/// C++20 deduces this for an aggregate by itself, but older Clang (seen with 14) does not, and the
+/// linter is built on it: without the guide it stops at the first use.
+template<class... Handlers>
+Overloaded(Handlers...) -> Overloaded<Handlers...>;
+
 } // namespace gooseberrysail::impl
