Prove a silent connection end to end: announce address, relay between entry and agent

Cause: resuming over a new connection was proved in the roles and in the mesh, but never by daemons with something between them that loses a connection. Ruled out: dropping packets below the process (needs more than loopback sockets). Change: the setting process.announce (what peers are told, where it is another than process.listen), a process test with the relay before an agent.

--- a/include/gooseberrysail/settings/settings.hpp
+++ b/include/gooseberrysail/settings/settings.hpp
@@ -83,6 +83,7 @@
   ProcessId process;
   FailureDomainId failureDomain;
   std::string listen;     ///< Where it listens for peers, "ip:port".
+  std::string announce;   ///< The address told to peers; "": where it listens.
   std::string httpListen; ///< Callers at an entry, operators at control; /metrics, /healthz at all.
   std::string clusterKey; ///< Shared by all processes; proves that a peer belongs to the cluster.
   std::vector<PeerAddress> controls;
--- a/src/settings/setting_key.cpp
+++ b/src/settings/setting_key.cpp
@@ -97,6 +97,15 @@
     kEveryRole,
     "Where the process listens for peers, and the address it tells them.",
     [](ProcessSettings& settings, const SettingValue& value) { settings.listen = value.text; }),
+  TextKey(
+    "process.announce",
+    SettingType::kAddress,
+    "",
+    "",
+    kEveryRole,
+    kNoRole,
+    "The address told to peers, where it is another than process.listen: behind a forwarder, say.",
+    [](ProcessSettings& settings, const SettingValue& value) { settings.announce = value.text; }),
   TextKey(
     "process.httpListen",
     SettingType::kListenAddress,
--- a/src/shell/agent_shell.cpp
+++ b/src/shell/agent_shell.cpp
@@ -13,7 +13,7 @@
   AgentSettings agent;
   agent.process = settings.process;
   agent.incarnation = shell.OwnIncarnation();
-  agent.address = settings.listen;
+  agent.address = impl::AnnouncedAddress(settings);
   agent.vm = settings.agent.vm;
   agent.failureDomain = settings.failureDomain;
   agent.fabricDomain = settings.agent.fabricDomain;
--- a/src/shell/control_shell.cpp
+++ b/src/shell/control_shell.cpp
@@ -18,7 +18,7 @@
   ControlSettings control;
   control.process = settings.process;
   control.incarnation = shell.OwnIncarnation();
-  control.address = settings.listen;
+  control.address = impl::AnnouncedAddress(settings);
   control.failureDomain = settings.failureDomain;
   control.controls = impl::ControlsOf(settings);
   control.operatorTokenHash = settings.control.operatorTokenHash;
--- a/src/shell/entry_shell.cpp
+++ b/src/shell/entry_shell.cpp
@@ -12,7 +12,7 @@
   EntrySettings entry;
   entry.process = settings.process;
   entry.incarnation = shell.OwnIncarnation();
-  entry.address = settings.listen;
+  entry.address = impl::AnnouncedAddress(settings);
   entry.failureDomain = settings.failureDomain;
   entry.controls = impl::ControlsOf(settings);
   entry.maxInFlight = settings.limits.maxInFlight;
--- a/src/shell/process_shell.cpp
+++ b/src/shell/process_shell.cpp
@@ -30,6 +30,7 @@
   mesh.role = ToString(settings.role);
   mesh.incarnation = incarnation;
   mesh.listenAddress = settings.listen;
+  mesh.announcedAddress = settings.announce;
   mesh.clusterKey = settings.clusterKey;
   mesh.heartbeatInterval = settings.peers.heartbeatInterval;
   mesh.silenceTimeout = settings.peers.silenceTimeout;
@@ -203,4 +204,9 @@
   return controls;
 }
 
+std::string AnnouncedAddress(const ProcessSettings& settings)
+{
+  return settings.announce.empty() ? settings.listen : settings.announce;
+}
+
 } // namespace gooseberrysail::impl
--- a/src/shell/process_shell.hpp
+++ b/src/shell/process_shell.hpp
@@ -93,6 +93,9 @@
 /// \brief The control processes of the settings, as the roles take them.
 [[nodiscard]] std::vector<EntrySettings::Control> ControlsOf(const ProcessSettings& settings);
 
+/// \brief Where peers reach this process.
+[[nodiscard]] std::string AnnouncedAddress(const ProcessSettings& settings);
+
 /// \brief Calls the handler made for the alternative that `value` holds.
 template<class... Handlers>
 struct Overloaded : Handlers...
--- a/tests/support/test_cluster.cpp
+++ b/tests/support/test_cluster.cpp
@@ -111,6 +111,19 @@
   }
 }
 
+void TestCluster::AddForwardedEngineVm(const std::string& vm,
+                                       const std::string& listen,
+                                       const std::string& announce)
+{
+  StartTarget(vm);
+  const std::string name = "agent-" + vm;
+  StartDaemon(name,
+              CommonSettings("agent", name, listen, FreeAddress()) + "[agent]\nvm = " + vm +
+                "\ntargetAddress = " + m_targets[vm] +
+                "\nfabricDomain = fabric-a\naccelerators = 2\n[process]\nannounce = " + announce +
+                "\n");
+}
+
 void TestCluster::AddServiceVm(const std::string& vm, const std::string& service)
 {
   StartTarget(vm);
--- a/tests/support/test_cluster.hpp
+++ b/tests/support/test_cluster.hpp
@@ -36,6 +36,10 @@
 
   /// \brief Starts the engines and agents of `count` VMs named `prefix-1`, `prefix-2`, ...
   void AddEngineVms(const std::string& prefix, std::size_t count, const std::string& fabricDomain);
+  /// \brief Starts one engine VM whose agent listens at `listen` and tells its peers `announce`.
+  void AddForwardedEngineVm(const std::string& vm,
+                            const std::string& listen,
+                            const std::string& announce);
   /// \brief Starts a plain service's target and agent on the VM `vm`.
   void AddServiceVm(const std::string& vm, const std::string& service);
 
