One least-squares fit for the benches; one way to start a test agent; one stop event

Cause: reading the whole change showed the same line fit written out in seven benches, TestCluster starting an agent in two ways, and an entry that logged ProcessStopped twice (by the role, before its callers were drained, and by the shell, which logs it for every role once all is closed). Ruled out: one printing function for all benches (their units and residuals differ on purpose); merging the shells' hook lists (each differs in what it posts). Conclusion: behaviour is the same but for the doubled event.

--- a/bench/agent_capacity.cpp
+++ b/bench/agent_capacity.cpp
@@ -3,6 +3,7 @@
 /// (least squares) and its largest residual. Drives the real systems under scripted time; sockets
 /// are not in it.
 
+#include "linear_fit.hpp"
 #include "support/agent_harness.hpp"
 
 #include <algorithm>
@@ -65,32 +66,17 @@
   double m_began = 0;
 };
 
-struct Point
-{
-  double size = 0;
-  double value = 0;
-};
+using gooseberrysail::bench::FitPoint;
 
-void PrintFit(const char* what, const char* unit, const std::vector<Point>& points)
+void PrintFit(const char* what, const char* unit, const std::vector<FitPoint>& points)
 {
-  double sizes = 0;
-  double values = 0;
-  double products = 0;
-  double squares = 0;
-  for (const Point& point : points) {
-    sizes += point.size;
-    values += point.value;
-    products += point.size * point.value;
-    squares += point.size * point.size;
-  }
-  const auto count = static_cast<double>(points.size());
-  const double slope = (count * products - sizes * values) / (count * squares - sizes * sizes);
-  const double base = (values - slope * sizes) / count;
-  double worst = 0;
-  for (const Point& point : points) {
-    worst = std::max(worst, std::abs(point.value - base - slope * point.size));
-  }
-  std::printf("%s: %.4g + %.4g x size %s, largest residual %.3g\n", what, base, slope, unit, worst);
+  const auto fit = gooseberrysail::bench::FitLine(points);
+  std::printf("%s: %.4g + %.4g x size %s, largest residual %.3g\n",
+              what,
+              fit.offset,
+              fit.slope,
+              unit,
+              gooseberrysail::bench::LargestResidual(fit, points));
 }
 
 void MeasureHeads()
@@ -101,8 +87,8 @@
               "control B/s",
               "frames/s",
               "cpu us/s");
-  std::vector<Point> bytes;
-  std::vector<Point> cpu;
+  std::vector<FitPoint> bytes;
+  std::vector<FitPoint> cpu;
   for (const std::size_t members : { 1, 2, 4, 8, 16 }) {
     AgentHarness agent({ .members = members });
     agent.FormGroup(7);
@@ -129,8 +115,8 @@
               "beats/s",
               "control B/s",
               "cpu us/s");
-  std::vector<Point> bytes;
-  std::vector<Point> cpu;
+  std::vector<FitPoint> bytes;
+  std::vector<FitPoint> cpu;
   for (const int beatsPerSecond : { 1, 2, 4, 10 }) {
     AgentHarness agent;
     agent.Advance(std::chrono::seconds(1));
@@ -168,7 +154,7 @@
               kHeldEach,
               "requests",
               "heap bytes");
-  std::vector<Point> memory;
+  std::vector<FitPoint> memory;
   for (const std::size_t requests : { 0, 125, 250, 500, 1000 }) {
     AgentHarness agent({ .maxConcurrent = 2000 });
     agent.FormGroup(7);
@@ -196,7 +182,7 @@
               kRequests,
               "parts",
               "cpu us/request");
-  std::vector<Point> cpu;
+  std::vector<FitPoint> cpu;
   for (const std::size_t parts : { 1, 16, 64, 256 }) {
     AgentHarness agent;
     agent.FormGroup(7);
--- a/bench/consensus.cpp
+++ b/bench/consensus.cpp
@@ -3,6 +3,7 @@
 
 #include "gooseberrysail/storage/control_store.hpp"
 #include "gooseberrysail/wire/envelope.hpp"
+#include "linear_fit.hpp"
 
 #include <algorithm>
 #include <cmath>
@@ -40,32 +41,16 @@
   return Seconds(CLOCK_MONOTONIC);
 }
 
-struct Point
-{
-  double x = 0;
-  double y = 0;
-};
+using bench::FitPoint;
 
-void PrintFit(const char* what, const std::vector<Point>& points)
+void PrintFit(const char* what, const std::vector<FitPoint>& points)
 {
-  const auto count = static_cast<double>(points.size());
-  double sumX = 0;
-  double sumY = 0;
-  double sumXX = 0;
-  double sumXY = 0;
-  for (const Point& point : points) {
-    sumX += point.x;
-    sumY += point.y;
-    sumXX += point.x * point.x;
-    sumXY += point.x * point.y;
-  }
-  const double slope = (count * sumXY - sumX * sumY) / (count * sumXX - sumX * sumX);
-  const double base = (sumY - slope * sumX) / count;
-  double largest = 0;
-  for (const Point& point : points) {
-    largest = std::max(largest, std::abs(point.y - base - slope * point.x));
-  }
-  std::printf("  fit: %s = %.4g + %.4g * x, largest residual %.3g\n", what, base, slope, largest);
+  const bench::LinearFit fit = bench::FitLine(points);
+  std::printf("  fit: %s = %.4g + %.4g * x, largest residual %.3g\n",
+              what,
+              fit.offset,
+              fit.slope,
+              bench::LargestResidual(fit, points));
 }
 
 /// \brief Several nodes joined by encoded frames in memory; no disk.
@@ -194,8 +179,8 @@
 void PrintByVoters(const char* unit, CostOf costOf)
 {
   std::printf("  voters  bytes/%s  CPU us/%s\n", unit, unit);
-  std::vector<Point> bytes;
-  std::vector<Point> cpu;
+  std::vector<FitPoint> bytes;
+  std::vector<FitPoint> cpu;
   for (const std::size_t voters : { 1U, 3U, 5U, 7U }) {
     const Cost cost = costOf(voters);
     std::printf("  %6zu  %12.1f  %13.2f\n", voters, cost.bytes, cost.cpuMicros);
@@ -223,8 +208,8 @@
 void PrintCommandSizes()
 {
   std::printf("\nsize of a change, 3 voters, one at a time\n  bytes  bytes sent  CPU us\n");
-  std::vector<Point> bytes;
-  std::vector<Point> cpu;
+  std::vector<FitPoint> bytes;
+  std::vector<FitPoint> cpu;
   for (const std::size_t size : { 64U, 256U, 1024U, 4096U, 16384U }) {
     const Cost cost = CostOfChange(3, size, 1);
     std::printf("  %5zu  %10.1f  %6.2f\n", size, cost.bytes, cost.cpuMicros);
@@ -331,8 +316,8 @@
 void PrintSnapshots(const std::string& folder)
 {
   std::printf("\nsnapshots\n  state KB  file KB  write+sync ms  open ms\n");
-  std::vector<Point> writing;
-  std::vector<Point> opening;
+  std::vector<FitPoint> writing;
+  std::vector<FitPoint> opening;
   for (const std::size_t kilobytes : { 64U, 256U, 1024U, 4096U, 16384U }) {
     const SnapshotTimes times =
       MeasureSnapshot(folder + "/snapshot-" + std::to_string(kilobytes), kilobytes);
--- a/bench/control_capacity.cpp
+++ b/bench/control_capacity.cpp
@@ -5,6 +5,7 @@
 #include "gooseberrysail/core/token.hpp"
 #include "gooseberrysail/roles/control_role.hpp"
 #include "gooseberrysail/wire/envelope.hpp"
+#include "linear_fit.hpp"
 
 #include <algorithm>
 #include <cmath>
@@ -227,29 +228,19 @@
 
 void Print(const Figure& figure)
 {
-  const auto count = static_cast<double>(figure.x.size());
-  double sumX = 0;
-  double sumY = 0;
-  double sumXx = 0;
-  double sumXy = 0;
+  std::vector<bench::FitPoint> points;
   for (std::size_t index = 0; index < figure.x.size(); ++index) {
-    sumX += figure.x[index];
-    sumY += figure.y[index];
-    sumXx += figure.x[index] * figure.x[index];
-    sumXy += figure.x[index] * figure.y[index];
+    points.push_back({ figure.x[index], figure.y[index] });
   }
-  const double slope = (count * sumXy - sumX * sumY) / (count * sumXx - sumX * sumX);
-  const double base = (sumY - slope * sumX) / count;
+  const bench::LinearFit fit = bench::FitLine(points);
   std::printf("%-40s", figure.name.c_str());
-  double worst = 0;
-  for (std::size_t index = 0; index < figure.x.size(); ++index) {
-    std::printf(" %10.4g", figure.y[index]);
-    const double fitted = base + slope * figure.x[index];
-    worst = std::max(worst, std::abs(figure.y[index] - fitted) / std::abs(figure.y.back()));
+  for (const bench::FitPoint& point : points) {
+    std::printf(" %10.4g", point.y);
   }
+  const double worst = bench::LargestResidual(fit, points) / std::abs(figure.y.back());
   std::printf("  = %.4g + %.4g x %s (residual %.1f%% of the largest)\n",
-              base,
-              slope,
+              fit.offset,
+              fit.slope,
               figure.per.c_str(),
               worst * 100);
 }
--- a/bench/cost_meter.hpp
+++ b/bench/cost_meter.hpp
@@ -4,18 +4,10 @@
 
 #include <ctime>
 #include <fstream>
-#include <span>
 #include <unistd.h>
 
 namespace gooseberrysail::bench {
 
-/// \brief A cost measured at a number of connections.
-struct Sample
-{
-  double connections = 0;
-  double value = 0;
-};
-
 /// \brief Processor time that this process has used.
 inline Duration ProcessorTime()
 {
@@ -39,23 +31,4 @@
   return resident * static_cast<double>(sysconf(_SC_PAGESIZE)) / 1024;
 }
 
-/// \brief The cost of one more connection by least squares, whatever the process costs itself.
-inline double Slope(std::span<const Sample> samples)
-{
-  const auto count = static_cast<double>(samples.size());
-  double meanX = 0;
-  double meanY = 0;
-  for (const Sample& sample : samples) {
-    meanX += sample.connections / count;
-    meanY += sample.value / count;
-  }
-  double above = 0;
-  double below = 0;
-  for (const Sample& sample : samples) {
-    above += (sample.connections - meanX) * (sample.value - meanY);
-    below += (sample.connections - meanX) * (sample.connections - meanX);
-  }
-  return above / below;
-}
-
 } // namespace gooseberrysail::bench
--- a/bench/entry_capacity.cpp
+++ b/bench/entry_capacity.cpp
@@ -2,6 +2,7 @@
 // each at several sizes, with a straight line fitted through them. Sockets and HTTP aren't in it.
 #include "gooseberrysail/roles/entry_role.hpp"
 #include "gooseberrysail/wire/envelope.hpp"
+#include "linear_fit.hpp"
 #include "support/entry_fixture.hpp"
 
 #include <algorithm>
@@ -216,29 +217,20 @@
          const std::vector<Sample>& samples,
          const std::function<double(const Sample&)>& value)
 {
-  double sumX = 0;
-  double sumY = 0;
-  double sumXX = 0;
-  double sumXY = 0;
-  const auto count = static_cast<double>(samples.size());
+  std::vector<bench::FitPoint> points;
   for (const Sample& sample : samples) {
-    sumX += sample.requests;
-    sumY += value(sample);
-    sumXX += sample.requests * sample.requests;
-    sumXY += sample.requests * value(sample);
+    points.push_back({ static_cast<double>(sample.requests), value(sample) });
   }
-  const double slope = (count * sumXY - sumX * sumY) / (count * sumXX - sumX * sumX);
-  const double offset = (sumY - slope * sumX) / count;
+  const bench::LinearFit fit = bench::FitLine(points);
   double worst = 0;
-  for (const Sample& sample : samples) {
-    const double fitted = offset + slope * sample.requests;
-    worst = std::max(worst, std::abs(value(sample) - fitted) / value(sample));
+  for (const bench::FitPoint& point : points) {
+    worst = std::max(worst, fit.Residual(point) / point.y);
   }
   std::printf("%-34s %10.2f %s a request, offset %.0f, largest residual %.1f%%\n",
               what,
-              slope,
+              fit.slope,
               unit,
-              offset,
+              fit.offset,
               worst * 100);
 }
 
--- a/bench/http_roundtrip.cpp
+++ b/bench/http_roundtrip.cpp
@@ -6,6 +6,7 @@
 #include "gooseberrysail/http/http_client.hpp"
 #include "gooseberrysail/http/http_server.hpp"
 #include "gooseberrysail/shell/clock.hpp"
+#include "linear_fit.hpp"
 
 #include <algorithm>
 #include <array>
@@ -27,11 +28,11 @@
 constexpr std::size_t kPartsOfAStream = 100;
 constexpr Duration kPatience = std::chrono::seconds(60);
 
+using bench::FitLine;
+using bench::FitPoint;
 using bench::Micros;
 using bench::ProcessorTime;
 using bench::ResidentKilobytes;
-using bench::Sample;
-using bench::Slope;
 
 // The child: makes the calls of one phase after the other and tells the server by `/phase/...`.
 class Callers
@@ -205,7 +206,7 @@
     }
     m_held.clear();
     if (wanted == kConnections.back()) {
-      std::printf("slope for one more open exchange: %.1f KB\n", Slope(m_points));
+      std::printf("slope for one more open exchange: %.1f KB\n", FitLine(m_points).slope);
     }
   }
 
@@ -237,7 +238,7 @@
   IoRuntime m_runtime;
   bool m_started = false;
   std::vector<ExchangeId> m_held;
-  std::vector<Sample> m_points;
+  std::vector<FitPoint> m_points;
   std::string m_phase;
   std::size_t m_requests = 0;
   Duration m_usedBefore{};
--- a/bench/net_roundtrip.cpp
+++ b/bench/net_roundtrip.cpp
@@ -6,6 +6,7 @@
 #include "gooseberrysail/net/peer_mesh.hpp"
 #include "gooseberrysail/shell/clock.hpp"
 #include "gooseberrysail/wire/envelope.hpp"
+#include "linear_fit.hpp"
 
 #include <algorithm>
 #include <array>
@@ -26,11 +27,11 @@
 constexpr std::size_t kWindow = 64;
 constexpr const char* kFirstPeer = "peer-0";
 
+using bench::FitLine;
+using bench::FitPoint;
 using bench::Micros;
 using bench::ProcessorTime;
 using bench::ResidentKilobytes;
-using bench::Sample;
-using bench::Slope;
 
 PeerMeshSettings MakeSettings(const std::string& name)
 {
@@ -198,9 +199,9 @@
                 static_cast<long long>(ToMillis(kWatched)));
     std::printf(
       "%12s %12s %16s %18s\n", "connections", "rss KB", "cpu % of a core", "sent bytes/s");
-    std::vector<Sample> memory;
-    std::vector<Sample> processor;
-    std::vector<Sample> bytes;
+    std::vector<FitPoint> memory;
+    std::vector<FitPoint> processor;
+    std::vector<FitPoint> bytes;
     for (const std::size_t count : kConnections) {
       wire::InForceT wanted;
       wanted.version = count;
@@ -221,9 +222,9 @@
       std::printf("%12zu %12.0f %16.3f %18.0f\n", count, resident, share, sent);
     }
     std::printf("slope for one more connection: %.1f KB, %.4f %% of a core, %.0f bytes/s sent\n",
-                Slope(memory),
-                Slope(processor),
-                Slope(bytes));
+                FitLine(memory).slope,
+                FitLine(processor).slope,
+                FitLine(bytes).slope);
   }
 
   IoRuntime m_runtime;
--- a/bench/placement.cpp
+++ b/bench/placement.cpp
@@ -5,6 +5,7 @@
 ///     bench_placement cpu
 
 #include "fakes/placement_replay.hpp"
+#include "linear_fit.hpp"
 #include "placement/repair.hpp"
 
 #include <algorithm>
@@ -220,42 +221,25 @@
   }
 }
 
-struct Sample
-{
-  double vms = 0;
-  double micros = 0;
-};
+using bench::FitPoint;
 
-/// Least squares; prints slope, offset and the largest distance of a sample from the line.
-void PrintFit(const char* name, const std::vector<Sample>& samples)
+/// Prints slope, offset and the largest distance of a point from the line.
+void PrintFit(const char* name, const std::vector<FitPoint>& points)
 {
-  const auto count = static_cast<double>(samples.size());
-  double sumX = 0;
-  double sumY = 0;
-  double sumXx = 0;
-  double sumXy = 0;
-  for (const Sample& sample : samples) {
-    sumX += sample.vms;
-    sumY += sample.micros;
-    sumXx += sample.vms * sample.vms;
-    sumXy += sample.vms * sample.micros;
-  }
-  const double slope = (count * sumXy - sumX * sumY) / (count * sumXx - sumX * sumX);
-  const double offset = (sumY - slope * sumX) / count;
-  double residual = 0;
-  for (const Sample& sample : samples) {
-    residual = std::max(residual, std::abs(sample.micros - offset - slope * sample.vms));
-  }
-  std::printf(
-    "%s: %.4f us a VM, %.1f us besides, largest residual %.1f us\n", name, slope, offset, residual);
+  const bench::LinearFit fit = bench::FitLine(points);
+  std::printf("%s: %.4f us a VM, %.1f us besides, largest residual %.1f us\n",
+              name,
+              fit.slope,
+              fit.offset,
+              bench::LargestResidual(fit, points));
 }
 
 /// Processor time of a Plan call over sizes, in a trace of an hour and a half with a failure
 /// domain lost in it.
 void MeasureCpu()
 {
-  std::vector<Sample> medians;
-  std::vector<Sample> worst;
+  std::vector<FitPoint> medians;
+  std::vector<FitPoint> worst;
   std::printf(
     "%8s %8s %8s %8s %8s %8s\n", "replicas", "VMs", "calls", "p50 us", "p99 us", "max us");
   for (const std::uint32_t fabricsEach : { 1U, 2U, 4U, 6U, 8U }) {
@@ -277,8 +261,8 @@
                 story.fleet.replicas,
                 vms,
                 result.planMicros.size(),
-                medians.back().micros,
-                worst.back().micros,
+                medians.back().y,
+                worst.back().y,
                 Quantile(result.planMicros, 1));
   }
   PrintFit("p50", medians);
--- a/bench/routing/cost.hpp
+++ b/bench/routing/cost.hpp
@@ -2,6 +2,7 @@
 
 #include "gooseberrysail/admission/admission.hpp"
 #include "gooseberrysail/routing/router.hpp"
+#include "linear_fit.hpp"
 #include "routing/prefix_index.hpp"
 
 #include <array>
@@ -149,27 +150,19 @@
 
   static void Fit(const std::vector<double>& x, const std::vector<double>& y)
   {
-    double sumX = 0;
-    double sumY = 0;
-    double sumXX = 0;
-    double sumXY = 0;
-    const auto n = static_cast<double>(x.size());
+    std::vector<FitPoint> points;
     for (std::size_t i = 0; i < x.size(); ++i) {
-      sumX += x[i];
-      sumY += y[i];
-      sumXX += x[i] * x[i];
-      sumXY += x[i] * y[i];
+      points.push_back({ x[i], y[i] });
     }
-    const double slope = (n * sumXY - sumX * sumY) / (n * sumXX - sumX * sumX);
-    const double base = (sumY - slope * sumX) / n;
+    const LinearFit fit = FitLine(points);
     double squares = 0;
-    for (std::size_t i = 0; i < x.size(); ++i) {
-      squares += std::pow(y[i] - base - slope * x[i], 2);
+    for (const FitPoint& point : points) {
+      squares += std::pow(fit.Residual(point), 2);
     }
     std::printf("choose: %.0f ns + %.3f ns per known group, residual %.0f ns (root mean square)\n",
-                base,
-                slope,
-                std::sqrt(squares / n));
+                fit.offset,
+                fit.slope,
+                std::sqrt(squares / static_cast<double>(x.size())));
   }
 
   static void MeasureAdmission()
--- a/src/entry/entry_role.cpp
+++ b/src/entry/entry_role.cpp
@@ -166,7 +166,6 @@
       return;
     }
     stopped = true;
-    context.Emit(EventNumber::kProcessStopped, {});
     context.outbox->emplace_back(StoppedOut{});
   }
 
--- a/tests/support/test_cluster.cpp
+++ b/tests/support/test_cluster.cpp
@@ -92,11 +92,13 @@
     m_folder.Path() + "/" + name + ".log");
 }
 
-void TestCluster::StartAgent(const std::string& vm, const std::string& extra)
+void TestCluster::StartAgent(const std::string& vm,
+                             const std::string& extra,
+                             const std::string& listen)
 {
   const std::string name = "agent-" + vm;
   StartDaemon(name,
-              CommonSettings("agent", name, FreeAddress(), FreeAddress()) + "[agent]\nvm = " + vm +
+              CommonSettings("agent", name, listen, FreeAddress()) + "[agent]\nvm = " + vm +
                 "\ntargetAddress = " + m_targets[vm] + "\n" + extra);
 }
 
@@ -116,12 +118,9 @@
                                        const std::string& announce)
 {
   StartTarget(vm);
-  const std::string name = "agent-" + vm;
-  StartDaemon(name,
-              CommonSettings("agent", name, listen, FreeAddress()) + "[agent]\nvm = " + vm +
-                "\ntargetAddress = " + m_targets[vm] +
-                "\nfabricDomain = fabric-a\naccelerators = 2\n[process]\nannounce = " + announce +
-                "\n");
+  StartAgent(vm,
+             "fabricDomain = fabric-a\naccelerators = 2\n[process]\nannounce = " + announce + "\n",
+             listen);
 }
 
 void TestCluster::AddServiceVm(const std::string& vm, const std::string& service)
--- a/tests/support/test_cluster.hpp
+++ b/tests/support/test_cluster.hpp
@@ -84,7 +84,9 @@
 private:
   void StartDaemon(const std::string& name, const std::string& settings);
   void StartTarget(const std::string& vm);
-  void StartAgent(const std::string& vm, const std::string& extra);
+  void StartAgent(const std::string& vm,
+                  const std::string& extra,
+                  const std::string& listen = FreeAddress());
   [[nodiscard]] std::string CommonSettings(const std::string& role,
                                            const std::string& name,
                                            const std::string& listen,
