--- a/apps/gooseberrysaild.cpp
+++ b/apps/gooseberrysaild.cpp
@@ -3,6 +3,8 @@
 #include "gooseberrysail/cli/read_file.hpp"
 #include "gooseberrysail/settings/settings.hpp"
 #include "gooseberrysail/shell/daemon.hpp"
+#include "platform/control_adapter.hpp"
+#include "platform/gateway_adapter.hpp"
 
 #include <boost/program_options.hpp>
 #include <iostream>
@@ -17,8 +19,22 @@
   return static_cast<int>(result);
 }
 
+/// The roles that speak the interface of the users' platform.
+DaemonExit RunPlatformRole(const gooseberrysail::ProcessSettings& settings)
+{
+  namespace platform = gooseberrysail::platform;
+  if (settings.role == gooseberrysail::ProcessRole::kEntry) {
+    return gooseberrysail::RunGateway(settings,
+                                      { platform::MakeGatewayApi(), platform::AnswerReadiness });
+  }
+  return gooseberrysail::RunControl(settings, platform::MakeOutsideApi(settings.httpListen));
+}
+
 DaemonExit RunRole(const gooseberrysail::ProcessSettings& settings)
 {
+  if (settings.outside == gooseberrysail::OutsideInterface::kPlatform) {
+    return RunPlatformRole(settings);
+  }
   switch (settings.role) {
     case gooseberrysail::ProcessRole::kEntry:
       return gooseberrysail::RunEntry(settings);
--- a/include/gooseberrysail/control/control_state.hpp
+++ b/include/gooseberrysail/control/control_state.hpp
@@ -12,6 +12,13 @@
 
 namespace gooseberrysail {
 
+/// \brief The operators' serving document as committed.
+struct StoredDocument
+{
+  std::uint64_t version = 0; ///< 0: none yet.
+  std::string text;          ///< As the operator sent it.
+};
+
 /// \brief Everything that the control processes agree on: a pure function of the log.
 class ControlState
 {
@@ -36,11 +43,13 @@
   [[nodiscard]] const CatalogueTable& GetCatalogue() const noexcept { return m_catalogue; }
   [[nodiscard]] const GroupTable& GetGroups() const noexcept { return m_groups; }
   [[nodiscard]] const ClaimTable& GetClaims() const noexcept { return m_claims; }
+  [[nodiscard]] const StoredDocument& GetDocument() const noexcept { return m_document; }
   [[nodiscard]] LogIndex Index() const noexcept { return m_index; }
   /// \brief The latest term whose leader started; what earlier leaders committed is applied.
   [[nodiscard]] Term StartedTerm() const noexcept { return m_startedTerm; }
 
 private:
+  std::string Put(const wire::PutDocumentT& put);
   std::string ApplyBody(LogIndex index, const wire::CommandT& command, Applied& applied);
 
   LogIndex m_index;
@@ -48,6 +57,7 @@
   CatalogueTable m_catalogue;
   GroupTable m_groups;
   ClaimTable m_claims;
+  StoredDocument m_document;
 };
 
 /// \brief A command's bytes for the log.
--- /dev/null
+++ b/include/gooseberrysail/control/document_service.hpp
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "gooseberrysail/control/context.hpp"
+#include "gooseberrysail/control/outside_api.hpp"
+
+#include <deque>
+#include <string>
+#include <vector>
+
+namespace gooseberrysail {
+
+/// \brief Answers operators who write and read the serving document; leader only.
+class DocumentService
+{
+public:
+  using Respond = std::function<void(ExchangeId, const OutsideAnswer&)>;
+
+  void OnPut(ControlContext& context,
+             ExchangeId exchange,
+             std::string text,
+             const DocumentReader& read,
+             const Respond& respond);
+  void OnGet(const ControlContext& context, ExchangeId exchange);
+  void OnCallerGone(ExchangeId exchange);
+
+  /// \brief Answers what can be answered now.
+  void Tick(ControlContext& context, const Respond& respond);
+
+  /// \brief This process leads no more: nobody here can tell how open calls end.
+  void OnLeadershipLost(const Respond& respond);
+
+  [[nodiscard]] std::size_t OpenCalls() const noexcept { return m_puts.size() + m_reads.size(); }
+
+private:
+  struct Put
+  {
+    ExchangeId exchange;
+    std::uint64_t version = 0;
+    std::string text;
+    TimePoint since{};
+  };
+  struct Read
+  {
+    ExchangeId exchange;
+    ReadTicket ticket;
+  };
+
+  [[nodiscard]] static bool Settle(ControlContext& context, const Put& put, const Respond& respond);
+
+  std::vector<Put> m_puts;
+  std::deque<Read> m_reads;
+};
+
+} // namespace gooseberrysail
--- /dev/null
+++ b/include/gooseberrysail/control/engine_groups.hpp
@@ -0,0 +1,127 @@
+#pragma once
+
+#include "gooseberrysail/core/time.hpp"
+#include "gooseberrysail/placement/pool_plan.hpp"
+#include "gooseberrysail/roles/inputs.hpp"
+#include "gooseberrysail/serving/document.hpp"
+#include "gooseberrysail/serving/target_table.hpp"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace gooseberrysail {
+
+enum class GroupOrderKind
+{
+  kJoin,
+  kOpen,
+  kClose, ///< Takes no new work, finishes what it has.
+  kLeave,
+};
+
+[[nodiscard]] const char* ToString(GroupOrderKind kind) noexcept;
+
+/// \brief A step that control tells a target to take.
+struct GroupOrder
+{
+  InstanceId target;
+  std::string address; ///< "ip:port".
+  GroupOrderKind kind = GroupOrderKind::kJoin;
+  std::string group;
+  Epoch epoch;
+  std::string model;               ///< kJoin only.
+  std::vector<InstanceId> members; ///< kJoin only; the head first.
+};
+
+/// \brief How an order ended.
+enum class OrderOutcome
+{
+  kBegun,    ///< Taken; the target's heartbeats tell the rest.
+  kDone,     ///< The state that it asks for holds.
+  kRefused,  ///< It does not fit the target's state.
+  kNoTarget, ///< Nothing listens there: that life of the target is over.
+  kUnknown,  ///< No answer: it may still be carried out.
+};
+
+/// \brief What the keeper of groups sees at a tick.
+struct GroupsInput
+{
+  TimePoint now;
+  Term term; ///< This process leads in it.
+  const TargetTable& targets;
+  const ServingDocument& document;
+  bool hasTraffic = false; ///< Entries have seen requests: loads count against the store's rate.
+  const std::set<InstanceId>& answering; ///< Heads that answered an entry a moment ago.
+};
+
+/// \brief Forms groups of targets by orders to the targets themselves, and gives up broken ones.
+/// \remarks Nothing of it is stored: a new leader learns the groups from the targets' heartbeats.
+/// That is safe since a target refuses a join of a lower epoch than it has seen and epochs rise
+/// with the leader's term; and a target is given to another group only when the head of its present
+/// one certainly takes no work any more.
+class EngineGroups
+{
+public:
+  void OnLeaderStart(TimePoint now);
+
+  /// \brief Appends the orders to give now, and events.
+  void Tick(const GroupsInput& input,
+            std::vector<GroupOrder>& orders,
+            std::vector<EventOut>& events);
+
+  void OnOrderOutcome(TimePoint now, const GroupOrder& order, OrderOutcome outcome);
+
+  /// \brief Heads that entries may send work to, with their models.
+  [[nodiscard]] std::map<InstanceId, std::string> ServingHeads() const;
+
+private:
+  enum class Phase
+  {
+    kJoining,
+    kOpening,
+    kOpen,
+    kEnding, ///< The head is being closed; its members stay until that is certain.
+  };
+
+  struct Group
+  {
+    std::string name;
+    Epoch epoch;
+    std::string service;
+    std::string model;
+    std::vector<InstanceId> members; ///< The head first; none where a member is not known.
+    Phase phase = Phase::kJoining;
+    TimePoint since{}; ///< In this phase.
+    std::map<InstanceId, TimePoint> orderedAt;
+    bool headIsDead = false;             ///< That life of the head certainly ended.
+    bool headIsClosed = false;           ///< The head said that it takes no work.
+    std::optional<TimePoint> releasedAt; ///< The other members were told to leave.
+  };
+
+  struct Pass; ///< One tick: input, outputs.
+
+  void Adopt(Pass& pass);
+  void Advance(Pass& pass, Group& group);
+  void AdvanceJoining(Pass& pass, Group& group);
+  void AdvanceOpening(Pass& pass, Group& group);
+  void AdvanceOpen(Pass& pass, Group& group);
+  void AdvanceEnding(Pass& pass, Group& group);
+  void End(Pass& pass, Group& group, const char* reason);
+  void Order(Pass& pass, Group& group, const InstanceId& target, GroupOrderKind kind);
+  void Form(Pass& pass, const ServiceDefinition& service);
+  [[nodiscard]] std::uint32_t LoadsLeft(const Pass& pass, const EngineSpec& engine);
+  [[nodiscard]] bool IsReleased(const Pass& pass, const Group& group) const;
+  [[nodiscard]] static bool HasFailedMember(const Pass& pass, const Group& group);
+
+  std::map<std::string, Group> m_groups; ///< By name.
+  std::vector<TimePoint> m_loads;        ///< When loads began lately.
+  TimePoint m_leaderSince{};
+  std::optional<TimePoint> m_firstTick;
+  std::uint64_t m_formed = 0; ///< In this term.
+};
+
+} // namespace gooseberrysail
--- /dev/null
+++ b/include/gooseberrysail/control/serving_control.hpp
@@ -0,0 +1,83 @@
+#pragma once
+
+#include "gooseberrysail/control/document_service.hpp"
+#include "gooseberrysail/control/engine_groups.hpp"
+#include "gooseberrysail/control/outside_api.hpp"
+#include "gooseberrysail/control/serving_feed.hpp"
+#include "gooseberrysail/serving/target_table.hpp"
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace gooseberrysail {
+
+/// \brief Control's part in serving targets that announce themselves: their table, the serving
+/// document, the groups, and what entries are told.
+class ServingControl
+{
+public:
+  explicit ServingControl(OutsideApi api);
+
+  /// \returns False for a request of another interface.
+  bool OnRequest(ControlContext& context, const HttpRequestIn& request);
+  void OnCallerGone(ExchangeId exchange);
+
+  /// \brief Frames of this subject; others are left alone.
+  void OnFrame(ControlContext& context, const ProcessId& peer, const wire::BodyUnion& body);
+  void OnPeerDown(const ProcessId& peer);
+
+  void OnOrderAnswer(ControlContext& context, const TargetAnswerIn& answer);
+  void OnOrderFailed(ControlContext& context, const TargetFailedIn& failed);
+
+  void OnLeaderStart(const ControlContext& context);
+  void OnLeadershipLost(ControlContext& context);
+
+  /// \brief Every tick, on every control process.
+  void Tick(ControlContext& context);
+
+  [[nodiscard]] std::size_t OpenCalls() const noexcept { return m_documents.OpenCalls(); }
+
+private:
+  struct OpenOrder
+  {
+    GroupOrder order;
+    TimePoint since{};
+  };
+
+  void Take(ControlContext& context, ExchangeId exchange, const PutDocumentCall& call);
+  void Take(ControlContext& context, ExchangeId exchange, const GetDocumentCall& call);
+  void Take(ControlContext& context, ExchangeId exchange, const AnnounceCall& call);
+  void Take(ControlContext& context, ExchangeId exchange, const LeaveCall& call);
+  void Take(ControlContext& context, ExchangeId exchange, const MalformedCall& call);
+
+  /// \returns False when another process leads or nobody is known to; the caller was told so.
+  bool IsForLeader(ControlContext& context, ExchangeId exchange);
+  void Respond(ControlContext& context, ExchangeId exchange, const OutsideAnswer& answer);
+  [[nodiscard]] DocumentService::Respond Responder(ControlContext& context);
+  void NoteChange(ControlContext& context, const InstanceId& instance);
+  void PassOn(ControlContext& context, const InstanceId& instance);
+  void FollowDocument(ControlContext& context);
+  void KeepGroups(ControlContext& context);
+  void EndOrder(ControlContext& context,
+                ExchangeId exchange,
+                OrderOutcome outcome,
+                unsigned status);
+  [[nodiscard]] std::vector<ServedTarget> ListTargets(const ControlContext& context) const;
+
+  OutsideApi m_api;
+  TargetTable m_targets;
+  DocumentService m_documents;
+  EngineGroups m_groups;
+  ServingFeed m_feed;
+  std::optional<ServingDocument> m_document; ///< Typed copy of the committed one.
+  std::uint64_t m_documentVersion = 0; ///< Of the committed one that m_document was read from.
+  std::map<ExchangeId, OpenOrder> m_orders;
+  std::uint64_t m_lastOrder = 0;
+  TimePoint m_startedAt{};
+  TimePoint m_nextKeep{};
+  TimePoint m_nextForget{};
+};
+
+} // namespace gooseberrysail
--- /dev/null
+++ b/include/gooseberrysail/control/serving_feed.hpp
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "gooseberrysail/control/context.hpp"
+#include "gooseberrysail/serving/served_target.hpp"
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace gooseberrysail {
+
+/// \brief Keeps entries supplied with the serving document and the targets; leader only.
+class ServingFeed
+{
+public:
+  void OnLeaderStart();
+  void OnQuery(ControlContext& context, const ProcessId& entry, const wire::ServingQueryT& query);
+  void OnPeerDown(const ProcessId& entry);
+
+  /// \brief Notes the targets as entries should see them; a difference makes a new sequence.
+  void SetTargets(std::vector<ServedTarget> targets);
+
+  /// \brief Sends each entry what it lacks.
+  void Tick(ControlContext& context);
+
+  /// \brief Heads that some entry saw answer within kAnsweredLately.
+  [[nodiscard]] std::set<InstanceId> AnsweringHeads(TimePoint now) const;
+
+  /// \brief Whether any entry has had requests.
+  [[nodiscard]] bool HasTraffic() const noexcept { return m_hasTraffic; }
+
+  /// \brief A head with work in flight answers at least once within this, if it works at all.
+  static constexpr Duration kAnsweredLately = std::chrono::milliseconds(1500);
+
+private:
+  struct Entry
+  {
+    std::uint64_t document = 0; ///< Has, or has been sent.
+    std::uint64_t targets = 0;
+    TimePoint heardAt{};
+    TimePoint documentSentAt{};
+    std::map<InstanceId, TimePoint> answeredAt;
+  };
+
+  void Supply(ControlContext& context, const ProcessId& process, Entry& entry);
+
+  std::map<ProcessId, Entry> m_entries;
+  std::vector<ServedTarget> m_targets;
+  std::uint64_t m_sequence = 0; ///< Of m_targets; 0: none known yet.
+  bool m_hasTraffic = false;
+};
+
+/// \brief What a process that does not lead tells an entry: where control processes are.
+[[nodiscard]] wire::ServingStateT MakeControlList(const ControlSettings& settings);
+
+} // namespace gooseberrysail
--- /dev/null
+++ b/include/gooseberrysail/gateway/target_board.hpp
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "gooseberrysail/core/time.hpp"
+#include "gooseberrysail/serving/served_target.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <set>
+#include <span>
+#include <string_view>
+#include <vector>
+
+namespace gooseberrysail {
+
+/// \brief What an attempt needs of a target.
+struct TargetWish
+{
+  std::string_view service;
+  std::string_view model; ///< "" for plain services.
+  const std::set<InstanceId>& tried;
+};
+
+/// \brief The targets that this entry may use, with what it saw of each.
+class TargetBoard
+{
+public:
+  struct Row
+  {
+    ServedTarget target;
+    std::uint32_t inFlight = 0; ///< Of this entry.
+    TimePoint busySince{};      ///< In flight without a break since then.
+    TimePoint answeredAt{};     ///< Latest byte of any answer.
+    TimePoint avoidUntil{};
+    std::uint32_t failures = 0; ///< In a row.
+    bool gone = false;          ///< Not listed any more; kept while work is in flight.
+  };
+
+  TargetBoard(FailureDomainId own, std::function<std::uint64_t()> random);
+
+  /// \brief Takes over the whole list.
+  void Replace(std::span<const ServedTarget> targets);
+
+  /// \brief The target for an attempt; null when none can take it now.
+  [[nodiscard]] const ServedTarget* Choose(TimePoint now, const TargetWish& wish);
+
+  /// \brief Whether the service has a target for the model at all, busy or avoided ones included.
+  [[nodiscard]] bool HasAny(const TargetWish& wish) const;
+
+  void OnSent(TimePoint now, const InstanceId& instance);
+  void OnBytes(TimePoint now, const InstanceId& instance);
+  void OnEnded(const InstanceId& instance);
+
+  /// \brief The target refused or failed: it is left out for a moment, longer each time in a row.
+  void OnTrouble(TimePoint now, const InstanceId& instance);
+
+  /// \brief A whole answer came.
+  void OnSuccess(const InstanceId& instance);
+
+  /// \brief Heads with work in flight of which no byte came for kStall.
+  [[nodiscard]] std::vector<InstanceId> StalledHeads(TimePoint now) const;
+
+  [[nodiscard]] const std::map<InstanceId, Row>& Rows() const noexcept { return m_rows; }
+
+  /// \brief A head that works sends some event of some request every 100 ms; one that waits for a
+  /// dead member sends none for seconds.
+  static constexpr Duration kStall = std::chrono::milliseconds(900);
+
+private:
+  [[nodiscard]] static bool Fits(const Row& row, const TargetWish& wish);
+  [[nodiscard]] bool IsBetter(const Row& left, const Row& right) const;
+
+  FailureDomainId m_own;
+  std::function<std::uint64_t()> m_random;
+  std::map<InstanceId, Row> m_rows;
+};
+
+} // namespace gooseberrysail
--- a/include/gooseberrysail/roles/control_role.hpp
+++ b/include/gooseberrysail/roles/control_role.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gooseberrysail/control/outside_api.hpp"
 #include "gooseberrysail/core/ids.hpp"
 #include "gooseberrysail/core/time.hpp"
 #include "gooseberrysail/placement/planner.hpp"
@@ -51,6 +52,9 @@
   std::function<bool(std::vector<std::uint8_t> command)> propose;
   /// \brief Decides which groups to form and give up; a PlacementPlanner when empty.
   std::function<std::vector<PlannerAction>(TimePoint now, const PlannerInput& input)> plan;
+  /// \brief Translates the calls of targets and operators outside the system; unset when there are
+  /// none.
+  OutsideApi outside;
 };
 
 /// \brief The control process's decisions: catalogue, members, groups, leases, claims. No I/O.
--- a/include/gooseberrysail/roles/inputs.hpp
+++ b/include/gooseberrysail/roles/inputs.hpp
@@ -87,7 +87,7 @@
   bool abort = false;
 };
 
-// ---- HTTP calls made by an agent to its own target ----
+// ---- HTTP calls made to targets ----
 
 struct TargetCallOut
 {
@@ -96,7 +96,8 @@
   std::string path;
   std::vector<HttpHeader> headers;
   std::string body;
-  Duration timeout{}; ///< Without a byte for this long, the call fails; 0: none.
+  Duration timeout{};       ///< Without a byte for this long, the call fails; 0: none.
+  std::string address = {}; ///< "ip:port"; "": the process's own target.
 };
 
 /// \brief Close the connection of a call: the target sees its caller gone.
@@ -146,8 +147,25 @@
   std::variant<PeerUp, PeerDown, FrameIn, TargetAnswerIn, TargetFailedIn, StopRequested>;
 using AgentOutput = std::variant<FrameOut, TargetCallOut, TargetCancelOut, EventOut, StoppedOut>;
 
-using ControlInput =
-  std::variant<PeerUp, PeerDown, FrameIn, HttpRequestIn, HttpCallerGone, StopRequested>;
-using ControlOutput = std::variant<FrameOut, HttpAnswerOut, EventOut, StoppedOut>;
+using ControlInput = std::variant<PeerUp,
+                                  PeerDown,
+                                  FrameIn,
+                                  HttpRequestIn,
+                                  HttpCallerGone,
+                                  TargetAnswerIn,
+                                  TargetFailedIn,
+                                  StopRequested>;
+using ControlOutput = std::variant<FrameOut, HttpAnswerOut, TargetCallOut, EventOut, StoppedOut>;
+
+using GatewayInput = std::variant<PeerUp,
+                                  PeerDown,
+                                  FrameIn,
+                                  HttpRequestIn,
+                                  HttpCallerGone,
+                                  TargetAnswerIn,
+                                  TargetFailedIn,
+                                  StopRequested>;
+using GatewayOutput =
+  std::variant<FrameOut, HttpAnswerOut, TargetCallOut, TargetCancelOut, EventOut, StoppedOut>;
 
 } // namespace gooseberrysail
--- /dev/null
+++ b/include/gooseberrysail/serving/target_table.hpp
@@ -0,0 +1,85 @@
+#pragma once
+
+#include "gooseberrysail/core/ids.hpp"
+#include "gooseberrysail/core/time.hpp"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+#include <wire_generated.h>
+
+namespace gooseberrysail {
+
+/// \brief One life of a target: a restart makes a new one.
+using InstanceId = impl::StrongId<struct InstanceTag, std::string>;
+
+/// \brief A target's own account of the group it is in.
+struct GroupMembership
+{
+  std::string group; ///< "" when in none.
+  Epoch epoch;
+  std::uint32_t rank = 0; ///< 0 for the head.
+  wire::MemberState state = wire::MemberState::None;
+};
+
+/// \brief What a target said of itself in a heartbeat.
+struct TargetAnnouncement
+{
+  InstanceId instance;
+  std::string service;
+  std::string address; ///< "ip:port".
+  FailureDomainId failureDomain;
+  FabricDomainId fabricDomain;
+  std::string softwareVersion;
+  std::uint32_t slots = 0;
+  bool draining = false;
+  bool left = false;                     ///< Its last word: it goes away.
+  std::uint64_t sequence = 0;            ///< Counts the heartbeats of this instance.
+  std::vector<std::string> stagedModels; ///< Models whose weights its host holds.
+  std::string loadedModel;
+  GroupMembership membership;
+};
+
+struct TargetRow
+{
+  TargetAnnouncement latest;
+  TimePoint heardAt{};
+};
+
+/// \brief Targets that announced themselves to any control process, by instance.
+class TargetTable
+{
+public:
+  /// \brief How an announcement changed the table.
+  enum class Change
+  {
+    kNone,    ///< Late or unknown: nothing changed.
+    kRefresh, ///< The same as before, heard again.
+    kState,   ///< Something that others must learn.
+  };
+
+  /// \brief Takes in a heartbeat, wherever it was received.
+  Change Hear(TimePoint now, TargetAnnouncement announcement);
+
+  /// \brief A target took its leave; later heartbeats of the instance are void.
+  Change Leave(TimePoint now, const InstanceId& instance);
+
+  /// \brief Drops rows of targets that left, or were silent for long.
+  void Forget(TimePoint now);
+
+  [[nodiscard]] const std::map<InstanceId, TargetRow>& Rows() const noexcept { return m_rows; }
+  [[nodiscard]] const TargetRow* Find(const InstanceId& instance) const;
+
+  /// \brief How long rows of targets that left or fell silent are kept, so that a late heartbeat of
+  /// theirs is recognised.
+  static constexpr Duration kKeepGone = std::chrono::seconds(60);
+
+private:
+  std::map<InstanceId, TargetRow> m_rows;
+};
+
+[[nodiscard]] wire::TargetHeardT ToWire(const TargetAnnouncement& announcement);
+[[nodiscard]] TargetAnnouncement FromWire(const wire::TargetHeardT& heard);
+
+} // namespace gooseberrysail
--- a/include/gooseberrysail/settings/settings.hpp
+++ b/include/gooseberrysail/settings/settings.hpp
@@ -28,6 +28,13 @@
 
 [[nodiscard]] const char* ToString(ProcessRole role) noexcept;
 
+/// \brief Which interface callers, targets and operators outside the system speak.
+enum class OutsideInterface
+{
+  kOwn,      ///< This project's: catalogue, agents, chat completions.
+  kPlatform, ///< The one that platform/ translates: routes, targets that announce themselves.
+};
+
 /// \brief A process and where it listens for peers.
 struct PeerAddress
 {
@@ -57,6 +64,7 @@
   std::string dataFolder;
   std::string operatorTokenHash; ///< Hex SHA-256 of the operators' bearer token.
   Duration groupLease{};
+  Duration electionTimeout{}; ///< Silence of the leader before an election.
 };
 
 /// \brief Agent only: the target VM it stands beside.
@@ -70,8 +78,17 @@
   std::string address; ///< "ip:port" of the engine or service.
 };
 
+/// \brief Entry only: second attempts of all entries together at one service.
+struct RetryLimits
+{
+  double ratio = 0;      ///< Of the requests for the service.
+  std::size_t slack = 0; ///< Besides, in each window.
+  Duration window{};
+};
+
 struct ObserveSettings
 {
+  std::string metricsListen; ///< "ip:port" of /metrics and /healthz; "": at httpListen.
   EventLevel logLevel = EventLevel::kInfo;
   std::size_t timelineEvents = 0; ///< Events kept in the ring of the time line.
 };
@@ -85,15 +102,23 @@
   std::string listen;     ///< Where it listens for peers, "ip:port".
   std::string announce;   ///< The address told to peers; "": where it listens.
   std::string httpListen; ///< Callers at an entry, operators at control; /metrics, /healthz at all.
+  std::string readyListen; ///< Entry: where a balancer asks for readiness; "": nowhere.
+  OutsideInterface outside = OutsideInterface::kOwn;
   std::string clusterKey; ///< Shared by all processes; proves that a peer belongs to the cluster.
   std::vector<PeerAddress> controls;
+  std::vector<std::string> seeds; ///< "ip:port" where some control processes serve HTTP.
+  std::uint16_t seedPort = 0;     ///< Where each of these listens for peers.
   PeerSettings peers;
   LimitSettings limits;
+  RetryLimits retries;
   ControlStoreSettings control;
   AgentTargetSettings agent;
   ObserveSettings observe;
 };
 
+/// \brief The name of the control process at this IP, where control processes are found by seeds.
+[[nodiscard]] ProcessId ControlNameAt(std::string_view ip);
+
 /// \brief One thing wrong with a settings file.
 struct SettingsFault
 {
--- a/include/gooseberrysail/shell/daemon.hpp
+++ b/include/gooseberrysail/shell/daemon.hpp
@@ -1,7 +1,11 @@
 #pragma once
 
+#include "gooseberrysail/control/outside_api.hpp"
+#include "gooseberrysail/gateway/gateway_api.hpp"
 #include "gooseberrysail/settings/settings.hpp"
 
+#include <functional>
+
 namespace gooseberrysail {
 
 /// \brief Exit statuses of the daemon.
@@ -18,7 +22,18 @@
 /// \brief Runs an agent until it is told to stop.
 [[nodiscard]] DaemonExit RunAgent(const ProcessSettings& settings);
 
+/// \brief How callers, targets and the balancer speak to a gateway.
+struct GatewayAdapter
+{
+  GatewayApi api;
+  std::function<HttpAnswerOut(const HttpRequestIn&, bool isReady)> answerReadiness;
+};
+
+/// \brief Runs an entry that serves routes of the serving document until it is told to stop.
+[[nodiscard]] DaemonExit RunGateway(const ProcessSettings& settings, const GatewayAdapter& adapter);
+
 /// \brief Runs a control process until it is told to stop.
-[[nodiscard]] DaemonExit RunControl(const ProcessSettings& settings);
+/// \param outside Unset where only this project's own interface is served.
+[[nodiscard]] DaemonExit RunControl(const ProcessSettings& settings, OutsideApi outside = {});
 
 } // namespace gooseberrysail
--- a/src/control/control_role.cpp
+++ b/src/control/control_role.cpp
@@ -7,6 +7,7 @@
 #include "gooseberrysail/control/membership.hpp"
 #include "gooseberrysail/control/request_relay.hpp"
 #include "gooseberrysail/control/route_distribution.hpp"
+#include "gooseberrysail/control/serving_control.hpp"
 #include "gooseberrysail/control/usage_shares.hpp"
 #include "gooseberrysail/observe/event.hpp"
 
@@ -29,6 +30,7 @@
     , hooks(std::move(controlHooks))
     , proposer(hooks.propose)
     , planning(hooks.plan ? hooks.plan : OwnPlanner())
+    , serving(hooks.outside)
   {
   }
 
@@ -50,6 +52,8 @@
   void Take(ControlContext& context, const FrameIn& input);
   void Take(ControlContext& context, const HttpRequestIn& input);
   void Take(ControlContext& context, const HttpCallerGone& input);
+  void Take(ControlContext& context, const TargetAnswerIn& input);
+  void Take(ControlContext& context, const TargetFailedIn& input);
   void Take(ControlContext& context, const StopRequested& input);
   void TakeAsLeader(ControlContext& context, const ProcessId& peer, const wire::BodyUnion& body);
 
@@ -69,6 +73,7 @@
   ClaimService claims;
   UsageShares shares;
   RequestRelay relay;
+  ServingControl serving;
   AdminApi admin;
 
   std::vector<EventOut> events; ///< Of commands applied since the last tick.
@@ -191,6 +196,7 @@
   if (context.ready) {
     RunSystems(context);
   }
+  serving.Tick(context);
   FinishStopping(context);
 }
 
@@ -213,6 +219,7 @@
   if (leads != leadingTerm) {
     if (!leadingTerm.IsNone()) {
       admin.OnLeadershipLost(context);
+      serving.OnLeadershipLost(context);
       context.outbox.emplace_back(MakeEvent(EventNumber::kLeadershipLost,
                                             { { "term", std::to_string(leadingTerm.Get()) },
                                               { "leader", replication.leaderHint.Get() } }));
@@ -227,6 +234,7 @@
     routes.OnLeaderStart(context);
     claims.OnLeaderStart();
     shares.OnLeaderStart();
+    serving.OnLeaderStart(context);
   }
   context.leaderSince = leaderSince;
   if (leadingTerm.IsNone()) {
@@ -269,6 +277,7 @@
   found->second.since = context.now;
   routes.OnPeerDown(input.peer);
   membership.OnPeerDown(input.peer);
+  serving.OnPeerDown(input.peer);
 }
 
 void ControlRole::Impl::Take(ControlContext& context, const FrameIn& input)
@@ -279,6 +288,8 @@
     membership.OnAnnounce(context, input.peer, *body.AsAnnounce());
   } else if (body.type == wire::Body::InForce) {
     config.OnInForce(context, input.peer, *body.AsInForce());
+  } else if (body.type == wire::Body::TargetHeard || body.type == wire::Body::ServingQuery) {
+    serving.OnFrame(context, input.peer, body);
   } else if (context.ready) {
     TakeAsLeader(context, input.peer, body);
   }
@@ -331,12 +342,25 @@
 
 void ControlRole::Impl::Take(ControlContext& context, const HttpRequestIn& input)
 {
-  admin.OnRequest(context, input, Sources());
+  if (!serving.OnRequest(context, input)) {
+    admin.OnRequest(context, input, Sources());
+  }
 }
 
 void ControlRole::Impl::Take(ControlContext&, const HttpCallerGone& input)
 {
   admin.OnCallerGone(input.exchange);
+  serving.OnCallerGone(input.exchange);
+}
+
+void ControlRole::Impl::Take(ControlContext& context, const TargetAnswerIn& input)
+{
+  serving.OnOrderAnswer(context, input);
+}
+
+void ControlRole::Impl::Take(ControlContext& context, const TargetFailedIn& input)
+{
+  serving.OnOrderFailed(context, input);
 }
 
 void ControlRole::Impl::Take(ControlContext& context, const StopRequested&)
@@ -352,12 +376,14 @@
 void ControlRole::Impl::FinishStopping(ControlContext& context)
 {
   constexpr Duration kStopLimit = std::chrono::seconds(5);
-  const bool over = stopSince && (admin.OpenCalls() == 0 || context.now - *stopSince >= kStopLimit);
+  const std::size_t open = admin.OpenCalls() + serving.OpenCalls();
+  const bool over = stopSince && (open == 0 || context.now - *stopSince >= kStopLimit);
   if (!over || stopped) {
     return;
   }
   stopped = true;
   admin.OnLeadershipLost(context);
+  serving.OnLeadershipLost(context);
   context.outbox.emplace_back(StoppedOut{});
 }
 
--- a/src/control/control_state.cpp
+++ b/src/control/control_state.cpp
@@ -70,10 +70,23 @@
     case wire::CommandBody::LeaderStart:
       m_startedTerm = Term(body.AsLeaderStart()->term);
       return {};
+    case wire::CommandBody::PutDocument:
+      return Put(*body.AsPutDocument());
   }
   return "a command of an unknown kind";
 }
 
+// Two operators may send documents at once, and an older one may be sent again: the order of the
+// log decides, and what is in force never goes back.
+std::string ControlState::Put(const wire::PutDocumentT& put)
+{
+  if (put.version <= m_document.version) {
+    return "a document of version " + std::to_string(m_document.version) + " is in force";
+  }
+  m_document = StoredDocument{ put.version, put.text };
+  return {};
+}
+
 std::vector<std::uint8_t> ControlState::TakeSnapshot() const
 {
   wire::ControlSnapshotT snapshot;
@@ -81,6 +94,11 @@
   m_catalogue.SaveTo(snapshot);
   m_groups.SaveTo(snapshot);
   m_claims.SaveTo(snapshot);
+  if (m_document.version != 0) {
+    snapshot.document = std::make_unique<wire::PutDocumentT>();
+    snapshot.document->version = m_document.version;
+    snapshot.document->text = m_document.text;
+  }
   flatbuffers::FlatBufferBuilder builder(1024 * 1024);
   builder.Finish(wire::ControlSnapshot::Pack(builder, &snapshot));
   const std::span<const std::uint8_t> bytes(builder.GetBufferPointer(), builder.GetSize());
@@ -100,6 +118,10 @@
   m_catalogue.LoadFrom(snapshot);
   m_groups.LoadFrom(snapshot);
   m_claims.LoadFrom(snapshot);
+  m_document = {};
+  if (snapshot.document) {
+    m_document = { snapshot.document->version, snapshot.document->text };
+  }
   m_index = LogIndex(snapshot.index);
   return outcome::success();
 }
--- /dev/null
+++ b/src/control/document_service.cpp
@@ -0,0 +1,135 @@
+#include "gooseberrysail/control/document_service.hpp"
+
+#include "gooseberrysail/observe/event.hpp"
+
+#include <algorithm>
+
+namespace gooseberrysail {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/// Callers turn to another process after a second without an answer.
+constexpr Duration kAnswerWithin = 950ms;
+/// Open calls, so that a flood of them can't fill the memory.
+constexpr std::size_t kMaxOpenCalls = 64;
+
+OutsideAnswer Unavailable(std::string reason)
+{
+  return { OutsideStatus::kUnavailable, {}, std::move(reason), {} };
+}
+
+EventOut RefusedEvent(std::uint64_t version, const std::string& reason)
+{
+  return MakeEvent(EventNumber::kDocumentRefused,
+                   { { "version", std::to_string(version) }, { "reason", reason } });
+}
+
+} // namespace
+
+void DocumentService::OnPut(ControlContext& context,
+                            ExchangeId exchange,
+                            std::string text,
+                            const DocumentReader& read,
+                            const Respond& respond)
+{
+  const Result<ServingDocument> document = read(text);
+  if (!document) {
+    context.outbox.emplace_back(RefusedEvent(0, document.error().description));
+    respond(exchange, { OutsideStatus::kInvalid, {}, document.error().description, {} });
+    return;
+  }
+  if (OpenCalls() >= kMaxOpenCalls) {
+    respond(exchange, Unavailable("too many calls at once"));
+    return;
+  }
+  Put put{ exchange, document.value().version, std::move(text), context.now };
+  if (Settle(context, put, respond)) {
+    return;
+  }
+  wire::PutDocumentT command;
+  command.version = put.version;
+  command.text = put.text;
+  if (!context.proposer.Propose(std::move(command))) {
+    respond(exchange, Unavailable("this process does not lead"));
+    return;
+  }
+  m_puts.push_back(std::move(put));
+}
+
+// What is applied is committed: a majority has synced it, and no loss that the installation bears
+// takes it back. So an acknowledgement rests on the applied state alone.
+bool DocumentService::Settle(ControlContext& context, const Put& put, const Respond& respond)
+{
+  const StoredDocument& stored = context.state.GetDocument();
+  if (stored.version < put.version) {
+    return false;
+  }
+  if (stored.version == put.version && stored.text != put.text) {
+    const std::string reason = "another document has this version";
+    context.outbox.emplace_back(RefusedEvent(put.version, reason));
+    respond(put.exchange, { OutsideStatus::kConflict, {}, reason, {} });
+    return true;
+  }
+  context.outbox.emplace_back(
+    MakeEvent(EventNumber::kDocumentAcknowledged,
+              { { "version", std::to_string(put.version) },
+                { "stored", std::to_string(stored.version) },
+                { "millis", std::to_string(ToMillis(context.now - put.since)) } }));
+  respond(put.exchange, {});
+  return true;
+}
+
+void DocumentService::OnGet(const ControlContext& context, ExchangeId exchange)
+{
+  m_reads.push_back({ exchange, TakeTicket(context) });
+}
+
+void DocumentService::OnCallerGone(ExchangeId exchange)
+{
+  std::erase_if(m_puts, [&](const Put& put) { return put.exchange == exchange; });
+  std::erase_if(m_reads, [&](const Read& read) { return read.exchange == exchange; });
+}
+
+void DocumentService::Tick(ControlContext& context, const Respond& respond)
+{
+  std::erase_if(m_puts, [&](const Put& put) {
+    if (Settle(context, put, respond)) {
+      return true;
+    }
+    const bool late = context.now - put.since > kAnswerWithin;
+    if (late) {
+      respond(put.exchange, Unavailable("not committed in time; it may still be"));
+    }
+    return late;
+  });
+  std::erase_if(m_reads, [&](const Read& read) {
+    const StoredDocument& stored = context.state.GetDocument();
+    if (IsConfirmed(context, read.ticket)) {
+      respond(read.exchange,
+              stored.version == 0 ? Unavailable("no document yet")
+                                  : OutsideAnswer{ OutsideStatus::kDone, stored.text, {}, {} });
+      return true;
+    }
+    const bool late = context.now - read.ticket.asked > kAnswerWithin;
+    if (late) {
+      respond(read.exchange, Unavailable("no quorum confirmed this leader"));
+    }
+    return late;
+  });
+}
+
+void DocumentService::OnLeadershipLost(const Respond& respond)
+{
+  for (const Put& put : m_puts) {
+    respond(put.exchange, Unavailable("leadership was lost; the change may still be committed"));
+  }
+  for (const Read& read : m_reads) {
+    respond(read.exchange, Unavailable("leadership was lost"));
+  }
+  m_puts.clear();
+  m_reads.clear();
+}
+
+} // namespace gooseberrysail
--- /dev/null
+++ b/src/control/engine_groups.cpp
@@ -0,0 +1,445 @@
+#include "gooseberrysail/control/engine_groups.hpp"
+
+#include "gooseberrysail/observe/event.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace gooseberrysail {
+
+namespace {
+
+using namespace std::chrono_literals;
+using wire::MemberState;
+
+/// A process that just started has not heard every target: two heartbeats (1.2 s each) and some.
+constexpr Duration kLearnTime = 2500ms;
+/// Three heartbeats of 1.2 s without one: the target is not given to a new group.
+constexpr Duration kSilence = 3600ms;
+/// Orders act within some 100 ms and targets report at once; one without effect is given again.
+constexpr Duration kOrderRetry = 1500ms;
+/// A join that takes longer than this beside its load has failed.
+constexpr Duration kJoinSlack = 10s;
+/// A head whose members left stands still and declares itself broken after 5 s; 1 s for its clock
+/// and the order's way.
+constexpr Duration kStandstillTime = 6s;
+/// Loads are counted over this window, which is the one in which the store's rate is enforced.
+constexpr Duration kLoadWindow = 5s;
+/// Kept free of the allowed loads: a leader that follows within a window starts its count anew.
+constexpr double kLoadReserve = 0.5;
+/// Before the first request the store is not limited; this bounds a fault.
+constexpr std::uint32_t kUnlimitedLoads = 100'000;
+/// Epochs of one term.
+constexpr std::uint64_t kEpochsPerTerm = 1ULL << 20U;
+
+bool Reports(const TargetRow* row, const std::string& group, Epoch epoch)
+{
+  return row != nullptr && row->latest.membership.group == group &&
+         row->latest.membership.epoch == epoch;
+}
+
+bool IsLeaving(const TargetRow* row)
+{
+  return row == nullptr || row->latest.left || row->latest.draining;
+}
+
+bool IsOpenState(MemberState state)
+{
+  return state == MemberState::Open || state == MemberState::Closing;
+}
+
+/// A restart takes the address over under another identity: the former life is over.
+bool IsReplaced(const TargetTable& targets, const TargetRow& row)
+{
+  return std::ranges::any_of(targets.Rows(), [&](const auto& other) {
+    return other.first != row.latest.instance &&
+           other.second.latest.address == row.latest.address && other.second.heardAt > row.heardAt;
+  });
+}
+
+const GroupModel* FindModel(const ServiceDefinition& service, const std::string& name)
+{
+  const auto found = std::ranges::find(service.engine->models, name, &GroupModel::name);
+  return found == service.engine->models.end() ? nullptr : &*found;
+}
+
+} // namespace
+
+const char* ToString(GroupOrderKind kind) noexcept
+{
+  switch (kind) {
+    case GroupOrderKind::kJoin:
+      return "join";
+    case GroupOrderKind::kOpen:
+      return "open";
+    case GroupOrderKind::kClose:
+      return "close";
+    case GroupOrderKind::kLeave:
+      return "leave";
+  }
+  return "unknown";
+}
+
+struct EngineGroups::Pass
+{
+  const GroupsInput& input;
+  std::vector<GroupOrder>& orders;
+  std::vector<EventOut>& events;
+  std::vector<std::string> dropped; ///< Groups whose members are free.
+
+  [[nodiscard]] const TargetRow* Row(const InstanceId& instance) const
+  {
+    return input.targets.Find(instance);
+  }
+};
+
+void EngineGroups::OnLeaderStart(TimePoint now)
+{
+  m_groups.clear();
+  m_loads.clear();
+  m_leaderSince = now;
+  m_formed = 0;
+}
+
+void EngineGroups::Tick(const GroupsInput& input,
+                        std::vector<GroupOrder>& orders,
+                        std::vector<EventOut>& events)
+{
+  if (!m_firstTick) {
+    m_firstTick = input.now;
+  }
+  Pass pass{ input, orders, events, {} };
+  Adopt(pass);
+  for (auto& [name, group] : m_groups) {
+    Advance(pass, group);
+  }
+  for (const std::string& name : pass.dropped) {
+    m_groups.erase(name);
+  }
+  if (input.now - *m_firstTick < kLearnTime) {
+    return;
+  }
+  for (const ServiceDefinition& service : input.document.services) {
+    if (service.engine) {
+      Form(pass, service);
+    }
+  }
+}
+
+// A head that serves under a group that this leader did not form was formed by an earlier leader.
+void EngineGroups::Adopt(Pass& pass)
+{
+  for (const auto& [instance, row] : pass.input.targets.Rows()) {
+    const GroupMembership& head = row.latest.membership;
+    const bool adopts = head.rank == 0 && IsOpenState(head.state) && !head.group.empty() &&
+                        !row.latest.left && !m_groups.contains(head.group);
+    if (!adopts) {
+      continue;
+    }
+    Group group;
+    group.name = head.group;
+    group.epoch = head.epoch;
+    group.service = row.latest.service;
+    group.model = row.latest.loadedModel;
+    group.phase = Phase::kOpen;
+    group.since = pass.input.now;
+    for (const auto& [member, memberRow] : pass.input.targets.Rows()) {
+      if (!Reports(&memberRow, head.group, head.epoch)) {
+        continue;
+      }
+      const std::size_t rank = memberRow.latest.membership.rank;
+      group.members.resize(std::max(group.members.size(), rank + 1));
+      group.members[rank] = member;
+    }
+    pass.events.push_back(MakeEvent(EventNumber::kTargetGroupAdopted,
+                                    { { "group", group.name },
+                                      { "model", group.model },
+                                      { "head", instance.Get() },
+                                      { "members", std::to_string(group.members.size()) } }));
+    m_groups.emplace(group.name, std::move(group));
+  }
+}
+
+void EngineGroups::Advance(Pass& pass, Group& group)
+{
+  switch (group.phase) {
+    case Phase::kJoining:
+      AdvanceJoining(pass, group);
+      break;
+    case Phase::kOpening:
+      AdvanceOpening(pass, group);
+      break;
+    case Phase::kOpen:
+      AdvanceOpen(pass, group);
+      break;
+    case Phase::kEnding:
+      AdvanceEnding(pass, group);
+      break;
+  }
+}
+
+void EngineGroups::AdvanceJoining(Pass& pass, Group& group)
+{
+  Duration patience = kJoinSlack;
+  for (const ServiceDefinition& service : pass.input.document.services) {
+    if (service.name == group.service && service.engine) {
+      const GroupModel* model = FindModel(service, group.model);
+      patience += model == nullptr ? Duration::zero() : 2 * model->loadTime;
+    }
+  }
+  if (HasFailedMember(pass, group) || pass.input.now - group.since > patience) {
+    // It was never told to open: its members are free at once.
+    pass.events.push_back(MakeEvent(EventNumber::kTargetGroupEnded,
+                                    { { "group", group.name }, { "reason", "a member failed" } }));
+    pass.dropped.push_back(group.name);
+    return;
+  }
+  bool allReady = true;
+  for (const InstanceId& member : group.members) {
+    const TargetRow* row = pass.Row(member);
+    const bool reports = Reports(row, group.name, group.epoch);
+    const bool ready = reports && row->latest.membership.state == MemberState::Ready;
+    allReady = allReady && ready;
+    if (!reports) {
+      Order(pass, group, member, GroupOrderKind::kJoin);
+    }
+  }
+  if (allReady) {
+    group.phase = Phase::kOpening;
+    group.since = pass.input.now;
+    group.orderedAt.clear();
+    AdvanceOpening(pass, group);
+  }
+}
+
+void EngineGroups::AdvanceOpening(Pass& pass, Group& group)
+{
+  const InstanceId& head = group.members.front();
+  const TargetRow* row = pass.Row(head);
+  if (Reports(row, group.name, group.epoch) && row->latest.membership.state == MemberState::Open) {
+    group.phase = Phase::kOpen;
+    group.since = pass.input.now;
+    pass.events.push_back(
+      MakeEvent(EventNumber::kTargetGroupOpen,
+                { { "group", group.name }, { "model", group.model }, { "head", head.Get() } }));
+    return;
+  }
+  if (HasFailedMember(pass, group)) {
+    End(pass, group, "a member failed before the group opened");
+    return;
+  }
+  Order(pass, group, head, GroupOrderKind::kOpen);
+}
+
+void EngineGroups::AdvanceOpen(Pass& pass, Group& group)
+{
+  const TargetRow* head = pass.Row(group.members.front());
+  if (!Reports(head, group.name, group.epoch) || !IsOpenState(head->latest.membership.state)) {
+    End(pass, group, "its head serves no more");
+    return;
+  }
+  for (const InstanceId& member : group.members) {
+    const TargetRow* row = pass.Row(member);
+    if (member.IsNone()) {
+      continue; // Not heard since this process started.
+    }
+    if (IsLeaving(row)) {
+      End(pass, group, "a member is leaving");
+      return;
+    }
+    if (!Reports(row, group.name, group.epoch)) {
+      End(pass, group, "a member is in it no more");
+      return;
+    }
+    if (IsReplaced(pass.input.targets, *row)) {
+      End(pass, group, "a member was restarted");
+      return;
+    }
+  }
+  // A head that is cut off from control only still answers the entries; its group goes on.
+  const bool answers = pass.input.answering.contains(group.members.front());
+  if (!answers && pass.input.now - head->heardAt > kSilence) {
+    End(pass, group, "its head is silent");
+  }
+}
+
+// The head may go on serving until it says otherwise; a member that joined another group meanwhile
+// would work for two.
+void EngineGroups::AdvanceEnding(Pass& pass, Group& group)
+{
+  if (IsReleased(pass, group)) {
+    pass.dropped.push_back(group.name);
+    return;
+  }
+  const InstanceId& head = group.members.front();
+  const TargetRow* row = pass.Row(head);
+  if (row != nullptr && IsReplaced(pass.input.targets, *row)) {
+    group.headIsDead = true;
+    return;
+  }
+  Order(pass, group, head, GroupOrderKind::kClose);
+  const bool silent =
+    row == nullptr || row->latest.left || pass.input.now - row->heardAt > kSilence;
+  if (!silent || pass.input.now - group.since < kSilence) {
+    return;
+  }
+  // The head can't be asked. Without its members it stands still, and is broken in the end.
+  for (std::size_t rank = 1; rank < group.members.size(); ++rank) {
+    if (Reports(pass.Row(group.members[rank]), group.name, group.epoch)) {
+      Order(pass, group, group.members[rank], GroupOrderKind::kLeave);
+    }
+  }
+  if (!group.releasedAt) {
+    group.releasedAt = pass.input.now;
+  }
+}
+
+bool EngineGroups::IsReleased(const Pass& pass, const Group& group) const
+{
+  if (group.headIsDead || group.headIsClosed) {
+    return true;
+  }
+  const TargetRow* head = pass.Row(group.members.front());
+  if (head == nullptr) {
+    return true;
+  }
+  // What the head said before it was told to close may be overtaken by a late order to open.
+  const bool spokeSince = head->heardAt > group.since;
+  const MemberState state = head->latest.membership.state;
+  if (spokeSince && !Reports(head, group.name, group.epoch)) {
+    return true;
+  }
+  if (spokeSince && !head->latest.left && state == MemberState::Broken) {
+    return true;
+  }
+  return group.releasedAt && pass.input.now - *group.releasedAt > kStandstillTime;
+}
+
+void EngineGroups::End(Pass& pass, Group& group, const char* reason)
+{
+  group.phase = Phase::kEnding;
+  group.since = pass.input.now;
+  group.orderedAt.clear();
+  const TargetRow* head = pass.Row(group.members.front());
+  const bool broken =
+    Reports(head, group.name, group.epoch) && head->latest.membership.state == MemberState::Broken;
+  group.headIsClosed =
+    broken || (head != nullptr && !head->latest.left && !Reports(head, group.name, group.epoch));
+  pass.events.push_back(
+    MakeEvent(EventNumber::kTargetGroupEnded, { { "group", group.name }, { "reason", reason } }));
+}
+
+void EngineGroups::Order(Pass& pass, Group& group, const InstanceId& target, GroupOrderKind kind)
+{
+  const auto ordered = group.orderedAt.find(target);
+  if (ordered != group.orderedAt.end() && pass.input.now - ordered->second < kOrderRetry) {
+    return;
+  }
+  const TargetRow* row = pass.Row(target);
+  if (row == nullptr || row->latest.address.empty()) {
+    return;
+  }
+  group.orderedAt[target] = pass.input.now;
+  GroupOrder order{ target, row->latest.address, kind, group.name, group.epoch, {}, {} };
+  if (kind == GroupOrderKind::kJoin) {
+    order.model = group.model;
+    order.members = group.members;
+  }
+  pass.orders.push_back(std::move(order));
+}
+
+bool EngineGroups::HasFailedMember(const Pass& pass, const Group& group)
+{
+  return std::ranges::any_of(group.members, [&](const InstanceId& member) {
+    const TargetRow* row = pass.Row(member);
+    return IsLeaving(row) || pass.input.now - row->heardAt > kSilence ||
+           IsReplaced(pass.input.targets, *row);
+  });
+}
+
+std::uint32_t EngineGroups::LoadsLeft(const Pass& pass, const EngineSpec& engine)
+{
+  if (!pass.input.hasTraffic) {
+    return kUnlimitedLoads;
+  }
+  std::erase_if(m_loads, [&](TimePoint at) { return pass.input.now - at > kLoadWindow; });
+  const double window = std::chrono::duration<double>(kLoadWindow).count();
+  const auto allowed =
+    static_cast<std::size_t>(std::floor(engine.loadsPerSecond * window * kLoadReserve));
+  return static_cast<std::uint32_t>(allowed - std::min(allowed, m_loads.size()));
+}
+
+void EngineGroups::Form(Pass& pass, const ServiceDefinition& service)
+{
+  std::set<InstanceId> taken;
+  std::vector<ModelHoldings> holdings;
+  for (const auto& [name, group] : m_groups) {
+    taken.insert(group.members.begin(), group.members.end());
+    if (group.service == service.name && group.phase != Phase::kEnding) {
+      holdings.push_back({ group.model, static_cast<std::uint32_t>(group.members.size()) });
+    }
+  }
+  std::vector<ModelHoldings> sums;
+  for (const GroupModel& model : service.engine->models) {
+    ModelHoldings sum{ model.name, 0 };
+    for (const ModelHoldings& each : holdings) {
+      sum.targets += each.model == model.name ? each.targets : 0;
+    }
+    sums.push_back(std::move(sum));
+  }
+  std::vector<FreeTarget> free;
+  for (const auto& [instance, row] : pass.input.targets.Rows()) {
+    const bool usable = row.latest.service == service.name && !IsLeaving(&row) &&
+                        pass.input.now - row.heardAt <= kSilence && !taken.contains(instance) &&
+                        !IsReplaced(pass.input.targets, row);
+    if (usable) {
+      free.push_back({ instance, row.latest.fabricDomain, row.latest.stagedModels });
+    }
+  }
+  const PoolInput pool{ free, service.engine->models, sums, LoadsLeft(pass, *service.engine) };
+  for (const PlannedGroup& planned : PlanPool(pool)) {
+    Group group;
+    group.epoch = Epoch(pass.input.term.Get() * kEpochsPerTerm + ++m_formed);
+    group.name = "g" + std::to_string(group.epoch.Get());
+    group.service = service.name;
+    group.model = planned.model;
+    group.members = planned.members;
+    group.since = pass.input.now;
+    m_loads.insert(m_loads.end(), planned.loads, pass.input.now);
+    pass.events.push_back(MakeEvent(EventNumber::kTargetGroupFormed,
+                                    { { "group", group.name },
+                                      { "model", group.model },
+                                      { "head", group.members.front().Get() },
+                                      { "members", std::to_string(group.members.size()) },
+                                      { "loads", std::to_string(planned.loads) } }));
+    Group& kept = m_groups.emplace(group.name, std::move(group)).first->second;
+    AdvanceJoining(pass, kept);
+  }
+}
+
+void EngineGroups::OnOrderOutcome(TimePoint, const GroupOrder& order, OrderOutcome outcome)
+{
+  const auto found = m_groups.find(order.group);
+  if (found == m_groups.end() || found->second.members.front() != order.target) {
+    return;
+  }
+  Group& group = found->second;
+  if (group.phase != Phase::kEnding || order.kind != GroupOrderKind::kClose) {
+    return;
+  }
+  group.headIsDead = group.headIsDead || outcome == OrderOutcome::kNoTarget;
+  group.headIsClosed = group.headIsClosed || outcome == OrderOutcome::kDone;
+}
+
+std::map<InstanceId, std::string> EngineGroups::ServingHeads() const
+{
+  std::map<InstanceId, std::string> heads;
+  for (const auto& [name, group] : m_groups) {
+    if (group.phase == Phase::kOpen) {
+      heads.emplace(group.members.front(), group.model);
+    }
+  }
+  return heads;
+}
+
+} // namespace gooseberrysail
--- /dev/null
+++ b/src/control/serving_control.cpp
@@ -0,0 +1,358 @@
+#include "gooseberrysail/control/serving_control.hpp"
+
+#include "gooseberrysail/observe/event.hpp"
+
+#include <algorithm>
+
+namespace gooseberrysail {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/// Groups are looked at this often, and at once when a target's state changed.
+constexpr Duration kKeepInterval = 200ms;
+constexpr Duration kForgetInterval = 5s;
+/// A process that just started has not heard every target yet; what it told entries would take
+/// targets from them that serve. Two heartbeats of 1.2 s and some.
+constexpr Duration kLearnTime = 2500ms;
+
+const char* ToString(OrderOutcome outcome)
+{
+  switch (outcome) {
+    case OrderOutcome::kBegun:
+      return "begun";
+    case OrderOutcome::kDone:
+      return "done";
+    case OrderOutcome::kRefused:
+      return "refused";
+    case OrderOutcome::kNoTarget:
+      return "no-target";
+    case OrderOutcome::kUnknown:
+      return "unknown";
+  }
+  return "unknown";
+}
+
+const char* StateName(const TargetAnnouncement& target)
+{
+  if (target.left) {
+    return "left";
+  }
+  return target.draining ? "draining" : "ready";
+}
+
+} // namespace
+
+ServingControl::ServingControl(OutsideApi api)
+  : m_api(std::move(api))
+{
+}
+
+bool ServingControl::OnRequest(ControlContext& context, const HttpRequestIn& request)
+{
+  if (!m_api.IsSet()) {
+    return false;
+  }
+  const std::optional<OutsideCall> call = m_api.decode(request);
+  if (!call) {
+    return false;
+  }
+  std::visit([&](const auto& value) { Take(context, request.exchange, value); }, *call);
+  return true;
+}
+
+void ServingControl::Take(ControlContext& context, ExchangeId exchange, const PutDocumentCall& call)
+{
+  if (IsForLeader(context, exchange)) {
+    m_documents.OnPut(context, exchange, call.text, m_api.readDocument, Responder(context));
+  }
+}
+
+void ServingControl::Take(ControlContext& context, ExchangeId exchange, const GetDocumentCall&)
+{
+  if (IsForLeader(context, exchange)) {
+    m_documents.OnGet(context, exchange);
+  }
+}
+
+// A target that is told "heard" while it leaves counts on getting no more work soon. Only a process
+// that knows a leader can get the word to the entries.
+void ServingControl::Take(ControlContext& context, ExchangeId exchange, const AnnounceCall& call)
+{
+  if (!context.ready && context.replication.leaderHint.IsNone()) {
+    Respond(context, exchange, { OutsideStatus::kUnavailable, {}, "no leader is known", {} });
+    return;
+  }
+  const InstanceId& instance = call.announcement.instance;
+  const TargetTable::Change change = m_targets.Hear(context.now, call.announcement);
+  if (change != TargetTable::Change::kNone) {
+    PassOn(context, instance);
+  }
+  if (change == TargetTable::Change::kState) {
+    NoteChange(context, instance);
+  }
+  Respond(context, exchange, {});
+}
+
+void ServingControl::Take(ControlContext& context, ExchangeId exchange, const LeaveCall& call)
+{
+  if (!context.ready && context.replication.leaderHint.IsNone()) {
+    Respond(context, exchange, { OutsideStatus::kUnavailable, {}, "no leader is known", {} });
+    return;
+  }
+  if (m_targets.Leave(context.now, call.instance) == TargetTable::Change::kState) {
+    NoteChange(context, call.instance);
+  }
+  PassOn(context, call.instance);
+  Respond(context, exchange, {});
+}
+
+void ServingControl::Take(ControlContext& context, ExchangeId exchange, const MalformedCall& call)
+{
+  context.outbox.emplace_back(
+    MakeEvent(EventNumber::kOutsideCallRefused, { { "caller", "" }, { "reason", call.reason } }));
+  Respond(context, exchange, { OutsideStatus::kInvalid, {}, call.reason, {} });
+}
+
+bool ServingControl::IsForLeader(ControlContext& context, ExchangeId exchange)
+{
+  if (context.ready) {
+    return true;
+  }
+  OutsideAnswer answer{ OutsideStatus::kUnavailable, {}, "no leader is known", {} };
+  for (const EntrySettings::Control& control : context.settings.controls) {
+    const bool leads = control.process == context.replication.leaderHint;
+    if (leads && control.process != context.settings.process) {
+      answer = { OutsideStatus::kElsewhere, {}, "another process leads", control.address };
+    }
+  }
+  Respond(context, exchange, answer);
+  return false;
+}
+
+void ServingControl::Respond(ControlContext& context,
+                             ExchangeId exchange,
+                             const OutsideAnswer& answer)
+{
+  context.outbox.emplace_back(m_api.encode(exchange, answer));
+}
+
+DocumentService::Respond ServingControl::Responder(ControlContext& context)
+{
+  return [this, &context](ExchangeId exchange, const OutsideAnswer& answer) {
+    Respond(context, exchange, answer);
+  };
+}
+
+void ServingControl::NoteChange(ControlContext& context, const InstanceId& instance)
+{
+  m_nextKeep = context.now;
+  const TargetAnnouncement& target = m_targets.Find(instance)->latest;
+  context.outbox.emplace_back(
+    MakeEvent(EventNumber::kTargetChanged,
+              { { "target", instance.Get() },
+                { "service", target.service },
+                { "address", target.address },
+                { "state", StateName(target) },
+                { "group", target.membership.group },
+                { "epoch", std::to_string(target.membership.epoch.Get()) },
+                { "member", wire::EnumNameMemberState(target.membership.state) },
+                { "sequence", std::to_string(target.sequence) } }));
+}
+
+// Every control process holds the whole table, so that a new leader knows who is there at once.
+void ServingControl::PassOn(ControlContext& context, const InstanceId& instance)
+{
+  const wire::TargetHeardT heard = ToWire(m_targets.Find(instance)->latest);
+  for (const EntrySettings::Control& control : context.settings.controls) {
+    if (control.process != context.settings.process && context.IsUp(control.process)) {
+      context.SendMessage(control.process, heard);
+    }
+  }
+}
+
+void ServingControl::OnFrame(ControlContext& context,
+                             const ProcessId& peer,
+                             const wire::BodyUnion& body)
+{
+  if (const wire::TargetHeardT* heard = body.AsTargetHeard()) {
+    const InstanceId instance(heard->instance);
+    const TargetTable::Change change = heard->left ? m_targets.Leave(context.now, instance)
+                                                   : m_targets.Hear(context.now, FromWire(*heard));
+    if (change == TargetTable::Change::kState) {
+      m_nextKeep = context.now;
+    }
+    return;
+  }
+  const wire::ServingQueryT* query = body.AsServingQuery();
+  if (query == nullptr) {
+    return;
+  }
+  if (context.ready && context.HasFreshQuorum()) {
+    m_feed.OnQuery(context, peer, *query);
+  } else {
+    context.SendMessage(peer, MakeControlList(context.settings));
+  }
+}
+
+void ServingControl::OnPeerDown(const ProcessId& peer)
+{
+  m_feed.OnPeerDown(peer);
+}
+
+void ServingControl::OnCallerGone(ExchangeId exchange)
+{
+  m_documents.OnCallerGone(exchange);
+}
+
+void ServingControl::OnLeaderStart(const ControlContext& context)
+{
+  m_groups.OnLeaderStart(context.now);
+  m_feed.OnLeaderStart();
+}
+
+void ServingControl::OnLeadershipLost(ControlContext& context)
+{
+  m_documents.OnLeadershipLost(Responder(context));
+}
+
+void ServingControl::Tick(ControlContext& context)
+{
+  if (!m_api.IsSet()) {
+    return;
+  }
+  if (m_startedAt == TimePoint{}) {
+    m_startedAt = context.now;
+  }
+  if (context.now >= m_nextForget) {
+    m_nextForget = context.now + kForgetInterval;
+    m_targets.Forget(context.now);
+  }
+  FollowDocument(context);
+  if (!context.ready) {
+    return;
+  }
+  m_documents.Tick(context, Responder(context));
+  // A deposed leader that does not know it yet must neither order targets nor supply entries.
+  if (!context.HasFreshQuorum()) {
+    return;
+  }
+  if (context.now >= m_nextKeep) {
+    m_nextKeep = context.now + kKeepInterval;
+    KeepGroups(context);
+    if (context.now - m_startedAt >= kLearnTime) {
+      m_feed.SetTargets(ListTargets(context));
+    }
+  }
+  m_feed.Tick(context);
+}
+
+void ServingControl::FollowDocument(ControlContext& context)
+{
+  const StoredDocument& stored = context.state.GetDocument();
+  if (stored.version == m_documentVersion) {
+    return;
+  }
+  m_documentVersion = stored.version;
+  Result<ServingDocument> document = m_api.readDocument(stored.text);
+  if (!document) {
+    context.outbox.emplace_back(MakeEvent(
+      EventNumber::kDocumentRefused,
+      { { "version", std::to_string(stored.version) }, { "reason", ToString(document.error()) } }));
+    return;
+  }
+  m_document = std::move(document).value();
+  context.outbox.emplace_back(
+    MakeEvent(EventNumber::kDocumentAccepted,
+              { { "version", std::to_string(stored.version) },
+                { "routes", std::to_string(m_document->routes.size()) },
+                { "services", std::to_string(m_document->services.size()) },
+                { "workspaces", std::to_string(m_document->workspaces.size()) },
+                { "bytes", std::to_string(stored.text.size()) } }));
+}
+
+void ServingControl::KeepGroups(ControlContext& context)
+{
+  if (!m_document) {
+    return;
+  }
+  std::vector<GroupOrder> orders;
+  std::vector<EventOut> events;
+  const std::set<InstanceId> answering = m_feed.AnsweringHeads(context.now);
+  m_groups.Tick({ context.now,
+                  context.replication.term,
+                  m_targets,
+                  *m_document,
+                  m_feed.HasTraffic(),
+                  answering },
+                orders,
+                events);
+  for (EventOut& event : events) {
+    context.outbox.emplace_back(std::move(event));
+  }
+  for (GroupOrder& order : orders) {
+    const ExchangeId exchange(++m_lastOrder);
+    context.outbox.emplace_back(m_api.encodeOrder(exchange, order));
+    m_orders.emplace(exchange, OpenOrder{ std::move(order), context.now });
+  }
+}
+
+void ServingControl::OnOrderAnswer(ControlContext& context, const TargetAnswerIn& answer)
+{
+  if (answer.status) {
+    EndOrder(context, answer.exchange, m_api.decodeOrderStatus(*answer.status), *answer.status);
+  }
+}
+
+void ServingControl::OnOrderFailed(ControlContext& context, const TargetFailedIn& failed)
+{
+  const bool nobodyThere = failed.neverSent && failed.error.code == ErrorCode::kUnavailable;
+  EndOrder(
+    context, failed.exchange, nobodyThere ? OrderOutcome::kNoTarget : OrderOutcome::kUnknown, 0);
+}
+
+void ServingControl::EndOrder(ControlContext& context,
+                              ExchangeId exchange,
+                              OrderOutcome outcome,
+                              unsigned status)
+{
+  const auto found = m_orders.find(exchange);
+  if (found == m_orders.end()) {
+    return;
+  }
+  const OpenOrder open = std::move(found->second);
+  m_orders.erase(found);
+  context.outbox.emplace_back(
+    MakeEvent(EventNumber::kGroupOrderEnded,
+              { { "target", open.order.target.Get() },
+                { "order", gooseberrysail::ToString(open.order.kind) },
+                { "group", open.order.group },
+                { "outcome", ToString(outcome) },
+                { "status", std::to_string(status) },
+                { "millis", std::to_string(ToMillis(context.now - open.since)) } }));
+  m_groups.OnOrderOutcome(context.now, open.order, outcome);
+}
+
+std::vector<ServedTarget> ServingControl::ListTargets(const ControlContext& context) const
+{
+  const std::map<InstanceId, std::string> heads = m_groups.ServingHeads();
+  std::vector<ServedTarget> targets;
+  for (const auto& [instance, row] : m_targets.Rows()) {
+    const TargetAnnouncement& latest = row.latest;
+    if (latest.address.empty() || context.now - row.heardAt > TargetTable::kKeepGone) {
+      continue;
+    }
+    ServedTarget target{
+      instance, latest.service, latest.address, latest.failureDomain, latest.slots, false, {}
+    };
+    target.leaving = latest.left || latest.draining;
+    if (const auto head = heads.find(instance); head != heads.end()) {
+      target.servedModel = head->second;
+    }
+    targets.push_back(std::move(target));
+  }
+  return targets;
+}
+
+} // namespace gooseberrysail
--- /dev/null
+++ b/src/control/serving_feed.cpp
@@ -0,0 +1,131 @@
+#include "gooseberrysail/control/serving_feed.hpp"
+
+#include "gooseberrysail/observe/event.hpp"
+
+#include <algorithm>
+
+namespace gooseberrysail {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/// An entry asks every 500 ms; after this many without a word it is not counted.
+constexpr Duration kEntryGone = 3s;
+
+} // namespace
+
+wire::ServingStateT MakeControlList(const ControlSettings& settings)
+{
+  wire::ServingStateT state;
+  for (const EntrySettings::Control& control : settings.controls) {
+    auto address = std::make_unique<wire::ControlAddressT>();
+    address->process = control.process.Get();
+    address->address = control.address;
+    state.controls.push_back(std::move(address));
+  }
+  return state;
+}
+
+void ServingFeed::OnLeaderStart()
+{
+  m_entries.clear();
+  m_targets.clear();
+  m_sequence = 0;
+}
+
+void ServingFeed::OnQuery(ControlContext& context,
+                          const ProcessId& process,
+                          const wire::ServingQueryT& query)
+{
+  const auto [found, fresh] = m_entries.try_emplace(process);
+  Entry& entry = found->second;
+  if (fresh) {
+    context.outbox.emplace_back(MakeEvent(EventNumber::kEntrySubscribed,
+                                          { { "entry", process.Get() },
+                                            { "document", std::to_string(query.haveDocument) },
+                                            { "targets", std::to_string(query.haveTargets) } }));
+  }
+  entry.heardAt = context.now;
+  // An entry that restarted, or whose connection broke, has less than it was sent.
+  const bool isCurrentTerm = query.haveTerm == context.replication.term.Get();
+  entry.document = query.haveDocument;
+  entry.targets = isCurrentTerm ? query.haveTargets : 0;
+  m_hasTraffic = m_hasTraffic || !query.demand.empty();
+  for (const auto& head : query.heads) {
+    const Duration ago = std::chrono::milliseconds(head->answeredAgoMillis);
+    if (ago < kAnsweredLately && !head->failing) {
+      entry.answeredAt[InstanceId(head->instance)] = context.now - ago;
+    }
+  }
+  Supply(context, process, entry);
+}
+
+void ServingFeed::OnPeerDown(const ProcessId& process)
+{
+  m_entries.erase(process);
+}
+
+void ServingFeed::SetTargets(std::vector<ServedTarget> targets)
+{
+  if (m_sequence != 0 && targets == m_targets) {
+    return;
+  }
+  m_targets = std::move(targets);
+  ++m_sequence;
+}
+
+void ServingFeed::Tick(ControlContext& context)
+{
+  std::erase_if(m_entries,
+                [&](const auto& row) { return context.now - row.second.heardAt > kEntryGone; });
+  for (auto& [process, entry] : m_entries) {
+    Supply(context, process, entry);
+  }
+}
+
+// The document is sent whole: at 500 routes it has some 120 KB, which an entry reads in about a
+// millisecond. Frames of one connection arrive in order or not at all, so what was sent counts as
+// had until the entry's next question says otherwise.
+void ServingFeed::Supply(ControlContext& context, const ProcessId& process, Entry& entry)
+{
+  const StoredDocument& document = context.state.GetDocument();
+  const bool lacksDocument = entry.document < document.version;
+  const bool lacksTargets = m_sequence != 0 && entry.targets != m_sequence;
+  if (!lacksDocument && !lacksTargets) {
+    return;
+  }
+  wire::ServingStateT state = MakeControlList(context.settings);
+  state.leader = true;
+  state.term = context.replication.term.Get();
+  state.entries = static_cast<std::uint32_t>(m_entries.size());
+  if (lacksDocument) {
+    state.documentVersion = document.version;
+    state.document = document.text;
+    entry.document = document.version;
+  }
+  if (lacksTargets) {
+    state.wholeTargets = true;
+    state.targetsSequence = m_sequence;
+    for (const ServedTarget& target : m_targets) {
+      state.targets.push_back(std::make_unique<wire::ServingTargetT>(ToWire(target)));
+    }
+    entry.targets = m_sequence;
+  }
+  context.SendMessage(process, std::move(state));
+}
+
+std::set<InstanceId> ServingFeed::AnsweringHeads(TimePoint now) const
+{
+  std::set<InstanceId> heads;
+  for (const auto& [process, entry] : m_entries) {
+    for (const auto& [head, at] : entry.answeredAt) {
+      if (now - at < kAnsweredLately) {
+        heads.insert(head);
+      }
+    }
+  }
+  return heads;
+}
+
+} // namespace gooseberrysail
--- /dev/null
+++ b/src/gateway/feed_client.cpp
@@ -0,0 +1,132 @@
+#include "gooseberrysail/gateway/feed_client.hpp"
+
+#include "gooseberrysail/observe/event.hpp"
+#include "gooseberrysail/wire/envelope.hpp"
+
+#include <algorithm>
+
+namespace gooseberrysail {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/// Control pushes changes at once; a question only heals what was lost with a connection or a
+/// leader.
+constexpr Duration kQueryInterval = 500ms;
+
+} // namespace
+
+FeedClient::FeedClient(std::vector<EntrySettings::Control> controls,
+                       FailureDomainId own,
+                       DocumentReader readDocument)
+  : m_own(std::move(own))
+  , m_readDocument(std::move(readDocument))
+{
+  for (EntrySettings::Control& control : controls) {
+    m_controls[control.process] = std::move(control.address);
+  }
+}
+
+void FeedClient::Tick(TimePoint now,
+                      const Dispatcher& dispatcher,
+                      std::vector<GatewayOutput>& outbox)
+{
+  if (now < m_nextQuery) {
+    return;
+  }
+  m_nextQuery = now + kQueryInterval;
+  const wire::ServingQueryT query = MakeQuery(now, dispatcher);
+  for (const auto& [process, address] : m_controls) {
+    outbox.emplace_back(FrameOut{ process, address, MakeEnvelope(wire::ServingQueryT(query)) });
+  }
+}
+
+wire::ServingQueryT FeedClient::MakeQuery(TimePoint now, const Dispatcher& dispatcher) const
+{
+  wire::ServingQueryT query;
+  query.haveDocument = m_knowledge.index ? m_knowledge.index->Document().version : 0;
+  query.haveTerm = m_term;
+  query.haveTargets = m_knowledge.targetsSequence;
+  query.failureDomain = m_own.Get();
+  for (const DemandRow& row : dispatcher.Demand()) {
+    auto demand = std::make_unique<wire::ModelDemandT>();
+    demand->service = row.service;
+    demand->model = row.model;
+    demand->requests = row.requests;
+    query.demand.push_back(std::move(demand));
+  }
+  for (const auto& [instance, row] : dispatcher.Board().Rows()) {
+    if (row.target.servedModel.empty() || row.answeredAt == TimePoint{}) {
+      continue;
+    }
+    auto head = std::make_unique<wire::HeadViewT>();
+    head->instance = instance.Get();
+    head->inFlight = row.inFlight;
+    head->answeredAgoMillis = static_cast<std::uint32_t>(ToMillis(now - row.answeredAt));
+    head->failing = row.failures > 0;
+    query.heads.push_back(std::move(head));
+  }
+  return query;
+}
+
+void FeedClient::OnState(TimePoint now,
+                         const ProcessId& peer,
+                         const wire::ServingStateT& state,
+                         Dispatcher& dispatcher,
+                         std::vector<GatewayOutput>& outbox)
+{
+  for (const auto& control : state.controls) {
+    m_controls[ProcessId(control->process)] = control->address;
+  }
+  // What a deposed leader sent last may arrive after its successor's first word.
+  if (!state.leader || state.term < m_term) {
+    return;
+  }
+  m_knowledge.heardAt = now;
+  dispatcher.Retries().SetEntries(state.entries);
+  TakeDocument(peer, state, outbox);
+  const bool isNews = state.term > m_term || state.targetsSequence > m_knowledge.targetsSequence;
+  if (!state.wholeTargets || !isNews) {
+    return;
+  }
+  m_term = state.term;
+  m_knowledge.targetsSequence = state.targetsSequence;
+  std::vector<ServedTarget> targets;
+  for (const auto& target : state.targets) {
+    targets.push_back(FromWire(*target));
+  }
+  const auto heads = std::ranges::count_if(
+    targets, [](const ServedTarget& target) { return !target.servedModel.empty(); });
+  dispatcher.Board().Replace(targets);
+  outbox.emplace_back(MakeEvent(EventNumber::kGatewayTargets,
+                                { { "control", peer.Get() },
+                                  { "term", std::to_string(m_term) },
+                                  { "sequence", std::to_string(state.targetsSequence) },
+                                  { "targets", std::to_string(targets.size()) },
+                                  { "heads", std::to_string(heads) } }));
+}
+
+void FeedClient::TakeDocument(const ProcessId& peer,
+                              const wire::ServingStateT& state,
+                              std::vector<GatewayOutput>& outbox)
+{
+  const std::uint64_t held = m_knowledge.index ? m_knowledge.index->Document().version : 0;
+  if (state.documentVersion <= held) {
+    return;
+  }
+  Result<ServingDocument> document = m_readDocument(state.document);
+  if (!document) {
+    outbox.emplace_back(
+      MakeEvent(EventNumber::kConfigurationRefused,
+                { { "control", peer.Get() }, { "description", ToString(document.error()) } }));
+    return;
+  }
+  m_knowledge.index = std::make_shared<const RouteIndex>(std::move(document).value());
+  outbox.emplace_back(MakeEvent(EventNumber::kGatewayDocument,
+                                { { "control", peer.Get() },
+                                  { "version", std::to_string(state.documentVersion) },
+                                  { "former", std::to_string(held) } }));
+}
+
+} // namespace gooseberrysail
--- /dev/null
+++ b/src/gateway/target_board.cpp
@@ -0,0 +1,144 @@
+#include "gooseberrysail/gateway/target_board.hpp"
+
+#include <algorithm>
+#include <tuple>
+
+namespace gooseberrysail {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/// The first trouble in a row; doubled by each further one up to the longest.
+constexpr Duration kAvoidFirst = 250ms;
+constexpr Duration kAvoidLongest = 4s;
+constexpr std::uint32_t kMaxDoublings = 4;
+/// Services that state no number of slots.
+constexpr std::uint32_t kDefaultSlots = 8;
+
+std::uint32_t SlotsOf(const ServedTarget& target)
+{
+  return target.slots == 0 ? kDefaultSlots : target.slots;
+}
+
+} // namespace
+
+TargetBoard::TargetBoard(FailureDomainId own, std::function<std::uint64_t()> random)
+  : m_own(std::move(own))
+  , m_random(std::move(random))
+{
+}
+
+void TargetBoard::Replace(std::span<const ServedTarget> targets)
+{
+  for (auto& [instance, row] : m_rows) {
+    row.gone = true;
+  }
+  for (const ServedTarget& target : targets) {
+    Row& row = m_rows[target.instance];
+    row.target = target;
+    row.gone = false;
+  }
+  std::erase_if(m_rows,
+                [](const auto& row) { return row.second.gone && row.second.inFlight == 0; });
+}
+
+bool TargetBoard::Fits(const Row& row, const TargetWish& wish)
+{
+  return !row.gone && !row.target.leaving && row.target.service == wish.service &&
+         row.target.servedModel == wish.model;
+}
+
+bool TargetBoard::IsBetter(const Row& left, const Row& right) const
+{
+  const auto rank = [this](const Row& row) {
+    const double load = static_cast<double>(row.inFlight) / SlotsOf(row.target);
+    return std::tuple(load, row.target.failureDomain != m_own);
+  };
+  return rank(left) < rank(right);
+}
+
+const ServedTarget* TargetBoard::Choose(TimePoint now, const TargetWish& wish)
+{
+  const Row* best = nullptr;
+  std::uint64_t equals = 0;
+  for (const auto& [instance, row] : m_rows) {
+    const bool usable = Fits(row, wish) && now >= row.avoidUntil &&
+                        row.inFlight < SlotsOf(row.target) && !wish.tried.contains(instance);
+    if (!usable) {
+      continue;
+    }
+    if (best == nullptr || IsBetter(row, *best)) {
+      best = &row;
+      equals = 1;
+    } else if (!IsBetter(*best, row) && m_random() % ++equals == 0) {
+      // Entries that all took the first of equals would send their work to one target.
+      best = &row;
+    }
+  }
+  return best == nullptr ? nullptr : &best->target;
+}
+
+bool TargetBoard::HasAny(const TargetWish& wish) const
+{
+  return std::ranges::any_of(m_rows, [&](const auto& row) { return Fits(row.second, wish); });
+}
+
+void TargetBoard::OnSent(TimePoint now, const InstanceId& instance)
+{
+  Row& row = m_rows[instance];
+  if (row.inFlight++ == 0) {
+    row.busySince = now;
+  }
+}
+
+void TargetBoard::OnBytes(TimePoint now, const InstanceId& instance)
+{
+  if (const auto found = m_rows.find(instance); found != m_rows.end()) {
+    found->second.answeredAt = now;
+  }
+}
+
+void TargetBoard::OnEnded(const InstanceId& instance)
+{
+  const auto found = m_rows.find(instance);
+  if (found == m_rows.end() || found->second.inFlight == 0) {
+    return;
+  }
+  if (--found->second.inFlight == 0 && found->second.gone) {
+    m_rows.erase(found);
+  }
+}
+
+void TargetBoard::OnTrouble(TimePoint now, const InstanceId& instance)
+{
+  const auto found = m_rows.find(instance);
+  if (found == m_rows.end()) {
+    return;
+  }
+  Row& row = found->second;
+  const Duration pause = kAvoidFirst * (1U << std::min(row.failures, kMaxDoublings));
+  ++row.failures;
+  row.avoidUntil = std::max(row.avoidUntil, now + std::min(pause, Duration(kAvoidLongest)));
+}
+
+void TargetBoard::OnSuccess(const InstanceId& instance)
+{
+  if (const auto found = m_rows.find(instance); found != m_rows.end()) {
+    found->second.failures = 0;
+  }
+}
+
+std::vector<InstanceId> TargetBoard::StalledHeads(TimePoint now) const
+{
+  std::vector<InstanceId> stalled;
+  for (const auto& [instance, row] : m_rows) {
+    const bool isHead = !row.target.servedModel.empty();
+    if (isHead && row.inFlight > 0 && now - std::max(row.busySince, row.answeredAt) > kStall) {
+      stalled.push_back(instance);
+    }
+  }
+  return stalled;
+}
+
+} // namespace gooseberrysail
--- /dev/null
+++ b/src/serving/document.cpp
@@ -0,0 +1,98 @@
+#include "gooseberrysail/serving/document.hpp"
+
+#include <set>
+#include <unordered_map>
+#include <unordered_set>
+
+namespace gooseberrysail {
+
+namespace {
+
+Error Invalid(std::string description)
+{
+  return Error{ ErrorCode::kInvalid, "validate serving document", "", std::move(description) };
+}
+
+bool IsPrefix(const std::string& path)
+{
+  return !path.empty() && path.front() == '/' && path.back() == '/';
+}
+
+Result<void> CheckServices(const ServingDocument& document)
+{
+  std::unordered_set<std::string_view> names;
+  for (const ServiceDefinition& service : document.services) {
+    if (service.name.empty() || !names.insert(service.name).second) {
+      return Invalid("service '" + service.name + "' has no name or stands twice");
+    }
+  }
+  return outcome::success();
+}
+
+Result<void> CheckShares(const HttpRoute& route,
+                         const std::unordered_set<std::string_view>& services)
+{
+  std::uint64_t total = 0;
+  for (const RouteShare& share : route.shares) {
+    if (!services.contains(share.service)) {
+      return Invalid("route '" + route.name + "' names the unknown service '" + share.service +
+                     "'");
+    }
+    total += share.weight;
+  }
+  if (total == 0) {
+    return Invalid("route '" + route.name + "': its weights add up to 0");
+  }
+  return outcome::success();
+}
+
+Result<void> CheckRoutes(const ServingDocument& document)
+{
+  std::unordered_set<std::string_view> services;
+  for (const ServiceDefinition& service : document.services) {
+    services.insert(service.name);
+  }
+  std::set<std::pair<std::string_view, std::string_view>> places;
+  for (const HttpRoute& route : document.routes) {
+    if (route.host.empty() || !IsPrefix(route.pathPrefix)) {
+      return Invalid("route '" + route.name + "' has no host, or a prefix without its slashes");
+    }
+    if (!places.emplace(route.host, route.pathPrefix).second) {
+      return Invalid("route '" + route.name + "' has the host and prefix of another route");
+    }
+    if (route.timeout <= Duration::zero()) {
+      return Invalid("route '" + route.name + "' has no positive timeout");
+    }
+    BOOST_OUTCOME_TRY(CheckShares(route, services));
+  }
+  return outcome::success();
+}
+
+Result<void> CheckWorkspaces(const ServingDocument& document)
+{
+  std::unordered_map<std::string_view, std::string_view> holders;
+  for (const ServingWorkspace& workspace : document.workspaces) {
+    for (const std::string& key : workspace.keys) {
+      const auto [holder, fresh] = holders.emplace(key, workspace.name);
+      if (!fresh && holder->second != workspace.name) {
+        return Invalid("workspaces '" + std::string(holder->second) + "' and '" + workspace.name +
+                       "' share a key");
+      }
+    }
+  }
+  return outcome::success();
+}
+
+} // namespace
+
+Result<void> ValidateDocument(const ServingDocument& document)
+{
+  if (document.version == 0) {
+    return Invalid("the version is missing or 0");
+  }
+  BOOST_OUTCOME_TRY(CheckServices(document));
+  BOOST_OUTCOME_TRY(CheckRoutes(document));
+  return CheckWorkspaces(document);
+}
+
+} // namespace gooseberrysail
--- /dev/null
+++ b/src/serving/route_index.cpp
@@ -0,0 +1,71 @@
+#include "gooseberrysail/serving/route_index.hpp"
+
+#include <algorithm>
+#include <cctype>
+
+namespace gooseberrysail {
+
+namespace {
+
+std::string ToHostName(std::string_view header)
+{
+  std::string name(header.substr(0, header.find(':')));
+  std::ranges::transform(
+    name, name.begin(), [](unsigned char letter) { return std::tolower(letter); });
+  return name;
+}
+
+} // namespace
+
+RouteIndex::RouteIndex(ServingDocument document)
+  : m_document(std::move(document))
+{
+  for (std::size_t row = 0; row < m_document.routes.size(); ++row) {
+    const HttpRoute& route = m_document.routes[row];
+    m_routes[route.host].emplace(route.pathPrefix, row);
+  }
+  for (std::size_t row = 0; row < m_document.workspaces.size(); ++row) {
+    for (const std::string& key : m_document.workspaces[row].keys) {
+      m_keys.emplace(key, row);
+    }
+  }
+  for (std::size_t row = 0; row < m_document.services.size(); ++row) {
+    m_services.emplace(m_document.services[row].name, row);
+  }
+}
+
+const HttpRoute* RouteIndex::Match(std::string_view host, std::string_view target) const
+{
+  const auto routes = m_routes.find(ToHostName(host));
+  if (routes == m_routes.end()) {
+    return nullptr;
+  }
+  // Prefixes end with a slash, so each slash of the path ends one candidate; the longest first.
+  std::string_view path = target.substr(0, target.find('?'));
+  while (!path.empty()) {
+    const std::size_t slash = path.rfind('/');
+    if (slash == std::string_view::npos) {
+      return nullptr;
+    }
+    path = path.substr(0, slash + 1);
+    if (const auto found = routes->second.find(path); found != routes->second.end()) {
+      return &m_document.routes[found->second];
+    }
+    path.remove_suffix(1);
+  }
+  return nullptr;
+}
+
+const ServingWorkspace* RouteIndex::FindByKey(std::string_view key) const
+{
+  const auto found = m_keys.find(key);
+  return found == m_keys.end() ? nullptr : &m_document.workspaces[found->second];
+}
+
+const ServiceDefinition* RouteIndex::FindService(std::string_view name) const
+{
+  const auto found = m_services.find(name);
+  return found == m_services.end() ? nullptr : &m_document.services[found->second];
+}
+
+} // namespace gooseberrysail
--- /dev/null
+++ b/src/serving/target_table.cpp
@@ -0,0 +1,109 @@
+#include "gooseberrysail/serving/target_table.hpp"
+
+#include <tuple>
+#include <utility>
+
+namespace gooseberrysail {
+
+namespace {
+
+/// What others must learn of when it differs.
+auto Significant(const TargetAnnouncement& announcement)
+{
+  const GroupMembership& member = announcement.membership;
+  return std::tie(announcement.service,
+                  announcement.address,
+                  announcement.slots,
+                  announcement.draining,
+                  announcement.left,
+                  announcement.stagedModels,
+                  announcement.loadedModel,
+                  member.group,
+                  member.epoch,
+                  member.rank,
+                  member.state);
+}
+
+} // namespace
+
+TargetTable::Change TargetTable::Hear(TimePoint now, TargetAnnouncement announcement)
+{
+  const auto [found, fresh] = m_rows.try_emplace(announcement.instance);
+  TargetRow& row = found->second;
+  // Heartbeats reach different control processes, and one may be overtaken by a later one: an older
+  // state put over a newer would bring back a target that is leaving.
+  const bool isLate = !fresh && announcement.sequence <= row.latest.sequence;
+  if (isLate || (!fresh && row.latest.left)) {
+    return Change::kNone;
+  }
+  const bool isSame = !fresh && Significant(row.latest) == Significant(announcement);
+  row.latest = std::move(announcement);
+  row.heardAt = now;
+  return isSame ? Change::kRefresh : Change::kState;
+}
+
+TargetTable::Change TargetTable::Leave(TimePoint now, const InstanceId& instance)
+{
+  TargetRow& row = m_rows[instance];
+  row.latest.instance = instance;
+  if (row.latest.left) {
+    return Change::kRefresh;
+  }
+  row.latest.left = true;
+  row.heardAt = now;
+  return Change::kState;
+}
+
+void TargetTable::Forget(TimePoint now)
+{
+  std::erase_if(m_rows, [now](const auto& row) { return now - row.second.heardAt > kKeepGone; });
+}
+
+const TargetRow* TargetTable::Find(const InstanceId& instance) const
+{
+  const auto found = m_rows.find(instance);
+  return found == m_rows.end() ? nullptr : &found->second;
+}
+
+wire::TargetHeardT ToWire(const TargetAnnouncement& announcement)
+{
+  wire::TargetHeardT heard;
+  heard.instance = announcement.instance.Get();
+  heard.service = announcement.service;
+  heard.address = announcement.address;
+  heard.failureDomain = announcement.failureDomain.Get();
+  heard.fabricDomain = announcement.fabricDomain.Get();
+  heard.softwareVersion = announcement.softwareVersion;
+  heard.slots = announcement.slots;
+  heard.draining = announcement.draining;
+  heard.left = announcement.left;
+  heard.sequence = announcement.sequence;
+  heard.staged = announcement.stagedModels;
+  heard.loadedModel = announcement.loadedModel;
+  heard.group = announcement.membership.group;
+  heard.epoch = announcement.membership.epoch.Get();
+  heard.rank = announcement.membership.rank;
+  heard.memberState = announcement.membership.state;
+  return heard;
+}
+
+TargetAnnouncement FromWire(const wire::TargetHeardT& heard)
+{
+  TargetAnnouncement announcement;
+  announcement.instance = InstanceId(heard.instance);
+  announcement.service = heard.service;
+  announcement.address = heard.address;
+  announcement.failureDomain = FailureDomainId(heard.failureDomain);
+  announcement.fabricDomain = FabricDomainId(heard.fabricDomain);
+  announcement.softwareVersion = heard.softwareVersion;
+  announcement.slots = heard.slots;
+  announcement.draining = heard.draining;
+  announcement.left = heard.left;
+  announcement.sequence = heard.sequence;
+  announcement.stagedModels = heard.staged;
+  announcement.loadedModel = heard.loadedModel;
+  announcement.membership = { heard.group, Epoch(heard.epoch), heard.rank, heard.memberState };
+  return announcement;
+}
+
+} // namespace gooseberrysail
--- a/src/settings/setting_key.cpp
+++ b/src/settings/setting_key.cpp
@@ -116,6 +116,28 @@
     "Where it serves HTTP: callers at an entry, operators at control; /metrics and /healthz "
     "everywhere.",
     [](ProcessSettings& settings, const SettingValue& value) { settings.httpListen = value.text; }),
+  TextKey("process.interface",
+          SettingType::kChoice,
+          "own|platform",
+          "own",
+          kEntryRole | kControlRole,
+          kNoRole,
+          "What callers, targets and operators outside speak: this project's own interface, or the "
+          "one that platform/ translates. The same on every process.",
+          [](ProcessSettings& settings, const SettingValue& value) {
+            settings.outside =
+              value.text == "platform" ? OutsideInterface::kPlatform : OutsideInterface::kOwn;
+          }),
+  TextKey("process.readyListen",
+          SettingType::kListenAddress,
+          "",
+          "",
+          kEntryRole,
+          kNoRole,
+          "Where a balancer asks whether to send callers here; with process.interface = platform.",
+          [](ProcessSettings& settings, const SettingValue& value) {
+            settings.readyListen = value.text;
+          }),
   TextKey(
     "cluster.key",
     SettingType::kSecret,
@@ -138,11 +160,33 @@
           "",
           "",
           kEveryRole,
-          kEveryRole,
-          "A control process; one line for each, the same lines on every process.",
+          kNoRole,
+          "A control process; one line for each, the same lines on every process. Either these or "
+          "cluster.seeds.",
           [](ProcessSettings& settings, const SettingValue& value) {
             settings.controls.push_back(SplitPeer(value.text));
           }),
+  TextKey("cluster.seeds",
+          SettingType::kAddressList,
+          "",
+          "",
+          kEveryRole,
+          kNoRole,
+          "Where control processes serve HTTP, the same first list on every process. Each is named "
+          "control-IP and listens for peers at cluster.seedPort.",
+          [](ProcessSettings& settings, const SettingValue& value) {
+            settings.seeds = SplitAddresses(value.text);
+          }),
+  CountKey("cluster.seedPort",
+           "as a port",
+           1,
+           65'535,
+           "7340",
+           kEveryRole,
+           "Where control processes found by cluster.seeds listen for peers.",
+           [](ProcessSettings& settings, const SettingValue& value) {
+             settings.seedPort = static_cast<std::uint16_t>(value.number);
+           }),
   CountKey("peers.heartbeatInterval",
            "milliseconds",
            20,
@@ -235,6 +279,47 @@
            [](ProcessSettings& settings, const SettingValue& value) {
              settings.control.groupLease = std::chrono::milliseconds(value.number);
            }),
+  CountKey("control.electionTimeout",
+           "milliseconds",
+           100,
+           60'000,
+           "1000",
+           kControlRole,
+           "Silence of the leader before an election; drawn anew between this and twice this. A "
+           "fifth of it passes between two heartbeats of the leader.",
+           [](ProcessSettings& settings, const SettingValue& value) {
+             settings.control.electionTimeout = std::chrono::milliseconds(value.number);
+           }),
+  TextKey("retries.ratio",
+          SettingType::kFraction,
+          "",
+          "0.2",
+          kEntryRole,
+          kNoRole,
+          "Second attempts of all entries together at one service, as a part of its requests.",
+          [](ProcessSettings& settings, const SettingValue& value) {
+            settings.retries.ratio = value.fraction;
+          }),
+  CountKey("retries.slack",
+           "attempts",
+           0,
+           1'000'000,
+           "100",
+           kEntryRole,
+           "Second attempts allowed besides, in each window.",
+           [](ProcessSettings& settings, const SettingValue& value) {
+             settings.retries.slack = static_cast<std::size_t>(value.number);
+           }),
+  CountKey("retries.window",
+           "seconds",
+           1,
+           3600,
+           "10",
+           kEntryRole,
+           "Over which second attempts are counted.",
+           [](ProcessSettings& settings, const SettingValue& value) {
+             settings.retries.window = std::chrono::seconds(value.number);
+           }),
   TextKey("agent.vm",
           SettingType::kName,
           "",
@@ -306,6 +391,16 @@
           [](ProcessSettings& settings, const SettingValue& value) {
             settings.observe.logLevel = ParseLevel(value.text);
           }),
+  TextKey("observe.metricsListen",
+          SettingType::kListenAddress,
+          "",
+          "",
+          kEveryRole,
+          kNoRole,
+          "Where /metrics and /healthz are served; without it, at process.httpListen.",
+          [](ProcessSettings& settings, const SettingValue& value) {
+            settings.observe.metricsListen = value.text;
+          }),
   CountKey("observe.timelineEvents",
            "events",
            100,
--- a/src/settings/setting_key.hpp
+++ b/src/settings/setting_key.hpp
@@ -6,6 +6,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace gooseberrysail::impl {
 
@@ -17,9 +18,11 @@
   kListenAddress, ///< "ip:port"; port 0 takes a free one.
   kAddress,       ///< "ip:port".
   kPath,
-  kHexHash, ///< 64 hexadecimal digits.
-  kSecret,  ///< Text never printed.
-  kPeer,    ///< "name=ip:port"; the key may be given several times.
+  kHexHash,     ///< 64 hexadecimal digits.
+  kSecret,      ///< Text never printed.
+  kPeer,        ///< "name=ip:port"; the key may be given several times.
+  kAddressList, ///< "ip:port,ip:port"
+  kFraction,    ///< A number from 0 to 1.
 };
 
 /// \brief A set of roles, one bit each.
@@ -41,6 +44,7 @@
 {
   std::string text;
   std::int64_t number = 0; ///< kCount only.
+  double fraction = 0;     ///< kFraction only.
 };
 
 /// \brief One key: parsing, checking and docs/SETTINGS.md all come from these rows.
@@ -70,6 +74,9 @@
 /// \brief Checks one value as written in the file.
 [[nodiscard]] Result<SettingValue> CheckSettingValue(const SettingKey& key, std::string_view text);
 
+/// \brief Splits "ip:port,ip:port".
+[[nodiscard]] std::vector<std::string> SplitAddresses(std::string_view text);
+
 /// \brief Splits "name=ip:port".
 [[nodiscard]] PeerAddress SplitPeer(std::string_view text);
 
--- a/src/settings/setting_value.cpp
+++ b/src/settings/setting_value.cpp
@@ -60,6 +60,21 @@
   return ParseWhole(text.substr(colon + 1), port) && port >= minPort && port <= kMaxPort;
 }
 
+bool IsAddressList(std::string_view text)
+{
+  const std::vector<std::string> addresses = SplitAddresses(text);
+  return !addresses.empty() && std::ranges::all_of(addresses, [](const std::string& address) {
+    return IsAddress(address, 1);
+  });
+}
+
+bool ParseFraction(std::string_view text, double& fraction) noexcept
+{
+  const char* end = text.data() + text.size();
+  const auto parsed = std::from_chars(text.data(), end, fraction);
+  return parsed.ec == std::errc() && parsed.ptr == end && fraction >= 0 && fraction <= 1;
+}
+
 bool IsPeer(std::string_view text)
 {
   const auto equals = text.find('=');
@@ -101,6 +116,10 @@
       return value.text.size() >= kMinSecretBytes;
     case SettingType::kPeer:
       return IsPeer(value.text);
+    case SettingType::kAddressList:
+      return IsAddressList(value.text);
+    case SettingType::kFraction:
+      return ParseFraction(value.text, value.fraction);
   }
   return false;
 }
@@ -134,13 +153,17 @@
       return "at least 32 bytes";
     case SettingType::kPeer:
       return "name=ip:port, port 1 to 65535";
+    case SettingType::kAddressList:
+      return "addresses ip:port, separated by commas";
+    case SettingType::kFraction:
+      return "a number from 0 to 1";
   }
   return "";
 }
 
 Result<SettingValue> CheckSettingValue(const SettingKey& key, std::string_view text)
 {
-  SettingValue value{ std::string(text), 0 };
+  SettingValue value{ std::string(text), 0, 0 };
   if (IsInRange(key, value)) {
     return value;
   }
@@ -152,6 +175,17 @@
                 "value" + shown + " is not " + DescribeRange(key) };
 }
 
+std::vector<std::string> SplitAddresses(std::string_view text)
+{
+  std::vector<std::string> addresses;
+  while (!text.empty()) {
+    const auto comma = text.find(',');
+    addresses.emplace_back(text.substr(0, comma));
+    text = comma == std::string_view::npos ? "" : text.substr(comma + 1);
+  }
+  return addresses;
+}
+
 PeerAddress SplitPeer(std::string_view text)
 {
   const auto equals = text.find('=');
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -258,8 +258,34 @@
     }
   }
 
+  /// \brief Control processes found by address have names that every process makes up alike.
+  void AddSeeds()
+  {
+    for (const std::string& seed : m_settings.seeds) {
+      const std::string ip = seed.substr(0, seed.rfind(':'));
+      m_settings.controls.push_back(
+        { ControlNameAt(ip), ip + ":" + std::to_string(m_settings.seedPort) });
+    }
+  }
+
   void CheckControls()
   {
+    const bool byName = m_given.contains("cluster.control");
+    const bool bySeeds = m_given.contains("cluster.seeds");
+    if (!m_roleKnown && !byName) {
+      return;
+    }
+    if (byName == bySeeds) {
+      AddFault(0,
+               "cluster.control",
+               byName ? "give either cluster.control or cluster.seeds, not both"
+                      : "is missing; give cluster.control or cluster.seeds");
+      return;
+    }
+    if (bySeeds) {
+      AddSeeds();
+      return;
+    }
     std::set<ProcessId> names;
     for (const Assignment& assignment : m_assignments) {
       if (assignment.key == "cluster.control" &&
@@ -316,6 +342,11 @@
 
 } // namespace
 
+ProcessId ControlNameAt(std::string_view ip)
+{
+  return ProcessId("control-" + std::string(ip));
+}
+
 const char* ToString(ProcessRole role) noexcept
 {
   switch (role) {
--- a/src/shell/control_shell.cpp
+++ b/src/shell/control_shell.cpp
@@ -1,4 +1,5 @@
 #include "gooseberrysail/consensus/raft_node.hpp"
+#include "gooseberrysail/http/http_client.hpp"
 #include "gooseberrysail/roles/control_role.hpp"
 #include "gooseberrysail/shell/daemon.hpp"
 #include "gooseberrysail/shell/role_loop.hpp"
@@ -13,6 +14,9 @@
 
 namespace {
 
+/// Some of them may be lost before the followers take the leader for dead.
+constexpr int kHeartbeatsPerElection = 5;
+
 ControlSettings ToControlSettings(const ProcessSettings& settings, const impl::ProcessShell& shell)
 {
   ControlSettings control;
@@ -33,6 +37,8 @@
   for (const PeerAddress& control : settings.controls) {
     raft.voters.push_back(control.process);
   }
+  raft.electionTimeout = settings.control.electionTimeout;
+  raft.heartbeat = raft.electionTimeout / kHeartbeatsPerElection;
   return raft;
 }
 
@@ -40,7 +46,7 @@
 class ControlShell
 {
 public:
-  ControlShell(const ProcessSettings& settings, ControlStore store)
+  ControlShell(const ProcessSettings& settings, ControlStore store, OutsideApi outside)
     : m_shell(settings)
     , m_store(std::move(store))
     , m_raft(ToRaftSettings(settings),
@@ -52,7 +58,12 @@
                  [this](std::vector<std::uint8_t> command) {
                    return m_raft.Propose(std::move(command)).has_value();
                  },
-               .plan = {} })
+               .plan = {},
+               .outside = std::move(outside) })
+    , m_targets(m_shell.Runtime(),
+                {},
+                { .onAnswer = [this](TargetAnswerIn answer) { m_loop.Post(std::move(answer)); },
+                  .onFailed = [this](TargetFailedIn failed) { m_loop.Post(std::move(failed)); } })
     , m_loop(
         ControlRole::kTickInterval,
         [this](TimePoint now, auto inbox, auto& outbox) {
@@ -77,6 +88,7 @@
     }
     m_shell.Runtime().Spawn([this] {
       m_loop.Run();
+      m_targets.Close();
       m_shell.Finish();
     });
     m_shell.Runtime().Run();
@@ -189,6 +201,10 @@
     const auto handle = impl::Overloaded{
       [this](FrameOut& frame) { m_shell.Send(frame); },
       [this](HttpAnswerOut& answer) { m_shell.Send(std::move(answer)); },
+      [this](TargetCallOut& call) {
+        const std::string address = call.address;
+        m_targets.Start(address, std::move(call));
+      },
       [this](EventOut& event) { m_shell.Record(event); },
       [this](StoppedOut&) { m_shell.DrainCallers([this] { m_loop.Stop(); }); },
     };
@@ -199,6 +215,7 @@
   ControlStore m_store;
   RaftNode m_raft;
   ControlRole m_role;
+  HttpClient m_targets; ///< Orders to targets.
   RoleLoop<ControlInput, ControlOutput> m_loop;
   std::map<ProcessId, std::string> m_addresses;
   std::vector<FrameIn> m_raftInbox;
@@ -212,7 +229,7 @@
 
 } // namespace
 
-DaemonExit RunControl(const ProcessSettings& settings)
+DaemonExit RunControl(const ProcessSettings& settings, OutsideApi outside)
 {
   std::random_device random;
   ControlStoreOptions options;
@@ -223,7 +240,7 @@
     PrintFailure(store.error());
     return DaemonExit::kFailed;
   }
-  ControlShell shell(settings, std::move(store).value());
+  ControlShell shell(settings, std::move(store).value(), std::move(outside));
   return shell.Run();
 }
 
--- /dev/null
+++ b/src/shell/gateway_shell.cpp
@@ -0,0 +1,105 @@
+#include "gooseberrysail/http/http_client.hpp"
+#include "gooseberrysail/roles/gateway_role.hpp"
+#include "gooseberrysail/shell/daemon.hpp"
+#include "gooseberrysail/shell/role_loop.hpp"
+#include "shell/process_shell.hpp"
+
+namespace gooseberrysail {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/// A target on the local network answers a connection at once or is not there.
+constexpr Duration kConnectTimeout = 500ms;
+/// Targets close idle connections after a timeout that they announce; this is below what is usual.
+constexpr Duration kIdleFor = 4s;
+
+GatewaySettings ToGatewaySettings(const ProcessSettings& settings)
+{
+  GatewaySettings gateway;
+  gateway.failureDomain = settings.failureDomain;
+  gateway.controls = impl::ControlsOf(settings);
+  gateway.retries = { settings.retries.ratio,
+                      static_cast<double>(settings.retries.slack),
+                      settings.retries.window };
+  return gateway;
+}
+
+HttpClientSettings ClientSettings()
+{
+  HttpClientSettings client;
+  client.connectTimeout = kConnectTimeout;
+  client.idleFor = kIdleFor;
+  // Some targets end an answer by closing; one that is reset on the way fails all the same.
+  client.acceptCloseDelimited = true;
+  return client;
+}
+
+} // namespace
+
+DaemonExit RunGateway(const ProcessSettings& settings, const GatewayAdapter& adapter)
+{
+  impl::ProcessShell shell(settings);
+  GatewayRole role(ToGatewaySettings(settings), shell.MakeRoleHooks(), adapter.api);
+  using Loop = RoleLoop<GatewayInput, GatewayOutput>;
+  std::unique_ptr<Loop> loop;
+  HttpClient targets(shell.Runtime(),
+                     ClientSettings(),
+                     { .onAnswer = [&](TargetAnswerIn answer) { loop->Post(std::move(answer)); },
+                       .onFailed = [&](TargetFailedIn failed) { loop->Post(std::move(failed)); } });
+  const auto handle = impl::Overloaded{
+    [&](FrameOut& frame) { shell.Send(frame); },
+    [&](HttpAnswerOut& answer) { shell.Send(std::move(answer)); },
+    [&](TargetCallOut& call) {
+      const std::string address = call.address;
+      targets.Start(address, std::move(call));
+    },
+    [&](TargetCancelOut& cancel) { targets.Cancel(cancel.exchange); },
+    [&](EventOut& event) { shell.Record(event); },
+    [&](StoppedOut&) { shell.DrainCallers([&] { loop->Stop(); }); },
+  };
+  loop = std::make_unique<Loop>(
+    GatewayRole::kTickInterval,
+    [&](TimePoint now, std::span<const GatewayInput> inbox, std::vector<GatewayOutput>& outbox) {
+      shell.RunTick([&] { role.Tick(now, inbox, outbox); });
+    },
+    [&](GatewayOutput& output) { std::visit(handle, output); });
+  std::unique_ptr<HttpServer> ready;
+  HttpServerSettings readySettings;
+  readySettings.listenAddress = settings.readyListen;
+  ready = std::make_unique<HttpServer>(
+    shell.Runtime(),
+    readySettings,
+    HttpServerHooks{ .onRequest =
+                       [&](const HttpRequestIn& request) {
+                         ready->Send(adapter.answerReadiness(request, role.IsReady()));
+                       },
+                     .onCallerGone = [](HttpCallerGone) {},
+                     .onEvent = {},
+                     .errorBody = {} });
+  const auto start = [&]() -> Result<void> {
+    BOOST_OUTCOME_TRY(
+      shell.Start({ .onUp = [&](PeerUp up) { loop->Post(std::move(up)); },
+                    .onDown = [&](PeerDown down) { loop->Post(std::move(down)); },
+                    .onFrame = [&](FrameIn frame) { loop->Post(std::move(frame)); },
+                    .onRequest = [&](HttpRequestIn request) { loop->Post(std::move(request)); },
+                    .onCallerGone = [&](HttpCallerGone gone) { loop->Post(gone); },
+                    .onStop = [&] { loop->Post(StopRequested{}); } }));
+    return ready->Start();
+  };
+  if (const Result<void> started = start(); !started) {
+    shell.RecordFailure(started.error());
+    return DaemonExit::kFailed;
+  }
+  shell.Runtime().Spawn([&] {
+    loop->Run();
+    ready->Close();
+    targets.Close();
+    shell.Finish();
+  });
+  shell.Runtime().Run();
+  return DaemonExit::kStopped;
+}
+
+} // namespace gooseberrysail
--- a/src/shell/process_shell.cpp
+++ b/src/shell/process_shell.cpp
@@ -79,6 +79,7 @@
                      .onEvent = record,
                      .errorBody = {} });
   BOOST_OUTCOME_TRY(m_http->Start());
+  BOOST_OUTCOME_TRY(StartMetrics());
   m_runtime.OnSignals({ SIGTERM, SIGINT }, [this](int) { OnSignal(); });
   Record(MakeEvent(EventNumber::kProcessStarted,
                    { { "role", ToString(m_settings.role) },
@@ -89,6 +90,38 @@
   return outcome::success();
 }
 
+Result<void> ProcessShell::StartMetrics()
+{
+  if (m_settings.observe.metricsListen.empty()) {
+    return outcome::success();
+  }
+  HttpServerSettings http;
+  http.listenAddress = m_settings.observe.metricsListen;
+  m_metricsHttp = std::make_unique<HttpServer>(
+    m_runtime,
+    http,
+    HttpServerHooks{ .onRequest = [this](const HttpRequestIn& in) { OnMetricsRequest(in); },
+                     .onCallerGone = [](HttpCallerGone) {},
+                     .onEvent = {},
+                     .errorBody = {} });
+  return m_metricsHttp->Start();
+}
+
+void ProcessShell::OnMetricsRequest(const HttpRequestIn& request)
+{
+  if (std::optional<HttpAnswerOut> page = m_observer.OnRequest(BootNow(), request)) {
+    m_metricsHttp->Send(std::move(*page));
+    return;
+  }
+  const bool health = request.target == "/healthz";
+  m_metricsHttp->Send(HttpAnswerOut{ .exchange = request.exchange,
+                                     .status = health ? 200U : 404U,
+                                     .headers = { { "Content-Type", "text/plain" } },
+                                     .bytes = health ? "ok\n" : "not found\n",
+                                     .end = true,
+                                     .abort = false });
+}
+
 void ProcessShell::DrainCallers(std::function<void()> drained)
 {
   m_runtime.Spawn([this, drained = std::move(drained)] {
@@ -102,6 +135,9 @@
 {
   m_mesh->Flush(kFlushTimeout);
   m_http->Close();
+  if (m_metricsHttp) {
+    m_metricsHttp->Close();
+  }
   m_mesh->Close();
   Record(MakeEvent(EventNumber::kProcessStopped));
   m_runtime.Stop();
@@ -140,6 +176,11 @@
 
 void ProcessShell::OnRequest(HttpRequestIn request)
 {
+  // Beside a metrics listener of its own, the process serves nothing but its callers here.
+  if (m_metricsHttp) {
+    m_hooks.onRequest(std::move(request));
+    return;
+  }
   if (std::optional<HttpAnswerOut> page = m_observer.OnRequest(BootNow(), request)) {
     m_http->Send(std::move(*page));
     return;
--- a/src/shell/process_shell.hpp
+++ b/src/shell/process_shell.hpp
@@ -73,7 +73,9 @@
 
 private:
   void OnSignal();
+  [[nodiscard]] Result<void> StartMetrics();
   void OnRequest(HttpRequestIn request);
+  void OnMetricsRequest(const HttpRequestIn& request);
   void OnCallerGone(HttpCallerGone gone);
   void OnFrame(FrameIn frame);
   [[nodiscard]] MetricsSample SampleMetrics() const;
@@ -87,6 +89,7 @@
   ShellHooks m_hooks;
   std::unique_ptr<PeerMesh> m_mesh;
   std::unique_ptr<HttpServer> m_http;
+  std::unique_ptr<HttpServer> m_metricsHttp; ///< Null where metrics are served at m_http.
   bool m_stopping = false;
 };
 
