Keep groups over a change of leader; reload settings; retry a full disk; let voters join

Ruled out: heartbeats lost between control processes (the gossip arrived; the new process had simply not been told yet).

Change: every reported group is adopted and its members stay taken until its head certainly takes no work; settings are read again by signal or change; control starts anew in the process after a failed write; with seeds, voters join by themselves and take the place of silent ones.

--- a/include/gooseberrysail/consensus/raft_node.hpp
+++ b/include/gooseberrysail/consensus/raft_node.hpp
@@ -18,7 +18,16 @@
 struct RaftSettings
 {
   ProcessId self;
-  std::vector<ProcessId> voters; ///< Every configured control process, this one among them.
+  /// \brief Every configured control process, this one among them; with `wantedVoters` only those
+  /// that found the cluster.
+  std::vector<ProcessId> voters;
+  /// \brief 0: the members are the configured processes. Otherwise any process that proved itself
+  /// may join, and takes the vote of one that fell silent once this many vote.
+  std::size_t wantedVoters = 0;
+  /// \brief Whether this start may found a cluster; false where the whole was started before.
+  bool mayFound = true;
+  /// \brief Silence after which a voter's place may go to a process that waits for one.
+  Duration replaceAfter = std::chrono::seconds(2);
   Duration heartbeat = std::chrono::milliseconds(200);
   /// \brief Silence of the leader before an election; drawn anew between this and twice this.
   Duration electionTimeout = std::chrono::milliseconds(1000);
--- a/include/gooseberrysail/control/context.hpp
+++ b/include/gooseberrysail/control/context.hpp
@@ -72,6 +72,9 @@
   TimePoint now;
   WallMillis wallMillis = 0;
   const ControlSettings& settings;
+  /// \brief Control processes: of the settings, or the cluster's members where they join by
+  /// themselves.
+  const std::vector<EntrySettings::Control>& controls;
   const ReplicationStatus& replication;
   const ControlState& state;
   const Catalogue& catalogue; ///< Typed copy of the committed catalogue.
--- a/include/gooseberrysail/control/engine_groups.hpp
+++ b/include/gooseberrysail/control/engine_groups.hpp
@@ -66,7 +66,7 @@
 class EngineGroups
 {
 public:
-  void OnLeaderStart(TimePoint now);
+  void OnLeaderStart();
 
   /// \brief Appends the orders to give now, and events.
   void Tick(const GroupsInput& input,
@@ -81,6 +81,7 @@
 private:
   enum class Phase
   {
+    kAdopted, ///< Of an earlier leader; its head is waited for.
     kJoining,
     kOpening,
     kOpen,
@@ -96,6 +97,7 @@
     std::vector<InstanceId> members; ///< The head first; none where a member is not known.
     Phase phase = Phase::kJoining;
     TimePoint since{}; ///< In this phase.
+    bool wasAdopted = false;
     std::map<InstanceId, TimePoint> orderedAt;
     bool headIsDead = false;             ///< That life of the head certainly ended.
     bool headIsClosed = false;           ///< The head said that it takes no work.
@@ -106,6 +108,7 @@
 
   void Adopt(Pass& pass);
   void Advance(Pass& pass, Group& group);
+  void AdvanceAdopted(Pass& pass, Group& group);
   void AdvanceJoining(Pass& pass, Group& group);
   void AdvanceOpening(Pass& pass, Group& group);
   void AdvanceOpen(Pass& pass, Group& group);
@@ -119,7 +122,7 @@
 
   std::map<std::string, Group> m_groups; ///< By name.
   std::vector<TimePoint> m_loads;        ///< When loads began lately.
-  TimePoint m_leaderSince{};
+  std::set<std::string> m_released; ///< Groups that are over although members still report them.
   std::optional<TimePoint> m_firstTick;
   std::uint64_t m_formed = 0; ///< In this term.
 };
--- a/include/gooseberrysail/control/serving_control.hpp
+++ b/include/gooseberrysail/control/serving_control.hpp
@@ -31,7 +31,7 @@
   void OnOrderAnswer(ControlContext& context, const TargetAnswerIn& answer);
   void OnOrderFailed(ControlContext& context, const TargetFailedIn& failed);
 
-  void OnLeaderStart(const ControlContext& context);
+  void OnLeaderStart();
   void OnLeadershipLost(ControlContext& context);
 
   /// \brief Every tick, on every control process.
--- a/include/gooseberrysail/control/serving_feed.hpp
+++ b/include/gooseberrysail/control/serving_feed.hpp
@@ -52,6 +52,6 @@
 };
 
 /// \brief What a process that does not lead tells an entry: where control processes are.
-[[nodiscard]] wire::ServingStateT MakeControlList(const ControlSettings& settings);
+[[nodiscard]] wire::ServingStateT MakeControlList(const ControlContext& context);
 
 } // namespace gooseberrysail
--- a/include/gooseberrysail/gateway/feed_client.hpp
+++ b/include/gooseberrysail/gateway/feed_client.hpp
@@ -20,6 +20,8 @@
              FailureDomainId own,
              DocumentReader readDocument);
 
+  void AddControls(std::vector<EntrySettings::Control> controls);
+
   /// \brief Asks every control process that is known, now and then.
   void Tick(TimePoint now, const Dispatcher& dispatcher, std::vector<GatewayOutput>& outbox);
 
--- a/include/gooseberrysail/roles/control_role.hpp
+++ b/include/gooseberrysail/roles/control_role.hpp
@@ -24,7 +24,8 @@
   Term term;
   LogIndex committed;
   LogIndex applied;
-  ProcessId leaderHint; ///< Whom to ask instead; none when unknown.
+  ProcessId leaderHint;           ///< Whom to ask instead; none when unknown.
+  std::vector<ProcessId> members; ///< Of the cluster, as far as this process knows.
   /// \brief The leader heard a quorum for everything asked up to this moment: a read of the applied
   /// state is linearizable for requests received before it.
   TimePoint quorumHeardAt{};
@@ -47,6 +48,9 @@
 struct ControlHooks
 {
   RoleHooks role;
+  /// \brief The peer address of a control process that the settings do not name; unset where they
+  /// name all.
+  std::function<std::string(const ProcessId&)> addressOf;
   /// \brief Hands a command to the replicated log; false when this process does not lead.
   /// \remarks Accepted is not committed: the command counts once Apply is called with it.
   std::function<bool(std::vector<std::uint8_t> command)> propose;
--- a/include/gooseberrysail/roles/gateway_role.hpp
+++ b/include/gooseberrysail/roles/gateway_role.hpp
@@ -33,6 +33,9 @@
   /// \remarks Call it at once when something arrives and at least every kTickInterval.
   void Tick(TimePoint now, std::span<const GatewayInput> inbox, std::vector<GatewayOutput>& outbox);
 
+  /// \brief Further control processes to ask, from changed settings.
+  void AddControls(std::vector<EntrySettings::Control> controls);
+
   /// \brief Whether a balancer should send callers here.
   [[nodiscard]] bool IsReady() const noexcept;
 
--- a/include/gooseberrysail/serving/target_table.hpp
+++ b/include/gooseberrysail/serving/target_table.hpp
@@ -44,6 +44,7 @@
 struct TargetRow
 {
   TargetAnnouncement latest;
+  TimePoint firstHeardAt{};
   TimePoint heardAt{};
 };
 
--- a/include/gooseberrysail/settings/settings.hpp
+++ b/include/gooseberrysail/settings/settings.hpp
@@ -64,7 +64,9 @@
   std::string dataFolder;
   std::string operatorTokenHash; ///< Hex SHA-256 of the operators' bearer token.
   Duration groupLease{};
-  Duration electionTimeout{}; ///< Silence of the leader before an election.
+  Duration electionTimeout{};      ///< Silence of the leader before an election.
+  std::size_t toleratedLosses = 1; ///< With seeds: processes that may be lost at once.
+  bool mayFound = true;            ///< This start may found a cluster.
 };
 
 /// \brief Agent only: the target VM it stands beside.
@@ -96,6 +98,7 @@
 /// \brief Everything a daemon learns from its settings file.
 struct ProcessSettings
 {
+  std::string file; ///< Where they were read from.
   ProcessRole role = ProcessRole::kEntry;
   ProcessId process;
   FailureDomainId failureDomain;
@@ -119,6 +122,10 @@
 /// \brief The name of the control process at this IP, where control processes are found by seeds.
 [[nodiscard]] ProcessId ControlNameAt(std::string_view ip);
 
+/// \brief Where the control process of a name that ControlNameAt made listens for peers; "" for
+/// another name.
+[[nodiscard]] std::string ControlAddressOf(const ProcessId& process, std::uint16_t port);
+
 /// \brief One thing wrong with a settings file.
 struct SettingsFault
 {
--- a/include/gooseberrysail/shell/daemon.hpp
+++ b/include/gooseberrysail/shell/daemon.hpp
@@ -34,6 +34,7 @@
 
 /// \brief Runs a control process until it is told to stop.
 /// \param outside Unset where only this project's own interface is served.
-[[nodiscard]] DaemonExit RunControl(const ProcessSettings& settings, OutsideApi outside = {});
+[[nodiscard]] DaemonExit RunControl(const ProcessSettings& settings,
+                                    const OutsideApi& outside = {});
 
 } // namespace gooseberrysail
--- a/src/consensus/raft_core.hpp
+++ b/src/consensus/raft_core.hpp
@@ -137,6 +137,7 @@
   [[nodiscard]] bool MayChangeMembers() const;
   std::uint64_t ProposeMembership(const Membership& changed);
   void PromoteLearners();
+  void RetireSilentVoter();
   void UseMembership(Membership newest, std::uint64_t index);
   void RecomputeMembership();
   [[nodiscard]] Membership MembershipAt(std::uint64_t index) const;
@@ -178,6 +179,7 @@
   TimePoint joinAskedAt{};
   bool joinAsked = false;
   std::map<std::string, impl::FoundingAnswer> foundingAnswers;
+  std::set<std::string> joinHints; ///< Processes said to be in the cluster to join.
   bool waitingToJoinTold = false;
   std::set<std::string> otherClusterTold;
 
--- a/src/consensus/raft_election.cpp
+++ b/src/consensus/raft_election.cpp
@@ -121,6 +121,10 @@
     const bool free = hardState.vote.IsNone() || hardState.vote.Get() == message.from;
     grant = message.term == term && free && upToDate;
   }
+  // A voter whose place was given away while it was gone doesn't know, and would ask for ever.
+  if (role == RaftRole::kLeader && settings.wantedVoters > 0) {
+    OnUnknownDisk(ProcessId(message.from), StorageIdentity(message.identity));
+  }
   Message reply = NewMessage(pre ? Kind::PreVoteReply : Kind::VoteReply, message.from);
   reply.granted = grant;
   if (pre) {
--- a/src/consensus/raft_membership.cpp
+++ b/src/consensus/raft_membership.cpp
@@ -21,6 +21,9 @@
 
 bool RaftNode::Impl::IsConfigured(const ProcessId& process) const
 {
+  if (settings.wantedVoters > 0) {
+    return true; // Who has the cluster's key may join; whether it votes is decided apart.
+  }
   return std::find(settings.voters.begin(), settings.voters.end(), process) !=
          settings.voters.end();
 }
@@ -43,11 +46,13 @@
   joinAskedAt = now;
   joinNonce = hooks.random();
   foundingAnswers.clear();
+  std::set<std::string> asked(joinHints);
   for (const ProcessId& process : settings.voters) {
-    if (process == settings.self) {
-      continue;
-    }
-    Message query = NewMessage(Kind::JoinQuery, process.Get());
+    asked.insert(process.Get());
+  }
+  asked.erase(self);
+  for (const std::string& process : asked) {
+    Message query = NewMessage(Kind::JoinQuery, process);
     query.granted = IsEmpty();
     query.readContext = joinNonce;
     Send(std::move(query));
@@ -73,6 +78,9 @@
   Message reply = NewMessage(Kind::JoinReply, message.from);
   reply.granted = !empty || process != Founder();
   reply.readContext = message.readContext;
+  for (const Member& member : membership.members) {
+    reply.members.push_back(member.process.Get());
+  }
   Send(std::move(reply));
 }
 
@@ -81,6 +89,8 @@
   if (message.readContext != joinNonce || !IsConfigured(ProcessId(message.from))) {
     return;
   }
+  // The processes of the settings may all be followers, or replaced since: the leader is asked too.
+  joinHints.insert(message.members.begin(), message.members.end());
   foundingAnswers[message.from] =
     FoundingAnswer{ StorageIdentity(message.identity), !message.granted, message.readContext };
   FoundIfAllEmpty();
@@ -88,7 +98,7 @@
 
 void RaftNode::Impl::FoundIfAllEmpty()
 {
-  if (!IsEmpty() || settings.self != Founder()) {
+  if (!settings.mayFound || !IsEmpty() || settings.self != Founder()) {
     return;
   }
   // After a pause the answers are old: a process may have data by now.
@@ -185,6 +195,10 @@
     if (!caughtUp || !alive) {
       continue;
     }
+    if (settings.wantedVoters > 0 && membership.VoterCount() >= settings.wantedVoters) {
+      RetireSilentVoter();
+      return;
+    }
     Membership changed = membership;
     for (Member& each : changed.members) {
       each.voter = each.voter || each.process == member.process;
@@ -194,6 +208,31 @@
   }
 }
 
+// A machine that is gone for good keeps its vote until another process stands ready to take its
+// place; the vote of one that is only slow to come back is so never lost for nothing. Its removal
+// and the newcomer's vote are two changes, of one voter each.
+void RaftNode::Impl::RetireSilentVoter()
+{
+  const std::string* longest = nullptr;
+  TimePoint oldest = now - settings.replaceAfter;
+  for (const auto& [process, peer] : peers) {
+    // A leader that just began has not heard anybody yet.
+    const TimePoint heard = std::max(peer.repliedAt, leadingSince);
+    if (peer.voter && heard <= oldest) {
+      oldest = heard;
+      longest = &process;
+    }
+  }
+  if (longest == nullptr) {
+    return;
+  }
+  Emit(EventNumber::kRaftVoterRetired, { { "process", *longest } });
+  Membership changed = membership;
+  std::erase_if(changed.members,
+                [&](const Member& each) { return each.process.Get() == *longest; });
+  ProposeMembership(changed);
+}
+
 void RaftNode::Impl::UseMembership(Membership newest, std::uint64_t index)
 {
   membership = std::move(newest);
--- a/src/consensus/raft_node.cpp
+++ b/src/consensus/raft_node.cpp
@@ -340,6 +340,9 @@
   status.committed = LogIndex(m_impl->commit);
   status.applied = LogIndex(m_impl->applied);
   status.leaderHint = ProcessId(m_impl->leader);
+  for (const Member& member : m_impl->membership.members) {
+    status.members.push_back(member.process);
+  }
   // Before an entry of its own term committed, a new leader may not know the newest committed
   // index: a read would then miss changes that its predecessor acknowledged.
   if (status.leader && m_impl->commit >= m_impl->termStartIndex) {
--- a/src/control/control_role.cpp
+++ b/src/control/control_role.cpp
@@ -44,6 +44,7 @@
 
   void FollowLeadership(ControlContext& context);
   void FollowCatalogue();
+  void FollowMembers(const ReplicationStatus& replication);
   void RunSystems(ControlContext& context);
   void FinishStopping(ControlContext& context);
 
@@ -60,6 +61,7 @@
   [[nodiscard]] AdminSources Sources() const { return { membership, config, routes }; }
 
   ControlSettings settings;
+  std::vector<EntrySettings::Control> controls; ///< See ControlContext::controls.
   ControlHooks hooks;
   ControlState state;
   Catalogue catalogue; ///< Typed copy of the committed one.
@@ -167,12 +169,25 @@
   }
 }
 
+void ControlRole::Impl::FollowMembers(const ReplicationStatus& replication)
+{
+  if (!hooks.addressOf || replication.members.empty()) {
+    controls = settings.controls;
+    return;
+  }
+  controls.clear();
+  for (const ProcessId& member : replication.members) {
+    controls.push_back({ member, hooks.addressOf(member) });
+  }
+}
+
 void ControlRole::Impl::Tick(TimePoint now,
                              const ReplicationStatus& replication,
                              std::span<const ControlInput> inbox,
                              std::vector<ControlOutput>& outbox)
 {
   FollowCatalogue();
+  FollowMembers(replication);
   for (EventOut& event : events) {
     outbox.emplace_back(std::move(event));
   }
@@ -181,6 +196,7 @@
   ControlContext context{ .now = now,
                           .wallMillis = hooks.role.wallMillis(),
                           .settings = settings,
+                          .controls = controls,
                           .replication = replication,
                           .state = state,
                           .catalogue = catalogue,
@@ -234,7 +250,7 @@
     routes.OnLeaderStart(context);
     claims.OnLeaderStart();
     shares.OnLeaderStart();
-    serving.OnLeaderStart(context);
+    serving.OnLeaderStart();
   }
   context.leaderSince = leaderSince;
   if (leadingTerm.IsNone()) {
--- a/src/control/engine_groups.cpp
+++ b/src/control/engine_groups.cpp
@@ -48,12 +48,14 @@
   return state == MemberState::Open || state == MemberState::Closing;
 }
 
-/// A restart takes the address over under another identity: the former life is over.
+/// A restart takes the address over under another identity: the former life is over. Who came first
+/// counts, not who spoke last: a heartbeat of the former life may arrive late.
 bool IsReplaced(const TargetTable& targets, const TargetRow& row)
 {
   return std::ranges::any_of(targets.Rows(), [&](const auto& other) {
     return other.first != row.latest.instance &&
-           other.second.latest.address == row.latest.address && other.second.heardAt > row.heardAt;
+           other.second.latest.address == row.latest.address &&
+           other.second.firstHeardAt > row.firstHeardAt;
   });
 }
 
@@ -93,11 +95,11 @@
   }
 };
 
-void EngineGroups::OnLeaderStart(TimePoint now)
+void EngineGroups::OnLeaderStart()
 {
   m_groups.clear();
+  m_released.clear();
   m_loads.clear();
-  m_leaderSince = now;
   m_formed = 0;
 }
 
@@ -115,6 +117,7 @@
   }
   for (const std::string& name : pass.dropped) {
     m_groups.erase(name);
+    m_released.insert(name);
   }
   if (input.now - *m_firstTick < kLearnTime) {
     return;
@@ -126,43 +129,67 @@
   }
 }
 
-// A head that serves under a group that this leader did not form was formed by an earlier leader.
+// A target that reports a group that this leader does not keep was ordered by an earlier leader.
+// Until the head of that group certainly takes no work, none of its members is free, also those
+// whose head this process has not heard of: given to another group they would work for two.
 void EngineGroups::Adopt(Pass& pass)
 {
   for (const auto& [instance, row] : pass.input.targets.Rows()) {
-    const GroupMembership& head = row.latest.membership;
-    const bool adopts = head.rank == 0 && IsOpenState(head.state) && !head.group.empty() &&
-                        !row.latest.left && !m_groups.contains(head.group);
-    if (!adopts) {
+    const GroupMembership& membership = row.latest.membership;
+    if (membership.group.empty() || m_released.contains(membership.group)) {
       continue;
     }
-    Group group;
-    group.name = head.group;
-    group.epoch = head.epoch;
-    group.service = row.latest.service;
-    group.model = row.latest.loadedModel;
-    group.phase = Phase::kOpen;
-    group.since = pass.input.now;
-    for (const auto& [member, memberRow] : pass.input.targets.Rows()) {
-      if (!Reports(&memberRow, head.group, head.epoch)) {
-        continue;
-      }
-      const std::size_t rank = memberRow.latest.membership.rank;
-      group.members.resize(std::max(group.members.size(), rank + 1));
-      group.members[rank] = member;
+    const auto [found, fresh] = m_groups.try_emplace(membership.group);
+    Group& group = found->second;
+    if (fresh) {
+      group.name = membership.group;
+      group.epoch = membership.epoch;
+      group.service = row.latest.service;
+      group.phase = Phase::kAdopted;
+      group.since = pass.input.now;
+      group.members.resize(1);
+    }
+    if (group.wasAdopted || fresh) {
+      group.wasAdopted = true;
+      group.members.resize(std::max<std::size_t>(group.members.size(), membership.rank + 1));
+      group.members[membership.rank] = instance;
+      group.model = group.model.empty() ? row.latest.loadedModel : group.model;
     }
-    pass.events.push_back(MakeEvent(EventNumber::kTargetGroupAdopted,
-                                    { { "group", group.name },
-                                      { "model", group.model },
-                                      { "head", instance.Get() },
-                                      { "members", std::to_string(group.members.size()) } }));
-    m_groups.emplace(group.name, std::move(group));
   }
+  std::erase_if(m_released, [&](const std::string& name) {
+    return std::ranges::none_of(pass.input.targets.Rows(), [&](const auto& row) {
+      return row.second.latest.membership.group == name;
+    });
+  });
+}
+
+void EngineGroups::AdvanceAdopted(Pass& pass, Group& group)
+{
+  const TargetRow* head = pass.Row(group.members.front());
+  const bool isHeard = Reports(head, group.name, group.epoch);
+  if (!isHeard && pass.input.now - group.since < kLearnTime) {
+    return; // Its head may not have spoken to this process yet.
+  }
+  const bool isOpen = isHeard && head->latest.membership.state == MemberState::Open;
+  pass.events.push_back(MakeEvent(EventNumber::kTargetGroupAdopted,
+                                  { { "group", group.name },
+                                    { "model", group.model },
+                                    { "head", group.members.front().Get() },
+                                    { "members", std::to_string(group.members.size()) } }));
+  group.since = pass.input.now;
+  if (isOpen) {
+    group.phase = Phase::kOpen;
+    return;
+  }
+  End(pass, group, "an earlier leader left it unfinished");
 }
 
 void EngineGroups::Advance(Pass& pass, Group& group)
 {
   switch (group.phase) {
+    case Phase::kAdopted:
+      AdvanceAdopted(pass, group);
+      break;
     case Phase::kJoining:
       AdvanceJoining(pass, group);
       break;
@@ -299,9 +326,10 @@
   if (group.headIsDead || group.headIsClosed) {
     return true;
   }
+  const bool stoodStill = group.releasedAt && pass.input.now - *group.releasedAt > kStandstillTime;
   const TargetRow* head = pass.Row(group.members.front());
   if (head == nullptr) {
-    return true;
+    return stoodStill;
   }
   // What the head said before it was told to close may be overtaken by a late order to open.
   const bool spokeSince = head->heardAt > group.since;
@@ -312,7 +340,7 @@
   if (spokeSince && !head->latest.left && state == MemberState::Broken) {
     return true;
   }
-  return group.releasedAt && pass.input.now - *group.releasedAt > kStandstillTime;
+  return stoodStill;
 }
 
 void EngineGroups::End(Pass& pass, Group& group, const char* reason)
@@ -391,6 +419,7 @@
   for (const auto& [instance, row] : pass.input.targets.Rows()) {
     const bool usable = row.latest.service == service.name && !IsLeaving(&row) &&
                         pass.input.now - row.heardAt <= kSilence && !taken.contains(instance) &&
+                        !m_groups.contains(row.latest.membership.group) &&
                         !IsReplaced(pass.input.targets, row);
     if (usable) {
       free.push_back({ instance, row.latest.fabricDomain, row.latest.stagedModels });
--- a/src/control/serving_control.cpp
+++ b/src/control/serving_control.cpp
@@ -121,7 +121,7 @@
     return true;
   }
   OutsideAnswer answer{ OutsideStatus::kUnavailable, {}, "no leader is known", {} };
-  for (const EntrySettings::Control& control : context.settings.controls) {
+  for (const EntrySettings::Control& control : context.controls) {
     const bool leads = control.process == context.replication.leaderHint;
     if (leads && control.process != context.settings.process) {
       answer = { OutsideStatus::kElsewhere, {}, "another process leads", control.address };
@@ -165,7 +165,7 @@
 void ServingControl::PassOn(ControlContext& context, const InstanceId& instance)
 {
   const wire::TargetHeardT heard = ToWire(m_targets.Find(instance)->latest);
-  for (const EntrySettings::Control& control : context.settings.controls) {
+  for (const EntrySettings::Control& control : context.controls) {
     if (control.process != context.settings.process && context.IsUp(control.process)) {
       context.SendMessage(control.process, heard);
     }
@@ -192,7 +192,7 @@
   if (context.ready && context.HasFreshQuorum()) {
     m_feed.OnQuery(context, peer, *query);
   } else {
-    context.SendMessage(peer, MakeControlList(context.settings));
+    context.SendMessage(peer, MakeControlList(context));
   }
 }
 
@@ -206,9 +206,9 @@
   m_documents.OnCallerGone(exchange);
 }
 
-void ServingControl::OnLeaderStart(const ControlContext& context)
+void ServingControl::OnLeaderStart()
 {
-  m_groups.OnLeaderStart(context.now);
+  m_groups.OnLeaderStart();
   m_feed.OnLeaderStart();
 }
 
--- a/src/control/serving_feed.cpp
+++ b/src/control/serving_feed.cpp
@@ -15,10 +15,10 @@
 
 } // namespace
 
-wire::ServingStateT MakeControlList(const ControlSettings& settings)
+wire::ServingStateT MakeControlList(const ControlContext& context)
 {
   wire::ServingStateT state;
-  for (const EntrySettings::Control& control : settings.controls) {
+  for (const EntrySettings::Control& control : context.controls) {
     auto address = std::make_unique<wire::ControlAddressT>();
     address->process = control.process.Get();
     address->address = control.address;
@@ -95,7 +95,7 @@
   if (!lacksDocument && !lacksTargets) {
     return;
   }
-  wire::ServingStateT state = MakeControlList(context.settings);
+  wire::ServingStateT state = MakeControlList(context);
   state.leader = true;
   state.term = context.replication.term.Get();
   state.entries = static_cast<std::uint32_t>(m_entries.size());
--- a/src/gateway/feed_client.cpp
+++ b/src/gateway/feed_client.cpp
@@ -22,6 +22,11 @@
                        DocumentReader readDocument)
   : m_own(std::move(own))
   , m_readDocument(std::move(readDocument))
+{
+  AddControls(std::move(controls));
+}
+
+void FeedClient::AddControls(std::vector<EntrySettings::Control> controls)
 {
   for (EntrySettings::Control& control : controls) {
     m_controls[control.process] = std::move(control.address);
--- a/src/gateway/gateway_role.cpp
+++ b/src/gateway/gateway_role.cpp
@@ -108,6 +108,11 @@
   m_impl->FinishStopping(now, outbox);
 }
 
+void GatewayRole::AddControls(std::vector<EntrySettings::Control> controls)
+{
+  m_impl->feed.AddControls(std::move(controls));
+}
+
 bool GatewayRole::IsReady() const noexcept
 {
   return m_impl->IsReady();
--- a/src/serving/target_table.cpp
+++ b/src/serving/target_table.cpp
@@ -36,6 +36,9 @@
   if (isLate || (!fresh && row.latest.left)) {
     return Change::kNone;
   }
+  if (fresh) {
+    row.firstHeardAt = now;
+  }
   const bool isSame = !fresh && Significant(row.latest) == Significant(announcement);
   row.latest = std::move(announcement);
   row.heardAt = now;
--- a/src/settings/setting_key.cpp
+++ b/src/settings/setting_key.cpp
@@ -290,6 +290,28 @@
            [](ProcessSettings& settings, const SettingValue& value) {
              settings.control.electionTimeout = std::chrono::milliseconds(value.number);
            }),
+  CountKey("control.toleratedLosses",
+           "processes",
+           0,
+           4,
+           "1",
+           kControlRole,
+           "With cluster.seeds: control processes that may be lost at once; twice as many and one "
+           "more vote, and further ones wait for a place.",
+           [](ProcessSettings& settings, const SettingValue& value) {
+             settings.control.toleratedLosses = static_cast<std::size_t>(value.number);
+           }),
+  TextKey("control.mayFound",
+          SettingType::kChoice,
+          "true|false",
+          "true",
+          kControlRole,
+          kNoRole,
+          "Whether this start may found a cluster when every seed's disk is empty; false once the "
+          "whole was started.",
+          [](ProcessSettings& settings, const SettingValue& value) {
+            settings.control.mayFound = value.text == "true";
+          }),
   TextKey("retries.ratio",
           SettingType::kFraction,
           "",
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -60,6 +60,7 @@
 
   SettingsResult Load()
   {
+    m_settings.file = m_path;
     const Result<std::string> text = m_readFile(m_path);
     if (!text) {
       AddFault(0, "", ToString(text.error()));
@@ -342,9 +343,24 @@
 
 } // namespace
 
+namespace {
+
+constexpr std::string_view kControlNamePrefix = "control-";
+
+} // namespace
+
 ProcessId ControlNameAt(std::string_view ip)
 {
-  return ProcessId("control-" + std::string(ip));
+  return ProcessId(std::string(kControlNamePrefix) + std::string(ip));
+}
+
+std::string ControlAddressOf(const ProcessId& process, std::uint16_t port)
+{
+  const std::string_view name = process.Get();
+  if (!name.starts_with(kControlNamePrefix)) {
+    return {};
+  }
+  return std::string(name.substr(kControlNamePrefix.size())) + ":" + std::to_string(port);
 }
 
 const char* ToString(ProcessRole role) noexcept
--- a/src/shell/control_shell.cpp
+++ b/src/shell/control_shell.cpp
@@ -9,11 +9,23 @@
 
 #include <iostream>
 #include <map>
+#include <thread>
 
 namespace gooseberrysail {
 
 namespace {
 
+/// How one life of the control role ended.
+enum class Ending
+{
+  kStopped,
+  kNotStarted,
+  kStorageFailed,
+};
+
+/// A disk that was full is tried again this often.
+constexpr auto kStorageRetry = std::chrono::seconds(1);
+
 /// Some of them may be lost before the followers take the leader for dead.
 constexpr int kHeartbeatsPerElection = 5;
 
@@ -37,23 +49,39 @@
   for (const PeerAddress& control : settings.controls) {
     raft.voters.push_back(control.process);
   }
+  if (!settings.seeds.empty()) {
+    raft.wantedVoters = 2 * settings.control.toleratedLosses + 1;
+    raft.mayFound = settings.control.mayFound;
+  }
   raft.electionTimeout = settings.control.electionTimeout;
   raft.heartbeat = raft.electionTimeout / kHeartbeatsPerElection;
   return raft;
 }
 
+std::function<std::string(const ProcessId&)> AddressHook(const ProcessSettings& settings)
+{
+  if (settings.seeds.empty()) {
+    return {};
+  }
+  return [port = settings.seedPort](const ProcessId& process) {
+    return ControlAddressOf(process, port);
+  };
+}
+
 /// One control process: the replicated log and its files below the role.
 class ControlShell
 {
 public:
   ControlShell(const ProcessSettings& settings, ControlStore store, OutsideApi outside)
     : m_shell(settings)
+    , m_addressOf(AddressHook(settings))
     , m_store(std::move(store))
     , m_raft(ToRaftSettings(settings),
              { .random = [this] { return m_shell.Random(); } },
              m_store.TakeRecovered())
     , m_role(ToControlSettings(settings, m_shell),
              { .role = m_shell.MakeRoleHooks(),
+               .addressOf = AddressHook(settings),
                .propose =
                  [this](std::vector<std::uint8_t> command) {
                    return m_raft.Propose(std::move(command)).has_value();
@@ -77,11 +105,11 @@
     }
   }
 
-  DaemonExit Run()
+  Ending Run()
   {
     if (const Result<void> started = Start(); !started) {
       m_shell.RecordFailure(started.error());
-      return DaemonExit::kFailed;
+      return Ending::kNotStarted;
     }
     for (const EventOut& event : m_store.OpenEvents()) {
       m_shell.Record(event);
@@ -92,7 +120,7 @@
       m_shell.Finish();
     });
     m_shell.Runtime().Run();
-    return m_failed ? DaemonExit::kFailed : DaemonExit::kStopped;
+    return m_failed ? Ending::kStorageFailed : Ending::kStopped;
   }
 
 private:
@@ -103,10 +131,11 @@
                            .onFrame = [this](FrameIn frame) { OnFrame(std::move(frame)); },
                            .onRequest = [this](HttpRequestIn in) { m_loop.Post(std::move(in)); },
                            .onCallerGone = [this](HttpCallerGone gone) { m_loop.Post(gone); },
-                           .onStop = [this] { m_loop.Post(StopRequested{}); } });
+                           .onStop = [this] { m_loop.Post(StopRequested{}); },
+                           .onReload = {} });
   }
 
-  /// Only control processes of the settings take part in the log, whoever else has the key.
+  /// Only control processes take part in the log, whoever else has the key.
   void OnFrame(FrameIn frame)
   {
     const auto* message = frame.envelope->body.AsRaftMessage();
@@ -114,12 +143,22 @@
       m_loop.Post(std::move(frame));
       return;
     }
-    if (m_addresses.contains(frame.peer) && message->from == frame.peer.Get()) {
+    if (!AddressOf(frame.peer).empty() && message->from == frame.peer.Get()) {
       m_raftInbox.push_back(std::move(frame));
       m_loop.Wake();
     }
   }
 
+  /// \returns "" for a process that is no control process.
+  [[nodiscard]] std::string AddressOf(const ProcessId& process) const
+  {
+    const auto found = m_addresses.find(process);
+    if (found != m_addresses.end()) {
+      return found->second;
+    }
+    return m_addressOf ? m_addressOf(process) : std::string();
+  }
+
   void Tick(TimePoint now, std::span<const ControlInput> inbox, std::vector<ControlOutput>& outbox)
   {
     m_raft.Tick(now);
@@ -172,9 +211,9 @@
     }
     for (const wire::RaftMessageT& message : ready.messages) {
       const ProcessId peer(message.to);
-      const auto address = m_addresses.find(peer);
-      if (address != m_addresses.end()) {
-        m_shell.Send(FrameOut{ peer, address->second, MakeEnvelope(wire::RaftMessageT(message)) });
+      const std::string address = AddressOf(peer);
+      if (!address.empty()) {
+        m_shell.Send(FrameOut{ peer, address, MakeEnvelope(wire::RaftMessageT(message)) });
       }
     }
   }
@@ -212,6 +251,7 @@
   }
 
   impl::ProcessShell m_shell;
+  std::function<std::string(const ProcessId&)> m_addressOf; ///< Unset where the settings name all.
   ControlStore m_store;
   RaftNode m_raft;
   ControlRole m_role;
@@ -229,7 +269,9 @@
 
 } // namespace
 
-DaemonExit RunControl(const ProcessSettings& settings, OutsideApi outside)
+namespace {
+
+Ending RunControlOnce(const ProcessSettings& settings, const OutsideApi& outside)
 {
   std::random_device random;
   ControlStoreOptions options;
@@ -238,10 +280,24 @@
   Result<ControlStore> store = ControlStore::Open(std::move(options));
   if (!store) {
     PrintFailure(store.error());
-    return DaemonExit::kFailed;
+    return store.error().code == ErrorCode::kIo ? Ending::kStorageFailed : Ending::kNotStarted;
   }
-  ControlShell shell(settings, std::move(store).value(), std::move(outside));
+  ControlShell shell(settings, std::move(store).value(), outside);
   return shell.Run();
 }
 
+} // namespace
+
+// A disk that takes no writes for a while, being full say, is no reason to end the process: what it
+// promised is on the disk, so it starts anew from there, as after a restart, until writes work.
+DaemonExit RunControl(const ProcessSettings& settings, const OutsideApi& outside)
+{
+  Ending ending = RunControlOnce(settings, outside);
+  while (ending == Ending::kStorageFailed) {
+    std::this_thread::sleep_for(kStorageRetry);
+    ending = RunControlOnce(settings, outside);
+  }
+  return ending == Ending::kStopped ? DaemonExit::kStopped : DaemonExit::kFailed;
+}
+
 } // namespace gooseberrysail
--- a/src/shell/gateway_shell.cpp
+++ b/src/shell/gateway_shell.cpp
@@ -79,13 +79,15 @@
                      .onEvent = {},
                      .errorBody = {} });
   const auto start = [&]() -> Result<void> {
-    BOOST_OUTCOME_TRY(
-      shell.Start({ .onUp = [&](PeerUp up) { loop->Post(std::move(up)); },
-                    .onDown = [&](PeerDown down) { loop->Post(std::move(down)); },
-                    .onFrame = [&](FrameIn frame) { loop->Post(std::move(frame)); },
-                    .onRequest = [&](HttpRequestIn request) { loop->Post(std::move(request)); },
-                    .onCallerGone = [&](HttpCallerGone gone) { loop->Post(gone); },
-                    .onStop = [&] { loop->Post(StopRequested{}); } }));
+    BOOST_OUTCOME_TRY(shell.Start(
+      { .onUp = [&](PeerUp up) { loop->Post(std::move(up)); },
+        .onDown = [&](PeerDown down) { loop->Post(std::move(down)); },
+        .onFrame = [&](FrameIn frame) { loop->Post(std::move(frame)); },
+        .onRequest = [&](HttpRequestIn request) { loop->Post(std::move(request)); },
+        .onCallerGone = [&](HttpCallerGone gone) { loop->Post(gone); },
+        .onStop = [&] { loop->Post(StopRequested{}); },
+        .onReload =
+          [&](const ProcessSettings& changed) { role.AddControls(impl::ControlsOf(changed)); } }));
     return ready->Start();
   };
   if (const Result<void> started = start(); !started) {
--- a/src/shell/process_shell.cpp
+++ b/src/shell/process_shell.cpp
@@ -1,5 +1,6 @@
 #include "shell/process_shell.hpp"
 
+#include "gooseberrysail/cli/read_file.hpp"
 #include "gooseberrysail/observe/event.hpp"
 #include "gooseberrysail/process/usage.hpp"
 #include "gooseberrysail/shell/clock.hpp"
@@ -13,6 +14,8 @@
 
 constexpr Duration kDrainTimeout = std::chrono::seconds(10);
 constexpr Duration kFlushTimeout = std::chrono::seconds(2);
+/// A changed file is in force well within two seconds; reading its kilobyte costs some 20 us.
+constexpr Duration kSettingsWatchInterval = std::chrono::seconds(1);
 
 /// Rises from life to life as long as the wall clock doesn't go back, and the random part keeps two
 /// lives apart when it does.
@@ -37,6 +40,13 @@
   return mesh;
 }
 
+/// "" when it can't be read: the difference will be told by the reload.
+std::string ReadSettingsText(const std::string& file)
+{
+  Result<std::string> text = ReadWholeFile(file);
+  return text ? std::move(text).value() : std::string();
+}
+
 HttpServerSettings HttpSettings(const ProcessSettings& settings)
 {
   HttpServerSettings http;
@@ -81,6 +91,9 @@
   BOOST_OUTCOME_TRY(m_http->Start());
   BOOST_OUTCOME_TRY(StartMetrics());
   m_runtime.OnSignals({ SIGTERM, SIGINT }, [this](int) { OnSignal(); });
+  m_runtime.OnSignals({ SIGHUP }, [this](int) { Reload("signal"); });
+  m_settingsText = ReadSettingsText(m_settings.file);
+  m_runtime.Spawn([this] { WatchSettings(); });
   Record(MakeEvent(EventNumber::kProcessStarted,
                    { { "role", ToString(m_settings.role) },
                      { "incarnation", std::to_string(m_incarnation.Get()) },
@@ -133,6 +146,7 @@
 
 void ProcessShell::Finish()
 {
+  m_finished = true;
   m_mesh->Flush(kFlushTimeout);
   m_http->Close();
   if (m_metricsHttp) {
@@ -163,6 +177,35 @@
   return RoleHooks{ .random = [this] { return m_random(); }, .wallMillis = WallNow };
 }
 
+// The file may change without a signal.
+void ProcessShell::WatchSettings()
+{
+  while (!m_finished) {
+    m_runtime.SleepFor(kSettingsWatchInterval);
+    if (!m_finished && ReadSettingsText(m_settings.file) != m_settingsText) {
+      Reload("file changed");
+    }
+  }
+}
+
+// A bad file is told and left alone: what is in force stays.
+void ProcessShell::Reload(const char* cause)
+{
+  m_settingsText = ReadSettingsText(m_settings.file);
+  const SettingsResult settings = LoadSettings(m_settings.file, ReadWholeFile);
+  if (!settings) {
+    for (const SettingsFault& fault : settings.error()) {
+      Record(MakeEvent(EventNumber::kSettingsRefused,
+                       { { "cause", cause }, { "fault", ToString(fault) } }));
+    }
+    return;
+  }
+  Record(MakeEvent(EventNumber::kSettingsReloaded, { { "cause", cause } }));
+  if (m_hooks.onReload) {
+    m_hooks.onReload(settings.value());
+  }
+}
+
 void ProcessShell::OnSignal()
 {
   if (m_stopping) {
--- a/src/shell/process_shell.hpp
+++ b/src/shell/process_shell.hpp
@@ -26,6 +26,8 @@
   std::function<void(HttpRequestIn)> onRequest;
   std::function<void(HttpCallerGone)> onCallerGone;
   std::function<void()> onStop; ///< The first SIGTERM or SIGINT; a second one ends the process.
+  /// \brief The settings file changed and is good; may be empty.
+  std::function<void(const ProcessSettings&)> onReload = {};
 };
 
 /// \brief What every role has around it: fibers, peers, an HTTP listener, events, random numbers.
@@ -73,6 +75,8 @@
 
 private:
   void OnSignal();
+  void WatchSettings();
+  void Reload(const char* cause);
   [[nodiscard]] Result<void> StartMetrics();
   void OnRequest(HttpRequestIn request);
   void OnMetricsRequest(const HttpRequestIn& request);
@@ -91,6 +95,8 @@
   std::unique_ptr<HttpServer> m_http;
   std::unique_ptr<HttpServer> m_metricsHttp; ///< Null where metrics are served at m_http.
   bool m_stopping = false;
+  bool m_finished = false;
+  std::string m_settingsText; ///< As last read.
 };
 
 /// \brief The control processes of the settings, as the roles take them.
