Keep warm spares and form groups by measured demand; leave heads that stand still

Cause: after a member's death its group waited some 12 s, and the rest was filled with groups that had to load weights for 12 to 16 s; the larger model's requests starved. Two hooks on one signal set ended control at SIGHUP.

Change: wanted groups come from the work that callers announce; a fifth of the targets stay spares with weights staged in the lead time; under load only warm targets join; the release of a broken group takes one order; entries leave a silent head after 300 and 600 ms and tell control.

--- a/include/gooseberrysail/control/engine_groups.hpp
+++ b/include/gooseberrysail/control/engine_groups.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gooseberrysail/core/time.hpp"
+#include "gooseberrysail/placement/model_work.hpp"
 #include "gooseberrysail/placement/pool_plan.hpp"
 #include "gooseberrysail/roles/inputs.hpp"
 #include "gooseberrysail/serving/document.hpp"
@@ -21,6 +22,7 @@
   kOpen,
   kClose, ///< Takes no new work, finishes what it has.
   kLeave,
+  kStage, ///< The target's host loads a model's weights ahead of need; no group is concerned.
 };
 
 [[nodiscard]] const char* ToString(GroupOrderKind kind) noexcept;
@@ -33,8 +35,9 @@
   GroupOrderKind kind = GroupOrderKind::kJoin;
   std::string group;
   Epoch epoch;
-  std::string model;               ///< kJoin only.
+  std::string model;               ///< kJoin and kStage.
   std::vector<InstanceId> members; ///< kJoin only; the head first.
+  bool cut = false;                ///< kClose only: what it has can't end any more.
 };
 
 /// \brief How an order ended.
@@ -56,6 +59,8 @@
   const ServingDocument& document;
   bool hasTraffic = false; ///< Entries have seen requests: loads count against the store's rate.
   const std::set<InstanceId>& answering; ///< Heads that answered an entry a moment ago.
+  const std::set<InstanceId>& failing;   ///< Heads that failed an entry and answered none since.
+  const std::map<std::string, ModelDemand>& demand; ///< By model; empty before traffic.
 };
 
 /// \brief Forms groups of targets by orders to the targets themselves, and gives up broken ones.
@@ -99,6 +104,9 @@
     TimePoint since{}; ///< In this phase.
     bool wasAdopted = false;
     std::map<InstanceId, TimePoint> orderedAt;
+    bool cut = false;                    ///< A member is lost: nothing that the head has can end.
+    bool closeBegun = false;             ///< The head took the order to close.
+    bool openIsUnsure = false;           ///< An order to open got no answer: it may come late.
     bool headIsDead = false;             ///< That life of the head certainly ended.
     bool headIsClosed = false;           ///< The head said that it takes no work.
     std::optional<TimePoint> releasedAt; ///< The other members were told to leave.
@@ -116,12 +124,27 @@
   void End(Pass& pass, Group& group, const char* reason);
   void Order(Pass& pass, Group& group, const InstanceId& target, GroupOrderKind kind);
   void Form(Pass& pass, const ServiceDefinition& service);
+  void StartGroup(Pass& pass, const std::string& service, const PlannedGroup& planned);
+  void StartStage(Pass& pass, const PlannedStage& planned);
+  [[nodiscard]] std::vector<ModelNeed> ListNeeds(const Pass& pass,
+                                                 const ServiceDefinition& service) const;
+  [[nodiscard]] std::vector<FreeTarget> ListFree(const Pass& pass, const std::string& service);
+  [[nodiscard]] bool IsSettled(const Pass& pass);
   [[nodiscard]] std::uint32_t LoadsLeft(const Pass& pass, const EngineSpec& engine);
   [[nodiscard]] bool IsReleased(const Pass& pass, const Group& group) const;
+  [[nodiscard]] static bool IsWhole(const Pass& pass, const Group& group);
   [[nodiscard]] static bool HasFailedMember(const Pass& pass, const Group& group);
 
   std::map<std::string, Group> m_groups; ///< By name.
   std::vector<TimePoint> m_loads;        ///< When loads began lately.
+  struct Staging
+  {
+    std::string model;
+    TimePoint since{};
+  };
+  std::map<InstanceId, Staging> m_staging;
+  std::size_t m_knownTargets = 0;
+  TimePoint m_newTargetAt{};        ///< When the table last grew.
   std::set<std::string> m_released; ///< Groups that are over although members still report them.
   std::optional<TimePoint> m_firstTick;
   std::uint64_t m_formed = 0; ///< In this term.
--- a/include/gooseberrysail/control/serving_feed.hpp
+++ b/include/gooseberrysail/control/serving_feed.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gooseberrysail/control/context.hpp"
+#include "gooseberrysail/placement/model_work.hpp"
 #include "gooseberrysail/serving/served_target.hpp"
 
 #include <map>
@@ -27,6 +28,12 @@
   /// \brief Heads that some entry saw answer within kAnsweredLately.
   [[nodiscard]] std::set<InstanceId> AnsweringHeads(TimePoint now) const;
 
+  /// \brief Heads that some entry saw fail and none saw answer lately.
+  [[nodiscard]] std::set<InstanceId> FailingHeads(TimePoint now) const;
+
+  /// \brief What callers ask of each model, all entries together.
+  [[nodiscard]] std::map<std::string, ModelDemand> Demand() const;
+
   /// \brief Whether any entry has had requests.
   [[nodiscard]] bool HasTraffic() const noexcept { return m_hasTraffic; }
 
@@ -34,6 +41,14 @@
   static constexpr Duration kAnsweredLately = std::chrono::milliseconds(1500);
 
 private:
+  /// \brief One entry's requests for one model: a mean that forgets.
+  struct ModelRate
+  {
+    ModelDemand counted; ///< Since the entry started, at `at`.
+    ModelDemand perSecond;
+    TimePoint at{};
+  };
+
   struct Entry
   {
     std::uint64_t document = 0; ///< Has, or has been sent.
@@ -41,8 +56,11 @@
     TimePoint heardAt{};
     TimePoint documentSentAt{};
     std::map<InstanceId, TimePoint> answeredAt;
+    std::map<InstanceId, TimePoint> failedAt;
+    std::map<std::string, ModelRate> rates; ///< By model.
   };
 
+  static void NoteDemand(TimePoint now, Entry& entry, const wire::ModelDemandT& demand);
   void Supply(ControlContext& context, const ProcessId& process, Entry& entry);
 
   std::map<ProcessId, Entry> m_entries;
--- a/include/gooseberrysail/gateway/dispatcher.hpp
+++ b/include/gooseberrysail/gateway/dispatcher.hpp
@@ -25,12 +25,14 @@
   TimePoint heardAt{}; ///< When control last confirmed it.
 };
 
-/// \brief Requests for one model, as told to control.
+/// \brief What callers asked of one model since start, as told to control.
 struct DemandRow
 {
   std::string service;
   std::string model;
-  std::uint64_t requests = 0; ///< Since start.
+  std::uint64_t requests = 0;
+  std::uint64_t promptTokens = 0;
+  std::uint64_t outputTokens = 0; ///< As callers announce them.
 };
 
 /// \brief Carries callers' requests to targets and the answers back.
@@ -99,6 +101,7 @@
                                              const ServingKnowledge& knowledge,
                                              Request& request);
   void PickService(Request& request);
+  void NoteDemand(const Request& request);
 
   // Attempts (dispatcher.cpp).
   void Attempt(TimePoint now, Request& request, Outbox& outbox);
@@ -125,7 +128,7 @@
   std::unordered_map<ExchangeId, Request> m_requests;
   std::unordered_map<ExchangeId, ExchangeId> m_attempts; ///< Attempt to request.
   std::set<std::pair<TimePoint, ExchangeId>> m_deadlines;
-  std::map<std::pair<std::string, std::string>, std::uint64_t> m_demand; ///< By service and model.
+  std::map<std::pair<std::string, std::string>, DemandRow> m_demand; ///< By service and model.
   std::uint64_t m_lastAttempt = 0;
 };
 
--- a/include/gooseberrysail/gateway/target_board.hpp
+++ b/include/gooseberrysail/gateway/target_board.hpp
@@ -62,11 +62,14 @@
 
   [[nodiscard]] const std::map<InstanceId, Row>& Rows() const noexcept { return m_rows; }
 
-  /// \brief A head that works sends some event of some request every 100 ms; one that waits for a
-  /// dead member sends none for seconds.
-  static constexpr Duration kStall = std::chrono::milliseconds(900);
+  /// \brief A head that works sends some event of some request every 100 ms, and within 250 ms
+  /// while it reads long prompts; one that waits for a dead member sends none for seconds. After
+  /// kSuspect it gets no more work; after kStall what it has goes elsewhere, where that is allowed.
+  static constexpr Duration kSuspect = std::chrono::milliseconds(300);
+  static constexpr Duration kStall = std::chrono::milliseconds(600);
 
 private:
+  [[nodiscard]] static bool IsSilent(TimePoint now, const Row& row, Duration limit);
   [[nodiscard]] static bool Fits(const Row& row, const TargetWish& wish);
   [[nodiscard]] bool IsBetter(const Row& left, const Row& right) const;
 
--- a/include/gooseberrysail/net/fiber_runtime.hpp
+++ b/include/gooseberrysail/net/fiber_runtime.hpp
@@ -64,6 +64,7 @@
   void SleepFor(Duration duration);
 
   /// \brief Calls `hook` in a fiber for each of these signals until the runtime stops.
+  /// \remarks Call it once: several hooks would each be called for every signal that any named.
   void OnSignals(const std::vector<int>& numbers, std::function<void(int)> hook);
 
   /// \brief Serves fibers and I/O until Stop is called; the main function's last step.
--- a/include/gooseberrysail/placement/pool_plan.hpp
+++ b/include/gooseberrysail/placement/pool_plan.hpp
@@ -17,21 +17,25 @@
   InstanceId instance;
   FabricDomainId fabricDomain;
   std::vector<std::string> stagedModels; ///< Joining a group of one of these needs no load.
+  std::string staging;                   ///< The model that its host loads now; "" for none.
 };
 
-/// \brief What one model has already.
-struct ModelHoldings
+/// \brief A model and how far its groups are from what is wanted.
+struct ModelNeed
 {
-  std::string model;
-  std::uint32_t targets = 0; ///< In groups of it, forming ones among them.
+  const GroupModel* model = nullptr;
+  std::uint32_t groups = 0; ///< Serving and forming ones.
+  std::uint32_t wanted = 0;
 };
 
 struct PoolInput
 {
   std::span<const FreeTarget> free;
-  std::span<const GroupModel> models;
-  std::span<const ModelHoldings> holdings;
+  std::span<const ModelNeed> needs;
   std::uint32_t loadsLeft = 0; ///< Loads from the weight store that may begin now.
+  /// \brief Loads are quick and free, as before the first request: groups may be formed of targets
+  /// that have to load.
+  bool loadsAreCheap = false;
 };
 
 /// \brief A group to form; the first member is its head.
@@ -42,10 +46,24 @@
   std::uint32_t loads = 0; ///< Members that must load weights from the store.
 };
 
-/// \brief Which groups to form of free targets, so that the models' parts of all targets come to
-/// their shares of the work.
-/// \remarks Groups whose members all hold the weights come first: they serve within a second or two
-/// where a load takes ten times as long. A group never spans fabric domains.
-[[nodiscard]] std::vector<PlannedGroup> PlanPool(const PoolInput& input);
+/// \brief Weights that a free target's host should load ahead of need.
+struct PlannedStage
+{
+  InstanceId target;
+  std::string model;
+};
+
+struct PoolPlan
+{
+  std::vector<PlannedGroup> groups;
+  std::vector<PlannedStage> stages;
+};
+
+/// \brief Which groups to form of free targets, and which weights the others should hold.
+/// \remarks A member that loads keeps the others of its group idle for ten times as long as a warm
+/// join takes. So under load groups are formed of warm targets only, and cold ones load on their
+/// own first. What is left over waits with weights of either model: such a spare repairs a broken
+/// group within a second or two. A group never spans fabric domains.
+[[nodiscard]] PoolPlan PlanPool(const PoolInput& input);
 
 } // namespace gooseberrysail
--- a/src/control/engine_groups.cpp
+++ b/src/control/engine_groups.cpp
@@ -29,6 +29,15 @@
 constexpr double kLoadReserve = 0.5;
 /// Before the first request the store is not limited; this bounds a fault.
 constexpr std::uint32_t kUnlimitedLoads = 100'000;
+/// Before traffic: no target was new for one heartbeat (1.2 s) and some.
+constexpr Duration kQuietTime = 1500ms;
+/// A load takes 12 to 16 s, longer when many load at once; after this it is ordered again.
+constexpr Duration kStagePatience = 40s;
+/// Part of the targets kept out of groups at the start, as spares that hold weights.
+constexpr double kSparePart = 0.2;
+/// A head that fails entries and answers none is given up after this silence, little more than one
+/// heartbeat (1.2 s).
+constexpr Duration kSuspectSilence = 1800ms;
 /// Epochs of one term.
 constexpr std::uint64_t kEpochsPerTerm = 1ULL << 20U;
 
@@ -78,6 +87,8 @@
       return "close";
     case GroupOrderKind::kLeave:
       return "leave";
+    case GroupOrderKind::kStage:
+      return "stage";
   }
   return "unknown";
 }
@@ -100,6 +111,7 @@
   m_groups.clear();
   m_released.clear();
   m_loads.clear();
+  m_staging.clear();
   m_formed = 0;
 }
 
@@ -119,7 +131,7 @@
     m_groups.erase(name);
     m_released.insert(name);
   }
-  if (input.now - *m_firstTick < kLearnTime) {
+  if (!IsSettled(pass)) {
     return;
   }
   for (const ServiceDefinition& service : input.document.services) {
@@ -167,10 +179,12 @@
 {
   const TargetRow* head = pass.Row(group.members.front());
   const bool isHeard = Reports(head, group.name, group.epoch);
-  if (!isHeard && pass.input.now - group.since < kLearnTime) {
+  if (!isHeard && pass.input.now - *m_firstTick < kLearnTime) {
     return; // Its head may not have spoken to this process yet.
   }
   const bool isOpen = isHeard && head->latest.membership.state == MemberState::Open;
+  const bool isForming = isHeard && (head->latest.membership.state == MemberState::Joining ||
+                                     head->latest.membership.state == MemberState::Ready);
   pass.events.push_back(MakeEvent(EventNumber::kTargetGroupAdopted,
                                   { { "group", group.name },
                                     { "model", group.model },
@@ -181,6 +195,10 @@
     group.phase = Phase::kOpen;
     return;
   }
+  if (isForming && IsWhole(pass, group)) {
+    group.phase = Phase::kJoining;
+    return;
+  }
   End(pass, group, "an earlier leader left it unfinished");
 }
 
@@ -205,6 +223,19 @@
   }
 }
 
+bool EngineGroups::IsWhole(const Pass& pass, const Group& group)
+{
+  const bool allKnown =
+    std::ranges::none_of(group.members, [](const InstanceId& member) { return member.IsNone(); });
+  for (const ServiceDefinition& service : pass.input.document.services) {
+    if (service.name == group.service && service.engine) {
+      const GroupModel* model = FindModel(service, group.model);
+      return allKnown && model != nullptr && model->size == group.members.size();
+    }
+  }
+  return false;
+}
+
 void EngineGroups::AdvanceJoining(Pass& pass, Group& group)
 {
   Duration patience = kJoinSlack;
@@ -215,6 +246,10 @@
     }
   }
   if (HasFailedMember(pass, group) || pass.input.now - group.since > patience) {
+    if (group.wasAdopted) {
+      End(pass, group, "a member failed");
+      return;
+    }
     // It was never told to open: its members are free at once.
     pass.events.push_back(MakeEvent(EventNumber::kTargetGroupEnded,
                                     { { "group", group.name }, { "reason", "a member failed" } }));
@@ -275,17 +310,27 @@
       return;
     }
     if (!Reports(row, group.name, group.epoch)) {
+      group.cut = true;
       End(pass, group, "a member is in it no more");
       return;
     }
     if (IsReplaced(pass.input.targets, *row)) {
+      group.cut = true;
       End(pass, group, "a member was restarted");
       return;
     }
+    const bool isSilent = pass.input.now - row->heardAt > kSuspectSilence;
+    if (isSilent && pass.input.failing.contains(group.members.front())) {
+      // The head waits for a dead member: nothing that it has can end, and its callers were told.
+      group.cut = true;
+      End(pass, group, "a member is silent and the head stands still");
+      return;
+    }
   }
   // A head that is cut off from control only still answers the entries; its group goes on.
-  const bool answers = pass.input.answering.contains(group.members.front());
-  if (!answers && pass.input.now - head->heardAt > kSilence) {
+  const InstanceId& instance = group.members.front();
+  const Duration patience = pass.input.failing.contains(instance) ? kSuspectSilence : kSilence;
+  if (!pass.input.answering.contains(instance) && pass.input.now - head->heardAt > patience) {
     End(pass, group, "its head is silent");
   }
 }
@@ -306,13 +351,15 @@
   }
   Order(pass, group, head, GroupOrderKind::kClose);
   const bool silent =
-    row == nullptr || row->latest.left || pass.input.now - row->heardAt > kSilence;
-  if (!silent || pass.input.now - group.since < kSilence) {
+    row == nullptr || row->latest.left || pass.input.now - row->heardAt > kSuspectSilence;
+  if (!silent) {
     return;
   }
   // The head can't be asked. Without its members it stands still, and is broken in the end.
   for (std::size_t rank = 1; rank < group.members.size(); ++rank) {
-    if (Reports(pass.Row(group.members[rank]), group.name, group.epoch)) {
+    const TargetRow* member = pass.Row(group.members[rank]);
+    const bool isHeard = member != nullptr && pass.input.now - member->heardAt <= kSilence;
+    if (isHeard && Reports(member, group.name, group.epoch)) {
       Order(pass, group, group.members[rank], GroupOrderKind::kLeave);
     }
   }
@@ -337,7 +384,10 @@
   if (spokeSince && !Reports(head, group.name, group.epoch)) {
     return true;
   }
-  if (spokeSince && !head->latest.left && state == MemberState::Broken) {
+  // Once the head took the order to close, ready means closed; unless an order to open it went
+  // without an answer, which may still be carried out.
+  const bool isClosed = group.closeBegun && !group.openIsUnsure && state == MemberState::Ready;
+  if (spokeSince && !head->latest.left && (isClosed || state == MemberState::Broken)) {
     return true;
   }
   return stoodStill;
@@ -368,11 +418,12 @@
     return;
   }
   group.orderedAt[target] = pass.input.now;
-  GroupOrder order{ target, row->latest.address, kind, group.name, group.epoch, {}, {} };
+  GroupOrder order{ target, row->latest.address, kind, group.name, group.epoch, {}, {}, false };
   if (kind == GroupOrderKind::kJoin) {
     order.model = group.model;
     order.members = group.members;
   }
+  order.cut = kind == GroupOrderKind::kClose && group.cut;
   pass.orders.push_back(std::move(order));
 }
 
@@ -397,53 +448,113 @@
   return static_cast<std::uint32_t>(allowed - std::min(allowed, m_loads.size()));
 }
 
+// Groups formed before all targets have spoken would leave no room for the large ones.
+bool EngineGroups::IsSettled(const Pass& pass)
+{
+  const std::size_t known = pass.input.targets.Rows().size();
+  if (known > m_knownTargets) {
+    m_newTargetAt = pass.input.now;
+  }
+  m_knownTargets = known;
+  const bool learnt = pass.input.now - *m_firstTick >= kLearnTime;
+  return learnt && (pass.input.hasTraffic || pass.input.now - m_newTargetAt >= kQuietTime);
+}
+
 void EngineGroups::Form(Pass& pass, const ServiceDefinition& service)
 {
-  std::set<InstanceId> taken;
-  std::vector<ModelHoldings> holdings;
-  for (const auto& [name, group] : m_groups) {
-    taken.insert(group.members.begin(), group.members.end());
-    if (group.service == service.name && group.phase != Phase::kEnding) {
-      holdings.push_back({ group.model, static_cast<std::uint32_t>(group.members.size()) });
-    }
+  const std::vector<ModelNeed> needs = ListNeeds(pass, service);
+  const std::vector<FreeTarget> free = ListFree(pass, service.name);
+  const PoolInput pool{ free, needs, LoadsLeft(pass, *service.engine), !pass.input.hasTraffic };
+  const PoolPlan plan = PlanPool(pool);
+  for (const PlannedGroup& planned : plan.groups) {
+    StartGroup(pass, service.name, planned);
   }
-  std::vector<ModelHoldings> sums;
+  for (const PlannedStage& planned : plan.stages) {
+    StartStage(pass, planned);
+  }
+}
+
+std::vector<ModelNeed> EngineGroups::ListNeeds(const Pass& pass,
+                                               const ServiceDefinition& service) const
+{
+  const auto targets = std::ranges::count_if(pass.input.targets.Rows(), [&](const auto& row) {
+    return row.second.latest.service == service.name && !IsLeaving(&row.second);
+  });
+  std::vector<ModelNeed> needs;
   for (const GroupModel& model : service.engine->models) {
-    ModelHoldings sum{ model.name, 0 };
-    for (const ModelHoldings& each : holdings) {
-      sum.targets += each.model == model.name ? each.targets : 0;
+    ModelNeed need{ &model, 0, 0 };
+    need.groups = static_cast<std::uint32_t>(std::ranges::count_if(m_groups, [&](const auto& row) {
+      return row.second.service == service.name && row.second.model == model.name &&
+             row.second.phase != Phase::kEnding;
+    }));
+    const double atStart = static_cast<double>(targets) * (1 - kSparePart) * model.share;
+    need.wanted = static_cast<std::uint32_t>(std::lround(atStart / model.size));
+    if (const auto demand = pass.input.demand.find(model.name); demand != pass.input.demand.end()) {
+      const double work = GroupsOfWork(*service.engine, model, demand->second);
+      need.wanted = std::max(need.wanted, WantedGroups(work));
     }
-    sums.push_back(std::move(sum));
+    needs.push_back(need);
+  }
+  return needs;
+}
+
+std::vector<FreeTarget> EngineGroups::ListFree(const Pass& pass, const std::string& service)
+{
+  std::set<InstanceId> taken;
+  for (const auto& [name, group] : m_groups) {
+    taken.insert(group.members.begin(), group.members.end());
   }
   std::vector<FreeTarget> free;
   for (const auto& [instance, row] : pass.input.targets.Rows()) {
-    const bool usable = row.latest.service == service.name && !IsLeaving(&row) &&
+    const bool usable = row.latest.service == service && !IsLeaving(&row) &&
                         pass.input.now - row.heardAt <= kSilence && !taken.contains(instance) &&
                         !m_groups.contains(row.latest.membership.group) &&
                         !IsReplaced(pass.input.targets, row);
-    if (usable) {
-      free.push_back({ instance, row.latest.fabricDomain, row.latest.stagedModels });
+    if (!usable) {
+      continue;
     }
+    FreeTarget target{ instance, row.latest.fabricDomain, row.latest.stagedModels, {} };
+    const auto staging = m_staging.find(instance);
+    if (staging != m_staging.end() && pass.input.now - staging->second.since < kStagePatience) {
+      target.staging = staging->second.model;
+    }
+    free.push_back(std::move(target));
   }
-  const PoolInput pool{ free, service.engine->models, sums, LoadsLeft(pass, *service.engine) };
-  for (const PlannedGroup& planned : PlanPool(pool)) {
-    Group group;
-    group.epoch = Epoch(pass.input.term.Get() * kEpochsPerTerm + ++m_formed);
-    group.name = "g" + std::to_string(group.epoch.Get());
-    group.service = service.name;
-    group.model = planned.model;
-    group.members = planned.members;
-    group.since = pass.input.now;
-    m_loads.insert(m_loads.end(), planned.loads, pass.input.now);
-    pass.events.push_back(MakeEvent(EventNumber::kTargetGroupFormed,
-                                    { { "group", group.name },
-                                      { "model", group.model },
-                                      { "head", group.members.front().Get() },
-                                      { "members", std::to_string(group.members.size()) },
-                                      { "loads", std::to_string(planned.loads) } }));
-    Group& kept = m_groups.emplace(group.name, std::move(group)).first->second;
-    AdvanceJoining(pass, kept);
-  }
+  return free;
+}
+
+void EngineGroups::StartGroup(Pass& pass, const std::string& service, const PlannedGroup& planned)
+{
+  Group group;
+  group.epoch = Epoch(pass.input.term.Get() * kEpochsPerTerm + ++m_formed);
+  group.name = "g" + std::to_string(group.epoch.Get());
+  group.service = service;
+  group.model = planned.model;
+  group.members = planned.members;
+  group.since = pass.input.now;
+  m_loads.insert(m_loads.end(), planned.loads, pass.input.now);
+  pass.events.push_back(MakeEvent(EventNumber::kTargetGroupFormed,
+                                  { { "group", group.name },
+                                    { "model", group.model },
+                                    { "head", group.members.front().Get() },
+                                    { "members", std::to_string(group.members.size()) },
+                                    { "loads", std::to_string(planned.loads) } }));
+  Group& kept = m_groups.emplace(group.name, std::move(group)).first->second;
+  AdvanceJoining(pass, kept);
+}
+
+void EngineGroups::StartStage(Pass& pass, const PlannedStage& planned)
+{
+  m_staging[planned.target] = { planned.model, pass.input.now };
+  m_loads.push_back(pass.input.now);
+  pass.orders.push_back({ planned.target,
+                          pass.Row(planned.target)->latest.address,
+                          GroupOrderKind::kStage,
+                          {},
+                          {},
+                          planned.model,
+                          {},
+                          false });
 }
 
 void EngineGroups::OnOrderOutcome(TimePoint, const GroupOrder& order, OrderOutcome outcome)
@@ -453,9 +564,13 @@
     return;
   }
   Group& group = found->second;
+  if (order.kind == GroupOrderKind::kOpen && outcome == OrderOutcome::kUnknown) {
+    group.openIsUnsure = true;
+  }
   if (group.phase != Phase::kEnding || order.kind != GroupOrderKind::kClose) {
     return;
   }
+  group.closeBegun = group.closeBegun || outcome == OrderOutcome::kBegun;
   group.headIsDead = group.headIsDead || outcome == OrderOutcome::kNoTarget;
   group.headIsClosed = group.headIsClosed || outcome == OrderOutcome::kDone;
 }
--- a/src/control/serving_control.cpp
+++ b/src/control/serving_control.cpp
@@ -280,12 +280,16 @@
   std::vector<GroupOrder> orders;
   std::vector<EventOut> events;
   const std::set<InstanceId> answering = m_feed.AnsweringHeads(context.now);
+  const std::set<InstanceId> failing = m_feed.FailingHeads(context.now);
+  const std::map<std::string, ModelDemand> demand = m_feed.Demand();
   m_groups.Tick({ context.now,
                   context.replication.term,
                   m_targets,
                   *m_document,
                   m_feed.HasTraffic(),
-                  answering },
+                  answering,
+                  failing,
+                  demand },
                 orders,
                 events);
   for (EventOut& event : events) {
--- a/src/control/serving_feed.cpp
+++ b/src/control/serving_feed.cpp
@@ -3,6 +3,7 @@
 #include "gooseberrysail/observe/event.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace gooseberrysail {
 
@@ -12,6 +13,9 @@
 
 /// An entry asks every 500 ms; after this many without a word it is not counted.
 constexpr Duration kEntryGone = 3s;
+/// Long enough to smooth Poisson arrivals of some 10 requests a second, short enough to follow a
+/// burst within a few seconds.
+constexpr double kDemandMemorySeconds = 3;
 
 } // namespace
 
@@ -52,11 +56,17 @@
   entry.document = query.haveDocument;
   entry.targets = isCurrentTerm ? query.haveTargets : 0;
   m_hasTraffic = m_hasTraffic || !query.demand.empty();
+  for (const auto& demand : query.demand) {
+    NoteDemand(context.now, entry, *demand);
+  }
   for (const auto& head : query.heads) {
     const Duration ago = std::chrono::milliseconds(head->answeredAgoMillis);
     if (ago < kAnsweredLately && !head->failing) {
       entry.answeredAt[InstanceId(head->instance)] = context.now - ago;
     }
+    if (head->failing) {
+      entry.failedAt[InstanceId(head->instance)] = context.now;
+    }
   }
   Supply(context, process, entry);
 }
@@ -115,6 +125,57 @@
   context.SendMessage(process, std::move(state));
 }
 
+void ServingFeed::NoteDemand(TimePoint now, Entry& entry, const wire::ModelDemandT& demand)
+{
+  const auto [found, fresh] = entry.rates.try_emplace(demand.model);
+  ModelRate& rate = found->second;
+  const ModelDemand counted{ static_cast<double>(demand.requests),
+                             static_cast<double>(demand.promptTokens),
+                             static_cast<double>(demand.outputTokens) };
+  const double seconds = std::chrono::duration<double>(now - rate.at).count();
+  if (!fresh && seconds > 0 && counted.requests >= rate.counted.requests) {
+    const double weight = 1 - std::exp(-seconds / kDemandMemorySeconds);
+    const auto blend = [&](double former, double before, double after) {
+      return former + weight * ((after - before) / seconds - former);
+    };
+    rate.perSecond = {
+      blend(rate.perSecond.requests, rate.counted.requests, counted.requests),
+      blend(rate.perSecond.promptTokens, rate.counted.promptTokens, counted.promptTokens),
+      blend(rate.perSecond.outputTokens, rate.counted.outputTokens, counted.outputTokens)
+    };
+  }
+  rate.counted = counted;
+  rate.at = now;
+}
+
+std::map<std::string, ModelDemand> ServingFeed::Demand() const
+{
+  std::map<std::string, ModelDemand> sums;
+  for (const auto& [process, entry] : m_entries) {
+    for (const auto& [model, rate] : entry.rates) {
+      ModelDemand& sum = sums[model];
+      sum.requests += rate.perSecond.requests;
+      sum.promptTokens += rate.perSecond.promptTokens;
+      sum.outputTokens += rate.perSecond.outputTokens;
+    }
+  }
+  return sums;
+}
+
+std::set<InstanceId> ServingFeed::FailingHeads(TimePoint now) const
+{
+  const std::set<InstanceId> answering = AnsweringHeads(now);
+  std::set<InstanceId> heads;
+  for (const auto& [process, entry] : m_entries) {
+    for (const auto& [head, at] : entry.failedAt) {
+      if (now - at < kAnsweredLately && !answering.contains(head)) {
+        heads.insert(head);
+      }
+    }
+  }
+  return heads;
+}
+
 std::set<InstanceId> ServingFeed::AnsweringHeads(TimePoint now) const
 {
   std::set<InstanceId> heads;
--- a/src/gateway/dispatcher.cpp
+++ b/src/gateway/dispatcher.cpp
@@ -266,8 +266,8 @@
 std::vector<DemandRow> Dispatcher::Demand() const
 {
   std::vector<DemandRow> rows;
-  for (const auto& [key, requests] : m_demand) {
-    rows.push_back({ key.first, key.second, requests });
+  for (const auto& [key, row] : m_demand) {
+    rows.push_back(row);
   }
   return rows;
 }
--- a/src/gateway/dispatcher_arrival.cpp
+++ b/src/gateway/dispatcher_arrival.cpp
@@ -33,7 +33,7 @@
     return;
   }
   m_retries.NoteRequest(now, request.service);
-  ++m_demand[{ request.service, request.model }];
+  NoteDemand(request);
   m_deadlines.emplace(request.deadline, exchange);
   Request& kept = m_requests.emplace(exchange, std::move(request)).first->second;
   Attempt(now, kept, outbox);
@@ -66,6 +66,16 @@
   return std::nullopt;
 }
 
+void Dispatcher::NoteDemand(const Request& request)
+{
+  DemandRow& row = m_demand[{ request.service, request.model }];
+  row.service = request.service;
+  row.model = request.model;
+  ++row.requests;
+  row.promptTokens += request.call.promptTokens;
+  row.outputTokens += request.call.maxOutputTokens;
+}
+
 void Dispatcher::PickService(Request& request)
 {
   std::uint64_t total = 0;
--- a/src/gateway/feed_client.cpp
+++ b/src/gateway/feed_client.cpp
@@ -14,6 +14,8 @@
 /// Control pushes changes at once; a question only heals what was lost with a connection or a
 /// leader.
 constexpr Duration kQueryInterval = 500ms;
+/// Stands for "never" in a report of when a head last answered.
+constexpr std::int64_t kLongAgoMillis = 3'600'000;
 
 } // namespace
 
@@ -59,16 +61,20 @@
     demand->service = row.service;
     demand->model = row.model;
     demand->requests = row.requests;
+    demand->promptTokens = row.promptTokens;
+    demand->outputTokens = row.outputTokens;
     query.demand.push_back(std::move(demand));
   }
   for (const auto& [instance, row] : dispatcher.Board().Rows()) {
-    if (row.target.servedModel.empty() || row.answeredAt == TimePoint{}) {
+    const bool hasNews = row.answeredAt != TimePoint{} || row.failures > 0;
+    if (row.target.servedModel.empty() || !hasNews) {
       continue;
     }
     auto head = std::make_unique<wire::HeadViewT>();
     head->instance = instance.Get();
     head->inFlight = row.inFlight;
-    head->answeredAgoMillis = static_cast<std::uint32_t>(ToMillis(now - row.answeredAt));
+    head->answeredAgoMillis = static_cast<std::uint32_t>(
+      std::min<std::int64_t>(ToMillis(now - row.answeredAt), kLongAgoMillis));
     head->failing = row.failures > 0;
     query.heads.push_back(std::move(head));
   }
--- a/src/gateway/target_board.cpp
+++ b/src/gateway/target_board.cpp
@@ -43,6 +43,12 @@
                 [](const auto& row) { return row.second.gone && row.second.inFlight == 0; });
 }
 
+bool TargetBoard::IsSilent(TimePoint now, const Row& row, Duration limit)
+{
+  const bool isHead = !row.target.servedModel.empty();
+  return isHead && row.inFlight > 0 && now - std::max(row.busySince, row.answeredAt) > limit;
+}
+
 bool TargetBoard::Fits(const Row& row, const TargetWish& wish)
 {
   return !row.gone && !row.target.leaving && row.target.service == wish.service &&
@@ -64,7 +70,8 @@
   std::uint64_t equals = 0;
   for (const auto& [instance, row] : m_rows) {
     const bool usable = Fits(row, wish) && now >= row.avoidUntil &&
-                        row.inFlight < SlotsOf(row.target) && !wish.tried.contains(instance);
+                        row.inFlight < SlotsOf(row.target) && !wish.tried.contains(instance) &&
+                        !IsSilent(now, row, kSuspect);
     if (!usable) {
       continue;
     }
@@ -133,8 +140,7 @@
 {
   std::vector<InstanceId> stalled;
   for (const auto& [instance, row] : m_rows) {
-    const bool isHead = !row.target.servedModel.empty();
-    if (isHead && row.inFlight > 0 && now - std::max(row.busySince, row.answeredAt) > kStall) {
+    if (IsSilent(now, row, kStall)) {
       stalled.push_back(instance);
     }
   }
--- a/src/placement/pool_plan.cpp
+++ b/src/placement/pool_plan.cpp
@@ -1,7 +1,6 @@
 #include "gooseberrysail/placement/pool_plan.hpp"
 
 #include <algorithm>
-#include <limits>
 #include <map>
 #include <optional>
 #include <tuple>
@@ -10,32 +9,27 @@
 
 namespace {
 
-/// A share of 0 would never be served; it counts as this small one.
-constexpr double kLeastShare = 0.01;
-
 using Pool = std::map<FabricDomainId, std::vector<const FreeTarget*>>;
 
-/// \brief One way to form one group.
-struct Option
+/// \brief One place for one group.
+struct Place
 {
-  std::size_t model = 0;
   FabricDomainId fabricDomain;
   std::uint32_t loads = 0;
-  double fulfilment = 0; ///< Targets that the model has, by its share: the lowest is the neediest.
-  std::size_t left = 0;  ///< Free targets of the domain.
+  std::size_t free = 0; ///< Targets of the domain.
 };
 
-bool IsBetter(const Option& left, const Option& right)
+bool HoldsModel(const FreeTarget& target, const std::string& model)
 {
-  const bool leftLoads = left.loads > 0;
-  const bool rightLoads = right.loads > 0;
-  return std::tuple(leftLoads, left.fulfilment, left.loads, right.left, left.fabricDomain) <
-         std::tuple(rightLoads, right.fulfilment, right.loads, left.left, right.fabricDomain);
+  return std::ranges::find(target.stagedModels, model) != target.stagedModels.end();
 }
 
-bool HoldsModel(const FreeTarget& target, const std::string& model)
+/// Fewest loads first; then the domain with most room, so that groups spread evenly and one dark
+/// domain takes few of a model.
+bool IsBetter(const Place& left, const Place& right)
 {
-  return std::ranges::find(target.stagedModels, model) != target.stagedModels.end();
+  return std::tuple(left.loads, right.free, left.fabricDomain) <
+         std::tuple(right.loads, left.free, right.fabricDomain);
 }
 
 class Planner
@@ -43,84 +37,185 @@
 public:
   explicit Planner(const PoolInput& input)
     : m_input(input)
+    , m_needs(input.needs.begin(), input.needs.end())
     , m_loadsLeft(input.loadsLeft)
   {
     for (const FreeTarget& target : input.free) {
       m_pool[target.fabricDomain].push_back(&target);
     }
-    for (const GroupModel& model : input.models) {
-      const auto held = std::ranges::find(input.holdings, model.name, &ModelHoldings::model);
-      m_targets.push_back(held == input.holdings.end() ? 0 : held->targets);
-    }
+    // A large group finds room only where the small ones left it.
+    std::ranges::stable_sort(
+      m_needs, std::greater{}, [](const ModelNeed& need) { return need.model->size; });
   }
 
-  std::vector<PlannedGroup> Run()
+  PoolPlan Run()
   {
-    std::vector<PlannedGroup> groups;
-    while (const std::optional<Option> option = Best()) {
-      groups.push_back(Take(*option));
+    for (ModelNeed& need : m_needs) {
+      FillNeed(need);
     }
-    return groups;
+    StageMissing();
+    StageSpares();
+    return std::move(m_plan);
   }
 
 private:
-  [[nodiscard]] std::optional<Option> Best() const
+  void FillNeed(ModelNeed& need)
   {
-    std::optional<Option> best;
-    for (std::size_t model = 0; model < m_input.models.size(); ++model) {
-      for (const auto& [domain, targets] : m_pool) {
-        const std::optional<Option> option = Consider(model, domain, targets);
-        if (option && (!best || IsBetter(*option, *best))) {
-          best = option;
-        }
+    while (need.groups < need.wanted) {
+      const std::optional<Place> place = FindPlace(*need.model);
+      if (!place) {
+        return;
+      }
+      Form(*need.model, *place);
+      ++need.groups;
+    }
+  }
+
+  [[nodiscard]] std::optional<Place> FindPlace(const GroupModel& model) const
+  {
+    std::optional<Place> best;
+    for (const auto& [domain, targets] : m_pool) {
+      if (targets.size() < model.size) {
+        continue;
+      }
+      const std::uint32_t warm = CountWarm(targets, model.name);
+      const Place place{ domain, model.size - std::min(model.size, warm), targets.size() };
+      const bool allowed =
+        place.loads == 0 || (m_input.loadsAreCheap && place.loads <= m_loadsLeft);
+      if (allowed && (!best || IsBetter(place, *best))) {
+        best = place;
       }
     }
     return best;
   }
 
-  [[nodiscard]] std::optional<Option> Consider(std::size_t model,
-                                               const FabricDomainId& domain,
-                                               const std::vector<const FreeTarget*>& targets) const
+  static std::uint32_t CountWarm(const std::vector<const FreeTarget*>& targets,
+                                 const std::string& model)
   {
-    const GroupModel& spec = m_input.models[model];
-    if (spec.size == 0 || targets.size() < spec.size) {
-      return std::nullopt;
+    return static_cast<std::uint32_t>(std::ranges::count_if(
+      targets, [&](const FreeTarget* target) { return HoldsModel(*target, model); }));
+  }
+
+  void Form(const GroupModel& model, const Place& place)
+  {
+    std::vector<const FreeTarget*>& targets = m_pool[place.fabricDomain];
+    std::ranges::stable_partition(
+      targets, [&](const FreeTarget* target) { return HoldsModel(*target, model.name); });
+    PlannedGroup group{ model.name, {}, place.loads };
+    for (std::size_t i = 0; i < model.size; ++i) {
+      group.members.push_back(targets[i]->instance);
     }
-    const auto warm = static_cast<std::uint32_t>(std::ranges::count_if(
-      targets, [&](const FreeTarget* target) { return HoldsModel(*target, spec.name); }));
-    const std::uint32_t loads = spec.size - std::min(spec.size, warm);
-    if (loads > m_loadsLeft) {
-      return std::nullopt;
+    targets.erase(targets.begin(), targets.begin() + model.size);
+    m_loadsLeft -= place.loads;
+    m_plan.groups.push_back(std::move(group));
+  }
+
+  /// Models that lack groups: where a few more warm targets would make one, they are made.
+  void StageMissing()
+  {
+    for (const ModelNeed& need : m_needs) {
+      for (std::uint32_t groups = need.groups; groups < need.wanted; ++groups) {
+        if (!StageOneGroup(*need.model)) {
+          break;
+        }
+      }
     }
-    const double fulfilment = m_targets[model] / std::max(spec.share, kLeastShare);
-    return Option{ model, domain, loads, fulfilment, targets.size() };
   }
 
-  PlannedGroup Take(const Option& option)
+  bool StageOneGroup(const GroupModel& model)
   {
-    const GroupModel& spec = m_input.models[option.model];
-    std::vector<const FreeTarget*>& targets = m_pool[option.fabricDomain];
+    Pool::iterator best = m_pool.end();
+    std::size_t fewest = 0;
+    for (auto domain = m_pool.begin(); domain != m_pool.end(); ++domain) {
+      std::vector<const FreeTarget*>& targets = domain->second;
+      const std::size_t willHold = CountComing(targets, model.name);
+      if (targets.size() < model.size) {
+        continue;
+      }
+      const std::size_t missing = model.size - std::min<std::size_t>(model.size, willHold);
+      if (best == m_pool.end() || missing < fewest) {
+        best = domain;
+        fewest = missing;
+      }
+    }
+    if (best == m_pool.end()) {
+      return false;
+    }
+    std::vector<const FreeTarget*>& targets = best->second;
     std::ranges::stable_partition(
-      targets, [&](const FreeTarget* target) { return HoldsModel(*target, spec.name); });
-    PlannedGroup group{ spec.name, {}, option.loads };
-    for (std::size_t i = 0; i < spec.size; ++i) {
-      group.members.push_back(targets[i]->instance);
+      targets, [&](const FreeTarget* target) { return IsComing(*target, model.name); });
+    for (std::size_t i = 0; i < model.size; ++i) {
+      Stage(*targets[i], model.name);
+    }
+    // They wait for one another; a further group must not count on them.
+    targets.erase(targets.begin(), targets.begin() + model.size);
+    return true;
+  }
+
+  void StageSpares()
+  {
+    for (const auto& [domain, targets] : m_pool) {
+      std::map<std::string, std::size_t> spares;
+      for (const ModelNeed& need : m_needs) {
+        spares[need.model->name] = CountComing(targets, need.model->name);
+      }
+      for (const FreeTarget* target : targets) {
+        // Weights of another model are not dropped for this under load: they serve its groups.
+        if (target->stagedModels.empty() || m_input.loadsAreCheap) {
+          StageSpare(*target, spares);
+        }
+      }
+    }
+  }
+
+  /// A lost member breaks one group of either kind; the model with fewest spares comes first, the
+  /// largest among equals.
+  void StageSpare(const FreeTarget& target, std::map<std::string, std::size_t>& spares)
+  {
+    const auto fewest = std::ranges::min_element(
+      m_needs, std::less{}, [&](const ModelNeed& need) { return spares[need.model->name]; });
+    if (fewest == m_needs.end() || !target.staging.empty()) {
+      return;
+    }
+    const bool holdsSome = !target.stagedModels.empty();
+    if (holdsSome && spares[target.stagedModels.front()] <= spares[fewest->model->name] + 1) {
+      return;
+    }
+    Stage(target, fewest->model->name);
+    ++spares[fewest->model->name];
+  }
+
+  static bool IsComing(const FreeTarget& target, const std::string& model)
+  {
+    return HoldsModel(target, model) || target.staging == model;
+  }
+
+  static std::size_t CountComing(const std::vector<const FreeTarget*>& targets,
+                                 const std::string& model)
+  {
+    return static_cast<std::size_t>(std::ranges::count_if(
+      targets, [&](const FreeTarget* target) { return IsComing(*target, model); }));
+  }
+
+  void Stage(const FreeTarget& target, const std::string& model)
+  {
+    if (IsComing(target, model) || !target.staging.empty() || m_loadsLeft == 0) {
+      return;
     }
-    targets.erase(targets.begin(), targets.begin() + spec.size);
-    m_targets[option.model] += spec.size;
-    m_loadsLeft -= option.loads;
-    return group;
+    --m_loadsLeft;
+    m_plan.stages.push_back({ target.instance, model });
   }
 
   const PoolInput& m_input;
   Pool m_pool;
-  std::vector<std::uint32_t> m_targets; ///< In groups, by model.
+  std::vector<ModelNeed> m_needs; ///< The largest model first.
   std::uint32_t m_loadsLeft;
+  PoolPlan m_plan;
 };
 
 } // namespace
 
-std::vector<PlannedGroup> PlanPool(const PoolInput& input)
+PoolPlan PlanPool(const PoolInput& input)
 {
   return Planner(input).Run();
 }
--- a/src/shell/process_shell.cpp
+++ b/src/shell/process_shell.cpp
@@ -90,8 +90,8 @@
                      .errorBody = {} });
   BOOST_OUTCOME_TRY(m_http->Start());
   BOOST_OUTCOME_TRY(StartMetrics());
-  m_runtime.OnSignals({ SIGTERM, SIGINT }, [this](int) { OnSignal(); });
-  m_runtime.OnSignals({ SIGHUP }, [this](int) { Reload("signal"); });
+  // One hook for all: each hook of a runtime is called for every signal that any of them named.
+  m_runtime.OnSignals({ SIGTERM, SIGINT, SIGHUP }, [this](int number) { OnSignal(number); });
   m_settingsText = ReadSettingsText(m_settings.file);
   m_runtime.Spawn([this] { WatchSettings(); });
   Record(MakeEvent(EventNumber::kProcessStarted,
@@ -206,8 +206,12 @@
   }
 }
 
-void ProcessShell::OnSignal()
+void ProcessShell::OnSignal(int number)
 {
+  if (number == SIGHUP) {
+    Reload("signal");
+    return;
+  }
   if (m_stopping) {
     // The operator's only hard stop: whatever is still in flight is cut.
     Record(MakeEvent(EventNumber::kProcessAborted));
--- a/src/shell/process_shell.hpp
+++ b/src/shell/process_shell.hpp
@@ -74,7 +74,7 @@
   [[nodiscard]] std::uint64_t Random() { return m_random(); }
 
 private:
-  void OnSignal();
+  void OnSignal(int number);
   void WatchSettings();
   void Reload(const char* cause);
   [[nodiscard]] Result<void> StartMetrics();
