Dead members are no spares; a head that most entries lost counts as dead

Cause: a target heard 3.6 s ago was still taken as a free member, so the group formed after a loss failed once more; members of a dark head waited 6 s for a standstill that could not come.

Ruled out: slow joins (warm joins take 0.2 to 1.6 s).

Change: free targets and members must have been heard within 1.8 s; entries tell control which heads gave no byte; one that most entries lost and none reaches, silent to control too, is dead.

--- a/include/gooseberrysail/gateway/target_board.hpp
+++ b/include/gooseberrysail/gateway/target_board.hpp
@@ -31,6 +31,7 @@
     std::uint32_t inFlight = 0; ///< Of this entry.
     TimePoint busySince{};      ///< In flight without a break since then.
     TimePoint answeredAt{};     ///< Latest byte of any answer.
+    TimePoint silentAt{};       ///< Latest connection or answer that did not come in time.
     TimePoint avoidUntil{};
     std::uint32_t failures = 0; ///< In a row.
     bool gone = false;          ///< Not listed any more; kept while work is in flight.
@@ -54,6 +55,9 @@
   /// \brief The target refused or failed: it is left out for a moment, longer each time in a row.
   void OnTrouble(TimePoint now, const InstanceId& instance);
 
+  /// \brief The target did not answer at all: as OnTrouble, and control is told.
+  void OnSilence(TimePoint now, const InstanceId& instance);
+
   /// \brief A whole answer came.
   void OnSuccess(const InstanceId& instance);
 
--- a/src/control/engine_groups.cpp
+++ b/src/control/engine_groups.cpp
@@ -35,8 +35,8 @@
 constexpr Duration kStagePatience = 40s;
 /// Part of the targets kept out of groups at the start, as spares that hold weights.
 constexpr double kSparePart = 0.2;
-/// A head that fails entries and answers none is given up after this silence, little more than one
-/// heartbeat (1.2 s).
+/// Little more than one heartbeat (1.2 s): a target this silent joins no new group, and a head that
+/// fails entries and answers none is given up.
 constexpr Duration kSuspectSilence = 1800ms;
 /// Epochs of one term.
 constexpr std::uint64_t kEpochsPerTerm = 1ULL << 20U;
@@ -355,6 +355,11 @@
   if (!silent) {
     return;
   }
+  // Neither control nor the entries can reach it: its machine is down.
+  if (pass.input.dead.contains(head)) {
+    group.headIsDead = true;
+    return;
+  }
   // The head can't be asked. Without its members it stands still, and is broken in the end.
   for (std::size_t rank = 1; rank < group.members.size(); ++rank) {
     const TargetRow* member = pass.Row(group.members[rank]);
@@ -431,7 +436,7 @@
 {
   return std::ranges::any_of(group.members, [&](const InstanceId& member) {
     const TargetRow* row = pass.Row(member);
-    return IsLeaving(row) || pass.input.now - row->heardAt > kSilence ||
+    return IsLeaving(row) || pass.input.now - row->heardAt > kSuspectSilence ||
            IsReplaced(pass.input.targets, *row);
   });
 }
@@ -507,8 +512,8 @@
   std::vector<FreeTarget> free;
   for (const auto& [instance, row] : pass.input.targets.Rows()) {
     const bool usable = row.latest.service == service && !IsLeaving(&row) &&
-                        pass.input.now - row.heardAt <= kSilence && !taken.contains(instance) &&
-                        !m_groups.contains(row.latest.membership.group) &&
+                        pass.input.now - row.heardAt <= kSuspectSilence &&
+                        !taken.contains(instance) && !m_groups.contains(row.latest.membership.group) &&
                         !IsReplaced(pass.input.targets, row);
     if (!usable) {
       continue;
--- a/src/gateway/dispatcher.cpp
+++ b/src/gateway/dispatcher.cpp
@@ -221,6 +221,7 @@
 void Dispatcher::OnFailed(TimePoint now, const TargetFailedIn& failed, Outbox& outbox)
 {
   if (Request* request = FindByAttempt(failed.exchange)) {
+    m_board.OnSilence(now, request->target);
     AttemptEnded(now,
                  *request,
                  outbox,
@@ -253,7 +254,7 @@
         waiting.push_back(exchange);
       }
     }
-    m_board.OnTrouble(now, head);
+    m_board.OnSilence(now, head);
     for (const ExchangeId exchange : waiting) {
       Request& request = *Find(exchange);
       if (MayRetry(now, request)) {
--- a/src/gateway/feed_client.cpp
+++ b/src/gateway/feed_client.cpp
@@ -66,7 +66,7 @@
     query.demand.push_back(std::move(demand));
   }
   for (const auto& [instance, row] : dispatcher.Board().Rows()) {
-    const bool hasNews = row.answeredAt != TimePoint{} || row.failures > 0;
+    const bool hasNews = row.answeredAt != TimePoint{} || row.silentAt != TimePoint{};
     if (row.target.servedModel.empty() || !hasNews) {
       continue;
     }
@@ -75,7 +75,7 @@
     head->inFlight = row.inFlight;
     head->answeredAgoMillis = static_cast<std::uint32_t>(
       std::min<std::int64_t>(ToMillis(now - row.answeredAt), kLongAgoMillis));
-    head->failing = row.failures > 0;
+    head->failing = row.silentAt > row.answeredAt;
     query.heads.push_back(std::move(head));
   }
   return query;
--- a/src/gateway/target_board.cpp
+++ b/src/gateway/target_board.cpp
@@ -129,6 +129,14 @@
   row.avoidUntil = std::max(row.avoidUntil, now + std::min(pause, Duration(kAvoidLongest)));
 }
 
+void TargetBoard::OnSilence(TimePoint now, const InstanceId& instance)
+{
+  if (const auto found = m_rows.find(instance); found != m_rows.end()) {
+    found->second.silentAt = now;
+  }
+  OnTrouble(now, instance);
+}
+
 void TargetBoard::OnSuccess(const InstanceId& instance)
 {
   if (const auto found = m_rows.find(instance); found != m_rows.end()) {
