An entry sends a head no more than its part of the slots

Cause: five entries each sent a head of the larger model up to 34 requests; it queued them for up to 4.8 s (p99 of the first event), and 153 of 466 callers got nothing.

Ruled out: too few groups alone (two of three served at the time).

--- a/include/gooseberrysail/gateway/target_board.hpp
+++ b/include/gooseberrysail/gateway/target_board.hpp
@@ -42,6 +42,9 @@
   /// \brief Takes over the whole list.
   void Replace(std::span<const ServedTarget> targets);
 
+  /// \brief How many entries share the targets.
+  void SetEntries(std::uint32_t entries) { m_entries = entries == 0 ? 1 : entries; }
+
   /// \brief The target for an attempt; null when none can take it now.
   [[nodiscard]] const ServedTarget* Choose(TimePoint now, const TargetWish& wish);
 
@@ -75,9 +78,11 @@
 private:
   [[nodiscard]] static bool IsSilent(TimePoint now, const Row& row, Duration limit);
   [[nodiscard]] static bool Fits(const Row& row, const TargetWish& wish);
+  [[nodiscard]] std::uint32_t RoomOf(const ServedTarget& target) const;
   [[nodiscard]] bool IsBetter(const Row& left, const Row& right) const;
 
   FailureDomainId m_own;
+  std::uint32_t m_entries = 1;
   std::function<std::uint64_t()> m_random;
   std::map<InstanceId, Row> m_rows;
 };
--- a/src/gateway/feed_client.cpp
+++ b/src/gateway/feed_client.cpp
@@ -96,6 +96,7 @@
   }
   m_knowledge.heardAt = now;
   dispatcher.Retries().SetEntries(state.entries);
+  dispatcher.Board().SetEntries(state.entries);
   TakeDocument(peer, state, outbox);
   const bool isNews = state.term > m_term || state.targetsSequence > m_knowledge.targetsSequence;
   if (!state.wholeTargets || !isNews) {
--- a/src/gateway/target_board.cpp
+++ b/src/gateway/target_board.cpp
@@ -1,6 +1,7 @@
 #include "gooseberrysail/gateway/target_board.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <tuple>
 
 namespace gooseberrysail {
@@ -13,6 +14,10 @@
 constexpr Duration kAvoidFirst = 250ms;
 constexpr Duration kAvoidLongest = 4s;
 constexpr std::uint32_t kMaxDoublings = 4;
+/// Callers spread unevenly over the entries; with a quarter more than an even part each, a head is
+/// full before its busiest entry refuses.
+constexpr double kHeadFill = 1.25;
+constexpr std::uint32_t kLeastRoom = 2;
 /// Services that state no number of slots.
 constexpr std::uint32_t kDefaultSlots = 8;
 
@@ -43,6 +48,18 @@
                 [](const auto& row) { return row.second.gone && row.second.inFlight == 0; });
 }
 
+// Beyond its slots a head only queues: the callers of a full head then wait for seconds, and most of
+// them in vain. Each entry sends a head no more than its part of the slots.
+std::uint32_t TargetBoard::RoomOf(const ServedTarget& target) const
+{
+  const std::uint32_t slots = SlotsOf(target);
+  if (target.servedModel.empty()) {
+    return slots;
+  }
+  const double part = kHeadFill * slots / m_entries;
+  return std::max(kLeastRoom, static_cast<std::uint32_t>(std::ceil(part)));
+}
+
 bool TargetBoard::IsSilent(TimePoint now, const Row& row, Duration limit)
 {
   const bool isHead = !row.target.servedModel.empty();
@@ -70,7 +87,7 @@
   std::uint64_t equals = 0;
   for (const auto& [instance, row] : m_rows) {
     const bool usable = Fits(row, wish) && now >= row.avoidUntil &&
-                        row.inFlight < SlotsOf(row.target) && !wish.tried.contains(instance) &&
+                        row.inFlight < RoomOf(row.target) && !wish.tried.contains(instance) &&
                         !IsSilent(now, row, kSuspect);
     if (!usable) {
       continue;
