A model that lacks least gives targets to the one that lacks most

Cause: after some losses each fabric domain had one to three targets left over, too few for a group of four, while the small model held 7 to 8 groups of 6 wanted: the large one served with one group of three for 15 of 34 s.

Ruled out: groups across domains (three times slower), waiting for added replicas (16 s of load each).

Change: the pool plan may take a group of the better-served model: its targets load the other weights while they serve, then the group is closed and they join warm. Spares are weighed by group size.

--- a/include/gooseberrysail/control/engine_groups.hpp
+++ b/include/gooseberrysail/control/engine_groups.hpp
@@ -130,6 +130,7 @@
   [[nodiscard]] std::vector<ModelNeed> ListNeeds(const Pass& pass,
                                                  const ServiceDefinition& service) const;
   [[nodiscard]] std::vector<FreeTarget> ListFree(const Pass& pass, const std::string& service);
+  [[nodiscard]] std::vector<ServingGroup> ListServing(const Pass& pass, const std::string& service);
   [[nodiscard]] std::string StagingOf(const Pass& pass, const TargetRow& row);
   [[nodiscard]] bool IsSettled(const Pass& pass);
   [[nodiscard]] std::uint32_t LoadsLeft(const Pass& pass, const EngineSpec& engine);
--- a/include/gooseberrysail/placement/pool_plan.hpp
+++ b/include/gooseberrysail/placement/pool_plan.hpp
@@ -20,6 +20,15 @@
   std::string staging;                   ///< The model that its host loads now; "" for none.
 };
 
+/// \brief A group that serves; its members may load other weights meanwhile.
+struct ServingGroup
+{
+  std::string name;
+  std::string model;
+  FabricDomainId fabricDomain;
+  std::vector<FreeTarget> members;
+};
+
 /// \brief A model and how far its groups are from what is wanted.
 struct ModelNeed
 {
@@ -32,6 +41,7 @@
 {
   std::span<const FreeTarget> free;
   std::span<const ModelNeed> needs;
+  std::span<const ServingGroup> serving;
   std::uint32_t loadsLeft = 0; ///< Loads from the weight store that may begin now.
   /// \brief Loads are quick and free, as before the first request: groups may be formed of targets
   /// that have to load.
@@ -57,13 +67,16 @@
 {
   std::vector<PlannedGroup> groups;
   std::vector<PlannedStage> stages;
+  std::vector<std::string> releases; ///< Serving groups to close for a model that lacks more.
 };
 
 /// \brief Which groups to form of free targets, and which weights the others should hold.
 /// \remarks A member that loads keeps the others of its group idle for ten times as long as a warm
 /// join takes. So under load groups are formed of warm targets only, and cold ones load on their
 /// own first. What is left over waits with weights of either model: such a spare repairs a broken
-/// group within a second or two. A group never spans fabric domains.
+/// group within a second or two. Where what is left of every domain is too small for a group of a
+/// model that lacks most, a group of a model that lacks least gives up its targets; they load the
+/// other weights while they still serve. A group never spans fabric domains.
 [[nodiscard]] PoolPlan PlanPool(const PoolInput& input);
 
 } // namespace gooseberrysail
--- a/src/control/engine_groups.cpp
+++ b/src/control/engine_groups.cpp
@@ -469,7 +469,10 @@
 {
   const std::vector<ModelNeed> needs = ListNeeds(pass, service);
   const std::vector<FreeTarget> free = ListFree(pass, service.name);
-  const PoolInput pool{ free, needs, LoadsLeft(pass, *service.engine), !pass.input.hasTraffic };
+  const std::vector<ServingGroup> serving = ListServing(pass, service.name);
+  const PoolInput pool{
+    free, needs, serving, LoadsLeft(pass, *service.engine), !pass.input.hasTraffic
+  };
   const PoolPlan plan = PlanPool(pool);
   for (const PlannedGroup& planned : plan.groups) {
     StartGroup(pass, service.name, planned);
@@ -477,6 +480,29 @@
   for (const PlannedStage& planned : plan.stages) {
     StartStage(pass, planned);
   }
+  for (const std::string& name : plan.releases) {
+    End(pass, m_groups.at(name), "another model lacks more");
+  }
+}
+
+std::vector<ServingGroup> EngineGroups::ListServing(const Pass& pass, const std::string& service)
+{
+  std::vector<ServingGroup> serving;
+  for (const auto& [name, group] : m_groups) {
+    if (group.service != service || group.phase != Phase::kOpen) {
+      continue;
+    }
+    ServingGroup each{ name, group.model, {}, {} };
+    for (const InstanceId& member : group.members) {
+      if (const TargetRow* row = pass.Row(member)) {
+        each.fabricDomain = row->latest.fabricDomain;
+        each.members.push_back(
+          { member, row->latest.fabricDomain, row->latest.stagedModels, StagingOf(pass, *row) });
+      }
+    }
+    serving.push_back(std::move(each));
+  }
+  return serving;
 }
 
 std::vector<ModelNeed> EngineGroups::ListNeeds(const Pass& pass,
@@ -518,9 +544,8 @@
     if (!usable) {
       continue;
     }
-    FreeTarget target{ instance, row.latest.fabricDomain, row.latest.stagedModels, {} };
-    target.staging = StagingOf(pass, row);
-    free.push_back(std::move(target));
+    free.push_back(
+      { instance, row.latest.fabricDomain, row.latest.stagedModels, StagingOf(pass, row) });
   }
   return free;
 }
--- a/src/placement/pool_plan.cpp
+++ b/src/placement/pool_plan.cpp
@@ -9,6 +9,9 @@
 
 namespace {
 
+/// Of a model of which nothing is wanted.
+constexpr double kFulfilled = 10;
+
 using Pool = std::map<FabricDomainId, std::vector<const FreeTarget*>>;
 
 /// \brief One place for one group.
@@ -54,6 +57,7 @@
       FillNeed(need);
     }
     StageMissing();
+    Rebalance();
     StageSpares();
     return std::move(m_plan);
   }
@@ -112,14 +116,101 @@
 
   /// Models that lack groups: where a few more warm targets would make one, they are made.
   void StageMissing()
+  {
+    for (ModelNeed& need : m_needs) {
+      while (need.groups < need.wanted && StageOneGroup(*need.model)) {
+        ++need.groups; // On its way.
+      }
+    }
+  }
+
+  /// Served part of what is wanted of a model, with `change` groups more.
+  static double Fulfilment(const ModelNeed& need, int change)
+  {
+    const double groups = static_cast<double>(need.groups) + change;
+    return need.wanted == 0 ? kFulfilled : groups / need.wanted;
+  }
+
+  /// One group at a time: what it changes is seen before the next.
+  void Rebalance()
   {
     for (const ModelNeed& need : m_needs) {
-      for (std::uint32_t groups = need.groups; groups < need.wanted; ++groups) {
-        if (!StageOneGroup(*need.model)) {
-          break;
-        }
+      if (need.groups >= need.wanted || m_input.loadsAreCheap) {
+        continue;
+      }
+      const std::optional<Takeover> takeover = FindTakeover(need);
+      if (takeover) {
+        Carry(need, *takeover);
+        return;
+      }
+    }
+  }
+
+  /// \brief Free targets of one domain and groups whose targets complete a group of another model.
+  struct Takeover
+  {
+    std::vector<const FreeTarget*> members;
+    std::vector<const ServingGroup*> groups;
+    std::size_t loads = 0;
+  };
+
+  [[nodiscard]] std::optional<Takeover> FindTakeover(const ModelNeed& need) const
+  {
+    std::optional<Takeover> best;
+    for (const ServingGroup& donor : m_input.serving) {
+      const auto donorNeed = std::ranges::find(
+        m_needs, donor.model, [](const ModelNeed& each) { return each.model->name; });
+      const bool mayGive = donorNeed != m_needs.end() && donor.model != need.model->name &&
+                           Fulfilment(*donorNeed, -1) >= Fulfilment(need, +1);
+      if (!mayGive) {
+        continue;
+      }
+      const std::optional<Takeover> takeover = Combine(need, donor);
+      if (takeover && (!best || takeover->loads < best->loads)) {
+        best = takeover;
+      }
+    }
+    return best;
+  }
+
+  [[nodiscard]] std::optional<Takeover> Combine(const ModelNeed& need,
+                                                const ServingGroup& donor) const
+  {
+    Takeover takeover;
+    if (const auto free = m_pool.find(donor.fabricDomain); free != m_pool.end()) {
+      takeover.members = free->second;
+    }
+    takeover.groups.push_back(&donor);
+    for (const FreeTarget& member : donor.members) {
+      takeover.members.push_back(&member);
+    }
+    const std::size_t size = need.model->size;
+    if (takeover.members.size() < size) {
+      return std::nullopt;
+    }
+    const std::string& model = need.model->name;
+    std::ranges::stable_partition(
+      takeover.members, [&](const FreeTarget* target) { return IsComing(*target, model); });
+    takeover.members.resize(size);
+    takeover.loads = size - CountWarm(takeover.members, model);
+    return takeover;
+  }
+
+  void Carry(const ModelNeed& need, const Takeover& takeover)
+  {
+    for (const FreeTarget* target : takeover.members) {
+      Stage(*target, need.model->name);
+    }
+    if (takeover.loads == 0) {
+      for (const ServingGroup* group : takeover.groups) {
+        m_plan.releases.push_back(group->name);
       }
     }
+    for (auto& [domain, targets] : m_pool) {
+      std::erase_if(targets, [&](const FreeTarget* target) {
+        return std::ranges::find(takeover.members, target) != takeover.members.end();
+      });
+    }
   }
 
   bool StageOneGroup(const GroupModel& model)
@@ -168,21 +259,18 @@
     }
   }
 
-  /// A lost member breaks one group of either kind; the model with fewest spares comes first, the
-  /// largest among equals.
+  /// A lost member stops as many targets as its group has, so a large model's spare is worth more.
   void StageSpare(const FreeTarget& target, std::map<std::string, std::size_t>& spares)
   {
-    const auto fewest = std::ranges::min_element(
-      m_needs, std::less{}, [&](const ModelNeed& need) { return spares[need.model->name]; });
-    if (fewest == m_needs.end() || !target.staging.empty()) {
-      return;
-    }
-    const bool holdsSome = !target.stagedModels.empty();
-    if (holdsSome && spares[target.stagedModels.front()] <= spares[fewest->model->name] + 1) {
+    const auto worth = [&](const ModelNeed& need) {
+      return need.model->size / static_cast<double>(spares[need.model->name] + 1);
+    };
+    const auto best = std::ranges::max_element(m_needs, std::less{}, worth);
+    if (best == m_needs.end() || IsComing(target, best->model->name)) {
       return;
     }
-    Stage(target, fewest->model->name);
-    ++spares[fewest->model->name];
+    Stage(target, best->model->name);
+    ++spares[best->model->name];
   }
 
   static bool IsComing(const FreeTarget& target, const std::string& model)
