Probe members of a head that stands still; takeovers of several groups; hosts hold a second model

Change: control probes the members of a head that entries report silent; a takeover may close several groups where the worst-served model gains; before traffic every other small group's hosts also load the large model's weights.

--- a/include/gooseberrysail/control/engine_groups.hpp
+++ b/include/gooseberrysail/control/engine_groups.hpp
@@ -23,6 +23,7 @@
   kClose, ///< Takes no new work, finishes what it has.
   kLeave,
   kStage, ///< The target's host loads a model's weights ahead of need; no group is concerned.
+  kProbe, ///< Changes nothing; an answer shows that the target lives.
 };
 
 [[nodiscard]] const char* ToString(GroupOrderKind kind) noexcept;
@@ -124,6 +125,7 @@
   void AdvanceEnding(Pass& pass, Group& group);
   void End(Pass& pass, Group& group, const char* reason);
   void Order(Pass& pass, Group& group, const InstanceId& target, GroupOrderKind kind);
+  void ProbeMembers(Pass& pass, Group& group);
   void Form(Pass& pass, const ServiceDefinition& service);
   void StartGroup(Pass& pass, const std::string& service, const PlannedGroup& planned);
   void StartStage(Pass& pass, const PlannedStage& planned);
@@ -146,6 +148,7 @@
     TimePoint since{};
   };
   std::map<InstanceId, Staging> m_staging;
+  std::map<InstanceId, TimePoint> m_unanswered; ///< Probes without an answer, until the next word.
   std::size_t m_knownTargets = 0;
   TimePoint m_newTargetAt{};        ///< When the table last grew.
   std::set<std::string> m_released; ///< Groups that are over although members still report them.
--- a/include/gooseberrysail/gateway/feed_client.hpp
+++ b/include/gooseberrysail/gateway/feed_client.hpp
@@ -53,6 +53,8 @@
   ServingKnowledge m_knowledge;
   std::uint64_t m_term = 0; ///< Of the leader that m_knowledge.targetsSequence comes from.
   TimePoint m_nextQuery{};
+  TimePoint m_lastQuery{};
+  TimePoint m_toldSilence{}; ///< Of the latest silence that control was told of.
 };
 
 } // namespace gooseberrysail
--- a/include/gooseberrysail/gateway/target_board.hpp
+++ b/include/gooseberrysail/gateway/target_board.hpp
@@ -61,6 +61,9 @@
   /// \brief The target did not answer at all: as OnTrouble, and control is told.
   void OnSilence(TimePoint now, const InstanceId& instance);
 
+  /// \brief When a target last gave no answer.
+  [[nodiscard]] TimePoint LatestSilence() const noexcept { return m_latestSilence; }
+
   /// \brief A whole answer came.
   void OnSuccess(const InstanceId& instance);
 
@@ -85,6 +88,7 @@
   std::uint32_t m_entries = 1;
   std::function<std::uint64_t()> m_random;
   std::map<InstanceId, Row> m_rows;
+  TimePoint m_latestSilence{};
 };
 
 } // namespace gooseberrysail
--- a/src/control/engine_groups.cpp
+++ b/src/control/engine_groups.cpp
@@ -16,6 +16,8 @@
 constexpr Duration kLearnTime = 2500ms;
 /// Three heartbeats of 1.2 s without one: the target is not given to a new group.
 constexpr Duration kSilence = 3600ms;
+/// A target that spoke within this needs no probe.
+constexpr Duration kProbeSilence = 300ms;
 /// Orders act within some 100 ms and targets report at once; one without effect is given again.
 constexpr Duration kOrderRetry = 1500ms;
 /// A join that takes longer than this beside its load has failed.
@@ -89,6 +91,8 @@
       return "leave";
     case GroupOrderKind::kStage:
       return "stage";
+    case GroupOrderKind::kProbe:
+      return "probe";
   }
   return "unknown";
 }
@@ -112,6 +116,7 @@
   m_released.clear();
   m_loads.clear();
   m_staging.clear();
+  m_unanswered.clear();
   m_formed = 0;
 }
 
@@ -319,7 +324,10 @@
       End(pass, group, "a member was restarted");
       return;
     }
-    const bool isSilent = pass.input.now - row->heardAt > kSuspectSilence;
+    const auto unanswered = m_unanswered.find(member);
+    const bool gaveNoAnswer =
+      unanswered != m_unanswered.end() && unanswered->second > row->heardAt + kProbeSilence;
+    const bool isSilent = gaveNoAnswer || pass.input.now - row->heardAt > kSuspectSilence;
     if (isSilent && pass.input.failing.contains(group.members.front())) {
       // The head waits for a dead member: nothing that it has can end, and its callers were told.
       group.cut = true;
@@ -327,6 +335,9 @@
       return;
     }
   }
+  if (pass.input.failing.contains(group.members.front())) {
+    ProbeMembers(pass, group);
+  }
   // A head that is cut off from control only still answers the entries; its group goes on.
   const InstanceId& instance = group.members.front();
   const Duration patience = pass.input.failing.contains(instance) ? kSuspectSilence : kSilence;
@@ -335,6 +346,18 @@
   }
 }
 
+// A head that stands still waits for a member. Heartbeats would tell which one only after 1.8 s;
+// one that lives answers a probe in milliseconds.
+void EngineGroups::ProbeMembers(Pass& pass, Group& group)
+{
+  for (const InstanceId& member : group.members) {
+    const TargetRow* row = pass.Row(member);
+    if (row != nullptr && pass.input.now - row->heardAt > kProbeSilence) {
+      Order(pass, group, member, GroupOrderKind::kProbe);
+    }
+  }
+}
+
 // The head may go on serving until it says otherwise; a member that joined another group meanwhile
 // would work for two.
 void EngineGroups::AdvanceEnding(Pass& pass, Group& group)
@@ -600,8 +623,14 @@
                           false });
 }
 
-void EngineGroups::OnOrderOutcome(TimePoint, const GroupOrder& order, OrderOutcome outcome)
+void EngineGroups::OnOrderOutcome(TimePoint now, const GroupOrder& order, OrderOutcome outcome)
 {
+  if (order.kind == GroupOrderKind::kProbe) {
+    if (outcome == OrderOutcome::kUnknown || outcome == OrderOutcome::kNoTarget) {
+      m_unanswered[order.target] = now;
+    }
+    return;
+  }
   const auto found = m_groups.find(order.group);
   if (found == m_groups.end() || found->second.members.front() != order.target) {
     return;
--- a/src/gateway/feed_client.cpp
+++ b/src/gateway/feed_client.cpp
@@ -14,6 +14,8 @@
 /// Control pushes changes at once; a question only heals what was lost with a connection or a
 /// leader.
 constexpr Duration kQueryInterval = 500ms;
+/// A head that fell silent is told at once, several together.
+constexpr Duration kNewsInterval = 100ms;
 /// Stands for "never" in a report of when a head last answered.
 constexpr std::int64_t kLongAgoMillis = 3'600'000;
 
@@ -39,9 +41,12 @@
                       const Dispatcher& dispatcher,
                       std::vector<GatewayOutput>& outbox)
 {
-  if (now < m_nextQuery) {
+  const bool hasNews = dispatcher.Board().LatestSilence() > m_toldSilence;
+  if (now < m_nextQuery && !(hasNews && now >= m_lastQuery + kNewsInterval)) {
     return;
   }
+  m_lastQuery = now;
+  m_toldSilence = dispatcher.Board().LatestSilence();
   m_nextQuery = now + kQueryInterval;
   const wire::ServingQueryT query = MakeQuery(now, dispatcher);
   for (const auto& [process, address] : m_controls) {
--- a/src/gateway/target_board.cpp
+++ b/src/gateway/target_board.cpp
@@ -48,8 +48,8 @@
                 [](const auto& row) { return row.second.gone && row.second.inFlight == 0; });
 }
 
-// Beyond its slots a head only queues: the callers of a full head then wait for seconds, and most of
-// them in vain. Each entry sends a head no more than its part of the slots.
+// Beyond its slots a head only queues: the callers of a full head then wait for seconds, and most
+// of them in vain. Each entry sends a head no more than its part of the slots.
 std::uint32_t TargetBoard::RoomOf(const ServedTarget& target) const
 {
   const std::uint32_t slots = SlotsOf(target);
@@ -150,6 +150,7 @@
 {
   if (const auto found = m_rows.find(instance); found != m_rows.end()) {
     found->second.silentAt = now;
+    m_latestSilence = now;
   }
   OnTrouble(now, instance);
 }
--- a/src/placement/pool_plan.cpp
+++ b/src/placement/pool_plan.cpp
@@ -9,6 +9,8 @@
 
 namespace {
 
+/// A takeover that changes less than this is not worth its loads.
+constexpr double kLeastGain = 0.05;
 /// Of a model of which nothing is wanted.
 constexpr double kFulfilled = 10;
 
@@ -58,6 +60,9 @@
     }
     StageMissing();
     Rebalance();
+    if (m_input.loadsAreCheap) {
+      StageDoubles();
+    }
     StageSpares();
     return std::move(m_plan);
   }
@@ -157,38 +162,69 @@
   [[nodiscard]] std::optional<Takeover> FindTakeover(const ModelNeed& need) const
   {
     std::optional<Takeover> best;
-    for (const ServingGroup& donor : m_input.serving) {
-      const auto donorNeed = std::ranges::find(
-        m_needs, donor.model, [](const ModelNeed& each) { return each.model->name; });
-      const bool mayGive = donorNeed != m_needs.end() && donor.model != need.model->name &&
-                           Fulfilment(*donorNeed, -1) >= Fulfilment(need, +1);
-      if (!mayGive) {
+    for (const ModelNeed& donor : m_needs) {
+      if (donor.model == need.model) {
         continue;
       }
-      const std::optional<Takeover> takeover = Combine(need, donor);
-      if (takeover && (!best || takeover->loads < best->loads)) {
-        best = takeover;
+      for (const auto& [domain, groups] : GroupsByDomain(donor.model->name)) {
+        const std::optional<Takeover> takeover = Combine(need, donor, domain, groups);
+        if (takeover && (!best || IsCheaper(*takeover, *best))) {
+          best = takeover;
+        }
       }
     }
     return best;
   }
 
+  static bool IsCheaper(const Takeover& left, const Takeover& right)
+  {
+    return std::pair(left.groups.size(), left.loads) < std::pair(right.groups.size(), right.loads);
+  }
+
+  [[nodiscard]] std::map<FabricDomainId, std::vector<const ServingGroup*>> GroupsByDomain(
+    const std::string& model) const
+  {
+    std::map<FabricDomainId, std::vector<const ServingGroup*>> groups;
+    for (const ServingGroup& group : m_input.serving) {
+      if (group.model == model) {
+        groups[group.fabricDomain].push_back(&group);
+      }
+    }
+    return groups;
+  }
+
+  /// What is free in the domain, and as few groups of the donor as complete one of `need`.
   [[nodiscard]] std::optional<Takeover> Combine(const ModelNeed& need,
-                                                const ServingGroup& donor) const
+                                                const ModelNeed& donor,
+                                                const FabricDomainId& domain,
+                                                std::vector<const ServingGroup*> groups) const
   {
+    const std::string& model = need.model->name;
+    const std::size_t size = need.model->size;
+    // Those whose hosts hold the weights already come first.
+    std::ranges::stable_sort(groups, std::greater{}, [&](const ServingGroup* group) {
+      return std::ranges::count_if(
+        group->members, [&](const FreeTarget& member) { return IsComing(member, model); });
+    });
     Takeover takeover;
-    if (const auto free = m_pool.find(donor.fabricDomain); free != m_pool.end()) {
+    if (const auto free = m_pool.find(domain); free != m_pool.end()) {
       takeover.members = free->second;
     }
-    takeover.groups.push_back(&donor);
-    for (const FreeTarget& member : donor.members) {
-      takeover.members.push_back(&member);
+    for (const ServingGroup* group : groups) {
+      if (takeover.members.size() >= size) {
+        break;
+      }
+      takeover.groups.push_back(group);
+      for (const FreeTarget& member : group->members) {
+        takeover.members.push_back(&member);
+      }
     }
-    const std::size_t size = need.model->size;
-    if (takeover.members.size() < size) {
+    const int given = static_cast<int>(takeover.groups.size());
+    // The model that lacks most must be better off than before, and no other as badly.
+    const bool gains = Fulfilment(donor, -given) > Fulfilment(need, 0) + kLeastGain;
+    if (takeover.members.size() < size || given == 0 || !gains) {
       return std::nullopt;
     }
-    const std::string& model = need.model->name;
     std::ranges::stable_partition(
       takeover.members, [&](const FreeTarget* target) { return IsComing(*target, model); });
     takeover.members.resize(size);
@@ -248,7 +284,8 @@
     for (const auto& [domain, targets] : m_pool) {
       std::map<std::string, std::size_t> spares;
       for (const ModelNeed& need : m_needs) {
-        spares[need.model->name] = CountComing(targets, need.model->name);
+        spares[need.model->name] =
+          CountComing(targets, need.model->name) + CountDoubles(domain, need.model->name);
       }
       for (const FreeTarget* target : targets) {
         // Weights of another model are not dropped for this under load: they serve its groups.
@@ -259,6 +296,20 @@
     }
   }
 
+  /// Members of a domain's groups of other models whose hosts hold this model's weights.
+  [[nodiscard]] std::size_t CountDoubles(const FabricDomainId& domain,
+                                         const std::string& model) const
+  {
+    std::size_t doubles = 0;
+    for (const ServingGroup& group : m_input.serving) {
+      if (group.fabricDomain == domain && group.model != model) {
+        doubles += static_cast<std::size_t>(std::ranges::count_if(
+          group.members, [&](const FreeTarget& member) { return IsComing(member, model); }));
+      }
+    }
+    return doubles;
+  }
+
   /// A lost member stops as many targets as its group has, so a large model's spare is worth more.
   void StageSpare(const FreeTarget& target, std::map<std::string, std::size_t>& spares)
   {
@@ -273,6 +324,27 @@
     ++spares[best->model->name];
   }
 
+  /// A host may hold other weights than its target serves with. While loads are cheap, the members
+  /// of every other small group take the largest model's: such a group can turn into part of a
+  /// large one within seconds, where a load under traffic takes 16 s. The other small groups keep
+  /// their own, so that their survivors can pair again.
+  void StageDoubles()
+  {
+    if (m_needs.empty()) {
+      return;
+    }
+    const GroupModel& largest = *m_needs.front().model;
+    std::map<FabricDomainId, std::size_t> seen;
+    for (const ServingGroup& group : m_input.serving) {
+      if (group.members.size() >= largest.size || seen[group.fabricDomain]++ % 2 != 0) {
+        continue;
+      }
+      for (const FreeTarget& member : group.members) {
+        Stage(member, largest.name);
+      }
+    }
+  }
+
   static bool IsComing(const FreeTarget& target, const std::string& model)
   {
     return HoldsModel(target, model) || target.staging == model;
--- a/src/shell/control_shell.cpp
+++ b/src/shell/control_shell.cpp
@@ -26,6 +26,10 @@
 /// A disk that was full is tried again this often.
 constexpr auto kStorageRetry = std::chrono::seconds(1);
 
+/// A target on the local network takes a connection at once or is down; a lost packet is sent again
+/// within 200 to 300 ms.
+constexpr Duration kTargetConnectTimeout = std::chrono::milliseconds(500);
+
 /// Some of them may be lost before the followers take the leader for dead.
 constexpr int kHeartbeatsPerElection = 5;
 
@@ -58,6 +62,13 @@
   return raft;
 }
 
+HttpClientSettings TargetClientSettings()
+{
+  HttpClientSettings client;
+  client.connectTimeout = kTargetConnectTimeout;
+  return client;
+}
+
 std::function<std::string(const ProcessId&)> AddressHook(const ProcessSettings& settings)
 {
   if (settings.seeds.empty()) {
@@ -89,7 +100,7 @@
                .plan = {},
                .outside = std::move(outside) })
     , m_targets(m_shell.Runtime(),
-                {},
+                TargetClientSettings(),
                 { .onAnswer = [this](TargetAnswerIn answer) { m_loop.Post(std::move(answer)); },
                   .onFailed = [this](TargetFailedIn failed) { m_loop.Post(std::move(failed)); } })
     , m_loop(
