--- a/include/gooseberrysail/control/engine_groups.hpp
+++ b/include/gooseberrysail/control/engine_groups.hpp
@@ -61,7 +61,6 @@
   bool hasTraffic = false; ///< Entries have seen requests: loads count against the store's rate.
   const std::set<InstanceId>& answering; ///< Heads that answered an entry a moment ago.
   const std::set<InstanceId>& failing;   ///< Heads that failed an entry and answered none since.
-  const std::set<InstanceId>& dead;      ///< Of these, heads that no entry can reach.
   const std::map<std::string, ModelDemand>& demand; ///< By model; empty before traffic.
 };
 
--- a/include/gooseberrysail/control/serving_feed.hpp
+++ b/include/gooseberrysail/control/serving_feed.hpp
@@ -35,10 +35,6 @@
   /// \brief Heads that some entry saw fail and none saw answer lately.
   [[nodiscard]] std::set<InstanceId> FailingHeads(TimePoint now) const;
 
-  /// \brief Heads that most entries saw fail lately and none saw answer: no network fault that
-  /// leaves a head to serve hides it from most entries.
-  [[nodiscard]] std::set<InstanceId> DeadHeads(TimePoint now) const;
-
   /// \brief What callers ask of each model, all entries together.
   [[nodiscard]] std::map<std::string, ModelDemand> Demand() const;
 
--- a/include/gooseberrysail/gateway/dispatcher.hpp
+++ b/include/gooseberrysail/gateway/dispatcher.hpp
@@ -49,6 +49,12 @@
                  HttpRequestIn request,
                  const ServingKnowledge& knowledge,
                  std::vector<GatewayOutput>& outbox);
+  /// \brief Answers a request at once that is not even looked at: it certainly does not run.
+  void Refuse(TimePoint now,
+              const HttpRequestIn& incoming,
+              const std::string& reason,
+              Duration retryAfter,
+              std::vector<GatewayOutput>& outbox);
   void OnAnswer(TimePoint now, const TargetAnswerIn& part, std::vector<GatewayOutput>& outbox);
   void OnFailed(TimePoint now, const TargetFailedIn& failed, std::vector<GatewayOutput>& outbox);
   void OnCallerGone(TimePoint now, ExchangeId exchange, std::vector<GatewayOutput>& outbox);
--- a/src/control/engine_groups.cpp
+++ b/src/control/engine_groups.cpp
@@ -378,12 +378,9 @@
   if (!silent) {
     return;
   }
-  // Neither control nor the entries can reach it: its machine is down.
-  if (pass.input.dead.contains(head)) {
-    group.headIsDead = true;
-    return;
-  }
-  // The head can't be asked. Without its members it stands still, and is broken in the end.
+  // The head can't be asked, and may serve on although neither control nor any entry reaches it:
+  // a network fault can hide a target from all of them. Without its members it stands still, and is
+  // broken in the end.
   for (std::size_t rank = 1; rank < group.members.size(); ++rank) {
     const TargetRow* member = pass.Row(group.members[rank]);
     const bool isHeard = member != nullptr && pass.input.now - member->heardAt <= kSilence;
--- a/src/control/serving_control.cpp
+++ b/src/control/serving_control.cpp
@@ -279,7 +279,6 @@
   std::vector<EventOut> events;
   const std::set<InstanceId> answering = m_feed.AnsweringHeads(context.now);
   const std::set<InstanceId> failing = m_feed.FailingHeads(context.now);
-  const std::set<InstanceId> dead = m_feed.DeadHeads(context.now);
   const std::map<std::string, ModelDemand> demand = m_feed.Demand();
   m_groups.Tick({ context.now,
                   context.replication.term,
@@ -288,7 +287,6 @@
                   m_feed.HasTraffic(),
                   answering,
                   failing,
-                  dead,
                   demand },
                 orders,
                 events);
--- a/src/control/serving_feed.cpp
+++ b/src/control/serving_feed.cpp
@@ -178,24 +178,6 @@
   return heads;
 }
 
-std::set<InstanceId> ServingFeed::DeadHeads(TimePoint now) const
-{
-  std::map<InstanceId, std::size_t> failed;
-  for (const auto& [process, entry] : m_entries) {
-    for (const auto& [head, at] : entry.failedAt) {
-      failed[head] += now - at < kAnsweredLately ? 1 : 0;
-    }
-  }
-  const std::set<InstanceId> answering = AnsweringHeads(now);
-  std::set<InstanceId> heads;
-  for (const auto& [head, entries] : failed) {
-    if (2 * entries > m_entries.size() && !answering.contains(head)) {
-      heads.insert(head);
-    }
-  }
-  return heads;
-}
-
 std::set<InstanceId> ServingFeed::AnsweringHeads(TimePoint now) const
 {
   std::set<InstanceId> heads;
--- a/src/gateway/dispatcher_arrival.cpp
+++ b/src/gateway/dispatcher_arrival.cpp
@@ -39,6 +39,21 @@
   Attempt(now, kept, outbox);
 }
 
+void Dispatcher::Refuse(TimePoint now,
+                        const HttpRequestIn& incoming,
+                        const std::string& reason,
+                        Duration retryAfter,
+                        Outbox& outbox)
+{
+  Request request;
+  request.arrived = now;
+  request.call.exchange = incoming.exchange;
+  if (Result<GatewayCall> call = m_api.decodeCall(incoming)) {
+    request.call = std::move(call).value();
+  }
+  Refuse(now, request, { 503, reason, retryAfter }, outbox);
+}
+
 std::optional<Dispatcher::Refusal> Dispatcher::Admit(TimePoint now,
                                                      const ServingKnowledge& knowledge,
                                                      Request& request)
--- a/src/gateway/gateway_role.cpp
+++ b/src/gateway/gateway_role.cpp
@@ -15,6 +15,8 @@
 /// A balancer asks once a second and takes a process out after two misses; until then it sends
 /// callers, and they are served.
 constexpr Duration kNoticeTime = 2500ms;
+/// The caller's next connection reaches another entry.
+constexpr Duration kStoppingRetry = 50ms;
 
 } // namespace
 
@@ -38,6 +40,11 @@
   }
   void Take(TimePoint now, const HttpRequestIn& input, Outbox& outbox)
   {
+    // What is begun now might not end before the process is killed.
+    if (stopped) {
+      dispatcher.Refuse(now, input, "this entry stops", kStoppingRetry, outbox);
+      return;
+    }
     dispatcher.OnRequest(now, input, feed.Knowledge(), outbox);
   }
   void Take(TimePoint now, const HttpCallerGone& input, Outbox& outbox)
--- a/src/http/http_session.hpp
+++ b/src/http/http_session.hpp
@@ -74,6 +74,7 @@
   // Reading (http_session_read.cpp).
   [[nodiscard]] std::optional<Request> ReadRequest();
   bool WaitForRequest();
+  [[nodiscard]] bool HasPending();
   void Reject(unsigned status, std::string_view message);
   void WatchCaller();
   void OnReadable(bool failed);
--- a/src/http/http_session_read.cpp
+++ b/src/http/http_session_read.cpp
@@ -92,7 +92,10 @@
     if (written == Written::kMustClose) {
       Linger();
     }
-    if (written != Written::kMayReuse) {
+    // A stream whose head left before the server began to stop promised to go on; a request that
+    // came long after would be cut when the process ends.
+    const bool isLast = written != Written::kMayReuse || (m_hooks.isStopping() && !HasPending());
+    if (isLast) {
       break;
     }
   }
@@ -110,13 +113,18 @@
 
 void HttpSession::CloseIfIdle()
 {
-  // A request whose first bytes the kernel already holds is in flight: it gets its answer.
-  boost::system::error_code error;
-  if (m_idle && m_buffer.size() == 0 && m_socket.available(error) == 0) {
+  if (m_idle && !HasPending()) {
     Close();
   }
 }
 
+// A request whose first bytes the kernel already holds is in flight: it gets its answer.
+bool HttpSession::HasPending()
+{
+  boost::system::error_code error;
+  return m_buffer.size() > 0 || m_socket.available(error) > 0;
+}
+
 bool HttpSession::WaitForRequest()
 {
   if (m_buffer.size() > 0) {
