--- a/include/gooseberrysail/control/engine_groups.hpp
+++ b/include/gooseberrysail/control/engine_groups.hpp
@@ -64,6 +64,12 @@
   const std::map<std::string, ModelDemand>& demand; ///< By model; empty before traffic.
 };
 
+struct EngineGroupsSettings
+{
+  /// \brief How long a head that lacks a member stands still before it declares itself broken.
+  Duration standstill = std::chrono::seconds(5);
+};
+
 /// \brief Forms groups of targets by orders to the targets themselves, and gives up broken ones.
 /// \remarks Nothing of it is stored: a new leader learns the groups from the targets' heartbeats.
 /// That is safe since a target refuses a join of a lower epoch than it has seen and epochs rise
@@ -72,6 +78,8 @@
 class EngineGroups
 {
 public:
+  explicit EngineGroups(EngineGroupsSettings settings = {});
+
   void OnLeaderStart();
 
   /// \brief Appends the orders to give now, and events.
@@ -135,10 +143,12 @@
   [[nodiscard]] std::string StagingOf(const Pass& pass, const TargetRow& row);
   [[nodiscard]] bool IsSettled(const Pass& pass);
   [[nodiscard]] std::uint32_t LoadsLeft(const Pass& pass, const EngineSpec& engine);
+  [[nodiscard]] bool IsSilent(const Pass& pass, const TargetRow& row) const;
   [[nodiscard]] bool IsReleased(const Pass& pass, const Group& group) const;
   [[nodiscard]] static bool IsWhole(const Pass& pass, const Group& group);
   [[nodiscard]] static bool HasFailedMember(const Pass& pass, const Group& group);
 
+  EngineGroupsSettings m_settings;
   std::map<std::string, Group> m_groups; ///< By name.
   std::vector<TimePoint> m_loads;        ///< When loads began lately.
   struct Staging
--- a/include/gooseberrysail/control/serving_control.hpp
+++ b/include/gooseberrysail/control/serving_control.hpp
@@ -18,7 +18,7 @@
 class ServingControl
 {
 public:
-  explicit ServingControl(OutsideApi api);
+  ServingControl(OutsideApi api, EngineGroupsSettings groups);
 
   /// \returns False for a request of another interface.
   bool OnRequest(ControlContext& context, const HttpRequestIn& request);
--- a/include/gooseberrysail/observe/process_observer.hpp
+++ b/include/gooseberrysail/observe/process_observer.hpp
@@ -45,6 +45,12 @@
   /// \returns The page, for a request of /metrics.
   [[nodiscard]] std::optional<HttpAnswerOut> OnRequest(TimePoint now, const HttpRequestIn& request);
 
+  /// \brief Notes a request where /metrics is served apart.
+  void OnCallerRequest(TimePoint now, const HttpRequestIn& request)
+  {
+    m_metrics.OnRequest(now, request);
+  }
+
   void OnAnswer(TimePoint now, const HttpAnswerOut& answer) { m_metrics.OnAnswer(now, answer); }
   void OnCallerGone(const HttpCallerGone& gone) { m_metrics.OnCallerGone(gone); }
   void OnTick(Duration spent) { m_metrics.OnTick(spent); }
--- a/include/gooseberrysail/roles/control_role.hpp
+++ b/include/gooseberrysail/roles/control_role.hpp
@@ -42,6 +42,7 @@
   Duration groupLease = std::chrono::seconds(4);
   /// \brief Clock rates may differ by this share; leases are waited out that much longer.
   double clockDrift = 0.01;
+  EngineGroupsSettings engineGroups;
   std::size_t routesPerEntry = 32; ///< Candidates of one catalogue entry that one entry is told of.
 };
 
--- a/include/gooseberrysail/roles/gateway_role.hpp
+++ b/include/gooseberrysail/roles/gateway_role.hpp
@@ -23,7 +23,7 @@
 class GatewayRole
 {
 public:
-  GatewayRole(GatewaySettings settings, RoleHooks hooks, GatewayApi api);
+  GatewayRole(GatewaySettings settings, const RoleHooks& hooks, const GatewayApi& api);
   ~GatewayRole();
   GatewayRole(const GatewayRole&) = delete;
   GatewayRole& operator=(const GatewayRole&) = delete;
--- a/include/gooseberrysail/settings/settings.hpp
+++ b/include/gooseberrysail/settings/settings.hpp
@@ -67,6 +67,7 @@
   Duration electionTimeout{};      ///< Silence of the leader before an election.
   std::size_t toleratedLosses = 1; ///< With seeds: processes that may be lost at once.
   bool mayFound = true;            ///< This start may found a cluster.
+  Duration standstill{};           ///< See EngineGroupsSettings.
 };
 
 /// \brief Agent only: the target VM it stands beside.
--- a/src/control/control_role.cpp
+++ b/src/control/control_role.cpp
@@ -30,7 +30,7 @@
     , hooks(std::move(controlHooks))
     , proposer(hooks.propose)
     , planning(hooks.plan ? hooks.plan : OwnPlanner())
-    , serving(hooks.outside)
+    , serving(hooks.outside, settings.engineGroups)
   {
   }
 
--- a/src/control/engine_groups.cpp
+++ b/src/control/engine_groups.cpp
@@ -22,9 +22,8 @@
 constexpr Duration kOrderRetry = 1500ms;
 /// A join that takes longer than this beside its load has failed.
 constexpr Duration kJoinSlack = 10s;
-/// A head whose members left stands still and declares itself broken after 5 s; 1 s for its clock
-/// and the order's way.
-constexpr Duration kStandstillTime = 6s;
+/// Beside the time that a head stands still: the order's way and the head's own timer.
+constexpr Duration kStandstillSlack = 400ms;
 /// Loads are counted over this window, which is the one in which the store's rate is enforced.
 constexpr Duration kLoadWindow = 5s;
 /// Kept free of the allowed loads: a leader that follows within a window starts its count anew.
@@ -110,6 +109,11 @@
   }
 };
 
+EngineGroups::EngineGroups(EngineGroupsSettings settings)
+  : m_settings(settings)
+{
+}
+
 void EngineGroups::OnLeaderStart()
 {
   m_groups.clear();
@@ -324,10 +328,7 @@
       End(pass, group, "a member was restarted");
       return;
     }
-    const auto unanswered = m_unanswered.find(member);
-    const bool gaveNoAnswer =
-      unanswered != m_unanswered.end() && unanswered->second > row->heardAt + kProbeSilence;
-    const bool isSilent = gaveNoAnswer || pass.input.now - row->heardAt > kSuspectSilence;
+    const bool isSilent = IsSilent(pass, *row);
     if (isSilent && pass.input.failing.contains(group.members.front())) {
       // The head waits for a dead member: nothing that it has can end, and its callers were told.
       group.cut = true;
@@ -340,12 +341,24 @@
   }
   // A head that is cut off from control only still answers the entries; its group goes on.
   const InstanceId& instance = group.members.front();
-  const Duration patience = pass.input.failing.contains(instance) ? kSuspectSilence : kSilence;
-  if (!pass.input.answering.contains(instance) && pass.input.now - head->heardAt > patience) {
+  const bool isSilent = pass.input.failing.contains(instance)
+                          ? IsSilent(pass, *head)
+                          : pass.input.now - head->heardAt > kSilence;
+  if (isSilent && !pass.input.answering.contains(instance)) {
     End(pass, group, "its head is silent");
   }
 }
 
+// A head that stands still waits for a member. Heartbeats would tell which one only after 1.8 s;
+// one that lives answers a probe in milliseconds.
+bool EngineGroups::IsSilent(const Pass& pass, const TargetRow& row) const
+{
+  const auto unanswered = m_unanswered.find(row.latest.instance);
+  const bool gaveNoAnswer =
+    unanswered != m_unanswered.end() && unanswered->second > row.heardAt + kProbeSilence;
+  return gaveNoAnswer || pass.input.now - row.heardAt > kSuspectSilence;
+}
+
 // A head that stands still waits for a member. Heartbeats would tell which one only after 1.8 s;
 // one that lives answers a probe in milliseconds.
 void EngineGroups::ProbeMembers(Pass& pass, Group& group)
@@ -398,7 +411,8 @@
   if (group.headIsDead || group.headIsClosed) {
     return true;
   }
-  const bool stoodStill = group.releasedAt && pass.input.now - *group.releasedAt > kStandstillTime;
+  const bool stoodStill = group.releasedAt && pass.input.now - *group.releasedAt >
+                                                m_settings.standstill + kStandstillSlack;
   const TargetRow* head = pass.Row(group.members.front());
   if (head == nullptr) {
     return stoodStill;
--- a/src/control/serving_control.cpp
+++ b/src/control/serving_control.cpp
@@ -43,8 +43,9 @@
 
 } // namespace
 
-ServingControl::ServingControl(OutsideApi api)
+ServingControl::ServingControl(OutsideApi api, EngineGroupsSettings groups)
   : m_api(std::move(api))
+  , m_groups(groups)
 {
 }
 
--- a/src/gateway/gateway_role.cpp
+++ b/src/gateway/gateway_role.cpp
@@ -95,7 +95,7 @@
   bool toldReady = false;
 };
 
-GatewayRole::GatewayRole(GatewaySettings settings, RoleHooks hooks, GatewayApi api)
+GatewayRole::GatewayRole(GatewaySettings settings, const RoleHooks& hooks, const GatewayApi& api)
   : m_impl(std::make_unique<Impl>(std::move(settings), hooks, api))
 {
 }
--- a/src/observe/metrics.cpp
+++ b/src/observe/metrics.cpp
@@ -176,6 +176,7 @@
   m_impl->Add(MetricId::kEvents, 1, info != nullptr ? std::string(info->name) : "UnknownEvent");
   switch (static_cast<EventNumber>(event.number)) {
     case EventNumber::kCallerAnswered:
+    case EventNumber::kGatewayAnswered:
       m_impl->OnCallerAnswered(event);
       break;
     case EventNumber::kGateOpened:
--- a/src/placement/pool_plan.cpp
+++ b/src/placement/pool_plan.cpp
@@ -24,6 +24,13 @@
   std::size_t free = 0; ///< Targets of the domain.
 };
 
+/// Those that `fits` come first; otherwise the order stays.
+template<class Fits>
+void PutFirst(std::vector<const FreeTarget*>& targets, Fits fits)
+{
+  std::stable_partition(targets.begin(), targets.end(), fits);
+}
+
 bool HoldsModel(const FreeTarget& target, const std::string& model)
 {
   return std::ranges::find(target.stagedModels, model) != target.stagedModels.end();
@@ -108,8 +115,7 @@
   void Form(const GroupModel& model, const Place& place)
   {
     std::vector<const FreeTarget*>& targets = m_pool[place.fabricDomain];
-    std::ranges::stable_partition(
-      targets, [&](const FreeTarget* target) { return HoldsModel(*target, model.name); });
+    PutFirst(targets, [&](const FreeTarget* target) { return HoldsModel(*target, model.name); });
     PlannedGroup group{ model.name, {}, place.loads };
     for (std::size_t i = 0; i < model.size; ++i) {
       group.members.push_back(targets[i]->instance);
@@ -225,8 +231,7 @@
     if (takeover.members.size() < size || given == 0 || !gains) {
       return std::nullopt;
     }
-    std::ranges::stable_partition(
-      takeover.members, [&](const FreeTarget* target) { return IsComing(*target, model); });
+    PutFirst(takeover.members, [&](const FreeTarget* target) { return IsComing(*target, model); });
     takeover.members.resize(size);
     takeover.loads = size - CountWarm(takeover.members, model);
     return takeover;
@@ -269,8 +274,7 @@
       return false;
     }
     std::vector<const FreeTarget*>& targets = best->second;
-    std::ranges::stable_partition(
-      targets, [&](const FreeTarget* target) { return IsComing(*target, model.name); });
+    PutFirst(targets, [&](const FreeTarget* target) { return IsComing(*target, model.name); });
     for (std::size_t i = 0; i < model.size; ++i) {
       Stage(*targets[i], model.name);
     }
--- a/src/settings/setting_key.cpp
+++ b/src/settings/setting_key.cpp
@@ -301,6 +301,18 @@
            [](ProcessSettings& settings, const SettingValue& value) {
              settings.control.toleratedLosses = static_cast<std::size_t>(value.number);
            }),
+  CountKey(
+    "control.standstill",
+    "milliseconds",
+    100,
+    600'000,
+    "5000",
+    kControlRole,
+    "How long the head of a group that lacks a member stands still before it declares itself "
+    "broken; the members of a head that can't be asked are free only after that.",
+    [](ProcessSettings& settings, const SettingValue& value) {
+      settings.control.standstill = std::chrono::milliseconds(value.number);
+    }),
   TextKey("control.mayFound",
           SettingType::kChoice,
           "true|false",
--- a/src/shell/control_shell.cpp
+++ b/src/shell/control_shell.cpp
@@ -43,6 +43,7 @@
   control.controls = impl::ControlsOf(settings);
   control.operatorTokenHash = settings.control.operatorTokenHash;
   control.groupLease = settings.control.groupLease;
+  control.engineGroups.standstill = settings.control.standstill;
   return control;
 }
 
--- a/src/shell/process_shell.cpp
+++ b/src/shell/process_shell.cpp
@@ -225,6 +225,7 @@
 {
   // Beside a metrics listener of its own, the process serves nothing but its callers here.
   if (m_metricsHttp) {
+    m_observer.OnCallerRequest(BootNow(), request);
     m_hooks.onRequest(std::move(request));
     return;
   }
