A leaving head that listens no more is not dead

Cause: a head that drained was told to close; it stopped listening and went on with what it had.

Change: a refused connection means death only of a head that does not leave; a leaving one's members wait for its standstill. An answer of another instance stays certain. A test plays the sequence with a fleet that closes slowly; the test of late heartbeats asks for more than all targets can serve, as it rested on which of two equal spares was taken.

--- a/include/gooseberrysail/control/engine_groups.hpp
+++ b/include/gooseberrysail/control/engine_groups.hpp
@@ -47,7 +47,8 @@
   kBegun,    ///< Taken; the target's heartbeats tell the rest.
   kDone,     ///< The state that it asks for holds.
   kRefused,  ///< It does not fit the target's state.
-  kNoTarget, ///< Nothing listens there: that life of the target is over.
+  kNoTarget, ///< Nothing listens there: the target is dead, or leaving and about to end.
+  kReplaced, ///< Another life has the address: that of the target is over.
   kUnknown,  ///< No answer: it may still be carried out.
 };
 
@@ -116,6 +117,7 @@
     bool cut = false;                    ///< A member is lost: nothing that the head has can end.
     bool closeBegun = false;             ///< The head took the order to close.
     bool openIsUnsure = false;           ///< An order to open got no answer: it may come late.
+    bool headIsDeaf = false;             ///< Nothing listens at its address.
     bool headIsDead = false;             ///< That life of the head certainly ended.
     bool headIsClosed = false;           ///< The head said that it takes no work.
     std::optional<TimePoint> releasedAt; ///< The other members were told to leave.
--- a/src/control/engine_groups.cpp
+++ b/src/control/engine_groups.cpp
@@ -637,7 +637,7 @@
 void EngineGroups::OnOrderOutcome(TimePoint now, const GroupOrder& order, OrderOutcome outcome)
 {
   if (order.kind == GroupOrderKind::kProbe) {
-    if (outcome == OrderOutcome::kUnknown || outcome == OrderOutcome::kNoTarget) {
+    if (outcome != OrderOutcome::kDone) {
       m_unanswered[order.target] = now;
     }
     return;
@@ -654,7 +654,8 @@
     return;
   }
   group.closeBegun = group.closeBegun || outcome == OrderOutcome::kBegun;
-  group.headIsDead = group.headIsDead || outcome == OrderOutcome::kNoTarget;
+  group.headIsDeaf = group.headIsDeaf || outcome == OrderOutcome::kNoTarget;
+  group.headIsDead = group.headIsDead || outcome == OrderOutcome::kReplaced;
   group.headIsClosed = group.headIsClosed || outcome == OrderOutcome::kDone;
 }
 
--- a/src/control/serving_control.cpp
+++ b/src/control/serving_control.cpp
@@ -27,6 +27,8 @@
       return "refused";
     case OrderOutcome::kNoTarget:
       return "no-target";
+    case OrderOutcome::kReplaced:
+      return "replaced";
     case OrderOutcome::kUnknown:
       return "unknown";
   }
--- a/tests/fakes/fake_fleet.cpp
+++ b/tests/fakes/fake_fleet.cpp
@@ -100,9 +100,8 @@
 {
   std::vector<GroupOrder> orders;
   std::vector<EventOut> events;
-  m_keeper.Tick({ now, m_term, m_table, m_document, hasTraffic, answering, failing, demand },
-                orders,
-                events);
+  m_keeper.Tick(
+    { now, m_term, m_table, m_document, hasTraffic, answering, failing, demand }, orders, events);
   for (const GroupOrder& order : orders) {
     m_orders.push_back(order);
     Obey(order);
@@ -117,6 +116,10 @@
     Later(patience, [this, order] { m_keeper.OnOrderOutcome(now, order, OrderOutcome::kUnknown); });
     return;
   }
+  if (!target.isListening) {
+    m_keeper.OnOrderOutcome(now, order, OrderOutcome::kNoTarget);
+    return;
+  }
   GroupMembership& membership = target.self.membership;
   const bool concerns = membership.group == order.group && membership.epoch == order.epoch;
   OrderOutcome outcome = OrderOutcome::kBegun;
@@ -141,8 +144,7 @@
       outcome = concerns && membership.state == MemberState::Open ? OrderOutcome::kBegun
                                                                   : OrderOutcome::kDone;
       if (outcome == OrderOutcome::kBegun) {
-        membership.state = MemberState::Ready;
-        Report(target);
+        Close(target);
       }
       break;
     case GroupOrderKind::kLeave:
@@ -178,6 +180,19 @@
   });
 }
 
+void FakeFleet::Close(Target& target)
+{
+  target.self.membership.state = MemberState::Closing;
+  Report(target);
+  const std::string group = target.self.membership.group;
+  Later(target.finishesIn, [this, &target, group] {
+    if (target.self.membership.group == group) {
+      target.self.membership.state = MemberState::Ready;
+      Report(target);
+    }
+  });
+}
+
 void FakeFleet::Join(Target& target, const GroupOrder& order)
 {
   if (target.self.membership.epoch > order.epoch || target.self.membership.group == order.group) {
@@ -208,8 +223,9 @@
     return;
   }
   const Target& head = m_targets.at(target.members.front());
+  const MemberState state = head.self.membership.state;
   const bool isOpen = head.isUp && head.self.membership.group == target.self.membership.group &&
-                      head.self.membership.state == MemberState::Open;
+                      (state == MemberState::Open || state == MemberState::Closing);
   if (isOpen && &head != &target) {
     m_violations.push_back(target.self.instance.Get() + " joined " + newGroup + " while " +
                            target.self.membership.group + " was open");
--- a/tests/fakes/fake_fleet.hpp
+++ b/tests/fakes/fake_fleet.hpp
@@ -23,6 +23,8 @@
     TargetAnnouncement self;
     bool isUp = true;
     bool reachesControl = true;
+    bool isListening = true;
+    Duration finishesIn{}; ///< What it works on when it is told to close.
     std::vector<InstanceId> members; ///< Of its group, the head first.
     TimePoint reportsAt{};
     std::set<std::string> wasReadyIn; ///< Groups.
@@ -63,6 +65,7 @@
   void Tick();
   void Obey(const GroupOrder& order);
   void StandStill(const InstanceId& head);
+  void Close(Target& target);
   void Join(Target& target, const GroupOrder& order);
   void CheckJoin(const Target& target, const std::string& newGroup);
   void CheckOpen(const Target& head);
--- a/tests/unit/engine_groups_test.cpp
+++ b/tests/unit/engine_groups_test.cpp
@@ -190,7 +190,9 @@
   TargetAnnouncement late = fleet.At(member).self;
   ++late.sequence;
   fleet.Table().Hear(fleet.now, late);
-  fleet.Run(8s);
+  // More is asked than all targets can serve: each that counts as usable is used.
+  fleet.demand["small"] = { 300, 300 * 714.0, 300 * 146.0 };
+  fleet.Run(25s);
   EXPECT_NE(fleet.At("newcomer").self.membership.group, "");
   EXPECT_THAT(fleet.Violations(), IsEmpty());
 }
@@ -209,6 +211,24 @@
   EXPECT_THAT(fleet.Violations(), IsEmpty());
 }
 
+// Symptom: a target was joined to a new group while the head of its former one was closing.
+// Sequence: a head that drains is told to close; it stops listening and still works on what it has.
+// Cause: a refused connection was taken for the head's death.
+TEST(EngineGroups, ALeavingHeadThatListensNoMoreIsNotDead)
+{
+  FakeFleet fleet = ServingFleet();
+  const std::string head = AnyHead(fleet, "large");
+  fleet.At(head).self.draining = true;
+  fleet.At(head).finishesIn = 4s;
+  fleet.Run(1500ms);
+  fleet.At(head).isListening = false;
+  fleet.Run(3s);
+  EXPECT_THAT(fleet.Violations(), IsEmpty());
+  fleet.Run(8s);
+  EXPECT_EQ(fleet.CountServing("large"), 3U);
+  EXPECT_THAT(fleet.Violations(), IsEmpty());
+}
+
 // Symptom: more loads began within five seconds than the weight store allows.
 // Sequence: a whole domain of cold targets arrives under load.
 TEST(EngineGroups, LoadsKeepToTheStoresRate)
--- a/tests/unit/platform_test.cpp
+++ b/tests/unit/platform_test.cpp
@@ -158,7 +158,7 @@
   EXPECT_EQ(FindHeader(call.headers, "X-Expect-Instance"), "i-1");
   EXPECT_THAT(call.body, HasSubstr(R"("members":["i-1","i-2"])"));
   EXPECT_EQ(api.decodeOrderStatus(202), OrderOutcome::kBegun);
-  EXPECT_EQ(api.decodeOrderStatus(421), OrderOutcome::kNoTarget);
+  EXPECT_EQ(api.decodeOrderStatus(421), OrderOutcome::kReplaced);
   EXPECT_EQ(api.decodeOrderStatus(409), OrderOutcome::kRefused);
   EXPECT_EQ(api.decodeOrderStatus(500), OrderOutcome::kUnknown);
 }
