Split the keeper of groups; times of targets' heartbeats from the deployment

Change: life of a group, and planning, apart, with one tick's view in a header of theirs; control.targetHeartbeat is filled in by the platform, and silence, learning and quiet times follow from it.

--- a/include/gooseberrysail/control/engine_groups.hpp
+++ b/include/gooseberrysail/control/engine_groups.hpp
@@ -69,6 +69,20 @@
 {
   /// \brief How long a head that lacks a member stands still before it declares itself broken.
   Duration standstill = std::chrono::seconds(5);
+  Duration heartbeat = std::chrono::milliseconds(1200); ///< Between two of a target.
+
+  /// \brief Silence after which a target joins no new group, and a head that fails entries and
+  /// answers none is given up: one heartbeat may be half its interval late.
+  [[nodiscard]] Duration SuspectSilence() const noexcept { return heartbeat * 3 / 2; }
+
+  /// \brief Silence after which a head that nobody complains of is given up.
+  [[nodiscard]] Duration Silence() const noexcept { return heartbeat * 3; }
+
+  /// \brief A process that started this long ago has heard every target: two heartbeats and some.
+  [[nodiscard]] Duration LearnTime() const noexcept { return heartbeat * 21 / 10; }
+
+  /// \brief Before traffic: when no target was new for this long, all that there are have spoken.
+  [[nodiscard]] Duration QuietTime() const noexcept { return heartbeat * 5 / 4; }
 };
 
 /// \brief Forms groups of targets by orders to the targets themselves, and gives up broken ones.
@@ -148,7 +162,7 @@
   [[nodiscard]] bool IsSilent(const Pass& pass, const TargetRow& row) const;
   [[nodiscard]] bool IsReleased(const Pass& pass, const Group& group) const;
   [[nodiscard]] static bool IsWhole(const Pass& pass, const Group& group);
-  [[nodiscard]] static bool HasFailedMember(const Pass& pass, const Group& group);
+  [[nodiscard]] bool HasFailedMember(const Pass& pass, const Group& group) const;
 
   EngineGroupsSettings m_settings;
   std::map<std::string, Group> m_groups; ///< By name.
--- a/include/gooseberrysail/control/serving_control.hpp
+++ b/include/gooseberrysail/control/serving_control.hpp
@@ -70,6 +70,7 @@
   TargetTable m_targets;
   DocumentService m_documents;
   EngineGroups m_groups;
+  Duration m_learnTime; ///< From the process's start until it has heard every target.
   ServingFeed m_feed;
   std::optional<ServingDocument> m_document; ///< Typed copy of the committed one.
   std::uint64_t m_documentVersion = 0; ///< Of the committed one that m_document was read from.
--- a/include/gooseberrysail/settings/settings.hpp
+++ b/include/gooseberrysail/settings/settings.hpp
@@ -68,6 +68,7 @@
   std::size_t toleratedLosses = 1; ///< With seeds: processes that may be lost at once.
   bool mayFound = true;            ///< This start may found a cluster.
   Duration standstill{};           ///< See EngineGroupsSettings.
+  Duration targetHeartbeat{};      ///< See EngineGroupsSettings.
 };
 
 /// \brief Agent only: the target VM it stands beside.
--- a/src/control/engine_groups.cpp
+++ b/src/control/engine_groups.cpp
@@ -1,21 +1,21 @@
 #include "gooseberrysail/control/engine_groups.hpp"
 
+#include "control/engine_groups_pass.hpp"
 #include "gooseberrysail/observe/event.hpp"
 
 #include <algorithm>
-#include <cmath>
 
 namespace gooseberrysail {
 
 namespace {
 
 using namespace std::chrono_literals;
+using impl::FindModel;
+using impl::IsLeaving;
+using impl::IsReplaced;
+using impl::Reports;
 using wire::MemberState;
 
-/// A process that just started has not heard every target: two heartbeats (1.2 s each) and some.
-constexpr Duration kLearnTime = 2500ms;
-/// Three heartbeats of 1.2 s without one: the target is not given to a new group.
-constexpr Duration kSilence = 3600ms;
 /// A target that spoke within this needs no probe.
 constexpr Duration kProbeSilence = 300ms;
 /// Orders act within some 100 ms and targets report at once; one without effect is given again.
@@ -24,57 +24,12 @@
 constexpr Duration kJoinSlack = 10s;
 /// Beside the time that a head stands still: the order's way and the head's own timer.
 constexpr Duration kStandstillSlack = 400ms;
-/// Loads are counted over this window, which is the one in which the store's rate is enforced.
-constexpr Duration kLoadWindow = 5s;
-/// Kept free of the allowed loads: a leader that follows within a window starts its count anew.
-constexpr double kLoadReserve = 0.5;
-/// Before the first request the store is not limited; this bounds a fault.
-constexpr std::uint32_t kUnlimitedLoads = 100'000;
-/// Before traffic: no target was new for one heartbeat (1.2 s) and some.
-constexpr Duration kQuietTime = 1500ms;
-/// A load takes 12 to 16 s, longer when many load at once; after this it is ordered again.
-constexpr Duration kStagePatience = 40s;
-/// Part of the targets kept out of groups at the start, as spares that hold weights.
-constexpr double kSparePart = 0.2;
-/// Little more than one heartbeat (1.2 s): a target this silent joins no new group, and a head that
-/// fails entries and answers none is given up.
-constexpr Duration kSuspectSilence = 1800ms;
-/// Epochs of one term.
-constexpr std::uint64_t kEpochsPerTerm = 1ULL << 20U;
-
-bool Reports(const TargetRow* row, const std::string& group, Epoch epoch)
-{
-  return row != nullptr && row->latest.membership.group == group &&
-         row->latest.membership.epoch == epoch;
-}
-
-bool IsLeaving(const TargetRow* row)
-{
-  return row == nullptr || row->latest.left || row->latest.draining;
-}
 
 bool IsOpenState(MemberState state)
 {
   return state == MemberState::Open || state == MemberState::Closing;
 }
 
-/// A restart takes the address over under another identity: the former life is over. Who came first
-/// counts, not who spoke last: a heartbeat of the former life may arrive late.
-bool IsReplaced(const TargetTable& targets, const TargetRow& row)
-{
-  return std::ranges::any_of(targets.Rows(), [&](const auto& other) {
-    return other.first != row.latest.instance &&
-           other.second.latest.address == row.latest.address &&
-           other.second.firstHeardAt > row.firstHeardAt;
-  });
-}
-
-const GroupModel* FindModel(const ServiceDefinition& service, const std::string& name)
-{
-  const auto found = std::ranges::find(service.engine->models, name, &GroupModel::name);
-  return found == service.engine->models.end() ? nullptr : &*found;
-}
-
 } // namespace
 
 const char* ToString(GroupOrderKind kind) noexcept
@@ -96,19 +51,6 @@
   return "unknown";
 }
 
-struct EngineGroups::Pass
-{
-  const GroupsInput& input;
-  std::vector<GroupOrder>& orders;
-  std::vector<EventOut>& events;
-  std::vector<std::string> dropped; ///< Groups whose members are free.
-
-  [[nodiscard]] const TargetRow* Row(const InstanceId& instance) const
-  {
-    return input.targets.Find(instance);
-  }
-};
-
 EngineGroups::EngineGroups(EngineGroupsSettings settings)
   : m_settings(settings)
 {
@@ -188,7 +130,7 @@
 {
   const TargetRow* head = pass.Row(group.members.front());
   const bool isHeard = Reports(head, group.name, group.epoch);
-  if (!isHeard && pass.input.now - *m_firstTick < kLearnTime) {
+  if (!isHeard && pass.input.now - *m_firstTick < m_settings.LearnTime()) {
     return; // Its head may not have spoken to this process yet.
   }
   const bool isOpen = isHeard && head->latest.membership.state == MemberState::Open;
@@ -343,7 +285,7 @@
   const InstanceId& instance = group.members.front();
   const bool isSilent = pass.input.failing.contains(instance)
                           ? IsSilent(pass, *head)
-                          : pass.input.now - head->heardAt > kSilence;
+                          : pass.input.now - head->heardAt > m_settings.Silence();
   if (isSilent && !pass.input.answering.contains(instance)) {
     End(pass, group, "its head is silent");
   }
@@ -356,7 +298,7 @@
   const auto unanswered = m_unanswered.find(row.latest.instance);
   const bool gaveNoAnswer =
     unanswered != m_unanswered.end() && unanswered->second > row.heardAt + kProbeSilence;
-  return gaveNoAnswer || pass.input.now - row.heardAt > kSuspectSilence;
+  return gaveNoAnswer || pass.input.now - row.heardAt > m_settings.SuspectSilence();
 }
 
 // A head that stands still waits for a member. Heartbeats would tell which one only after 1.8 s;
@@ -386,8 +328,8 @@
     return;
   }
   Order(pass, group, head, GroupOrderKind::kClose);
-  const bool silent =
-    row == nullptr || row->latest.left || pass.input.now - row->heardAt > kSuspectSilence;
+  const bool silent = row == nullptr || row->latest.left ||
+                      pass.input.now - row->heardAt > m_settings.SuspectSilence();
   if (!silent) {
     return;
   }
@@ -396,7 +338,8 @@
   // broken in the end.
   for (std::size_t rank = 1; rank < group.members.size(); ++rank) {
     const TargetRow* member = pass.Row(group.members[rank]);
-    const bool isHeard = member != nullptr && pass.input.now - member->heardAt <= kSilence;
+    const bool isHeard =
+      member != nullptr && pass.input.now - member->heardAt <= m_settings.Silence();
     if (isHeard && Reports(member, group.name, group.epoch)) {
       Order(pass, group, group.members[rank], GroupOrderKind::kLeave);
     }
@@ -466,174 +409,15 @@
   pass.orders.push_back(std::move(order));
 }
 
-bool EngineGroups::HasFailedMember(const Pass& pass, const Group& group)
+bool EngineGroups::HasFailedMember(const Pass& pass, const Group& group) const
 {
   return std::ranges::any_of(group.members, [&](const InstanceId& member) {
     const TargetRow* row = pass.Row(member);
-    return IsLeaving(row) || pass.input.now - row->heardAt > kSuspectSilence ||
+    return IsLeaving(row) || pass.input.now - row->heardAt > m_settings.SuspectSilence() ||
            IsReplaced(pass.input.targets, *row);
   });
 }
 
-std::uint32_t EngineGroups::LoadsLeft(const Pass& pass, const EngineSpec& engine)
-{
-  if (!pass.input.hasTraffic) {
-    return kUnlimitedLoads;
-  }
-  std::erase_if(m_loads, [&](TimePoint at) { return pass.input.now - at > kLoadWindow; });
-  const double window = std::chrono::duration<double>(kLoadWindow).count();
-  const auto allowed =
-    static_cast<std::size_t>(std::floor(engine.loadsPerSecond * window * kLoadReserve));
-  return static_cast<std::uint32_t>(allowed - std::min(allowed, m_loads.size()));
-}
-
-// Groups formed before all targets have spoken would leave no room for the large ones.
-bool EngineGroups::IsSettled(const Pass& pass)
-{
-  const std::size_t known = pass.input.targets.Rows().size();
-  if (known > m_knownTargets) {
-    m_newTargetAt = pass.input.now;
-  }
-  m_knownTargets = known;
-  const bool learnt = pass.input.now - *m_firstTick >= kLearnTime;
-  return learnt && (pass.input.hasTraffic || pass.input.now - m_newTargetAt >= kQuietTime);
-}
-
-void EngineGroups::Form(Pass& pass, const ServiceDefinition& service)
-{
-  const std::vector<ModelNeed> needs = ListNeeds(pass, service);
-  const std::vector<FreeTarget> free = ListFree(pass, service.name);
-  const std::vector<ServingGroup> serving = ListServing(pass, service.name);
-  const PoolInput pool{
-    free, needs, serving, LoadsLeft(pass, *service.engine), !pass.input.hasTraffic
-  };
-  const PoolPlan plan = PlanPool(pool);
-  for (const PlannedGroup& planned : plan.groups) {
-    StartGroup(pass, service.name, planned);
-  }
-  for (const PlannedStage& planned : plan.stages) {
-    StartStage(pass, planned);
-  }
-  for (const std::string& name : plan.releases) {
-    End(pass, m_groups.at(name), "another model lacks more");
-  }
-}
-
-std::vector<ServingGroup> EngineGroups::ListServing(const Pass& pass, const std::string& service)
-{
-  std::vector<ServingGroup> serving;
-  for (const auto& [name, group] : m_groups) {
-    if (group.service != service || group.phase != Phase::kOpen) {
-      continue;
-    }
-    ServingGroup each{ name, group.model, {}, {} };
-    for (const InstanceId& member : group.members) {
-      if (const TargetRow* row = pass.Row(member)) {
-        each.fabricDomain = row->latest.fabricDomain;
-        each.members.push_back(
-          { member, row->latest.fabricDomain, row->latest.stagedModels, StagingOf(pass, *row) });
-      }
-    }
-    serving.push_back(std::move(each));
-  }
-  return serving;
-}
-
-std::vector<ModelNeed> EngineGroups::ListNeeds(const Pass& pass,
-                                               const ServiceDefinition& service) const
-{
-  const auto targets = std::ranges::count_if(pass.input.targets.Rows(), [&](const auto& row) {
-    return row.second.latest.service == service.name && !IsLeaving(&row.second);
-  });
-  std::vector<ModelNeed> needs;
-  for (const GroupModel& model : service.engine->models) {
-    ModelNeed need{ &model, 0, 0 };
-    need.groups = static_cast<std::uint32_t>(std::ranges::count_if(m_groups, [&](const auto& row) {
-      return row.second.service == service.name && row.second.model == model.name &&
-             row.second.phase != Phase::kEnding;
-    }));
-    const double atStart = static_cast<double>(targets) * (1 - kSparePart) * model.share;
-    need.wanted = static_cast<std::uint32_t>(std::lround(atStart / model.size));
-    if (const auto demand = pass.input.demand.find(model.name); demand != pass.input.demand.end()) {
-      const double work = GroupsOfWork(*service.engine, model, demand->second);
-      need.wanted = std::max(need.wanted, WantedGroups(work));
-    }
-    needs.push_back(need);
-  }
-  return needs;
-}
-
-std::vector<FreeTarget> EngineGroups::ListFree(const Pass& pass, const std::string& service)
-{
-  std::set<InstanceId> taken;
-  for (const auto& [name, group] : m_groups) {
-    taken.insert(group.members.begin(), group.members.end());
-  }
-  std::vector<FreeTarget> free;
-  for (const auto& [instance, row] : pass.input.targets.Rows()) {
-    const bool usable =
-      row.latest.service == service && !IsLeaving(&row) &&
-      pass.input.now - row.heardAt <= kSuspectSilence && !taken.contains(instance) &&
-      !m_groups.contains(row.latest.membership.group) && !IsReplaced(pass.input.targets, row);
-    if (!usable) {
-      continue;
-    }
-    free.push_back(
-      { instance, row.latest.fabricDomain, row.latest.stagedModels, StagingOf(pass, row) });
-  }
-  return free;
-}
-
-/// The model that a target's host was told to load and does not hold yet; "" for none.
-std::string EngineGroups::StagingOf(const Pass& pass, const TargetRow& row)
-{
-  const auto staging = m_staging.find(row.latest.instance);
-  if (staging == m_staging.end()) {
-    return {};
-  }
-  const bool isDone = std::ranges::find(row.latest.stagedModels, staging->second.model) !=
-                      row.latest.stagedModels.end();
-  if (isDone || pass.input.now - staging->second.since > kStagePatience) {
-    m_staging.erase(staging);
-    return {};
-  }
-  return staging->second.model;
-}
-
-void EngineGroups::StartGroup(Pass& pass, const std::string& service, const PlannedGroup& planned)
-{
-  Group group;
-  group.epoch = Epoch(pass.input.term.Get() * kEpochsPerTerm + ++m_formed);
-  group.name = "g" + std::to_string(group.epoch.Get());
-  group.service = service;
-  group.model = planned.model;
-  group.members = planned.members;
-  group.since = pass.input.now;
-  m_loads.insert(m_loads.end(), planned.loads, pass.input.now);
-  pass.events.push_back(MakeEvent(EventNumber::kTargetGroupFormed,
-                                  { { "group", group.name },
-                                    { "model", group.model },
-                                    { "head", group.members.front().Get() },
-                                    { "members", std::to_string(group.members.size()) },
-                                    { "loads", std::to_string(planned.loads) } }));
-  Group& kept = m_groups.emplace(group.name, std::move(group)).first->second;
-  AdvanceJoining(pass, kept);
-}
-
-void EngineGroups::StartStage(Pass& pass, const PlannedStage& planned)
-{
-  m_staging[planned.target] = { planned.model, pass.input.now };
-  m_loads.push_back(pass.input.now);
-  pass.orders.push_back({ planned.target,
-                          pass.Row(planned.target)->latest.address,
-                          GroupOrderKind::kStage,
-                          {},
-                          {},
-                          planned.model,
-                          {},
-                          false });
-}
-
 void EngineGroups::OnOrderOutcome(TimePoint now, const GroupOrder& order, OrderOutcome outcome)
 {
   if (order.kind == GroupOrderKind::kProbe) {
--- /dev/null
+++ b/src/control/engine_groups_pass.hpp
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "gooseberrysail/control/engine_groups.hpp"
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+namespace gooseberrysail {
+
+/// \brief One tick of EngineGroups: what it sees and what it says.
+struct EngineGroups::Pass
+{
+  const GroupsInput& input;
+  std::vector<GroupOrder>& orders;
+  std::vector<EventOut>& events;
+  std::vector<std::string> dropped; ///< Groups whose members are free.
+
+  [[nodiscard]] const TargetRow* Row(const InstanceId& instance) const
+  {
+    return input.targets.Find(instance);
+  }
+};
+
+namespace impl {
+
+[[nodiscard]] inline bool Reports(const TargetRow* row, const std::string& group, Epoch epoch)
+{
+  return row != nullptr && row->latest.membership.group == group &&
+         row->latest.membership.epoch == epoch;
+}
+
+[[nodiscard]] inline bool IsLeaving(const TargetRow* row)
+{
+  return row == nullptr || row->latest.left || row->latest.draining;
+}
+
+/// A restart takes the address over under another identity: the former life is over. Who came first
+/// counts, not who spoke last: a heartbeat of the former life may arrive late.
+[[nodiscard]] inline bool IsReplaced(const TargetTable& targets, const TargetRow& row)
+{
+  return std::ranges::any_of(targets.Rows(), [&](const auto& other) {
+    return other.first != row.latest.instance &&
+           other.second.latest.address == row.latest.address &&
+           other.second.firstHeardAt > row.firstHeardAt;
+  });
+}
+
+[[nodiscard]] inline const GroupModel* FindModel(const ServiceDefinition& service,
+                                                 const std::string& name)
+{
+  const auto found = std::ranges::find(service.engine->models, name, &GroupModel::name);
+  return found == service.engine->models.end() ? nullptr : &*found;
+}
+
+} // namespace impl
+
+} // namespace gooseberrysail
--- /dev/null
+++ b/src/control/engine_groups_planning.cpp
@@ -0,0 +1,190 @@
+#include "control/engine_groups_pass.hpp"
+#include "gooseberrysail/observe/event.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace gooseberrysail {
+
+namespace {
+
+using namespace std::chrono_literals;
+using impl::IsLeaving;
+using impl::IsReplaced;
+
+/// Loads are counted over this window, which is the one in which the store's rate is enforced.
+constexpr Duration kLoadWindow = 5s;
+/// Kept free of the allowed loads: a leader that follows within a window starts its count anew.
+constexpr double kLoadReserve = 0.5;
+/// Before the first request the store is not limited; this bounds a fault.
+constexpr std::uint32_t kUnlimitedLoads = 100'000;
+/// A load takes 12 to 16 s, longer when many load at once; after this it is ordered again.
+constexpr Duration kStagePatience = 40s;
+/// Part of the targets kept out of groups at the start, as spares that hold weights.
+constexpr double kSparePart = 0.2;
+/// Epochs of one term.
+constexpr std::uint64_t kEpochsPerTerm = 1ULL << 20U;
+
+} // namespace
+
+std::uint32_t EngineGroups::LoadsLeft(const Pass& pass, const EngineSpec& engine)
+{
+  if (!pass.input.hasTraffic) {
+    return kUnlimitedLoads;
+  }
+  std::erase_if(m_loads, [&](TimePoint at) { return pass.input.now - at > kLoadWindow; });
+  const double window = std::chrono::duration<double>(kLoadWindow).count();
+  const auto allowed =
+    static_cast<std::size_t>(std::floor(engine.loadsPerSecond * window * kLoadReserve));
+  return static_cast<std::uint32_t>(allowed - std::min(allowed, m_loads.size()));
+}
+
+// Groups formed before all targets have spoken would leave no room for the large ones.
+bool EngineGroups::IsSettled(const Pass& pass)
+{
+  const std::size_t known = pass.input.targets.Rows().size();
+  if (known > m_knownTargets) {
+    m_newTargetAt = pass.input.now;
+  }
+  m_knownTargets = known;
+  const bool learnt = pass.input.now - *m_firstTick >= m_settings.LearnTime();
+  return learnt &&
+         (pass.input.hasTraffic || pass.input.now - m_newTargetAt >= m_settings.QuietTime());
+}
+
+void EngineGroups::Form(Pass& pass, const ServiceDefinition& service)
+{
+  const std::vector<ModelNeed> needs = ListNeeds(pass, service);
+  const std::vector<FreeTarget> free = ListFree(pass, service.name);
+  const std::vector<ServingGroup> serving = ListServing(pass, service.name);
+  const PoolInput pool{
+    free, needs, serving, LoadsLeft(pass, *service.engine), !pass.input.hasTraffic
+  };
+  const PoolPlan plan = PlanPool(pool);
+  for (const PlannedGroup& planned : plan.groups) {
+    StartGroup(pass, service.name, planned);
+  }
+  for (const PlannedStage& planned : plan.stages) {
+    StartStage(pass, planned);
+  }
+  for (const std::string& name : plan.releases) {
+    End(pass, m_groups.at(name), "another model lacks more");
+  }
+}
+
+std::vector<ServingGroup> EngineGroups::ListServing(const Pass& pass, const std::string& service)
+{
+  std::vector<ServingGroup> serving;
+  for (const auto& [name, group] : m_groups) {
+    if (group.service != service || group.phase != Phase::kOpen) {
+      continue;
+    }
+    ServingGroup each{ name, group.model, {}, {} };
+    for (const InstanceId& member : group.members) {
+      if (const TargetRow* row = pass.Row(member)) {
+        each.fabricDomain = row->latest.fabricDomain;
+        each.members.push_back(
+          { member, row->latest.fabricDomain, row->latest.stagedModels, StagingOf(pass, *row) });
+      }
+    }
+    serving.push_back(std::move(each));
+  }
+  return serving;
+}
+
+std::vector<ModelNeed> EngineGroups::ListNeeds(const Pass& pass,
+                                               const ServiceDefinition& service) const
+{
+  const auto targets = std::ranges::count_if(pass.input.targets.Rows(), [&](const auto& row) {
+    return row.second.latest.service == service.name && !IsLeaving(&row.second);
+  });
+  std::vector<ModelNeed> needs;
+  for (const GroupModel& model : service.engine->models) {
+    ModelNeed need{ &model, 0, 0 };
+    need.groups = static_cast<std::uint32_t>(std::ranges::count_if(m_groups, [&](const auto& row) {
+      return row.second.service == service.name && row.second.model == model.name &&
+             row.second.phase != Phase::kEnding;
+    }));
+    const double atStart = static_cast<double>(targets) * (1 - kSparePart) * model.share;
+    need.wanted = static_cast<std::uint32_t>(std::lround(atStart / model.size));
+    if (const auto demand = pass.input.demand.find(model.name); demand != pass.input.demand.end()) {
+      const double work = GroupsOfWork(*service.engine, model, demand->second);
+      need.wanted = std::max(need.wanted, WantedGroups(work));
+    }
+    needs.push_back(need);
+  }
+  return needs;
+}
+
+std::vector<FreeTarget> EngineGroups::ListFree(const Pass& pass, const std::string& service)
+{
+  std::set<InstanceId> taken;
+  for (const auto& [name, group] : m_groups) {
+    taken.insert(group.members.begin(), group.members.end());
+  }
+  std::vector<FreeTarget> free;
+  for (const auto& [instance, row] : pass.input.targets.Rows()) {
+    const bool usable =
+      row.latest.service == service && !IsLeaving(&row) &&
+      pass.input.now - row.heardAt <= m_settings.SuspectSilence() && !taken.contains(instance) &&
+      !m_groups.contains(row.latest.membership.group) && !IsReplaced(pass.input.targets, row);
+    if (!usable) {
+      continue;
+    }
+    free.push_back(
+      { instance, row.latest.fabricDomain, row.latest.stagedModels, StagingOf(pass, row) });
+  }
+  return free;
+}
+
+/// The model that a target's host was told to load and does not hold yet; "" for none.
+std::string EngineGroups::StagingOf(const Pass& pass, const TargetRow& row)
+{
+  const auto staging = m_staging.find(row.latest.instance);
+  if (staging == m_staging.end()) {
+    return {};
+  }
+  const bool isDone = std::ranges::find(row.latest.stagedModels, staging->second.model) !=
+                      row.latest.stagedModels.end();
+  if (isDone || pass.input.now - staging->second.since > kStagePatience) {
+    m_staging.erase(staging);
+    return {};
+  }
+  return staging->second.model;
+}
+
+void EngineGroups::StartGroup(Pass& pass, const std::string& service, const PlannedGroup& planned)
+{
+  Group group;
+  group.epoch = Epoch(pass.input.term.Get() * kEpochsPerTerm + ++m_formed);
+  group.name = "g" + std::to_string(group.epoch.Get());
+  group.service = service;
+  group.model = planned.model;
+  group.members = planned.members;
+  group.since = pass.input.now;
+  m_loads.insert(m_loads.end(), planned.loads, pass.input.now);
+  pass.events.push_back(MakeEvent(EventNumber::kTargetGroupFormed,
+                                  { { "group", group.name },
+                                    { "model", group.model },
+                                    { "head", group.members.front().Get() },
+                                    { "members", std::to_string(group.members.size()) },
+                                    { "loads", std::to_string(planned.loads) } }));
+  Group& kept = m_groups.emplace(group.name, std::move(group)).first->second;
+  AdvanceJoining(pass, kept);
+}
+
+void EngineGroups::StartStage(Pass& pass, const PlannedStage& planned)
+{
+  m_staging[planned.target] = { planned.model, pass.input.now };
+  m_loads.push_back(pass.input.now);
+  pass.orders.push_back({ planned.target,
+                          pass.Row(planned.target)->latest.address,
+                          GroupOrderKind::kStage,
+                          {},
+                          {},
+                          planned.model,
+                          {},
+                          false });
+}
+
+} // namespace gooseberrysail
--- a/src/control/serving_control.cpp
+++ b/src/control/serving_control.cpp
@@ -13,8 +13,6 @@
 /// Groups are looked at this often, and at once when a target's state changed.
 constexpr Duration kKeepInterval = 200ms;
 constexpr Duration kForgetInterval = 5s;
-/// A process that just started has not heard every target yet: two heartbeats of 1.2 s and some.
-constexpr Duration kLearnTime = 2500ms;
 
 const char* ToString(OrderOutcome outcome)
 {
@@ -48,6 +46,7 @@
 ServingControl::ServingControl(OutsideApi api, EngineGroupsSettings groups)
   : m_api(std::move(api))
   , m_groups(groups)
+  , m_learnTime(groups.LearnTime())
 {
 }
 
@@ -245,7 +244,7 @@
     KeepGroups(context);
     m_feed.SetTargets(ListTargets(context));
   }
-  m_feed.SetWhole(context.now - m_startedAt >= kLearnTime);
+  m_feed.SetWhole(context.now - m_startedAt >= m_learnTime);
   m_feed.Tick(context);
 }
 
--- a/src/settings/setting_key.cpp
+++ b/src/settings/setting_key.cpp
@@ -313,6 +313,16 @@
     [](ProcessSettings& settings, const SettingValue& value) {
       settings.control.standstill = std::chrono::milliseconds(value.number);
     }),
+  CountKey("control.targetHeartbeat",
+           "milliseconds",
+           50,
+           60'000,
+           "1200",
+           kControlRole,
+           "Between two heartbeats of a target that announces itself.",
+           [](ProcessSettings& settings, const SettingValue& value) {
+             settings.control.targetHeartbeat = std::chrono::milliseconds(value.number);
+           }),
   TextKey("control.mayFound",
           SettingType::kChoice,
           "true|false",
--- a/src/shell/control_shell.cpp
+++ b/src/shell/control_shell.cpp
@@ -44,6 +44,7 @@
   control.operatorTokenHash = settings.control.operatorTokenHash;
   control.groupLease = settings.control.groupLease;
   control.engineGroups.standstill = settings.control.standstill;
+  control.engineGroups.heartbeat = settings.control.targetHeartbeat;
   return control;
 }
 
