--- a/src/placement/model_work.cpp
+++ b/src/placement/model_work.cpp
@@ -18,7 +18,7 @@
 
 std::uint32_t WantedGroups(double groupsOfWork)
 {
-  return static_cast<std::uint32_t>(std::ceil(groupsOfWork / kTargetUse));
+  return static_cast<std::uint32_t>(std::ceil(groupsOfWork / kFullUse));
 }
 
 } // namespace gooseberrysail
