--- a/tests/fakes/fake_fleet.hpp
+++ b/tests/fakes/fake_fleet.hpp
@@ -24,7 +24,7 @@
     bool isUp = true;
     bool reachesControl = true;
     bool isListening = true;
-    Duration finishesIn{}; ///< What it works on when it is told to close.
+    Duration finishesIn{};           ///< What it works on when it is told to close.
     std::vector<InstanceId> members; ///< Of its group, the head first.
     TimePoint reportsAt{};
     std::set<std::string> wasReadyIn; ///< Groups.
