Bound what a registration may say

Cause: control keeps a list of members as long as the highest rank reported; a heartbeat with a rank of billions would have ended it for want of memory, and a number beyond 2^64 has no defined count. Found by reading, not by a failure.

--- a/tests/unit/platform_test.cpp
+++ b/tests/unit/platform_test.cpp
@@ -102,6 +102,15 @@
     ASSERT_TRUE(free);
     EXPECT_EQ(free.value().membership.group, "");
   }
+  // Symptom: control ends for want of memory. Cause: a rank of billions in one heartbeat.
+  SECTION("with an absurd rank it is refused, and absurd numbers are bounded")
+  {
+    EXPECT_FALSE(ReadRegistration(
+      "i-2", R"({"service":"s","address":"a:1","group":{"name":"g","rank":4000000000}})"));
+    const auto huge = ReadRegistration("i-2", R"({"service":"s","address":"a:1","seq":1e300})");
+    ASSERT_TRUE(huge);
+    EXPECT_EQ(huge.value().sequence, 1ULL << 53U);
+  }
   SECTION("not without a service or an address, nor as no object")
   {
     EXPECT_FALSE(ReadRegistration("i-3", R"({"service":"s1","seq":1})"));
