One health page for agents and the metrics listener; drop state that nothing reads

Cause: reading the change again: the metrics listener had written the agents' health answer a second time, and two fields (whether a head was seen in the gateway, when a document was sent) were set and never read.

Ruled out as twins: the shells' hooks, the flags of settings rows and generated code, alike in shape only.

Change: AnswerHealth stands beside the process shell; the two fields are gone. Behaviour is as before.

--- a/include/gooseberrysail/control/serving_feed.hpp
+++ b/include/gooseberrysail/control/serving_feed.hpp
@@ -59,7 +59,6 @@
     std::uint64_t targets = 0;
     bool knowsTargets = false; ///< Of any leader.
     TimePoint heardAt{};
-    TimePoint documentSentAt{};
     std::map<InstanceId, TimePoint> answeredAt;
     std::map<InstanceId, TimePoint> failedAt;
     std::map<std::string, ModelRate> rates; ///< By model.
--- a/include/gooseberrysail/gateway/dispatcher.hpp
+++ b/include/gooseberrysail/gateway/dispatcher.hpp
@@ -88,7 +88,6 @@
     bool mayHaveRun = false; ///< Some attempt was not certainly refused.
     bool headPassed = false; ///< The caller has the answer's head.
     bool streams = false;    ///< The present attempt's answer is passed on event by event.
-    bool headSeen = false;   ///< Of the present attempt.
     HttpAnswerOut whole;     ///< Collects an answer that is passed on in one piece.
     EventSplitter events;
     std::string lastTrouble;
--- a/src/gateway/dispatcher.cpp
+++ b/src/gateway/dispatcher.cpp
@@ -57,7 +57,6 @@
   request.attempt = attempt;
   request.target = target->instance;
   request.tried.insert(target->instance);
-  request.headSeen = false;
   request.streams = false;
   ++request.attempts;
   m_attempts.emplace(attempt, request.call.exchange);
@@ -155,7 +154,6 @@
     Attempt(now, request, outbox);
     return;
   }
-  request.headSeen = true;
   request.streams = IsStream(request.route->repeat) && IsSuccess(head.status);
   if (request.headPassed && !request.streams) {
     AttemptEnded(now, request, outbox, true, "could not go on with the stream");
--- a/src/shell/agent_shell.cpp
+++ b/src/shell/agent_shell.cpp
@@ -25,18 +25,6 @@
   return agent;
 }
 
-/// Callers have no business with an agent: its HTTP listener only tells that it lives.
-HttpAnswerOut AnswerHealth(const HttpRequestIn& request)
-{
-  const bool health = request.target == "/healthz";
-  return HttpAnswerOut{ .exchange = request.exchange,
-                        .status = health ? 200U : 404U,
-                        .headers = { { "Content-Type", "text/plain" } },
-                        .bytes = health ? "ok\n" : "not found\n",
-                        .end = true,
-                        .abort = false };
-}
-
 } // namespace
 
 DaemonExit RunAgent(const ProcessSettings& settings)
@@ -66,7 +54,8 @@
     { .onUp = [&](PeerUp up) { loop->Post(std::move(up)); },
       .onDown = [&](PeerDown down) { loop->Post(std::move(down)); },
       .onFrame = [&](FrameIn frame) { loop->Post(std::move(frame)); },
-      .onRequest = [&](const HttpRequestIn& request) { shell.Send(AnswerHealth(request)); },
+      // Callers have no business with an agent: its HTTP listener only tells that it lives.
+      .onRequest = [&](const HttpRequestIn& request) { shell.Send(impl::AnswerHealth(request)); },
       .onCallerGone = [](HttpCallerGone) {},
       .onStop = [&] { loop->Post(StopRequested{}); } });
   if (!started) {
--- a/src/shell/process_shell.cpp
+++ b/src/shell/process_shell.cpp
@@ -126,13 +126,7 @@
     m_metricsHttp->Send(std::move(*page));
     return;
   }
-  const bool health = request.target == "/healthz";
-  m_metricsHttp->Send(HttpAnswerOut{ .exchange = request.exchange,
-                                     .status = health ? 200U : 404U,
-                                     .headers = { { "Content-Type", "text/plain" } },
-                                     .bytes = health ? "ok\n" : "not found\n",
-                                     .end = true,
-                                     .abort = false });
+  m_metricsHttp->Send(AnswerHealth(request));
 }
 
 void ProcessShell::DrainCallers(std::function<void()> drained)
@@ -293,6 +287,17 @@
   return controls;
 }
 
+HttpAnswerOut AnswerHealth(const HttpRequestIn& request)
+{
+  const bool health = request.target == "/healthz";
+  return HttpAnswerOut{ .exchange = request.exchange,
+                        .status = health ? 200U : 404U,
+                        .headers = { { "Content-Type", "text/plain" } },
+                        .bytes = health ? "ok\n" : "not found\n",
+                        .end = true,
+                        .abort = false };
+}
+
 std::string AnnouncedAddress(const ProcessSettings& settings)
 {
   return settings.announce.empty() ? settings.listen : settings.announce;
--- a/src/shell/process_shell.hpp
+++ b/src/shell/process_shell.hpp
@@ -102,6 +102,9 @@
 /// \brief The control processes of the settings, as the roles take them.
 [[nodiscard]] std::vector<EntrySettings::Control> ControlsOf(const ProcessSettings& settings);
 
+/// \brief The page that tells that the process lives; 404 for any other path.
+[[nodiscard]] HttpAnswerOut AnswerHealth(const HttpRequestIn& request);
+
 /// \brief Where peers reach this process.
 [[nodiscard]] std::string AnnouncedAddress(const ProcessSettings& settings);
 
