Every target can serve either model; takeovers hold together; heads that stand still are noticed at once

(1) A target joins another group of its last model within 0.2 s, which the plan did not know, so only half of the small groups' hosts held second weights. (2) A group that was given up for another model went back to its own: what was free was taken by the model that lacked less. (3) A head that stood still was probed 1.5 s after its last answer at any entry; the dead member was then joined to the next group, as its heartbeat was younger than 1.8 s. (4) Work was counted by the tokens that callers allow (365, they get 146), and each refused caller twice; a new leader took unknown time for no work. (5) A new leader waited 2.5 s, whatever it had heard. (6) Entries used even parts of each head; the zone with one entry has a third of all callers.

Change: the last model of each target is kept with it; all hosts hold the other model before traffic and again under it, idle ones first, no more at a time than the store loads without delay; spares hold weights ready in a group of their own that never opens; one pass serves the model that lacks most, by free targets or a takeover whose members are kept together until all are free; demand by expected output, refused callers counted half; a target that left a probe unanswered joins nothing; a new leader uses each target that has spoken since; each entry's room at a head follows its part of the callers, and heads are filled to their slots.

--- a/include/gooseberrysail/control/engine_groups.hpp
+++ b/include/gooseberrysail/control/engine_groups.hpp
@@ -110,7 +110,8 @@
 private:
   enum class Phase
   {
-    kAdopted, ///< Of an earlier leader; its head is waited for.
+    kAdopted,   ///< Of an earlier leader; its head is waited for.
+    kGathering, ///< Some members still end their work in groups that were given up.
     kJoining,
     kOpening,
     kOpen,
@@ -131,7 +132,6 @@
     bool cut = false;                    ///< A member is lost: nothing that the head has can end.
     bool closeBegun = false;             ///< The head took the order to close.
     bool openIsUnsure = false;           ///< An order to open got no answer: it may come late.
-    bool headIsDeaf = false;             ///< Nothing listens at its address.
     bool headIsDead = false;             ///< That life of the head certainly ended.
     bool headIsClosed = false;           ///< The head said that it takes no work.
     std::optional<TimePoint> releasedAt; ///< The other members were told to leave.
@@ -140,8 +140,10 @@
   struct Pass; ///< One tick: input, outputs.
 
   void Adopt(Pass& pass);
+  void DropEnded(Pass& pass);
   void Advance(Pass& pass, Group& group);
   void AdvanceAdopted(Pass& pass, Group& group);
+  void AdvanceGathering(Pass& pass, Group& group);
   void AdvanceJoining(Pass& pass, Group& group);
   void AdvanceOpening(Pass& pass, Group& group);
   void AdvanceOpen(Pass& pass, Group& group);
@@ -151,17 +153,24 @@
   void ProbeMembers(Pass& pass, Group& group);
   void Form(Pass& pass, const ServiceDefinition& service);
   void StartGroup(Pass& pass, const std::string& service, const PlannedGroup& planned);
+  void StartTakeover(Pass& pass, const std::string& service, const PlannedTakeover& planned);
+  Group& AddGroup(Pass& pass, const std::string& service, const PlannedGroup& planned, Phase phase);
   void StartStage(Pass& pass, const PlannedStage& planned);
+  void StartStandby(Pass& pass, const PlannedStage& planned);
+  [[nodiscard]] Epoch NextEpoch(const Pass& pass);
   [[nodiscard]] std::vector<ModelNeed> ListNeeds(const Pass& pass,
                                                  const ServiceDefinition& service) const;
   [[nodiscard]] std::vector<FreeTarget> ListFree(const Pass& pass, const std::string& service);
   [[nodiscard]] std::vector<ServingGroup> ListServing(const Pass& pass, const std::string& service);
+  [[nodiscard]] FreeTarget MakeFree(const Pass& pass, const TargetRow& row);
   [[nodiscard]] std::string StagingOf(const Pass& pass, const TargetRow& row);
   [[nodiscard]] bool IsSettled(const Pass& pass);
   [[nodiscard]] std::uint32_t LoadsLeft(const Pass& pass, const EngineSpec& engine);
   [[nodiscard]] bool IsSilent(const Pass& pass, const TargetRow& row) const;
   [[nodiscard]] bool IsReleased(const Pass& pass, const Group& group) const;
+  [[nodiscard]] bool HasSpoken(const TargetRow& row) const;
   [[nodiscard]] static bool IsWhole(const Pass& pass, const Group& group);
+  [[nodiscard]] static bool SharesMember(const Group& left, const Group& right);
   [[nodiscard]] bool HasFailedMember(const Pass& pass, const Group& group) const;
 
   EngineGroupsSettings m_settings;
@@ -174,10 +183,11 @@
   };
   std::map<InstanceId, Staging> m_staging;
   std::map<InstanceId, TimePoint> m_unanswered; ///< Probes without an answer, until the next word.
+  std::map<InstanceId, TimePoint> m_standbySince; ///< When targets were told to hold weights ready.
   std::size_t m_knownTargets = 0;
   TimePoint m_newTargetAt{};        ///< When the table last grew.
   std::set<std::string> m_released; ///< Groups that are over although members still report them.
-  std::optional<TimePoint> m_firstTick;
+  std::optional<TimePoint> m_leadsSince;
   std::uint64_t m_formed = 0; ///< In this term.
 };
 
--- a/include/gooseberrysail/control/serving_feed.hpp
+++ b/include/gooseberrysail/control/serving_feed.hpp
@@ -32,7 +32,7 @@
   /// \brief Heads that some entry saw answer within kAnsweredLately.
   [[nodiscard]] std::set<InstanceId> AnsweringHeads(TimePoint now) const;
 
-  /// \brief Heads that some entry saw fail and none saw answer lately.
+  /// \brief Heads that some entry saw fail, and that answered none for kStandsStill before.
   [[nodiscard]] std::set<InstanceId> FailingHeads(TimePoint now) const;
 
   /// \brief What callers ask of each model, all entries together.
@@ -44,12 +44,18 @@
   /// \brief A head with work in flight answers at least once within this, if it works at all.
   static constexpr Duration kAnsweredLately = std::chrono::milliseconds(1500);
 
+  /// \brief An entry complains of a head after 600 ms without an answer; the others may have had
+  /// theirs a moment later, of which they tell each 500 ms. A wrong guess costs a probe of each
+  /// member, and ends nothing.
+  static constexpr Duration kStandsStill = std::chrono::milliseconds(500);
+
 private:
   /// \brief One entry's requests for one model: a mean that forgets.
   struct ModelRate
   {
     ModelDemand counted; ///< Since the entry started, at `at`.
     ModelDemand perSecond;
+    double seenSeconds = 0; ///< That `perSecond` is a mean of, the latest most.
     TimePoint at{};
   };
 
@@ -61,9 +67,16 @@
     TimePoint heardAt{};
     std::map<InstanceId, TimePoint> answeredAt;
     std::map<InstanceId, TimePoint> failedAt;
-    std::map<std::string, ModelRate> rates; ///< By model.
+    std::map<std::string, ModelRate> rates;  ///< By model.
+    std::map<std::string, double> toldParts; ///< Of each model's requests, as last sent to it.
   };
 
+  using Parts = std::map<std::string, double>; ///< By model.
+
+  /// \brief When any entry last had an answer of the head; the epoch of the clock for never.
+  [[nodiscard]] TimePoint LastAnswer(const InstanceId& head) const;
+  /// \brief The entry's parts of all entries' requests.
+  [[nodiscard]] Parts PartsOf(const Entry& entry) const;
   static void NoteDemand(TimePoint now, Entry& entry, const wire::ModelDemandT& demand);
   void Supply(ControlContext& context, const ProcessId& process, Entry& entry);
 
--- a/include/gooseberrysail/gateway/dispatcher.hpp
+++ b/include/gooseberrysail/gateway/dispatcher.hpp
@@ -32,7 +32,7 @@
   std::string model;
   std::uint64_t requests = 0;
   std::uint64_t promptTokens = 0;
-  std::uint64_t outputTokens = 0; ///< As callers announce them.
+  std::uint64_t outputTokens = 0; ///< As callers expect them.
 };
 
 /// \brief Carries callers' requests to targets and the answers back.
@@ -106,7 +106,8 @@
                                              const ServingKnowledge& knowledge,
                                              Request& request);
   void PickService(Request& request);
-  void NoteDemand(const Request& request);
+  [[nodiscard]] static std::uint64_t ExpectedOutput(const Request& request);
+  void NoteDemand(const Request& request, bool isRefused);
 
   // Attempts (dispatcher.cpp).
   void Attempt(TimePoint now, Request& request, Outbox& outbox);
--- a/include/gooseberrysail/gateway/gateway_api.hpp
+++ b/include/gooseberrysail/gateway/gateway_api.hpp
@@ -27,7 +27,8 @@
   std::string model;                ///< "" when it names none.
   std::uint32_t promptTokens = 0;
   std::uint32_t maxOutputTokens = 0;
-  std::vector<HttpHeader> headers; ///< Those that go on to the target as sent.
+  std::uint32_t expectedOutputTokens = 0; ///< The caller's estimate; 0 for none.
+  std::vector<HttpHeader> headers;        ///< Those that go on to the target as sent.
   std::string body;
 };
 
--- a/include/gooseberrysail/gateway/target_board.hpp
+++ b/include/gooseberrysail/gateway/target_board.hpp
@@ -45,6 +45,11 @@
   /// \brief How many entries share the targets.
   void SetEntries(std::uint32_t entries) { m_entries = entries == 0 ? 1 : entries; }
 
+  /// \brief Which part of all callers of the model come to this entry, 0 to 1. Clients choose their
+  /// entry by a hash: some have twice as many as others, and with even parts of the heads' slots
+  /// they would refuse while the others had room.
+  void SetPart(const std::string& model, double part) { m_parts[model] = part; }
+
   /// \brief The target for an attempt; null when none can take it now.
   [[nodiscard]] const ServedTarget* Choose(TimePoint now, const TargetWish& wish);
 
@@ -86,6 +91,7 @@
 
   FailureDomainId m_own;
   std::uint32_t m_entries = 1;
+  std::map<std::string, double> m_parts; ///< By model; an even part for those not told of.
   std::function<std::uint64_t()> m_random;
   std::map<InstanceId, Row> m_rows;
   TimePoint m_latestSilence{};
--- a/include/gooseberrysail/placement/pool_plan.hpp
+++ b/include/gooseberrysail/placement/pool_plan.hpp
@@ -18,6 +18,7 @@
   FabricDomainId fabricDomain;
   std::vector<std::string> stagedModels; ///< Joining a group of one of these needs no load.
   std::string staging;                   ///< The model that its host loads now; "" for none.
+  std::string lastModel; ///< Of its last group: joining one of this model again is quickest.
 };
 
 /// \brief A group that serves; its members may load other weights meanwhile.
@@ -34,7 +35,8 @@
 {
   const GroupModel* model = nullptr;
   std::uint32_t groups = 0; ///< Serving and forming ones.
-  std::uint32_t wanted = 0;
+  std::uint32_t wanted = 0; ///< Of free targets.
+  double work = 0;          ///< Groups that the present requests keep fully busy; 0 when not known.
 };
 
 struct PoolInput
@@ -56,6 +58,13 @@
   std::uint32_t loads = 0; ///< Members that must load weights from the store.
 };
 
+/// \brief A group of free targets and members of groups that end for it.
+struct PlannedTakeover
+{
+  PlannedGroup group;
+  std::vector<std::string> releases; ///< Serving groups to close, of a model that lacks less.
+};
+
 /// \brief Weights that a free target's host should load ahead of need.
 struct PlannedStage
 {
@@ -67,7 +76,10 @@
 {
   std::vector<PlannedGroup> groups;
   std::vector<PlannedStage> stages;
-  std::vector<std::string> releases; ///< Serving groups to close for a model that lacks more.
+  /// \brief Free targets that should take their host's weights now, in a group of their own that
+  /// never opens: from then on each joins a group of that model as quickly as a former member.
+  std::vector<PlannedStage> standbys;
+  std::vector<PlannedTakeover> takeovers;
 };
 
 /// \brief Which groups to form of free targets, and which weights the others should hold.
--- a/include/gooseberrysail/serving/document.hpp
+++ b/include/gooseberrysail/serving/document.hpp
@@ -78,7 +78,9 @@
   Duration stepTimePerRequest{};
   double promptTokensPerSecond = 0;
   double loadsPerSecond = 1; ///< Loads from the weight store that may begin, all targets together.
-  Duration openTime{};       ///< From the order to open a group until it serves.
+  std::uint32_t loadsAtOnce = 1; ///< More than these at a time slow one another down.
+  double usualOutputTokens = 0;  ///< Of a request, all kinds together; 0 when not known.
+  Duration openTime{};           ///< From the order to open a group until it serves.
   std::vector<GroupModel> models;
 };
 
--- a/include/gooseberrysail/serving/target_table.hpp
+++ b/include/gooseberrysail/serving/target_table.hpp
@@ -44,6 +44,9 @@
 struct TargetRow
 {
   TargetAnnouncement latest;
+  /// \brief The model of the last group in which it was ready: the target still has those weights
+  /// and joins another group of that model within a moment. "" for none.
+  std::string lastModel;
   TimePoint firstHeardAt{};
   TimePoint heardAt{};
 };
--- a/src/control/engine_groups.cpp
+++ b/src/control/engine_groups.cpp
@@ -20,6 +20,9 @@
 constexpr Duration kProbeSilence = 300ms;
 /// Orders act within some 100 ms and targets report at once; one without effect is given again.
 constexpr Duration kOrderRetry = 1500ms;
+/// Streams last some 2 s and a group that is given up takes none; one whose head died meanwhile
+/// would keep the others waiting.
+constexpr Duration kGatherPatience = 4s;
 /// A join that takes longer than this beside its load has failed.
 constexpr Duration kJoinSlack = 10s;
 /// Beside the time that a head stands still: the order's way and the head's own timer.
@@ -58,11 +61,13 @@
 
 void EngineGroups::OnLeaderStart()
 {
+  m_leadsSince.reset();
   m_groups.clear();
   m_released.clear();
   m_loads.clear();
   m_staging.clear();
   m_unanswered.clear();
+  m_standbySince.clear();
   m_formed = 0;
 }
 
@@ -70,18 +75,22 @@
                         std::vector<GroupOrder>& orders,
                         std::vector<EventOut>& events)
 {
-  if (!m_firstTick) {
-    m_firstTick = input.now;
+  if (!m_leadsSince) {
+    m_leadsSince = input.now;
   }
   Pass pass{ input, orders, events, {} };
   Adopt(pass);
   for (auto& [name, group] : m_groups) {
     Advance(pass, group);
   }
-  for (const std::string& name : pass.dropped) {
-    m_groups.erase(name);
-    m_released.insert(name);
+  DropEnded(pass);
+  // What ended in this tick frees members at once.
+  for (auto& [name, group] : m_groups) {
+    if (group.phase == Phase::kGathering) {
+      AdvanceGathering(pass, group);
+    }
   }
+  DropEnded(pass);
   if (!IsSettled(pass)) {
     return;
   }
@@ -92,6 +101,15 @@
   }
 }
 
+void EngineGroups::DropEnded(Pass& pass)
+{
+  for (const std::string& name : pass.dropped) {
+    m_groups.erase(name);
+    m_released.insert(name);
+  }
+  pass.dropped.clear();
+}
+
 // A target that reports a group that this leader does not keep was ordered by an earlier leader.
 // Until the head of that group certainly takes no work, none of its members is free, also those
 // whose head this process has not heard of: given to another group they would work for two.
@@ -99,7 +117,8 @@
 {
   for (const auto& [instance, row] : pass.input.targets.Rows()) {
     const GroupMembership& membership = row.latest.membership;
-    if (membership.group.empty() || m_released.contains(membership.group)) {
+    if (membership.group.empty() || membership.group.starts_with(impl::kStandbyPrefix) ||
+        m_released.contains(membership.group)) {
       continue;
     }
     const auto [found, fresh] = m_groups.try_emplace(membership.group);
@@ -130,8 +149,8 @@
 {
   const TargetRow* head = pass.Row(group.members.front());
   const bool isHeard = Reports(head, group.name, group.epoch);
-  if (!isHeard && pass.input.now - *m_firstTick < m_settings.LearnTime()) {
-    return; // Its head may not have spoken to this process yet.
+  if ((!isHeard || !HasSpoken(*head)) && pass.input.now - *m_leadsSince < m_settings.LearnTime()) {
+    return; // The former leader may have ordered what the head did not tell yet.
   }
   const bool isOpen = isHeard && head->latest.membership.state == MemberState::Open;
   const bool isForming = isHeard && (head->latest.membership.state == MemberState::Joining ||
@@ -159,6 +178,8 @@
     case Phase::kAdopted:
       AdvanceAdopted(pass, group);
       break;
+    case Phase::kGathering:
+      break;
     case Phase::kJoining:
       AdvanceJoining(pass, group);
       break;
@@ -174,6 +195,13 @@
   }
 }
 
+// The former leader's last orders show in what a target says after them. One that is silent since
+// may have joined a group that serves.
+bool EngineGroups::HasSpoken(const TargetRow& row) const
+{
+  return row.heardAt > *m_leadsSince;
+}
+
 bool EngineGroups::IsWhole(const Pass& pass, const Group& group)
 {
   const bool allKnown =
@@ -187,6 +215,33 @@
   return false;
 }
 
+void EngineGroups::AdvanceGathering(Pass& pass, Group& group)
+{
+  if (HasFailedMember(pass, group) || pass.input.now - group.since > kGatherPatience) {
+    // No member was told of it yet.
+    pass.events.push_back(
+      MakeEvent(EventNumber::kTargetGroupEnded,
+                { { "group", group.name }, { "reason", "its members did not come together" } }));
+    pass.dropped.push_back(group.name);
+    return;
+  }
+  const bool isShared = std::ranges::any_of(m_groups, [&](const auto& row) {
+    return row.first != group.name && SharesMember(row.second, group);
+  });
+  if (!isShared) {
+    group.phase = Phase::kJoining;
+    group.since = pass.input.now;
+    AdvanceJoining(pass, group);
+  }
+}
+
+bool EngineGroups::SharesMember(const Group& left, const Group& right)
+{
+  return std::ranges::any_of(left.members, [&](const InstanceId& member) {
+    return !member.IsNone() && std::ranges::find(right.members, member) != right.members.end();
+  });
+}
+
 void EngineGroups::AdvanceJoining(Pass& pass, Group& group)
 {
   Duration patience = kJoinSlack;
@@ -283,16 +338,17 @@
   }
   // A head that is cut off from control only still answers the entries; its group goes on.
   const InstanceId& instance = group.members.front();
-  const bool isSilent = pass.input.failing.contains(instance)
-                          ? IsSilent(pass, *head)
-                          : pass.input.now - head->heardAt > m_settings.Silence();
-  if (isSilent && !pass.input.answering.contains(instance)) {
+  const bool isFailing = pass.input.failing.contains(instance);
+  const bool isSilent =
+    isFailing ? IsSilent(pass, *head) : pass.input.now - head->heardAt > m_settings.Silence();
+  const bool answers = pass.input.answering.contains(instance);
+  if (isSilent && (isFailing || !answers)) {
     End(pass, group, "its head is silent");
   }
 }
 
-// A head that stands still waits for a member. Heartbeats would tell which one only after 1.8 s;
-// one that lives answers a probe in milliseconds.
+// A target that died a moment ago still looks alive by its heartbeats, and a group formed with it
+// waits for its join in vain.
 bool EngineGroups::IsSilent(const Pass& pass, const TargetRow& row) const
 {
   const auto unanswered = m_unanswered.find(row.latest.instance);
@@ -328,8 +384,7 @@
     return;
   }
   Order(pass, group, head, GroupOrderKind::kClose);
-  const bool silent = row == nullptr || row->latest.left ||
-                      pass.input.now - row->heardAt > m_settings.SuspectSilence();
+  const bool silent = row == nullptr || row->latest.left || IsSilent(pass, *row);
   if (!silent) {
     return;
   }
@@ -413,8 +468,7 @@
 {
   return std::ranges::any_of(group.members, [&](const InstanceId& member) {
     const TargetRow* row = pass.Row(member);
-    return IsLeaving(row) || pass.input.now - row->heardAt > m_settings.SuspectSilence() ||
-           IsReplaced(pass.input.targets, *row);
+    return IsLeaving(row) || IsSilent(pass, *row) || IsReplaced(pass.input.targets, *row);
   });
 }
 
@@ -426,6 +480,9 @@
     }
     return;
   }
+  if (outcome == OrderOutcome::kNoTarget) {
+    m_unanswered[order.target] = now;
+  }
   const auto found = m_groups.find(order.group);
   if (found == m_groups.end() || found->second.members.front() != order.target) {
     return;
@@ -438,7 +495,6 @@
     return;
   }
   group.closeBegun = group.closeBegun || outcome == OrderOutcome::kBegun;
-  group.headIsDeaf = group.headIsDeaf || outcome == OrderOutcome::kNoTarget;
   group.headIsDead = group.headIsDead || outcome == OrderOutcome::kReplaced;
   group.headIsClosed = group.headIsClosed || outcome == OrderOutcome::kDone;
 }
--- a/src/control/engine_groups_pass.hpp
+++ b/src/control/engine_groups_pass.hpp
@@ -24,6 +24,9 @@
 
 namespace impl {
 
+/// Groups of one target that holds weights ready; they never open.
+inline const std::string kStandbyPrefix = "standby-";
+
 [[nodiscard]] inline bool Reports(const TargetRow* row, const std::string& group, Epoch epoch)
 {
   return row != nullptr && row->latest.membership.group == group &&
--- a/src/control/engine_groups_planning.cpp
+++ b/src/control/engine_groups_planning.cpp
@@ -22,6 +22,8 @@
 constexpr Duration kStagePatience = 40s;
 /// Part of the targets kept out of groups at the start, as spares that hold weights.
 constexpr double kSparePart = 0.2;
+/// A standby takes its weights from its host within two seconds; after this it is told again.
+constexpr Duration kStandbyRetry = 5s;
 /// Epochs of one term.
 constexpr std::uint64_t kEpochsPerTerm = 1ULL << 20U;
 
@@ -36,7 +38,15 @@
   const double window = std::chrono::duration<double>(kLoadWindow).count();
   const auto allowed =
     static_cast<std::size_t>(std::floor(engine.loadsPerSecond * window * kLoadReserve));
-  return static_cast<std::uint32_t>(allowed - std::min(allowed, m_loads.size()));
+  std::erase_if(m_staging, [&](const auto& row) {
+    const TargetRow* target = pass.Row(row.first);
+    return target == nullptr || target->latest.left ||
+           pass.input.now - target->heardAt > m_settings.Silence();
+  });
+  // More at a time would only slow down those that are under way.
+  const auto atOnce = static_cast<std::size_t>(engine.loadsAtOnce);
+  const std::size_t free = atOnce - std::min(atOnce, m_staging.size());
+  return static_cast<std::uint32_t>(std::min(allowed - std::min(allowed, m_loads.size()), free));
 }
 
 // Groups formed before all targets have spoken would leave no room for the large ones.
@@ -47,9 +57,9 @@
     m_newTargetAt = pass.input.now;
   }
   m_knownTargets = known;
-  const bool learnt = pass.input.now - *m_firstTick >= m_settings.LearnTime();
-  return learnt &&
-         (pass.input.hasTraffic || pass.input.now - m_newTargetAt >= m_settings.QuietTime());
+  const bool learnt = pass.input.now - *m_leadsSince >= m_settings.LearnTime();
+  const bool isQuiet = pass.input.now - m_newTargetAt >= m_settings.QuietTime();
+  return pass.input.hasTraffic || (learnt && isQuiet);
 }
 
 void EngineGroups::Form(Pass& pass, const ServiceDefinition& service)
@@ -67,8 +77,11 @@
   for (const PlannedStage& planned : plan.stages) {
     StartStage(pass, planned);
   }
-  for (const std::string& name : plan.releases) {
-    End(pass, m_groups.at(name), "another model lacks more");
+  for (const PlannedStage& planned : plan.standbys) {
+    StartStandby(pass, planned);
+  }
+  for (const PlannedTakeover& planned : plan.takeovers) {
+    StartTakeover(pass, service.name, planned);
   }
 }
 
@@ -83,8 +96,7 @@
     for (const InstanceId& member : group.members) {
       if (const TargetRow* row = pass.Row(member)) {
         each.fabricDomain = row->latest.fabricDomain;
-        each.members.push_back(
-          { member, row->latest.fabricDomain, row->latest.stagedModels, StagingOf(pass, *row) });
+        each.members.push_back(MakeFree(pass, *row));
       }
     }
     serving.push_back(std::move(each));
@@ -100,7 +112,7 @@
   });
   std::vector<ModelNeed> needs;
   for (const GroupModel& model : service.engine->models) {
-    ModelNeed need{ &model, 0, 0 };
+    ModelNeed need{ &model, 0, 0, 0 };
     need.groups = static_cast<std::uint32_t>(std::ranges::count_if(m_groups, [&](const auto& row) {
       return row.second.service == service.name && row.second.model == model.name &&
              row.second.phase != Phase::kEnding;
@@ -109,6 +121,7 @@
     need.wanted = static_cast<std::uint32_t>(std::lround(atStart / model.size));
     if (const auto demand = pass.input.demand.find(model.name); demand != pass.input.demand.end()) {
       const double work = GroupsOfWork(*service.engine, model, demand->second);
+      need.work = work;
       need.wanted = std::max(need.wanted, WantedGroups(work));
     }
     needs.push_back(need);
@@ -124,19 +137,27 @@
   }
   std::vector<FreeTarget> free;
   for (const auto& [instance, row] : pass.input.targets.Rows()) {
-    const bool usable =
-      row.latest.service == service && !IsLeaving(&row) &&
-      pass.input.now - row.heardAt <= m_settings.SuspectSilence() && !taken.contains(instance) &&
-      !m_groups.contains(row.latest.membership.group) && !IsReplaced(pass.input.targets, row);
+    const bool usable = row.latest.service == service && !IsLeaving(&row) && HasSpoken(row) &&
+                        !IsSilent(pass, row) && !taken.contains(instance) &&
+                        !m_groups.contains(row.latest.membership.group) &&
+                        !IsReplaced(pass.input.targets, row);
     if (!usable) {
       continue;
     }
-    free.push_back(
-      { instance, row.latest.fabricDomain, row.latest.stagedModels, StagingOf(pass, row) });
+    free.push_back(MakeFree(pass, row));
   }
   return free;
 }
 
+FreeTarget EngineGroups::MakeFree(const Pass& pass, const TargetRow& row)
+{
+  return { row.latest.instance,
+           row.latest.fabricDomain,
+           row.latest.stagedModels,
+           StagingOf(pass, row),
+           row.lastModel };
+}
+
 /// The model that a target's host was told to load and does not hold yet; "" for none.
 std::string EngineGroups::StagingOf(const Pass& pass, const TargetRow& row)
 {
@@ -154,13 +175,34 @@
 }
 
 void EngineGroups::StartGroup(Pass& pass, const std::string& service, const PlannedGroup& planned)
+{
+  AdvanceJoining(pass, AddGroup(pass, service, planned, Phase::kJoining));
+}
+
+// Its free members are taken from now on: while the others finish what they have, a group of
+// another model would have them.
+void EngineGroups::StartTakeover(Pass& pass,
+                                 const std::string& service,
+                                 const PlannedTakeover& planned)
+{
+  for (const std::string& name : planned.releases) {
+    End(pass, m_groups.at(name), "another model lacks more");
+  }
+  AddGroup(pass, service, planned.group, Phase::kGathering);
+}
+
+EngineGroups::Group& EngineGroups::AddGroup(Pass& pass,
+                                            const std::string& service,
+                                            const PlannedGroup& planned,
+                                            Phase phase)
 {
   Group group;
-  group.epoch = Epoch(pass.input.term.Get() * kEpochsPerTerm + ++m_formed);
+  group.epoch = NextEpoch(pass);
   group.name = "g" + std::to_string(group.epoch.Get());
   group.service = service;
   group.model = planned.model;
   group.members = planned.members;
+  group.phase = phase;
   group.since = pass.input.now;
   m_loads.insert(m_loads.end(), planned.loads, pass.input.now);
   pass.events.push_back(MakeEvent(EventNumber::kTargetGroupFormed,
@@ -169,8 +211,31 @@
                                     { "head", group.members.front().Get() },
                                     { "members", std::to_string(group.members.size()) },
                                     { "loads", std::to_string(planned.loads) } }));
-  Group& kept = m_groups.emplace(group.name, std::move(group)).first->second;
-  AdvanceJoining(pass, kept);
+  return m_groups.emplace(group.name, std::move(group)).first->second;
+}
+
+// Nobody opens this group, so no request reaches the target through it.
+void EngineGroups::StartStandby(Pass& pass, const PlannedStage& planned)
+{
+  TimePoint& since = m_standbySince[planned.target];
+  if (since != TimePoint{} && pass.input.now - since < kStandbyRetry) {
+    return;
+  }
+  since = pass.input.now;
+  const Epoch epoch = NextEpoch(pass);
+  pass.orders.push_back({ planned.target,
+                          pass.Row(planned.target)->latest.address,
+                          GroupOrderKind::kJoin,
+                          impl::kStandbyPrefix + std::to_string(epoch.Get()),
+                          epoch,
+                          planned.model,
+                          { planned.target },
+                          false });
+}
+
+Epoch EngineGroups::NextEpoch(const Pass& pass)
+{
+  return Epoch(pass.input.term.Get() * kEpochsPerTerm + ++m_formed);
 }
 
 void EngineGroups::StartStage(Pass& pass, const PlannedStage& planned)
--- a/src/control/serving_control.cpp
+++ b/src/control/serving_control.cpp
@@ -192,6 +192,8 @@
   }
   if (context.ready && context.HasFreshQuorum()) {
     m_feed.OnQuery(context, peer, *query);
+    const bool complains = std::ranges::any_of(query->heads, [](const auto& head) { return head->failing; });
+    m_nextKeep = complains ? context.now : m_nextKeep;
   } else {
     context.SendMessage(peer, MakeControlList(context));
   }
@@ -336,6 +338,7 @@
                 { "status", std::to_string(status) },
                 { "millis", std::to_string(ToMillis(context.now - open.since)) } }));
   m_groups.OnOrderOutcome(context.now, open.order, outcome);
+  m_nextKeep = context.now; // The next step of a repair need not wait.
 }
 
 std::vector<ServedTarget> ServingControl::ListTargets(const ControlContext& context) const
--- a/src/control/serving_feed.cpp
+++ b/src/control/serving_feed.cpp
@@ -16,6 +16,17 @@
 /// Long enough to smooth Poisson arrivals of some 10 requests a second, short enough to follow a
 /// burst within a few seconds.
 constexpr double kDemandMemorySeconds = 3;
+/// Smaller differences are within the scatter of Poisson arrivals over kDemandMemorySeconds.
+constexpr double kPartChange = 0.04;
+/// An entry that had few requests lately keeps room for this much of an even part.
+constexpr double kLeastPart = 0.4;
+
+bool Differ(const std::map<std::string, double>& left, const std::map<std::string, double>& right)
+{
+  return !std::ranges::equal(left, right, [](const auto& former, const auto& now) {
+    return former.first == now.first && std::abs(former.second - now.second) < kPartChange;
+  });
+}
 
 } // namespace
 
@@ -104,13 +115,24 @@
   const bool lacksDocument = entry.document < document.version;
   const bool mayBeTold = m_isWhole || !entry.knowsTargets;
   const bool lacksTargets = mayBeTold && m_sequence != 0 && entry.targets != m_sequence;
-  if (!lacksDocument && !lacksTargets) {
+  Parts parts = PartsOf(entry);
+  const bool lacksParts = Differ(entry.toldParts, parts);
+  if (!lacksDocument && !lacksTargets && !lacksParts) {
     return;
   }
   wire::ServingStateT state = MakeControlList(context);
   state.leader = true;
   state.term = context.replication.term.Get();
   state.entries = static_cast<std::uint32_t>(m_entries.size());
+  if (lacksParts) {
+    for (const auto& [model, part] : parts) {
+      auto told = std::make_unique<wire::ModelPartT>();
+      told->model = model;
+      told->part = static_cast<float>(part);
+      state.parts.push_back(std::move(told));
+    }
+    entry.toldParts = std::move(parts);
+  }
   if (lacksDocument) {
     state.documentVersion = document.version;
     state.document = document.text;
@@ -127,6 +149,22 @@
   context.SendMessage(process, std::move(state));
 }
 
+ServingFeed::Parts ServingFeed::PartsOf(const Entry& entry) const
+{
+  Parts parts;
+  const double even = 1.0 / static_cast<double>(std::max<std::size_t>(m_entries.size(), 1));
+  for (const auto& [model, rate] : entry.rates) {
+    double sum = 0;
+    for (const auto& [process, other] : m_entries) {
+      const auto found = other.rates.find(model);
+      sum += found == other.rates.end() ? 0 : found->second.perSecond.requests;
+    }
+    const double part = sum > 0 ? rate.perSecond.requests / sum : even;
+    parts[model] = std::max(part, kLeastPart * even);
+  }
+  return parts;
+}
+
 void ServingFeed::NoteDemand(TimePoint now, Entry& entry, const wire::ModelDemandT& demand)
 {
   const auto [found, fresh] = entry.rates.try_emplace(demand.model);
@@ -136,7 +174,11 @@
                              static_cast<double>(demand.outputTokens) };
   const double seconds = std::chrono::duration<double>(now - rate.at).count();
   if (!fresh && seconds > 0 && counted.requests >= rate.counted.requests) {
-    const double weight = 1 - std::exp(-seconds / kDemandMemorySeconds);
+    // What came before the first count is not known, and counts nothing: a new leader that took it
+    // for no work would close groups that are needed.
+    rate.seenSeconds += seconds;
+    const double weight = (1 - std::exp(-seconds / kDemandMemorySeconds)) /
+                          (1 - std::exp(-rate.seenSeconds / kDemandMemorySeconds));
     const auto blend = [&](double former, double before, double after) {
       return former + weight * ((after - before) / seconds - former);
     };
@@ -166,11 +208,10 @@
 
 std::set<InstanceId> ServingFeed::FailingHeads(TimePoint now) const
 {
-  const std::set<InstanceId> answering = AnsweringHeads(now);
   std::set<InstanceId> heads;
   for (const auto& [process, entry] : m_entries) {
     for (const auto& [head, at] : entry.failedAt) {
-      if (now - at < kAnsweredLately && !answering.contains(head)) {
+      if (now - at < kAnsweredLately && at - LastAnswer(head) > kStandsStill) {
         heads.insert(head);
       }
     }
@@ -178,6 +219,17 @@
   return heads;
 }
 
+TimePoint ServingFeed::LastAnswer(const InstanceId& head) const
+{
+  TimePoint latest{};
+  for (const auto& [process, entry] : m_entries) {
+    if (const auto found = entry.answeredAt.find(head); found != entry.answeredAt.end()) {
+      latest = std::max(latest, found->second);
+    }
+  }
+  return latest;
+}
+
 std::set<InstanceId> ServingFeed::AnsweringHeads(TimePoint now) const
 {
   std::set<InstanceId> heads;
--- a/src/gateway/dispatcher.cpp
+++ b/src/gateway/dispatcher.cpp
@@ -58,7 +58,9 @@
   request.target = target->instance;
   request.tried.insert(target->instance);
   request.streams = false;
-  ++request.attempts;
+  if (++request.attempts == 1) {
+    NoteDemand(request, false);
+  }
   m_attempts.emplace(attempt, request.call.exchange);
   std::optional<std::string> resumeAfter;
   if (request.headPassed && !request.events.LastId().empty()) {
--- a/src/gateway/dispatcher_arrival.cpp
+++ b/src/gateway/dispatcher_arrival.cpp
@@ -33,7 +33,6 @@
     return;
   }
   m_retries.NoteRequest(now, request.service);
-  NoteDemand(request);
   m_deadlines.emplace(request.deadline, exchange);
   Request& kept = m_requests.emplace(exchange, std::move(request)).first->second;
   Attempt(now, kept, outbox);
@@ -81,14 +80,31 @@
   return std::nullopt;
 }
 
-void Dispatcher::NoteDemand(const Request& request)
+// What a caller allows at most is two to three times what it gets: planned with, half of the
+// targets would serve nobody.
+std::uint64_t Dispatcher::ExpectedOutput(const Request& request)
 {
+  if (request.call.expectedOutputTokens != 0) {
+    return request.call.expectedOutputTokens;
+  }
+  const ServiceDefinition* service = request.index->FindService(request.service);
+  const double usual =
+    service != nullptr && service->engine ? service->engine->usualOutputTokens : 0;
+  const auto most = request.call.maxOutputTokens;
+  return usual > 0 ? std::min<std::uint64_t>(most, static_cast<std::uint64_t>(usual)) : most;
+}
+
+// A refused caller comes back, and its work would be counted twice: once here and once where it is
+// taken. Each of the two times counts half.
+void Dispatcher::NoteDemand(const Request& request, bool isRefused)
+{
+  const std::uint64_t part = isRefused ? 2 : 1;
   DemandRow& row = m_demand[{ request.service, request.model }];
   row.service = request.service;
   row.model = request.model;
   ++row.requests;
-  row.promptTokens += request.call.promptTokens;
-  row.outputTokens += request.call.maxOutputTokens;
+  row.promptTokens += request.call.promptTokens / part;
+  row.outputTokens += ExpectedOutput(request) / part;
 }
 
 void Dispatcher::PickService(Request& request)
--- a/src/gateway/dispatcher_end.cpp
+++ b/src/gateway/dispatcher_end.cpp
@@ -53,6 +53,9 @@
     Refuse(now, request, { status, request.lastTrouble, std::nullopt }, outbox);
     return;
   }
+  if (request.attempts == 0) {
+    NoteDemand(request, true);
+  }
   const std::string reason =
     request.lastTrouble.empty() ? "no target can take it now" : request.lastTrouble;
   Refuse(now, request, { 503, reason, EstimateRetryAfter(request) }, outbox);
--- a/src/gateway/feed_client.cpp
+++ b/src/gateway/feed_client.cpp
@@ -102,6 +102,9 @@
   m_knowledge.heardAt = now;
   dispatcher.Retries().SetEntries(state.entries);
   dispatcher.Board().SetEntries(state.entries);
+  for (const auto& part : state.parts) {
+    dispatcher.Board().SetPart(part->model, part->part);
+  }
   TakeDocument(peer, state, outbox);
   const bool isNews = state.term > m_term || state.targetsSequence > m_knowledge.targetsSequence;
   if (!state.wholeTargets || !isNews) {
--- a/src/gateway/target_board.cpp
+++ b/src/gateway/target_board.cpp
@@ -16,7 +16,7 @@
 constexpr std::uint32_t kMaxDoublings = 4;
 /// Callers spread unevenly over the entries; with a quarter more than an even part each, a head is
 /// full before its busiest entry refuses.
-constexpr double kHeadFill = 1.25;
+constexpr double kHeadFill = 1.0;
 constexpr std::uint32_t kLeastRoom = 2;
 /// Services that state no number of slots.
 constexpr std::uint32_t kDefaultSlots = 8;
@@ -56,8 +56,9 @@
   if (target.servedModel.empty()) {
     return slots;
   }
-  const double part = kHeadFill * slots / m_entries;
-  return std::max(kLeastRoom, static_cast<std::uint32_t>(std::ceil(part)));
+  const auto told = m_parts.find(target.servedModel);
+  const double part = told == m_parts.end() ? 1.0 / m_entries : told->second;
+  return std::max(kLeastRoom, static_cast<std::uint32_t>(std::ceil(kHeadFill * slots * part)));
 }
 
 bool TargetBoard::IsSilent(TimePoint now, const Row& row, Duration limit)
--- a/src/placement/pool_plan.cpp
+++ b/src/placement/pool_plan.cpp
@@ -1,8 +1,11 @@
 #include "gooseberrysail/placement/pool_plan.hpp"
 
+#include "gooseberrysail/placement/model_work.hpp"
+
 #include <algorithm>
 #include <map>
 #include <optional>
+#include <set>
 #include <tuple>
 
 namespace gooseberrysail {
@@ -31,11 +34,16 @@
   std::stable_partition(targets.begin(), targets.end(), fits);
 }
 
-bool HoldsModel(const FreeTarget& target, const std::string& model)
+bool IsStaged(const FreeTarget& target, const std::string& model)
 {
   return std::ranges::find(target.stagedModels, model) != target.stagedModels.end();
 }
 
+bool HoldsModel(const FreeTarget& target, const std::string& model)
+{
+  return target.lastModel == model || IsStaged(target, model);
+}
+
 /// Fewest loads first; then the domain with most room, so that groups spread evenly and one dark
 /// domain takes few of a model.
 bool IsBetter(const Place& left, const Place& right)
@@ -62,29 +70,57 @@
 
   PoolPlan Run()
   {
-    for (ModelNeed& need : m_needs) {
-      FillNeed(need);
-    }
+    FillNeeds();
     StageMissing();
-    Rebalance();
-    if (m_input.loadsAreCheap) {
-      StageDoubles();
-    }
     StageSpares();
+    StageDoubles();
     return std::move(m_plan);
   }
 
 private:
-  void FillNeed(ModelNeed& need)
+  static const std::string& NameOf(const ModelNeed& need) { return need.model->name; }
+
+  /// One group at a time for the model that lacks most, also by what another model can spare; only
+  /// then do those that lack less take what is free. In another order the targets that one model
+  /// gave up would go back to it.
+  void FillNeeds()
   {
-    while (need.groups < need.wanted) {
-      const std::optional<Place> place = FindPlace(*need.model);
-      if (!place) {
-        return;
+    std::vector<ModelNeed*> open;
+    for (ModelNeed& need : m_needs) {
+      open.push_back(&need);
+    }
+    while (!open.empty()) {
+      const auto worst =
+        std::ranges::min_element(open, [](const ModelNeed* left, const ModelNeed* right) {
+          return LacksMore(*left, *right);
+        });
+      ModelNeed& need = **worst;
+      if (need.groups >= need.wanted || !AddGroup(need)) {
+        open.erase(worst);
       }
+    }
+  }
+
+  bool AddGroup(ModelNeed& need)
+  {
+    if (const std::optional<Place> place = FindPlace(*need.model)) {
       Form(*need.model, *place);
       ++need.groups;
+      return true;
     }
+    // Beyond what its requests need, a model's groups are reserve, for which none gives its own.
+    const bool isReserve = Fulfilment(need, 0) * kFullUse >= 1;
+    if (isReserve || m_input.loadsAreCheap) {
+      return false;
+    }
+    const std::optional<Takeover> takeover = FindTakeover(need);
+    return takeover && Carry(need, *takeover);
+  }
+
+  /// Before traffic nothing is known of the work, and all count alike.
+  static bool LacksMore(const ModelNeed& left, const ModelNeed& right)
+  {
+    return Fulfilment(left, 0) < Fulfilment(right, 0);
   }
 
   [[nodiscard]] std::optional<Place> FindPlace(const GroupModel& model) const
@@ -116,6 +152,11 @@
   {
     std::vector<const FreeTarget*>& targets = m_pool[place.fabricDomain];
     PutFirst(targets, [&](const FreeTarget* target) { return HoldsModel(*target, model.name); });
+    PutFirst(targets, [&](const FreeTarget* target) { return target->lastModel == model.name; });
+    // Those that can serve this model only; the others keep both.
+    PutFirst(targets, [&](const FreeTarget* target) {
+      return target->lastModel == model.name && IsStaged(*target, model.name);
+    });
     PlannedGroup group{ model.name, {}, place.loads };
     for (std::size_t i = 0; i < model.size; ++i) {
       group.members.push_back(targets[i]->instance);
@@ -135,26 +176,11 @@
     }
   }
 
-  /// Served part of what is wanted of a model, with `change` groups more.
+  /// Groups of a model for each that its requests keep busy, with `change` groups more.
   static double Fulfilment(const ModelNeed& need, int change)
   {
     const double groups = static_cast<double>(need.groups) + change;
-    return need.wanted == 0 ? kFulfilled : groups / need.wanted;
-  }
-
-  /// One group at a time: what it changes is seen before the next.
-  void Rebalance()
-  {
-    for (const ModelNeed& need : m_needs) {
-      if (need.groups >= need.wanted || m_input.loadsAreCheap) {
-        continue;
-      }
-      const std::optional<Takeover> takeover = FindTakeover(need);
-      if (takeover) {
-        Carry(need, *takeover);
-        return;
-      }
-    }
+    return need.work <= 0 ? kFulfilled : groups / need.work;
   }
 
   /// \brief Free targets of one domain and groups whose targets complete a group of another model.
@@ -192,7 +218,7 @@
   {
     std::map<FabricDomainId, std::vector<const ServingGroup*>> groups;
     for (const ServingGroup& group : m_input.serving) {
-      if (group.model == model) {
+      if (group.model == model && !m_released.contains(group.name)) {
         groups[group.fabricDomain].push_back(&group);
       }
     }
@@ -237,21 +263,32 @@
     return takeover;
   }
 
-  void Carry(const ModelNeed& need, const Takeover& takeover)
+  /// Whether a group of it is on its way; otherwise its members load first, while they serve.
+  bool Carry(ModelNeed& need, const Takeover& takeover)
   {
     for (const FreeTarget* target : takeover.members) {
       Stage(*target, need.model->name);
     }
-    if (takeover.loads == 0) {
-      for (const ServingGroup* group : takeover.groups) {
-        m_plan.releases.push_back(group->name);
-      }
-    }
     for (auto& [domain, targets] : m_pool) {
       std::erase_if(targets, [&](const FreeTarget* target) {
         return std::ranges::find(takeover.members, target) != takeover.members.end();
       });
     }
+    if (takeover.loads > 0) {
+      return false;
+    }
+    PlannedTakeover planned{ { need.model->name, {}, 0 }, {} };
+    for (const FreeTarget* target : takeover.members) {
+      planned.group.members.push_back(target->instance);
+    }
+    for (const ServingGroup* group : takeover.groups) {
+      planned.releases.push_back(group->name);
+      m_released.insert(group->name);
+      --std::ranges::find(m_needs, group->model, &NameOf)->groups;
+    }
+    m_plan.takeovers.push_back(std::move(planned));
+    ++need.groups;
+    return true;
   }
 
   bool StageOneGroup(const GroupModel& model)
@@ -292,6 +329,13 @@
           CountComing(targets, need.model->name) + CountDoubles(domain, need.model->name);
       }
       for (const FreeTarget* target : targets) {
+        if (target->lastModel.empty() && !target->stagedModels.empty() && target->staging.empty()) {
+          m_plan.standbys.push_back({ target->instance, target->stagedModels.front() });
+          continue;
+        }
+        if (!target->lastModel.empty()) {
+          continue; // Its host takes other weights with the doubles.
+        }
         // Weights of another model are not dropped for this under load: they serve its groups.
         if (target->stagedModels.empty() || m_input.loadsAreCheap) {
           StageSpare(*target, spares);
@@ -328,27 +372,38 @@
     ++spares[best->model->name];
   }
 
-  /// A host may hold other weights than its target serves with. While loads are cheap, the members
-  /// of every other small group take the largest model's: such a group can turn into part of a
-  /// large one within seconds, where a load under traffic takes 16 s. The other small groups keep
-  /// their own, so that their survivors can pair again.
+  /// A host may hold other weights than its target serves with, and a target joins another group of
+  /// the model it served last without them. So the host of each target takes the weights of the
+  /// largest other model: the target can then serve either within two seconds, where a load under
+  /// traffic takes 16 s. A move uses this up, so it is restored under traffic too; a load slows no
+  /// request.
   void StageDoubles()
   {
-    if (m_needs.empty()) {
-      return;
+    // Idle targets first: without the other weights some serve nobody.
+    for (const auto& [domain, targets] : m_pool) {
+      for (const FreeTarget* target : targets) {
+        if (!target->lastModel.empty()) {
+          StageOther(*target, target->lastModel);
+        }
+      }
     }
-    const GroupModel& largest = *m_needs.front().model;
-    std::map<FabricDomainId, std::size_t> seen;
     for (const ServingGroup& group : m_input.serving) {
-      if (group.members.size() >= largest.size || seen[group.fabricDomain]++ % 2 != 0) {
-        continue;
-      }
       for (const FreeTarget& member : group.members) {
-        Stage(member, largest.name);
+        StageOther(member, group.model);
       }
     }
   }
 
+  /// The largest model but this one.
+  void StageOther(const FreeTarget& target, const std::string& model)
+  {
+    const auto other = std::ranges::find_if(
+      m_needs, [&](const ModelNeed& need) { return need.model->name != model; });
+    if (other != m_needs.end()) {
+      Stage(target, other->model->name);
+    }
+  }
+
   static bool IsComing(const FreeTarget& target, const std::string& model)
   {
     return HoldsModel(target, model) || target.staging == model;
@@ -363,7 +418,8 @@
 
   void Stage(const FreeTarget& target, const std::string& model)
   {
-    if (IsComing(target, model) || !target.staging.empty() || m_loadsLeft == 0) {
+    if (IsComing(target, model) || !target.staging.empty() || m_loadsLeft == 0 ||
+        !m_staged.insert(target.instance).second) {
       return;
     }
     --m_loadsLeft;
@@ -374,6 +430,8 @@
   Pool m_pool;
   std::vector<ModelNeed> m_needs; ///< The largest model first.
   std::uint32_t m_loadsLeft;
+  std::set<InstanceId> m_staged; ///< Told to load in this plan; a host loads one model at a time.
+  std::set<std::string> m_released; ///< Serving groups that end for a takeover.
   PoolPlan m_plan;
 };
 
--- a/src/serving/target_table.cpp
+++ b/src/serving/target_table.cpp
@@ -24,6 +24,17 @@
                   member.state);
 }
 
+/// A target that joins drops the weights it had; one that has left its group keeps them.
+void NoteLastModel(TargetRow& row)
+{
+  const GroupMembership& membership = row.latest.membership;
+  if (membership.group.empty()) {
+    return;
+  }
+  const bool hasWeights = membership.state != wire::MemberState::Joining;
+  row.lastModel = hasWeights ? row.latest.loadedModel : std::string();
+}
+
 } // namespace
 
 TargetTable::Change TargetTable::Hear(TimePoint now, TargetAnnouncement announcement)
@@ -42,6 +53,7 @@
   const bool isSame = !fresh && Significant(row.latest) == Significant(announcement);
   row.latest = std::move(announcement);
   row.heardAt = now;
+  NoteLastModel(row);
   return isSame ? Change::kRefresh : Change::kState;
 }
 
--- a/tests/unit/engine_groups_test.cpp
+++ b/tests/unit/engine_groups_test.cpp
@@ -3,6 +3,7 @@
 
 #include <gmock/gmock.h>
 #include <random>
+#include <span>
 
 namespace gooseberrysail {
 namespace {
@@ -60,6 +61,16 @@
       }
     }
   }
+  SECTION("spares hold weights ready, and no request can reach them")
+  {
+    const auto standbys = std::ranges::count_if(fleet.Orders(), [](const GroupOrder& order) {
+      return order.kind == GroupOrderKind::kJoin && order.members.size() == 1;
+    });
+    EXPECT_EQ(standbys, 6);
+    EXPECT_TRUE(std::ranges::none_of(fleet.Orders(), [](const GroupOrder& order) {
+      return order.kind == GroupOrderKind::kOpen && order.group.starts_with("standby-");
+    }));
+  }
   SECTION("nothing is ordered while nothing changes")
   {
     const std::size_t before = fleet.Orders().size();
@@ -143,6 +154,67 @@
   EXPECT_THAT(fleet.Violations(), IsEmpty());
 }
 
+// Symptom: a group of four was down for two seconds longer than its spare needed.
+// Sequence: a member dies; the group is formed anew with the dead member, whose last heartbeat was
+// a second old. Cause: a probe without an answer ended the group, but did not count afterwards.
+TEST(EngineGroups, ATargetThatAnsweredNoProbeJoinsNoGroup)
+{
+  FakeFleet fleet = ServingFleet();
+  const std::string head = AnyHead(fleet, "large");
+  const std::string member = fleet.At(head).members.back().Get();
+  fleet.Run(1200ms);
+  fleet.Kill(member);
+  fleet.failing.insert(InstanceId(head));
+  const std::size_t before = fleet.Orders().size();
+  fleet.Run(1500ms);
+  const std::span<const GroupOrder> orders = std::span(fleet.Orders()).subspan(before);
+  EXPECT_TRUE(std::ranges::none_of(orders, [&](const GroupOrder& order) {
+    return order.kind == GroupOrderKind::kJoin &&
+           std::ranges::find(order.members, InstanceId(member)) != order.members.end();
+  }));
+  EXPECT_EQ(fleet.CountServing("large"), 3U);
+}
+
+// Symptom: two small groups closed for the large model, which never got its group.
+// Sequence: the large model lacks a group; a group that is given up still has work for two seconds;
+// meanwhile the small model forms a group of the free targets that the large one counted on.
+// Cause: targets of a takeover were free until all of them were.
+TEST(EngineGroups, ATakeoverKeepsItsTargetsTogetherUntilAllAreFree)
+{
+  FakeFleet fleet = ServingFleet();
+  for (int number = 1; number <= 10; ++number) {
+    fleet.At("a" + std::to_string(number)).finishesIn = 2s;
+  }
+  fleet.demand["large"] = { 30, 30 * 1500.0, 30 * 150.0 };
+  fleet.demand["small"] = { 40, 40 * 714.0, 40 * 146.0 };
+  fleet.Run(1s);
+  for (const std::string domain : { "b", "c" }) {
+    for (int number = 1; number <= 10; ++number) {
+      fleet.Kill(domain + std::to_string(number));
+    }
+  }
+  fleet.Run(14s);
+  // Ten targets are left: as many large groups as small work allows.
+  EXPECT_EQ(fleet.CountServing("large"), 2U);
+  EXPECT_EQ(fleet.CountServing("small"), 1U);
+  EXPECT_THAT(fleet.Violations(), IsEmpty());
+}
+
+// Symptom: nothing was repaired for three seconds after each change of the leader.
+// Sequence: a member dies and the leader with it; the next leader has heard all targets before.
+// Cause: it waited until all targets must have spoken, though each that spoke was certain.
+TEST(EngineGroups, ANewLeaderUsesTargetsAsSoonAsTheyHaveSpoken)
+{
+  FakeFleet fleet = ServingFleet();
+  const std::string head = AnyHead(fleet, "small");
+  fleet.Kill(fleet.At(head).members.back().Get());
+  fleet.failing.insert(InstanceId(head));
+  fleet.ChangeLeader(false);
+  fleet.Run(2300ms);
+  EXPECT_EQ(fleet.CountServing("small"), 6U);
+  EXPECT_THAT(fleet.Violations(), IsEmpty());
+}
+
 // Symptom: the members of a head that serves were given to another group.
 // Sequence: a network fault hides a head from control; entries still get its answers.
 // Cause: silence towards control was taken for death.
