Loads that a group waits for come before second weights; rooms are rounded; dead heads of a former leader don't count

Change: second weights take at most half of the store's loads at once; rooms rounded to the nearest; a group of the former leader counts only while its head is heard.

--- a/include/gooseberrysail/control/engine_groups.hpp
+++ b/include/gooseberrysail/control/engine_groups.hpp
@@ -166,6 +166,9 @@
   [[nodiscard]] std::string StagingOf(const Pass& pass, const TargetRow& row);
   [[nodiscard]] bool IsSettled(const Pass& pass);
   [[nodiscard]] std::uint32_t LoadsLeft(const Pass& pass, const EngineSpec& engine);
+  /// \brief How many more second weights may be loaded now.
+  [[nodiscard]] std::uint32_t SpareLoads(const Pass& pass, const EngineSpec& engine);
+  [[nodiscard]] bool IsCounted(const Pass& pass, const Group& group) const;
   [[nodiscard]] bool IsSilent(const Pass& pass, const TargetRow& row) const;
   [[nodiscard]] bool IsReleased(const Pass& pass, const Group& group) const;
   [[nodiscard]] bool HasSpoken(const TargetRow& row) const;
--- a/include/gooseberrysail/placement/pool_plan.hpp
+++ b/include/gooseberrysail/placement/pool_plan.hpp
@@ -44,7 +44,8 @@
   std::span<const FreeTarget> free;
   std::span<const ModelNeed> needs;
   std::span<const ServingGroup> serving;
-  std::uint32_t loadsLeft = 0; ///< Loads from the weight store that may begin now.
+  std::uint32_t loadsLeft = 0;  ///< Loads from the weight store that may begin now.
+  std::uint32_t spareLoads = 0; ///< Of these, for weights that no group waits for.
   /// \brief Loads are quick and free, as before the first request: groups may be formed of targets
   /// that have to load.
   bool loadsAreCheap = false;
--- a/src/control/engine_groups_planning.cpp
+++ b/src/control/engine_groups_planning.cpp
@@ -24,6 +24,9 @@
 constexpr double kSparePart = 0.2;
 /// A standby takes its weights from its host within two seconds; after this it is told again.
 constexpr Duration kStandbyRetry = 5s;
+/// The part of the loads at once that second weights may take. A load lasts 16 s; those that a
+/// lacking group waits for must not stand behind them.
+constexpr std::uint32_t kSpareLoadsDivisor = 2;
 /// Epochs of one term.
 constexpr std::uint64_t kEpochsPerTerm = 1ULL << 20U;
 
@@ -38,15 +41,21 @@
   const double window = std::chrono::duration<double>(kLoadWindow).count();
   const auto allowed =
     static_cast<std::size_t>(std::floor(engine.loadsPerSecond * window * kLoadReserve));
+  return static_cast<std::uint32_t>(allowed - std::min(allowed, m_loads.size()));
+}
+
+std::uint32_t EngineGroups::SpareLoads(const Pass& pass, const EngineSpec& engine)
+{
+  if (!pass.input.hasTraffic) {
+    return kUnlimitedLoads;
+  }
   std::erase_if(m_staging, [&](const auto& row) {
     const TargetRow* target = pass.Row(row.first);
     return target == nullptr || target->latest.left ||
            pass.input.now - target->heardAt > m_settings.Silence();
   });
-  // More at a time would only slow down those that are under way.
-  const auto atOnce = static_cast<std::size_t>(engine.loadsAtOnce);
-  const std::size_t free = atOnce - std::min(atOnce, m_staging.size());
-  return static_cast<std::uint32_t>(std::min(allowed - std::min(allowed, m_loads.size()), free));
+  const std::size_t most = std::max(1U, engine.loadsAtOnce / kSpareLoadsDivisor);
+  return static_cast<std::uint32_t>(most - std::min(most, m_staging.size()));
 }
 
 // Groups formed before all targets have spoken would leave no room for the large ones.
@@ -67,9 +76,12 @@
   const std::vector<ModelNeed> needs = ListNeeds(pass, service);
   const std::vector<FreeTarget> free = ListFree(pass, service.name);
   const std::vector<ServingGroup> serving = ListServing(pass, service.name);
-  const PoolInput pool{
-    free, needs, serving, LoadsLeft(pass, *service.engine), !pass.input.hasTraffic
-  };
+  const PoolInput pool{ free,
+                        needs,
+                        serving,
+                        LoadsLeft(pass, *service.engine),
+                        SpareLoads(pass, *service.engine),
+                        !pass.input.hasTraffic };
   const PoolPlan plan = PlanPool(pool);
   for (const PlannedGroup& planned : plan.groups) {
     StartGroup(pass, service.name, planned);
@@ -115,7 +127,7 @@
     ModelNeed need{ &model, 0, 0, 0 };
     need.groups = static_cast<std::uint32_t>(std::ranges::count_if(m_groups, [&](const auto& row) {
       return row.second.service == service.name && row.second.model == model.name &&
-             row.second.phase != Phase::kEnding;
+             IsCounted(pass, row.second);
     }));
     const double atStart = static_cast<double>(targets) * (1 - kSparePart) * model.share;
     need.wanted = static_cast<std::uint32_t>(std::lround(atStart / model.size));
@@ -129,6 +141,17 @@
   return needs;
 }
 
+// A new leader finds groups whose heads died with the former one; waited for, none takes their
+// place.
+bool EngineGroups::IsCounted(const Pass& pass, const Group& group) const
+{
+  if (group.phase != Phase::kAdopted) {
+    return group.phase != Phase::kEnding;
+  }
+  const TargetRow* head = pass.Row(group.members.front());
+  return head != nullptr && !IsSilent(pass, *head);
+}
+
 std::vector<FreeTarget> EngineGroups::ListFree(const Pass& pass, const std::string& service)
 {
   std::set<InstanceId> taken;
--- a/src/gateway/target_board.cpp
+++ b/src/gateway/target_board.cpp
@@ -58,7 +58,7 @@
   }
   const auto told = m_parts.find(target.servedModel);
   const double part = told == m_parts.end() ? 1.0 / m_entries : told->second;
-  return std::max(kLeastRoom, static_cast<std::uint32_t>(std::ceil(kHeadFill * slots * part)));
+  return std::max(kLeastRoom, static_cast<std::uint32_t>(std::lround(kHeadFill * slots * part)));
 }
 
 bool TargetBoard::IsSilent(TimePoint now, const Row& row, Duration limit)
--- a/src/placement/pool_plan.cpp
+++ b/src/placement/pool_plan.cpp
@@ -73,6 +73,7 @@
     FillNeeds();
     StageMissing();
     StageSpares();
+    KeepLoadsForNeeds();
     StageDoubles();
     return std::move(m_plan);
   }
@@ -372,6 +373,14 @@
     ++spares[best->model->name];
   }
 
+  /// What no group waits for begins only within the spare loads.
+  void KeepLoadsForNeeds()
+  {
+    const auto begun = static_cast<std::uint32_t>(m_plan.stages.size());
+    const std::uint32_t spare = m_input.spareLoads - std::min(m_input.spareLoads, begun);
+    m_loadsLeft = std::min(m_loadsLeft, spare);
+  }
+
   /// A host may hold other weights than its target serves with, and a target joins another group of
   /// the model it served last without them. So the host of each target takes the weights of the
   /// largest other model: the target can then serve either within two seconds, where a load under
--- a/tests/unit/pool_plan_test.cpp
+++ b/tests/unit/pool_plan_test.cpp
@@ -36,7 +36,7 @@
   std::vector<FreeTarget> free;
   Add(free, 8, "a", "");
   const std::vector<ModelNeed> needs{ { &kSmall, 0, 4 }, { &kLarge, 0, 2 } };
-  const PoolPlan plan = PlanPool({ free, needs, {}, 100, true });
+  const PoolPlan plan = PlanPool({ free, needs, {}, 100, 100, true });
   ASSERT_THAT(plan.groups, SizeIs(2));
   EXPECT_EQ(plan.groups[0].model, "large");
   EXPECT_EQ(plan.groups[1].model, "large");
@@ -48,7 +48,7 @@
   Add(free, 10, "a", "");
   Add(free, 10, "b", "");
   const std::vector<ModelNeed> needs{ { &kLarge, 0, 2 } };
-  const PoolPlan plan = PlanPool({ free, needs, {}, 100, true });
+  const PoolPlan plan = PlanPool({ free, needs, {}, 100, 100, true });
   ASSERT_THAT(plan.groups, SizeIs(2));
   EXPECT_NE(plan.groups[0].members[0].Get()[0], plan.groups[1].members[0].Get()[0]);
 }
@@ -64,7 +64,7 @@
   const std::vector<ModelNeed> needs{ { &kLarge, 0, 1 } };
   SECTION("the missing one is staged")
   {
-    const PoolPlan plan = PlanPool({ free, needs, {}, 5, false });
+    const PoolPlan plan = PlanPool({ free, needs, {}, 5, 5, false });
     EXPECT_THAT(plan.groups, IsEmpty());
     ASSERT_THAT(plan.stages, SizeIs(1));
     EXPECT_EQ(plan.stages[0].target, free[3].instance);
@@ -73,18 +73,18 @@
   SECTION("once only, while its host loads")
   {
     free[3].staging = "large";
-    const PoolPlan plan = PlanPool({ free, needs, {}, 5, false });
+    const PoolPlan plan = PlanPool({ free, needs, {}, 5, 5, false });
     EXPECT_THAT(plan.stages, IsEmpty());
   }
   SECTION("not beyond the store's rate")
   {
-    const PoolPlan plan = PlanPool({ free, needs, {}, 0, false });
+    const PoolPlan plan = PlanPool({ free, needs, {}, 0, 0, false });
     EXPECT_THAT(plan.stages, IsEmpty());
   }
   SECTION("and then it joins")
   {
     free[3].stagedModels = { "large" };
-    const PoolPlan plan = PlanPool({ free, needs, {}, 5, false });
+    const PoolPlan plan = PlanPool({ free, needs, {}, 5, 5, false });
     ASSERT_THAT(plan.groups, SizeIs(1));
     EXPECT_EQ(plan.groups[0].loads, 0U);
   }
@@ -95,7 +95,7 @@
   std::vector<FreeTarget> free;
   Add(free, 4, "a", "");
   const std::vector<ModelNeed> needs{ { &kLarge, 1, 1 }, { &kSmall, 1, 1 } };
-  const PoolPlan plan = PlanPool({ free, needs, {}, 100, true });
+  const PoolPlan plan = PlanPool({ free, needs, {}, 100, 100, true });
   ASSERT_THAT(plan.stages, SizeIs(4));
   const auto large = std::ranges::count(plan.stages, "large", &PlannedStage::model);
   EXPECT_EQ(large, 3);
@@ -130,7 +130,7 @@
   const std::vector<ModelNeed> needs{ { &kLarge, 1, 3, 2.4 }, { &kSmall, 7, 6, 4.4 } };
   SECTION("its targets load while they serve")
   {
-    const PoolPlan plan = PlanPool({ free, needs, serving, 5, false });
+    const PoolPlan plan = PlanPool({ free, needs, serving, 5, 5, false });
     EXPECT_THAT(plan.takeovers, IsEmpty());
     ASSERT_THAT(plan.stages, SizeIs(2));
     EXPECT_EQ(plan.stages[0].target, serving[0].members[0].instance);
@@ -141,7 +141,7 @@
     for (FreeTarget& member : serving[0].members) {
       member.stagedModels = { "large" };
     }
-    const PoolPlan plan = PlanPool({ free, needs, serving, 5, false });
+    const PoolPlan plan = PlanPool({ free, needs, serving, 5, 5, false });
     ASSERT_THAT(plan.takeovers, SizeIs(1));
     EXPECT_THAT(plan.takeovers[0].releases, ::testing::ElementsAre("g1"));
     EXPECT_THAT(plan.takeovers[0].group.members, SizeIs(4));
@@ -149,7 +149,7 @@
   SECTION("not where the small model would then lack more")
   {
     const std::vector<ModelNeed> close{ { &kLarge, 2, 3, 2.4 }, { &kSmall, 4, 6, 4.8 } };
-    const PoolPlan plan = PlanPool({ free, close, serving, 0, false });
+    const PoolPlan plan = PlanPool({ free, close, serving, 0, 0, false });
     EXPECT_THAT(plan.takeovers, IsEmpty());
   }
   SECTION("not for groups that are only reserve")
@@ -158,7 +158,7 @@
       member.stagedModels = { "large" };
     }
     const std::vector<ModelNeed> enough{ { &kLarge, 2, 3, 1.4 }, { &kSmall, 7, 6, 4.0 } };
-    EXPECT_THAT(PlanPool({ free, enough, serving, 0, false }).takeovers, IsEmpty());
+    EXPECT_THAT(PlanPool({ free, enough, serving, 0, 0, false }).takeovers, IsEmpty());
   }
 }
 
@@ -178,7 +178,7 @@
     member.stagedModels = { "large" };
   }
   const std::vector<ModelNeed> needs{ { &kLarge, 0, 2, 1.5 }, { &kSmall, 5, 6, 4.0 } };
-  const PoolPlan plan = PlanPool({ free, needs, serving, 0, false });
+  const PoolPlan plan = PlanPool({ free, needs, serving, 0, 0, false });
   ASSERT_THAT(plan.takeovers, SizeIs(1));
   EXPECT_THAT(plan.groups, IsEmpty());
 }
@@ -193,7 +193,7 @@
   free[1].lastModel = "small";
   free[2].lastModel = "small";
   const std::vector<ModelNeed> needs{ { &kSmall, 0, 1 } };
-  const PoolPlan plan = PlanPool({ free, needs, {}, 0, false });
+  const PoolPlan plan = PlanPool({ free, needs, {}, 0, 0, false });
   ASSERT_THAT(plan.groups, SizeIs(1));
   EXPECT_EQ(plan.groups[0].loads, 0U);
   EXPECT_THAT(plan.groups[0].members,
@@ -209,12 +209,31 @@
     target.lastModel = "small";
   }
   const std::vector<ModelNeed> needs{ { &kSmall, 0, 1 } };
-  const PoolPlan plan = PlanPool({ free, needs, {}, 0, false });
+  const PoolPlan plan = PlanPool({ free, needs, {}, 0, 0, false });
   ASSERT_THAT(plan.groups, SizeIs(1));
   EXPECT_THAT(plan.groups[0].members,
               ::testing::UnorderedElementsAre(free[2].instance, free[3].instance));
 }
 
+// Symptom: four idle targets form no group for ten seconds, as one of them lacks the weights.
+// Sequence: six hosts that serve load second weights, for 16 s; then a group comes to lack one
+// target. Cause: second weights took all loads that the store serves at once.
+TEST(PoolPlan, LoadsThatAGroupWaitsForDoNotStandBehindSecondWeights)
+{
+  std::vector<FreeTarget> free;
+  Add(free, 3, "a", "large");
+  Add(free, 1, "a", "small");
+  for (FreeTarget& target : free) {
+    target.lastModel = target.stagedModels.front();
+  }
+  const std::vector<ServingGroup> serving{ Serving("g1", "small", "b", 2) };
+  const std::vector<ModelNeed> needs{ { &kLarge, 0, 1 }, { &kSmall, 1, 1 } };
+  const PoolPlan plan = PlanPool({ free, needs, serving, 6, 0, false });
+  ASSERT_THAT(plan.stages, SizeIs(1));
+  EXPECT_EQ(plan.stages[0].target, free[3].instance);
+  EXPECT_EQ(plan.stages[0].model, "large");
+}
+
 TEST(PoolPlan, SparesTakeTheirHostsWeightsBeforeTheyAreNeeded)
 {
   std::vector<FreeTarget> free;
@@ -222,7 +241,7 @@
   Add(free, 1, "a", "large");
   free[1].lastModel = "large";
   const std::vector<ModelNeed> needs{ { &kLarge, 1, 1 }, { &kSmall, 1, 1 } };
-  const PoolPlan plan = PlanPool({ free, needs, {}, 0, false });
+  const PoolPlan plan = PlanPool({ free, needs, {}, 0, 0, false });
   ASSERT_THAT(plan.standbys, SizeIs(1));
   EXPECT_EQ(plan.standbys[0].target, free[0].instance);
   EXPECT_EQ(plan.standbys[0].model, "large");
@@ -236,7 +255,7 @@
   const std::vector<ServingGroup> serving{ Serving("g1", "small", "b", 2) };
   const std::vector<ModelNeed> needs{ { &kLarge, 1, 1 }, { &kSmall, 1, 1 } };
   for (const bool beforeTraffic : { true, false }) {
-    const PoolPlan plan = PlanPool({ free, needs, serving, 2, beforeTraffic });
+    const PoolPlan plan = PlanPool({ free, needs, serving, 2, 2, beforeTraffic });
     ASSERT_THAT(plan.stages, SizeIs(2));
     EXPECT_EQ(plan.stages[0].target, free[0].instance);
     EXPECT_EQ(plan.stages[0].model, "small");
