A group whose head nobody reaches goes on at once under a new epoch, where a warm target can take the place

Change: the group keeps its name; its members join it under a higher epoch with another head. A target refuses lower epochs, so no member can work for the former head, and a head without members begins nothing. A leader adopts a group by its highest epoch; a former head that turns out to live is used again once it is broken. Without a warm target in the domain the members leave and wait as before.

Tests: a group goes on at once with another head (dark head; head that lives, heard again by a leader that knows nothing); the test of waiting members now takes away the targets that could take the place.

--- a/include/gooseberrysail/control/engine_groups.hpp
+++ b/include/gooseberrysail/control/engine_groups.hpp
@@ -129,12 +129,13 @@
     TimePoint since{}; ///< In this phase.
     bool wasAdopted = false;
     std::map<InstanceId, TimePoint> orderedAt;
-    bool cut = false;                    ///< A member is lost: nothing that the head has can end.
-    bool closeBegun = false;             ///< The head took the order to close.
-    bool openIsUnsure = false;           ///< An order to open got no answer: it may come late.
-    bool headIsDead = false;             ///< That life of the head certainly ended.
-    bool headIsClosed = false;           ///< The head said that it takes no work.
-    std::optional<TimePoint> releasedAt; ///< The other members were told to leave.
+    bool cut = false;                      ///< A member is lost: nothing that the head has can end.
+    bool closeBegun = false;               ///< The head took the order to close.
+    bool openIsUnsure = false;             ///< An order to open got no answer: it may come late.
+    bool headIsDead = false;               ///< That life of the head certainly ended.
+    bool headIsClosed = false;             ///< The head said that it takes no work.
+    std::optional<TimePoint> headSilentAt; ///< Nobody reached the head.
+    std::optional<TimePoint> releasedAt;   ///< The other members were told to leave.
   };
 
   struct Pass; ///< One tick: input, outputs.
@@ -168,7 +169,18 @@
   [[nodiscard]] std::uint32_t LoadsLeft(const Pass& pass, const EngineSpec& engine);
   /// \brief How many more second weights may be loaded now.
   [[nodiscard]] std::uint32_t SpareLoads(const Pass& pass, const EngineSpec& engine);
+  [[nodiscard]] bool IsHeld(const GroupMembership& membership) const;
   [[nodiscard]] bool IsCounted(const Pass& pass, const Group& group) const;
+  void AddWarm(const Pass& pass,
+               const std::string& service,
+               const GroupModel& model,
+               std::vector<InstanceId>& members);
+  [[nodiscard]] Group MakeGroup(const Pass& pass,
+                                const std::string& service,
+                                const PlannedGroup& planned);
+  static void ReportFormed(Pass& pass, const Group& group, std::uint32_t loads);
+  void ReplaceHeads(Pass& pass, const ServiceDefinition& service);
+  [[nodiscard]] std::vector<InstanceId> ListSurvivors(const Pass& pass, const Group& group) const;
   [[nodiscard]] bool IsSilent(const Pass& pass, const TargetRow& row) const;
   [[nodiscard]] bool IsReleased(const Pass& pass, const Group& group) const;
   [[nodiscard]] bool HasSpoken(const TargetRow& row) const;
--- a/include/gooseberrysail/placement/pool_plan.hpp
+++ b/include/gooseberrysail/placement/pool_plan.hpp
@@ -21,6 +21,9 @@
   std::string lastModel; ///< Of its last group: joining one of this model again is quickest.
 };
 
+/// \brief Whether the target joins a group of the model without a load.
+[[nodiscard]] bool HoldsModel(const FreeTarget& target, const std::string& model);
+
 /// \brief A group that serves; its members may load other weights meanwhile.
 struct ServingGroup
 {
--- a/src/control/engine_groups.cpp
+++ b/src/control/engine_groups.cpp
@@ -131,7 +131,11 @@
       group.since = pass.input.now;
       group.members.resize(1);
     }
-    if (group.wasAdopted || fresh) {
+    if (group.wasAdopted && membership.epoch > group.epoch) {
+      group.members.assign(1, InstanceId());
+      group.epoch = membership.epoch;
+    }
+    if ((group.wasAdopted || fresh) && membership.epoch == group.epoch) {
       group.wasAdopted = true;
       group.members.resize(std::max<std::size_t>(group.members.size(), membership.rank + 1));
       group.members[membership.rank] = instance;
@@ -388,6 +392,10 @@
   if (!silent) {
     return;
   }
+  if (!group.headSilentAt) {
+    group.headSilentAt = pass.input.now;
+    return; // Its group may go on at once with another head.
+  }
   // The head can't be asked, and may serve on although neither control nor any entry reaches it:
   // a network fault can hide a target from all of them. Without its members it stands still, and is
   // broken in the end.
--- a/src/control/engine_groups_planning.cpp
+++ b/src/control/engine_groups_planning.cpp
@@ -9,8 +9,10 @@
 namespace {
 
 using namespace std::chrono_literals;
+using impl::FindModel;
 using impl::IsLeaving;
 using impl::IsReplaced;
+using impl::Reports;
 
 /// Loads are counted over this window, which is the one in which the store's rate is enforced.
 constexpr Duration kLoadWindow = 5s;
@@ -73,6 +75,7 @@
 
 void EngineGroups::Form(Pass& pass, const ServiceDefinition& service)
 {
+  ReplaceHeads(pass, service);
   const std::vector<ModelNeed> needs = ListNeeds(pass, service);
   const std::vector<FreeTarget> free = ListFree(pass, service.name);
   const std::vector<ServingGroup> serving = ListServing(pass, service.name);
@@ -97,6 +100,63 @@
   }
 }
 
+// A head that nobody reaches may live. Under a new epoch of its group its members can't work for it
+// any more, whatever it does, and a target takes no order of a lower epoch; so the group goes on at
+// once with another head, where waiting for the former one to stand still takes five seconds.
+void EngineGroups::ReplaceHeads(Pass& pass, const ServiceDefinition& service)
+{
+  for (auto& [name, group] : m_groups) {
+    const bool lacksHead = group.phase == Phase::kEnding && group.headSilentAt;
+    const GroupModel* model = FindModel(service, group.model);
+    if (group.service != service.name || !lacksHead || model == nullptr) {
+      continue;
+    }
+    std::vector<InstanceId> members = ListSurvivors(pass, group);
+    AddWarm(pass, service.name, *model, members);
+    if (members.size() == model->size) {
+      group = MakeGroup(pass, service.name, { model->name, std::move(members), 0 });
+      group.name = name;
+      ReportFormed(pass, group, 0);
+      AdvanceJoining(pass, group);
+    }
+  }
+}
+
+/// Fills `members` up to the model's size with free targets of their domain that hold its weights.
+void EngineGroups::AddWarm(const Pass& pass,
+                           const std::string& service,
+                           const GroupModel& model,
+                           std::vector<InstanceId>& members)
+{
+  if (members.empty()) {
+    return;
+  }
+  const FabricDomainId domain = pass.Row(members.front())->latest.fabricDomain;
+  for (const FreeTarget& target : ListFree(pass, service)) {
+    const bool fits = target.fabricDomain == domain && HoldsModel(target, model.name);
+    if (members.size() < model.size && fits) {
+      members.push_back(target.instance);
+    }
+  }
+}
+
+std::vector<InstanceId> EngineGroups::ListSurvivors(const Pass& pass, const Group& group) const
+{
+  std::vector<InstanceId> survivors;
+  for (std::size_t rank = 1; rank < group.members.size(); ++rank) {
+    const TargetRow* row = pass.Row(group.members[rank]);
+    if (row == nullptr || IsLeaving(row) || IsSilent(pass, *row) || !HasSpoken(*row) ||
+        IsReplaced(pass.input.targets, *row)) {
+      continue;
+    }
+    const GroupMembership& membership = row->latest.membership;
+    if (membership.group.empty() || Reports(row, group.name, group.epoch)) {
+      survivors.push_back(group.members[rank]);
+    }
+  }
+  return survivors;
+}
+
 std::vector<ServingGroup> EngineGroups::ListServing(const Pass& pass, const std::string& service)
 {
   std::vector<ServingGroup> serving;
@@ -152,6 +212,18 @@
   return head != nullptr && !IsSilent(pass, *head);
 }
 
+// A former head that turns out to live reports a lower epoch of a group that goes on without it;
+// once it is broken it takes no work and is free.
+bool EngineGroups::IsHeld(const GroupMembership& membership) const
+{
+  const auto found = m_groups.find(membership.group);
+  if (found == m_groups.end()) {
+    return false;
+  }
+  const bool isFormer = membership.epoch < found->second.epoch;
+  return !isFormer || membership.state != wire::MemberState::Broken;
+}
+
 std::vector<FreeTarget> EngineGroups::ListFree(const Pass& pass, const std::string& service)
 {
   std::set<InstanceId> taken;
@@ -162,8 +234,7 @@
   for (const auto& [instance, row] : pass.input.targets.Rows()) {
     const bool usable = row.latest.service == service && !IsLeaving(&row) && HasSpoken(row) &&
                         !IsSilent(pass, row) && !taken.contains(instance) &&
-                        !m_groups.contains(row.latest.membership.group) &&
-                        !IsReplaced(pass.input.targets, row);
+                        !IsHeld(row.latest.membership) && !IsReplaced(pass.input.targets, row);
     if (!usable) {
       continue;
     }
@@ -218,6 +289,17 @@
                                             const std::string& service,
                                             const PlannedGroup& planned,
                                             Phase phase)
+{
+  Group group = MakeGroup(pass, service, planned);
+  group.phase = phase;
+  m_loads.insert(m_loads.end(), planned.loads, pass.input.now);
+  ReportFormed(pass, group, planned.loads);
+  return m_groups.emplace(group.name, std::move(group)).first->second;
+}
+
+EngineGroups::Group EngineGroups::MakeGroup(const Pass& pass,
+                                            const std::string& service,
+                                            const PlannedGroup& planned)
 {
   Group group;
   group.epoch = NextEpoch(pass);
@@ -225,16 +307,19 @@
   group.service = service;
   group.model = planned.model;
   group.members = planned.members;
-  group.phase = phase;
   group.since = pass.input.now;
-  m_loads.insert(m_loads.end(), planned.loads, pass.input.now);
+  return group;
+}
+
+void EngineGroups::ReportFormed(Pass& pass, const Group& group, std::uint32_t loads)
+{
   pass.events.push_back(MakeEvent(EventNumber::kTargetGroupFormed,
                                   { { "group", group.name },
+                                    { "epoch", std::to_string(group.epoch.Get()) },
                                     { "model", group.model },
                                     { "head", group.members.front().Get() },
                                     { "members", std::to_string(group.members.size()) },
-                                    { "loads", std::to_string(planned.loads) } }));
-  return m_groups.emplace(group.name, std::move(group)).first->second;
+                                    { "loads", std::to_string(loads) } }));
 }
 
 // Nobody opens this group, so no request reaches the target through it.
--- a/src/control/serving_control.cpp
+++ b/src/control/serving_control.cpp
@@ -192,7 +192,8 @@
   }
   if (context.ready && context.HasFreshQuorum()) {
     m_feed.OnQuery(context, peer, *query);
-    const bool complains = std::ranges::any_of(query->heads, [](const auto& head) { return head->failing; });
+    const bool complains =
+      std::ranges::any_of(query->heads, [](const auto& head) { return head->failing; });
     m_nextKeep = complains ? context.now : m_nextKeep;
   } else {
     context.SendMessage(peer, MakeControlList(context));
--- a/src/placement/pool_plan.cpp
+++ b/src/placement/pool_plan.cpp
@@ -39,11 +39,6 @@
   return std::ranges::find(target.stagedModels, model) != target.stagedModels.end();
 }
 
-bool HoldsModel(const FreeTarget& target, const std::string& model)
-{
-  return target.lastModel == model || IsStaged(target, model);
-}
-
 /// Fewest loads first; then the domain with most room, so that groups spread evenly and one dark
 /// domain takes few of a model.
 bool IsBetter(const Place& left, const Place& right)
@@ -446,6 +441,11 @@
 
 } // namespace
 
+bool HoldsModel(const FreeTarget& target, const std::string& model)
+{
+  return target.lastModel == model || IsStaged(target, model);
+}
+
 PoolPlan PlanPool(const PoolInput& input)
 {
   return Planner(input).Run();
--- a/tests/fakes/fake_fleet.cpp
+++ b/tests/fakes/fake_fleet.cpp
@@ -170,10 +170,10 @@
 // A head that lacks a member moves nothing and is broken after five seconds.
 void FakeFleet::StandStill(const InstanceId& head)
 {
-  const std::string group = At(head.Get()).self.membership.group;
-  Later(5s, [this, head, group] {
+  const Epoch epoch = At(head.Get()).self.membership.epoch;
+  Later(5s, [this, head, epoch] {
     Target& target = At(head.Get());
-    if (target.self.membership.group == group) {
+    if (target.self.membership.epoch == epoch) {
       target.self.membership.state = MemberState::Broken;
       Report(target);
     }
@@ -195,10 +195,13 @@
 
 void FakeFleet::Join(Target& target, const GroupOrder& order)
 {
-  if (target.self.membership.epoch > order.epoch || target.self.membership.group == order.group) {
+  if (target.self.membership.epoch >= order.epoch) {
     return;
   }
   CheckJoin(target, order.group);
+  if (!target.self.membership.group.empty() && target.members.front() != order.target) {
+    StandStill(target.members.front());
+  }
   target.members = order.members;
   const auto rank = std::ranges::find(order.members, order.target) - order.members.begin();
   target.self.membership = {
@@ -221,7 +224,9 @@
 
 void FakeFleet::CheckJoin(const Target& target, const std::string& newGroup)
 {
-  if (target.members.empty() || target.self.membership.group.empty()) {
+  // Under a new epoch of its own group a target can't work for the former head any more.
+  const bool isOwnGroup = target.self.membership.group == newGroup;
+  if (target.members.empty() || target.self.membership.group.empty() || isOwnGroup) {
     return;
   }
   const Target& head = m_targets.at(target.members.front());
--- a/tests/unit/engine_groups_test.cpp
+++ b/tests/unit/engine_groups_test.cpp
@@ -234,17 +234,58 @@
   FakeFleet fleet = ServingFleet();
   const std::string head = AnyHead(fleet, "large");
   const std::vector<InstanceId> members = fleet.At(head).members;
+  const std::string domain = head.substr(0, 1);
+  for (int number = 1; number <= 10; ++number) {
+    // None is left that could take the head's place.
+    const InstanceId other(domain + std::to_string(number));
+    if (std::ranges::find(members, other) == members.end()) {
+      fleet.Kill(other.Get());
+    }
+  }
   fleet.Kill(head);
-  SECTION("while it may only be cut off, they wait until it stands still")
+  fleet.Run(8s);
+  for (std::size_t rank = 1; rank < members.size(); ++rank) {
+    EXPECT_EQ(fleet.At(members[rank].Get()).self.membership.group, "") << rank;
+  }
+  EXPECT_THAT(fleet.Violations(), IsEmpty());
+}
+
+// Symptom: after the loss of a head three of its members do nothing for seven seconds.
+// Sequence: the head's machine goes dark; a spare with the weights stands by in the domain.
+// Cause: the head might live, and its members were kept until it must have stood still. Under a new
+// epoch of the group they can't work for it, so the group need not wait.
+TEST(EngineGroups, AGroupGoesOnAtOnceWithAnotherHead)
+{
+  SECTION("its machine is dark")
   {
-    fleet.Run(8s);
-    for (std::size_t rank = 1; rank < members.size(); ++rank) {
-      EXPECT_EQ(fleet.At(members[rank].Get()).self.membership.group, "") << rank;
-    }
-    fleet.Run(6s);
+    FakeFleet fleet = ServingFleet();
+    const std::string head = AnyHead(fleet, "large");
+    const std::string group = fleet.At(head).self.membership.group;
+    const std::string member = fleet.At(head).members.back().Get();
+    fleet.failing.insert(InstanceId(head));
+    fleet.Kill(head);
+    fleet.Run(2500ms);
+    EXPECT_EQ(fleet.At(member).self.membership.group, group);
     EXPECT_EQ(fleet.CountServing("large"), 3U);
+    EXPECT_FALSE(fleet.Keeper().ServingHeads().contains(InstanceId(head)));
+    EXPECT_THAT(fleet.Violations(), IsEmpty());
+  }
+  SECTION("it lives, is heard again, and a leader that knows nothing follows")
+  {
+    FakeFleet fleet = ServingFleet();
+    const std::string head = AnyHead(fleet, "large");
+    fleet.failing.insert(InstanceId(head));
+    fleet.At(head).reachesControl = false;
+    fleet.Run(2500ms);
+    fleet.At(head).reachesControl = true;
+    fleet.failing.clear();
+    fleet.ChangeLeader(true);
+    fleet.Run(4s);
+    EXPECT_FALSE(fleet.Keeper().ServingHeads().contains(InstanceId(head)));
+    EXPECT_EQ(fleet.CountServing("large"), 3U);
+    fleet.Run(10s);
+    EXPECT_THAT(fleet.Violations(), IsEmpty());
   }
-  EXPECT_THAT(fleet.Violations(), IsEmpty());
 }
 
 // Symptom: a target was joined to a new group while the head of its former one was open.
