A process that just started trusts no first word; a group that went on is not over with its former head

Two ways lead there, and both are closed: a leader whose process has just started used targets by the first word it heard of them, which may be a heartbeat held up on its way; and a group that was over counted as over by its name, so that members of its next epoch were free once the former head was heard as broken.

The fake fleet's check is stricter now: a head that is open may not join another group either. That showed two more faults: a close told again to a head that is closing, and a close that overtakes an order to open, were taken for closed. Both wait for the head's own word now.

--- a/include/gooseberrysail/control/engine_groups.hpp
+++ b/include/gooseberrysail/control/engine_groups.hpp
@@ -12,6 +12,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace gooseberrysail {
@@ -59,6 +60,9 @@
   Term term; ///< This process leads in it.
   const TargetTable& targets;
   const ServingDocument& document;
+  /// \brief This process has run for longer than all targets need to speak. Before, a late
+  /// heartbeat may be the only word of a target that has joined a group since.
+  bool isWhole = false;
   bool hasTraffic = false; ///< Entries have seen requests: loads count against the store's rate.
   const std::set<InstanceId>& answering; ///< Heads that answered an entry a moment ago.
   const std::set<InstanceId>& failing;   ///< Heads that failed an entry and answered none since.
@@ -134,6 +138,7 @@
     bool openIsUnsure = false;             ///< An order to open got no answer: it may come late.
     bool headIsDead = false;               ///< That life of the head certainly ended.
     bool headIsClosed = false;             ///< The head said that it takes no work.
+    std::optional<TimePoint> openedAt;     ///< The order to open it was answered.
     std::optional<TimePoint> headSilentAt; ///< Nobody reached the head.
     std::optional<TimePoint> releasedAt;   ///< The other members were told to leave.
   };
@@ -141,6 +146,7 @@
   struct Pass; ///< One tick: input, outputs.
 
   void Adopt(Pass& pass);
+  [[nodiscard]] static Group MakeAdopted(const Pass& pass, const TargetRow& row);
   void DropEnded(Pass& pass);
   void ForgetGone(const Pass& pass);
   void Advance(Pass& pass, Group& group);
@@ -201,8 +207,10 @@
   std::map<InstanceId, TimePoint> m_unanswered; ///< Probes without an answer, until the next word.
   std::map<InstanceId, TimePoint> m_standbySince; ///< When targets were told to hold weights ready.
   std::size_t m_knownTargets = 0;
-  TimePoint m_newTargetAt{};        ///< When the table last grew.
-  std::set<std::string> m_released; ///< Groups that are over although members still report them.
+  TimePoint m_newTargetAt{}; ///< When the table last grew.
+  /// \brief Groups that are over although members still report them. By epoch: a group that went on
+  /// with another head is not over with the former head's epoch, nor that with it.
+  std::set<std::pair<std::string, Epoch>> m_released;
   std::optional<TimePoint> m_leadsSince;
   std::uint64_t m_formed = 0; ///< In this term.
 };
--- a/src/control/engine_groups.cpp
+++ b/src/control/engine_groups.cpp
@@ -25,6 +25,8 @@
 constexpr Duration kGatherPatience = 4s;
 /// A join that takes longer than this beside its load has failed.
 constexpr Duration kJoinSlack = 10s;
+/// A head opens some 0.3 s after the order; by then its heartbeat tells.
+constexpr Duration kOpenSlack = 1s;
 /// Beside the time that a head stands still: the order's way and the head's own timer.
 constexpr Duration kStandstillSlack = 400ms;
 
@@ -112,8 +114,8 @@
 void EngineGroups::DropEnded(Pass& pass)
 {
   for (const std::string& name : pass.dropped) {
+    m_released.emplace(name, m_groups.at(name).epoch);
     m_groups.erase(name);
-    m_released.insert(name);
   }
   pass.dropped.clear();
 }
@@ -125,38 +127,45 @@
 {
   for (const auto& [instance, row] : pass.input.targets.Rows()) {
     const GroupMembership& membership = row.latest.membership;
-    if (membership.group.empty() || membership.group.starts_with(impl::kStandbyPrefix) ||
-        m_released.contains(membership.group)) {
+    const bool isOver = m_released.contains({ membership.group, membership.epoch });
+    const bool isStandby = membership.group.starts_with(impl::kStandbyPrefix);
+    if (membership.group.empty() || isStandby || isOver) {
       continue;
     }
     const auto [found, fresh] = m_groups.try_emplace(membership.group);
     Group& group = found->second;
-    if (fresh) {
-      group.name = membership.group;
-      group.epoch = membership.epoch;
-      group.service = row.latest.service;
-      group.phase = Phase::kAdopted;
-      group.since = pass.input.now;
-      group.members.resize(1);
+    // A group that went on with another head is the one of its highest epoch; the former head may
+    // be heard first.
+    if (fresh || (group.wasAdopted && membership.epoch > group.epoch)) {
+      group = MakeAdopted(pass, row);
     }
-    if (group.wasAdopted && membership.epoch > group.epoch) {
-      group.members.assign(1, InstanceId());
-      group.epoch = membership.epoch;
-    }
-    if ((group.wasAdopted || fresh) && membership.epoch == group.epoch) {
-      group.wasAdopted = true;
+    if (group.wasAdopted && membership.epoch == group.epoch) {
       group.members.resize(std::max<std::size_t>(group.members.size(), membership.rank + 1));
       group.members[membership.rank] = instance;
       group.model = group.model.empty() ? row.latest.loadedModel : group.model;
     }
   }
-  std::erase_if(m_released, [&](const std::string& name) {
+  std::erase_if(m_released, [&](const auto& released) {
     return std::ranges::none_of(pass.input.targets.Rows(), [&](const auto& row) {
-      return row.second.latest.membership.group == name;
+      const GroupMembership& membership = row.second.latest.membership;
+      return membership.group == released.first && membership.epoch == released.second;
     });
   });
 }
 
+EngineGroups::Group EngineGroups::MakeAdopted(const Pass& pass, const TargetRow& row)
+{
+  Group group;
+  group.name = row.latest.membership.group;
+  group.epoch = row.latest.membership.epoch;
+  group.service = row.latest.service;
+  group.phase = Phase::kAdopted;
+  group.since = pass.input.now;
+  group.wasAdopted = true;
+  group.members.resize(1);
+  return group;
+}
+
 void EngineGroups::AdvanceAdopted(Pass& pass, Group& group)
 {
   const TargetRow* head = pass.Row(group.members.front());
@@ -505,15 +514,20 @@
     return;
   }
   Group& group = found->second;
-  if (order.kind == GroupOrderKind::kOpen && outcome == OrderOutcome::kUnknown) {
-    group.openIsUnsure = true;
+  if (order.kind == GroupOrderKind::kOpen) {
+    group.openIsUnsure = group.openIsUnsure || outcome == OrderOutcome::kUnknown;
+    group.openedAt = now;
   }
   if (group.phase != Phase::kEnding || order.kind != GroupOrderKind::kClose) {
     return;
   }
   group.closeBegun = group.closeBegun || outcome == OrderOutcome::kBegun;
   group.headIsDead = group.headIsDead || outcome == OrderOutcome::kReplaced;
-  group.headIsClosed = group.headIsClosed || outcome == OrderOutcome::kDone;
+  // A close that is told again finds the head closing, and one that overtakes an order to open
+  // finds it closed still: only what the head says later is certain then.
+  const bool isOpening = group.openedAt && now - *group.openedAt < kOpenSlack;
+  const bool isCertain = !group.closeBegun && !isOpening;
+  group.headIsClosed = group.headIsClosed || (outcome == OrderOutcome::kDone && isCertain);
 }
 
 std::map<InstanceId, std::string> EngineGroups::ServingHeads() const
--- a/src/control/engine_groups_planning.cpp
+++ b/src/control/engine_groups_planning.cpp
@@ -70,7 +70,7 @@
   m_knownTargets = known;
   const bool learnt = pass.input.now - *m_leadsSince >= m_settings.LearnTime();
   const bool isQuiet = pass.input.now - m_newTargetAt >= m_settings.QuietTime();
-  return pass.input.hasTraffic || (learnt && isQuiet);
+  return pass.input.hasTraffic ? pass.input.isWhole : learnt && isQuiet;
 }
 
 void EngineGroups::Form(Pass& pass, const ServiceDefinition& service)
--- a/src/control/serving_control.cpp
+++ b/src/control/serving_control.cpp
@@ -289,6 +289,7 @@
                   context.replication.term,
                   m_targets,
                   *m_document,
+                  context.now - m_startedAt >= m_learnTime,
                   m_feed.HasTraffic(),
                   answering,
                   failing,
--- a/tests/fakes/fake_fleet.cpp
+++ b/tests/fakes/fake_fleet.cpp
@@ -15,6 +15,8 @@
 constexpr Duration kJoinTime = 200ms;
 constexpr Duration kOpenTime = 300ms;
 constexpr Duration kLoadTime = 2s;
+/// After this a process has heard all targets.
+constexpr Duration kLearnTime = 2520ms;
 
 bool HoldsModel(const TargetAnnouncement& self, const std::string& model)
 {
@@ -100,8 +102,17 @@
 {
   std::vector<GroupOrder> orders;
   std::vector<EventOut> events;
-  m_keeper.Tick(
-    { now, m_term, m_table, m_document, hasTraffic, answering, failing, demand }, orders, events);
+  m_keeper.Tick({ now,
+                  m_term,
+                  m_table,
+                  m_document,
+                  now - m_startedAt >= kLearnTime,
+                  hasTraffic,
+                  answering,
+                  failing,
+                  demand },
+                orders,
+                events);
   for (const GroupOrder& order : orders) {
     m_orders.push_back(order);
     Obey(order);
@@ -233,7 +244,7 @@
   const MemberState state = head.self.membership.state;
   const bool isOpen = head.isUp && head.self.membership.group == target.self.membership.group &&
                       (state == MemberState::Open || state == MemberState::Closing);
-  if (isOpen && &head != &target) {
+  if (isOpen) {
     m_violations.push_back(target.self.instance.Get() + " joined " + newGroup + " while " +
                            target.self.membership.group + " was open");
   }
@@ -254,6 +265,7 @@
   m_term = Term(m_term.Get() + 1);
   if (forgets) {
     m_table = TargetTable();
+    m_startedAt = now;
     m_keeper = EngineGroups();
   }
   m_keeper.OnLeaderStart();
--- a/tests/fakes/fake_fleet.hpp
+++ b/tests/fakes/fake_fleet.hpp
@@ -77,6 +77,7 @@
   TargetTable m_table;
   EngineGroups m_keeper;
   Term m_term{ 1 };
+  TimePoint m_startedAt{ std::chrono::hours(1) };
   std::vector<GroupOrder> m_orders;
   std::vector<std::string> m_violations;
 };
--- a/tests/unit/engine_groups_test.cpp
+++ b/tests/unit/engine_groups_test.cpp
@@ -215,6 +215,56 @@
   EXPECT_THAT(fleet.Violations(), IsEmpty());
 }
 
+// Symptom: a target was joined to a new group while the head of its group was open.
+// Sequence: all control processes are killed at once; the first heartbeat that the new leader's
+// process hears of a member is one that was held up on its way and is older than the group.
+// Cause: a process that has just started took the target's first word for its latest.
+TEST(EngineGroups, AProcessThatJustStartedTrustsNoFirstWord)
+{
+  FakeFleet fleet = ServingFleet();
+  fleet.ChangeLeader(true);
+  fleet.Run(100ms);
+  for (const std::string domain : { "a", "b" }) {
+    for (int number = 1; number <= 10; ++number) {
+      TargetAnnouncement late = fleet.At(domain + std::to_string(number)).self;
+      late.membership = {};
+      late.sequence = 1;
+      fleet.Table().Hear(fleet.now + 1ms, late);
+    }
+  }
+  fleet.Run(10s);
+  EXPECT_THAT(fleet.Violations(), IsEmpty());
+  EXPECT_EQ(fleet.CountServing("large"), 3U);
+}
+
+// Symptom: as before. Sequence: a group goes on with another head; its former head, cut off until
+// then, comes back and says that it is broken; a new leader that knows nothing hears it first.
+// Cause: the group of that name counted as over, and the members of its next epoch as free.
+TEST(EngineGroups, AGroupThatWentOnIsNotOverWithItsFormerHead)
+{
+  FakeFleet fleet = ServingFleet();
+  const std::string head = AnyHead(fleet, "large");
+  const std::string survivor = fleet.At(head).members.back().Get();
+  fleet.failing.insert(InstanceId(head));
+  fleet.At(head).reachesControl = false;
+  fleet.Run(8s);
+  ASSERT_EQ(fleet.At(head).self.membership.state, wire::MemberState::Broken);
+  fleet.failing.clear();
+  const std::vector<InstanceId> members = fleet.At(survivor).members;
+  ASSERT_EQ(std::ranges::count(members, InstanceId(head)), 0);
+  for (const InstanceId& member : members) {
+    fleet.At(member.Get()).reachesControl = false;
+  }
+  fleet.At(head).reachesControl = true;
+  fleet.ChangeLeader(true);
+  fleet.Run(1500ms);
+  for (const InstanceId& member : members) {
+    fleet.At(member.Get()).reachesControl = true;
+  }
+  fleet.Run(10s);
+  EXPECT_THAT(fleet.Violations(), IsEmpty());
+}
+
 // Symptom: the members of a head that serves were given to another group.
 // Sequence: a network fault hides a head from control; entries still get its answers.
 // Cause: silence towards control was taken for death.
