One piece each for a group's model, the report of its end, the sums of demand, and "all have been heard"

Cause: read on the whole change. The search of the document for a group's model stood twice (IsWhole, AdvanceJoining), the event of a group's end three times, and "heard all targets" twice. Each entry's parts added up all entries' requests anew, every 50 ms for each entry and model, though Demand() is that sum.

Ruled out: nothing else of the duplicates listed holds the same logic; the others are generated code, tables of settings, and conversions to and from the wire.

Change: ModelOf, ReportEnded, HasHeardAll; PartsOf takes the sums; AdvanceOpen asks once whether the head fails. Behaviour and tests are as before.

--- a/include/gooseberrysail/control/engine_groups.hpp
+++ b/include/gooseberrysail/control/engine_groups.hpp
@@ -185,6 +185,8 @@
   [[nodiscard]] Group MakeGroup(const Pass& pass,
                                 const std::string& service,
                                 const PlannedGroup& planned);
+  static void ReportEnded(Pass& pass, const Group& group, const char* reason);
+  [[nodiscard]] static const GroupModel* ModelOf(const Pass& pass, const Group& group);
   static void ReportFormed(Pass& pass, const Group& group, std::uint32_t loads);
   void ReplaceHeads(Pass& pass, const ServiceDefinition& service);
   [[nodiscard]] std::vector<InstanceId> ListSurvivors(const Pass& pass, const Group& group) const;
--- a/include/gooseberrysail/control/serving_control.hpp
+++ b/include/gooseberrysail/control/serving_control.hpp
@@ -58,6 +58,11 @@
   [[nodiscard]] DocumentService::Respond Responder(ControlContext& context);
   void NoteChange(ControlContext& context, const InstanceId& instance);
   void PassOn(ControlContext& context, const InstanceId& instance);
+  /// \brief Whether this process has run for longer than all targets need to speak.
+  [[nodiscard]] bool HasHeardAll(TimePoint now) const noexcept
+  {
+    return now - m_startedAt >= m_learnTime;
+  }
   void FollowDocument(ControlContext& context);
   void KeepGroups(ControlContext& context);
   void EndOrder(ControlContext& context,
--- a/include/gooseberrysail/control/serving_feed.hpp
+++ b/include/gooseberrysail/control/serving_feed.hpp
@@ -75,10 +75,14 @@
 
   /// \brief When any entry last had an answer of the head; the epoch of the clock for never.
   [[nodiscard]] TimePoint LastAnswer(const InstanceId& head) const;
-  /// \brief The entry's parts of all entries' requests.
-  [[nodiscard]] Parts PartsOf(const Entry& entry) const;
+  /// \brief The entry's parts of `demand`, which is all entries'.
+  [[nodiscard]] Parts PartsOf(const Entry& entry,
+                              const std::map<std::string, ModelDemand>& demand) const;
   static void NoteDemand(TimePoint now, Entry& entry, const wire::ModelDemandT& demand);
-  void Supply(ControlContext& context, const ProcessId& process, Entry& entry);
+  void Supply(ControlContext& context,
+              const ProcessId& process,
+              Entry& entry,
+              const std::map<std::string, ModelDemand>& demand);
 
   std::map<ProcessId, Entry> m_entries;
   std::vector<ServedTarget> m_targets;
--- a/src/control/engine_groups.cpp
+++ b/src/control/engine_groups.cpp
@@ -227,22 +227,26 @@
 {
   const bool allKnown =
     std::ranges::none_of(group.members, [](const InstanceId& member) { return member.IsNone(); });
+  const GroupModel* model = ModelOf(pass, group);
+  return allKnown && model != nullptr && model->size == group.members.size();
+}
+
+/// Null when the document no longer has the service or the model.
+const GroupModel* EngineGroups::ModelOf(const Pass& pass, const Group& group)
+{
   for (const ServiceDefinition& service : pass.input.document.services) {
     if (service.name == group.service && service.engine) {
-      const GroupModel* model = FindModel(service, group.model);
-      return allKnown && model != nullptr && model->size == group.members.size();
+      return FindModel(service, group.model);
     }
   }
-  return false;
+  return nullptr;
 }
 
 void EngineGroups::AdvanceGathering(Pass& pass, Group& group)
 {
   if (HasFailedMember(pass, group) || pass.input.now - group.since > kGatherPatience) {
     // No member was told of it yet.
-    pass.events.push_back(
-      MakeEvent(EventNumber::kTargetGroupEnded,
-                { { "group", group.name }, { "reason", "its members did not come together" } }));
+    ReportEnded(pass, group, "its members did not come together");
     pass.dropped.push_back(group.name);
     return;
   }
@@ -265,21 +269,16 @@
 
 void EngineGroups::AdvanceJoining(Pass& pass, Group& group)
 {
-  Duration patience = kJoinSlack;
-  for (const ServiceDefinition& service : pass.input.document.services) {
-    if (service.name == group.service && service.engine) {
-      const GroupModel* model = FindModel(service, group.model);
-      patience += model == nullptr ? Duration::zero() : 2 * model->loadTime;
-    }
-  }
+  const GroupModel* model = ModelOf(pass, group);
+  const Duration patience =
+    kJoinSlack + (model == nullptr ? Duration::zero() : 2 * model->loadTime);
   if (HasFailedMember(pass, group) || pass.input.now - group.since > patience) {
     if (group.wasAdopted) {
       End(pass, group, "a member failed");
       return;
     }
     // It was never told to open: its members are free at once.
-    pass.events.push_back(MakeEvent(EventNumber::kTargetGroupEnded,
-                                    { { "group", group.name }, { "reason", "a member failed" } }));
+    ReportEnded(pass, group, "a member failed");
     pass.dropped.push_back(group.name);
     return;
   }
@@ -327,6 +326,8 @@
     End(pass, group, "its head serves no more");
     return;
   }
+  const InstanceId& instance = group.members.front();
+  const bool isFailing = pass.input.failing.contains(instance);
   for (const InstanceId& member : group.members) {
     const TargetRow* row = pass.Row(member);
     if (member.IsNone()) {
@@ -346,20 +347,17 @@
       End(pass, group, "a member was restarted");
       return;
     }
-    const bool isSilent = IsSilent(pass, *row);
-    if (isSilent && pass.input.failing.contains(group.members.front())) {
+    if (isFailing && IsSilent(pass, *row)) {
       // The head waits for a dead member: nothing that it has can end, and its callers were told.
       group.cut = true;
       End(pass, group, "a member is silent and the head stands still");
       return;
     }
   }
-  if (pass.input.failing.contains(group.members.front())) {
+  if (isFailing) {
     ProbeMembers(pass, group);
   }
   // A head that is cut off from control only still answers the entries; its group goes on.
-  const InstanceId& instance = group.members.front();
-  const bool isFailing = pass.input.failing.contains(instance);
   const bool isSilent =
     isFailing ? IsSilent(pass, *head) : pass.input.now - head->heardAt > m_settings.Silence();
   const bool answers = pass.input.answering.contains(instance);
@@ -466,6 +464,11 @@
     Reports(head, group.name, group.epoch) && head->latest.membership.state == MemberState::Broken;
   group.headIsClosed =
     broken || (head != nullptr && !head->latest.left && !Reports(head, group.name, group.epoch));
+  ReportEnded(pass, group, reason);
+}
+
+void EngineGroups::ReportEnded(Pass& pass, const Group& group, const char* reason)
+{
   pass.events.push_back(
     MakeEvent(EventNumber::kTargetGroupEnded, { { "group", group.name }, { "reason", reason } }));
 }
--- a/src/control/serving_control.cpp
+++ b/src/control/serving_control.cpp
@@ -247,7 +247,7 @@
     KeepGroups(context);
     m_feed.SetTargets(ListTargets(context));
   }
-  m_feed.SetWhole(context.now - m_startedAt >= m_learnTime);
+  m_feed.SetWhole(HasHeardAll(context.now));
   m_feed.Tick(context);
 }
 
@@ -289,7 +289,7 @@
                   context.replication.term,
                   m_targets,
                   *m_document,
-                  context.now - m_startedAt >= m_learnTime,
+                  HasHeardAll(context.now),
                   m_feed.HasTraffic(),
                   answering,
                   failing,
--- a/src/control/serving_feed.cpp
+++ b/src/control/serving_feed.cpp
@@ -80,7 +80,7 @@
       entry.failedAt[InstanceId(head->instance)] = context.now;
     }
   }
-  Supply(context, process, entry);
+  Supply(context, process, entry, Demand());
 }
 
 void ServingFeed::OnPeerDown(const ProcessId& process)
@@ -101,21 +101,25 @@
 {
   std::erase_if(m_entries,
                 [&](const auto& row) { return context.now - row.second.heardAt > kEntryGone; });
+  const std::map<std::string, ModelDemand> demand = Demand();
   for (auto& [process, entry] : m_entries) {
-    Supply(context, process, entry);
+    Supply(context, process, entry, demand);
   }
 }
 
 // The document is sent whole: at 500 routes it has some 120 KB, which an entry reads in about a
 // millisecond. Frames of one connection arrive in order or not at all, so what was sent counts as
 // had until the entry's next question says otherwise.
-void ServingFeed::Supply(ControlContext& context, const ProcessId& process, Entry& entry)
+void ServingFeed::Supply(ControlContext& context,
+                         const ProcessId& process,
+                         Entry& entry,
+                         const std::map<std::string, ModelDemand>& demand)
 {
   const StoredDocument& document = context.state.GetDocument();
   const bool lacksDocument = entry.document < document.version;
   const bool mayBeTold = m_isWhole || !entry.knowsTargets;
   const bool lacksTargets = mayBeTold && m_sequence != 0 && entry.targets != m_sequence;
-  Parts parts = PartsOf(entry);
+  Parts parts = PartsOf(entry, demand);
   const bool lacksParts = Differ(entry.toldParts, parts);
   if (!lacksDocument && !lacksTargets && !lacksParts) {
     return;
@@ -149,16 +153,13 @@
   context.SendMessage(process, std::move(state));
 }
 
-ServingFeed::Parts ServingFeed::PartsOf(const Entry& entry) const
+ServingFeed::Parts ServingFeed::PartsOf(const Entry& entry,
+                                        const std::map<std::string, ModelDemand>& demand) const
 {
   Parts parts;
   const double even = 1.0 / static_cast<double>(std::max<std::size_t>(m_entries.size(), 1));
   for (const auto& [model, rate] : entry.rates) {
-    double sum = 0;
-    for (const auto& [process, other] : m_entries) {
-      const auto found = other.rates.find(model);
-      sum += found == other.rates.end() ? 0 : found->second.perSecond.requests;
-    }
+    const double sum = demand.at(model).requests;
     const double part = sum > 0 ? rate.perSecond.requests / sum : even;
     parts[model] = std::max(part, kLeastPart * even);
   }
