--- a/tests/process/request_failure_test.cpp
+++ b/tests/process/request_failure_test.cpp
@@ -168,15 +168,24 @@
         ++(whole ? m_whole : m_cut);
       } else if (reply.status == 503 && reply.body.find("not-run") != std::string::npos) {
         ++m_refused;
-        m_stop = m_stop || reply.body.find("shutting-down") != std::string::npos;
+        StopIf(reply.body.find("shutting-down") != std::string::npos);
       } else {
         // A closed listener is no cut: nothing was taken in. Everything else is.
         m_cut += reply.failure.find("refused") == std::string::npos ? 1 : 0;
-        m_stop = m_stop || reply.status == 0;
+        StopIf(reply.status == 0);
       }
     }
   }
 
+  // Only ever sets the flag. Written back as `m_stop = m_stop || ended`, a caller that had read it
+  // before Stop() would clear it again, and Stop() would wait for callers that never end.
+  void StopIf(bool ended)
+  {
+    if (ended) {
+      m_stop = true;
+    }
+  }
+
   std::vector<std::thread> m_threads;
   std::atomic<bool> m_stop = false;
   std::atomic<std::size_t> m_whole = 0;
