Stragglers: heads are chosen by load and pace, slow members are asked for and replaced

Change: an entry measures the time of a head's steps (the pause between two bursts of events) and weighs a target's load by it beyond 2.5 times the shortest; plain services by the time of whole answers. It tells control, which asks the members of a head that takes 2.5 times as long as a full head that only writes; the probe's answer now gives the target's pace.

--- a/include/gooseberrysail/control/engine_groups.hpp
+++ b/include/gooseberrysail/control/engine_groups.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gooseberrysail/control/slow_targets.hpp"
 #include "gooseberrysail/core/time.hpp"
 #include "gooseberrysail/placement/model_work.hpp"
 #include "gooseberrysail/placement/pool_plan.hpp"
@@ -67,6 +68,7 @@
   const std::set<InstanceId>& answering; ///< Heads that answered an entry a moment ago.
   const std::set<InstanceId>& failing;   ///< Heads that failed an entry and answered none since.
   const std::map<std::string, ModelDemand>& demand; ///< By model; empty before traffic.
+  const std::map<InstanceId, Duration>& steps;      ///< How long heads take for a step.
 };
 
 struct EngineGroupsSettings
@@ -108,6 +110,9 @@
 
   void OnOrderOutcome(TimePoint now, const GroupOrder& order, OrderOutcome outcome);
 
+  /// \brief A target reported the factor on its usual times; over 1 it is slow.
+  void OnPace(TimePoint now, const InstanceId& target, double pace);
+
   /// \brief Heads that entries may send work to, with their models.
   [[nodiscard]] std::map<InstanceId, std::string> ServingHeads() const;
 
@@ -138,6 +143,7 @@
     bool openIsUnsure = false;             ///< An order to open got no answer: it may come late.
     bool headIsDead = false;               ///< That life of the head certainly ended.
     bool headIsClosed = false;             ///< The head said that it takes no work.
+    TimePoint askedPaceAt{};               ///< When the members were asked whether they are slow.
     std::optional<TimePoint> openedAt;     ///< The order to open it was answered.
     std::optional<TimePoint> headSilentAt; ///< Nobody reached the head.
     std::optional<TimePoint> releasedAt;   ///< The other members were told to leave.
@@ -190,6 +196,14 @@
   [[nodiscard]] static const GroupModel* ModelOf(const Pass& pass, const Group& group);
   static void ReportFormed(Pass& pass, const Group& group, std::uint32_t loads);
   void ReportShort(Pass& pass, const std::string& service, const PoolInput& pool);
+  // Stragglers (engine_groups_stragglers.cpp).
+  void AskStragglers(Pass& pass, Group& group);
+  void AskSlowAgain(Pass& pass);
+  static void AskPace(Pass& pass, const InstanceId& target);
+  void ReportPaces(Pass& pass);
+  /// \brief The factor of the group's slowest member.
+  [[nodiscard]] double PaceOf(const Group& group) const;
+  [[nodiscard]] bool ShouldLeaveStragglers(const Pass& pass, const Group& group);
   void ReplaceHeads(Pass& pass, const ServiceDefinition& service);
   [[nodiscard]] std::vector<InstanceId> ListSurvivors(const Pass& pass, const Group& group) const;
   [[nodiscard]] bool IsSilent(const Pass& pass, const TargetRow& row) const;
@@ -211,8 +225,10 @@
   std::map<InstanceId, Staging> m_staging;
   std::map<InstanceId, TimePoint> m_unanswered; ///< Probes without an answer, until the next word.
   std::map<InstanceId, TimePoint> m_standbySince; ///< When targets were told to hold weights ready.
-  TimePoint m_lostGroupAt{};                      ///< When a group last ended by a fault.
-  std::map<std::string, TimePoint> m_toldShort;   ///< By model: when its lack was last reported.
+  SlowTargets m_slow;
+  std::vector<std::pair<InstanceId, double>> m_paceNews; ///< Changes that are not reported yet.
+  TimePoint m_lostGroupAt{};                             ///< When a group last ended by a fault.
+  std::map<std::string, TimePoint> m_toldShort; ///< By model: when its lack was last reported.
   std::size_t m_knownTargets = 0;
   TimePoint m_newTargetAt{}; ///< When the table last grew.
   /// \brief Groups that are over although members still report them. By epoch: a group that went on
--- a/include/gooseberrysail/control/serving_control.hpp
+++ b/include/gooseberrysail/control/serving_control.hpp
@@ -44,6 +44,8 @@
   {
     GroupOrder order;
     TimePoint since{};
+    unsigned status = 0; ///< Of an answer that is not whole yet.
+    std::string body;
   };
 
   void Take(ControlContext& context, ExchangeId exchange, const PutDocumentCall& call);
@@ -65,6 +67,7 @@
   }
   void FollowDocument(ControlContext& context);
   void KeepGroups(ControlContext& context);
+  void TakePace(ControlContext& context, const OpenOrder& open);
   void EndOrder(ControlContext& context,
                 ExchangeId exchange,
                 OrderOutcome outcome,
--- a/include/gooseberrysail/control/serving_feed.hpp
+++ b/include/gooseberrysail/control/serving_feed.hpp
@@ -35,6 +35,10 @@
   /// \brief Heads that some entry saw fail, and that answered none for kStandsStill before.
   [[nodiscard]] std::set<InstanceId> FailingHeads(TimePoint now) const;
 
+  /// \brief How long heads take for a step, by the entry that sees the shortest ones: what the
+  /// others see beyond that is their own way to the head.
+  [[nodiscard]] std::map<InstanceId, Duration> HeadSteps(TimePoint now) const;
+
   /// \brief What callers ask of each model, all entries together.
   [[nodiscard]] std::map<std::string, ModelDemand> Demand() const;
 
@@ -67,6 +71,7 @@
     TimePoint heardAt{};
     std::map<InstanceId, TimePoint> answeredAt;
     std::map<InstanceId, TimePoint> failedAt;
+    std::map<InstanceId, Duration> steps;    ///< As it told last.
     std::map<std::string, ModelRate> rates;  ///< By model.
     std::map<std::string, double> toldParts; ///< Of each model's requests, as last sent to it.
   };
--- a/include/gooseberrysail/gateway/dispatcher.hpp
+++ b/include/gooseberrysail/gateway/dispatcher.hpp
@@ -81,6 +81,7 @@
     Duration knowledgeAge{};
     TimePoint arrived{};
     TimePoint deadline{};
+    TimePoint sentAt{}; ///< The latest attempt.
     ExchangeId attempt; ///< Under way; none between attempts.
     InstanceId target;  ///< Of the latest attempt.
     std::set<InstanceId> tried;
--- a/include/gooseberrysail/gateway/target_board.hpp
+++ b/include/gooseberrysail/gateway/target_board.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gooseberrysail/core/time.hpp"
+#include "gooseberrysail/gateway/pace_meter.hpp"
 #include "gooseberrysail/serving/served_target.hpp"
 
 #include <cstdint>
@@ -33,6 +34,7 @@
     TimePoint answeredAt{};     ///< Latest byte of any answer.
     TimePoint silentAt{};       ///< Latest connection or answer that did not come in time.
     TimePoint avoidUntil{};
+    PaceMeter pace;
     std::uint32_t failures = 0; ///< In a row.
     bool gone = false;          ///< Not listed any more; kept while work is in flight.
   };
@@ -60,6 +62,9 @@
   void OnBytes(TimePoint now, const InstanceId& instance);
   void OnEnded(const InstanceId& instance);
 
+  /// \brief A plain service's whole answer came `took` after it was asked for.
+  void OnAnswerTime(TimePoint now, const InstanceId& instance, Duration took);
+
   /// \brief The target refused or failed: it is left out for a moment, longer each time in a row.
   void OnTrouble(TimePoint now, const InstanceId& instance);
 
@@ -87,7 +92,9 @@
   [[nodiscard]] static bool IsSilent(TimePoint now, const Row& row, Duration limit);
   [[nodiscard]] static bool Fits(const Row& row, const TargetWish& wish);
   [[nodiscard]] std::uint32_t RoomOf(const ServedTarget& target) const;
-  [[nodiscard]] bool IsBetter(const Row& left, const Row& right) const;
+  /// \brief How soon a target has room for one more, for comparison: its load by its pace.
+  [[nodiscard]] double CostOf(TimePoint now, const Row& row, Duration usualStep) const;
+  [[nodiscard]] std::vector<const Row*> ListUsable(TimePoint now, const TargetWish& wish) const;
 
   FailureDomainId m_own;
   std::uint32_t m_entries = 1;
--- a/include/gooseberrysail/placement/model_work.hpp
+++ b/include/gooseberrysail/placement/model_work.hpp
@@ -26,6 +26,9 @@
 /// groups.
 [[nodiscard]] double GroupsForService(double groupsOfWork);
 
+/// \brief The pause between two events of a group whose slots are full and that reads no prompt.
+[[nodiscard]] Duration FullStep(const EngineSpec& engine, const GroupModel& model);
+
 /// \brief GroupsForService as a whole number.
 [[nodiscard]] std::uint32_t WantedGroups(double groupsOfWork);
 
--- a/include/gooseberrysail/serving/document.hpp
+++ b/include/gooseberrysail/serving/document.hpp
@@ -76,6 +76,7 @@
   std::uint64_t cacheTokens = 0;
   Duration stepTime{};
   Duration stepTimePerRequest{};
+  std::uint32_t tokensPerEvent = 1; ///< Steps that a group makes between two events of a stream.
   double promptTokensPerSecond = 0;
   double loadsPerSecond = 1; ///< Loads from the weight store that may begin, all targets together.
   std::uint32_t loadsAtOnce = 1; ///< More than these at a time slow one another down.
--- a/src/control/engine_groups.cpp
+++ b/src/control/engine_groups.cpp
@@ -71,6 +71,8 @@
   m_unanswered.clear();
   m_standbySince.clear();
   m_toldShort.clear();
+  m_slow.Clear();
+  m_paceNews.clear();
   m_formed = 0;
 }
 
@@ -82,6 +84,8 @@
     m_leadsSince = input.now;
   }
   Pass pass{ input, orders, events, {} };
+  ReportPaces(pass);
+  AskSlowAgain(pass);
   Adopt(pass);
   for (auto& [name, group] : m_groups) {
     Advance(pass, group);
@@ -358,6 +362,12 @@
   if (isFailing) {
     ProbeMembers(pass, group);
   }
+  AskStragglers(pass, group);
+  if (ShouldLeaveStragglers(pass, group)) {
+    group.cut = PaceOf(group) >= SlowTargets::kUseless;
+    End(pass, group, "a member is slow");
+    return;
+  }
   // A head that is cut off from control only still answers the entries; its group goes on.
   const bool isSilent =
     isFailing ? IsSilent(pass, *head) : pass.input.now - head->heardAt > m_settings.Silence();
@@ -503,7 +513,7 @@
 // A group whose loss shows in the next tick has nothing to give.
 bool EngineGroups::IsSound(const Pass& pass, const Group& group) const
 {
-  return !HasFailedMember(pass, group) &&
+  return !HasFailedMember(pass, group) && PaceOf(group) < SlowTargets::kSlow &&
          std::ranges::all_of(
            group.members, [&](const InstanceId& member) { return HasSpoken(*pass.Row(member)); });
 }
--- a/src/control/engine_groups_pass.hpp
+++ b/src/control/engine_groups_pass.hpp
@@ -20,10 +20,22 @@
   {
     return input.targets.Find(instance);
   }
+
+  /// \brief Null when the document has no such service with engines.
+  [[nodiscard]] const EngineSpec* EngineOf(const std::string& service) const
+  {
+    const auto found =
+      std::ranges::find(input.document.services, service, &ServiceDefinition::name);
+    const bool hasEngine = found != input.document.services.end() && found->engine;
+    return hasEngine ? &*found->engine : nullptr;
+  }
 };
 
 namespace impl {
 
+/// Two decimals, for events.
+[[nodiscard]] std::string ToDecimal(double value);
+
 /// Groups of one target that holds weights ready; they never open.
 inline const std::string kStandbyPrefix = "standby-";
 
--- a/src/control/engine_groups_planning.cpp
+++ b/src/control/engine_groups_planning.cpp
@@ -40,13 +40,6 @@
 /// Epochs of one term.
 constexpr std::uint64_t kEpochsPerTerm = 1ULL << 20U;
 
-std::string ToDecimal(double value)
-{
-  std::array<char, 32> text{};
-  const int size = std::snprintf(text.data(), text.size(), "%.2f", value);
-  return std::string(text.data(), static_cast<std::size_t>(std::max(size, 0)));
-}
-
 /// "a:5/2/1 b:3/0/0": the idle targets of each domain, those that hold the weights, those that
 /// load.
 std::string DescribeFree(std::span<const FreeTarget> free, const std::string& model)
@@ -74,6 +67,13 @@
 
 } // namespace
 
+std::string impl::ToDecimal(double value)
+{
+  std::array<char, 32> text{};
+  const int size = std::snprintf(text.data(), text.size(), "%.2f", value);
+  return std::string(text.data(), static_cast<std::size_t>(std::max(size, 0)));
+}
+
 std::uint32_t EngineGroups::LoadsLeft(const Pass& pass, const EngineSpec& engine)
 {
   if (!pass.input.hasTraffic) {
@@ -158,7 +158,7 @@
                                       { "model", model },
                                       { "groups", std::to_string(need.groups) },
                                       { "wanted", std::to_string(need.wanted) },
-                                      { "work", ToDecimal(need.work) },
+                                      { "work", impl::ToDecimal(need.work) },
                                       { "free", DescribeFree(pool.free, model) },
                                       { "loadsLeft", std::to_string(pool.loadsLeft) } }));
   }
@@ -269,6 +269,9 @@
 // place.
 bool EngineGroups::IsCounted(const Pass& pass, const Group& group) const
 {
+  if (group.phase == Phase::kOpen && PaceOf(group) >= SlowTargets::kSlow) {
+    return false; // What it still does is little; another group may take its callers.
+  }
   if (group.phase != Phase::kAdopted) {
     return group.phase != Phase::kEnding;
   }
@@ -298,7 +301,8 @@
   for (const auto& [instance, row] : pass.input.targets.Rows()) {
     const bool usable = row.latest.service == service && !IsLeaving(&row) && HasSpoken(row) &&
                         !IsSilent(pass, row) && !taken.contains(instance) &&
-                        !IsHeld(row.latest.membership) && !IsReplaced(pass.input.targets, row);
+                        !m_slow.IsSlow(instance) && !IsHeld(row.latest.membership) &&
+                        !IsReplaced(pass.input.targets, row);
     if (!usable) {
       continue;
     }
--- a/src/control/serving_control.cpp
+++ b/src/control/serving_control.cpp
@@ -285,6 +285,7 @@
   const std::set<InstanceId> answering = m_feed.AnsweringHeads(context.now);
   const std::set<InstanceId> failing = m_feed.FailingHeads(context.now);
   const std::map<std::string, ModelDemand> demand = m_feed.Demand();
+  const std::map<InstanceId, Duration> steps = m_feed.HeadSteps(context.now);
   m_groups.Tick({ context.now,
                   context.replication.term,
                   m_targets,
@@ -293,7 +294,8 @@
                   m_feed.HasTraffic(),
                   answering,
                   failing,
-                  demand },
+                  demand,
+                  steps },
                 orders,
                 events);
   for (EventOut& event : events) {
@@ -302,14 +304,35 @@
   for (GroupOrder& order : orders) {
     const ExchangeId exchange(++m_lastOrder);
     context.outbox.emplace_back(m_api.encodeOrder(exchange, order));
-    m_orders.emplace(exchange, OpenOrder{ std::move(order), context.now });
+    m_orders.emplace(exchange, OpenOrder{ std::move(order), context.now, 0, {} });
   }
 }
 
 void ServingControl::OnOrderAnswer(ControlContext& context, const TargetAnswerIn& answer)
 {
-  if (answer.status) {
-    EndOrder(context, answer.exchange, m_api.decodeOrderStatus(*answer.status), *answer.status);
+  const auto found = m_orders.find(answer.exchange);
+  if (found == m_orders.end()) {
+    return;
+  }
+  OpenOrder& open = found->second;
+  open.status = answer.status.value_or(open.status);
+  // Only a probe's answer says more than its status.
+  if (open.order.kind == GroupOrderKind::kProbe) {
+    open.body += answer.bytes;
+    if (!answer.end) {
+      return;
+    }
+    TakePace(context, open);
+  }
+  EndOrder(context, answer.exchange, m_api.decodeOrderStatus(open.status), open.status);
+}
+
+void ServingControl::TakePace(ControlContext& context, const OpenOrder& open)
+{
+  const bool isAnswer = m_api.decodeOrderStatus(open.status) == OrderOutcome::kDone;
+  const std::optional<double> pace = isAnswer ? m_api.decodePace(open.body) : std::nullopt;
+  if (pace) {
+    m_groups.OnPace(context.now, open.order.target, *pace);
   }
 }
 
--- a/src/control/serving_feed.cpp
+++ b/src/control/serving_feed.cpp
@@ -71,7 +71,11 @@
   for (const auto& demand : query.demand) {
     NoteDemand(context.now, entry, *demand);
   }
+  entry.steps.clear();
   for (const auto& head : query.heads) {
+    if (head->stepMillis != 0) {
+      entry.steps[InstanceId(head->instance)] = std::chrono::milliseconds(head->stepMillis);
+    }
     const Duration ago = std::chrono::milliseconds(head->answeredAgoMillis);
     if (ago < kAnsweredLately) {
       entry.answeredAt[InstanceId(head->instance)] = context.now - ago;
@@ -207,6 +211,21 @@
   return sums;
 }
 
+std::map<InstanceId, Duration> ServingFeed::HeadSteps(TimePoint now) const
+{
+  std::map<InstanceId, Duration> steps;
+  for (const auto& [process, entry] : m_entries) {
+    if (now - entry.heardAt > kAnsweredLately) {
+      continue;
+    }
+    for (const auto& [head, step] : entry.steps) {
+      const auto [found, fresh] = steps.try_emplace(head, step);
+      found->second = std::min(found->second, step);
+    }
+  }
+  return steps;
+}
+
 std::set<InstanceId> ServingFeed::FailingHeads(TimePoint now) const
 {
   std::set<InstanceId> heads;
--- a/src/gateway/dispatcher.cpp
+++ b/src/gateway/dispatcher.cpp
@@ -68,6 +68,7 @@
   }
   outbox.emplace_back(m_api.encodeAttempt(
     { attempt, request.call, *target, request.deadline - now, request.workspace, resumeAfter }));
+  request.sentAt = now;
   m_board.OnSent(now, request.target);
 }
 
@@ -183,6 +184,9 @@
   }
   request.whole.end = true;
   const unsigned status = request.whole.status.value_or(0);
+  if (request.model.empty()) {
+    m_board.OnAnswerTime(now, request.target, now - request.sentAt);
+  }
   outbox.emplace_back(std::move(request.whole));
   StopAttempt(request, outbox, false);
   m_board.OnSuccess(request.target);
--- a/src/gateway/feed_client.cpp
+++ b/src/gateway/feed_client.cpp
@@ -81,6 +81,7 @@
     head->answeredAgoMillis = static_cast<std::uint32_t>(
       std::min<std::int64_t>(ToMillis(now - row.answeredAt), kLongAgoMillis));
     head->failing = row.silentAt > row.answeredAt;
+    head->stepMillis = static_cast<std::uint32_t>(ToMillis(row.pace.Step(now)));
     query.heads.push_back(std::move(head));
   }
   return query;
--- a/src/gateway/target_board.cpp
+++ b/src/gateway/target_board.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
-#include <tuple>
+#include <utility>
 
 namespace gooseberrysail {
 
@@ -19,6 +19,9 @@
 /// 0.542, 0.560, 0.576, 0.565 of the worth owed.
 constexpr double kHeadFill = 1.12;
 constexpr std::uint32_t kLeastRoom = 2;
+/// A target whose steps take this many times as long as the shortest ones of its kind is slow. A
+/// full head that reads long prompts takes up to 2.5 times as long as one that only writes.
+constexpr double kSoundPace = 2.5;
 /// Services that state no number of slots.
 constexpr std::uint32_t kDefaultSlots = 8;
 
@@ -74,32 +77,52 @@
          row.target.servedModel == wish.model;
 }
 
-bool TargetBoard::IsBetter(const Row& left, const Row& right) const
+// Two targets of one load differ by how long they take for a step. Below kSoundPace that is the
+// scatter of prompts; above, one of them is slow, and each request there is late for certain.
+double TargetBoard::CostOf(TimePoint now, const Row& row, Duration usualStep) const
 {
-  const auto rank = [this](const Row& row) {
-    const double load = static_cast<double>(row.inFlight) / SlotsOf(row.target);
-    return std::tuple(load, row.target.failureDomain != m_own);
-  };
-  return rank(left) < rank(right);
+  const double load = static_cast<double>(row.inFlight + 1) / SlotsOf(row.target);
+  const Duration step = row.pace.Step(now);
+  const double ratio = usualStep > Duration::zero() ? static_cast<double>(step.count()) /
+                                                        static_cast<double>(usualStep.count())
+                                                    : 1;
+  return load * std::max(1.0, ratio / kSoundPace);
+}
+
+std::vector<const TargetBoard::Row*> TargetBoard::ListUsable(TimePoint now,
+                                                             const TargetWish& wish) const
+{
+  std::vector<const Row*> usable;
+  for (const auto& [instance, row] : m_rows) {
+    if (Fits(row, wish) && now >= row.avoidUntil && row.inFlight < RoomOf(row.target) &&
+        !wish.tried.contains(instance) && !IsSilent(now, row, kSuspect)) {
+      usable.push_back(&row);
+    }
+  }
+  return usable;
 }
 
 const ServedTarget* TargetBoard::Choose(TimePoint now, const TargetWish& wish)
 {
+  const std::vector<const Row*> usable = ListUsable(now, wish);
+  Duration usualStep{};
+  for (const Row* row : usable) {
+    const Duration step = row->pace.Step(now);
+    const bool isShorter = usualStep == Duration::zero() || step < usualStep;
+    usualStep = step > Duration::zero() && isShorter ? step : usualStep;
+  }
   const Row* best = nullptr;
+  std::pair<double, bool> bestRank;
   std::uint64_t equals = 0;
-  for (const auto& [instance, row] : m_rows) {
-    const bool usable = Fits(row, wish) && now >= row.avoidUntil &&
-                        row.inFlight < RoomOf(row.target) && !wish.tried.contains(instance) &&
-                        !IsSilent(now, row, kSuspect);
-    if (!usable) {
-      continue;
-    }
-    if (best == nullptr || IsBetter(row, *best)) {
-      best = &row;
+  for (const Row* row : usable) {
+    const std::pair rank(CostOf(now, *row, usualStep), row->target.failureDomain != m_own);
+    if (best == nullptr || rank < bestRank) {
+      best = row;
+      bestRank = rank;
       equals = 1;
-    } else if (!IsBetter(*best, row) && m_random() % ++equals == 0) {
+    } else if (rank == bestRank && m_random() % ++equals == 0) {
       // Entries that all took the first of equals would send their work to one target.
-      best = &row;
+      best = row;
     }
   }
   return best == nullptr ? nullptr : &best->target;
@@ -115,6 +138,7 @@
   Row& row = m_rows[instance];
   if (row.inFlight++ == 0) {
     row.busySince = now;
+    row.pace.OnBusy(now);
   }
 }
 
@@ -122,6 +146,16 @@
 {
   if (const auto found = m_rows.find(instance); found != m_rows.end()) {
     found->second.answeredAt = now;
+    if (!found->second.target.servedModel.empty()) {
+      found->second.pace.OnBytes(now);
+    }
+  }
+}
+
+void TargetBoard::OnAnswerTime(TimePoint now, const InstanceId& instance, Duration took)
+{
+  if (const auto found = m_rows.find(instance); found != m_rows.end()) {
+    found->second.pace.OnAnswer(now, took);
   }
 }
 
--- a/src/placement/model_work.cpp
+++ b/src/placement/model_work.cpp
@@ -21,6 +21,13 @@
   return groupsOfWork + kStaffing * std::sqrt(groupsOfWork);
 }
 
+Duration FullStep(const EngineSpec& engine, const GroupModel& model)
+{
+  const Duration token = engine.stepTime + engine.stepTimePerRequest * engine.slots;
+  const auto step = token * static_cast<std::int64_t>(engine.tokensPerEvent);
+  return std::chrono::duration_cast<Duration>(step * model.pace);
+}
+
 std::uint32_t WantedGroups(double groupsOfWork)
 {
   // A whole group for a sliver of work would take the spares that the next loss needs.
--- a/tests/fakes/fake_fleet.cpp
+++ b/tests/fakes/fake_fleet.cpp
@@ -15,6 +15,8 @@
 constexpr Duration kJoinTime = 200ms;
 constexpr Duration kOpenTime = 300ms;
 constexpr Duration kLoadTime = 2s;
+/// Of a head with some callers.
+constexpr Duration kStepTime = 40ms;
 /// After this a process has heard all targets.
 constexpr Duration kLearnTime = 2520ms;
 
@@ -33,6 +35,7 @@
   engine.slots = 34;
   engine.stepTime = 7800us;
   engine.stepTimePerRequest = 95us;
+  engine.tokensPerEvent = 5;
   engine.promptTokensPerSecond = 45'900;
   engine.loadsPerSecond = 3;
   engine.models = { { "large", 4, 0.5, 1.0, 16s, 1600ms }, { "small", 2, 0.5, 0.6, 12s, 1100ms } };
@@ -110,7 +113,8 @@
                   hasTraffic,
                   answering,
                   failing,
-                  demand },
+                  demand,
+                  ListSteps() },
                 orders,
                 events);
   for (const GroupOrder& order : orders) {
@@ -119,6 +123,20 @@
   }
 }
 
+// As entries see it: a group runs at the pace of its slowest member.
+std::map<InstanceId, Duration> FakeFleet::ListSteps() const
+{
+  std::map<InstanceId, Duration> steps;
+  for (const auto& [head, model] : m_keeper.ServingHeads()) {
+    double pace = 1;
+    for (const InstanceId& member : m_targets.at(head).members) {
+      pace = std::max(pace, m_targets.at(member).pace);
+    }
+    steps[head] = std::chrono::duration_cast<Duration>(kStepTime * pace);
+  }
+  return steps;
+}
+
 void FakeFleet::Obey(const GroupOrder& order)
 {
   Target& target = m_targets.at(order.target);
@@ -167,6 +185,7 @@
       break;
     case GroupOrderKind::kProbe:
       outcome = OrderOutcome::kDone;
+      m_keeper.OnPace(now, order.target, target.pace);
       break;
     case GroupOrderKind::kStage:
       Later(hasTraffic ? 16s : kLoadTime, [this, &target, order] {
--- a/tests/fakes/fake_fleet.hpp
+++ b/tests/fakes/fake_fleet.hpp
@@ -24,6 +24,7 @@
     bool isUp = true;
     bool reachesControl = true;
     bool isListening = true;
+    double pace = 1;                 ///< Factor on its times.
     Duration finishesIn{};           ///< What it works on when it is told to close.
     std::vector<InstanceId> members; ///< Of its group, the head first.
     TimePoint reportsAt{};
@@ -63,6 +64,7 @@
 private:
   void Report(Target& target);
   void Tick();
+  [[nodiscard]] std::map<InstanceId, Duration> ListSteps() const;
   void Obey(const GroupOrder& order);
   void StandStill(const InstanceId& head);
   void Close(Target& target);
--- a/tests/unit/engine_groups_test.cpp
+++ b/tests/unit/engine_groups_test.cpp
@@ -113,6 +113,94 @@
   EXPECT_THAT(fleet.Violations(), IsEmpty());
 }
 
+/// How many probes were sent so far.
+std::ptrdiff_t CountProbes(const FakeFleet& fleet)
+{
+  return std::ranges::count(fleet.Orders(), GroupOrderKind::kProbe, &GroupOrder::kind);
+}
+
+// Symptom: for nine seconds most answers come late or not at all, while a third of the targets is
+// idle or works for nobody. Sequence: some targets become twelve times slower; each group that has
+// one of them runs at its pace. Cause: nobody asked the members which one is slow.
+TEST(EngineGroups, AMemberThatBecomesSlowIsReplaced)
+{
+  FakeFleet fleet = ServingFleet();
+  const std::string member = AnyMember(fleet, "large");
+  const std::string head = fleet.At(member).members.front().Get();
+  fleet.At(member).pace = 12;
+  fleet.Run(4s);
+  EXPECT_EQ(fleet.CountServing("large"), 3U);
+  EXPECT_EQ(fleet.CountServing("small"), 6U);
+  for (const auto& [serving, model] : fleet.Keeper().ServingHeads()) {
+    EXPECT_THAT(fleet.At(serving.Get()).members,
+                ::testing::Not(::testing::Contains(InstanceId(member))));
+  }
+  EXPECT_THAT(fleet.Violations(), IsEmpty());
+  const InstanceId slow(member);
+  const auto ordersTo = [&](GroupOrderKind kind) {
+    return std::ranges::count_if(fleet.Orders(), [&](const GroupOrder& order) {
+      return order.kind == kind && order.target == slow;
+    });
+  };
+  SECTION("it joins no group while it is slow, and is asked now and then")
+  {
+    const auto joins = ordersTo(GroupOrderKind::kJoin);
+    const auto probes = ordersTo(GroupOrderKind::kProbe);
+    fleet.demand["small"] = { 150, 150 * 714.0, 150 * 146.0 };
+    fleet.Run(10s);
+    EXPECT_EQ(ordersTo(GroupOrderKind::kJoin), joins);
+    EXPECT_GE(ordersTo(GroupOrderKind::kProbe), probes + 5);
+  }
+  SECTION("it is asked no more once it is sound")
+  {
+    fleet.At(member).pace = 1;
+    fleet.Run(3s);
+    const auto probes = ordersTo(GroupOrderKind::kProbe);
+    fleet.Run(10s);
+    EXPECT_EQ(ordersTo(GroupOrderKind::kProbe), probes);
+  }
+}
+
+TEST(EngineGroups, AGroupThatIsSomewhatSlowStaysUntilSoundTargetsCanTakeThePlace)
+{
+  FakeFleet fleet(TwoModelDocument());
+  fleet.Add("a", 5, "domain-a");
+  fleet.Run(9s);
+  fleet.hasTraffic = true;
+  ASSERT_EQ(fleet.CountServing("large"), 1U);
+  const InstanceId head = fleet.Keeper().ServingHeads().begin()->first;
+  const std::vector<InstanceId> members = fleet.At(head.Get()).members;
+  std::string spare;
+  for (int i = 1; i <= 5; ++i) {
+    const InstanceId target("a" + std::to_string(i));
+    spare = std::ranges::find(members, target) == members.end() ? target.Get() : spare;
+  }
+  fleet.At(spare).pace = 12;
+  fleet.At(members.back().Get()).pace = 3.5;
+  fleet.Keeper().OnPace(fleet.now, InstanceId(spare), 12);
+  fleet.Run(5s);
+  EXPECT_TRUE(fleet.Keeper().ServingHeads().contains(head));
+  SECTION("then it gives way")
+  {
+    fleet.At(spare).pace = 1;
+    fleet.Run(6s);
+    EXPECT_EQ(fleet.CountServing("large"), 1U);
+    const InstanceId serving = fleet.Keeper().ServingHeads().begin()->first;
+    EXPECT_THAT(fleet.At(serving.Get()).members,
+                ::testing::Not(::testing::Contains(members.back())));
+    EXPECT_THAT(fleet.Violations(), IsEmpty());
+  }
+}
+
+// Each question to a member costs the member's time; sound groups must not be asked.
+TEST(EngineGroups, MembersOfSoundGroupsAreNotAsked)
+{
+  FakeFleet fleet = ServingFleet();
+  const auto before = CountProbes(fleet);
+  fleet.Run(20s);
+  EXPECT_EQ(CountProbes(fleet), before);
+}
+
 // Symptom: the larger model has no group for twelve seconds of a quiet day.
 // Sequence: demand measured over the first seconds swings; the smaller model forms three more
 // groups of all spares; the larger one's members die. Cause: more groups were wanted at little more
--- a/tests/unit/platform_test.cpp
+++ b/tests/unit/platform_test.cpp
@@ -170,6 +170,9 @@
   EXPECT_EQ(api.decodeOrderStatus(421), OrderOutcome::kReplaced);
   EXPECT_EQ(api.decodeOrderStatus(409), OrderOutcome::kRefused);
   EXPECT_EQ(api.decodeOrderStatus(500), OrderOutcome::kUnknown);
+  EXPECT_EQ(api.decodePace(R"({"stage":"both","pace":12.0,"models":[{"pace":1}]})"), 12.0);
+  EXPECT_EQ(api.decodePace(R"({"stage":"both"})"), std::nullopt);
+  EXPECT_EQ(api.decodePace("{"), std::nullopt);
 }
 
 // Symptom: a caller's key reaches a target, or a caller names its own workspace.
