A fault soak: real daemons on loopback, seeded overlapping faults, promises checked from outside

Three control processes, entries, stand-in replicas behind relays, callers that keep their connections. Faults by seed: kill, stop, pause and reload by signal, all of control killed, replicas restarted at their address, answers lost and broken off, connections reset, silenced and delayed, configurations changed. Checked: what may run once runs once; "not run" stays true; a success is the whole answer to its own request; keys reach no replica; an acknowledged configuration is never read back older; a process told to leave does; afterwards each entry serves again.

--- a/tests/process/silent_connection_test.cpp
+++ b/tests/process/silent_connection_test.cpp
@@ -1,65 +1,12 @@
-#include "fakes/relay.hpp"
+#include "support/relay_thread.hpp"
 #include "support/section.hpp"
 #include "support/test_cluster.hpp"
 
-#include <boost/asio/post.hpp>
-#include <future>
 #include <thread>
 
 namespace gooseberrysail::test {
 namespace {
 
-/// A relay on a thread of its own, so that a blocking test can stand beside it.
-class RelayThread
-{
-public:
-  explicit RelayThread(const std::string& target)
-  {
-    std::promise<std::string> address;
-    std::future<std::string> started = address.get_future();
-    m_thread = std::thread([this, target, &address] { Serve(target, address); });
-    m_address = started.get();
-  }
-  ~RelayThread()
-  {
-    boost::asio::post(m_runtime->Io(), [this] { m_runtime->Stop(); });
-    m_thread.join();
-  }
-  RelayThread(const RelayThread&) = delete;
-  RelayThread& operator=(const RelayThread&) = delete;
-
-  [[nodiscard]] const std::string& Address() const { return m_address; }
-
-  /// The connections open now lose all bytes from now on; new ones work.
-  void SwallowExisting()
-  {
-    std::promise<void> done;
-    boost::asio::post(m_runtime->Io(), [&] {
-      m_relay->SwallowExisting(fakes::Relay::Swallow::kBoth);
-      done.set_value();
-    });
-    done.get_future().wait();
-  }
-
-private:
-  void Serve(const std::string& target, std::promise<std::string>& address)
-  {
-    IoRuntime runtime;
-    fakes::Relay relay(runtime, target);
-    m_runtime = &runtime;
-    m_relay = &relay;
-    const Result<void> started = relay.Start();
-    address.set_value(started ? relay.ListenAddress() : "");
-    runtime.Run();
-    relay.Close();
-  }
-
-  std::thread m_thread;
-  std::string m_address;
-  IoRuntime* m_runtime = nullptr;
-  fakes::Relay* m_relay = nullptr;
-};
-
 // Symptom: a foreman's draft stops in the middle and never goes on, though every process is well.
 // Sequence: an answer streams; something between entry and agent loses track of their connection
 // and swallows its bytes both ways, without closing it; new connections work. Cause: no end of such
--- /dev/null
+++ b/tests/soak/callers.cpp
@@ -0,0 +1,69 @@
+#include "soak/callers.hpp"
+
+#include "soak/replica.hpp"
+#include "support/kept_connection.hpp"
+
+#include <chrono>
+#include <random>
+
+namespace gooseberrysail::soak {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Half of the requests may run once only.
+constexpr double kOncePart = 0.5;
+constexpr auto kPause = 10ms;
+constexpr auto kPatience = 2500ms;
+
+} // namespace
+
+Callers::Callers(std::vector<std::string> entries,
+                 std::size_t count,
+                 Ledger& ledger,
+                 std::uint64_t seed)
+  : m_entries(std::move(entries))
+  , m_ledger(ledger)
+{
+  for (std::size_t number = 0; number < count; ++number) {
+    m_threads.emplace_back([this, number, seed] { Work(number, seed + number); });
+  }
+}
+
+void Callers::Stop()
+{
+  m_stop = true;
+  for (std::thread& thread : m_threads) {
+    if (thread.joinable()) {
+      thread.join();
+    }
+  }
+}
+
+void Callers::Work(std::size_t number, std::uint64_t seed)
+{
+  std::mt19937_64 random(seed);
+  std::uint64_t asked = 0;
+  test::KeptConnection connection;
+  while (!m_stop) {
+    const std::string id = "c" + std::to_string(number) + "-" + std::to_string(++asked);
+    const bool isOnce = std::uniform_real_distribution<>(0, 1)(random) < kOncePart;
+    test::HttpCall call{ .address = m_entries[random() % m_entries.size()], .method = "POST" };
+    call.target = isOnce ? "/once/x" : "/safe/x";
+    call.headers = { { "Host", "desk.example" },
+                     { "X-Request-Id", id },
+                     { "X-Request-Deadline", "2000" },
+                     { "Authorization", "Bearer key-of-t1" } };
+    call.body = "body of " + id;
+    call.timeout = kPatience;
+    m_ledger.OnAsked(id, !isOnce);
+    const test::HttpReply reply = connection.Call(call);
+    const bool isOwn = reply.whole && reply.body == AnswerTo(id) &&
+                       reply.Header("X-Response-Seal").ends_with("." + id);
+    m_ledger.OnTold(id, reply.status, isOwn);
+    std::this_thread::sleep_for(kPause);
+  }
+}
+
+} // namespace gooseberrysail::soak
--- /dev/null
+++ b/tests/soak/cluster.cpp
@@ -0,0 +1,173 @@
+#include "soak/cluster.hpp"
+
+#include "support/http_call.hpp"
+
+#include <boost/json.hpp>
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <sys/wait.h>
+
+namespace gooseberrysail::soak {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::size_t kControls = 3;
+constexpr auto kGrace = 10s;
+
+std::string PortOf(const std::string& address)
+{
+  return address.substr(address.rfind(':') + 1);
+}
+
+/// Control processes share their ports, as the platform's machines do, and differ by address.
+std::string ControlIp(std::size_t number)
+{
+  return "127.0.0." + std::to_string(number + 1);
+}
+
+std::string Config(std::uint64_t version)
+{
+  return R"({"version":)" + std::to_string(version) +
+         R"(,"routes":[)"
+         R"({"name":"once","host":"desk.example","pathPrefix":"/once/","kind":"unsafe",)"
+         R"("timeoutMs":1500,"service":"desk","maxAttempts":2},)"
+         R"({"name":"safe","host":"desk.example","pathPrefix":"/safe/","kind":"safe",)"
+         R"("timeoutMs":1500,"service":"desk","maxAttempts":2}],)"
+         R"("services":[{"name":"desk","healthPath":"/health"}],)"
+         R"("tenants":[{"name":"t1","apiKeys":["key-of-t1"]}]})";
+}
+
+} // namespace
+
+Cluster::Cluster(std::string daemon, std::size_t entries)
+  : m_daemon(std::move(daemon))
+  , m_peerPort(PortOf(test::FreeAddress()))
+{
+  const std::string httpPort = PortOf(test::FreeAddress());
+  for (std::size_t number = 0; number < kControls; ++number) {
+    m_controls.push_back(ControlIp(number) + ":" + httpPort);
+  }
+  for (std::size_t number = 0; number < kControls; ++number) {
+    WriteControl(number);
+  }
+  for (std::size_t number = 0; number < entries; ++number) {
+    m_entries.push_back(test::FreeAddress());
+    WriteEntry(number);
+  }
+}
+
+std::string Cluster::Common(const std::string& ip) const
+{
+  std::string seeds;
+  for (const std::string& control : m_controls) {
+    seeds += (seeds.empty() ? "" : ",") + control;
+  }
+  return "failureDomain = a\nlisten = " + ip + "\n[cluster]\nkey = " + std::string(48, 'k') +
+         "\nseeds = " + seeds + "\nseedPort = " + m_peerPort +
+         "\n[peers]\nheartbeatInterval = 300\nsilenceTimeout = 1000\n";
+}
+
+void Cluster::WriteControl(std::size_t number)
+{
+  const std::string name = "control-" + std::to_string(number + 1);
+  const std::string data = m_folder.Path() + "/data-" + name;
+  std::filesystem::create_directories(data);
+  std::ofstream(m_folder.Path() + "/" + name + ".ini")
+    << "[process]\nrole = control\ninterface = platform\nname = control-" << ControlIp(number)
+    << "\nhttpListen = " << m_controls[number] << "\n"
+    << Common(ControlIp(number) + ":" + m_peerPort) << "[control]\ndataFolder = " << data
+    << "\nelectionTimeout = 400\ntoleratedLosses = 1\noperatorTokenHash = " << std::string(64, '0')
+    << "\n";
+  Start(name);
+}
+
+void Cluster::WriteEntry(std::size_t number)
+{
+  const std::string name = "entry-" + std::to_string(number + 1);
+  std::ofstream(m_folder.Path() + "/" + name + ".ini")
+    << "[process]\nrole = entry\ninterface = platform\nname = " << name
+    << "\nhttpListen = " << m_entries[number] << "\nreadyListen = " << test::FreeAddress() << "\n"
+    << Common("127.0.0.1:0");
+  Start(name);
+}
+
+void Cluster::Start(const std::string& name)
+{
+  const std::string base = m_folder.Path() + "/" + name;
+  m_processes[name] = std::make_unique<test::ChildProcess>(
+    std::vector<std::string>{ m_daemon, "--settings", base + ".ini" }, base + ".log");
+}
+
+std::vector<std::string> Cluster::Names(const std::string& prefix) const
+{
+  std::vector<std::string> names;
+  for (const auto& [name, process] : m_processes) {
+    if (name.starts_with(prefix)) {
+      names.push_back(name);
+    }
+  }
+  return names;
+}
+
+void Cluster::Signal(const std::string& name, int signal)
+{
+  m_processes.at(name)->Signal(signal);
+}
+
+void Cluster::KillAndRestart(const std::string& name)
+{
+  m_processes.at(name)->Kill();
+  Start(name);
+}
+
+bool Cluster::StopAndRestart(const std::string& name)
+{
+  test::ChildProcess& process = *m_processes.at(name);
+  process.Signal(SIGCONT); // One that is paused can't leave.
+  process.Signal(SIGTERM);
+  const int status = process.WaitForExit(kGrace);
+  Start(name);
+  return status != -1 && WIFEXITED(status) && WEXITSTATUS(status) == 0;
+}
+
+bool Cluster::PutConfig(std::uint64_t version, std::size_t first) const
+{
+  for (std::size_t tried = 0; tried < m_controls.size(); ++tried) {
+    test::HttpCall call{ .address = m_controls[(first + tried) % m_controls.size()],
+                         .method = "PUT" };
+    call.target = "/api/config";
+    call.headers = { { "Content-Type", "application/json" } };
+    call.body = Config(version);
+    call.timeout = 1s;
+    if (test::Call(call).status == 200) {
+      return true;
+    }
+  }
+  return false;
+}
+
+std::uint64_t Cluster::ReadVersion(std::size_t control) const
+{
+  test::HttpCall call{ .address = m_controls[control], .method = "GET", .target = "/api/config" };
+  call.timeout = 1s;
+  const test::HttpReply reply = test::Call(call);
+  if (reply.status != 200 || !reply.whole) {
+    return 0;
+  }
+  const boost::json::value document = boost::json::parse(reply.body);
+  return document.at("version").to_number<std::uint64_t>();
+}
+
+std::string Cluster::Outputs() const
+{
+  std::string all;
+  for (const auto& [name, process] : m_processes) {
+    all += "---- " + name + " ----\n" + process->Output();
+  }
+  return all;
+}
+
+} // namespace gooseberrysail::soak
--- /dev/null
+++ b/tests/soak/replica.cpp
@@ -0,0 +1,185 @@
+#include "soak/replica.hpp"
+
+#include "support/http_call.hpp"
+
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+namespace gooseberrysail::soak {
+
+namespace {
+
+namespace http = boost::beast::http;
+using boost::asio::ip::tcp;
+using namespace std::chrono_literals;
+
+constexpr auto kHeartbeat = 400ms;
+constexpr auto kWork = 15ms;
+constexpr std::size_t kPadding = 3000;
+
+tcp::endpoint Loopback()
+{
+  return { boost::asio::ip::make_address("127.0.0.1"), 0 };
+}
+
+} // namespace
+
+std::string AnswerTo(const std::string& id)
+{
+  return "answer to " + id + " " + std::string(kPadding, 'x') + " end of " + id;
+}
+
+Replica::Replica(std::string name,
+                 std::vector<std::string> controls,
+                 Ledger& ledger,
+                 std::uint64_t seed)
+  : m_name(std::move(name))
+  , m_controls(std::move(controls))
+  , m_ledger(ledger)
+  , m_acceptor(m_io, Loopback())
+  , m_random(seed)
+{
+  const std::string own = "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port());
+  m_relay = std::make_unique<test::RelayThread>(own);
+  m_acceptThread = std::thread([this] { Accept(); });
+  m_announceThread = std::thread([this] { Announce(); });
+}
+
+Replica::~Replica()
+{
+  m_stop = true;
+  // A blocked accept does not notice that its socket is closed; a connection wakes it.
+  Socket wake(m_io);
+  boost::system::error_code ignored;
+  wake.connect(m_acceptor.local_endpoint(), ignored);
+  m_acceptThread.join();
+  m_announceThread.join();
+  CloseConnections();
+}
+
+void Replica::Restart()
+{
+  ++m_life;
+  CloseConnections();
+}
+
+void Replica::CloseConnections()
+{
+  std::list<Connection> closing;
+  {
+    const std::scoped_lock lock(m_mutex);
+    closing.swap(m_connections);
+  }
+  for (Connection& connection : closing) {
+    boost::system::error_code ignored;
+    connection.socket->shutdown(tcp::socket::shutdown_both, ignored);
+    connection.thread.join();
+  }
+}
+
+std::string Replica::Instance() const
+{
+  return m_name + "-" + std::to_string(m_life);
+}
+
+bool Replica::Draw(double part)
+{
+  const std::scoped_lock lock(m_mutex);
+  return std::uniform_real_distribution<>(0, 1)(m_random) < part;
+}
+
+void Replica::Accept()
+{
+  while (!m_stop) {
+    auto socket = std::make_shared<Socket>(m_io);
+    boost::system::error_code error;
+    m_acceptor.accept(*socket, error);
+    if (error || m_stop) {
+      continue;
+    }
+    const std::scoped_lock lock(m_mutex);
+    m_connections.push_back({ socket, std::thread([this, socket] { Serve(*socket); }) });
+  }
+}
+
+void Replica::Serve(Socket& socket)
+{
+  const std::uint64_t life = m_life;
+  boost::beast::flat_buffer buffer;
+  while (!m_stop && m_life == life) {
+    http::request<http::string_body> request;
+    boost::system::error_code error;
+    http::read(socket, buffer, request, error);
+    if (error) {
+      break;
+    }
+    const std::string id(request["X-Request-Id"]);
+    const bool isOther = std::string(request["X-Expect-Instance"]) != Instance();
+    const bool hasKey = request.count(http::field::authorization) != 0;
+    if (!Answer(socket, id, isOther, hasKey)) {
+      break;
+    }
+  }
+  boost::system::error_code ignored;
+  socket.shutdown(tcp::socket::shutdown_both, ignored);
+}
+
+bool Replica::Answer(Socket& socket, const std::string& id, bool isOther, bool hasKey)
+{
+  http::response<http::string_body> answer;
+  answer.set("X-Request-Id", id);
+  boost::system::error_code error;
+  if (isOther) {
+    answer.result(http::status::misdirected_request);
+    answer.set("X-Not-Executed", "1");
+    answer.prepare_payload();
+    http::write(socket, answer, error);
+    return !error;
+  }
+  const std::string instance = Instance();
+  m_ledger.OnRun(id, instance);
+  if (hasKey) {
+    m_ledger.OnLeak(id, "its caller's key");
+  }
+  std::this_thread::sleep_for(kWork);
+  if (Draw(m_losesAnswers)) {
+    return false;
+  }
+  answer.set("X-Response-Seal", instance + "." + id);
+  answer.body() = AnswerTo(id);
+  answer.prepare_payload();
+  if (Draw(m_breaksAnswers)) {
+    boost::beast::flat_buffer whole;
+    boost::beast::ostream(whole) << answer;
+    const auto half = boost::asio::buffer(whole.data().data(), whole.size() / 2);
+    boost::asio::write(socket, half, error);
+    return false;
+  }
+  http::write(socket, answer, error);
+  return !error;
+}
+
+void Replica::Announce()
+{
+  std::uint64_t sequence = 0;
+  std::size_t next = 0;
+  while (!m_stop) {
+    ++sequence;
+    for (std::size_t tried = 0; tried < m_controls.size(); ++tried) {
+      test::HttpCall call{ .address = m_controls[next % m_controls.size()], .method = "PUT" };
+      call.target = "/api/instances/" + Instance();
+      call.headers = { { "Content-Type", "application/json" } };
+      call.body = R"({"service":"desk","address":")" + m_relay->Address() +
+                  R"(","zone":"a","version":"v1","slots":6,"state":"ready","seq":)" +
+                  std::to_string(sequence) + "}";
+      call.timeout = 500ms;
+      if (test::Call(call).status == 200) {
+        break;
+      }
+      ++next;
+    }
+    std::this_thread::sleep_for(kHeartbeat);
+  }
+}
+
+} // namespace gooseberrysail::soak
--- a/tests/support/http_call.cpp
+++ b/tests/support/http_call.cpp
@@ -1,5 +1,7 @@
 #include "support/http_call.hpp"
 
+#include "support/kept_connection.hpp"
+
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
@@ -67,30 +69,67 @@
   return "";
 }
 
-HttpReply Call(const HttpCall& call)
+struct KeptConnection::Impl
 {
-  HttpReply reply;
   boost::asio::io_context io;
-  beast::tcp_stream stream(io);
+  beast::tcp_stream stream{ io };
+  beast::flat_buffer buffer;
+  std::string address; ///< Connected to; "" when not.
+
+  beast::error_code Connect(const HttpCall& call)
+  {
+    if (address == call.address) {
+      return {};
+    }
+    Drop();
+    const auto error =
+      Step(io, [&](auto done) { stream.async_connect(Endpoint(call.address), done); });
+    address = error ? "" : call.address;
+    return error;
+  }
+
+  void Drop()
+  {
+    beast::error_code ignored;
+    stream.socket().close(ignored);
+    buffer.clear();
+    address.clear();
+  }
+};
+
+KeptConnection::KeptConnection()
+  : m_impl(std::make_unique<Impl>())
+{
+}
+
+KeptConnection::~KeptConnection() = default;
+
+HttpReply KeptConnection::Call(const HttpCall& call)
+{
+  HttpReply reply;
+  auto& io = m_impl->io;
+  auto& stream = m_impl->stream;
   stream.expires_after(call.timeout);
   const auto request = MakeRequest(call);
-  auto error = Step(io, [&](auto done) { stream.async_connect(Endpoint(call.address), done); });
+  auto error = m_impl->Connect(call);
   if (!error) {
     error = Step(io, [&](auto done) { http::async_write(stream, request, done); });
   }
-  beast::flat_buffer buffer;
   http::response_parser<http::string_body> parser;
   parser.body_limit(std::numeric_limits<std::uint64_t>::max());
   if (!error) {
-    error = Step(io, [&](auto done) { http::async_read_header(stream, buffer, parser, done); });
+    error =
+      Step(io, [&](auto done) { http::async_read_header(stream, m_impl->buffer, parser, done); });
   }
   if (error) {
     reply.failure = error.message();
+    m_impl->Drop();
     return reply;
   }
   CopyHead(parser, reply);
   while (!error && !parser.is_done()) {
-    error = Step(io, [&](auto done) { http::async_read_some(stream, buffer, parser, done); });
+    error =
+      Step(io, [&](auto done) { http::async_read_some(stream, m_impl->buffer, parser, done); });
     if (call.onBody) {
       call.onBody(parser.get().body());
     }
@@ -98,7 +137,16 @@
   reply.body = parser.get().body();
   reply.whole = parser.is_done() && !error;
   reply.failure = error ? error.message() : "";
+  if (!reply.whole || !parser.get().keep_alive()) {
+    m_impl->Drop();
+  }
   return reply;
 }
 
+HttpReply Call(const HttpCall& call)
+{
+  KeptConnection connection;
+  return connection.Call(call);
+}
+
 } // namespace gooseberrysail::test
