Warm members of serving groups complete a group that lacks few; cold idle targets do not hide them

The planner saw enough idle targets in the domain and asked no serving group for the eighth warm one; a load takes 16 s.

Change: a takeover is first sought among targets that hold the weights, idle or serving; only then among others.

--- a/src/placement/pool_plan.cpp
+++ b/src/placement/pool_plan.cpp
@@ -215,7 +215,23 @@
     std::size_t loads = 0;
   };
 
+  /// \brief Which targets a takeover may use.
+  enum class Members
+  {
+    kWarm, ///< Those that hold the weights: the group can be formed at once.
+    kAny,  ///< Others, too, which load first.
+  };
+
+  /// Free targets that lack the weights must not hide the members of serving groups that hold them:
+  /// seven warm targets and three cold ones waited 25 s for one load, beside small groups whose
+  /// members held the weights.
   [[nodiscard]] std::optional<Takeover> FindTakeover(const ModelNeed& need) const
+  {
+    const std::optional<Takeover> warm = FindTakeover(need, Members::kWarm);
+    return warm ? warm : FindTakeover(need, Members::kAny);
+  }
+
+  [[nodiscard]] std::optional<Takeover> FindTakeover(const ModelNeed& need, Members which) const
   {
     std::optional<Takeover> best;
     for (const ModelNeed& donor : m_needs) {
@@ -223,7 +239,7 @@
         continue;
       }
       for (const auto& [domain, groups] : GroupsByDomain(donor.model->name)) {
-        const std::optional<Takeover> takeover = Combine(need, donor, domain, groups);
+        const std::optional<Takeover> takeover = Combine(need, donor, domain, groups, which);
         if (takeover && (!best || IsCheaper(*takeover, *best))) {
           best = takeover;
         }
@@ -253,7 +269,8 @@
   [[nodiscard]] std::optional<Takeover> Combine(const ModelNeed& need,
                                                 const ModelNeed& donor,
                                                 const FabricDomainId& domain,
-                                                std::vector<const ServingGroup*> groups) const
+                                                std::vector<const ServingGroup*> groups,
+                                                Members which) const
   {
     const std::string& model = need.model->name;
     const std::size_t size = need.model->size;
@@ -263,16 +280,22 @@
         group->members, [&](const FreeTarget& member) { return IsComing(member, model); });
     });
     Takeover takeover;
+    const auto add = [&](const FreeTarget* target) {
+      if (which == Members::kAny || HoldsModel(*target, model)) {
+        takeover.members.push_back(target);
+      }
+    };
     if (const auto free = m_pool.find(domain); free != m_pool.end()) {
-      takeover.members = free->second;
+      std::ranges::for_each(free->second, add);
     }
     for (const ServingGroup* group : groups) {
-      if (takeover.members.size() >= size) {
+      const std::size_t before = takeover.members.size();
+      if (before >= size) {
         break;
       }
-      takeover.groups.push_back(group);
-      for (const FreeTarget& member : group->members) {
-        takeover.members.push_back(&member);
+      std::ranges::for_each(group->members, [&](const FreeTarget& member) { add(&member); });
+      if (takeover.members.size() > before) {
+        takeover.groups.push_back(group);
       }
     }
     const int given = static_cast<int>(takeover.groups.size());
--- a/tests/unit/pool_plan_test.cpp
+++ b/tests/unit/pool_plan_test.cpp
@@ -193,6 +193,25 @@
   }
 }
 
+// Symptom: the large model has no group for 25 s, while one domain has seven idle targets with its
+// weights, three idle ones without, and small groups whose hosts hold them.
+// Cause: ten idle targets looked enough, so no serving group was asked for the eighth warm one.
+TEST(PoolPlan, ColdIdleTargetsDoNotHideWarmMembersOfServingGroups)
+{
+  std::vector<FreeTarget> free;
+  Add(free, 3, "a", "large");
+  Add(free, 2, "a", "small");
+  std::vector<ServingGroup> serving{ Serving("g1", "small", "a", 2) };
+  serving[0].members[1].stagedModels = { "large" };
+  const std::vector<ModelNeed> needs{ { &kLarge, 0, 3, 2.0 }, { &kSmall, 7, 6, 4.0 } };
+  const PoolPlan plan = PlanPool({ free, needs, serving, 0, 0, false });
+  ASSERT_THAT(plan.takeovers, SizeIs(1));
+  EXPECT_THAT(plan.takeovers[0].releases, ::testing::ElementsAre("g1"));
+  EXPECT_THAT(plan.takeovers[0].group.members, ::testing::Contains(serving[0].members[1].instance));
+  EXPECT_THAT(plan.takeovers[0].group.members,
+              ::testing::Not(::testing::Contains(serving[0].members[0].instance)));
+}
+
 // Symptom: a lost member of a small group is replaced after 1.4 s in place of 0.5 s, and ten
 // seconds later no large group can be formed. Sequence: all spares hold the large model's weights;
 // the first losses hit small groups. Cause: spares were not shared out as members are.
