--- a/tests/fakes/raft_cluster.cpp
+++ b/tests/fakes/raft_cluster.cpp
@@ -91,6 +91,9 @@
   if (m_options.founders != 0) {
     settings.voters.resize(m_options.founders);
   }
+  if (!process.seeds.empty()) {
+    settings.voters = process.seeds;
+  }
   RecoveredLog recovered;
   recovered.identity = process.disk.identity;
   recovered.hardState = process.disk.hardState;
@@ -173,6 +176,11 @@
   Start(m_processes[index]);
 }
 
+void RaftCluster::NameSeeds(std::size_t index, std::vector<ProcessId> seeds)
+{
+  m_processes[index].seeds = std::move(seeds);
+}
+
 void RaftCluster::Wipe(std::size_t index)
 {
   Note("wipe the disk of " + m_processes[index].name);
--- a/tests/fakes/raft_cluster.hpp
+++ b/tests/fakes/raft_cluster.hpp
@@ -70,6 +70,7 @@
   struct Process
   {
     std::string name;
+    std::vector<ProcessId> seeds; ///< Named by its settings; none: as all others.
     FakeDisk disk;
     std::unique_ptr<RaftNode> node; ///< Null while it is down.
     bool frozen = false;
@@ -91,6 +92,8 @@
   void Crash(std::size_t index);
   void CrashDuringNextReady(std::size_t index, CrashPoint point);
   void Restart(std::size_t index);
+  /// \brief The processes that this one's settings name from its next start on.
+  void NameSeeds(std::size_t index, std::vector<ProcessId> seeds);
   void Wipe(std::size_t index); ///< The process must be down.
   void Freeze(std::size_t index);
   void Thaw(std::size_t index);
