--- a/tools/platform_days.py
+++ b/tools/platform_days.py
@@ -118,6 +118,26 @@
     ("revoke", "last", "count = 2, gap_s = 1.5"),
 ]
 
+# Troubles that overlap: the second begins 0.5 s after the first.
+PAIRS = [
+    ("srv_crash domain dark", "node_kill leader"),
+    ("srv_crash domain dark", "herd_kill"),
+    ("srv_crash domain dark", "core_cut leader race"),
+    ("srv_crash dark gone joined", "applied_late orders"),
+    ("srv_slow", "srv_crash dark gone joined"),
+    ("srv_slow", "node_kill leader"),
+    ("srv_cut", "node_freeze leader"),
+    ("srv_cut reborn", "herd_kill off"),
+    ("node_cut servers", "node_kill leader"),
+    ("node_cut all", "after_ack_wipe"),
+    ("garble extra late", "reset_conns"),
+    ("answer_lost reset", "lossy"),
+    ("replace_with_reuse dark", "node_kill power"),
+    ("core_cut split", "after_ack_kill"),
+    ("disk_full", "node_kill leader"),
+    ("clock_step back", "core_cut one_way"),
+]
+
 CLOSINGS = [("power_off_all", ""), ("wipe_after_ack", ""), ("kill_all", "")]
 MOMENTS = (5.0, 18.0)
 
@@ -153,6 +173,12 @@
     return ", ".join(parts)
 
 
+def find_trouble(name):
+    """The entry of TROUBLES whose kind and variant these words are."""
+    kind, _, how = name.partition(" ")
+    return next(each for each in TROUBLES if each[0] == kind and each[1] == how)
+
+
 def list_days(site_text, seed):
     service = re.search(r'services = \[\s*\{ name = "([^"]+)"', site_text).group(1)
     base = calm_day(site_text)
@@ -162,6 +188,13 @@
             both = [entry(moment, trouble, service) for moment in MOMENTS]
             lists = {"plan": both} if planned else {"faults": both}
             yield name, day_text(base, name, seed, **lists)
+    for names in PAIRS:
+        both = [find_trouble(name) for name in names]
+        name = "pair-" + "+".join("-".join([each[0]] + each[1].split()) for each in both)
+        faults = [
+            entry(moment + 0.5 * place, each, service) for moment in MOMENTS for place, each in enumerate(both)
+        ]
+        yield name, day_text(base, name, seed, faults=faults)
     for closing, _ in CLOSINGS:
         yield "closing-" + closing, day_text(base, "closing-" + closing, seed, closing=closing)
 
