Tests give no port out twice

FreeAddress asks the kernel for a port and gives it back; until the daemon binds it, some milliseconds later and more beside load, the kernel may name it again.

Ruled out: the daemon (it said why it ended, and no other process of the test failed).

Change: ports that were given out are remembered, and others asked for. Ports of other processes may still collide.

--- a/tests/support/child_process.cpp
+++ b/tests/support/child_process.cpp
@@ -6,7 +6,9 @@
 #include <fcntl.h>
 #include <filesystem>
 #include <fstream>
+#include <mutex>
 #include <netinet/in.h>
+#include <set>
 #include <spawn.h>
 #include <sstream>
 #include <stdexcept>
@@ -144,7 +146,10 @@
   std::filesystem::remove_all(m_path, ignored);
 }
 
-std::string FreeAddress()
+namespace {
+
+/// A port that the kernel thinks is free.
+std::uint16_t AnyFreePort()
 {
   const int listener = socket(AF_INET, SOCK_STREAM, 0);
   sockaddr_in address{};
@@ -154,7 +159,24 @@
   bind(listener, reinterpret_cast<sockaddr*>(&address), size);
   getsockname(listener, reinterpret_cast<sockaddr*>(&address), &size);
   close(listener);
-  return "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
+  return ntohs(address.sin_port);
+}
+
+} // namespace
+
+// A daemon binds its port some milliseconds after it was started. Until then the kernel may name
+// the same port again: two daemons of a cluster got one address, and the second ended at its start
+// with "Address already in use". So no port is given out twice.
+std::string FreeAddress()
+{
+  static std::mutex mutex;
+  static std::set<std::uint16_t> given;
+  const std::scoped_lock lock(mutex);
+  std::uint16_t port = AnyFreePort();
+  while (!given.insert(port).second) {
+    port = AnyFreePort();
+  }
+  return "127.0.0.1:" + std::to_string(port);
 }
 
 } // namespace gooseberrysail::test
