One lookup of a service's engines, one word for a failed target, one writer of decimals

From reading the whole change once more; behaviour as before.

- EngineGroups::ModelOf searched the document's services itself beside Pass::EngineOf; it calls that now, and FindModel takes the engine.
- "Unknown, leaving, silent or replaced" stood three times (failed members, survivors, free targets): HasFailed.
In ListFree it comes last, so that the search for a replacement is not made for targets that are taken.
- Two decimals were written in engine_groups_planning.cpp (declared in another header) and in dispatcher_end.cpp: ToDecimal in core/.

Left as they are: the soak's and the test cluster's lists of outputs and the includes of the two halves of EngineGroups, alike by shape only; a head's pace is computed twice in one choice of a target.

--- a/include/gooseberrysail/control/engine_groups.hpp
+++ b/include/gooseberrysail/control/engine_groups.hpp
@@ -213,6 +213,8 @@
   [[nodiscard]] bool HasSpoken(const TargetRow& row) const;
   [[nodiscard]] static bool IsWhole(const Pass& pass, const Group& group);
   [[nodiscard]] static bool SharesMember(const Group& left, const Group& right);
+  /// \brief Unknown, leaving, silent, or replaced by another life.
+  [[nodiscard]] bool HasFailed(const Pass& pass, const TargetRow* row) const;
   [[nodiscard]] bool HasFailedMember(const Pass& pass, const Group& group) const;
 
   EngineGroupsSettings m_settings;
--- a/src/control/engine_groups.cpp
+++ b/src/control/engine_groups.cpp
@@ -240,12 +240,8 @@
 /// Null when the document no longer has the service or the model.
 const GroupModel* EngineGroups::ModelOf(const Pass& pass, const Group& group)
 {
-  for (const ServiceDefinition& service : pass.input.document.services) {
-    if (service.name == group.service && service.engine) {
-      return FindModel(service, group.model);
-    }
-  }
-  return nullptr;
+  const EngineSpec* engine = pass.EngineOf(group.service);
+  return engine == nullptr ? nullptr : FindModel(*engine, group.model);
 }
 
 void EngineGroups::AdvanceGathering(Pass& pass, Group& group)
@@ -519,12 +515,15 @@
            group.members, [&](const InstanceId& member) { return HasSpoken(*pass.Row(member)); });
 }
 
+bool EngineGroups::HasFailed(const Pass& pass, const TargetRow* row) const
+{
+  return IsLeaving(row) || IsSilent(pass, *row) || IsReplaced(pass.input.targets, *row);
+}
+
 bool EngineGroups::HasFailedMember(const Pass& pass, const Group& group) const
 {
-  return std::ranges::any_of(group.members, [&](const InstanceId& member) {
-    const TargetRow* row = pass.Row(member);
-    return IsLeaving(row) || IsSilent(pass, *row) || IsReplaced(pass.input.targets, *row);
-  });
+  return std::ranges::any_of(
+    group.members, [&](const InstanceId& member) { return HasFailed(pass, pass.Row(member)); });
 }
 
 void EngineGroups::OnOrderOutcome(TimePoint now, const GroupOrder& order, OrderOutcome outcome)
--- a/src/control/engine_groups_pass.hpp
+++ b/src/control/engine_groups_pass.hpp
@@ -24,18 +24,15 @@
   /// \brief Null when the document has no such service with engines.
   [[nodiscard]] const EngineSpec* EngineOf(const std::string& service) const
   {
-    const auto found =
-      std::ranges::find(input.document.services, service, &ServiceDefinition::name);
-    const bool hasEngine = found != input.document.services.end() && found->engine;
-    return hasEngine ? &*found->engine : nullptr;
+    const auto found = std::ranges::find_if(input.document.services, [&](const auto& each) {
+      return each.name == service && each.engine;
+    });
+    return found == input.document.services.end() ? nullptr : &*found->engine;
   }
 };
 
 namespace impl {
 
-/// Two decimals, for events.
-[[nodiscard]] std::string ToDecimal(double value);
-
 /// Groups of one target that holds weights ready; they never open.
 inline const std::string kStandbyPrefix = "standby-";
 
@@ -61,11 +58,10 @@
   });
 }
 
-[[nodiscard]] inline const GroupModel* FindModel(const ServiceDefinition& service,
-                                                 const std::string& name)
+[[nodiscard]] inline const GroupModel* FindModel(const EngineSpec& engine, const std::string& name)
 {
-  const auto found = std::ranges::find(service.engine->models, name, &GroupModel::name);
-  return found == service.engine->models.end() ? nullptr : &*found;
+  const auto found = std::ranges::find(engine.models, name, &GroupModel::name);
+  return found == engine.models.end() ? nullptr : &*found;
 }
 
 } // namespace impl
--- a/src/control/engine_groups_planning.cpp
+++ b/src/control/engine_groups_planning.cpp
@@ -1,10 +1,9 @@
 #include "control/engine_groups_pass.hpp"
+#include "gooseberrysail/core/decimal.hpp"
 #include "gooseberrysail/observe/event.hpp"
 
 #include <algorithm>
-#include <array>
 #include <cmath>
-#include <cstdio>
 
 namespace gooseberrysail {
 
@@ -13,7 +12,6 @@
 using namespace std::chrono_literals;
 using impl::FindModel;
 using impl::IsLeaving;
-using impl::IsReplaced;
 using impl::Reports;
 
 /// Loads are counted over this window, which is the one in which the store's rate is enforced.
@@ -79,13 +77,6 @@
          pass.input.now - m_lostGroupAt > kLossesSettle;
 }
 
-std::string impl::ToDecimal(double value)
-{
-  std::array<char, 32> text{};
-  const int size = std::snprintf(text.data(), text.size(), "%.2f", value);
-  return std::string(text.data(), static_cast<std::size_t>(std::max(size, 0)));
-}
-
 std::uint32_t EngineGroups::LoadsLeft(const Pass& pass, const EngineSpec& engine)
 {
   if (!pass.input.hasTraffic) {
@@ -170,7 +161,7 @@
                                       { "model", model },
                                       { "groups", std::to_string(need.groups) },
                                       { "wanted", std::to_string(need.wanted) },
-                                      { "work", impl::ToDecimal(need.work) },
+                                      { "work", ToDecimal(need.work) },
                                       { "free", DescribeFree(pool.free, model) },
                                       { "loadsLeft", std::to_string(pool.loadsLeft) } }));
   }
@@ -183,7 +174,7 @@
 {
   for (auto& [name, group] : m_groups) {
     const bool lacksHead = group.phase == Phase::kEnding && group.headSilentAt;
-    const GroupModel* model = FindModel(service, group.model);
+    const GroupModel* model = FindModel(*service.engine, group.model);
     if (group.service != service.name || !lacksHead || model == nullptr) {
       continue;
     }
@@ -221,8 +212,7 @@
   std::vector<InstanceId> survivors;
   for (std::size_t rank = 1; rank < group.members.size(); ++rank) {
     const TargetRow* row = pass.Row(group.members[rank]);
-    if (row == nullptr || IsLeaving(row) || IsSilent(pass, *row) || !HasSpoken(*row) ||
-        IsReplaced(pass.input.targets, *row)) {
+    if (HasFailed(pass, row) || !HasSpoken(*row)) {
       continue;
     }
     const GroupMembership& membership = row->latest.membership;
@@ -311,10 +301,9 @@
   }
   std::vector<FreeTarget> free;
   for (const auto& [instance, row] : pass.input.targets.Rows()) {
-    const bool usable = row.latest.service == service && !IsLeaving(&row) && HasSpoken(row) &&
-                        !IsSilent(pass, row) && !taken.contains(instance) &&
-                        !m_slow.IsSlow(instance) && !IsHeld(row.latest.membership) &&
-                        !IsReplaced(pass.input.targets, row);
+    const bool usable = row.latest.service == service && HasSpoken(row) &&
+                        !taken.contains(instance) && !m_slow.IsSlow(instance) &&
+                        !IsHeld(row.latest.membership) && !HasFailed(pass, &row);
     if (!usable) {
       continue;
     }
--- a/src/control/engine_groups_stragglers.cpp
+++ b/src/control/engine_groups_stragglers.cpp
@@ -1,4 +1,5 @@
 #include "control/engine_groups_pass.hpp"
+#include "gooseberrysail/core/decimal.hpp"
 #include "gooseberrysail/observe/event.hpp"
 #include "gooseberrysail/placement/model_work.hpp"
 
@@ -74,7 +75,7 @@
     pass.events.push_back(MakeEvent(EventNumber::kTargetPaceChanged,
                                     { { "target", target.Get() },
                                       { "state", isSlow ? "slow" : "sound" },
-                                      { "pace", impl::ToDecimal(pace) } }));
+                                      { "pace", ToDecimal(pace) } }));
   }
   m_paceNews.clear();
 }
--- a/src/gateway/dispatcher_end.cpp
+++ b/src/gateway/dispatcher_end.cpp
@@ -1,10 +1,8 @@
+#include "gooseberrysail/core/decimal.hpp"
 #include "gooseberrysail/gateway/dispatcher.hpp"
 #include "gooseberrysail/observe/event.hpp"
 
-#include <algorithm>
-#include <array>
 #include <boost/json.hpp>
-#include <cstdio>
 
 namespace gooseberrysail {
 
@@ -20,10 +18,7 @@
 /// Seconds with two decimals: a caller with a deadline of a second gains nothing from whole ones.
 std::string ToSeconds(Duration duration)
 {
-  std::array<char, 32> text{};
-  const int size = std::snprintf(
-    text.data(), text.size(), "%.2f", std::chrono::duration<double>(duration).count());
-  return std::string(text.data(), static_cast<std::size_t>(std::max(size, 0)));
+  return ToDecimal(std::chrono::duration<double>(duration).count());
 }
 
 std::string ErrorText(const char* outcome, const std::string& reason)
