--- a/include/gooseberrysail/control/engine_groups.hpp
+++ b/include/gooseberrysail/control/engine_groups.hpp
@@ -41,6 +41,7 @@
   std::string model;               ///< kJoin and kStage.
   std::vector<InstanceId> members; ///< kJoin only; the head first.
   bool cut = false;                ///< kClose only: what it has can't end any more.
+  Incarnation born{};              ///< The life of the target that it was meant for.
 };
 
 /// \brief How an order ended.
@@ -133,7 +134,8 @@
     Epoch epoch;
     std::string service;
     std::string model;
-    std::vector<InstanceId> members; ///< The head first; none where a member is not known.
+    std::vector<InstanceId> members;         ///< The head first; none where a member is not known.
+    std::map<InstanceId, Incarnation> lives; ///< Of the members, when they were taken into it.
     Phase phase = Phase::kJoining;
     TimePoint since{}; ///< In this phase.
     bool wasAdopted = false;
@@ -155,6 +157,7 @@
   [[nodiscard]] static Group MakeAdopted(const Pass& pass, const TargetRow& row);
   void DropEnded(Pass& pass);
   void ForgetGone(const Pass& pass);
+  void ForgetFormerLives(const Pass& pass);
   void Advance(Pass& pass, Group& group);
   void AdvanceAdopted(Pass& pass, Group& group);
   void AdvanceGathering(Pass& pass, Group& group);
@@ -216,6 +219,10 @@
   /// \brief Unknown, leaving, silent, or replaced by another life.
   [[nodiscard]] bool HasFailed(const Pass& pass, const TargetRow* row) const;
   [[nodiscard]] bool HasFailedMember(const Pass& pass, const Group& group) const;
+  /// \brief The member's life in which it was taken into the group is over.
+  [[nodiscard]] static bool IsReborn(const Pass& pass,
+                                     const Group& group,
+                                     const InstanceId& member);
 
   EngineGroupsSettings m_settings;
   std::map<std::string, Group> m_groups; ///< By name.
@@ -228,6 +235,7 @@
   std::map<InstanceId, Staging> m_staging;
   std::map<InstanceId, TimePoint> m_unanswered; ///< Probes without an answer, until the next word.
   std::map<InstanceId, TimePoint> m_standbySince; ///< When targets were told to hold weights ready.
+  std::map<InstanceId, Incarnation> m_lives;      ///< Of the targets in the table, as last seen.
   SlowTargets m_slow;
   std::vector<std::pair<InstanceId, double>> m_paceNews; ///< Changes that are not reported yet.
   TimePoint m_lostGroupAt{};                             ///< When a group last ended by a fault.
--- a/include/gooseberrysail/control/outside_api.hpp
+++ b/include/gooseberrysail/control/outside_api.hpp
@@ -40,6 +40,7 @@
 /// \brief A call to this interface that can't be understood.
 struct MalformedCall
 {
+  std::string caller; ///< Whom it names; "" for none.
   std::string reason;
 };
 
--- a/include/gooseberrysail/control/serving_control.hpp
+++ b/include/gooseberrysail/control/serving_control.hpp
@@ -3,6 +3,7 @@
 #include "gooseberrysail/control/document_service.hpp"
 #include "gooseberrysail/control/engine_groups.hpp"
 #include "gooseberrysail/control/outside_api.hpp"
+#include "gooseberrysail/control/refused_calls.hpp"
 #include "gooseberrysail/control/serving_feed.hpp"
 #include "gooseberrysail/serving/target_table.hpp"
 
@@ -58,6 +59,8 @@
   bool IsForLeader(ControlContext& context, ExchangeId exchange);
   void Respond(ControlContext& context, ExchangeId exchange, const OutsideAnswer& answer);
   [[nodiscard]] DocumentService::Respond Responder(ControlContext& context);
+  [[nodiscard]] bool IsNamed(const TargetAnnouncement& announcement) const;
+  TargetTable::Change TakeHeard(TimePoint now, const wire::TargetHeardT& heard);
   void NoteChange(ControlContext& context, const InstanceId& instance);
   void PassOn(ControlContext& context, const InstanceId& instance);
   /// \brief Whether this process has run for longer than all targets need to speak.
@@ -77,6 +80,7 @@
   OutsideApi m_api;
   TargetTable m_targets;
   DocumentService m_documents;
+  RefusedCalls m_refused;
   EngineGroups m_groups;
   Duration m_learnTime; ///< From the process's start until it has heard every target.
   ServingFeed m_feed;
--- a/include/gooseberrysail/control/slow_targets.hpp
+++ b/include/gooseberrysail/control/slow_targets.hpp
@@ -35,6 +35,8 @@
   /// \brief Drops targets that are no more.
   void Forget(const TargetTable& targets);
 
+  void Forget(const InstanceId& target) { m_rows.erase(target); }
+
   void Clear() { m_rows.clear(); }
 
 private:
--- a/include/gooseberrysail/gateway/dispatcher.hpp
+++ b/include/gooseberrysail/gateway/dispatcher.hpp
@@ -62,6 +62,12 @@
   /// \brief Ends requests whose time is over and leaves heads that stand still.
   void Tick(TimePoint now, std::vector<GatewayOutput>& outbox);
 
+  /// \brief Takes over the whole list of targets. Work of a former life of one that started again
+  /// is over, and goes elsewhere where that is allowed.
+  void OnTargets(TimePoint now,
+                 std::span<const ServedTarget> targets,
+                 std::vector<GatewayOutput>& outbox);
+
   [[nodiscard]] TargetBoard& Board() noexcept { return m_board; }
   [[nodiscard]] const TargetBoard& Board() const noexcept { return m_board; }
   [[nodiscard]] RetryAllowance& Retries() noexcept { return m_retries; }
@@ -83,7 +89,7 @@
     TimePoint deadline{};
     TimePoint sentAt{}; ///< The latest attempt.
     ExchangeId attempt; ///< Under way; none between attempts.
-    InstanceId target;  ///< Of the latest attempt.
+    TargetLife target;  ///< Of the latest attempt.
     std::set<InstanceId> tried;
     std::uint32_t attempts = 0;
     bool mayHaveRun = false; ///< Some attempt was not certainly refused.
@@ -113,6 +119,11 @@
   // Attempts (dispatcher.cpp).
   void Attempt(TimePoint now, Request& request, Outbox& outbox);
   bool MayRetry(TimePoint now, const Request& request);
+  /// \brief Those of the requests at the target that may run elsewhere are sent there.
+  void MoveRequests(TimePoint now,
+                    const std::function<bool(const TargetLife&)>& isLost,
+                    const char* trouble,
+                    Outbox& outbox);
   void StopAttempt(Request& request, Outbox& outbox, bool cancel);
   void AttemptEnded(TimePoint now, Request& request, Outbox& outbox, bool ran, std::string trouble);
   void OnHead(TimePoint now, Request& request, const TargetAnswerIn& part, Outbox& outbox);
--- a/include/gooseberrysail/gateway/target_board.hpp
+++ b/include/gooseberrysail/gateway/target_board.hpp
@@ -41,8 +41,10 @@
 
   TargetBoard(FailureDomainId own, std::function<std::uint64_t()> random);
 
-  /// \brief Takes over the whole list.
-  void Replace(std::span<const ServedTarget> targets);
+  /// \brief Takes over the whole list. What was seen of the former life of a target that started
+  /// again is forgotten.
+  /// \returns The targets that started again.
+  std::vector<InstanceId> Replace(std::span<const ServedTarget> targets);
 
   /// \brief How many entries share the targets.
   void SetEntries(std::uint32_t entries) { m_entries = entries == 0 ? 1 : entries; }
@@ -58,27 +60,29 @@
   /// \brief Whether the service has a target for the model at all, busy or avoided ones included.
   [[nodiscard]] bool HasAny(const TargetWish& wish) const;
 
-  void OnSent(TimePoint now, const InstanceId& instance);
-  void OnBytes(TimePoint now, const InstanceId& instance);
-  void OnEnded(const InstanceId& instance);
+  // Of a former life of a target these change nothing.
+
+  void OnSent(TimePoint now, const TargetLife& life);
+  void OnBytes(TimePoint now, const TargetLife& life);
+  void OnEnded(const TargetLife& life);
 
   /// \brief A plain service's whole answer came `took` after it was asked for.
-  void OnAnswerTime(TimePoint now, const InstanceId& instance, Duration took);
+  void OnAnswerTime(TimePoint now, const TargetLife& life, Duration took);
 
   /// \brief The target refused or failed: it is left out for a moment, longer each time in a row.
-  void OnTrouble(TimePoint now, const InstanceId& instance);
+  void OnTrouble(TimePoint now, const TargetLife& life);
 
   /// \brief The target did not answer at all: as OnTrouble, and control is told.
-  void OnSilence(TimePoint now, const InstanceId& instance);
+  void OnSilence(TimePoint now, const TargetLife& life);
 
   /// \brief When a target last gave no answer.
   [[nodiscard]] TimePoint LatestSilence() const noexcept { return m_latestSilence; }
 
   /// \brief A whole answer came.
-  void OnSuccess(const InstanceId& instance);
+  void OnSuccess(const TargetLife& life);
 
   /// \brief Heads with work in flight of which no byte came for kStall.
-  [[nodiscard]] std::vector<InstanceId> StalledHeads(TimePoint now) const;
+  [[nodiscard]] std::vector<TargetLife> StalledHeads(TimePoint now) const;
 
   [[nodiscard]] const std::map<InstanceId, Row>& Rows() const noexcept { return m_rows; }
 
@@ -89,6 +93,8 @@
   static constexpr Duration kStall = std::chrono::milliseconds(600);
 
 private:
+  /// \brief Null for a target that is not listed, and for a former life of one that is.
+  [[nodiscard]] Row* FindRow(const TargetLife& life);
   [[nodiscard]] static bool IsSilent(TimePoint now, const Row& row, Duration limit);
   [[nodiscard]] static bool Fits(const Row& row, const TargetWish& wish);
   [[nodiscard]] std::uint32_t RoomOf(const ServedTarget& target) const;
--- a/include/gooseberrysail/serving/served_target.hpp
+++ b/include/gooseberrysail/serving/served_target.hpp
@@ -19,6 +19,7 @@
   std::uint32_t slots = 0;
   bool leaving = false;    ///< Takes no new work.
   std::string servedModel; ///< Heads of a complete, open group: its model; "" for plain services.
+  Incarnation born{};
 
   friend bool operator==(const ServedTarget&, const ServedTarget&) = default;
 };
--- a/include/gooseberrysail/serving/target_table.hpp
+++ b/include/gooseberrysail/serving/target_table.hpp
@@ -5,15 +5,26 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 #include <wire_generated.h>
 
 namespace gooseberrysail {
 
-/// \brief One life of a target: a restart makes a new one.
+/// \brief A target's name. It may start again under the same one; then its incarnation rises, and
+/// the new life knows and holds nothing of the former.
 using InstanceId = impl::StrongId<struct InstanceTag, std::string>;
 
+/// \brief One life of a target.
+struct TargetLife
+{
+  InstanceId instance;
+  Incarnation born;
+
+  friend auto operator<=>(const TargetLife&, const TargetLife&) = default;
+};
+
 /// \brief A target's own account of the group it is in.
 struct GroupMembership
 {
@@ -27,6 +38,7 @@
 struct TargetAnnouncement
 {
   InstanceId instance;
+  Incarnation born; ///< When this life started, in Unix milliseconds; none where it does not tell.
   std::string service;
   std::string address; ///< "ip:port".
   FailureDomainId failureDomain;
@@ -35,7 +47,7 @@
   std::uint32_t slots = 0;
   bool draining = false;
   bool left = false;                     ///< Its last word: it goes away.
-  std::uint64_t sequence = 0;            ///< Counts the heartbeats of this instance.
+  std::uint64_t sequence = 0;            ///< Counts the heartbeats of this life.
   std::vector<std::string> stagedModels; ///< Models whose weights its host holds.
   std::string loadedModel;
   GroupMembership membership;
@@ -47,7 +59,7 @@
   /// \brief The model of the last group in which it was ready: the target still has those weights
   /// and joins another group of that model within a moment. "" for none.
   std::string lastModel;
-  TimePoint firstHeardAt{};
+  TimePoint firstHeardAt{}; ///< Of this life.
   TimePoint heardAt{};
 };
 
@@ -66,8 +78,10 @@
   /// \brief Takes in a heartbeat, wherever it was received.
   Change Hear(TimePoint now, TargetAnnouncement announcement);
 
-  /// \brief A target took its leave; later heartbeats of the instance are void.
-  Change Leave(TimePoint now, const InstanceId& instance);
+  /// \brief A target took its leave; later heartbeats of the same life are void.
+  /// \param born Which life, where that is known: a farewell that was passed on by another process
+  /// may arrive after the first word of the next life.
+  Change Leave(TimePoint now, const InstanceId& instance, std::optional<Incarnation> born = {});
 
   /// \brief Drops rows of targets that left, or were silent for long.
   void Forget(TimePoint now);
--- a/src/control/engine_groups.cpp
+++ b/src/control/engine_groups.cpp
@@ -85,6 +85,7 @@
     m_leadsSince = input.now;
   }
   Pass pass{ input, orders, events, {} };
+  ForgetFormerLives(pass);
   ReportPaces(pass);
   AskSlowAgain(pass);
   Adopt(pass);
@@ -115,6 +116,24 @@
   const auto isGone = [&](const auto& row) { return pass.Row(row.first) == nullptr; };
   std::erase_if(m_unanswered, isGone);
   std::erase_if(m_standbySince, isGone);
+  std::erase_if(m_lives, isGone);
+}
+
+// The next life of a target has neither the weights that the former was told to load nor its pace,
+// and an answer that the former owed will never come.
+void EngineGroups::ForgetFormerLives(const Pass& pass)
+{
+  for (const auto& [instance, row] : pass.input.targets.Rows()) {
+    const auto [known, fresh] = m_lives.try_emplace(instance, row.latest.born);
+    if (known->second == row.latest.born) {
+      continue;
+    }
+    known->second = row.latest.born;
+    m_unanswered.erase(instance);
+    m_staging.erase(instance);
+    m_standbySince.erase(instance);
+    m_slow.Forget(instance);
+  }
 }
 
 void EngineGroups::DropEnded(Pass& pass)
@@ -148,6 +167,7 @@
     if (group.wasAdopted && membership.epoch == group.epoch) {
       group.members.resize(std::max<std::size_t>(group.members.size(), membership.rank + 1));
       group.members[membership.rank] = instance;
+      group.lives[instance] = row.latest.born;
       group.model = group.model.empty() ? row.latest.loadedModel : group.model;
     }
   }
@@ -339,14 +359,14 @@
       End(pass, group, "a member is leaving");
       return;
     }
-    if (!Reports(row, group.name, group.epoch)) {
+    if (IsReborn(pass, group, member) || IsReplaced(pass.input.targets, *row)) {
       group.cut = true;
-      EndLost(pass, group, "a member is in it no more");
+      EndLost(pass, group, "a member was restarted");
       return;
     }
-    if (IsReplaced(pass.input.targets, *row)) {
+    if (!Reports(row, group.name, group.epoch)) {
       group.cut = true;
-      EndLost(pass, group, "a member was restarted");
+      EndLost(pass, group, "a member is in it no more");
       return;
     }
     if (isFailing && IsSilent(pass, *row)) {
@@ -406,7 +426,9 @@
   }
   const InstanceId& head = group.members.front();
   const TargetRow* row = pass.Row(head);
-  if (row != nullptr && IsReplaced(pass.input.targets, *row)) {
+  const bool isOver =
+    row != nullptr && (IsReplaced(pass.input.targets, *row) || IsReborn(pass, group, head));
+  if (isOver) {
     group.headIsDead = true;
     return;
   }
@@ -498,7 +520,9 @@
     return;
   }
   group.orderedAt[target] = pass.input.now;
-  GroupOrder order{ target, row->latest.address, kind, group.name, group.epoch, {}, {}, false };
+  GroupOrder order = impl::MakeOrder(*row, kind);
+  order.group = group.name;
+  order.epoch = group.epoch;
   if (kind == GroupOrderKind::kJoin) {
     order.model = group.model;
     order.members = group.members;
@@ -522,8 +546,18 @@
 
 bool EngineGroups::HasFailedMember(const Pass& pass, const Group& group) const
 {
-  return std::ranges::any_of(
-    group.members, [&](const InstanceId& member) { return HasFailed(pass, pass.Row(member)); });
+  return std::ranges::any_of(group.members, [&](const InstanceId& member) {
+    return HasFailed(pass, pass.Row(member)) || IsReborn(pass, group, member);
+  });
+}
+
+// Under its old name a target that started again looks as if it had only left the group; told to
+// join once more it would load its weights anew, and a group that is opening would open without it.
+bool EngineGroups::IsReborn(const Pass& pass, const Group& group, const InstanceId& member)
+{
+  const TargetRow* row = pass.Row(member);
+  const auto life = group.lives.find(member);
+  return row != nullptr && life != group.lives.end() && row->latest.born > life->second;
 }
 
 void EngineGroups::OnOrderOutcome(TimePoint now, const GroupOrder& order, OrderOutcome outcome)
--- a/src/control/engine_groups_pass.hpp
+++ b/src/control/engine_groups_pass.hpp
@@ -58,6 +58,17 @@
   });
 }
 
+/// An order for the present life of a target.
+[[nodiscard]] inline GroupOrder MakeOrder(const TargetRow& row, GroupOrderKind kind)
+{
+  GroupOrder order;
+  order.target = row.latest.instance;
+  order.address = row.latest.address;
+  order.kind = kind;
+  order.born = row.latest.born;
+  return order;
+}
+
 [[nodiscard]] inline const GroupModel* FindModel(const EngineSpec& engine, const std::string& name)
 {
   const auto found = std::ranges::find(engine.models, name, &GroupModel::name);
--- a/src/control/engine_groups_planning.cpp
+++ b/src/control/engine_groups_planning.cpp
@@ -212,7 +212,8 @@
   std::vector<InstanceId> survivors;
   for (std::size_t rank = 1; rank < group.members.size(); ++rank) {
     const TargetRow* row = pass.Row(group.members[rank]);
-    if (HasFailed(pass, row) || !HasSpoken(*row)) {
+    const bool isLost = HasFailed(pass, row) || IsReborn(pass, group, group.members[rank]);
+    if (isLost || !HasSpoken(*row)) {
       continue;
     }
     const GroupMembership& membership = row->latest.membership;
@@ -376,6 +377,10 @@
   group.service = service;
   group.model = planned.model;
   group.members = planned.members;
+  for (const InstanceId& member : group.members) {
+    const TargetRow* row = pass.Row(member);
+    group.lives[member] = row == nullptr ? Incarnation() : row->latest.born;
+  }
   group.since = pass.input.now;
   return group;
 }
@@ -400,14 +405,12 @@
   }
   since = pass.input.now;
   const Epoch epoch = NextEpoch(pass);
-  pass.orders.push_back({ planned.target,
-                          pass.Row(planned.target)->latest.address,
-                          GroupOrderKind::kJoin,
-                          impl::kStandbyPrefix + std::to_string(epoch.Get()),
-                          epoch,
-                          planned.model,
-                          { planned.target },
-                          false });
+  GroupOrder order = impl::MakeOrder(*pass.Row(planned.target), GroupOrderKind::kJoin);
+  order.group = impl::kStandbyPrefix + std::to_string(epoch.Get());
+  order.epoch = epoch;
+  order.model = planned.model;
+  order.members = { planned.target };
+  pass.orders.push_back(std::move(order));
 }
 
 Epoch EngineGroups::NextEpoch(const Pass& pass)
@@ -419,14 +422,9 @@
 {
   m_staging[planned.target] = { planned.model, pass.input.now };
   m_loads.push_back(pass.input.now);
-  pass.orders.push_back({ planned.target,
-                          pass.Row(planned.target)->latest.address,
-                          GroupOrderKind::kStage,
-                          {},
-                          {},
-                          planned.model,
-                          {},
-                          false });
+  GroupOrder order = impl::MakeOrder(*pass.Row(planned.target), GroupOrderKind::kStage);
+  order.model = planned.model;
+  pass.orders.push_back(std::move(order));
 }
 
 } // namespace gooseberrysail
--- a/src/control/engine_groups_stragglers.cpp
+++ b/src/control/engine_groups_stragglers.cpp
@@ -47,8 +47,7 @@
   if (row == nullptr || row->latest.address.empty()) {
     return;
   }
-  pass.orders.push_back(
-    { target, row->latest.address, GroupOrderKind::kProbe, {}, {}, {}, {}, false });
+  pass.orders.push_back(impl::MakeOrder(*row, GroupOrderKind::kProbe));
 }
 
 // Slow targets are in no group, or in one that nobody can replace; either way nobody else notices
--- a/src/control/serving_control.cpp
+++ b/src/control/serving_control.cpp
@@ -86,6 +86,10 @@
     return;
   }
   const InstanceId& instance = call.announcement.instance;
+  if (!IsNamed(call.announcement)) {
+    Take(context, exchange, MalformedCall{ instance.Get(), "no document names its service" });
+    return;
+  }
   const TargetTable::Change change = m_targets.Hear(context.now, call.announcement);
   if (change != TargetTable::Change::kNone) {
     PassOn(context, instance);
@@ -96,6 +100,19 @@
   Respond(context, exchange, {});
 }
 
+// Another writer's entry under a target's name would take the target away from its service. Before
+// the first document, and for a target of a service that a document dropped, every word counts.
+bool ServingControl::IsNamed(const TargetAnnouncement& announcement) const
+{
+  const TargetRow* row = m_targets.Find(announcement.instance);
+  if (row != nullptr && row->latest.service == announcement.service) {
+    return true;
+  }
+  return !m_document ||
+         std::ranges::find(m_document->services, announcement.service, &ServiceDefinition::name) !=
+           m_document->services.end();
+}
+
 void ServingControl::Take(ControlContext& context, ExchangeId exchange, const LeaveCall& call)
 {
   if (!context.ready && context.replication.leaderHint.IsNone()) {
@@ -111,8 +128,7 @@
 
 void ServingControl::Take(ControlContext& context, ExchangeId exchange, const MalformedCall& call)
 {
-  context.outbox.emplace_back(
-    MakeEvent(EventNumber::kOutsideCallRefused, { { "caller", "" }, { "reason", call.reason } }));
+  m_refused.Note(call.caller, call.reason);
   Respond(context, exchange, { OutsideStatus::kInvalid, {}, call.reason, {} });
 }
 
@@ -159,6 +175,7 @@
                 { "group", target.membership.group },
                 { "epoch", std::to_string(target.membership.epoch.Get()) },
                 { "member", wire::EnumNameMemberState(target.membership.state) },
+                { "born", std::to_string(target.born.Get()) },
                 { "sequence", std::to_string(target.sequence) } }));
 }
 
@@ -178,9 +195,7 @@
                              const wire::BodyUnion& body)
 {
   if (const wire::TargetHeardT* heard = body.AsTargetHeard()) {
-    const InstanceId instance(heard->instance);
-    const TargetTable::Change change = heard->left ? m_targets.Leave(context.now, instance)
-                                                   : m_targets.Hear(context.now, FromWire(*heard));
+    const TargetTable::Change change = TakeHeard(context.now, *heard);
     if (change == TargetTable::Change::kState) {
       m_nextKeep = context.now;
     }
@@ -200,6 +215,17 @@
   }
 }
 
+TargetTable::Change ServingControl::TakeHeard(TimePoint now, const wire::TargetHeardT& heard)
+{
+  if (!heard.left) {
+    return m_targets.Hear(now, FromWire(heard));
+  }
+  // Who passed it on may not have known the target.
+  const Incarnation born(heard.born);
+  return m_targets.Leave(
+    now, InstanceId(heard.instance), born.IsNone() ? std::nullopt : std::optional(born));
+}
+
 void ServingControl::OnPeerDown(const ProcessId& peer)
 {
   m_feed.OnPeerDown(peer);
@@ -233,6 +259,9 @@
     m_nextForget = context.now + kForgetInterval;
     m_targets.Forget(context.now);
   }
+  if (std::optional<EventOut> report = m_refused.TakeReport(context.now)) {
+    context.outbox.emplace_back(std::move(*report));
+  }
   FollowDocument(context);
   if (!context.ready) {
     return;
@@ -331,7 +360,8 @@
 {
   const bool isAnswer = m_api.decodeOrderStatus(open.status) == OrderOutcome::kDone;
   const std::optional<double> pace = isAnswer ? m_api.decodePace(open.body) : std::nullopt;
-  if (pace) {
+  const TargetRow* row = m_targets.Find(open.order.target);
+  if (pace && row != nullptr && row->latest.born == open.order.born) {
     m_groups.OnPace(context.now, open.order.target, *pace);
   }
 }
@@ -362,7 +392,11 @@
                 { "outcome", ToString(outcome) },
                 { "status", std::to_string(status) },
                 { "millis", std::to_string(ToMillis(context.now - open.since)) } }));
-  m_groups.OnOrderOutcome(context.now, open.order, outcome);
+  // What the former life of a target answered, or did not, says nothing of the present one.
+  const TargetRow* row = m_targets.Find(open.order.target);
+  if (row == nullptr || row->latest.born == open.order.born) {
+    m_groups.OnOrderOutcome(context.now, open.order, outcome);
+  }
   m_nextKeep = context.now; // The next step of a repair need not wait.
 }
 
@@ -376,7 +410,8 @@
       continue;
     }
     ServedTarget target{
-      instance, latest.service, latest.address, latest.failureDomain, latest.slots, false, {}
+      instance, latest.service, latest.address, latest.failureDomain, latest.slots, false,
+      {},       latest.born
     };
     target.leaving = latest.left || latest.draining;
     if (const auto head = heads.find(instance); head != heads.end()) {
--- a/src/gateway/dispatcher.cpp
+++ b/src/gateway/dispatcher.cpp
@@ -55,7 +55,7 @@
   }
   const ExchangeId attempt(++m_lastAttempt);
   request.attempt = attempt;
-  request.target = target->instance;
+  request.target = { target->instance, target->born };
   request.tried.insert(target->instance);
   request.streams = false;
   if (++request.attempts == 1) {
@@ -109,7 +109,7 @@
   outbox.emplace_back(MakeEvent(EventNumber::kGatewayAttemptFailed,
                                 { { "request", request.call.requestId },
                                   { "attempt", std::to_string(request.attempts) },
-                                  { "target", request.target.Get() },
+                                  { "target", request.target.instance.Get() },
                                   { "ran", ran ? "maybe" : "no" },
                                   { "reason", request.lastTrouble } }));
   if (MayRetry(now, request)) {
@@ -251,19 +251,42 @@
     StopAttempt(request, outbox, true);
     GiveUp(now, request, outbox);
   }
-  for (const InstanceId& head : m_board.StalledHeads(now)) {
-    std::vector<ExchangeId> waiting;
-    for (const auto& [exchange, request] : m_requests) {
-      if (request.target == head && !request.attempt.IsNone()) {
-        waiting.push_back(exchange);
-      }
-    }
+  for (const TargetLife& head : m_board.StalledHeads(now)) {
     m_board.OnSilence(now, head);
-    for (const ExchangeId exchange : waiting) {
-      Request& request = *Find(exchange);
-      if (MayRetry(now, request)) {
-        AttemptEnded(now, request, outbox, true, "its head stands still");
-      }
+    const auto isStalled = [&](const TargetLife& target) { return target == head; };
+    MoveRequests(now, isStalled, "its head stands still", outbox);
+  }
+}
+
+void Dispatcher::OnTargets(TimePoint now, std::span<const ServedTarget> targets, Outbox& outbox)
+{
+  const std::vector<InstanceId> restarted = m_board.Replace(targets);
+  if (restarted.empty()) {
+    return;
+  }
+  const auto isOver = [&](const TargetLife& target) {
+    const bool isListed = std::ranges::find(restarted, target.instance) != restarted.end();
+    return isListed && target.born < m_board.Rows().at(target.instance).target.born;
+  };
+  MoveRequests(now, isOver, "its target started again", outbox);
+}
+
+// What may not run elsewhere stays: an answer that was made before may still arrive.
+void Dispatcher::MoveRequests(TimePoint now,
+                              const std::function<bool(const TargetLife&)>& isLost,
+                              const char* trouble,
+                              Outbox& outbox)
+{
+  std::vector<ExchangeId> waiting;
+  for (const auto& [exchange, request] : m_requests) {
+    if (!request.attempt.IsNone() && isLost(request.target)) {
+      waiting.push_back(exchange);
+    }
+  }
+  for (const ExchangeId exchange : waiting) {
+    Request& request = *Find(exchange);
+    if (MayRetry(now, request)) {
+      AttemptEnded(now, request, outbox, true, trouble);
     }
   }
 }
--- a/src/gateway/feed_client.cpp
+++ b/src/gateway/feed_client.cpp
@@ -119,7 +119,7 @@
   }
   const auto heads = std::ranges::count_if(
     targets, [](const ServedTarget& target) { return !target.servedModel.empty(); });
-  dispatcher.Board().Replace(targets);
+  dispatcher.OnTargets(now, targets, outbox);
   outbox.emplace_back(MakeEvent(EventNumber::kGatewayTargets,
                                 { { "control", peer.Get() },
                                   { "term", std::to_string(m_term) },
--- a/src/gateway/target_board.cpp
+++ b/src/gateway/target_board.cpp
@@ -38,18 +38,32 @@
 {
 }
 
-void TargetBoard::Replace(std::span<const ServedTarget> targets)
+std::vector<InstanceId> TargetBoard::Replace(std::span<const ServedTarget> targets)
 {
   for (auto& [instance, row] : m_rows) {
     row.gone = true;
   }
+  std::vector<InstanceId> restarted;
   for (const ServedTarget& target : targets) {
     Row& row = m_rows[target.instance];
+    if (target.born > row.target.born && !row.target.instance.IsNone()) {
+      // Its work in flight, troubles and pace were the former life's.
+      row = Row{};
+      restarted.push_back(target.instance);
+    }
     row.target = target;
     row.gone = false;
   }
   std::erase_if(m_rows,
                 [](const auto& row) { return row.second.gone && row.second.inFlight == 0; });
+  return restarted;
+}
+
+TargetBoard::Row* TargetBoard::FindRow(const TargetLife& life)
+{
+  const auto found = m_rows.find(life.instance);
+  const bool isPresent = found != m_rows.end() && found->second.target.born == life.born;
+  return isPresent ? &found->second : nullptr;
 }
 
 // Beyond its slots a head only queues: the callers of a full head then wait for seconds, and most
@@ -133,77 +147,74 @@
   return std::ranges::any_of(m_rows, [&](const auto& row) { return Fits(row.second, wish); });
 }
 
-void TargetBoard::OnSent(TimePoint now, const InstanceId& instance)
+void TargetBoard::OnSent(TimePoint now, const TargetLife& life)
 {
-  Row& row = m_rows[instance];
-  if (row.inFlight++ == 0) {
-    row.busySince = now;
-    row.pace.OnBusy(now);
+  Row* row = FindRow(life);
+  if (row != nullptr && row->inFlight++ == 0) {
+    row->busySince = now;
+    row->pace.OnBusy(now);
   }
 }
 
-void TargetBoard::OnBytes(TimePoint now, const InstanceId& instance)
+void TargetBoard::OnBytes(TimePoint now, const TargetLife& life)
 {
-  if (const auto found = m_rows.find(instance); found != m_rows.end()) {
-    found->second.answeredAt = now;
-    if (!found->second.target.servedModel.empty()) {
-      found->second.pace.OnBytes(now);
+  if (Row* row = FindRow(life)) {
+    row->answeredAt = now;
+    if (!row->target.servedModel.empty()) {
+      row->pace.OnBytes(now);
     }
   }
 }
 
-void TargetBoard::OnAnswerTime(TimePoint now, const InstanceId& instance, Duration took)
+void TargetBoard::OnAnswerTime(TimePoint now, const TargetLife& life, Duration took)
 {
-  if (const auto found = m_rows.find(instance); found != m_rows.end()) {
-    found->second.pace.OnAnswer(now, took);
+  if (Row* row = FindRow(life)) {
+    row->pace.OnAnswer(now, took);
   }
 }
 
-void TargetBoard::OnEnded(const InstanceId& instance)
+void TargetBoard::OnEnded(const TargetLife& life)
 {
-  const auto found = m_rows.find(instance);
-  if (found == m_rows.end() || found->second.inFlight == 0) {
+  Row* row = FindRow(life);
+  if (row == nullptr || row->inFlight == 0) {
     return;
   }
-  if (--found->second.inFlight == 0 && found->second.gone) {
-    m_rows.erase(found);
+  if (--row->inFlight == 0 && row->gone) {
+    m_rows.erase(life.instance);
   }
 }
 
-void TargetBoard::OnTrouble(TimePoint now, const InstanceId& instance)
+void TargetBoard::OnTrouble(TimePoint now, const TargetLife& life)
 {
-  const auto found = m_rows.find(instance);
-  if (found == m_rows.end()) {
-    return;
+  if (Row* row = FindRow(life)) {
+    const Duration pause = kAvoidFirst * (1U << std::min(row->failures, kMaxDoublings));
+    ++row->failures;
+    row->avoidUntil = std::max(row->avoidUntil, now + std::min(pause, Duration(kAvoidLongest)));
   }
-  Row& row = found->second;
-  const Duration pause = kAvoidFirst * (1U << std::min(row.failures, kMaxDoublings));
-  ++row.failures;
-  row.avoidUntil = std::max(row.avoidUntil, now + std::min(pause, Duration(kAvoidLongest)));
 }
 
-void TargetBoard::OnSilence(TimePoint now, const InstanceId& instance)
+void TargetBoard::OnSilence(TimePoint now, const TargetLife& life)
 {
-  if (const auto found = m_rows.find(instance); found != m_rows.end()) {
-    found->second.silentAt = now;
+  if (Row* row = FindRow(life)) {
+    row->silentAt = now;
     m_latestSilence = now;
   }
-  OnTrouble(now, instance);
+  OnTrouble(now, life);
 }
 
-void TargetBoard::OnSuccess(const InstanceId& instance)
+void TargetBoard::OnSuccess(const TargetLife& life)
 {
-  if (const auto found = m_rows.find(instance); found != m_rows.end()) {
-    found->second.failures = 0;
+  if (Row* row = FindRow(life)) {
+    row->failures = 0;
   }
 }
 
-std::vector<InstanceId> TargetBoard::StalledHeads(TimePoint now) const
+std::vector<TargetLife> TargetBoard::StalledHeads(TimePoint now) const
 {
-  std::vector<InstanceId> stalled;
+  std::vector<TargetLife> stalled;
   for (const auto& [instance, row] : m_rows) {
     if (IsSilent(now, row, kStall)) {
-      stalled.push_back(instance);
+      stalled.push_back({ instance, row.target.born });
     }
   }
   return stalled;
--- a/src/observe/metric_catalog.hpp
+++ b/src/observe/metric_catalog.hpp
@@ -26,6 +26,7 @@
   kRequestDuration,
   kFirstByte,
   kGateOpen,
+  kOutsideCallsRefused,
   kRaftLeader,
   kRaftTerm,
   kRaftCommitted,
--- a/src/observe/metrics.cpp
+++ b/src/observe/metrics.cpp
@@ -179,6 +179,9 @@
     case EventNumber::kGatewayAnswered:
       m_impl->OnCallerAnswered(event);
       break;
+    case EventNumber::kOutsideCallRefused:
+      m_impl->Add(MetricId::kOutsideCallsRefused, NumberField(event, "calls"));
+      break;
     case EventNumber::kGateOpened:
       m_impl->Set(MetricId::kGateOpen, 1);
       break;
--- a/src/serving/served_target.cpp
+++ b/src/serving/served_target.cpp
@@ -12,6 +12,7 @@
   wired.slots = target.slots;
   wired.leaving = target.leaving;
   wired.servedModel = target.servedModel;
+  wired.born = target.born.Get();
   return wired;
 }
 
@@ -25,6 +26,7 @@
   target.slots = wired.slots;
   target.leaving = wired.leaving;
   target.servedModel = wired.servedModel;
+  target.born = Incarnation(wired.born);
   return target;
 }
 
--- a/src/serving/target_table.cpp
+++ b/src/serving/target_table.cpp
@@ -11,7 +11,8 @@
 auto Significant(const TargetAnnouncement& announcement)
 {
   const GroupMembership& member = announcement.membership;
-  return std::tie(announcement.service,
+  return std::tie(announcement.born,
+                  announcement.service,
                   announcement.address,
                   announcement.slots,
                   announcement.draining,
@@ -43,11 +44,20 @@
   TargetRow& row = found->second;
   // Heartbeats reach different control processes, and one may be overtaken by a later one: an older
   // state put over a newer would bring back a target that is leaving.
-  const bool isLate = !fresh && announcement.sequence <= row.latest.sequence;
-  if (isLate || (!fresh && row.latest.left)) {
+  // The count starts anew with each life, so a word of the next life may bear a lower one.
+  // After a farewell of an unknown life nobody can tell whether a word is of the next one.
+  const bool wasUnknown = row.latest.left && row.latest.born.IsNone();
+  const bool isReborn = !fresh && !wasUnknown && announcement.born > row.latest.born;
+  const bool isLate = !fresh && std::tie(announcement.born, announcement.sequence) <=
+                                  std::tie(row.latest.born, row.latest.sequence);
+  if (isLate || (!fresh && !isReborn && row.latest.left)) {
     return Change::kNone;
   }
-  if (fresh) {
+  if (isReborn) {
+    // Weights that the former life had in use are gone with it.
+    row.lastModel.clear();
+  }
+  if (fresh || isReborn) {
     row.firstHeardAt = now;
   }
   const bool isSame = !fresh && Significant(row.latest) == Significant(announcement);
@@ -57,10 +67,16 @@
   return isSame ? Change::kRefresh : Change::kState;
 }
 
-TargetTable::Change TargetTable::Leave(TimePoint now, const InstanceId& instance)
+TargetTable::Change TargetTable::Leave(TimePoint now,
+                                       const InstanceId& instance,
+                                       std::optional<Incarnation> born)
 {
   TargetRow& row = m_rows[instance];
+  if (born && *born < row.latest.born) {
+    return Change::kNone;
+  }
   row.latest.instance = instance;
+  row.latest.born = born.value_or(row.latest.born);
   if (row.latest.left) {
     return Change::kRefresh;
   }
@@ -84,6 +100,7 @@
 {
   wire::TargetHeardT heard;
   heard.instance = announcement.instance.Get();
+  heard.born = announcement.born.Get();
   heard.service = announcement.service;
   heard.address = announcement.address;
   heard.failureDomain = announcement.failureDomain.Get();
@@ -106,6 +123,7 @@
 {
   TargetAnnouncement announcement;
   announcement.instance = InstanceId(heard.instance);
+  announcement.born = Incarnation(heard.born);
   announcement.service = heard.service;
   announcement.address = heard.address;
   announcement.failureDomain = FailureDomainId(heard.failureDomain);
--- a/tests/fakes/fake_fleet.cpp
+++ b/tests/fakes/fake_fleet.cpp
@@ -308,6 +308,22 @@
   m_targets.emplace(target.self.instance, std::move(target));
 }
 
+void FakeFleet::Restart(const std::string& name)
+{
+  Target& target = At(name);
+  if (!target.members.empty()) {
+    StandStill(target.members.front());
+  }
+  target.self.born = Incarnation(target.self.born.Get() + 1);
+  target.self.sequence = 0;
+  target.self.membership = {};
+  target.self.loadedModel.clear();
+  target.self.stagedModels.clear();
+  target.members.clear();
+  target.isUp = true;
+  Report(target);
+}
+
 std::size_t FakeFleet::CountServing(const std::string& model) const
 {
   const auto heads = m_keeper.ServingHeads();
--- a/tests/fakes/fake_fleet.hpp
+++ b/tests/fakes/fake_fleet.hpp
@@ -48,6 +48,9 @@
   /// \brief A target that restarts: another instance at the same address, with its staged weights.
   void Reincarnate(const std::string& name, const std::string& newName);
 
+  /// \brief A target starts again under its own name, and knows and holds nothing of before.
+  void Restart(const std::string& name);
+
   [[nodiscard]] Target& At(const std::string& name) { return m_targets.at(InstanceId(name)); }
   [[nodiscard]] std::size_t CountServing(const std::string& model) const;
   [[nodiscard]] const std::vector<std::string>& Violations() const { return m_violations; }
--- a/tests/unit/dispatcher_test.cpp
+++ b/tests/unit/dispatcher_test.cpp
@@ -396,6 +396,60 @@
   }
 }
 
+/// A head that serves the model `large`, in one of its lives.
+ServedTarget HeadOf(const std::string& name, std::uint64_t born)
+{
+  return { InstanceId(name), "assist",         name + ":80", FailureDomainId("a"), 34, false,
+           "large",          Incarnation(born) };
+}
+
+// Symptom: callers of a target that started again wait until its silence shows, and the target is
+// thought full and troubled. Sequence: it crashes with their work and starts under its old name.
+// Cause: what was known of a target was kept by its name alone.
+TEST(Dispatcher, ATargetThatStartedAgainIsAnotherOne)
+{
+  World world;
+  const std::vector<ServedTarget> before = { HeadOf("h1", 100) };
+  const std::vector<ServedTarget> after = { HeadOf("h1", 200), HeadOf("h2", 100) };
+  world.dispatcher.OnTargets(world.now, before, world.outbox);
+  world.Ask("/stream/x");
+  world.Good("id: 1\ndata: a\n\n", false);
+  SECTION("what it had goes on elsewhere at once")
+  {
+    world.dispatcher.OnTargets(world.now, after, world.outbox);
+    EXPECT_EQ(world.Sent().address, "h2:80");
+    EXPECT_EQ(FindHeader(world.Sent().headers, "After"), "1");
+  }
+  SECTION("its load, its troubles and its silence are forgotten")
+  {
+    World troubled;
+    troubled.dispatcher.OnTargets(troubled.now, before, troubled.outbox);
+    troubled.Ask("/stream/x");
+    troubled.Fail(false);
+    const TargetBoard& board = troubled.dispatcher.Board();
+    EXPECT_GT(board.Rows().at(InstanceId("h1")).avoidUntil, troubled.now);
+    troubled.dispatcher.OnTargets(troubled.now, after, troubled.outbox);
+    EXPECT_EQ(board.Rows().at(InstanceId("h1")).avoidUntil, TimePoint{});
+    EXPECT_EQ(board.Rows().at(InstanceId("h1")).inFlight, 0U);
+  }
+  SECTION("an end of the former life's work is not counted for the present one")
+  {
+    World alone;
+    alone.dispatcher.OnTargets(alone.now, before, alone.outbox);
+    alone.Ask("/stream/x");
+    const ExchangeId former = alone.Sent().exchange;
+    const std::vector<ServedTarget> reborn = { HeadOf("h1", 200) };
+    alone.dispatcher.OnTargets(alone.now, reborn, alone.outbox);
+    alone.Ask("/stream/y");
+    TargetFailedIn failed;
+    failed.exchange = former;
+    alone.dispatcher.OnFailed(alone.now, failed, alone.outbox);
+    const auto& row = alone.dispatcher.Board().Rows().at(InstanceId("h1"));
+    EXPECT_EQ(row.inFlight, 1U);
+    EXPECT_EQ(row.avoidUntil, TimePoint{});
+  }
+}
+
 TEST(Dispatcher, WorkOfACallerWhoLeftIsCancelled)
 {
   World world;
--- a/tests/unit/engine_groups_test.cpp
+++ b/tests/unit/engine_groups_test.cpp
@@ -515,6 +515,58 @@
   EXPECT_THAT(fleet.Violations(), IsEmpty());
 }
 
+// Symptom: a group goes on with a member that knows nothing of it: its head stands still, or it
+// opens without the member. Sequence: a member crashes and starts again under its own name; the
+// first word of the new life arrives. Cause: a life was told by the name alone.
+TEST(EngineGroups, AMemberThatStartsAgainUnderItsNameEndsItsGroup)
+{
+  SECTION("a member of a serving group")
+  {
+    FakeFleet fleet = ServingFleet();
+    const std::string head = AnyHead(fleet, "large");
+    const std::string group = fleet.At(head).self.membership.group;
+    fleet.Restart(fleet.At(head).members.back().Get());
+    fleet.Run(100ms);
+    EXPECT_FALSE(fleet.Keeper().ServingHeads().contains(InstanceId(head)));
+    fleet.Run(3s);
+    EXPECT_EQ(fleet.CountServing("large"), 3U);
+    EXPECT_NE(fleet.At(head).self.membership.group, group);
+    EXPECT_THAT(fleet.Violations(), IsEmpty());
+  }
+  SECTION("a head: its members are free at once")
+  {
+    FakeFleet fleet = ServingFleet();
+    const std::string head = AnyHead(fleet, "large");
+    fleet.Restart(head);
+    fleet.Run(1500ms);
+    EXPECT_EQ(fleet.CountServing("large"), 3U);
+    EXPECT_THAT(fleet.Violations(), IsEmpty());
+  }
+  SECTION("a member of a group that is opening")
+  {
+    FakeFleet fleet = ServingFleet();
+    const std::string head = AnyHead(fleet, "large");
+    fleet.Kill(fleet.At(head).members.back().Get());
+    fleet.failing.insert(InstanceId(head));
+    std::string opening;
+    for (int i = 0; i < 40 && opening.empty(); ++i) {
+      fleet.Run(100ms);
+      const bool isOpen =
+        !fleet.Orders().empty() && fleet.Orders().back().kind == GroupOrderKind::kOpen;
+      opening = isOpen ? fleet.Orders().back().target.Get() : "";
+    }
+    ASSERT_NE(opening, "");
+    fleet.Restart(fleet.At(opening).members.back().Get());
+    const std::string group = fleet.At(opening).self.membership.group;
+    for (int i = 0; i < 10; ++i) {
+      fleet.Run(100ms);
+      const bool isServing = fleet.Keeper().ServingHeads().contains(InstanceId(opening));
+      EXPECT_FALSE(isServing && fleet.At(opening).self.membership.group == group);
+    }
+    EXPECT_THAT(fleet.Violations(), IsEmpty());
+  }
+}
+
 TEST(EngineGroups, ALeavingMemberEndsItsGroupInOrder)
 {
   FakeFleet fleet = ServingFleet();
@@ -591,5 +643,31 @@
   }
 }
 
+// The same with targets that start again under their own names, several at a time.
+TEST(EngineGroups, KeepTheirPromisesThroughRandomRestartsUnderTheSameName)
+{
+  for (unsigned seed = 1; seed <= 20; ++seed) {
+    SECTION("seed " + std::to_string(seed))
+    {
+      std::mt19937 random(seed);
+      FakeFleet fleet = ServingFleet();
+      for (int step = 0; step < 14; ++step) {
+        for (unsigned restarts = random() % 3; restarts > 0; --restarts) {
+          const std::string domain(1, static_cast<char>('a' + random() % 3));
+          fleet.Restart(domain + std::to_string(1 + random() % 10));
+        }
+        if (random() % 4 == 0) {
+          fleet.ChangeLeader(random() % 2 == 0);
+        }
+        fleet.Run(std::chrono::milliseconds(100 * (1 + random() % 40)));
+      }
+      EXPECT_THAT(fleet.Violations(), IsEmpty());
+      fleet.Run(60s);
+      EXPECT_GE(fleet.CountServing("large"), 2U);
+      EXPECT_GE(fleet.CountServing("small"), 4U);
+    }
+  }
+}
+
 } // namespace
 } // namespace gooseberrysail
--- a/tests/unit/pace_meter_test.cpp
+++ b/tests/unit/pace_meter_test.cpp
@@ -69,13 +69,13 @@
     { slow, "assist", "2:2", FailureDomainId("a"), 34, false, "large" } });
   const std::set<InstanceId> none;
   TimePoint now = kStart;
-  board.OnSent(now, sound);
-  board.OnSent(now, slow);
+  board.OnSent(now, { sound, {} });
+  board.OnSent(now, { slow, {} });
   for (int step = 0; step < 24; ++step) {
     now += 50ms;
-    board.OnBytes(now, sound);
+    board.OnBytes(now, { sound, {} });
     if (step % 6 == 5) {
-      board.OnBytes(now, slow);
+      board.OnBytes(now, { slow, {} });
     }
   }
   int toSlow = 0;
@@ -83,7 +83,7 @@
     const ServedTarget* chosen = board.Choose(now, { "assist", "large", none });
     ASSERT_NE(chosen, nullptr);
     toSlow += chosen->instance == slow ? 1 : 0;
-    board.OnSent(now, chosen->instance);
+    board.OnSent(now, { chosen->instance, {} });
   }
   EXPECT_LE(toSlow, 3);
 }
--- a/tests/unit/platform_test.cpp
+++ b/tests/unit/platform_test.cpp
@@ -83,6 +83,74 @@
   }
 }
 
+/// A whole registration with `more` fields at its end.
+std::string Registration(std::string_view more = "")
+{
+  return R"({"service":"s1","address":"10.0.0.9:8080","zone":"z1","version":"v1","slots":34,)"
+         R"("state":"ready","seq":4)" +
+         std::string(more) + "}";
+}
+
+/// A whole registration with one piece replaced.
+std::string Edited(std::string_view from, std::string_view to)
+{
+  std::string text = Registration(R"(,"born":7,"staged":["m0"],"models":[{"name":"m0"}],"group":)"
+                                  R"({"name":"g7","epoch":12,"rank":0,"state":"open"})");
+  return text.replace(text.find(from), from.size(), to);
+}
+
+// Symptom: a replica that serves drops out, or a wrong one is used. Sequence: another writer puts
+// an entry under its id, with fields missing or of another type, or words that have no meaning
+// here. Cause: what could not be read counted as zero, "" or ready.
+TEST(PlatformRegistration, OfAnotherWriterNamesNoReplica)
+{
+  ASSERT_TRUE(ReadRegistration("i-1", Edited("v1", "v2")));
+  SECTION("a field is missing")
+  {
+    for (const char* field : { "service", "address", "zone", "slots", "state", "seq", "version" }) {
+      const std::string name = "\"" + std::string(field) + "\"";
+      EXPECT_FALSE(ReadRegistration("i-1", Edited(name, "\"other\""))) << field;
+    }
+    EXPECT_FALSE(ReadRegistration("i-1", Edited("\"epoch\"", "\"other\"")));
+  }
+  SECTION("a field is of another type")
+  {
+    const std::vector<std::pair<std::string, std::string>> edits = {
+      { R"("seq":4)", R"("seq":"4")" },
+      { R"("seq":4)", R"("seq":4.5)" },
+      { R"("seq":4)", R"("seq":-4)" },
+      { R"("seq":4)", R"("seq":null)" },
+      { R"("born":7)", R"("born":"7")" },
+      { R"("born":7)", R"("born":7.25)" },
+      { R"("slots":34)", R"("slots":[34])" },
+      { R"("slots":34)", R"("slots":99999999999)" },
+      { R"("service":"s1")", R"("service":{"s1":1})" },
+      { R"("zone":"z1")", R"("zone":1)" },
+      { R"("address":"10.0.0.9:8080")", R"("address":"10.0.0.9")" },
+      { R"("address":"10.0.0.9:8080")", R"("address":"10.0.0.9:99999")" },
+      { R"("staged":["m0"])", R"("staged":"m0")" },
+      { R"("staged":["m0"])", R"("staged":[1])" },
+      { R"("models":[{"name":"m0"}])", R"("models":["m0"])" },
+      { R"("rank":0)", R"("rank":"head")" },
+    };
+    for (const auto& [from, to] : edits) {
+      EXPECT_FALSE(ReadRegistration("i-1", Edited(from, to))) << to;
+    }
+  }
+  SECTION("a state has no name here")
+  {
+    EXPECT_FALSE(ReadRegistration("i-1", Edited(R"("state":"ready")", R"("state":"warm")")));
+    EXPECT_FALSE(ReadRegistration("i-1", Edited(R"("state":"open")", R"("state":"ajar")")));
+  }
+  SECTION("it is huge, or nested without end")
+  {
+    EXPECT_FALSE(
+      ReadRegistration("i-1", Registration(",\"x\":\"" + std::string(20'000, 'x') + "\"")));
+    EXPECT_FALSE(ReadRegistration("i-1", Registration(",\"x\":" + std::string(5'000, '['))));
+    EXPECT_FALSE(ReadRegistration(std::string(300, 'i'), Registration()));
+  }
+}
+
 TEST(PlatformRegistration, IsReadWithItsGroup)
 {
   const Result<TargetAnnouncement> read = ReadRegistration(
@@ -99,19 +167,23 @@
   EXPECT_EQ(read.value().membership.state, wire::MemberState::Ready);
   SECTION("without a group")
   {
-    const auto free =
-      ReadRegistration("i-2", R"({"service":"s1","address":"10.0.0.9:1","seq":1,"group":null})");
-    ASSERT_TRUE(free);
+    const auto free = ReadRegistration("i-2", Registration(R"(,"group":null)"));
+    ASSERT_TRUE(free) << free.error();
     EXPECT_EQ(free.value().membership.group, "");
   }
   // Symptom: control ends for want of memory. Cause: a rank of billions in one heartbeat.
-  SECTION("with an absurd rank it is refused, and absurd numbers are bounded")
+  // A count of 10^300 that was taken for a bounded one would make all later heartbeats late.
+  SECTION("with an absurd rank or count it is refused")
   {
     EXPECT_FALSE(ReadRegistration(
-      "i-2", R"({"service":"s","address":"a:1","group":{"name":"g","rank":4000000000}})"));
-    const auto huge = ReadRegistration("i-2", R"({"service":"s","address":"a:1","seq":1e300})");
-    ASSERT_TRUE(huge);
-    EXPECT_EQ(huge.value().sequence, 1ULL << 53U);
+      "i-2", Registration(R"(,"group":{"name":"g","epoch":1,"rank":4000000000,"state":"ready"})")));
+    EXPECT_FALSE(ReadRegistration("i-2", Edited(R"("seq":4)", R"("seq":1e300)")));
+  }
+  SECTION("with the start of its life")
+  {
+    const auto told = ReadRegistration("i-2", Registration(R"(,"born":1796265600123)"));
+    ASSERT_TRUE(told);
+    EXPECT_EQ(told.value().born, Incarnation(1'796'265'600'123));
   }
   SECTION("not without a service or an address, nor as no object")
   {
@@ -263,7 +335,8 @@
 {
   std::mt19937 random(7);
   const std::string registration =
-    R"({"service":"s","address":"a:1","seq":4,"staged":["m"],"group":{"name":"g","epoch":1}})";
+    Registration(R"(,"born":1796265600123,"domain":"d","staged":["m"],"models":[{"name":"m"}],)"
+                 R"("group":{"name":"g","epoch":1,"rank":3,"state":"joining"})");
   for (int round = test::FuzzRounds(); round > 0; --round) {
     const std::string text = Mutate(round % 2 == 0 ? std::string(kConfig) : registration, random);
     const Result<ServingDocument> config = ReadConfig(text);
@@ -273,6 +346,9 @@
     const Result<TargetAnnouncement> target = ReadRegistration("i", text);
     if (target) {
       EXPECT_FALSE(target.value().address.empty());
+      EXPECT_FALSE(target.value().service.empty());
+      EXPECT_FALSE(target.value().failureDomain.IsNone());
+      EXPECT_LE(target.value().membership.rank, 1023U);
     }
   }
 }
--- a/tests/unit/serving_document_test.cpp
+++ b/tests/unit/serving_document_test.cpp
@@ -124,6 +124,61 @@
   return heartbeat;
 }
 
+TargetAnnouncement HeartbeatOf(std::uint64_t born, std::uint64_t sequence)
+{
+  TargetAnnouncement heartbeat = Heartbeat(sequence, false);
+  heartbeat.born = Incarnation(born);
+  return heartbeat;
+}
+
+// Symptom: a target that started again under its name is not used for a minute, or its group goes
+// on as if nothing had happened. Sequence: its counts start anew, and a late word of its former
+// life overtakes its first one. Cause: the count alone told late from new.
+TEST(TargetTable, ANewLifeUnderTheSameNameIsNotLate)
+{
+  using Change = TargetTable::Change;
+  const TimePoint now{ 1h };
+  const InstanceId instance("i-1");
+  TargetTable table;
+  TargetAnnouncement former = HeartbeatOf(100, 40);
+  former.loadedModel = "large";
+  former.membership = { "g7", Epoch(12), 1, wire::MemberState::Open };
+  EXPECT_EQ(table.Hear(now, former), Change::kState);
+  SECTION("its first word counts, and what the former life held does not")
+  {
+    EXPECT_EQ(table.Hear(now + 1s, HeartbeatOf(200, 1)), Change::kState);
+    EXPECT_EQ(table.Find(instance)->latest.membership.group, "");
+    EXPECT_EQ(table.Find(instance)->lastModel, "");
+    EXPECT_EQ(table.Find(instance)->firstHeardAt, now + 1s);
+  }
+  SECTION("a late word of the former life undoes nothing")
+  {
+    table.Hear(now + 1s, HeartbeatOf(200, 1));
+    ++former.sequence;
+    EXPECT_EQ(table.Hear(now + 2s, former), Change::kNone);
+    EXPECT_EQ(table.Find(instance)->latest.born, Incarnation(200));
+  }
+  SECTION("within a life a lower count is late as ever")
+  {
+    table.Hear(now + 1s, HeartbeatOf(200, 5));
+    EXPECT_EQ(table.Hear(now + 2s, HeartbeatOf(200, 4)), Change::kNone);
+  }
+  SECTION("a farewell ends its own life only")
+  {
+    table.Hear(now + 1s, HeartbeatOf(200, 1));
+    EXPECT_EQ(table.Leave(now + 2s, instance, Incarnation(100)), Change::kNone);
+    EXPECT_FALSE(table.Find(instance)->latest.left);
+    EXPECT_EQ(table.Leave(now + 2s, instance, Incarnation(200)), Change::kState);
+    EXPECT_EQ(table.Hear(now + 3s, HeartbeatOf(200, 2)), Change::kNone);
+    EXPECT_EQ(table.Hear(now + 3s, HeartbeatOf(300, 1)), Change::kState);
+    EXPECT_FALSE(table.Find(instance)->latest.left);
+  }
+  SECTION("the life is passed on with the word")
+  {
+    EXPECT_EQ(FromWire(ToWire(former)).born, Incarnation(100));
+  }
+}
+
 // Symptom: a target that is leaving gets new work.
 // Sequence: it says so to one control process; an earlier heartbeat, held up, reaches another.
 // Cause: the last one to arrive counted.
