--- a/include/gooseberrysail/gateway/dispatcher.hpp
+++ b/include/gooseberrysail/gateway/dispatcher.hpp
@@ -87,9 +87,10 @@
     Duration knowledgeAge{};
     TimePoint arrived{};
     TimePoint deadline{};
-    TimePoint sentAt{}; ///< The latest attempt.
-    ExchangeId attempt; ///< Under way; none between attempts.
-    TargetLife target;  ///< Of the latest attempt.
+    TimePoint sentAt{};  ///< The latest attempt.
+    TimePoint firstAt{}; ///< The first event went to the caller.
+    ExchangeId attempt;  ///< Under way; none between attempts.
+    TargetLife target;   ///< Of the latest attempt.
     std::set<InstanceId> tried;
     std::uint32_t attempts = 0;
     bool mayHaveRun = false; ///< Some attempt was not certainly refused.
--- a/include/gooseberrysail/gateway/target_board.hpp
+++ b/include/gooseberrysail/gateway/target_board.hpp
@@ -60,6 +60,9 @@
   /// \brief Whether the service has a target for the model at all, busy or avoided ones included.
   [[nodiscard]] bool HasAny(const TargetWish& wish) const;
 
+  /// \brief Why Choose() found none, in words of a log line.
+  [[nodiscard]] const char* WhyNone(TimePoint now, const TargetWish& wish) const;
+
   // Of a former life of a target these change nothing.
 
   void OnSent(TimePoint now, const TargetLife& life);
--- a/src/gateway/dispatcher.cpp
+++ b/src/gateway/dispatcher.cpp
@@ -209,6 +209,7 @@
   if (!request.headPassed) {
     out = std::move(request.whole);
     request.headPassed = true;
+    request.firstAt = now;
   }
   out.exchange = request.call.exchange;
   out.bytes = std::move(events);
--- a/src/gateway/dispatcher_end.cpp
+++ b/src/gateway/dispatcher_end.cpp
@@ -51,8 +51,10 @@
   if (request.attempts == 0) {
     NoteDemand(request, true);
   }
-  const std::string reason =
-    request.lastTrouble.empty() ? "no target can take it now" : request.lastTrouble;
+  const std::set<InstanceId> none;
+  const std::string reason = request.lastTrouble.empty()
+                               ? m_board.WhyNone(now, { request.service, request.model, none })
+                               : request.lastTrouble;
   Refuse(now, request, { 503, reason, EstimateRetryAfter(request) }, outbox);
 }
 
@@ -90,6 +92,9 @@
                      unsigned status,
                      Outbox& outbox)
 {
+  const bool hasFirst = request.firstAt != TimePoint{};
+  const Duration firstAfter = hasFirst ? request.firstAt - request.arrived : Duration::zero();
+  const std::int64_t aim = request.route == nullptr ? 0 : ToMillis(request.route->objective);
   const std::uint64_t version = request.index ? request.index->Document().version : 0;
   outbox.emplace_back(
     MakeEvent(EventNumber::kGatewayAnswered,
@@ -104,6 +109,9 @@
                 { "reason", request.lastTrouble },
                 { "attempts", std::to_string(request.attempts) },
                 { "millis", std::to_string(ToMillis(now - request.arrived)) },
+                { "firstMillis", std::to_string(ToMillis(firstAfter)) },
+                { "aimMillis", std::to_string(aim) },
+                { "promptTokens", std::to_string(request.call.promptTokens) },
                 { "document", std::to_string(version) },
                 { "targets", std::to_string(request.targetsSequence) },
                 { "ageMillis", std::to_string(ToMillis(request.knowledgeAge)) } }));
--- a/src/gateway/target_board.cpp
+++ b/src/gateway/target_board.cpp
@@ -142,6 +142,25 @@
   return best == nullptr ? nullptr : &best->target;
 }
 
+// The first reason that holds for all: one head with room that only failed a moment ago tells more
+// than the others being full.
+const char* TargetBoard::WhyNone(TimePoint now, const TargetWish& wish) const
+{
+  if (!HasAny(wish)) {
+    return "no target serves it";
+  }
+  const bool someHaveRoom = std::ranges::any_of(m_rows, [&](const auto& each) {
+    return Fits(each.second, wish) && each.second.inFlight < RoomOf(each.second.target);
+  });
+  if (!someHaveRoom) {
+    return "all targets are full";
+  }
+  const bool someStandStill = std::ranges::any_of(m_rows, [&](const auto& each) {
+    return Fits(each.second, wish) && IsSilent(now, each.second, kSuspect);
+  });
+  return someStandStill ? "targets with room are silent" : "targets with room failed a moment ago";
+}
+
 bool TargetBoard::HasAny(const TargetWish& wish) const
 {
   return std::ranges::any_of(m_rows, [&](const auto& row) { return Fits(row.second, wish); });
