A failed answer takes no head out of use; what failed together counts once

Ruled out: full heads (counted apart). Change: a head that failed goes behind the others and is used where no other has room; one that nobody reaches gets nothing.

--- a/include/gooseberrysail/gateway/target_board.hpp
+++ b/include/gooseberrysail/gateway/target_board.hpp
@@ -29,11 +29,12 @@
   struct Row
   {
     ServedTarget target;
-    std::uint32_t inFlight = 0; ///< Of this entry.
-    TimePoint busySince{};      ///< In flight without a break since then.
-    TimePoint answeredAt{};     ///< Latest byte of any answer.
-    TimePoint silentAt{};       ///< Latest connection or answer that did not come in time.
-    TimePoint avoidUntil{};
+    std::uint32_t inFlight = 0;  ///< Of this entry.
+    TimePoint busySince{};       ///< In flight without a break since then.
+    TimePoint answeredAt{};      ///< Latest byte of any answer.
+    TimePoint silentAt{};        ///< Latest connection or answer that did not come in time.
+    TimePoint avoidUntil{};      ///< Left to the others while one of them has room.
+    TimePoint outOfReachUntil{}; ///< Gets nothing.
     PaceMeter pace;
     std::uint32_t failures = 0; ///< In a row.
     bool gone = false;          ///< Not listed any more; kept while work is in flight.
@@ -72,12 +73,16 @@
   /// \brief A plain service's whole answer came `took` after it was asked for.
   void OnAnswerTime(TimePoint now, const TargetLife& life, Duration took);
 
-  /// \brief The target refused or failed: it is left out for a moment, longer each time in a row.
+  /// \brief The target refused or failed: for a moment it gets only what no other has room for,
+  /// longer each time in a row.
   void OnTrouble(TimePoint now, const TargetLife& life);
 
   /// \brief The target did not answer at all: as OnTrouble, and control is told.
   void OnSilence(TimePoint now, const TargetLife& life);
 
+  /// \brief Nobody could be reached there: as OnSilence, and it gets nothing for a moment.
+  void OnOutOfReach(TimePoint now, const TargetLife& life);
+
   /// \brief When a target last gave no answer.
   [[nodiscard]] TimePoint LatestSilence() const noexcept { return m_latestSilence; }
 
@@ -104,6 +109,7 @@
   /// \brief How soon a target has room for one more, for comparison: its load by its pace.
   [[nodiscard]] double CostOf(TimePoint now, const Row& row, Duration usualStep) const;
   [[nodiscard]] std::vector<const Row*> ListUsable(TimePoint now, const TargetWish& wish) const;
+  static bool IsAvoided(TimePoint now, const Row& row);
 
   FailureDomainId m_own;
   std::uint32_t m_entries = 1;
--- a/src/gateway/dispatcher.cpp
+++ b/src/gateway/dispatcher.cpp
@@ -226,7 +226,11 @@
 void Dispatcher::OnFailed(TimePoint now, const TargetFailedIn& failed, Outbox& outbox)
 {
   if (Request* request = FindByAttempt(failed.exchange)) {
-    m_board.OnSilence(now, request->target);
+    if (failed.neverSent) {
+      m_board.OnOutOfReach(now, request->target);
+    } else {
+      m_board.OnSilence(now, request->target);
+    }
     AttemptEnded(now,
                  *request,
                  outbox,
--- a/src/gateway/target_board.cpp
+++ b/src/gateway/target_board.cpp
@@ -108,14 +108,27 @@
 {
   std::vector<const Row*> usable;
   for (const auto& [instance, row] : m_rows) {
-    if (Fits(row, wish) && now >= row.avoidUntil && row.inFlight < RoomOf(row.target) &&
+    if (Fits(row, wish) && now >= row.outOfReachUntil && row.inFlight < RoomOf(row.target) &&
         !wish.tried.contains(instance) && !IsSilent(now, row, kSuspect)) {
       usable.push_back(&row);
     }
   }
+  const bool someAreSound =
+    std::ranges::any_of(usable, [&](const Row* row) { return !IsAvoided(now, *row); });
+  if (someAreSound) {
+    std::erase_if(usable, [&](const Row* row) { return IsAvoided(now, *row); });
+  }
   return usable;
 }
 
+// One answer that was lost says little of a head that goes on with dozens of others. Left out for
+// it, the few heads of a model refused 3 to 6 in 100 of all callers on days with lost answers while
+// they had room; so a head that was avoided is used where no other has room.
+bool TargetBoard::IsAvoided(TimePoint now, const Row& row)
+{
+  return now < row.avoidUntil;
+}
+
 const ServedTarget* TargetBoard::Choose(TimePoint now, const TargetWish& wish)
 {
   const std::vector<const Row*> usable = ListUsable(now, wish);
@@ -142,8 +155,8 @@
   return best == nullptr ? nullptr : &best->target;
 }
 
-// The first reason that holds for all: one head with room that only failed a moment ago tells more
-// than the others being full.
+// The first reason that holds for all: one head with room that nobody reaches tells more than the
+// others being full.
 const char* TargetBoard::WhyNone(TimePoint now, const TargetWish& wish) const
 {
   if (!HasAny(wish)) {
@@ -158,7 +171,7 @@
   const bool someStandStill = std::ranges::any_of(m_rows, [&](const auto& each) {
     return Fits(each.second, wish) && IsSilent(now, each.second, kSuspect);
   });
-  return someStandStill ? "targets with room are silent" : "targets with room failed a moment ago";
+  return someStandStill ? "targets with room are silent" : "targets with room are out of reach";
 }
 
 bool TargetBoard::HasAny(const TargetWish& wish) const
@@ -206,9 +219,20 @@
 void TargetBoard::OnTrouble(TimePoint now, const TargetLife& life)
 {
   if (Row* row = FindRow(life)) {
+    if (IsAvoided(now, *row)) {
+      return; // What failed together counts once.
+    }
     const Duration pause = kAvoidFirst * (1U << std::min(row->failures, kMaxDoublings));
     ++row->failures;
-    row->avoidUntil = std::max(row->avoidUntil, now + std::min(pause, Duration(kAvoidLongest)));
+    row->avoidUntil = now + std::min(pause, Duration(kAvoidLongest));
+  }
+}
+
+void TargetBoard::OnOutOfReach(TimePoint now, const TargetLife& life)
+{
+  OnSilence(now, life);
+  if (Row* row = FindRow(life)) {
+    row->outOfReachUntil = row->avoidUntil;
   }
 }
 
--- a/tests/unit/dispatcher_test.cpp
+++ b/tests/unit/dispatcher_test.cpp
@@ -403,6 +403,46 @@
            "large",          Incarnation(born) };
 }
 
+// Symptom: callers are refused while their model's heads have room. Sequence: answers of all heads
+// are lost, one here and one there; each head is left out for a moment. Cause: a failed answer took
+// its head out of use, whatever else the head did.
+TEST(Dispatcher, AFailedAnswerTakesNoHeadOutOfUse)
+{
+  World world;
+  const std::vector<ServedTarget> heads = { HeadOf("h1", 0), HeadOf("h2", 0) };
+  world.dispatcher.OnTargets(world.now, heads, world.outbox);
+  world.Ask("/stream/x");
+  world.Fail(false); // At one head,
+  world.Fail(false); // and at the other.
+  world.Ask("/stream/y");
+  const std::string asked = world.Sent().address;
+  EXPECT_NE(LastStatus(world), 503U);
+  SECTION("one that did not fail goes first")
+  {
+    World other;
+    other.dispatcher.OnTargets(other.now, heads, other.outbox);
+    other.Ask("/stream/x");
+    const std::string failed = other.Sent().address;
+    other.Fail(false);
+    for (int request = 0; request < 5; ++request) {
+      other.Ask("/stream/y");
+      EXPECT_NE(other.Sent().address, failed);
+    }
+  }
+  SECTION("one that nobody reaches gets nothing")
+  {
+    World other;
+    const std::vector<ServedTarget> one = { HeadOf("h1", 0) };
+    other.dispatcher.OnTargets(other.now, one, other.outbox);
+    other.Ask("/stream/x");
+    other.Fail(true);
+    const std::size_t sent = other.CountSent();
+    other.Ask("/stream/y");
+    EXPECT_EQ(other.CountSent(), sent);
+    EXPECT_THAT(other.Answers().back().bytes, HasSubstr("out of reach"));
+  }
+}
+
 // Symptom: callers of a target that started again wait until its silence shows, and the target is
 // thought full and troubled. Sequence: it crashes with their work and starts under its old name.
 // Cause: what was known of a target was kept by its name alone.
