Requests wait a moment for the next place where they will be in time then

Cause: the heads of a model are full at an entry while places come free each few ten milliseconds; who was refused came back after the objective. Hypothesis: a short line in front of all heads of a model, in which nobody waits for longer than leaves time for an answer within the objective and which nobody joins who would wait too long, serves callers in time who were late.

--- a/include/gooseberrysail/gateway/dispatcher.hpp
+++ b/include/gooseberrysail/gateway/dispatcher.hpp
@@ -4,6 +4,7 @@
 #include "gooseberrysail/gateway/gateway_api.hpp"
 #include "gooseberrysail/gateway/retry_allowance.hpp"
 #include "gooseberrysail/gateway/target_board.hpp"
+#include "gooseberrysail/gateway/waiting_line.hpp"
 #include "gooseberrysail/serving/route_index.hpp"
 
 #include <functional>
@@ -36,7 +37,8 @@
 };
 
 /// \brief Carries callers' requests to targets and the answers back.
-/// \remarks Nothing waits here: a request that no target can take is refused at once.
+/// \remarks A request that no target can take waits for the next free place where it will still be
+/// in time then, and is refused at once otherwise.
 class Dispatcher
 {
 public:
@@ -119,6 +121,9 @@
 
   // Attempts (dispatcher.cpp).
   void Attempt(TimePoint now, Request& request, Outbox& outbox);
+  bool TryWait(TimePoint now, const Request& request);
+  void ServeWaiting(TimePoint now, Outbox& outbox);
+  void UseRoom(TimePoint now, Outbox& outbox);
   bool MayRetry(TimePoint now, const Request& request);
   /// \brief Those of the requests at the target that may run elsewhere are sent there.
   void MoveRequests(TimePoint now,
@@ -144,6 +149,8 @@
   std::function<std::uint64_t()> m_random;
   TargetBoard m_board;
   RetryAllowance m_retries;
+  WaitingLine m_line;
+  std::multiset<ServedKind> m_freed; ///< Places that came free and are not used yet.
   std::unordered_map<ExchangeId, Request> m_requests;
   std::unordered_map<ExchangeId, ExchangeId> m_attempts; ///< Attempt to request.
   std::set<std::pair<TimePoint, ExchangeId>> m_deadlines;
--- a/include/gooseberrysail/gateway/target_board.hpp
+++ b/include/gooseberrysail/gateway/target_board.hpp
@@ -22,6 +22,18 @@
   const std::set<InstanceId>& tried;
 };
 
+/// \brief Why no target can take a request.
+enum class NoTarget
+{
+  kNone,       ///< None serves it.
+  kFull,       ///< All have what they can take.
+  kSilent,     ///< Those with room have work and answer nothing.
+  kOutOfReach, ///< Those with room could not be reached a moment ago.
+};
+
+/// \brief For a log line and a caller's answer.
+[[nodiscard]] const char* ToString(NoTarget reason) noexcept;
+
 /// \brief The targets that this entry may use, with what it saw of each.
 class TargetBoard
 {
@@ -61,8 +73,8 @@
   /// \brief Whether the service has a target for the model at all, busy or avoided ones included.
   [[nodiscard]] bool HasAny(const TargetWish& wish) const;
 
-  /// \brief Why Choose() found none, in words of a log line.
-  [[nodiscard]] const char* WhyNone(TimePoint now, const TargetWish& wish) const;
+  /// \brief Why Choose() found none.
+  [[nodiscard]] NoTarget WhyNone(TimePoint now, const TargetWish& wish) const;
 
   // Of a former life of a target these change nothing.
 
--- a/src/gateway/dispatcher.cpp
+++ b/src/gateway/dispatcher.cpp
@@ -50,9 +50,12 @@
   const ServedTarget* target =
     m_board.Choose(now, { request.service, request.model, request.tried });
   if (target == nullptr) {
-    GiveUp(now, request, outbox);
+    if (!TryWait(now, request)) {
+      GiveUp(now, request, outbox);
+    }
     return;
   }
+  m_line.Remove(request.call.exchange);
   const ExchangeId attempt(++m_lastAttempt);
   request.attempt = attempt;
   request.target = { target->instance, target->born };
@@ -72,6 +75,33 @@
   m_board.OnSent(now, request.target);
 }
 
+// Only what was not sent yet: a second attempt has used up the time that waiting needs.
+bool Dispatcher::TryWait(TimePoint now, const Request& request)
+{
+  const std::set<InstanceId> none;
+  const NoTarget reason = m_board.WhyNone(now, { request.service, request.model, none });
+  const bool mayWait = request.attempts == 0 && !request.model.empty() && reason == NoTarget::kFull;
+  return mayWait && m_line.TryJoin(now,
+                                   { request.service, request.model },
+                                   request.call.exchange,
+                                   request.route->objective);
+}
+
+/// Those who wait take the room that came free.
+void Dispatcher::ServeWaiting(TimePoint now, Outbox& outbox)
+{
+  for (const ServedKind& kind : m_line.ListWaiting()) {
+    for (ExchangeId first = m_line.First(kind); !first.IsNone(); first = m_line.First(kind)) {
+      Request& request = *Find(first);
+      if (m_board.Choose(now, { kind.first, kind.second, request.tried }) == nullptr) {
+        break;
+      }
+      m_line.Remove(first);
+      Attempt(now, request, outbox);
+    }
+  }
+}
+
 bool Dispatcher::MayRetry(TimePoint now, const Request& request)
 {
   const bool repeatable = !request.mayHaveRun || MayRunAgain(request.route->repeat);
@@ -91,6 +121,7 @@
   }
   m_attempts.erase(request.attempt);
   m_board.OnEnded(request.target);
+  m_freed.insert({ request.service, request.model });
   request.attempt = ExchangeId();
 }
 
@@ -131,6 +162,7 @@
   } else {
     OnBody(now, *request, part, outbox);
   }
+  UseRoom(now, outbox);
 }
 
 void Dispatcher::OnHead(TimePoint now, Request& request, const TargetAnswerIn& part, Outbox& outbox)
@@ -210,6 +242,7 @@
     out = std::move(request.whole);
     request.headPassed = true;
     request.firstAt = now;
+    m_line.OnFirstEvent({ request.service, request.model }, now - request.sentAt);
   }
   out.exchange = request.call.exchange;
   out.bytes = std::move(events);
@@ -236,6 +269,7 @@
                  outbox,
                  !failed.neverSent,
                  failed.error.step + ": " + failed.error.description);
+    UseRoom(now, outbox);
   }
 }
 
@@ -244,6 +278,7 @@
   if (Request* request = Find(exchange)) {
     StopAttempt(*request, outbox, true);
     End(now, *request, "caller-gone", 0, outbox);
+    UseRoom(now, outbox);
   }
 }
 
@@ -256,17 +291,31 @@
     StopAttempt(request, outbox, true);
     GiveUp(now, request, outbox);
   }
+  for (const ExchangeId exchange : m_line.TakeExpired(now)) {
+    GiveUp(now, *Find(exchange), outbox);
+  }
   for (const TargetLife& head : m_board.StalledHeads(now)) {
     m_board.OnSilence(now, head);
     const auto isStalled = [&](const TargetLife& target) { return target == head; };
     MoveRequests(now, isStalled, "its head stands still", outbox);
   }
+  UseRoom(now, outbox);
+}
+
+void Dispatcher::UseRoom(TimePoint now, Outbox& outbox)
+{
+  for (const ServedKind& kind : m_freed) {
+    m_line.OnRoom(now, kind);
+  }
+  m_freed.clear();
+  ServeWaiting(now, outbox);
 }
 
 void Dispatcher::OnTargets(TimePoint now, std::span<const ServedTarget> targets, Outbox& outbox)
 {
   const std::vector<InstanceId> restarted = m_board.Replace(targets);
   if (restarted.empty()) {
+    ServeWaiting(now, outbox); // A group may have opened.
     return;
   }
   const auto isOver = [&](const TargetLife& target) {
@@ -274,6 +323,7 @@
     return isListed && target.born < m_board.Rows().at(target.instance).target.born;
   };
   MoveRequests(now, isOver, "its target started again", outbox);
+  UseRoom(now, outbox);
 }
 
 // What may not run elsewhere stays: an answer that was made before may still arrive.
--- a/src/gateway/dispatcher_end.cpp
+++ b/src/gateway/dispatcher_end.cpp
@@ -52,9 +52,10 @@
     NoteDemand(request, true);
   }
   const std::set<InstanceId> none;
-  const std::string reason = request.lastTrouble.empty()
-                               ? m_board.WhyNone(now, { request.service, request.model, none })
-                               : request.lastTrouble;
+  const std::string reason =
+    request.lastTrouble.empty()
+      ? ToString(m_board.WhyNone(now, { request.service, request.model, none }))
+      : request.lastTrouble;
   Refuse(now, request, { 503, reason, EstimateRetryAfter(request) }, outbox);
 }
 
@@ -115,6 +116,7 @@
                 { "document", std::to_string(version) },
                 { "targets", std::to_string(request.targetsSequence) },
                 { "ageMillis", std::to_string(ToMillis(request.knowledgeAge)) } }));
+  m_line.Remove(request.call.exchange);
   m_deadlines.erase({ request.deadline, request.call.exchange });
   m_requests.erase(request.call.exchange);
 }
--- a/src/gateway/target_board.cpp
+++ b/src/gateway/target_board.cpp
@@ -32,6 +32,21 @@
 
 } // namespace
 
+const char* ToString(NoTarget reason) noexcept
+{
+  switch (reason) {
+    case NoTarget::kNone:
+      return "no target serves it";
+    case NoTarget::kFull:
+      return "all targets are full";
+    case NoTarget::kSilent:
+      return "targets with room are silent";
+    case NoTarget::kOutOfReach:
+      return "targets with room are out of reach";
+  }
+  return "unknown";
+}
+
 TargetBoard::TargetBoard(FailureDomainId own, std::function<std::uint64_t()> random)
   : m_own(std::move(own))
   , m_random(std::move(random))
@@ -157,21 +172,21 @@
 
 // The first reason that holds for all: one head with room that nobody reaches tells more than the
 // others being full.
-const char* TargetBoard::WhyNone(TimePoint now, const TargetWish& wish) const
+NoTarget TargetBoard::WhyNone(TimePoint now, const TargetWish& wish) const
 {
   if (!HasAny(wish)) {
-    return "no target serves it";
+    return NoTarget::kNone;
   }
   const bool someHaveRoom = std::ranges::any_of(m_rows, [&](const auto& each) {
     return Fits(each.second, wish) && each.second.inFlight < RoomOf(each.second.target);
   });
   if (!someHaveRoom) {
-    return "all targets are full";
+    return NoTarget::kFull;
   }
   const bool someStandStill = std::ranges::any_of(m_rows, [&](const auto& each) {
     return Fits(each.second, wish) && IsSilent(now, each.second, kSuspect);
   });
-  return someStandStill ? "targets with room are silent" : "targets with room are out of reach";
+  return someStandStill ? NoTarget::kSilent : NoTarget::kOutOfReach;
 }
 
 bool TargetBoard::HasAny(const TargetWish& wish) const
--- a/tests/unit/dispatcher_test.cpp
+++ b/tests/unit/dispatcher_test.cpp
@@ -66,6 +66,7 @@
   route.pathPrefix = path;
   route.repeat = repeat;
   route.timeout = 3s;
+  route.objective = 300ms;
   route.maxAttempts = attempts;
   route.shares = { { repeat == RepeatPolicy::kResumableStream ? "assist" : "portal", 1 } };
   return route;
@@ -443,6 +444,73 @@
   }
 }
 
+/// A head of four places, all of which are taken; a place came free each 30 ms lately.
+class BusyHead
+{
+public:
+  BusyHead()
+  {
+    world.dispatcher.OnTargets(
+      world.now,
+      std::vector<ServedTarget>{
+        { InstanceId("h1"), "assist", "h1:80", FailureDomainId("a"), 4, false, "large", {} } },
+      world.outbox);
+    for (int request = 0; request < 40; ++request) {
+      world.Ask("/stream/x");
+      world.now += 30ms;
+      world.Good("id: 1\ndata: a\n\n", true);
+    }
+    for (int request = 0; request < 4; ++request) {
+      world.Ask("/stream/x");
+    }
+    sent = world.CountSent();
+  }
+
+  World world;
+  std::size_t sent = 0; ///< Before any caller had to wait.
+};
+
+// Symptom: callers are refused although a place comes free 30 ms later; they come back after their
+// objective. Sequence: more arrive at one moment than there are places. Cause: nothing waited.
+TEST(Dispatcher, ACallerWhoWillBeInTimeWaitsForTheNextPlace)
+{
+  SECTION("and gets it")
+  {
+    BusyHead busy;
+    busy.world.Ask("/stream/x");
+    EXPECT_EQ(busy.world.CountSent(), busy.sent);
+    EXPECT_NE(LastStatus(busy.world), 503U);
+    busy.world.now += 30ms;
+    busy.world.Fail(false); // Ends one of those that run.
+    EXPECT_GT(busy.world.CountSent(), busy.sent);
+  }
+  SECTION("or is refused while it can still come back")
+  {
+    BusyHead busy;
+    busy.world.Ask("/stream/x");
+    busy.world.Pass(600ms);
+    EXPECT_EQ(LastStatus(busy.world), 503U);
+    EXPECT_NE(FindHeader(busy.world.Answers().back().headers, "Retry-After"), "");
+  }
+  SECTION("those who would not be in time are refused at once")
+  {
+    BusyHead busy;
+    for (int request = 0; request < 40 && LastStatus(busy.world) != 503U; ++request) {
+      busy.world.Ask("/stream/x");
+    }
+    EXPECT_EQ(LastStatus(busy.world), 503U);
+  }
+  SECTION("one who leaves makes room for the next")
+  {
+    BusyHead busy;
+    busy.world.Ask("/stream/x");
+    busy.world.dispatcher.OnCallerGone(busy.world.now, ExchangeId(45), busy.world.outbox);
+    busy.world.now += 30ms;
+    busy.world.Fail(false);
+    EXPECT_EQ(busy.world.CountSent(), busy.sent);
+  }
+}
+
 // Symptom: callers of a target that started again wait until its silence shows, and the target is
 // thought full and troubled. Sequence: it crashes with their work and starts under its old name.
 // Cause: what was known of a target was kept by its name alone.
