--- a/include/gooseberrysail/control/serving_control.hpp
+++ b/include/gooseberrysail/control/serving_control.hpp
@@ -70,7 +70,8 @@
   }
   void FollowDocument(ControlContext& context);
   void KeepGroups(ControlContext& context);
-  void TakePace(ControlContext& context, const OpenOrder& open);
+  [[nodiscard]] Duration ReportLag() const;
+  void TakeReport(ControlContext& context, const OpenOrder& open);
   void EndOrder(ControlContext& context,
                 ExchangeId exchange,
                 OrderOutcome outcome,
--- a/tests/unit/engine_groups_test.cpp
+++ b/tests/unit/engine_groups_test.cpp
@@ -567,6 +567,29 @@
   }
 }
 
+// Symptom: the head of an open group was joined to a second one. Sequence: control is cut in two;
+// the side of the former leader hears a target leave one group and lead the next; when the cut
+// heals, what it passed on arrives late, the older word first. Cause: a target's latest known word
+// was taken for what the target is.
+TEST(EngineGroups, AnOldWordOfATargetFreesNobody)
+{
+  for (const char* model : { "large", "small" }) {
+    FakeFleet fleet = ServingFleet();
+    fleet.ChangeLeader(false);
+    fleet.Run(1500ms);
+    const std::string head = AnyHead(fleet, model);
+    for (int round = 0; round < 5; ++round) {
+      TargetAnnouncement old = fleet.At(head).self;
+      ++old.sequence;
+      old.membership = {};
+      fleet.Table().Hear(fleet.now, old);
+      fleet.Run(700ms);
+    }
+    fleet.Run(5s);
+    EXPECT_THAT(fleet.Violations(), IsEmpty()) << model;
+  }
+}
+
 TEST(EngineGroups, ALeavingMemberEndsItsGroupInOrder)
 {
   FakeFleet fleet = ServingFleet();
