--- a/include/gooseberrysail/control/engine_groups.hpp
+++ b/include/gooseberrysail/control/engine_groups.hpp
@@ -122,7 +122,6 @@
   {
     kAdopted,   ///< Of an earlier leader; its head is waited for.
     kGathering, ///< Some members still end their work in groups that were given up.
-    kAsking,    ///< Its members are asked whether they are what this leader takes them for.
     kJoining,
     kOpening,
     kOpen,
@@ -140,7 +139,6 @@
     Phase phase = Phase::kJoining;
     TimePoint since{}; ///< In this phase.
     bool wasAdopted = false;
-    std::set<InstanceId> confirmed; ///< kAsking: members that answered.
     std::map<InstanceId, TimePoint> orderedAt;
     bool cut = false;                      ///< A member is lost: nothing that the head has can end.
     bool closeBegun = false;               ///< The head took the order to close.
@@ -148,7 +146,6 @@
     bool headIsDead = false;               ///< That life of the head certainly ended.
     bool headIsClosed = false;             ///< The head said that it takes no work.
     TimePoint askedPaceAt{};               ///< When the members were asked whether they are slow.
-    TimePoint askedHeadAt{};               ///< When the head was asked whether it has left.
     std::optional<TimePoint> openedAt;     ///< The order to open it was answered.
     std::optional<TimePoint> headSilentAt; ///< Nobody reached the head.
     std::optional<TimePoint> releasedAt;   ///< The other members were told to leave.
@@ -164,9 +161,6 @@
   void Advance(Pass& pass, Group& group);
   void AdvanceAdopted(Pass& pass, Group& group);
   void AdvanceGathering(Pass& pass, Group& group);
-  void AdvanceAsking(Pass& pass, Group& group);
-  void StartAsking(Pass& pass, Group& group);
-  [[nodiscard]] bool MayJoin(const Pass& pass, const Group& group, const InstanceId& member) const;
   void AdvanceJoining(Pass& pass, Group& group);
   void AdvanceOpening(Pass& pass, Group& group);
   void AdvanceOpen(Pass& pass, Group& group);
@@ -217,7 +211,6 @@
   void ReplaceHeads(Pass& pass, const ServiceDefinition& service);
   [[nodiscard]] std::vector<InstanceId> ListSurvivors(const Pass& pass, const Group& group) const;
   [[nodiscard]] bool IsSilent(const Pass& pass, const TargetRow& row) const;
-  void AskHead(Pass& pass, Group& group);
   [[nodiscard]] bool IsReleased(const Pass& pass, const Group& group) const;
   [[nodiscard]] bool IsSound(const Pass& pass, const Group& group) const;
   [[nodiscard]] bool HasSpoken(const TargetRow& row) const;
--- a/include/gooseberrysail/control/serving_control.hpp
+++ b/include/gooseberrysail/control/serving_control.hpp
@@ -70,8 +70,7 @@
   }
   void FollowDocument(ControlContext& context);
   void KeepGroups(ControlContext& context);
-  [[nodiscard]] Duration ReportLag() const;
-  void TakeReport(ControlContext& context, const OpenOrder& open);
+  void TakePace(ControlContext& context, const OpenOrder& open);
   void EndOrder(ControlContext& context,
                 ExchangeId exchange,
                 OrderOutcome outcome,
--- a/include/gooseberrysail/serving/document.hpp
+++ b/include/gooseberrysail/serving/document.hpp
@@ -82,7 +82,6 @@
   std::uint32_t loadsAtOnce = 1; ///< More than these at a time slow one another down.
   double usualOutputTokens = 0;  ///< Of a request, all kinds together; 0 when not known.
   Duration openTime{};           ///< From the order to open a group until it serves.
-  Duration reportLag{};          ///< How old an answer of a target about itself may be.
   std::vector<GroupModel> models;
 };
 
--- a/include/gooseberrysail/serving/target_table.hpp
+++ b/include/gooseberrysail/serving/target_table.hpp
@@ -53,13 +53,6 @@
   GroupMembership membership;
 };
 
-/// \brief What a target answered when it was asked about itself.
-struct TargetReport
-{
-  std::optional<double> pace; ///< The factor on its usual times; over 1 it is slow.
-  std::optional<GroupMembership> membership;
-};
-
 struct TargetRow
 {
   TargetAnnouncement latest;
@@ -68,7 +61,6 @@
   std::string lastModel;
   TimePoint firstHeardAt{}; ///< Of this life.
   TimePoint heardAt{};
-  TimePoint confirmedAt{}; ///< `latest` tells what the target answered to be then, or later.
 };
 
 /// \brief Targets that announced themselves to any control process, by instance.
@@ -86,10 +78,6 @@
   /// \brief Takes in a heartbeat, wherever it was received.
   Change Hear(TimePoint now, TargetAnnouncement announcement);
 
-  /// \brief Takes in an answer that tells what the target was at `asOf` or later. A heartbeat that
-  /// was heard since counts more.
-  Change TakeReport(TimePoint asOf, const TargetLife& life, const TargetReport& report);
-
   /// \brief A target took its leave; later heartbeats of the same life are void.
   /// \param born Which life, where that is known: a farewell that was passed on by another process
   /// may arrive after the first word of the next life.
--- a/src/control/engine_groups.cpp
+++ b/src/control/engine_groups.cpp
@@ -23,10 +23,6 @@
 /// Streams last some 2 s and a group that is given up takes none; one whose head died meanwhile
 /// would keep the others waiting.
 constexpr Duration kGatherPatience = 4s;
-/// An answer takes some 10 ms, and a lost packet is sent again within 200 to 300 ms.
-constexpr Duration kAskPatience = 1s;
-/// A head whose word leaves its group in doubt is asked this often.
-constexpr Duration kAskRetry = 300ms;
 /// A join that takes longer than this beside its load has failed.
 constexpr Duration kJoinSlack = 10s;
 /// A head opens some 0.3 s after the order; by then its heartbeat tells.
@@ -231,9 +227,6 @@
       break;
     case Phase::kGathering:
       break;
-    case Phase::kAsking:
-      AdvanceAsking(pass, group);
-      break;
     case Phase::kJoining:
       AdvanceJoining(pass, group);
       break;
@@ -283,59 +276,12 @@
     return row.first != group.name && SharesMember(row.second, group);
   });
   if (!isShared) {
-    StartAsking(pass, group);
-  }
-}
-
-void EngineGroups::StartAsking(Pass& pass, Group& group)
-{
-  group.phase = Phase::kAsking;
-  group.since = pass.input.now;
-  group.orderedAt.clear();
-  AdvanceAsking(pass, group);
-}
-
-// What this leader knows of a target may be old: a word that another process passed on after a
-// broken network said of a target that it was free while it led an open group, and the target was
-// joined to a second one. A target that died a moment ago is found out as well, before the others
-// wait for it. An answer takes some milliseconds.
-void EngineGroups::AdvanceAsking(Pass& pass, Group& group)
-{
-  const bool areFree = std::ranges::all_of(
-    group.members, [&](const InstanceId& member) { return MayJoin(pass, group, member); });
-  if (!areFree || HasFailedMember(pass, group) || pass.input.now - group.since > kAskPatience) {
-    // No member was told of it yet.
-    ReportEnded(pass, group, "a member is not what it was taken for");
-    pass.dropped.push_back(group.name);
-    return;
-  }
-  for (const InstanceId& member : group.members) {
-    if (!group.confirmed.contains(member)) {
-      Order(pass, group, member, GroupOrderKind::kProbe);
-    }
-  }
-  if (group.confirmed.size() == group.members.size()) {
     group.phase = Phase::kJoining;
     group.since = pass.input.now;
-    group.orderedAt.clear();
     AdvanceJoining(pass, group);
   }
 }
 
-/// Whether the member is in no group, or in one that is certainly over or goes on as this one.
-bool EngineGroups::MayJoin(const Pass& pass, const Group& group, const InstanceId& member) const
-{
-  const TargetRow* row = pass.Row(member);
-  if (row == nullptr) {
-    return false;
-  }
-  const GroupMembership& membership = row->latest.membership;
-  return membership.group.empty() || membership.group == group.name ||
-         membership.group.starts_with(impl::kStandbyPrefix) ||
-         membership.state == MemberState::Broken ||
-         m_released.contains({ membership.group, membership.epoch });
-}
-
 bool EngineGroups::SharesMember(const Group& left, const Group& right)
 {
   return std::ranges::any_of(left.members, [&](const InstanceId& member) {
@@ -486,15 +432,7 @@
     group.headIsDead = true;
     return;
   }
-  // An order to open may still be on its way to a head that is closed: one of an earlier leader, or
-  // one without an answer. A head that has left its group obeys none.
-  const bool isClosed =
-    group.closeBegun && row != nullptr && row->latest.membership.state == MemberState::Ready;
-  const bool mustLeave = isClosed && (group.openIsUnsure || group.wasAdopted);
-  Order(pass, group, head, mustLeave ? GroupOrderKind::kLeave : GroupOrderKind::kClose);
-  if (row != nullptr && !Reports(row, group.name, group.epoch)) {
-    AskHead(pass, group);
-  }
+  Order(pass, group, head, GroupOrderKind::kClose);
   const bool silent = row == nullptr || row->latest.left || IsSilent(pass, *row);
   if (!silent) {
     group.headSilentAt.reset(); // It ends its work, for which it needs its members.
@@ -520,15 +458,6 @@
   }
 }
 
-// A word that says nothing of the group may be older than the group.
-void EngineGroups::AskHead(Pass& pass, Group& group)
-{
-  if (pass.input.now - group.askedHeadAt >= kAskRetry) {
-    group.askedHeadAt = pass.input.now;
-    AskPace(pass, group.members.front());
-  }
-}
-
 bool EngineGroups::IsReleased(const Pass& pass, const Group& group) const
 {
   if (group.headIsDead || group.headIsClosed) {
@@ -541,15 +470,14 @@
     return stoodStill;
   }
   // What the head said before it was told to close may be overtaken by a late order to open.
-  const bool spokeSince = head->heardAt > group.since || head->confirmedAt > group.since;
+  const bool spokeSince = head->heardAt > group.since;
   const MemberState state = head->latest.membership.state;
-  if (!Reports(head, group.name, group.epoch)) {
-    return head->confirmedAt >= group.since || stoodStill;
+  if (spokeSince && !Reports(head, group.name, group.epoch)) {
+    return true;
   }
   // Once the head took the order to close, ready means closed; unless an order to open it went
   // without an answer, which may still be carried out.
-  const bool mayOpenLate = group.openIsUnsure || group.wasAdopted;
-  const bool isClosed = group.closeBegun && !mayOpenLate && state == MemberState::Ready;
+  const bool isClosed = group.closeBegun && !group.openIsUnsure && state == MemberState::Ready;
   if (spokeSince && !head->latest.left && (isClosed || state == MemberState::Broken)) {
     return true;
   }
@@ -564,7 +492,8 @@
   const TargetRow* head = pass.Row(group.members.front());
   const bool broken =
     Reports(head, group.name, group.epoch) && head->latest.membership.state == MemberState::Broken;
-  group.headIsClosed = broken;
+  group.headIsClosed =
+    broken || (head != nullptr && !head->latest.left && !Reports(head, group.name, group.epoch));
   ReportEnded(pass, group, reason);
 }
 
@@ -636,9 +565,6 @@
   if (order.kind == GroupOrderKind::kProbe) {
     if (outcome != OrderOutcome::kDone) {
       m_unanswered[order.target] = now;
-    } else if (const auto asked = m_groups.find(order.group);
-               asked != m_groups.end() && asked->second.epoch == order.epoch) {
-      asked->second.confirmed.insert(order.target);
     }
     return;
   }
@@ -662,7 +588,7 @@
   // A close that is told again finds the head closing, and one that overtakes an order to open
   // finds it closed still: only what the head says later is certain then.
   const bool isOpening = group.openedAt && now - *group.openedAt < kOpenSlack;
-  const bool isCertain = !group.closeBegun && !isOpening && !group.wasAdopted;
+  const bool isCertain = !group.closeBegun && !isOpening;
   group.headIsClosed = group.headIsClosed || (outcome == OrderOutcome::kDone && isCertain);
 }
 
--- a/src/control/engine_groups_planning.cpp
+++ b/src/control/engine_groups_planning.cpp
@@ -184,7 +184,7 @@
       group = MakeGroup(pass, service.name, { model->name, std::move(members), 0 });
       group.name = name;
       ReportFormed(pass, group, 0);
-      StartAsking(pass, group);
+      AdvanceJoining(pass, group);
     }
   }
 }
@@ -340,7 +340,7 @@
 
 void EngineGroups::StartGroup(Pass& pass, const std::string& service, const PlannedGroup& planned)
 {
-  StartAsking(pass, AddGroup(pass, service, planned, Phase::kAsking));
+  AdvanceJoining(pass, AddGroup(pass, service, planned, Phase::kJoining));
 }
 
 // Its free members are taken from now on: while the others finish what they have, a group of
--- a/src/control/serving_control.cpp
+++ b/src/control/serving_control.cpp
@@ -351,36 +351,18 @@
     if (!answer.end) {
       return;
     }
-    TakeReport(context, open);
+    TakePace(context, open);
   }
   EndOrder(context, answer.exchange, m_api.decodeOrderStatus(open.status), open.status);
 }
 
-// By how much a target's answer may lag behind what it is.
-Duration ServingControl::ReportLag() const
+void ServingControl::TakePace(ControlContext& context, const OpenOrder& open)
 {
-  Duration lag{};
-  if (m_document) {
-    for (const ServiceDefinition& service : m_document->services) {
-      lag = service.engine ? std::max(lag, service.engine->reportLag) : lag;
-    }
-  }
-  return lag;
-}
-
-void ServingControl::TakeReport(ControlContext& context, const OpenOrder& open)
-{
-  if (m_api.decodeOrderStatus(open.status) != OrderOutcome::kDone) {
-    return;
-  }
-  const TargetReport report = m_api.decodeReport(open.body);
-  const TargetLife life{ open.order.target, open.order.born };
-  if (m_targets.TakeReport(open.since - ReportLag(), life, report) == TargetTable::Change::kState) {
-    NoteChange(context, life.instance);
-  }
-  const TargetRow* row = m_targets.Find(life.instance);
-  if (report.pace && row != nullptr && row->latest.born == life.born) {
-    m_groups.OnPace(context.now, life.instance, *report.pace);
+  const bool isAnswer = m_api.decodeOrderStatus(open.status) == OrderOutcome::kDone;
+  const std::optional<double> pace = isAnswer ? m_api.decodePace(open.body) : std::nullopt;
+  const TargetRow* row = m_targets.Find(open.order.target);
+  if (pace && row != nullptr && row->latest.born == open.order.born) {
+    m_groups.OnPace(context.now, open.order.target, *pace);
   }
 }
 
--- a/src/serving/target_table.cpp
+++ b/src/serving/target_table.cpp
@@ -56,7 +56,6 @@
   if (isReborn) {
     // Weights that the former life had in use are gone with it.
     row.lastModel.clear();
-    row.confirmedAt = TimePoint{};
   }
   if (fresh || isReborn) {
     row.firstHeardAt = now;
@@ -68,25 +67,6 @@
   return isSame ? Change::kRefresh : Change::kState;
 }
 
-// Heartbeats may be seconds late, and those that another process passes on may have waited for a
-// broken network; an answer is as old as its question at most, and the lag that the engines publish.
-TargetTable::Change TargetTable::TakeReport(TimePoint asOf,
-                                            const TargetLife& life,
-                                            const TargetReport& report)
-{
-  const auto found = m_rows.find(life.instance);
-  const bool isKnown = found != m_rows.end() && found->second.latest.born == life.born;
-  if (!isKnown || !report.membership || found->second.heardAt > asOf) {
-    return Change::kNone;
-  }
-  TargetRow& row = found->second;
-  const TargetAnnouncement former = row.latest;
-  row.latest.membership = *report.membership;
-  row.confirmedAt = asOf;
-  NoteLastModel(row);
-  return Significant(former) == Significant(row.latest) ? Change::kNone : Change::kState;
-}
-
 TargetTable::Change TargetTable::Leave(TimePoint now,
                                        const InstanceId& instance,
                                        std::optional<Incarnation> born)
