--- a/tools/platform_days.py
+++ b/tools/platform_days.py
@@ -2,6 +2,7 @@
 """Plays a day of its own for each kind of trouble on the users' bench and tells which rules broke.
 
 Usage: tools/platform_days.py BENCH SITE... [--only WORD] [--seed N] [--jobs N] [--why TEXT]
+       tools/platform_days.py --write deploy/days
 
 BENCH is the bench's program, SITE a site file. Each trouble stands alone on an otherwise calm day,
 twice; pairs follow. Prints a line for each day: kept or broken, worth, and the rules.
@@ -199,6 +200,15 @@
         yield "closing-" + closing, day_text(base, "closing-" + closing, seed, closing=closing)
 
 
+def write_days(folder):
+    """Each of the days for any site, which a hunt plays with other times and figures."""
+    blank = 'name = ""\nseed = 0\none = 1.0\nplan = []\nfaults = []\n'
+    for name, text in list_days('services = [{ name = "@s0" }]\n[[day]]\n' + blank + "[[day]]", 1):
+        kept = [line for line in text.splitlines() if not re.match(r"(seed|one) = |(plan|faults) = \[\]", line)]
+        with open(os.path.join(folder, name.replace("+", "-and-") + ".toml"), "w", encoding="utf-8") as file:
+            file.write("\n".join(kept) + "\n")
+
+
 def play(bench, site, name, text, why):
     with tempfile.NamedTemporaryFile("w", suffix=".toml", delete=False) as file:
         file.write(text)
@@ -222,13 +232,16 @@
 
 def main():
     parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
-    parser.add_argument("bench")
-    parser.add_argument("sites", nargs="+")
+    parser.add_argument("bench", nargs="?")
+    parser.add_argument("sites", nargs="*")
+    parser.add_argument("--write", default="", metavar="FOLDER")
     parser.add_argument("--only", default="")
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--jobs", type=int, default=4)
     parser.add_argument("--why", default="a day for each kind of trouble")
     options = parser.parse_args()
+    if options.write:
+        write_days(options.write)
     for site in options.sites:
         with open(site, encoding="utf-8") as file:
             days = [day for day in list_days(file.read(), options.seed) if options.only in day[0]]
