--- a/include/gooseberrysail/control/serving_control.hpp
+++ b/include/gooseberrysail/control/serving_control.hpp
@@ -60,7 +60,6 @@
   void Respond(ControlContext& context, ExchangeId exchange, const OutsideAnswer& answer);
   [[nodiscard]] DocumentService::Respond Responder(ControlContext& context);
   [[nodiscard]] bool IsNamed(const TargetAnnouncement& announcement) const;
-  TargetTable::Change TakeHeard(TimePoint now, const wire::TargetHeardT& heard);
   void NoteChange(ControlContext& context, const InstanceId& instance);
   void PassOn(ControlContext& context, const InstanceId& instance);
   /// \brief Whether this process has run for longer than all targets need to speak.
--- a/include/gooseberrysail/gateway/dispatcher.hpp
+++ b/include/gooseberrysail/gateway/dispatcher.hpp
@@ -121,6 +121,7 @@
 
   // Attempts (dispatcher.cpp).
   void Attempt(TimePoint now, Request& request, Outbox& outbox);
+  void Send(TimePoint now, Request& request, const ServedTarget& target, Outbox& outbox);
   bool TryWait(TimePoint now, const Request& request);
   void ServeWaiting(TimePoint now, Outbox& outbox);
   void UseRoom(TimePoint now, Outbox& outbox);
@@ -140,7 +141,6 @@
   void GiveUp(TimePoint now, Request& request, Outbox& outbox);
   void Refuse(TimePoint now, Request& request, const Refusal& refusal, Outbox& outbox);
   void End(TimePoint now, Request& request, const char* outcome, unsigned status, Outbox& outbox);
-  [[nodiscard]] Duration EstimateRetryAfter(const Request& request) const;
 
   Request* Find(ExchangeId exchange);
   Request* FindByAttempt(ExchangeId attempt);
--- a/include/gooseberrysail/serving/target_table.hpp
+++ b/include/gooseberrysail/serving/target_table.hpp
@@ -5,7 +5,6 @@
 
 #include <cstdint>
 #include <map>
-#include <optional>
 #include <string>
 #include <vector>
 #include <wire_generated.h>
@@ -79,9 +78,9 @@
   Change Hear(TimePoint now, TargetAnnouncement announcement);
 
   /// \brief A target took its leave; later heartbeats of the same life are void.
-  /// \param born Which life, where that is known: a farewell that was passed on by another process
-  /// may arrive after the first word of the next life.
-  Change Leave(TimePoint now, const InstanceId& instance, std::optional<Incarnation> born = {});
+  /// \param born Which life, or none where that is not known: a farewell that was passed on by
+  /// another process may arrive after the first word of the next life.
+  Change Leave(TimePoint now, const InstanceId& instance, Incarnation born = {});
 
   /// \brief Drops rows of targets that left, or were silent for long.
   void Forget(TimePoint now);
--- a/src/control/serving_control.cpp
+++ b/src/control/serving_control.cpp
@@ -195,7 +195,10 @@
                              const wire::BodyUnion& body)
 {
   if (const wire::TargetHeardT* heard = body.AsTargetHeard()) {
-    const TargetTable::Change change = TakeHeard(context.now, *heard);
+    const InstanceId instance(heard->instance);
+    const TargetTable::Change change =
+      heard->left ? m_targets.Leave(context.now, instance, Incarnation(heard->born))
+                  : m_targets.Hear(context.now, FromWire(*heard));
     if (change == TargetTable::Change::kState) {
       m_nextKeep = context.now;
     }
@@ -215,17 +218,6 @@
   }
 }
 
-TargetTable::Change ServingControl::TakeHeard(TimePoint now, const wire::TargetHeardT& heard)
-{
-  if (!heard.left) {
-    return m_targets.Hear(now, FromWire(heard));
-  }
-  // Who passed it on may not have known the target.
-  const Incarnation born(heard.born);
-  return m_targets.Leave(
-    now, InstanceId(heard.instance), born.IsNone() ? std::nullopt : std::optional(born));
-}
-
 void ServingControl::OnPeerDown(const ProcessId& peer)
 {
   m_feed.OnPeerDown(peer);
--- a/src/gateway/dispatcher.cpp
+++ b/src/gateway/dispatcher.cpp
@@ -55,11 +55,15 @@
     }
     return;
   }
-  m_line.Remove(request.call.exchange);
+  Send(now, request, *target, outbox);
+}
+
+void Dispatcher::Send(TimePoint now, Request& request, const ServedTarget& target, Outbox& outbox)
+{
   const ExchangeId attempt(++m_lastAttempt);
   request.attempt = attempt;
-  request.target = { target->instance, target->born };
-  request.tried.insert(target->instance);
+  request.target = { target.instance, target.born };
+  request.tried.insert(target.instance);
   request.streams = false;
   if (++request.attempts == 1) {
     NoteDemand(request, false);
@@ -70,7 +74,7 @@
     resumeAfter = request.events.LastId();
   }
   outbox.emplace_back(m_api.encodeAttempt(
-    { attempt, request.call, *target, request.deadline - now, request.workspace, resumeAfter }));
+    { attempt, request.call, target, request.deadline - now, request.workspace, resumeAfter }));
   request.sentAt = now;
   m_board.OnSent(now, request.target);
 }
@@ -78,8 +82,7 @@
 // Only what was not sent yet: a second attempt has used up the time that waiting needs.
 bool Dispatcher::TryWait(TimePoint now, const Request& request)
 {
-  const std::set<InstanceId> none;
-  const NoTarget reason = m_board.WhyNone(now, { request.service, request.model, none });
+  const NoTarget reason = m_board.WhyNone(now, { request.service, request.model, request.tried });
   const bool mayWait = request.attempts == 0 && !request.model.empty() && reason == NoTarget::kFull;
   return mayWait && m_line.TryJoin(now,
                                    { request.service, request.model },
@@ -93,11 +96,12 @@
   for (const ServedKind& kind : m_line.ListWaiting()) {
     for (ExchangeId first = m_line.First(kind); !first.IsNone(); first = m_line.First(kind)) {
       Request& request = *Find(first);
-      if (m_board.Choose(now, { kind.service, kind.model, request.tried }) == nullptr) {
+      const ServedTarget* target = m_board.Choose(now, { kind.service, kind.model, request.tried });
+      if (target == nullptr) {
         break;
       }
       m_line.Remove(first);
-      Attempt(now, request, outbox);
+      Send(now, request, *target, outbox);
     }
   }
 }
@@ -314,16 +318,11 @@
 void Dispatcher::OnTargets(TimePoint now, std::span<const ServedTarget> targets, Outbox& outbox)
 {
   const std::vector<InstanceId> restarted = m_board.Replace(targets);
-  if (restarted.empty()) {
-    ServeWaiting(now, outbox); // A group may have opened.
-    return;
-  }
   const auto isOver = [&](const TargetLife& target) {
-    const bool isListed = std::ranges::find(restarted, target.instance) != restarted.end();
-    return isListed && target.born < m_board.Rows().at(target.instance).target.born;
+    return std::ranges::find(restarted, target.instance) != restarted.end();
   };
   MoveRequests(now, isOver, "its target started again", outbox);
-  UseRoom(now, outbox);
+  UseRoom(now, outbox); // A group may have opened.
 }
 
 // What may not run elsewhere stays: an answer that was made before may still arrive.
--- a/src/gateway/dispatcher_end.cpp
+++ b/src/gateway/dispatcher_end.cpp
@@ -51,19 +51,10 @@
   if (request.attempts == 0) {
     NoteDemand(request, true);
   }
-  const std::set<InstanceId> none;
-  const std::string reason =
-    request.lastTrouble.empty()
-      ? ToString(m_board.WhyNone(now, { request.service, request.model, none }))
-      : request.lastTrouble;
-  Refuse(now, request, { 503, reason, EstimateRetryAfter(request) }, outbox);
-}
-
-Duration Dispatcher::EstimateRetryAfter(const Request& request) const
-{
-  const std::set<InstanceId> none;
-  const bool exists = m_board.HasAny({ request.service, request.model, none });
-  return exists ? kBusyRetry : kNoTargetRetry;
+  const NoTarget why = m_board.WhyNone(now, { request.service, request.model, request.tried });
+  const std::string reason = request.lastTrouble.empty() ? ToString(why) : request.lastTrouble;
+  const Duration retryAfter = why == NoTarget::kNone ? kNoTargetRetry : kBusyRetry;
+  Refuse(now, request, { 503, reason, retryAfter }, outbox);
 }
 
 void Dispatcher::Refuse(TimePoint now, Request& request, const Refusal& refusal, Outbox& outbox)
--- a/src/gateway/pace_meter.cpp
+++ b/src/gateway/pace_meter.cpp
@@ -1,5 +1,7 @@
 #include "gooseberrysail/gateway/pace_meter.hpp"
 
+#include "gooseberrysail/core/smoothing.hpp"
+
 #include <cmath>
 
 namespace gooseberrysail {
@@ -29,9 +31,7 @@
 
 void PaceMeter::Note(TimePoint now, Duration step)
 {
-  const Duration known = Step(now);
-  const Duration change = std::chrono::duration_cast<Duration>((step - known) * kLatestWeight);
-  m_step = known == Duration::zero() ? step : known + change;
+  m_step = Smooth(Step(now), step, kLatestWeight);
   m_notedAt = now;
 }
 
--- a/src/gateway/waiting_line.cpp
+++ b/src/gateway/waiting_line.cpp
@@ -1,5 +1,7 @@
 #include "gooseberrysail/gateway/waiting_line.hpp"
 
+#include "gooseberrysail/core/smoothing.hpp"
+
 #include <cmath>
 
 namespace gooseberrysail {
@@ -35,11 +37,8 @@
 
 void WaitingLine::OnFirstEvent(const ServedKind& kind, Duration took)
 {
-  Kind& row = m_kinds[kind];
-  const bool isFirst = row.firstEvent == Duration::zero();
-  const Duration change =
-    std::chrono::duration_cast<Duration>((took - row.firstEvent) * kLatestWeight);
-  row.firstEvent = isFirst ? took : row.firstEvent + change;
+  Duration& known = m_kinds[kind].firstEvent;
+  known = Smooth(known, took, kLatestWeight);
 }
 
 std::optional<Duration> WaitingLine::ExpectedWait(TimePoint now, const ServedKind& kind) const
--- a/src/serving/target_table.cpp
+++ b/src/serving/target_table.cpp
@@ -1,5 +1,6 @@
 #include "gooseberrysail/serving/target_table.hpp"
 
+#include <algorithm>
 #include <tuple>
 #include <utility>
 
@@ -67,16 +68,14 @@
   return isSame ? Change::kRefresh : Change::kState;
 }
 
-TargetTable::Change TargetTable::Leave(TimePoint now,
-                                       const InstanceId& instance,
-                                       std::optional<Incarnation> born)
+TargetTable::Change TargetTable::Leave(TimePoint now, const InstanceId& instance, Incarnation born)
 {
   TargetRow& row = m_rows[instance];
-  if (born && *born < row.latest.born) {
+  if (!born.IsNone() && born < row.latest.born) {
     return Change::kNone;
   }
   row.latest.instance = instance;
-  row.latest.born = born.value_or(row.latest.born);
+  row.latest.born = std::max(row.latest.born, born);
   if (row.latest.left) {
     return Change::kRefresh;
   }
--- a/tools/lost_worth.py
+++ b/tools/lost_worth.py
@@ -6,7 +6,7 @@
 LOG holds lines of all entries and control processes, each with its event's number, name and fields; a number
 before the line is taken for its time in seconds, else the line's own time is. Prints, by span of seconds and
 model: what was asked, answered in time, late, and refused, and the groups that served; for each group that
-was lost the chain from its last event to the first of the group that follows it; and the reasons of what was
+was lost the time from its end until the next of its model was formed and open; and the reasons of what was
 refused or late, with the part of all requests that each took. Needs Python alone.
 """
 
@@ -69,7 +69,7 @@
     """Follows groups by their names: when each opened, ended, and what followed it."""
 
     def __init__(self, events):
-        self.open = {}  # name -> (model, since)
+        self.open = {}  # name -> model
         self.changes = []  # (at, model, +1 or -1)
         self.chains = []  # of ended groups: model, reason, ended, formed, opened
         waiting = collections.defaultdict(list)
@@ -99,14 +99,6 @@
         return sum(change for when, which, change in self.changes if which == model and when <= at)
 
 
-def add_last_events(chains, answers):
-    """When the entries last had an answer of a lost group's head is not told; the first complaint is."""
-    complaints = [event for event in answers if event.name == "GatewayAttemptFailed"]
-    for chain in chains:
-        before = [e.at for e in complaints if chain["ended"] - 3 <= e.at <= chain["ended"]]
-        chain["complaint"] = min(before) if before else None
-
-
 def print_spans(answers, groups, seconds):
     spans = collections.defaultdict(collections.Counter)
     for event in answers:
--- a/tools/platform_days.py
+++ b/tools/platform_days.py
@@ -202,9 +202,9 @@
 
 def write_days(folder):
     """Each of the days for any site, which a hunt plays with other times and figures."""
-    blank = 'name = ""\nseed = 0\none = 1.0\nplan = []\nfaults = []\n'
+    blank = 'name = ""\none = 1.0\nplan = []\nfaults = []\n'
     for name, text in list_days('services = [{ name = "@s0" }]\n[[day]]\n' + blank + "[[day]]", 1):
-        kept = [line for line in text.splitlines() if not re.match(r"(seed|one) = |(plan|faults) = \[\]", line)]
+        kept = [line for line in text.splitlines() if not line.startswith("one = ")]
         with open(os.path.join(folder, name.replace("+", "-and-") + ".toml"), "w", encoding="utf-8") as file:
             file.write("\n".join(kept) + "\n")
 
