Each epoch of a group stands for itself; a former head is held until it certainly takes no work

Cause: groups were kept by name. A group that went on under a new epoch took the place of the former one, whose head was held only by the successor's standing; when that was given up before it opened, nothing knew the former head for one pass, and the pool took it (TargetGroupEnded, TargetGroupFormed with it in the same millisecond, TargetGroupAdopted after). Mend: the key is (name, epoch). The former epoch stays in its ending phase with its head until that is closed, broken, dead or has stood still; also with a new leader, which adopts both. A released epoch is remembered by the same key. Same fault elsewhere: the answers to orders were matched by name; they are matched by the epoch, too. Members that control did not know of were not told to leave; now each that reports the epoch is.

--- a/include/gooseberrysail/control/engine_groups.hpp
+++ b/include/gooseberrysail/control/engine_groups.hpp
@@ -30,6 +30,15 @@
 
 [[nodiscard]] const char* ToString(GroupOrderKind kind) noexcept;
 
+/// \brief One epoch of a group: with each change of its members it goes on under a higher one.
+struct GroupKey
+{
+  std::string name;
+  Epoch epoch;
+
+  friend auto operator<=>(const GroupKey&, const GroupKey&) = default;
+};
+
 /// \brief A step that control tells a target to take.
 struct GroupOrder
 {
@@ -134,7 +143,7 @@
     Epoch epoch;
     std::string service;
     std::string model;
-    std::vector<InstanceId> members;         ///< The head first; none where a member is not known.
+    std::vector<InstanceId> members; ///< The head first; none where a member is not known.
     std::map<InstanceId, Incarnation> lives; ///< Of the members, when they were taken into it.
     Phase phase = Phase::kJoining;
     TimePoint since{}; ///< In this phase.
@@ -149,6 +158,8 @@
     std::optional<TimePoint> openedAt;     ///< The order to open it was answered.
     std::optional<TimePoint> headSilentAt; ///< Nobody reached the head.
     std::optional<TimePoint> releasedAt;   ///< The other members were told to leave.
+
+    [[nodiscard]] GroupKey Key() const { return { name, epoch }; }
   };
 
   struct Pass; ///< One tick: input, outputs.
@@ -188,6 +199,14 @@
   /// \brief How many more second weights may be loaded now.
   [[nodiscard]] std::uint32_t SpareLoads(const Pass& pass, const EngineSpec& engine);
   [[nodiscard]] bool IsHeld(const GroupMembership& membership) const;
+  /// \brief The group goes on under a higher epoch with another head.
+  [[nodiscard]] bool HasSuccessor(const Group& group) const;
+  /// \brief The target is to join a higher epoch of the group.
+  [[nodiscard]] bool IsWantedBySuccessor(const Group& group, const InstanceId& target) const;
+  [[nodiscard]] Group& FindServing(const std::string& name);
+  [[nodiscard]] std::optional<Group> MakeSuccessor(const Pass& pass,
+                                                   const ServiceDefinition& service,
+                                                   const Group& group);
   [[nodiscard]] bool IsCounted(const Pass& pass, const Group& group) const;
   void AddWarm(const Pass& pass,
                const std::string& service,
@@ -225,8 +244,9 @@
                                      const InstanceId& member);
 
   EngineGroupsSettings m_settings;
-  std::map<std::string, Group> m_groups; ///< By name.
-  std::vector<TimePoint> m_loads;        ///< When loads began lately.
+  /// \brief Each epoch of a group stands for itself until its head certainly takes no work.
+  std::map<GroupKey, Group> m_groups;
+  std::vector<TimePoint> m_loads; ///< When loads began lately.
   struct Staging
   {
     std::string model;
@@ -242,9 +262,8 @@
   std::map<std::string, TimePoint> m_toldShort; ///< By model: when its lack was last reported.
   std::size_t m_knownTargets = 0;
   TimePoint m_newTargetAt{}; ///< When the table last grew.
-  /// \brief Groups that are over although members still report them. By epoch: a group that went on
-  /// with another head is not over with the former head's epoch, nor that with it.
-  std::set<std::pair<std::string, Epoch>> m_released;
+  /// \brief Groups that are over although members still report them.
+  std::set<GroupKey> m_released;
   std::optional<TimePoint> m_leadsSince;
   std::optional<TimePoint> m_demandSince; ///< Callers' requests are known of since then.
   std::uint64_t m_formed = 0;             ///< In this term.
--- a/src/control/engine_groups.cpp
+++ b/src/control/engine_groups.cpp
@@ -89,12 +89,12 @@
   ReportPaces(pass);
   AskSlowAgain(pass);
   Adopt(pass);
-  for (auto& [name, group] : m_groups) {
+  for (auto& [key, group] : m_groups) {
     Advance(pass, group);
   }
   DropEnded(pass);
   // What ended in this tick frees members at once.
-  for (auto& [name, group] : m_groups) {
+  for (auto& [key, group] : m_groups) {
     if (group.phase == Phase::kGathering) {
       AdvanceGathering(pass, group);
     }
@@ -138,9 +138,9 @@
 
 void EngineGroups::DropEnded(Pass& pass)
 {
-  for (const std::string& name : pass.dropped) {
-    m_released.emplace(name, m_groups.at(name).epoch);
-    m_groups.erase(name);
+  for (const GroupKey& key : pass.dropped) {
+    m_released.insert(key);
+    m_groups.erase(key);
   }
   pass.dropped.clear();
 }
@@ -152,19 +152,17 @@
 {
   for (const auto& [instance, row] : pass.input.targets.Rows()) {
     const GroupMembership& membership = row.latest.membership;
-    const bool isOver = m_released.contains({ membership.group, membership.epoch });
+    const GroupKey key{ membership.group, membership.epoch };
     const bool isStandby = membership.group.starts_with(impl::kStandbyPrefix);
-    if (membership.group.empty() || isStandby || isOver) {
+    if (membership.group.empty() || isStandby || m_released.contains(key)) {
       continue;
     }
-    const auto [found, fresh] = m_groups.try_emplace(membership.group);
+    const auto [found, fresh] = m_groups.try_emplace(key);
     Group& group = found->second;
-    // A group that went on with another head is the one of its highest epoch; the former head may
-    // be heard first.
-    if (fresh || (group.wasAdopted && membership.epoch > group.epoch)) {
+    if (fresh) {
       group = MakeAdopted(pass, row);
     }
-    if (group.wasAdopted && membership.epoch == group.epoch) {
+    if (group.wasAdopted) {
       group.members.resize(std::max<std::size_t>(group.members.size(), membership.rank + 1));
       group.members[membership.rank] = instance;
       group.lives[instance] = row.latest.born;
@@ -174,7 +172,7 @@
   std::erase_if(m_released, [&](const auto& released) {
     return std::ranges::none_of(pass.input.targets.Rows(), [&](const auto& row) {
       const GroupMembership& membership = row.second.latest.membership;
-      return membership.group == released.first && membership.epoch == released.second;
+      return GroupKey{ membership.group, membership.epoch } == released;
     });
   });
 }
@@ -194,6 +192,11 @@
 
 void EngineGroups::AdvanceAdopted(Pass& pass, Group& group)
 {
+  if (HasSuccessor(group)) {
+    // Its members work for the next epoch; this head's callers would wait in vain.
+    End(pass, group, "it went on with another head");
+    return;
+  }
   const TargetRow* head = pass.Row(group.members.front());
   const bool isHeard = Reports(head, group.name, group.epoch);
   if ((!isHeard || !HasSpoken(*head)) && pass.input.now - *m_leadsSince < m_settings.LearnTime()) {
@@ -269,11 +272,11 @@
   if (HasFailedMember(pass, group) || pass.input.now - group.since > kGatherPatience) {
     // No member was told of it yet.
     ReportEnded(pass, group, "its members did not come together");
-    pass.dropped.push_back(group.name);
+    pass.dropped.push_back(group.Key());
     return;
   }
   const bool isShared = std::ranges::any_of(m_groups, [&](const auto& row) {
-    return row.first != group.name && SharesMember(row.second, group);
+    return row.first != group.Key() && SharesMember(row.second, group);
   });
   if (!isShared) {
     group.phase = Phase::kJoining;
@@ -301,7 +304,7 @@
     }
     // It was never told to open: its members are free at once.
     ReportEnded(pass, group, "a member failed");
-    pass.dropped.push_back(group.name);
+    pass.dropped.push_back(group.Key());
     return;
   }
   bool allReady = true;
@@ -421,7 +424,7 @@
 void EngineGroups::AdvanceEnding(Pass& pass, Group& group)
 {
   if (IsReleased(pass, group)) {
-    pass.dropped.push_back(group.name);
+    pass.dropped.push_back(group.Key());
     return;
   }
   const InstanceId& head = group.members.front();
@@ -445,12 +448,11 @@
   // The head can't be asked, and may serve on although neither control nor any entry reaches it:
   // a network fault can hide a target from all of them. Without its members it stands still, and is
   // broken in the end.
-  for (std::size_t rank = 1; rank < group.members.size(); ++rank) {
-    const TargetRow* member = pass.Row(group.members[rank]);
-    const bool isHeard =
-      member != nullptr && pass.input.now - member->heardAt <= m_settings.Silence();
-    if (isHeard && Reports(member, group.name, group.epoch)) {
-      Order(pass, group, group.members[rank], GroupOrderKind::kLeave);
+  for (const auto& [instance, member] : pass.input.targets.Rows()) {
+    const bool isHeard = pass.input.now - member.heardAt <= m_settings.Silence();
+    const bool isMember = instance != head && Reports(&member, group.name, group.epoch);
+    if (isHeard && isMember && !IsWantedBySuccessor(group, instance)) {
+      Order(pass, group, instance, GroupOrderKind::kLeave);
     }
   }
   if (!group.releasedAt) {
@@ -571,7 +573,7 @@
   if (outcome == OrderOutcome::kNoTarget) {
     m_unanswered[order.target] = now;
   }
-  const auto found = m_groups.find(order.group);
+  const auto found = m_groups.find({ order.group, order.epoch });
   if (found == m_groups.end() || found->second.members.front() != order.target) {
     return;
   }
@@ -595,7 +597,7 @@
 std::map<InstanceId, std::string> EngineGroups::ServingHeads() const
 {
   std::map<InstanceId, std::string> heads;
-  for (const auto& [name, group] : m_groups) {
+  for (const auto& [key, group] : m_groups) {
     if (group.phase == Phase::kOpen) {
       heads.emplace(group.members.front(), group.model);
     }
--- a/src/control/engine_groups_pass.hpp
+++ b/src/control/engine_groups_pass.hpp
@@ -14,7 +14,7 @@
   const GroupsInput& input;
   std::vector<GroupOrder>& orders;
   std::vector<EventOut>& events;
-  std::vector<std::string> dropped; ///< Groups whose members are free.
+  std::vector<GroupKey> dropped; ///< Groups whose members are free.
 
   [[nodiscard]] const TargetRow* Row(const InstanceId& instance) const
   {
--- a/src/control/engine_groups_planning.cpp
+++ b/src/control/engine_groups_planning.cpp
@@ -172,23 +172,66 @@
 // once with another head, where waiting for the former one to stand still takes five seconds.
 void EngineGroups::ReplaceHeads(Pass& pass, const ServiceDefinition& service)
 {
-  for (auto& [name, group] : m_groups) {
+  for (auto& [key, group] : m_groups) {
     const bool lacksHead = group.phase == Phase::kEnding && group.headSilentAt;
-    const GroupModel* model = FindModel(*service.engine, group.model);
-    if (group.service != service.name || !lacksHead || model == nullptr) {
+    if (group.service != service.name || !lacksHead || HasSuccessor(group)) {
       continue;
     }
-    std::vector<InstanceId> members = ListSurvivors(pass, group);
-    AddWarm(pass, service.name, *model, members);
-    if (members.size() == model->size) {
-      group = MakeGroup(pass, service.name, { model->name, std::move(members), 0 });
-      group.name = name;
-      ReportFormed(pass, group, 0);
-      AdvanceJoining(pass, group);
+    if (std::optional<Group> made = MakeSuccessor(pass, service, group)) {
+      // The former head is held until it certainly takes no work; the others aren't its any more.
+      group.members.resize(1);
+      ReportFormed(pass, *made, 0);
+      const GroupKey next = made->Key();
+      AdvanceJoining(pass, m_groups.emplace(next, std::move(*made)).first->second);
     }
   }
 }
 
+std::optional<EngineGroups::Group> EngineGroups::MakeSuccessor(const Pass& pass,
+                                                               const ServiceDefinition& service,
+                                                               const Group& group)
+{
+  const GroupModel* model = FindModel(*service.engine, group.model);
+  if (model == nullptr) {
+    return std::nullopt;
+  }
+  std::vector<InstanceId> members = ListSurvivors(pass, group);
+  AddWarm(pass, service.name, *model, members);
+  if (members.size() != model->size) {
+    return std::nullopt;
+  }
+  Group successor = MakeGroup(pass, service.name, { model->name, std::move(members), 0 });
+  successor.name = group.name;
+  return successor;
+}
+
+bool EngineGroups::HasSuccessor(const Group& group) const
+{
+  const auto next = m_groups.upper_bound(group.Key());
+  return next != m_groups.end() && next->first.name == group.name;
+}
+
+bool EngineGroups::IsWantedBySuccessor(const Group& group, const InstanceId& target) const
+{
+  for (auto next = m_groups.upper_bound(group.Key());
+       next != m_groups.end() && next->first.name == group.name;
+       ++next) {
+    if (std::ranges::find(next->second.members, target) != next->second.members.end()) {
+      return true;
+    }
+  }
+  return false;
+}
+
+EngineGroups::Group& EngineGroups::FindServing(const std::string& name)
+{
+  return std::ranges::find_if(m_groups,
+                              [&](const auto& row) {
+                                return row.first.name == name && row.second.phase == Phase::kOpen;
+                              })
+    ->second;
+}
+
 /// Fills `members` up to the model's size with free targets of their domain that hold its weights.
 void EngineGroups::AddWarm(const Pass& pass,
                            const std::string& service,
@@ -227,11 +270,11 @@
 std::vector<ServingGroup> EngineGroups::ListServing(const Pass& pass, const std::string& service)
 {
   std::vector<ServingGroup> serving;
-  for (const auto& [name, group] : m_groups) {
+  for (const auto& [key, group] : m_groups) {
     if (group.service != service || group.phase != Phase::kOpen || !IsSound(pass, group)) {
       continue;
     }
-    ServingGroup each{ name, group.model, {}, {} };
+    ServingGroup each{ group.name, group.model, {}, {} };
     for (const InstanceId& member : group.members) {
       if (const TargetRow* row = pass.Row(member)) {
         each.fabricDomain = row->latest.fabricDomain;
@@ -282,22 +325,18 @@
   return head != nullptr && !IsSilent(pass, *head);
 }
 
-// A former head that turns out to live reports a lower epoch of a group that goes on without it;
-// once it is broken it takes no work and is free.
+// A former head that turns out to live reports a lower epoch of a group that went on without it. That
+// epoch is a group of its own here: known only through its successor, the former head was forgotten
+// with it, and joined to a second group while its own was open.
 bool EngineGroups::IsHeld(const GroupMembership& membership) const
 {
-  const auto found = m_groups.find(membership.group);
-  if (found == m_groups.end()) {
-    return false;
-  }
-  const bool isFormer = membership.epoch < found->second.epoch;
-  return !isFormer || membership.state != wire::MemberState::Broken;
+  return m_groups.contains({ membership.group, membership.epoch });
 }
 
 std::vector<FreeTarget> EngineGroups::ListFree(const Pass& pass, const std::string& service)
 {
   std::set<InstanceId> taken;
-  for (const auto& [name, group] : m_groups) {
+  for (const auto& [key, group] : m_groups) {
     taken.insert(group.members.begin(), group.members.end());
   }
   std::vector<FreeTarget> free;
@@ -350,7 +389,7 @@
                                  const PlannedTakeover& planned)
 {
   for (const std::string& name : planned.releases) {
-    End(pass, m_groups.at(name), "another model lacks more");
+    End(pass, FindServing(name), "another model lacks more");
   }
   AddGroup(pass, service, planned.group, Phase::kGathering);
 }
@@ -364,7 +403,8 @@
   group.phase = phase;
   m_loads.insert(m_loads.end(), planned.loads, pass.input.now);
   ReportFormed(pass, group, planned.loads);
-  return m_groups.emplace(group.name, std::move(group)).first->second;
+  const GroupKey key = group.Key();
+  return m_groups.emplace(key, std::move(group)).first->second;
 }
 
 EngineGroups::Group EngineGroups::MakeGroup(const Pass& pass,
