Which of two identities of an address is there is known by answers, not by whose word came first

Cause: IsReplaced ordered the identities of an address by when this process had first heard them. A process that started lately hears the present one first; a last word of the former one, passed on or held up, then counted as its successor. Ruled out: the life (born) of targets; these deployments send none. Ordering by the last word or between processes: words are late, clocks differ. Mend: TargetVerifier. Both identities are asked, naming whom we expect: who answers is there, and who spoke before that answer and not since is over; who is answered for by another (421) is over. Until then neither joins a new group and no group of theirs ends for it. A true restart is told some milliseconds later than before, by one probe. Logged as 528 TargetReplaced. The fake fleet's orders to a former identity answer that it was replaced, as targets do. The hook for a probe's answer returns a report, its tests check the same.

--- a/include/gooseberrysail/control/engine_groups.hpp
+++ b/include/gooseberrysail/control/engine_groups.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gooseberrysail/control/slow_targets.hpp"
+#include "gooseberrysail/control/target_verifier.hpp"
 #include "gooseberrysail/core/time.hpp"
 #include "gooseberrysail/placement/model_work.hpp"
 #include "gooseberrysail/placement/pool_plan.hpp"
@@ -51,6 +52,7 @@
   std::vector<InstanceId> members; ///< kJoin only; the head first.
   bool cut = false;                ///< kClose only: what it has can't end any more.
   Incarnation born{};              ///< The life of the target that it was meant for.
+  TimePoint givenAt{};
 };
 
 /// \brief How an order ended.
@@ -123,6 +125,9 @@
   /// \brief A target reported the factor on its usual times; over 1 it is slow.
   void OnPace(TimePoint now, const InstanceId& target, double pace);
 
+  /// \brief A target answered a probe.
+  void OnReport(TimePoint now, const GroupOrder& probe, const TargetReport& report);
+
   /// \brief Heads that entries may send work to, with their models.
   [[nodiscard]] std::map<InstanceId, std::string> ServingHeads() const;
 
@@ -143,7 +148,7 @@
     Epoch epoch;
     std::string service;
     std::string model;
-    std::vector<InstanceId> members; ///< The head first; none where a member is not known.
+    std::vector<InstanceId> members;         ///< The head first; none where a member is not known.
     std::map<InstanceId, Incarnation> lives; ///< Of the members, when they were taken into it.
     Phase phase = Phase::kJoining;
     TimePoint since{}; ///< In this phase.
@@ -164,6 +169,7 @@
 
   struct Pass; ///< One tick: input, outputs.
 
+  void Keep(Pass& pass);
   void Adopt(Pass& pass);
   [[nodiscard]] static Group MakeAdopted(const Pass& pass, const TargetRow& row);
   void DropEnded(Pass& pass);
@@ -222,7 +228,8 @@
   // Stragglers (engine_groups_stragglers.cpp).
   void AskStragglers(Pass& pass, Group& group);
   void AskSlowAgain(Pass& pass);
-  static void AskPace(Pass& pass, const InstanceId& target);
+  static void Ask(Pass& pass, const InstanceId& target);
+  void AskUnverified(Pass& pass);
   void ReportPaces(Pass& pass);
   /// \brief The factor of the group's slowest member.
   [[nodiscard]] double PaceOf(const Group& group) const;
@@ -257,6 +264,7 @@
   std::map<InstanceId, TimePoint> m_standbySince; ///< When targets were told to hold weights ready.
   std::map<InstanceId, Incarnation> m_lives;      ///< Of the targets in the table, as last seen.
   SlowTargets m_slow;
+  TargetVerifier m_verifier;
   std::vector<std::pair<InstanceId, double>> m_paceNews; ///< Changes that are not reported yet.
   TimePoint m_lostGroupAt{};                             ///< When a group last ended by a fault.
   std::map<std::string, TimePoint> m_toldShort; ///< By model: when its lack was last reported.
--- a/include/gooseberrysail/control/outside_api.hpp
+++ b/include/gooseberrysail/control/outside_api.hpp
@@ -72,8 +72,8 @@
   std::function<HttpAnswerOut(ExchangeId, const OutsideAnswer&)> encode;
   std::function<TargetCallOut(ExchangeId, const GroupOrder&)> encodeOrder;
   std::function<OrderOutcome(unsigned status)> decodeOrderStatus;
-  /// \brief The factor on its usual times in a target's answer to a probe; none when it tells none.
-  std::function<std::optional<double>(std::string_view body)> decodePace;
+  /// \brief A target's answer to a probe; empty where it can't be read.
+  std::function<TargetReport(std::string_view body)> decodeReport;
   DocumentReader readDocument;
 
   [[nodiscard]] bool IsSet() const noexcept { return static_cast<bool>(decode); }
--- a/include/gooseberrysail/control/serving_control.hpp
+++ b/include/gooseberrysail/control/serving_control.hpp
@@ -69,7 +69,7 @@
   }
   void FollowDocument(ControlContext& context);
   void KeepGroups(ControlContext& context);
-  void TakePace(ControlContext& context, const OpenOrder& open);
+  void TakeReport(ControlContext& context, const OpenOrder& open);
   void EndOrder(ControlContext& context,
                 ExchangeId exchange,
                 OrderOutcome outcome,
--- a/include/gooseberrysail/control/target_verifier.hpp
+++ b/include/gooseberrysail/control/target_verifier.hpp
@@ -17,6 +17,13 @@
 class TargetVerifier
 {
 public:
+  /// \brief An identity that is over, since another one answered at its address.
+  struct Replacement
+  {
+    TargetLife former;
+    InstanceId present;
+  };
+
   /// \brief A target without an answer is asked again after this. An answer takes some 10 ms, and a
   /// lost packet is sent again within 300 ms.
   static constexpr Duration kAskAgain = std::chrono::milliseconds(500);
@@ -25,7 +32,8 @@
   void Clear();
 
   /// \brief Learns from the table which identities share an address.
-  void Update(const TargetTable& targets);
+  /// \returns What is over by the answers that came since the last call.
+  std::vector<Replacement> Update(const TargetTable& targets);
 
   /// \brief Targets that should be asked now, which counts as done.
   [[nodiscard]] std::vector<InstanceId> TakeDue(TimePoint now, const TargetTable& targets);
@@ -55,7 +63,11 @@
     TimePoint askedAt{};
   };
 
+  using Rows = std::vector<const TargetRow*>;
+
+  void Forget(const TargetTable& targets);
   [[nodiscard]] bool HasAnsweredSince(const TargetRow& row, TimePoint since) const;
+  [[nodiscard]] const TargetRow* FindPresent(const Rows& rows, const TargetRow& row) const;
 
   std::map<InstanceId, TimePoint> m_askedAt;
   std::map<InstanceId, Answer> m_answers;
--- a/include/gooseberrysail/serving/target_table.hpp
+++ b/include/gooseberrysail/serving/target_table.hpp
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 #include <wire_generated.h>
@@ -52,6 +53,12 @@
   GroupMembership membership;
 };
 
+/// \brief What a target answered when it was asked about itself.
+struct TargetReport
+{
+  std::optional<double> pace; ///< The factor on its usual times; over 1 it is slow.
+};
+
 struct TargetRow
 {
   TargetAnnouncement latest;
--- a/src/control/engine_groups.cpp
+++ b/src/control/engine_groups.cpp
@@ -12,7 +12,6 @@
 using namespace std::chrono_literals;
 using impl::FindModel;
 using impl::IsLeaving;
-using impl::IsReplaced;
 using impl::Reports;
 using wire::MemberState;
 
@@ -73,6 +72,7 @@
   m_toldShort.clear();
   m_demandSince.reset();
   m_slow.Clear();
+  m_verifier.Clear();
   m_paceNews.clear();
   m_formed = 0;
 }
@@ -85,7 +85,16 @@
     m_leadsSince = input.now;
   }
   Pass pass{ input, orders, events, {} };
+  Keep(pass);
+  for (GroupOrder& order : orders) {
+    order.givenAt = input.now;
+  }
+}
+
+void EngineGroups::Keep(Pass& pass)
+{
   ForgetFormerLives(pass);
+  AskUnverified(pass);
   ReportPaces(pass);
   AskSlowAgain(pass);
   Adopt(pass);
@@ -104,7 +113,7 @@
   if (!IsSettled(pass)) {
     return;
   }
-  for (const ServiceDefinition& service : input.document.services) {
+  for (const ServiceDefinition& service : pass.input.document.services) {
     if (service.engine) {
       Form(pass, service);
     }
@@ -136,6 +145,20 @@
   }
 }
 
+// Two identities at one address: which of them is there decides whose groups are lost and who may
+// join. An answer takes some milliseconds.
+void EngineGroups::AskUnverified(Pass& pass)
+{
+  for (const auto& [former, present] : m_verifier.Update(pass.input.targets)) {
+    pass.events.push_back(
+      MakeEvent(EventNumber::kTargetReplaced,
+                { { "target", former.instance.Get() }, { "by", present.Get() } }));
+  }
+  for (const InstanceId& target : m_verifier.TakeDue(pass.input.now, pass.input.targets)) {
+    Ask(pass, target);
+  }
+}
+
 void EngineGroups::DropEnded(Pass& pass)
 {
   for (const GroupKey& key : pass.dropped) {
@@ -362,7 +385,7 @@
       End(pass, group, "a member is leaving");
       return;
     }
-    if (IsReborn(pass, group, member) || IsReplaced(pass.input.targets, *row)) {
+    if (IsReborn(pass, group, member) || m_verifier.IsReplaced(*row)) {
       group.cut = true;
       EndLost(pass, group, "a member was restarted");
       return;
@@ -430,7 +453,7 @@
   const InstanceId& head = group.members.front();
   const TargetRow* row = pass.Row(head);
   const bool isOver =
-    row != nullptr && (IsReplaced(pass.input.targets, *row) || IsReborn(pass, group, head));
+    row != nullptr && (m_verifier.IsReplaced(*row) || IsReborn(pass, group, head));
   if (isOver) {
     group.headIsDead = true;
     return;
@@ -543,7 +566,7 @@
 
 bool EngineGroups::HasFailed(const Pass& pass, const TargetRow* row) const
 {
-  return IsLeaving(row) || IsSilent(pass, *row) || IsReplaced(pass.input.targets, *row);
+  return IsLeaving(row) || IsSilent(pass, *row) || m_verifier.IsReplaced(*row);
 }
 
 bool EngineGroups::HasFailedMember(const Pass& pass, const Group& group) const
@@ -564,6 +587,9 @@
 
 void EngineGroups::OnOrderOutcome(TimePoint now, const GroupOrder& order, OrderOutcome outcome)
 {
+  if (outcome == OrderOutcome::kReplaced) {
+    m_verifier.OnReplaced({ order.target, order.born });
+  }
   if (order.kind == GroupOrderKind::kProbe) {
     if (outcome != OrderOutcome::kDone) {
       m_unanswered[order.target] = now;
--- a/src/control/engine_groups_pass.hpp
+++ b/src/control/engine_groups_pass.hpp
@@ -47,17 +47,6 @@
   return row == nullptr || row->latest.left || row->latest.draining;
 }
 
-/// A restart takes the address over under another identity: the former life is over. Who came first
-/// counts, not who spoke last: a heartbeat of the former life may arrive late.
-[[nodiscard]] inline bool IsReplaced(const TargetTable& targets, const TargetRow& row)
-{
-  return std::ranges::any_of(targets.Rows(), [&](const auto& other) {
-    return other.first != row.latest.instance &&
-           other.second.latest.address == row.latest.address &&
-           other.second.firstHeardAt > row.firstHeardAt;
-  });
-}
-
 /// An order for the present life of a target.
 [[nodiscard]] inline GroupOrder MakeOrder(const TargetRow& row, GroupOrderKind kind)
 {
--- a/src/control/engine_groups_planning.cpp
+++ b/src/control/engine_groups_planning.cpp
@@ -325,9 +325,9 @@
   return head != nullptr && !IsSilent(pass, *head);
 }
 
-// A former head that turns out to live reports a lower epoch of a group that went on without it. That
-// epoch is a group of its own here: known only through its successor, the former head was forgotten
-// with it, and joined to a second group while its own was open.
+// A former head that turns out to live reports a lower epoch of a group that went on without it.
+// That epoch is a group of its own here: known only through its successor, the former head was
+// forgotten with it, and joined to a second group while its own was open.
 bool EngineGroups::IsHeld(const GroupMembership& membership) const
 {
   return m_groups.contains({ membership.group, membership.epoch });
@@ -343,7 +343,8 @@
   for (const auto& [instance, row] : pass.input.targets.Rows()) {
     const bool usable = row.latest.service == service && HasSpoken(row) &&
                         !taken.contains(instance) && !m_slow.IsSlow(instance) &&
-                        !IsHeld(row.latest.membership) && !HasFailed(pass, &row);
+                        !IsHeld(row.latest.membership) && !HasFailed(pass, &row) &&
+                        !m_verifier.IsContested(instance);
     if (!usable) {
       continue;
     }
--- a/src/control/engine_groups_stragglers.cpp
+++ b/src/control/engine_groups_stragglers.cpp
@@ -37,11 +37,11 @@
   }
   group.askedPaceAt = pass.input.now;
   for (const InstanceId& member : group.members) {
-    AskPace(pass, member);
+    Ask(pass, member);
   }
 }
 
-void EngineGroups::AskPace(Pass& pass, const InstanceId& target)
+void EngineGroups::Ask(Pass& pass, const InstanceId& target)
 {
   const TargetRow* row = pass.Row(target);
   if (row == nullptr || row->latest.address.empty()) {
@@ -56,7 +56,15 @@
 {
   m_slow.Forget(pass.input.targets);
   for (const InstanceId& target : m_slow.TakeDue(pass.input.now)) {
-    AskPace(pass, target);
+    Ask(pass, target);
+  }
+}
+
+void EngineGroups::OnReport(TimePoint now, const GroupOrder& probe, const TargetReport& report)
+{
+  m_verifier.OnAnswer(probe.givenAt, { probe.target, probe.born });
+  if (report.pace) {
+    OnPace(now, probe.target, *report.pace);
   }
 }
 
--- a/src/control/serving_control.cpp
+++ b/src/control/serving_control.cpp
@@ -343,18 +343,17 @@
     if (!answer.end) {
       return;
     }
-    TakePace(context, open);
+    TakeReport(context, open);
   }
   EndOrder(context, answer.exchange, m_api.decodeOrderStatus(open.status), open.status);
 }
 
-void ServingControl::TakePace(ControlContext& context, const OpenOrder& open)
+void ServingControl::TakeReport(ControlContext& context, const OpenOrder& open)
 {
   const bool isAnswer = m_api.decodeOrderStatus(open.status) == OrderOutcome::kDone;
-  const std::optional<double> pace = isAnswer ? m_api.decodePace(open.body) : std::nullopt;
   const TargetRow* row = m_targets.Find(open.order.target);
-  if (pace && row != nullptr && row->latest.born == open.order.born) {
-    m_groups.OnPace(context.now, open.order.target, *pace);
+  if (isAnswer && row != nullptr && row->latest.born == open.order.born) {
+    m_groups.OnReport(context.now, open.order, m_api.decodeReport(open.body));
   }
 }
 
--- a/src/control/target_verifier.cpp
+++ b/src/control/target_verifier.cpp
@@ -1,10 +1,20 @@
 #include "gooseberrysail/control/target_verifier.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <string_view>
 
 namespace gooseberrysail {
 
+namespace {
+
+TargetLife LifeOf(const TargetRow& row)
+{
+  return { row.latest.instance, row.latest.born };
+}
+
+} // namespace
+
 void TargetVerifier::Clear()
 {
   m_askedAt.clear();
@@ -13,41 +23,53 @@
   m_contested.clear();
 }
 
-// An address belongs to one target at a time. Whoever answers there after the last word of another
-// identity came after it; by the order in which their first words arrived nobody can tell.
-void TargetVerifier::Update(const TargetTable& targets)
+void TargetVerifier::Forget(const TargetTable& targets)
 {
   const auto isGone = [&](const auto& row) { return targets.Find(row.first) == nullptr; };
   std::erase_if(m_askedAt, isGone);
   std::erase_if(m_answers, isGone);
   std::erase_if(m_replaced,
                 [&](const TargetLife& life) { return targets.Find(life.instance) == nullptr; });
+}
+
+std::vector<TargetVerifier::Replacement> TargetVerifier::Update(const TargetTable& targets)
+{
+  Forget(targets);
   m_contested.clear();
-  std::map<std::string_view, std::vector<const TargetRow*>> byAddress;
+  std::map<std::string_view, Rows> byAddress;
   for (const auto& [instance, row] : targets.Rows()) {
     if (!row.latest.address.empty() && !IsReplaced(row)) {
       byAddress[row.latest.address].push_back(&row);
     }
   }
+  std::vector<Replacement> replacements;
   for (const auto& [address, rows] : byAddress) {
-    std::vector<const TargetRow*> present;
+    Rows left;
     for (const TargetRow* row : rows) {
-      const bool isOver = std::ranges::any_of(rows, [&](const TargetRow* other) {
-        return other != row && HasAnsweredSince(*other, row->heardAt);
-      });
-      if (isOver) {
-        OnReplaced({ row->latest.instance, row->latest.born });
+      if (const TargetRow* present = FindPresent(rows, *row)) {
+        replacements.push_back({ LifeOf(*row), present->latest.instance });
+        OnReplaced(LifeOf(*row));
       } else {
-        present.push_back(row);
+        left.push_back(row);
       }
     }
-    if (present.size() < 2) {
-      continue;
-    }
-    for (const TargetRow* row : present) {
-      m_contested.insert(row->latest.instance);
+    if (left.size() > 1) {
+      std::ranges::transform(left,
+                             std::inserter(m_contested, m_contested.end()),
+                             [](const TargetRow* row) { return row->latest.instance; });
     }
   }
+  return replacements;
+}
+
+// An address belongs to one target at a time. Whoever answers there after the last word of another
+// identity came after it; the order in which their first words arrived tells nothing.
+const TargetRow* TargetVerifier::FindPresent(const Rows& rows, const TargetRow& row) const
+{
+  const auto present = std::ranges::find_if(rows, [&](const TargetRow* other) {
+    return other != &row && HasAnsweredSince(*other, row.heardAt);
+  });
+  return present == rows.end() ? nullptr : *present;
 }
 
 bool TargetVerifier::HasAnsweredSince(const TargetRow& row, TimePoint since) const
--- a/tests/fakes/fake_fleet.cpp
+++ b/tests/fakes/fake_fleet.cpp
@@ -167,6 +167,10 @@
 void FakeFleet::Obey(const GroupOrder& order)
 {
   Target& target = m_targets.at(order.target);
+  if (!target.isUp && HasSuccessorAtAddress(target)) {
+    m_keeper.OnOrderOutcome(now, order, OrderOutcome::kReplaced);
+    return;
+  }
   if (!target.isUp || !target.reachesControl) {
     const Duration patience = order.kind == GroupOrderKind::kProbe ? 500ms : 1500ms;
     Later(patience, [this, order] { m_keeper.OnOrderOutcome(now, order, OrderOutcome::kUnknown); });
@@ -212,7 +216,7 @@
       break;
     case GroupOrderKind::kProbe:
       outcome = OrderOutcome::kDone;
-      m_keeper.OnPace(now, order.target, target.pace);
+      m_keeper.OnReport(now, order, { target.pace });
       break;
     case GroupOrderKind::kStage:
       Later(hasTraffic ? 16s : kLoadTime, [this, &target, order] {
@@ -224,6 +228,15 @@
   m_keeper.OnOrderOutcome(now, order, outcome);
 }
 
+bool FakeFleet::HasSuccessorAtAddress(const Target& target) const
+{
+  return std::ranges::any_of(m_targets, [&](const auto& row) {
+    const Target& other = row.second;
+    return other.isUp && other.reachesControl && other.self.instance != target.self.instance &&
+           other.self.address == target.self.address;
+  });
+}
+
 // A head that lacks a member moves nothing and is broken after five seconds.
 void FakeFleet::StandStill(const InstanceId& head)
 {
--- a/tests/unit/platform_test.cpp
+++ b/tests/unit/platform_test.cpp
@@ -244,9 +244,9 @@
   EXPECT_EQ(api.decodeOrderStatus(421), OrderOutcome::kReplaced);
   EXPECT_EQ(api.decodeOrderStatus(409), OrderOutcome::kRefused);
   EXPECT_EQ(api.decodeOrderStatus(500), OrderOutcome::kUnknown);
-  EXPECT_EQ(api.decodePace(R"({"stage":"both","pace":12.0,"models":[{"pace":1}]})"), 12.0);
-  EXPECT_EQ(api.decodePace(R"({"stage":"both"})"), std::nullopt);
-  EXPECT_EQ(api.decodePace("{"), std::nullopt);
+  EXPECT_EQ(api.decodeReport(R"({"stage":"both","pace":12.0,"models":[{"pace":1}]})").pace, 12.0);
+  EXPECT_EQ(api.decodeReport(R"({"stage":"both"})").pace, std::nullopt);
+  EXPECT_EQ(api.decodeReport("{").pace, std::nullopt);
 }
 
 // Symptom: a caller's key reaches a target, or a caller names its own workspace.
@@ -375,7 +375,7 @@
       EXPECT_EQ(FindHeader(call.value().headers, "Authorization"), "");
     }
     const std::optional<double> pace =
-      outside.decodePace(Mutate(R"({"stage":"both","pace":12.0,"seq":2})", random));
+      outside.decodeReport(Mutate(R"({"stage":"both","pace":12.0,"seq":2})", random)).pace;
     EXPECT_FALSE(pace && std::isnan(*pace));
   }
 }
