A new leader asks each target once which group it is in; heads are released by their own answers

Cause: the latest word that a process has of a target was taken for what the target is. After a cut or a change of the leader it may be older than the group. Mend: under a leader each target is asked once for a report, after the report's published lag, and again when its word and its answer name different groups. A target joins only when both agree, or when its word names a group of this leader. A head that no longer names its group isn't released for that: it must answer the order to close, or a question asked after the end. A group isn't ended for such a word of its head before the head answered.

--- a/include/gooseberrysail/control/engine_groups.hpp
+++ b/include/gooseberrysail/control/engine_groups.hpp
@@ -160,6 +160,7 @@
     bool headIsDead = false;               ///< That life of the head certainly ended.
     bool headIsClosed = false;             ///< The head said that it takes no work.
     TimePoint askedPaceAt{};               ///< When the members were asked whether they are slow.
+    TimePoint askedHeadAt{};               ///< When the head was asked whether it has left.
     std::optional<TimePoint> openedAt;     ///< The order to open it was answered.
     std::optional<TimePoint> headSilentAt; ///< Nobody reached the head.
     std::optional<TimePoint> releasedAt;   ///< The other members were told to leave.
@@ -193,6 +194,8 @@
   void StartStage(Pass& pass, const PlannedStage& planned);
   void StartStandby(Pass& pass, const PlannedStage& planned);
   [[nodiscard]] Epoch NextEpoch(const Pass& pass);
+  /// \brief The last epoch of earlier leaders.
+  [[nodiscard]] static Epoch FormerEpoch(const Pass& pass);
   [[nodiscard]] std::vector<ModelNeed> ListNeeds(const Pass& pass,
                                                  const ServiceDefinition& service) const;
   [[nodiscard]] std::vector<FreeTarget> ListFree(const Pass& pass, const std::string& service);
@@ -239,7 +242,11 @@
   [[nodiscard]] bool IsSilent(const Pass& pass, const TargetRow& row) const;
   [[nodiscard]] bool IsReleased(const Pass& pass, const Group& group) const;
   [[nodiscard]] bool IsSound(const Pass& pass, const Group& group) const;
-  [[nodiscard]] bool HasSpoken(const TargetRow& row) const;
+  /// \brief What the target's last word says of its group is certain.
+  [[nodiscard]] bool IsKnown(const Pass& pass, const TargetRow& row) const;
+  /// \brief Answers to questions from now on tell nothing of before this leader's time.
+  [[nodiscard]] bool HasOutlastedReports(const Pass& pass, const TargetRow& row) const;
+  void AskHead(Pass& pass, Group& group);
   [[nodiscard]] static bool IsWhole(const Pass& pass, const Group& group);
   [[nodiscard]] static bool SharesMember(const Group& left, const Group& right);
   /// \brief Unknown, leaving, silent, or replaced by another life.
--- a/include/gooseberrysail/control/target_verifier.hpp
+++ b/include/gooseberrysail/control/target_verifier.hpp
@@ -3,6 +3,7 @@
 #include "gooseberrysail/core/time.hpp"
 #include "gooseberrysail/serving/target_table.hpp"
 
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -10,10 +11,11 @@
 
 namespace gooseberrysail {
 
-/// \brief Which targets are there, by their own answers.
-/// \remarks What targets say of themselves is passed on, held up and overtaken; a restart leaves an
-/// address to another identity, and the former one's last words may arrive after the first ones of
-/// the present. An answer comes from the target that is there when it is asked.
+/// \brief Which targets are there and which groups they are in, by their own answers.
+/// \remarks What targets say of themselves is passed on, held up and overtaken: a leader's latest
+/// word of a target may be older than the group that it is in; and a restart leaves an address to
+/// another identity, whose first words may arrive before the former one's last. An answer comes
+/// from the target that is there when it is asked.
 class TargetVerifier
 {
 public:
@@ -35,11 +37,23 @@
   /// \returns What is over by the answers that came since the last call.
   std::vector<Replacement> Update(const TargetTable& targets);
 
-  /// \brief Targets that should be asked now, which counts as done.
-  [[nodiscard]] std::vector<InstanceId> TakeDue(TimePoint now, const TargetTable& targets);
+  /// \brief Targets that should be asked now, which counts as done: those of a contested address,
+  /// and those for which `isDoubtful` holds.
+  [[nodiscard]] std::vector<InstanceId> TakeDue(
+    TimePoint now,
+    const TargetTable& targets,
+    const std::function<bool(const TargetRow&)>& isDoubtful);
 
   /// \brief The target itself answered a question of `askedAt`.
-  void OnAnswer(TimePoint askedAt, const TargetLife& life);
+  void OnAnswer(TimePoint askedAt, const TargetLife& life, const TargetReport& report);
+
+  /// \brief The target's own last answer names the same group as its last word.
+  [[nodiscard]] bool Confirms(const TargetRow& row) const;
+
+  /// \brief The target itself, asked at `since` or later, named another group or none.
+  [[nodiscard]] bool DeniesGroup(const TargetRow& row,
+                                 const GroupMembership& membership,
+                                 TimePoint since) const;
 
   /// \brief Another target answered at its address: that life is over.
   void OnReplaced(const TargetLife& life) { m_replaced.insert(life); }
@@ -61,12 +75,15 @@
   {
     Incarnation born;
     TimePoint askedAt{};
+    std::optional<GroupMembership> membership;
   };
 
   using Rows = std::vector<const TargetRow*>;
 
   void Forget(const TargetTable& targets);
-  [[nodiscard]] bool HasAnsweredSince(const TargetRow& row, TimePoint since) const;
+  /// \brief Null when this life of the target has not answered yet.
+  [[nodiscard]] const Answer* FindAnswer(const TargetRow& row) const;
+  [[nodiscard]] bool MayAsk(TimePoint now, const TargetRow& row) const;
   [[nodiscard]] const TargetRow* FindPresent(const Rows& rows, const TargetRow& row) const;
 
   std::map<InstanceId, TimePoint> m_askedAt;
--- a/include/gooseberrysail/serving/document.hpp
+++ b/include/gooseberrysail/serving/document.hpp
@@ -82,6 +82,7 @@
   std::uint32_t loadsAtOnce = 1; ///< More than these at a time slow one another down.
   double usualOutputTokens = 0;  ///< Of a request, all kinds together; 0 when not known.
   Duration openTime{};           ///< From the order to open a group until it serves.
+  Duration reportLag{};          ///< How old a target's answer about itself may be.
   std::vector<GroupModel> models;
 };
 
--- a/include/gooseberrysail/serving/target_table.hpp
+++ b/include/gooseberrysail/serving/target_table.hpp
@@ -32,6 +32,12 @@
   Epoch epoch;
   std::uint32_t rank = 0; ///< 0 for the head.
   wire::MemberState state = wire::MemberState::None;
+
+  /// \brief The same group and epoch; the state may differ.
+  [[nodiscard]] bool IsOf(const GroupMembership& other) const noexcept
+  {
+    return group == other.group && epoch == other.epoch;
+  }
 };
 
 /// \brief What a target said of itself in a heartbeat.
@@ -57,6 +63,7 @@
 struct TargetReport
 {
   std::optional<double> pace; ///< The factor on its usual times; over 1 it is slow.
+  std::optional<GroupMembership> membership;
 };
 
 struct TargetRow
--- a/src/control/engine_groups.cpp
+++ b/src/control/engine_groups.cpp
@@ -146,7 +146,9 @@
 }
 
 // Two identities at one address: which of them is there decides whose groups are lost and who may
-// join. An answer takes some milliseconds.
+// join. And an earlier leader may have ordered what this one's latest word of a target does not
+// tell yet: a target that was taken for free by such a word led an open group. An answer takes some
+// milliseconds, and each target is asked once under a leader.
 void EngineGroups::AskUnverified(Pass& pass)
 {
   for (const auto& [former, present] : m_verifier.Update(pass.input.targets)) {
@@ -154,11 +156,27 @@
       MakeEvent(EventNumber::kTargetReplaced,
                 { { "target", former.instance.Get() }, { "by", present.Get() } }));
   }
-  for (const InstanceId& target : m_verifier.TakeDue(pass.input.now, pass.input.targets)) {
+  const auto isDoubtful = [&](const TargetRow& row) {
+    return HasOutlastedReports(pass, row) && !IsKnown(pass, row);
+  };
+  for (const InstanceId& target :
+       m_verifier.TakeDue(pass.input.now, pass.input.targets, isDoubtful)) {
     Ask(pass, target);
   }
 }
 
+bool EngineGroups::HasOutlastedReports(const Pass& pass, const TargetRow& row) const
+{
+  const EngineSpec* engine = pass.EngineOf(row.latest.service);
+  return engine != nullptr && pass.input.now - *m_leadsSince >= engine->reportLag;
+}
+
+// What a target says of a group of this leader can't be older than this leader's orders.
+bool EngineGroups::IsKnown(const Pass& pass, const TargetRow& row) const
+{
+  return row.latest.membership.epoch > FormerEpoch(pass) || m_verifier.Confirms(row);
+}
+
 void EngineGroups::DropEnded(Pass& pass)
 {
   for (const GroupKey& key : pass.dropped) {
@@ -222,7 +240,8 @@
   }
   const TargetRow* head = pass.Row(group.members.front());
   const bool isHeard = Reports(head, group.name, group.epoch);
-  if ((!isHeard || !HasSpoken(*head)) && pass.input.now - *m_leadsSince < m_settings.LearnTime()) {
+  if ((!isHeard || !IsKnown(pass, *head)) &&
+      pass.input.now - *m_leadsSince < m_settings.LearnTime()) {
     return; // The former leader may have ordered what the head did not tell yet.
   }
   const bool isOpen = isHeard && head->latest.membership.state == MemberState::Open;
@@ -268,13 +287,6 @@
   }
 }
 
-// The former leader's last orders show in what a target says after them. One that is silent since
-// may have joined a group that serves.
-bool EngineGroups::HasSpoken(const TargetRow& row) const
-{
-  return row.heardAt > *m_leadsSince;
-}
-
 bool EngineGroups::IsWhole(const Pass& pass, const Group& group)
 {
   const bool allKnown =
@@ -371,7 +383,10 @@
 {
   const TargetRow* head = pass.Row(group.members.front());
   if (!Reports(head, group.name, group.epoch) || !IsOpenState(head->latest.membership.state)) {
-    EndLost(pass, group, "its head serves no more");
+    const bool isDoubtful = head != nullptr && !IsKnown(pass, *head) && !IsSilent(pass, *head);
+    if (!isDoubtful) {
+      EndLost(pass, group, "its head serves no more");
+    }
     return;
   }
   const InstanceId& instance = group.members.front();
@@ -459,6 +474,7 @@
     return;
   }
   Order(pass, group, head, GroupOrderKind::kClose);
+  AskHead(pass, group);
   const bool silent = row == nullptr || row->latest.left || IsSilent(pass, *row);
   if (!silent) {
     group.headSilentAt.reset(); // It ends its work, for which it needs its members.
@@ -483,6 +499,21 @@
   }
 }
 
+// A word that names another group or none may be older than this group; then the head is open
+// still, and its answer is waited for.
+void EngineGroups::AskHead(Pass& pass, Group& group)
+{
+  const TargetRow* head = pass.Row(group.members.front());
+  const EngineSpec* engine = pass.EngineOf(group.service);
+  const bool isInDoubt = head != nullptr && !Reports(head, group.name, group.epoch);
+  if (!isInDoubt || engine == nullptr || pass.input.now - group.since < engine->reportLag ||
+      pass.input.now - group.askedHeadAt < TargetVerifier::kAskAgain) {
+    return;
+  }
+  group.askedHeadAt = pass.input.now;
+  Ask(pass, head->latest.instance);
+}
+
 bool EngineGroups::IsReleased(const Pass& pass, const Group& group) const
 {
   if (group.headIsDead || group.headIsClosed) {
@@ -497,8 +528,11 @@
   // What the head said before it was told to close may be overtaken by a late order to open.
   const bool spokeSince = head->heardAt > group.since;
   const MemberState state = head->latest.membership.state;
-  if (spokeSince && !Reports(head, group.name, group.epoch)) {
-    return true;
+  if (!Reports(head, group.name, group.epoch)) {
+    const EngineSpec* engine = pass.EngineOf(group.service);
+    const Duration lag = engine == nullptr ? Duration::zero() : engine->reportLag;
+    const GroupMembership membership{ group.name, group.epoch, 0, MemberState::None };
+    return m_verifier.DeniesGroup(*head, membership, group.since + lag) || stoodStill;
   }
   // Once the head took the order to close, ready means closed; unless an order to open it went
   // without an answer, which may still be carried out.
@@ -517,8 +551,7 @@
   const TargetRow* head = pass.Row(group.members.front());
   const bool broken =
     Reports(head, group.name, group.epoch) && head->latest.membership.state == MemberState::Broken;
-  group.headIsClosed =
-    broken || (head != nullptr && !head->latest.left && !Reports(head, group.name, group.epoch));
+  group.headIsClosed = broken;
   ReportEnded(pass, group, reason);
 }
 
@@ -560,8 +593,9 @@
 bool EngineGroups::IsSound(const Pass& pass, const Group& group) const
 {
   return !HasFailedMember(pass, group) && PaceOf(group) < SlowTargets::kSlow &&
-         std::ranges::all_of(
-           group.members, [&](const InstanceId& member) { return HasSpoken(*pass.Row(member)); });
+         std::ranges::all_of(group.members, [&](const InstanceId& member) {
+           return IsKnown(pass, *pass.Row(member));
+         });
 }
 
 bool EngineGroups::HasFailed(const Pass& pass, const TargetRow* row) const
--- a/src/control/engine_groups_planning.cpp
+++ b/src/control/engine_groups_planning.cpp
@@ -256,7 +256,7 @@
   for (std::size_t rank = 1; rank < group.members.size(); ++rank) {
     const TargetRow* row = pass.Row(group.members[rank]);
     const bool isLost = HasFailed(pass, row) || IsReborn(pass, group, group.members[rank]);
-    if (isLost || !HasSpoken(*row)) {
+    if (isLost || !IsKnown(pass, *row)) {
       continue;
     }
     const GroupMembership& membership = row->latest.membership;
@@ -341,7 +341,7 @@
   }
   std::vector<FreeTarget> free;
   for (const auto& [instance, row] : pass.input.targets.Rows()) {
-    const bool usable = row.latest.service == service && HasSpoken(row) &&
+    const bool usable = row.latest.service == service && IsKnown(pass, row) &&
                         !taken.contains(instance) && !m_slow.IsSlow(instance) &&
                         !IsHeld(row.latest.membership) && !HasFailed(pass, &row) &&
                         !m_verifier.IsContested(instance);
@@ -456,7 +456,12 @@
 
 Epoch EngineGroups::NextEpoch(const Pass& pass)
 {
-  return Epoch(pass.input.term.Get() * kEpochsPerTerm + ++m_formed);
+  return Epoch(FormerEpoch(pass).Get() + ++m_formed);
+}
+
+Epoch EngineGroups::FormerEpoch(const Pass& pass)
+{
+  return Epoch(pass.input.term.Get() * kEpochsPerTerm);
 }
 
 void EngineGroups::StartStage(Pass& pass, const PlannedStage& planned)
--- a/src/control/engine_groups_stragglers.cpp
+++ b/src/control/engine_groups_stragglers.cpp
@@ -62,7 +62,7 @@
 
 void EngineGroups::OnReport(TimePoint now, const GroupOrder& probe, const TargetReport& report)
 {
-  m_verifier.OnAnswer(probe.givenAt, { probe.target, probe.born });
+  m_verifier.OnAnswer(probe.givenAt, { probe.target, probe.born }, report);
   if (report.pace) {
     OnPace(now, probe.target, *report.pace);
   }
--- a/src/control/target_verifier.cpp
+++ b/src/control/target_verifier.cpp
@@ -67,37 +67,68 @@
 const TargetRow* TargetVerifier::FindPresent(const Rows& rows, const TargetRow& row) const
 {
   const auto present = std::ranges::find_if(rows, [&](const TargetRow* other) {
-    return other != &row && HasAnsweredSince(*other, row.heardAt);
+    const Answer* answer = FindAnswer(*other);
+    return other != &row && answer != nullptr && answer->askedAt > row.heardAt;
   });
   return present == rows.end() ? nullptr : *present;
 }
 
-bool TargetVerifier::HasAnsweredSince(const TargetRow& row, TimePoint since) const
+const TargetVerifier::Answer* TargetVerifier::FindAnswer(const TargetRow& row) const
 {
   const auto answer = m_answers.find(row.latest.instance);
-  return answer != m_answers.end() && answer->second.born == row.latest.born &&
-         answer->second.askedAt > since;
+  const bool isOfThisLife = answer != m_answers.end() && answer->second.born == row.latest.born;
+  return isOfThisLife ? &answer->second : nullptr;
 }
 
-std::vector<InstanceId> TargetVerifier::TakeDue(TimePoint now, const TargetTable& targets)
+std::vector<InstanceId> TargetVerifier::TakeDue(
+  TimePoint now,
+  const TargetTable& targets,
+  const std::function<bool(const TargetRow&)>& isDoubtful)
 {
   std::vector<InstanceId> due;
   for (const auto& [instance, row] : targets.Rows()) {
-    if (row.latest.address.empty() || row.latest.left || !IsContested(instance)) {
-      continue;
-    }
-    TimePoint& askedAt = m_askedAt[instance];
-    if (askedAt == TimePoint{} || now - askedAt >= kAskAgain) {
-      askedAt = now;
+    if (MayAsk(now, row) && (IsContested(instance) || isDoubtful(row))) {
+      m_askedAt[instance] = now;
       due.push_back(instance);
     }
   }
   return due;
 }
 
-void TargetVerifier::OnAnswer(TimePoint askedAt, const TargetLife& life)
+// One that gave no answer is asked again when it has spoken since: a target that is cut off would
+// be asked in vain for as long as the cut lasts.
+bool TargetVerifier::MayAsk(TimePoint now, const TargetRow& row) const
+{
+  if (row.latest.address.empty() || row.latest.left || IsReplaced(row)) {
+    return false;
+  }
+  const auto asked = m_askedAt.find(row.latest.instance);
+  if (asked == m_askedAt.end()) {
+    return true;
+  }
+  const Answer* answer = FindAnswer(row);
+  const bool isReachable = answer != nullptr && answer->askedAt >= asked->second;
+  return now - asked->second >= kAskAgain && (isReachable || row.heardAt > asked->second);
+}
+
+void TargetVerifier::OnAnswer(TimePoint askedAt, const TargetLife& life, const TargetReport& report)
+{
+  m_answers[life.instance] = { life.born, askedAt, report.membership };
+}
+
+bool TargetVerifier::Confirms(const TargetRow& row) const
+{
+  const Answer* answer = FindAnswer(row);
+  return answer != nullptr && answer->membership && answer->membership->IsOf(row.latest.membership);
+}
+
+bool TargetVerifier::DeniesGroup(const TargetRow& row,
+                                 const GroupMembership& membership,
+                                 TimePoint since) const
 {
-  m_answers[life.instance] = { life.born, askedAt };
+  const Answer* answer = FindAnswer(row);
+  return answer != nullptr && answer->askedAt >= since && answer->membership &&
+         !answer->membership->IsOf(membership);
 }
 
 } // namespace gooseberrysail
--- a/tests/fakes/fake_fleet.cpp
+++ b/tests/fakes/fake_fleet.cpp
@@ -216,7 +216,7 @@
       break;
     case GroupOrderKind::kProbe:
       outcome = OrderOutcome::kDone;
-      m_keeper.OnReport(now, order, { target.pace });
+      m_keeper.OnReport(now, order, { target.pace, target.self.membership });
       break;
     case GroupOrderKind::kStage:
       Later(hasTraffic ? 16s : kLoadTime, [this, &target, order] {
