Identities are told apart by answers to an order; a report is answered by whoever is at the address

Reports ignore which instance is expected; the answer to the second question was the present target's own. Mend: a question of its own, kIdentify, sent as an order to leave a group that no target is in; orders are answered 421 by another target. Every answered order counts as such an answer. Reports only tell a group, never who is there.

--- a/include/gooseberrysail/control/engine_groups.hpp
+++ b/include/gooseberrysail/control/engine_groups.hpp
@@ -25,8 +25,9 @@
   kOpen,
   kClose, ///< Takes no new work, finishes what it has.
   kLeave,
-  kStage, ///< The target's host loads a model's weights ahead of need; no group is concerned.
-  kProbe, ///< Changes nothing; an answer shows that the target lives.
+  kStage,    ///< The target's host loads a model's weights ahead of need; no group is concerned.
+  kProbe,    ///< Changes nothing; whoever is at the address answers with a report.
+  kIdentify, ///< Changes nothing; another target at the address answers that it is another.
 };
 
 [[nodiscard]] const char* ToString(GroupOrderKind kind) noexcept;
@@ -231,8 +232,9 @@
   // Stragglers (engine_groups_stragglers.cpp).
   void AskStragglers(Pass& pass, Group& group);
   void AskSlowAgain(Pass& pass);
-  static void Ask(Pass& pass, const InstanceId& target);
+  static void Ask(Pass& pass, const InstanceId& target, GroupOrderKind kind);
   void AskUnverified(Pass& pass);
+  void NoteIdentity(const GroupOrder& order, OrderOutcome outcome);
   void ReportPaces(Pass& pass);
   /// \brief The factor of the group's slowest member.
   [[nodiscard]] double PaceOf(const Group& group) const;
--- a/include/gooseberrysail/control/target_verifier.hpp
+++ b/include/gooseberrysail/control/target_verifier.hpp
@@ -15,7 +15,8 @@
 /// \remarks What targets say of themselves is passed on, held up and overtaken: a leader's latest
 /// word of a target may be older than the group that it is in; and a restart leaves an address to
 /// another identity, whose first words may arrive before the former one's last. An answer comes
-/// from the target that is there when it is asked.
+/// from the target that is there when it is asked; only an answer to an order tells which one it
+/// is.
 class TargetVerifier
 {
 public:
@@ -37,15 +38,21 @@
   /// \returns What is over by the answers that came since the last call.
   std::vector<Replacement> Update(const TargetTable& targets);
 
-  /// \brief Targets that should be asked now, which counts as done: those of a contested address,
-  /// and those for which `isDoubtful` holds.
-  [[nodiscard]] std::vector<InstanceId> TakeDue(
+  /// \brief Targets of contested addresses that should be asked now who they are, which counts as
+  /// done.
+  [[nodiscard]] std::vector<InstanceId> TakeContested(TimePoint now, const TargetTable& targets);
+
+  /// \brief The same of those for which `isDoubtful` holds: which group they are in.
+  [[nodiscard]] std::vector<InstanceId> TakeDoubtful(
     TimePoint now,
     const TargetTable& targets,
     const std::function<bool(const TargetRow&)>& isDoubtful);
 
-  /// \brief The target itself answered a question of `askedAt`.
-  void OnAnswer(TimePoint askedAt, const TargetLife& life, const TargetReport& report);
+  /// \brief The target itself, and no other at its address, answered a question of `askedAt`.
+  void OnIdentified(TimePoint askedAt, const TargetLife& life);
+
+  /// \brief A report came from the target's address, asked for at `askedAt`.
+  void OnReport(TimePoint askedAt, const TargetLife& life, const TargetReport& report);
 
   /// \brief The target's own last answer names the same group as its last word.
   [[nodiscard]] bool Confirms(const TargetRow& row) const;
@@ -75,19 +82,32 @@
   {
     Incarnation born;
     TimePoint askedAt{};
-    std::optional<GroupMembership> membership;
+    std::optional<GroupMembership> membership; ///< Of reports only.
+  };
+
+  /// \brief One question to many targets: when each was asked, and its last answer.
+  struct Question
+  {
+    std::map<InstanceId, TimePoint> askedAt;
+    std::map<InstanceId, Answer> answers;
+
+    /// \brief Null when this life of the target has not answered yet.
+    [[nodiscard]] const Answer* FindAnswer(const TargetRow& row) const;
+    [[nodiscard]] bool MayAsk(TimePoint now, const TargetRow& row) const;
+    void Forget(const TargetTable& targets);
   };
 
   using Rows = std::vector<const TargetRow*>;
 
   void Forget(const TargetTable& targets);
-  /// \brief Null when this life of the target has not answered yet.
-  [[nodiscard]] const Answer* FindAnswer(const TargetRow& row) const;
-  [[nodiscard]] bool MayAsk(TimePoint now, const TargetRow& row) const;
+  std::vector<InstanceId> Take(TimePoint now,
+                               const TargetTable& targets,
+                               Question& question,
+                               const std::function<bool(const TargetRow&)>& mustAsk) const;
   [[nodiscard]] const TargetRow* FindPresent(const Rows& rows, const TargetRow& row) const;
 
-  std::map<InstanceId, TimePoint> m_askedAt;
-  std::map<InstanceId, Answer> m_answers;
+  Question m_identities;
+  Question m_reports;
   std::set<TargetLife> m_replaced;
   std::set<InstanceId> m_contested;
 };
--- a/src/control/engine_groups.cpp
+++ b/src/control/engine_groups.cpp
@@ -51,6 +51,8 @@
       return "stage";
     case GroupOrderKind::kProbe:
       return "probe";
+    case GroupOrderKind::kIdentify:
+      return "identify";
   }
   return "unknown";
 }
@@ -159,9 +161,12 @@
   const auto isDoubtful = [&](const TargetRow& row) {
     return HasOutlastedReports(pass, row) && !IsKnown(pass, row);
   };
+  for (const InstanceId& target : m_verifier.TakeContested(pass.input.now, pass.input.targets)) {
+    Ask(pass, target, GroupOrderKind::kIdentify);
+  }
   for (const InstanceId& target :
-       m_verifier.TakeDue(pass.input.now, pass.input.targets, isDoubtful)) {
-    Ask(pass, target);
+       m_verifier.TakeDoubtful(pass.input.now, pass.input.targets, isDoubtful)) {
+    Ask(pass, target, GroupOrderKind::kProbe);
   }
 }
 
@@ -511,7 +516,7 @@
     return;
   }
   group.askedHeadAt = pass.input.now;
-  Ask(pass, head->latest.instance);
+  Ask(pass, head->latest.instance, GroupOrderKind::kProbe);
 }
 
 bool EngineGroups::IsReleased(const Pass& pass, const Group& group) const
@@ -619,11 +624,25 @@
   return row != nullptr && life != group.lives.end() && row->latest.born > life->second;
 }
 
-void EngineGroups::OnOrderOutcome(TimePoint now, const GroupOrder& order, OrderOutcome outcome)
+// Orders name the target that they are for, and another one at its address says so. Reports don't
+// tell whose they are.
+void EngineGroups::NoteIdentity(const GroupOrder& order, OrderOutcome outcome)
 {
+  const TargetLife life{ order.target, order.born };
   if (outcome == OrderOutcome::kReplaced) {
-    m_verifier.OnReplaced({ order.target, order.born });
+    m_verifier.OnReplaced(life);
+    return;
+  }
+  const bool isAnswer = outcome == OrderOutcome::kBegun || outcome == OrderOutcome::kDone ||
+                        outcome == OrderOutcome::kRefused;
+  if (isAnswer && order.kind != GroupOrderKind::kProbe) {
+    m_verifier.OnIdentified(order.givenAt, life);
   }
+}
+
+void EngineGroups::OnOrderOutcome(TimePoint now, const GroupOrder& order, OrderOutcome outcome)
+{
+  NoteIdentity(order, outcome);
   if (order.kind == GroupOrderKind::kProbe) {
     if (outcome != OrderOutcome::kDone) {
       m_unanswered[order.target] = now;
--- a/src/control/engine_groups_stragglers.cpp
+++ b/src/control/engine_groups_stragglers.cpp
@@ -37,17 +37,17 @@
   }
   group.askedPaceAt = pass.input.now;
   for (const InstanceId& member : group.members) {
-    Ask(pass, member);
+    Ask(pass, member, GroupOrderKind::kProbe);
   }
 }
 
-void EngineGroups::Ask(Pass& pass, const InstanceId& target)
+void EngineGroups::Ask(Pass& pass, const InstanceId& target, GroupOrderKind kind)
 {
   const TargetRow* row = pass.Row(target);
   if (row == nullptr || row->latest.address.empty()) {
     return;
   }
-  pass.orders.push_back(impl::MakeOrder(*row, GroupOrderKind::kProbe));
+  pass.orders.push_back(impl::MakeOrder(*row, kind));
 }
 
 // Slow targets are in no group, or in one that nobody can replace; either way nobody else notices
@@ -56,13 +56,13 @@
 {
   m_slow.Forget(pass.input.targets);
   for (const InstanceId& target : m_slow.TakeDue(pass.input.now)) {
-    Ask(pass, target);
+    Ask(pass, target, GroupOrderKind::kProbe);
   }
 }
 
 void EngineGroups::OnReport(TimePoint now, const GroupOrder& probe, const TargetReport& report)
 {
-  m_verifier.OnAnswer(probe.givenAt, { probe.target, probe.born }, report);
+  m_verifier.OnReport(probe.givenAt, { probe.target, probe.born }, report);
   if (report.pace) {
     OnPace(now, probe.target, *report.pace);
   }
--- a/src/control/target_verifier.cpp
+++ b/src/control/target_verifier.cpp
@@ -17,17 +17,16 @@
 
 void TargetVerifier::Clear()
 {
-  m_askedAt.clear();
-  m_answers.clear();
+  m_identities = {};
+  m_reports = {};
   m_replaced.clear();
   m_contested.clear();
 }
 
 void TargetVerifier::Forget(const TargetTable& targets)
 {
-  const auto isGone = [&](const auto& row) { return targets.Find(row.first) == nullptr; };
-  std::erase_if(m_askedAt, isGone);
-  std::erase_if(m_answers, isGone);
+  m_identities.Forget(targets);
+  m_reports.Forget(targets);
   std::erase_if(m_replaced,
                 [&](const TargetLife& life) { return targets.Find(life.instance) == nullptr; });
 }
@@ -67,58 +66,57 @@
 const TargetRow* TargetVerifier::FindPresent(const Rows& rows, const TargetRow& row) const
 {
   const auto present = std::ranges::find_if(rows, [&](const TargetRow* other) {
-    const Answer* answer = FindAnswer(*other);
+    const Answer* answer = m_identities.FindAnswer(*other);
     return other != &row && answer != nullptr && answer->askedAt > row.heardAt;
   });
   return present == rows.end() ? nullptr : *present;
 }
 
-const TargetVerifier::Answer* TargetVerifier::FindAnswer(const TargetRow& row) const
+std::vector<InstanceId> TargetVerifier::TakeContested(TimePoint now, const TargetTable& targets)
 {
-  const auto answer = m_answers.find(row.latest.instance);
-  const bool isOfThisLife = answer != m_answers.end() && answer->second.born == row.latest.born;
-  return isOfThisLife ? &answer->second : nullptr;
+  return Take(now, targets, m_identities, [&](const TargetRow& row) {
+    return IsContested(row.latest.instance);
+  });
 }
 
-std::vector<InstanceId> TargetVerifier::TakeDue(
+std::vector<InstanceId> TargetVerifier::TakeDoubtful(
   TimePoint now,
   const TargetTable& targets,
   const std::function<bool(const TargetRow&)>& isDoubtful)
+{
+  return Take(now, targets, m_reports, isDoubtful);
+}
+
+std::vector<InstanceId> TargetVerifier::Take(
+  TimePoint now,
+  const TargetTable& targets,
+  Question& question,
+  const std::function<bool(const TargetRow&)>& mustAsk) const
 {
   std::vector<InstanceId> due;
   for (const auto& [instance, row] : targets.Rows()) {
-    if (MayAsk(now, row) && (IsContested(instance) || isDoubtful(row))) {
-      m_askedAt[instance] = now;
+    const bool isThere = !row.latest.address.empty() && !row.latest.left && !IsReplaced(row);
+    if (isThere && question.MayAsk(now, row) && mustAsk(row)) {
+      question.askedAt[instance] = now;
       due.push_back(instance);
     }
   }
   return due;
 }
 
-// One that gave no answer is asked again when it has spoken since: a target that is cut off would
-// be asked in vain for as long as the cut lasts.
-bool TargetVerifier::MayAsk(TimePoint now, const TargetRow& row) const
+void TargetVerifier::OnIdentified(TimePoint askedAt, const TargetLife& life)
 {
-  if (row.latest.address.empty() || row.latest.left || IsReplaced(row)) {
-    return false;
-  }
-  const auto asked = m_askedAt.find(row.latest.instance);
-  if (asked == m_askedAt.end()) {
-    return true;
-  }
-  const Answer* answer = FindAnswer(row);
-  const bool isReachable = answer != nullptr && answer->askedAt >= asked->second;
-  return now - asked->second >= kAskAgain && (isReachable || row.heardAt > asked->second);
+  m_identities.answers[life.instance] = { life.born, askedAt, {} };
 }
 
-void TargetVerifier::OnAnswer(TimePoint askedAt, const TargetLife& life, const TargetReport& report)
+void TargetVerifier::OnReport(TimePoint askedAt, const TargetLife& life, const TargetReport& report)
 {
-  m_answers[life.instance] = { life.born, askedAt, report.membership };
+  m_reports.answers[life.instance] = { life.born, askedAt, report.membership };
 }
 
 bool TargetVerifier::Confirms(const TargetRow& row) const
 {
-  const Answer* answer = FindAnswer(row);
+  const Answer* answer = m_reports.FindAnswer(row);
   return answer != nullptr && answer->membership && answer->membership->IsOf(row.latest.membership);
 }
 
@@ -126,9 +124,36 @@
                                  const GroupMembership& membership,
                                  TimePoint since) const
 {
-  const Answer* answer = FindAnswer(row);
+  const Answer* answer = m_reports.FindAnswer(row);
   return answer != nullptr && answer->askedAt >= since && answer->membership &&
          !answer->membership->IsOf(membership);
 }
 
+const TargetVerifier::Answer* TargetVerifier::Question::FindAnswer(const TargetRow& row) const
+{
+  const auto answer = answers.find(row.latest.instance);
+  const bool isOfThisLife = answer != answers.end() && answer->second.born == row.latest.born;
+  return isOfThisLife ? &answer->second : nullptr;
+}
+
+// One that gave no answer is asked again when it has spoken since: a target that is cut off would
+// be asked in vain for as long as the cut lasts.
+bool TargetVerifier::Question::MayAsk(TimePoint now, const TargetRow& row) const
+{
+  const auto asked = askedAt.find(row.latest.instance);
+  if (asked == askedAt.end()) {
+    return true;
+  }
+  const Answer* answer = FindAnswer(row);
+  const bool isReachable = answer != nullptr && answer->askedAt >= asked->second;
+  return now - asked->second >= kAskAgain && (isReachable || row.heardAt > asked->second);
+}
+
+void TargetVerifier::Question::Forget(const TargetTable& targets)
+{
+  const auto isGone = [&](const auto& row) { return targets.Find(row.first) == nullptr; };
+  std::erase_if(askedAt, isGone);
+  std::erase_if(answers, isGone);
+}
+
 } // namespace gooseberrysail
--- a/tests/fakes/fake_fleet.cpp
+++ b/tests/fakes/fake_fleet.cpp
@@ -167,8 +167,13 @@
 void FakeFleet::Obey(const GroupOrder& order)
 {
   Target& target = m_targets.at(order.target);
-  if (!target.isUp && HasSuccessorAtAddress(target)) {
-    m_keeper.OnOrderOutcome(now, order, OrderOutcome::kReplaced);
+  if (const Target* present = FindSuccessorAtAddress(target); !target.isUp && present != nullptr) {
+    const bool isProbe = order.kind == GroupOrderKind::kProbe;
+    if (isProbe) {
+      // A report comes from whoever is there.
+      m_keeper.OnReport(now, order, { present->pace, present->self.membership });
+    }
+    m_keeper.OnOrderOutcome(now, order, isProbe ? OrderOutcome::kDone : OrderOutcome::kReplaced);
     return;
   }
   if (!target.isUp || !target.reachesControl) {
@@ -218,6 +223,9 @@
       outcome = OrderOutcome::kDone;
       m_keeper.OnReport(now, order, { target.pace, target.self.membership });
       break;
+    case GroupOrderKind::kIdentify:
+      outcome = OrderOutcome::kRefused;
+      break;
     case GroupOrderKind::kStage:
       Later(hasTraffic ? 16s : kLoadTime, [this, &target, order] {
         target.self.stagedModels = { order.model };
@@ -228,13 +236,14 @@
   m_keeper.OnOrderOutcome(now, order, outcome);
 }
 
-bool FakeFleet::HasSuccessorAtAddress(const Target& target) const
+const FakeFleet::Target* FakeFleet::FindSuccessorAtAddress(const Target& target) const
 {
-  return std::ranges::any_of(m_targets, [&](const auto& row) {
+  const auto present = std::ranges::find_if(m_targets, [&](const auto& row) {
     const Target& other = row.second;
     return other.isUp && other.reachesControl && other.self.instance != target.self.instance &&
            other.self.address == target.self.address;
   });
+  return present == m_targets.end() ? nullptr : &present->second;
 }
 
 // A head that lacks a member moves nothing and is broken after five seconds.
--- a/tests/fakes/fake_fleet.hpp
+++ b/tests/fakes/fake_fleet.hpp
@@ -74,7 +74,7 @@
   void Tick();
   [[nodiscard]] std::map<InstanceId, Duration> ListSteps() const;
   void Obey(const GroupOrder& order);
-  [[nodiscard]] bool HasSuccessorAtAddress(const Target& target) const;
+  [[nodiscard]] const Target* FindSuccessorAtAddress(const Target& target) const;
   void StandStill(const InstanceId& head);
   void Close(Target& target);
   void Join(Target& target, const GroupOrder& order);
--- a/tests/unit/platform_test.cpp
+++ b/tests/unit/platform_test.cpp
@@ -247,6 +247,26 @@
   EXPECT_EQ(api.decodeReport(R"({"stage":"both","pace":12.0,"models":[{"pace":1}]})").pace, 12.0);
   EXPECT_EQ(api.decodeReport(R"({"stage":"both"})").pace, std::nullopt);
   EXPECT_EQ(api.decodeReport("{").pace, std::nullopt);
+  SECTION("a report is answered by whoever is at the address; an order that changes nothing is not")
+  {
+    order.kind = GroupOrderKind::kIdentify;
+    const TargetCallOut question = api.encodeOrder(ExchangeId(6), order);
+    EXPECT_EQ(question.method, "POST");
+    EXPECT_EQ(FindHeader(question.headers, "X-Expect-Instance"), "i-1");
+    EXPECT_THAT(question.body, HasSubstr(R"("op":"leave")"));
+    EXPECT_THAT(question.body, ::testing::Not(HasSubstr("g7")));
+  }
+  SECTION("a report tells the group, or that there is none")
+  {
+    const auto inGroup =
+      api.decodeReport(R"({"models":[],"group":{"name":"g7","epoch":12,"rank":1,"state":"open"}})");
+    ASSERT_TRUE(inGroup.membership.has_value());
+    EXPECT_EQ(inGroup.membership->group, "g7");
+    EXPECT_EQ(inGroup.membership->epoch, Epoch(12));
+    EXPECT_EQ(api.decodeReport(R"({"models":[]})").membership->group, "");
+    EXPECT_FALSE(api.decodeReport(R"({"stage":"both"})").membership.has_value());
+    EXPECT_FALSE(api.decodeReport(R"({"models":[],"group":{"name":7}})").membership.has_value());
+  }
 }
 
 // Symptom: a caller's key reaches a target, or a caller names its own workspace.
