A head that an earlier order may still open leaves its group before it is free

Cause: "closed" was final, while an order to open the head (one without an answer, one of an earlier leader, or one that the head was carrying out) could still take effect. Mend: orders to open count as under way until they are answered. A head that one of them, a former leader's order or its own opening may open is told to leave its group once it is closed; an order of a group that it isn't in does nothing. Orders are repeated by target and kind, so the leave doesn't wait for the time of the close. Proof: EngineGroupsSafety.AHeadThatMayOpenLateLeavesItsGroup.

--- a/include/gooseberrysail/control/engine_groups.hpp
+++ b/include/gooseberrysail/control/engine_groups.hpp
@@ -154,10 +154,11 @@
     Phase phase = Phase::kJoining;
     TimePoint since{}; ///< In this phase.
     bool wasAdopted = false;
-    std::map<InstanceId, TimePoint> orderedAt;
+    std::map<std::pair<InstanceId, GroupOrderKind>, TimePoint> orderedAt;
     bool cut = false;                      ///< A member is lost: nothing that the head has can end.
     bool closeBegun = false;               ///< The head took the order to close.
-    bool openIsUnsure = false;             ///< An order to open got no answer: it may come late.
+    bool saidClosed = false;               ///< The head answered that it isn't open.
+    std::uint32_t opensUnanswered = 0;     ///< Orders to open that may still be carried out.
     bool headIsDead = false;               ///< That life of the head certainly ended.
     bool headIsClosed = false;             ///< The head said that it takes no work.
     TimePoint askedPaceAt{};               ///< When the members were asked whether they are slow.
@@ -187,6 +188,10 @@
   void End(Pass& pass, Group& group, const char* reason);
   void EndLost(Pass& pass, Group& group, const char* reason);
   void Order(Pass& pass, Group& group, const InstanceId& target, GroupOrderKind kind);
+  static void NoteHeadsAnswer(TimePoint now,
+                              Group& group,
+                              GroupOrderKind kind,
+                              OrderOutcome outcome);
   void ProbeMembers(Pass& pass, Group& group);
   void Form(Pass& pass, const ServiceDefinition& service);
   void StartGroup(Pass& pass, const std::string& service, const PlannedGroup& planned);
@@ -243,6 +248,8 @@
   [[nodiscard]] std::vector<InstanceId> ListSurvivors(const Pass& pass, const Group& group) const;
   [[nodiscard]] bool IsSilent(const Pass& pass, const TargetRow& row) const;
   [[nodiscard]] bool IsReleased(const Pass& pass, const Group& group) const;
+  /// \brief A head that is closed now may open by an order that was given before.
+  [[nodiscard]] static bool MayOpenLate(TimePoint now, const Group& group);
   [[nodiscard]] bool IsSound(const Pass& pass, const Group& group) const;
   /// \brief What the target's last word says of its group is certain.
   [[nodiscard]] bool IsKnown(const Pass& pass, const TargetRow& row) const;
--- a/src/control/engine_groups.cpp
+++ b/src/control/engine_groups.cpp
@@ -478,7 +478,12 @@
     group.headIsDead = true;
     return;
   }
-  Order(pass, group, head, GroupOrderKind::kClose);
+  // A head that has left its group obeys no order of it any more.
+  const bool isClosed =
+    group.saidClosed || (group.closeBegun && Reports(row, group.name, group.epoch) &&
+                         row->latest.membership.state == MemberState::Ready);
+  const bool mustLeave = isClosed && MayOpenLate(pass.input.now, group);
+  Order(pass, group, head, mustLeave ? GroupOrderKind::kLeave : GroupOrderKind::kClose);
   AskHead(pass, group);
   const bool silent = row == nullptr || row->latest.left || IsSilent(pass, *row);
   if (!silent) {
@@ -504,6 +509,15 @@
   }
 }
 
+// An order to open that got no answer, or one of an earlier leader, may be carried out after the
+// order to close; and a head takes some time to open. Closed once was taken for closed for good:
+// the head was joined to another group while callers could reach it in this one.
+bool EngineGroups::MayOpenLate(TimePoint now, const Group& group)
+{
+  const bool isOpening = group.openedAt && now - *group.openedAt < kOpenSlack;
+  return group.wasAdopted || group.opensUnanswered > 0 || isOpening;
+}
+
 // A word that names another group or none may be older than this group; then the head is open
 // still, and its answer is waited for.
 void EngineGroups::AskHead(Pass& pass, Group& group)
@@ -539,9 +553,9 @@
     const GroupMembership membership{ group.name, group.epoch, 0, MemberState::None };
     return m_verifier.DeniesGroup(*head, membership, group.since + lag) || stoodStill;
   }
-  // Once the head took the order to close, ready means closed; unless an order to open it went
-  // without an answer, which may still be carried out.
-  const bool isClosed = group.closeBegun && !group.openIsUnsure && state == MemberState::Ready;
+  // Once the head took the order to close, ready means closed.
+  const bool isClosed =
+    group.closeBegun && !MayOpenLate(pass.input.now, group) && state == MemberState::Ready;
   if (spokeSince && !head->latest.left && (isClosed || state == MemberState::Broken)) {
     return true;
   }
@@ -574,15 +588,16 @@
 
 void EngineGroups::Order(Pass& pass, Group& group, const InstanceId& target, GroupOrderKind kind)
 {
-  const auto ordered = group.orderedAt.find(target);
-  if (ordered != group.orderedAt.end() && pass.input.now - ordered->second < kOrderRetry) {
+  TimePoint& orderedAt = group.orderedAt[{ target, kind }];
+  if (orderedAt != TimePoint{} && pass.input.now - orderedAt < kOrderRetry) {
     return;
   }
   const TargetRow* row = pass.Row(target);
   if (row == nullptr || row->latest.address.empty()) {
     return;
   }
-  group.orderedAt[target] = pass.input.now;
+  orderedAt = pass.input.now;
+  group.opensUnanswered += kind == GroupOrderKind::kOpen ? 1 : 0;
   GroupOrder order = impl::MakeOrder(*row, kind);
   order.group = group.name;
   order.epoch = group.epoch;
@@ -658,19 +673,33 @@
   }
   Group& group = found->second;
   if (order.kind == GroupOrderKind::kOpen) {
-    group.openIsUnsure = group.openIsUnsure || outcome == OrderOutcome::kUnknown;
+    group.opensUnanswered -= outcome == OrderOutcome::kUnknown ? 0 : 1;
     group.openedAt = now;
   }
-  if (group.phase != Phase::kEnding || order.kind != GroupOrderKind::kClose) {
-    return;
+  if (group.phase == Phase::kEnding) {
+    NoteHeadsAnswer(now, group, order.kind, outcome);
   }
-  group.closeBegun = group.closeBegun || outcome == OrderOutcome::kBegun;
+}
+
+void EngineGroups::NoteHeadsAnswer(TimePoint now,
+                                   Group& group,
+                                   GroupOrderKind kind,
+                                   OrderOutcome outcome)
+{
   group.headIsDead = group.headIsDead || outcome == OrderOutcome::kReplaced;
-  // A close that is told again finds the head closing, and one that overtakes an order to open
-  // finds it closed still: only what the head says later is certain then.
-  const bool isOpening = group.openedAt && now - *group.openedAt < kOpenSlack;
-  const bool isCertain = !group.closeBegun && !isOpening;
-  group.headIsClosed = group.headIsClosed || (outcome == OrderOutcome::kDone && isCertain);
+  const bool isDone = outcome == OrderOutcome::kDone;
+  const bool isBegun = outcome == OrderOutcome::kBegun;
+  if (kind == GroupOrderKind::kLeave) {
+    group.headIsClosed = group.headIsClosed || isDone || isBegun;
+    return;
+  }
+  if (kind != GroupOrderKind::kClose) {
+    return;
+  }
+  group.closeBegun = group.closeBegun || isBegun;
+  // A close that is told again may find the head closing: only what it says later is certain then.
+  group.saidClosed = group.saidClosed || (isDone && !group.closeBegun);
+  group.headIsClosed = group.headIsClosed || (group.saidClosed && !MayOpenLate(now, group));
 }
 
 std::map<InstanceId, std::string> EngineGroups::ServingHeads() const
