A group that nobody reached isn't over; it is taken up again with the first word of it

Symptom: members of a head that serves are joined to another group. A whole group that was cut off, and had no callers meanwhile, came back open to find its members free. Mend: the time counts from when a member certainly left, works elsewhere or is dead. A group of which nobody was reached is forgotten only until it is heard again; then it is adopted, and serves on if it is open. So is a head that says it is open after it was closed.

--- a/include/gooseberrysail/control/engine_groups.hpp
+++ b/include/gooseberrysail/control/engine_groups.hpp
@@ -150,6 +150,7 @@
     std::string service;
     std::string model;
     std::vector<InstanceId> members;         ///< The head first; none where a member is not known.
+    std::vector<InstanceId> successors;      ///< Former members that went on under the next epoch.
     std::map<InstanceId, Incarnation> lives; ///< Of the members, when they were taken into it.
     Phase phase = Phase::kJoining;
     TimePoint since{}; ///< In this phase.
@@ -165,7 +166,8 @@
     TimePoint askedHeadAt{};               ///< When the head was asked whether it has left.
     std::optional<TimePoint> openedAt;     ///< The order to open it was answered.
     std::optional<TimePoint> headSilentAt; ///< Nobody reached the head.
-    std::optional<TimePoint> releasedAt;   ///< The other members were told to leave.
+    std::optional<TimePoint> leftAt;       ///< The other members were told to leave.
+    std::optional<TimePoint> incompleteAt; ///< A member certainly works for the head no more.
 
     [[nodiscard]] GroupKey Key() const { return { name, epoch }; }
   };
@@ -248,6 +250,10 @@
   [[nodiscard]] std::vector<InstanceId> ListSurvivors(const Pass& pass, const Group& group) const;
   [[nodiscard]] bool IsSilent(const Pass& pass, const TargetRow& row) const;
   [[nodiscard]] bool IsReleased(const Pass& pass, const Group& group) const;
+  /// \brief Nobody reached the group for so long that it is forgotten until it is heard again.
+  [[nodiscard]] bool IsOutOfReach(const Pass& pass, const Group& group) const;
+  [[nodiscard]] bool LacksMember(const Pass& pass, const Group& group) const;
+  [[nodiscard]] bool IsOver(const TargetRow& row) const;
   /// \brief A head that is closed now may open by an order that was given before.
   [[nodiscard]] static bool MayOpenLate(TimePoint now, const Group& group);
   [[nodiscard]] bool IsSound(const Pass& pass, const Group& group) const;
@@ -286,8 +292,15 @@
   std::map<std::string, TimePoint> m_toldShort; ///< By model: when its lack was last reported.
   std::size_t m_knownTargets = 0;
   TimePoint m_newTargetAt{}; ///< When the table last grew.
+  /// \brief How a group came to be over.
+  struct Release
+  {
+    TimePoint at{};
+    bool isCertain = false; ///< Its head takes no work; else nobody reached it or any member.
+  };
+
   /// \brief Groups that are over although members still report them.
-  std::set<GroupKey> m_released;
+  std::map<GroupKey, Release> m_released;
   std::optional<TimePoint> m_leadsSince;
   std::optional<TimePoint> m_demandSince; ///< Callers' requests are known of since then.
   std::uint64_t m_formed = 0;             ///< In this term.
--- a/src/control/engine_groups.cpp
+++ b/src/control/engine_groups.cpp
@@ -86,7 +86,7 @@
   if (!m_leadsSince) {
     m_leadsSince = input.now;
   }
-  Pass pass{ input, orders, events, {} };
+  Pass pass{ input, orders, events, {}, {} };
   Keep(pass);
   for (GroupOrder& order : orders) {
     order.givenAt = input.now;
@@ -185,10 +185,15 @@
 void EngineGroups::DropEnded(Pass& pass)
 {
   for (const GroupKey& key : pass.dropped) {
-    m_released.insert(key);
+    m_released[key] = { pass.input.now, true };
+    m_groups.erase(key);
+  }
+  for (const GroupKey& key : pass.outOfReach) {
+    m_released[key] = { pass.input.now, false };
     m_groups.erase(key);
   }
   pass.dropped.clear();
+  pass.outOfReach.clear();
 }
 
 // A target that reports a group that this leader does not keep was ordered by an earlier leader.
@@ -200,7 +205,7 @@
     const GroupMembership& membership = row.latest.membership;
     const GroupKey key{ membership.group, membership.epoch };
     const bool isStandby = membership.group.starts_with(impl::kStandbyPrefix);
-    if (membership.group.empty() || isStandby || m_released.contains(key)) {
+    if (membership.group.empty() || isStandby || IsOver(row)) {
       continue;
     }
     const auto [found, fresh] = m_groups.try_emplace(key);
@@ -218,11 +223,25 @@
   std::erase_if(m_released, [&](const auto& released) {
     return std::ranges::none_of(pass.input.targets.Rows(), [&](const auto& row) {
       const GroupMembership& membership = row.second.latest.membership;
-      return GroupKey{ membership.group, membership.epoch } == released;
+      return GroupKey{ membership.group, membership.epoch } == released.first;
     });
   });
 }
 
+// A group that nobody reached may serve on, and is taken up again with the first word of it; and a
+// head that says, after it was closed, that it is open is closed once more.
+bool EngineGroups::IsOver(const TargetRow& row) const
+{
+  const GroupMembership& membership = row.latest.membership;
+  const auto released = m_released.find({ membership.group, membership.epoch });
+  if (released == m_released.end()) {
+    return false;
+  }
+  const bool isOpenHead = membership.rank == 0 && IsOpenState(membership.state);
+  const bool isNews = row.heardAt > released->second.at && !m_verifier.IsReplaced(row);
+  return !isNews || (released->second.isCertain && !isOpenHead);
+}
+
 EngineGroups::Group EngineGroups::MakeAdopted(const Pass& pass, const TargetRow& row)
 {
   Group group;
@@ -504,9 +523,39 @@
       Order(pass, group, instance, GroupOrderKind::kLeave);
     }
   }
-  if (!group.releasedAt) {
-    group.releasedAt = pass.input.now;
+  if (!group.leftAt) {
+    group.leftAt = pass.input.now;
+  }
+  if (!group.incompleteAt && LacksMember(pass, group)) {
+    group.incompleteAt = pass.input.now;
   }
+  if (IsOutOfReach(pass, group)) {
+    pass.outOfReach.push_back(group.Key());
+  }
+}
+
+// That members were told to leave says nothing: a whole group that was cut off from control heard
+// none of it and served on, and after the time in which a head without a member breaks its members
+// were given to other groups. A member must have left, joined another group, or be dead.
+bool EngineGroups::LacksMember(const Pass& pass, const Group& group) const
+{
+  const auto isLost = [&](const InstanceId& member) {
+    const TargetRow* row = pass.Row(member);
+    if (row == nullptr) {
+      return false;
+    }
+    const bool isDead = m_verifier.IsReplaced(*row) || IsReborn(pass, group, member);
+    const bool isElsewhere = !Reports(row, group.name, group.epoch) && IsKnown(pass, *row);
+    return isDead || isElsewhere;
+  };
+  return std::any_of(group.members.begin() + 1, group.members.end(), isLost) ||
+         std::ranges::any_of(group.successors, isLost);
+}
+
+bool EngineGroups::IsOutOfReach(const Pass& pass, const Group& group) const
+{
+  return group.leftAt && !group.incompleteAt &&
+         pass.input.now - *group.leftAt > m_settings.standstill + kStandstillSlack;
 }
 
 // An order to open that got no answer, or one of an earlier leader, may be carried out after the
@@ -538,8 +587,8 @@
   if (group.headIsDead || group.headIsClosed) {
     return true;
   }
-  const bool stoodStill = group.releasedAt && pass.input.now - *group.releasedAt >
-                                                m_settings.standstill + kStandstillSlack;
+  const bool stoodStill = group.incompleteAt && pass.input.now - *group.incompleteAt >
+                                                  m_settings.standstill + kStandstillSlack;
   const TargetRow* head = pass.Row(group.members.front());
   if (head == nullptr) {
     return stoodStill;
--- a/src/control/engine_groups_pass.hpp
+++ b/src/control/engine_groups_pass.hpp
@@ -14,7 +14,8 @@
   const GroupsInput& input;
   std::vector<GroupOrder>& orders;
   std::vector<EventOut>& events;
-  std::vector<GroupKey> dropped; ///< Groups whose members are free.
+  std::vector<GroupKey> dropped;    ///< Groups whose members are free.
+  std::vector<GroupKey> outOfReach; ///< Groups that are forgotten until they are heard again.
 
   [[nodiscard]] const TargetRow* Row(const InstanceId& instance) const
   {
--- a/src/control/engine_groups_planning.cpp
+++ b/src/control/engine_groups_planning.cpp
@@ -179,6 +179,7 @@
     }
     if (std::optional<Group> made = MakeSuccessor(pass, service, group)) {
       // The former head is held until it certainly takes no work; the others aren't its any more.
+      group.successors.assign(group.members.begin() + 1, group.members.end());
       group.members.resize(1);
       ReportFormed(pass, *made, 0);
       const GroupKey next = made->Key();
