An answer to a question of a former term confirms nothing

Symptom: the head of an open group is joined to a second one by a process that leads again. Cause: a report counted whenever it was asked for; one of before the present term, or so early in it that its lag reaches before it, agrees with an old word of the target and with nothing that another leader ordered in between. Mend: a report counts if it was asked for after the term began and its lag passed. Answers to orders of a former term tell who is at an address, and nothing of the groups that this term knows.

--- a/include/gooseberrysail/control/engine_groups.hpp
+++ b/include/gooseberrysail/control/engine_groups.hpp
@@ -259,8 +259,8 @@
   [[nodiscard]] bool IsSound(const Pass& pass, const Group& group) const;
   /// \brief What the target's last word says of its group is certain.
   [[nodiscard]] bool IsKnown(const Pass& pass, const TargetRow& row) const;
-  /// \brief Answers to questions from now on tell nothing of before this leader's time.
-  [[nodiscard]] bool HasOutlastedReports(const Pass& pass, const TargetRow& row) const;
+  /// \brief A report that was asked for then tells nothing of before this leader's time.
+  [[nodiscard]] bool IsOfThisTerm(TimePoint askedAt) const;
   void AskHead(Pass& pass, Group& group);
   [[nodiscard]] static bool IsWhole(const Pass& pass, const Group& group);
   [[nodiscard]] static bool SharesMember(const Group& left, const Group& right);
@@ -302,6 +302,7 @@
   /// \brief Groups that are over although members still report them.
   std::map<GroupKey, Release> m_released;
   std::optional<TimePoint> m_leadsSince;
+  Duration m_reportLag{};                 ///< How old a report may be: the longest of all services.
   std::optional<TimePoint> m_demandSince; ///< Callers' requests are known of since then.
   std::uint64_t m_formed = 0;             ///< In this term.
 };
--- a/src/control/engine_groups.cpp
+++ b/src/control/engine_groups.cpp
@@ -86,6 +86,10 @@
   if (!m_leadsSince) {
     m_leadsSince = input.now;
   }
+  m_reportLag = Duration::zero();
+  for (const ServiceDefinition& service : input.document.services) {
+    m_reportLag = std::max(m_reportLag, service.engine ? service.engine->reportLag : Duration());
+  }
   Pass pass{ input, orders, events, {}, {} };
   Keep(pass);
   for (GroupOrder& order : orders) {
@@ -159,7 +163,8 @@
                 { { "target", former.instance.Get() }, { "by", present.Get() } }));
   }
   const auto isDoubtful = [&](const TargetRow& row) {
-    return HasOutlastedReports(pass, row) && !IsKnown(pass, row);
+    return IsOfThisTerm(pass.input.now) && pass.EngineOf(row.latest.service) != nullptr &&
+           !IsKnown(pass, row);
   };
   for (const InstanceId& target : m_verifier.TakeContested(pass.input.now, pass.input.targets)) {
     Ask(pass, target, GroupOrderKind::kIdentify);
@@ -170,10 +175,11 @@
   }
 }
 
-bool EngineGroups::HasOutlastedReports(const Pass& pass, const TargetRow& row) const
+// The answer to a question of a former term, or one so soon in this one that it may tell of before,
+// agrees with an old word and with nothing that an earlier leader ordered since.
+bool EngineGroups::IsOfThisTerm(TimePoint askedAt) const
 {
-  const EngineSpec* engine = pass.EngineOf(row.latest.service);
-  return engine != nullptr && pass.input.now - *m_leadsSince >= engine->reportLag;
+  return m_leadsSince && askedAt >= *m_leadsSince + m_reportLag;
 }
 
 // What a target says of a group of this leader can't be older than this leader's orders.
@@ -572,9 +578,8 @@
 void EngineGroups::AskHead(Pass& pass, Group& group)
 {
   const TargetRow* head = pass.Row(group.members.front());
-  const EngineSpec* engine = pass.EngineOf(group.service);
   const bool isInDoubt = head != nullptr && !Reports(head, group.name, group.epoch);
-  if (!isInDoubt || engine == nullptr || pass.input.now - group.since < engine->reportLag ||
+  if (!isInDoubt || pass.input.now - group.since < m_reportLag ||
       pass.input.now - group.askedHeadAt < TargetVerifier::kAskAgain) {
     return;
   }
@@ -597,10 +602,8 @@
   const bool spokeSince = head->heardAt > group.since;
   const MemberState state = head->latest.membership.state;
   if (!Reports(head, group.name, group.epoch)) {
-    const EngineSpec* engine = pass.EngineOf(group.service);
-    const Duration lag = engine == nullptr ? Duration::zero() : engine->reportLag;
     const GroupMembership membership{ group.name, group.epoch, 0, MemberState::None };
-    return m_verifier.DeniesGroup(*head, membership, group.since + lag) || stoodStill;
+    return m_verifier.DeniesGroup(*head, membership, group.since + m_reportLag) || stoodStill;
   }
   // Once the head took the order to close, ready means closed.
   const bool isClosed =
@@ -716,6 +719,9 @@
   if (outcome == OrderOutcome::kNoTarget) {
     m_unanswered[order.target] = now;
   }
+  if (!m_leadsSince || order.givenAt < *m_leadsSince) {
+    return; // Of a former term: what this one knows of the group is younger.
+  }
   const auto found = m_groups.find({ order.group, order.epoch });
   if (found == m_groups.end() || found->second.members.front() != order.target) {
     return;
--- a/src/control/engine_groups_stragglers.cpp
+++ b/src/control/engine_groups_stragglers.cpp
@@ -62,7 +62,9 @@
 
 void EngineGroups::OnReport(TimePoint now, const GroupOrder& probe, const TargetReport& report)
 {
-  m_verifier.OnReport(probe.givenAt, { probe.target, probe.born }, report);
+  if (IsOfThisTerm(probe.givenAt)) {
+    m_verifier.OnReport(probe.givenAt, { probe.target, probe.born }, report);
+  }
   if (report.pace) {
     OnPace(now, probe.target, *report.pace);
   }
--- a/tests/unit/engine_groups_safety_test.cpp
+++ b/tests/unit/engine_groups_safety_test.cpp
@@ -207,5 +207,32 @@
   EXPECT_EQ(fleet.CountServing("large"), 3U);
 }
 
+// Symptom: the head of an open group is joined to a second one. Sequence: a process that leads asks
+// a target which group it is in, loses the lead, and takes it again after another process formed a
+// group; the answer to its former question arrives, and agrees with the old word that it has of the
+// target. Cause: an answer was taken for what the target is, whenever the question was asked.
+TEST(EngineGroupsSafety, AnAnswerToAQuestionOfAnEarlierTermConfirmsNothing)
+{
+  FakeFleet fleet = ServingFleet();
+  const std::vector<InstanceId> members = fleet.At(AnyHead(fleet, "small")).members;
+  const TimePoint askedAt = fleet.now;
+  fleet.Run(100ms);
+  fleet.ChangeLeader(false);
+  for (const InstanceId& member : members) {
+    TargetAnnouncement old = fleet.At(member.Get()).self;
+    ++old.sequence;
+    old.membership = {};
+    fleet.Table().Hear(fleet.now, old);
+    GroupOrder probe;
+    probe.target = member;
+    probe.kind = GroupOrderKind::kProbe;
+    probe.givenAt = askedAt;
+    fleet.Keeper().OnReport(fleet.now, probe, { 1.0, GroupMembership() });
+  }
+  fleet.Run(10s);
+  EXPECT_THAT(fleet.Violations(), IsEmpty());
+  EXPECT_GE(fleet.CountServing("small"), 6U);
+}
+
 } // namespace
 } // namespace gooseberrysail
