What a leader learns of groups and how groups end are files of their own; 529 tells by which evidence a group is over

Pure moves, but for three things: the evidence by which a group's members are free is logged (529 TargetGroupReleased; until now only the end of a group was, and the joins that followed), a group that went on under the next epoch doesn't take its former members back by their last words, and open states are told by one function. Unit tests of groups: 32 of 32.

--- a/include/gooseberrysail/control/engine_groups.hpp
+++ b/include/gooseberrysail/control/engine_groups.hpp
@@ -249,7 +249,9 @@
   void ReplaceHeads(Pass& pass, const ServiceDefinition& service);
   [[nodiscard]] std::vector<InstanceId> ListSurvivors(const Pass& pass, const Group& group) const;
   [[nodiscard]] bool IsSilent(const Pass& pass, const TargetRow& row) const;
-  [[nodiscard]] bool IsReleased(const Pass& pass, const Group& group) const;
+  /// \brief What makes it certain that the head takes no work; null when it may.
+  [[nodiscard]] const char* ReleasedBy(const Pass& pass, const Group& group) const;
+  static void ReportReleased(Pass& pass, const Group& group, const char* evidence);
   /// \brief Nobody reached the group for so long that it is forgotten until it is heard again.
   [[nodiscard]] bool IsOutOfReach(const Pass& pass, const Group& group) const;
   [[nodiscard]] bool LacksMember(const Pass& pass, const Group& group) const;
--- a/src/control/engine_groups_pass.hpp
+++ b/src/control/engine_groups_pass.hpp
@@ -43,6 +43,11 @@
          row->latest.membership.epoch == epoch;
 }
 
+[[nodiscard]] inline bool IsOpenState(wire::MemberState state) noexcept
+{
+  return state == wire::MemberState::Open || state == wire::MemberState::Closing;
+}
+
 [[nodiscard]] inline bool IsLeaving(const TargetRow* row)
 {
   return row == nullptr || row->latest.left || row->latest.draining;
