The soak tells which signal ended it, whose and in which seed, and ends its processes

SIGHUP, SIGINT and SIGTERM now end the run in order: the processes of the seed are ended, the last line tells signal, sender and seed, the status is 128 and the signal's number. Each seed's start is told, so that a SIGKILL leaves a trace, too. SoakProgram.TellsWhichSignalEndedIt; the soak's program is built for the process tests.

--- a/tests/process/soak_test.cpp
+++ b/tests/process/soak_test.cpp
@@ -1,10 +1,16 @@
 #include "soak/soak.hpp"
+#include "support/child_process.hpp"
 
+#include <csignal>
 #include <gtest/gtest.h>
+#include <sys/wait.h>
+#include <unistd.h>
 
 namespace gooseberrysail::soak {
 namespace {
 
+using namespace std::chrono_literals;
+
 /// Seeds that run each time; each that ever failed is here for good, with its cause.
 class Soak : public ::testing::TestWithParam<std::uint64_t>
 {};
@@ -27,6 +33,27 @@
   }
 }
 
+// Symptom: three soaks that ran beside one another ended at one moment without a message. Sequence:
+// the shell that had started them ended. Cause: a signal that ended them left no word of itself, so
+// that it could only be guessed.
+TEST(SoakProgram, TellsWhichSignalEndedIt)
+{
+  const test::TemporaryFolder folder;
+  const std::string binaries = GOOSEBERRYSAIL_BINARY_DIR;
+  const std::string output = folder.Path() + "/output";
+  test::ChildProcess soak(
+    { binaries + "/soak", "--daemon", binaries + "/gooseberrysaild", "--seconds", "60" }, output);
+  ASSERT_NE(soak.WaitForLine("seed 1 starts", 10s), "");
+  soak.Signal(SIGTERM);
+  const int status = soak.WaitForExit(40s);
+  EXPECT_TRUE(WIFEXITED(status)) << status;
+  EXPECT_EQ(WEXITSTATUS(status), 128 + SIGTERM);
+  EXPECT_NE(soak.Output().find("ended by signal " + std::to_string(SIGTERM) + " of process " +
+                               std::to_string(getpid()) + " in seed 1"),
+            std::string::npos)
+    << soak.Output();
+}
+
 INSTANTIATE_TEST_SUITE_P(Seeds, Soak, ::testing::Values(1, 2));
 
 } // namespace
--- a/tests/soak/soak.hpp
+++ b/tests/soak/soak.hpp
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -17,6 +18,8 @@
   std::size_t entries = 2;
   std::size_t replicas = 3;
   std::size_t callers = 8;
+  /// \brief Ends a run early, with all of its processes.
+  std::function<bool()> shouldStop = [] { return false; };
 };
 
 struct SoakReport
--- a/tests/soak/soak_main.cpp
+++ b/tests/soak/soak_main.cpp
@@ -1,6 +1,7 @@
 #include "soak/soak.hpp"
 
 #include <boost/program_options.hpp>
+#include <csignal>
 #include <fstream>
 #include <iostream>
 
@@ -11,9 +12,33 @@
 using gooseberrysail::soak::SoakSettings;
 namespace options = boost::program_options;
 
+constexpr int kEndedBySignal = 128; ///< As shells report it: this and the signal's number.
+
+volatile std::sig_atomic_t g_signal = 0;
+volatile std::sig_atomic_t g_sender = 0;
+
+// Three runs once ended at one moment without a word, and nobody could say which signal it was, or
+// whose.
+void NoteSignal(int signal, siginfo_t* info, void*)
+{
+  g_signal = signal;
+  g_sender = info->si_pid;
+}
+
+void NoteEndingSignals()
+{
+  struct sigaction action = {};
+  action.sa_sigaction = NoteSignal;
+  action.sa_flags = SA_SIGINFO | SA_RESTART;
+  for (const int signal : { SIGHUP, SIGINT, SIGTERM }) {
+    sigaction(signal, &action, nullptr);
+  }
+}
+
 /// \returns Whether the seed kept every promise.
 bool Play(const SoakSettings& settings, const std::string& logs)
 {
+  std::cout << "seed " << settings.seed << " starts" << std::endl;
   const SoakReport report = RunSoak(settings);
   std::cout << "seed " << settings.seed << ": " << report.faults.size() << " faults, asked "
             << report.totals.asked << ", answered " << report.totals.answered << ", refused "
@@ -66,9 +91,16 @@
     return 2;
   }
   settings.length = std::chrono::seconds(seconds);
+  settings.shouldStop = [] { return g_signal != 0; };
+  NoteEndingSignals();
   bool kept = true;
   for (std::uint64_t count = 0; count < seeds; ++count, ++settings.seed) {
     kept = Play(settings, logs) && kept;
+    if (g_signal != 0) {
+      std::cerr << "soak: ended by signal " << g_signal << " of process " << g_sender << " in seed "
+                << settings.seed << std::endl;
+      return kEndedBySignal + g_signal;
+    }
   }
   return kept ? 0 : 1;
 }
