Soaks that run beside one another have loopback addresses of their own

A port is free only at the moment in which it is looked for. Addresses now follow from the soak's process id.

--- a/tests/soak/cluster.cpp
+++ b/tests/soak/cluster.cpp
@@ -7,6 +7,7 @@
 #include <filesystem>
 #include <fstream>
 #include <sys/wait.h>
+#include <unistd.h>
 
 namespace gooseberrysail::soak {
 
@@ -23,9 +24,26 @@
 }
 
 /// Control processes share their ports, as the platform's machines do, and differ by address.
+/// Soaks that run beside one another were given the same port, since a port is free only at the
+/// moment in which it is looked for: control ended with "Address already in use", and callers of
+/// one soak were answered by the other's processes. So each soak has loopback addresses of its own.
+std::string OwnIp(std::size_t number)
+{
+  constexpr std::uint32_t kAddressesPerSoak = kControls + 1;
+  const std::uint32_t host =
+    static_cast<std::uint32_t>(getpid()) * kAddressesPerSoak + static_cast<std::uint32_t>(number);
+  return "127." + std::to_string((host >> 16U) & 0xFFU) + "." +
+         std::to_string((host >> 8U) & 0xFFU) + "." + std::to_string(host & 0xFFU);
+}
+
 std::string ControlIp(std::size_t number)
 {
-  return "127.0.0." + std::to_string(number + 1);
+  return OwnIp(number + 1);
+}
+
+std::string FreeEntryAddress()
+{
+  return OwnIp(0) + ":" + PortOf(test::FreeAddress());
 }
 
 std::string Config(std::uint64_t version)
@@ -54,7 +72,7 @@
     WriteControl(number);
   }
   for (std::size_t number = 0; number < entries; ++number) {
-    m_entries.push_back(test::FreeAddress());
+    m_entries.push_back(FreeEntryAddress());
     WriteEntry(number);
   }
 }
@@ -89,8 +107,8 @@
   const std::string name = "entry-" + std::to_string(number + 1);
   std::ofstream(m_folder.Path() + "/" + name + ".ini")
     << "[process]\nrole = entry\ninterface = platform\nname = " << name
-    << "\nhttpListen = " << m_entries[number] << "\nreadyListen = " << test::FreeAddress() << "\n"
-    << Common("127.0.0.1:0");
+    << "\nhttpListen = " << m_entries[number] << "\nreadyListen = " << FreeEntryAddress() << "\n"
+    << Common(OwnIp(0) + ":0");
   Start(name);
 }
 
