Plain services are not asked who is at their address

Cause: since identities are told apart by answers to orders, the identities of every contested address were asked, also those of services without engines, for which an order is a request like a caller's. Mend: only targets of services with engines are asked; the others join no groups, so nothing depends on the answer. Proof: EngineGroupsSafety.PlainServicesAreNotAsked.

--- a/include/gooseberrysail/control/target_verifier.hpp
+++ b/include/gooseberrysail/control/target_verifier.hpp
@@ -40,7 +40,11 @@
 
   /// \brief Targets of contested addresses that should be asked now who they are, which counts as
   /// done.
-  [[nodiscard]] std::vector<InstanceId> TakeContested(TimePoint now, const TargetTable& targets);
+  /// \param isEngine Others don't understand the question.
+  [[nodiscard]] std::vector<InstanceId> TakeContested(
+    TimePoint now,
+    const TargetTable& targets,
+    const std::function<bool(const TargetRow&)>& isEngine);
 
   /// \brief The same of those for which `isDoubtful` holds: which group they are in.
   [[nodiscard]] std::vector<InstanceId> TakeDoubtful(
--- a/src/control/engine_groups_learning.cpp
+++ b/src/control/engine_groups_learning.cpp
@@ -134,11 +134,15 @@
       MakeEvent(EventNumber::kTargetReplaced,
                 { { "target", former.instance.Get() }, { "by", present.Get() } }));
   }
+  // A plain service takes the question for a request of a caller, and may run it.
+  const auto isEngine = [&](const TargetRow& row) {
+    return pass.EngineOf(row.latest.service) != nullptr;
+  };
   const auto isDoubtful = [&](const TargetRow& row) {
-    return IsOfThisTerm(pass.input.now) && pass.EngineOf(row.latest.service) != nullptr &&
-           !IsKnown(pass, row);
+    return IsOfThisTerm(pass.input.now) && isEngine(row) && !IsKnown(pass, row);
   };
-  for (const InstanceId& target : m_verifier.TakeContested(pass.input.now, pass.input.targets)) {
+  for (const InstanceId& target :
+       m_verifier.TakeContested(pass.input.now, pass.input.targets, isEngine)) {
     Ask(pass, target, GroupOrderKind::kIdentify);
   }
   for (const InstanceId& target :
--- a/src/control/target_verifier.cpp
+++ b/src/control/target_verifier.cpp
@@ -72,10 +72,13 @@
   return present == rows.end() ? nullptr : *present;
 }
 
-std::vector<InstanceId> TargetVerifier::TakeContested(TimePoint now, const TargetTable& targets)
+std::vector<InstanceId> TargetVerifier::TakeContested(
+  TimePoint now,
+  const TargetTable& targets,
+  const std::function<bool(const TargetRow&)>& isEngine)
 {
   return Take(now, targets, m_identities, [&](const TargetRow& row) {
-    return IsContested(row.latest.instance);
+    return IsContested(row.latest.instance) && isEngine(row);
   });
 }
 
--- a/tests/unit/engine_groups_safety_test.cpp
+++ b/tests/unit/engine_groups_safety_test.cpp
@@ -234,5 +234,26 @@
   EXPECT_GE(fleet.CountServing("small"), 6U);
 }
 
+// Symptom: a plain service ran a request that nobody had sent. Sequence: a target of it starts
+// again under another identity at its address. Cause: both identities were asked who is there, as
+// targets with engines are; a plain service takes an order for a request. The soak showed it:
+//   "r3-2 ran , which nobody asked"
+TEST(EngineGroupsSafety, PlainServicesAreNotAsked)
+{
+  FakeFleet fleet = ServingFleet();
+  TargetAnnouncement former;
+  former.instance = InstanceId("former");
+  former.service = "portal";
+  former.address = "address-of-portal";
+  former.sequence = 1;
+  TargetAnnouncement present = former;
+  present.instance = InstanceId("present");
+  fleet.Table().Hear(fleet.now, former);
+  fleet.Table().Hear(fleet.now, present);
+  const std::size_t before = fleet.Orders().size();
+  fleet.Run(2s);
+  EXPECT_EQ(fleet.Orders().size(), before);
+}
+
 } // namespace
 } // namespace gooseberrysail
