--- a/tests/unit/serving_feed_test.cpp
+++ b/tests/unit/serving_feed_test.cpp
@@ -1,4 +1,4 @@
-#include "gooseberrysail/control/serving_feed.hpp"
+#include "support/feed_world.hpp"
 #include "support/section.hpp"
 
 #include <gmock/gmock.h>
@@ -8,78 +8,7 @@
 
 using namespace std::chrono_literals;
 using ::testing::IsEmpty;
-
-/// \brief A feed on a leader with an empty state, asked by entries.
-class FeedWorld
-{
-public:
-  /// An entry's question with what it has counted so far, of a model with 100 tokens a request.
-  wire::ServingQueryT Query(std::uint64_t requests) const
-  {
-    wire::ServingQueryT query;
-    auto demand = std::make_unique<wire::ModelDemandT>();
-    demand->service = "assist";
-    demand->model = "large";
-    demand->requests = requests;
-    demand->promptTokens = requests * 100;
-    query.demand.push_back(std::move(demand));
-    return query;
-  }
-
-  void Ask(const std::string& entry, wire::ServingQueryT query)
-  {
-    ControlContext context = Context();
-    feed.OnQuery(context, ProcessId(entry), query);
-  }
-
-  /// What an entry saw of a head.
-  void Tell(const std::string& entry, std::uint32_t answeredAgoMillis, bool isFailing)
-  {
-    wire::ServingQueryT query;
-    auto head = std::make_unique<wire::HeadViewT>();
-    head->instance = "h1";
-    head->answeredAgoMillis = answeredAgoMillis;
-    head->failing = isFailing;
-    query.heads.push_back(std::move(head));
-    Ask(entry, std::move(query));
-  }
-
-  /// The part of the model's callers that the entry was last told; none when it was told nothing.
-  [[nodiscard]] std::optional<float> ToldPart(const std::string& entry) const
-  {
-    std::optional<float> part;
-    for (const ControlOutput& output : outbox) {
-      const FrameOut* frame = std::get_if<FrameOut>(&output);
-      if (frame == nullptr || frame->peer.Get() != entry) {
-        continue;
-      }
-      const wire::ServingStateT* state = frame->envelope->body.AsServingState();
-      if (state != nullptr && !state->parts.empty()) {
-        part = state->parts.front()->part;
-      }
-    }
-    return part;
-  }
-
-  ServingFeed feed;
-  TimePoint now{ 1h };
-  std::vector<ControlOutput> outbox;
-
-private:
-  ControlContext Context()
-  {
-    return { now,         0,       m_settings, m_controls, m_replication, m_state,
-             m_catalogue, m_peers, m_proposer, {},         true,          outbox };
-  }
-
-  ControlSettings m_settings;
-  std::vector<EntrySettings::Control> m_controls;
-  ReplicationStatus m_replication;
-  ControlState m_state;
-  Catalogue m_catalogue;
-  PeerTable m_peers;
-  Proposer m_proposer{ [](std::vector<std::uint8_t>) { return true; } };
-};
+using tests::FeedWorld;
 
 // Symptom: a group with a dead member was noticed 1.5 s after its last answer.
 // Sequence: an entry complains of the head; another had an answer of it 1.2 s ago.
