Queues to peers are bounded for all together, the replicated log goes first, traffic is told by kind

What operators saw: a control process whose link was full gave no line of what filled it, its followers took it for dead (heartbeats of the log waited behind lists for entries) and its memory grew to 64 MB for each peer.

- Frames of the replicated log have a lane of their own, so that they wait for the write under way at most.
- All that waits is bounded (64 MB, 20 MB a peer; before 64 MB a peer): past it the peers with more than their part are closed.
- A message for many peers is encoded once, and large frames are shared, not copied for each connection.
- Event 212 PeerTraffic each 5 s and metrics by kind of message, and what waits for the slowest peer.

--- a/include/gooseberrysail/net/peer_mesh.hpp
+++ b/include/gooseberrysail/net/peer_mesh.hpp
@@ -6,6 +6,7 @@
 #include "gooseberrysail/net/fiber_runtime.hpp"
 #include "gooseberrysail/roles/inputs.hpp"
 
+#include <array>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -28,8 +29,9 @@
   Duration dialTimeout = std::chrono::seconds(2); ///< Connecting and handshake together.
   Duration backoffMin = std::chrono::milliseconds(50);
   Duration backoffMax = std::chrono::seconds(2);
-  std::size_t maxQueuedBytes = 64 * 1024 * 1024; ///< Unsent, for each peer.
-  std::size_t maxHandshakes = 256;               ///< Callers not yet proved, all together.
+  std::size_t maxQueuedBytes = 20 * 1024 * 1024;    ///< Unsent, for each peer.
+  std::size_t maxAllQueuedBytes = 64 * 1024 * 1024; ///< Unsent, all peers together.
+  std::size_t maxHandshakes = 256;                  ///< Callers not yet proved, all together.
 };
 
 /// \brief What the mesh tells its owner. Hooks must not wait; they may call Send.
@@ -41,9 +43,21 @@
   std::function<void(EventOut)> onEvent;
 };
 
+/// \brief Frames of one kind of message, with their bytes.
+struct FrameCount
+{
+  std::uint64_t frames = 0;
+  std::uint64_t bytes = 0;
+};
+
+/// \brief By wire::Body.
+using FrameCounts = std::array<FrameCount, static_cast<std::size_t>(wire::Body::MAX) + 1>;
+
 /// \brief Counters since start, for metrics.
 struct PeerMeshCounters
 {
+  FrameCounts sentByKind{};
+  FrameCounts receivedByKind{};
   std::uint64_t framesSent = 0;
   std::uint64_t framesReceived = 0;
   std::uint64_t bytesSent = 0;
@@ -83,6 +97,12 @@
   /// \brief Queues a frame; dials when no connection stands and the address is known.
   void Send(const FrameOut& frame);
 
+  /// \brief What waits to be sent to the peer.
+  [[nodiscard]] std::size_t QueuedBytes(const ProcessId& peer) const;
+
+  /// \brief What waits to be sent to the peer for which most does.
+  [[nodiscard]] std::size_t MostQueuedBytes() const;
+
   /// \brief Closes every connection without a PeerDown and waits for the mesh's fibers to end.
   void Close();
 
--- a/include/gooseberrysail/observe/metrics.hpp
+++ b/include/gooseberrysail/observe/metrics.hpp
@@ -11,6 +11,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace gooseberrysail {
 
@@ -37,6 +38,15 @@
 /// \brief Whether a process of this role has the metric.
 [[nodiscard]] bool HasMetric(ProcessRole role, const MetricInfo& metric) noexcept;
 
+/// \brief Frames of one kind of message between processes.
+struct KindTraffic
+{
+  std::string kind;
+  std::uint64_t framesSent = 0;
+  std::uint64_t bytesSent = 0;
+  std::uint64_t bytesReceived = 0;
+};
+
 /// \brief Totals that others count, read when the metrics are asked for.
 struct MetricsSample
 {
@@ -46,6 +56,8 @@
   std::uint64_t peerFramesReceived = 0;
   std::uint64_t peerBytesSent = 0;
   std::uint64_t peerBytesReceived = 0;
+  std::uint64_t peerQueuedBytes = 0; ///< Of the peer for which most waits.
+  std::vector<KindTraffic> peerKinds;
   std::uint64_t httpRequests = 0;
   std::uint64_t httpRejected = 0;
   std::uint64_t httpInFlight = 0;
--- a/src/net/peer_connection.cpp
+++ b/src/net/peer_connection.cpp
@@ -15,6 +15,9 @@
 // Small frames are joined into chunks of about this size and written with one call. A chunk is
 // also the most that a heartbeat can wait behind, large frames apart.
 constexpr std::size_t kChunkBytes = 64 * 1024;
+// Larger frames aren't copied: a document goes to every entry, and a copy for each would be held
+// until the slowest of them has read it.
+constexpr std::size_t kLargeBytes = 16 * 1024;
 
 } // namespace
 
@@ -37,8 +40,9 @@
   m_deadline.Disarm();
   boost::system::error_code ignored;
   socket.close(ignored);
-  m_chunks.clear();
-  m_first.clear();
+  m_first.Clear();
+  m_rest.Clear();
+  m_heartbeats.clear();
   m_queuedBytes = 0;
 }
 
@@ -47,27 +51,47 @@
   m_deadline.Arm(timeout, [this, reason = std::move(reason)] { Close(reason); });
 }
 
-void PeerConnection::Queue(std::vector<std::uint8_t> frame)
+void PeerConnection::Lane::Add(const SharedFrame& frame)
 {
-  if (Closed()) {
+  if (frame->size() >= kLargeBytes) {
+    m_chunks.push_back({ frame, {} });
     return;
   }
-  m_queuedBytes += frame.size();
-  if (!m_chunks.empty() && m_chunks.back().size() + frame.size() <= kChunkBytes) {
-    m_chunks.back().insert(m_chunks.back().end(), frame.begin(), frame.end());
-  } else {
-    m_chunks.push_back(std::move(frame));
+  const bool fits = !m_chunks.empty() && !m_chunks.back().large &&
+                    m_chunks.back().joined.size() + frame->size() <= kChunkBytes;
+  if (!fits) {
+    m_chunks.emplace_back();
+  }
+  std::vector<std::uint8_t>& joined = m_chunks.back().joined;
+  joined.insert(joined.end(), frame->begin(), frame->end());
+}
+
+SharedFrame PeerConnection::Lane::TakeFront()
+{
+  Chunk chunk = std::move(m_chunks.front());
+  m_chunks.pop_front();
+  return chunk.large ? std::move(chunk.large)
+                     : std::make_shared<const std::vector<std::uint8_t>>(std::move(chunk.joined));
+}
+
+void PeerConnection::Queue(const QueuedFrame& frame)
+{
+  if (Closed()) {
+    return;
   }
+  m_queuedBytes += frame.bytes->size();
+  Lane& lane = frame.goesFirst ? m_first : m_rest;
+  lane.Add(frame.bytes);
   WriteSoon();
 }
 
-void PeerConnection::QueueFirst(const std::vector<std::uint8_t>& frame)
+void PeerConnection::QueueHeartbeat(const std::vector<std::uint8_t>& frame)
 {
   if (Closed()) {
     return;
   }
   m_queuedBytes += frame.size();
-  m_first.insert(m_first.end(), frame.begin(), frame.end());
+  m_heartbeats.insert(m_heartbeats.end(), frame.begin(), frame.end());
   WriteSoon();
 }
 
@@ -86,18 +110,16 @@
 // and a second stack for each would be most of what a connection costs.
 void PeerConnection::WriteNext()
 {
-  m_isWriting = !Closed() && !(m_chunks.empty() && m_first.empty());
+  Lane& lane = m_first.IsEmpty() ? m_rest : m_first;
+  m_isWriting = !Closed() && !(lane.IsEmpty() && m_heartbeats.empty());
   if (!m_isWriting) {
     return;
   }
-  m_writingFirst = std::exchange(m_first, {});
-  m_writing.clear();
-  if (!m_chunks.empty()) {
-    m_writing = std::move(m_chunks.front());
-    m_chunks.pop_front();
-  }
-  const std::array<asio::const_buffer, 2> buffers{ asio::buffer(m_writingFirst),
-                                                   asio::buffer(m_writing) };
+  m_writingHeartbeats = std::exchange(m_heartbeats, {});
+  m_writing = lane.IsEmpty() ? nullptr : lane.TakeFront();
+  const std::array<asio::const_buffer, 2> buffers{ asio::buffer(m_writingHeartbeats),
+                                                   m_writing ? asio::buffer(*m_writing)
+                                                             : asio::const_buffer() };
   asio::async_write(socket,
                     buffers,
                     [self = shared_from_this()](boost::system::error_code error, std::size_t size) {
@@ -107,8 +129,8 @@
 
 void PeerConnection::OnWritten(boost::system::error_code error, std::size_t size)
 {
-  m_writingFirst = {};
-  m_writing = {};
+  m_writingHeartbeats = {};
+  m_writing = nullptr;
   if (Closed()) {
     return;
   }
--- a/src/net/peer_connection.hpp
+++ b/src/net/peer_connection.hpp
@@ -17,6 +17,15 @@
 
 using ConnectionId = StrongId<struct ConnectionTag, std::uint64_t>;
 
+/// \brief A frame's bytes; several connections may send the same.
+using SharedFrame = std::shared_ptr<const std::vector<std::uint8_t>>;
+
+struct QueuedFrame
+{
+  SharedFrame bytes;
+  bool goesFirst = false; ///< Before the frames of other kinds that aren't being written yet.
+};
+
 /// \brief One TCP connection with a peer: its socket, what it has yet to send and what is known
 /// of the other side.
 class PeerConnection : public std::enable_shared_from_this<PeerConnection>
@@ -45,10 +54,10 @@
   void DisarmTimeout() { m_deadline.Disarm(); }
 
   /// \brief Queues a frame for sending.
-  void Queue(std::vector<std::uint8_t> frame);
+  void Queue(const QueuedFrame& frame);
 
-  /// \brief Queues a frame that goes before all frames not yet being written.
-  void QueueFirst(const std::vector<std::uint8_t>& frame);
+  /// \brief Queues a heartbeat, which goes before all frames not yet being written.
+  void QueueHeartbeat(const std::vector<std::uint8_t>& frame);
 
   [[nodiscard]] std::size_t QueuedBytes() const noexcept { return m_queuedBytes; }
 
@@ -73,6 +82,24 @@
   std::function<void(std::size_t)> onWritten;
 
 private:
+  /// \brief Bytes that are written with one call: small frames joined, or one large one.
+  class Lane
+  {
+  public:
+    void Add(const SharedFrame& frame);
+    [[nodiscard]] SharedFrame TakeFront();
+    [[nodiscard]] bool IsEmpty() const noexcept { return m_chunks.empty(); }
+    void Clear() { m_chunks.clear(); }
+
+  private:
+    struct Chunk
+    {
+      SharedFrame large; ///< Null where `joined` counts.
+      std::vector<std::uint8_t> joined;
+    };
+    std::deque<Chunk> m_chunks;
+  };
+
   void WriteSoon();
   void WriteNext();
   void OnWritten(boost::system::error_code error, std::size_t size);
@@ -82,10 +109,11 @@
   std::string m_closeReason;
   Deadline m_deadline;
 
-  std::deque<std::vector<std::uint8_t>> m_chunks;
-  std::vector<std::uint8_t> m_first;
-  std::vector<std::uint8_t> m_writingFirst;
-  std::vector<std::uint8_t> m_writing;
+  Lane m_first; ///< Frames that don't wait for those of m_rest.
+  Lane m_rest;
+  std::vector<std::uint8_t> m_heartbeats;
+  std::vector<std::uint8_t> m_writingHeartbeats;
+  SharedFrame m_writing; ///< Null when only heartbeats are written.
   std::size_t m_queuedBytes = 0;
   bool m_isWriting = false;
 };
--- a/src/net/peer_handshake.cpp
+++ b/src/net/peer_handshake.cpp
@@ -167,7 +167,8 @@
   const impl::Proof ownProof =
     impl::MakeProof(settings.clusterKey, impl::ProofSide::kAcceptor, *hello, own);
   answer.proof.assign(ownProof.begin(), ownProof.end());
-  connection->Queue(impl::EncodeFrame(*MakeEnvelope(std::move(answer))));
+  connection->Queue(
+    { std::make_shared<const Frame>(impl::EncodeFrame(*MakeEnvelope(std::move(answer)))), false });
   Establish(connection);
   return outcome::success();
 }
--- a/src/net/peer_mesh.cpp
+++ b/src/net/peer_mesh.cpp
@@ -117,18 +117,57 @@
   return found == connections.end() ? nullptr : found->second;
 }
 
+void PeerMesh::Impl::Count(FrameCounts& counts, const wire::EnvelopeT& envelope, std::size_t bytes)
+{
+  FrameCount& count = counts.at(static_cast<std::size_t>(envelope.body.type));
+  ++count.frames;
+  count.bytes += bytes;
+}
+
+// What many peers are told in a row is encoded once.
+impl::SharedFrame PeerMesh::Impl::Encode(const FrameOut& out)
+{
+  if (out.envelope != lastEncoded) {
+    lastEncoded = out.envelope;
+    lastFrame = std::make_shared<const Frame>(impl::EncodeFrame(*out.envelope));
+  }
+  return lastFrame;
+}
+
+std::size_t PeerMesh::Impl::AllQueuedBytes() const
+{
+  std::size_t sum = 0;
+  for (const auto& [id, connection] : connections) {
+    sum += connection->QueuedBytes();
+  }
+  return sum;
+}
+
+// A peer that reads slower than we write would take all our memory, and many that read a little
+// slowly as well: then the one for which most waits goes first.
+bool PeerMesh::Impl::HasRoom(const Connection& connection, std::size_t size) const
+{
+  const std::size_t queued = connection.QueuedBytes() + size;
+  if (queued > settings.maxQueuedBytes) {
+    return false;
+  }
+  const std::size_t fairPart = settings.maxAllQueuedBytes / std::max<std::size_t>(standing, 1);
+  return queued <= fairPart || AllQueuedBytes() + size <= settings.maxAllQueuedBytes;
+}
+
 void PeerMesh::Impl::Send(const FrameOut& out)
 {
   if (closed) {
     return;
   }
-  Frame frame = impl::EncodeFrame(*out.envelope);
-  if (frame.size() - impl::kFramePrefixBytes > kMaxFrameBytes) {
+  const impl::QueuedFrame frame{ Encode(out), GoesFirst(*out.envelope) };
+  const std::size_t size = frame.bytes->size();
+  if (size - impl::kFramePrefixBytes > kMaxFrameBytes) {
     // The peer would close the connection on it, and again on each retry.
     Emit(EventNumber::kPeerFrameTooLarge,
          { { "peer", out.peer.Get() },
            { "kind", BodyName(*out.envelope) },
-           { "bytes", std::to_string(frame.size()) },
+           { "bytes", std::to_string(size) },
            { "limit", std::to_string(kMaxFrameBytes) } });
     return;
   }
@@ -140,12 +179,11 @@
   const ConnectionPtr connection = Find(peer.connection);
   if (!connection) {
     if (!out.address.empty()) {
-      Keep(out.peer, peer, std::move(frame));
+      Keep(out.peer, peer, frame);
     }
     return;
   }
-  if (connection->QueuedBytes() + frame.size() > settings.maxQueuedBytes) {
-    // A peer that reads slower than we write would take all our memory.
+  if (!HasRoom(*connection, size)) {
     Emit(EventNumber::kPeerQueueFull,
          { { "peer", out.peer.Get() },
            { "queuedBytes", std::to_string(connection->QueuedBytes()) },
@@ -154,12 +192,14 @@
     return;
   }
   ++counters.framesSent;
-  connection->Queue(std::move(frame));
+  Count(counters.sentByKind, *out.envelope, size);
+  connection->Queue(frame);
 }
 
-void PeerMesh::Impl::Keep(const ProcessId& name, Peer& peer, Frame frame)
+void PeerMesh::Impl::Keep(const ProcessId& name, Peer& peer, impl::QueuedFrame frame)
 {
-  if (peer.waitingBytes + frame.size() > settings.maxQueuedBytes) {
+  const std::size_t size = frame.bytes->size();
+  if (peer.waitingBytes + size > settings.maxQueuedBytes) {
     Emit(EventNumber::kPeerQueueFull,
          { { "peer", name.Get() },
            { "queuedBytes", std::to_string(peer.waitingBytes) },
@@ -169,7 +209,7 @@
     Down(name, Incarnation(), "outbound queue full before a connection stood");
     return;
   }
-  peer.waitingBytes += frame.size();
+  peer.waitingBytes += size;
   peer.waiting.push_back(std::move(frame));
   StartDial(name, peer);
 }
@@ -196,9 +236,9 @@
   peer.usedAt = connection->answeredAt;
   peer.changed.Notify();
   ++standing;
-  for (Frame& frame : std::exchange(peer.waiting, {})) {
+  for (const impl::QueuedFrame& frame : std::exchange(peer.waiting, {})) {
     ++counters.framesSent;
-    connection->Queue(std::move(frame));
+    connection->Queue(frame);
   }
   peer.waitingBytes = 0;
   Emit(EventNumber::kPeerConnected,
@@ -270,6 +310,25 @@
   m_impl->Send(frame);
 }
 
+std::size_t PeerMesh::QueuedBytes(const ProcessId& peer) const
+{
+  const auto found = m_impl->peers.find(peer);
+  if (found == m_impl->peers.end()) {
+    return 0;
+  }
+  const auto connection = m_impl->Find(found->second.connection);
+  return connection ? connection->QueuedBytes() : found->second.waitingBytes;
+}
+
+std::size_t PeerMesh::MostQueuedBytes() const
+{
+  std::size_t most = 0;
+  for (const auto& [id, connection] : m_impl->connections) {
+    most = std::max(most, connection->QueuedBytes());
+  }
+  return most;
+}
+
 void PeerMesh::Close()
 {
   m_impl->Close();
--- a/src/net/peer_mesh_impl.hpp
+++ b/src/net/peer_mesh_impl.hpp
@@ -22,11 +22,11 @@
 
   struct Peer
   {
-    std::string address;           ///< Where to dial; "" when unknown.
-    impl::ConnectionId connection; ///< The one that stands; none when down.
-    impl::ConnectionId dial;       ///< The one being dialled.
-    bool dialling = false;         ///< A fiber dials or waits to dial again.
-    std::deque<Frame> waiting;     ///< Frames for when a connection stands.
+    std::string address;                   ///< Where to dial; "" when unknown.
+    impl::ConnectionId connection;         ///< The one that stands; none when down.
+    impl::ConnectionId dial;               ///< The one being dialled.
+    bool dialling = false;                 ///< A fiber dials or waits to dial again.
+    std::deque<impl::QueuedFrame> waiting; ///< Frames for when a connection stands.
     std::size_t waitingBytes = 0;
     unsigned failures = 0; ///< Dials failed in a row.
     TimePoint retryAt{};
@@ -45,7 +45,10 @@
 
   // Sending and the two tables (peer_mesh.cpp).
   void Send(const FrameOut& frame);
-  void Keep(const ProcessId& name, Peer& peer, Frame frame);
+  [[nodiscard]] impl::SharedFrame Encode(const FrameOut& frame);
+  [[nodiscard]] bool HasRoom(const Connection& connection, std::size_t size) const;
+  [[nodiscard]] std::size_t AllQueuedBytes() const;
+  void Keep(const ProcessId& name, Peer& peer, impl::QueuedFrame frame);
   ConnectionPtr Register(boost::asio::ip::tcp::socket socket, bool dialled, std::string address);
   [[nodiscard]] ConnectionPtr Find(impl::ConnectionId id) const;
   void Establish(const ConnectionPtr& connection);
@@ -75,7 +78,9 @@
   void Serve(const ConnectionPtr& connection);
   Result<void> TakeFrames(const ConnectionPtr& connection);
   Result<void> TakeFrame(const ConnectionPtr& connection,
-                         const std::shared_ptr<const wire::EnvelopeT>& envelope);
+                         const std::shared_ptr<const wire::EnvelopeT>& envelope,
+                         std::size_t bytes);
+  static void Count(FrameCounts& counts, const wire::EnvelopeT& envelope, std::size_t bytes);
   void NoteAnswered(Connection& connection, std::uint64_t sequence) const;
   void Beat();
   void BeatOnce(TimePoint now, Duration period, bool stalled);
@@ -98,6 +103,8 @@
   Signal fiberEnded;
   Signal wakeBeat;
   Signal written;
+  std::shared_ptr<const wire::EnvelopeT> lastEncoded; ///< That lastFrame was made of.
+  impl::SharedFrame lastFrame;
   mutable std::minstd_rand jitter;
 };
 
--- a/src/net/peer_traffic.cpp
+++ b/src/net/peer_traffic.cpp
@@ -58,13 +58,14 @@
       break;
     }
     BOOST_OUTCOME_TRY(const auto envelope, DecodeEnvelope(*bytes, connection->process.Get()));
-    BOOST_OUTCOME_TRY(TakeFrame(connection, envelope));
+    BOOST_OUTCOME_TRY(TakeFrame(connection, envelope, bytes->size()));
   }
   return outcome::success();
 }
 
 Result<void> PeerMesh::Impl::TakeFrame(const ConnectionPtr& connection,
-                                       const std::shared_ptr<const wire::EnvelopeT>& envelope)
+                                       const std::shared_ptr<const wire::EnvelopeT>& envelope,
+                                       std::size_t bytes)
 {
   switch (envelope->body.type) {
     case wire::Body::Ping: {
@@ -72,7 +73,7 @@
       NoteAnswered(*connection, ping.answered);
       wire::PongT pong;
       pong.sequence = ping.sequence;
-      connection->QueueFirst(impl::EncodeFrame(*MakeEnvelope(pong)));
+      connection->QueueHeartbeat(impl::EncodeFrame(*MakeEnvelope(pong)));
       break;
     }
     case wire::Body::Pong:
@@ -85,6 +86,7 @@
                     connection->process.Get(),
                     "a handshake message after the handshake" };
     default:
+      Count(counters.receivedByKind, *envelope, bytes);
       ++counters.framesReceived;
       if (hooks.onFrame) {
         hooks.onFrame(FrameIn{ connection->process, connection->incarnation, envelope });
@@ -136,7 +138,7 @@
       wire::PingT ping;
       ping.sequence = ++connection->pinged;
       ping.answered = connection->answered;
-      connection->QueueFirst(impl::EncodeFrame(*MakeEnvelope(ping)));
+      connection->QueueHeartbeat(impl::EncodeFrame(*MakeEnvelope(ping)));
     }
     if (stalled) {
       connection->answeredAt = now;
--- a/src/observe/metrics.cpp
+++ b/src/observe/metrics.cpp
@@ -128,10 +128,10 @@
   }
 
   /// \brief Moves a counter up to a total counted elsewhere.
-  void Raise(MetricId id, double total)
+  void Raise(MetricId id, double total, const std::string& label = {})
   {
     if (const auto family = counters.find(id); family != counters.end()) {
-      auto& counter = family->second->Add({});
+      auto& counter = family->second->Add(LabelsOf(id, label));
       counter.Increment(std::max(0.0, total - counter.Value()));
     }
   }
@@ -243,6 +243,13 @@
   m_impl->Raise(MetricId::kPeerFramesReceived, static_cast<double>(sample.peerFramesReceived));
   m_impl->Raise(MetricId::kPeerBytesSent, static_cast<double>(sample.peerBytesSent));
   m_impl->Raise(MetricId::kPeerBytesReceived, static_cast<double>(sample.peerBytesReceived));
+  m_impl->Set(MetricId::kPeerQueuedBytes, static_cast<double>(sample.peerQueuedBytes));
+  for (const KindTraffic& kind : sample.peerKinds) {
+    m_impl->Raise(MetricId::kPeerKindFramesSent, static_cast<double>(kind.framesSent), kind.kind);
+    m_impl->Raise(MetricId::kPeerKindBytesSent, static_cast<double>(kind.bytesSent), kind.kind);
+    m_impl->Raise(
+      MetricId::kPeerKindBytesReceived, static_cast<double>(kind.bytesReceived), kind.kind);
+  }
   m_impl->Raise(MetricId::kHttpRequests, static_cast<double>(sample.httpRequests));
   m_impl->Raise(MetricId::kHttpRejected, static_cast<double>(sample.httpRejected));
   m_impl->Set(MetricId::kHttpInFlight, static_cast<double>(sample.httpInFlight));
--- a/src/shell/process_shell.cpp
+++ b/src/shell/process_shell.cpp
@@ -17,6 +17,9 @@
 /// A changed file is in force well within two seconds; reading its kilobyte costs some 20 us.
 constexpr Duration kSettingsWatchInterval = std::chrono::seconds(1);
 
+/// Short enough to tell a full link from a calm one while it lasts; a line costs some 20 us.
+constexpr Duration kTrafficInterval = std::chrono::seconds(5);
+
 /// Rises from life to life as long as the wall clock doesn't go back, and the random part keeps two
 /// lives apart when it does.
 Incarnation DrawIncarnation(std::mt19937_64& random)
@@ -93,7 +96,7 @@
   // One hook for all: each hook of a runtime is called for every signal that any of them named.
   m_runtime.OnSignals({ SIGTERM, SIGINT, SIGHUP }, [this](int number) { OnSignal(number); });
   m_settingsText = ReadSettingsText(m_settings.file);
-  m_runtime.Spawn([this] { WatchSettings(); });
+  m_runtime.Spawn([this] { RunSlowWork(); });
   Record(MakeEvent(EventNumber::kProcessStarted,
                    { { "role", ToString(m_settings.role) },
                      { "incarnation", std::to_string(m_incarnation.Get()) },
@@ -171,17 +174,35 @@
   return RoleHooks{ .random = [this] { return m_random(); }, .wallMillis = WallNow };
 }
 
-// The file may change without a signal.
-void ProcessShell::WatchSettings()
+// One fiber for both: a stack for each of them is most of what they cost.
+void ProcessShell::RunSlowWork()
 {
   while (!m_finished) {
     m_runtime.SleepFor(kSettingsWatchInterval);
-    if (!m_finished && ReadSettingsText(m_settings.file) != m_settingsText) {
-      Reload("file changed");
+    if (!m_finished) {
+      WatchSettings();
+      ReportTraffic();
     }
   }
 }
 
+// The file may change without a signal.
+void ProcessShell::WatchSettings()
+{
+  if (ReadSettingsText(m_settings.file) != m_settingsText) {
+    Reload("file changed");
+  }
+}
+
+void ProcessShell::ReportTraffic()
+{
+  const TimePoint now = BootNow();
+  if (now >= m_nextTraffic) {
+    m_nextTraffic = now + kTrafficInterval;
+    Record(m_traffic.Take(now, m_mesh->Counters(), m_mesh->MostQueuedBytes()));
+  }
+}
+
 // A bad file is told and left alone: what is in force stays.
 void ProcessShell::Reload(const char* cause)
 {
@@ -254,6 +275,11 @@
   m_mesh->Send(frame);
 }
 
+std::size_t ProcessShell::QueuedBytes(const ProcessId& peer) const
+{
+  return m_mesh->QueuedBytes(peer);
+}
+
 void ProcessShell::Send(HttpAnswerOut answer)
 {
   m_observer.OnAnswer(BootNow(), answer);
@@ -272,6 +298,8 @@
   sample.peerFramesReceived = peers.framesReceived;
   sample.peerBytesSent = peers.bytesSent;
   sample.peerBytesReceived = peers.bytesReceived;
+  sample.peerQueuedBytes = m_mesh->MostQueuedBytes();
+  sample.peerKinds = ListKinds(peers);
   sample.httpRequests = m_http->Counters().requests;
   sample.httpRejected = m_http->Counters().rejected;
   sample.httpInFlight = m_http->PendingExchanges();
--- a/src/shell/process_shell.hpp
+++ b/src/shell/process_shell.hpp
@@ -8,6 +8,7 @@
 #include "gooseberrysail/roles/entry_role.hpp"
 #include "gooseberrysail/settings/settings.hpp"
 #include "gooseberrysail/shell/clock.hpp"
+#include "shell/traffic_report.hpp"
 
 #include <functional>
 #include <memory>
@@ -55,6 +56,9 @@
   void Send(const FrameOut& frame);
   void Send(HttpAnswerOut answer);
 
+  /// \brief What waits to be sent to the peer, in bytes.
+  [[nodiscard]] std::size_t QueuedBytes(const ProcessId& peer) const;
+
   /// \brief Runs one tick of the role and counts the time it took.
   template<class Tick>
   void RunTick(Tick&& tick)
@@ -75,7 +79,9 @@
 
 private:
   void OnSignal(int number);
+  void RunSlowWork();
   void WatchSettings();
+  void ReportTraffic();
   void Reload(const char* cause);
   [[nodiscard]] Result<void> StartMetrics();
   void OnRequest(HttpRequestIn request);
@@ -97,6 +103,8 @@
   bool m_stopping = false;
   bool m_finished = false;
   std::string m_settingsText; ///< As last read.
+  TrafficReport m_traffic;
+  TimePoint m_nextTraffic{};
 };
 
 /// \brief The control processes of the settings, as the roles take them.
--- /dev/null
+++ b/src/shell/traffic_report.cpp
@@ -0,0 +1,81 @@
+#include "shell/traffic_report.hpp"
+
+#include "gooseberrysail/observe/event.hpp"
+
+#include <algorithm>
+#include <string>
+
+namespace gooseberrysail::impl {
+
+namespace {
+
+/// A line names the kinds that matter; metrics have them all.
+constexpr std::size_t kMostKinds = 6;
+
+struct KindCount
+{
+  std::string kind;
+  FrameCount count;
+};
+
+std::string KindName(std::size_t kind)
+{
+  return wire::EnumNameBody(static_cast<wire::Body>(kind));
+}
+
+std::string Describe(const FrameCounts& now, const FrameCounts& former)
+{
+  std::vector<KindCount> kinds;
+  for (std::size_t kind = 0; kind < now.size(); ++kind) {
+    const FrameCount count{ now[kind].frames - former[kind].frames,
+                            now[kind].bytes - former[kind].bytes };
+    if (count.frames != 0) {
+      kinds.push_back({ KindName(kind), count });
+    }
+  }
+  std::ranges::sort(
+    kinds, std::ranges::greater{}, [](const auto& kind) { return kind.count.bytes; });
+  kinds.resize(std::min(kinds.size(), kMostKinds));
+  std::string text;
+  for (const KindCount& kind : kinds) {
+    text += text.empty() ? "" : ",";
+    text +=
+      kind.kind + ":" + std::to_string(kind.count.frames) + "/" + std::to_string(kind.count.bytes);
+  }
+  return text;
+}
+
+} // namespace
+
+EventOut TrafficReport::Take(TimePoint now,
+                             const PeerMeshCounters& counters,
+                             std::size_t mostQueued)
+{
+  const Duration since = m_at == TimePoint{} ? Duration::zero() : now - m_at;
+  EventOut event =
+    MakeEvent(EventNumber::kPeerTraffic,
+              { { "seconds",
+                  std::to_string(std::chrono::duration_cast<std::chrono::seconds>(since).count()) },
+                { "sent", Describe(counters.sentByKind, m_sent) },
+                { "received", Describe(counters.receivedByKind, m_received) },
+                { "queuedMost", std::to_string(mostQueued) } });
+  m_at = now;
+  m_sent = counters.sentByKind;
+  m_received = counters.receivedByKind;
+  return event;
+}
+
+std::vector<KindTraffic> ListKinds(const PeerMeshCounters& counters)
+{
+  std::vector<KindTraffic> kinds;
+  for (std::size_t kind = 0; kind < counters.sentByKind.size(); ++kind) {
+    const FrameCount& sent = counters.sentByKind[kind];
+    const FrameCount& received = counters.receivedByKind[kind];
+    if (sent.frames + received.frames != 0) {
+      kinds.push_back({ KindName(kind), sent.frames, sent.bytes, received.bytes });
+    }
+  }
+  return kinds;
+}
+
+} // namespace gooseberrysail::impl
--- a/src/wire/envelope.cpp
+++ b/src/wire/envelope.cpp
@@ -28,6 +28,11 @@
   return std::shared_ptr<const wire::EnvelopeT>(std::move(envelope));
 }
 
+bool GoesFirst(const wire::EnvelopeT& envelope) noexcept
+{
+  return envelope.body.type == wire::Body::RaftMessage;
+}
+
 const char* BodyName(const wire::EnvelopeT& envelope) noexcept
 {
   return wire::EnumNameBody(envelope.body.type);
--- a/tests/unit/metrics_test.cpp
+++ b/tests/unit/metrics_test.cpp
@@ -42,6 +42,9 @@
       Metrics metrics(role);
       metrics.OnEvent(MakeEvent(EventNumber::kProcessStarted));
       metrics.OnEvent(MakeEvent(EventNumber::kCallerAnswered, { { "outcome", "complete" } }));
+      MetricsSample sample;
+      sample.peerKinds.push_back({ "RaftMessage", 1, 100, 100 });
+      metrics.Sample(sample);
       std::set<std::string> expected;
       for (const MetricInfo& metric : AllMetrics()) {
         if (HasMetric(role, metric)) {
