--- a/include/gooseberrysail/control/serving_feed.hpp
+++ b/include/gooseberrysail/control/serving_feed.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gooseberrysail/control/context.hpp"
+#include "gooseberrysail/control/head_shares.hpp"
 #include "gooseberrysail/control/target_changes.hpp"
 #include "gooseberrysail/placement/model_work.hpp"
 #include "gooseberrysail/serving/served_target.hpp"
@@ -61,6 +62,14 @@
   /// \brief Changes that may wait go out together at this interval.
   static constexpr Duration kJoinTime = std::chrono::milliseconds(50);
 
+  /// \brief Heads are divided anew at least this often, as callers move between entries, and at
+  /// once when heads come or go.
+  static constexpr Duration kDivideInterval = std::chrono::milliseconds(500);
+
+  /// \brief All entries have asked a new leader after this. Divided among the first of them, each
+  /// would get several times its part.
+  static constexpr Duration kMeetEntries = std::chrono::seconds(1);
+
   /// \brief What was sent to an entry and isn't confirmed by its questions after this, is sent
   /// again: longer than a document takes over a full link, and than a connection stands unheard.
   static constexpr Duration kSendAgain = std::chrono::seconds(4);
@@ -88,12 +97,15 @@
     Supplied supplied;
     bool knowsTargets = false; ///< Of any leader.
     bool knowsControls = false;
+    FailureDomainId failureDomain;
     TimePoint heardAt{};
     std::map<InstanceId, TimePoint> answeredAt;
     std::map<InstanceId, TimePoint> failedAt;
     std::map<InstanceId, Duration> steps;    ///< As it told last.
     std::map<std::string, ModelRate> rates;  ///< By model.
     std::map<std::string, double> toldParts; ///< Of each model's requests, as last sent to it.
+    HeadShares shares;                       ///< Of all models' heads.
+    HeadShares toldShares;                   ///< As last sent to it.
   };
 
   using Parts = std::map<std::string, double>; ///< By model.
@@ -120,12 +132,17 @@
   };
   using Messages = std::map<Lack, std::shared_ptr<wire::EnvelopeT>>;
 
+  /// \brief Divides the heads where that is due.
+  void FollowHeads(TimePoint now, const std::map<std::string, ModelDemand>& demand);
+  void Divide(const std::map<std::string, ModelDemand>& demand);
   [[nodiscard]] bool IsDueTargets(const ControlContext& context, const Entry& entry) const;
   void Supply(ControlContext& context,
               const ProcessId& process,
               Entry& entry,
               const std::map<std::string, ModelDemand>& demand,
               Messages& messages);
+  /// \brief What is the entry's own: its parts of the callers and of the heads.
+  static void AddShares(const Entry& entry, wire::ServingStateT& state);
   [[nodiscard]] wire::ServingStateT MakeState(const ControlContext& context,
                                               const Lack& lack) const;
 
@@ -133,6 +150,10 @@
   std::vector<EntrySettings::Control> m_toldControls; ///< To all entries that know of any.
   TargetChanges m_targets;
   std::uint64_t m_urgentSequence = 0; ///< Of the latest change that can't wait.
+  std::map<std::string, std::vector<HeadCapacity>> m_heads; ///< That take work, by model.
+  bool m_isDivided = false;                                 ///< Of m_heads as they are.
+  TimePoint m_nextDivide{};
+  TimePoint m_firstAskedAt{}; ///< By any entry, of this leader.
   bool m_hasTraffic = false;
   bool m_isWhole = false;
 };
--- a/include/gooseberrysail/gateway/target_board.hpp
+++ b/include/gooseberrysail/gateway/target_board.hpp
@@ -74,6 +74,10 @@
   /// they would refuse while the others had room.
   void SetPart(const std::string& model, double part) { m_parts[model] = part; }
 
+  /// \brief Which part of each head's slots this entry may use, of all that it may use; the others
+  /// are divided among other entries, which lend a place where theirs aren't enough here.
+  void SetShares(std::map<InstanceId, double> shares) { m_shares = std::move(shares); }
+
   /// \brief The target for an attempt; null when none can take it now.
   [[nodiscard]] const ServedTarget* Choose(TimePoint now, const TargetWish& wish);
 
@@ -128,15 +132,29 @@
   [[nodiscard]] Row* FindRow(const TargetLife& life);
   [[nodiscard]] static bool IsSilent(TimePoint now, const Row& row, Duration limit);
   [[nodiscard]] static bool Fits(const Row& row, const TargetWish& wish);
-  [[nodiscard]] std::uint32_t RoomOf(const ServedTarget& target) const;
+  /// \brief How the heads of a wish stand to this entry.
+  struct Own
+  {
+    bool isDivided = false; ///< Some head is in this entry's share.
+    std::uint32_t lent = 0; ///< Places that may be used at heads in others' shares.
+  };
+  [[nodiscard]] Own OwnOf(const TargetWish& wish) const;
+  [[nodiscard]] bool IsLent(const ServedTarget& target, const Own& own) const;
+  [[nodiscard]] std::uint32_t RoomOf(const ServedTarget& target, const Own& own) const;
   /// \brief How soon a target has room for one more, for comparison: its load by its pace.
-  [[nodiscard]] double CostOf(TimePoint now, const Row& row, Duration usualStep) const;
-  [[nodiscard]] std::vector<const Row*> ListUsable(TimePoint now, const TargetWish& wish) const;
+  [[nodiscard]] double CostOf(TimePoint now,
+                              const Row& row,
+                              Duration usualStep,
+                              const Own& own) const;
+  [[nodiscard]] std::vector<const Row*> ListUsable(TimePoint now,
+                                                   const TargetWish& wish,
+                                                   const Own& own) const;
   static bool IsAvoided(TimePoint now, const Row& row);
 
   FailureDomainId m_own;
   std::uint32_t m_entries = 1;
   std::map<std::string, double> m_parts; ///< By model; an even part for those not told of.
+  std::map<InstanceId, double> m_shares; ///< Of the heads in this entry's share.
   std::function<std::uint64_t()> m_random;
   std::map<InstanceId, Row> m_rows;
   TimePoint m_latestSilence{};
--- a/src/control/serving_feed.cpp
+++ b/src/control/serving_feed.cpp
@@ -21,7 +21,9 @@
 /// An entry that had few requests lately keeps room for this much of an even part.
 constexpr double kLeastPart = 0.4;
 
-bool Differ(const std::map<std::string, double>& left, const std::map<std::string, double>& right)
+/// Of a model's requests, or of a head's slots.
+template<class Key>
+bool Differ(const std::map<Key, double>& left, const std::map<Key, double>& right)
 {
   return !std::ranges::equal(left, right, [](const auto& former, const auto& now) {
     return former.first == now.first && std::abs(former.second - now.second) < kPartChange;
@@ -47,6 +49,9 @@
   m_entries.clear();
   m_targets.Reset();
   m_urgentSequence = 0;
+  m_heads.clear();
+  m_isDivided = false;
+  m_firstAskedAt = TimePoint{};
 }
 
 void ServingFeed::OnQuery(ControlContext& context,
@@ -61,7 +66,11 @@
                                             { "document", std::to_string(query.haveDocument) },
                                             { "targets", std::to_string(query.haveTargets) } }));
   }
+  if (m_firstAskedAt == TimePoint{}) {
+    m_firstAskedAt = context.now;
+  }
   entry.heardAt = context.now;
+  entry.failureDomain = FailureDomainId(query.failureDomain);
   NoteHave(context, entry, query);
   const bool isCurrentTerm = query.haveTerm == context.replication.term.Get();
   entry.knowsTargets = query.haveTargets != 0 && !(isCurrentTerm && !m_isWhole);
@@ -109,17 +118,63 @@
 
 void ServingFeed::SetTargets(std::span<const ServedTarget> targets)
 {
-  if (m_targets.Set(targets) == TargetChanges::Urgency::kAtOnce) {
+  const TargetChanges::Urgency urgency = m_targets.Set(targets);
+  if (urgency == TargetChanges::Urgency::kNone) {
+    return;
+  }
+  if (urgency == TargetChanges::Urgency::kAtOnce) {
     m_urgentSequence = m_targets.Sequence();
   }
+  m_isDivided = false;
+  m_heads.clear();
+  for (const ServedTarget& target : targets) {
+    if (!target.servedModel.empty() && !target.leaving) {
+      m_heads[target.servedModel].push_back(
+        { target.instance, target.failureDomain, std::max(target.slots, 1U) });
+    }
+  }
+}
+
+// A first division goes out once all entries are known; later ones follow heads at once, since a
+// head that is in nobody's share gets little work, and callers by and by.
+void ServingFeed::FollowHeads(TimePoint now, const std::map<std::string, ModelDemand>& demand)
+{
+  const bool isDue = !m_isDivided || now >= m_nextDivide;
+  const bool knowsEntries = m_firstAskedAt != TimePoint{} && now - m_firstAskedAt >= kMeetEntries;
+  if (isDue && knowsEntries) {
+    m_nextDivide = now + kDivideInterval;
+    m_isDivided = true;
+    Divide(demand);
+  }
+}
+
+void ServingFeed::Divide(const std::map<std::string, ModelDemand>& demand)
+{
+  for (auto& [process, entry] : m_entries) {
+    entry.shares.clear();
+  }
+  const double even = 1.0 / static_cast<double>(std::max<std::size_t>(m_entries.size(), 1));
+  for (const auto& [model, heads] : m_heads) {
+    std::vector<EntryDemand> demands;
+    for (const auto& [process, entry] : m_entries) {
+      const Parts parts = PartsOf(entry, demand);
+      const auto part = parts.find(model);
+      demands.push_back(
+        { process, entry.failureDomain, part == parts.end() ? kLeastPart * even : part->second });
+    }
+    for (auto& [process, shares] : DivideHeads(demands, heads)) {
+      m_entries.at(process).shares.merge(shares);
+    }
+  }
 }
 
 void ServingFeed::Tick(ControlContext& context)
 {
   std::erase_if(m_entries,
                 [&](const auto& row) { return context.now - row.second.heardAt > kEntryGone; });
-  FollowControls(context);
   const std::map<std::string, ModelDemand> demand = Demand();
+  FollowControls(context);
+  FollowHeads(context.now, demand);
   Messages messages;
   for (auto& [process, entry] : m_entries) {
     Supply(context, process, entry, demand, messages);
@@ -169,7 +224,8 @@
   }
   Parts parts = PartsOf(entry, demand);
   const bool lacksParts = Differ(entry.toldParts, parts);
-  const bool isSupplied = !lack.document && !lack.targetsSince && !lacksParts;
+  const bool lacksShares = Differ(entry.toldShares, entry.shares);
+  const bool isSupplied = !lack.document && !lack.targetsSince && !lacksParts && !lacksShares;
   if (isSupplied || !context.HasRoom(process)) {
     return;
   }
@@ -178,15 +234,11 @@
   entry.supplied = { std::max(document.version, entry.supplied.document),
                      lack.targetsSince ? m_targets.Sequence() : entry.supplied.targets,
                      context.now };
-  if (lacksParts) {
+  if (lacksParts || lacksShares) {
     wire::ServingStateT state = MakeState(context, lack);
-    for (const auto& [model, part] : parts) {
-      auto told = std::make_unique<wire::ModelPartT>();
-      told->model = model;
-      told->part = static_cast<float>(part);
-      state.parts.push_back(std::move(told));
-    }
     entry.toldParts = std::move(parts);
+    entry.toldShares = entry.shares;
+    AddShares(entry, state);
     context.SendMessage(process, std::move(state));
     return;
   }
@@ -197,6 +249,22 @@
   context.Send(process, message);
 }
 
+void ServingFeed::AddShares(const Entry& entry, wire::ServingStateT& state)
+{
+  for (const auto& [model, part] : entry.toldParts) {
+    auto told = std::make_unique<wire::ModelPartT>();
+    told->model = model;
+    told->part = static_cast<float>(part);
+    state.parts.push_back(std::move(told));
+  }
+  for (const auto& [head, share] : entry.toldShares) {
+    auto told = std::make_unique<wire::HeadShareT>();
+    told->instance = head.Get();
+    told->share = static_cast<float>(share);
+    state.shares.push_back(std::move(told));
+  }
+}
+
 wire::ServingStateT ServingFeed::MakeState(const ControlContext& context, const Lack& lack) const
 {
   wire::ServingStateT state = lack.controls ? MakeControlList(context) : wire::ServingStateT();
--- a/src/control/target_changes.cpp
+++ b/src/control/target_changes.cpp
@@ -7,8 +7,8 @@
 
 namespace {
 
-/// What an entry sends to a target that is leaving, lost its group or started again is sent in vain.
-/// A place more is of use a moment later as well.
+/// What an entry sends to a target that is leaving, lost its group or started again is sent in
+/// vain. A place more is of use a moment later as well.
 bool IsUrgent(const ServedTarget& former, const ServedTarget& now)
 {
   const bool lostItsModel = !former.servedModel.empty() && now.servedModel != former.servedModel;
--- a/src/gateway/feed_client.cpp
+++ b/src/gateway/feed_client.cpp
@@ -118,6 +118,13 @@
   for (const auto& part : state.parts) {
     dispatcher.Board().SetPart(part->model, part->part);
   }
+  if (!state.shares.empty()) {
+    std::map<InstanceId, double> shares;
+    for (const auto& share : state.shares) {
+      shares.emplace(share->instance, share->share);
+    }
+    dispatcher.Board().SetShares(std::move(shares));
+  }
   if (m_leader != peer) {
     // It knows nothing yet of this entry's callers.
     m_leader = peer;
--- a/src/gateway/target_board.cpp
+++ b/src/gateway/target_board.cpp
@@ -19,6 +19,9 @@
 /// 0.542, 0.560, 0.576, 0.565 of the worth owed.
 constexpr double kHeadFill = 1.12;
 constexpr std::uint32_t kLeastRoom = 2;
+/// When its own places are taken an entry uses so many of other entries', in parts of its own:
+/// callers move between entries faster than the heads are divided anew.
+constexpr double kLentPart = 0.25;
 /// A target whose steps take this many times as long as the shortest ones of its kind is slow. A
 /// full head that reads long prompts takes up to 2.5 times as long as one that only writes.
 constexpr double kSoundPace = 2.5;
@@ -116,14 +119,48 @@
   return isPresent ? &found->second : nullptr;
 }
 
+TargetBoard::Own TargetBoard::OwnOf(const TargetWish& wish) const
+{
+  Own own;
+  std::uint32_t places = 0;
+  std::uint32_t lentNow = 0;
+  for (const auto& [instance, row] : m_rows) {
+    if (row.target.servedModel.empty() || !Fits(row, wish)) {
+      continue;
+    }
+    if (m_shares.contains(instance)) {
+      own.isDivided = true;
+      places += RoomOf(row.target, own);
+    } else {
+      lentNow += row.inFlight;
+    }
+  }
+  const auto most = static_cast<std::uint32_t>(std::lround(kLentPart * places));
+  own.lent = most > lentNow ? most - lentNow : 0;
+  return own;
+}
+
+bool TargetBoard::IsLent(const ServedTarget& target, const Own& own) const
+{
+  return own.isDivided && !m_shares.contains(target.instance);
+}
+
 // Beyond its slots a head only queues: the callers of a full head then wait for seconds, and most
-// of them in vain. Each entry sends a head no more than its part of the slots.
-std::uint32_t TargetBoard::RoomOf(const ServedTarget& target) const
+// of them in vain. Each entry sends a head no more than its part of the slots. Where control didn't
+// divide the heads yet, that is an even part of each.
+std::uint32_t TargetBoard::RoomOf(const ServedTarget& target, const Own& own) const
 {
   const std::uint32_t slots = SlotsOf(target);
   if (target.servedModel.empty()) {
     return slots;
   }
+  if (IsLent(target, own)) {
+    return own.lent > 0 ? 1 : 0;
+  }
+  const auto share = m_shares.find(target.instance);
+  if (share != m_shares.end()) {
+    return std::max(1U, static_cast<std::uint32_t>(std::lround(kHeadFill * slots * share->second)));
+  }
   const auto told = m_parts.find(target.servedModel);
   const double part = told == m_parts.end() ? 1.0 / m_entries : told->second;
   return std::max(kLeastRoom, static_cast<std::uint32_t>(std::lround(kHeadFill * slots * part)));
@@ -143,9 +180,9 @@
 
 // Two targets of one load differ by how long they take for a step. Below kSoundPace that is the
 // scatter of prompts; above, one of them is slow, and each request there is late for certain.
-double TargetBoard::CostOf(TimePoint now, const Row& row, Duration usualStep) const
+double TargetBoard::CostOf(TimePoint now, const Row& row, Duration usualStep, const Own& own) const
 {
-  const double load = static_cast<double>(row.inFlight + 1) / SlotsOf(row.target);
+  const double load = static_cast<double>(row.inFlight + 1) / RoomOf(row.target, own);
   const Duration step = row.pace.Step(now);
   const double ratio = usualStep > Duration::zero() ? static_cast<double>(step.count()) /
                                                         static_cast<double>(usualStep.count())
@@ -154,11 +191,12 @@
 }
 
 std::vector<const TargetBoard::Row*> TargetBoard::ListUsable(TimePoint now,
-                                                             const TargetWish& wish) const
+                                                             const TargetWish& wish,
+                                                             const Own& own) const
 {
   std::vector<const Row*> usable;
   for (const auto& [instance, row] : m_rows) {
-    if (Fits(row, wish) && now >= row.outOfReachUntil && row.inFlight < RoomOf(row.target) &&
+    if (Fits(row, wish) && now >= row.outOfReachUntil && row.inFlight < RoomOf(row.target, own) &&
         !wish.tried.contains(instance) && !IsSilent(now, row, kSuspect)) {
       usable.push_back(&row);
     }
@@ -168,6 +206,11 @@
   if (someAreSound) {
     std::erase_if(usable, [&](const Row* row) { return IsAvoided(now, *row); });
   }
+  const bool someAreOwn =
+    std::ranges::any_of(usable, [&](const Row* row) { return !IsLent(row->target, own); });
+  if (someAreOwn) {
+    std::erase_if(usable, [&](const Row* row) { return IsLent(row->target, own); });
+  }
   return usable;
 }
 
@@ -181,7 +224,8 @@
 
 const ServedTarget* TargetBoard::Choose(TimePoint now, const TargetWish& wish)
 {
-  const std::vector<const Row*> usable = ListUsable(now, wish);
+  const Own own = OwnOf(wish);
+  const std::vector<const Row*> usable = ListUsable(now, wish, own);
   Duration usualStep{};
   for (const Row* row : usable) {
     const Duration step = row->pace.Step(now);
@@ -192,7 +236,7 @@
   std::pair<double, bool> bestRank;
   std::uint64_t equals = 0;
   for (const Row* row : usable) {
-    const std::pair rank(CostOf(now, *row, usualStep), row->target.failureDomain != m_own);
+    const std::pair rank(CostOf(now, *row, usualStep, own), row->target.failureDomain != m_own);
     if (best == nullptr || rank < bestRank) {
       best = row;
       bestRank = rank;
@@ -212,8 +256,9 @@
   if (!HasAny(wish)) {
     return NoTarget::kNone;
   }
+  const Own own = OwnOf(wish);
   const bool someHaveRoom = std::ranges::any_of(m_rows, [&](const auto& each) {
-    return Fits(each.second, wish) && each.second.inFlight < RoomOf(each.second.target);
+    return Fits(each.second, wish) && each.second.inFlight < RoomOf(each.second.target, own);
   });
   if (!someHaveRoom) {
     return NoTarget::kFull;
--- a/tests/unit/peer_mesh_test.cpp
+++ b/tests/unit/peer_mesh_test.cpp
@@ -288,6 +288,80 @@
   EXPECT_EQ(entry.diary.back(), "down agent-1");
 }
 
+// Symptom: a process grows until it is killed although no queue is full. Sequence: its own link is
+// slow, and what waits for each of dozens of peers is within the limit of one. Cause: no limit for
+// all of them together.
+TEST(PeerMesh, WhatWaitsForAllPeersIsBoundedAsWell)
+{
+  IoRuntime runtime;
+  MeshProcess control(runtime, "control-1", [](PeerMeshSettings& settings) {
+    settings.maxQueuedBytes = 1024 * 1024;
+    settings.maxAllQueuedBytes = 1024 * 1024;
+  });
+  MeshProcess first(runtime, "entry-1");
+  MeshProcess second(runtime, "entry-2");
+  control.SendNumber(first, 1, first.mesh.ListenAddress());
+  control.SendNumber(second, 1, second.mesh.ListenAddress());
+  ASSERT_TRUE(control.WaitFor([&] { return control.ups.size() == 2; }));
+  wire::OutputT output;
+  output.bytes.resize(300 * 1024);
+  const auto send = [&](const MeshProcess& to) {
+    control.mesh.Send(FrameOut{ to.name, "", MakeEnvelope(output) });
+  };
+  send(first);
+  send(second);
+  send(second);
+  EXPECT_TRUE(control.Events(EventNumber::kPeerQueueFull).empty());
+  send(second);
+  EXPECT_EQ(control.Events(EventNumber::kPeerQueueFull).size(), 1U);
+  EXPECT_EQ(control.diary.back(), "down entry-2");
+  SECTION("and those with less than their part go on")
+  {
+    control.SendNumber(first, 2, "");
+    ASSERT_TRUE(first.WaitFor([&] { return first.numbers.size() == 3; }));
+    EXPECT_EQ(first.numbers.back(), 2U);
+  }
+}
+
+// Symptom: followers take a leader for dead that is only busy ("nine terms on one day, of which two
+// were planned"). Sequence: its link is full of lists for others. Cause: the replicated log's
+// frames waited behind all that was queued before them.
+TEST(PeerMesh, TheReplicatedLogGoesFirst)
+{
+  IoRuntime runtime;
+  MeshProcess leader(runtime, "control-1");
+  MeshProcess follower(runtime, "control-2");
+  leader.SendNumber(follower, 1, follower.mesh.ListenAddress());
+  ASSERT_TRUE(follower.WaitFor([&] { return follower.numbers.size() == 1; }));
+  constexpr std::uint64_t kFrames = 5000;
+  for (std::uint64_t number = 2; number <= kFrames; ++number) {
+    leader.SendNumber(follower, number, "");
+  }
+  leader.mesh.Send(FrameOut{ follower.name, "", MakeEnvelope(wire::RaftMessageT()) });
+  ASSERT_TRUE(follower.WaitFor([&] { return follower.numbers.size() == kFrames + 1; }));
+  const auto log = std::find(follower.numbers.begin(), follower.numbers.end(), 0U);
+  EXPECT_LT(log - follower.numbers.begin(), 3);
+  SECTION("and the others stay in order")
+  {
+    follower.numbers.erase(log);
+    EXPECT_EQ(follower.numbers, UpTo(kFrames));
+  }
+}
+
+// An operator who asks what fills a link gets it by kind of message.
+TEST(PeerMesh, TrafficIsCountedByKind)
+{
+  IoRuntime runtime;
+  MeshProcess entry(runtime, "entry-1");
+  MeshProcess agent(runtime, "agent-1");
+  entry.SendNumber(agent, 1, agent.mesh.ListenAddress());
+  ASSERT_TRUE(agent.WaitFor([&] { return agent.numbers.size() == 1; }));
+  constexpr auto kKind = static_cast<std::size_t>(wire::Body::InForce);
+  EXPECT_EQ(entry.mesh.Counters().sentByKind.at(kKind).frames, 1U);
+  EXPECT_EQ(agent.mesh.Counters().receivedByKind.at(kKind).frames, 1U);
+  EXPECT_GT(agent.mesh.Counters().receivedByKind.at(kKind).bytes, 0U);
+}
+
 TEST(PeerMesh, AFrameOverTheLimitIsNotSentAndTheConnectionLives)
 {
   IoRuntime runtime;
