--- a/include/gooseberrysail/gateway/target_board.hpp
+++ b/include/gooseberrysail/gateway/target_board.hpp
@@ -138,6 +138,8 @@
     bool isDivided = false; ///< Some head is in this entry's share.
     std::uint32_t lent = 0; ///< Places that may be used at heads in others' shares.
   };
+  /// \brief The part of the model's callers that come to this entry, as far as it was told.
+  [[nodiscard]] double PartOf(std::string_view model) const;
   [[nodiscard]] Own OwnOf(const TargetWish& wish) const;
   [[nodiscard]] bool IsLent(const ServedTarget& target, const Own& own) const;
   [[nodiscard]] std::uint32_t RoomOf(const ServedTarget& target, const Own& own) const;
--- a/src/gateway/target_board.cpp
+++ b/src/gateway/target_board.cpp
@@ -124,10 +124,12 @@
   Own own;
   std::uint32_t places = 0;
   std::uint32_t lentNow = 0;
+  std::uint32_t slots = 0;
   for (const auto& [instance, row] : m_rows) {
     if (row.target.servedModel.empty() || !Fits(row, wish)) {
       continue;
     }
+    slots += SlotsOf(row.target);
     if (m_shares.contains(instance)) {
       own.isDivided = true;
       places += RoomOf(row.target, own);
@@ -135,11 +137,19 @@
       lentNow += row.inFlight;
     }
   }
-  const auto most = static_cast<std::uint32_t>(std::lround(kLentPart * places));
+  // Heads of its share may be gone since control told it.
+  const double missing = kHeadFill * slots * PartOf(wish.model) - places;
+  const auto most = static_cast<std::uint32_t>(std::lround(std::max(kLentPart * places, missing)));
   own.lent = most > lentNow ? most - lentNow : 0;
   return own;
 }
 
+double TargetBoard::PartOf(std::string_view model) const
+{
+  const auto told = m_parts.find(std::string(model));
+  return told == m_parts.end() ? 1.0 / m_entries : told->second;
+}
+
 bool TargetBoard::IsLent(const ServedTarget& target, const Own& own) const
 {
   return own.isDivided && !m_shares.contains(target.instance);
@@ -161,8 +171,7 @@
   if (share != m_shares.end()) {
     return std::max(1U, static_cast<std::uint32_t>(std::lround(kHeadFill * slots * share->second)));
   }
-  const auto told = m_parts.find(target.servedModel);
-  const double part = told == m_parts.end() ? 1.0 / m_entries : told->second;
+  const double part = PartOf(target.servedModel);
   return std::max(kLeastRoom, static_cast<std::uint32_t>(std::lround(kHeadFill * slots * part)));
 }
 
--- a/src/net/peer_connection.hpp
+++ b/src/net/peer_connection.hpp
@@ -23,6 +23,7 @@
 struct QueuedFrame
 {
   SharedFrame bytes;
+  wire::Body kind = wire::Body::NONE;
   bool goesFirst = false; ///< Before the frames of other kinds that aren't being written yet.
 };
 
--- a/src/net/peer_handshake.cpp
+++ b/src/net/peer_handshake.cpp
@@ -167,8 +167,9 @@
   const impl::Proof ownProof =
     impl::MakeProof(settings.clusterKey, impl::ProofSide::kAcceptor, *hello, own);
   answer.proof.assign(ownProof.begin(), ownProof.end());
-  connection->Queue(
-    { std::make_shared<const Frame>(impl::EncodeFrame(*MakeEnvelope(std::move(answer)))), false });
+  const auto frame =
+    std::make_shared<const Frame>(impl::EncodeFrame(*MakeEnvelope(std::move(answer))));
+  connection->Queue({ frame, wire::Body::HelloProof, false });
   Establish(connection);
   return outcome::success();
 }
--- a/src/net/peer_mesh.cpp
+++ b/src/net/peer_mesh.cpp
@@ -117,9 +117,9 @@
   return found == connections.end() ? nullptr : found->second;
 }
 
-void PeerMesh::Impl::Count(FrameCounts& counts, const wire::EnvelopeT& envelope, std::size_t bytes)
+void PeerMesh::Impl::Count(FrameCounts& counts, wire::Body kind, std::size_t bytes)
 {
-  FrameCount& count = counts.at(static_cast<std::size_t>(envelope.body.type));
+  FrameCount& count = counts.at(static_cast<std::size_t>(kind));
   ++count.frames;
   count.bytes += bytes;
 }
@@ -160,7 +160,7 @@
   if (closed) {
     return;
   }
-  const impl::QueuedFrame frame{ Encode(out), GoesFirst(*out.envelope) };
+  const impl::QueuedFrame frame{ Encode(out), out.envelope->body.type, GoesFirst(*out.envelope) };
   const std::size_t size = frame.bytes->size();
   if (size - impl::kFramePrefixBytes > kMaxFrameBytes) {
     // The peer would close the connection on it, and again on each retry.
@@ -191,9 +191,14 @@
     Lose(connection, "send frame", "outbound queue full");
     return;
   }
+  Hand(*connection, frame);
+}
+
+void PeerMesh::Impl::Hand(Connection& connection, const impl::QueuedFrame& frame)
+{
   ++counters.framesSent;
-  Count(counters.sentByKind, *out.envelope, size);
-  connection->Queue(frame);
+  Count(counters.sentByKind, frame.kind, frame.bytes->size());
+  connection.Queue(frame);
 }
 
 void PeerMesh::Impl::Keep(const ProcessId& name, Peer& peer, impl::QueuedFrame frame)
@@ -237,8 +242,7 @@
   peer.changed.Notify();
   ++standing;
   for (const impl::QueuedFrame& frame : std::exchange(peer.waiting, {})) {
-    ++counters.framesSent;
-    connection->Queue(frame);
+    Hand(*connection, frame);
   }
   peer.waitingBytes = 0;
   Emit(EventNumber::kPeerConnected,
--- a/src/net/peer_mesh_impl.hpp
+++ b/src/net/peer_mesh_impl.hpp
@@ -48,6 +48,7 @@
   [[nodiscard]] impl::SharedFrame Encode(const FrameOut& frame);
   [[nodiscard]] bool HasRoom(const Connection& connection, std::size_t size) const;
   [[nodiscard]] std::size_t AllQueuedBytes() const;
+  void Hand(Connection& connection, const impl::QueuedFrame& frame);
   void Keep(const ProcessId& name, Peer& peer, impl::QueuedFrame frame);
   ConnectionPtr Register(boost::asio::ip::tcp::socket socket, bool dialled, std::string address);
   [[nodiscard]] ConnectionPtr Find(impl::ConnectionId id) const;
@@ -80,7 +81,7 @@
   Result<void> TakeFrame(const ConnectionPtr& connection,
                          const std::shared_ptr<const wire::EnvelopeT>& envelope,
                          std::size_t bytes);
-  static void Count(FrameCounts& counts, const wire::EnvelopeT& envelope, std::size_t bytes);
+  static void Count(FrameCounts& counts, wire::Body kind, std::size_t bytes);
   void NoteAnswered(Connection& connection, std::uint64_t sequence) const;
   void Beat();
   void BeatOnce(TimePoint now, Duration period, bool stalled);
--- a/src/net/peer_traffic.cpp
+++ b/src/net/peer_traffic.cpp
@@ -86,7 +86,7 @@
                     connection->process.Get(),
                     "a handshake message after the handshake" };
     default:
-      Count(counters.receivedByKind, *envelope, bytes);
+      Count(counters.receivedByKind, envelope->body.type, bytes);
       ++counters.framesReceived;
       if (hooks.onFrame) {
         hooks.onFrame(FrameIn{ connection->process, connection->incarnation, envelope });
