--- a/src/control/head_shares.cpp
+++ b/src/control/head_shares.cpp
@@ -22,12 +22,14 @@
 std::vector<std::size_t> OrderHeads(const ProcessId& entry, std::span<const HeadCapacity> heads)
 {
   std::vector<std::pair<XXH64_hash_t, std::size_t>> weights;
+  weights.reserve(heads.size());
   for (std::size_t head = 0; head < heads.size(); ++head) {
     const std::string key = entry.Get() + '/' + heads[head].head.Get();
     weights.emplace_back(XXH64(key.data(), key.size(), 0), head);
   }
   std::ranges::sort(weights, std::ranges::greater{});
   std::vector<std::size_t> order;
+  order.reserve(weights.size());
   for (const auto& [weight, head] : weights) {
     order.push_back(head);
   }
