--- a/tests/support/feed_world.hpp
+++ b/tests/support/feed_world.hpp
@@ -1,19 +1,18 @@
 #pragma once
 
 #include "gooseberrysail/control/serving_feed.hpp"
+#include "support/control_world.hpp"
 
 #include <cstdint>
-#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
 #include <utility>
-#include <vector>
 
 namespace gooseberrysail::tests {
 
 /// \brief A feed on a leader with an empty state, asked by entries.
-class FeedWorld
+class FeedWorld : public ControlWorld
 {
 public:
   /// An entry's question with what it has counted so far, of a model with 100 tokens a request.
@@ -70,37 +69,7 @@
     return part;
   }
 
-  /// The frames of the outbox, which is empty afterwards.
-  std::vector<FrameOut> TakeFrames()
-  {
-    std::vector<FrameOut> frames;
-    for (ControlOutput& output : std::exchange(outbox, {})) {
-      if (FrameOut* frame = std::get_if<FrameOut>(&output)) {
-        frames.push_back(std::move(*frame));
-      }
-    }
-    return frames;
-  }
-
   ServingFeed feed;
-  TimePoint now{ std::chrono::hours(1) };
-  std::vector<ControlOutput> outbox;
-  ReplicationStatus replication;
-  std::function<std::size_t(const ProcessId&)> queuedBytes; ///< Unset: nothing ever waits.
-
-private:
-  ControlContext Context()
-  {
-    return { now,     0,          m_settings, m_controls, replication, m_state,     m_catalogue,
-             m_peers, m_proposer, {},         true,       outbox,      &queuedBytes };
-  }
-
-  ControlSettings m_settings;
-  std::vector<EntrySettings::Control> m_controls;
-  ControlState m_state;
-  Catalogue m_catalogue;
-  PeerTable m_peers;
-  Proposer m_proposer{ [](std::vector<std::uint8_t>) { return true; } };
 };
 
 } // namespace gooseberrysail::tests
--- a/tests/unit/target_relay_test.cpp
+++ b/tests/unit/target_relay_test.cpp
@@ -1,4 +1,5 @@
 #include "gooseberrysail/control/target_relay.hpp"
+#include "support/control_world.hpp"
 #include "support/section.hpp"
 
 #include <gmock/gmock.h>
@@ -12,15 +13,15 @@
 using ::testing::IsEmpty;
 
 /// \brief One of three control processes, with the table of what it heard.
-class RelayWorld
+class RelayWorld : public tests::ControlWorld
 {
 public:
   RelayWorld()
   {
-    m_settings.process = ProcessId("control-1");
+    settings.process = ProcessId("control-1");
     for (const char* name : { "control-1", "control-2", "control-3" }) {
-      m_controls.push_back({ ProcessId(name), "" });
-      m_peers[ProcessId(name)].up = true;
+      controls.push_back({ ProcessId(name), "" });
+      peers[ProcessId(name)].up = true;
     }
   }
 
@@ -42,7 +43,7 @@
 
   void SetUp(const std::string& name, bool up)
   {
-    m_peers[ProcessId(name)].up = up;
+    peers[ProcessId(name)].up = up;
     if (up) {
       relay.OnPeerUp(Context(), ProcessId(name), targets);
     } else {
@@ -56,38 +57,18 @@
     ControlContext context = Context();
     relay.Tick(context, targets);
     std::multimap<std::string, std::vector<std::string>> told;
-    for (const ControlOutput& output : m_outbox) {
-      const FrameOut& frame = std::get<FrameOut>(output);
+    for (const FrameOut& frame : TakeFrames()) {
       std::vector<std::string> names;
       for (const auto& heard : frame.envelope->body.AsTargetsHeard()->heard) {
         names.push_back(heard->instance + (heard->left ? " left" : ""));
       }
       told.emplace(frame.peer.Get(), names);
     }
-    m_outbox.clear();
     return told;
   }
 
   TargetRelay relay;
   TargetTable targets;
-  TimePoint now{ 1h };
-  std::function<std::size_t(const ProcessId&)> queuedBytes;
-
-private:
-  ControlContext Context()
-  {
-    return { now,     0,          m_settings, m_controls, m_replication, m_state,     m_catalogue,
-             m_peers, m_proposer, {},         false,      m_outbox,      &queuedBytes };
-  }
-
-  ControlSettings m_settings;
-  std::vector<EntrySettings::Control> m_controls;
-  ReplicationStatus m_replication;
-  ControlState m_state;
-  Catalogue m_catalogue;
-  PeerTable m_peers;
-  Proposer m_proposer{ [](std::vector<std::uint8_t>) { return true; } };
-  std::vector<ControlOutput> m_outbox;
 };
 
 // Symptom: control processes spend most of their links and processors on each other. Sequence: 391
