--- a/tests/unit/serving_feed_test.cpp
+++ b/tests/unit/serving_feed_test.cpp
@@ -59,6 +59,39 @@
   }
 }
 
+// Symptom: for seconds after connections were reset, heads are divided evenly among entries of
+// which one has most callers, and models seem to have none. Sequence: an entry's connection breaks,
+// and it asks again half a second later. Cause: what it had counted went with the connection.
+TEST(ServingFeed, CallersAreRememberedWhileAnEntryConnectsAgain)
+{
+  FeedWorld world;
+  world.Ask("e1", world.Query(1000));
+  world.now += 500ms;
+  world.Ask("e1", world.Query(1010));
+  world.feed.OnPeerDown(ProcessId("e1"));
+  EXPECT_NEAR(world.feed.Demand().at("large").requests, 20, 0.01);
+  SECTION("and it is told everything anew")
+  {
+    world.feed.SetTargets(std::vector<ServedTarget>{
+      { InstanceId("h1"), "assist", "h1:80", FailureDomainId("a"), 28, false, "large" } });
+    world.feed.SetWhole(true);
+    world.TakeFrames();
+    world.now += 500ms;
+    world.Ask("e1", world.Query(1020));
+    EXPECT_NEAR(world.feed.Demand().at("large").requests, 20, 0.01);
+    const std::vector<FrameOut> frames = world.TakeFrames();
+    ASSERT_EQ(frames.size(), 1U);
+    EXPECT_TRUE(frames[0].envelope->body.AsServingState()->wholeTargets);
+  }
+  SECTION("but not those of one that stays away")
+  {
+    world.feed.OnPeerDown(ProcessId("e1"));
+    world.now += 2s;
+    world.Tick();
+    EXPECT_TRUE(world.feed.Demand().empty());
+  }
+}
+
 // Symptom: the entry of one failure domain refuses while heads have free slots.
 // Sequence: it gets half of all callers. Cause: the slots were divided evenly.
 TEST(ServingFeed, EntriesAreToldTheirPartOfTheCallers)
