An entry whose connection breaks keeps its callers for a second

Cause: what an entry had counted of its callers went with its connection, so that after a reset of connections models seemed to have no callers and heads were divided evenly. Why it holds: the entry is told everything anew, its counts go on; one that stays away for a second is forgotten.

--- a/include/gooseberrysail/control/serving_feed.hpp
+++ b/include/gooseberrysail/control/serving_feed.hpp
@@ -99,6 +99,7 @@
     bool knowsControls = false;
     FailureDomainId failureDomain;
     TimePoint heardAt{};
+    bool isConnected = true;
     std::map<InstanceId, TimePoint> answeredAt;
     std::map<InstanceId, TimePoint> failedAt;
     std::map<InstanceId, Duration> steps;    ///< As it told last.
--- a/src/control/serving_feed.cpp
+++ b/src/control/serving_feed.cpp
@@ -13,6 +13,9 @@
 
 /// An entry asks every 500 ms; after this many without a word it is not counted.
 constexpr Duration kEntryGone = 3s;
+/// One whose connection broke dials anew with its next question; after two that did not come its
+/// callers have gone elsewhere.
+constexpr Duration kReconnectTime = 1s;
 /// Long enough to smooth Poisson arrivals of some 10 requests a second, short enough to follow a
 /// burst within a few seconds.
 constexpr double kDemandMemorySeconds = 3;
@@ -70,6 +73,7 @@
     m_firstAskedAt = context.now;
   }
   entry.heardAt = context.now;
+  entry.isConnected = true;
   entry.failureDomain = FailureDomainId(query.failureDomain);
   NoteHave(context, entry, query);
   const bool isCurrentTerm = query.haveTerm == context.replication.term.Get();
@@ -111,9 +115,20 @@
   supplied.targets = isLost ? targets : std::max(supplied.targets, targets);
 }
 
+// Its callers are still there, and were they forgotten, models would seem to have none and the
+// heads be divided without them.
 void ServingFeed::OnPeerDown(const ProcessId& process)
 {
-  m_entries.erase(process);
+  const auto found = m_entries.find(process);
+  if (found == m_entries.end()) {
+    return;
+  }
+  Entry& entry = found->second;
+  entry.isConnected = false;
+  entry.knowsControls = false;
+  entry.supplied = {};
+  entry.toldParts.clear();
+  entry.toldShares.clear();
 }
 
 void ServingFeed::SetTargets(std::span<const ServedTarget> targets)
@@ -170,13 +185,18 @@
 
 void ServingFeed::Tick(ControlContext& context)
 {
-  std::erase_if(m_entries,
-                [&](const auto& row) { return context.now - row.second.heardAt > kEntryGone; });
+  std::erase_if(m_entries, [&](const auto& row) {
+    const Entry& entry = row.second;
+    return context.now - entry.heardAt > (entry.isConnected ? kEntryGone : kReconnectTime);
+  });
   const std::map<std::string, ModelDemand> demand = Demand();
   FollowControls(context);
   FollowHeads(context.now, demand);
   Messages messages;
   for (auto& [process, entry] : m_entries) {
+    if (!entry.isConnected) {
+      continue;
+    }
     Supply(context, process, entry, demand, messages);
   }
 }
