--- a/tests/unit/serving_feed_test.cpp
+++ b/tests/unit/serving_feed_test.cpp
@@ -92,6 +92,38 @@
   }
 }
 
+// Symptom: entries refuse while most heads are idle, for seconds after control was restarted.
+// Sequence: the new leader has heard of one head of two; its entries know both. Cause: heads that
+// it hadn't heard of were in nobody's share.
+TEST(ServingFeed, HeadsAreDividedOnceAllTargetsAreKnown)
+{
+  FeedWorld world;
+  const ServedTarget head{ InstanceId("h1"), "assist", "h1:80", FailureDomainId("a"), 28, false,
+                           "large" };
+  const auto sharesTold = [&] {
+    wire::ServingQueryT query = world.Query(1000);
+    query.haveTerm = 7; // Of the former leader.
+    query.haveTargets = 12;
+    world.Ask("e1", std::move(query));
+    world.Tick();
+    std::size_t shares = 0;
+    for (const FrameOut& frame : world.TakeFrames()) {
+      shares += frame.envelope->body.AsServingState()->shares.size();
+    }
+    return shares;
+  };
+  world.feed.SetTargets(std::vector<ServedTarget>{ head });
+  for (int question = 0; question < 5; ++question) {
+    EXPECT_EQ(sharesTold(), 0U);
+    world.now += 500ms;
+  }
+  SECTION("which is told by its owner")
+  {
+    world.feed.SetWhole(true);
+    EXPECT_EQ(sharesTold(), 1U);
+  }
+}
+
 // Symptom: the entry of one failure domain refuses while heads have free slots.
 // Sequence: it gets half of all callers. Cause: the slots were divided evenly.
 TEST(ServingFeed, EntriesAreToldTheirPartOfTheCallers)
