Heads are divided only once all targets are known

What callers would have seen: refusals while most heads are idle, for as long as a control process that was restarted and leads has not heard all targets. Cause: heads that it had not heard of were in nobody's share. Found by reading; the test failed before (a share told without the whole list).

--- a/src/control/serving_feed.cpp
+++ b/src/control/serving_feed.cpp
@@ -150,13 +150,14 @@
   }
 }
 
-// A first division goes out once all entries are known; later ones follow heads at once, since a
-// head that is in nobody's share gets little work, and callers by and by.
+// A first division goes out once all targets and entries are known: from entries that use more
+// heads than this leader has heard of, a part would take the others. Later ones follow heads at
+// once, since a head that is in nobody's share gets little work, and callers by and by.
 void ServingFeed::FollowHeads(TimePoint now, const std::map<std::string, ModelDemand>& demand)
 {
   const bool isDue = !m_isDivided || now >= m_nextDivide;
   const bool knowsEntries = m_firstAskedAt != TimePoint{} && now - m_firstAskedAt >= kMeetEntries;
-  if (isDue && knowsEntries) {
+  if (isDue && knowsEntries && m_isWhole) {
     m_nextDivide = now + kDivideInterval;
     m_isDivided = true;
     Divide(demand);
