--- a/tests/unit/serving_feed_test.cpp
+++ b/tests/unit/serving_feed_test.cpp
@@ -92,6 +92,34 @@
   }
 }
 
+// Symptom: an entry that was restarted refuses everything for seconds. Sequence: it had the list,
+// its connection breaks, it asks with nothing. Cause: what was sent on the connection that broke
+// counted as had.
+TEST(ServingFeed, AnEntryThatRestartsIsToldAllAtOnce)
+{
+  FeedWorld world;
+  world.feed.SetWhole(true);
+  world.feed.SetTargets(std::vector<ServedTarget>{
+    { InstanceId("h1"), "assist", "h1:80", FailureDomainId("a"), 28, false, "large" } });
+  world.Ask("e1", {});
+  ASSERT_EQ(world.TakeFrames().size(), 1U);
+  SECTION("not for a question that left before the answer came")
+  {
+    world.now += 10ms;
+    world.Ask("e1", {});
+    EXPECT_THAT(world.TakeFrames(), IsEmpty());
+  }
+  SECTION("but once its connection broke")
+  {
+    world.feed.OnPeerDown(ProcessId("e1"));
+    world.now += 100ms;
+    world.Ask("e1", {});
+    const std::vector<FrameOut> frames = world.TakeFrames();
+    ASSERT_EQ(frames.size(), 1U);
+    EXPECT_TRUE(frames[0].envelope->body.AsServingState()->wholeTargets);
+  }
+}
+
 // Symptom: entries refuse while most heads are idle, for seconds after control was restarted.
 // Sequence: the new leader has heard of one head of two; its entries know both. Cause: heads that
 // it hadn't heard of were in nobody's share.
