One function each for an entry's places and for its part of a model's callers; a brief back at its function

The rounding of places stood twice and a half-built value was handed to RoomOf to get at it; the parts of all models were computed anew for each entry and model, with the floor written twice; the brief of MoveRequests stood above another function.

--- a/include/gooseberrysail/control/serving_feed.hpp
+++ b/include/gooseberrysail/control/serving_feed.hpp
@@ -116,9 +116,13 @@
   /// \brief The entry's parts of `demand`, which is all entries'.
   [[nodiscard]] Parts PartsOf(const Entry& entry,
                               const std::map<std::string, ModelDemand>& demand) const;
-  static void NoteHave(const ControlContext& context,
-                       Entry& entry,
-                       const wire::ServingQueryT& query);
+  /// \brief The entry's part of one model's requests.
+  [[nodiscard]] double PartOf(const Entry& entry,
+                              const std::string& model,
+                              const std::map<std::string, ModelDemand>& demand) const;
+  void NoteHave(const ControlContext& context,
+                Entry& entry,
+                const wire::ServingQueryT& query) const;
   static void NoteDemand(TimePoint now, Entry& entry, const wire::ModelDemandT& demand);
   /// \brief Entries are told where control processes are with the next frame after a change.
   void FollowControls(const ControlContext& context);
--- a/include/gooseberrysail/gateway/dispatcher.hpp
+++ b/include/gooseberrysail/gateway/dispatcher.hpp
@@ -132,11 +132,11 @@
   void ServeWaiting(TimePoint now, Outbox& outbox);
   void UseRoom(TimePoint now, Outbox& outbox);
   bool MayRetry(TimePoint now, const Request& request);
-  /// \brief Those of the requests at the target that may run elsewhere are sent there.
   /// \brief What targets that started again had in flight goes elsewhere, where it may.
   void EndFormerLives(TimePoint now,
                       std::span<const InstanceId> restarted,
                       std::vector<GatewayOutput>& outbox);
+  /// \brief Those of the requests at the target that may run elsewhere are sent there.
   void MoveRequests(TimePoint now,
                     const std::function<bool(const TargetLife&)>& isLost,
                     const char* trouble,
--- a/include/gooseberrysail/gateway/target_board.hpp
+++ b/include/gooseberrysail/gateway/target_board.hpp
@@ -162,7 +162,8 @@
 
   FailureDomainId m_own;
   std::uint32_t m_entries = 1;
-  std::map<std::string, double> m_parts; ///< By model; an even part for those not told of.
+  std::map<std::string, double, std::less<>>
+    m_parts;                             ///< By model; an even part for those not told of.
   std::map<InstanceId, double> m_shares; ///< Of the heads in this entry's share.
   std::function<std::uint64_t()> m_random;
   std::map<InstanceId, Row> m_rows;
--- a/src/control/serving_feed.cpp
+++ b/src/control/serving_feed.cpp
@@ -76,8 +76,6 @@
   entry.isConnected = true;
   entry.failureDomain = FailureDomainId(query.failureDomain);
   NoteHave(context, entry, query);
-  const bool isCurrentTerm = query.haveTerm == context.replication.term.Get();
-  entry.knowsTargets = query.haveTargets != 0 && !(isCurrentTerm && !m_isWhole);
   m_hasTraffic = m_hasTraffic || !query.demand.empty();
   for (const auto& demand : query.demand) {
     NoteDemand(context.now, entry, *demand);
@@ -105,9 +103,10 @@
 // anew.
 void ServingFeed::NoteHave(const ControlContext& context,
                            Entry& entry,
-                           const wire::ServingQueryT& query)
+                           const wire::ServingQueryT& query) const
 {
   const bool isCurrentTerm = query.haveTerm == context.replication.term.Get();
+  entry.knowsTargets = query.haveTargets != 0 && !(isCurrentTerm && !m_isWhole);
   const std::uint64_t targets = isCurrentTerm ? query.haveTargets : 0;
   Supplied& supplied = entry.supplied;
   const bool isLost = query.sendAgain || context.now - supplied.at >= kSendAgain;
@@ -169,14 +168,10 @@
   for (auto& [process, entry] : m_entries) {
     entry.shares.clear();
   }
-  const double even = 1.0 / static_cast<double>(std::max<std::size_t>(m_entries.size(), 1));
   for (const auto& [model, heads] : m_heads) {
     std::vector<EntryDemand> demands;
     for (const auto& [process, entry] : m_entries) {
-      const Parts parts = PartsOf(entry, demand);
-      const auto part = parts.find(model);
-      demands.push_back(
-        { process, entry.failureDomain, part == parts.end() ? kLeastPart * even : part->second });
+      demands.push_back({ process, entry.failureDomain, PartOf(entry, model, demand) });
     }
     for (auto& [process, shares] : DivideHeads(demands, heads)) {
       m_entries.at(process).shares.merge(shares);
@@ -307,15 +302,26 @@
                                         const std::map<std::string, ModelDemand>& demand) const
 {
   Parts parts;
-  const double even = 1.0 / static_cast<double>(std::max<std::size_t>(m_entries.size(), 1));
   for (const auto& [model, rate] : entry.rates) {
-    const double sum = demand.at(model).requests;
-    const double part = sum > 0 ? rate.perSecond.requests / sum : even;
-    parts[model] = std::max(part, kLeastPart * even);
+    parts[model] = PartOf(entry, model, demand);
   }
   return parts;
 }
 
+double ServingFeed::PartOf(const Entry& entry,
+                           const std::string& model,
+                           const std::map<std::string, ModelDemand>& demand) const
+{
+  const double even = 1.0 / static_cast<double>(std::max<std::size_t>(m_entries.size(), 1));
+  const auto rate = entry.rates.find(model);
+  if (rate == entry.rates.end()) {
+    return kLeastPart * even;
+  }
+  const double sum = demand.at(model).requests;
+  const double part = sum > 0 ? rate->second.perSecond.requests / sum : even;
+  return std::max(part, kLeastPart * even);
+}
+
 void ServingFeed::NoteDemand(TimePoint now, Entry& entry, const wire::ModelDemandT& demand)
 {
   const auto [found, fresh] = entry.rates.try_emplace(demand.model);
--- a/src/gateway/target_board.cpp
+++ b/src/gateway/target_board.cpp
@@ -18,7 +18,8 @@
 /// the slots keeps a head full. Means of 60 played days with 0.88, 1.0, 1.12 and 1.2 on two sites:
 /// 0.542, 0.560, 0.576, 0.565 of the worth owed.
 constexpr double kHeadFill = 1.12;
-constexpr std::uint32_t kLeastRoom = 2;
+constexpr std::uint32_t kLeastRoom = 2;  ///< Where the heads aren't divided.
+constexpr std::uint32_t kLeastShare = 1; ///< At a head in this entry's share.
 /// When its own places are taken an entry uses so many of other entries', in parts of its own:
 /// callers move between entries faster than the heads are divided anew.
 constexpr double kLentPart = 0.25;
@@ -39,6 +40,12 @@
   return target.slots == 0 ? kDefaultSlots : target.slots;
 }
 
+/// What an entry may have in flight at a head of which it may use the part.
+std::uint32_t PlacesOf(std::uint32_t slots, double part, std::uint32_t least)
+{
+  return std::max(least, static_cast<std::uint32_t>(std::lround(kHeadFill * slots * part)));
+}
+
 } // namespace
 
 const char* ToString(NoTarget reason) noexcept
@@ -139,17 +146,20 @@
 TargetBoard::Own TargetBoard::OwnOf(const TargetWish& wish) const
 {
   Own own;
+  if (wish.model.empty()) {
+    return own; // Plain services have no heads.
+  }
   std::uint32_t places = 0;
   std::uint32_t lentNow = 0;
   std::uint32_t slots = 0;
   for (const auto& [instance, row] : m_rows) {
-    if (row.target.servedModel.empty() || !Fits(row, wish)) {
+    if (!Fits(row, wish)) {
       continue;
     }
     slots += SlotsOf(row.target);
-    if (m_shares.contains(instance)) {
+    if (const auto share = m_shares.find(instance); share != m_shares.end()) {
       own.isDivided = true;
-      places += RoomOf(row.target, own);
+      places += PlacesOf(SlotsOf(row.target), share->second, kLeastShare);
     } else {
       lentNow += row.inFlight;
     }
@@ -163,7 +173,7 @@
 
 double TargetBoard::PartOf(std::string_view model) const
 {
-  const auto told = m_parts.find(std::string(model));
+  const auto told = m_parts.find(model);
   return told == m_parts.end() ? 1.0 / m_entries : told->second;
 }
 
@@ -186,10 +196,9 @@
   }
   const auto share = m_shares.find(target.instance);
   if (share != m_shares.end()) {
-    return std::max(1U, static_cast<std::uint32_t>(std::lround(kHeadFill * slots * share->second)));
+    return PlacesOf(slots, share->second, kLeastShare);
   }
-  const double part = PartOf(target.servedModel);
-  return std::max(kLeastRoom, static_cast<std::uint32_t>(std::lround(kHeadFill * slots * part)));
+  return PlacesOf(slots, PartOf(target.servedModel), kLeastRoom);
 }
 
 bool TargetBoard::IsSilent(TimePoint now, const Row& row, Duration limit)
