Entries are supplied once a tick; which targets led a group is noted in one place

The feed supplied an entry with its question and all entries again in the tick that follows at once: the demand of all entries was summed for each question, and what entries lack at their first question, the document above all, was encoded for each by itself, so that the sharing of messages did nothing where it matters most. The tests' world ticks after a question, as a control process does; no assertion changed. TakesRequests noted heads beside answering; ListTargets notes them now.

--- a/include/gooseberrysail/control/serving_control.hpp
+++ b/include/gooseberrysail/control/serving_control.hpp
@@ -77,13 +77,13 @@
                 OrderOutcome outcome,
                 unsigned status);
   /// \brief Whether entries may send the target requests, or lately might.
-  [[nodiscard]] bool TakesRequests(TimePoint now, const TargetAnnouncement& target, bool isHead);
+  [[nodiscard]] bool TakesRequests(const TargetAnnouncement& target) const;
   [[nodiscard]] std::vector<ServedTarget> ListTargets(const ControlContext& context);
 
   OutsideApi m_api;
   TargetTable m_targets;
   TargetRelay m_relay;
-  std::map<InstanceId, TimePoint> m_formerHeads; ///< When they last led a group that serves.
+  std::map<InstanceId, TimePoint> m_ledAt; ///< When heads last led a group that serves.
   DocumentService m_documents;
   RefusedCalls m_refused;
   EngineGroups m_groups;
--- a/include/gooseberrysail/control/serving_feed.hpp
+++ b/include/gooseberrysail/control/serving_feed.hpp
@@ -22,6 +22,7 @@
 {
 public:
   void OnLeaderStart();
+  /// \brief Notes what an entry has and saw; the tick that follows sends what it lacks.
   void OnQuery(ControlContext& context, const ProcessId& entry, const wire::ServingQueryT& query);
   void OnPeerDown(const ProcessId& entry);
 
--- a/src/control/serving_control.cpp
+++ b/src/control/serving_control.cpp
@@ -399,29 +399,28 @@
 // Engines that lead no group take no requests, and they are most of all targets: entries that were
 // told of each of them got six rows for one that they use. Who led a group lately is told still, so
 // that entries learn what became of the work that they have there.
-bool ServingControl::TakesRequests(TimePoint now, const TargetAnnouncement& target, bool isHead)
+bool ServingControl::TakesRequests(const TargetAnnouncement& target) const
 {
-  if (isHead) {
-    m_formerHeads[target.instance] = now;
-    return true;
-  }
   const bool hasEngine =
     m_document && std::ranges::any_of(m_document->services, [&](const auto& service) {
       return service.name == target.service && service.engine;
     });
-  return !hasEngine || m_formerHeads.contains(target.instance);
+  return !hasEngine || m_ledAt.contains(target.instance);
 }
 
 std::vector<ServedTarget> ServingControl::ListTargets(const ControlContext& context)
 {
   const std::map<InstanceId, std::string> heads = m_groups.ServingHeads();
-  std::erase_if(m_formerHeads,
+  for (const auto& [head, model] : heads) {
+    m_ledAt[head] = context.now;
+  }
+  std::erase_if(m_ledAt,
                 [&](const auto& head) { return context.now - head.second > kTellFormerHead; });
   std::vector<ServedTarget> targets;
   for (const auto& [instance, row] : m_targets.Rows()) {
     const TargetAnnouncement& latest = row.latest;
     if (latest.address.empty() || context.now - row.heardAt > TargetTable::kKeepGone ||
-        !TakesRequests(context.now, latest, heads.contains(instance))) {
+        !TakesRequests(latest)) {
       continue;
     }
     ServedTarget target{
--- a/src/control/serving_feed.cpp
+++ b/src/control/serving_feed.cpp
@@ -93,8 +93,6 @@
       entry.failedAt[InstanceId(head->instance)] = context.now;
     }
   }
-  Messages messages;
-  Supply(context, process, entry, Demand(), messages);
 }
 
 // Frames of one connection arrive in order or not at all, so what was sent on it counts as had: an
--- a/tests/support/feed_world.hpp
+++ b/tests/support/feed_world.hpp
@@ -32,6 +32,7 @@
   {
     ControlContext context = Context();
     feed.OnQuery(context, ProcessId(entry), query);
+    feed.Tick(context); // As a control process does once it has taken in what arrived.
   }
 
   /// What an entry saw of a head.
