--- a/src/net/peer_mesh.cpp
+++ b/src/net/peer_mesh.cpp
@@ -144,7 +144,7 @@
 }
 
 // A peer that reads slower than we write would take all our memory, and many that read a little
-// slowly as well: then the one for which most waits goes first.
+// slowly as well: then those have no room for which more waits than their part.
 bool PeerMesh::Impl::HasRoom(const Connection& connection, std::size_t size) const
 {
   const std::size_t queued = connection.QueuedBytes() + size;
@@ -184,16 +184,21 @@
     return;
   }
   if (!HasRoom(*connection, size)) {
-    Emit(EventNumber::kPeerQueueFull,
-         { { "peer", out.peer.Get() },
-           { "queuedBytes", std::to_string(connection->QueuedBytes()) },
-           { "limit", std::to_string(settings.maxQueuedBytes) } });
+    ReportFull(out.peer, connection->QueuedBytes());
     Lose(connection, "send frame", "outbound queue full");
     return;
   }
   Hand(*connection, frame);
 }
 
+void PeerMesh::Impl::ReportFull(const ProcessId& name, std::size_t queued) const
+{
+  Emit(EventNumber::kPeerQueueFull,
+       { { "peer", name.Get() },
+         { "queuedBytes", std::to_string(queued) },
+         { "limit", std::to_string(settings.maxQueuedBytes) } });
+}
+
 void PeerMesh::Impl::Hand(Connection& connection, const impl::QueuedFrame& frame)
 {
   ++counters.framesSent;
@@ -205,10 +210,7 @@
 {
   const std::size_t size = frame.bytes->size();
   if (peer.waitingBytes + size > settings.maxQueuedBytes) {
-    Emit(EventNumber::kPeerQueueFull,
-         { { "peer", name.Get() },
-           { "queuedBytes", std::to_string(peer.waitingBytes) },
-           { "limit", std::to_string(settings.maxQueuedBytes) } });
+    ReportFull(name, peer.waitingBytes);
     peer.waiting.clear();
     peer.waitingBytes = 0;
     Down(name, Incarnation(), "outbound queue full before a connection stood");
--- a/src/net/peer_mesh_impl.hpp
+++ b/src/net/peer_mesh_impl.hpp
@@ -48,6 +48,7 @@
   [[nodiscard]] impl::SharedFrame Encode(const FrameOut& frame);
   [[nodiscard]] bool HasRoom(const Connection& connection, std::size_t size) const;
   [[nodiscard]] std::size_t AllQueuedBytes() const;
+  void ReportFull(const ProcessId& name, std::size_t queued) const;
   void Hand(Connection& connection, const impl::QueuedFrame& frame);
   void Keep(const ProcessId& name, Peer& peer, impl::QueuedFrame frame);
   ConnectionPtr Register(boost::asio::ip::tcp::socket socket, bool dialled, std::string address);
