Lines that tell what a load is for and why a model that lacks groups gets none

TargetLoadOrdered (530) names the target, its domain, the model, the purpose and how many hosts load; TargetGroupsShort (526) adds the domain where the next group comes together, the loads that it still takes, and the verdict on a takeover with its gain. No decision changes.

--- a/include/gooseberrysail/control/engine_groups.hpp
+++ b/include/gooseberrysail/control/engine_groups.hpp
@@ -200,7 +200,7 @@
   void StartTakeover(Pass& pass, const std::string& service, const PlannedTakeover& planned);
   Group& AddGroup(Pass& pass, const std::string& service, const PlannedGroup& planned, Phase phase);
   void StartStage(Pass& pass, const PlannedStage& planned);
-  void StartStandby(Pass& pass, const PlannedStage& planned);
+  void StartStandby(Pass& pass, const PlannedStandby& planned);
   [[nodiscard]] Epoch NextEpoch(const Pass& pass);
   /// \brief The last epoch of earlier leaders.
   [[nodiscard]] static Epoch FormerEpoch(const Pass& pass);
@@ -235,7 +235,10 @@
   static void ReportEnded(Pass& pass, const Group& group, const char* reason);
   [[nodiscard]] static const GroupModel* ModelOf(const Pass& pass, const Group& group);
   static void ReportFormed(Pass& pass, const Group& group, std::uint32_t loads);
-  void ReportShort(Pass& pass, const std::string& service, const PoolInput& pool);
+  void ReportShort(Pass& pass,
+                   const std::string& service,
+                   const PoolInput& pool,
+                   const PoolPlan& plan);
   // Stragglers (engine_groups_stragglers.cpp).
   void AskStragglers(Pass& pass, Group& group);
   void AskSlowAgain(Pass& pass);
--- a/include/gooseberrysail/placement/pool_plan.hpp
+++ b/include/gooseberrysail/placement/pool_plan.hpp
@@ -73,11 +73,54 @@
   std::vector<std::string> releases; ///< Serving groups to close, of a model that lacks less.
 };
 
-/// \brief Weights that a free target's host should load ahead of need.
+/// \brief What a load is for.
+enum class LoadPurpose
+{
+  kGroup,         ///< Completes a group of idle targets.
+  kTakeover,      ///< Completes a group that takes members of another model's.
+  kSpare,         ///< An idle target without weights.
+  kSecondWeights, ///< A host whose target serves, or last served, another model.
+};
+
+[[nodiscard]] const char* ToString(LoadPurpose purpose) noexcept;
+
+/// \brief Weights that a target's host should load ahead of need.
 struct PlannedStage
 {
   InstanceId target;
   std::string model;
+  LoadPurpose purpose = LoadPurpose::kGroup;
+};
+
+/// \brief Free targets that take weights from their host, in a group of their own.
+struct PlannedStandby
+{
+  InstanceId target;
+  std::string model;
+};
+
+/// \brief Why no serving group is given up for a model that lacks groups.
+enum class TakeoverVerdict
+{
+  kNotNeeded,
+  kLossesSettle,  ///< Not while losses come in, nor before demand is known.
+  kNoCandidate,   ///< No domain has the targets.
+  kTooLittleGain, ///< The callers of all models together would gain too little.
+  kWaitsForLoads, ///< Its members load the weights first.
+  kTaken,
+};
+
+[[nodiscard]] const char* ToString(TakeoverVerdict verdict) noexcept;
+
+/// \brief What a model that lacks groups waits for.
+struct PlannedLack
+{
+  std::string model;
+  TakeoverVerdict takeover = TakeoverVerdict::kNotNeeded;
+  double gain = 0;              ///< Of the best takeover, in groups.
+  FabricDomainId fabricDomain;  ///< Where its next group comes together; none where nowhere.
+  std::uint32_t loadsToBegin = 0;
+  std::uint32_t loadsUnderWay = 0;
 };
 
 struct PoolPlan
@@ -86,8 +129,9 @@
   std::vector<PlannedStage> stages;
   /// \brief Free targets that should take their host's weights now, in a group of their own that
   /// never opens: from then on each joins a group of that model as quickly as a former member.
-  std::vector<PlannedStage> standbys;
+  std::vector<PlannedStandby> standbys;
   std::vector<PlannedTakeover> takeovers;
+  std::vector<PlannedLack> lacks;
 };
 
 /// \brief Which groups to form of free targets, and which weights the others should hold.
--- a/src/control/engine_groups_planning.cpp
+++ b/src/control/engine_groups_planning.cpp
@@ -136,18 +136,21 @@
   for (const PlannedStage& planned : plan.stages) {
     StartStage(pass, planned);
   }
-  for (const PlannedStage& planned : plan.standbys) {
+  for (const PlannedStandby& planned : plan.standbys) {
     StartStandby(pass, planned);
   }
   for (const PlannedTakeover& planned : plan.takeovers) {
     StartTakeover(pass, service.name, planned);
   }
-  ReportShort(pass, service.name, pool);
+  ReportShort(pass, service.name, pool, plan);
 }
 
 // Idle targets beside a model that lacks groups look like a fault of the planner; this line says
 // what they lack.
-void EngineGroups::ReportShort(Pass& pass, const std::string& service, const PoolInput& pool)
+void EngineGroups::ReportShort(Pass& pass,
+                               const std::string& service,
+                               const PoolInput& pool,
+                               const PoolPlan& plan)
 {
   for (const ModelNeed& need : pool.needs) {
     const std::string& model = need.model->name;
@@ -156,6 +159,8 @@
       continue;
     }
     told = pass.input.now;
+    const auto found = std::ranges::find(plan.lacks, model, &PlannedLack::model);
+    const PlannedLack lack = found != plan.lacks.end() ? *found : PlannedLack();
     pass.events.push_back(MakeEvent(EventNumber::kTargetGroupsShort,
                                     { { "service", service },
                                       { "model", model },
@@ -163,7 +168,13 @@
                                       { "wanted", std::to_string(need.wanted) },
                                       { "work", ToDecimal(need.work) },
                                       { "free", DescribeFree(pool.free, model) },
-                                      { "loadsLeft", std::to_string(pool.loadsLeft) } }));
+                                      { "loadsLeft", std::to_string(pool.loadsLeft) },
+                                      { "loading", std::to_string(m_staging.size()) },
+                                      { "place", lack.fabricDomain.Get() },
+                                      { "loadsToBegin", std::to_string(lack.loadsToBegin) },
+                                      { "loadsUnderWay", std::to_string(lack.loadsUnderWay) },
+                                      { "takeover", ToString(lack.takeover) },
+                                      { "gain", ToDecimal(lack.gain) } }));
   }
 }
 
@@ -439,7 +450,7 @@
 }
 
 // Nobody opens this group, so no request reaches the target through it.
-void EngineGroups::StartStandby(Pass& pass, const PlannedStage& planned)
+void EngineGroups::StartStandby(Pass& pass, const PlannedStandby& planned)
 {
   TimePoint& since = m_standbySince[planned.target];
   if (since != TimePoint{} && pass.input.now - since < kStandbyRetry) {
@@ -472,6 +483,13 @@
   GroupOrder order = impl::MakeOrder(*pass.Row(planned.target), GroupOrderKind::kStage);
   order.model = planned.model;
   pass.orders.push_back(std::move(order));
+  const TargetRow& row = *pass.Row(planned.target);
+  pass.events.push_back(MakeEvent(EventNumber::kTargetLoadOrdered,
+                                  { { "target", planned.target.Get() },
+                                    { "domain", row.latest.fabricDomain.Get() },
+                                    { "model", planned.model },
+                                    { "purpose", ToString(planned.purpose) },
+                                    { "loading", std::to_string(m_staging.size()) } }));
 }
 
 } // namespace gooseberrysail
--- a/src/placement/pool_plan.cpp
+++ b/src/placement/pool_plan.cpp
@@ -110,11 +110,34 @@
       ++need.groups;
       return true;
     }
-    if (m_input.loadsAreCheap || !m_input.mayTakeOver) {
+    if (m_input.loadsAreCheap) {
+      return false;
+    }
+    PlannedLack& lack = LackOf(need);
+    if (!m_input.mayTakeOver) {
+      lack.takeover = TakeoverVerdict::kLossesSettle;
       return false;
     }
     const std::optional<Takeover> takeover = FindTakeover(need);
-    return takeover && Carry(need, *takeover);
+    if (!takeover) {
+      lack.takeover =
+        lack.gain != 0 ? TakeoverVerdict::kTooLittleGain : TakeoverVerdict::kNoCandidate;
+      return false;
+    }
+    const bool isTaken = Carry(need, *takeover);
+    lack.takeover = isTaken ? TakeoverVerdict::kTaken : TakeoverVerdict::kWaitsForLoads;
+    return isTaken;
+  }
+
+  PlannedLack& LackOf(const ModelNeed& need)
+  {
+    const auto found = std::ranges::find(m_plan.lacks, NameOf(need), &PlannedLack::model);
+    if (found != m_plan.lacks.end()) {
+      return *found;
+    }
+    m_plan.lacks.emplace_back();
+    m_plan.lacks.back().model = NameOf(need);
+    return m_plan.lacks.back();
   }
 
   /// Before traffic nothing is known of the work, and all count alike.
@@ -180,7 +203,7 @@
   void StageMissing()
   {
     for (ModelNeed& need : m_needs) {
-      while (need.groups < need.wanted && StageOneGroup(*need.model)) {
+      while (need.groups < need.wanted && StageOneGroup(need)) {
         ++need.groups; // On its way.
       }
     }
@@ -225,13 +248,13 @@
   /// Free targets that lack the weights must not hide the members of serving groups that hold them:
   /// seven warm targets and three cold ones waited 25 s for one load, beside small groups whose
   /// members held the weights.
-  [[nodiscard]] std::optional<Takeover> FindTakeover(const ModelNeed& need) const
+  [[nodiscard]] std::optional<Takeover> FindTakeover(const ModelNeed& need)
   {
     const std::optional<Takeover> warm = FindTakeover(need, Members::kWarm);
     return warm ? warm : FindTakeover(need, Members::kAny);
   }
 
-  [[nodiscard]] std::optional<Takeover> FindTakeover(const ModelNeed& need, Members which) const
+  [[nodiscard]] std::optional<Takeover> FindTakeover(const ModelNeed& need, Members which)
   {
     std::optional<Takeover> best;
     for (const ModelNeed& donor : m_needs) {
@@ -270,7 +293,7 @@
                                                 const ModelNeed& donor,
                                                 const FabricDomainId& domain,
                                                 std::vector<const ServingGroup*> groups,
-                                                Members which) const
+                                                Members which)
   {
     const std::string& model = need.model->name;
     const std::size_t size = need.model->size;
@@ -301,7 +324,13 @@
     const int given = static_cast<int>(takeover.groups.size());
     // A large group that is given up makes several small ones, the others in the next passes.
     const int formed = static_cast<int>(takeover.members.size() / size);
-    if (formed == 0 || given == 0 || Gain(need, formed, donor, given) < kLeastGain) {
+    if (formed == 0 || given == 0) {
+      return std::nullopt;
+    }
+    const double gain = Gain(need, formed, donor, given);
+    PlannedLack& lack = LackOf(need);
+    lack.gain = lack.gain == 0 ? gain : std::max(lack.gain, gain);
+    if (gain < kLeastGain) {
       return std::nullopt;
     }
     PutFirst(takeover.members, [&](const FreeTarget* target) { return IsComing(*target, model); });
@@ -314,7 +343,7 @@
   bool Carry(ModelNeed& need, const Takeover& takeover)
   {
     for (const FreeTarget* target : takeover.members) {
-      Stage(*target, need.model->name);
+      Stage(*target, need.model->name, LoadPurpose::kTakeover);
     }
     for (auto& [domain, targets] : m_pool) {
       std::erase_if(targets, [&](const FreeTarget* target) {
@@ -338,8 +367,9 @@
     return true;
   }
 
-  bool StageOneGroup(const GroupModel& model)
+  bool StageOneGroup(const ModelNeed& need)
   {
+    const GroupModel& model = *need.model;
     Pool::iterator best = m_pool.end();
     std::size_t fewest = 0;
     for (auto domain = m_pool.begin(); domain != m_pool.end(); ++domain) {
@@ -359,8 +389,17 @@
     }
     std::vector<const FreeTarget*>& targets = best->second;
     PutFirst(targets, [&](const FreeTarget* target) { return IsComing(*target, model.name); });
+    if (PlannedLack& lack = LackOf(need); lack.fabricDomain.IsNone()) {
+      const auto first = targets.begin();
+      lack.fabricDomain = best->first;
+      lack.loadsToBegin = static_cast<std::uint32_t>(fewest);
+      lack.loadsUnderWay = static_cast<std::uint32_t>(
+        std::count_if(first, first + model.size, [&](const FreeTarget* target) {
+          return IsComing(*target, model.name) && !HoldsModel(*target, model.name);
+        }));
+    }
     for (std::size_t i = 0; i < model.size; ++i) {
-      Stage(*targets[i], model.name);
+      Stage(*targets[i], model.name, LoadPurpose::kGroup);
     }
     // They wait for one another; a further group must not count on them.
     targets.erase(targets.begin(), targets.begin() + model.size);
@@ -417,7 +456,7 @@
     if (best == m_needs.end() || IsComing(target, best->model->name)) {
       return;
     }
-    Stage(target, best->model->name);
+    Stage(target, best->model->name, LoadPurpose::kSpare);
     ++spares[best->model->name];
   }
 
@@ -457,7 +496,7 @@
     const auto other = std::ranges::find_if(
       m_needs, [&](const ModelNeed& need) { return need.model->name != model; });
     if (other != m_needs.end()) {
-      Stage(target, other->model->name);
+      Stage(target, other->model->name, LoadPurpose::kSecondWeights);
     }
   }
 
@@ -473,14 +512,14 @@
       targets, [&](const FreeTarget* target) { return IsComing(*target, model); }));
   }
 
-  void Stage(const FreeTarget& target, const std::string& model)
+  void Stage(const FreeTarget& target, const std::string& model, LoadPurpose purpose)
   {
     if (IsComing(target, model) || !target.staging.empty() || m_loadsLeft == 0 ||
         !m_staged.insert(target.instance).second) {
       return;
     }
     --m_loadsLeft;
-    m_plan.stages.push_back({ target.instance, model });
+    m_plan.stages.push_back({ target.instance, model, purpose });
   }
 
   const PoolInput& m_input;
@@ -494,6 +533,40 @@
 
 } // namespace
 
+const char* ToString(LoadPurpose purpose) noexcept
+{
+  switch (purpose) {
+    case LoadPurpose::kGroup:
+      return "group";
+    case LoadPurpose::kTakeover:
+      return "takeover";
+    case LoadPurpose::kSpare:
+      return "spare";
+    case LoadPurpose::kSecondWeights:
+      return "second-weights";
+  }
+  return "unknown";
+}
+
+const char* ToString(TakeoverVerdict verdict) noexcept
+{
+  switch (verdict) {
+    case TakeoverVerdict::kNotNeeded:
+      return "not-needed";
+    case TakeoverVerdict::kLossesSettle:
+      return "losses-settle";
+    case TakeoverVerdict::kNoCandidate:
+      return "no-candidate";
+    case TakeoverVerdict::kTooLittleGain:
+      return "too-little-gain";
+    case TakeoverVerdict::kWaitsForLoads:
+      return "waits-for-loads";
+    case TakeoverVerdict::kTaken:
+      return "taken";
+  }
+  return "unknown";
+}
+
 bool HoldsModel(const FreeTarget& target, const std::string& model)
 {
   return target.lastModel == model || IsStaged(target, model);
