--- a/tests/fakes/fake_fleet.cpp
+++ b/tests/fakes/fake_fleet.cpp
@@ -47,9 +47,9 @@
   return document;
 }
 
-FakeFleet ServingFleet()
+FakeFleet ServingFleet(ServingDocument document)
 {
-  FakeFleet fleet(TwoModelDocument());
+  FakeFleet fleet(std::move(document));
   fleet.Add("a", 10, "domain-a");
   fleet.Add("b", 10, "domain-b");
   fleet.Add("c", 10, "domain-c");
@@ -228,15 +228,35 @@
       outcome = OrderOutcome::kRefused;
       break;
     case GroupOrderKind::kStage:
-      Later(hasTraffic ? 16s : kLoadTime, [this, &target, order] {
-        target.self.stagedModels = { order.model };
-        Report(target);
-      });
+      if (target.isLoading) {
+        outcome = OrderOutcome::kRefused;
+        break;
+      }
+      Load(target, order.model);
       break;
   }
   m_keeper.OnOrderOutcome(now, order, outcome);
 }
 
+void FakeFleet::Load(Target& target, const std::string& model)
+{
+  target.isLoading = true;
+  if (hasTraffic) {
+    const auto loads = std::ranges::count_if(m_targets, [](const auto& row) {
+      return row.second.isUp && row.second.isLoading;
+    });
+    m_mostLoads = std::max(m_mostLoads, static_cast<std::size_t>(loads));
+  }
+  const Incarnation born = target.self.born;
+  Later(hasTraffic ? 16s : kLoadTime, [this, &target, model, born] {
+    if (target.self.born == born) {
+      target.isLoading = false;
+      target.self.stagedModels = { model };
+      Report(target);
+    }
+  });
+}
+
 void FakeFleet::Open(Target& target, const GroupOrder& order)
 {
   const GroupMembership& membership = target.self.membership;
@@ -386,6 +406,7 @@
   target.self.loadedModel.clear();
   target.self.stagedModels.clear();
   target.members.clear();
+  target.isLoading = false;
   target.isUp = true;
   Report(target);
 }
--- a/tests/fakes/fake_fleet.hpp
+++ b/tests/fakes/fake_fleet.hpp
@@ -27,6 +27,7 @@
     Duration opensLate{};  ///< Orders to open get no answer and are carried out after this.
     double pace = 1;       ///< Factor on its times.
     Duration finishesIn{}; ///< What it works on when it is told to close.
+    bool isLoading = false; ///< Its host loads weights, and refuses to load others meanwhile.
     std::vector<InstanceId> members; ///< Of its group, the head first.
     TimePoint reportsAt{};
     std::set<std::string> wasReadyIn; ///< Groups.
@@ -60,6 +61,8 @@
   [[nodiscard]] std::size_t CountServing(const std::string& model) const;
   [[nodiscard]] const std::vector<std::string>& Violations() const { return m_violations; }
   [[nodiscard]] const std::vector<GroupOrder>& Orders() const { return m_orders; }
+  /// \brief How many hosts loaded at once, at most, since there are callers.
+  [[nodiscard]] std::size_t MostLoads() const { return m_mostLoads; }
   [[nodiscard]] TargetTable& Table() { return m_table; }
   [[nodiscard]] EngineGroups& Keeper() { return m_keeper; }
   [[nodiscard]] const EngineGroups& Keeper() const { return m_keeper; }
@@ -80,6 +83,7 @@
   void StandStill(const InstanceId& head);
   void Close(Target& target);
   void Join(Target& target, const GroupOrder& order);
+  void Load(Target& target, const std::string& model);
   void CheckJoin(const Target& target, const std::string& newGroup);
   void CheckOpen(const Target& head);
   void Later(Duration delay, std::function<void()> action);
@@ -93,6 +97,7 @@
   TimePoint m_startedAt{ std::chrono::hours(1) };
   std::vector<GroupOrder> m_orders;
   std::vector<std::string> m_violations;
+  std::size_t m_mostLoads = 0;
 };
 
 /// \brief A service `assist` with the models `large` (4 targets) and `small` (2), half the work
@@ -100,7 +105,7 @@
 [[nodiscard]] ServingDocument TwoModelDocument();
 
 /// \brief Three fabric domains of ten targets, groups formed, callers there.
-[[nodiscard]] FakeFleet ServingFleet();
+[[nodiscard]] FakeFleet ServingFleet(ServingDocument document = TwoModelDocument());
 
 /// \brief The head of a serving group of `model`; "" when there is none.
 [[nodiscard]] std::string AnyHead(const FakeFleet& fleet, const std::string& model);
--- /dev/null
+++ b/tests/unit/engine_group_loads_test.cpp
@@ -0,0 +1,56 @@
+#include "fakes/fake_fleet.hpp"
+
+#include <gmock/gmock.h>
+
+namespace gooseberrysail {
+namespace {
+
+using namespace std::chrono_literals;
+using fakes::AnyMember;
+using fakes::FakeFleet;
+using fakes::ServingFleet;
+using fakes::TwoModelDocument;
+using ::testing::IsEmpty;
+
+std::ptrdiff_t CountLoadOrders(const FakeFleet& fleet, const std::string& target)
+{
+  return std::ranges::count_if(fleet.Orders(), [&](const GroupOrder& order) {
+    return order.kind == GroupOrderKind::kStage && order.target.Get() == target;
+  });
+}
+
+// Guards against a host that refused a load being taken for one that loads.
+TEST(EngineGroupLoads, ARefusedLoadIsOrderedAgain)
+{
+  FakeFleet fleet = ServingFleet();
+  const std::string cold = AnyMember(fleet, "large");
+  fleet.Restart(cold);
+  fleet.At(cold).isLoading = true;
+  fleet.Run(4s);
+  const auto refused = CountLoadOrders(fleet, cold);
+  ASSERT_GE(refused, 1);
+  fleet.At(cold).isLoading = false;
+  fleet.Run(16s); // What a load takes.
+  EXPECT_GT(CountLoadOrders(fleet, cold), refused);
+}
+
+// Guards against so many loads at once that they slow one another down and complete no group.
+TEST(EngineGroupLoads, NoMoreAtOnceThanTheStoreServes)
+{
+  ServingDocument document = TwoModelDocument();
+  document.services[0].engine->loadsAtOnce = 6;
+  FakeFleet fleet = ServingFleet(document);
+  fleet.demand["large"] = { 29, 29 * 1600.0, 29 * 100.0 };
+  fleet.demand["small"] = { 60, 60 * 714.0, 60 * 146.0 };
+  for (int i = 1; i <= 10; ++i) {
+    fleet.Restart("a" + std::to_string(i));
+    fleet.Restart("b" + std::to_string(i));
+  }
+  fleet.Run(60s);
+  EXPECT_LE(fleet.MostLoads(), 6U);
+  EXPECT_GE(fleet.CountServing("large"), 2U);
+  EXPECT_THAT(fleet.Violations(), IsEmpty());
+}
+
+} // namespace
+} // namespace gooseberrysail
--- a/tests/unit/pool_plan_test.cpp
+++ b/tests/unit/pool_plan_test.cpp
@@ -315,6 +315,38 @@
   EXPECT_EQ(plan.stages[0].model, "large");
 }
 
+// Guards against loads for a takeover in one domain while another lacks a single one.
+TEST(PoolPlan, LoadsBeginWhereTheFewestCompleteAGroup)
+{
+  std::vector<FreeTarget> free;
+  Add(free, 3, "a", "large");
+  Add(free, 1, "a", "");
+  Add(free, 2, "b", "");
+  const std::vector<ServingGroup> serving{ Serving("g1", "small", "b", 2),
+                                           Serving("g2", "small", "b", 2) };
+  const std::vector<ModelNeed> needs{ { &kLarge, 0, 1, 1.5 }, { &kSmall, 6, 6, 3.0 } };
+  const PoolPlan plan = PlanPool({ free, needs, serving, 6, 0, false });
+  ASSERT_THAT(plan.stages, SizeIs(1));
+  EXPECT_EQ(plan.stages[0].target, free[3].instance);
+  EXPECT_EQ(plan.stages[0].model, "large");
+}
+
+// Guards against a model without groups that waits for hosts that load another model's weights.
+TEST(PoolPlan, HostsThatLoadOtherWeightsAreNotWaitedFor)
+{
+  std::vector<FreeTarget> free;
+  Add(free, 3, "a", "large");
+  Add(free, 2, "a", "");
+  free[3].staging = "small";
+  free[4].staging = "small";
+  const std::vector<ServingGroup> serving{ Serving("g1", "small", "a", 2) };
+  const std::vector<ModelNeed> needs{ { &kLarge, 0, 1, 1.5 }, { &kSmall, 6, 6, 3.0 } };
+  const PoolPlan plan = PlanPool({ free, needs, serving, 6, 0, false });
+  ASSERT_THAT(plan.stages, SizeIs(1));
+  EXPECT_EQ(plan.stages[0].target, serving[0].members[0].instance);
+  EXPECT_EQ(plan.stages[0].model, "large");
+}
+
 TEST(PoolPlan, SparesTakeTheirHostsWeightsBeforeTheyAreNeeded)
 {
   std::vector<FreeTarget> free;
