Loads for a group begin where it is complete soonest

Callers of the larger model were refused for 12 s and more while targets stood idle with its weights, one short of a group. Cause: a takeover that lacked loads was carried out, loads and all, before places of idle targets were looked at; and hosts that load another model's weights counted as able to load.

Now idle places and takeovers are compared by what they wait for: hosts that load other weights first, then whether any load has yet to begin, then whether a serving group must end. The model that lacks most keeps the idle targets it waits for, unless another can use them without the loss of these weights.

--- a/src/placement/pool_plan.cpp
+++ b/src/placement/pool_plan.cpp
@@ -87,15 +87,9 @@
   /// gave up would go back to it.
   void FillNeeds()
   {
-    std::vector<ModelNeed*> open;
-    for (ModelNeed& need : m_needs) {
-      open.push_back(&need);
-    }
+    std::vector<ModelNeed*> open = ListNeeds();
     while (!open.empty()) {
-      const auto worst =
-        std::ranges::min_element(open, [](const ModelNeed* left, const ModelNeed* right) {
-          return LacksMore(*left, *right);
-        });
+      const auto worst = FindWorst(open);
       ModelNeed& need = **worst;
       if (need.groups >= need.wanted || !AddGroup(need)) {
         open.erase(worst);
@@ -103,6 +97,22 @@
     }
   }
 
+  std::vector<ModelNeed*> ListNeeds()
+  {
+    std::vector<ModelNeed*> needs;
+    for (ModelNeed& need : m_needs) {
+      needs.push_back(&need);
+    }
+    return needs;
+  }
+
+  static std::vector<ModelNeed*>::iterator FindWorst(std::vector<ModelNeed*>& needs)
+  {
+    return std::ranges::min_element(needs, [](const ModelNeed* left, const ModelNeed* right) {
+      return LacksMore(*left, *right);
+    });
+  }
+
   bool AddGroup(ModelNeed& need)
   {
     if (const std::optional<Place> place = FindPlace(*need.model)) {
@@ -113,20 +123,36 @@
     if (m_input.loadsAreCheap) {
       return false;
     }
-    PlannedLack& lack = LackOf(need);
-    if (!m_input.mayTakeOver) {
-      lack.takeover = TakeoverVerdict::kLossesSettle;
-      return false;
+    if (const std::optional<Takeover> warm = FindTakeover(need, Members::kWarm)) {
+      Release(need, *warm);
+      return true;
     }
-    const std::optional<Takeover> takeover = FindTakeover(need);
-    if (!takeover) {
-      lack.takeover =
-        lack.gain != 0 ? TakeoverVerdict::kTooLittleGain : TakeoverVerdict::kNoCandidate;
-      return false;
+    const std::optional<Takeover> takeover = FindTakeover(need, Members::kAny);
+    const std::optional<Waiting> idle = FindWaiting(*need.model);
+    if (takeover && (!idle || IsSooner(takeover->waiting, *idle))) {
+      LackOf(need).takeover = TakeoverVerdict::kWaitsForLoads;
+      Await(need, takeover->waiting, LoadPurpose::kTakeover);
+    } else if (idle) {
+      Await(need, *idle, LoadPurpose::kGroup);
+    }
+    return false;
+  }
+
+  /// Further groups wait for loads, too; none of them keeps targets from a group that can be formed.
+  void StageMissing()
+  {
+    std::vector<ModelNeed*> open = ListNeeds();
+    while (!open.empty()) {
+      const auto worst = FindWorst(open);
+      ModelNeed& need = **worst;
+      const std::optional<Waiting> idle =
+        need.groups < need.wanted ? FindWaiting(*need.model) : std::nullopt;
+      if (!idle) {
+        open.erase(worst);
+        continue;
+      }
+      Await(need, *idle, LoadPurpose::kGroup);
     }
-    const bool isTaken = Carry(need, *takeover);
-    lack.takeover = isTaken ? TakeoverVerdict::kTaken : TakeoverVerdict::kWaitsForLoads;
-    return isTaken;
   }
 
   PlannedLack& LackOf(const ModelNeed& need)
@@ -199,16 +225,6 @@
     m_plan.groups.push_back(std::move(group));
   }
 
-  /// Models that lack groups: where a few more warm targets would make one, they are made.
-  void StageMissing()
-  {
-    for (ModelNeed& need : m_needs) {
-      while (need.groups < need.wanted && StageOneGroup(need)) {
-        ++need.groups; // On its way.
-      }
-    }
-  }
-
   /// Groups of a model for each that its requests need.
   static double Fulfilment(const ModelNeed& need)
   {
@@ -230,12 +246,22 @@
     return Value(need, formed) - Value(need, 0) + Value(donor, -given) - Value(donor, 0);
   }
 
+  /// \brief Targets of one domain that make a group once all of them hold its weights.
+  struct Waiting
+  {
+    FabricDomainId fabricDomain;
+    std::vector<const FreeTarget*> members;
+    std::size_t blocked = 0; ///< Their hosts load other weights first.
+    std::size_t toBegin = 0; ///< Loads that have not begun.
+    std::size_t underWay = 0;
+    bool takesOver = false; ///< Some of the members serve another model.
+  };
+
   /// \brief Free targets of one domain and groups whose targets complete a group of another model.
   struct Takeover
   {
-    std::vector<const FreeTarget*> members;
+    Waiting waiting;
     std::vector<const ServingGroup*> groups;
-    std::size_t loads = 0;
   };
 
   /// \brief Which targets a takeover may use.
@@ -245,35 +271,88 @@
     kAny,  ///< Others, too, which load first.
   };
 
-  /// Free targets that lack the weights must not hide the members of serving groups that hold them:
-  /// seven warm targets and three cold ones waited 25 s for one load, beside small groups whose
-  /// members held the weights.
-  [[nodiscard]] std::optional<Takeover> FindTakeover(const ModelNeed& need)
+  /// Loads take equally long, so that one more to begin costs no time, while a group that another
+  /// model gives up costs its callers.
+  static bool IsSooner(const Waiting& left, const Waiting& right)
+  {
+    const auto rank = [](const Waiting& each) {
+      return std::tuple(each.blocked, each.toBegin > 0, each.takesOver, each.toBegin);
+    };
+    return rank(left) < rank(right);
+  }
+
+  /// The `size` targets of these that hold the weights soonest.
+  static Waiting ChooseSoonest(const FabricDomainId& domain,
+                               std::vector<const FreeTarget*> targets,
+                               const GroupModel& model)
+  {
+    const auto rank = [&](const FreeTarget* target) {
+      if (HoldsModel(*target, model.name)) {
+        return 0;
+      }
+      return target->staging == model.name ? 1 : target->staging.empty() ? 2 : 3;
+    };
+    std::ranges::stable_sort(targets, std::less{}, rank);
+    targets.resize(model.size);
+    const auto count = [&](int wanted) {
+      return static_cast<std::size_t>(std::ranges::count(targets, wanted, rank));
+    };
+    const std::size_t underWay = count(1);
+    const std::size_t toBegin = count(2);
+    const std::size_t blocked = count(3);
+    return { domain, std::move(targets), blocked, toBegin, underWay, false };
+  }
+
+  /// Idle targets that make a group of the model soonest; none where no domain has enough.
+  [[nodiscard]] std::optional<Waiting> FindWaiting(const GroupModel& model) const
   {
-    const std::optional<Takeover> warm = FindTakeover(need, Members::kWarm);
-    return warm ? warm : FindTakeover(need, Members::kAny);
+    std::optional<Waiting> best;
+    for (const auto& [domain, pool] : m_pool) {
+      std::vector<const FreeTarget*> targets = ListUnawaited(pool);
+      if (targets.size() < model.size) {
+        continue;
+      }
+      Waiting waiting = ChooseSoonest(domain, std::move(targets), model);
+      if (!best || IsSooner(waiting, *best)) {
+        best = std::move(waiting);
+      }
+    }
+    return best;
   }
 
+  /// Free targets that lack the weights must not hide the members of serving groups that hold them:
+  /// seven warm targets and three cold ones waited 25 s for one load, beside small groups whose
+  /// members held the weights.
   [[nodiscard]] std::optional<Takeover> FindTakeover(const ModelNeed& need, Members which)
   {
+    PlannedLack& lack = LackOf(need);
+    if (!m_input.mayTakeOver) {
+      lack.takeover = TakeoverVerdict::kLossesSettle;
+      return std::nullopt;
+    }
     std::optional<Takeover> best;
     for (const ModelNeed& donor : m_needs) {
       if (donor.model == need.model) {
         continue;
       }
       for (const auto& [domain, groups] : GroupsByDomain(donor.model->name)) {
-        const std::optional<Takeover> takeover = Combine(need, donor, domain, groups, which);
+        std::optional<Takeover> takeover = Combine(need, donor, domain, groups, which);
         if (takeover && (!best || IsCheaper(*takeover, *best))) {
-          best = takeover;
+          best = std::move(takeover);
         }
       }
     }
+    if (!best) {
+      lack.takeover =
+        lack.gain != 0 ? TakeoverVerdict::kTooLittleGain : TakeoverVerdict::kNoCandidate;
+    }
     return best;
   }
 
   static bool IsCheaper(const Takeover& left, const Takeover& right)
   {
-    return std::pair(left.groups.size(), left.loads) < std::pair(right.groups.size(), right.loads);
+    return std::pair(left.groups.size(), left.waiting.toBegin) <
+           std::pair(right.groups.size(), right.waiting.toBegin);
   }
 
   [[nodiscard]] std::map<FabricDomainId, std::vector<const ServingGroup*>> GroupsByDomain(
@@ -303,27 +382,29 @@
         group->members, [&](const FreeTarget& member) { return IsComing(member, model); });
     });
     Takeover takeover;
+    std::vector<const FreeTarget*> members;
     const auto add = [&](const FreeTarget* target) {
-      if (which == Members::kAny || HoldsModel(*target, model)) {
-        takeover.members.push_back(target);
+      const bool canLoad = target->staging.empty() || target->staging == model;
+      if (HoldsModel(*target, model) || (which == Members::kAny && canLoad)) {
+        members.push_back(target);
       }
     };
     if (const auto free = m_pool.find(domain); free != m_pool.end()) {
-      std::ranges::for_each(free->second, add);
+      std::ranges::for_each(ListUnawaited(free->second), add);
     }
     for (const ServingGroup* group : groups) {
-      const std::size_t before = takeover.members.size();
+      const std::size_t before = members.size();
       if (before >= size) {
         break;
       }
       std::ranges::for_each(group->members, [&](const FreeTarget& member) { add(&member); });
-      if (takeover.members.size() > before) {
+      if (members.size() > before) {
         takeover.groups.push_back(group);
       }
     }
     const int given = static_cast<int>(takeover.groups.size());
     // A large group that is given up makes several small ones, the others in the next passes.
-    const int formed = static_cast<int>(takeover.members.size() / size);
+    const int formed = static_cast<int>(members.size() / size);
     if (formed == 0 || given == 0) {
       return std::nullopt;
     }
@@ -333,28 +414,17 @@
     if (gain < kLeastGain) {
       return std::nullopt;
     }
-    PutFirst(takeover.members, [&](const FreeTarget* target) { return IsComing(*target, model); });
-    takeover.members.resize(size);
-    takeover.loads = size - CountWarm(takeover.members, model);
+    takeover.waiting = ChooseSoonest(domain, std::move(members), *need.model);
+    takeover.waiting.takesOver = true;
     return takeover;
   }
 
-  /// Whether a group of it is on its way; otherwise its members load first, while they serve.
-  bool Carry(ModelNeed& need, const Takeover& takeover)
+  /// Closes the groups whose members hold the other model's weights.
+  void Release(ModelNeed& need, const Takeover& takeover)
   {
-    for (const FreeTarget* target : takeover.members) {
-      Stage(*target, need.model->name, LoadPurpose::kTakeover);
-    }
-    for (auto& [domain, targets] : m_pool) {
-      std::erase_if(targets, [&](const FreeTarget* target) {
-        return std::ranges::find(takeover.members, target) != takeover.members.end();
-      });
-    }
-    if (takeover.loads > 0) {
-      return false;
-    }
+    Reserve(takeover.waiting.members);
     PlannedTakeover planned{ { need.model->name, {}, 0 }, {} };
-    for (const FreeTarget* target : takeover.members) {
+    for (const FreeTarget* target : takeover.waiting.members) {
       planned.group.members.push_back(target->instance);
     }
     for (const ServingGroup* group : takeover.groups) {
@@ -364,46 +434,48 @@
     }
     m_plan.takeovers.push_back(std::move(planned));
     ++need.groups;
-    return true;
+    LackOf(need).takeover = TakeoverVerdict::kTaken;
   }
 
-  bool StageOneGroup(const ModelNeed& need)
+  /// Begins the loads that a group lacks. Members that serve go on serving, and idle ones may serve
+  /// another model meanwhile unless they would lose the weights by that.
+  void Await(ModelNeed& need, const Waiting& waiting, LoadPurpose purpose)
   {
-    const GroupModel& model = *need.model;
-    Pool::iterator best = m_pool.end();
-    std::size_t fewest = 0;
-    for (auto domain = m_pool.begin(); domain != m_pool.end(); ++domain) {
-      std::vector<const FreeTarget*>& targets = domain->second;
-      const std::size_t willHold = CountComing(targets, model.name);
-      if (targets.size() < model.size) {
-        continue;
-      }
-      const std::size_t missing = model.size - std::min<std::size_t>(model.size, willHold);
-      if (best == m_pool.end() || missing < fewest) {
-        best = domain;
-        fewest = missing;
-      }
-    }
-    if (best == m_pool.end()) {
-      return false;
-    }
-    std::vector<const FreeTarget*>& targets = best->second;
-    PutFirst(targets, [&](const FreeTarget* target) { return IsComing(*target, model.name); });
+    const std::string& model = need.model->name;
     if (PlannedLack& lack = LackOf(need); lack.fabricDomain.IsNone()) {
-      const auto first = targets.begin();
-      lack.fabricDomain = best->first;
-      lack.loadsToBegin = static_cast<std::uint32_t>(fewest);
-      lack.loadsUnderWay = static_cast<std::uint32_t>(
-        std::count_if(first, first + model.size, [&](const FreeTarget* target) {
-          return IsComing(*target, model.name) && !HoldsModel(*target, model.name);
-        }));
+      lack.fabricDomain = waiting.fabricDomain;
+      lack.loadsToBegin = static_cast<std::uint32_t>(waiting.toBegin);
+      lack.loadsUnderWay = static_cast<std::uint32_t>(waiting.underWay);
+    }
+    std::vector<const FreeTarget*> bound;
+    for (const FreeTarget* target : waiting.members) {
+      Stage(*target, model, purpose);
+      m_awaited.insert(target->instance);
+      if (target->lastModel == model) {
+        bound.push_back(target);
+      }
     }
-    for (std::size_t i = 0; i < model.size; ++i) {
-      Stage(*targets[i], model.name, LoadPurpose::kGroup);
+    Reserve(bound);
+    ++need.groups; // On its way.
+  }
+
+  [[nodiscard]] std::vector<const FreeTarget*> ListUnawaited(
+    const std::vector<const FreeTarget*>& targets) const
+  {
+    std::vector<const FreeTarget*> unawaited;
+    std::ranges::copy_if(targets, std::back_inserter(unawaited), [&](const FreeTarget* target) {
+      return !m_awaited.contains(target->instance);
+    });
+    return unawaited;
+  }
+
+  void Reserve(const std::vector<const FreeTarget*>& members)
+  {
+    for (auto& [domain, targets] : m_pool) {
+      std::erase_if(targets, [&](const FreeTarget* target) {
+        return std::ranges::find(members, target) != members.end();
+      });
     }
-    // They wait for one another; a further group must not count on them.
-    targets.erase(targets.begin(), targets.begin() + model.size);
-    return true;
   }
 
   void StageSpares()
@@ -527,6 +599,7 @@
   std::vector<ModelNeed> m_needs; ///< The largest model first.
   std::uint32_t m_loadsLeft;
   std::set<InstanceId> m_staged; ///< Told to load in this plan; a host loads one model at a time.
+  std::set<InstanceId> m_awaited; ///< Members of groups that wait for loads.
   std::set<std::string> m_released; ///< Serving groups that end for a takeover.
   PoolPlan m_plan;
 };
