A host that refused a load does not count as loading

Cause: a new leader does not know which loads are under way; a host that loads refuses another (409), and was taken for one that loads the weights it had refused, for 40 s.

A refused load now marks the host as busy with unknown weights, and it is asked again after a quarter of a load's time; an order that found no target is forgotten at once. Ended loads are forgotten in one place, also those of targets that are in no open group.

--- a/include/gooseberrysail/control/engine_groups.hpp
+++ b/include/gooseberrysail/control/engine_groups.hpp
@@ -208,13 +208,15 @@
                                                  const ServiceDefinition& service) const;
   [[nodiscard]] std::vector<FreeTarget> ListFree(const Pass& pass, const std::string& service);
   [[nodiscard]] std::vector<ServingGroup> ListServing(const Pass& pass, const std::string& service);
-  [[nodiscard]] FreeTarget MakeFree(const Pass& pass, const TargetRow& row);
-  [[nodiscard]] std::string StagingOf(const Pass& pass, const TargetRow& row);
+  [[nodiscard]] FreeTarget MakeFree(const TargetRow& row) const;
+  void ForgetEndedLoads(const Pass& pass);
+  void NoteLoad(TimePoint now, const GroupOrder& order, OrderOutcome outcome);
+  [[nodiscard]] std::string StagingOf(const InstanceId& target) const;
   [[nodiscard]] bool IsSettled(const Pass& pass);
   [[nodiscard]] bool MayTakeOver(const Pass& pass);
   [[nodiscard]] std::uint32_t LoadsLeft(const Pass& pass, const EngineSpec& engine);
   /// \brief How many more second weights may be loaded now.
-  [[nodiscard]] std::uint32_t SpareLoads(const Pass& pass, const EngineSpec& engine);
+  [[nodiscard]] std::uint32_t SpareLoads(const Pass& pass, const EngineSpec& engine) const;
   [[nodiscard]] bool IsHeld(const GroupMembership& membership) const;
   /// \brief The group goes on under a higher epoch with another head.
   [[nodiscard]] bool HasSuccessor(const Group& group) const;
@@ -283,8 +285,9 @@
   std::vector<TimePoint> m_loads; ///< When loads began lately.
   struct Staging
   {
-    std::string model;
+    std::string model; ///< kUnknownWeights where the host loads what another leader ordered.
     TimePoint since{};
+    Duration loadTime{}; ///< Of the model that was ordered, alone.
   };
   std::map<InstanceId, Staging> m_staging;
   std::map<InstanceId, TimePoint> m_unanswered; ///< Probes without an answer, until the next word.
--- a/include/gooseberrysail/placement/pool_plan.hpp
+++ b/include/gooseberrysail/placement/pool_plan.hpp
@@ -11,6 +11,9 @@
 
 namespace gooseberrysail {
 
+/// \brief Stands for the model that a host loads where nobody knows which one.
+inline const std::string kUnknownWeights = "?";
+
 /// \brief A target that is in no group and may join one.
 struct FreeTarget
 {
--- a/src/control/engine_groups.cpp
+++ b/src/control/engine_groups.cpp
@@ -398,6 +398,10 @@
   if (outcome == OrderOutcome::kNoTarget) {
     m_unanswered[order.target] = now;
   }
+  if (order.kind == GroupOrderKind::kStage) {
+    NoteLoad(now, order, outcome);
+    return;
+  }
   if (!m_leadsSince || order.givenAt < *m_leadsSince) {
     return; // Of a former term: what this one knows of the group is younger.
   }
--- a/src/control/engine_groups_planning.cpp
+++ b/src/control/engine_groups_planning.cpp
@@ -22,6 +22,9 @@
 constexpr std::uint32_t kUnlimitedLoads = 100'000;
 /// A load takes 12 to 16 s, longer when many load at once; after this it is ordered again.
 constexpr Duration kStagePatience = 40s;
+/// A host that refused a load is asked again after this part of a load's time: of a load that could
+/// have begun, no more than that is lost.
+constexpr int kBusyHostDivisor = 4;
 /// Part of the targets kept out of groups at the start, as spares that hold weights.
 constexpr double kSparePart = 0.2;
 /// A standby takes its weights from its host within two seconds; after this it is told again.
@@ -89,16 +92,11 @@
   return static_cast<std::uint32_t>(allowed - std::min(allowed, m_loads.size()));
 }
 
-std::uint32_t EngineGroups::SpareLoads(const Pass& pass, const EngineSpec& engine)
+std::uint32_t EngineGroups::SpareLoads(const Pass& pass, const EngineSpec& engine) const
 {
   if (!pass.input.hasTraffic) {
     return kUnlimitedLoads;
   }
-  std::erase_if(m_staging, [&](const auto& row) {
-    const TargetRow* target = pass.Row(row.first);
-    return target == nullptr || target->latest.left ||
-           pass.input.now - target->heardAt > m_settings.Silence();
-  });
   const std::size_t most = std::max(1U, engine.loadsAtOnce / kSpareLoadsDivisor);
   return static_cast<std::uint32_t>(most - std::min(most, m_staging.size()));
 }
@@ -119,6 +117,7 @@
 void EngineGroups::Form(Pass& pass, const ServiceDefinition& service)
 {
   ReplaceHeads(pass, service);
+  ForgetEndedLoads(pass);
   const std::vector<ModelNeed> needs = ListNeeds(pass, service);
   const std::vector<FreeTarget> free = ListFree(pass, service.name);
   const std::vector<ServingGroup> serving = ListServing(pass, service.name);
@@ -290,7 +289,7 @@
     for (const InstanceId& member : group.members) {
       if (const TargetRow* row = pass.Row(member)) {
         each.fabricDomain = row->latest.fabricDomain;
-        each.members.push_back(MakeFree(pass, *row));
+        each.members.push_back(MakeFree(*row));
       }
     }
     serving.push_back(std::move(each));
@@ -360,34 +359,59 @@
     if (!usable) {
       continue;
     }
-    free.push_back(MakeFree(pass, row));
+    free.push_back(MakeFree(row));
   }
   return free;
 }
 
-FreeTarget EngineGroups::MakeFree(const Pass& pass, const TargetRow& row)
+FreeTarget EngineGroups::MakeFree(const TargetRow& row) const
 {
   return { row.latest.instance,
            row.latest.fabricDomain,
            row.latest.stagedModels,
-           StagingOf(pass, row),
+           StagingOf(row.latest.instance),
            row.lastModel };
 }
 
 /// The model that a target's host was told to load and does not hold yet; "" for none.
-std::string EngineGroups::StagingOf(const Pass& pass, const TargetRow& row)
+std::string EngineGroups::StagingOf(const InstanceId& target) const
+{
+  const auto staging = m_staging.find(target);
+  return staging == m_staging.end() ? std::string() : staging->second.model;
+}
+
+void EngineGroups::ForgetEndedLoads(const Pass& pass)
 {
-  const auto staging = m_staging.find(row.latest.instance);
+  std::erase_if(m_staging, [&](const auto& entry) {
+    const Staging& staging = entry.second;
+    const TargetRow* row = pass.Row(entry.first);
+    if (row == nullptr || row->latest.left ||
+        pass.input.now - row->heardAt > m_settings.Silence()) {
+      return true;
+    }
+    const bool isDone = std::ranges::find(row->latest.stagedModels, staging.model) !=
+                        row->latest.stagedModels.end();
+    const Duration patience = staging.model == kUnknownWeights
+                                ? staging.loadTime / kBusyHostDivisor
+                                : kStagePatience;
+    return isDone || pass.input.now - staging.since > patience;
+  });
+}
+
+// A host that loads what an earlier leader ordered refuses, and is free sooner than a load that
+// begins now would end.
+void EngineGroups::NoteLoad(TimePoint now, const GroupOrder& order, OrderOutcome outcome)
+{
+  const auto staging = m_staging.find(order.target);
   if (staging == m_staging.end()) {
-    return {};
+    return;
   }
-  const bool isDone = std::ranges::find(row.latest.stagedModels, staging->second.model) !=
-                      row.latest.stagedModels.end();
-  if (isDone || pass.input.now - staging->second.since > kStagePatience) {
+  if (outcome == OrderOutcome::kRefused) {
+    staging->second.model = kUnknownWeights;
+    staging->second.since = now;
+  } else if (outcome == OrderOutcome::kNoTarget || outcome == OrderOutcome::kReplaced) {
     m_staging.erase(staging);
-    return {};
   }
-  return staging->second.model;
 }
 
 void EngineGroups::StartGroup(Pass& pass, const std::string& service, const PlannedGroup& planned)
@@ -478,12 +502,15 @@
 
 void EngineGroups::StartStage(Pass& pass, const PlannedStage& planned)
 {
-  m_staging[planned.target] = { planned.model, pass.input.now };
+  const TargetRow& row = *pass.Row(planned.target);
+  const EngineSpec* engine = pass.EngineOf(row.latest.service);
+  const GroupModel* model = engine == nullptr ? nullptr : FindModel(*engine, planned.model);
+  const Duration loadTime = model == nullptr ? Duration::zero() : model->loadTime;
+  m_staging[planned.target] = { planned.model, pass.input.now, loadTime };
   m_loads.push_back(pass.input.now);
-  GroupOrder order = impl::MakeOrder(*pass.Row(planned.target), GroupOrderKind::kStage);
+  GroupOrder order = impl::MakeOrder(row, GroupOrderKind::kStage);
   order.model = planned.model;
   pass.orders.push_back(std::move(order));
-  const TargetRow& row = *pass.Row(planned.target);
   pass.events.push_back(MakeEvent(EventNumber::kTargetLoadOrdered,
                                   { { "target", planned.target.Get() },
                                     { "domain", row.latest.fabricDomain.Get() },
