No more loads at once than the store serves at full speed

Loads that a group of the larger model waited for took 35 s in place of 16 s. Cause: the number of loads that begin in five seconds was bounded, those under way were not, and empty targets loaded spare weights at any time.

Spares begin while fewer loads are under way than the store serves, second weights while fewer than half; loads for a group, too, unless its model has none. The document of the fake fleet now names how many loads its store serves at once, as every deployment's does.

--- a/include/gooseberrysail/control/engine_groups.hpp
+++ b/include/gooseberrysail/control/engine_groups.hpp
@@ -215,8 +215,8 @@
   [[nodiscard]] bool IsSettled(const Pass& pass);
   [[nodiscard]] bool MayTakeOver(const Pass& pass);
   [[nodiscard]] std::uint32_t LoadsLeft(const Pass& pass, const EngineSpec& engine);
-  /// \brief How many more second weights may be loaded now.
-  [[nodiscard]] std::uint32_t SpareLoads(const Pass& pass, const EngineSpec& engine) const;
+  /// \brief How many more may begin until `most` are under way.
+  [[nodiscard]] std::uint32_t LoadsUpTo(const Pass& pass, std::uint32_t most) const;
   [[nodiscard]] bool IsHeld(const GroupMembership& membership) const;
   /// \brief The group goes on under a higher epoch with another head.
   [[nodiscard]] bool HasSuccessor(const Group& group) const;
--- a/include/gooseberrysail/placement/pool_plan.hpp
+++ b/include/gooseberrysail/placement/pool_plan.hpp
@@ -5,6 +5,7 @@
 #include "gooseberrysail/serving/target_table.hpp"
 
 #include <cstdint>
+#include <limits>
 #include <span>
 #include <string>
 #include <vector>
@@ -59,6 +60,10 @@
   /// when a domain goes dark the first loss makes one model look short, and a moment later the
   /// other is.
   bool mayTakeOver = true;
+  /// \brief Loads that may begin before the store slows all of them down.
+  std::uint32_t loadsAtFullSpeed = std::numeric_limits<std::uint32_t>::max();
+  /// \brief Of the spare loads, those for second weights.
+  std::uint32_t secondLoads = std::numeric_limits<std::uint32_t>::max();
 };
 
 /// \brief A group to form; the first member is its head.
--- a/src/control/engine_groups_planning.cpp
+++ b/src/control/engine_groups_planning.cpp
@@ -31,7 +31,7 @@
 constexpr Duration kStandbyRetry = 5s;
 /// The part of the loads at once that second weights may take. A load lasts 16 s; those that a
 /// lacking group waits for must not stand behind them.
-constexpr std::uint32_t kSpareLoadsDivisor = 2;
+constexpr std::uint32_t kSecondLoadsDivisor = 2;
 /// After a lost group no serving one is given up for this long. The losses of a domain that goes
 /// dark are noticed within 0.3 s of one another; a takeover in between took two groups from the
 /// model that lacked most a moment later, and neither could be formed again for the 16 s of a load.
@@ -92,13 +92,13 @@
   return static_cast<std::uint32_t>(allowed - std::min(allowed, m_loads.size()));
 }
 
-std::uint32_t EngineGroups::SpareLoads(const Pass& pass, const EngineSpec& engine) const
+std::uint32_t EngineGroups::LoadsUpTo(const Pass& pass, std::uint32_t most) const
 {
   if (!pass.input.hasTraffic) {
     return kUnlimitedLoads;
   }
-  const std::size_t most = std::max(1U, engine.loadsAtOnce / kSpareLoadsDivisor);
-  return static_cast<std::uint32_t>(most - std::min(most, m_staging.size()));
+  const auto underWay = static_cast<std::uint32_t>(m_staging.size());
+  return most - std::min(most, underWay);
 }
 
 // Groups formed before all targets have spoken would leave no room for the large ones.
@@ -121,13 +121,17 @@
   const std::vector<ModelNeed> needs = ListNeeds(pass, service);
   const std::vector<FreeTarget> free = ListFree(pass, service.name);
   const std::vector<ServingGroup> serving = ListServing(pass, service.name);
+  const std::uint32_t loadsAtOnce = service.engine->loadsAtOnce;
+  const std::uint32_t atFullSpeed = LoadsUpTo(pass, std::max(1U, loadsAtOnce));
   const PoolInput pool{ free,
                         needs,
                         serving,
                         LoadsLeft(pass, *service.engine),
-                        SpareLoads(pass, *service.engine),
+                        atFullSpeed,
                         !pass.input.hasTraffic,
-                        MayTakeOver(pass) };
+                        MayTakeOver(pass),
+                        atFullSpeed,
+                        LoadsUpTo(pass, std::max(1U, loadsAtOnce / kSecondLoadsDivisor)) };
   const PoolPlan plan = PlanPool(pool);
   for (const PlannedGroup& planned : plan.groups) {
     StartGroup(pass, service.name, planned);
--- a/src/placement/pool_plan.cpp
+++ b/src/placement/pool_plan.cpp
@@ -60,6 +60,7 @@
     : m_input(input)
     , m_needs(input.needs.begin(), input.needs.end())
     , m_loadsLeft(input.loadsLeft)
+    , m_loadsAtFullSpeed(input.loadsAtFullSpeed)
   {
     for (const FreeTarget& target : input.free) {
       m_pool[target.fabricDomain].push_back(&target);
@@ -73,8 +74,9 @@
   {
     FillNeeds();
     StageMissing();
+    LimitLoads(m_input.spareLoads);
     StageSpares();
-    KeepLoadsForNeeds();
+    LimitLoads(m_input.secondLoads);
     StageDoubles();
     return std::move(m_plan);
   }
@@ -449,7 +451,10 @@
     }
     std::vector<const FreeTarget*> bound;
     for (const FreeTarget* target : waiting.members) {
-      Stage(*target, model, purpose);
+      // A model without any group comes before the loads that this slows down.
+      if (m_loadsAtFullSpeed > 0 || need.groups == 0) {
+        Stage(*target, model, purpose);
+      }
       m_awaited.insert(target->instance);
       if (target->lastModel == model) {
         bound.push_back(target);
@@ -532,12 +537,11 @@
     ++spares[best->model->name];
   }
 
-  /// What no group waits for begins only within the spare loads.
-  void KeepLoadsForNeeds()
+  /// What no group waits for begins only while fewer loads than this began.
+  void LimitLoads(std::uint32_t most)
   {
     const auto begun = static_cast<std::uint32_t>(m_plan.stages.size());
-    const std::uint32_t spare = m_input.spareLoads - std::min(m_input.spareLoads, begun);
-    m_loadsLeft = std::min(m_loadsLeft, spare);
+    m_loadsLeft = std::min(m_loadsLeft, most - std::min(most, begun));
   }
 
   /// A host may hold other weights than its target serves with, and a target joins another group of
@@ -591,6 +595,7 @@
       return;
     }
     --m_loadsLeft;
+    m_loadsAtFullSpeed -= std::min(m_loadsAtFullSpeed, 1U);
     m_plan.stages.push_back({ target.instance, model, purpose });
   }
 
@@ -598,6 +603,7 @@
   Pool m_pool;
   std::vector<ModelNeed> m_needs; ///< The largest model first.
   std::uint32_t m_loadsLeft;
+  std::uint32_t m_loadsAtFullSpeed;
   std::set<InstanceId> m_staged; ///< Told to load in this plan; a host loads one model at a time.
   std::set<InstanceId> m_awaited; ///< Members of groups that wait for loads.
   std::set<std::string> m_released; ///< Serving groups that end for a takeover.
--- a/tests/fakes/fake_fleet.cpp
+++ b/tests/fakes/fake_fleet.cpp
@@ -39,6 +39,7 @@
   engine.tokensPerEvent = 5;
   engine.promptTokensPerSecond = 45'900;
   engine.loadsPerSecond = 3;
+  engine.loadsAtOnce = 6;
   engine.models = { { "large", 4, 0.5, 1.0, 16s, 1600ms }, { "small", 2, 0.5, 0.6, 12s, 1100ms } };
   ServiceDefinition service;
   service.name = "assist";
