TargetChanged tells the weights that a target's host holds

A join puts the group's weights in the place of what the host holds, also where the target had them in use.

--- a/src/control/serving_control.cpp
+++ b/src/control/serving_control.cpp
@@ -43,6 +43,15 @@
   return target.draining ? "draining" : "ready";
 }
 
+std::string JoinNames(const std::vector<std::string>& names)
+{
+  std::string joined;
+  for (const std::string& name : names) {
+    joined += (joined.empty() ? "" : ",") + name;
+  }
+  return joined;
+}
+
 } // namespace
 
 ServingControl::ServingControl(OutsideApi api, EngineGroupsSettings groups)
@@ -179,7 +188,9 @@
                 { "epoch", std::to_string(target.membership.epoch.Get()) },
                 { "member", wire::EnumNameMemberState(target.membership.state) },
                 { "born", std::to_string(target.born.Get()) },
-                { "sequence", std::to_string(target.sequence) } }));
+                { "sequence", std::to_string(target.sequence) },
+                { "loaded", target.loadedModel },
+                { "staged", JoinNames(target.stagedModels) } }));
 }
 
 void ServingControl::OnHeard(ControlContext& context, const wire::TargetHeardT& heard)
