Idle targets keep the weights for which a model that lacks more waits

Callers of the larger model were refused although its weights had been loaded, 16 s each. Cause: the smaller model formed a group of idle targets that held them; a join puts the group's weights in the place of what a host holds.

Targets that a group waits for are now kept for it where they hold its weights; those that still lack them may serve meanwhile.

--- a/src/placement/pool_plan.cpp
+++ b/src/placement/pool_plan.cpp
@@ -439,8 +439,8 @@
     LackOf(need).takeover = TakeoverVerdict::kTaken;
   }
 
-  /// Begins the loads that a group lacks. Members that serve go on serving, and idle ones may serve
-  /// another model meanwhile unless they would lose the weights by that.
+  /// Begins the loads that a group lacks. Members that serve go on serving; idle ones that hold the
+  /// weights are kept, for in a group of another model their hosts would lose them.
   void Await(ModelNeed& need, const Waiting& waiting, LoadPurpose purpose)
   {
     const std::string& model = need.model->name;
@@ -456,7 +456,7 @@
         Stage(*target, model, purpose);
       }
       m_awaited.insert(target->instance);
-      if (target->lastModel == model) {
+      if (HoldsModel(*target, model)) {
         bound.push_back(target);
       }
     }
--- a/tests/unit/pool_plan_test.cpp
+++ b/tests/unit/pool_plan_test.cpp
@@ -347,6 +347,23 @@
   EXPECT_EQ(plan.stages[0].model, "large");
 }
 
+// Guards against a group that uses up the weights for which a model that lacks more waits.
+TEST(PoolPlan, AGroupLeavesTheWeightsThatAModelWhichLacksMoreWaitsFor)
+{
+  std::vector<FreeTarget> free;
+  Add(free, 3, "a", "large");
+  Add(free, 1, "a", "");
+  for (FreeTarget& target : free) {
+    target.lastModel = "small";
+  }
+  const std::vector<ModelNeed> needs{ { &kLarge, 0, 1, 1.5 }, { &kSmall, 5, 6, 4.4 } };
+  const PoolPlan plan = PlanPool({ free, needs, {}, 6, 0, false });
+  EXPECT_THAT(plan.groups, IsEmpty());
+  ASSERT_THAT(plan.stages, SizeIs(1));
+  EXPECT_EQ(plan.stages[0].target, free[3].instance);
+  EXPECT_EQ(plan.stages[0].model, "large");
+}
+
 TEST(PoolPlan, SparesTakeTheirHostsWeightsBeforeTheyAreNeeded)
 {
   std::vector<FreeTarget> free;
