--- a/src/placement/pool_plan.cpp
+++ b/src/placement/pool_plan.cpp
@@ -28,6 +28,7 @@
 {
   FabricDomainId fabricDomain;
   std::uint32_t loads = 0;
+  std::uint32_t lost = 0;    ///< Members whose hosts lose another model's weights.
   std::uint32_t changes = 0; ///< Members that served another model last.
   std::size_t free = 0;      ///< Targets of the domain.
 };
@@ -44,13 +45,22 @@
   return std::ranges::find(target.stagedModels, model) != target.stagedModels.end();
 }
 
-/// Fewest loads first. Then fewest changes: a target that serves another model than before uses up
-/// its host's second weights, and the store gives back some four in ten seconds. Then the domain
-/// with most room, so that groups spread evenly and one dark domain takes few of a model.
+/// Fewest loads first. Then fewest weights lost, which the store gives back at some four in ten
+/// seconds, and fewest changes of model. Then the domain with most room, so that groups spread
+/// evenly and one dark domain takes few of a model.
 bool IsBetter(const Place& left, const Place& right)
 {
-  return std::tuple(left.loads, left.changes, right.free, left.fabricDomain) <
-         std::tuple(right.loads, right.changes, left.free, right.fabricDomain);
+  return std::tuple(left.loads, left.lost, left.changes, right.free, left.fabricDomain) <
+         std::tuple(right.loads, right.lost, right.changes, left.free, right.fabricDomain);
+}
+
+/// A target that joins a group has its weights put in the place of all that its host holds.
+bool LosesOtherWeights(const FreeTarget& target, const std::string& model)
+{
+  const bool servedOther = !target.lastModel.empty() && target.lastModel != model;
+  return servedOther || std::ranges::any_of(target.stagedModels, [&](const std::string& staged) {
+           return staged != model;
+         });
 }
 
 class Planner
@@ -185,6 +195,7 @@
       const std::uint32_t served = CountServedLast(targets, model.name);
       const Place place{ domain,
                          model.size - std::min(model.size, warm),
+                         CountLost(targets, model),
                          model.size - std::min(model.size, served),
                          targets.size() };
       const bool allowed =
@@ -209,15 +220,29 @@
     return static_cast<std::uint32_t>(std::ranges::count(targets, model, &FreeTarget::lastModel));
   }
 
+  /// Members of a group of these that lose another model's weights; those that load don't count.
+  static std::uint32_t CountLost(const std::vector<const FreeTarget*>& targets,
+                                 const GroupModel& model)
+  {
+    const auto losing = std::ranges::count_if(targets, [&](const FreeTarget* target) {
+      return HoldsModel(*target, model.name) && LosesOtherWeights(*target, model.name);
+    });
+    const auto keeping = std::ranges::count_if(targets, [&](const FreeTarget* target) {
+      return HoldsModel(*target, model.name) && !LosesOtherWeights(*target, model.name);
+    });
+    const auto lacking = std::max<std::ptrdiff_t>(0, model.size - keeping);
+    return static_cast<std::uint32_t>(std::min(losing, lacking));
+  }
+
   void Form(const GroupModel& model, const Place& place)
   {
     std::vector<const FreeTarget*>& targets = m_pool[place.fabricDomain];
-    PutFirst(targets, [&](const FreeTarget* target) { return HoldsModel(*target, model.name); });
+    // The quickest first, and before them those that can serve this model only.
     PutFirst(targets, [&](const FreeTarget* target) { return target->lastModel == model.name; });
-    // Those that can serve this model only; the others keep both.
     PutFirst(targets, [&](const FreeTarget* target) {
-      return target->lastModel == model.name && IsStaged(*target, model.name);
+      return !LosesOtherWeights(*target, model.name);
     });
+    PutFirst(targets, [&](const FreeTarget* target) { return HoldsModel(*target, model.name); });
     PlannedGroup group{ model.name, {}, place.loads };
     for (std::size_t i = 0; i < model.size; ++i) {
       group.members.push_back(targets[i]->instance);
--- a/tests/unit/pool_plan_test.cpp
+++ b/tests/unit/pool_plan_test.cpp
@@ -364,6 +364,21 @@
   EXPECT_EQ(plan.stages[0].model, "large");
 }
 
+// Guards against groups formed of targets whose hosts lose another model's weights by that.
+TEST(PoolPlan, GroupsAreFormedWhereHostsLoseFewestWeights)
+{
+  std::vector<FreeTarget> free;
+  Add(free, 2, "a", "large");
+  Add(free, 2, "b", "small");
+  free[0].lastModel = "small";
+  free[1].lastModel = "small";
+  const std::vector<ModelNeed> needs{ { &kSmall, 0, 1 } };
+  const PoolPlan plan = PlanPool({ free, needs, {}, 0, 0, false });
+  ASSERT_THAT(plan.groups, SizeIs(1));
+  EXPECT_THAT(plan.groups[0].members,
+              ::testing::UnorderedElementsAre(free[2].instance, free[3].instance));
+}
+
 TEST(PoolPlan, SparesTakeTheirHostsWeightsBeforeTheyAreNeeded)
 {
   std::vector<FreeTarget> free;
