Second weights are loaded one at a time, while nothing else loads and no model lacks groups

Loads that groups and spares waited for shared the store with second weights, which the next join of a group uses up: a lost member of a group of three leads to a join of three targets and so to three loads of 16 s.

Ruled out: takeovers for the scatter of demand.

Test SecondWeightsWaitWhileAModelLacksGroups fails on the former code.

--- a/include/gooseberrysail/placement/pool_plan.hpp
+++ b/include/gooseberrysail/placement/pool_plan.hpp
@@ -125,8 +125,8 @@
 {
   std::string model;
   TakeoverVerdict takeover = TakeoverVerdict::kNotNeeded;
-  double gain = 0;              ///< Of the best takeover, in groups.
-  FabricDomainId fabricDomain;  ///< Where its next group comes together; none where nowhere.
+  double gain = 0;             ///< Of the best takeover, in groups.
+  FabricDomainId fabricDomain; ///< Where its next group comes together; none where nowhere.
   std::uint32_t loadsToBegin = 0;
   std::uint32_t loadsUnderWay = 0;
 };
--- a/src/control/engine_groups_planning.cpp
+++ b/src/control/engine_groups_planning.cpp
@@ -29,9 +29,6 @@
 constexpr double kSparePart = 0.2;
 /// A standby takes its weights from its host within two seconds; after this it is told again.
 constexpr Duration kStandbyRetry = 5s;
-/// The part of the loads at once that second weights may take. A load lasts 16 s; those that a
-/// lacking group waits for must not stand behind them.
-constexpr std::uint32_t kSecondLoadsDivisor = 2;
 /// After a lost group no serving one is given up for this long. The losses of a domain that goes
 /// dark are noticed within 0.3 s of one another; a takeover in between took two groups from the
 /// model that lacked most a moment later, and neither could be formed again for the 16 s of a load.
@@ -121,8 +118,7 @@
   const std::vector<ModelNeed> needs = ListNeeds(pass, service);
   const std::vector<FreeTarget> free = ListFree(pass, service.name);
   const std::vector<ServingGroup> serving = ListServing(pass, service.name);
-  const std::uint32_t loadsAtOnce = service.engine->loadsAtOnce;
-  const std::uint32_t atFullSpeed = LoadsUpTo(pass, std::max(1U, loadsAtOnce));
+  const std::uint32_t atFullSpeed = LoadsUpTo(pass, std::max(1U, service.engine->loadsAtOnce));
   const PoolInput pool{ free,
                         needs,
                         serving,
@@ -131,7 +127,7 @@
                         !pass.input.hasTraffic,
                         MayTakeOver(pass),
                         atFullSpeed,
-                        LoadsUpTo(pass, std::max(1U, loadsAtOnce / kSecondLoadsDivisor)) };
+                        LoadsUpTo(pass, 1) };
   const PoolPlan plan = PlanPool(pool);
   for (const PlannedGroup& planned : plan.groups) {
     StartGroup(pass, service.name, planned);
@@ -393,11 +389,10 @@
         pass.input.now - row->heardAt > m_settings.Silence()) {
       return true;
     }
-    const bool isDone = std::ranges::find(row->latest.stagedModels, staging.model) !=
-                        row->latest.stagedModels.end();
-    const Duration patience = staging.model == kUnknownWeights
-                                ? staging.loadTime / kBusyHostDivisor
-                                : kStagePatience;
+    const bool isDone =
+      std::ranges::find(row->latest.stagedModels, staging.model) != row->latest.stagedModels.end();
+    const Duration patience =
+      staging.model == kUnknownWeights ? staging.loadTime / kBusyHostDivisor : kStagePatience;
     return isDone || pass.input.now - staging.since > patience;
   });
 }
--- a/src/placement/pool_plan.cpp
+++ b/src/placement/pool_plan.cpp
@@ -82,12 +82,18 @@
 
   PoolPlan Run()
   {
+    const bool lacks = std::ranges::any_of(m_input.needs, [](const ModelNeed& need) {
+      return need.groups < need.wanted;
+    });
     FillNeeds();
     StageMissing();
     LimitLoads(m_input.spareLoads);
     StageSpares();
-    LimitLoads(m_input.secondLoads);
-    StageDoubles();
+    // While a model lacks groups the store's time goes to what its next group needs.
+    if (m_input.loadsAreCheap || !lacks) {
+      LimitLoads(m_input.secondLoads);
+      StageDoubles();
+    }
     return std::move(m_plan);
   }
 
--- a/tests/fakes/fake_fleet.cpp
+++ b/tests/fakes/fake_fleet.cpp
@@ -243,9 +243,8 @@
 {
   target.isLoading = true;
   if (hasTraffic) {
-    const auto loads = std::ranges::count_if(m_targets, [](const auto& row) {
-      return row.second.isUp && row.second.isLoading;
-    });
+    const auto loads = std::ranges::count_if(
+      m_targets, [](const auto& row) { return row.second.isUp && row.second.isLoading; });
     m_mostLoads = std::max(m_mostLoads, static_cast<std::size_t>(loads));
   }
   const Incarnation born = target.self.born;
--- a/tests/fakes/fake_fleet.hpp
+++ b/tests/fakes/fake_fleet.hpp
@@ -24,9 +24,9 @@
     bool isUp = true;
     bool reachesControl = true;
     bool isListening = true;
-    Duration opensLate{};  ///< Orders to open get no answer and are carried out after this.
-    double pace = 1;       ///< Factor on its times.
-    Duration finishesIn{}; ///< What it works on when it is told to close.
+    Duration opensLate{};   ///< Orders to open get no answer and are carried out after this.
+    double pace = 1;        ///< Factor on its times.
+    Duration finishesIn{};  ///< What it works on when it is told to close.
     bool isLoading = false; ///< Its host loads weights, and refuses to load others meanwhile.
     std::vector<InstanceId> members; ///< Of its group, the head first.
     TimePoint reportsAt{};
--- a/tests/unit/pool_plan_test.cpp
+++ b/tests/unit/pool_plan_test.cpp
@@ -379,6 +379,19 @@
               ::testing::UnorderedElementsAre(free[2].instance, free[3].instance));
 }
 
+// Guards against second weights that delay the loads of a model which lacks groups.
+TEST(PoolPlan, SecondWeightsWaitWhileAModelLacksGroups)
+{
+  const std::vector<ServingGroup> serving{ Serving("g1", "small", "a", 2) };
+  const std::vector<ModelNeed> needs{ { &kLarge, 0, 1, 1.5 }, { &kSmall, 1, 1, 0.5 } };
+  EXPECT_THAT(PlanPool({ {}, needs, serving, 6, 6, false }).stages, IsEmpty());
+  SECTION("and are loaded when none does")
+  {
+    const std::vector<ModelNeed> enough{ { &kLarge, 1, 1, 0.5 }, { &kSmall, 1, 1, 0.5 } };
+    EXPECT_THAT(PlanPool({ {}, enough, serving, 6, 6, false }).stages, SizeIs(2));
+  }
+}
+
 TEST(PoolPlan, SparesTakeTheirHostsWeightsBeforeTheyAreNeeded)
 {
   std::vector<FreeTarget> free;
