--- /dev/null
+++ b/src/placement/pool_places.cpp
@@ -0,0 +1,122 @@
+#include "placement/pool_places.hpp"
+
+#include <algorithm>
+#include <functional>
+#include <tuple>
+#include <utility>
+
+namespace gooseberrysail::impl {
+
+namespace {
+
+/// Those that `fits` come first; otherwise the order stays.
+template<class Fits>
+void PutFirst(Targets& targets, Fits fits)
+{
+  std::stable_partition(targets.begin(), targets.end(), fits);
+}
+
+/// A target that joins a group has its weights put in the place of all that its host holds.
+bool LosesOtherWeights(const FreeTarget& target, const std::string& model)
+{
+  const bool servedOther = !target.lastModel.empty() && target.lastModel != model;
+  return servedOther || std::ranges::any_of(target.stagedModels, [&](const std::string& staged) {
+           return staged != model;
+         });
+}
+
+std::uint32_t CountWarm(const Targets& targets, const std::string& model)
+{
+  return static_cast<std::uint32_t>(std::ranges::count_if(
+    targets, [&](const FreeTarget* target) { return HoldsModel(*target, model); }));
+}
+
+std::uint32_t CountServedLast(const Targets& targets, const std::string& model)
+{
+  return static_cast<std::uint32_t>(std::ranges::count(targets, model, &FreeTarget::lastModel));
+}
+
+/// Members of a group of these that lose another model's weights; those that load don't count.
+std::uint32_t CountLost(const Targets& targets, const GroupModel& model)
+{
+  const auto losing = std::ranges::count_if(targets, [&](const FreeTarget* target) {
+    return HoldsModel(*target, model.name) && LosesOtherWeights(*target, model.name);
+  });
+  const auto keeping = std::ranges::count_if(targets, [&](const FreeTarget* target) {
+    return HoldsModel(*target, model.name) && !LosesOtherWeights(*target, model.name);
+  });
+  const auto lacking = std::max<std::ptrdiff_t>(0, model.size - keeping);
+  return static_cast<std::uint32_t>(std::min(losing, lacking));
+}
+
+} // namespace
+
+Place MakePlace(const FabricDomainId& domain, const Targets& targets, const GroupModel& model)
+{
+  const std::uint32_t warm = CountWarm(targets, model.name);
+  const std::uint32_t served = CountServedLast(targets, model.name);
+  return { domain,
+           model.size - std::min(model.size, warm),
+           CountLost(targets, model),
+           model.size - std::min(model.size, served),
+           targets.size() };
+}
+
+/// Fewest loads first. Then fewest weights lost, which the store gives back at some four in ten
+/// seconds, and fewest changes of model. Then the domain with most room, so that groups spread
+/// evenly and one dark domain takes few of a model.
+bool IsBetter(const Place& left, const Place& right)
+{
+  return std::tuple(left.loads, left.lost, left.changes, right.free, left.fabricDomain) <
+         std::tuple(right.loads, right.lost, right.changes, left.free, right.fabricDomain);
+}
+
+void PutInOrder(Targets& targets, const std::string& model)
+{
+  // The quickest first, and before them those that can serve this model only.
+  PutFirst(targets, [&](const FreeTarget* target) { return target->lastModel == model; });
+  PutFirst(targets, [&](const FreeTarget* target) { return !LosesOtherWeights(*target, model); });
+  PutFirst(targets, [&](const FreeTarget* target) { return HoldsModel(*target, model); });
+}
+
+Waiting ChooseSoonest(const FabricDomainId& domain, Targets targets, const GroupModel& model)
+{
+  const auto rank = [&](const FreeTarget* target) {
+    if (HoldsModel(*target, model.name)) {
+      return 0;
+    }
+    return target->staging == model.name ? 1 : target->staging.empty() ? 2 : 3;
+  };
+  std::ranges::stable_sort(targets, std::less{}, rank);
+  targets.resize(model.size);
+  const auto count = [&](int wanted) {
+    return static_cast<std::size_t>(std::ranges::count(targets, wanted, rank));
+  };
+  const std::size_t underWay = count(1);
+  const std::size_t toBegin = count(2);
+  const std::size_t blocked = count(3);
+  return { domain, std::move(targets), blocked, toBegin, underWay, false };
+}
+
+/// Loads take equally long, so that one more to begin costs no time, while a group that another
+/// model gives up costs its callers.
+bool IsSooner(const Waiting& left, const Waiting& right)
+{
+  const auto rank = [](const Waiting& each) {
+    return std::tuple(each.blocked, each.toBegin > 0, each.takesOver, each.toBegin);
+  };
+  return rank(left) < rank(right);
+}
+
+bool IsComing(const FreeTarget& target, const std::string& model)
+{
+  return HoldsModel(target, model) || target.staging == model;
+}
+
+std::size_t CountComing(const Targets& targets, const std::string& model)
+{
+  return static_cast<std::size_t>(std::ranges::count_if(
+    targets, [&](const FreeTarget* target) { return IsComing(*target, model); }));
+}
+
+} // namespace gooseberrysail::impl
--- a/src/placement/pool_plan.cpp
+++ b/src/placement/pool_plan.cpp
@@ -1,6 +1,7 @@
 #include "gooseberrysail/placement/pool_plan.hpp"
 
 #include "gooseberrysail/placement/model_work.hpp"
+#include "placement/pool_places.hpp"
 
 #include <algorithm>
 #include <cmath>
@@ -21,47 +22,16 @@
 /// Served part of a model without any group: the logarithm of none has no bound.
 constexpr double kLeastServed = 0.05;
 
-using Pool = std::map<FabricDomainId, std::vector<const FreeTarget*>>;
-
-/// \brief One place for one group.
-struct Place
-{
-  FabricDomainId fabricDomain;
-  std::uint32_t loads = 0;
-  std::uint32_t lost = 0;    ///< Members whose hosts lose another model's weights.
-  std::uint32_t changes = 0; ///< Members that served another model last.
-  std::size_t free = 0;      ///< Targets of the domain.
-};
-
-/// Those that `fits` come first; otherwise the order stays.
-template<class Fits>
-void PutFirst(std::vector<const FreeTarget*>& targets, Fits fits)
-{
-  std::stable_partition(targets.begin(), targets.end(), fits);
-}
-
-bool IsStaged(const FreeTarget& target, const std::string& model)
-{
-  return std::ranges::find(target.stagedModels, model) != target.stagedModels.end();
-}
-
-/// Fewest loads first. Then fewest weights lost, which the store gives back at some four in ten
-/// seconds, and fewest changes of model. Then the domain with most room, so that groups spread
-/// evenly and one dark domain takes few of a model.
-bool IsBetter(const Place& left, const Place& right)
-{
-  return std::tuple(left.loads, left.lost, left.changes, right.free, left.fabricDomain) <
-         std::tuple(right.loads, right.lost, right.changes, left.free, right.fabricDomain);
-}
-
-/// A target that joins a group has its weights put in the place of all that its host holds.
-bool LosesOtherWeights(const FreeTarget& target, const std::string& model)
-{
-  const bool servedOther = !target.lastModel.empty() && target.lastModel != model;
-  return servedOther || std::ranges::any_of(target.stagedModels, [&](const std::string& staged) {
-           return staged != model;
-         });
-}
+using impl::ChooseSoonest;
+using impl::CountComing;
+using impl::IsBetter;
+using impl::IsComing;
+using impl::IsSooner;
+using impl::MakePlace;
+using impl::Place;
+using impl::PutInOrder;
+using impl::Targets;
+using impl::Waiting;
 
 class Planner
 {
@@ -82,15 +52,12 @@
 
   PoolPlan Run()
   {
-    const bool lacks = std::ranges::any_of(m_input.needs, [](const ModelNeed& need) {
-      return need.groups < need.wanted;
-    });
     FillNeeds();
     StageMissing();
     LimitLoads(m_input.spareLoads);
     StageSpares();
-    // While a model lacks groups the store's time goes to what its next group needs.
-    if (m_input.loadsAreCheap || !lacks) {
+    // A join uses up second weights, so that a load which a group or a spare needs is worth more.
+    if (m_input.loadsAreCheap || !LacksAny(m_input.needs)) {
       LimitLoads(m_input.secondLoads);
       StageDoubles();
     }
@@ -156,7 +123,8 @@
     return false;
   }
 
-  /// Further groups wait for loads, too; none of them keeps targets from a group that can be formed.
+  /// Further groups wait for loads, too; none of them keeps targets from a group that can be
+  /// formed.
   void StageMissing()
   {
     std::vector<ModelNeed*> open = ListNeeds();
@@ -184,6 +152,12 @@
     return m_plan.lacks.back();
   }
 
+  static bool LacksAny(std::span<const ModelNeed> needs)
+  {
+    return std::ranges::any_of(needs,
+                               [](const ModelNeed& need) { return need.groups < need.wanted; });
+  }
+
   /// Before traffic nothing is known of the work, and all count alike.
   static bool LacksMore(const ModelNeed& left, const ModelNeed& right)
   {
@@ -197,13 +171,7 @@
       if (targets.size() < model.size) {
         continue;
       }
-      const std::uint32_t warm = CountWarm(targets, model.name);
-      const std::uint32_t served = CountServedLast(targets, model.name);
-      const Place place{ domain,
-                         model.size - std::min(model.size, warm),
-                         CountLost(targets, model),
-                         model.size - std::min(model.size, served),
-                         targets.size() };
+      const Place place = MakePlace(domain, targets, model);
       const bool allowed =
         place.loads == 0 || (m_input.loadsAreCheap && place.loads <= m_loadsLeft);
       if (allowed && (!best || IsBetter(place, *best))) {
@@ -213,42 +181,10 @@
     return best;
   }
 
-  static std::uint32_t CountWarm(const std::vector<const FreeTarget*>& targets,
-                                 const std::string& model)
-  {
-    return static_cast<std::uint32_t>(std::ranges::count_if(
-      targets, [&](const FreeTarget* target) { return HoldsModel(*target, model); }));
-  }
-
-  static std::uint32_t CountServedLast(const std::vector<const FreeTarget*>& targets,
-                                       const std::string& model)
-  {
-    return static_cast<std::uint32_t>(std::ranges::count(targets, model, &FreeTarget::lastModel));
-  }
-
-  /// Members of a group of these that lose another model's weights; those that load don't count.
-  static std::uint32_t CountLost(const std::vector<const FreeTarget*>& targets,
-                                 const GroupModel& model)
-  {
-    const auto losing = std::ranges::count_if(targets, [&](const FreeTarget* target) {
-      return HoldsModel(*target, model.name) && LosesOtherWeights(*target, model.name);
-    });
-    const auto keeping = std::ranges::count_if(targets, [&](const FreeTarget* target) {
-      return HoldsModel(*target, model.name) && !LosesOtherWeights(*target, model.name);
-    });
-    const auto lacking = std::max<std::ptrdiff_t>(0, model.size - keeping);
-    return static_cast<std::uint32_t>(std::min(losing, lacking));
-  }
-
   void Form(const GroupModel& model, const Place& place)
   {
-    std::vector<const FreeTarget*>& targets = m_pool[place.fabricDomain];
-    // The quickest first, and before them those that can serve this model only.
-    PutFirst(targets, [&](const FreeTarget* target) { return target->lastModel == model.name; });
-    PutFirst(targets, [&](const FreeTarget* target) {
-      return !LosesOtherWeights(*target, model.name);
-    });
-    PutFirst(targets, [&](const FreeTarget* target) { return HoldsModel(*target, model.name); });
+    Targets& targets = m_pool[place.fabricDomain];
+    PutInOrder(targets, model.name);
     PlannedGroup group{ model.name, {}, place.loads };
     for (std::size_t i = 0; i < model.size; ++i) {
       group.members.push_back(targets[i]->instance);
@@ -279,17 +215,6 @@
     return Value(need, formed) - Value(need, 0) + Value(donor, -given) - Value(donor, 0);
   }
 
-  /// \brief Targets of one domain that make a group once all of them hold its weights.
-  struct Waiting
-  {
-    FabricDomainId fabricDomain;
-    std::vector<const FreeTarget*> members;
-    std::size_t blocked = 0; ///< Their hosts load other weights first.
-    std::size_t toBegin = 0; ///< Loads that have not begun.
-    std::size_t underWay = 0;
-    bool takesOver = false; ///< Some of the members serve another model.
-  };
-
   /// \brief Free targets of one domain and groups whose targets complete a group of another model.
   struct Takeover
   {
@@ -304,44 +229,12 @@
     kAny,  ///< Others, too, which load first.
   };
 
-  /// Loads take equally long, so that one more to begin costs no time, while a group that another
-  /// model gives up costs its callers.
-  static bool IsSooner(const Waiting& left, const Waiting& right)
-  {
-    const auto rank = [](const Waiting& each) {
-      return std::tuple(each.blocked, each.toBegin > 0, each.takesOver, each.toBegin);
-    };
-    return rank(left) < rank(right);
-  }
-
-  /// The `size` targets of these that hold the weights soonest.
-  static Waiting ChooseSoonest(const FabricDomainId& domain,
-                               std::vector<const FreeTarget*> targets,
-                               const GroupModel& model)
-  {
-    const auto rank = [&](const FreeTarget* target) {
-      if (HoldsModel(*target, model.name)) {
-        return 0;
-      }
-      return target->staging == model.name ? 1 : target->staging.empty() ? 2 : 3;
-    };
-    std::ranges::stable_sort(targets, std::less{}, rank);
-    targets.resize(model.size);
-    const auto count = [&](int wanted) {
-      return static_cast<std::size_t>(std::ranges::count(targets, wanted, rank));
-    };
-    const std::size_t underWay = count(1);
-    const std::size_t toBegin = count(2);
-    const std::size_t blocked = count(3);
-    return { domain, std::move(targets), blocked, toBegin, underWay, false };
-  }
-
   /// Idle targets that make a group of the model soonest; none where no domain has enough.
   [[nodiscard]] std::optional<Waiting> FindWaiting(const GroupModel& model) const
   {
     std::optional<Waiting> best;
     for (const auto& [domain, pool] : m_pool) {
-      std::vector<const FreeTarget*> targets = ListUnawaited(pool);
+      Targets targets = ListUnawaited(pool);
       if (targets.size() < model.size) {
         continue;
       }
@@ -415,7 +308,7 @@
         group->members, [&](const FreeTarget& member) { return IsComing(member, model); });
     });
     Takeover takeover;
-    std::vector<const FreeTarget*> members;
+    Targets members;
     const auto add = [&](const FreeTarget* target) {
       const bool canLoad = target->staging.empty() || target->staging == model;
       if (HoldsModel(*target, model) || (which == Members::kAny && canLoad)) {
@@ -480,7 +373,7 @@
       lack.loadsToBegin = static_cast<std::uint32_t>(waiting.toBegin);
       lack.loadsUnderWay = static_cast<std::uint32_t>(waiting.underWay);
     }
-    std::vector<const FreeTarget*> bound;
+    Targets bound;
     for (const FreeTarget* target : waiting.members) {
       // A model without any group comes before the loads that this slows down.
       if (m_loadsAtFullSpeed > 0 || need.groups == 0) {
@@ -495,17 +388,16 @@
     ++need.groups; // On its way.
   }
 
-  [[nodiscard]] std::vector<const FreeTarget*> ListUnawaited(
-    const std::vector<const FreeTarget*>& targets) const
+  [[nodiscard]] Targets ListUnawaited(const Targets& targets) const
   {
-    std::vector<const FreeTarget*> unawaited;
+    Targets unawaited;
     std::ranges::copy_if(targets, std::back_inserter(unawaited), [&](const FreeTarget* target) {
       return !m_awaited.contains(target->instance);
     });
     return unawaited;
   }
 
-  void Reserve(const std::vector<const FreeTarget*>& members)
+  void Reserve(const Targets& members)
   {
     for (auto& [domain, targets] : m_pool) {
       std::erase_if(targets, [&](const FreeTarget* target) {
@@ -578,8 +470,7 @@
   /// A host may hold other weights than its target serves with, and a target joins another group of
   /// the model it served last without them. So the host of each target takes the weights of the
   /// largest other model: the target can then serve either within two seconds, where a load under
-  /// traffic takes 16 s. A move uses this up, so it is restored under traffic too; a load slows no
-  /// request.
+  /// traffic takes 16 s. The next join of any group uses this up.
   void StageDoubles()
   {
     // Idle targets first: without the other weights some serve nobody.
@@ -607,18 +498,6 @@
     }
   }
 
-  static bool IsComing(const FreeTarget& target, const std::string& model)
-  {
-    return HoldsModel(target, model) || target.staging == model;
-  }
-
-  static std::size_t CountComing(const std::vector<const FreeTarget*>& targets,
-                                 const std::string& model)
-  {
-    return static_cast<std::size_t>(std::ranges::count_if(
-      targets, [&](const FreeTarget* target) { return IsComing(*target, model); }));
-  }
-
   void Stage(const FreeTarget& target, const std::string& model, LoadPurpose purpose)
   {
     if (IsComing(target, model) || !target.staging.empty() || m_loadsLeft == 0 ||
@@ -631,11 +510,11 @@
   }
 
   const PoolInput& m_input;
-  Pool m_pool;
+  std::map<FabricDomainId, Targets> m_pool;
   std::vector<ModelNeed> m_needs; ///< The largest model first.
   std::uint32_t m_loadsLeft;
   std::uint32_t m_loadsAtFullSpeed;
-  std::set<InstanceId> m_staged; ///< Told to load in this plan; a host loads one model at a time.
+  std::set<InstanceId> m_staged;  ///< Told to load in this plan; a host loads one model at a time.
   std::set<InstanceId> m_awaited; ///< Members of groups that wait for loads.
   std::set<std::string> m_released; ///< Serving groups that end for a takeover.
   PoolPlan m_plan;
@@ -679,7 +558,8 @@
 
 bool HoldsModel(const FreeTarget& target, const std::string& model)
 {
-  return target.lastModel == model || IsStaged(target, model);
+  return target.lastModel == model ||
+         std::ranges::find(target.stagedModels, model) != target.stagedModels.end();
 }
 
 PoolPlan PlanPool(const PoolInput& input)
