--- a/src/placement/pool_places.cpp
+++ b/src/placement/pool_places.cpp
@@ -36,6 +36,26 @@
   return static_cast<std::uint32_t>(std::ranges::count(targets, model, &FreeTarget::lastModel));
 }
 
+/// How soon a target's host holds a model's weights, the soonest first.
+enum class Readiness
+{
+  kHolds,
+  kLoads,
+  kCanLoad,
+  kLoadsOther, ///< A host loads one model at a time.
+};
+
+Readiness ReadinessOf(const FreeTarget& target, const std::string& model)
+{
+  if (HoldsModel(target, model)) {
+    return Readiness::kHolds;
+  }
+  if (target.staging == model) {
+    return Readiness::kLoads;
+  }
+  return target.staging.empty() ? Readiness::kCanLoad : Readiness::kLoadsOther;
+}
+
 /// Members of a group of these that lose another model's weights; those that load don't count.
 std::uint32_t CountLost(const Targets& targets, const GroupModel& model)
 {
@@ -79,30 +99,25 @@
   PutFirst(targets, [&](const FreeTarget* target) { return HoldsModel(*target, model); });
 }
 
-Waiting ChooseSoonest(const FabricDomainId& domain, Targets targets, const GroupModel& model)
+Assembly MakeAssembly(const FabricDomainId& domain, Targets targets, const GroupModel& model)
 {
-  const auto rank = [&](const FreeTarget* target) {
-    if (HoldsModel(*target, model.name)) {
-      return 0;
-    }
-    return target->staging == model.name ? 1 : target->staging.empty() ? 2 : 3;
-  };
-  std::ranges::stable_sort(targets, std::less{}, rank);
+  const auto readiness = [&](const FreeTarget* target) { return ReadinessOf(*target, model.name); };
+  std::ranges::stable_sort(targets, std::less{}, readiness);
   targets.resize(model.size);
-  const auto count = [&](int wanted) {
-    return static_cast<std::size_t>(std::ranges::count(targets, wanted, rank));
+  const auto count = [&](Readiness wanted) {
+    return static_cast<std::size_t>(std::ranges::count(targets, wanted, readiness));
   };
-  const std::size_t underWay = count(1);
-  const std::size_t toBegin = count(2);
-  const std::size_t blocked = count(3);
+  const std::size_t blocked = count(Readiness::kLoadsOther);
+  const std::size_t toBegin = count(Readiness::kCanLoad);
+  const std::size_t underWay = count(Readiness::kLoads);
   return { domain, std::move(targets), blocked, toBegin, underWay, false };
 }
 
 /// Loads take equally long, so that one more to begin costs no time, while a group that another
 /// model gives up costs its callers.
-bool IsSooner(const Waiting& left, const Waiting& right)
+bool IsSooner(const Assembly& left, const Assembly& right)
 {
-  const auto rank = [](const Waiting& each) {
+  const auto rank = [](const Assembly& each) {
     return std::tuple(each.blocked, each.toBegin > 0, each.takesOver, each.toBegin);
   };
   return rank(left) < rank(right);
--- a/src/placement/pool_places.hpp
+++ b/src/placement/pool_places.hpp
@@ -20,7 +20,7 @@
   std::size_t free = 0;      ///< Targets of the domain.
 };
 
-/// \brief What a group of the model would take in this domain.
+/// \brief What a group of the model costs when it is formed of these targets.
 [[nodiscard]] Place MakePlace(const FabricDomainId& domain,
                               const Targets& targets,
                               const GroupModel& model);
@@ -31,22 +31,22 @@
 void PutInOrder(Targets& targets, const std::string& model);
 
 /// \brief Targets of one domain that make a group once all of them hold its weights.
-struct Waiting
+struct Assembly
 {
   FabricDomainId fabricDomain;
-  std::vector<const FreeTarget*> members;
+  Targets members;
   std::size_t blocked = 0; ///< Their hosts load other weights first.
   std::size_t toBegin = 0; ///< Loads that have not begun.
   std::size_t underWay = 0;
   bool takesOver = false; ///< Some of the members serve another model.
 };
 
-/// \brief The targets of these that hold the model's weights soonest, as many as a group has.
-[[nodiscard]] Waiting ChooseSoonest(const FabricDomainId& domain,
+/// \brief Of these targets those that hold the model's weights soonest, as many as a group has.
+[[nodiscard]] Assembly MakeAssembly(const FabricDomainId& domain,
                                     Targets targets,
                                     const GroupModel& model);
 
-[[nodiscard]] bool IsSooner(const Waiting& left, const Waiting& right);
+[[nodiscard]] bool IsSooner(const Assembly& left, const Assembly& right);
 
 /// \brief Whether the target's host holds the weights or loads them.
 [[nodiscard]] bool IsComing(const FreeTarget& target, const std::string& model);
--- a/src/placement/pool_plan.cpp
+++ b/src/placement/pool_plan.cpp
@@ -22,16 +22,16 @@
 /// Served part of a model without any group: the logarithm of none has no bound.
 constexpr double kLeastServed = 0.05;
 
-using impl::ChooseSoonest;
+using impl::Assembly;
 using impl::CountComing;
 using impl::IsBetter;
 using impl::IsComing;
 using impl::IsSooner;
+using impl::MakeAssembly;
 using impl::MakePlace;
 using impl::Place;
 using impl::PutInOrder;
 using impl::Targets;
-using impl::Waiting;
 
 class Planner
 {
@@ -59,7 +59,7 @@
     // A join uses up second weights, so that a load which a group or a spare needs is worth more.
     if (m_input.loadsAreCheap || !LacksAny(m_input.needs)) {
       LimitLoads(m_input.secondLoads);
-      StageDoubles();
+      StageSecondWeights();
     }
     return std::move(m_plan);
   }
@@ -113,12 +113,12 @@
       return true;
     }
     const std::optional<Takeover> takeover = FindTakeover(need, Members::kAny);
-    const std::optional<Waiting> idle = FindWaiting(*need.model);
-    if (takeover && (!idle || IsSooner(takeover->waiting, *idle))) {
+    const std::optional<Assembly> idle = FindAssembly(*need.model);
+    if (takeover && (!idle || IsSooner(takeover->assembly, *idle))) {
       LackOf(need).takeover = TakeoverVerdict::kWaitsForLoads;
-      Await(need, takeover->waiting, LoadPurpose::kTakeover);
+      BeginLoads(need, takeover->assembly, LoadPurpose::kTakeover);
     } else if (idle) {
-      Await(need, *idle, LoadPurpose::kGroup);
+      BeginLoads(need, *idle, LoadPurpose::kGroup);
     }
     return false;
   }
@@ -131,13 +131,13 @@
     while (!open.empty()) {
       const auto worst = FindWorst(open);
       ModelNeed& need = **worst;
-      const std::optional<Waiting> idle =
-        need.groups < need.wanted ? FindWaiting(*need.model) : std::nullopt;
+      const std::optional<Assembly> idle =
+        need.groups < need.wanted ? FindAssembly(*need.model) : std::nullopt;
       if (!idle) {
         open.erase(worst);
         continue;
       }
-      Await(need, *idle, LoadPurpose::kGroup);
+      BeginLoads(need, *idle, LoadPurpose::kGroup);
     }
   }
 
@@ -218,7 +218,7 @@
   /// \brief Free targets of one domain and groups whose targets complete a group of another model.
   struct Takeover
   {
-    Waiting waiting;
+    Assembly assembly;
     std::vector<const ServingGroup*> groups;
   };
 
@@ -230,17 +230,17 @@
   };
 
   /// Idle targets that make a group of the model soonest; none where no domain has enough.
-  [[nodiscard]] std::optional<Waiting> FindWaiting(const GroupModel& model) const
+  [[nodiscard]] std::optional<Assembly> FindAssembly(const GroupModel& model) const
   {
-    std::optional<Waiting> best;
+    std::optional<Assembly> best;
     for (const auto& [domain, pool] : m_pool) {
-      Targets targets = ListUnawaited(pool);
+      Targets targets = ListUnassigned(pool);
       if (targets.size() < model.size) {
         continue;
       }
-      Waiting waiting = ChooseSoonest(domain, std::move(targets), model);
-      if (!best || IsSooner(waiting, *best)) {
-        best = std::move(waiting);
+      Assembly assembly = MakeAssembly(domain, std::move(targets), model);
+      if (!best || IsSooner(assembly, *best)) {
+        best = std::move(assembly);
       }
     }
     return best;
@@ -277,8 +277,8 @@
 
   static bool IsCheaper(const Takeover& left, const Takeover& right)
   {
-    return std::pair(left.groups.size(), left.waiting.toBegin) <
-           std::pair(right.groups.size(), right.waiting.toBegin);
+    return std::pair(left.groups.size(), left.assembly.toBegin) <
+           std::pair(right.groups.size(), right.assembly.toBegin);
   }
 
   [[nodiscard]] std::map<FabricDomainId, std::vector<const ServingGroup*>> GroupsByDomain(
@@ -316,7 +316,7 @@
       }
     };
     if (const auto free = m_pool.find(domain); free != m_pool.end()) {
-      std::ranges::for_each(ListUnawaited(free->second), add);
+      std::ranges::for_each(ListUnassigned(free->second), add);
     }
     for (const ServingGroup* group : groups) {
       const std::size_t before = members.size();
@@ -340,17 +340,17 @@
     if (gain < kLeastGain) {
       return std::nullopt;
     }
-    takeover.waiting = ChooseSoonest(domain, std::move(members), *need.model);
-    takeover.waiting.takesOver = true;
+    takeover.assembly = MakeAssembly(domain, std::move(members), *need.model);
+    takeover.assembly.takesOver = true;
     return takeover;
   }
 
   /// Closes the groups whose members hold the other model's weights.
   void Release(ModelNeed& need, const Takeover& takeover)
   {
-    Reserve(takeover.waiting.members);
+    Reserve(takeover.assembly.members);
     PlannedTakeover planned{ { need.model->name, {}, 0 }, {} };
-    for (const FreeTarget* target : takeover.waiting.members) {
+    for (const FreeTarget* target : takeover.assembly.members) {
       planned.group.members.push_back(target->instance);
     }
     for (const ServingGroup* group : takeover.groups) {
@@ -365,21 +365,21 @@
 
   /// Begins the loads that a group lacks. Members that serve go on serving; idle ones that hold the
   /// weights are kept, for in a group of another model their hosts would lose them.
-  void Await(ModelNeed& need, const Waiting& waiting, LoadPurpose purpose)
+  void BeginLoads(ModelNeed& need, const Assembly& assembly, LoadPurpose purpose)
   {
     const std::string& model = need.model->name;
     if (PlannedLack& lack = LackOf(need); lack.fabricDomain.IsNone()) {
-      lack.fabricDomain = waiting.fabricDomain;
-      lack.loadsToBegin = static_cast<std::uint32_t>(waiting.toBegin);
-      lack.loadsUnderWay = static_cast<std::uint32_t>(waiting.underWay);
+      lack.fabricDomain = assembly.fabricDomain;
+      lack.loadsToBegin = static_cast<std::uint32_t>(assembly.toBegin);
+      lack.loadsUnderWay = static_cast<std::uint32_t>(assembly.underWay);
     }
     Targets bound;
-    for (const FreeTarget* target : waiting.members) {
+    for (const FreeTarget* target : assembly.members) {
       // A model without any group comes before the loads that this slows down.
       if (m_loadsAtFullSpeed > 0 || need.groups == 0) {
         Stage(*target, model, purpose);
       }
-      m_awaited.insert(target->instance);
+      m_assigned.insert(target->instance);
       if (HoldsModel(*target, model)) {
         bound.push_back(target);
       }
@@ -388,13 +388,13 @@
     ++need.groups; // On its way.
   }
 
-  [[nodiscard]] Targets ListUnawaited(const Targets& targets) const
+  [[nodiscard]] Targets ListUnassigned(const Targets& targets) const
   {
-    Targets unawaited;
-    std::ranges::copy_if(targets, std::back_inserter(unawaited), [&](const FreeTarget* target) {
-      return !m_awaited.contains(target->instance);
+    Targets unassigned;
+    std::ranges::copy_if(targets, std::back_inserter(unassigned), [&](const FreeTarget* target) {
+      return !m_assigned.contains(target->instance);
     });
-    return unawaited;
+    return unassigned;
   }
 
   void Reserve(const Targets& members)
@@ -412,7 +412,7 @@
       std::map<std::string, std::size_t> spares;
       for (const ModelNeed& need : m_needs) {
         spares[need.model->name] =
-          CountComing(targets, need.model->name) + CountDoubles(domain, need.model->name);
+          CountComing(targets, need.model->name) + CountSecondWeights(domain, need.model->name);
       }
       for (const FreeTarget* target : targets) {
         if (target->lastModel.empty() && !target->stagedModels.empty() && target->staging.empty()) {
@@ -420,7 +420,7 @@
           continue;
         }
         if (!target->lastModel.empty()) {
-          continue; // Its host takes other weights with the doubles.
+          continue; // Its host takes other weights with the second weights.
         }
         // Weights of another model are not dropped for this under load: they serve its groups.
         if (target->stagedModels.empty() || m_input.loadsAreCheap) {
@@ -431,8 +431,8 @@
   }
 
   /// Members of a domain's groups of other models whose hosts hold this model's weights.
-  [[nodiscard]] std::size_t CountDoubles(const FabricDomainId& domain,
-                                         const std::string& model) const
+  [[nodiscard]] std::size_t CountSecondWeights(const FabricDomainId& domain,
+                                               const std::string& model) const
   {
     std::size_t doubles = 0;
     for (const ServingGroup& group : m_input.serving) {
@@ -471,7 +471,7 @@
   /// the model it served last without them. So the host of each target takes the weights of the
   /// largest other model: the target can then serve either within two seconds, where a load under
   /// traffic takes 16 s. The next join of any group uses this up.
-  void StageDoubles()
+  void StageSecondWeights()
   {
     // Idle targets first: without the other weights some serve nobody.
     for (const auto& [domain, targets] : m_pool) {
@@ -514,8 +514,8 @@
   std::vector<ModelNeed> m_needs; ///< The largest model first.
   std::uint32_t m_loadsLeft;
   std::uint32_t m_loadsAtFullSpeed;
-  std::set<InstanceId> m_staged;  ///< Told to load in this plan; a host loads one model at a time.
-  std::set<InstanceId> m_awaited; ///< Members of groups that wait for loads.
+  std::set<InstanceId> m_staged;   ///< Told to load in this plan; a host loads one model at a time.
+  std::set<InstanceId> m_assigned; ///< Members of groups that wait for loads.
   std::set<std::string> m_released; ///< Serving groups that end for a takeover.
   PoolPlan m_plan;
 };
