One piece of code where the change had written twins

No decision changes. Join serves four places that joined texts by a loop each, FindEngine the two that looked for a service with engines, ModelOf the load orders, too; a place's weights are counted once in place of twice; a target is taken out of its own domain's pool only.

--- a/include/gooseberrysail/control/engine_groups.hpp
+++ b/include/gooseberrysail/control/engine_groups.hpp
@@ -235,6 +235,9 @@
                                 const std::string& service,
                                 const PlannedGroup& planned);
   static void ReportEnded(Pass& pass, const Group& group, const char* reason);
+  [[nodiscard]] static const GroupModel* ModelOf(const Pass& pass,
+                                                 const std::string& service,
+                                                 const std::string& model);
   [[nodiscard]] static const GroupModel* ModelOf(const Pass& pass, const Group& group);
   static void ReportFormed(Pass& pass, const Group& group, std::uint32_t loads);
   void ReportShort(Pass& pass,
--- a/include/gooseberrysail/gooseberrysail.hpp
+++ b/include/gooseberrysail/gooseberrysail.hpp
@@ -13,6 +13,7 @@
 #include "gooseberrysail/catalogue/catalogue.hpp"
 #include "gooseberrysail/consensus/raft_node.hpp"
 #include "gooseberrysail/core/ids.hpp"
+#include "gooseberrysail/core/join.hpp"
 #include "gooseberrysail/core/result.hpp"
 #include "gooseberrysail/core/time.hpp"
 #include "gooseberrysail/core/token.hpp"
--- a/include/gooseberrysail/serving/document.hpp
+++ b/include/gooseberrysail/serving/document.hpp
@@ -121,6 +121,10 @@
   CallerLimits limits;
 };
 
+/// \brief Null when the document has no such service with engines.
+[[nodiscard]] const EngineSpec* FindEngine(const ServingDocument& document,
+                                           std::string_view service);
+
 /// \brief Reads and validates a document's text.
 using DocumentReader = std::function<Result<ServingDocument>(std::string_view text)>;
 
--- a/src/cli/command_line.cpp
+++ b/src/cli/command_line.cpp
@@ -1,5 +1,7 @@
 #include "cli/command_line.hpp"
 
+#include "gooseberrysail/core/join.hpp"
+
 #include <algorithm>
 #include <array>
 #include <boost/program_options/errors.hpp>
@@ -81,21 +83,12 @@
   return words.empty() ? 0 : static_cast<std::size_t>(std::ranges::count(words, ' ')) + 1;
 }
 
-std::string JoinWords(std::span<const std::string> words)
-{
-  std::string text;
-  for (const std::string& word : words) {
-    text += (text.empty() ? "" : " ") + word;
-  }
-  return text;
-}
-
 /// \brief The command whose words are the first of `words`.
 const CommandInfo* FindCommand(std::span<const std::string> words)
 {
   for (const CommandInfo& command : AllCommands()) {
     const std::size_t count = WordCount(command.words);
-    if (words.size() >= count && JoinWords(words.first(count)) == command.words) {
+    if (words.size() >= count && Join(words.first(count), " ") == command.words) {
       return &command;
     }
   }
@@ -210,7 +203,7 @@
     return line;
   }
   if (line.command == nullptr) {
-    return UsageError("no command '" + JoinWords(words) + "'");
+    return UsageError("no command '" + Join(words, " ") + "'");
   }
   line.arguments.assign(named.begin() + static_cast<std::ptrdiff_t>(WordCount(line.command->words)),
                         named.end());
--- a/src/cli/json_view.cpp
+++ b/src/cli/json_view.cpp
@@ -1,5 +1,6 @@
 #include "cli/json_view.hpp"
 
+#include "gooseberrysail/core/join.hpp"
 #include "gooseberrysail/observe/event_line.hpp"
 
 #include <array>
@@ -13,15 +14,6 @@
 
 namespace json = boost::json;
 
-std::string JoinCells(const json::array& list)
-{
-  std::string text;
-  for (const json::value& item : list) {
-    text += (text.empty() ? "" : ",") + CellOf(&item);
-  }
-  return text;
-}
-
 std::optional<std::int64_t> MillisAt(const json::object& object, std::string_view key)
 {
   const json::value* value = object.if_contains(key);
@@ -40,7 +32,7 @@
     return { text->data(), text->size() };
   }
   if (const json::array* list = value->if_array()) {
-    return JoinCells(*list);
+    return Join(*list, ",", [](const json::value& item) { return CellOf(&item); });
   }
   return json::serialize(*value);
 }
--- a/src/control/engine_groups.cpp
+++ b/src/control/engine_groups.cpp
@@ -172,10 +172,17 @@
 }
 
 /// Null when the document no longer has the service or the model.
+const GroupModel* EngineGroups::ModelOf(const Pass& pass,
+                                        const std::string& service,
+                                        const std::string& model)
+{
+  const EngineSpec* engine = pass.EngineOf(service);
+  return engine == nullptr ? nullptr : FindModel(*engine, model);
+}
+
 const GroupModel* EngineGroups::ModelOf(const Pass& pass, const Group& group)
 {
-  const EngineSpec* engine = pass.EngineOf(group.service);
-  return engine == nullptr ? nullptr : FindModel(*engine, group.model);
+  return ModelOf(pass, group.service, group.model);
 }
 
 void EngineGroups::AdvanceGathering(Pass& pass, Group& group)
--- a/src/control/engine_groups_pass.hpp
+++ b/src/control/engine_groups_pass.hpp
@@ -25,10 +25,7 @@
   /// \brief Null when the document has no such service with engines.
   [[nodiscard]] const EngineSpec* EngineOf(const std::string& service) const
   {
-    const auto found = std::ranges::find_if(input.document.services, [&](const auto& each) {
-      return each.name == service && each.engine;
-    });
-    return found == input.document.services.end() ? nullptr : &*found->engine;
+    return FindEngine(input.document, service);
   }
 };
 
--- a/src/control/engine_groups_planning.cpp
+++ b/src/control/engine_groups_planning.cpp
@@ -22,8 +22,7 @@
 constexpr std::uint32_t kUnlimitedLoads = 100'000;
 /// A load takes 12 to 16 s, longer when many load at once; after this it is ordered again.
 constexpr Duration kStagePatience = 40s;
-/// A host that refused a load is asked again after this part of a load's time: of a load that could
-/// have begun, no more than that is lost.
+/// A host that refused a load is asked again after this part of a load's time.
 constexpr int kBusyHostDivisor = 4;
 /// Part of the targets kept out of groups at the start, as spares that hold weights.
 constexpr double kSparePart = 0.2;
@@ -502,8 +501,7 @@
 void EngineGroups::StartStage(Pass& pass, const PlannedStage& planned)
 {
   const TargetRow& row = *pass.Row(planned.target);
-  const EngineSpec* engine = pass.EngineOf(row.latest.service);
-  const GroupModel* model = engine == nullptr ? nullptr : FindModel(*engine, planned.model);
+  const GroupModel* model = ModelOf(pass, row.latest.service, planned.model);
   const Duration loadTime = model == nullptr ? Duration::zero() : model->loadTime;
   m_staging[planned.target] = { planned.model, pass.input.now, loadTime };
   m_loads.push_back(pass.input.now);
--- a/src/control/route_distribution.cpp
+++ b/src/control/route_distribution.cpp
@@ -1,5 +1,6 @@
 #include "gooseberrysail/control/route_distribution.hpp"
 
+#include "gooseberrysail/core/join.hpp"
 #include "gooseberrysail/observe/event.hpp"
 
 #include <algorithm>
@@ -33,15 +34,6 @@
   return std::pair(left.weight, left.group) > std::pair(right.weight, right.group);
 }
 
-std::string Join(const std::vector<VmId>& vms)
-{
-  std::string text;
-  for (const VmId& vm : vms) {
-    text += text.empty() ? vm.Get() : "," + vm.Get();
-  }
-  return text;
-}
-
 } // namespace
 
 std::vector<GroupId> ChooseRoutes(std::vector<RouteWeight> weights, std::size_t wanted)
@@ -163,10 +155,10 @@
     m_closed.insert(group);
     if (!rows.contains(group) && row.route.state == wire::RouteState::Open) {
       const GroupLive* live = membership.FindGroup(group);
-      context.outbox.emplace_back(
-        MakeEvent(EventNumber::kGroupNotServing,
-                  { { "group", std::to_string(group.Get()) },
-                    { "missing", live != nullptr ? Join(live->missing) : std::string() } }));
+      context.outbox.emplace_back(MakeEvent(
+        EventNumber::kGroupNotServing,
+        { { "group", std::to_string(group.Get()) },
+          { "missing", live != nullptr ? Join(live->missing, ",", &VmId::Get) : std::string() } }));
     }
   }
   m_rows = std::move(rows);
--- a/src/control/serving_control.cpp
+++ b/src/control/serving_control.cpp
@@ -1,5 +1,6 @@
 #include "gooseberrysail/control/serving_control.hpp"
 
+#include "gooseberrysail/core/join.hpp"
 #include "gooseberrysail/observe/event.hpp"
 
 #include <algorithm>
@@ -43,15 +44,6 @@
   return target.draining ? "draining" : "ready";
 }
 
-std::string JoinNames(const std::vector<std::string>& names)
-{
-  std::string joined;
-  for (const std::string& name : names) {
-    joined += (joined.empty() ? "" : ",") + name;
-  }
-  return joined;
-}
-
 } // namespace
 
 ServingControl::ServingControl(OutsideApi api, EngineGroupsSettings groups)
@@ -190,7 +182,7 @@
                 { "born", std::to_string(target.born.Get()) },
                 { "sequence", std::to_string(target.sequence) },
                 { "loaded", target.loadedModel },
-                { "staged", JoinNames(target.stagedModels) } }));
+                { "staged", Join(target.stagedModels, ",") } }));
 }
 
 void ServingControl::OnHeard(ControlContext& context, const wire::TargetHeardT& heard)
@@ -412,10 +404,7 @@
 // that entries learn what became of the work that they have there.
 bool ServingControl::TakesRequests(const TargetAnnouncement& target) const
 {
-  const bool hasEngine =
-    m_document && std::ranges::any_of(m_document->services, [&](const auto& service) {
-      return service.name == target.service && service.engine;
-    });
+  const bool hasEngine = m_document && FindEngine(*m_document, target.service) != nullptr;
   return !hasEngine || m_ledAt.contains(target.instance);
 }
 
--- a/src/control/serving_feed.cpp
+++ b/src/control/serving_feed.cpp
@@ -210,8 +210,7 @@
 }
 
 // A whole list for each row that changes would make what is sent grow with entries x targets x
-// changes: seen as a leader whose link is full, orders that take 200 ms, and queues that take all
-// memory.
+// changes, and fill the leader's link and memory.
 bool ServingFeed::IsDueTargets(const ControlContext& context, const Entry& entry) const
 {
   const bool mayBeTold = m_isWhole || !entry.knowsTargets;
--- a/src/placement/pool_places.cpp
+++ b/src/placement/pool_places.cpp
@@ -31,6 +31,14 @@
     targets, [&](const FreeTarget* target) { return HoldsModel(*target, model); }));
 }
 
+/// Those that hold the model's weights and another one's.
+std::uint32_t CountLosing(const Targets& targets, const std::string& model)
+{
+  return static_cast<std::uint32_t>(std::ranges::count_if(targets, [&](const FreeTarget* target) {
+    return HoldsModel(*target, model) && LosesOtherWeights(*target, model);
+  }));
+}
+
 std::uint32_t CountServedLast(const Targets& targets, const std::string& model)
 {
   return static_cast<std::uint32_t>(std::ranges::count(targets, model, &FreeTarget::lastModel));
@@ -56,35 +64,24 @@
   return target.staging.empty() ? Readiness::kCanLoad : Readiness::kLoadsOther;
 }
 
-/// Members of a group of these that lose another model's weights; those that load don't count.
-std::uint32_t CountLost(const Targets& targets, const GroupModel& model)
-{
-  const auto losing = std::ranges::count_if(targets, [&](const FreeTarget* target) {
-    return HoldsModel(*target, model.name) && LosesOtherWeights(*target, model.name);
-  });
-  const auto keeping = std::ranges::count_if(targets, [&](const FreeTarget* target) {
-    return HoldsModel(*target, model.name) && !LosesOtherWeights(*target, model.name);
-  });
-  const auto lacking = std::max<std::ptrdiff_t>(0, model.size - keeping);
-  return static_cast<std::uint32_t>(std::min(losing, lacking));
-}
-
 } // namespace
 
 Place MakePlace(const FabricDomainId& domain, const Targets& targets, const GroupModel& model)
 {
   const std::uint32_t warm = CountWarm(targets, model.name);
+  const std::uint32_t losing = CountLosing(targets, model.name);
+  const std::uint32_t keeping = warm - losing;
   const std::uint32_t served = CountServedLast(targets, model.name);
   return { domain,
            model.size - std::min(model.size, warm),
-           CountLost(targets, model),
+           std::min(losing, model.size - std::min(model.size, keeping)),
            model.size - std::min(model.size, served),
            targets.size() };
 }
 
-/// Fewest loads first. Then fewest weights lost, which the store gives back at some four in ten
-/// seconds, and fewest changes of model. Then the domain with most room, so that groups spread
-/// evenly and one dark domain takes few of a model.
+/// Fewest loads first. Then fewest weights lost, which only a load brings back, and fewest changes
+/// of model. Then the domain with most room, so that groups spread evenly and one dark domain takes
+/// few of a model.
 bool IsBetter(const Place& left, const Place& right)
 {
   return std::tuple(left.loads, left.lost, left.changes, right.free, left.fabricDomain) <
--- a/src/placement/pool_plan.cpp
+++ b/src/placement/pool_plan.cpp
@@ -348,7 +348,7 @@
   /// Closes the groups whose members hold the other model's weights.
   void Release(ModelNeed& need, const Takeover& takeover)
   {
-    Reserve(takeover.assembly.members);
+    Reserve(takeover.assembly.fabricDomain, takeover.assembly.members);
     PlannedTakeover planned{ { need.model->name, {}, 0 }, {} };
     for (const FreeTarget* target : takeover.assembly.members) {
       planned.group.members.push_back(target->instance);
@@ -384,7 +384,7 @@
         bound.push_back(target);
       }
     }
-    Reserve(bound);
+    Reserve(assembly.fabricDomain, bound);
     ++need.groups; // On its way.
   }
 
@@ -397,10 +397,11 @@
     return unassigned;
   }
 
-  void Reserve(const Targets& members)
+  /// Takes those of the members that are idle out of their domain's pool.
+  void Reserve(const FabricDomainId& domain, const Targets& members)
   {
-    for (auto& [domain, targets] : m_pool) {
-      std::erase_if(targets, [&](const FreeTarget* target) {
+    if (const auto pool = m_pool.find(domain); pool != m_pool.end()) {
+      std::erase_if(pool->second, [&](const FreeTarget* target) {
         return std::ranges::find(members, target) != members.end();
       });
     }
@@ -420,7 +421,7 @@
           continue;
         }
         if (!target->lastModel.empty()) {
-          continue; // Its host takes other weights with the second weights.
+          continue; // Its host takes others as second weights.
         }
         // Weights of another model are not dropped for this under load: they serve its groups.
         if (target->stagedModels.empty() || m_input.loadsAreCheap) {
@@ -434,14 +435,14 @@
   [[nodiscard]] std::size_t CountSecondWeights(const FabricDomainId& domain,
                                                const std::string& model) const
   {
-    std::size_t doubles = 0;
+    std::size_t count = 0;
     for (const ServingGroup& group : m_input.serving) {
       if (group.fabricDomain == domain && group.model != model) {
-        doubles += static_cast<std::size_t>(std::ranges::count_if(
+        count += static_cast<std::size_t>(std::ranges::count_if(
           group.members, [&](const FreeTarget& member) { return IsComing(member, model); }));
       }
     }
-    return doubles;
+    return count;
   }
 
   /// Losses hit members, of whatever model. A spare of the same model takes a lost member's place
--- a/src/serving/document.cpp
+++ b/src/serving/document.cpp
@@ -1,5 +1,6 @@
 #include "gooseberrysail/serving/document.hpp"
 
+#include <algorithm>
 #include <set>
 #include <unordered_map>
 #include <unordered_set>
@@ -85,6 +86,13 @@
 
 } // namespace
 
+const EngineSpec* FindEngine(const ServingDocument& document, std::string_view service)
+{
+  const auto found = std::ranges::find_if(
+    document.services, [&](const auto& each) { return each.name == service && each.engine; });
+  return found == document.services.end() ? nullptr : &*found->engine;
+}
+
 Result<void> ValidateDocument(const ServingDocument& document)
 {
   if (document.version == 0) {
