--- a/tests/fakes/fake_fleet.cpp
+++ b/tests/fakes/fake_fleet.cpp
@@ -26,6 +26,11 @@
   return std::ranges::find(self.stagedModels, model) != self.stagedModels.end();
 }
 
+GroupKey KeyOf(const TargetAnnouncement& self)
+{
+  return { self.membership.group, self.membership.epoch };
+}
+
 } // namespace
 
 ServingDocument TwoModelDocument()
@@ -264,8 +269,8 @@
   if (!concerns || membership.state != MemberState::Ready) {
     return;
   }
-  Later(kOpenTime, [this, &target, order] {
-    if (target.self.membership.group == order.group) {
+  Later(kOpenTime, [this, &target, key = KeyOf(target.self)] {
+    if (KeyOf(target.self) == key) {
       CheckOpen(target);
       target.self.membership.state = MemberState::Open;
       Report(target);
@@ -300,9 +305,8 @@
 {
   target.self.membership.state = MemberState::Closing;
   Report(target);
-  const std::string group = target.self.membership.group;
-  Later(target.finishesIn, [this, &target, group] {
-    if (target.self.membership.group == group) {
+  Later(target.finishesIn, [this, &target, key = KeyOf(target.self)] {
+    if (KeyOf(target.self) == key) {
       target.self.membership.state = MemberState::Ready;
       Report(target);
     }
@@ -327,11 +331,12 @@
     HoldsModel(target.self, order.model) || target.self.loadedModel == order.model;
   const Duration load = isWarm ? Duration() : Duration(kLoadTime);
   Later(load + kJoinTime, [this, &target, order] {
-    if (target.self.membership.group == order.group) {
+    const GroupKey key{ order.group, order.epoch };
+    if (KeyOf(target.self) == key) {
       target.self.stagedModels = { order.model };
       target.self.loadedModel = order.model;
       target.self.membership.state = MemberState::Ready;
-      target.wasReadyIn.insert(order.group);
+      target.wasReadyIn.insert(key);
       Report(target);
     }
   });
@@ -347,7 +352,7 @@
   }
   const Target& head = m_targets.at(target.members.front());
   const MemberState state = head.self.membership.state;
-  const bool isOpen = head.isUp && head.self.membership.group == target.self.membership.group &&
+  const bool isOpen = head.isUp && KeyOf(head.self) == KeyOf(target.self) &&
                       (state == MemberState::Open || state == MemberState::Closing);
   if (isOpen) {
     m_violations.push_back(target.self.instance.Get() + " joined " + newGroup + " while " +
@@ -359,7 +364,7 @@
 {
   for (const InstanceId& member : head.members) {
     // One that was ready and is lost since can't be known in time; it excuses the opening.
-    if (!m_targets.at(member).wasReadyIn.contains(head.self.membership.group)) {
+    if (!m_targets.at(member).wasReadyIn.contains(KeyOf(head.self))) {
       m_violations.push_back(head.self.membership.group + " opened without " + member.Get());
     }
   }
--- a/tests/fakes/fake_fleet.hpp
+++ b/tests/fakes/fake_fleet.hpp
@@ -30,7 +30,7 @@
     bool isLoading = false; ///< Its host loads weights, and refuses to load others meanwhile.
     std::vector<InstanceId> members; ///< Of its group, the head first.
     TimePoint reportsAt{};
-    std::set<std::string> wasReadyIn; ///< Groups.
+    std::set<GroupKey> wasReadyIn;
   };
 
   explicit FakeFleet(ServingDocument document);
--- a/tests/unit/engine_groups_safety_test.cpp
+++ b/tests/unit/engine_groups_safety_test.cpp
@@ -1,4 +1,5 @@
 #include "fakes/fake_fleet.hpp"
+#include "support/section.hpp"
 
 #include <algorithm>
 #include <gmock/gmock.h>
@@ -92,6 +93,49 @@
   }
 }
 
+// Guards against joins of an epoch's members while its head is open, after a leader that starts with
+// nothing heard the closed head of the former epoch first (rule TWO).
+TEST(EngineGroupsSafety, MembersStayWithTheEpochThatServesWhenItsFormerHeadIsHeardFirst)
+{
+  FakeFleet fleet = ServingFleet();
+  const std::string head = AnyHead(fleet, "large");
+  const std::vector<InstanceId> former = fleet.At(head).members;
+  fleet.failing.insert(InstanceId(head));
+  fleet.At(head).reachesControl = false;
+  ASSERT_TRUE(RunUntilSucceeded(fleet, fleet.At(head).self.membership.group, head));
+  fleet.Run(1s);
+  const std::vector<InstanceId> members = fleet.At(former.back().Get()).members;
+  ASSERT_EQ(std::ranges::count(members, InstanceId(head)), 0);
+  ASSERT_TRUE(fleet.Keeper().ServingHeads().contains(members.front()));
+  // It took the order to close, though the answer was lost.
+  fleet.At(head).self.membership.state = wire::MemberState::Ready;
+  fleet.failing.clear();
+
+  SECTION("all control processes start anew; the former head is heard before the members")
+  {
+    for (const InstanceId& member : members) {
+      fleet.At(member.Get()).reachesControl = false;
+    }
+    fleet.At(head).reachesControl = true;
+    fleet.At(head).reportsAt = fleet.now + 200ms;
+    const std::size_t before = fleet.Orders().size();
+    fleet.ChangeLeader(true);
+    fleet.Run(400ms);
+    for (const InstanceId& member : members) {
+      fleet.At(member.Get()).reachesControl = true;
+      fleet.At(member.Get()).reportsAt = fleet.now;
+    }
+    fleet.Run(10s);
+    for (const GroupOrder& order : std::span(fleet.Orders()).subspan(before)) {
+      const bool isMember = std::ranges::find(members, order.target) != members.end();
+      EXPECT_FALSE(order.kind == GroupOrderKind::kJoin && isMember)
+        << order.target.Get() << " joined to " << order.group;
+    }
+    EXPECT_THAT(fleet.Violations(), IsEmpty());
+    EXPECT_TRUE(fleet.Keeper().ServingHeads().contains(members.front()));
+  }
+}
+
 // Symptom: callers of an open group lose their answers; its members are joined to a second group.
 // Sequence: a target crashes and starts again under another identity at its address; the process
 // that leads starts anew and hears the present identity; then a last word of the former one, held
