An adopted head is given up once a later epoch of its group is heard

What callers would see: requests sent to a head that stands still, for up to five seconds, until it says that it is broken. Cause: a leader with an empty memory adopts the open head of a former epoch; members that are heard later report the next epoch, which became a group of its own and left the former one open. Test: AnOpenHeadIsGivenUpOnceTheNextEpochOfItsGroupIsHeard failed before (the head was served still).

--- a/src/control/engine_groups.cpp
+++ b/src/control/engine_groups.cpp
@@ -264,6 +264,11 @@
 
 void EngineGroups::AdvanceOpen(Pass& pass, Group& group)
 {
+  if (HasSuccessor(group)) {
+    // Only an adopted one: its members, heard later, work for the next epoch.
+    End(pass, group, "it went on with another head");
+    return;
+  }
   const TargetRow* head = pass.Row(group.members.front());
   if (!Reports(head, group.name, group.epoch) || !IsOpenState(head->latest.membership.state)) {
     const bool isDoubtful = head != nullptr && !IsKnown(pass, *head) && !IsSilent(pass, *head);
--- a/tests/unit/engine_groups_safety_test.cpp
+++ b/tests/unit/engine_groups_safety_test.cpp
@@ -136,6 +136,42 @@
   }
 }
 
+// Guards against requests sent to an open head whose members work for the next epoch of its group.
+TEST(EngineGroupsSafety, AnOpenHeadIsGivenUpOnceTheNextEpochOfItsGroupIsHeard)
+{
+  FakeFleet fleet = ServingFleet();
+  const std::string head = AnyHead(fleet, "large");
+  const std::vector<InstanceId> former = fleet.At(head).members;
+  fleet.failing.insert(InstanceId(head));
+  fleet.At(head).reachesControl = false;
+  ASSERT_TRUE(RunUntilSucceeded(fleet, fleet.At(head).self.membership.group, head));
+  fleet.Run(600ms);
+  const std::vector<InstanceId> members = fleet.At(former.back().Get()).members;
+  fleet.failing.clear();
+  for (const InstanceId& member : members) {
+    fleet.At(member.Get()).reachesControl = false;
+  }
+  fleet.At(head).reachesControl = true;
+  fleet.At(head).reportsAt = fleet.now;
+  fleet.ChangeLeader(true);
+  fleet.Run(3s);
+  ASSERT_EQ(fleet.At(head).self.membership.state, wire::MemberState::Open);
+  ASSERT_TRUE(fleet.Keeper().ServingHeads().contains(InstanceId(head)));
+
+  SECTION("the members are heard")
+  {
+    for (const InstanceId& member : members) {
+      fleet.At(member.Get()).reachesControl = true;
+      fleet.At(member.Get()).reportsAt = fleet.now;
+    }
+    fleet.Run(200ms);
+    EXPECT_FALSE(fleet.Keeper().ServingHeads().contains(InstanceId(head)));
+    fleet.Run(10s);
+    EXPECT_TRUE(fleet.Keeper().ServingHeads().contains(members.front()));
+    EXPECT_THAT(fleet.Violations(), IsEmpty());
+  }
+}
+
 // Symptom: callers of an open group lose their answers; its members are joined to a second group.
 // Sequence: a target crashes and starts again under another identity at its address; the process
 // that leads starts anew and hears the present identity; then a last word of the former one, held
