An answer to a load order counts for that order only

What callers would see: a model waits for a group that a load would have completed. Found by reading, while looking for lookups by less than a whole key: a load under way was found by its target alone, so that a late refusal of a former term's order marked the present load as one of unknown weights, and an unreachable host's answer dropped it.

--- a/src/control/engine_groups.cpp
+++ b/src/control/engine_groups.cpp
@@ -410,13 +410,13 @@
   if (outcome == OrderOutcome::kNoTarget) {
     m_unanswered[order.target] = now;
   }
+  if (!m_leadsSince || order.givenAt < *m_leadsSince) {
+    return; // Of a former term: what this one knows of the target is younger.
+  }
   if (order.kind == GroupOrderKind::kStage) {
     NoteLoad(now, order, outcome);
     return;
   }
-  if (!m_leadsSince || order.givenAt < *m_leadsSince) {
-    return; // Of a former term: what this one knows of the group is younger.
-  }
   const auto found = m_groups.find({ order.group, order.epoch });
   if (found == m_groups.end() || found->second.members.front() != order.target) {
     return;
--- a/src/control/engine_groups_planning.cpp
+++ b/src/control/engine_groups_planning.cpp
@@ -401,8 +401,9 @@
 void EngineGroups::NoteLoad(TimePoint now, const GroupOrder& order, OrderOutcome outcome)
 {
   const auto staging = m_staging.find(order.target);
-  if (staging == m_staging.end()) {
-    return;
+  const bool isAnswer = staging != m_staging.end() && staging->second.since == order.givenAt;
+  if (!isAnswer) {
+    return; // Of an earlier order to the same host.
   }
   if (outcome == OrderOutcome::kRefused) {
     staging->second.model = kUnknownWeights;
--- a/tests/unit/engine_group_loads_test.cpp
+++ b/tests/unit/engine_group_loads_test.cpp
@@ -34,6 +34,32 @@
   EXPECT_GT(CountLoadOrders(fleet, cold), refused);
 }
 
+// Guards against an answer to a load of an earlier term being taken for one to the present load.
+TEST(EngineGroupLoads, AnAnswerToAnEarlierOrderSaysNothingOfALoad)
+{
+  FakeFleet fleet = ServingFleet();
+  const std::string cold = AnyMember(fleet, "large");
+  fleet.Restart(cold);
+  fleet.Run(2s);
+  const auto isLoad = [&](const GroupOrder& order) {
+    return order.kind == GroupOrderKind::kStage && order.target.Get() == cold;
+  };
+  const auto found = std::ranges::find_if(fleet.Orders(), isLoad);
+  ASSERT_NE(found, fleet.Orders().end());
+  const GroupOrder former = *found;
+  fleet.At(cold).isLoading = false;
+  const auto before = CountLoadOrders(fleet, cold);
+  fleet.ChangeLeader(false);
+  fleet.Run(1500ms);
+  const auto ordered = CountLoadOrders(fleet, cold);
+  ASSERT_EQ(ordered, before + 1);
+  for (const OrderOutcome outcome : { OrderOutcome::kRefused, OrderOutcome::kNoTarget }) {
+    fleet.Keeper().OnOrderOutcome(fleet.now, former, outcome);
+  }
+  fleet.Run(10s);
+  EXPECT_EQ(CountLoadOrders(fleet, cold), ordered);
+}
+
 // Guards against so many loads at once that they slow one another down and complete no group.
 TEST(EngineGroupLoads, NoMoreAtOnceThanTheStoreServes)
 {
