Targets that are gone are not counted as targets to form groups of

Cause, one of four: how many groups a model should have at least follows from the number of targets, and a target that fell silent stays in the table for a minute, beside the one that took its place. After twelve losses the smaller model wanted nine groups for work of 3.4 (TargetGroupsShort groups=7 wanted=9 work=3.56, 28.74 s) and took the targets and loads that the larger one lacked. Now: only targets that are heard count. Test: TargetsThatAreGoneAreNotCounted failed before.

--- a/src/control/engine_groups_planning.cpp
+++ b/src/control/engine_groups_planning.cpp
@@ -299,8 +299,12 @@
 std::vector<ModelNeed> EngineGroups::ListNeeds(const Pass& pass,
                                                const ServiceDefinition& service) const
 {
+  // A target that is gone stays in the table for a while, beside the one that took its place.
   const auto targets = std::ranges::count_if(pass.input.targets.Rows(), [&](const auto& row) {
-    return row.second.latest.service == service.name && !IsLeaving(&row.second);
+    const TargetRow& target = row.second;
+    const bool isHeard = pass.input.now - target.heardAt <= m_settings.Silence();
+    return target.latest.service == service.name && isHeard && !IsLeaving(&target) &&
+           !m_verifier.IsReplaced(target);
   });
   std::vector<ModelNeed> needs;
   for (const GroupModel& model : service.engine->models) {
--- a/tests/unit/engine_groups_test.cpp
+++ b/tests/unit/engine_groups_test.cpp
@@ -451,6 +451,23 @@
   }
 }
 
+// Guards against targets that are gone being counted as targets to form groups of.
+TEST(EngineGroups, TargetsThatAreGoneAreNotCounted)
+{
+  FakeFleet fleet = ServingFleet();
+  fleet.demand["large"] = { 20, 20 * 1400.0, 20 * 140.0 };
+  fleet.demand["small"] = { 60, 60 * 714.0, 60 * 146.0 };
+  fleet.Run(10s);
+  const std::size_t before = fleet.CountServing("small");
+  for (int number = 1; number <= 10; ++number) {
+    fleet.Kill("c" + std::to_string(number));
+  }
+  fleet.Add("d", 10, "domain-c");
+  fleet.Run(45s);
+  EXPECT_LE(fleet.CountServing("small"), before);
+  EXPECT_THAT(fleet.Violations(), IsEmpty());
+}
+
 // Symptom: a target was joined to a new group while the head of its former one was open.
 // Sequence: a network fault hides a head from control and from every entry; it lives and is open.
 // Cause: a head that nobody reached was taken for dead, and its members were given away at once.
