A group goes on with another head only where its model lacks groups

Cause, two of four: when a group loses its head, another is formed of spares in the same pass; a moment later the lost one goes on as well, with a warm target that the larger model lacks. So did groups that had been given up for another model: at 21.487 s g1048580, given up at 8.5 s, went on as the seventh group of a model that wanted five, and left the larger one with two warm targets of three. Now: the need is looked at, as for a new group. Test: AGroupThatWasReplacedDoesNotGoOnWithAnotherHead failed before (seven groups for six).

--- a/src/control/engine_groups_planning.cpp
+++ b/src/control/engine_groups_planning.cpp
@@ -112,10 +112,11 @@
 
 void EngineGroups::Form(Pass& pass, const ServiceDefinition& service)
 {
-  ReplaceHeads(pass, service);
   ForgetEndedLoads(pass);
+  ReplaceHeads(pass, service);
   const std::vector<ModelNeed> needs = ListNeeds(pass, service);
   const std::vector<FreeTarget> free = ListFree(pass, service.name);
+  const std::vector<FreeTarget> returning = ListReturning(pass, service.name);
   const std::vector<ServingGroup> serving = ListServing(pass, service.name);
   const std::uint32_t atFullSpeed = LoadsUpTo(pass, std::max(1U, service.engine->loadsAtOnce));
   const PoolInput pool{ free,
@@ -183,7 +184,8 @@
 {
   for (auto& [key, group] : m_groups) {
     const bool lacksHead = group.phase == Phase::kEnding && group.headSilentAt;
-    if (group.service != service.name || !lacksHead || HasSuccessor(group)) {
+    if (group.service != service.name || !lacksHead || HasSuccessor(group) ||
+        !LacksGroups(pass, service, group.model)) {
       continue;
     }
     if (std::optional<Group> made = MakeSuccessor(pass, service, group)) {
@@ -197,6 +199,17 @@
   }
 }
 
+// Without a need for it the group would take warm targets from a model that lacks them.
+bool EngineGroups::LacksGroups(const Pass& pass,
+                               const ServiceDefinition& service,
+                               const std::string& model) const
+{
+  const std::vector<ModelNeed> needs = ListNeeds(pass, service);
+  return std::ranges::any_of(needs, [&](const ModelNeed& need) {
+    return need.model->name == model && need.groups < need.wanted;
+  });
+}
+
 std::optional<EngineGroups::Group> EngineGroups::MakeSuccessor(const Pass& pass,
                                                                const ServiceDefinition& service,
                                                                const Group& group)
--- a/tests/unit/engine_groups_test.cpp
+++ b/tests/unit/engine_groups_test.cpp
@@ -468,6 +468,22 @@
   EXPECT_THAT(fleet.Violations(), IsEmpty());
 }
 
+// Guards against a second group in the place of a lost one, of targets that another model lacks.
+TEST(EngineGroups, AGroupThatWasReplacedDoesNotGoOnWithAnotherHead)
+{
+  FakeFleet fleet = ServingFleet();
+  const std::size_t before = fleet.CountServing("small");
+  const std::map<InstanceId, std::string> heads = fleet.Keeper().ServingHeads();
+  const auto last = std::find_if(
+    heads.rbegin(), heads.rend(), [](const auto& head) { return head.second == "small"; });
+  ASSERT_NE(last, heads.rend());
+  fleet.failing.insert(last->first);
+  fleet.Kill(last->first.Get());
+  fleet.Run(10s);
+  EXPECT_EQ(fleet.CountServing("small"), before);
+  EXPECT_THAT(fleet.Violations(), IsEmpty());
+}
+
 // Symptom: a target was joined to a new group while the head of its former one was open.
 // Sequence: a network fault hides a head from control and from every entry; it lives and is open.
 // Cause: a head that nobody reached was taken for dead, and its members were given away at once.
