Idle targets that load for a group are kept for it

Now: those that load, or begin to, are kept as well. Test: TargetsThatLoadForAGroupAreKeptForIt failed before.

--- a/src/placement/pool_plan.cpp
+++ b/src/placement/pool_plan.cpp
@@ -380,7 +380,7 @@
         Stage(*target, model, purpose);
       }
       m_assigned.insert(target->instance);
-      if (HoldsModel(*target, model)) {
+      if (IsComing(*target, model) || m_staged.contains(target->instance)) {
         bound.push_back(target);
       }
     }
--- a/tests/unit/pool_plan_test.cpp
+++ b/tests/unit/pool_plan_test.cpp
@@ -379,6 +379,18 @@
               ::testing::UnorderedElementsAre(free[2].instance, free[3].instance));
 }
 
+// Guards against a group of another model formed of a target whose load a group waits for.
+TEST(PoolPlan, TargetsThatLoadForAGroupAreKeptForIt)
+{
+  std::vector<FreeTarget> free;
+  Add(free, 3, "a", "large");
+  Add(free, 2, "a", "small");
+  free[3].staging = "large";
+  const std::vector<ModelNeed> needs{ { &kLarge, 0, 1, 1.5 }, { &kSmall, 4, 5, 3.5 } };
+  const PoolPlan plan = PlanPool({ free, needs, {}, 6, 0, false });
+  EXPECT_THAT(plan.groups, IsEmpty());
+}
+
 // Guards against second weights that delay the loads of a model which lacks groups.
 TEST(PoolPlan, SecondWeightsWaitWhileAModelLacksGroups)
 {
