Members of groups that end count as targets of their domain

The members of a group that ends are free some 0.1 to 1.5 s later, one after the other. So a lost group of the smaller model was replaced by one of the last spares of another domain (4.1 s, the first domain by name), where a group of the larger model lost a member at 7.4 s, had no spare and was back after 4.3 s; and while three of four members of a lost group were free a load for the other model began on one of them (16.4 s) and took one of the store's places for 16 s. Now: domains to which members return have more room, so that groups are formed there first, and members that return complete the groups for which loads begin. Tests: GroupsAreFormedWhereMembersOfEndedGroupsReturn and LoadsCompleteAGroupWithMembersThatReturn failed before.

--- a/include/gooseberrysail/placement/pool_plan.hpp
+++ b/include/gooseberrysail/placement/pool_plan.hpp
@@ -64,6 +64,8 @@
   std::uint32_t loadsAtFullSpeed = std::numeric_limits<std::uint32_t>::max();
   /// \brief Of the spare loads, those for second weights.
   std::uint32_t secondLoads = std::numeric_limits<std::uint32_t>::max();
+  /// \brief Sound members of groups that end; they are free in a moment.
+  std::span<const FreeTarget> returning{};
 };
 
 /// \brief A group to form; the first member is its head.
--- a/src/control/engine_groups_planning.cpp
+++ b/src/control/engine_groups_planning.cpp
@@ -127,7 +127,8 @@
                         !pass.input.hasTraffic,
                         MayTakeOver(pass),
                         atFullSpeed,
-                        LoadsUpTo(pass, 1) };
+                        LoadsUpTo(pass, 1),
+                        returning };
   const PoolPlan plan = PlanPool(pool);
   for (const PlannedGroup& planned : plan.groups) {
     StartGroup(pass, service.name, planned);
@@ -380,6 +381,33 @@
   return free;
 }
 
+std::vector<FreeTarget> EngineGroups::ListReturning(const Pass& pass,
+                                                    const std::string& service) const
+{
+  std::vector<FreeTarget> returning;
+  for (const auto& [key, group] : m_groups) {
+    if (group.service != service || group.phase != Phase::kEnding) {
+      continue;
+    }
+    for (const InstanceId& member : group.members) {
+      const TargetRow* row = pass.Row(member);
+      const bool isSound = !HasFailed(pass, row) && !IsReborn(pass, group, member);
+      if (isSound && !m_slow.IsSlow(member) && !IsMemberOfAnother(group, member)) {
+        returning.push_back(MakeFree(*row));
+      }
+    }
+  }
+  return returning;
+}
+
+bool EngineGroups::IsMemberOfAnother(const Group& group, const InstanceId& target) const
+{
+  return std::ranges::any_of(m_groups, [&](const auto& row) {
+    return row.first != group.Key() &&
+           std::ranges::find(row.second.members, target) != row.second.members.end();
+  });
+}
+
 FreeTarget EngineGroups::MakeFree(const TargetRow& row) const
 {
   return { row.latest.instance,
--- a/src/placement/pool_plan.cpp
+++ b/src/placement/pool_plan.cpp
@@ -45,6 +45,9 @@
     for (const FreeTarget& target : input.free) {
       m_pool[target.fabricDomain].push_back(&target);
     }
+    for (const FreeTarget& target : input.returning) {
+      m_returning[target.fabricDomain].push_back(&target);
+    }
     // A large group finds room only where the small ones left it.
     std::ranges::stable_sort(
       m_needs, std::greater{}, [](const ModelNeed& need) { return need.model->size; });
@@ -171,7 +174,8 @@
       if (targets.size() < model.size) {
         continue;
       }
-      const Place place = MakePlace(domain, targets, model);
+      Place place = MakePlace(domain, targets, model);
+      place.free += ReturningTo(domain).size();
       const bool allowed =
         place.loads == 0 || (m_input.loadsAreCheap && place.loads <= m_loadsLeft);
       if (allowed && (!best || IsBetter(place, *best))) {
@@ -235,6 +239,8 @@
     std::optional<Assembly> best;
     for (const auto& [domain, pool] : m_pool) {
       Targets targets = ListUnassigned(pool);
+      const Targets returning = ListUnassigned(ReturningTo(domain));
+      targets.insert(targets.end(), returning.begin(), returning.end());
       if (targets.size() < model.size) {
         continue;
       }
@@ -397,6 +403,12 @@
     return unassigned;
   }
 
+  [[nodiscard]] Targets ReturningTo(const FabricDomainId& domain) const
+  {
+    const auto found = m_returning.find(domain);
+    return found == m_returning.end() ? Targets() : found->second;
+  }
+
   /// Takes those of the members that are idle out of their domain's pool.
   void Reserve(const FabricDomainId& domain, const Targets& members)
   {
@@ -512,6 +524,7 @@
 
   const PoolInput& m_input;
   std::map<FabricDomainId, Targets> m_pool;
+  std::map<FabricDomainId, Targets> m_returning;
   std::vector<ModelNeed> m_needs; ///< The largest model first.
   std::uint32_t m_loadsLeft;
   std::uint32_t m_loadsAtFullSpeed;
--- a/tests/unit/pool_plan_test.cpp
+++ b/tests/unit/pool_plan_test.cpp
@@ -391,6 +391,43 @@
   EXPECT_THAT(plan.groups, IsEmpty());
 }
 
+// Guards against a domain without spares while another has members of an ended group besides.
+TEST(PoolPlan, GroupsAreFormedWhereMembersOfEndedGroupsReturn)
+{
+  std::vector<FreeTarget> free;
+  Add(free, 2, "a", "small");
+  Add(free, 2, "b", "small");
+  std::vector<FreeTarget> returning;
+  Add(returning, 1, "b", "small");
+  returning[0].instance = InstanceId("survivor");
+  const std::vector<ModelNeed> needs{ { &kSmall, 5, 6, 3.5 } };
+  PoolInput input{ free, needs, {}, 6, 6, false };
+  input.returning = returning;
+  const PoolPlan plan = PlanPool(input);
+  ASSERT_THAT(plan.groups, SizeIs(1));
+  EXPECT_THAT(plan.groups[0].members,
+              ::testing::UnorderedElementsAre(free[2].instance, free[3].instance));
+}
+
+// Guards against loads of another model on targets that complete a group with members that return.
+TEST(PoolPlan, LoadsCompleteAGroupWithMembersThatReturn)
+{
+  std::vector<FreeTarget> free;
+  Add(free, 2, "a", "large");
+  Add(free, 1, "a", "");
+  std::vector<FreeTarget> returning;
+  Add(returning, 1, "a", "large");
+  returning[0].instance = InstanceId("survivor");
+  const std::vector<ModelNeed> needs{ { &kLarge, 1, 2, 2.0 }, { &kSmall, 4, 5, 3.5 } };
+  PoolInput input{ free, needs, {}, 6, 6, false };
+  input.returning = returning;
+  const PoolPlan plan = PlanPool(input);
+  EXPECT_THAT(plan.groups, IsEmpty());
+  ASSERT_THAT(plan.stages, SizeIs(1));
+  EXPECT_EQ(plan.stages[0].target, free[2].instance);
+  EXPECT_EQ(plan.stages[0].model, "large");
+}
+
 // Guards against second weights that delay the loads of a model which lacks groups.
 TEST(PoolPlan, SecondWeightsWaitWhileAModelLacksGroups)
 {
