--- a/include/gooseberrysail/control/engine_groups.hpp
+++ b/include/gooseberrysail/control/engine_groups.hpp
@@ -213,8 +213,6 @@
   /// \brief Sound members of groups that end and of no other group.
   [[nodiscard]] std::vector<FreeTarget> ListReturning(const Pass& pass,
                                                       const std::string& service) const;
-  /// \brief The target is a member of another group.
-  [[nodiscard]] bool IsMemberOfAnother(const Group& group, const InstanceId& target) const;
   [[nodiscard]] std::vector<ServingGroup> ListServing(const Pass& pass, const std::string& service);
   [[nodiscard]] FreeTarget MakeFree(const TargetRow& row) const;
   void ForgetEndedLoads(const Pass& pass);
--- a/src/control/engine_groups_planning.cpp
+++ b/src/control/engine_groups_planning.cpp
@@ -384,6 +384,12 @@
 std::vector<FreeTarget> EngineGroups::ListReturning(const Pass& pass,
                                                     const std::string& service) const
 {
+  std::set<InstanceId> seen;
+  for (const auto& [key, group] : m_groups) {
+    if (group.phase != Phase::kEnding) {
+      seen.insert(group.members.begin(), group.members.end());
+    }
+  }
   std::vector<FreeTarget> returning;
   for (const auto& [key, group] : m_groups) {
     if (group.service != service || group.phase != Phase::kEnding) {
@@ -392,7 +398,7 @@
     for (const InstanceId& member : group.members) {
       const TargetRow* row = pass.Row(member);
       const bool isSound = !HasFailed(pass, row) && !IsReborn(pass, group, member);
-      if (isSound && !m_slow.IsSlow(member) && !IsMemberOfAnother(group, member)) {
+      if (isSound && !m_slow.IsSlow(member) && seen.insert(member).second) {
         returning.push_back(MakeFree(*row));
       }
     }
@@ -400,14 +406,6 @@
   return returning;
 }
 
-bool EngineGroups::IsMemberOfAnother(const Group& group, const InstanceId& target) const
-{
-  return std::ranges::any_of(m_groups, [&](const auto& row) {
-    return row.first != group.Key() &&
-           std::ranges::find(row.second.members, target) != row.second.members.end();
-  });
-}
-
 FreeTarget EngineGroups::MakeFree(const TargetRow& row) const
 {
   return { row.latest.instance,
