Failing test: a new leader tells entries of no heads

The new leader (term 2, taken at 3.160) sent ten entries a whole list of the three plain targets at 3.208 to 3.386 ('GatewayTargets term=2 sequence=1 base=0 told=3') and adopted the groups of its predecessor at 3.388 only, when their heads had answered its probes.

--- a/tests/unit/engine_groups_test.cpp
+++ b/tests/unit/engine_groups_test.cpp
@@ -321,6 +321,25 @@
   EXPECT_THAT(fleet.Violations(), IsEmpty());
 }
 
+// Guards against entries that are told of no heads while a new leader confirms the groups.
+TEST(EngineGroups, ANewLeaderTellsOfHeadsThatReportOpen)
+{
+  FakeFleet fleet = ServingFleet();
+  const auto before = fleet.Groups().ServingHeads();
+  const InstanceId lost = before.begin()->first;
+  fleet.Kill(lost.Get());
+  fleet.Run(100ms);
+  fleet.ChangeLeader(false);
+  fleet.Run(100ms);
+  EXPECT_EQ(fleet.Groups().ServingHeads(), before);
+  SECTION("but not of one that has been silent")
+  {
+    fleet.Run(1900ms);
+    EXPECT_FALSE(fleet.Groups().ServingHeads().contains(lost));
+    EXPECT_EQ(fleet.Groups().ServingHeads().size(), before.size() - 1);
+  }
+}
+
 // Guards against a restarted process that treats the first heartbeat of a target as its latest.
 // After a restart of all control processes it may be a delayed one that is older than the target's
 // group; the target would be joined to a new group while its head is open.
