Tell entries of heads that report open before a new leader has confirmed them

Cause: all targets had reported to the new leader while it followed, so its list counted as complete; but a group of an earlier leader was a serving one only once its head had answered a probe, sent at the earliest when the lag of reports (200 ms) had passed. Change: until then the head counts by its latest report, unless it is silent. Orders still wait for the confirmation, so nothing that joins or opens a group changes; a request at a head that has closed meanwhile is refused by it without having run. The groups are looked at in the first tick of a term. Ruled out: holding the list back, which after the restart of all processes would leave entries without heads for as long.

--- a/include/gooseberrysail/control/engine_groups.hpp
+++ b/include/gooseberrysail/control/engine_groups.hpp
@@ -158,6 +158,7 @@
     Phase phase = Phase::kJoining;
     TimePoint since{}; ///< Start of the phase.
     bool wasAdopted = false;
+    bool reportsOpen = false; ///< While adopted: the latest report of its head says that it serves.
     std::map<std::pair<InstanceId, GroupOrderKind>, TimePoint> orderedAt;
     bool cut = false;                      ///< A member is lost: work in progress can't complete.
     bool closeBegun = false;               ///< The head accepted the order to close.
--- a/src/control/engine_groups.cpp
+++ b/src/control/engine_groups.cpp
@@ -433,11 +433,14 @@
   }
 }
 
+// Until a new leader has confirmed an earlier leader's group, its head is used by what it reports:
+// a request does no harm at a head that has closed, but without heads entries refuse all requests.
 std::map<InstanceId, std::string> EngineGroups::ServingHeads() const
 {
   std::map<InstanceId, std::string> heads;
   for (const auto& [key, group] : m_groups) {
-    if (group.phase == Phase::kOpen) {
+    const bool isUnconfirmed = group.phase == Phase::kAdopted && group.reportsOpen;
+    if (group.phase == Phase::kOpen || isUnconfirmed) {
       heads.emplace(group.members.front(), group.model);
     }
   }
--- a/src/control/engine_groups_learning.cpp
+++ b/src/control/engine_groups_learning.cpp
@@ -82,11 +82,12 @@
   }
   const TargetRow* head = pass.Row(group.members.front());
   const bool isHeard = Reports(head, group.name, group.epoch);
+  const bool isOpen = isHeard && head->latest.membership.state == MemberState::Open;
+  group.reportsOpen = isOpen && !HasFailed(pass, head);
   if ((!isHeard || !IsConfirmed(pass, *head)) &&
       pass.input.now - *m_leaderSince < m_settings.DiscoveryTime()) {
     return; // An earlier leader may have sent orders whose effect the head has not reported yet.
   }
-  const bool isOpen = isHeard && head->latest.membership.state == MemberState::Open;
   const bool isForming = isHeard && (head->latest.membership.state == MemberState::Joining ||
                                      head->latest.membership.state == MemberState::Ready);
   pass.events.push_back(MakeEvent(EventNumber::kTargetGroupAdopted,
--- a/src/control/serving_control.cpp
+++ b/src/control/serving_control.cpp
@@ -245,6 +245,7 @@
 {
   m_groups.OnLeaderStart();
   m_feed.OnLeaderStart();
+  m_nextReconcile = TimePoint{};
 }
 
 void ServingControl::OnLeadershipLost(ControlContext& context)
