Send beyond the own part of the heads while first events are early

Cause: the heads' slots are divided by where the callers were. Change: HeadRoom, a decision of its own: where an entry's part is used up, it goes on as long as its first events of the model take no more than half of the objective (moving average, no older than 500 ms). A head without a free slot delays each further first event by some 33 ms, so early ones show free slots, whoever uses the others. The own part comes first, then what may be borrowed, then this. A step for each head alone was ruled out: an entry sees four first events a second there.

--- a/include/gooseberrysail/gateway/dispatcher.hpp
+++ b/include/gooseberrysail/gateway/dispatcher.hpp
@@ -3,6 +3,7 @@
 #include "gooseberrysail/gateway/event_splitter.hpp"
 #include "gooseberrysail/gateway/finished_requests.hpp"
 #include "gooseberrysail/gateway/gateway_api.hpp"
+#include "gooseberrysail/gateway/head_room.hpp"
 #include "gooseberrysail/gateway/retry_allowance.hpp"
 #include "gooseberrysail/gateway/target_selector.hpp"
 #include "gooseberrysail/gateway/wait_queue.hpp"
@@ -143,6 +144,8 @@
   void CountDemand(const Request& request, bool isRefused);
 
   // Attempts (dispatcher.cpp).
+  /// \brief What the next attempt needs of its target.
+  [[nodiscard]] TargetQuery QueryOf(TimePoint now, const Request& request) const;
   void Attempt(TimePoint now, Request& request, Outbox& outbox);
   void Send(TimePoint now, Request& request, const ServedTarget& target, Outbox& outbox);
   bool TryEnqueue(TimePoint now, const Request& request);
@@ -196,6 +199,7 @@
   TargetSelector m_selector;
   RetryAllowance m_retries;
   WaitQueue m_queue;
+  HeadRoom m_room;
   CrashSuspects m_suspects;
   FinishedRequests m_finished;            ///< None of them is a suspect.
   std::multiset<ServedKind> m_freedSlots; ///< Freed since the queue was last served.
--- a/include/gooseberrysail/gateway/target_selector.hpp
+++ b/include/gooseberrysail/gateway/target_selector.hpp
@@ -21,6 +21,9 @@
   std::string_view service;
   std::string_view model; ///< "" for plain services.
   const std::set<InstanceId>& tried;
+  /// \brief First events arrive so soon that the heads must have free slots beyond this entry's
+  /// part of them.
+  bool headsHaveRoom = false;
 };
 
 /// \brief Why no target can take a request.
@@ -199,6 +202,19 @@
   [[nodiscard]] bool IsBorrowed(const ServedTarget& target, const ShareState& shareState) const;
   [[nodiscard]] std::uint32_t CapacityOf(const ServedTarget& target,
                                          const ShareState& shareState) const;
+  /// \brief On what grounds this entry uses a target, the preferred ones first.
+  enum class Claim
+  {
+    kOwnPart,
+    kBorrowed,   ///< Assigned to other entries, within what may be borrowed.
+    kBeyondPart, ///< The heads have room.
+  };
+  /// \brief The claim for one more request to a usable target.
+  [[nodiscard]] Claim ClaimOn(const Row& row, const ShareState& shareState) const;
+  /// \brief Whether this entry may send the target one more request.
+  [[nodiscard]] bool HasCapacity(const Row& row,
+                                 const TargetQuery& query,
+                                 const ShareState& shareState) const;
   /// \brief Cost of one more request, for comparison: the load, times the slowness of a slow
   /// target.
   [[nodiscard]] double CostOf(TimePoint now,
--- a/src/gateway/dispatcher.cpp
+++ b/src/gateway/dispatcher.cpp
@@ -46,10 +46,16 @@
   return found == m_attempts.end() ? nullptr : Find(found->second);
 }
 
+TargetQuery Dispatcher::QueryOf(TimePoint now, const Request& request) const
+{
+  const bool headsHaveRoom =
+    m_room.HasRoom(now, { request.service, request.model }, request.route->objective);
+  return { request.service, request.model, request.tried, headsHaveRoom };
+}
+
 void Dispatcher::Attempt(TimePoint now, Request& request, Outbox& outbox)
 {
-  const ServedTarget* target =
-    m_selector.Choose(now, { request.service, request.model, request.tried });
+  const ServedTarget* target = m_selector.Choose(now, QueryOf(now, request));
   if (target == nullptr) {
     if (!TryEnqueue(now, request)) {
       GiveUp(now, request, outbox);
@@ -83,8 +89,7 @@
 // Only requests that were never sent are queued: a retry has no time left to wait.
 bool Dispatcher::TryEnqueue(TimePoint now, const Request& request)
 {
-  const NoTargetReason reason =
-    m_selector.ReasonForNoTarget(now, { request.service, request.model, request.tried });
+  const NoTargetReason reason = m_selector.ReasonForNoTarget(now, QueryOf(now, request));
   const bool mayWait =
     request.attempts == 0 && !request.model.empty() && reason == NoTargetReason::kFull;
   return mayWait && m_queue.TryEnqueue(now,
@@ -99,8 +104,7 @@
   for (const ServedKind& kind : m_queue.ListWaiting()) {
     for (ExchangeId first = m_queue.First(kind); !first.IsNone(); first = m_queue.First(kind)) {
       Request& request = *Find(first);
-      const ServedTarget* target =
-        m_selector.Choose(now, { kind.service, kind.model, request.tried });
+      const ServedTarget* target = m_selector.Choose(now, QueryOf(now, request));
       if (target == nullptr) {
         break;
       }
@@ -115,7 +119,7 @@
   const bool repeatable = !request.mayHaveRun || MayRunAgain(request.route->repeat);
   return repeatable && !m_suspects.IsQuarantined(request.fingerprint) &&
          request.attempts < request.route->maxAttempts && request.deadline - now > kMinTimeLeft &&
-         m_selector.Choose(now, { request.service, request.model, request.tried }) != nullptr &&
+         m_selector.Choose(now, QueryOf(now, request)) != nullptr &&
          m_retries.TryTake(now, request.service);
 }
 
@@ -270,7 +274,9 @@
     out = std::move(request.bufferedAnswer);
     request.headForwarded = true;
     request.firstEventAt = now;
-    m_queue.OnFirstEvent({ request.service, request.model }, now - request.sentAt);
+    const ServedKind kind{ request.service, request.model };
+    m_queue.OnFirstEvent(kind, now - request.sentAt);
+    m_room.OnFirstEvent(now, kind, now - request.sentAt);
   }
   if (request.lastEventAt != TimePoint{}) {
     request.longestPause = std::max(request.longestPause, now - request.lastEventAt);
--- a/src/gateway/dispatcher_end.cpp
+++ b/src/gateway/dispatcher_end.cpp
@@ -52,7 +52,7 @@
   if (request.attempts == 0) {
     CountDemand(request, true);
   }
-  const TargetQuery query{ request.service, request.model, request.tried };
+  const TargetQuery query = QueryOf(now, request);
   const NoTargetReason noTargetReason = m_selector.ReasonForNoTarget(now, query);
   const std::string reason =
     request.lastError.empty() ? ToString(noTargetReason) : request.lastError;
--- a/src/gateway/target_selector.cpp
+++ b/src/gateway/target_selector.cpp
@@ -228,6 +228,24 @@
   return SlotLimit(slots, CallerFraction(target.servedModel), kMinCapacity);
 }
 
+TargetSelector::Claim TargetSelector::ClaimOn(const Row& row, const ShareState& shareState) const
+{
+  if (row.inFlight >= CapacityOf(row.target, shareState)) {
+    return Claim::kBeyondPart;
+  }
+  return IsBorrowed(row.target, shareState) ? Claim::kBorrowed : Claim::kOwnPart;
+}
+
+bool TargetSelector::HasCapacity(const Row& row,
+                                 const TargetQuery& query,
+                                 const ShareState& shareState) const
+{
+  const bool isHead = !row.target.servedModel.empty();
+  const std::uint32_t capacity =
+    query.headsHaveRoom && isHead ? SlotsOf(row.target) : CapacityOf(row.target, shareState);
+  return row.inFlight < capacity;
+}
+
 // The parts follow the division of the heads' slots, so that they add up to the limit and no entry
 // sends more than it would without one.
 double TargetSelector::OwnLimit(const Row& row, const ShareState& shareState) const
@@ -290,7 +308,8 @@
                               Duration fastestStep,
                               const ShareState& shareState) const
 {
-  const double capacity = CapacityOf(row.target, shareState) * WarmUpFraction(now, row);
+  const double slots = std::max(CapacityOf(row.target, shareState), 1U);
+  const double capacity = slots * WarmUpFraction(now, row);
   const double load = static_cast<double>(row.inFlight + 1) / capacity;
   const Duration step = row.stepTime.Estimate(now);
   const double ratio = fastestStep > Duration::zero() ? static_cast<double>(step.count()) /
@@ -306,9 +325,9 @@
 {
   std::vector<const Row*> usable;
   for (const auto& [instance, row] : m_rows) {
-    if (Fits(row, query) && now >= row.unreachableUntil &&
-        row.inFlight < CapacityOf(row.target, shareState) && !query.tried.contains(instance) &&
-        !IsSilent(now, row, kSuspectAfter) && !IsLimited(now, row, shareState)) {
+    if (Fits(row, query) && now >= row.unreachableUntil && HasCapacity(row, query, shareState) &&
+        !query.tried.contains(instance) && !IsSilent(now, row, kSuspectAfter) &&
+        !IsLimited(now, row, shareState)) {
       usable.push_back(&row);
     }
   }
@@ -317,11 +336,11 @@
   if (anyNotAvoided) {
     std::erase_if(usable, [&](const Row* row) { return IsAvoided(now, *row); });
   }
-  const bool anyInShare = std::ranges::any_of(
-    usable, [&](const Row* row) { return !IsBorrowed(row->target, shareState); });
-  if (anyInShare) {
-    std::erase_if(usable, [&](const Row* row) { return IsBorrowed(row->target, shareState); });
+  Claim best = Claim::kBeyondPart;
+  for (const Row* row : usable) {
+    best = std::min(best, ClaimOn(*row, shareState));
   }
+  std::erase_if(usable, [&](const Row* row) { return ClaimOn(*row, shareState) != best; });
   return usable;
 }
 
@@ -374,7 +393,7 @@
   bool anyIsFull = false;
   for (const auto& [instance, row] : m_rows) {
     if (Fits(row, query)) {
-      const bool isFull = row.inFlight >= CapacityOf(row.target, shareState);
+      const bool isFull = !HasCapacity(row, query, shareState);
       anyIsFull = anyIsFull || isFull;
       anyHasCapacity = anyHasCapacity || (!isFull && !IsLimited(now, row, shareState));
     }
