Compress large frames between processes

Cause: each change of the document goes whole to each entry and each control process. Change: a frame of 4 KiB or more is compressed (zstd, level 1) where that makes it smaller; the top bit of the length prefix says so. The limits of frames hold for the expanded size, which is checked before memory is taken, also before a peer has proved its identity. The protocol version rises: processes of the old and the new program don't connect to each other. Two tests of full queues now send bytes that don't compress; their bounds are the same.

--- a/src/net/frame_codec.cpp
+++ b/src/net/frame_codec.cpp
@@ -1,6 +1,7 @@
 #include "net/frame_codec.hpp"
 
 #include <cstring>
+#include <zstd.h>
 
 namespace gooseberrysail::impl {
 
@@ -12,16 +13,44 @@
 constexpr std::size_t kMaxRetainedBytes = 64 * 1024;
 // With this offset, the payload of a frame at the front of the buffer is aligned.
 constexpr std::size_t kFrontOffset = kAlignment - kFramePrefixBytes;
+constexpr std::uint32_t kCompressedBit = 1U << 31U;
+/// The fastest level. Higher ones cost a small machine more processor time than they save on its
+/// link.
+constexpr int kCompressionLevel = 1;
+
+/// Returns nothing where compression does not make the payload smaller. A payload that exceeds the
+/// limit of frames stays as it is, so that the sender notices.
+std::vector<std::uint8_t> Compress(std::span<const std::uint8_t> payload)
+{
+  if (payload.size() < kMinCompressedBytes || payload.size() > kMaxFrameBytes) {
+    return {};
+  }
+  std::vector<std::uint8_t> compressed(ZSTD_compressBound(payload.size()));
+  const std::size_t size = ZSTD_compress(
+    compressed.data(), compressed.size(), payload.data(), payload.size(), kCompressionLevel);
+  if (ZSTD_isError(size) != 0 || size >= payload.size()) {
+    return {};
+  }
+  compressed.resize(size);
+  return compressed;
+}
 
 } // namespace
 
 std::vector<std::uint8_t> EncodeFrame(const wire::EnvelopeT& envelope)
 {
-  const std::vector<std::uint8_t> payload = EncodeEnvelope(envelope);
+  std::vector<std::uint8_t> payload = EncodeEnvelope(envelope);
+  std::vector<std::uint8_t> compressed = Compress(payload);
+  std::uint32_t prefix = 0;
+  if (!compressed.empty()) {
+    payload = std::move(compressed);
+    prefix = kCompressedBit;
+  }
+  prefix |= static_cast<std::uint32_t>(payload.size());
   std::vector<std::uint8_t> frame;
   frame.reserve(kFramePrefixBytes + payload.size());
   for (std::size_t i = 0; i < kFramePrefixBytes; ++i) {
-    frame.push_back(static_cast<std::uint8_t>(payload.size() >> (8 * i)));
+    frame.push_back(static_cast<std::uint8_t>(prefix >> (8 * i)));
   }
   frame.insert(frame.end(), payload.begin(), payload.end());
   return frame;
@@ -70,17 +99,53 @@
   m_end = kFrontOffset + unread;
 }
 
-std::size_t FrameReader::FrameLength() const noexcept
+std::uint32_t FrameReader::Prefix() const noexcept
 {
-  std::size_t length = 0;
+  std::uint32_t prefix = 0;
   for (std::size_t i = 0; i < kFramePrefixBytes; ++i) {
-    length |= static_cast<std::size_t>(m_buffer[m_begin + i]) << (8 * i);
+    prefix |= static_cast<std::uint32_t>(m_buffer[m_begin + i]) << (8 * i);
   }
-  return length;
+  return prefix;
+}
+
+Result<void> FrameReader::CheckSize(std::size_t size, const std::string& peer) const
+{
+  if (size == 0) {
+    return Error{ ErrorCode::kCorrupt, "read frame", peer, "the frame is empty" };
+  }
+  if (size > m_maxFrameBytes) {
+    return Error{ ErrorCode::kTooLarge,
+                  "read frame",
+                  peer,
+                  "a frame of " + std::to_string(size) + " bytes exceeds the limit of " +
+                    std::to_string(m_maxFrameBytes) };
+  }
+  return outcome::success();
+}
+
+// The size in the compressed frame is checked before any memory is taken for it: a few bytes can
+// expand to any size.
+Result<std::span<const std::uint8_t>> FrameReader::Expand(std::span<const std::uint8_t> compressed,
+                                                          const std::string& peer)
+{
+  const auto size = ZSTD_getFrameContentSize(compressed.data(), compressed.size());
+  if (size == ZSTD_CONTENTSIZE_ERROR || size == ZSTD_CONTENTSIZE_UNKNOWN) {
+    return Error{ ErrorCode::kCorrupt, "read frame", peer, "not a compressed frame" };
+  }
+  BOOST_OUTCOME_TRY(CheckSize(size, peer));
+  m_expanded.resize(size);
+  m_expanded.shrink_to_fit();
+  const std::size_t expanded =
+    ZSTD_decompress(m_expanded.data(), m_expanded.size(), compressed.data(), compressed.size());
+  if (ZSTD_isError(expanded) != 0 || expanded != size) {
+    return Error{ ErrorCode::kCorrupt, "read frame", peer, "a damaged compressed frame" };
+  }
+  return std::span<const std::uint8_t>(m_expanded);
 }
 
 Result<std::optional<std::span<const std::uint8_t>>> FrameReader::Next(const std::string& peer)
 {
+  m_expanded = {};
   if (Unread() == 0) {
     m_begin = kFrontOffset;
     m_end = kFrontOffset;
@@ -88,22 +153,19 @@
   if (Unread() < kFramePrefixBytes) {
     return std::nullopt;
   }
-  const std::size_t length = FrameLength();
-  if (length == 0) {
-    return Error{ ErrorCode::kCorrupt, "read frame", peer, "the frame is empty" };
-  }
-  if (length > m_maxFrameBytes) {
-    return Error{ ErrorCode::kTooLarge,
-                  "read frame",
-                  peer,
-                  "a frame of " + std::to_string(length) + " bytes exceeds the limit of " +
-                    std::to_string(m_maxFrameBytes) };
-  }
+  const std::size_t length = Prefix() & ~kCompressedBit;
+  const bool isCompressed = (Prefix() & kCompressedBit) != 0;
+  BOOST_OUTCOME_TRY(CheckSize(length, peer));
   if (Unread() < kFramePrefixBytes + length) {
     return std::nullopt;
   }
   const std::size_t found = m_begin + kFramePrefixBytes;
   m_begin = found + length;
+  if (isCompressed) {
+    BOOST_OUTCOME_TRY(const auto expanded,
+                      Expand(std::span(m_buffer).subspan(found, length), peer));
+    return std::optional(expanded);
+  }
   // FlatBuffers reads numbers in place, and reading a misaligned number is undefined behaviour. A
   // frame that follows others may be misaligned; it is moved back over bytes already consumed.
   const std::size_t aligned = found / kAlignment * kAlignment;
--- a/src/net/handshake.hpp
+++ b/src/net/handshake.hpp
@@ -14,7 +14,7 @@
 namespace gooseberrysail::impl {
 
 /// \brief Protocol version; increased by changes that older programs can't decode.
-inline constexpr std::uint32_t kProtocol = 1;
+inline constexpr std::uint32_t kProtocol = 2;
 
 inline constexpr std::size_t kNonceBytes = 32;
 
--- a/tests/unit/frame_codec_test.cpp
+++ b/tests/unit/frame_codec_test.cpp
@@ -40,6 +40,72 @@
   }
 }
 
+std::vector<std::uint8_t> TextFrame(const std::string& text)
+{
+  wire::ServingStateT state;
+  state.document = text;
+  return EncodeFrame(*MakeEnvelope(std::move(state)));
+}
+
+std::string RouteText(std::size_t routes)
+{
+  std::string text;
+  for (std::size_t route = 0; route < routes; ++route) {
+    text += R"({"name":"route-)" + std::to_string(route) + R"(","service":"assist"},)";
+  }
+  return text;
+}
+
+// Guards against links that are filled by copies of a document: each entry is sent it at each
+// change.
+TEST(FrameCodec, CompressesLargeFrames)
+{
+  const std::string text = RouteText(2000);
+  const std::vector<std::uint8_t> frame = TextFrame(text);
+  EXPECT_LT(frame.size(), text.size() / 4);
+  std::vector<std::uint8_t> stream = NumberFrame(1);
+  stream.insert(stream.end(), frame.begin(), frame.end());
+  const auto after = NumberFrame(2);
+  stream.insert(stream.end(), after.begin(), after.end());
+  FrameReader reader(kMaxFrameBytes);
+  Feed(reader, stream);
+  ASSERT_TRUE(reader.Next("peer").value());
+  const auto read = reader.Next("peer");
+  ASSERT_TRUE(read && read.value());
+  EXPECT_EQ(reinterpret_cast<std::uintptr_t>((*read.value()).data()) % 8, 0U);
+  const auto envelope = DecodeEnvelope(*read.value(), "peer");
+  EXPECT_EQ(envelope.value()->body.AsServingState()->document, text);
+  EXPECT_EQ(Numbers(reader), (std::vector<std::uint64_t>{ 2 }));
+}
+
+// Guards against a peer that fills the memory with a small frame: the limit holds for what it
+// expands to, also before the peer has proved its identity.
+TEST(FrameCodec, RejectsACompressedFrameThatExceedsTheLimit)
+{
+  FrameReader reader(8 * 1024);
+  Feed(reader, TextFrame(RouteText(2000)));
+  const auto read = reader.Next("peer");
+  ASSERT_FALSE(read);
+  EXPECT_EQ(read.error().code, ErrorCode::kTooLarge);
+}
+
+TEST(FrameCodec, RejectsADamagedCompressedFrame)
+{
+  const std::vector<std::uint8_t> sound = TextFrame(RouteText(2000));
+  std::mt19937 random(7);
+  for (int run = 0; run < 500; ++run) {
+    std::vector<std::uint8_t> damaged = sound;
+    damaged[kFramePrefixBytes + random() % (damaged.size() - kFramePrefixBytes)] ^=
+      static_cast<std::uint8_t>(1 + random() % 255);
+    FrameReader reader(kMaxFrameBytes);
+    Feed(reader, damaged);
+    const auto read = reader.Next("peer");
+    if (read && read.value()) {
+      static_cast<void>(DecodeEnvelope(*read.value(), "peer"));
+    }
+  }
+}
+
 TEST(FrameCodec, ParsesFramesWhereverTheStreamIsSplit)
 {
   std::vector<std::uint8_t> stream;
--- a/tests/unit/peer_mesh_test.cpp
+++ b/tests/unit/peer_mesh_test.cpp
@@ -2,8 +2,10 @@
 #include "support/mesh_process.hpp"
 #include "support/section.hpp"
 
+#include <algorithm>
 #include <memory>
 #include <numeric>
+#include <random>
 #include <thread>
 
 namespace gooseberrysail {
@@ -28,6 +30,15 @@
   return numbers;
 }
 
+/// Bytes that compression does not make smaller.
+std::vector<std::uint8_t> RandomBytes(std::size_t size)
+{
+  std::mt19937 random(1);
+  std::vector<std::uint8_t> bytes(size);
+  std::ranges::generate(bytes, [&] { return static_cast<std::uint8_t>(random()); });
+  return bytes;
+}
+
 TEST(PeerMesh, FramesGoInOrderOverOneConnection)
 {
   IoRuntime runtime;
@@ -277,7 +288,7 @@
   entry.SendNumber(agent, 1, agent.mesh.ListenAddress());
   ASSERT_TRUE(entry.WaitForTransition("up agent-1"));
   wire::OutputT output;
-  output.bytes.resize(300 * 1024);
+  output.bytes = RandomBytes(300 * 1024);
   for (int i = 0; i < 4; ++i) {
     entry.mesh.Send(FrameOut{ agent.name, "", MakeEnvelope(output) });
   }
@@ -300,7 +311,7 @@
   control.SendNumber(second, 1, second.mesh.ListenAddress());
   ASSERT_TRUE(control.WaitFor([&] { return control.ups.size() == 2; }));
   wire::OutputT output;
-  output.bytes.resize(300 * 1024);
+  output.bytes = RandomBytes(300 * 1024);
   const auto send = [&](const MeshProcess& to) {
     control.mesh.Send(FrameOut{ to.name, "", MakeEnvelope(output) });
   };
