After a restart of everything, elect, connect and query sooner

Changes: a process that has known no leader since its start campaigns after a quarter of the election timeout (the pre-vote protects a leader that there is); connecting times out after 500 ms; a new leader tells the connected entries, which query it at once. Tests: a leader within one election timeout of a restart of all five, 20 seeds; a restarted process doesn't depose a leader, 20 seeds; the leader's word to entries.

--- a/include/gooseberrysail/control/serving_feed.hpp
+++ b/include/gooseberrysail/control/serving_feed.hpp
@@ -129,6 +129,8 @@
   [[nodiscard]] double PartOf(const Entry& entry,
                               const std::string& model,
                               const std::map<std::string, ModelDemand>& demand) const;
+  /// \brief Tells the connected entries who leads now, so that they query at once.
+  void AnnounceLeader(ControlContext& context);
   void UpdateSentState(const ControlContext& context,
                        Entry& entry,
                        const wire::ServingQueryT& query) const;
@@ -177,6 +179,7 @@
   TimePoint m_nextShareUpdate{};
   TimePoint m_firstQueryAt{}; ///< First query of any entry to this leader.
   bool m_hasTraffic = false;
+  bool m_hasAnnounced = false; ///< In this term, that this process leads.
   bool m_areTargetsComplete = false;
 };
 
--- a/include/gooseberrysail/net/peer_mesh.hpp
+++ b/include/gooseberrysail/net/peer_mesh.hpp
@@ -26,7 +26,10 @@
   Duration heartbeatInterval = std::chrono::seconds(1);
   /// \brief A connection is replaced after its heartbeats were unanswered for this long.
   Duration silenceTimeout = std::chrono::milliseconds(3500);
-  Duration dialTimeout = std::chrono::seconds(2); ///< For connecting and the handshake together.
+  /// \brief For connecting, before another attempt: the kernel sends a lost opening packet again
+  /// only after a second.
+  Duration connectTimeout = std::chrono::milliseconds(500);
+  Duration dialTimeout = std::chrono::seconds(2); ///< For the handshake.
   Duration backoffMin = std::chrono::milliseconds(50);
   Duration backoffMax = std::chrono::seconds(2);
   std::size_t maxQueuedBytes = 20 * 1024 * 1024;    ///< Unsent bytes of each peer.
--- a/src/consensus/raft_core.hpp
+++ b/src/consensus/raft_core.hpp
@@ -101,6 +101,9 @@
   [[nodiscard]] bool HasLeaderContact() const;
   [[nodiscard]] bool IsVoter() const;
   void ResetElectionTimer();
+  void ResetPreVoteTimer();
+  /// \brief A random time from `least` to twice as long.
+  [[nodiscard]] Duration DrawTimeout(Duration least) const;
   void CheckQuorum();
   [[nodiscard]] TimePoint QuorumHeardAt() const;
 
@@ -164,6 +167,7 @@
   Membership membership;
   std::uint64_t membershipIndex = 0;
   TimePoint electionDeadline{};
+  bool hasKnownLeader = false; ///< Since this process started.
   TimePoint leaderHeardAt{};
   std::map<std::string, bool> votes;
 
--- a/src/consensus/raft_election.cpp
+++ b/src/consensus/raft_election.cpp
@@ -5,6 +5,13 @@
 
 namespace gooseberrysail {
 
+namespace {
+
+/// Until a process has known a leader, it campaigns after the election timeout divided by this.
+constexpr int kFirstPreVoteDivisor = 4;
+
+} // namespace
+
 using impl::Progress;
 using impl::RaftRole;
 
@@ -26,6 +33,7 @@
   }
   role = RaftRole::kFollower;
   leader = newLeader;
+  hasKnownLeader = hasKnownLeader || !newLeader.empty();
   peers.clear();
   votes.clear();
   newestImage = nullptr;
@@ -34,11 +42,23 @@
 
 void RaftNode::Impl::ResetElectionTimer()
 {
-  // With equal timeouts voters would campaign at the same time and could split the votes forever.
-  const auto span = static_cast<std::uint64_t>(settings.electionTimeout.count());
-  const auto extra =
-    Duration(static_cast<Duration::rep>(hooks.random() % std::max(span, std::uint64_t{ 1 })));
-  electionDeadline = now + settings.electionTimeout + extra;
+  electionDeadline = now + DrawTimeout(settings.electionTimeout);
+}
+
+// A process that has just started has no leader that it could depose by a pre-vote. After the
+// restart of all processes nothing is served until the first of them campaigns.
+void RaftNode::Impl::ResetPreVoteTimer()
+{
+  const int divisor = hasKnownLeader ? 1 : kFirstPreVoteDivisor;
+  electionDeadline = now + DrawTimeout(settings.electionTimeout / divisor);
+}
+
+// With equal timeouts voters would campaign at the same time and could split the votes forever.
+Duration RaftNode::Impl::DrawTimeout(Duration least) const
+{
+  const auto span = static_cast<std::uint64_t>(least.count());
+  return least +
+         Duration(static_cast<Duration::rep>(hooks.random() % std::max(span, std::uint64_t{ 1 })));
 }
 
 bool RaftNode::Impl::IsVoter() const
@@ -66,7 +86,7 @@
 // suspended or partitioned would return with a higher term and depose the leader.
 void RaftNode::Impl::StartPreVote()
 {
-  ResetElectionTimer();
+  ResetPreVoteTimer();
   role = RaftRole::kPreCandidate;
   leader.clear();
   votes.clear();
@@ -171,6 +191,7 @@
 {
   role = RaftRole::kLeader;
   leader = self;
+  hasKnownLeader = true;
   leadingSince = now;
   peers.clear();
   SetMembership(membership, membershipIndex);
--- a/src/consensus/raft_node.cpp
+++ b/src/consensus/raft_node.cpp
@@ -57,7 +57,7 @@
     return;
   }
   started = true;
-  ResetElectionTimer();
+  ResetPreVoteTimer();
   // The only voter can start its election without a timeout.
   if (IsVoter() && membership.VoterCount() == 1) {
     electionDeadline = now;
--- a/src/control/serving_feed.cpp
+++ b/src/control/serving_feed.cpp
@@ -57,6 +57,7 @@
   m_heads.clear();
   m_areSharesCurrent = false;
   m_firstQueryAt = TimePoint{};
+  m_hasAnnounced = false;
 }
 
 void ServingFeed::OnQuery(ControlContext& context,
@@ -209,8 +210,31 @@
   }
 }
 
+// Entries would learn of a new leader by their next query only, up to half a second later.
+void ServingFeed::AnnounceLeader(ControlContext& context)
+{
+  m_hasAnnounced = true;
+  std::vector<ProcessId> entries;
+  for (const auto& [process, peer] : context.peers) {
+    if (peer.role == "entry" && peer.up) {
+      entries.push_back(process);
+    }
+  }
+  wire::ServingStateT state;
+  state.leader = true;
+  state.term = context.replication.term.Get();
+  state.entries = static_cast<std::uint32_t>(entries.size());
+  const std::shared_ptr<wire::EnvelopeT> message = MakeEnvelope(std::move(state));
+  for (const ProcessId& entry : entries) {
+    context.Send(entry, message);
+  }
+}
+
 void ServingFeed::Tick(ControlContext& context)
 {
+  if (!m_hasAnnounced) {
+    AnnounceLeader(context);
+  }
   std::erase_if(m_entries, [&](const auto& row) {
     const Entry& entry = row.second;
     return context.now - entry.lastQueryAt >
--- a/src/net/peer_dialler.cpp
+++ b/src/net/peer_dialler.cpp
@@ -84,7 +84,7 @@
   const ConnectionPtr connection = Register(tcp::socket(runtime.Io()), true, address);
   peer.dial = connection->Id();
   connection->phase = Connection::Phase::kConnecting;
-  connection->ArmTimeout(settings.dialTimeout, "timed out while dialling");
+  connection->ArmTimeout(settings.connectTimeout, "timed out while connecting");
   const auto [error, size] =
     Await([&](auto done) { connection->socket.async_connect(endpoint, done); });
   Result<void> proved = outcome::success();
@@ -96,6 +96,7 @@
     boost::system::error_code ignored;
     connection->socket.set_option(tcp::no_delay(true), ignored);
     connection->phase = Connection::Phase::kHandshake;
+    connection->ArmTimeout(settings.dialTimeout, "timed out while dialling");
     proved = AuthenticateAsDialler(connection, name);
   }
   if (!proved) {
--- a/tests/unit/raft_failure_test.cpp
+++ b/tests/unit/raft_failure_test.cpp
@@ -47,6 +47,43 @@
   return { (index + 1) % 3, (index + 2) % 3 };
 }
 
+// Guards against an outage that lasts for an election timeout longer than needed: after the restart
+// of all processes there is no leader whose timeout must pass.
+TEST(RaftFailure, ALeaderIsElectedSoonAfterAllProcessesRestart)
+{
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    RaftCluster cluster = MakeCluster(5, seed);
+    ASSERT_TRUE(CommitEverywhere(cluster, 1));
+    for (std::size_t process = 0; process < cluster.Size(); ++process) {
+      cluster.Crash(process);
+    }
+    cluster.Advance(seconds(1));
+    for (std::size_t process = 0; process < cluster.Size(); ++process) {
+      cluster.Restart(process);
+    }
+    EXPECT_TRUE(cluster.RunUntil(RaftSettings().electionTimeout,
+                                 [&] { return cluster.Leader().has_value(); }))
+      << "seed " << seed;
+  }
+}
+
+// Guards against a restarted process that deposes the leader because it campaigns early.
+TEST(RaftFailure, ARestartedProcessDoesNotDisturbTheLeader)
+{
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    RaftCluster cluster = MakeCluster(3, seed);
+    const std::size_t leader = WaitForLeader(cluster);
+    ASSERT_TRUE(CommitEverywhere(cluster, 1));
+    const Term term = cluster.At(leader).node->Status().term;
+    const std::size_t restarted = OthersOfThree(leader).front();
+    cluster.Crash(restarted);
+    cluster.Restart(restarted);
+    cluster.RunUntil(seconds(3), [] { return false; });
+    EXPECT_EQ(cluster.Leader(), leader) << "seed " << seed;
+    EXPECT_EQ(cluster.At(leader).node->Status().term, term) << "seed " << seed;
+  }
+}
+
 TEST(RaftFailure, ALeaderKilledDuringAChange)
 {
   // Symptom: an acknowledged change is lost, or an unacknowledged one is applied on some processes
--- a/tests/unit/serving_feed_test.cpp
+++ b/tests/unit/serving_feed_test.cpp
@@ -37,6 +37,23 @@
   }
 }
 
+// Guards against entries that serve nothing for up to half a second after each change of the
+// leader, because they learn of the new one by their next query.
+TEST(ServingFeed, ANewLeaderTellsTheConnectedEntriesAtOnce)
+{
+  FeedWorld world;
+  world.peers[ProcessId("e1")] = { "entry", Incarnation(1), "e1:7000", true, world.now };
+  world.peers[ProcessId("e2")] = { "entry", Incarnation(1), "e2:7000", false, world.now };
+  world.peers[ProcessId("c2")] = { "control", Incarnation(1), "c2:7000", true, world.now };
+  world.Tick();
+  const std::vector<FrameOut> frames = world.TakeFrames();
+  ASSERT_EQ(frames.size(), 1U);
+  EXPECT_EQ(frames.front().peer, ProcessId("e1"));
+  EXPECT_TRUE(frames.front().envelope->body.AsServingState()->leader);
+  world.Tick();
+  EXPECT_THAT(world.TakeFrames(), IsEmpty());
+}
+
 // Guards against a new leader that closes groups of a model with demand: it receives two counts of
 // the entries within half a second. This happens if the time before the first count is treated as
 // time without requests.
