--- a/tests/unit/head_room_test.cpp
+++ b/tests/unit/head_room_test.cpp
@@ -155,6 +155,13 @@
   }
   EXPECT_EQ(heads.refusedWithRoom, 0U);
   EXPECT_GE(heads.inTime, heads.answered * 95 / 100);
+  SECTION("which the parts alone would do")
+  {
+    SharedHeads divided(false);
+    divided.Run(3s, kEntries, RateFor(0.6));
+    divided.Run(3s, 1, RateFor(0.6));
+    EXPECT_GT(divided.refusedWithRoom, 0U);
+  }
 }
 
 // Guards against heads that are filled beyond their slots when there are more callers than they
