--- a/include/gooseberrysail/gateway/target_selector.hpp
+++ b/include/gooseberrysail/gateway/target_selector.hpp
@@ -202,15 +202,15 @@
   [[nodiscard]] bool IsBorrowed(const ServedTarget& target, const ShareState& shareState) const;
   [[nodiscard]] std::uint32_t CapacityOf(const ServedTarget& target,
                                          const ShareState& shareState) const;
-  /// \brief On what grounds this entry uses a target, the preferred ones first.
-  enum class Claim
+  /// \brief Whose slots at a head a request uses, the preferred ones first.
+  enum class SlotUse
   {
     kOwnPart,
     kBorrowed,   ///< Assigned to other entries, within what may be borrowed.
-    kBeyondPart, ///< The heads have room.
+    kBeyondPart, ///< Unused ones of any entry, as the heads have room.
   };
-  /// \brief The claim for one more request to a usable target.
-  [[nodiscard]] Claim ClaimOn(const Row& row, const ShareState& shareState) const;
+  /// \brief Of one more request to a usable target.
+  [[nodiscard]] SlotUse SlotUseOf(const Row& row, const ShareState& shareState) const;
   /// \brief Whether this entry may send the target one more request.
   [[nodiscard]] bool HasCapacity(const Row& row,
                                  const TargetQuery& query,
--- a/src/gateway/target_selector.cpp
+++ b/src/gateway/target_selector.cpp
@@ -228,12 +228,13 @@
   return SlotLimit(slots, CallerFraction(target.servedModel), kMinCapacity);
 }
 
-TargetSelector::Claim TargetSelector::ClaimOn(const Row& row, const ShareState& shareState) const
+TargetSelector::SlotUse TargetSelector::SlotUseOf(const Row& row,
+                                                  const ShareState& shareState) const
 {
   if (row.inFlight >= CapacityOf(row.target, shareState)) {
-    return Claim::kBeyondPart;
+    return SlotUse::kBeyondPart;
   }
-  return IsBorrowed(row.target, shareState) ? Claim::kBorrowed : Claim::kOwnPart;
+  return IsBorrowed(row.target, shareState) ? SlotUse::kBorrowed : SlotUse::kOwnPart;
 }
 
 bool TargetSelector::HasCapacity(const Row& row,
@@ -336,11 +337,11 @@
   if (anyNotAvoided) {
     std::erase_if(usable, [&](const Row* row) { return IsAvoided(now, *row); });
   }
-  Claim best = Claim::kBeyondPart;
+  SlotUse best = SlotUse::kBeyondPart;
   for (const Row* row : usable) {
-    best = std::min(best, ClaimOn(*row, shareState));
+    best = std::min(best, SlotUseOf(*row, shareState));
   }
-  std::erase_if(usable, [&](const Row* row) { return ClaimOn(*row, shareState) != best; });
+  std::erase_if(usable, [&](const Row* row) { return SlotUseOf(*row, shareState) != best; });
   return usable;
 }
 
