One list of the connected entries for all that control tells them

Found while reading the change again: the announcement of a new leader had its own loop over the connected entries, as the routes and the pushed configurations did before it, and set by hand the fields that MakeState sets. ControlContext::ListEntries serves all three, and the announcement starts from MakeState.

--- a/include/gooseberrysail/control/context.hpp
+++ b/include/gooseberrysail/control/context.hpp
@@ -100,6 +100,9 @@
 
   [[nodiscard]] bool IsUp(const ProcessId& peer) const;
 
+  /// \brief The entries that are connected.
+  [[nodiscard]] std::vector<ProcessId> ListEntries() const;
+
   void Send(const ProcessId& peer, std::shared_ptr<wire::EnvelopeT> envelope);
   template<class MessageT>
   void SendMessage(const ProcessId& peer, MessageT message)
--- a/src/control/config_service.cpp
+++ b/src/control/config_service.cpp
@@ -87,10 +87,8 @@
   wire::ConfigStateT state = context.state.GetCatalogue().StateSince(m_pushedVersion);
   state.leaderTerm = context.replication.term.Get();
   const auto envelope = MakeEnvelope(std::move(state));
-  for (const auto& [process, peer] : context.peers) {
-    if (peer.up && peer.role == "entry") {
-      context.Send(process, envelope);
-    }
+  for (const ProcessId& entry : context.ListEntries()) {
+    context.Send(entry, envelope);
   }
   m_pushedVersion = version;
 }
--- a/src/control/context.cpp
+++ b/src/control/context.cpp
@@ -41,6 +41,17 @@
   return found != peers.end() && found->second.up;
 }
 
+std::vector<ProcessId> ControlContext::ListEntries() const
+{
+  std::vector<ProcessId> entries;
+  for (const auto& [process, peer] : peers) {
+    if (peer.up && peer.role == "entry") {
+      entries.push_back(process);
+    }
+  }
+  return entries;
+}
+
 void ControlContext::Send(const ProcessId& peer, std::shared_ptr<wire::EnvelopeT> envelope)
 {
   envelope->version = state.GetCatalogue().Version().Get();
--- a/src/control/route_distribution.cpp
+++ b/src/control/route_distribution.cpp
@@ -66,10 +66,8 @@
 void RouteDistribution::OnLeaderStart(const ControlContext& context)
 {
   *this = RouteDistribution();
-  for (const auto& [process, peer] : context.peers) {
-    if (peer.up && peer.role == "entry") {
-      m_clients.emplace(process, Client{});
-    }
+  for (const ProcessId& entry : context.ListEntries()) {
+    m_clients.emplace(entry, Client{});
   }
 }
 
--- a/src/control/serving_feed.cpp
+++ b/src/control/serving_feed.cpp
@@ -214,16 +214,9 @@
 void ServingFeed::AnnounceLeader(ControlContext& context)
 {
   m_hasAnnounced = true;
-  std::vector<ProcessId> entries;
-  for (const auto& [process, peer] : context.peers) {
-    if (peer.role == "entry" && peer.up) {
-      entries.push_back(process);
-    }
-  }
-  wire::ServingStateT state;
-  state.leader = true;
-  state.term = context.replication.term.Get();
-  state.entries = static_cast<std::uint32_t>(entries.size());
+  const std::vector<ProcessId> entries = context.ListEntries();
+  wire::ServingStateT state = MakeState(context, {});
+  state.entries = static_cast<std::uint32_t>(entries.size()); // None of them has queried yet.
   const std::shared_ptr<wire::EnvelopeT> message = MakeEnvelope(std::move(state));
   for (const ProcessId& entry : entries) {
     context.Send(entry, message);
