Leave out what frames and heads do twice

Found while reading the change again: the expanded frame's buffer was shrunk though it is empty before it is sized; the length prefix was read twice; the kind of a request was put together in four places (KindOf now). The brief of CheckSize said the contrary of what it is used for, and two comments told how a value was chosen.

--- a/include/gooseberrysail/gateway/dispatcher.hpp
+++ b/include/gooseberrysail/gateway/dispatcher.hpp
@@ -144,6 +144,7 @@
   void CountDemand(const Request& request, bool isRefused);
 
   // Attempts (dispatcher.cpp).
+  [[nodiscard]] static ServedKind KindOf(const Request& request);
   /// \brief What the next attempt needs of its target.
   [[nodiscard]] TargetQuery QueryOf(TimePoint now, const Request& request) const;
   void Attempt(TimePoint now, Request& request, Outbox& outbox);
--- a/src/gateway/dispatcher.cpp
+++ b/src/gateway/dispatcher.cpp
@@ -46,10 +46,14 @@
   return found == m_attempts.end() ? nullptr : Find(found->second);
 }
 
+ServedKind Dispatcher::KindOf(const Request& request)
+{
+  return { request.service, request.model };
+}
+
 TargetQuery Dispatcher::QueryOf(TimePoint now, const Request& request) const
 {
-  const bool headsHaveRoom =
-    m_room.HasRoom(now, { request.service, request.model }, request.route->objective);
+  const bool headsHaveRoom = m_room.HasRoom(now, KindOf(request), request.route->objective);
   return { request.service, request.model, request.tried, headsHaveRoom };
 }
 
@@ -92,10 +96,8 @@
   const NoTargetReason reason = m_selector.ReasonForNoTarget(now, QueryOf(now, request));
   const bool mayWait =
     request.attempts == 0 && !request.model.empty() && reason == NoTargetReason::kFull;
-  return mayWait && m_queue.TryEnqueue(now,
-                                       { request.service, request.model },
-                                       request.call.exchange,
-                                       request.route->objective);
+  return mayWait &&
+         m_queue.TryEnqueue(now, KindOf(request), request.call.exchange, request.route->objective);
 }
 
 /// Sends queued requests while targets have capacity.
@@ -133,7 +135,7 @@
   }
   m_attempts.erase(request.attempt);
   m_selector.OnEnded(request.target);
-  m_freedSlots.insert({ request.service, request.model });
+  m_freedSlots.insert(KindOf(request));
   request.attempt = ExchangeId();
 }
 
@@ -274,7 +276,7 @@
     out = std::move(request.bufferedAnswer);
     request.headForwarded = true;
     request.firstEventAt = now;
-    const ServedKind kind{ request.service, request.model };
+    const ServedKind kind = KindOf(request);
     m_queue.OnFirstEvent(kind, now - request.sentAt);
     m_room.OnFirstEvent(now, kind, now - request.sentAt);
   }
--- a/src/gateway/head_room.cpp
+++ b/src/gateway/head_room.cpp
@@ -8,8 +8,7 @@
 
 using namespace std::chrono_literals;
 
-/// Weight of the latest first event. An entry with forty requests a second follows a change of load
-/// within about 100 ms.
+/// Weight of the latest first event: a few of them show a change of load.
 constexpr double kLatestWeight = 0.25;
 /// An older observation says nothing about the present load.
 constexpr Duration kMaxAge = 500ms;
--- a/src/net/frame_codec.cpp
+++ b/src/net/frame_codec.cpp
@@ -14,8 +14,7 @@
 // With this offset, the payload of a frame at the front of the buffer is aligned.
 constexpr std::size_t kFrontOffset = kAlignment - kFramePrefixBytes;
 constexpr std::uint32_t kCompressedBit = 1U << 31U;
-/// The fastest level. Higher ones cost a small machine more processor time than they save on its
-/// link.
+/// The fastest level: control compresses a document for each entry at each change.
 constexpr int kCompressionLevel = 1;
 
 /// Returns nothing where compression does not make the payload smaller. A payload that exceeds the
@@ -134,7 +133,6 @@
   }
   BOOST_OUTCOME_TRY(CheckSize(size, peer));
   m_expanded.resize(size);
-  m_expanded.shrink_to_fit();
   const std::size_t expanded =
     ZSTD_decompress(m_expanded.data(), m_expanded.size(), compressed.data(), compressed.size());
   if (ZSTD_isError(expanded) != 0 || expanded != size) {
@@ -153,8 +151,9 @@
   if (Unread() < kFramePrefixBytes) {
     return std::nullopt;
   }
-  const std::size_t length = Prefix() & ~kCompressedBit;
-  const bool isCompressed = (Prefix() & kCompressedBit) != 0;
+  const std::uint32_t prefix = Prefix();
+  const std::size_t length = prefix & ~kCompressedBit;
+  const bool isCompressed = (prefix & kCompressedBit) != 0;
   BOOST_OUTCOME_TRY(CheckSize(length, peer));
   if (Unread() < kFramePrefixBytes + length) {
     return std::nullopt;
--- a/src/net/frame_codec.hpp
+++ b/src/net/frame_codec.hpp
@@ -51,7 +51,7 @@
   [[nodiscard]] std::size_t Unread() const noexcept { return m_end - m_begin; }
   [[nodiscard]] std::uint32_t Prefix() const noexcept;
   void MoveToFront();
-  /// \brief Checks the size of a frame that is not compressed.
+  /// \brief Whether a frame may have this size, as received or expanded.
   [[nodiscard]] Result<void> CheckSize(std::size_t size, const std::string& peer) const;
   [[nodiscard]] Result<std::span<const std::uint8_t>> Expand(
     std::span<const std::uint8_t> compressed,
