--- a/include/gooseberrysail/gateway/dispatcher.hpp
+++ b/include/gooseberrysail/gateway/dispatcher.hpp
@@ -111,12 +111,13 @@
     Duration snapshotAge{};
     TimePoint arrived{};
     TimePoint deadline{};
-    TimePoint sentAt{};       ///< The latest attempt.
-    TimePoint firstEventAt{}; ///< The first event went to the caller.
-    TimePoint lastEventAt{};  ///< The latest event went to the caller.
-    Duration longestPause{};  ///< Between two events to the caller.
-    ExchangeId attempt;       ///< The one in flight; none between attempts.
-    TargetIncarnation target; ///< Of the latest attempt.
+    TimePoint sentAt{};           ///< The latest attempt.
+    TimePoint firstEventAt{};     ///< The first event went to the caller.
+    TimePoint lastEventAt{};      ///< The latest event went to the caller.
+    Duration longestPause{};      ///< Between two events to the caller.
+    ExchangeId attempt;           ///< The one in flight; none between attempts.
+    TargetIncarnation target;     ///< Of the latest attempt.
+    bool isTargetAvoided = false; ///< It was when it was chosen.
     std::set<InstanceId> tried;
     std::uint32_t attempts = 0;
     bool mayHaveRun = false;      ///< At least one attempt may have been executed.
@@ -163,10 +164,18 @@
                     const char* error,
                     Outbox& outbox);
   void StopAttempt(Request& request, Outbox& outbox, bool cancel);
-  void AttemptEnded(TimePoint now, Request& request, Outbox& outbox, bool ran, std::string error);
+  /// \param retryAfter How long the target wants no requests, where it says so.
+  void AttemptEnded(TimePoint now,
+                    Request& request,
+                    Outbox& outbox,
+                    bool ran,
+                    std::string error,
+                    std::optional<Duration> retryAfter = std::nullopt);
   void OnHead(TimePoint now, Request& request, const TargetAnswerIn& part, Outbox& outbox);
   /// \brief Takes over the limit that a target names in its answer.
   void RecordLimit(TimePoint now, const Request& request, const TargetHead& head, Outbox& outbox);
+  /// \brief Logs that a target wants no requests for a time.
+  static void RecordBackoff(const Request& request, const TargetHead& head, Outbox& outbox);
   void OnBody(TimePoint now, Request& request, const TargetAnswerIn& part, Outbox& outbox);
   void ForwardEvents(TimePoint now, Request& request, const TargetAnswerIn& part, Outbox& outbox);
 
--- a/include/gooseberrysail/gateway/gateway_api.hpp
+++ b/include/gooseberrysail/gateway/gateway_api.hpp
@@ -52,8 +52,11 @@
   bool isProven = false; ///< Has the target's seal.
   /// The requests a second that the target takes from all entries together.
   std::optional<double> requestLimit;
-  bool hasInvalidLimit = false;    ///< It names a limit that is no such number.
-  std::vector<HttpHeader> headers; ///< To forward to the caller.
+  bool hasInvalidLimit = false; ///< It names a limit that is no such number.
+  /// How long the target wants no requests from this entry; only with status 503.
+  std::optional<Duration> retryAfter;
+  bool hasInvalidRetryAfter = false; ///< It names a time that is no such number.
+  std::vector<HttpHeader> headers;   ///< To forward to the caller.
 };
 
 /// \brief Hooks that convert between HTTP and the types above; all must be set.
--- a/include/gooseberrysail/gateway/target_selector.hpp
+++ b/include/gooseberrysail/gateway/target_selector.hpp
@@ -161,6 +161,10 @@
   /// \brief Heads with requests in flight that sent no bytes for longer than kStalledAfter.
   [[nodiscard]] std::vector<TargetIncarnation> ListStalledHeads(TimePoint now) const;
 
+  /// \brief Whether the target has failed so recently that it is used only when no other has
+  /// capacity.
+  [[nodiscard]] bool IsAvoided(TimePoint now, const InstanceId& instance) const;
+
   [[nodiscard]] const std::map<InstanceId, Row>& Rows() const noexcept { return m_rows; }
 
   /// \brief A working head sends an event of some request every 100 ms, and within 250 ms while it
--- a/src/gateway/dispatcher.cpp
+++ b/src/gateway/dispatcher.cpp
@@ -74,6 +74,7 @@
   const ExchangeId attempt(++m_lastAttempt);
   request.attempt = attempt;
   request.target = { target.instance, target.born };
+  request.isTargetAvoided = m_selector.IsAvoided(now, target.instance);
   request.tried.insert(target.instance);
   request.streams = false;
   if (++request.attempts == 1) {
@@ -144,20 +145,25 @@
                               Request& request,
                               Outbox& outbox,
                               bool ran,
-                              std::string error)
+                              std::string error,
+                              std::optional<Duration> retryAfter)
 {
   StopAttempt(request, outbox, true);
   m_selector.OnFailure(now, request.target);
   request.mayHaveRun = request.mayHaveRun || ran;
   request.lastError = std::move(error);
   request.events.DiscardPartial();
-  outbox.emplace_back(MakeEvent(EventNumber::kGatewayAttemptFailed,
-                                { { "request", request.call.requestId },
-                                  { "fingerprint", ToString(request.fingerprint) },
-                                  { "attempt", std::to_string(request.attempts) },
-                                  { "target", request.target.instance.Get() },
-                                  { "ran", ran ? "maybe" : "no" },
-                                  { "reason", request.lastError } }));
+  outbox.emplace_back(
+    MakeEvent(EventNumber::kGatewayAttemptFailed,
+              { { "request", request.call.requestId },
+                { "fingerprint", ToString(request.fingerprint) },
+                { "attempt", std::to_string(request.attempts) },
+                { "target", request.target.instance.Get() },
+                { "ran", ran ? "maybe" : "no" },
+                { "reason", request.lastError },
+                { "millis", std::to_string(ToMillis(now - request.sentAt)) },
+                { "avoided", request.isTargetAvoided ? "yes" : "no" },
+                { "retryAfterMillis", retryAfter ? std::to_string(ToMillis(*retryAfter)) : "" } }));
   if (MayRetry(now, request)) {
     Attempt(now, request, outbox);
   } else {
@@ -184,8 +190,10 @@
 {
   TargetHead head = m_api.decodeHead(part);
   RecordLimit(now, request, head, outbox);
+  RecordBackoff(request, head, outbox);
   if (head.neverRan) {
-    AttemptEnded(now, request, outbox, false, "refused with " + std::to_string(head.status));
+    AttemptEnded(
+      now, request, outbox, false, "refused with " + std::to_string(head.status), head.retryAfter);
     return;
   }
   // Bytes left on the connection by an earlier exchange look like an answer to this request.
@@ -236,6 +244,19 @@
   }
 }
 
+void Dispatcher::RecordBackoff(const Request& request, const TargetHead& head, Outbox& outbox)
+{
+  if (!head.retryAfter && !head.hasInvalidRetryAfter) {
+    return;
+  }
+  const std::string millis = head.retryAfter ? std::to_string(ToMillis(*head.retryAfter)) : "";
+  outbox.emplace_back(MakeEvent(EventNumber::kGatewayTargetBackoff,
+                                { { "target", request.target.instance.Get() },
+                                  { "state", head.retryAfter ? "requested" : "invalid" },
+                                  { "millis", millis },
+                                  { "request", request.call.requestId } }));
+}
+
 void Dispatcher::OnBody(TimePoint now, Request& request, const TargetAnswerIn& part, Outbox& outbox)
 {
   if (request.streams) {
--- a/src/gateway/target_selector.cpp
+++ b/src/gateway/target_selector.cpp
@@ -354,6 +354,12 @@
   return now < row.avoidUntil;
 }
 
+bool TargetSelector::IsAvoided(TimePoint now, const InstanceId& instance) const
+{
+  const auto found = m_rows.find(instance);
+  return found != m_rows.end() && IsAvoided(now, found->second);
+}
+
 const ServedTarget* TargetSelector::Choose(TimePoint now, const TargetQuery& query)
 {
   const ShareState shareState = ShareStateOf(query);
