Failing tests: targets that ask entries to back off

Virtual time, five entries, four heads and three plain targets (FakeGateways). A target rejects each request and asks for 0.4, 3 or 30 s; then an entry may send it two requests at most from half a second on until that time is over.

--- a/tests/fakes/fake_gateways.cpp
+++ b/tests/fakes/fake_gateways.cpp
@@ -57,6 +57,7 @@
   bool isCut = false;
   std::vector<GatewayInput> inbox;
   std::map<ExchangeId, std::string> bodies; ///< Of callers' requests in flight.
+  std::set<ExchangeId> dialling;            ///< Calls whose connection is being made.
   std::map<ExchangeId, std::pair<std::string, std::uint64_t>> calls; ///< Target and number.
 };
 
@@ -107,6 +108,7 @@
   ++entry.life;
   entry.inbox.clear();
   entry.bodies.clear();
+  entry.dialling.clear();
   entry.calls.clear();
 }
 
@@ -170,7 +172,7 @@
 {
   std::vector<ServedTarget> served;
   for (const auto& [name, target] : m_targets) {
-    if (target.isRunning) {
+    if (target.isRunning && target.isListed) {
       served.push_back(target.self);
     }
   }
@@ -189,8 +191,9 @@
   } else if (const auto* call = std::get_if<TargetCallOut>(&output)) {
     const std::string target = call->address.substr(0, call->address.find(':'));
     const std::string requestId(FindHeader(call->headers, "X-Request-Id"));
-    Arrive({ entry, state.life, call->exchange, requestId, call->body }, target);
+    Dial({ entry, state.life, call->exchange, requestId, call->body }, target);
   } else if (const auto* cancel = std::get_if<TargetCancelOut>(&output)) {
+    state.dialling.erase(cancel->exchange);
     if (const auto found = state.calls.find(cancel->exchange); found != state.calls.end()) {
       m_targets.at(found->second.first).calls.erase(found->second.second);
       state.calls.erase(found);
@@ -209,23 +212,56 @@
   }
 }
 
-void FakeGateways::Arrive(Call call, const std::string& target)
+void FakeGateways::Dial(const Call& call, const std::string& target)
+{
+  const Duration dialTime = m_targets.at(target).dialTime;
+  if (dialTime == Duration::zero()) {
+    Arrive(call, target);
+    return;
+  }
+  m_entries[call.entry]->dialling.insert(call.exchange);
+  Schedule(dialTime, [this, call, target] {
+    Entry& entry = *m_entries[call.entry];
+    if (entry.life == call.life && entry.dialling.erase(call.exchange) > 0) {
+      Arrive(call, target);
+    }
+  });
+}
+
+void FakeGateways::Arrive(const Call& call, const std::string& target)
 {
   Target& state = m_targets.at(target);
   if (!state.isRunning) {
     Schedule(kNetworkDelay, [this, call] { Fail(call, true); });
     return;
   }
-  state.arrivals.emplace_back(now, call.entry);
+  state.arrivals.push_back({ now, call.entry, call.life });
+  if (state.backoff) {
+    TurnAway(call, state);
+    return;
+  }
   if (call.body == kCrashBody) {
     m_crashArrivals.push_back(now);
   }
   const std::uint64_t number = ++m_lastNumber;
   m_entries[call.entry]->calls[call.exchange] = { target, number };
-  state.calls.emplace(number, std::move(call));
+  state.calls.emplace(number, call);
   Schedule(kQueueTime, [this, target, number] { BeginToRun(target, number); });
 }
 
+void FakeGateways::TurnAway(const Call& call, Target& target)
+{
+  target.backoffs.push_back({ target.arrivals.back(), now + *target.backoff });
+  TargetAnswerIn answer;
+  answer.exchange = call.exchange;
+  answer.status = 503;
+  answer.headers = { { "X-Request-Id", call.requestId },
+                     { "Never-Ran", "1" },
+                     { "Backoff", std::to_string(ToMillis(*target.backoff)) } };
+  answer.end = true;
+  Schedule(kNetworkDelay, [this, call, answer] { Deliver(call, answer); });
+}
+
 void FakeGateways::BeginToRun(const std::string& target, std::uint64_t number)
 {
   Target& state = m_targets.at(target);
@@ -287,10 +323,41 @@
   state.toldAt.clear();
 }
 
+void FakeGateways::SetBackoff(const std::string& target, std::optional<Duration> backoff)
+{
+  m_targets.at(target).backoff = backoff;
+}
+
+void FakeGateways::SetListed(const std::string& target, bool isListed)
+{
+  m_targets.at(target).isListed = isListed;
+}
+
+void FakeGateways::SetDialTime(const std::string& target, Duration dialTime)
+{
+  m_targets.at(target).dialTime = dialTime;
+}
+
+std::size_t FakeGateways::MostDuringBackoff(const std::string& target) const
+{
+  const Target& state = m_targets.at(target);
+  std::size_t most = 0;
+  for (const Backoff& backoff : state.backoffs) {
+    const Arrival& first = backoff.turnedAway;
+    const auto isInBackoff = [&](const Arrival& arrival) {
+      return arrival.entry == first.entry && arrival.life == first.life &&
+             arrival.at > first.at + kToldTime && arrival.at < backoff.until;
+    };
+    most =
+      std::max(most, static_cast<std::size_t>(std::ranges::count_if(state.arrivals, isInBackoff)));
+  }
+  return most;
+}
+
 std::size_t FakeGateways::CountArrivals(const std::string& target, TimePoint from) const
 {
   return static_cast<std::size_t>(std::ranges::count_if(
-    m_targets.at(target).arrivals, [&](const auto& arrival) { return arrival.first >= from; }));
+    m_targets.at(target).arrivals, [&](const Arrival& arrival) { return arrival.at >= from; }));
 }
 
 std::size_t FakeGateways::MostFromToldEntries(const std::string& target,
@@ -299,10 +366,11 @@
 {
   const Target& state = m_targets.at(target);
   std::vector<TimePoint> counted;
-  for (const auto& [time, entry] : state.arrivals) {
-    const auto told = state.toldAt.find(entry);
-    if (time >= from && told != state.toldAt.end() && time >= told->second + kToldTime) {
-      counted.push_back(time);
+  for (const Arrival& arrival : state.arrivals) {
+    const auto told = state.toldAt.find(arrival.entry);
+    if (arrival.at >= from && told != state.toldAt.end() &&
+        arrival.at >= told->second + kToldTime) {
+      counted.push_back(arrival.at);
     }
   }
   std::size_t most = 0;
--- a/tests/fakes/fake_gateways.hpp
+++ b/tests/fakes/fake_gateways.hpp
@@ -45,6 +45,12 @@
   void CloseConnections(const std::string& target);
   /// \brief Sets the limit of requests a second that a target names in its answers.
   void SetLimit(const std::string& target, std::optional<double> limit);
+  /// \brief Lets a target reject each request and ask for this backoff; none: it runs them.
+  void SetBackoff(const std::string& target, std::optional<Duration> backoff);
+  /// \brief Whether control's list has a target.
+  void SetListed(const std::string& target, bool isListed);
+  /// \brief Sets how long it takes to connect to a target.
+  void SetDialTime(const std::string& target, Duration dialTime);
   /// \brief Starts a new leader without state.
   void ChangeLeader();
   /// \brief Starts an entry anew without state.
@@ -67,6 +73,9 @@
   [[nodiscard]] std::size_t MostFromToldEntries(const std::string& target,
                                                 TimePoint from,
                                                 Duration window) const;
+  /// \brief The most requests that a target got from one entry between kToldTime after it asked
+  /// that entry for a backoff and its end.
+  [[nodiscard]] std::size_t MostDuringBackoff(const std::string& target) const;
   /// \brief How often an entry began to reject the repeats of a request.
   [[nodiscard]] std::size_t CountQuarantined() const { return m_quarantined; }
   /// \brief Statuses of the final answers to requests with this body, with their number.
@@ -92,20 +101,37 @@
     std::string requestId;
     std::string body;
   };
+  struct Arrival
+  {
+    TimePoint at;
+    std::size_t entry = 0;
+    std::uint64_t life = 0; ///< Of the entry.
+  };
+  struct Backoff
+  {
+    Arrival turnedAway;
+    TimePoint until;
+  };
   struct Target
   {
     ServedTarget self;
     bool isRunning = true;
+    bool isListed = true;
+    std::optional<Duration> backoff;
+    Duration dialTime{};
+    std::vector<Backoff> backoffs;       ///< That it asked for.
     std::map<std::uint64_t, Call> calls; ///< Waiting or running, by number.
     std::optional<double> limit;
-    std::vector<std::pair<TimePoint, std::size_t>> arrivals; ///< With the entry.
-    std::map<std::size_t, TimePoint> toldAt;                 ///< First answer with the limit.
+    std::vector<Arrival> arrivals;
+    std::map<std::size_t, TimePoint> toldAt; ///< First answer with the limit, by entry.
   };
 
   void AddTarget(const std::string& name);
   void StartEntry(Entry& entry);
   void Handle(std::size_t entry, GatewayOutput output);
-  void Arrive(Call call, const std::string& target);
+  void Dial(const Call& call, const std::string& target);
+  void Arrive(const Call& call, const std::string& target);
+  void TurnAway(const Call& call, Target& target);
   void BeginToRun(const std::string& target, std::uint64_t number);
   void Fail(const Call& call, bool neverSent);
   void Deliver(const Call& call, GatewayInput input);
--- a/tests/support/plain_gateway_api.hpp
+++ b/tests/support/plain_gateway_api.hpp
@@ -7,7 +7,7 @@
 namespace gooseberrysail::tests {
 
 /// \brief Hooks with simple headers: Key, Left (milliseconds), Instance, Never-Ran, Seal,
-/// Limit, After.
+/// Limit, Backoff (milliseconds), After.
 inline GatewayApi PlainApi()
 {
   GatewayApi api;
@@ -54,6 +54,9 @@
     if (const std::string_view limit = FindHeader(part.headers, "Limit"); !limit.empty()) {
       head.requestLimit = std::stod(std::string(limit));
     }
+    if (const std::string_view backoff = FindHeader(part.headers, "Backoff"); !backoff.empty()) {
+      head.retryAfter = std::chrono::milliseconds(std::stoll(std::string(backoff)));
+    }
     head.headers = part.headers;
     return head;
   };
--- a/tests/unit/dispatcher_test.cpp
+++ b/tests/unit/dispatcher_test.cpp
@@ -643,5 +643,74 @@
   }
 }
 
+// Guards against callers that wait while all targets want no requests, or return too early.
+TEST(Dispatcher, RefusesAtOnceWhileAllTargetsAskToBackOff)
+{
+  World world;
+  world.dispatcher.Selector().Replace(std::vector<ServedTarget>{
+    { InstanceId("h1"), "assist", "h1:80", FailureDomainId("a"), 34, false, "large" } });
+  const auto reject = [&](const std::string& requestId, const std::string& millis) {
+    world.AnswerHead(503,
+                     { { "X-Request-Id", requestId }, { "Never-Ran", "1" }, { "Backoff", millis } },
+                     "",
+                     true);
+  };
+  const auto retryAfter = [&] {
+    return std::stod(std::string(FindHeader(world.Answers().back().headers, "Retry-After")));
+  };
+  world.Ask("/stream/x");
+
+  SECTION("with the time that is left")
+  {
+    reject("r1", "3000");
+    EXPECT_EQ(LastStatus(world), 503U);
+    EXPECT_THAT(world.Answers().back().bytes, HasSubstr("targets asked this entry to back off"));
+    EXPECT_GE(retryAfter(), 3);
+    EXPECT_LE(retryAfter(), 3.5);
+    world.AdvanceTime(1s);
+    world.Ask("/stream/x");
+    EXPECT_EQ(world.CountSent(), 1U);
+    EXPECT_EQ(LastStatus(world), 503U);
+    EXPECT_GE(retryAfter(), 2);
+    EXPECT_LE(retryAfter(), 2.5);
+    world.AdvanceTime(2s);
+    world.Ask("/stream/x");
+    EXPECT_EQ(world.CountSent(), 2U);
+  }
+}
+
+// Guards against a request that is refused although a target takes it within its objective.
+TEST(Dispatcher, HoldsARequestForTheEndOfAShortBackoff)
+{
+  World world;
+  world.dispatcher.Selector().Replace(std::vector<ServedTarget>{
+    { InstanceId("h1"), "assist", "h1:80", FailureDomainId("a"), 34, false, "large" } });
+  world.Ask("/stream/x");
+  world.AnswerHead(
+    503, { { "X-Request-Id", "r1" }, { "Never-Ran", "1" }, { "Backoff", "100" } }, "", true);
+  world.Ask("/stream/x");
+  EXPECT_EQ(world.CountSent(), 1U);
+  EXPECT_EQ(world.Answers().size(), 1U);
+  world.AdvanceTime(100ms);
+  EXPECT_EQ(world.CountSent(), 2U);
+}
+
+// Guards against a word of another target, or an old one, that is taken for the target's own.
+TEST(Dispatcher, IgnoresStatementsInAnswersToOtherRequests)
+{
+  World world;
+  world.Ask("/safe/x");
+  world.AnswerHead(
+    503, { { "X-Request-Id", "r0" }, { "Never-Ran", "1" }, { "Backoff", "3000" } }, "", true);
+  world.AnswerOk();
+  world.Ask("/safe/x");
+  world.AnswerOk();
+  world.AdvanceTime(1s);
+  for (int count = 0; count < 12; ++count) {
+    world.Ask("/safe/x"); // Six slots at each of the two targets.
+  }
+  EXPECT_EQ(world.CountSent(), 15U);
+}
+
 } // namespace
 } // namespace gooseberrysail
--- a/tests/unit/limited_target_test.cpp
+++ b/tests/unit/limited_target_test.cpp
@@ -124,5 +124,22 @@
   }
 }
 
+// Guards against an entry that forgets a target's limit when a list leaves the target out.
+TEST(LimitedTarget, GetsNoMoreThanItsLimitAfterListsWithoutIt)
+{
+  FakeGateways fleet(5, 4, 2);
+  RunCallers(fleet, 2s, 50);
+  const TimePoint named = fleet.now;
+  fleet.SetLimit("head-0", 3);
+  RunCallers(fleet, 6s, 50);
+  for (int count = 0; count < 20; ++count) {
+    fleet.SetListed("head-0", false);
+    fleet.Run(700ms);
+    fleet.SetListed("head-0", true);
+    RunCallers(fleet, 500ms, 200);
+  }
+  EXPECT_LE(fleet.MostFromToldEntries("head-0", named + kBound, kWindow), AllowedInWindow(3));
+}
+
 } // namespace
 } // namespace gooseberrysail
--- a/tests/unit/platform_test.cpp
+++ b/tests/unit/platform_test.cpp
@@ -362,6 +362,48 @@
   }
 }
 
+TEST(PlatformGateway, ReadsHowLongATargetWantsNoRequests)
+{
+  const GatewayApi api = MakeGatewayApi();
+  const auto decode = [&](unsigned status, const std::vector<std::string>& values) {
+    TargetAnswerIn part;
+    part.status = status;
+    for (const std::string& value : values) {
+      part.headers.push_back({ "Retry-After", value });
+    }
+    return api.decodeHead(part);
+  };
+  SECTION("decimal seconds")
+  {
+    EXPECT_EQ(decode(503, { "3" }).retryAfter, Duration(3s));
+    EXPECT_EQ(decode(503, { "0.4" }).retryAfter, Duration(400ms));
+    EXPECT_EQ(decode(503, { "0" }).retryAfter, Duration(0s));
+    EXPECT_FALSE(decode(503, { "3" }).hasInvalidRetryAfter);
+  }
+  SECTION("a time beyond all durations is a long one")
+  {
+    EXPECT_EQ(decode(503, { "1000000000000" }).retryAfter, Duration(1'000'000'000s));
+  }
+  SECTION("nothing else")
+  {
+    for (const char* value :
+         { "", "-1", "nan", "inf", "soon", "3 s", "1e12", "Fri, 31 Dec 1999 23:59:59 GMT", " 3" }) {
+      EXPECT_EQ(decode(503, { value }).retryAfter, std::nullopt) << value;
+      EXPECT_TRUE(decode(503, { value }).hasInvalidRetryAfter) << value;
+    }
+  }
+  SECTION("the longest of several")
+  {
+    EXPECT_EQ(decode(503, { "2", "5", "soon" }).retryAfter, Duration(5s));
+  }
+  SECTION("only with 503: other statuses say nothing of the target as a whole")
+  {
+    for (const unsigned status : { 200U, 421U, 429U, 500U, 504U }) {
+      EXPECT_EQ(decode(status, { "3" }).retryAfter, std::nullopt) << status;
+    }
+  }
+}
+
 /// Applies one to four random edits: replaces a byte, deletes up to 19 bytes or inserts a character
 /// of the format.
 std::string Mutate(std::string text, std::mt19937& random)
--- /dev/null
+++ b/tests/unit/target_backoff_test.cpp
@@ -0,0 +1,141 @@
+#include "fakes/fake_gateways.hpp"
+#include "support/section.hpp"
+
+#include <gtest/gtest.h>
+
+namespace gooseberrysail {
+namespace {
+
+using namespace std::chrono_literals;
+using fakes::FakeGateways;
+
+constexpr std::size_t kAllowedInBackoff = 2;
+
+/// \brief Sends requests to all entries evenly; every third one is a look-up at the plain targets.
+void RunCallers(FakeGateways& fleet, Duration duration, std::size_t perSecond)
+{
+  const TimePoint until = fleet.now + duration;
+  for (std::size_t number = 0; fleet.now < until; ++number) {
+    const std::size_t entry = fleet.Draw(fleet.CountEntries());
+    const std::string path = number % 3 == 0 ? "/safe/1" : "/stream/1";
+    fleet.Ask(entry, { .path = path, .body = "sound" });
+    fleet.Run(std::max<Duration>(FakeGateways::kStep, 1000ms / perSecond));
+  }
+}
+
+// Guards against a target that asks an entry to back off and goes on getting its requests.
+TEST(TargetBackoff, GetsNoRequestsUntilItIsOver)
+{
+  const auto run = [](const std::vector<std::string>& targets, Duration backoff) {
+    for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+      FakeGateways fleet(5, 4, seed);
+      RunCallers(fleet, 2s, 100);
+      for (const std::string& target : targets) {
+        fleet.SetBackoff(target, backoff);
+      }
+      RunCallers(fleet, 12s, 100);
+      for (const std::string& target : targets) {
+        EXPECT_LE(fleet.MostDuringBackoff(target), kAllowedInBackoff)
+          << target << ", " << ToMillis(backoff) << " ms, seed " << seed;
+      }
+    }
+  };
+  for (const Duration backoff : { Duration(400ms), Duration(3s), Duration(30s) }) {
+    SECTION("one head and one plain target")
+    {
+      run({ "head-0", "plain-0" }, backoff);
+    }
+    SECTION("half of the heads")
+    {
+      run({ "head-0", "head-1" }, backoff);
+    }
+    SECTION("all of them")
+    {
+      run({ "head-0", "head-1", "head-2", "head-3", "plain-0", "plain-1", "plain-2" }, backoff);
+    }
+  }
+}
+
+// Guards against an entry that forgets what a target asked for when something else changes.
+TEST(TargetBackoff, OutlastsChanges)
+{
+  const auto run = [](const auto& change) {
+    for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+      FakeGateways fleet(5, 4, seed);
+      RunCallers(fleet, 2s, 100);
+      fleet.SetBackoff("head-0", 3s);
+      fleet.SetBackoff("plain-0", 3s);
+      for (int count = 0; count < 3; ++count) {
+        RunCallers(fleet, 1s, 100);
+        change(fleet);
+      }
+      RunCallers(fleet, 3s, 100);
+      EXPECT_LE(fleet.MostDuringBackoff("head-0"), kAllowedInBackoff) << "seed " << seed;
+      EXPECT_LE(fleet.MostDuringBackoff("plain-0"), kAllowedInBackoff) << "seed " << seed;
+    }
+  };
+  SECTION("a list without the target")
+  {
+    run([](FakeGateways& fleet) {
+      fleet.SetListed("head-0", false);
+      fleet.SetListed("plain-0", false);
+      fleet.Run(100ms);
+      fleet.SetListed("head-0", true);
+      fleet.SetListed("plain-0", true);
+    });
+  }
+  SECTION("a new leader")
+  {
+    run([](FakeGateways& fleet) { fleet.ChangeLeader(); });
+  }
+  SECTION("an entry without control")
+  {
+    run([](FakeGateways& fleet) { fleet.SetCut(1, true); });
+  }
+  SECTION("an entry that restarts")
+  {
+    run([](FakeGateways& fleet) { fleet.RestartEntry(1); });
+  }
+  SECTION("other heads are lost")
+  {
+    run([](FakeGateways& fleet) { fleet.Crash(fleet.ListRunning("head").back()); });
+  }
+  SECTION("closed connections")
+  {
+    run([](FakeGateways& fleet) { fleet.CloseConnections("head-0"); });
+  }
+}
+
+// Guards against requests that are refused although other targets have room.
+TEST(TargetBackoff, LeavesTheWorkToOthers)
+{
+  for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+    FakeGateways fleet(5, 4, seed);
+    RunCallers(fleet, 2s, 50);
+    const std::size_t served = fleet.Answers("sound")[200];
+    for (const char* target : { "head-0", "head-1", "plain-0" }) {
+      fleet.SetBackoff(target, 3s);
+    }
+    RunCallers(fleet, 8s, 50);
+    fleet.Run(2s);
+    EXPECT_GT(fleet.Answers("sound")[200], served);
+    EXPECT_EQ(fleet.Answers("sound")[503], 0U) << "seed " << seed;
+  }
+}
+
+// Guards against a target that stays idle after the time for which it wanted no requests.
+TEST(TargetBackoff, EndsByItself)
+{
+  FakeGateways fleet(5, 4, 1);
+  RunCallers(fleet, 2s, 100);
+  fleet.SetBackoff("head-0", 2s);
+  RunCallers(fleet, 1s, 100);
+  fleet.SetBackoff("head-0", std::nullopt);
+  RunCallers(fleet, 5s, 100);
+  const std::size_t after = fleet.CountArrivals("head-0", fleet.now - 2s);
+  const std::size_t other = fleet.CountArrivals("head-1", fleet.now - 2s);
+  EXPECT_GE(2 * after, other);
+}
+
+} // namespace
+} // namespace gooseberrysail
