Send a target nothing while it asks to back off

Cause: no part of an entry read Retry-After of a target. Its only brake was the pause after a failure, which is for a failure that nobody explained: 250 ms, doubled with each, ended by any answer to an earlier request, and ignored when no other target has capacity.

TargetStatements holds what targets say of themselves by incarnation, apart from control's list. TargetSelector asks it where each target is chosen, so that first attempts, retries, moved and queued requests, loans and requests beyond the own part are held alike. The latest end counts and no answer ends it; an answer to another request says nothing; an hour is the most. Slots of heads in backoff don't count in parts and loans. A request waits for the end of a backoff only within its objective; else it is refused at once with the time that is left, spread over a quarter of it and at most half a second.

An attempt that was rejected with a backoff doesn't use up the route's attempts: it never ran and each entry learns of a backoff by one. It still takes from the retry allowance.

--- a/include/gooseberrysail/gateway/dispatcher.hpp
+++ b/include/gooseberrysail/gateway/dispatcher.hpp
@@ -120,6 +120,8 @@
     bool isTargetAvoided = false; ///< It was when it was chosen.
     std::set<InstanceId> tried;
     std::uint32_t attempts = 0;
+    /// Attempts that are certain not to have run and leave the route\'s attempts to others.
+    std::uint32_t excusedAttempts = 0;
     bool mayHaveRun = false;      ///< At least one attempt may have been executed.
     bool headForwarded = false;   ///< The head of the answer went to the caller.
     bool streams = false;         ///< The current answer is forwarded event by event.
@@ -172,10 +174,13 @@
                     std::string error,
                     std::optional<Duration> retryAfter = std::nullopt);
   void OnHead(TimePoint now, Request& request, const TargetAnswerIn& part, Outbox& outbox);
-  /// \brief Takes over the limit that a target names in its answer.
+  /// \brief Takes over what a target says of itself in its answer.
+  void RecordStatements(TimePoint now,
+                        const Request& request,
+                        const TargetHead& head,
+                        Outbox& outbox);
   void RecordLimit(TimePoint now, const Request& request, const TargetHead& head, Outbox& outbox);
-  /// \brief Logs that a target wants no requests for a time.
-  static void RecordBackoff(const Request& request, const TargetHead& head, Outbox& outbox);
+  void RecordBackoff(TimePoint now, const Request& request, const TargetHead& head, Outbox& outbox);
   void OnBody(TimePoint now, Request& request, const TargetAnswerIn& part, Outbox& outbox);
   void ForwardEvents(TimePoint now, Request& request, const TargetAnswerIn& part, Outbox& outbox);
 
@@ -198,6 +203,8 @@
 
   // Ends (dispatcher_end.cpp).
   void GiveUp(TimePoint now, Request& request, Outbox& outbox);
+  /// \brief When a caller for whom no target can be chosen should come back.
+  [[nodiscard]] Duration RetryAfter(TimePoint now, const TargetQuery& query, NoTargetReason reason);
   void Refuse(TimePoint now, Request& request, const Refusal& refusal, Outbox& outbox);
   void End(TimePoint now, Request& request, const char* outcome, unsigned status, Outbox& outbox);
 
--- a/include/gooseberrysail/gateway/target_selector.hpp
+++ b/include/gooseberrysail/gateway/target_selector.hpp
@@ -2,6 +2,7 @@
 
 #include "gooseberrysail/core/time.hpp"
 #include "gooseberrysail/gateway/step_time_estimator.hpp"
+#include "gooseberrysail/gateway/target_statements.hpp"
 #include "gooseberrysail/serving/served_target.hpp"
 
 #include <cstdint>
@@ -32,6 +33,7 @@
   kNone,        ///< No listed target serves it.
   kFull,        ///< All are at capacity.
   kLimited,     ///< All get as many requests a second from this entry as they take.
+  kBackoff,     ///< All want no requests from this entry for a time.
   kSilent,      ///< A head with requests in flight sends no bytes.
   kUnreachable, ///< Those with capacity are unreachable or were already tried.
 };
@@ -123,6 +125,10 @@
   /// entry, by their limits.
   [[nodiscard]] Duration LimitInterval(const TargetQuery& query) const;
 
+  /// \brief How long it takes until the first backoff of a target ends; none if
+  /// none of those that serve the query is in backoff.
+  [[nodiscard]] std::optional<Duration> BackoffLeft(TimePoint now, const TargetQuery& query) const;
+
   /// \brief The reason why Choose() returned null.
   [[nodiscard]] NoTargetReason ReasonForNoTarget(TimePoint now, const TargetQuery& query) const;
 
@@ -139,6 +145,14 @@
                       TimePoint sentAt,
                       const LimitStatement& statement);
 
+  /// \returns How an answer changes the backoff that the target asks for.
+  BackoffChange OnBackoff(TimePoint now,
+                          const TargetIncarnation& life,
+                          const BackoffStatement& statement)
+  {
+    return m_statements.OnBackoff(now, life, statement);
+  }
+
   /// \brief A plain service's whole answer arrived `took` after its request was sent.
   void OnAnswerTime(TimePoint now, const TargetIncarnation& life, Duration took);
 
@@ -195,7 +209,8 @@
   };
   /// \brief The fraction of the model's callers that use this entry; equal for all if not set.
   [[nodiscard]] double CallerFraction(std::string_view model) const;
-  [[nodiscard]] ShareState ShareStateOf(const TargetQuery& query) const;
+  [[nodiscard]] ShareState ShareStateOf(TimePoint now, const TargetQuery& query) const;
+  [[nodiscard]] bool IsInBackoff(TimePoint now, const Row& row) const;
   /// \brief How many requests a second this entry may send to a target with a limit.
   [[nodiscard]] double OwnLimit(const Row& row, const ShareState& shareState) const;
   /// \brief How many requests this entry may send now to a target with a limit.
@@ -236,6 +251,7 @@
   std::map<InstanceId, double> m_shares;                        ///< Fraction of slots, by head.
   std::function<std::uint64_t()> m_random;
   std::map<InstanceId, Row> m_rows;
+  TargetStatements m_statements;
   TimePoint m_latestNoAnswer{};
 };
 
--- /dev/null
+++ b/include/gooseberrysail/gateway/target_statements.hpp
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "gooseberrysail/core/time.hpp"
+#include "gooseberrysail/serving/target_table.hpp"
+
+#include <map>
+#include <optional>
+
+namespace gooseberrysail {
+
+/// \brief What an answer of a target says of a backoff.
+struct BackoffStatement
+{
+  std::optional<Duration> retryAfter; ///< It wants no requests from this entry for so long.
+  bool isInvalid = false;             ///< It names a time that can't be understood.
+};
+
+/// \brief How the backoff that a target asks for changed.
+enum class BackoffChange
+{
+  kNone,      ///< Includes a later end of one that has begun.
+  kRequested, ///< It wants no requests from now on.
+  kInvalid,   ///< The target names a time that can't be understood, which is ignored.
+};
+
+/// \brief Text for log lines.
+[[nodiscard]] const char* ToString(BackoffChange change) noexcept;
+
+/// \brief Keeps what targets said of themselves in answers to this entry.
+/// \remarks Kept apart from control's list, which may leave a target out for a moment. A statement
+/// holds for one incarnation of its target.
+class TargetStatements
+{
+public:
+  /// \brief The statements of a target's latest incarnation.
+  struct Row
+  {
+    Incarnation born{};
+    TimePoint statedAt{};              ///< The latest of all statements.
+    TimePoint backoffUntil{};          ///< Until then it wants no requests from this entry.
+    bool hasInvalidRetryAfter = false; ///< Its latest time was not valid.
+  };
+
+  BackoffChange OnBackoff(TimePoint now,
+                          const TargetIncarnation& life,
+                          const BackoffStatement& statement);
+
+  /// \brief Null for an incarnation that has stated nothing.
+  [[nodiscard]] const Row* Find(const InstanceId& instance, Incarnation born) const;
+
+  /// \brief Longest backoff. A target that asks for more gets one request then.
+  static constexpr Duration kMaxBackoff = std::chrono::hours(1);
+  /// \brief How long statements are kept after the latest one.
+  static constexpr Duration kKeptFor = 2 * kMaxBackoff;
+
+private:
+  /// \brief Null for an incarnation before the latest one.
+  Row* Touch(TimePoint now, const TargetIncarnation& life);
+
+  std::map<InstanceId, Row> m_rows;
+};
+
+} // namespace gooseberrysail
--- a/include/gooseberrysail/gateway/wait_queue.hpp
+++ b/include/gooseberrysail/gateway/wait_queue.hpp
@@ -41,8 +41,13 @@
 
   /// \brief Queues a request.
   /// \param objective Time within which its first event should arrive.
+  /// \param backoffLeft Time until the first backoff of a target ends; none without one.
   /// \returns False when it would not meet the objective.
-  bool TryEnqueue(TimePoint now, const ServedKind& kind, ExchangeId exchange, Duration objective);
+  bool TryEnqueue(TimePoint now,
+                  const ServedKind& kind,
+                  ExchangeId exchange,
+                  Duration objective,
+                  std::optional<Duration> backoffLeft = std::nullopt);
 
   /// \brief The request with the earliest end of its wait; none when the queue is empty.
   [[nodiscard]] ExchangeId First(const ServedKind& kind) const;
--- a/src/gateway/dispatcher.cpp
+++ b/src/gateway/dispatcher.cpp
@@ -91,14 +91,19 @@
   m_selector.OnSent(now, request.target);
 }
 
-// Only requests that were never sent are queued: a retry has no time left to wait.
+// Only requests that no target has worked on are queued: a retry has no time left to wait.
 bool Dispatcher::TryEnqueue(TimePoint now, const Request& request)
 {
-  const NoTargetReason reason = m_selector.ReasonForNoTarget(now, QueryOf(now, request));
-  const bool mayWait =
-    request.attempts == 0 && !request.model.empty() && reason == NoTargetReason::kFull;
-  return mayWait &&
-         m_queue.TryEnqueue(now, KindOf(request), request.call.exchange, request.route->objective);
+  const TargetQuery query = QueryOf(now, request);
+  const NoTargetReason reason = m_selector.ReasonForNoTarget(now, query);
+  const bool endsByItself = reason == NoTargetReason::kFull || reason == NoTargetReason::kBackoff;
+  const bool wasSent = request.attempts > request.excusedAttempts;
+  const bool mayWait = !wasSent && !request.model.empty() && endsByItself;
+  return mayWait && m_queue.TryEnqueue(now,
+                                       KindOf(request),
+                                       request.call.exchange,
+                                       request.route->objective,
+                                       m_selector.BackoffLeft(now, query));
 }
 
 /// Sends queued requests while targets have capacity.
@@ -121,7 +126,8 @@
 {
   const bool repeatable = !request.mayHaveRun || MayRunAgain(request.route->repeat);
   return repeatable && !m_suspects.IsQuarantined(request.fingerprint) &&
-         request.attempts < request.route->maxAttempts && request.deadline - now > kMinTimeLeft &&
+         request.attempts - request.excusedAttempts < request.route->maxAttempts &&
+         request.deadline - now > kMinTimeLeft &&
          m_selector.Choose(now, QueryOf(now, request)) != nullptr &&
          m_retries.TryTake(now, request.service);
 }
@@ -189,9 +195,11 @@
 void Dispatcher::OnHead(TimePoint now, Request& request, const TargetAnswerIn& part, Outbox& outbox)
 {
   TargetHead head = m_api.decodeHead(part);
-  RecordLimit(now, request, head, outbox);
-  RecordBackoff(request, head, outbox);
+  RecordStatements(now, request, head, outbox);
   if (head.neverRan) {
+    // Each entry learns of a backoff by a rejected request, which has still time for another
+    // target.
+    request.excusedAttempts += head.retryAfter ? 1 : 0;
     AttemptEnded(
       now, request, outbox, false, "refused with " + std::to_string(head.status), head.retryAfter);
     return;
@@ -227,6 +235,18 @@
   OnBody(now, request, part, outbox);
 }
 
+// An answer to another request was left on the connection by an earlier exchange, and may be old.
+void Dispatcher::RecordStatements(TimePoint now,
+                                  const Request& request,
+                                  const TargetHead& head,
+                                  Outbox& outbox)
+{
+  if (head.requestId.empty() || head.requestId == request.call.requestId) {
+    RecordLimit(now, request, head, outbox);
+    RecordBackoff(now, request, head, outbox);
+  }
+}
+
 void Dispatcher::RecordLimit(TimePoint now,
                              const Request& request,
                              const TargetHead& head,
@@ -244,17 +264,21 @@
   }
 }
 
-void Dispatcher::RecordBackoff(const Request& request, const TargetHead& head, Outbox& outbox)
+void Dispatcher::RecordBackoff(TimePoint now,
+                               const Request& request,
+                               const TargetHead& head,
+                               Outbox& outbox)
 {
-  if (!head.retryAfter && !head.hasInvalidRetryAfter) {
-    return;
+  const BackoffChange change =
+    m_selector.OnBackoff(now, request.target, { head.retryAfter, head.hasInvalidRetryAfter });
+  if (change != BackoffChange::kNone) {
+    const std::string millis = head.retryAfter ? std::to_string(ToMillis(*head.retryAfter)) : "";
+    outbox.emplace_back(MakeEvent(EventNumber::kGatewayTargetBackoff,
+                                  { { "target", request.target.instance.Get() },
+                                    { "state", ToString(change) },
+                                    { "millis", millis },
+                                    { "request", request.call.requestId } }));
   }
-  const std::string millis = head.retryAfter ? std::to_string(ToMillis(*head.retryAfter)) : "";
-  outbox.emplace_back(MakeEvent(EventNumber::kGatewayTargetBackoff,
-                                { { "target", request.target.instance.Get() },
-                                  { "state", head.retryAfter ? "requested" : "invalid" },
-                                  { "millis", millis },
-                                  { "request", request.call.requestId } }));
 }
 
 void Dispatcher::OnBody(TimePoint now, Request& request, const TargetAnswerIn& part, Outbox& outbox)
--- a/src/gateway/dispatcher_end.cpp
+++ b/src/gateway/dispatcher_end.cpp
@@ -14,12 +14,20 @@
 constexpr Duration kBusyRetry = 300ms;
 /// No target serves the model; forming a group takes a second or more.
 constexpr Duration kNoTargetRetry = 1s;
+/// A caller that returns sooner needs more time to connect than it waits.
+constexpr Duration kMinRetry = 50ms;
+/// Callers for whom all targets are in backoff return spread over this part of it, and at most over
+/// this time.
+constexpr int kSpreadFraction = 4;
+constexpr Duration kMaxSpread = 500ms;
 
 /// Seconds with two decimals: whole seconds are too coarse for a caller with a deadline of one
-/// second.
+/// second. Rounded up, so that nobody returns too early.
 std::string ToSeconds(Duration duration)
 {
-  return ToDecimal(std::chrono::duration<double>(duration).count());
+  using Hundredths = std::chrono::duration<std::int64_t, std::centi>;
+  const auto rounded = std::chrono::ceil<Hundredths>(duration);
+  return ToDecimal(std::chrono::duration<double>(rounded).count());
 }
 
 std::string ErrorText(const char* outcome, const std::string& reason)
@@ -54,13 +62,27 @@
   }
   const TargetQuery query = QueryOf(now, request);
   const NoTargetReason noTargetReason = m_selector.ReasonForNoTarget(now, query);
-  const std::string reason =
-    request.lastError.empty() ? ToString(noTargetReason) : request.lastError;
-  Duration retryAfter = noTargetReason == NoTargetReason::kNone ? kNoTargetRetry : kBusyRetry;
-  if (noTargetReason == NoTargetReason::kLimited) {
+  const bool explainsMore = noTargetReason == NoTargetReason::kBackoff || request.lastError.empty();
+  const std::string reason = explainsMore ? ToString(noTargetReason) : request.lastError;
+  const Duration retryAfter = RetryAfter(now, query, noTargetReason);
+  Refuse(now, request, { 503, reason, retryAfter }, outbox);
+}
+
+Duration Dispatcher::RetryAfter(TimePoint now, const TargetQuery& query, NoTargetReason reason)
+{
+  const std::optional<Duration> backoffLeft = m_selector.BackoffLeft(now, query);
+  if (reason == NoTargetReason::kBackoff && backoffLeft) {
+    // Callers that all returned at the end of the backoff would fill the target at once.
+    const Duration spread = std::min(*backoffLeft / kSpreadFraction, kMaxSpread);
+    const auto draws = static_cast<std::uint64_t>(spread.count()) + 1;
+    return std::max(*backoffLeft, kMinRetry) +
+           Duration(static_cast<Duration::rep>(m_random() % draws));
+  }
+  Duration retryAfter = reason == NoTargetReason::kNone ? kNoTargetRetry : kBusyRetry;
+  if (reason == NoTargetReason::kLimited) {
     retryAfter = std::max(retryAfter, m_selector.LimitInterval(query));
   }
-  Refuse(now, request, { 503, reason, retryAfter }, outbox);
+  return backoffLeft ? std::max(std::min(retryAfter, *backoffLeft), kMinRetry) : retryAfter;
 }
 
 void Dispatcher::Refuse(TimePoint now, Request& request, const Refusal& refusal, Outbox& outbox)
--- a/src/gateway/target_selector.cpp
+++ b/src/gateway/target_selector.cpp
@@ -65,6 +65,8 @@
       return "all targets are full";
     case NoTargetReason::kLimited:
       return "targets take no more requests a second";
+    case NoTargetReason::kBackoff:
+      return "targets asked this entry to back off";
     case NoTargetReason::kSilent:
       return "targets with room are silent";
     case NoTargetReason::kUnreachable:
@@ -168,7 +170,10 @@
   return isPresent ? &found->second : nullptr;
 }
 
-TargetSelector::ShareState TargetSelector::ShareStateOf(const TargetQuery& query) const
+// The slots of heads in backoff can't be used. If they counted, this entry could borrow fewer than
+// its callers need and would refuse them beside heads with room.
+TargetSelector::ShareState TargetSelector::ShareStateOf(TimePoint now,
+                                                        const TargetQuery& query) const
 {
   ShareState shareState;
   if (query.model.empty()) {
@@ -181,10 +186,12 @@
     if (!Fits(row, query)) {
       continue;
     }
-    slots += SlotsOf(row.target);
+    const bool isInBackoff = IsInBackoff(now, row);
+    slots += isInBackoff ? 0 : SlotsOf(row.target);
     if (const auto share = m_shares.find(instance); share != m_shares.end()) {
       shareState.isDivided = true;
-      ownCapacity += SlotLimit(SlotsOf(row.target), share->second, kMinSharedCapacity);
+      ownCapacity +=
+        isInBackoff ? 0 : SlotLimit(SlotsOf(row.target), share->second, kMinSharedCapacity);
     } else {
       borrowedNow += row.inFlight;
     }
@@ -276,11 +283,18 @@
 void TargetSelector::TakeLimit(TimePoint now, Row& row) const
 {
   const std::set<InstanceId> none;
-  const ShareState shareState = ShareStateOf({ row.target.service, row.target.servedModel, none });
+  const ShareState shareState =
+    ShareStateOf(now, { row.target.service, row.target.servedModel, none });
   row.limitLeft = LimitLeft(now, row, shareState) - 1;
   row.limitLeftAt = now;
 }
 
+bool TargetSelector::IsInBackoff(TimePoint now, const Row& row) const
+{
+  const TargetStatements::Row* stated = m_statements.Find(row.target.instance, row.target.born);
+  return stated != nullptr && now < stated->backoffUntil;
+}
+
 bool TargetSelector::IsSilent(TimePoint now, const Row& row, Duration limit)
 {
   const bool isHead = !row.target.servedModel.empty();
@@ -328,7 +342,7 @@
   for (const auto& [instance, row] : m_rows) {
     if (Fits(row, query) && now >= row.unreachableUntil && HasCapacity(row, query, shareState) &&
         !query.tried.contains(instance) && !IsSilent(now, row, kSuspectAfter) &&
-        !IsLimited(now, row, shareState)) {
+        !IsLimited(now, row, shareState) && !IsInBackoff(now, row)) {
       usable.push_back(&row);
     }
   }
@@ -362,7 +376,7 @@
 
 const ServedTarget* TargetSelector::Choose(TimePoint now, const TargetQuery& query)
 {
-  const ShareState shareState = ShareStateOf(query);
+  const ShareState shareState = ShareStateOf(now, query);
   const std::vector<const Row*> usable = ListUsable(now, query, shareState);
   Duration fastestStep{};
   for (const Row* row : usable) {
@@ -395,18 +409,26 @@
   if (!HasAny(query)) {
     return NoTargetReason::kNone;
   }
-  const ShareState shareState = ShareStateOf(query);
+  const ShareState shareState = ShareStateOf(now, query);
   bool anyHasCapacity = false;
   bool anyIsFull = false;
+  bool anyIsLimited = false;
   for (const auto& [instance, row] : m_rows) {
-    if (Fits(row, query)) {
-      const bool isFull = !HasCapacity(row, query, shareState);
-      anyIsFull = anyIsFull || isFull;
-      anyHasCapacity = anyHasCapacity || (!isFull && !IsLimited(now, row, shareState));
+    if (!Fits(row, query) || IsInBackoff(now, row)) {
+      continue;
+    }
+    if (!HasCapacity(row, query, shareState)) {
+      anyIsFull = true;
+    } else if (IsLimited(now, row, shareState)) {
+      anyIsLimited = true;
+    } else {
+      anyHasCapacity = true;
     }
   }
   if (!anyHasCapacity) {
-    return anyIsFull ? NoTargetReason::kFull : NoTargetReason::kLimited;
+    const NoTargetReason ofOthers =
+      anyIsLimited ? NoTargetReason::kLimited : NoTargetReason::kBackoff;
+    return anyIsFull ? NoTargetReason::kFull : ofOthers;
   }
   const bool anyIsSilent = std::ranges::any_of(m_rows, [&](const auto& each) {
     return Fits(each.second, query) && IsSilent(now, each.second, kSuspectAfter);
@@ -423,6 +445,18 @@
   return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(1 / perSecond));
 }
 
+std::optional<Duration> TargetSelector::BackoffLeft(TimePoint now, const TargetQuery& query) const
+{
+  std::optional<Duration> left;
+  for (const auto& [instance, row] : m_rows) {
+    if (Fits(row, query) && IsInBackoff(now, row)) {
+      const TimePoint until = m_statements.Find(instance, row.target.born)->backoffUntil;
+      left = std::min(left.value_or(Duration::max()), until - now);
+    }
+  }
+  return left;
+}
+
 bool TargetSelector::HasAny(const TargetQuery& query) const
 {
   return std::ranges::any_of(m_rows, [&](const auto& row) { return Fits(row.second, query); });
--- a/src/gateway/wait_queue.cpp
+++ b/src/gateway/wait_queue.cpp
@@ -2,6 +2,7 @@
 
 #include "gooseberrysail/core/smoothing.hpp"
 
+#include <algorithm>
 #include <cmath>
 
 namespace gooseberrysail {
@@ -53,9 +54,13 @@
 bool WaitQueue::TryEnqueue(TimePoint now,
                            const ServedKind& kind,
                            ExchangeId exchange,
-                           Duration objective)
+                           Duration objective,
+                           std::optional<Duration> backoffLeft)
 {
-  const std::optional<Duration> wait = ExpectedWait(now, kind);
+  std::optional<Duration> wait = ExpectedWait(now, kind);
+  if (backoffLeft) {
+    wait = std::min(wait.value_or(*backoffLeft), *backoffLeft);
+  }
   if (!wait) {
     return false;
   }
--- a/tests/unit/dispatcher_test.cpp
+++ b/tests/unit/dispatcher_test.cpp
@@ -679,6 +679,24 @@
   }
 }
 
+// Guards against a request that is refused beside a head with room, as it met two that back off.
+TEST(Dispatcher, SendsARequestOnThatTwoTargetsRejectedWithABackoff)
+{
+  World world;
+  world.dispatcher.Selector().Replace(std::vector<ServedTarget>{
+    { InstanceId("h1"), "assist", "h1:80", FailureDomainId("a"), 34, false, "large" },
+    { InstanceId("h2"), "assist", "h2:80", FailureDomainId("a"), 34, false, "large" },
+    { InstanceId("h3"), "assist", "h3:80", FailureDomainId("a"), 34, false, "large" } });
+  world.Ask("/stream/x");
+  for (std::size_t sent = 1; sent <= 2; ++sent) {
+    EXPECT_EQ(world.CountSent(), sent);
+    world.AnswerHead(
+      503, { { "X-Request-Id", "r1" }, { "Never-Ran", "1" }, { "Backoff", "3000" } }, "", true);
+  }
+  EXPECT_EQ(world.CountSent(), 3U);
+  EXPECT_TRUE(world.Answers().empty());
+}
+
 // Guards against a request that is refused although a target takes it within its objective.
 TEST(Dispatcher, HoldsARequestForTheEndOfAShortBackoff)
 {
