Keep a target's limit when control's list leaves the target out

Callers would have seen a target in need flooded again: an entry forgot what a target had named as its limit when a list left the target out for a moment, with nothing in flight there (a new leader, a group that ends and forms, a whole list after a lost connection).

Cause: the limit stood in the row of control's list, which is dropped with the list. It moves to TargetStatements, beside the backoff, by incarnation.

TargetLimits.AreLearnedFromAnswers reads the limit from its new place; its checks are the same.

--- a/include/gooseberrysail/gateway/target_selector.hpp
+++ b/include/gooseberrysail/gateway/target_selector.hpp
@@ -41,25 +41,6 @@
 /// \brief Text for log lines and for the answer to the caller.
 [[nodiscard]] const char* ToString(NoTargetReason reason) noexcept;
 
-/// \brief What an answer of a target says of its limit.
-struct LimitStatement
-{
-  std::optional<double> perSecond; ///< From all entries together; none where it names no limit.
-  bool isInvalid = false;          ///< It names one that can't be understood.
-};
-
-/// \brief How a target's limit changed.
-enum class LimitChange
-{
-  kNone,
-  kNamed,   ///< For the first time, or another one.
-  kEnded,   ///< The target names none any more.
-  kInvalid, ///< The target names one that can't be understood, which is ignored.
-};
-
-/// \brief Text for log lines.
-[[nodiscard]] const char* ToString(LimitChange change) noexcept;
-
 /// \brief Tracks the state of the targets as seen by this entry, and selects one for each attempt.
 class TargetSelector
 {
@@ -75,13 +56,8 @@
     TimePoint avoidUntil{};       ///< Used only when no other target has capacity.
     TimePoint unreachableUntil{}; ///< Gets no requests.
     StepTimeEstimator stepTime;
-    std::optional<double> limit;  ///< Requests a second that it takes from all entries together.
-    TimePoint limitLearnedAt{};   ///< When this entry learned that it has one.
-    bool hasInvalidLimit = false; ///< Its latest limit was not valid.
-    double limitLeft = 0;         ///< Requests left of this entry's part of the limit, as of
-    TimePoint limitLeftAt{};      ///< this time.
-    std::uint32_t failures = 0;   ///< Consecutive.
-    bool gone = false;            ///< No longer listed; kept while requests are in flight.
+    std::uint32_t failures = 0; ///< Consecutive.
+    bool gone = false;          ///< No longer listed; kept while requests are in flight.
   };
 
   TargetSelector(FailureDomainId ownDomain, std::function<std::uint64_t()> random);
@@ -143,7 +119,10 @@
   LimitChange OnLimit(TimePoint now,
                       const TargetIncarnation& life,
                       TimePoint sentAt,
-                      const LimitStatement& statement);
+                      const LimitStatement& statement)
+  {
+    return m_statements.OnLimit(now, life, sentAt, statement);
+  }
 
   /// \returns How an answer changes the backoff that the target asks for.
   BackoffChange OnBackoff(TimePoint now,
@@ -179,6 +158,8 @@
   /// capacity.
   [[nodiscard]] bool IsAvoided(TimePoint now, const InstanceId& instance) const;
 
+  [[nodiscard]] const TargetStatements& Statements() const noexcept { return m_statements; }
+
   [[nodiscard]] const std::map<InstanceId, Row>& Rows() const noexcept { return m_rows; }
 
   /// \brief A working head sends an event of some request every 100 ms, and within 250 ms while it
@@ -212,12 +193,21 @@
   [[nodiscard]] ShareState ShareStateOf(TimePoint now, const TargetQuery& query) const;
   [[nodiscard]] bool IsInBackoff(TimePoint now, const Row& row) const;
   /// \brief How many requests a second this entry may send to a target with a limit.
-  [[nodiscard]] double OwnLimit(const Row& row, const ShareState& shareState) const;
+  [[nodiscard]] double OwnLimit(const Row& row, double limit, const ShareState& shareState) const;
   /// \brief How many requests this entry may send now to a target with a limit.
-  [[nodiscard]] double LimitLeft(TimePoint now, const Row& row, const ShareState& shareState) const;
+  /// \param stated What the target has said of its limit.
+  [[nodiscard]] double LimitLeft(TimePoint now,
+                                 const Row& row,
+                                 const TargetStatements::Row& stated,
+                                 const ShareState& shareState) const;
   [[nodiscard]] bool IsLimited(TimePoint now, const Row& row, const ShareState& shareState) const;
   /// \brief Counts a request to a target with a limit.
-  void TakeLimit(TimePoint now, Row& row) const;
+  void TakeLimit(TimePoint now, const Row& row);
+  /// \brief What the target's incarnation has said of itself; null for nothing.
+  [[nodiscard]] const TargetStatements::Row* StatementsOf(const Row& row) const
+  {
+    return m_statements.Find(row.target.instance, row.target.born);
+  }
   [[nodiscard]] bool IsBorrowed(const ServedTarget& target, const ShareState& shareState) const;
   [[nodiscard]] std::uint32_t CapacityOf(const ServedTarget& target,
                                          const ShareState& shareState) const;
--- a/include/gooseberrysail/gateway/target_statements.hpp
+++ b/include/gooseberrysail/gateway/target_statements.hpp
@@ -8,6 +8,25 @@
 
 namespace gooseberrysail {
 
+/// \brief What an answer of a target says of its limit.
+struct LimitStatement
+{
+  std::optional<double> perSecond; ///< From all entries together; none where it names no limit.
+  bool isInvalid = false;          ///< It names one that can't be understood.
+};
+
+/// \brief How a target's limit changed.
+enum class LimitChange
+{
+  kNone,
+  kNamed,   ///< For the first time, or another one.
+  kEnded,   ///< The target names none any more.
+  kInvalid, ///< The target names one that can't be understood, which is ignored.
+};
+
+/// \brief Text for log lines.
+[[nodiscard]] const char* ToString(LimitChange change) noexcept;
+
 /// \brief What an answer of a target says of a backoff.
 struct BackoffStatement
 {
@@ -39,8 +58,23 @@
     TimePoint statedAt{};              ///< The latest of all statements.
     TimePoint backoffUntil{};          ///< Until then it wants no requests from this entry.
     bool hasInvalidRetryAfter = false; ///< Its latest time was not valid.
+    std::optional<double> limit;  ///< Requests a second that it takes from all entries together.
+    TimePoint limitLearnedAt{};   ///< When this entry learned that it has one.
+    bool hasInvalidLimit = false; ///< Its latest limit was not valid.
+    double limitLeft = 0;         ///< Requests left of this entry's part of the limit, as of
+    TimePoint limitLeftAt{};      ///< this time.
   };
 
+  /// \brief The head of an answer to a request that was sent at `sentAt`.
+  /// \returns How it changes the target's limit.
+  LimitChange OnLimit(TimePoint now,
+                      const TargetIncarnation& life,
+                      TimePoint sentAt,
+                      const LimitStatement& statement);
+
+  /// \brief Sets what is left of this entry's part of a target's limit.
+  void SetLimitLeft(TimePoint now, const TargetIncarnation& life, double left);
+
   BackoffChange OnBackoff(TimePoint now,
                           const TargetIncarnation& life,
                           const BackoffStatement& statement);
--- a/src/gateway/target_selector.cpp
+++ b/src/gateway/target_selector.cpp
@@ -75,21 +75,6 @@
   return "unknown";
 }
 
-const char* ToString(LimitChange change) noexcept
-{
-  switch (change) {
-    case LimitChange::kNone:
-      return "none";
-    case LimitChange::kNamed:
-      return "named";
-    case LimitChange::kEnded:
-      return "ended";
-    case LimitChange::kInvalid:
-      return "invalid";
-  }
-  return "unknown";
-}
-
 TargetSelector::TargetSelector(FailureDomainId ownDomain, std::function<std::uint64_t()> random)
   : m_ownDomain(std::move(ownDomain))
   , m_random(std::move(random))
@@ -256,7 +241,7 @@
 
 // The parts follow the division of the heads' slots, so that they add up to the limit and no entry
 // sends more than it would without one.
-double TargetSelector::OwnLimit(const Row& row, const ShareState& shareState) const
+double TargetSelector::OwnLimit(const Row& row, double limit, const ShareState& shareState) const
 {
   double part = 1.0 / m_entries;
   if (IsBorrowed(row.target, shareState)) {
@@ -266,32 +251,41 @@
   } else if (!row.target.servedModel.empty()) {
     part = CallerFraction(row.target.servedModel);
   }
-  return std::max(row.limit.value_or(0) * part, kMinLimit / m_entries);
+  return std::max(limit * part, kMinLimit / m_entries);
 }
 
-double TargetSelector::LimitLeft(TimePoint now, const Row& row, const ShareState& shareState) const
+double TargetSelector::LimitLeft(TimePoint now,
+                                 const Row& row,
+                                 const TargetStatements::Row& stated,
+                                 const ShareState& shareState) const
 {
-  const double seconds = std::chrono::duration<double>(now - row.limitLeftAt).count();
-  return std::min(kMaxLimitLeft, row.limitLeft + seconds * OwnLimit(row, shareState));
+  const double seconds = std::chrono::duration<double>(now - stated.limitLeftAt).count();
+  const double gained = seconds * OwnLimit(row, stated.limit.value_or(0), shareState);
+  return std::min(kMaxLimitLeft, stated.limitLeft + gained);
 }
 
 bool TargetSelector::IsLimited(TimePoint now, const Row& row, const ShareState& shareState) const
 {
-  return row.limit && LimitLeft(now, row, shareState) < 1;
+  const TargetStatements::Row* stated = StatementsOf(row);
+  return stated != nullptr && stated->limit && LimitLeft(now, row, *stated, shareState) < 1;
 }
 
-void TargetSelector::TakeLimit(TimePoint now, Row& row) const
+void TargetSelector::TakeLimit(TimePoint now, const Row& row)
 {
+  const TargetStatements::Row* stated = StatementsOf(row);
+  if (stated == nullptr || !stated->limit) {
+    return;
+  }
   const std::set<InstanceId> none;
   const ShareState shareState =
     ShareStateOf(now, { row.target.service, row.target.servedModel, none });
-  row.limitLeft = LimitLeft(now, row, shareState) - 1;
-  row.limitLeftAt = now;
+  m_statements.SetLimitLeft(
+    now, { row.target.instance, row.target.born }, LimitLeft(now, row, *stated, shareState) - 1);
 }
 
 bool TargetSelector::IsInBackoff(TimePoint now, const Row& row) const
 {
-  const TargetStatements::Row* stated = m_statements.Find(row.target.instance, row.target.born);
+  const TargetStatements::Row* stated = StatementsOf(row);
   return stated != nullptr && now < stated->backoffUntil;
 }
 
@@ -440,7 +434,8 @@
 {
   double perSecond = kMinLimit;
   for (const auto& [instance, row] : m_rows) {
-    perSecond += Fits(row, query) ? row.limit.value_or(0) : 0;
+    const TargetStatements::Row* stated = Fits(row, query) ? StatementsOf(row) : nullptr;
+    perSecond += stated == nullptr ? 0 : stated->limit.value_or(0);
   }
   return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(1 / perSecond));
 }
@@ -450,8 +445,8 @@
   std::optional<Duration> left;
   for (const auto& [instance, row] : m_rows) {
     if (Fits(row, query) && IsInBackoff(now, row)) {
-      const TimePoint until = m_statements.Find(instance, row.target.born)->backoffUntil;
-      left = std::min(left.value_or(Duration::max()), until - now);
+      const Duration own = StatementsOf(row)->backoffUntil - now;
+      left = std::min(left.value_or(own), own);
     }
   }
   return left;
@@ -468,9 +463,7 @@
   if (row == nullptr) {
     return;
   }
-  if (row->limit) {
-    TakeLimit(now, *row);
-  }
+  TakeLimit(now, *row);
   if (row->inFlight++ == 0) {
     row->busySince = now;
     row->stepTime.OnBusy(now);
@@ -487,40 +480,6 @@
   }
 }
 
-// Answers on different connections may overtake each other, so one to a request that was sent
-// before the limit was known doesn't show that it ended.
-LimitChange TargetSelector::OnLimit(TimePoint now,
-                                    const TargetIncarnation& life,
-                                    TimePoint sentAt,
-                                    const LimitStatement& statement)
-{
-  Row* row = FindRow(life);
-  if (row == nullptr) {
-    return LimitChange::kNone;
-  }
-  const bool hadInvalidLimit = std::exchange(row->hasInvalidLimit, statement.isInvalid);
-  if (statement.isInvalid) {
-    return hadInvalidLimit ? LimitChange::kNone : LimitChange::kInvalid;
-  }
-  if (!statement.perSecond) {
-    if (!row->limit || sentAt < row->limitLearnedAt) {
-      return LimitChange::kNone;
-    }
-    row->limit.reset();
-    return LimitChange::kEnded;
-  }
-  if (row->limit == statement.perSecond) {
-    return LimitChange::kNone;
-  }
-  if (!row->limit) {
-    row->limitLearnedAt = now;
-    row->limitLeft = 0;
-    row->limitLeftAt = now;
-  }
-  row->limit = statement.perSecond;
-  return LimitChange::kNamed;
-}
-
 void TargetSelector::OnAnswerTime(TimePoint now, const TargetIncarnation& life, Duration took)
 {
   if (Row* row = FindRow(life)) {
--- a/src/gateway/target_statements.cpp
+++ b/src/gateway/target_statements.cpp
@@ -5,6 +5,21 @@
 
 namespace gooseberrysail {
 
+const char* ToString(LimitChange change) noexcept
+{
+  switch (change) {
+    case LimitChange::kNone:
+      return "none";
+    case LimitChange::kNamed:
+      return "named";
+    case LimitChange::kEnded:
+      return "ended";
+    case LimitChange::kInvalid:
+      return "invalid";
+  }
+  return "unknown";
+}
+
 const char* ToString(BackoffChange change) noexcept
 {
   switch (change) {
@@ -23,14 +38,16 @@
   auto found = m_rows.find(life.instance);
   if (found == m_rows.end()) {
     std::erase_if(m_rows, [&](const auto& row) { return now - row.second.statedAt > kKeptFor; });
-    found = m_rows.emplace(life.instance, Row{ .born = life.born }).first;
+    found = m_rows.emplace(life.instance, Row{}).first;
+    found->second.born = life.born;
   }
   Row& row = found->second;
   if (life.born < row.born) {
     return nullptr;
   }
   if (row.born < life.born) {
-    row = Row{ .born = life.born };
+    row = Row{};
+    row.born = life.born;
   }
   row.statedAt = now;
   return &row;
@@ -64,4 +81,49 @@
   return wasInBackoff ? BackoffChange::kNone : BackoffChange::kRequested;
 }
 
+// Answers on different connections may overtake each other, so one to a request that was sent
+// before the limit was known doesn't show that it ended.
+LimitChange TargetStatements::OnLimit(TimePoint now,
+                                      const TargetIncarnation& life,
+                                      TimePoint sentAt,
+                                      const LimitStatement& statement)
+{
+  const bool saysSomething = statement.isInvalid || statement.perSecond;
+  Row* row =
+    saysSomething || Find(life.instance, life.born) != nullptr ? Touch(now, life) : nullptr;
+  if (row == nullptr) {
+    return LimitChange::kNone;
+  }
+  const bool hadInvalidLimit = std::exchange(row->hasInvalidLimit, statement.isInvalid);
+  if (statement.isInvalid) {
+    return hadInvalidLimit ? LimitChange::kNone : LimitChange::kInvalid;
+  }
+  if (!statement.perSecond) {
+    if (!row->limit || sentAt < row->limitLearnedAt) {
+      return LimitChange::kNone;
+    }
+    row->limit.reset();
+    return LimitChange::kEnded;
+  }
+  if (row->limit == statement.perSecond) {
+    return LimitChange::kNone;
+  }
+  if (!row->limit) {
+    row->limitLearnedAt = now;
+    row->limitLeft = 0;
+    row->limitLeftAt = now;
+  }
+  row->limit = statement.perSecond;
+  return LimitChange::kNamed;
+}
+
+void TargetStatements::SetLimitLeft(TimePoint now, const TargetIncarnation& life, double left)
+{
+  const auto found = m_rows.find(life.instance);
+  if (found != m_rows.end() && found->second.born == life.born) {
+    found->second.limitLeft = left;
+    found->second.limitLeftAt = now;
+  }
+}
+
 } // namespace gooseberrysail
