Withdraw requests that are not on the wire when a target asks to back off

A request that an entry has handed to its client may still be waiting for a connection, for up to half a second, when the target's rejection of another one arrives. It would reach the target in the backoff, where half a second and two requests are all that is allowed.

The entry now withdraws the other attempts at that target: a call of which no byte was sent fails as withdrawn and its request goes to another target, without using up an attempt, a retry or the target's reputation. A call whose bytes have begun to be sent goes on: it may run.

Over loopback: HttpClient.WithdrawsACallOnlyUntilItIsSent.

Open: a request whose bytes wait in the kernel for a lost packet's repeat.

--- a/include/gooseberrysail/gateway/dispatcher.hpp
+++ b/include/gooseberrysail/gateway/dispatcher.hpp
@@ -120,7 +120,7 @@
     bool isTargetAvoided = false; ///< It was when it was chosen.
     std::set<InstanceId> tried;
     std::uint32_t attempts = 0;
-    /// Attempts that are certain not to have run and leave the route\'s attempts to others.
+    /// Attempts that are certain not to have run and leave the route's attempts to others.
     std::uint32_t excusedAttempts = 0;
     bool mayHaveRun = false;      ///< At least one attempt may have been executed.
     bool headForwarded = false;   ///< The head of the answer went to the caller.
@@ -167,6 +167,12 @@
                     Outbox& outbox);
   void StopAttempt(Request& request, Outbox& outbox, bool cancel);
   /// \param retryAfter How long the target wants no requests, where it says so.
+  void LogFailedAttempt(TimePoint now,
+                        const Request& request,
+                        bool ran,
+                        const std::string& reason,
+                        std::optional<Duration> retryAfter,
+                        Outbox& outbox) const;
   void AttemptEnded(TimePoint now,
                     Request& request,
                     Outbox& outbox,
@@ -180,6 +186,10 @@
                         const TargetHead& head,
                         Outbox& outbox);
   void RecordLimit(TimePoint now, const Request& request, const TargetHead& head, Outbox& outbox);
+  /// \brief Ends the other attempts at a target of which nothing has been sent yet.
+  void WithdrawUnsent(const Request& informed, Outbox& outbox);
+  /// \brief Sends a request elsewhere whose attempt was withdrawn.
+  void OnWithdrawn(TimePoint now, Request& request, Outbox& outbox);
   void RecordBackoff(TimePoint now, const Request& request, const TargetHead& head, Outbox& outbox);
   void OnBody(TimePoint now, Request& request, const TargetAnswerIn& part, Outbox& outbox);
   void ForwardEvents(TimePoint now, Request& request, const TargetAnswerIn& part, Outbox& outbox);
--- a/include/gooseberrysail/http/http_client.hpp
+++ b/include/gooseberrysail/http/http_client.hpp
@@ -62,6 +62,9 @@
   /// \brief Closes the connection of a call; its hooks are not called any more.
   void Cancel(ExchangeId exchange);
 
+  /// \brief Ends a call of which no byte has been sent; it fails as withdrawn. Others go on.
+  void Withdraw(ExchangeId exchange);
+
   /// \brief Makes a call and suspends the fiber until the response is complete.
   /// \param timeout Limits the whole call.
   [[nodiscard]] Result<HttpReply> Fetch(std::string_view address,
--- a/include/gooseberrysail/roles/inputs.hpp
+++ b/include/gooseberrysail/roles/inputs.hpp
@@ -106,6 +106,12 @@
   ExchangeId exchange;
 };
 
+/// \brief Cancels a call of which no byte has been sent; it then fails as withdrawn. Others go on.
+struct TargetWithdrawOut
+{
+  ExchangeId exchange;
+};
+
 struct TargetAnswerIn
 {
   ExchangeId exchange;
@@ -119,7 +125,8 @@
 {
   ExchangeId exchange;
   Error error;
-  bool neverSent = false; ///< No byte of the call was sent to the target.
+  bool neverSent = false;   ///< No byte of the call was sent to the target.
+  bool isWithdrawn = false; ///< By TargetWithdrawOut, so it says nothing of the target.
 };
 
 // ---- the process itself ----
@@ -165,7 +172,12 @@
                                   TargetAnswerIn,
                                   TargetFailedIn,
                                   StopRequested>;
-using GatewayOutput =
-  std::variant<FrameOut, HttpAnswerOut, TargetCallOut, TargetCancelOut, EventOut, StoppedOut>;
+using GatewayOutput = std::variant<FrameOut,
+                                   HttpAnswerOut,
+                                   TargetCallOut,
+                                   TargetCancelOut,
+                                   TargetWithdrawOut,
+                                   EventOut,
+                                   StoppedOut>;
 
 } // namespace gooseberrysail
--- a/src/gateway/dispatcher.cpp
+++ b/src/gateway/dispatcher.cpp
@@ -159,6 +159,21 @@
   request.mayHaveRun = request.mayHaveRun || ran;
   request.lastError = std::move(error);
   request.events.DiscardPartial();
+  LogFailedAttempt(now, request, ran, request.lastError, retryAfter, outbox);
+  if (MayRetry(now, request)) {
+    Attempt(now, request, outbox);
+  } else {
+    GiveUp(now, request, outbox);
+  }
+}
+
+void Dispatcher::LogFailedAttempt(TimePoint now,
+                                  const Request& request,
+                                  bool ran,
+                                  const std::string& reason,
+                                  std::optional<Duration> retryAfter,
+                                  Outbox& outbox) const
+{
   outbox.emplace_back(
     MakeEvent(EventNumber::kGatewayAttemptFailed,
               { { "request", request.call.requestId },
@@ -166,15 +181,10 @@
                 { "attempt", std::to_string(request.attempts) },
                 { "target", request.target.instance.Get() },
                 { "ran", ran ? "maybe" : "no" },
-                { "reason", request.lastError },
+                { "reason", reason },
                 { "millis", std::to_string(ToMillis(now - request.sentAt)) },
                 { "avoided", request.isTargetAvoided ? "yes" : "no" },
                 { "retryAfterMillis", retryAfter ? std::to_string(ToMillis(*retryAfter)) : "" } }));
-  if (MayRetry(now, request)) {
-    Attempt(now, request, outbox);
-  } else {
-    GiveUp(now, request, outbox);
-  }
 }
 
 void Dispatcher::OnAnswer(TimePoint now, const TargetAnswerIn& part, Outbox& outbox)
@@ -271,6 +281,9 @@
 {
   const BackoffChange change =
     m_selector.OnBackoff(now, request.target, { head.retryAfter, head.hasInvalidRetryAfter });
+  if (change == BackoffChange::kRequested) {
+    WithdrawUnsent(request, outbox);
+  }
   if (change != BackoffChange::kNone) {
     const std::string millis = head.retryAfter ? std::to_string(ToMillis(*head.retryAfter)) : "";
     outbox.emplace_back(MakeEvent(EventNumber::kGatewayTargetBackoff,
@@ -281,6 +294,26 @@
   }
 }
 
+// A connection may take half a second to be made; its request would reach the target in the
+// backoff.
+void Dispatcher::WithdrawUnsent(const Request& informed, Outbox& outbox)
+{
+  for (const auto& [exchange, request] : m_requests) {
+    const bool isAtTarget = !request.attempt.IsNone() && request.target == informed.target;
+    if (isAtTarget && request.attempt != informed.attempt) {
+      outbox.emplace_back(TargetWithdrawOut{ request.attempt });
+    }
+  }
+}
+
+void Dispatcher::OnWithdrawn(TimePoint now, Request& request, Outbox& outbox)
+{
+  StopAttempt(request, outbox, false);
+  ++request.excusedAttempts;
+  LogFailedAttempt(now, request, false, "withdrawn before it was sent", std::nullopt, outbox);
+  Attempt(now, request, outbox);
+}
+
 void Dispatcher::OnBody(TimePoint now, Request& request, const TargetAnswerIn& part, Outbox& outbox)
 {
   if (request.streams) {
@@ -345,6 +378,11 @@
 void Dispatcher::OnFailed(TimePoint now, const TargetFailedIn& failed, Outbox& outbox)
 {
   if (Request* request = FindByAttempt(failed.exchange)) {
+    if (failed.isWithdrawn) {
+      OnWithdrawn(now, *request, outbox);
+      UseFreedSlots(now, outbox);
+      return;
+    }
     if (failed.neverSent) {
       m_selector.OnUnreachable(now, request->target);
     } else {
--- a/src/http/http_call.cpp
+++ b/src/http/http_call.cpp
@@ -107,7 +107,7 @@
 
 bool HttpCall::Run()
 {
-  const bool reusable = (m_reused || Connect()) && SendRequest() && ReadAnswer();
+  const bool reusable = BeginSending() && SendRequest() && ReadAnswer();
   m_deadline.Disarm();
   return reusable && !m_cancelled;
 }
@@ -120,6 +120,16 @@
   m_socket.close(ignored);
 }
 
+void HttpCall::Withdraw()
+{
+  if (m_isSending || m_cancelled) {
+    return;
+  }
+  m_isWithdrawn = true;
+  boost::system::error_code ignored;
+  m_socket.close(ignored);
+}
+
 void HttpCall::ArmTimeout(Duration timeout)
 {
   if (timeout == Duration::zero()) {
@@ -148,10 +158,23 @@
   m_hooks.onFailed(
     TargetFailedIn{ m_call.exchange,
                     Error{ code, std::move(step), m_address, std::move(description) },
-                    neverSent });
+                    neverSent,
+                    m_isWithdrawn });
   return false;
 }
 
+bool HttpCall::BeginSending()
+{
+  if (!m_isWithdrawn && !m_reused && !Connect()) {
+    return false;
+  }
+  if (m_isWithdrawn) {
+    return Fail(ErrorCode::kUnavailable, "send call", "withdrawn before it was sent", true);
+  }
+  m_isSending = true;
+  return true;
+}
+
 bool HttpCall::Connect()
 {
   const Result<tcp::endpoint> endpoint = ParseEndpoint(m_address);
@@ -162,6 +185,9 @@
   const auto [error, size] =
     Await([&](auto done) { m_socket.async_connect(endpoint.value(), done); });
   m_deadline.Disarm();
+  if (m_isWithdrawn) {
+    return true; // Its connection was closed on purpose.
+  }
   if (error || m_timedOut || m_cancelled) {
     return Fail(ErrorCode::kUnavailable, "connect to target", error.message(), true);
   }
--- a/src/http/http_call.hpp
+++ b/src/http/http_call.hpp
@@ -38,11 +38,15 @@
   /// \brief Closes the connection; the hooks are not called any more.
   void Cancel();
 
+  /// \brief Fails the call as withdrawn unless its request has begun to be sent.
+  void Withdraw();
+
   [[nodiscard]] const std::string& Address() const noexcept { return m_address; }
   [[nodiscard]] const ExchangeId& Exchange() const noexcept { return m_call.exchange; }
   [[nodiscard]] boost::asio::ip::tcp::socket TakeSocket() noexcept { return std::move(m_socket); }
 
 private:
+  bool BeginSending();
   bool Connect();
   bool SendRequest();
   bool ReadAnswer();
@@ -61,6 +65,8 @@
   bool m_reused = false;
   bool m_timedOut = false;
   bool m_cancelled = false;
+  bool m_isSending = false;   ///< The target may have bytes of the request.
+  bool m_isWithdrawn = false; ///< Ended before that by the caller of Withdraw.
 };
 
 } // namespace gooseberrysail::impl
--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -46,6 +46,8 @@
 
   std::uint64_t Begin(std::string_view address, TargetCallOut call, impl::HttpCallHooks callHooks);
   void Run(std::uint64_t number, const CallPtr& call);
+  /// \brief Null for a call that has ended.
+  CallPtr Find(ExchangeId exchange);
   void Cancel(std::uint64_t number);
   void Close();
   void TakeIdle(impl::HttpCall& call);
@@ -137,6 +139,16 @@
   }
 }
 
+HttpClient::Impl::CallPtr HttpClient::Impl::Find(ExchangeId exchange)
+{
+  const auto number = exchanges.find(exchange);
+  if (number == exchanges.end()) {
+    return nullptr;
+  }
+  const auto found = calls.find(number->second);
+  return found == calls.end() ? nullptr : found->second;
+}
+
 void HttpClient::Impl::Cancel(std::uint64_t number)
 {
   const auto found = calls.find(number);
@@ -180,9 +192,15 @@
 
 void HttpClient::Cancel(ExchangeId exchange)
 {
-  const auto found = m_impl->exchanges.find(exchange);
-  if (found != m_impl->exchanges.end()) {
-    m_impl->Cancel(found->second);
+  if (const Impl::CallPtr call = m_impl->Find(exchange)) {
+    call->Cancel();
+  }
+}
+
+void HttpClient::Withdraw(ExchangeId exchange)
+{
+  if (const Impl::CallPtr call = m_impl->Find(exchange)) {
+    call->Withdraw();
   }
 }
 
--- a/src/shell/gateway_shell.cpp
+++ b/src/shell/gateway_shell.cpp
@@ -56,6 +56,7 @@
       targets.Start(address, std::move(call));
     },
     [&](TargetCancelOut& cancel) { targets.Cancel(cancel.exchange); },
+    [&](TargetWithdrawOut& withdraw) { targets.Withdraw(withdraw.exchange); },
     [&](EventOut& event) { shell.Record(event); },
     [&](StoppedOut&) { shell.DrainCallers([&] { loop->Stop(); }); },
   };
--- a/tests/fakes/fake_gateways.cpp
+++ b/tests/fakes/fake_gateways.cpp
@@ -198,6 +198,14 @@
       m_targets.at(found->second.first).calls.erase(found->second.second);
       state.calls.erase(found);
     }
+  } else if (const auto* withdraw = std::get_if<TargetWithdrawOut>(&output)) {
+    if (state.dialling.erase(withdraw->exchange) > 0) {
+      TargetFailedIn failed;
+      failed.exchange = withdraw->exchange;
+      failed.neverSent = true;
+      failed.isWithdrawn = true;
+      state.inbox.emplace_back(std::move(failed));
+    }
   } else if (const auto* answer = std::get_if<HttpAnswerOut>(&output)) {
     if (answer->status) {
       ++m_answers[state.bodies[answer->exchange]][*answer->status];
--- a/tests/unit/dispatcher_test.cpp
+++ b/tests/unit/dispatcher_test.cpp
@@ -730,5 +730,40 @@
   EXPECT_EQ(world.CountSent(), 15U);
 }
 
+// Guards against a request that uses up its attempts though it never reached a target.
+TEST(Dispatcher, SendsAWithdrawnRequestElsewhere)
+{
+  World world;
+  const auto countWithdrawn = [&] {
+    return std::ranges::count_if(world.outbox, [](const auto& output) {
+      return std::holds_alternative<TargetWithdrawOut>(output);
+    });
+  };
+  world.Ask("/once/x");
+  const TargetCallOut first = world.Sent();
+  world.Ask("/once/x");
+  world.Ask("/once/x");
+  const TargetCallOut third = world.Sent();
+  ASSERT_EQ(third.address, first.address);
+
+  TargetAnswerIn rejection;
+  rejection.exchange = first.exchange;
+  rejection.status = 503;
+  rejection.headers = { { "X-Request-Id", "r1" }, { "Never-Ran", "1" }, { "Backoff", "3000" } };
+  rejection.end = true;
+  world.dispatcher.OnAnswer(world.now, rejection, world.outbox);
+  EXPECT_EQ(countWithdrawn(), 1);
+
+  TargetFailedIn withdrawn;
+  withdrawn.exchange = third.exchange;
+  withdrawn.neverSent = true;
+  withdrawn.isWithdrawn = true;
+  const std::size_t sent = world.CountSent();
+  world.dispatcher.OnFailed(world.now, withdrawn, world.outbox);
+  EXPECT_EQ(world.CountSent(), sent + 1);
+  EXPECT_NE(world.Sent().address, third.address);
+  EXPECT_TRUE(world.Answers().empty());
+}
+
 } // namespace
 } // namespace gooseberrysail
--- a/tests/unit/http_client_test.cpp
+++ b/tests/unit/http_client_test.cpp
@@ -2,6 +2,8 @@
 #include "support/raw_connection.hpp"
 #include "support/section.hpp"
 
+#include <boost/asio/ip/tcp.hpp>
+
 namespace gooseberrysail {
 namespace {
 
@@ -166,6 +168,51 @@
   EXPECT_TRUE(agent.failures.empty());
 }
 
+// Guards against a withdrawn request that reaches its target, or is taken for one that didn't.
+TEST(HttpClient, WithdrawsACallOnlyUntilItIsSent)
+{
+  IoRuntime runtime;
+  RecordingClient agent(runtime);
+  const auto expectWithdrawn = [&] {
+    agent.client.Withdraw(ExchangeId(1));
+    ASSERT_TRUE(agent.WaitFor([&] { return !agent.failures.empty(); }));
+    EXPECT_TRUE(agent.failures[0].isWithdrawn);
+    EXPECT_TRUE(agent.failures[0].neverSent);
+  };
+  SECTION("before it connects")
+  {
+    RecordingServer target(runtime);
+    agent.Start(target.address, 1);
+    expectWithdrawn();
+    EXPECT_TRUE(target.requests.empty());
+  }
+  agent.failures.clear();
+  SECTION("while it connects")
+  {
+    // A full backlog leaves further connections waiting.
+    boost::asio::ip::tcp::acceptor full(runtime.Io(),
+                                        { boost::asio::ip::address_v4::loopback(), 0 });
+    full.listen(0);
+    boost::asio::ip::tcp::socket first(runtime.Io());
+    first.connect(full.local_endpoint());
+    agent.Start("127.0.0.1:" + std::to_string(full.local_endpoint().port()), 1);
+    agent.changed.WaitFor(std::chrono::milliseconds(100));
+    EXPECT_TRUE(agent.failures.empty());
+    expectWithdrawn();
+  }
+  agent.failures.clear();
+  SECTION("not once it is sent")
+  {
+    RecordingServer target(runtime);
+    agent.Start(target.address, 1);
+    target.Request(1);
+    agent.client.Withdraw(ExchangeId(1));
+    target.Send(target.Request(1), "whole", true);
+    ASSERT_TRUE(agent.WaitFor([&] { return agent.IsWhole(); }));
+    EXPECT_TRUE(agent.failures.empty());
+  }
+}
+
 TEST(HttpClient, AFetchThatIsNotWholeInTimeFails)
 {
   IoRuntime runtime;
--- a/tests/unit/target_backoff_test.cpp
+++ b/tests/unit/target_backoff_test.cpp
@@ -137,5 +137,27 @@
   EXPECT_GE(2 * after, other);
 }
 
+// Guards against requests that reach a target in its backoff since connecting took long.
+TEST(TargetBackoff, CoversRequestsThatAreNotOnTheWireYet)
+{
+  for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+    FakeGateways fleet(5, 4, seed);
+    fleet.SetDialTime("plain-0", 900ms);
+    std::size_t asked = 0;
+    const auto runLookups = [&](Duration duration) {
+      for (const TimePoint until = fleet.now + duration; fleet.now < until; ++asked) {
+        fleet.Ask(fleet.Draw(fleet.CountEntries()), { .path = "/safe/1", .body = "look-up" });
+        fleet.Run(10ms);
+      }
+    };
+    runLookups(2s);
+    fleet.SetBackoff("plain-0", 3s);
+    runLookups(6s);
+    fleet.Run(2s);
+    EXPECT_LE(fleet.MostDuringBackoff("plain-0"), kAllowedInBackoff) << "seed " << seed;
+    EXPECT_EQ(fleet.Answers("look-up")[200], asked) << "seed " << seed;
+  }
+}
+
 } // namespace
 } // namespace gooseberrysail
