Ignore what a misdirected answer says of its target

A 421 may come from another replica that has the address now, but the limit in it was taken for that of the target in control's list, which would then have got too few requests until its next answer.

A target that has left says nothing by a 421 that its other answers don't say.

--- a/tests/unit/platform_test.cpp
+++ b/tests/unit/platform_test.cpp
@@ -404,6 +404,17 @@
   }
 }
 
+// Guards against statements of another replica that has the address now.
+TEST(PlatformGateway, IgnoresStatementsInMisdirectedAnswers)
+{
+  TargetAnswerIn part;
+  part.status = 421;
+  part.headers = { { "Server-Limit", "3" }, { "Retry-After", "3" } };
+  const TargetHead head = MakeGatewayApi().decodeHead(part);
+  EXPECT_EQ(head.requestLimit, std::nullopt);
+  EXPECT_EQ(head.retryAfter, std::nullopt);
+}
+
 /// Applies one to four random edits: replaces a byte, deletes up to 19 bytes or inserts a character
 /// of the format.
 std::string Mutate(std::string text, std::mt19937& random)
