Send a target that says it leaves nothing after its drain time

Entries knew of a leaving target from control's list alone.

An entry notes it with the target's other statements, by incarnation: it outlasts control's next list, which may be older, and ends with the target's restart. At once the target is the last that is chosen, so that callers are served while it serves; after targets.drainTime (the deployment's drainMs, 2 s by default) it isn't chosen any more. A value other than 1 says nothing. 323 GatewayTargetLeaving tells when an entry learned it, and by which request.

Over loopback: TargetTrouble.ATargetThatSaysItLeavesGetsNoRequests and .ATargetThatAsksToBackOffGetsNoRequests.

Not built: telling control, which learns it from the target's own call.

--- a/include/gooseberrysail/gateway/dispatcher.hpp
+++ b/include/gooseberrysail/gateway/dispatcher.hpp
@@ -186,11 +186,11 @@
                         const TargetHead& head,
                         Outbox& outbox);
   void RecordLimit(TimePoint now, const Request& request, const TargetHead& head, Outbox& outbox);
+  void RecordBackoff(TimePoint now, const Request& request, const TargetHead& head, Outbox& outbox);
   /// \brief Ends the other attempts at a target of which nothing has been sent yet.
   void WithdrawUnsent(const Request& informed, Outbox& outbox);
   /// \brief Sends a request elsewhere whose attempt was withdrawn.
   void OnWithdrawn(TimePoint now, Request& request, Outbox& outbox);
-  void RecordBackoff(TimePoint now, const Request& request, const TargetHead& head, Outbox& outbox);
   void OnBody(TimePoint now, Request& request, const TargetAnswerIn& part, Outbox& outbox);
   void ForwardEvents(TimePoint now, Request& request, const TargetAnswerIn& part, Outbox& outbox);
 
--- a/include/gooseberrysail/gateway/gateway_api.hpp
+++ b/include/gooseberrysail/gateway/gateway_api.hpp
@@ -56,6 +56,7 @@
   /// How long the target wants no requests from this entry; only with status 503.
   std::optional<Duration> retryAfter;
   bool hasInvalidRetryAfter = false; ///< It names a time that is no such number.
+  bool isLeaving = false;            ///< The target says that it is about to shut down.
   std::vector<HttpHeader> headers;   ///< To forward to the caller.
 };
 
--- a/include/gooseberrysail/gateway/target_selector.hpp
+++ b/include/gooseberrysail/gateway/target_selector.hpp
@@ -62,6 +62,10 @@
 
   TargetSelector(FailureDomainId ownDomain, std::function<std::uint64_t()> random);
 
+  /// \brief Sets how long a target that says it leaves still gets requests when no other has
+  /// capacity.
+  void SetDrainTime(Duration drainTime) { m_drainTime = drainTime; }
+
   /// \brief Replaces the whole list. The state of a target that has restarted is reset.
   /// \returns The targets that have restarted.
   std::vector<InstanceId> Replace(std::span<const ServedTarget> targets);
@@ -95,11 +99,11 @@
   [[nodiscard]] const ServedTarget* Choose(TimePoint now, const TargetQuery& query);
 
   /// \brief Whether a listed target serves the query, including full and avoided ones.
-  [[nodiscard]] bool HasAny(const TargetQuery& query) const;
+  [[nodiscard]] bool HasAny(TimePoint now, const TargetQuery& query) const;
 
   /// \brief How long it takes until the targets that serve the query take one more request from any
   /// entry, by their limits.
-  [[nodiscard]] Duration LimitInterval(const TargetQuery& query) const;
+  [[nodiscard]] Duration LimitInterval(TimePoint now, const TargetQuery& query) const;
 
   /// \brief How long it takes until the first backoff of a target ends; none if
   /// none of those that serve the query is in backoff.
@@ -132,6 +136,13 @@
     return m_statements.OnBackoff(now, life, statement);
   }
 
+  /// \brief The target says that it leaves.
+  /// \returns Whether that is new.
+  bool OnLeaving(TimePoint now, const TargetIncarnation& life)
+  {
+    return m_statements.OnLeaving(now, life);
+  }
+
   /// \brief A plain service's whole answer arrived `took` after its request was sent.
   void OnAnswerTime(TimePoint now, const TargetIncarnation& life, Duration took);
 
@@ -154,8 +165,8 @@
   /// \brief Heads with requests in flight that sent no bytes for longer than kStalledAfter.
   [[nodiscard]] std::vector<TargetIncarnation> ListStalledHeads(TimePoint now) const;
 
-  /// \brief Whether the target has failed so recently that it is used only when no other has
-  /// capacity.
+  /// \brief Whether the target is used only when no other has capacity: it has failed recently or
+  /// says that it leaves.
   [[nodiscard]] bool IsAvoided(TimePoint now, const InstanceId& instance) const;
 
   [[nodiscard]] const TargetStatements& Statements() const noexcept { return m_statements; }
@@ -181,7 +192,9 @@
   /// \brief Null for a target without a row, and for an instance from before its restart.
   [[nodiscard]] Row* FindRow(const TargetIncarnation& life);
   [[nodiscard]] static bool IsSilent(TimePoint now, const Row& row, Duration limit);
-  [[nodiscard]] static bool Fits(const Row& row, const TargetQuery& query);
+  [[nodiscard]] bool Fits(TimePoint now, const Row& row, const TargetQuery& query) const;
+  /// \brief Whether the target has said that it leaves, and its drain time is over.
+  [[nodiscard]] bool HasLeft(TimePoint now, const Row& row) const;
   /// \brief How the heads that fit a query are divided between the entries.
   struct ShareState
   {
@@ -233,7 +246,7 @@
   [[nodiscard]] std::vector<const Row*> ListUsable(TimePoint now,
                                                    const TargetQuery& query,
                                                    const ShareState& shareState) const;
-  static bool IsAvoided(TimePoint now, const Row& row);
+  [[nodiscard]] bool IsAvoided(TimePoint now, const Row& row) const;
 
   FailureDomainId m_ownDomain;
   std::uint32_t m_entries = 1;
@@ -242,6 +255,7 @@
   std::function<std::uint64_t()> m_random;
   std::map<InstanceId, Row> m_rows;
   TargetStatements m_statements;
+  Duration m_drainTime = std::chrono::seconds(2);
   TimePoint m_latestNoAnswer{};
 };
 
--- a/include/gooseberrysail/gateway/target_statements.hpp
+++ b/include/gooseberrysail/gateway/target_statements.hpp
@@ -55,9 +55,10 @@
   struct Row
   {
     Incarnation born{};
-    TimePoint statedAt{};              ///< The latest of all statements.
-    TimePoint backoffUntil{};          ///< Until then it wants no requests from this entry.
-    bool hasInvalidRetryAfter = false; ///< Its latest time was not valid.
+    TimePoint statedAt{};                  ///< The latest of all statements.
+    TimePoint backoffUntil{};              ///< Until then it wants no requests from this entry.
+    bool hasInvalidRetryAfter = false;     ///< Its latest time was not valid.
+    std::optional<TimePoint> leavingSince; ///< When this entry learned that it leaves.
     std::optional<double> limit;  ///< Requests a second that it takes from all entries together.
     TimePoint limitLearnedAt{};   ///< When this entry learned that it has one.
     bool hasInvalidLimit = false; ///< Its latest limit was not valid.
@@ -79,6 +80,10 @@
                           const TargetIncarnation& life,
                           const BackoffStatement& statement);
 
+  /// \brief The target says that it leaves, which it doesn't take back.
+  /// \returns Whether that is new.
+  bool OnLeaving(TimePoint now, const TargetIncarnation& life);
+
   /// \brief Null for an incarnation that has stated nothing.
   [[nodiscard]] const Row* Find(const InstanceId& instance, Incarnation born) const;
 
--- a/include/gooseberrysail/roles/gateway_role.hpp
+++ b/include/gooseberrysail/roles/gateway_role.hpp
@@ -16,6 +16,7 @@
   FailureDomainId failureDomain;
   std::vector<EntrySettings::Control> controls;
   RetrySettings retries;
+  Duration targetDrainTime = std::chrono::seconds(2); ///< Use of a target that says it leaves.
 };
 
 /// \brief Decides how an entry forwards requests to targets and to the heads of groups, by the
--- a/include/gooseberrysail/settings/settings.hpp
+++ b/include/gooseberrysail/settings/settings.hpp
@@ -116,6 +116,7 @@
   PeerSettings peers;
   LimitSettings limits;
   RetryLimits retries;
+  Duration targetDrainTime{}; ///< Entry: use of a target from when it says that it leaves.
   ControlStoreSettings control;
   AgentTargetSettings agent;
   ObserveSettings observe;
--- a/src/gateway/dispatcher.cpp
+++ b/src/gateway/dispatcher.cpp
@@ -251,9 +251,15 @@
                                   const TargetHead& head,
                                   Outbox& outbox)
 {
-  if (head.requestId.empty() || head.requestId == request.call.requestId) {
-    RecordLimit(now, request, head, outbox);
-    RecordBackoff(now, request, head, outbox);
+  if (!head.requestId.empty() && head.requestId != request.call.requestId) {
+    return;
+  }
+  RecordLimit(now, request, head, outbox);
+  RecordBackoff(now, request, head, outbox);
+  if (head.isLeaving && m_selector.OnLeaving(now, request.target)) {
+    outbox.emplace_back(MakeEvent(
+      EventNumber::kGatewayTargetLeaving,
+      { { "target", request.target.instance.Get() }, { "request", request.call.requestId } }));
   }
 }
 
--- a/src/gateway/dispatcher_end.cpp
+++ b/src/gateway/dispatcher_end.cpp
@@ -80,7 +80,7 @@
   }
   Duration retryAfter = reason == NoTargetReason::kNone ? kNoTargetRetry : kBusyRetry;
   if (reason == NoTargetReason::kLimited) {
-    retryAfter = std::max(retryAfter, m_selector.LimitInterval(query));
+    retryAfter = std::max(retryAfter, m_selector.LimitInterval(now, query));
   }
   return backoffLeft ? std::max(std::min(retryAfter, *backoffLeft), kMinRetry) : retryAfter;
 }
--- a/src/gateway/gateway_role.cpp
+++ b/src/gateway/gateway_role.cpp
@@ -26,6 +26,7 @@
     : dispatcher(api, settings.retries, settings.failureDomain, hooks.random)
     , feed(std::move(settings.controls), settings.failureDomain, api.readDocument)
   {
+    dispatcher.Selector().SetDrainTime(settings.targetDrainTime);
   }
 
   using Outbox = std::vector<GatewayOutput>;
--- a/src/gateway/target_selector.cpp
+++ b/src/gateway/target_selector.cpp
@@ -168,7 +168,7 @@
   std::uint32_t borrowedNow = 0;
   std::uint32_t slots = 0;
   for (const auto& [instance, row] : m_rows) {
-    if (!Fits(row, query)) {
+    if (!Fits(now, row, query)) {
       continue;
     }
     const bool isInBackoff = IsInBackoff(now, row);
@@ -295,10 +295,16 @@
   return isHead && row.inFlight > 0 && now - std::max(row.busySince, row.answeredAt) > limit;
 }
 
-bool TargetSelector::Fits(const Row& row, const TargetQuery& query)
+bool TargetSelector::Fits(TimePoint now, const Row& row, const TargetQuery& query) const
 {
   return !row.gone && !row.target.leaving && row.target.service == query.service &&
-         row.target.servedModel == query.model;
+         row.target.servedModel == query.model && !HasLeft(now, row);
+}
+
+bool TargetSelector::HasLeft(TimePoint now, const Row& row) const
+{
+  const TargetStatements::Row* stated = StatementsOf(row);
+  return stated != nullptr && stated->leavingSince && now >= *stated->leavingSince + m_drainTime;
 }
 
 double TargetSelector::WarmUpFraction(TimePoint now, const Row& row)
@@ -334,9 +340,10 @@
 {
   std::vector<const Row*> usable;
   for (const auto& [instance, row] : m_rows) {
-    if (Fits(row, query) && now >= row.unreachableUntil && HasCapacity(row, query, shareState) &&
-        !query.tried.contains(instance) && !IsSilent(now, row, kSuspectAfter) &&
-        !IsLimited(now, row, shareState) && !IsInBackoff(now, row)) {
+    if (Fits(now, row, query) && now >= row.unreachableUntil &&
+        HasCapacity(row, query, shareState) && !query.tried.contains(instance) &&
+        !IsSilent(now, row, kSuspectAfter) && !IsLimited(now, row, shareState) &&
+        !IsInBackoff(now, row)) {
       usable.push_back(&row);
     }
   }
@@ -357,9 +364,11 @@
 // avoided heads got no requests at all, 3% to 6% of all callers would be refused while answers are
 // lost, although the few heads of their model have capacity. So an avoided head is used when no
 // other has capacity.
-bool TargetSelector::IsAvoided(TimePoint now, const Row& row)
+bool TargetSelector::IsAvoided(TimePoint now, const Row& row) const
 {
-  return now < row.avoidUntil;
+  const TargetStatements::Row* stated = StatementsOf(row);
+  const bool isLeaving = stated != nullptr && stated->leavingSince;
+  return now < row.avoidUntil || isLeaving;
 }
 
 bool TargetSelector::IsAvoided(TimePoint now, const InstanceId& instance) const
@@ -400,7 +409,7 @@
 // is the more useful reason.
 NoTargetReason TargetSelector::ReasonForNoTarget(TimePoint now, const TargetQuery& query) const
 {
-  if (!HasAny(query)) {
+  if (!HasAny(now, query)) {
     return NoTargetReason::kNone;
   }
   const ShareState shareState = ShareStateOf(now, query);
@@ -408,7 +417,7 @@
   bool anyIsFull = false;
   bool anyIsLimited = false;
   for (const auto& [instance, row] : m_rows) {
-    if (!Fits(row, query) || IsInBackoff(now, row)) {
+    if (!Fits(now, row, query) || IsInBackoff(now, row)) {
       continue;
     }
     if (!HasCapacity(row, query, shareState)) {
@@ -425,16 +434,16 @@
     return anyIsFull ? NoTargetReason::kFull : ofOthers;
   }
   const bool anyIsSilent = std::ranges::any_of(m_rows, [&](const auto& each) {
-    return Fits(each.second, query) && IsSilent(now, each.second, kSuspectAfter);
+    return Fits(now, each.second, query) && IsSilent(now, each.second, kSuspectAfter);
   });
   return anyIsSilent ? NoTargetReason::kSilent : NoTargetReason::kUnreachable;
 }
 
-Duration TargetSelector::LimitInterval(const TargetQuery& query) const
+Duration TargetSelector::LimitInterval(TimePoint now, const TargetQuery& query) const
 {
   double perSecond = kMinLimit;
   for (const auto& [instance, row] : m_rows) {
-    const TargetStatements::Row* stated = Fits(row, query) ? StatementsOf(row) : nullptr;
+    const TargetStatements::Row* stated = Fits(now, row, query) ? StatementsOf(row) : nullptr;
     perSecond += stated == nullptr ? 0 : stated->limit.value_or(0);
   }
   return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(1 / perSecond));
@@ -444,7 +453,7 @@
 {
   std::optional<Duration> left;
   for (const auto& [instance, row] : m_rows) {
-    if (Fits(row, query) && IsInBackoff(now, row)) {
+    if (Fits(now, row, query) && IsInBackoff(now, row)) {
       const Duration own = StatementsOf(row)->backoffUntil - now;
       left = std::min(left.value_or(own), own);
     }
@@ -452,9 +461,9 @@
   return left;
 }
 
-bool TargetSelector::HasAny(const TargetQuery& query) const
+bool TargetSelector::HasAny(TimePoint now, const TargetQuery& query) const
 {
-  return std::ranges::any_of(m_rows, [&](const auto& row) { return Fits(row.second, query); });
+  return std::ranges::any_of(m_rows, [&](const auto& row) { return Fits(now, row.second, query); });
 }
 
 void TargetSelector::OnSent(TimePoint now, const TargetIncarnation& life)
@@ -501,7 +510,7 @@
 void TargetSelector::OnFailure(TimePoint now, const TargetIncarnation& life)
 {
   if (Row* row = FindRow(life)) {
-    if (IsAvoided(now, *row)) {
+    if (now < row->avoidUntil) {
       return; // Simultaneous failures count once.
     }
     const Duration pause = kAvoidInitial * (1U << std::min(row->failures, kMaxDoublings));
--- a/src/gateway/target_statements.cpp
+++ b/src/gateway/target_statements.cpp
@@ -126,4 +126,14 @@
   }
 }
 
+bool TargetStatements::OnLeaving(TimePoint now, const TargetIncarnation& life)
+{
+  Row* row = Touch(now, life);
+  if (row == nullptr || row->leavingSince) {
+    return false;
+  }
+  row->leavingSince = now;
+  return true;
+}
+
 } // namespace gooseberrysail
--- a/src/settings/setting_key.cpp
+++ b/src/settings/setting_key.cpp
@@ -370,6 +370,17 @@
            [](ProcessSettings& settings, const SettingValue& value) {
              settings.retries.window = std::chrono::seconds(value.number);
            }),
+  CountKey("targets.drainTime",
+           "milliseconds",
+           0,
+           3'600'000,
+           "2000",
+           kEntryRole,
+           "How long a target that says in an answer that it leaves still gets requests when no "
+           "other has capacity.",
+           [](ProcessSettings& settings, const SettingValue& value) {
+             settings.targetDrainTime = std::chrono::milliseconds(value.number);
+           }),
   TextKey("agent.vm",
           SettingType::kName,
           "",
--- a/src/shell/gateway_shell.cpp
+++ b/src/shell/gateway_shell.cpp
@@ -23,6 +23,7 @@
   gateway.retries = { settings.retries.ratio,
                       static_cast<double>(settings.retries.slack),
                       settings.retries.window };
+  gateway.targetDrainTime = settings.targetDrainTime;
   return gateway;
 }
 
--- a/tests/fakes/fake_gateways.cpp
+++ b/tests/fakes/fake_gateways.cpp
@@ -302,6 +302,10 @@
       answer.headers.push_back({ "Limit", std::to_string(*runner.limit) });
       runner.toldAt.emplace(call.entry, now);
     }
+    if (runner.isLeaving) {
+      answer.headers.push_back({ "Leaving", "1" });
+      runner.toldLeavingAt.try_emplace({ call.entry, call.life }, now);
+    }
     answer.bytes = "id: 1\ndata: done\n\n";
     answer.end = true;
     Deliver(call, std::move(answer));
@@ -336,6 +340,21 @@
   m_targets.at(target).backoff = backoff;
 }
 
+void FakeGateways::SetLeaving(const std::string& target)
+{
+  m_targets.at(target).isLeaving = true;
+}
+
+std::size_t FakeGateways::CountAfterLeaving(const std::string& target, Duration drainTime) const
+{
+  const Target& state = m_targets.at(target);
+  return static_cast<std::size_t>(
+    std::ranges::count_if(state.arrivals, [&](const Arrival& arrival) {
+      const auto told = state.toldLeavingAt.find({ arrival.entry, arrival.life });
+      return told != state.toldLeavingAt.end() && arrival.at > told->second + drainTime;
+    }));
+}
+
 void FakeGateways::SetListed(const std::string& target, bool isListed)
 {
   m_targets.at(target).isListed = isListed;
--- a/tests/fakes/fake_gateways.hpp
+++ b/tests/fakes/fake_gateways.hpp
@@ -47,6 +47,8 @@
   void SetLimit(const std::string& target, std::optional<double> limit);
   /// \brief Lets a target reject each request and ask for this backoff; none: it runs them.
   void SetBackoff(const std::string& target, std::optional<Duration> backoff);
+  /// \brief Lets a target say in all its answers that it leaves.
+  void SetLeaving(const std::string& target);
   /// \brief Whether control's list has a target.
   void SetListed(const std::string& target, bool isListed);
   /// \brief Sets how long it takes to connect to a target.
@@ -76,6 +78,9 @@
   /// \brief The most requests that a target got from one entry between kToldTime after it asked
   /// that entry for a backoff and its end.
   [[nodiscard]] std::size_t MostDuringBackoff(const std::string& target) const;
+  /// \brief The requests that a target got from entries more than `drainTime` after it had told
+  /// them that it leaves.
+  [[nodiscard]] std::size_t CountAfterLeaving(const std::string& target, Duration drainTime) const;
   /// \brief How often an entry began to reject the repeats of a request.
   [[nodiscard]] std::size_t CountQuarantined() const { return m_quarantined; }
   /// \brief Statuses of the final answers to requests with this body, with their number.
@@ -119,7 +124,9 @@
     bool isListed = true;
     std::optional<Duration> backoff;
     Duration dialTime{};
-    std::vector<Backoff> backoffs;       ///< That it asked for.
+    std::vector<Backoff> backoffs; ///< That it asked for.
+    bool isLeaving = false;
+    std::map<std::pair<std::size_t, std::uint64_t>, TimePoint> toldLeavingAt; ///< By entry, life.
     std::map<std::uint64_t, Call> calls; ///< Waiting or running, by number.
     std::optional<double> limit;
     std::vector<Arrival> arrivals;
--- a/tests/process/target_trouble_test.cpp
+++ b/tests/process/target_trouble_test.cpp
@@ -92,5 +92,60 @@
   EXPECT_GT(serving.replicas[1]->Runs() + serving.replicas[2]->Runs(), 4 * kAllowed);
 }
 
+// Guards against a target that asks to back off and gets requests, with the platform's own header.
+TEST(TargetTrouble, ATargetThatAsksToBackOffGetsNoRequests)
+{
+  ServingInstallation serving;
+  soak::Replica& busy = *serving.replicas[0];
+  busy.SetRetryAfter("3");
+  serving.WaitUntilServed();
+  const auto askFor = [&](std::chrono::milliseconds duration) {
+    const auto until = std::chrono::steady_clock::now() + duration;
+    while (std::chrono::steady_clock::now() < until) {
+      EXPECT_EQ(serving.Ask("sound").status, 200U);
+    }
+  };
+  EXPECT_TRUE(WaitUntil(
+    [&] {
+      EXPECT_EQ(serving.Ask("sound").status, 200U);
+      return busy.Rejections() > 0;
+    },
+    PlatformInstallation::kTimeout));
+  askFor(500ms);
+  const std::uint64_t rejections = busy.Rejections();
+  askFor(2s);
+  EXPECT_EQ(busy.Rejections(), rejections);
+
+  busy.SetRetryAfter("");
+  EXPECT_TRUE(WaitUntil(
+    [&] {
+      EXPECT_EQ(serving.Ask("sound").status, 200U);
+      return busy.Runs() > 0;
+    },
+    PlatformInstallation::kTimeout));
+}
+
+// Guards against a target that says it leaves and gets requests, with the platform's own header.
+TEST(TargetTrouble, ATargetThatSaysItLeavesGetsNoRequests)
+{
+  ServingInstallation serving;
+  soak::Replica& leaving = *serving.replicas[0];
+  serving.WaitUntilServed();
+  leaving.SetLeaving();
+  const std::uint64_t runs = leaving.Runs();
+  EXPECT_TRUE(WaitUntil(
+    [&] {
+      EXPECT_EQ(serving.Ask("sound").status, 200U);
+      return leaving.Runs() > runs;
+    },
+    PlatformInstallation::kTimeout));
+  const std::uint64_t told = leaving.Runs();
+  const auto until = std::chrono::steady_clock::now() + 3s;
+  while (std::chrono::steady_clock::now() < until) {
+    EXPECT_EQ(serving.Ask("sound").status, 200U);
+  }
+  EXPECT_EQ(leaving.Runs(), told);
+}
+
 } // namespace
 } // namespace gooseberrysail::test
--- a/tests/soak/replica.cpp
+++ b/tests/soak/replica.cpp
@@ -151,6 +151,18 @@
     http::write(socket, answer, error);
     return !error;
   }
+  if (m_isLeaving) {
+    answer.set("Server-Leaving", "1");
+  }
+  if (const std::string retryAfter = RetryAfter(); !retryAfter.empty()) {
+    ++m_rejections;
+    answer.result(http::status::service_unavailable);
+    answer.set("X-Not-Executed", "1");
+    answer.set("Retry-After", retryAfter);
+    answer.prepare_payload();
+    http::write(socket, answer, error);
+    return !error;
+  }
   const std::string instance = Instance();
   m_ledger.OnRun(id, instance);
   ++m_runs;
@@ -178,6 +190,18 @@
   return !error;
 }
 
+void Replica::SetRetryAfter(std::string seconds)
+{
+  const std::scoped_lock lock(m_mutex);
+  m_retryAfter = std::move(seconds);
+}
+
+std::string Replica::RetryAfter()
+{
+  const std::scoped_lock lock(m_mutex);
+  return m_retryAfter;
+}
+
 void Replica::Announce()
 {
   std::uint64_t sequence = 0;
--- a/tests/soak/replica.hpp
+++ b/tests/soak/replica.hpp
@@ -35,6 +35,14 @@
   void SetCrashBody(std::string body) { m_crashBody = std::move(body); }
   /// \brief Sets the requests a second that its answers name as its limit; "" for none.
   void SetLimit(std::string limit) { m_limit = std::move(limit); }
+  /// \brief Sets the seconds for which it asks its callers to back off while it rejects all
+  /// requests;
+  /// "" while it runs them.
+  void SetRetryAfter(std::string seconds);
+  /// \brief Lets all its answers say that it leaves.
+  void SetLeaving() { m_isLeaving = true; }
+  /// \brief How many requests it has rejected.
+  [[nodiscard]] std::uint64_t Rejections() const { return m_rejections; }
   /// \brief How many requests it has run.
   [[nodiscard]] std::uint64_t Runs() const { return m_runs; }
   /// \brief How often it has crashed.
@@ -56,6 +64,7 @@
   bool Answer(Socket& socket, const std::string& id, bool isForOtherInstance, bool hasKey);
   void Announce();
   [[nodiscard]] std::string Instance() const;
+  [[nodiscard]] std::string RetryAfter();
   [[nodiscard]] bool DrawWithProbability(double probability);
   void CloseConnections();
   /// \brief Continues as a new instance; called by a thread that serves a connection.
@@ -70,12 +79,15 @@
   std::atomic<std::uint64_t> m_generation = 1;
   std::atomic<double> m_answerLossRate = 0;
   std::atomic<double> m_answerTruncationRate = 0;
-  std::string m_crashBody; ///< Set before the first request; "" for none.
-  std::string m_limit;     ///< Likewise.
+  std::string m_crashBody;  ///< Set before the first request; "" for none.
+  std::string m_limit;      ///< Likewise.
+  std::string m_retryAfter; ///< Guarded by m_mutex; "" for none.
+  std::atomic<bool> m_isLeaving = false;
+  std::atomic<std::uint64_t> m_rejections = 0;
   std::atomic<std::uint64_t> m_runs = 0;
   std::atomic<std::uint64_t> m_crashes = 0;
   std::atomic<bool> m_stop = false;
-  std::mutex m_mutex; ///< Guards m_random and m_connections.
+  std::mutex m_mutex; ///< Guards m_random, m_retryAfter and m_connections.
   std::mt19937_64 m_random;
   std::list<Connection> m_connections;
   std::thread m_acceptThread;
--- a/tests/support/plain_gateway_api.hpp
+++ b/tests/support/plain_gateway_api.hpp
@@ -7,7 +7,7 @@
 namespace gooseberrysail::tests {
 
 /// \brief Hooks with simple headers: Key, Left (milliseconds), Instance, Never-Ran, Seal,
-/// Limit, Backoff (milliseconds), After.
+/// Limit, Backoff (milliseconds), Leaving, After.
 inline GatewayApi PlainApi()
 {
   GatewayApi api;
@@ -57,6 +57,7 @@
     if (const std::string_view backoff = FindHeader(part.headers, "Backoff"); !backoff.empty()) {
       head.retryAfter = std::chrono::milliseconds(std::stoll(std::string(backoff)));
     }
+    head.isLeaving = !FindHeader(part.headers, "Leaving").empty();
     head.headers = part.headers;
     return head;
   };
--- a/tests/unit/platform_test.cpp
+++ b/tests/unit/platform_test.cpp
@@ -404,17 +404,47 @@
   }
 }
 
+TEST(PlatformGateway, ReadsThatATargetLeaves)
+{
+  const GatewayApi api = MakeGatewayApi();
+  const auto decode = [&](unsigned status, const std::string& value) {
+    TargetAnswerIn part;
+    part.status = status;
+    part.headers = { { "Server-Leaving", value } };
+    return api.decodeHead(part).isLeaving;
+  };
+  for (const unsigned status : { 200U, 404U, 500U, 503U }) {
+    EXPECT_TRUE(decode(status, "1")) << status;
+  }
+  for (const char* value : { "", "0", "2", "yes", "true", "11" }) {
+    EXPECT_FALSE(decode(200, value)) << value;
+  }
+  EXPECT_FALSE(api.decodeHead({}).isLeaving);
+}
+
 // Guards against statements of another replica that has the address now.
 TEST(PlatformGateway, IgnoresStatementsInMisdirectedAnswers)
 {
   TargetAnswerIn part;
   part.status = 421;
-  part.headers = { { "Server-Limit", "3" }, { "Retry-After", "3" } };
+  part.headers = { { "Server-Limit", "3" }, { "Server-Leaving", "1" }, { "Retry-After", "3" } };
   const TargetHead head = MakeGatewayApi().decodeHead(part);
   EXPECT_EQ(head.requestLimit, std::nullopt);
+  EXPECT_FALSE(head.isLeaving);
   EXPECT_EQ(head.retryAfter, std::nullopt);
 }
 
+TEST(PlatformGateway, ReadsAllThatATargetSaysInOneAnswer)
+{
+  TargetAnswerIn part;
+  part.status = 503;
+  part.headers = { { "Server-Limit", "3" }, { "Server-Leaving", "1" }, { "Retry-After", "2" } };
+  const TargetHead head = MakeGatewayApi().decodeHead(part);
+  EXPECT_EQ(head.requestLimit, 3);
+  EXPECT_TRUE(head.isLeaving);
+  EXPECT_EQ(head.retryAfter, Duration(2s));
+}
+
 /// Applies one to four random edits: replaces a byte, deletes up to 19 bytes or inserts a character
 /// of the format.
 std::string Mutate(std::string text, std::mt19937& random)
@@ -503,7 +533,8 @@
     "X-Prompt-Prefix", "X-Request-Deadline", "X-Tenant",          "/api/instances",
     "/api/config",     "/api/order",         "/api/report",       "/api/ready",
     "trafficSplit",    "targetLatencyMs",    "streamResume",      "gapTargetMs",
-    "apiKeys",         "closeMode",          "heartbeatAddr",     "Server-Limit"
+    "apiKeys",         "closeMode",          "heartbeatAddr",     "Server-Limit",
+    "Server-Leaving"
   };
   std::vector<std::string> found;
   for (const char* folder : { "src", "include", "apps" }) {
