--- a/include/gooseberrysail/gateway/dispatcher.hpp
+++ b/include/gooseberrysail/gateway/dispatcher.hpp
@@ -120,7 +120,7 @@
     bool isTargetAvoided = false; ///< It was when it was chosen.
     std::set<InstanceId> tried;
     std::uint32_t attempts = 0;
-    /// Attempts that are certain not to have run and leave the route's attempts to others.
+    /// Attempts that never ran and don't count towards the route's maximum.
     std::uint32_t excusedAttempts = 0;
     bool mayHaveRun = false;      ///< At least one attempt may have been executed.
     bool headForwarded = false;   ///< The head of the answer went to the caller.
@@ -180,6 +180,11 @@
                     std::string error,
                     std::optional<Duration> retryAfter = std::nullopt);
   void OnHead(TimePoint now, Request& request, const TargetAnswerIn& part, Outbox& outbox);
+  void OnBody(TimePoint now, Request& request, const TargetAnswerIn& part, Outbox& outbox);
+  void ForwardEvents(TimePoint now, Request& request, const TargetAnswerIn& part, Outbox& outbox);
+
+  // What targets say of themselves (dispatcher_statements.cpp).
+
   /// \brief Takes over what a target says of itself in its answer.
   void RecordStatements(TimePoint now,
                         const Request& request,
@@ -191,8 +196,6 @@
   void WithdrawUnsent(const Request& informed, Outbox& outbox);
   /// \brief Sends a request elsewhere whose attempt was withdrawn.
   void OnWithdrawn(TimePoint now, Request& request, Outbox& outbox);
-  void OnBody(TimePoint now, Request& request, const TargetAnswerIn& part, Outbox& outbox);
-  void ForwardEvents(TimePoint now, Request& request, const TargetAnswerIn& part, Outbox& outbox);
 
   // Suspects (dispatcher_suspects.cpp).
   /// \brief The target closed the connection while it had the request.
--- a/include/gooseberrysail/gateway/target_selector.hpp
+++ b/include/gooseberrysail/gateway/target_selector.hpp
@@ -255,7 +255,7 @@
   std::function<std::uint64_t()> m_random;
   std::map<InstanceId, Row> m_rows;
   TargetStatements m_statements;
-  Duration m_drainTime = std::chrono::seconds(2);
+  Duration m_drainTime{};
   TimePoint m_latestNoAnswer{};
 };
 
--- a/include/gooseberrysail/gateway/target_statements.hpp
+++ b/include/gooseberrysail/gateway/target_statements.hpp
@@ -89,11 +89,11 @@
 
   /// \brief Longest backoff. A target that asks for more gets one request then.
   static constexpr Duration kMaxBackoff = std::chrono::hours(1);
-  /// \brief How long statements are kept after the latest one.
+  /// \brief How long statements are kept after the latest one: longer than any backoff.
   static constexpr Duration kKeptFor = 2 * kMaxBackoff;
 
 private:
-  /// \brief Null for an incarnation before the latest one.
+  /// \brief The row for a new statement; null for an incarnation before the latest one.
   Row* Touch(TimePoint now, const TargetIncarnation& life);
 
   std::map<InstanceId, Row> m_rows;
--- a/tests/unit/dispatcher_test.cpp
+++ b/tests/unit/dispatcher_test.cpp
@@ -697,6 +697,23 @@
   EXPECT_TRUE(world.Answers().empty());
 }
 
+// Guards against a request that goes round all targets that reject it without a time.
+TEST(Dispatcher, CountsAttemptsThatWereRejectedWithoutABackoff)
+{
+  World world;
+  world.dispatcher.Selector().Replace(std::vector<ServedTarget>{
+    { InstanceId("h1"), "assist", "h1:80", FailureDomainId("a"), 34, false, "large" },
+    { InstanceId("h2"), "assist", "h2:80", FailureDomainId("a"), 34, false, "large" },
+    { InstanceId("h3"), "assist", "h3:80", FailureDomainId("a"), 34, false, "large" } });
+  world.Ask("/stream/x");
+  for (std::size_t sent = 1; sent <= 2; ++sent) {
+    world.AnswerHead(
+      503, { { "X-Request-Id", "r1" }, { "Never-Ran", "1" }, { "Backoff", "0" } }, "", true);
+  }
+  EXPECT_EQ(world.CountSent(), 2U);
+  EXPECT_EQ(LastStatus(world), 503U);
+}
+
 // Guards against a request that is refused although a target takes it within its objective.
 TEST(Dispatcher, HoldsARequestForTheEndOfAShortBackoff)
 {
