--- a/include/gooseberrysail/gateway/dispatcher.hpp
+++ b/include/gooseberrysail/gateway/dispatcher.hpp
@@ -125,6 +125,8 @@
     bool mayHaveRun = false;      ///< At least one attempt may have been executed.
     bool headForwarded = false;   ///< The head of the answer went to the caller.
     bool streams = false;         ///< The current answer is forwarded event by event.
+    std::optional<AnswerFraming> framing; ///< Of the latest answer; none before a head.
+    std::uint64_t answerBytes = 0;        ///< Of all bodies that targets sent.
     HttpAnswerOut bufferedAnswer; ///< Status and headers, and the body unless it streams.
     EventSplitter events;
     std::string lastError;
--- a/include/gooseberrysail/roles/inputs.hpp
+++ b/include/gooseberrysail/roles/inputs.hpp
@@ -74,6 +74,18 @@
   ExchangeId exchange;
 };
 
+/// \brief How an answer marks its end.
+enum class AnswerFraming : std::uint8_t
+{
+  kDelimited,  ///< By a length or a last chunk, or it has no body.
+  kUntilClose, ///< By the end of its connection: it can't be told from an answer that was cut.
+};
+
+[[nodiscard]] constexpr const char* ToString(AnswerFraming framing) noexcept
+{
+  return framing == AnswerFraming::kDelimited ? "delimited" : "until-close";
+}
+
 /// \brief Part of an answer; the first part carries status and headers.
 /// \remarks If the first part has `end` set, the answer is sent with its length, otherwise chunked.
 /// `abort` closes the connection, so that the caller detects an incomplete answer.
@@ -117,6 +129,7 @@
   ExchangeId exchange;
   std::optional<unsigned> status; ///< Set in the first part.
   std::vector<HttpHeader> headers;
+  AnswerFraming framing = AnswerFraming::kDelimited; ///< Valid in the first part.
   std::string bytes;
   bool end = false;
 };
--- a/src/gateway/dispatcher.cpp
+++ b/src/gateway/dispatcher.cpp
@@ -193,7 +193,9 @@
     return;
   }
   m_selector.OnBytes(now, request->target);
+  request->answerBytes += part.bytes.size();
   if (part.status) {
+    request->framing = part.framing;
     OnHead(now, *request, part, outbox);
   } else {
     OnBody(now, *request, part, outbox);
--- a/src/gateway/dispatcher_end.cpp
+++ b/src/gateway/dispatcher_end.cpp
@@ -136,7 +136,9 @@
                 { "promptTokens", std::to_string(request.call.promptTokens) },
                 { "document", std::to_string(version) },
                 { "targets", std::to_string(request.targetsSequence) },
-                { "ageMillis", std::to_string(ToMillis(request.snapshotAge)) } }));
+                { "ageMillis", std::to_string(ToMillis(request.snapshotAge)) },
+                { "framing", request.framing ? ToString(*request.framing) : "" },
+                { "bytes", std::to_string(request.answerBytes) } }));
   m_queue.Remove(request.call.exchange);
   m_deadlines.erase({ request.deadline, request.call.exchange });
   m_requests.erase(request.call.exchange);
--- a/src/http/http_call.cpp
+++ b/src/http/http_call.cpp
@@ -70,11 +70,12 @@
   return part;
 }
 
-TargetAnswerIn MakeFirstPart(ExchangeId exchange, const http::response_header<>& head)
+TargetAnswerIn MakeFirstPart(ExchangeId exchange, const Parser& parser)
 {
   TargetAnswerIn part = MakePart(exchange);
-  part.status = head.result_int();
-  for (const auto& field : head) {
+  part.status = parser.get().result_int();
+  part.framing = parser.need_eof() ? AnswerFraming::kUntilClose : AnswerFraming::kDelimited;
+  for (const auto& field : parser.get()) {
     const std::string name(field.name_string());
     if (!IsHopByHopHeader(name)) {
       part.headers.push_back(HttpHeader{ name, std::string(field.value()) });
@@ -257,7 +258,7 @@
                 "neither length nor chunks: a cut answer would look whole",
                 false);
   }
-  TargetAnswerIn part = MakeFirstPart(m_call.exchange, parser->get());
+  TargetAnswerIn part = MakeFirstPart(m_call.exchange, *parser);
   std::array<char, kPartBytes> bytes;
   while (!parser->is_done()) {
     // Delivers the bytes already read before waiting for more. With a Content-Length, the rest of
