--- a/tests/fakes/fake_gateways.cpp
+++ b/tests/fakes/fake_gateways.cpp
@@ -172,7 +172,8 @@
 {
   std::vector<ServedTarget> served;
   for (const auto& [name, target] : m_targets) {
-    if (target.isRunning && target.isListed) {
+    const bool isBelievedToRun = target.isRunning || now < target.crashedAt + m_listLag;
+    if (isBelievedToRun && target.isListed) {
       served.push_back(target.self);
     }
   }
@@ -315,12 +316,34 @@
 void FakeGateways::Crash(const std::string& target)
 {
   m_targets.at(target).isRunning = false;
+  m_targets.at(target).crashedAt = now;
+  EndAnswers(target);
   CloseConnections(target);
   const std::string successor =
     target.substr(0, target.find('/')) + "/" + std::to_string(++m_lastNumber);
   Schedule(kReturnTime, [this, successor] { AddTarget(successor); });
 }
 
+void FakeGateways::EndAnswers(const std::string& target)
+{
+  std::erase_if(m_targets.at(target).calls, [&](const auto& numbered) {
+    const Call& call = numbered.second;
+    const bool ends = m_crashSign == CrashSign::kEndOfAll ||
+                      (m_crashSign == CrashSign::kEndOfCause && call.body == kCrashBody);
+    if (ends) {
+      TargetAnswerIn answer;
+      answer.exchange = call.exchange;
+      answer.status = 200;
+      answer.headers = { { "X-Request-Id", call.requestId }, { "Seal", "s" } };
+      answer.framing = AnswerFraming::kUntilClose;
+      answer.bytes = "id: 1\ndata: begun\n\n";
+      answer.end = true;
+      Schedule(kNetworkDelay, [this, call, answer] { Deliver(call, answer); });
+    }
+    return ends;
+  });
+}
+
 void FakeGateways::CloseConnections(const std::string& target)
 {
   for (const auto& [number, call] : std::exchange(m_targets.at(target).calls, {})) {
--- a/tests/fakes/fake_gateways.hpp
+++ b/tests/fakes/fake_gateways.hpp
@@ -22,6 +22,14 @@
   std::string key = "secret";
 };
 
+/// \brief How the crash of a target shows at the entries whose requests it has.
+enum class CrashSign
+{
+  kClosed,     ///< Their connections close before an answer.
+  kEndOfCause, ///< As kClosed, but the answer to kCrashBody ends, without framing, after an event.
+  kEndOfAll,   ///< All answers end in this way.
+};
+
 /// \brief Entries, the serving feed of a leader, and targets under scripted time.
 /// \remarks A target begins to run a request kQueueTime after its arrival and takes kRunTime. While
 /// it runs one with kCrashBody it ends, and returns under another identity after kReturnTime.
@@ -41,6 +49,10 @@
 
   /// \brief Ends a target's process; its connections close.
   void Crash(const std::string& target);
+  /// \brief Sets how all later crashes show.
+  void SetCrashSign(CrashSign sign) { m_crashSign = sign; }
+  /// \brief Sets how long control's list still has a target that crashed.
+  void SetListLag(Duration lag) { m_listLag = lag; }
   /// \brief Closes the connections to a target, which goes on.
   void CloseConnections(const std::string& target);
   /// \brief Sets the limit of requests a second that a target names in its answers.
@@ -122,6 +134,7 @@
     ServedTarget self;
     bool isRunning = true;
     bool isListed = true;
+    TimePoint crashedAt{}; ///< Where it no longer runs.
     std::optional<Duration> backoff;
     Duration dialTime{};
     std::vector<Backoff> backoffs; ///< That it asked for.
@@ -140,6 +153,8 @@
   void Arrive(const Call& call, const std::string& target);
   void TurnAway(const Call& call, Target& target);
   void BeginToRun(const std::string& target, std::uint64_t number);
+  /// \brief Ends the answers of a target that crashes as m_crashSign says.
+  void EndAnswers(const std::string& target);
   void Fail(const Call& call, bool neverSent);
   void Deliver(const Call& call, GatewayInput input);
   void Schedule(Duration delay, std::function<void()> action);
@@ -157,6 +172,8 @@
   std::size_t m_quarantined = 0;
   std::uint64_t m_lastNumber = 0;
   std::uint64_t m_documentVersion = 1;
+  CrashSign m_crashSign = CrashSign::kClosed;
+  Duration m_listLag{};
 };
 
 } // namespace gooseberrysail::fakes
--- a/tests/support/agent_harness.cpp
+++ b/tests/support/agent_harness.cpp
@@ -192,7 +192,12 @@
 
 void AgentHarness::Answer(ExchangeId exchange, unsigned status, std::string body)
 {
-  m_inbox.push_back(TargetAnswerIn{ exchange, status, {}, std::move(body), true });
+  TargetAnswerIn answer;
+  answer.exchange = exchange;
+  answer.status = status;
+  answer.bytes = std::move(body);
+  answer.end = true;
+  m_inbox.push_back(std::move(answer));
 }
 
 void AgentHarness::HandleCall(const TargetCallOut& call)
--- a/tests/support/raw_connection.hpp
+++ b/tests/support/raw_connection.hpp
@@ -3,6 +3,7 @@
 #include "gooseberrysail/net/endpoint.hpp"
 #include "gooseberrysail/net/fiber_runtime.hpp"
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
@@ -10,6 +11,8 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <utility>
+#include <vector>
 
 namespace gooseberrysail::tests {
 
@@ -72,6 +75,7 @@
   boost::asio::ip::tcp::socket socket;
   bool connected = false;
   std::string received;
+  boost::system::error_code readError; ///< Of the latest read.
 
 private:
   bool ReadSome()
@@ -80,18 +84,32 @@
     const auto [error, size] =
       Await([&](auto done) { socket.async_read_some(boost::asio::buffer(bytes), done); });
     received.append(bytes.data(), size);
+    readError = error;
     return !error;
   }
 };
 
-/// \brief A server that answers the first bytes of each connection with the same bytes, then closes
-/// it.
+/// \brief How a RawServer ends its connections.
+struct RawServerEnd
+{
+  std::string readUntil; ///< Of the request, before it answers; "": its first bytes.
+  bool resets = false;   ///< Resets the connection instead of closing it.
+};
+
+/// \brief A server that answers each connection with the next of its answers, the last one again
+/// and again, then closes it.
 class RawServer
 {
 public:
   RawServer(IoRuntime& runtime, std::string answer)
+    : RawServer(runtime, std::vector<std::string>{ std::move(answer) }, {})
+  {
+  }
+
+  RawServer(IoRuntime& runtime, std::vector<std::string> answers, RawServerEnd end)
     : m_runtime(runtime)
-    , m_answer(std::move(answer))
+    , m_answers(std::move(answers))
+    , m_end(std::move(end))
     , m_acceptor(Listen(runtime.Io(), "127.0.0.1:0").value())
     , m_ended(std::make_shared<Signal>())
   {
@@ -120,21 +138,41 @@
 private:
   void Serve()
   {
-    for (;;) {
+    for (std::size_t served = 0;; ++served) {
       boost::asio::ip::tcp::socket socket(m_runtime.Io());
       const auto [error, size] = Await([&](auto done) { m_acceptor.async_accept(socket, done); });
       if (error) {
         return;
       }
-      std::array<char, 4096> bytes{};
-      Await([&](auto done) { socket.async_read_some(boost::asio::buffer(bytes), done); });
+      ReadRequest(socket);
+      const std::string& answer = m_answers[std::min(served, m_answers.size() - 1)];
       Await(
-        [&](auto done) { boost::asio::async_write(socket, boost::asio::buffer(m_answer), done); });
+        [&](auto done) { boost::asio::async_write(socket, boost::asio::buffer(answer), done); });
+      if (m_end.resets) {
+        boost::system::error_code ignored;
+        socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+        socket.close(ignored); // The destructor would not reset it.
+      }
     }
   }
 
+  void ReadRequest(boost::asio::ip::tcp::socket& socket) const
+  {
+    std::string request;
+    do {
+      std::array<char, 4096> bytes{};
+      const auto [error, size] =
+        Await([&](auto done) { socket.async_read_some(boost::asio::buffer(bytes), done); });
+      if (error) {
+        return;
+      }
+      request.append(bytes.data(), size);
+    } while (request.find(m_end.readUntil) == std::string::npos);
+  }
+
   IoRuntime& m_runtime;
-  std::string m_answer;
+  std::vector<std::string> m_answers;
+  RawServerEnd m_end;
   boost::asio::ip::tcp::acceptor m_acceptor;
   std::shared_ptr<Signal> m_ended;
   bool m_running = true;
--- a/tests/unit/crashing_request_test.cpp
+++ b/tests/unit/crashing_request_test.cpp
@@ -58,6 +58,29 @@
   }
 }
 
+// Guards against a crash that counts as the end of an answer, and so clears the request that caused
+// it.
+TEST(CrashingRequest, IsRejectedWhereAnswersEndWithTheirConnections)
+{
+  const auto run = [](fakes::CrashSign sign) {
+    for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+      FakeGateways fleet(5, 12, seed);
+      fleet.SetCrashSign(sign);
+      fleet.SetListLag(1s);
+      RepeatCrashingRequest(fleet, 15s);
+      ExpectRepeatsWithinTheBound(fleet);
+    }
+  };
+  SECTION("the answer to the request that is the cause")
+  {
+    run(fakes::CrashSign::kEndOfCause);
+  }
+  SECTION("all answers")
+  {
+    run(fakes::CrashSign::kEndOfAll);
+  }
+}
+
 // Guards against a quarantine that takes so long that a caller that repeats costs more targets than
 // it must.
 TEST(CrashingRequest, OfOneCallerCostsAtMostFourTargets)
