Pass on no end that the target didn't state

Callers got answers that had been broken off with the end of whole ones: the text stopped, and a length or a last chunk vouched for it.

Cause: a target may leave out length and chunks, so that its answer ends with its connection. The HTTP client took that end for the answer's, and from there on there was one bool for it: the dispatcher ended the answer, the session wrote a last chunk, or a length where all of it came at once. A crash closes the connection just so. Evidence: UnframedAnswer failed at each cut of such an answer (318 checks, closed connections, each kind of route, both HTTP versions) and at none with a length, with chunks or reset.

The framing of an answer now crosses from the client to the session. What lasts until close goes to the caller without length and chunks, and is closed; it is reset where the entry knows that it was broken off (by a reset, inside an event, or when the process stops meanwhile), since a plain close after whole events would look like an end. A stream that ends inside an event was broken off, however it was framed, and is resumed or cut; before, its rest was passed on. A stream whose head went out with chunks isn't ended by an answer without: it is resumed again or cut. An answer without any event, with a length, is passed on as it is.

--- a/include/gooseberrysail/gateway/dispatcher.hpp
+++ b/include/gooseberrysail/gateway/dispatcher.hpp
@@ -124,6 +124,7 @@
     std::uint32_t excusedAttempts = 0;
     bool mayHaveRun = false;      ///< At least one attempt may have been executed.
     bool headForwarded = false;   ///< The head of the answer went to the caller.
+    AnswerFraming callerFraming = AnswerFraming::kDelimited; ///< Of that answer; set with the head.
     bool streams = false;         ///< The current answer is forwarded event by event.
     std::optional<AnswerFraming> framing; ///< Of the latest answer; none before a head.
     std::uint64_t answerBytes = 0;        ///< Of all bodies that targets sent.
@@ -184,6 +185,11 @@
   void OnHead(TimePoint now, Request& request, const TargetAnswerIn& part, Outbox& outbox);
   void OnBody(TimePoint now, Request& request, const TargetAnswerIn& part, Outbox& outbox);
   void ForwardEvents(TimePoint now, Request& request, const TargetAnswerIn& part, Outbox& outbox);
+  void SendEvents(TimePoint now, Request& request, std::string events, bool end, Outbox& outbox);
+  /// \brief The target's answer ended, and all of it went to the caller.
+  void Complete(TimePoint now, Request& request, unsigned status, Outbox& outbox);
+  /// \brief The target closed the connection before its answer was whole.
+  void OnClosed(TimePoint now, Request& request, std::string error, Outbox& outbox);
 
   // What targets say of themselves (dispatcher_statements.cpp).
 
--- a/include/gooseberrysail/gateway/event_splitter.hpp
+++ b/include/gooseberrysail/gateway/event_splitter.hpp
@@ -15,8 +15,10 @@
   /// \returns The bytes of all events that are complete now.
   [[nodiscard]] std::string Take(std::string_view bytes);
 
-  /// \brief Takes the bytes after the last complete event. If the answer ended normally, they are
-  /// part of it.
+  /// \brief Whether there are bytes after the last complete event.
+  [[nodiscard]] bool HasPartial() const noexcept { return !m_partial.empty(); }
+
+  /// \brief Takes the bytes after the last complete event.
   [[nodiscard]] std::string TakePartial();
 
   /// \brief Discards an event that will not be completed.
--- a/include/gooseberrysail/roles/inputs.hpp
+++ b/include/gooseberrysail/roles/inputs.hpp
@@ -87,13 +87,15 @@
 }
 
 /// \brief Part of an answer; the first part carries status and headers.
-/// \remarks If the first part has `end` set, the answer is sent with its length, otherwise chunked.
-/// `abort` closes the connection, so that the caller detects an incomplete answer.
+/// \remarks A delimited answer is sent with its length if the first part has `end` set, otherwise
+/// chunked. One that lasts until close gets neither, as its own end is not certain. After `abort`
+/// the caller can detect that the answer is incomplete.
 struct HttpAnswerOut
 {
   ExchangeId exchange;
   std::optional<unsigned> status;
   std::vector<HttpHeader> headers;
+  AnswerFraming framing = AnswerFraming::kDelimited; ///< Valid in the first part.
   std::string bytes;
   bool end = false;
   bool abort = false;
--- a/src/gateway/dispatcher.cpp
+++ b/src/gateway/dispatcher.cpp
@@ -242,6 +242,7 @@
     request.bufferedAnswer.exchange = request.call.exchange;
     request.bufferedAnswer.status = head.status;
     request.bufferedAnswer.headers = std::move(head.headers);
+    request.bufferedAnswer.framing = part.framing;
   }
   OnBody(now, request, part, outbox);
 }
@@ -263,10 +264,7 @@
     m_selector.OnAnswerTime(now, request.target, now - request.sentAt);
   }
   outbox.emplace_back(std::move(request.bufferedAnswer));
-  StopAttempt(request, outbox, false);
-  m_selector.OnSuccess(request.target);
-  RecordFinished(now, request, outbox);
-  End(now, request, "answered", status, outbox);
+  Complete(now, request, status, outbox);
 }
 
 void Dispatcher::ForwardEvents(TimePoint now,
@@ -275,15 +273,50 @@
                                Outbox& outbox)
 {
   std::string events = request.events.Take(part.bytes);
-  if (part.end) {
-    events += request.events.TakePartial();
+  if (!part.end) {
+    SendEvents(now, request, std::move(events), false, outbox);
+    return;
   }
-  if (events.empty() && !part.end) {
+  const bool isDelimited = request.framing == AnswerFraming::kDelimited;
+  if (isDelimited && !request.headForwarded && events.empty()) {
+    events = request.events.TakePartial(); // A whole answer that is no stream of events.
+  }
+  if (request.events.HasPartial()) {
+    SendEvents(now, request, std::move(events), false, outbox);
+    const char* error = "the stream ended inside an event";
+    if (isDelimited) {
+      AttemptEnded(now, request, outbox, true, error);
+    } else {
+      OnClosed(now, request, error, outbox);
+    }
+    return;
+  }
+  const bool wasDelimited =
+    request.headForwarded && request.callerFraming == AnswerFraming::kDelimited;
+  if (wasDelimited && !isDelimited) {
+    // A last chunk would state an end that the target didn't state.
+    SendEvents(now, request, std::move(events), false, outbox);
+    AttemptEnded(now, request, outbox, true, "the end of the resumed stream is not certain");
+    return;
+  }
+  SendEvents(now, request, std::move(events), true, outbox);
+  const unsigned status = 200;
+  Complete(now, request, status, outbox);
+}
+
+void Dispatcher::SendEvents(TimePoint now,
+                            Request& request,
+                            std::string events,
+                            bool end,
+                            Outbox& outbox)
+{
+  if (events.empty() && !end) {
     return;
   }
   HttpAnswerOut out;
   if (!request.headForwarded) {
     out = std::move(request.bufferedAnswer);
+    request.callerFraming = out.framing;
     request.headForwarded = true;
     request.firstEventAt = now;
     const ServedKind kind = KindOf(request);
@@ -296,14 +329,26 @@
   request.lastEventAt = now;
   out.exchange = request.call.exchange;
   out.bytes = std::move(events);
-  out.end = part.end;
-  const unsigned status = 200;
+  out.end = end;
   outbox.emplace_back(std::move(out));
-  if (part.end) {
-    StopAttempt(request, outbox, false);
-    m_selector.OnSuccess(request.target);
-    RecordFinished(now, request, outbox);
-    End(now, request, "answered", status, outbox);
+}
+
+void Dispatcher::Complete(TimePoint now, Request& request, unsigned status, Outbox& outbox)
+{
+  StopAttempt(request, outbox, false);
+  m_selector.OnSuccess(request.target);
+  RecordFinished(now, request, outbox);
+  End(now, request, "answered", status, outbox);
+}
+
+void Dispatcher::OnClosed(TimePoint now, Request& request, std::string error, Outbox& outbox)
+{
+  m_selector.OnNoAnswer(now, request.target);
+  const RequestFingerprint fingerprint = request.fingerprint;
+  const bool isQuarantined = RecordCrash(now, request, outbox);
+  AttemptEnded(now, request, outbox, true, std::move(error));
+  if (isQuarantined) {
+    StopRepeats(now, fingerprint, outbox);
   }
 }
 
@@ -315,21 +360,15 @@
       UseFreedSlots(now, outbox);
       return;
     }
+    const std::string error = failed.error.step + ": " + failed.error.description;
     if (failed.neverSent) {
       m_selector.OnUnreachable(now, request->target);
+      AttemptEnded(now, *request, outbox, false, error);
+    } else if (failed.error.code == ErrorCode::kUnavailable) {
+      OnClosed(now, *request, error, outbox);
     } else {
       m_selector.OnNoAnswer(now, request->target);
-    }
-    const RequestFingerprint fingerprint = request->fingerprint;
-    const bool isClosed = !failed.neverSent && failed.error.code == ErrorCode::kUnavailable;
-    const bool isQuarantined = isClosed && RecordCrash(now, *request, outbox);
-    AttemptEnded(now,
-                 *request,
-                 outbox,
-                 !failed.neverSent,
-                 failed.error.step + ": " + failed.error.description);
-    if (isQuarantined) {
-      StopRepeats(now, fingerprint, outbox);
+      AttemptEnded(now, *request, outbox, true, error);
     }
     UseFreedSlots(now, outbox);
   }
--- a/src/gateway/dispatcher_end.cpp
+++ b/src/gateway/dispatcher_end.cpp
@@ -44,7 +44,7 @@
 void Dispatcher::GiveUp(TimePoint now, Request& request, Outbox& outbox)
 {
   if (request.headForwarded) {
-    // Closed without the last chunk, so that the caller detects the incomplete answer.
+    // The caller detects the incomplete answer.
     HttpAnswerOut cut;
     cut.exchange = request.call.exchange;
     cut.abort = true;
--- a/src/http/http_session.hpp
+++ b/src/http/http_session.hpp
@@ -45,7 +45,8 @@
   /// \brief Queues a part of the response of the current exchange.
   void Answer(HttpAnswerOut part);
 
-  /// \brief Closes at once; the caller can detect that an unfinished response is incomplete.
+  /// \brief Closes at once. The caller can detect that an unfinished response is incomplete: its
+  /// length or last chunk is missing, or the connection is reset where it has neither.
   void Close();
 
   /// \brief Closes the connection if no part of a request has arrived.
@@ -72,6 +73,13 @@
     kIncomplete, ///< Incomplete; the connection is closed.
   };
 
+  enum class BodyEncoding
+  {
+    kNone, ///< A response without a body.
+    kChunked,
+    kPlain, ///< Until the connection ends.
+  };
+
   // Reading (http_session_read.cpp).
   [[nodiscard]] std::optional<Request> ReadRequest();
   bool WaitForRequest();
@@ -89,7 +97,8 @@
   [[nodiscard]] HttpAnswerOut JoinParts();
   WriteResult WriteWhole(const Request& request, const HttpAnswerOut& part);
   WriteResult WriteStream(const Request& request, HttpAnswerOut part);
-  bool WriteChunks(HttpAnswerOut part, bool hasBody);
+  bool WriteBody(HttpAnswerOut part, BodyEncoding encoding);
+  bool WriteBodyPart(std::string_view bytes, BodyEncoding encoding);
   bool WriteRejection(unsigned status, const std::string& body);
   void Abort(std::string_view reason);
   template<class Start>
@@ -109,6 +118,8 @@
   bool m_watching = false; ///< A wait for readability is pending.
   bool m_timedOut = false;
   bool m_closed = false;
+  /// The response being written has no other end than that of the connection.
+  bool m_endsWithConnection = false;
 };
 
 } // namespace gooseberrysail::impl
--- a/src/http/http_session_write.cpp
+++ b/src/http/http_session_write.cpp
@@ -120,16 +120,21 @@
   http::response<http::string_body> answer;
   answer.version(request.version);
   FillHead(answer, part);
-  const bool reuse = request.keepAlive && !m_hooks.isStopping();
+  const bool hasBody = !HasNoBody(answer.result_int());
+  m_endsWithConnection = hasBody && part.framing == AnswerFraming::kUntilClose;
+  const bool reuse = request.keepAlive && !m_hooks.isStopping() && !m_endsWithConnection;
   answer.keep_alive(reuse);
-  if (!HasNoBody(answer.result_int())) {
-    answer.content_length(part.bytes.size());
+  if (hasBody) {
+    if (!m_endsWithConnection) {
+      answer.content_length(part.bytes.size());
+    }
     answer.body() = request.head ? std::string() : part.bytes;
   }
   http::response_serializer<http::string_body> serializer(answer);
   if (!Write([&](auto done) { http::async_write(m_socket, serializer, done); })) {
     return WriteResult::kIncomplete;
   }
+  m_endsWithConnection = false;
   return reuse ? WriteResult::kReusable : WriteResult::kClosing;
 }
 
@@ -138,28 +143,42 @@
   http::response<http::empty_body> head;
   head.version(request.version);
   FillHead(head, part);
-  const bool reuse = request.keepAlive && !m_hooks.isStopping();
+  const bool hasBody = !HasNoBody(head.result_int());
+  m_endsWithConnection = hasBody && part.framing == AnswerFraming::kUntilClose;
+  const bool reuse = request.keepAlive && !m_hooks.isStopping() && !m_endsWithConnection;
   head.keep_alive(reuse);
-  const bool chunked = !HasNoBody(head.result_int());
-  head.chunked(chunked);
+  head.chunked(hasBody && !m_endsWithConnection);
   http::response_serializer<http::empty_body> serializer(head);
   if (!Write([&](auto done) { http::async_write_header(m_socket, serializer, done); })) {
     return WriteResult::kIncomplete;
   }
-  if (!WriteChunks(std::move(part), chunked && !request.head)) {
+  const BodyEncoding encoding =
+    m_endsWithConnection ? BodyEncoding::kPlain : BodyEncoding::kChunked;
+  if (!WriteBody(std::move(part), hasBody && !request.head ? encoding : BodyEncoding::kNone)) {
     return WriteResult::kIncomplete;
   }
+  m_endsWithConnection = false;
   return reuse ? WriteResult::kReusable : WriteResult::kClosing;
 }
 
-bool HttpSession::WriteChunks(HttpAnswerOut part, bool hasBody)
+bool HttpSession::WriteBodyPart(std::string_view bytes, BodyEncoding encoding)
+{
+  if (bytes.empty() || encoding == BodyEncoding::kNone) {
+    return true;
+  }
+  const auto buffer = asio::buffer(bytes);
+  if (encoding == BodyEncoding::kPlain) {
+    return Write([&](auto done) { asio::async_write(m_socket, buffer, done); });
+  }
+  const auto chunk = http::make_chunk(buffer);
+  return Write([&](auto done) { asio::async_write(m_socket, chunk, done); });
+}
+
+bool HttpSession::WriteBody(HttpAnswerOut part, BodyEncoding encoding)
 {
   for (;;) {
     const std::size_t size = part.bytes.size();
-    const auto chunk = http::make_chunk(asio::buffer(part.bytes));
-    const bool written =
-      !hasBody || size == 0 || Write([&](auto done) { asio::async_write(m_socket, chunk, done); });
-    if (!written) {
+    if (!WriteBodyPart(part.bytes, encoding)) {
       return false;
     }
     m_queuedBytes -= std::min(m_queuedBytes, size);
@@ -176,7 +195,8 @@
     part = JoinParts();
   }
   const auto last = http::make_chunk_last();
-  return !hasBody || Write([&](auto done) { asio::async_write(m_socket, last, done); });
+  return encoding != BodyEncoding::kChunked ||
+         Write([&](auto done) { asio::async_write(m_socket, last, done); });
 }
 
 bool HttpSession::WriteRejection(unsigned status, const std::string& body)
@@ -192,8 +212,8 @@
   return Write([&](auto done) { http::async_write(m_socket, serializer, done); });
 }
 
-// Closes the connection without the last chunk or without any response, so that no caller can take
-// the response for a complete one.
+// Closes the connection without the last chunk, by a reset or without any response, so that no
+// caller can take the response for a complete one.
 void HttpSession::Abort(std::string_view reason)
 {
   const ExchangeId exchange = m_exchange;
