An answer that ends with its connection is no success yet

What callers saw: where targets answer without length and chunks, a request that crashes them was repeated without end (23 to 26 repeats after the bound where three may), and streams cut by a crash just ended.

Cause: such an end counted like a stated one. It cleared its request from the suspects for good, ended the pause of its target, and gave a time for whole answers.

UnconfirmedEnds keeps these ends by incarnation until the target settles them: bytes that it sends 50 ms later or more confirm them; a connection that it closes within 50 ms, or refuses, makes them crashes, for the suspects like any other. The end of a stream waits for so long, its events don't: with a sign of a crash it is resumed, or cut by a reset. Answers that are no streams are passed on at once.

--- a/include/gooseberrysail/gateway/dispatcher.hpp
+++ b/include/gooseberrysail/gateway/dispatcher.hpp
@@ -6,6 +6,7 @@
 #include "gooseberrysail/gateway/head_room.hpp"
 #include "gooseberrysail/gateway/retry_allowance.hpp"
 #include "gooseberrysail/gateway/target_selector.hpp"
+#include "gooseberrysail/gateway/unconfirmed_ends.hpp"
 #include "gooseberrysail/gateway/wait_queue.hpp"
 #include "gooseberrysail/serving/crash_suspects.hpp"
 #include "gooseberrysail/serving/route_index.hpp"
@@ -191,6 +192,21 @@
   /// \brief The target closed the connection before its answer was whole.
   void OnClosed(TimePoint now, Request& request, std::string error, Outbox& outbox);
 
+  // Answers that end with their connections (dispatcher_unconfirmed.cpp).
+  /// \brief The outcome of an answer that may be whole or cut.
+  static constexpr const char* kUnconfirmed = "unconfirmed";
+  /// \brief The answer ended with its connection, and all of it went to the caller.
+  void CompleteUnconfirmed(TimePoint now, Request& request, unsigned status, Outbox& outbox);
+  /// \brief Ends streams whose targets have shown no crash in time.
+  void ReleaseHeldEnds(TimePoint now, Outbox& outbox);
+  /// \brief The target sent bytes, so the answers that it ended before were whole.
+  void ConfirmEnds(TimePoint now, const TargetIncarnation& target, Outbox& outbox);
+  /// \brief These answers were cut by a crash of their target.
+  void OnEndsCut(TimePoint now,
+                 const TargetIncarnation& target,
+                 std::span<const UnconfirmedEnds::End> ends,
+                 Outbox& outbox);
+
   // What targets say of themselves (dispatcher_statements.cpp).
 
   /// \brief Takes over what a target says of itself in its answer.
@@ -208,8 +224,11 @@
   // Suspects (dispatcher_suspects.cpp).
   /// \brief The target closed the connection while it had the request.
   /// \returns Whether the request is quarantined by that.
-  bool RecordCrash(TimePoint now, const Request& request, Outbox& outbox);
-  void RecordFinished(TimePoint now, const Request& request, Outbox& outbox);
+  bool RecordCrash(TimePoint now,
+                   const RequestFingerprint& fingerprint,
+                   const TargetIncarnation& target,
+                   Outbox& outbox);
+  void RecordFinished(TimePoint now, const RequestFingerprint& fingerprint, Outbox& outbox);
   void ClearSuspect(TimePoint now, const RequestFingerprint& fingerprint, Outbox& outbox);
   /// \brief Logs that a request is quarantined, or no longer, if that changed.
   /// \returns Whether it has just been quarantined.
@@ -240,6 +259,8 @@
   HeadRoom m_room;
   CrashSuspects m_suspects;
   FinishedRequests m_finished;            ///< None of them is a suspect.
+  UnconfirmedEnds m_unconfirmed;
+  std::set<std::pair<TimePoint, ExchangeId>> m_heldEnds; ///< With the time of the end.
   std::multiset<ServedKind> m_freedSlots; ///< Freed since the queue was last served.
   std::unordered_map<ExchangeId, Request> m_requests;
   std::unordered_map<ExchangeId, ExchangeId> m_attempts; ///< Attempt to request.
--- a/src/gateway/dispatcher.cpp
+++ b/src/gateway/dispatcher.cpp
@@ -193,6 +193,7 @@
     return;
   }
   m_selector.OnBytes(now, request->target);
+  ConfirmEnds(now, request->target, outbox);
   request->answerBytes += part.bytes.size();
   if (part.status) {
     request->framing = part.framing;
@@ -260,7 +261,7 @@
   }
   request.bufferedAnswer.end = true;
   const unsigned status = request.bufferedAnswer.status.value_or(0);
-  if (request.model.empty()) {
+  if (request.model.empty() && request.framing == AnswerFraming::kDelimited) {
     m_selector.OnAnswerTime(now, request.target, now - request.sentAt);
   }
   outbox.emplace_back(std::move(request.bufferedAnswer));
@@ -299,7 +300,8 @@
     AttemptEnded(now, request, outbox, true, "the end of the resumed stream is not certain");
     return;
   }
-  SendEvents(now, request, std::move(events), true, outbox);
+  // The end of an answer that may have been cut is sent once it is settled.
+  SendEvents(now, request, std::move(events), isDelimited, outbox);
   const unsigned status = 200;
   Complete(now, request, status, outbox);
 }
@@ -336,8 +338,12 @@
 void Dispatcher::Complete(TimePoint now, Request& request, unsigned status, Outbox& outbox)
 {
   StopAttempt(request, outbox, false);
+  if (request.framing == AnswerFraming::kUntilClose) {
+    CompleteUnconfirmed(now, request, status, outbox);
+    return;
+  }
   m_selector.OnSuccess(request.target);
-  RecordFinished(now, request, outbox);
+  RecordFinished(now, request.fingerprint, outbox);
   End(now, request, "answered", status, outbox);
 }
 
@@ -345,11 +351,13 @@
 {
   m_selector.OnNoAnswer(now, request.target);
   const RequestFingerprint fingerprint = request.fingerprint;
-  const bool isQuarantined = RecordCrash(now, request, outbox);
+  const TargetIncarnation target = request.target;
+  const bool isQuarantined = RecordCrash(now, fingerprint, target, outbox);
   AttemptEnded(now, request, outbox, true, std::move(error));
   if (isQuarantined) {
     StopRepeats(now, fingerprint, outbox);
   }
+  OnEndsCut(now, target, m_unconfirmed.TakeClosed(now, target), outbox);
 }
 
 void Dispatcher::OnFailed(TimePoint now, const TargetFailedIn& failed, Outbox& outbox)
@@ -362,8 +370,12 @@
     }
     const std::string error = failed.error.step + ": " + failed.error.description;
     if (failed.neverSent) {
-      m_selector.OnUnreachable(now, request->target);
+      const TargetIncarnation target = request->target;
+      m_selector.OnUnreachable(now, target);
       AttemptEnded(now, *request, outbox, false, error);
+      if (failed.error.code == ErrorCode::kUnavailable) {
+        OnEndsCut(now, target, m_unconfirmed.TakeAll(target), outbox);
+      }
     } else if (failed.error.code == ErrorCode::kUnavailable) {
       OnClosed(now, *request, error, outbox);
     } else {
@@ -385,6 +397,7 @@
 
 void Dispatcher::Tick(TimePoint now, Outbox& outbox)
 {
+  ReleaseHeldEnds(now, outbox);
   while (!m_deadlines.empty() && m_deadlines.begin()->first <= now) {
     Request& request = *Find(m_deadlines.begin()->second);
     request.mayHaveRun = request.mayHaveRun || !request.attempt.IsNone();
@@ -401,6 +414,7 @@
     MoveRequests(now, isStalled, "its head stands still", outbox);
   }
   m_suspects.RemoveExpired(now);
+  m_unconfirmed.RemoveExpired(now);
   UseFreedSlots(now, outbox);
 }
 
--- a/src/gateway/dispatcher_suspects.cpp
+++ b/src/gateway/dispatcher_suspects.cpp
@@ -11,20 +11,24 @@
 
 // A request that finished before can't be what crashes targets. Many callers of one workspace may
 // send the same look-up, which is in flight at every target of its service.
-bool Dispatcher::RecordCrash(TimePoint now, const Request& request, Outbox& outbox)
+bool Dispatcher::RecordCrash(TimePoint now,
+                             const RequestFingerprint& fingerprint,
+                             const TargetIncarnation& target,
+                             Outbox& outbox)
 {
-  const bool wasQuarantined = m_suspects.IsQuarantined(request.fingerprint);
-  if (m_finished.Contains(request.fingerprint) ||
-      !m_suspects.RecordCrash(now, request.fingerprint, request.target)) {
+  const bool wasQuarantined = m_suspects.IsQuarantined(fingerprint);
+  if (m_finished.Contains(fingerprint) || !m_suspects.RecordCrash(now, fingerprint, target)) {
     return false;
   }
-  return LogSuspect(request.fingerprint, wasQuarantined, kOwnSource, outbox);
+  return LogSuspect(fingerprint, wasQuarantined, kOwnSource, outbox);
 }
 
-void Dispatcher::RecordFinished(TimePoint now, const Request& request, Outbox& outbox)
+void Dispatcher::RecordFinished(TimePoint now,
+                                const RequestFingerprint& fingerprint,
+                                Outbox& outbox)
 {
-  m_finished.Add(request.fingerprint);
-  ClearSuspect(now, request.fingerprint, outbox);
+  m_finished.Add(fingerprint);
+  ClearSuspect(now, fingerprint, outbox);
 }
 
 void Dispatcher::ClearSuspect(TimePoint now, const RequestFingerprint& fingerprint, Outbox& outbox)
--- a/tools/lost_worth.py
+++ b/tools/lost_worth.py
@@ -50,7 +50,7 @@
 
 def outcome_of(event):
     """Returns the outcome that the entry recorded: in time, late, refused, failed or gone."""
-    if event.fields.get("outcome") == "answered" and event.fields.get("status", "").startswith("2"):
+    if event.fields.get("outcome") in ("answered", "unconfirmed") and event.fields.get("status", "").startswith("2"):
         first = event.number("firstMillis") or event.number("millis")
         return "in time" if first <= event.number("aimMillis") else "late"
     if event.fields.get("outcome") == "not-run":
