Soak: one replica gives its answers neither length nor chunks

A caller of the soak takes a part of an answer only where the reply leaves its end open; with a length or chunks it is compared whole, as before.

--- a/tests/soak/callers.cpp
+++ b/tests/soak/callers.cpp
@@ -60,9 +60,7 @@
     call.timeout = kRequestTimeout;
     m_ledger.OnRequestSent(id, !isNonRepeatable);
     const test::HttpReply reply = connection.Call(call);
-    const bool isOwn = reply.whole && reply.body == AnswerTo(id) &&
-                       reply.Header("X-Response-Seal").ends_with("." + id);
-    m_ledger.OnReply(id, reply.status, isOwn);
+    m_ledger.OnReply(id, reply.status, IsAnswerTo(id, reply));
     std::this_thread::sleep_for(kPauseBetweenRequests);
   }
 }
--- a/tests/soak/replica.cpp
+++ b/tests/soak/replica.cpp
@@ -1,7 +1,5 @@
 #include "soak/replica.hpp"
 
-#include "support/http_call.hpp"
-
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
@@ -29,6 +27,13 @@
   return "answer to " + id + " " + std::string(kPadding, 'x') + " end of " + id;
 }
 
+bool IsAnswerTo(const std::string& id, const test::HttpReply& reply)
+{
+  const std::string answer = AnswerTo(id);
+  const bool fits = reply.framed ? reply.body == answer : answer.starts_with(reply.body);
+  return reply.whole && fits && reply.Header("X-Response-Seal").ends_with("." + id);
+}
+
 Replica::Replica(std::string name,
                  std::vector<std::string> controls,
                  Ledger& ledger,
@@ -178,7 +183,11 @@
     answer.set("Server-Limit", m_limit);
   }
   answer.body() = AnswerTo(id);
-  answer.prepare_payload();
+  if (m_isUnframed) {
+    answer.keep_alive(false);
+  } else {
+    answer.prepare_payload();
+  }
   if (DrawWithProbability(m_answerTruncationRate)) {
     boost::beast::flat_buffer whole;
     boost::beast::ostream(whole) << answer;
@@ -187,7 +196,7 @@
     return false;
   }
   http::write(socket, answer, error);
-  return !error;
+  return !error && !m_isUnframed;
 }
 
 void Replica::SetRetryAfter(std::string seconds)
--- a/tests/soak/replica.hpp
+++ b/tests/soak/replica.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "soak/ledger.hpp"
+#include "support/http_call.hpp"
 #include "support/relay_thread.hpp"
 
 #include <atomic>
@@ -31,6 +32,8 @@
   void SetAnswerLossRate(double rate) { m_answerLossRate = rate; }
   /// \brief Sets the share of answers that are truncated, 0 to 1.
   void SetAnswerTruncationRate(double rate) { m_answerTruncationRate = rate; }
+  /// \brief Lets its answers have neither length nor chunks, and end with their connections.
+  void SetUnframed() { m_isUnframed = true; }
   /// \brief Sets the body of requests that crash the replica when it runs them.
   void SetCrashBody(std::string body) { m_crashBody = std::move(body); }
   /// \brief Sets the requests a second that its answers name as its limit; "" for none.
@@ -82,6 +85,7 @@
   std::string m_crashBody;  ///< Set before the first request; "" for none.
   std::string m_limit;      ///< Likewise.
   std::string m_retryAfter; ///< Guarded by m_mutex; "" for none.
+  std::atomic<bool> m_isUnframed = false;
   std::atomic<bool> m_isLeaving = false;
   std::atomic<std::uint64_t> m_rejections = 0;
   std::atomic<std::uint64_t> m_runs = 0;
@@ -94,7 +98,11 @@
   std::thread m_announceThread;
 };
 
-/// \brief The complete answer to a request, to which callers compare their replies.
+/// \brief The complete answer to a request.
 [[nodiscard]] std::string AnswerTo(const std::string& id);
 
+/// \brief Whether a caller's reply is the answer to its request: all of it, unless the reply leaves
+/// its end open.
+[[nodiscard]] bool IsAnswerTo(const std::string& id, const test::HttpReply& reply);
+
 } // namespace gooseberrysail::soak
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -34,6 +34,7 @@
       m_replicas.push_back(std::make_unique<Replica>(
         "r" + std::to_string(number + 1), m_cluster.Controls(), m_ledger, m_random()));
     }
+    m_replicas.back()->SetUnframed();
   }
 
   SoakReport Run()
@@ -239,7 +240,7 @@
     call.timeout = 1500ms;
     m_ledger.OnRequestSent(id, true);
     const test::HttpReply reply = test::Call(call);
-    m_ledger.OnReply(id, reply.status, reply.whole && reply.body == AnswerTo(id));
+    m_ledger.OnReply(id, reply.status, IsAnswerTo(id, reply));
     return reply.status == 200;
   }
 
--- a/tests/support/http_call.cpp
+++ b/tests/support/http_call.cpp
@@ -136,6 +136,7 @@
   }
   reply.body = parser.get().body();
   reply.whole = parser.is_done() && !error;
+  reply.framed = !parser.need_eof();
   reply.failure = error ? error.message() : "";
   if (!reply.whole || !parser.get().keep_alive()) {
     m_impl->Drop();
--- a/tests/support/http_call.hpp
+++ b/tests/support/http_call.hpp
@@ -17,6 +17,7 @@
   Headers headers;
   std::string body;
   bool whole = false; ///< The complete body was received, by the framing of HTTP.
+  bool framed = true; ///< It has a length or chunks, so that its end is certain.
   std::string failure;
 
   [[nodiscard]] std::string Header(std::string_view name) const;
