Read the shared parts of a prompt, and log them with a failed attempt

It now names the parts of the prompt that other requests may share, by fingerprints scoped to service and model, and says whether the answer had begun. Nothing decides by it yet.

--- a/include/gooseberrysail/gateway/dispatcher.hpp
+++ b/include/gooseberrysail/gateway/dispatcher.hpp
@@ -108,11 +108,13 @@
     std::string model;     ///< "" where the service has no engines.
     std::string workspace; ///< "" for a public route without a key.
     RequestFingerprint fingerprint;
+    std::vector<RequestFingerprint> promptParts; ///< That other requests may share.
     std::uint64_t targetsSequence = 0;
     Duration snapshotAge{};
     TimePoint arrived{};
     TimePoint deadline{};
     TimePoint sentAt{};           ///< The latest attempt.
+    TimePoint begunAt{};          ///< The first whole event of the latest attempt.
     TimePoint firstEventAt{};     ///< The first event went to the caller.
     TimePoint lastEventAt{};      ///< The latest event went to the caller.
     Duration longestPause{};      ///< Between two events to the caller.
--- a/include/gooseberrysail/gateway/gateway_api.hpp
+++ b/include/gooseberrysail/gateway/gateway_api.hpp
@@ -28,6 +28,8 @@
   std::uint32_t promptTokens = 0;
   std::uint32_t maxOutputTokens = 0;
   std::uint32_t expectedOutputTokens = 0; ///< The caller's estimate; 0 for none.
+  /// Ids of the parts of the prompt that other requests may share, from its start on.
+  std::vector<std::string> sharedPromptParts;
   std::vector<HttpHeader> headers;        ///< Forwarded to the target unchanged.
   std::string body;
 };
--- a/include/gooseberrysail/serving/request_fingerprint.hpp
+++ b/include/gooseberrysail/serving/request_fingerprint.hpp
@@ -30,6 +30,16 @@
 
 [[nodiscard]] RequestFingerprint FingerprintOf(const RequestContent& content) noexcept;
 
+/// \brief A part of a prompt, for one model of a service.
+struct PromptPart
+{
+  std::string_view service;
+  std::string_view model;
+  std::string_view id;
+};
+
+[[nodiscard]] RequestFingerprint FingerprintOf(const PromptPart& part) noexcept;
+
 /// \brief 32 hexadecimal digits, for log lines.
 [[nodiscard]] std::string ToString(const RequestFingerprint& fingerprint);
 
--- a/src/gateway/dispatcher.cpp
+++ b/src/gateway/dispatcher.cpp
@@ -15,6 +15,17 @@
 
 constexpr unsigned kServerFault = 500;
 
+constexpr std::size_t kMaxLoggedParts = 8;
+
+std::string JoinParts(std::span<const RequestFingerprint> parts)
+{
+  std::string text;
+  for (const RequestFingerprint& part : parts.first(std::min(parts.size(), kMaxLoggedParts))) {
+    text += (text.empty() ? "" : ",") + ToString(part);
+  }
+  return text;
+}
+
 bool IsSuccess(unsigned status)
 {
   return status / 100 == 2;
@@ -76,6 +87,7 @@
   request.isTargetAvoided = m_selector.IsAvoided(now, target.instance);
   request.tried.insert(target.instance);
   request.streams = false;
+  request.begunAt = TimePoint{};
   if (++request.attempts == 1) {
     CountDemand(request, false);
   }
@@ -183,7 +195,9 @@
                 { "reason", reason },
                 { "millis", std::to_string(ToMillis(now - request.sentAt)) },
                 { "avoided", request.isTargetAvoided ? "yes" : "no" },
-                { "retryAfterMillis", retryAfter ? std::to_string(ToMillis(*retryAfter)) : "" } }));
+                { "retryAfterMillis", retryAfter ? std::to_string(ToMillis(*retryAfter)) : "" },
+                { "begun", request.begunAt != TimePoint{} ? "yes" : "no" },
+                { "parts", JoinParts(request.promptParts) } }));
 }
 
 void Dispatcher::OnAnswer(TimePoint now, const TargetAnswerIn& part, Outbox& outbox)
@@ -274,6 +288,9 @@
                                Outbox& outbox)
 {
   std::string events = request.events.Take(part.bytes);
+  if (request.begunAt == TimePoint{} && !events.empty()) {
+    request.begunAt = now;
+  }
   if (!part.end) {
     SendEvents(now, request, std::move(events), false, outbox);
     return;
--- a/src/gateway/dispatcher_arrival.cpp
+++ b/src/gateway/dispatcher_arrival.cpp
@@ -86,6 +86,9 @@
   const Duration timeLeft = request.call.timeLeft.value_or(request.route->timeout);
   request.deadline = now + std::min(timeLeft, request.route->timeout);
   SelectService(request);
+  for (const std::string& id : request.call.sharedPromptParts) {
+    request.promptParts.push_back(FingerprintOf(PromptPart{ request.service, request.model, id }));
+  }
   return std::nullopt;
 }
 
--- a/tests/unit/platform_test.cpp
+++ b/tests/unit/platform_test.cpp
@@ -317,6 +317,30 @@
   }
 }
 
+TEST(PlatformGateway, ReadsThePartsOfAPromptThatOthersMayShare)
+{
+  const GatewayApi api = MakeGatewayApi();
+  const auto read = [&](const std::string& prefix) {
+    HttpRequestIn request = Request("POST", "/a/x", "body");
+    request.headers = { { "X-Request-Id", "r1" }, { "x-prompt-prefix", prefix } };
+    return api.decodeCall(request).value().sharedPromptParts;
+  };
+  using Parts = std::vector<std::string>;
+  EXPECT_EQ(read("5c1e07a2:800,91bd3f06:410,e4402b7d:250"), (Parts{ "5c1e07a2", "91bd3f06" }));
+  EXPECT_EQ(read("e4402b7d:250"), Parts());
+  EXPECT_EQ(read(""), Parts());
+  SECTION("from another writer")
+  {
+    EXPECT_EQ(read(",,:4,5c1e07a2,e4402b7d:250"), (Parts{ "5c1e07a2" }));
+    EXPECT_EQ(read(std::string(65, 'a') + ":1,b:2,c:3"), (Parts{ "b" }));
+    std::string many;
+    for (int part = 0; part < 100; ++part) {
+      many += "a" + std::to_string(part) + ":1,";
+    }
+    EXPECT_EQ(read(many).size(), 32U);
+  }
+}
+
 TEST(PlatformGateway, ReadsWhetherATargetExecutedTheRequest)
 {
   const GatewayApi api = MakeGatewayApi();
