--- a/tests/fakes/fake_gateways.cpp
+++ b/tests/fakes/fake_gateways.cpp
@@ -57,6 +57,7 @@
   bool isCut = false;
   std::vector<GatewayInput> inbox;
   std::map<ExchangeId, std::string> bodies; ///< Of callers' requests in flight.
+  std::set<ExchangeId> answered;            ///< Those of them with the head of a success.
   std::set<ExchangeId> dialling;            ///< Calls whose connection is being made.
   std::map<ExchangeId, std::pair<std::string, std::uint64_t>> calls; ///< Target and number.
 };
@@ -108,6 +109,7 @@
   ++entry.life;
   entry.inbox.clear();
   entry.bodies.clear();
+  entry.answered.clear();
   entry.dialling.clear();
   entry.calls.clear();
 }
@@ -122,6 +124,9 @@
                  { "X-Request-Id", "r" + std::to_string(m_lastNumber) },
                  { "Key", request.key },
                  { "Model", "large" } };
+  for (const std::string& part : request.parts) {
+    in.headers.push_back({ "Part", part });
+  }
   in.body = request.body;
   m_entries[entry]->bodies[in.exchange] = request.body;
   m_entries[entry]->inbox.emplace_back(std::move(in));
@@ -192,7 +197,13 @@
   } else if (const auto* call = std::get_if<TargetCallOut>(&output)) {
     const std::string target = call->address.substr(0, call->address.find(':'));
     const std::string requestId(FindHeader(call->headers, "X-Request-Id"));
-    Dial({ entry, state.life, call->exchange, requestId, call->body }, target);
+    std::vector<std::string> parts;
+    for (const HttpHeader& header : call->headers) {
+      if (header.name == "Part") {
+        parts.push_back(header.value);
+      }
+    }
+    Dial({ entry, state.life, call->exchange, requestId, call->body, std::move(parts) }, target);
   } else if (const auto* cancel = std::get_if<TargetCancelOut>(&output)) {
     state.dialling.erase(cancel->exchange);
     if (const auto found = state.calls.find(cancel->exchange); found != state.calls.end()) {
@@ -208,19 +219,73 @@
       state.inbox.emplace_back(std::move(failed));
     }
   } else if (const auto* answer = std::get_if<HttpAnswerOut>(&output)) {
-    if (answer->status) {
-      ++m_answers[state.bodies[answer->exchange]][*answer->status];
-    }
+    CountAnswer(state, *answer);
   } else if (const auto* event = std::get_if<EventOut>(&output)) {
-    const bool isQuarantine =
-      event->number == static_cast<std::uint32_t>(EventNumber::kGatewayRequestSuspected) &&
-      std::ranges::find(event->fields,
-                        std::pair<std::string, std::string>("state", "quarantined")) !=
-        event->fields.end();
-    m_quarantined += isQuarantine ? 1 : 0;
+    CountEvent(*event);
   }
 }
 
+void FakeGateways::CountAnswer(Entry& entry, const HttpAnswerOut& answer)
+{
+  const std::string& body = entry.bodies[answer.exchange];
+  if (answer.status) {
+    ++m_answers[body][*answer.status];
+  }
+  if (answer.status == 200) {
+    entry.answered.insert(answer.exchange);
+  }
+  if (answer.end && entry.answered.contains(answer.exchange)) {
+    ++m_served[body];
+  }
+}
+
+void FakeGateways::CountEvent(const EventOut& event)
+{
+  const auto has = [&](const char* name, const char* value) {
+    return std::ranges::find(event.fields, std::pair<std::string, std::string>(name, value)) !=
+           event.fields.end();
+  };
+  const auto isNumber = [&](EventNumber number) {
+    return event.number == static_cast<std::uint32_t>(number);
+  };
+  if (isNumber(EventNumber::kGatewayRequestSuspected) && has("state", "quarantined")) {
+    ++m_quarantined;
+  }
+  if (isNumber(EventNumber::kGatewayPromptPart) && has("state", "held")) {
+    m_heldParts.insert(event.fields.front().second);
+  }
+}
+
+std::string FakeGateways::NameOf(const std::string& part)
+{
+  return ToString(FingerprintOf(PromptPart{ "assist", "large", part }));
+}
+
+void FakeGateways::SetDeadly(const std::string& part, bool isDeadly)
+{
+  if (isDeadly) {
+    m_deadly.insert(part);
+  } else {
+    m_deadly.erase(part);
+  }
+}
+
+bool FakeGateways::IsDeadly(const Call& call) const
+{
+  return call.body == kCrashBody || std::ranges::any_of(call.parts, [&](const std::string& part) {
+           return m_deadly.contains(part);
+         });
+}
+
+std::size_t FakeGateways::CountServed(std::string_view bodyPrefix) const
+{
+  std::size_t served = 0;
+  for (const auto& [body, count] : m_served) {
+    served += body.starts_with(bodyPrefix) ? count : 0;
+  }
+  return served;
+}
+
 void FakeGateways::Dial(const Call& call, const std::string& target)
 {
   const Duration dialTime = m_targets.at(target).dialTime;
@@ -249,7 +314,7 @@
     TurnAway(call, state);
     return;
   }
-  if (call.body == kCrashBody) {
+  if (IsDeadly(call)) {
     m_crashArrivals.push_back(now);
   }
   const std::uint64_t number = ++m_lastNumber;
@@ -278,7 +343,7 @@
   if (found == state.calls.end()) {
     return;
   }
-  if (found->second.body == kCrashBody) {
+  if (IsDeadly(found->second)) {
     Schedule(kTimeToCrash, [this, target, number] {
       if (m_targets.at(target).calls.contains(number)) {
         m_crashes.push_back(now);
@@ -287,30 +352,53 @@
     });
     return;
   }
-  Schedule(kRunTime, [this, target, number] {
-    Target& runner = m_targets.at(target);
-    const auto running = runner.calls.find(number);
-    if (running == runner.calls.end()) {
-      return;
-    }
-    const Call call = running->second;
-    runner.calls.erase(running);
-    TargetAnswerIn answer;
-    answer.exchange = call.exchange;
-    answer.status = 200;
-    answer.headers = { { "X-Request-Id", call.requestId }, { "Seal", "s" } };
-    if (runner.limit) {
-      answer.headers.push_back({ "Limit", std::to_string(*runner.limit) });
-      runner.toldAt.emplace(call.entry, now);
-    }
-    if (runner.isLeaving) {
-      answer.headers.push_back({ "Leaving", "1" });
-      runner.toldLeavingAt.try_emplace({ call.entry, call.life }, now);
-    }
-    answer.bytes = "id: 1\ndata: done\n\n";
-    answer.end = true;
-    Deliver(call, std::move(answer));
-  });
+  if (!state.self.servedModel.empty()) {
+    Schedule(kTimeToFirstEvent, [this, target, number] { SendFirstEvent(target, number); });
+  }
+  Schedule(kRunTime, [this, target, number] { Finish(target, number); });
+}
+
+void FakeGateways::SendFirstEvent(const std::string& target, std::uint64_t number)
+{
+  Target& runner = m_targets.at(target);
+  const auto running = runner.calls.find(number);
+  if (running == runner.calls.end()) {
+    return;
+  }
+  const Call& call = running->second;
+  TargetAnswerIn answer;
+  answer.exchange = call.exchange;
+  answer.status = 200;
+  answer.headers = { { "X-Request-Id", call.requestId }, { "Seal", "s" } };
+  if (runner.limit) {
+    answer.headers.push_back({ "Limit", std::to_string(*runner.limit) });
+    runner.toldAt.emplace(call.entry, now);
+  }
+  if (runner.isLeaving) {
+    answer.headers.push_back({ "Leaving", "1" });
+    runner.toldLeavingAt.try_emplace({ call.entry, call.life }, now);
+  }
+  answer.bytes = "id: 1\ndata: begun\n\n";
+  Deliver(call, std::move(answer));
+}
+
+void FakeGateways::Finish(const std::string& target, std::uint64_t number)
+{
+  Target& runner = m_targets.at(target);
+  const auto running = runner.calls.find(number);
+  if (running == runner.calls.end()) {
+    return;
+  }
+  if (runner.self.servedModel.empty()) {
+    SendFirstEvent(target, number);
+  }
+  const Call call = running->second;
+  runner.calls.erase(running);
+  TargetAnswerIn rest;
+  rest.exchange = call.exchange;
+  rest.bytes = "id: 2\ndata: done\n\n";
+  rest.end = true;
+  Deliver(call, std::move(rest));
 }
 
 void FakeGateways::Crash(const std::string& target)
--- a/tests/fakes/fake_gateways.hpp
+++ b/tests/fakes/fake_gateways.hpp
@@ -20,6 +20,7 @@
   std::string path = "/stream/1"; ///< "/stream/..." for heads, "/safe/..." for plain targets.
   std::string body;
   std::string key = "secret";
+  std::vector<std::string> parts = {}; ///< Of its prompt, that others may share.
 };
 
 /// \brief How the crash of a target shows at the entries whose requests it has.
@@ -31,8 +32,9 @@
 };
 
 /// \brief Entries, the serving feed of a leader, and targets under scripted time.
-/// \remarks A target begins to run a request kQueueTime after its arrival and takes kRunTime. While
-/// it runs one with kCrashBody it ends, and returns under another identity after kReturnTime.
+/// \remarks A target begins to run a request kQueueTime after its arrival and takes kRunTime; a head
+/// sends the first event of its answer after kTimeToFirstEvent. While it runs one with kCrashBody or
+/// a deadly part it ends, and returns under another identity after kReturnTime.
 class FakeGateways
 {
 public:
@@ -49,6 +51,8 @@
 
   /// \brief Ends a target's process; its connections close.
   void Crash(const std::string& target);
+  /// \brief Sets whether each target ends that runs a request with this part in its prompt.
+  void SetDeadly(const std::string& part, bool isDeadly);
   /// \brief Sets how all later crashes show.
   void SetCrashSign(CrashSign sign) { m_crashSign = sign; }
   /// \brief Sets how long control's list still has a target that crashed.
@@ -76,9 +80,9 @@
   [[nodiscard]] std::size_t CountEntries() const { return m_entries.size(); }
   /// \brief The running targets of `prefix`: "head" or "plain".
   [[nodiscard]] std::vector<std::string> ListRunning(const std::string& prefix) const;
-  /// \brief Times at which a target ended while it ran kCrashBody.
+  /// \brief Times at which a target ended while it ran kCrashBody or a deadly part.
   [[nodiscard]] const std::vector<TimePoint>& Crashes() const { return m_crashes; }
-  /// \brief Arrivals of kCrashBody at running targets since `time`.
+  /// \brief Arrivals of kCrashBody and of deadly parts at running targets since `time`.
   [[nodiscard]] std::size_t CountArrivalsSince(TimePoint time) const;
   /// \brief The requests that a target got since `from`.
   [[nodiscard]] std::size_t CountArrivals(const std::string& target, TimePoint from) const;
@@ -98,10 +102,18 @@
   /// \brief Statuses of the final answers to requests with this body, with their number.
   [[nodiscard]] std::map<unsigned, std::size_t> Answers(const std::string& body) const;
 
+  /// \brief Requests whose body begins so that got the whole answer of a target.
+  [[nodiscard]] std::size_t CountServed(std::string_view bodyPrefix) const;
+  /// \brief The parts of prompts that any entry held back, by their fingerprints.
+  [[nodiscard]] const std::set<std::string>& HeldParts() const { return m_heldParts; }
+  /// \brief The name of a part in HeldParts.
+  [[nodiscard]] static std::string NameOf(const std::string& part);
+
   static constexpr const char* kCrashBody = "crashes each target that runs it";
   static constexpr Duration kStep = std::chrono::milliseconds(5);
   static constexpr Duration kQueueTime = std::chrono::milliseconds(150);
   static constexpr Duration kTimeToCrash = std::chrono::milliseconds(50);
+  static constexpr Duration kTimeToFirstEvent = std::chrono::milliseconds(50);
   static constexpr Duration kRunTime = std::chrono::milliseconds(400);
   static constexpr Duration kReturnTime = std::chrono::seconds(3);
   static constexpr Duration kToldTime = std::chrono::milliseconds(500);
@@ -117,6 +129,7 @@
     ExchangeId exchange;
     std::string requestId;
     std::string body;
+    std::vector<std::string> parts;
   };
   struct Arrival
   {
@@ -153,6 +166,11 @@
   void Arrive(const Call& call, const std::string& target);
   void TurnAway(const Call& call, Target& target);
   void BeginToRun(const std::string& target, std::uint64_t number);
+  void SendFirstEvent(const std::string& target, std::uint64_t number);
+  void Finish(const std::string& target, std::uint64_t number);
+  [[nodiscard]] bool IsDeadly(const Call& call) const;
+  void CountEvent(const EventOut& event);
+  void CountAnswer(Entry& entry, const HttpAnswerOut& answer);
   /// \brief Ends the answers of a target that crashes as m_crashSign says.
   void EndAnswers(const std::string& target);
   void Fail(const Call& call, bool neverSent);
@@ -169,6 +187,9 @@
   std::vector<TimePoint> m_crashes;
   std::vector<TimePoint> m_crashArrivals;
   std::map<std::string, std::map<unsigned, std::size_t>> m_answers; ///< By body.
+  std::map<std::string, std::size_t> m_served; ///< By body.
+  std::set<std::string> m_deadly;              ///< Parts.
+  std::set<std::string> m_heldParts;
   std::size_t m_quarantined = 0;
   std::uint64_t m_lastNumber = 0;
   std::uint64_t m_documentVersion = 1;
--- a/tests/support/plain_gateway_api.hpp
+++ b/tests/support/plain_gateway_api.hpp
@@ -7,7 +7,7 @@
 namespace gooseberrysail::tests {
 
 /// \brief Hooks with simple headers: Key, Left (milliseconds), Instance, Never-Ran, Seal,
-/// Limit, Backoff (milliseconds), Leaving, After.
+/// Limit, Backoff (milliseconds), Leaving, After, Part (one for each shared part of the prompt).
 inline GatewayApi PlainApi()
 {
   GatewayApi api;
@@ -27,6 +27,11 @@
     call.maxOutputTokens = 365;
     call.expectedOutputTokens = 50;
     call.body = in.body;
+    for (const HttpHeader& header : in.headers) {
+      if (header.name == "Part") {
+        call.sharedPromptParts.push_back(header.value);
+      }
+    }
     return call;
   };
   api.encodeAttempt = [](const TargetAttempt& attempt) {
@@ -40,6 +45,9 @@
                      { "Instance", attempt.target.instance.Get() },
                      { "Workspace", std::string(attempt.workspace) },
                      { "Left", std::to_string(ToMillis(attempt.timeLeft)) } };
+    for (const std::string& part : attempt.call.sharedPromptParts) {
+      call.headers.push_back({ "Part", part });
+    }
     if (attempt.resumeAfter) {
       call.headers.push_back({ "After", *attempt.resumeAfter });
     }
