Hold back the parts of prompts that crash targets

Cause: what crashes a target was looked for among whole requests only. The parts of a prompt are named in each request, and no process read them; each such request was new to the table of suspects.

PromptSuspects, at entries and at control, merged by the messages that carry the suspects: a part that was in flight, before the answer had begun, at three crashes whose attempts were sent one after the other, with no answer since the first of them, is held (or at eight, where all targets crash almost at once). Attempts that overlap may have one other cause, a lost domain or a reset of all connections. An answer that goes on for 150 ms after its first event drops the crashes before it, so that parts of much traffic don't become suspects and one that is harmless again is released. A crash at which a likelier part was in flight doesn't count; nor does an attempt younger than the fastest start lately. A request with a held part is answered 503 with the time of the next trial: it has not run. Control grants trials, one entry at a time, 2, 8, 32 s after the latest crash and so on up to ten minutes.

--- a/include/gooseberrysail/control/serving_feed.hpp
+++ b/include/gooseberrysail/control/serving_feed.hpp
@@ -5,6 +5,7 @@
 #include "gooseberrysail/control/target_changes.hpp"
 #include "gooseberrysail/placement/model_work.hpp"
 #include "gooseberrysail/serving/crash_suspects.hpp"
+#include "gooseberrysail/serving/prompt_suspects.hpp"
 #include "gooseberrysail/serving/served_target.hpp"
 
 #include <cstdint>
@@ -77,6 +78,10 @@
   /// that were in flight at one crash are never suspected again.
   static constexpr std::size_t kMinSharedCrashes = CrashSuspects::kQuarantineAfter - 1;
 
+  /// \brief After this time a trial that shows nothing is granted to another entry. The former one
+  /// no longer uses it then.
+  static constexpr Duration kTrialTimeout = 2 * PromptSuspects::kTrialValidity;
+
   /// \brief State that an entry's queries don't confirm within this time is sent again. It exceeds
   /// the time that a document takes over a saturated link, and the time after which a silent
   /// connection is closed.
@@ -96,9 +101,10 @@
   struct SentState
   {
     std::uint64_t document = 0;
-    std::uint64_t targets = 0;  ///< Sequence number in this leader's term.
-    std::uint64_t suspects = 0; ///< Likewise.
-    TimePoint at{};             ///< Time of the latest frame.
+    std::uint64_t targets = 0;     ///< Sequence number in this leader's term.
+    std::uint64_t suspects = 0;    ///< Likewise.
+    std::uint64_t promptParts = 0; ///< Likewise.
+    TimePoint at{};                ///< Time of the latest frame.
   };
 
   struct Entry
@@ -116,6 +122,7 @@
     std::map<std::string, double> sentParts; ///< Its part of each model's requests, as last sent.
     HeadShares shares;                       ///< Of the heads of all models.
     HeadShares sentShares;                   ///< As last sent.
+    std::vector<RequestFingerprint> trials;  ///< Granted and not yet sent.
   };
 
   using Parts = std::map<std::string, double>; ///< By model.
@@ -138,6 +145,12 @@
   void MergeSuspects(ControlContext& context,
                      const ProcessId& process,
                      const wire::ServingQueryT& query);
+  /// \brief Adds what an entry reports of parts of prompts.
+  void MergePromptParts(ControlContext& context,
+                        const ProcessId& process,
+                        const wire::ServingQueryT& query);
+  /// \brief Lets an entry try each held part that is due.
+  void GrantTrials(const ControlContext& context);
   static void RecordDemand(TimePoint now, Entry& entry, const wire::ModelDemandT& demand);
   /// \brief After a change of the control processes, adds their addresses to each entry's next
   /// frame.
@@ -147,8 +160,9 @@
   {
     bool controls = false;
     bool document = false;
-    std::optional<std::uint64_t> targetsSince;  ///< None when no targets are sent.
-    std::optional<std::uint64_t> suspectsSince; ///< None when no suspects are sent.
+    std::optional<std::uint64_t> targetsSince;     ///< None when no targets are sent.
+    std::optional<std::uint64_t> suspectsSince;    ///< None when no suspects are sent.
+    std::optional<std::uint64_t> promptPartsSince; ///< Likewise.
 
     friend auto operator<=>(const MissingState&, const MissingState&) = default;
   };
@@ -172,6 +186,10 @@
   std::vector<EntrySettings::Control> m_sentControls; ///< As last sent to entries.
   TargetChanges m_targets;
   CrashSuspects m_suspects;
+  PromptSuspects m_promptParts;
+  std::uint64_t m_sharedParts = 0;                  ///< Sequence number of the latest part to send.
+  std::map<RequestFingerprint, TimePoint> m_trials; ///< When they were granted.
+  std::size_t m_trialsGranted = 0;
   std::uint64_t m_sharedSuspects = 0; ///< Sequence number of the latest suspect to send.
   std::uint64_t m_urgentSequence = 0; ///< Of the latest urgent change.
   std::map<std::string, std::vector<HeadCapacity>> m_heads; ///< Heads that accept work, by model.
--- a/include/gooseberrysail/gateway/dispatcher.hpp
+++ b/include/gooseberrysail/gateway/dispatcher.hpp
@@ -4,11 +4,13 @@
 #include "gooseberrysail/gateway/finished_requests.hpp"
 #include "gooseberrysail/gateway/gateway_api.hpp"
 #include "gooseberrysail/gateway/head_room.hpp"
+#include "gooseberrysail/gateway/recent_minimum.hpp"
 #include "gooseberrysail/gateway/retry_allowance.hpp"
 #include "gooseberrysail/gateway/target_selector.hpp"
 #include "gooseberrysail/gateway/unconfirmed_ends.hpp"
 #include "gooseberrysail/gateway/wait_queue.hpp"
 #include "gooseberrysail/serving/crash_suspects.hpp"
+#include "gooseberrysail/serving/prompt_suspects.hpp"
 #include "gooseberrysail/serving/route_index.hpp"
 
 #include <functional>
@@ -91,7 +93,20 @@
                              std::span<const std::unique_ptr<wire::CrashSuspectT>> rows,
                              std::vector<GatewayOutput>& outbox);
 
+  /// \brief Adds what control knows of parts of prompts, and ends the requests with held ones.
+  void MergePromptParts(TimePoint now,
+                        const ProcessId& source,
+                        std::span<const std::unique_ptr<wire::PromptSuspectT>> rows,
+                        std::vector<GatewayOutput>& outbox);
+
+  /// \brief Lets one request with a held part be sent, if one comes in time.
+  void GrantTrial(TimePoint now,
+                  const ProcessId& source,
+                  const RequestFingerprint& part,
+                  std::vector<GatewayOutput>& outbox);
+
   [[nodiscard]] const CrashSuspects& Suspects() const noexcept { return m_suspects; }
+  [[nodiscard]] const PromptSuspects& PromptParts() const noexcept { return m_promptParts; }
   [[nodiscard]] TargetSelector& Selector() noexcept { return m_selector; }
   [[nodiscard]] const TargetSelector& Selector() const noexcept { return m_selector; }
   [[nodiscard]] RetryAllowance& Retries() noexcept { return m_retries; }
@@ -99,6 +114,8 @@
   [[nodiscard]] std::vector<DemandRow> Demand() const;
 
 private:
+  static constexpr const char* kOwnSource = "this entry"; ///< In log lines.
+
   struct Request
   {
     GatewayCall call;
@@ -115,6 +132,8 @@
     TimePoint deadline{};
     TimePoint sentAt{};           ///< The latest attempt.
     TimePoint begunAt{};          ///< The first whole event of the latest attempt.
+    bool isProven = false;        ///< Its answer went on after that, so its prompt crashes nothing.
+    bool isTrial = false;         ///< The latest attempt tries a held part of the prompt.
     TimePoint firstEventAt{};     ///< The first event went to the caller.
     TimePoint lastEventAt{};      ///< The latest event went to the caller.
     Duration longestPause{};      ///< Between two events to the caller.
@@ -125,13 +144,13 @@
     std::uint32_t attempts = 0;
     /// Attempts that never ran and don't count towards the route's maximum.
     std::uint32_t excusedAttempts = 0;
-    bool mayHaveRun = false;      ///< At least one attempt may have been executed.
-    bool headForwarded = false;   ///< The head of the answer went to the caller.
+    bool mayHaveRun = false;    ///< At least one attempt may have been executed.
+    bool headForwarded = false; ///< The head of the answer went to the caller.
     AnswerFraming callerFraming = AnswerFraming::kDelimited; ///< Of that answer; set with the head.
-    bool streams = false;         ///< The current answer is forwarded event by event.
+    bool streams = false;                 ///< The current answer is forwarded event by event.
     std::optional<AnswerFraming> framing; ///< Of the latest answer; none before a head.
     std::uint64_t answerBytes = 0;        ///< Of all bodies that targets sent.
-    HttpAnswerOut bufferedAnswer; ///< Status and headers, and the body unless it streams.
+    HttpAnswerOut bufferedAnswer;         ///< Status and headers, and the body unless it streams.
     EventSplitter events;
     std::string lastError;
   };
@@ -243,6 +262,29 @@
   /// \brief Answers a quarantined request without an attempt.
   void RejectRepeat(TimePoint now, Request& request, Outbox& outbox);
 
+  // Parts of prompts (dispatcher_parts.cpp).
+  /// \brief The parts of an attempt that a crash of its target makes suspects.
+  [[nodiscard]] std::span<const RequestFingerprint> UnprovenParts(TimePoint now,
+                                                                  const Request& request);
+  /// \brief A held part of the request's prompt; null when there is none.
+  [[nodiscard]] const RequestFingerprint* FindHeldPart(const Request& request) const;
+  /// \brief Whether the request may be sent to try its only held part.
+  bool TakeTrial(TimePoint now, const Request& request);
+  void RecordPartCrashes(std::span<const RequestFingerprint> parts,
+                         const TargetIncarnation& target,
+                         const PromptSuspects::Crash& crash);
+  /// \brief Records the parts of an answer that went on for long enough.
+  void RecordPartProofs(TimePoint now, Request& request, Outbox& outbox);
+  /// \brief Logs the parts that are held now, or no longer, and ends the requests with held ones.
+  void ApplyHeldParts(TimePoint now, const std::string& source, Outbox& outbox);
+  void LogPart(const RequestFingerprint& part,
+               const char* state,
+               const std::string& source,
+               Outbox& outbox) const;
+  void EndHeldRequests(TimePoint now, Outbox& outbox);
+  /// \brief Answers a request with a held part that has not been sent.
+  void RefuseHeld(TimePoint now, Request& request, const RequestFingerprint& part, Outbox& outbox);
+
   // Ends (dispatcher_end.cpp).
   void GiveUp(TimePoint now, Request& request, Outbox& outbox);
   /// \brief When a caller for whom no target can be chosen should come back.
@@ -260,10 +302,14 @@
   WaitQueue m_queue;
   HeadRoom m_room;
   CrashSuspects m_suspects;
-  FinishedRequests m_finished;            ///< None of them is a suspect.
+  FinishedRequests m_finished; ///< None of them is a suspect.
+  PromptSuspects m_promptParts;
+  std::map<ServedKind, RecentMinimum> m_fastestStarts; ///< From sending to the first event.
+  std::set<RequestFingerprint> m_heldParts;            ///< As last applied to the requests.
+  std::map<RequestFingerprint, TimePoint> m_trials;    ///< Granted to this entry, with their ends.
   UnconfirmedEnds m_unconfirmed;
   std::set<std::pair<TimePoint, ExchangeId>> m_heldEnds; ///< With the time of the end.
-  std::multiset<ServedKind> m_freedSlots; ///< Freed since the queue was last served.
+  std::multiset<ServedKind> m_freedSlots;                ///< Freed since the queue was last served.
   std::unordered_map<ExchangeId, Request> m_requests;
   std::unordered_map<ExchangeId, ExchangeId> m_attempts; ///< Attempt to request.
   std::set<std::pair<TimePoint, ExchangeId>> m_deadlines;
--- a/include/gooseberrysail/gateway/feed_client.hpp
+++ b/include/gooseberrysail/gateway/feed_client.hpp
@@ -59,13 +59,19 @@
                               const Dispatcher& dispatcher,
                               wire::ServingQueryT& query);
   /// \brief Adds the suspects that changed since the latest query to the leader.
-  void AddSuspects(TimePoint now, const CrashSuspects& suspects, wire::ServingQueryT& query);
+  void AddSuspects(TimePoint now, const Dispatcher& dispatcher, wire::ServingQueryT& query);
   /// \brief Merges the suspects that the leader sent, and clears those that finished here.
   void ApplySuspects(TimePoint now,
                      const ProcessId& peer,
                      const wire::ServingStateT& state,
                      Dispatcher& dispatcher,
                      std::vector<GatewayOutput>& outbox);
+  /// \brief Merges the parts of prompts that the leader sent, and its grants of trials.
+  void ApplyPromptParts(TimePoint now,
+                        const ProcessId& peer,
+                        const wire::ServingStateT& state,
+                        Dispatcher& dispatcher,
+                        std::vector<GatewayOutput>& outbox);
   [[nodiscard]] bool IsQueryDue(TimePoint now, const Dispatcher& dispatcher) const;
 
   std::map<ProcessId, std::string> m_controls; ///< With their addresses.
@@ -80,8 +86,9 @@
   TimePoint m_reportedNoAnswer{};       ///< Time of the latest missing answer in a query.
   std::uint64_t m_leaderTerm = 0;       ///< Of the latest state.
   std::uint64_t m_reportedSuspects = 0; ///< The leader has the changes up to this one.
-  std::uint64_t m_heldSuspects = 0;     ///< Sequence number in the term m_suspectsTerm.
-  std::uint64_t m_suspectsTerm = 0;
+  std::uint64_t m_reportedParts = 0;    ///< Likewise.
+  std::uint64_t m_heldSuspects = 0;     ///< Sequence number in the term m_leaderTerm.
+  std::uint64_t m_heldParts = 0;        ///< Likewise.
 };
 
 } // namespace gooseberrysail
--- a/include/gooseberrysail/gateway/gateway_api.hpp
+++ b/include/gooseberrysail/gateway/gateway_api.hpp
@@ -30,7 +30,7 @@
   std::uint32_t expectedOutputTokens = 0; ///< The caller's estimate; 0 for none.
   /// Ids of the parts of the prompt that other requests may share, from its start on.
   std::vector<std::string> sharedPromptParts;
-  std::vector<HttpHeader> headers;        ///< Forwarded to the target unchanged.
+  std::vector<HttpHeader> headers; ///< Forwarded to the target unchanged.
   std::string body;
 };
 
--- a/include/gooseberrysail/gateway/unconfirmed_ends.hpp
+++ b/include/gooseberrysail/gateway/unconfirmed_ends.hpp
@@ -23,6 +23,9 @@
     ExchangeId exchange; ///< Of the request.
     RequestFingerprint fingerprint;
     TimePoint at{};
+    std::vector<RequestFingerprint> parts = {}; ///< Of the prompt, unless the answer proved them.
+    TimePoint sentAt = {};
+    bool isTrial = false;
   };
 
   void Add(const TargetIncarnation& target, const End& end);
--- a/src/control/serving_feed.cpp
+++ b/src/control/serving_feed.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace gooseberrysail {
 
@@ -53,6 +54,9 @@
   m_targets.Reset();
   m_suspects = {};
   m_sharedSuspects = 0;
+  m_promptParts = {};
+  m_sharedParts = 0;
+  m_trials.clear();
   m_urgentSequence = 0;
   m_heads.clear();
   m_areSharesCurrent = false;
@@ -80,6 +84,7 @@
   entry.failureDomain = FailureDomainId(query.failureDomain);
   UpdateSentState(context, entry, query);
   MergeSuspects(context, process, query);
+  MergePromptParts(context, process, query);
   m_hasTraffic = m_hasTraffic || !query.demand.empty();
   for (const auto& demand : query.demand) {
     RecordDemand(context.now, entry, *demand);
@@ -117,6 +122,8 @@
   const bool isSuspectsTerm = query.suspectsTerm == context.replication.term.Get();
   const std::uint64_t suspects = isSuspectsTerm ? query.haveSuspects : 0;
   sent.suspects = mustResend ? suspects : std::max(sent.suspects, suspects);
+  const std::uint64_t promptParts = isSuspectsTerm ? query.havePromptParts : 0;
+  sent.promptParts = mustResend ? promptParts : std::max(sent.promptParts, promptParts);
 }
 
 void ServingFeed::MergeSuspects(ControlContext& context,
@@ -143,6 +150,49 @@
   }
 }
 
+void ServingFeed::MergePromptParts(ControlContext& context,
+                                   const ProcessId& process,
+                                   const wire::ServingQueryT& query)
+{
+  for (const auto& row : query.promptParts) {
+    const RequestFingerprint part = FingerprintOf(*row);
+    const bool wasHeld = m_promptParts.IsHeld(part);
+    if (!m_promptParts.Merge(context.now, *row) || m_promptParts.IsHeld(part) == wasHeld) {
+      continue;
+    }
+    context.outbox.emplace_back(
+      MakeEvent(EventNumber::kPromptPartSuspected,
+                { { "part", ToString(part) },
+                  { "state", wasHeld ? "released" : "held" },
+                  { "crashed", std::to_string(m_promptParts.Find(part)->crashes.size()) },
+                  { "entry", process.Get() } }));
+  }
+  if (!query.promptParts.empty()) {
+    m_sharedParts = m_promptParts.SequenceOf(kMinSharedCrashes);
+  }
+}
+
+// One grant for each trial: if each entry tried a part by itself, each trial would cost as many
+// targets as there are entries.
+void ServingFeed::GrantTrials(const ControlContext& context)
+{
+  std::erase_if(m_trials, [&](const auto& trial) {
+    return !m_promptParts.IsHeld(trial.first) || context.now - trial.second >= kTrialTimeout;
+  });
+  std::vector<Entry*> connected;
+  for (auto& [process, entry] : m_entries) {
+    if (entry.isConnected) {
+      connected.push_back(&entry);
+    }
+  }
+  for (const RequestFingerprint& part : m_promptParts.Held()) {
+    const bool isDue = context.now >= m_promptParts.TrialDueAt(part);
+    if (isDue && !connected.empty() && m_trials.emplace(part, context.now).second) {
+      connected[m_trialsGranted++ % connected.size()]->trials.push_back(part);
+    }
+  }
+}
+
 // The demand of a disconnected entry is kept: its callers are still there, and without them models
 // would appear unused and the heads would be divided among the other entries.
 void ServingFeed::OnPeerDown(const ProcessId& process)
@@ -157,6 +207,7 @@
   entry.sent = {};
   entry.sentParts.clear();
   entry.sentShares.clear();
+  entry.trials.clear();
 }
 
 void ServingFeed::SetTargets(std::span<const ServedTarget> targets)
@@ -235,6 +286,8 @@
   });
   const std::map<std::string, ModelDemand> demand = Demand();
   m_suspects.RemoveExpired(context.now);
+  m_promptParts.RemoveExpired(context.now);
+  GrantTrials(context);
   UpdateControls(context);
   UpdateHeadShares(context.now, demand);
   Messages messages;
@@ -290,11 +343,15 @@
   if (entry.sent.suspects < m_sharedSuspects) {
     missing.suspectsSince = entry.sent.suspects;
   }
+  if (entry.sent.promptParts < m_sharedParts) {
+    missing.promptPartsSince = entry.sent.promptParts;
+  }
   Parts parts = PartsOf(entry, demand);
   const bool partsChanged = Differ(entry.sentParts, parts);
   const bool sharesChanged = Differ(entry.sentShares, entry.shares);
+  const bool hasOwnState = partsChanged || sharesChanged || !entry.trials.empty();
   const bool isNothingDue = !missing.document && !missing.targetsSince && !missing.suspectsSince &&
-                            !partsChanged && !sharesChanged;
+                            !missing.promptPartsSince && !hasOwnState;
   if (isNothingDue || !context.HasQueueCapacity(process)) {
     return;
   }
@@ -303,12 +360,18 @@
   entry.sent = { std::max(document.version, entry.sent.document),
                  missing.targetsSince ? m_targets.Sequence() : entry.sent.targets,
                  missing.suspectsSince ? m_suspects.Sequence() : entry.sent.suspects,
+                 missing.promptPartsSince ? m_promptParts.Sequence() : entry.sent.promptParts,
                  context.now };
-  if (partsChanged || sharesChanged) {
+  if (hasOwnState) {
     wire::ServingStateT state = MakeState(context, missing);
     entry.sentParts = std::move(parts);
     entry.sentShares = entry.shares;
     AddShares(entry, state);
+    for (const RequestFingerprint& part : std::exchange(entry.trials, {})) {
+      state.trials.push_back(std::make_unique<wire::PartTrialT>());
+      state.trials.back()->partHigh = part.high;
+      state.trials.back()->partLow = part.low;
+    }
     context.SendMessage(process, std::move(state));
     return;
   }
@@ -357,6 +420,13 @@
       state.suspects.push_back(std::make_unique<wire::CrashSuspectT>(std::move(row)));
     }
   }
+  if (missing.promptPartsSince) {
+    state.promptPartsSequence = m_promptParts.Sequence();
+    for (wire::PromptSuspectT& row :
+         m_promptParts.ListChanged(context.now, *missing.promptPartsSince, kMinSharedCrashes)) {
+      state.promptParts.push_back(std::make_unique<wire::PromptSuspectT>(std::move(row)));
+    }
+  }
   return state;
 }
 
--- a/src/gateway/dispatcher.cpp
+++ b/src/gateway/dispatcher.cpp
@@ -88,6 +88,7 @@
   request.tried.insert(target.instance);
   request.streams = false;
   request.begunAt = TimePoint{};
+  request.isProven = false;
   if (++request.attempts == 1) {
     CountDemand(request, false);
   }
@@ -137,6 +138,7 @@
 {
   const bool repeatable = !request.mayHaveRun || MayRunAgain(request.route->repeat);
   return repeatable && !m_suspects.IsQuarantined(request.fingerprint) &&
+         FindHeldPart(request) == nullptr &&
          request.attempts - request.excusedAttempts < request.route->maxAttempts &&
          request.deadline - now > kMinTimeLeft &&
          m_selector.Choose(now, QueryOf(now, request)) != nullptr &&
@@ -290,7 +292,9 @@
   std::string events = request.events.Take(part.bytes);
   if (request.begunAt == TimePoint{} && !events.empty()) {
     request.begunAt = now;
+    m_fastestStarts[KindOf(request)].Add(now, now - request.sentAt);
   }
+  RecordPartProofs(now, request, outbox);
   if (!part.end) {
     SendEvents(now, request, std::move(events), false, outbox);
     return;
@@ -361,6 +365,8 @@
   }
   m_selector.OnSuccess(request.target);
   RecordFinished(now, request.fingerprint, outbox);
+  request.begunAt = std::max(request.begunAt, request.sentAt);
+  RecordPartProofs(now, request, outbox);
   End(now, request, "answered", status, outbox);
 }
 
@@ -370,10 +376,13 @@
   const RequestFingerprint fingerprint = request.fingerprint;
   const TargetIncarnation target = request.target;
   const bool isQuarantined = RecordCrash(now, fingerprint, target, outbox);
+  RecordPartCrashes(UnprovenParts(now, request), target, { request.sentAt, now, request.isTrial });
+  request.isTrial = false;
   AttemptEnded(now, request, outbox, true, std::move(error));
   if (isQuarantined) {
     StopRepeats(now, fingerprint, outbox);
   }
+  ApplyHeldParts(now, kOwnSource, outbox);
   OnEndsCut(now, target, m_unconfirmed.TakeClosed(now, target), outbox);
 }
 
@@ -431,6 +440,7 @@
     MoveRequests(now, isStalled, "its head stands still", outbox);
   }
   m_suspects.RemoveExpired(now);
+  m_promptParts.RemoveExpired(now);
   m_unconfirmed.RemoveExpired(now);
   UseFreedSlots(now, outbox);
 }
--- a/src/gateway/dispatcher_arrival.cpp
+++ b/src/gateway/dispatcher_arrival.cpp
@@ -36,6 +36,13 @@
     RejectRepeat(now, request, outbox);
     return;
   }
+  if (const RequestFingerprint* held = FindHeldPart(request)) {
+    request.isTrial = TakeTrial(now, request);
+    if (!request.isTrial) {
+      RefuseHeld(now, request, *held, outbox);
+      return;
+    }
+  }
   m_retries.CountRequest(now, request.service);
   m_deadlines.emplace(request.deadline, exchange);
   Request& stored = m_requests.emplace(exchange, std::move(request)).first->second;
--- a/src/gateway/dispatcher_suspects.cpp
+++ b/src/gateway/dispatcher_suspects.cpp
@@ -3,12 +3,6 @@
 
 namespace gooseberrysail {
 
-namespace {
-
-constexpr const char* kOwnSource = "this entry";
-
-} // namespace
-
 // A request that finished before can't be what crashes targets. Many callers of one workspace may
 // send the same look-up, which is in flight at every target of its service.
 bool Dispatcher::RecordCrash(TimePoint now,
--- a/src/gateway/dispatcher_unconfirmed.cpp
+++ b/src/gateway/dispatcher_unconfirmed.cpp
@@ -9,7 +9,14 @@
                                      Outbox& outbox)
 {
   const ExchangeId exchange = request.call.exchange;
-  m_unconfirmed.Add(request.target, { exchange, request.fingerprint, now });
+  const auto parts = UnprovenParts(now, request);
+  m_unconfirmed.Add(request.target,
+                    { exchange,
+                      request.fingerprint,
+                      now,
+                      { parts.begin(), parts.end() },
+                      request.sentAt,
+                      request.isTrial });
   request.mayHaveRun = true;
   if (request.streams) {
     m_heldEnds.emplace(now, exchange);
@@ -20,8 +27,7 @@
 
 void Dispatcher::ReleaseHeldEnds(TimePoint now, Outbox& outbox)
 {
-  while (!m_heldEnds.empty() &&
-         now - m_heldEnds.begin()->first >= UnconfirmedEnds::kSettleTime) {
+  while (!m_heldEnds.empty() && now - m_heldEnds.begin()->first >= UnconfirmedEnds::kSettleTime) {
     Request* request = Find(m_heldEnds.begin()->second);
     m_heldEnds.erase(m_heldEnds.begin());
     if (request != nullptr) {
@@ -47,6 +53,7 @@
 {
   for (const UnconfirmedEnds::End& end : ends) {
     const bool isQuarantined = RecordCrash(now, end.fingerprint, target, outbox);
+    RecordPartCrashes(end.parts, target, { end.sentAt, end.at, end.isTrial });
     const bool isHeld = m_heldEnds.erase({ end.at, end.exchange }) > 0;
     if (Request* request = Find(end.exchange); isHeld && request != nullptr) {
       AttemptEnded(now, *request, outbox, true, "its target crashed when the answer ended");
@@ -55,6 +62,7 @@
       StopRepeats(now, end.fingerprint, outbox);
     }
   }
+  ApplyHeldParts(now, kOwnSource, outbox);
 }
 
 } // namespace gooseberrysail
--- a/src/gateway/feed_client.cpp
+++ b/src/gateway/feed_client.cpp
@@ -56,7 +56,7 @@
     // heads would be most of an entry's traffic to control.
     if (process == m_leader) {
       AddObservations(now, dispatcher, query);
-      AddSuspects(now, dispatcher.Suspects(), query);
+      AddSuspects(now, dispatcher, query);
     }
     outbox.emplace_back(FrameOut{ process, address, MakeEnvelope(std::move(query)) });
   }
@@ -67,7 +67,8 @@
 {
   const bool hasUnreportedNoAnswer = dispatcher.Selector().LatestNoAnswer() > m_reportedNoAnswer;
   const bool hasUnreportedCrash =
-    !m_leader.IsNone() && dispatcher.Suspects().Sequence() > m_reportedSuspects;
+    !m_leader.IsNone() && (dispatcher.Suspects().Sequence() > m_reportedSuspects ||
+                           dispatcher.PromptParts().Sequence() > m_reportedParts);
   return now >= m_nextQuery ||
          (hasUnreportedNoAnswer && now >= m_lastQuery + kNoAnswerReportInterval) ||
          (hasUnreportedCrash && now >= m_lastQuery + kCrashReportInterval);
@@ -82,7 +83,8 @@
   query.failureDomain = m_ownDomain.Get();
   query.sendAgain = m_missedChange;
   query.haveSuspects = m_heldSuspects;
-  query.suspectsTerm = m_suspectsTerm;
+  query.havePromptParts = m_heldParts;
+  query.suspectsTerm = m_leaderTerm;
   return query;
 }
 
@@ -116,19 +118,24 @@
 }
 
 void FeedClient::AddSuspects(TimePoint now,
-                             const CrashSuspects& suspects,
+                             const Dispatcher& dispatcher,
                              wire::ServingQueryT& query)
 {
-  for (wire::CrashSuspectT& row : suspects.ListChanged(now, m_reportedSuspects, 1)) {
+  for (wire::CrashSuspectT& row : dispatcher.Suspects().ListChanged(now, m_reportedSuspects, 1)) {
     query.suspects.push_back(std::make_unique<wire::CrashSuspectT>(std::move(row)));
   }
-  m_reportedSuspects = suspects.Sequence();
+  for (wire::PromptSuspectT& row : dispatcher.PromptParts().ListChanged(now, m_reportedParts, 1)) {
+    query.promptParts.push_back(std::make_unique<wire::PromptSuspectT>(std::move(row)));
+  }
+  m_reportedSuspects = dispatcher.Suspects().Sequence();
+  m_reportedParts = dispatcher.PromptParts().Sequence();
 }
 
 void FeedClient::OnPeerDown(const ProcessId& peer) noexcept
 {
   if (peer == m_leader) {
     m_reportedSuspects = 0; // Queries may have been lost with the connection.
+    m_reportedParts = 0;
   }
 }
 
@@ -142,7 +149,6 @@
     return;
   }
   m_heldSuspects = state.suspectsSequence;
-  m_suspectsTerm = state.term;
   const bool hasUnreported = dispatcher.Suspects().Sequence() > m_reportedSuspects;
   dispatcher.MergeSuspects(now, peer, state.suspects, outbox);
   if (!hasUnreported) {
@@ -152,6 +158,25 @@
   dispatcher.ClearFinishedSuspects(now, state.suspects, outbox);
 }
 
+void FeedClient::ApplyPromptParts(TimePoint now,
+                                  const ProcessId& peer,
+                                  const wire::ServingStateT& state,
+                                  Dispatcher& dispatcher,
+                                  std::vector<GatewayOutput>& outbox)
+{
+  if (state.promptPartsSequence != 0) {
+    m_heldParts = state.promptPartsSequence;
+    const bool hasUnreported = dispatcher.PromptParts().Sequence() > m_reportedParts;
+    dispatcher.MergePromptParts(now, peer, state.promptParts, outbox);
+    if (!hasUnreported) {
+      m_reportedParts = dispatcher.PromptParts().Sequence();
+    }
+  }
+  for (const auto& trial : state.trials) {
+    dispatcher.GrantTrial(now, peer, { trial->partHigh, trial->partLow }, outbox);
+  }
+}
+
 void FeedClient::OnState(TimePoint now,
                          const ProcessId& peer,
                          const wire::ServingStateT& state,
@@ -185,9 +210,13 @@
   }
   if (m_leaderTerm != state.term) {
     m_leaderTerm = state.term;
+    m_heldSuspects = 0;
+    m_heldParts = 0;
     m_reportedSuspects = 0;
+    m_reportedParts = 0;
   }
   ApplySuspects(now, peer, state, dispatcher, outbox);
+  ApplyPromptParts(now, peer, state, dispatcher, outbox);
   ApplyDocument(peer, state, outbox);
   if (!ApplyTargets(now, state, dispatcher, outbox)) {
     return;
--- a/tests/fakes/fake_gateways.cpp
+++ b/tests/fakes/fake_gateways.cpp
@@ -353,7 +353,10 @@
     return;
   }
   if (!state.self.servedModel.empty()) {
-    Schedule(kTimeToFirstEvent, [this, target, number] { SendFirstEvent(target, number); });
+    Schedule(kEventInterval, [this, target, number] { SendFirstEvent(target, number); });
+    for (Duration at = 2 * kEventInterval; at < kRunTime; at += kEventInterval) {
+      Schedule(at, [this, target, number] { SendEvent(target, number, "more", false); });
+    }
   }
   Schedule(kRunTime, [this, target, number] { Finish(target, number); });
 }
@@ -392,13 +395,25 @@
   if (runner.self.servedModel.empty()) {
     SendFirstEvent(target, number);
   }
-  const Call call = running->second;
-  runner.calls.erase(running);
-  TargetAnswerIn rest;
-  rest.exchange = call.exchange;
-  rest.bytes = "id: 2\ndata: done\n\n";
-  rest.end = true;
-  Deliver(call, std::move(rest));
+  SendEvent(target, number, "done", true);
+  runner.calls.erase(number);
+}
+
+void FakeGateways::SendEvent(const std::string& target,
+                             std::uint64_t number,
+                             const std::string& data,
+                             bool isLast)
+{
+  const Target& runner = m_targets.at(target);
+  const auto running = runner.calls.find(number);
+  if (running == runner.calls.end()) {
+    return;
+  }
+  TargetAnswerIn part;
+  part.exchange = running->second.exchange;
+  part.bytes = "id: " + std::to_string(++m_lastNumber) + "\ndata: " + data + "\n\n";
+  part.end = isLast;
+  Deliver(running->second, std::move(part));
 }
 
 void FakeGateways::Crash(const std::string& target)
--- a/tests/fakes/fake_gateways.hpp
+++ b/tests/fakes/fake_gateways.hpp
@@ -32,9 +32,9 @@
 };
 
 /// \brief Entries, the serving feed of a leader, and targets under scripted time.
-/// \remarks A target begins to run a request kQueueTime after its arrival and takes kRunTime; a head
-/// sends the first event of its answer after kTimeToFirstEvent. While it runs one with kCrashBody or
-/// a deadly part it ends, and returns under another identity after kReturnTime.
+/// \remarks A target begins to run a request kQueueTime after its arrival and takes kRunTime; a
+/// head sends an event each kEventInterval. While it runs one with kCrashBody or a deadly part it
+/// ends, and returns under another identity after kReturnTime.
 class FakeGateways
 {
 public:
@@ -113,7 +113,7 @@
   static constexpr Duration kStep = std::chrono::milliseconds(5);
   static constexpr Duration kQueueTime = std::chrono::milliseconds(150);
   static constexpr Duration kTimeToCrash = std::chrono::milliseconds(50);
-  static constexpr Duration kTimeToFirstEvent = std::chrono::milliseconds(50);
+  static constexpr Duration kEventInterval = std::chrono::milliseconds(50);
   static constexpr Duration kRunTime = std::chrono::milliseconds(400);
   static constexpr Duration kReturnTime = std::chrono::seconds(3);
   static constexpr Duration kToldTime = std::chrono::milliseconds(500);
@@ -167,6 +167,10 @@
   void TurnAway(const Call& call, Target& target);
   void BeginToRun(const std::string& target, std::uint64_t number);
   void SendFirstEvent(const std::string& target, std::uint64_t number);
+  void SendEvent(const std::string& target,
+                 std::uint64_t number,
+                 const std::string& data,
+                 bool isLast);
   void Finish(const std::string& target, std::uint64_t number);
   [[nodiscard]] bool IsDeadly(const Call& call) const;
   void CountEvent(const EventOut& event);
@@ -187,8 +191,8 @@
   std::vector<TimePoint> m_crashes;
   std::vector<TimePoint> m_crashArrivals;
   std::map<std::string, std::map<unsigned, std::size_t>> m_answers; ///< By body.
-  std::map<std::string, std::size_t> m_served; ///< By body.
-  std::set<std::string> m_deadly;              ///< Parts.
+  std::map<std::string, std::size_t> m_served;                      ///< By body.
+  std::set<std::string> m_deadly;                                   ///< Parts.
   std::set<std::string> m_heldParts;
   std::size_t m_quarantined = 0;
   std::uint64_t m_lastNumber = 0;
--- a/tests/unit/crashing_part_test.cpp
+++ b/tests/unit/crashing_part_test.cpp
@@ -126,8 +126,7 @@
     troubled.fleet.Run(2s);
     const double share = static_cast<double>(troubled.ServedSound() - servedBefore) /
                          static_cast<double>(troubled.asked - askedBefore);
-    const double usual =
-      static_cast<double>(calm.ServedSound()) / static_cast<double>(calm.asked);
+    const double usual = static_cast<double>(calm.ServedSound()) / static_cast<double>(calm.asked);
     EXPECT_GE(share, 0.9 * usual) << "seed " << seed;
   }
 }
--- a/tests/unit/unframed_answer_test.cpp
+++ b/tests/unit/unframed_answer_test.cpp
@@ -14,7 +14,8 @@
 using tests::RawConnection;
 using tests::RawServer;
 
-constexpr std::string_view kEvents = "id: 1\ndata: one\n\nid: 2\r\ndata: two\r\n\r\nid: 3\ndata: x\n\n";
+constexpr std::string_view kEvents =
+  "id: 1\ndata: one\n\nid: 2\r\ndata: two\r\n\r\nid: 3\ndata: x\n\n";
 constexpr std::string_view kRequestEnd = "end of the request";
 
 /// \brief What a caller can tell of an answer's end.
@@ -179,8 +180,7 @@
   for (std::size_t size = head.size() - 1; size <= answer.size(); ++size) {
     SECTION("cut after " + std::to_string(size) + " of " + std::to_string(answer.size()) + " bytes")
     {
-      RawServer target(
-        runtime, { answer.substr(0, size) }, { std::string(kRequestEnd), resets });
+      RawServer target(runtime, { answer.substr(0, size) }, { std::string(kRequestEnd), resets });
       LoopbackEntry entry(runtime, { target.address });
       const Sent sent{ framing,
                        size >= head.size(),
