A refused connection uses up no attempt of its request

Cause: each choice of a target counted towards the route's maximum, which is about targets that get the request. A head that crashed stays on the lists for a second, so that a second attempt often met one. Now an attempt of which nothing was sent is excused, like one that the target rejected with a backoff; each target is tried once, within the deadline and the allowance for retries. Dispatcher.ARefusedConnectionUsesUpNoAttempt failed before: two attempts and a cut stream, with a third head idle.

--- a/src/gateway/dispatcher.cpp
+++ b/src/gateway/dispatcher.cpp
@@ -398,6 +398,7 @@
     if (failed.neverSent) {
       const TargetIncarnation target = request->target;
       m_selector.OnUnreachable(now, target);
+      ++request->excusedAttempts; // The route's maximum counts targets that got the request.
       AttemptEnded(now, *request, outbox, false, error);
       if (failed.error.code == ErrorCode::kUnavailable) {
         OnEndsCut(now, target, m_unconfirmed.TakeAll(target), outbox);
--- a/tests/unit/dispatcher_test.cpp
+++ b/tests/unit/dispatcher_test.cpp
@@ -601,6 +601,34 @@
   EXPECT_FALSE(RetryAllowance({ 0, 0, 10s }).TryTake(now, "portal"));
 }
 
+// Guards against streams that are cut beside sound heads, as one that has just crashed refused their
+// second attempt.
+TEST(Dispatcher, ARefusedConnectionUsesUpNoAttempt)
+{
+  World world;
+  world.dispatcher.Selector().Replace(std::vector<ServedTarget>{
+    { InstanceId("h1"), "assist", "h1:80", FailureDomainId("a"), 34, false, "large" },
+    { InstanceId("h2"), "assist", "h2:80", FailureDomainId("a"), 34, false, "large" },
+    { InstanceId("h3"), "assist", "h3:80", FailureDomainId("a"), 34, false, "large" } });
+  world.Ask("/stream/x");
+  world.AnswerOk("id: 1\ndata: a\n\n", false);
+  world.Fail(false);
+  world.Fail(true);
+  EXPECT_EQ(world.CountSent(), 3U);
+  world.AnswerOk("id: 2\ndata: b\n\n", true);
+  EXPECT_TRUE(world.Answers().back().end);
+  SECTION("a second attempt that was sent does")
+  {
+    World sent;
+    sent.Ask("/stream/x");
+    sent.AnswerOk("id: 1\ndata: a\n\n", false);
+    sent.Fail(false);
+    sent.Fail(false);
+    EXPECT_EQ(sent.CountSent(), 2U);
+    EXPECT_TRUE(sent.Answers().back().abort);
+  }
+}
+
 TEST(EventSplitter, ReturnsCompleteEventsOnly)
 {
   EventSplitter splitter;
