--- a/include/gooseberrysail/gateway/dispatcher.hpp
+++ b/include/gooseberrysail/gateway/dispatcher.hpp
@@ -207,6 +207,8 @@
   void OnHead(TimePoint now, Request& request, const TargetAnswerIn& part, Outbox& outbox);
   void OnBody(TimePoint now, Request& request, const TargetAnswerIn& part, Outbox& outbox);
   void ForwardEvents(TimePoint now, Request& request, const TargetAnswerIn& part, Outbox& outbox);
+  /// \brief The stream has ended, with `events` as its last ones: whole, broken off, or unknown.
+  void EndStream(TimePoint now, Request& request, std::string events, Outbox& outbox);
   void SendEvents(TimePoint now, Request& request, std::string events, bool end, Outbox& outbox);
   /// \brief The target's answer ended, and all of it went to the caller.
   void Complete(TimePoint now, Request& request, unsigned status, Outbox& outbox);
@@ -273,8 +275,8 @@
   void RecordPartCrashes(std::span<const RequestFingerprint> parts,
                          const TargetIncarnation& target,
                          const PromptSuspects::Crash& crash);
-  /// \brief Records the parts of an answer that went on for long enough.
-  void RecordPartProofs(TimePoint now, Request& request, Outbox& outbox);
+  /// \brief An answer that began at `begunAt` went on for long enough, or ended whole.
+  void ProveParts(TimePoint now, Request& request, TimePoint begunAt, Outbox& outbox);
   /// \brief Logs the parts that are held now, or no longer, and ends the requests with held ones.
   void ApplyHeldParts(TimePoint now, const std::string& source, Outbox& outbox);
   void LogPart(const RequestFingerprint& part,
--- a/src/gateway/dispatcher.cpp
+++ b/src/gateway/dispatcher.cpp
@@ -294,11 +294,18 @@
     request.begunAt = now;
     m_fastestStarts[KindOf(request)].Add(now, now - request.sentAt);
   }
-  RecordPartProofs(now, request, outbox);
-  if (!part.end) {
+  if (request.begunAt != TimePoint{} && now - request.begunAt >= PromptSuspects::kProofTime) {
+    ProveParts(now, request, request.begunAt, outbox);
+  }
+  if (part.end) {
+    EndStream(now, request, std::move(events), outbox);
+  } else {
     SendEvents(now, request, std::move(events), false, outbox);
-    return;
   }
+}
+
+void Dispatcher::EndStream(TimePoint now, Request& request, std::string events, Outbox& outbox)
+{
   const bool isDelimited = request.framing == AnswerFraming::kDelimited;
   if (isDelimited && !request.headForwarded && events.empty()) {
     events = request.events.TakePartial(); // A whole answer that is no stream of events.
@@ -365,8 +372,7 @@
   }
   m_selector.OnSuccess(request.target);
   RecordFinished(now, request.fingerprint, outbox);
-  request.begunAt = std::max(request.begunAt, request.sentAt);
-  RecordPartProofs(now, request, outbox);
+  ProveParts(now, request, std::max(request.begunAt, request.sentAt), outbox);
   End(now, request, "answered", status, outbox);
 }
 
--- a/src/gateway/dispatcher_parts.cpp
+++ b/src/gateway/dispatcher_parts.cpp
@@ -68,17 +68,14 @@
   }
 }
 
-void Dispatcher::RecordPartProofs(TimePoint now, Request& request, Outbox& outbox)
+void Dispatcher::ProveParts(TimePoint now, Request& request, TimePoint begunAt, Outbox& outbox)
 {
-  const bool hasBegun = request.begunAt != TimePoint{};
-  const bool hasEnded = request.attempt.IsNone();
-  const bool wentOn = hasBegun && now - request.begunAt >= PromptSuspects::kProofTime;
-  if (request.isProven || !(hasEnded || wentOn)) {
+  if (request.isProven) {
     return;
   }
   request.isProven = true;
   for (const RequestFingerprint& part : request.promptParts) {
-    m_promptParts.RecordProof(now, part, request.begunAt);
+    m_promptParts.RecordProof(now, part, begunAt);
   }
   ApplyHeldParts(now, kOwnSource, outbox);
 }
--- a/tests/unit/dispatcher_test.cpp
+++ b/tests/unit/dispatcher_test.cpp
@@ -601,8 +601,8 @@
   EXPECT_FALSE(RetryAllowance({ 0, 0, 10s }).TryTake(now, "portal"));
 }
 
-// Guards against streams that are cut beside sound heads, as one that has just crashed refused their
-// second attempt.
+// Guards against streams that are cut beside sound heads, as one that has just crashed refused
+// their second attempt.
 TEST(Dispatcher, ARefusedConnectionUsesUpNoAttempt)
 {
   World world;
