One check of whether a connection can be reused after a response

WriteWhole and WriteStream each had the same three conditions since answers may end with their connections.

--- a/src/http/http_session_write.cpp
+++ b/src/http/http_session_write.cpp
@@ -39,6 +39,11 @@
 
 } // namespace
 
+bool HttpSession::MayReuse(const Request& request) const
+{
+  return request.keepAlive && !m_hooks.isStopping() && !m_endsWithConnection;
+}
+
 template<class Start>
 bool HttpSession::Write(Start&& start)
 {
@@ -122,7 +127,7 @@
   FillHead(answer, part);
   const bool hasBody = !HasNoBody(answer.result_int());
   m_endsWithConnection = hasBody && part.framing == AnswerFraming::kUntilClose;
-  const bool reuse = request.keepAlive && !m_hooks.isStopping() && !m_endsWithConnection;
+  const bool reuse = MayReuse(request);
   answer.keep_alive(reuse);
   if (hasBody) {
     if (!m_endsWithConnection) {
@@ -145,7 +150,7 @@
   FillHead(head, part);
   const bool hasBody = !HasNoBody(head.result_int());
   m_endsWithConnection = hasBody && part.framing == AnswerFraming::kUntilClose;
-  const bool reuse = request.keepAlive && !m_hooks.isStopping() && !m_endsWithConnection;
+  const bool reuse = MayReuse(request);
   head.keep_alive(reuse);
   head.chunked(hasBody && !m_endsWithConnection);
   http::response_serializer<http::empty_body> serializer(head);
