One loop of callers for the tests of limits and of backoffs

The same function stood in limited_target_test and target_backoff_test; it is in tests/fakes/fake_callers.hpp now. leaving_target_test keeps its own, whose requests have bodies that its checks name.

--- a/tests/unit/limited_target_test.cpp
+++ b/tests/unit/limited_target_test.cpp
@@ -1,4 +1,4 @@
-#include "fakes/fake_gateways.hpp"
+#include "fakes/fake_callers.hpp"
 #include "support/section.hpp"
 
 #include <gtest/gtest.h>
@@ -8,6 +8,7 @@
 
 using namespace std::chrono_literals;
 using fakes::FakeGateways;
+using fakes::RunCallers;
 
 constexpr Duration kBound = 3s; ///< From the first answer with the limit on.
 constexpr Duration kWindow = 4s;
@@ -18,18 +19,6 @@
   return static_cast<std::size_t>(1.5 * 4 * limit + 5);
 }
 
-/// \brief Sends requests to all entries evenly; every third one is a look-up at the plain targets.
-void RunCallers(FakeGateways& fleet, Duration duration, std::size_t perSecond)
-{
-  const TimePoint until = fleet.now + duration;
-  for (std::size_t number = 0; fleet.now < until; ++number) {
-    const std::size_t entry = fleet.Draw(fleet.CountEntries());
-    const std::string path = number % 3 == 0 ? "/safe/1" : "/stream/1";
-    fleet.Ask(entry, { .path = path, .body = "sound" });
-    fleet.Run(std::max<Duration>(FakeGateways::kStep, 1000ms / perSecond));
-  }
-}
-
 // Guards against a target in need that gets its usual requests, because entries don't read its
 // limit or each take the whole of it.
 TEST(LimitedTarget, GetsNoMoreThanItsLimit)
--- a/tests/unit/target_backoff_test.cpp
+++ b/tests/unit/target_backoff_test.cpp
@@ -1,4 +1,4 @@
-#include "fakes/fake_gateways.hpp"
+#include "fakes/fake_callers.hpp"
 #include "support/section.hpp"
 
 #include <gtest/gtest.h>
@@ -8,21 +8,10 @@
 
 using namespace std::chrono_literals;
 using fakes::FakeGateways;
+using fakes::RunCallers;
 
 constexpr std::size_t kAllowedInBackoff = 2;
 
-/// \brief Sends requests to all entries evenly; every third one is a look-up at the plain targets.
-void RunCallers(FakeGateways& fleet, Duration duration, std::size_t perSecond)
-{
-  const TimePoint until = fleet.now + duration;
-  for (std::size_t number = 0; fleet.now < until; ++number) {
-    const std::size_t entry = fleet.Draw(fleet.CountEntries());
-    const std::string path = number % 3 == 0 ? "/safe/1" : "/stream/1";
-    fleet.Ask(entry, { .path = path, .body = "sound" });
-    fleet.Run(std::max<Duration>(FakeGateways::kStep, 1000ms / perSecond));
-  }
-}
-
 // Guards against a target that asks an entry to back off and goes on getting its requests.
 TEST(TargetBackoff, GetsNoRequestsUntilItIsOver)
 {
