Settings that take a published bound accept decimal numbers

Class: a type of ours that is narrower than the published one. Change: the type kNumber, with unit and range.

--- a/include/gooseberrysail/settings/settings.hpp
+++ b/include/gooseberrysail/settings/settings.hpp
@@ -67,8 +67,8 @@
   Duration electionTimeout{};      ///< Time without a message from the leader before an election.
   std::size_t toleratedLosses = 1; ///< With seeds: simultaneous process failures tolerated.
   bool mayFound = true;            ///< Whether this start may found a new cluster.
-  Duration standstill{};           ///< See EngineGroupsSettings.
-  Duration targetHeartbeat{};      ///< See EngineGroupsSettings.
+  Duration standstill{};                       ///< See EngineGroupsSettings.
+  Duration targetHeartbeat{};                  ///< See EngineGroupsSettings.
 };
 
 /// \brief Settings of an agent: the target VM that it serves.
@@ -85,8 +85,8 @@
 /// \brief Settings of an entry: limits on retries of all entries together at one service.
 struct RetryLimits
 {
-  double ratio = 0;      ///< As a fraction of the requests for the service.
-  std::size_t slack = 0; ///< Retries allowed in each window in addition.
+  double ratio = 0; ///< As a fraction of the requests for the service.
+  double slack = 0; ///< Retries allowed in each window in addition.
   Duration window{};
 };
 
--- a/src/settings/setting_key.cpp
+++ b/src/settings/setting_key.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 
 namespace gooseberrysail::impl {
 
@@ -57,6 +58,27 @@
            store };
 }
 
+/// \brief A key with a decimal number, which always has a default.
+constexpr SettingKey NumberKey(std::string_view key,
+                               std::string_view unit,
+                               std::int64_t minimum,
+                               std::int64_t maximum,
+                               std::string_view defaultValue,
+                               RoleSet roles,
+                               std::string_view help,
+                               void (*store)(ProcessSettings&, const SettingValue&))
+{
+  return { key,  SettingType::kNumber, unit,  minimum, maximum,
+           "",   defaultValue,         roles, kNoRole, help,
+           store };
+}
+
+/// \brief `count` times `unit`, to the nearest nanosecond.
+Duration Times(double count, Duration unit)
+{
+  return Duration(std::llround(count * static_cast<double>(unit.count())));
+}
+
 constexpr auto kKeys = std::to_array<SettingKey>({
   TextKey("process.role",
           SettingType::kChoice,
@@ -177,7 +199,7 @@
     "Addresses at which control processes serve HTTP, the same initial list for every process. "
     "Each is named control-IP and accepts peers at cluster.seedPort.",
     [](ProcessSettings& settings, const SettingValue& value) {
-      settings.seeds = SplitAddresses(value.text);
+      settings.seeds = SplitList(value.text);
     }),
   CountKey("cluster.seedPort",
            "as a port",
@@ -306,7 +328,7 @@
            [](ProcessSettings& settings, const SettingValue& value) {
              settings.control.toleratedLosses = static_cast<std::size_t>(value.number);
            }),
-  CountKey(
+  NumberKey(
     "control.standstill",
     "milliseconds",
     100,
@@ -316,18 +338,18 @@
     "Time for which the head of a group with a missing member pauses before it declares itself "
     "broken; if a head cannot be reached, its members become free only after this time.",
     [](ProcessSettings& settings, const SettingValue& value) {
-      settings.control.standstill = std::chrono::milliseconds(value.number);
+      settings.control.standstill = Times(value.decimal, std::chrono::milliseconds(1));
     }),
-  CountKey("control.targetHeartbeat",
-           "milliseconds",
-           50,
-           60'000,
-           "1200",
-           kControlRole,
-           "Time between two heartbeats of a target that announces itself.",
-           [](ProcessSettings& settings, const SettingValue& value) {
-             settings.control.targetHeartbeat = std::chrono::milliseconds(value.number);
-           }),
+  NumberKey("control.targetHeartbeat",
+            "milliseconds",
+            50,
+            60'000,
+            "1200",
+            kControlRole,
+            "Time between two heartbeats of a target that announces itself.",
+            [](ProcessSettings& settings, const SettingValue& value) {
+              settings.control.targetHeartbeat = Times(value.decimal, std::chrono::milliseconds(1));
+            }),
   TextKey(
     "control.mayFound",
     SettingType::kChoice,
@@ -348,39 +370,39 @@
           kNoRole,
           "Maximum retries of all entries together at one service, as a fraction of its requests.",
           [](ProcessSettings& settings, const SettingValue& value) {
-            settings.retries.ratio = value.fraction;
+            settings.retries.ratio = value.decimal;
           }),
-  CountKey("retries.slack",
-           "attempts",
-           0,
-           1'000'000,
-           "100",
-           kEntryRole,
-           "Retries allowed in each window in addition to the ratio.",
-           [](ProcessSettings& settings, const SettingValue& value) {
-             settings.retries.slack = static_cast<std::size_t>(value.number);
-           }),
-  CountKey("retries.window",
-           "seconds",
-           1,
-           3600,
-           "10",
-           kEntryRole,
-           "Window over which retries are counted.",
-           [](ProcessSettings& settings, const SettingValue& value) {
-             settings.retries.window = std::chrono::seconds(value.number);
-           }),
-  CountKey("targets.drainTime",
-           "milliseconds",
-           0,
-           3'600'000,
-           "2000",
-           kEntryRole,
-           "How long a target that says in an answer that it leaves still gets requests when no "
-           "other has capacity.",
-           [](ProcessSettings& settings, const SettingValue& value) {
-             settings.targetDrainTime = std::chrono::milliseconds(value.number);
-           }),
+  NumberKey("retries.slack",
+            "attempts",
+            0,
+            1'000'000,
+            "100",
+            kEntryRole,
+            "Retries allowed in each window in addition to the ratio.",
+            [](ProcessSettings& settings, const SettingValue& value) {
+              settings.retries.slack = value.decimal;
+            }),
+  NumberKey("retries.window",
+            "seconds",
+            1,
+            3600,
+            "10",
+            kEntryRole,
+            "Window over which retries are counted.",
+            [](ProcessSettings& settings, const SettingValue& value) {
+              settings.retries.window = Times(value.decimal, std::chrono::seconds(1));
+            }),
+  NumberKey("targets.drainTime",
+            "milliseconds",
+            0,
+            3'600'000,
+            "2000",
+            kEntryRole,
+            "How long a target that says in an answer that it leaves still gets requests when no "
+            "other has capacity.",
+            [](ProcessSettings& settings, const SettingValue& value) {
+              settings.targetDrainTime = Times(value.decimal, std::chrono::milliseconds(1));
+            }),
   TextKey("agent.vm",
           SettingType::kName,
           "",
--- a/src/settings/setting_key.hpp
+++ b/src/settings/setting_key.hpp
@@ -14,6 +14,7 @@
 {
   kChoice,        ///< One of the words in `choices`.
   kName,          ///< Letters, digits, '.', '_' and '-'.
+  kNameList,      ///< Names, separated by commas.
   kCount,         ///< A whole number of `unit`.
   kListenAddress, ///< "ip:port"; port 0 selects a free port.
   kAddress,       ///< "ip:port".
@@ -23,6 +24,7 @@
   kPeer,        ///< "name=ip:port"; the key may be given several times.
   kAddressList, ///< "ip:port,ip:port"
   kFraction,    ///< A number from 0 to 1.
+  kNumber,      ///< A decimal number of `unit`.
 };
 
 /// \brief A set of roles, one bit each.
@@ -44,7 +46,7 @@
 {
   std::string text;
   std::int64_t number = 0; ///< kCount only.
-  double fraction = 0;     ///< kFraction only.
+  double decimal = 0;      ///< kFraction and kNumber only.
 };
 
 /// \brief One key; the source of parsing, validation and docs/SETTINGS.md.
@@ -52,7 +54,7 @@
 {
   std::string_view key; ///< "section.key".
   SettingType type;
-  std::string_view unit; ///< kCount only.
+  std::string_view unit; ///< kCount and kNumber only.
   std::int64_t minimum;
   std::int64_t maximum;
   std::string_view choices;      ///< kChoice only: words separated by '|'.
@@ -74,8 +76,8 @@
 /// \brief Parses and validates a value from the file.
 [[nodiscard]] Result<SettingValue> CheckSettingValue(const SettingKey& key, std::string_view text);
 
-/// \brief Splits "ip:port,ip:port".
-[[nodiscard]] std::vector<std::string> SplitAddresses(std::string_view text);
+/// \brief Splits a list at its commas.
+[[nodiscard]] std::vector<std::string> SplitList(std::string_view text);
 
 /// \brief Splits "name=ip:port".
 [[nodiscard]] PeerAddress SplitPeer(std::string_view text);
--- a/src/settings/setting_value.cpp
+++ b/src/settings/setting_value.cpp
@@ -62,17 +62,29 @@
 
 bool IsAddressList(std::string_view text)
 {
-  const std::vector<std::string> addresses = SplitAddresses(text);
+  const std::vector<std::string> addresses = SplitList(text);
   return !addresses.empty() && std::ranges::all_of(addresses, [](const std::string& address) {
     return IsAddress(address, 1);
   });
 }
 
-bool ParseFraction(std::string_view text, double& fraction) noexcept
+bool IsNameList(std::string_view text)
+{
+  const std::vector<std::string> names = SplitList(text);
+  return !names.empty() && std::ranges::all_of(names, IsName);
+}
+
+bool ParseDecimal(std::string_view text, double& decimal) noexcept
 {
   const char* end = text.data() + text.size();
-  const auto parsed = std::from_chars(text.data(), end, fraction);
-  return parsed.ec == std::errc() && parsed.ptr == end && fraction >= 0 && fraction <= 1;
+  const auto parsed = std::from_chars(text.data(), end, decimal);
+  return parsed.ec == std::errc() && parsed.ptr == end;
+}
+
+/// False for a value that is no number.
+bool IsBetween(double value, double minimum, double maximum) noexcept
+{
+  return value >= minimum && value <= maximum;
 }
 
 bool IsPeer(std::string_view text)
@@ -101,6 +113,8 @@
       return IsChoice(key.choices, value.text);
     case SettingType::kName:
       return IsName(value.text);
+    case SettingType::kNameList:
+      return IsNameList(value.text);
     case SettingType::kCount:
       return ParseWhole(value.text, value.number) && value.number >= key.minimum &&
              value.number <= key.maximum;
@@ -119,7 +133,11 @@
     case SettingType::kAddressList:
       return IsAddressList(value.text);
     case SettingType::kFraction:
-      return ParseFraction(value.text, value.fraction);
+      return ParseDecimal(value.text, value.decimal) && IsBetween(value.decimal, 0, 1);
+    case SettingType::kNumber:
+      return ParseDecimal(value.text, value.decimal) && IsBetween(value.decimal,
+                                                                  static_cast<double>(key.minimum),
+                                                                  static_cast<double>(key.maximum));
   }
   return false;
 }
@@ -138,7 +156,10 @@
     }
     case SettingType::kName:
       return "a name of 1 to 64 letters, digits, '.', '_' or '-'";
+    case SettingType::kNameList:
+      return "names of 1 to 64 letters, digits, '.', '_' or '-', separated by commas";
     case SettingType::kCount:
+    case SettingType::kNumber:
       return std::to_string(key.minimum) + " to " + std::to_string(key.maximum) + " " +
              std::string(key.unit);
     case SettingType::kListenAddress:
@@ -175,7 +196,7 @@
                 "value" + shown + " is not " + DescribeRange(key) };
 }
 
-std::vector<std::string> SplitAddresses(std::string_view text)
+std::vector<std::string> SplitList(std::string_view text)
 {
   std::vector<std::string> addresses;
   while (!text.empty()) {
--- a/src/shell/gateway_shell.cpp
+++ b/src/shell/gateway_shell.cpp
@@ -20,9 +20,7 @@
   GatewaySettings gateway;
   gateway.failureDomain = settings.failureDomain;
   gateway.controls = impl::ControlsOf(settings);
-  gateway.retries = { settings.retries.ratio,
-                      static_cast<double>(settings.retries.slack),
-                      settings.retries.window };
+  gateway.retries = { settings.retries.ratio, settings.retries.slack, settings.retries.window };
   gateway.targetDrainTime = settings.targetDrainTime;
   return gateway;
 }
--- a/tests/unit/settings_test.cpp
+++ b/tests/unit/settings_test.cpp
@@ -83,6 +83,64 @@
   EXPECT_EQ(settings.limits.maxBodyBytes, 1048576U);
 }
 
+// A deployment whose bounds are fractions must start.
+TEST(Settings, TakeDecimalNumbersWhereAPublishedBoundMayBeAFraction)
+{
+  const auto entry = [](const std::string& slack) {
+    return LoadText(R"([process]
+role = entry
+name = entry-1
+failureDomain = half-way-tree
+listen = 127.0.0.1:7301
+httpListen = 127.0.0.1:7401
+[cluster]
+keyFile = cluster.key
+control = control-1=127.0.0.1:7101
+[retries]
+window = 9.5
+[targets]
+drainTime = 2500.25
+[retries]
+slack = )" + slack + "\n");
+  };
+  const SettingsResult result = entry("48.529411764705884");
+  ASSERT_THAT(Faults(result), IsEmpty());
+  EXPECT_DOUBLE_EQ(result.value().retries.slack, 48.529411764705884);
+  EXPECT_EQ(result.value().retries.window, std::chrono::milliseconds(9500));
+  EXPECT_EQ(result.value().targetDrainTime, std::chrono::microseconds(2'500'250));
+
+  SECTION("anything but a number within the range is rejected")
+  {
+    for (const char* text : { "nan", "inf", "-1", "1000000.5", "1e9", "4,5", "48.5x" }) {
+      EXPECT_THAT(Faults(entry(text)),
+                  ElementsAre(HasSubstr(std::string("retries.slack: value '") + text +
+                                        "' is not 0 to 1000000 attempts")));
+    }
+  }
+}
+
+TEST(Settings, TakeDecimalNumbersForBoundsAtControl)
+{
+  const SettingsResult result = LoadText(R"([process]
+role = control
+name = control-1
+failureDomain = half-way-tree
+listen = 127.0.0.1:7301
+httpListen = 127.0.0.1:7401
+[cluster]
+keyFile = cluster.key
+control = control-1=127.0.0.1:7101
+[control]
+dataFolder = data
+operatorTokenHash = 0000000000000000000000000000000000000000000000000000000000000000
+standstill = 4999.5
+targetHeartbeat = 1200.5
+)");
+  ASSERT_THAT(Faults(result), IsEmpty());
+  EXPECT_EQ(result.value().control.standstill, std::chrono::microseconds(4'999'500));
+  EXPECT_EQ(result.value().control.targetHeartbeat, std::chrono::microseconds(1'200'500));
+}
+
 TEST(Settings, ReportAllErrorsWithFileLineKeyAndRange)
 {
   const SettingsResult result = LoadText(R"([process]
