Evacuations of failure domains, replicated and in force at all entries

The leader answers an order once it is committed and a quorum has confirmed the leader since it came; one that is in force already adds nothing to the log; an unknown domain is refused with its name (control.failureDomains); other processes redirect with the call's own path. Entries need no message of their own: a target of the domain counts as leaving in their list, which they are told at once and keep through cuts and changes of the leader. Control forms no groups there, counts those that stand as no capacity, ends none, and takes no members from them, so that they serve again without loads.

The command line and the admin interface of the product's own path don't have evacuations yet: its routes don't know them.

--- a/include/gooseberrysail/control/control_state.hpp
+++ b/include/gooseberrysail/control/control_state.hpp
@@ -6,6 +6,7 @@
 #include "gooseberrysail/core/result.hpp"
 
 #include <cstdint>
+#include <set>
 #include <span>
 #include <string>
 #include <vector>
@@ -30,7 +31,8 @@
     std::string refusal; ///< Why the command had no effect; "" when it had one.
     GroupId group;       ///< The group that the command concerns; none for other commands.
     VmId vm;             ///< The VM that the command concerns; none for other commands.
-    std::string reason;  ///< As given in the command.
+    FailureDomainId failureDomain; ///< That the command concerns; none for other commands.
+    std::string reason;            ///< As given in the command.
   };
 
   /// \brief Applies one committed command.
@@ -44,6 +46,8 @@
   [[nodiscard]] const GroupTable& GetGroups() const noexcept { return m_groups; }
   [[nodiscard]] const ClaimTable& GetClaims() const noexcept { return m_claims; }
   [[nodiscard]] const StoredDocument& GetDocument() const noexcept { return m_document; }
+  /// \brief Failure domains whose targets get no requests, by order of an operator.
+  [[nodiscard]] const std::set<FailureDomainId>& Evacuated() const noexcept { return m_evacuated; }
   [[nodiscard]] LogIndex Index() const noexcept { return m_index; }
   /// \brief The latest term whose LeaderStart command is applied; everything that earlier leaders
   /// committed is applied too.
@@ -51,6 +55,7 @@
 
 private:
   std::string ApplyPutDocument(const wire::PutDocumentT& put);
+  std::string ApplySetEvacuation(const wire::SetEvacuationT& order);
   std::string ApplyBody(LogIndex index, const wire::CommandT& command, Applied& applied);
 
   LogIndex m_index;
@@ -59,6 +64,7 @@
   GroupTable m_groups;
   ClaimTable m_claims;
   StoredDocument m_document;
+  std::set<FailureDomainId> m_evacuated;
 };
 
 /// \brief Serializes a command for the log.
--- a/include/gooseberrysail/control/engine_groups.hpp
+++ b/include/gooseberrysail/control/engine_groups.hpp
@@ -82,6 +82,9 @@
   const std::set<InstanceId>& failing;   ///< Heads that failed an entry and answered none since.
   const std::map<std::string, ModelDemand>& demand; ///< By model; empty before traffic.
   const std::map<InstanceId, Duration>& steps;      ///< Duration of an engine step, by head.
+  /// \brief Failure domains whose targets get no requests. Groups there stay formed, as loading
+  /// their weights again after the evacuation would take longer, but they count as no capacity.
+  const std::set<FailureDomainId>& evacuated;
 };
 
 struct EngineGroupsSettings
--- a/include/gooseberrysail/control/outside_api.hpp
+++ b/include/gooseberrysail/control/outside_api.hpp
@@ -37,6 +37,14 @@
   InstanceId instance;
 };
 
+/// \brief An operator orders that the targets of a failure domain get no more requests, or
+/// withdraws that order.
+struct EvacuateCall
+{
+  FailureDomainId failureDomain;
+  bool isWithdrawal = false;
+};
+
 /// \brief A call to this API that can't be parsed.
 struct MalformedCall
 {
@@ -44,8 +52,8 @@
   std::string reason;
 };
 
-using OutsideCall =
-  std::variant<PutDocumentCall, GetDocumentCall, AnnounceCall, LeaveCall, MalformedCall>;
+using OutsideCall = std::
+  variant<PutDocumentCall, GetDocumentCall, AnnounceCall, LeaveCall, EvacuateCall, MalformedCall>;
 
 enum class OutsideStatus
 {
@@ -62,6 +70,7 @@
   std::string text;          ///< The document, for a read with kDone.
   std::string reason;        ///< Readable reason of any other status.
   std::string leaderAddress; ///< The leader's peer address, "ip:port", for kNotLeader.
+  std::string callTarget;    ///< The target of the call's HTTP request, for kNotLeader.
 };
 
 /// \brief Hooks that translate between HTTP and the types above; either all are set or none.
--- a/include/gooseberrysail/control/serving_control.hpp
+++ b/include/gooseberrysail/control/serving_control.hpp
@@ -2,6 +2,7 @@
 
 #include "gooseberrysail/control/document_service.hpp"
 #include "gooseberrysail/control/engine_groups.hpp"
+#include "gooseberrysail/control/evacuation_service.hpp"
 #include "gooseberrysail/control/outside_api.hpp"
 #include "gooseberrysail/control/refused_calls.hpp"
 #include "gooseberrysail/control/serving_feed.hpp"
@@ -40,7 +41,10 @@
   /// \brief Must be called in every tick on every control process, leader or not.
   void Tick(ControlContext& context);
 
-  [[nodiscard]] std::size_t OpenCalls() const noexcept { return m_documents.OpenCalls(); }
+  [[nodiscard]] std::size_t OpenCalls() const noexcept
+  {
+    return m_documents.OpenCalls() + m_evacuations.OpenCalls();
+  }
 
 private:
   struct PendingOrder
@@ -51,14 +55,15 @@
     std::string body;
   };
 
-  void Handle(ControlContext& context, ExchangeId exchange, const PutDocumentCall& call);
-  void Handle(ControlContext& context, ExchangeId exchange, const GetDocumentCall& call);
-  void Handle(ControlContext& context, ExchangeId exchange, const AnnounceCall& call);
-  void Handle(ControlContext& context, ExchangeId exchange, const LeaveCall& call);
-  void Handle(ControlContext& context, ExchangeId exchange, const MalformedCall& call);
+  void Handle(ControlContext& context, const HttpRequestIn& request, const PutDocumentCall& call);
+  void Handle(ControlContext& context, const HttpRequestIn& request, const GetDocumentCall& call);
+  void Handle(ControlContext& context, const HttpRequestIn& request, const AnnounceCall& call);
+  void Handle(ControlContext& context, const HttpRequestIn& request, const LeaveCall& call);
+  void Handle(ControlContext& context, const HttpRequestIn& request, const EvacuateCall& call);
+  void Handle(ControlContext& context, const HttpRequestIn& request, const MalformedCall& call);
 
   /// \returns False when another process leads or no leader is known; responds to the caller then.
-  bool IsForLeader(ControlContext& context, ExchangeId exchange);
+  bool IsForLeader(ControlContext& context, const HttpRequestIn& request);
   void Respond(ControlContext& context, ExchangeId exchange, const OutsideAnswer& answer);
   [[nodiscard]] DocumentService::Respond Responder(ControlContext& context);
   [[nodiscard]] bool IsServiceKnown(const TargetAnnouncement& announcement) const;
@@ -85,6 +90,7 @@
   TargetRelay m_relay;
   std::map<InstanceId, TimePoint> m_lastLedAt; ///< When heads last led a serving group.
   DocumentService m_documents;
+  EvacuationService m_evacuations;
   RefusedCalls m_refused;
   EngineGroups m_groups;
   Duration m_discoveryTime; ///< From the process's start until every target has reported.
--- a/include/gooseberrysail/roles/control_role.hpp
+++ b/include/gooseberrysail/roles/control_role.hpp
@@ -38,7 +38,9 @@
   std::string address;
   FailureDomainId failureDomain;
   std::vector<EntrySettings::Control> controls; ///< Every voter, including this process.
-  std::string operatorTokenHash;                ///< Hex SHA-256 of the operators' bearer token.
+  /// \brief Those that operators may evacuate; any if empty.
+  std::vector<FailureDomainId> failureDomains;
+  std::string operatorTokenHash; ///< Hex SHA-256 of the operators' bearer token.
   Duration groupLease = std::chrono::seconds(4);
   /// \brief Maximum relative difference of clock rates; the wait for the end of a lease is longer
   /// by this share.
--- a/include/gooseberrysail/settings/settings.hpp
+++ b/include/gooseberrysail/settings/settings.hpp
@@ -67,6 +67,7 @@
   Duration electionTimeout{};      ///< Time without a message from the leader before an election.
   std::size_t toleratedLosses = 1; ///< With seeds: simultaneous process failures tolerated.
   bool mayFound = true;            ///< Whether this start may found a new cluster.
+  std::vector<FailureDomainId> failureDomains; ///< See ControlSettings.
   Duration standstill{};                       ///< See EngineGroupsSettings.
   Duration targetHeartbeat{};                  ///< See EngineGroupsSettings.
 };
--- a/src/control/control_role.cpp
+++ b/src/control/control_role.cpp
@@ -129,6 +129,14 @@
       events.push_back(
         MakeEvent(EventNumber::kVmFreed, { { "vm", applied.vm.Get() }, { "group", group } }));
       break;
+    case wire::CommandBody::SetEvacuation: {
+      const bool isEvacuated = state.Evacuated().contains(applied.failureDomain);
+      events.push_back(MakeEvent(EventNumber::kEvacuationChanged,
+                                 { { "failureDomain", applied.failureDomain.Get() },
+                                   { "state", isEvacuated ? "evacuated" : "withdrawn" },
+                                   { "index", at } }));
+      break;
+    }
     default:
       break;
   }
--- a/src/control/control_state.cpp
+++ b/src/control/control_state.cpp
@@ -72,6 +72,9 @@
       return {};
     case wire::CommandBody::PutDocument:
       return ApplyPutDocument(*body.AsPutDocument());
+    case wire::CommandBody::SetEvacuation:
+      applied.failureDomain = FailureDomainId(body.AsSetEvacuation()->failureDomain);
+      return ApplySetEvacuation(*body.AsSetEvacuation());
   }
   return "a command of an unknown kind";
 }
@@ -87,6 +90,15 @@
   return {};
 }
 
+std::string ControlState::ApplySetEvacuation(const wire::SetEvacuationT& order)
+{
+  const FailureDomainId domain(order.failureDomain);
+  if (order.withdrawn) {
+    return m_evacuated.erase(domain) == 1 ? std::string() : domain.Get() + " is not evacuated";
+  }
+  return m_evacuated.insert(domain).second ? std::string() : domain.Get() + " is evacuated already";
+}
+
 std::vector<std::uint8_t> ControlState::TakeSnapshot() const
 {
   wire::ControlSnapshotT snapshot;
@@ -99,6 +111,9 @@
     snapshot.document->version = m_document.version;
     snapshot.document->text = m_document.text;
   }
+  for (const FailureDomainId& domain : m_evacuated) {
+    snapshot.evacuated.push_back(domain.Get());
+  }
   flatbuffers::FlatBufferBuilder builder(1024 * 1024);
   builder.Finish(wire::ControlSnapshot::Pack(builder, &snapshot));
   const std::span<const std::uint8_t> bytes(builder.GetBufferPointer(), builder.GetSize());
@@ -122,6 +137,10 @@
   if (snapshot.document) {
     m_document = { snapshot.document->version, snapshot.document->text };
   }
+  m_evacuated.clear();
+  for (const std::string& domain : snapshot.evacuated) {
+    m_evacuated.emplace(domain);
+  }
   m_index = LogIndex(snapshot.index);
   return outcome::success();
 }
--- a/src/control/document_service.cpp
+++ b/src/control/document_service.cpp
@@ -1,5 +1,6 @@
 #include "gooseberrysail/control/document_service.hpp"
 
+#include "control/outside_calls.hpp"
 #include "gooseberrysail/observe/event.hpp"
 
 #include <algorithm>
@@ -8,17 +9,9 @@
 
 namespace {
 
-using namespace std::chrono_literals;
-
-/// Callers try another process after one second without an answer.
-constexpr Duration kAnswerTimeout = 950ms;
-/// Limits the memory that open calls take.
-constexpr std::size_t kMaxOpenCalls = 64;
-
-OutsideAnswer Unavailable(std::string reason)
-{
-  return { OutsideStatus::kUnavailable, {}, std::move(reason), {} };
-}
+using impl::kAnswerTimeout;
+using impl::kMaxOpenCalls;
+using impl::Unavailable;
 
 EventOut RefusedEvent(std::uint64_t version, const std::string& reason)
 {
@@ -37,7 +30,7 @@
   const Result<ServingDocument> document = read(text);
   if (!document) {
     context.outbox.emplace_back(RefusedEvent(0, document.error().description));
-    respond(exchange, { OutsideStatus::kInvalid, {}, document.error().description, {} });
+    respond(exchange, { OutsideStatus::kInvalid, {}, document.error().description, {}, {} });
     return;
   }
   if (OpenCalls() >= kMaxOpenCalls) {
@@ -69,7 +62,7 @@
   if (stored.version == put.version && stored.text != put.text) {
     const std::string reason = "another document has this version";
     context.outbox.emplace_back(RefusedEvent(put.version, reason));
-    respond(put.exchange, { OutsideStatus::kConflict, {}, reason, {} });
+    respond(put.exchange, { OutsideStatus::kConflict, {}, reason, {}, {} });
     return true;
   }
   context.outbox.emplace_back(
@@ -109,7 +102,7 @@
     if (IsConfirmed(context, read.ticket)) {
       respond(read.exchange,
               stored.version == 0 ? Unavailable("no document yet")
-                                  : OutsideAnswer{ OutsideStatus::kDone, stored.text, {}, {} });
+                                  : OutsideAnswer{ OutsideStatus::kDone, stored.text, {}, {}, {} });
       return true;
     }
     const bool late = context.now - read.ticket.asked > kAnswerTimeout;
--- a/src/control/engine_groups_pass.hpp
+++ b/src/control/engine_groups_pass.hpp
@@ -22,6 +22,18 @@
     return input.targets.Find(instance);
   }
 
+  [[nodiscard]] bool IsEvacuated(const TargetRow& row) const
+  {
+    return input.evacuated.contains(row.latest.failureDomain);
+  }
+
+  /// \brief Whether the group gets no requests because its head is in an evacuated domain.
+  [[nodiscard]] bool IsEvacuated(const Group& group) const
+  {
+    const TargetRow* head = Row(group.members.front());
+    return head != nullptr && IsEvacuated(*head);
+  }
+
   /// \brief Null when the document has no such service or the service has no engine.
   [[nodiscard]] const EngineSpec* EngineOf(const std::string& service) const
   {
--- a/src/control/engine_groups_planning.cpp
+++ b/src/control/engine_groups_planning.cpp
@@ -188,8 +188,8 @@
 {
   for (auto& [key, group] : m_groups) {
     const bool lacksHead = group.phase == Phase::kEnding && group.headSilentAt;
-    if (group.service != service.name || !lacksHead || HasSuccessor(group) ||
-        !LacksGroups(pass, service, group.model)) {
+    if (group.service != service.name || !lacksHead || pass.IsEvacuated(group) ||
+        HasSuccessor(group) || !LacksGroups(pass, service, group.model)) {
       continue;
     }
     if (std::optional<Group> made = MakeSuccessor(pass, service, group)) {
@@ -298,7 +298,8 @@
 {
   std::vector<ServingGroup> serving;
   for (const auto& [key, group] : m_groups) {
-    if (group.service != service || group.phase != Phase::kOpen || !IsHealthy(pass, group)) {
+    if (group.service != service || group.phase != Phase::kOpen || pass.IsEvacuated(group) ||
+        !IsHealthy(pass, group)) {
       continue;
     }
     ServingGroup each{ group.name, group.model, {}, {} };
@@ -321,7 +322,7 @@
     const TargetRow& target = row.second;
     const bool isHeard = pass.input.now - target.lastSeenAt <= m_settings.SilenceTimeout();
     return target.latest.service == service.name && isHeard && !IsLeaving(&target) &&
-           !m_verifier.IsReplaced(target);
+           !m_verifier.IsReplaced(target) && !pass.IsEvacuated(target);
   });
   std::vector<ModelNeed> needs;
   for (const GroupModel& model : service.engine->models) {
@@ -346,6 +347,9 @@
 // were counted, they would not be replaced.
 bool EngineGroups::IsCounted(const Pass& pass, const Group& group) const
 {
+  if (pass.IsEvacuated(group)) {
+    return false;
+  }
   if (group.phase == Phase::kOpen && PaceOf(group) >= SlowTargets::kSlowPace) {
     return false; // It adds little capacity; another group may be formed for its callers.
   }
@@ -375,7 +379,7 @@
     const bool usable = row.latest.service == service && IsConfirmed(pass, row) &&
                         !taken.contains(instance) && !m_slow.IsSlow(instance) &&
                         !IsTracked(row.latest.membership) && !HasFailed(pass, &row) &&
-                        !m_verifier.IsContested(instance);
+                        !m_verifier.IsContested(instance) && !pass.IsEvacuated(row);
     if (!usable) {
       continue;
     }
@@ -400,8 +404,9 @@
     }
     for (const InstanceId& member : group.members) {
       const TargetRow* row = pass.Row(member);
-      const bool isHealthy = !HasFailed(pass, row) && !HasRestarted(pass, group, member);
-      if (isHealthy && !m_slow.IsSlow(member) && seen.insert(member).second) {
+      const bool isUsable =
+        !HasFailed(pass, row) && !HasRestarted(pass, group, member) && !pass.IsEvacuated(*row);
+      if (isUsable && !m_slow.IsSlow(member) && seen.insert(member).second) {
         returning.push_back(MakeFreeTarget(*row));
       }
     }
--- a/src/control/serving_control.cpp
+++ b/src/control/serving_control.cpp
@@ -63,38 +63,43 @@
   if (!call) {
     return false;
   }
-  std::visit([&](const auto& value) { Handle(context, request.exchange, value); }, *call);
+  std::visit([&](const auto& value) { Handle(context, request, value); }, *call);
   return true;
 }
 
 void ServingControl::Handle(ControlContext& context,
-                            ExchangeId exchange,
+                            const HttpRequestIn& request,
                             const PutDocumentCall& call)
 {
-  if (IsForLeader(context, exchange)) {
-    m_documents.OnPut(context, exchange, call.text, m_api.readDocument, Responder(context));
+  if (IsForLeader(context, request)) {
+    m_documents.OnPut(context, request.exchange, call.text, m_api.readDocument, Responder(context));
   }
 }
 
-void ServingControl::Handle(ControlContext& context, ExchangeId exchange, const GetDocumentCall&)
+void ServingControl::Handle(ControlContext& context,
+                            const HttpRequestIn& request,
+                            const GetDocumentCall&)
 {
-  if (IsForLeader(context, exchange)) {
-    m_documents.OnGet(context, exchange);
+  if (IsForLeader(context, request)) {
+    m_documents.OnGet(context, request.exchange);
   }
 }
 
 // A positive response to a leaving target means that it will soon receive no more work. Only the
 // leader sends the state of targets to the entries, so that a process that has recorded no leader
 // refuses announcements.
-void ServingControl::Handle(ControlContext& context, ExchangeId exchange, const AnnounceCall& call)
+void ServingControl::Handle(ControlContext& context,
+                            const HttpRequestIn& request,
+                            const AnnounceCall& call)
 {
   if (!context.ready && context.replication.leaderHint.IsNone()) {
-    Respond(context, exchange, { OutsideStatus::kUnavailable, {}, "no leader is known", {} });
+    Respond(
+      context, request.exchange, { OutsideStatus::kUnavailable, {}, "no leader is known", {}, {} });
     return;
   }
   const InstanceId& instance = call.announcement.instance;
   if (!IsServiceKnown(call.announcement)) {
-    Handle(context, exchange, MalformedCall{ instance.Get(), "no document names its service" });
+    Handle(context, request, MalformedCall{ instance.Get(), "no document names its service" });
     return;
   }
   const TargetTable::Change change = m_targets.Update(context.now, call.announcement);
@@ -105,7 +110,7 @@
   if (stateChanged) {
     ReportTargetChange(context, instance);
   }
-  Respond(context, exchange, {});
+  Respond(context, request.exchange, {});
 }
 
 // An announcement with a wrong service under a target's name would remove the target from its
@@ -122,38 +127,54 @@
            m_document->services.end();
 }
 
-void ServingControl::Handle(ControlContext& context, ExchangeId exchange, const LeaveCall& call)
+void ServingControl::Handle(ControlContext& context,
+                            const HttpRequestIn& request,
+                            const LeaveCall& call)
 {
   if (!context.ready && context.replication.leaderHint.IsNone()) {
-    Respond(context, exchange, { OutsideStatus::kUnavailable, {}, "no leader is known", {} });
+    Respond(
+      context, request.exchange, { OutsideStatus::kUnavailable, {}, "no leader is known", {}, {} });
     return;
   }
   if (m_targets.MarkLeft(context.now, call.instance) == TargetTable::Change::kState) {
     ReportTargetChange(context, call.instance);
   }
   m_relay.Enqueue(context, call.instance, true);
-  Respond(context, exchange, {});
+  Respond(context, request.exchange, {});
 }
 
-void ServingControl::Handle(ControlContext& context, ExchangeId exchange, const MalformedCall& call)
+void ServingControl::Handle(ControlContext& context,
+                            const HttpRequestIn& request,
+                            const EvacuateCall& call)
+{
+  if (IsForLeader(context, request)) {
+    m_evacuations.OnOrder(context, request.exchange, call, Responder(context));
+  }
+}
+
+void ServingControl::Handle(ControlContext& context,
+                            const HttpRequestIn& request,
+                            const MalformedCall& call)
 {
   m_refused.Note(call.caller, call.reason);
-  Respond(context, exchange, { OutsideStatus::kInvalid, {}, call.reason, {} });
+  Respond(context, request.exchange, { OutsideStatus::kInvalid, {}, call.reason, {}, {} });
 }
 
-bool ServingControl::IsForLeader(ControlContext& context, ExchangeId exchange)
+bool ServingControl::IsForLeader(ControlContext& context, const HttpRequestIn& request)
 {
   if (context.ready) {
     return true;
   }
-  OutsideAnswer answer{ OutsideStatus::kUnavailable, {}, "no leader is known", {} };
+  OutsideAnswer answer{ OutsideStatus::kUnavailable, {}, "no leader is known", {}, {} };
   for (const EntrySettings::Control& control : context.controls) {
     const bool leads = control.process == context.replication.leaderHint;
     if (leads && control.process != context.settings.process) {
-      answer = { OutsideStatus::kNotLeader, {}, "another process leads", control.address };
+      answer = {
+        OutsideStatus::kNotLeader, {}, "another process leads", control.address, request.target
+      };
     }
   }
-  Respond(context, exchange, answer);
+  Respond(context, request.exchange, answer);
   return false;
 }
 
@@ -239,6 +260,7 @@
 void ServingControl::OnCallerGone(ExchangeId exchange)
 {
   m_documents.OnCallerGone(exchange);
+  m_evacuations.OnCallerGone(exchange);
 }
 
 void ServingControl::OnLeaderStart()
@@ -251,6 +273,7 @@
 void ServingControl::OnLeadershipLost(ControlContext& context)
 {
   m_documents.OnLeadershipLost(Responder(context));
+  m_evacuations.OnLeadershipLost(Responder(context));
 }
 
 void ServingControl::Tick(ControlContext& context)
@@ -274,6 +297,7 @@
     return;
   }
   m_documents.Tick(context, Responder(context));
+  m_evacuations.Tick(context, Responder(context));
   // A deposed leader that has not detected it yet must send neither orders nor state to entries.
   if (!context.HasFreshQuorum()) {
     return;
@@ -331,7 +355,8 @@
                   answering,
                   failing,
                   demand,
-                  steps },
+                  steps,
+                  context.state.Evacuated() },
                 orders,
                 events);
   for (EventOut& event : events) {
@@ -434,7 +459,8 @@
       instance, latest.service, latest.address, latest.failureDomain, latest.slots, false,
       {},       latest.born
     };
-    target.leaving = latest.left || latest.draining;
+    target.leaving =
+      latest.left || latest.draining || context.state.Evacuated().contains(latest.failureDomain);
     if (const auto head = heads.find(instance); head != heads.end()) {
       target.servedModel = head->second;
     }
--- a/src/settings/setting_key.cpp
+++ b/src/settings/setting_key.cpp
@@ -350,6 +350,18 @@
             [](ProcessSettings& settings, const SettingValue& value) {
               settings.control.targetHeartbeat = Times(value.decimal, std::chrono::milliseconds(1));
             }),
+  TextKey("control.failureDomains",
+          SettingType::kNameList,
+          "",
+          "",
+          kControlRole,
+          kNoRole,
+          "The failure domains that operators may evacuate; without it, any name is accepted.",
+          [](ProcessSettings& settings, const SettingValue& value) {
+            for (const std::string& name : SplitList(value.text)) {
+              settings.control.failureDomains.emplace_back(name);
+            }
+          }),
   TextKey(
     "control.mayFound",
     SettingType::kChoice,
--- a/src/shell/control_shell.cpp
+++ b/src/shell/control_shell.cpp
@@ -43,6 +43,7 @@
   control.controls = impl::ControlsOf(settings);
   control.operatorTokenHash = settings.control.operatorTokenHash;
   control.groupLease = settings.control.groupLease;
+  control.failureDomains = settings.control.failureDomains;
   control.engineGroups.standstill = settings.control.standstill;
   control.engineGroups.heartbeat = settings.control.targetHeartbeat;
   return control;
--- a/tests/fakes/fake_fleet.cpp
+++ b/tests/fakes/fake_fleet.cpp
@@ -148,7 +148,8 @@
                   answering,
                   failing,
                   demand,
-                  ListSteps() },
+                  ListSteps(),
+                  m_evacuated },
                 orders,
                 events);
   for (const GroupOrder& order : orders) {
--- a/tests/fakes/fake_fleet.hpp
+++ b/tests/fakes/fake_fleet.hpp
@@ -63,6 +63,8 @@
   [[nodiscard]] const std::vector<GroupOrder>& Orders() const { return m_orders; }
   /// \brief The largest number of hosts that loaded weights at once while there was traffic.
   [[nodiscard]] std::size_t MaxConcurrentLoads() const { return m_maxConcurrentLoads; }
+  /// \brief Sets the failure domains whose targets get no requests.
+  void SetEvacuated(std::set<FailureDomainId> domains) { m_evacuated = std::move(domains); }
   [[nodiscard]] TargetTable& Table() { return m_table; }
   [[nodiscard]] EngineGroups& Groups() { return m_groups; }
   [[nodiscard]] const EngineGroups& Groups() const { return m_groups; }
@@ -98,6 +100,7 @@
   std::vector<GroupOrder> m_orders;
   std::vector<std::string> m_violations;
   std::size_t m_maxConcurrentLoads = 0;
+  std::set<FailureDomainId> m_evacuated;
 };
 
 /// \brief A service `assist` with the models `large` (4 targets) and `small` (2), with half of the
--- a/tests/support/control_cluster.hpp
+++ b/tests/support/control_cluster.hpp
@@ -86,6 +86,7 @@
     hooks.plan = [this](TimePoint at, const PlannerInput& input) {
       return plan ? plan(at, input) : std::vector<PlannerAction>();
     };
+    hooks.outside = outside;
     role = std::make_unique<ControlRole>(m_settings, hooks);
     applied = LogIndex();
     if (snapshot) {
@@ -152,6 +153,7 @@
   LogIndex applied;
   std::vector<std::vector<std::uint8_t>> lost;
   std::function<std::vector<PlannerAction>(TimePoint, const PlannerInput&)> plan;
+  OutsideApi outside; ///< Used from the next restart on.
   std::unique_ptr<ControlRole> role;
   std::vector<ControlOutput> seen;
 
--- a/tests/unit/platform_test.cpp
+++ b/tests/unit/platform_test.cpp
@@ -214,16 +214,31 @@
     std::holds_alternative<LeaveCall>(*api.decode(Request("DELETE", "/api/instances/i-1"))));
   EXPECT_TRUE(
     std::holds_alternative<MalformedCall>(*api.decode(Request("PUT", "/api/instances/i-1", "{"))));
+  const auto order =
+    std::get<EvacuateCall>(*api.decode(Request("POST", "/api/evacuations/portmore")));
+  EXPECT_EQ(order.failureDomain, FailureDomainId("portmore"));
+  EXPECT_FALSE(order.isWithdrawal);
+  const auto withdrawal =
+    std::get<EvacuateCall>(*api.decode(Request("DELETE", "/api/evacuations/portmore")));
+  EXPECT_EQ(withdrawal.failureDomain, FailureDomainId("portmore"));
+  EXPECT_TRUE(withdrawal.isWithdrawal);
+  for (const char* target : { "/api/evacuations/portmore", "/api/evacuations/" }) {
+    EXPECT_TRUE(std::holds_alternative<MalformedCall>(*api.decode(Request("PUT", target))));
+  }
+  EXPECT_TRUE(
+    std::holds_alternative<MalformedCall>(*api.decode(Request("POST", "/api/evacuations/"))));
   EXPECT_FALSE(api.decode(Request("GET", "/admin/v1/status")).has_value());
 }
 
 TEST(PlatformControl, RedirectsToTheLeader)
 {
   const OutsideApi api = MakeOutsideApi("10.0.0.1:8229");
-  const HttpAnswerOut answer =
-    api.encode(ExchangeId(1), { OutsideStatus::kNotLeader, {}, "", "10.0.0.2:7340" });
-  EXPECT_EQ(answer.status, 307U);
-  EXPECT_EQ(FindHeader(answer.headers, "Location"), "http://10.0.0.2:8229/api/config");
+  for (const std::string target : { "/api/config", "/api/evacuations/portmore" }) {
+    const HttpAnswerOut answer =
+      api.encode(ExchangeId(1), { OutsideStatus::kNotLeader, {}, "", "10.0.0.2:7340", target });
+    EXPECT_EQ(answer.status, 307U);
+    EXPECT_EQ(FindHeader(answer.headers, "Location"), "http://10.0.0.2:8229" + target);
+  }
 }
 
 TEST(PlatformControl, OrdersNameTheirTarget)
--- a/tools/platform_days.py
+++ b/tools/platform_days.py
@@ -45,6 +45,7 @@
     ("scale_out", "", "SERVICE, share = 0.2, gap_s = 1.0"),
     ("scale_in", "", "SERVICE, share = 0.15"),
     ("scale_in", "spot", "SERVICE, share = 0.15"),
+    ("cold_return", "", 'zone = "@z0", for_s = 4.0'),
     ("answer_lost", "", "share = 0.5, x = 0.05, for_s = 5.0"),
     ("answer_lost", "reset", "share = 0.5, x = 0.05, for_s = 5.0"),
     ("garble", "", "share = 0.5, x = 0.03, for_s = 5.0"),
@@ -117,6 +118,8 @@
     ("big_config", "", "count = 350"),
     ("revoke", "", "count = 2, gap_s = 1.5"),
     ("revoke", "last", "count = 2, gap_s = 1.5"),
+    ("evacuate", "", 'zone = "@z0", for_s = 8.0'),
+    ("evacuate", "warm", 'zone = "@z0", for_s = 8.0'),
 ]
 
 # Overlapping troubles: the second starts 0.5 s after the first.
