Cold targets get no more requests than they take, from all entries together

Missing: nothing read coldStartS, coldPerS or coldLeftMs. Change: heartbeats say how long a target stays cold, the document how many requests a second it takes then; control adds both to the list, and takes all targets of a domain for cold from when its evacuation is withdrawn, as their heartbeats tell later. An entry keeps to its part of that rate, divided as heads' slots and stated limits are, saved up to one request; entries begin at different moments. A head that is open again after an evacuation starts slowly, like a new one. Nothing makes a target warm before the latest end it named: a heartbeat may be older.

What isn't covered: with some 60 entries or more whose parts are below one request a second, saved requests could add up beyond the slack; a target that becomes cold between two heartbeats is known up to a heartbeat later.

--- a/bench/target_selector.cpp
+++ b/bench/target_selector.cpp
@@ -24,7 +24,7 @@
   for (std::int64_t number = 0; number < state.range(0); ++number) {
     heads.push_back(Head(number));
   }
-  selector.Replace(heads);
+  selector.Replace(TimePoint{}, heads);
   const TimePoint now{ 1h };
   for (std::size_t number = 0; number < heads.size(); number += 5) {
     selector.OnLimit(now, { heads[number].instance, heads[number].born }, now, { 3.0 });
--- a/include/gooseberrysail/control/target_changes.hpp
+++ b/include/gooseberrysail/control/target_changes.hpp
@@ -14,7 +14,7 @@
 /// \code
 /// TargetChanges changes;
 /// changes.Set(targets);
-/// changes.Fill(entryHas, state);
+/// changes.Fill(now, entryHas, state);
 /// \endcode
 class TargetChanges
 {
@@ -38,7 +38,7 @@
 
   /// \brief Writes the changes after `base`, or the whole list when they are not all recorded.
   /// \param base The sequence number that the reader has; 0 when it has no state of this leader.
-  void Fill(std::uint64_t base, wire::ServingStateT& state) const;
+  void Fill(TimePoint now, std::uint64_t base, wire::ServingStateT& state) const;
 
   /// \brief Maximum number of recorded removals; a reader that has missed older ones is sent the
   /// whole list.
--- a/include/gooseberrysail/gateway/target_selector.hpp
+++ b/include/gooseberrysail/gateway/target_selector.hpp
@@ -32,7 +32,8 @@
 {
   kNone,        ///< No listed target serves it.
   kFull,        ///< All are at capacity.
-  kLimited,     ///< All get as many requests a second from this entry as they take.
+  kLimited,     ///< All get as many requests a second from this entry as they take, by a limit
+                ///< that they stated or because they are cold.
   kBackoff,     ///< All want no requests from this entry for a time.
   kSilent,      ///< A head with requests in flight sends no bytes.
   kUnreachable, ///< Those with capacity are unreachable or were already tried.
@@ -55,6 +56,9 @@
     TimePoint noAnswerAt{};       ///< When an expected answer last failed to arrive.
     TimePoint avoidUntil{};       ///< Used only when no other target has capacity.
     TimePoint unreachableUntil{}; ///< Gets no requests.
+    /// \brief Requests left of this entry's part of what it takes while it is cold, as of coldAt.
+    double coldLeft = 0;
+    TimePoint coldAt{};
     StepTimeEstimator stepTime;
     std::uint32_t failures = 0; ///< Consecutive.
     bool gone = false;          ///< No longer listed; kept while requests are in flight.
@@ -68,7 +72,7 @@
 
   /// \brief Replaces the whole list. The state of a target that has restarted is reset.
   /// \returns The targets that have restarted.
-  std::vector<InstanceId> Replace(std::span<const ServedTarget> targets);
+  std::vector<InstanceId> Replace(TimePoint now, std::span<const ServedTarget> targets);
 
   /// \brief Like Replace, with only the changed and the removed targets.
   std::vector<InstanceId> Change(TimePoint now,
@@ -182,9 +186,11 @@
 
 private:
   /// \param openedAt When new heads began to accept work; the epoch of the clock where unknown.
-  std::vector<InstanceId> ApplyUpdates(TimePoint openedAt, std::span<const ServedTarget> targets);
+  std::vector<InstanceId> ApplyUpdates(TimePoint now,
+                                       TimePoint openedAt,
+                                       std::span<const ServedTarget> targets);
   /// \returns Whether the target has restarted.
-  bool ApplyUpdate(TimePoint openedAt, const ServedTarget& target);
+  bool ApplyUpdate(TimePoint now, TimePoint openedAt, const ServedTarget& target);
   /// \brief The fraction of its capacity that a head should have during slow start; 1 afterwards.
   [[nodiscard]] static double WarmUpFraction(TimePoint now, const Row& row);
   /// \brief Erases rows that are no longer listed and have no requests in flight.
@@ -213,9 +219,11 @@
                                  const Row& row,
                                  const TargetStatements::Row& stated,
                                  const ShareState& shareState) const;
+  /// \brief How many requests this entry may send now to a target that is cold.
+  [[nodiscard]] double ColdLeft(TimePoint now, const Row& row, const ShareState& shareState) const;
   [[nodiscard]] bool IsLimited(TimePoint now, const Row& row, const ShareState& shareState) const;
   /// \brief Counts a request to a target with a limit.
-  void TakeLimit(TimePoint now, const Row& row);
+  void TakeLimit(TimePoint now, Row& row);
   /// \brief What the target's incarnation has said of itself; null for nothing.
   [[nodiscard]] const TargetStatements::Row* StatementsOf(const Row& row) const
   {
--- a/include/gooseberrysail/serving/served_target.hpp
+++ b/include/gooseberrysail/serving/served_target.hpp
@@ -20,11 +20,15 @@
   bool leaving = false;    ///< Accepts no new requests.
   std::string servedModel; ///< Model of the complete, open group it heads; "" for plain services.
   Incarnation born{};
+  /// \brief Until then all entries together send it no more than coldPerSecond requests a second.
+  TimePoint coldUntil{};
+  double coldPerSecond = 0;
 
   friend bool operator==(const ServedTarget&, const ServedTarget&) = default;
 };
 
-[[nodiscard]] wire::ServingTargetT ToWire(const ServedTarget& target);
-[[nodiscard]] ServedTarget FromWire(const wire::ServingTargetT& target);
+/// \param now When the message is sent or received: it states times relative to that.
+[[nodiscard]] wire::ServingTargetT ToWire(TimePoint now, const ServedTarget& target);
+[[nodiscard]] ServedTarget FromWire(TimePoint now, const wire::ServingTargetT& target);
 
 } // namespace gooseberrysail
--- a/include/gooseberrysail/serving/target_table.hpp
+++ b/include/gooseberrysail/serving/target_table.hpp
@@ -57,6 +57,7 @@
   std::vector<std::string> stagedModels; ///< Models whose weights its host holds.
   std::string loadedModel;
   GroupMembership membership;
+  Duration coldLeft{}; ///< How much longer it takes few requests after its start.
 };
 
 /// \brief A target's answer to a report request.
@@ -74,6 +75,7 @@
   std::string lastModel;
   TimePoint firstSeenAt{}; ///< In this incarnation.
   TimePoint lastSeenAt{};
+  TimePoint coldUntil{}; ///< Until then it takes few requests.
 };
 
 /// \brief Targets that sent heartbeats to any control process, by instance.
--- a/src/control/serving_control.cpp
+++ b/src/control/serving_control.cpp
@@ -293,6 +293,7 @@
   }
   m_relay.Tick(context, m_targets);
   ApplyStoredDocument(context);
+  FollowEvacuations(context);
   if (!context.ready) {
     return;
   }
@@ -335,6 +336,21 @@
                 { "bytes", std::to_string(stored.text.size()) } }));
 }
 
+void ServingControl::FollowEvacuations(const ControlContext& context)
+{
+  const std::set<FailureDomainId>& evacuated = context.state.Evacuated();
+  if (evacuated == m_evacuated) {
+    return;
+  }
+  for (const FailureDomainId& domain : m_evacuated) {
+    if (!evacuated.contains(domain)) {
+      m_withdrawnAt[domain] = context.now;
+    }
+  }
+  m_evacuated = evacuated;
+  m_nextReconcile = context.now;
+}
+
 void ServingControl::ReconcileGroups(ControlContext& context)
 {
   if (!m_document) {
@@ -464,9 +480,30 @@
     if (const auto head = heads.find(instance); head != heads.end()) {
       target.servedModel = head->second;
     }
+    SetCold(row, target);
     targets.push_back(std::move(target));
   }
   return targets;
 }
 
+// The targets of a domain may have become cold during its evacuation; their heartbeats say so only
+// after up to a heartbeat interval.
+void ServingControl::SetCold(const TargetRow& row, ServedTarget& target) const
+{
+  if (!m_document) {
+    return;
+  }
+  const auto service =
+    std::ranges::find(m_document->services, target.service, &ServiceDefinition::name);
+  if (service == m_document->services.end() || service->coldPerSecond == 0) {
+    return;
+  }
+  target.coldPerSecond = service->coldPerSecond;
+  target.coldUntil = row.coldUntil;
+  const auto withdrawn = m_withdrawnAt.find(target.failureDomain);
+  if (withdrawn != m_withdrawnAt.end()) {
+    target.coldUntil = std::max(target.coldUntil, withdrawn->second + service->coldStart);
+  }
+}
+
 } // namespace gooseberrysail
--- a/src/control/serving_feed.cpp
+++ b/src/control/serving_feed.cpp
@@ -411,7 +411,7 @@
     state.document = document.text;
   }
   if (missing.targetsSince) {
-    m_targets.Fill(*missing.targetsSince, state);
+    m_targets.Fill(context.now, *missing.targetsSince, state);
   }
   if (missing.suspectsSince) {
     state.suspectsSequence = m_suspects.Sequence();
--- a/src/control/target_changes.cpp
+++ b/src/control/target_changes.cpp
@@ -13,7 +13,7 @@
 {
   const bool lostItsModel = !former.servedModel.empty() && now.servedModel != former.servedModel;
   return now.leaving != former.leaving || lostItsModel || now.born != former.born ||
-         now.address != former.address;
+         now.address != former.address || now.coldUntil > former.coldUntil;
 }
 
 } // namespace
@@ -77,7 +77,7 @@
 
 // Rows contain only their latest values, so that a reader with a later sequence number than `base`
 // can apply them as well: it receives some values again, but none is reverted.
-void TargetChanges::Fill(std::uint64_t base, wire::ServingStateT& state) const
+void TargetChanges::Fill(TimePoint now, std::uint64_t base, wire::ServingStateT& state) const
 {
   const bool isWhole = base == 0 || base < m_oldestBase;
   state.targetsSequence = m_sequence;
@@ -85,7 +85,7 @@
   state.targetsBase = isWhole ? 0 : base;
   for (const auto& [instance, row] : m_rows) {
     if (isWhole || row.changedIn > base) {
-      state.targets.push_back(std::make_unique<wire::ServingTargetT>(ToWire(row.target)));
+      state.targets.push_back(std::make_unique<wire::ServingTargetT>(ToWire(now, row.target)));
     }
   }
   if (isWhole) {
--- a/src/gateway/dispatcher.cpp
+++ b/src/gateway/dispatcher.cpp
@@ -463,7 +463,7 @@
 
 void Dispatcher::OnTargets(TimePoint now, std::span<const ServedTarget> targets, Outbox& outbox)
 {
-  RetryAfterRestart(now, m_selector.Replace(targets), outbox);
+  RetryAfterRestart(now, m_selector.Replace(now, targets), outbox);
 }
 
 void Dispatcher::OnTargetChanges(TimePoint now,
--- a/src/gateway/feed_client.cpp
+++ b/src/gateway/feed_client.cpp
@@ -252,7 +252,7 @@
   m_snapshot.targetsSequence = state.targetsSequence;
   std::vector<ServedTarget> targets;
   for (const auto& target : state.targets) {
-    targets.push_back(FromWire(*target));
+    targets.push_back(FromWire(now, *target));
   }
   if (state.wholeTargets) {
     dispatcher.OnTargets(now, targets, outbox);
--- a/src/gateway/target_selector.cpp
+++ b/src/gateway/target_selector.cpp
@@ -40,6 +40,8 @@
 /// Requests that an entry may save up of its part of a target's limit. With more, the entries'
 /// parts would add up to a burst when the other targets are full.
 constexpr double kMaxLimitLeft = 1;
+/// Moments at which entries may begin to use a cold target.
+constexpr std::uint64_t kColdPhases = 1024;
 /// For targets that state no number of slots.
 constexpr std::uint32_t kDefaultSlots = 8;
 
@@ -81,13 +83,14 @@
 {
 }
 
-std::vector<InstanceId> TargetSelector::Replace(std::span<const ServedTarget> targets)
+std::vector<InstanceId> TargetSelector::Replace(TimePoint now,
+                                                std::span<const ServedTarget> targets)
 {
   for (auto& [instance, row] : m_rows) {
     row.gone = true;
   }
   // It is unknown which of them opened recently.
-  return ApplyUpdates(TimePoint{}, targets);
+  return ApplyUpdates(now, TimePoint{}, targets);
 }
 
 std::vector<InstanceId> TargetSelector::Change(TimePoint now,
@@ -99,15 +102,16 @@
       found->second.gone = true;
     }
   }
-  return ApplyUpdates(now, changed);
+  return ApplyUpdates(now, now, changed);
 }
 
-std::vector<InstanceId> TargetSelector::ApplyUpdates(TimePoint openedAt,
+std::vector<InstanceId> TargetSelector::ApplyUpdates(TimePoint now,
+                                                     TimePoint openedAt,
                                                      std::span<const ServedTarget> targets)
 {
   std::vector<InstanceId> restarted;
   for (const ServedTarget& target : targets) {
-    if (ApplyUpdate(openedAt, target)) {
+    if (ApplyUpdate(now, openedAt, target)) {
       restarted.push_back(target.instance);
     }
   }
@@ -115,7 +119,8 @@
   return restarted;
 }
 
-bool TargetSelector::ApplyUpdate(TimePoint openedAt, const ServedTarget& target)
+// A head that was closed for an evacuation opens to all entries at the same time, like a new one.
+bool TargetSelector::ApplyUpdate(TimePoint now, TimePoint openedAt, const ServedTarget& target)
 {
   Row& row = m_rows[target.instance];
   const bool hasRestarted = target.born > row.target.born && !row.target.instance.IsNone();
@@ -123,9 +128,14 @@
     // Its requests in flight, failures and step time belong to the instance before the restart.
     row = Row{};
   }
-  if (row.target.servedModel != target.servedModel) {
+  if (row.target.servedModel != target.servedModel || (row.target.leaving && !target.leaving)) {
     row.openedAt = openedAt;
   }
+  if (target.coldUntil > now && row.target.coldUntil <= now) {
+    // The entries begin at different moments, so that their first requests don't arrive together.
+    row.coldLeft = -static_cast<double>(m_random() % kColdPhases) / kColdPhases;
+    row.coldAt = now;
+  }
   row.target = target;
   row.gone = false;
   return hasRestarted;
@@ -264,23 +274,41 @@
   return std::min(kMaxLimitLeft, stated.limitLeft + gained);
 }
 
+double TargetSelector::ColdLeft(TimePoint now, const Row& row, const ShareState& shareState) const
+{
+  const double seconds = std::chrono::duration<double>(now - row.coldAt).count();
+  const double gained = seconds * OwnLimit(row, row.target.coldPerSecond, shareState);
+  return std::min(kMaxLimitLeft, row.coldLeft + gained);
+}
+
 bool TargetSelector::IsLimited(TimePoint now, const Row& row, const ShareState& shareState) const
 {
+  if (now < row.target.coldUntil && ColdLeft(now, row, shareState) < 1) {
+    return true;
+  }
   const TargetStatements::Row* stated = StatementsOf(row);
   return stated != nullptr && stated->limit && LimitLeft(now, row, *stated, shareState) < 1;
 }
 
-void TargetSelector::TakeLimit(TimePoint now, const Row& row)
+void TargetSelector::TakeLimit(TimePoint now, Row& row)
 {
   const TargetStatements::Row* stated = StatementsOf(row);
-  if (stated == nullptr || !stated->limit) {
+  const bool isLimited = stated != nullptr && stated->limit;
+  const bool isCold = now < row.target.coldUntil;
+  if (!isLimited && !isCold) {
     return;
   }
   const std::set<InstanceId> none;
   const ShareState shareState =
     ShareStateOf(now, { row.target.service, row.target.servedModel, none });
-  m_statements.SetLimitLeft(
-    now, { row.target.instance, row.target.born }, LimitLeft(now, row, *stated, shareState) - 1);
+  if (isCold) {
+    row.coldLeft = ColdLeft(now, row, shareState) - 1;
+    row.coldAt = now;
+  }
+  if (isLimited) {
+    m_statements.SetLimitLeft(
+      now, { row.target.instance, row.target.born }, LimitLeft(now, row, *stated, shareState) - 1);
+  }
 }
 
 bool TargetSelector::IsInBackoff(TimePoint now, const Row& row) const
@@ -445,6 +473,8 @@
   for (const auto& [instance, row] : m_rows) {
     const TargetStatements::Row* stated = Fits(now, row, query) ? StatementsOf(row) : nullptr;
     perSecond += stated == nullptr ? 0 : stated->limit.value_or(0);
+    const bool isCold = Fits(now, row, query) && now < row.target.coldUntil;
+    perSecond += isCold ? row.target.coldPerSecond : 0;
   }
   return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(1 / perSecond));
 }
--- a/src/serving/served_target.cpp
+++ b/src/serving/served_target.cpp
@@ -1,8 +1,10 @@
 #include "gooseberrysail/serving/served_target.hpp"
 
+#include <algorithm>
+
 namespace gooseberrysail {
 
-wire::ServingTargetT ToWire(const ServedTarget& target)
+wire::ServingTargetT ToWire(TimePoint now, const ServedTarget& target)
 {
   wire::ServingTargetT message;
   message.instance = target.instance.Get();
@@ -13,10 +15,13 @@
   message.leaving = target.leaving;
   message.servedModel = target.servedModel;
   message.born = target.born.Get();
+  message.coldLeftMillis =
+    static_cast<std::uint32_t>(std::max<std::int64_t>(ToMillis(target.coldUntil - now), 0));
+  message.coldPerSecond = static_cast<float>(target.coldPerSecond);
   return message;
 }
 
-ServedTarget FromWire(const wire::ServingTargetT& message)
+ServedTarget FromWire(TimePoint now, const wire::ServingTargetT& message)
 {
   ServedTarget target;
   target.instance = InstanceId(message.instance);
@@ -27,6 +32,10 @@
   target.leaving = message.leaving;
   target.servedModel = message.servedModel;
   target.born = Incarnation(message.born);
+  if (message.coldLeftMillis != 0) {
+    target.coldUntil = now + std::chrono::milliseconds(message.coldLeftMillis);
+    target.coldPerSecond = message.coldPerSecond;
+  }
   return target;
 }
 
--- a/src/serving/target_table.cpp
+++ b/src/serving/target_table.cpp
@@ -26,6 +26,20 @@
                   member.state);
 }
 
+/// Heartbeats state the same end with different delays. An end that differs by less is no change.
+constexpr Duration kColdVariation = std::chrono::milliseconds(200);
+
+/// \returns Whether the target is cold for longer than was known. Nothing makes it warm earlier: a
+/// heartbeat that was delayed may have been sent before it became cold.
+bool UpdateCold(TargetRow& row)
+{
+  const TimePoint until = row.lastSeenAt + row.latest.coldLeft;
+  const bool isLater =
+    row.latest.coldLeft > Duration::zero() && until > row.coldUntil + kColdVariation;
+  row.coldUntil = isLater ? until : row.coldUntil;
+  return isLater;
+}
+
 /// A target that joins a group unloads its former weights; one that has left its group keeps them.
 void UpdateLastModel(TargetRow& row)
 {
@@ -58,6 +72,7 @@
   if (isRestarted) {
     // The weights of the former incarnation are no longer loaded.
     row.lastModel.clear();
+    row.coldUntil = {};
   }
   if (isNew || isRestarted) {
     row.firstSeenAt = now;
@@ -66,7 +81,8 @@
   row.latest = std::move(announcement);
   row.lastSeenAt = now;
   UpdateLastModel(row);
-  return isSame ? Change::kRefresh : Change::kState;
+  const bool isColdLonger = UpdateCold(row);
+  return isSame && !isColdLonger ? Change::kRefresh : Change::kState;
 }
 
 TargetTable::Change TargetTable::MarkLeft(TimePoint now,
@@ -119,6 +135,7 @@
   heard.epoch = announcement.membership.epoch.Get();
   heard.rank = announcement.membership.rank;
   heard.memberState = announcement.membership.state;
+  heard.coldLeftMillis = static_cast<std::uint32_t>(ToMillis(announcement.coldLeft));
   return heard;
 }
 
@@ -139,6 +156,7 @@
   announcement.stagedModels = heard.staged;
   announcement.loadedModel = heard.loadedModel;
   announcement.membership = { heard.group, Epoch(heard.epoch), heard.rank, heard.memberState };
+  announcement.coldLeft = std::chrono::milliseconds(heard.coldLeftMillis);
   return announcement;
 }
 
--- a/tests/fakes/fake_gateways.cpp
+++ b/tests/fakes/fake_gateways.cpp
@@ -461,6 +461,20 @@
   state.toldAt.clear();
 }
 
+void FakeGateways::SetCold(const std::string& target, Duration coldFor, double perSecond)
+{
+  ServedTarget& self = m_targets.at(target).self;
+  self.coldUntil = now + coldFor;
+  self.coldPerSecond = perSecond;
+  UpdateTargets();
+}
+
+void FakeGateways::SetClosed(const std::string& target, bool isClosed)
+{
+  m_targets.at(target).self.leaving = isClosed;
+  UpdateTargets();
+}
+
 void FakeGateways::SetBackoff(const std::string& target, std::optional<Duration> backoff)
 {
   m_targets.at(target).backoff = backoff;
@@ -513,6 +527,26 @@
     m_targets.at(target).arrivals, [&](const Arrival& arrival) { return arrival.at >= from; }));
 }
 
+std::size_t FakeGateways::MostArrivals(const std::string& target,
+                                       TimePoint from,
+                                       TimePoint until,
+                                       Duration window) const
+{
+  std::vector<TimePoint> counted;
+  for (const Arrival& arrival : m_targets.at(target).arrivals) {
+    if (arrival.at >= from && arrival.at < until) {
+      counted.push_back(arrival.at);
+    }
+  }
+  std::ranges::sort(counted);
+  std::size_t most = 0;
+  for (auto first = counted.begin(); first != counted.end(); ++first) {
+    const auto end = std::lower_bound(first, counted.end(), *first + window);
+    most = std::max(most, static_cast<std::size_t>(end - first));
+  }
+  return most;
+}
+
 std::size_t FakeGateways::MostFromToldEntries(const std::string& target,
                                               TimePoint from,
                                               Duration window) const
--- a/tests/fakes/fake_gateways.hpp
+++ b/tests/fakes/fake_gateways.hpp
@@ -61,6 +61,10 @@
   void CloseConnections(const std::string& target);
   /// \brief Sets the limit of requests a second that a target names in its answers.
   void SetLimit(const std::string& target, std::optional<double> limit);
+  /// \brief Lets control say that the target is cold from now on and takes this many requests.
+  void SetCold(const std::string& target, Duration coldFor, double perSecond);
+  /// \brief Sets whether control says that the target gets no requests.
+  void SetClosed(const std::string& target, bool isClosed);
   /// \brief Lets a target reject each request and ask for this backoff; none: it runs them.
   void SetBackoff(const std::string& target, std::optional<Duration> backoff);
   /// \brief Lets a target say in all its answers that it leaves.
@@ -91,6 +95,11 @@
   [[nodiscard]] std::size_t MostFromToldEntries(const std::string& target,
                                                 TimePoint from,
                                                 Duration window) const;
+  /// \brief The most arrivals at a target within any such window from `from` to `until`.
+  [[nodiscard]] std::size_t MostArrivals(const std::string& target,
+                                         TimePoint from,
+                                         TimePoint until,
+                                         Duration window) const;
   /// \brief The most requests that a target got from one entry between kToldTime after it asked
   /// that entry for a backoff and its end.
   [[nodiscard]] std::size_t MostDuringBackoff(const std::string& target) const;
--- a/tests/support/loopback_entry.hpp
+++ b/tests/support/loopback_entry.hpp
@@ -109,7 +109,7 @@
       targets.push_back(
         { InstanceId("h" + number), "assist", address, FailureDomainId("a"), 34, false, "large" });
     }
-    m_dispatcher.Selector().Replace(targets);
+    m_dispatcher.Selector().Replace(TimePoint{}, targets);
   }
 
   HttpServerHooks MakeServerHooks()
--- a/tests/unit/dispatcher_test.cpp
+++ b/tests/unit/dispatcher_test.cpp
@@ -46,11 +46,13 @@
     document.workspaces = { { "parish", { "secret" }, std::nullopt } };
     snapshot.index = std::make_shared<const RouteIndex>(document);
     snapshot.targetsSequence = 1;
-    dispatcher.Selector().Replace(std::vector<ServedTarget>{
-      { InstanceId("p1"), "portal", "p1:80", FailureDomainId("a"), 6, false, "" },
-      { InstanceId("p2"), "portal", "p2:80", FailureDomainId("b"), 6, false, "" },
-      { InstanceId("h1"), "assist", "h1:80", FailureDomainId("a"), 34, false, "large" },
-      { InstanceId("h2"), "assist", "h2:80", FailureDomainId("b"), 34, false, "large" } });
+    dispatcher.Selector().Replace(
+      TimePoint{},
+      std::vector<ServedTarget>{
+        { InstanceId("p1"), "portal", "p1:80", FailureDomainId("a"), 6, false, "" },
+        { InstanceId("p2"), "portal", "p2:80", FailureDomainId("b"), 6, false, "" },
+        { InstanceId("h1"), "assist", "h1:80", FailureDomainId("a"), 34, false, "large" },
+        { InstanceId("h2"), "assist", "h2:80", FailureDomainId("b"), 34, false, "large" } });
   }
 
   /// Sends a caller's request. Exchanges are numbered from 1.
@@ -203,7 +205,7 @@
   SECTION("no target")
   {
     World world;
-    world.dispatcher.Selector().Replace({});
+    world.dispatcher.Selector().Replace(TimePoint{}, {});
     world.Ask("/safe/x");
     EXPECT_EQ(LastStatus(world), 503U);
     EXPECT_THAT(world.Body(), HasSubstr("not-run"));
@@ -525,9 +527,11 @@
 TEST(Dispatcher, LeavingTargetsGetNoRequests)
 {
   World world;
-  world.dispatcher.Selector().Replace(std::vector<ServedTarget>{
-    { InstanceId("p1"), "portal", "p1:80", FailureDomainId("a"), 6, true, "" },
-    { InstanceId("p2"), "portal", "p2:80", FailureDomainId("b"), 6, false, "" } });
+  world.dispatcher.Selector().Replace(
+    TimePoint{},
+    std::vector<ServedTarget>{
+      { InstanceId("p1"), "portal", "p1:80", FailureDomainId("a"), 6, true, "" },
+      { InstanceId("p2"), "portal", "p2:80", FailureDomainId("b"), 6, false, "" } });
   for (int i = 0; i < 6; ++i) {
     world.Ask("/safe/x");
     EXPECT_EQ(world.Sent().address, "p2:80");
@@ -574,7 +578,7 @@
   SECTION("half of them for a refused request, which will be retried")
   {
     World world;
-    world.dispatcher.Selector().Replace({});
+    world.dispatcher.Selector().Replace(TimePoint{}, {});
     world.Ask("/stream/x");
     EXPECT_EQ(LastStatus(world), 503U);
     EXPECT_EQ(world.dispatcher.Demand().at(0).promptTokens, 50U);
@@ -606,10 +610,12 @@
 TEST(Dispatcher, ARefusedConnectionUsesUpNoAttempt)
 {
   World world;
-  world.dispatcher.Selector().Replace(std::vector<ServedTarget>{
-    { InstanceId("h1"), "assist", "h1:80", FailureDomainId("a"), 34, false, "large" },
-    { InstanceId("h2"), "assist", "h2:80", FailureDomainId("a"), 34, false, "large" },
-    { InstanceId("h3"), "assist", "h3:80", FailureDomainId("a"), 34, false, "large" } });
+  world.dispatcher.Selector().Replace(
+    TimePoint{},
+    std::vector<ServedTarget>{
+      { InstanceId("h1"), "assist", "h1:80", FailureDomainId("a"), 34, false, "large" },
+      { InstanceId("h2"), "assist", "h2:80", FailureDomainId("a"), 34, false, "large" },
+      { InstanceId("h3"), "assist", "h3:80", FailureDomainId("a"), 34, false, "large" } });
   world.Ask("/stream/x");
   world.AnswerOk("id: 1\ndata: a\n\n", false);
   world.Fail(false);
@@ -646,8 +652,10 @@
 TEST(Dispatcher, RefusesAtOnceWhatTargetsDoNotTakeByTheirLimits)
 {
   World world;
-  world.dispatcher.Selector().Replace(std::vector<ServedTarget>{
-    { InstanceId("p1"), "portal", "p1:80", FailureDomainId("a"), 6, false, "" } });
+  world.dispatcher.Selector().Replace(
+    TimePoint{},
+    std::vector<ServedTarget>{
+      { InstanceId("p1"), "portal", "p1:80", FailureDomainId("a"), 6, false, "" } });
   world.Ask("/safe/x");
   world.AnswerHead(
     200, { { "X-Request-Id", "r1" }, { "Seal", "s" }, { "Limit", "0.4" } }, "whole", true);
@@ -675,8 +683,10 @@
 TEST(Dispatcher, RefusesAtOnceWhileAllTargetsAskToBackOff)
 {
   World world;
-  world.dispatcher.Selector().Replace(std::vector<ServedTarget>{
-    { InstanceId("h1"), "assist", "h1:80", FailureDomainId("a"), 34, false, "large" } });
+  world.dispatcher.Selector().Replace(
+    TimePoint{},
+    std::vector<ServedTarget>{
+      { InstanceId("h1"), "assist", "h1:80", FailureDomainId("a"), 34, false, "large" } });
   const auto reject = [&](const std::string& requestId, const std::string& millis) {
     world.AnswerHead(503,
                      { { "X-Request-Id", requestId }, { "Never-Ran", "1" }, { "Backoff", millis } },
@@ -711,10 +721,12 @@
 TEST(Dispatcher, SendsARequestOnThatTwoTargetsRejectedWithABackoff)
 {
   World world;
-  world.dispatcher.Selector().Replace(std::vector<ServedTarget>{
-    { InstanceId("h1"), "assist", "h1:80", FailureDomainId("a"), 34, false, "large" },
-    { InstanceId("h2"), "assist", "h2:80", FailureDomainId("a"), 34, false, "large" },
-    { InstanceId("h3"), "assist", "h3:80", FailureDomainId("a"), 34, false, "large" } });
+  world.dispatcher.Selector().Replace(
+    TimePoint{},
+    std::vector<ServedTarget>{
+      { InstanceId("h1"), "assist", "h1:80", FailureDomainId("a"), 34, false, "large" },
+      { InstanceId("h2"), "assist", "h2:80", FailureDomainId("a"), 34, false, "large" },
+      { InstanceId("h3"), "assist", "h3:80", FailureDomainId("a"), 34, false, "large" } });
   world.Ask("/stream/x");
   for (std::size_t sent = 1; sent <= 2; ++sent) {
     EXPECT_EQ(world.CountSent(), sent);
@@ -729,10 +741,12 @@
 TEST(Dispatcher, CountsAttemptsThatWereRejectedWithoutABackoff)
 {
   World world;
-  world.dispatcher.Selector().Replace(std::vector<ServedTarget>{
-    { InstanceId("h1"), "assist", "h1:80", FailureDomainId("a"), 34, false, "large" },
-    { InstanceId("h2"), "assist", "h2:80", FailureDomainId("a"), 34, false, "large" },
-    { InstanceId("h3"), "assist", "h3:80", FailureDomainId("a"), 34, false, "large" } });
+  world.dispatcher.Selector().Replace(
+    TimePoint{},
+    std::vector<ServedTarget>{
+      { InstanceId("h1"), "assist", "h1:80", FailureDomainId("a"), 34, false, "large" },
+      { InstanceId("h2"), "assist", "h2:80", FailureDomainId("a"), 34, false, "large" },
+      { InstanceId("h3"), "assist", "h3:80", FailureDomainId("a"), 34, false, "large" } });
   world.Ask("/stream/x");
   for (std::size_t sent = 1; sent <= 2; ++sent) {
     world.AnswerHead(
@@ -746,8 +760,10 @@
 TEST(Dispatcher, HoldsARequestForTheEndOfAShortBackoff)
 {
   World world;
-  world.dispatcher.Selector().Replace(std::vector<ServedTarget>{
-    { InstanceId("h1"), "assist", "h1:80", FailureDomainId("a"), 34, false, "large" } });
+  world.dispatcher.Selector().Replace(
+    TimePoint{},
+    std::vector<ServedTarget>{
+      { InstanceId("h1"), "assist", "h1:80", FailureDomainId("a"), 34, false, "large" } });
   world.Ask("/stream/x");
   world.AnswerHead(
     503, { { "X-Request-Id", "r1" }, { "Never-Ran", "1" }, { "Backoff", "100" } }, "", true);
--- a/tests/unit/feed_client_test.cpp
+++ b/tests/unit/feed_client_test.cpp
@@ -98,7 +98,7 @@
   state.targetsBase = base;
   state.targetsSequence = sequence;
   for (const ServedTarget& target : targets) {
-    state.targets.push_back(std::make_unique<wire::ServingTargetT>(ToWire(target)));
+    state.targets.push_back(std::make_unique<wire::ServingTargetT>(ToWire(TimePoint(1h), target)));
   }
   state.goneTargets = std::move(gone);
   return state;
--- a/tests/unit/head_room_test.cpp
+++ b/tests/unit/head_room_test.cpp
@@ -39,7 +39,7 @@
     for (std::size_t number = 0; number < kEntries; ++number) {
       Entry& entry = m_entries.emplace_back(
         Entry{ TargetSelector({}, [this] { return m_random(); }), HeadRoom() });
-      entry.selector.Replace(targets);
+      entry.selector.Replace(TimePoint{}, targets);
       entry.selector.SetEntries(kEntries);
     }
   }
--- a/tests/unit/serving_feed_size_test.cpp
+++ b/tests/unit/serving_feed_size_test.cpp
@@ -64,7 +64,7 @@
 
   wire::ServingStateT whole;
   for (const ServedTarget& target : targets) {
-    whole.targets.push_back(std::make_unique<wire::ServingTargetT>(ToWire(target)));
+    whole.targets.push_back(std::make_unique<wire::ServingTargetT>(ToWire(TimePoint(1h), target)));
   }
   const std::size_t wholeBytes = EncodeEnvelope(*MakeEnvelope(std::move(whole))).size();
   // Each entry receives each row once; the frames may take as much again.
--- a/tests/unit/step_time_estimator_test.cpp
+++ b/tests/unit/step_time_estimator_test.cpp
@@ -65,9 +65,10 @@
   TargetSelector board(FailureDomainId("a"), [&] { return random++; });
   const InstanceId healthy("sound");
   const InstanceId slow("slow");
-  board.Replace(std::vector<ServedTarget>{
-    { healthy, "assist", "1:1", FailureDomainId("a"), 34, false, "large" },
-    { slow, "assist", "2:2", FailureDomainId("a"), 34, false, "large" } });
+  board.Replace(TimePoint{},
+                std::vector<ServedTarget>{
+                  { healthy, "assist", "1:1", FailureDomainId("a"), 34, false, "large" },
+                  { slow, "assist", "2:2", FailureDomainId("a"), 34, false, "large" } });
   const std::set<InstanceId> none;
   TimePoint now = kStart;
   board.OnSent(now, { healthy, {} });
--- a/tests/unit/target_limits_test.cpp
+++ b/tests/unit/target_limits_test.cpp
@@ -13,7 +13,7 @@
   TargetSelector selector{ FailureDomainId("a"), [] { return 0; } };
   ServedTarget head{ InstanceId("h1"), "assist",      "h1:80", FailureDomainId("a"), 28, false,
                      "large",          Incarnation(1) };
-  selector.Replace(std::vector<ServedTarget>{ head });
+  selector.Replace(TimePoint{}, std::vector<ServedTarget>{ head });
   const TargetIncarnation life{ head.instance, head.born };
   TimePoint now{ 1h };
   const auto limitOf = [&] {
@@ -44,7 +44,7 @@
   {
     selector.OnLimit(now, life, now, { 2.0 });
     head.born = Incarnation(2);
-    selector.Replace(std::vector<ServedTarget>{ head });
+    selector.Replace(TimePoint{}, std::vector<ServedTarget>{ head });
     EXPECT_EQ(limitOf(), std::nullopt);
     EXPECT_EQ(selector.OnLimit(now, life, now, { 2.0 }), LimitChange::kNone);
   }
--- a/tests/unit/target_shares_test.cpp
+++ b/tests/unit/target_shares_test.cpp
@@ -24,7 +24,7 @@
 public:
   ShareWorld()
   {
-    board.Replace(Heads());
+    board.Replace(TimePoint{}, Heads());
     board.SetEntries(50);
     constexpr double kThreeSlots = 3.0 / kSlots;
     board.SetShares({ { InstanceId("h1"), kThreeSlots }, { InstanceId("h2"), kThreeSlots } });
@@ -74,7 +74,7 @@
 TEST(TargetShares, WithoutAnyHeadOfItsShareAnEntryUsesAllHeads)
 {
   ShareWorld world;
-  world.board.Replace(std::vector<ServedTarget>{ Head("h3", "b"), Head("h4", "b") });
+  world.board.Replace(TimePoint{}, std::vector<ServedTarget>{ Head("h3", "b"), Head("h4", "b") });
   const auto sent = world.Fill();
   EXPECT_GE(sent.at("h3"), 2);
   EXPECT_GE(sent.at("h4"), 2);
@@ -89,7 +89,7 @@
   for (int number = 10; number < 40; ++number) {
     heads.push_back(Head("h" + std::to_string(number), "b"));
   }
-  world.board.Replace(heads);
+  world.board.Replace(TimePoint{}, heads);
   int sent = 0;
   for (const auto& [head, count] : world.Fill()) {
     sent += count;
