Demand is measured over the time in which the entry counted it

Cause: the time between two counts was taken as that between their arrivals. Queries that are held up by a cut arrive within microseconds of each other; a new row, whose average starts anew, gave them full weight. Class: a time of arrival that stands for a time of event. Change: the query says when its demand was counted, by the entry's clock (which runs through suspensions); counts that go back, or a clock that does, start a new average; a clock that stands still adds nothing.

BelievedDemand.DoesNotJumpWhenLinksAreBack (5 and 100 entries, cuts of 1 to 10 s, all healed at once with what was queued) failed before: 9,650 to 10,400 times the demand that callers had; now within a tenth in all eight. StaysNearWhatCallersSentDuringChanges and FollowsABurst pass with it and without it: they hold the new leader, restarted entries, odd clocks and a burst of 1.7 as before.

--- a/include/gooseberrysail/control/serving_feed.hpp
+++ b/include/gooseberrysail/control/serving_feed.hpp
@@ -91,10 +91,10 @@
   /// \brief One entry's requests for one model, as an exponentially weighted moving average.
   struct ModelRate
   {
-    ModelDemand counted; ///< Totals since the entry started, at `at`.
+    ModelDemand counted;  ///< Totals since the entry started.
+    Duration countedAt{}; ///< When they were counted, by the entry's clock.
     ModelDemand perSecond;
     double observedSeconds = 0; ///< Observed time that `perSecond` averages.
-    TimePoint at{};
   };
 
   /// \brief The state that an entry has, or was sent on its current connection.
@@ -151,7 +151,8 @@
                         const wire::ServingQueryT& query);
   /// \brief Lets an entry try each held part that is due.
   void GrantTrials(const ControlContext& context);
-  static void RecordDemand(TimePoint now, Entry& entry, const wire::ModelDemandT& demand);
+  /// \param countedAt When the entry counted its requests, by its own clock.
+  static void RecordDemand(Entry& entry, Duration countedAt, const wire::ModelDemandT& demand);
   /// \brief After a change of the control processes, adds their addresses to each entry's next
   /// frame.
   void UpdateControls(const ControlContext& context);
--- a/src/control/serving_feed.cpp
+++ b/src/control/serving_feed.cpp
@@ -87,7 +87,7 @@
   MergePromptParts(context, process, query);
   m_hasTraffic = m_hasTraffic || !query.demand.empty();
   for (const auto& demand : query.demand) {
-    RecordDemand(context.now, entry, *demand);
+    RecordDemand(entry, std::chrono::milliseconds(query.countedAtMillis), *demand);
   }
   entry.steps.clear();
   for (const auto& head : query.heads) {
@@ -454,15 +454,24 @@
   return std::max(part, kMinPart * even);
 }
 
-void ServingFeed::RecordDemand(TimePoint now, Entry& entry, const wire::ModelDemandT& demand)
+// The entry's clock tells over which time requests were counted. The times at which queries arrive
+// don't: those that were held up by a broken connection arrive together.
+void ServingFeed::RecordDemand(Entry& entry, Duration countedAt, const wire::ModelDemandT& demand)
 {
   const auto [found, fresh] = entry.rates.try_emplace(demand.model);
   ModelRate& rate = found->second;
   const ModelDemand counted{ static_cast<double>(demand.requests),
                              static_cast<double>(demand.promptTokens),
                              static_cast<double>(demand.outputTokens) };
-  const double seconds = std::chrono::duration<double>(now - rate.at).count();
-  if (!fresh && seconds > 0 && counted.requests >= rate.counted.requests) {
+  const Duration elapsed = countedAt - rate.countedAt;
+  // The totals of a restarted entry start at zero again.
+  const bool isComparable =
+    !fresh && counted.requests >= rate.counted.requests && elapsed >= Duration::zero();
+  if (isComparable && elapsed == Duration::zero()) {
+    return;
+  }
+  if (isComparable) {
+    const double seconds = std::chrono::duration<double>(elapsed).count();
     // The time before the first count is left out of the average: a new leader that treated it as
     // time without requests would close groups that are needed.
     rate.observedSeconds += seconds;
@@ -478,7 +487,7 @@
     };
   }
   rate.counted = counted;
-  rate.at = now;
+  rate.countedAt = countedAt;
 }
 
 std::map<std::string, ModelDemand> ServingFeed::Demand() const
--- a/src/gateway/feed_client.cpp
+++ b/src/gateway/feed_client.cpp
@@ -92,6 +92,7 @@
                                  const Dispatcher& dispatcher,
                                  wire::ServingQueryT& query)
 {
+  query.countedAtMillis = static_cast<std::uint64_t>(ToMillis(now.time_since_epoch()));
   for (const DemandRow& row : dispatcher.Demand()) {
     auto demand = std::make_unique<wire::ModelDemandT>();
     demand->service = row.service;
--- a/tests/support/feed_world.hpp
+++ b/tests/support/feed_world.hpp
@@ -20,6 +20,7 @@
   wire::ServingQueryT Query(std::uint64_t requests) const
   {
     wire::ServingQueryT query;
+    query.countedAtMillis = static_cast<std::uint64_t>(ToMillis(now.time_since_epoch()));
     auto demand = std::make_unique<wire::ModelDemandT>();
     demand->service = "assist";
     demand->model = "large";
