Entries query the leader; other control processes tell their list once

Now an entry queries the leader twice a second and the others each 5 s, all of them again while none is known to lead: its connection is lost, it answers that it doesn't lead, or a connection is made. A process that doesn't lead names the control processes once on a connection and after changes (ControlListFeed).

--- a/include/gooseberrysail/control/serving_control.hpp
+++ b/include/gooseberrysail/control/serving_control.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gooseberrysail/control/control_list_feed.hpp"
 #include "gooseberrysail/control/document_service.hpp"
 #include "gooseberrysail/control/engine_groups.hpp"
 #include "gooseberrysail/control/evacuation_service.hpp"
@@ -100,6 +101,7 @@
   EngineGroups m_groups;
   Duration m_discoveryTime; ///< From the process's start until every target has reported.
   ServingFeed m_feed;
+  ControlListFeed m_controlLists;
   std::optional<ServingDocument> m_document; ///< Parsed from the committed document.
   std::uint64_t m_documentVersion = 0;       ///< Committed version last read.
   std::map<ExchangeId, PendingOrder> m_pendingOrders;
--- a/include/gooseberrysail/control/serving_feed.hpp
+++ b/include/gooseberrysail/control/serving_feed.hpp
@@ -202,7 +202,4 @@
   bool m_areTargetsComplete = false;
 };
 
-/// \brief The addresses of the control processes, which a follower sends to an entry.
-[[nodiscard]] wire::ServingStateT MakeControlList(const ControlContext& context);
-
 } // namespace gooseberrysail
--- a/include/gooseberrysail/gateway/feed_client.hpp
+++ b/include/gooseberrysail/gateway/feed_client.hpp
@@ -22,8 +22,9 @@
 
   void AddControls(std::vector<EntrySettings::Control> controls);
 
-  /// \brief Queries every known control process periodically. The query to the leader also reports
-  /// this entry's demand and its observations of heads.
+  /// \brief Queries the leader periodically, and the other control processes rarely; all of them
+  /// while none is known to lead. The query to the leader also reports this entry's demand and its
+  /// observations of heads.
   void Tick(TimePoint now, const Dispatcher& dispatcher, std::vector<GatewayOutput>& outbox);
 
   void OnState(TimePoint now,
@@ -32,7 +33,11 @@
                Dispatcher& dispatcher,
                std::vector<GatewayOutput>& outbox);
 
-  void OnPeerUp() noexcept { m_nextQuery = TimePoint{}; }
+  void OnPeerUp() noexcept
+  {
+    m_nextQuery = TimePoint{};
+    m_nextQueryToAll = TimePoint{};
+  }
   void OnPeerDown(const ProcessId& peer) noexcept;
 
   [[nodiscard]] const ServingSnapshot& Snapshot() const noexcept { return m_snapshot; }
@@ -78,8 +83,10 @@
   FailureDomainId m_ownDomain;
   DocumentReader m_readDocument;
   ServingSnapshot m_snapshot;
-  std::uint64_t m_term = 0;    ///< Of the leader that m_snapshot.targetsSequence comes from.
-  ProcessId m_leader;          ///< The latest process that sent a state as leader.
+  std::uint64_t m_term = 0;         ///< Of the leader that m_snapshot.targetsSequence comes from.
+  ProcessId m_leader;               ///< The latest process that sent a state as leader.
+  bool m_leaderIsConnected = false; ///< As far as this entry knows, and it still leads.
+  TimePoint m_nextQueryToAll{};
   bool m_missedChange = false; ///< A change arrived whose base this entry does not have.
   TimePoint m_nextQuery{};
   TimePoint m_lastQuery{};
--- a/src/control/serving_control.cpp
+++ b/src/control/serving_control.cpp
@@ -242,7 +242,7 @@
       std::ranges::any_of(query->heads, [](const auto& head) { return head->failing; });
     m_nextReconcile = reportsFailure ? context.now : m_nextReconcile;
   } else {
-    context.SendMessage(peer, MakeControlList(context));
+    m_controlLists.OnQuery(context, peer);
   }
 }
 
@@ -254,6 +254,7 @@
 void ServingControl::OnPeerDown(const ProcessId& peer)
 {
   m_feed.OnPeerDown(peer);
+  m_controlLists.OnPeerDown(peer);
   m_relay.OnPeerDown(peer);
 }
 
--- a/src/control/serving_feed.cpp
+++ b/src/control/serving_feed.cpp
@@ -1,5 +1,6 @@
 #include "gooseberrysail/control/serving_feed.hpp"
 
+#include "gooseberrysail/control/control_list_feed.hpp"
 #include "gooseberrysail/observe/event.hpp"
 
 #include <algorithm>
@@ -36,18 +37,6 @@
 
 } // namespace
 
-wire::ServingStateT MakeControlList(const ControlContext& context)
-{
-  wire::ServingStateT state;
-  for (const EntrySettings::Control& control : context.controls) {
-    auto address = std::make_unique<wire::ControlAddressT>();
-    address->process = control.process.Get();
-    address->address = control.address;
-    state.controls.push_back(std::move(address));
-  }
-  return state;
-}
-
 void ServingFeed::OnLeaderStart()
 {
   m_entries.clear();
--- a/src/gateway/feed_client.cpp
+++ b/src/gateway/feed_client.cpp
@@ -15,6 +15,9 @@
 /// Control pushes changes at once; queries only recover changes lost with a connection or a change
 /// of the leader.
 constexpr Duration kQueryInterval = 500ms;
+/// Only the leader's answers matter while it is connected. The other processes are queried rarely:
+/// so that the connections through which a new leader announces itself stay in use.
+constexpr Duration kQueryAllInterval = 5s;
 /// Missing answers are reported early, but those within this interval together.
 constexpr Duration kNoAnswerReportInterval = 100ms;
 /// The requests in flight at a target that crashed fail within a few milliseconds of each other.
@@ -50,7 +53,12 @@
   m_lastQuery = now;
   m_reportedNoAnswer = dispatcher.Selector().LatestNoAnswer();
   m_nextQuery = now + kQueryInterval;
+  const bool toAll = !m_leaderIsConnected || now >= m_nextQueryToAll;
+  m_nextQueryToAll = toAll ? now + kQueryAllInterval : m_nextQueryToAll;
   for (const auto& [process, address] : m_controls) {
+    if (!toAll && process != m_leader) {
+      continue;
+    }
     wire::ServingQueryT query = MakeQuery();
     // Only the leader uses the observations. Sent to all control processes, those of dozens of
     // heads would be most of an entry's traffic to control.
@@ -137,6 +145,7 @@
   if (peer == m_leader) {
     m_reportedSuspects = 0; // Queries may have been lost with the connection.
     m_reportedParts = 0;
+    m_leaderIsConnected = false;
   }
 }
 
@@ -187,10 +196,14 @@
   for (const auto& control : state.controls) {
     m_controls[ProcessId(control->process)] = control->address;
   }
+  if (!state.leader && peer == m_leader && std::exchange(m_leaderIsConnected, false)) {
+    m_nextQuery = now; // It has lost an election; another process may lead.
+  }
   // The last state of a deposed leader may arrive after the first one of its successor.
   if (!state.leader || state.term < m_term) {
     return;
   }
+  m_leaderIsConnected = true;
   m_snapshot.confirmedAt = now;
   dispatcher.Retries().SetEntries(state.entries);
   dispatcher.Selector().SetEntries(state.entries);
