Heartbeats that changed nothing are forwarded without the target's state

Now a heartbeat that changed nothing carries the incarnation, the sequence and a hash of the state (TargetAlive). A receiver whose state has another hash, or that doesn't know the target, asks for the whole state (wanted) and counts the target as silent until then: the process that was told of a change may have ended before it told all. Ways weighed: heartbeats to the leader only (a new leader would take all targets for silent until their next ones) and the whole state with every eighth heartbeat (a wrong state would count as current until then).

--- a/include/gooseberrysail/control/serving_control.hpp
+++ b/include/gooseberrysail/control/serving_control.hpp
@@ -71,6 +71,10 @@
   [[nodiscard]] bool IsServiceKnown(const TargetAnnouncement& announcement) const;
   void ReportTargetChange(ControlContext& context, const InstanceId& instance);
   void OnTargetReport(ControlContext& context, const wire::TargetHeardT& report);
+  /// \brief Applies what another control process heard from targets.
+  void OnTargetsHeard(ControlContext& context,
+                      const ProcessId& peer,
+                      const wire::TargetsHeardT& targets);
   /// \brief Whether this process has run long enough to receive a heartbeat of every target.
   [[nodiscard]] bool HaveAllTargetsReported(TimePoint now) const noexcept
   {
--- a/include/gooseberrysail/control/target_relay.hpp
+++ b/include/gooseberrysail/control/target_relay.hpp
@@ -11,7 +11,8 @@
 /// \brief Forwards target announcements that this process received to the other control processes,
 /// so that a new leader has their state immediately.
 /// \remarks The queue of a process holds target ids, so that it is bounded by the number of
-/// targets; a frame carries the state of each target at the time when the frame is built.
+/// targets; a frame carries the state of each target at the time when the frame is built. A
+/// heartbeat that changed nothing is forwarded without the state, which the receiver has.
 class TargetRelay
 {
 public:
@@ -20,6 +21,20 @@
   /// heartbeat.
   void Enqueue(const ControlContext& context, const InstanceId& instance, bool isUrgent);
 
+  /// \brief Asks a process for the whole state of a target.
+  void Request(const ProcessId& process, const InstanceId& instance)
+  {
+    m_pending[process].wanted.insert(instance);
+  }
+
+  /// \brief A process asked for the whole state of a target.
+  void OnRequest(const ControlContext& context,
+                 const ProcessId& process,
+                 const InstanceId& instance)
+  {
+    Enqueue(context, process, instance, true);
+  }
+
   /// \brief A control process connected. It may have missed earlier announcements or just started.
   void OnPeerUp(const ControlContext& context,
                 const ProcessId& process,
@@ -39,10 +54,16 @@
 private:
   struct Pending
   {
-    std::set<InstanceId> targets;
-    TimePoint due{}; ///< Of the target that is due first.
+    std::map<InstanceId, bool> targets; ///< With whether the receiver needs the whole state.
+    std::set<InstanceId> wanted;        ///< Whose whole state this process needs.
+    TimePoint due{};                    ///< Of the target that is due first.
   };
 
+  void Enqueue(const ControlContext& context,
+               const ProcessId& process,
+               const InstanceId& instance,
+               bool isUrgent);
+
   std::map<ProcessId, Pending> m_pending;
 };
 
--- a/include/gooseberrysail/serving/target_table.hpp
+++ b/include/gooseberrysail/serving/target_table.hpp
@@ -93,6 +93,17 @@
   /// \brief Applies a heartbeat, whichever control process received it.
   Change Update(TimePoint now, TargetAnnouncement announcement);
 
+  /// \brief Effect of a heartbeat without changes that another process received.
+  enum class Refresh
+  {
+    kRefreshed,
+    kLate,         ///< A newer heartbeat is known.
+    kUnknownState, ///< It refers to a state of the target that is not known here.
+  };
+
+  /// \brief Applies a heartbeat without changes that another process received.
+  Refresh Update(TimePoint now, const wire::TargetAliveT& alive);
+
   /// \brief Marks a target as shut down; later heartbeats of the same incarnation are ignored.
   /// \param born The incarnation that left, or none if unknown. A departure that another process
   /// passes on may arrive after the first heartbeat of the next incarnation.
@@ -113,6 +124,8 @@
 };
 
 [[nodiscard]] wire::TargetHeardT ToWire(const TargetAnnouncement& announcement);
+/// \brief The heartbeat of a target whose state the receiver knows.
+[[nodiscard]] wire::TargetAliveT ToAlive(const TargetAnnouncement& announcement);
 [[nodiscard]] TargetAnnouncement FromWire(const wire::TargetHeardT& heard);
 
 } // namespace gooseberrysail
--- a/src/control/serving_control.cpp
+++ b/src/control/serving_control.cpp
@@ -222,14 +222,29 @@
   }
 }
 
+void ServingControl::OnTargetsHeard(ControlContext& context,
+                                    const ProcessId& peer,
+                                    const wire::TargetsHeardT& targets)
+{
+  for (const auto& heard : targets.heard) {
+    OnTargetReport(context, *heard);
+  }
+  for (const auto& alive : targets.alive) {
+    if (m_targets.Update(context.now, *alive) == TargetTable::Refresh::kUnknownState) {
+      m_relay.Request(peer, InstanceId(alive->instance));
+    }
+  }
+  for (const std::string& wanted : targets.wanted) {
+    m_relay.OnRequest(context, peer, InstanceId(wanted));
+  }
+}
+
 void ServingControl::OnFrame(ControlContext& context,
                              const ProcessId& peer,
                              const wire::BodyUnion& body)
 {
   if (const wire::TargetsHeardT* targets = body.AsTargetsHeard()) {
-    for (const auto& heard : targets->heard) {
-      OnTargetReport(context, *heard);
-    }
+    OnTargetsHeard(context, peer, *targets);
     return;
   }
   const wire::ServingQueryT* query = body.AsServingQuery();
--- a/src/control/target_relay.cpp
+++ b/src/control/target_relay.cpp
@@ -13,17 +13,25 @@
 
 void TargetRelay::Enqueue(const ControlContext& context, const InstanceId& instance, bool isUrgent)
 {
-  const TimePoint due = isUrgent ? context.now : context.now + kBatchDelay;
   for (const EntrySettings::Control& control : context.controls) {
-    if (control.process == context.settings.process || !context.IsUp(control.process)) {
-      continue;
+    if (control.process != context.settings.process && context.IsUp(control.process)) {
+      Enqueue(context, control.process, instance, isUrgent);
     }
-    Pending& pending = m_pending[control.process];
-    pending.due = pending.targets.empty() ? due : std::min(pending.due, due);
-    pending.targets.insert(instance);
   }
 }
 
+void TargetRelay::Enqueue(const ControlContext& context,
+                          const ProcessId& process,
+                          const InstanceId& instance,
+                          bool isUrgent)
+{
+  const TimePoint due = isUrgent ? context.now : context.now + kBatchDelay;
+  Pending& pending = m_pending[process];
+  pending.due = pending.targets.empty() ? due : std::min(pending.due, due);
+  bool& needsState = pending.targets[instance];
+  needsState = needsState || isUrgent;
+}
+
 // A target announces only once that it leaves. If that were lost with a connection, a leader that
 // depends on this process would list the target until its heartbeats time out.
 void TargetRelay::OnPeerUp(const ControlContext& context,
@@ -40,7 +48,7 @@
   for (const auto& [instance, row] : targets.Rows()) {
     // Forwarding the old announcement of a silent target would count as a new heartbeat of it.
     if (row.latest.left || context.now - row.lastSeenAt <= kRecentlyHeard) {
-      pending.targets.insert(instance);
+      pending.targets[instance] = true;
     }
   }
 }
@@ -50,17 +58,27 @@
 void TargetRelay::Tick(ControlContext& context, const TargetTable& targets)
 {
   for (auto& [process, pending] : m_pending) {
-    if (pending.targets.empty() || context.now < pending.due ||
-        !context.HasQueueCapacity(process)) {
+    const bool isDue = !pending.targets.empty() && context.now >= pending.due;
+    if ((!isDue && pending.wanted.empty()) || !context.HasQueueCapacity(process)) {
       continue;
     }
     wire::TargetsHeardT heard;
-    for (const InstanceId& instance : pending.targets) {
-      if (const TargetRow* row = targets.Find(instance)) {
+    for (const auto& [instance, needsState] : pending.targets) {
+      const TargetRow* row = targets.Find(instance);
+      if (row == nullptr) {
+        continue;
+      }
+      if (needsState) {
         heard.heard.push_back(std::make_unique<wire::TargetHeardT>(ToWire(row->latest)));
+      } else {
+        heard.alive.push_back(std::make_unique<wire::TargetAliveT>(ToAlive(row->latest)));
       }
     }
+    for (const InstanceId& instance : pending.wanted) {
+      heard.wanted.push_back(instance.Get());
+    }
     pending.targets.clear();
+    pending.wanted.clear();
     context.SendMessage(process, std::move(heard));
   }
 }
--- a/src/serving/target_table.cpp
+++ b/src/serving/target_table.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <tuple>
 #include <utility>
+#include <xxhash.h>
 
 namespace gooseberrysail {
 
@@ -40,6 +41,45 @@
   return isLater;
 }
 
+void Append(std::string& text, const std::string& field)
+{
+  text += field;
+  text += '\0';
+}
+
+void Append(std::string& text, const std::vector<std::string>& fields)
+{
+  for (const std::string& field : fields) {
+    Append(text, field);
+  }
+  text += '\0';
+}
+
+void Append(std::string& text, std::uint64_t field)
+{
+  Append(text, std::to_string(field));
+}
+
+template<class TagT, class ValueT>
+void Append(std::string& text, const impl::StrongId<TagT, ValueT>& id)
+{
+  Append(text, id.Get());
+}
+
+void Append(std::string& text, wire::MemberState state)
+{
+  Append(text, static_cast<std::uint64_t>(state));
+}
+
+/// Equal for two announcements whose replicated fields are equal.
+std::uint64_t HashState(const TargetAnnouncement& announcement)
+{
+  std::string text;
+  std::apply([&](const auto&... fields) { (Append(text, fields), ...); },
+             ReplicatedFields(announcement));
+  return XXH3_64bits(text.data(), text.size());
+}
+
 /// A target that joins a group unloads its former weights; one that has left its group keeps them.
 void UpdateLastModel(TargetRow& row)
 {
@@ -85,6 +125,27 @@
   return isSame && !isColdLonger ? Change::kRefresh : Change::kState;
 }
 
+// A process may lack a state that another one has: its sender may have ended before it told all.
+// The hash shows that, and the sender of the heartbeat is asked for the whole state.
+TargetTable::Refresh TargetTable::Update(TimePoint now, const wire::TargetAliveT& alive)
+{
+  const auto found = m_rows.find(InstanceId(alive.instance));
+  if (found == m_rows.end()) {
+    return Refresh::kUnknownState;
+  }
+  TargetRow& row = found->second;
+  const Incarnation born(alive.born);
+  if (std::tie(born, alive.sequence) <= std::tie(row.latest.born, row.latest.sequence)) {
+    return Refresh::kLate;
+  }
+  if (row.latest.left || HashState(row.latest) != alive.state) {
+    return Refresh::kUnknownState;
+  }
+  row.latest.sequence = alive.sequence;
+  row.lastSeenAt = now;
+  return Refresh::kRefreshed;
+}
+
 TargetTable::Change TargetTable::MarkLeft(TimePoint now,
                                           const InstanceId& instance,
                                           Incarnation born)
@@ -139,6 +200,16 @@
   return heard;
 }
 
+wire::TargetAliveT ToAlive(const TargetAnnouncement& announcement)
+{
+  wire::TargetAliveT alive;
+  alive.instance = announcement.instance.Get();
+  alive.born = announcement.born.Get();
+  alive.sequence = announcement.sequence;
+  alive.state = HashState(announcement);
+  return alive;
+}
+
 TargetAnnouncement FromWire(const wire::TargetHeardT& heard)
 {
   TargetAnnouncement announcement;
--- a/tests/unit/target_relay_test.cpp
+++ b/tests/unit/target_relay_test.cpp
@@ -2,6 +2,7 @@
 #include "support/control_world.hpp"
 #include "support/section.hpp"
 
+#include <algorithm>
 #include <gmock/gmock.h>
 #include <map>
 
@@ -62,6 +63,10 @@
       for (const auto& heard : frame.envelope->body.AsTargetsHeard()->heard) {
         names.push_back(heard->instance + (heard->left ? " left" : ""));
       }
+      for (const auto& alive : frame.envelope->body.AsTargetsHeard()->alive) {
+        names.push_back(alive->instance);
+      }
+      std::ranges::sort(names);
       sent.emplace(frame.peer.Get(), names);
     }
     return sent;
@@ -134,5 +139,108 @@
   EXPECT_THAT(sent.find("control-2")->second, ElementsAre("i-1 left", "i-2"));
 }
 
+/// \brief A control process that knows targets only by what the world's process forwards.
+class Receiver
+{
+public:
+  /// \brief Applies the frames for control-2 that are sent in this tick.
+  /// \returns The targets whose whole state it lacks.
+  std::vector<std::string> Receive(RelayWorld& world)
+  {
+    std::vector<std::string> lacking;
+    ControlContext context = world.Context();
+    world.relay.Tick(context, world.targets);
+    for (const FrameOut& frame : world.TakeFrames()) {
+      if (frame.peer.Get() != "control-2") {
+        continue;
+      }
+      const wire::TargetsHeardT& heard = *frame.envelope->body.AsTargetsHeard();
+      whole += heard.heard.size();
+      for (const auto& row : heard.heard) {
+        targets.Update(world.now, FromWire(*row));
+      }
+      for (const auto& row : heard.alive) {
+        if (targets.Update(world.now, *row) == TargetTable::Refresh::kUnknownState) {
+          lacking.push_back(row->instance);
+        }
+      }
+    }
+    return lacking;
+  }
+
+  [[nodiscard]] const TargetRow& Row(const std::string& name) const
+  {
+    return *targets.Find(InstanceId(name));
+  }
+
+  TargetTable targets;
+  std::size_t whole = 0; ///< Rows that were forwarded with the target's state.
+};
+
+// Guards against traffic of targets x control processes: each heartbeat forwarded with all that the
+// receiver knows already.
+TEST(TargetRelay, ForwardsHeartbeatsWithoutTheStateThatTheReceiverHas)
+{
+  RelayWorld world;
+  Receiver receiver;
+  world.Announce("i-1", 1);
+  EXPECT_THAT(receiver.Receive(world), IsEmpty());
+  for (std::uint64_t sequence = 2; sequence <= 20; ++sequence) {
+    world.now += 1200ms;
+    world.Announce("i-1", sequence);
+    world.now += TargetRelay::kBatchDelay;
+    EXPECT_THAT(receiver.Receive(world), IsEmpty());
+    EXPECT_EQ(receiver.Row("i-1").lastSeenAt, world.now);
+    EXPECT_EQ(receiver.Row("i-1").latest.sequence, sequence);
+  }
+  EXPECT_EQ(receiver.whole, 1U);
+}
+
+// Guards against a target that counts as alive in a state that it has left: the process that was
+// told of the change ended before it told all others.
+TEST(TargetRelay, AStateThatTheReceiverLacksIsRequested)
+{
+  RelayWorld world;
+  Receiver receiver;
+  world.Announce("i-1", 1);
+  receiver.Receive(world);
+  const TimePoint seen = receiver.Row("i-1").lastSeenAt;
+  TargetAnnouncement changed = world.targets.Find(InstanceId("i-1"))->latest;
+  changed.sequence = 2;
+  changed.draining = true;
+  world.targets.Update(world.now, changed); // Told by a process that ended since.
+  world.now += 1200ms;
+  changed.sequence = 3;
+  EXPECT_EQ(world.targets.Update(world.now, changed), TargetTable::Change::kRefresh);
+  world.relay.Enqueue(world.Context(), InstanceId("i-1"), false);
+  world.now += TargetRelay::kBatchDelay;
+  EXPECT_THAT(receiver.Receive(world), ElementsAre("i-1"));
+  EXPECT_EQ(receiver.Row("i-1").lastSeenAt, seen);
+  SECTION("and sent")
+  {
+    world.relay.OnRequest(world.Context(), ProcessId("control-2"), InstanceId("i-1"));
+    EXPECT_THAT(receiver.Receive(world), IsEmpty());
+    EXPECT_TRUE(receiver.Row("i-1").latest.draining);
+    EXPECT_EQ(receiver.Row("i-1").lastSeenAt, world.now);
+  }
+  SECTION("an older heartbeat than the latest changes nothing")
+  {
+    wire::TargetAliveT late = ToAlive(receiver.Row("i-1").latest);
+    late.sequence = 2;
+    EXPECT_EQ(receiver.targets.Update(world.now, late), TargetTable::Refresh::kLate);
+  }
+  SECTION("one of an unknown target is requested, one of a target that left changes nothing")
+  {
+    wire::TargetAliveT other = ToAlive(receiver.Row("i-1").latest);
+    other.instance = "i-2";
+    EXPECT_EQ(receiver.targets.Update(world.now, other), TargetTable::Refresh::kUnknownState);
+    receiver.targets.MarkLeft(world.now, InstanceId("i-1"));
+    wire::TargetAliveT next = ToAlive(receiver.Row("i-1").latest);
+    next.sequence = 9;
+    receiver.targets.Update(world.now, next);
+    EXPECT_TRUE(receiver.Row("i-1").latest.left);
+  }
+}
+
 } // namespace
 } // namespace gooseberrysail
