--- a/tests/unit/platform_test.cpp
+++ b/tests/unit/platform_test.cpp
@@ -99,6 +99,23 @@
   return text.replace(text.find(from), from.size(), to);
 }
 
+TEST(PlatformRegistration, SaysHowLongAReplicaIsCold)
+{
+  const auto coldLeft = [](const std::string& text) {
+    return ReadRegistration("i-1", Edited(R"("seq":4)", R"("seq":4)" + text)).value().coldLeft;
+  };
+  EXPECT_EQ(coldLeft(""), 0s);
+  EXPECT_EQ(coldLeft(R"(,"coldLeftMs":0)"), 0s);
+  EXPECT_EQ(coldLeft(R"(,"coldLeftMs":2500)"), 2500ms);
+  EXPECT_EQ(coldLeft(R"(,"coldLeftMs":2499.5)"), 2500ms);
+  const Result<ServingDocument> document = ReadConfig(
+    Replaced("\"maxConns\":346,", "\"maxConns\":346,\"coldStartS\":3.0,\"coldPerS\":36.0,"));
+  ASSERT_TRUE(document) << document.error();
+  EXPECT_EQ(document.value().services[0].coldStart, 3s);
+  EXPECT_EQ(document.value().services[0].coldPerSecond, 36);
+  EXPECT_EQ(document.value().services[1].coldPerSecond, 0);
+}
+
 // Another writer sends a registration under a replica's id, with fields missing, of another type or
 // with unknown values. If these were read as zero, "" or ready, a serving replica would drop out or
 // a wrong one would be used.
@@ -132,6 +149,9 @@
       { R"("staged":["m0"])", R"("staged":[1])" },
       { R"("models":[{"name":"m0"}])", R"("models":["m0"])" },
       { R"("rank":0)", R"("rank":"head")" },
+      { R"("seq":4)", R"("seq":4,"coldLeftMs":"3000")" },
+      { R"("seq":4)", R"("seq":4,"coldLeftMs":-1)" },
+      { R"("seq":4)", R"("seq":4,"coldLeftMs":1e300)" },
     };
     for (const auto& [from, to] : edits) {
       EXPECT_FALSE(ReadRegistration("i-1", Edited(from, to))) << to;
