--- a/include/gooseberrysail/serving/document.hpp
+++ b/include/gooseberrysail/serving/document.hpp
@@ -92,7 +92,7 @@
   std::string healthPath;
   std::uint32_t maxConnections = 0;
   std::optional<EngineSpec> engine; ///< None for a plain service.
-  Duration coldStart{};     ///< How long a target is cold after it starts or is evacuated.
+  Duration coldStart{};             ///< How long a target is cold after it starts or is evacuated.
   double coldPerSecond = 0; ///< Requests a second that a cold target takes; 0 for any number.
 };
 
