Each order to evacuate a domain takes its turn in the log

Found while reading: a withdrawal that arrived while the evacuation was written to the log, but not committed, saw the domain as not evacuated, counted as in force already, and was acknowledged; then the evacuation came into force. Cause: whether an order is in force was read from the applied state, which says nothing of what is on its way. Class: a check against a state that is older than the decision it is for. Now each order is written to the log, with a number that rises with terms and orders, and acknowledged once its own command is applied. Evacuation.IsNotInForceOnceItsWithdrawalIsAcknowledged failed before (acknowledged where it has to wait) and passes. The check that a repeated order adds nothing to the log is gone with that way; that it is acknowledged again stays. A comment in ServingControl stands beside its function again.

--- a/include/gooseberrysail/control/control_state.hpp
+++ b/include/gooseberrysail/control/control_state.hpp
@@ -48,6 +48,8 @@
   [[nodiscard]] const StoredDocument& GetDocument() const noexcept { return m_document; }
   /// \brief Failure domains whose targets get no requests, by order of an operator.
   [[nodiscard]] const std::set<FailureDomainId>& Evacuated() const noexcept { return m_evacuated; }
+  /// \brief The number of the latest applied order to evacuate a domain or to withdraw that.
+  [[nodiscard]] std::uint64_t EvacuationOrder() const noexcept { return m_evacuationOrder; }
   [[nodiscard]] LogIndex Index() const noexcept { return m_index; }
   /// \brief The latest term whose LeaderStart command is applied; everything that earlier leaders
   /// committed is applied too.
@@ -55,7 +57,7 @@
 
 private:
   std::string ApplyPutDocument(const wire::PutDocumentT& put);
-  std::string ApplySetEvacuation(const wire::SetEvacuationT& order);
+  void ApplySetEvacuation(const wire::SetEvacuationT& order);
   std::string ApplyBody(LogIndex index, const wire::CommandT& command, Applied& applied);
 
   LogIndex m_index;
@@ -65,6 +67,7 @@
   ClaimTable m_claims;
   StoredDocument m_document;
   std::set<FailureDomainId> m_evacuated;
+  std::uint64_t m_evacuationOrder = 0;
 };
 
 /// \brief Serializes a command for the log.
--- a/include/gooseberrysail/control/evacuation_service.hpp
+++ b/include/gooseberrysail/control/evacuation_service.hpp
@@ -3,6 +3,7 @@
 #include "gooseberrysail/control/context.hpp"
 #include "gooseberrysail/control/outside_api.hpp"
 
+#include <cstdint>
 #include <functional>
 #include <vector>
 
@@ -20,7 +21,7 @@
                const Respond& respond);
   void OnCallerGone(ExchangeId exchange);
 
-  /// \brief Answers the orders that are in force or timed out.
+  /// \brief Answers the orders that are committed or timed out.
   void Tick(ControlContext& context, const Respond& respond);
 
   /// \brief Answers all open orders with an error, as their outcome is not known here any more.
@@ -33,13 +34,12 @@
   {
     ExchangeId exchange;
     EvacuateCall call;
-    ReadTicket ticket;
+    std::uint64_t number = 0; ///< See ControlState::EvacuationOrder().
+    TimePoint since{};
   };
 
-  /// \brief Whether the order is in force and durable on a majority.
-  [[nodiscard]] static bool IsInForce(const ControlContext& context, const Order& order);
-
   std::vector<Order> m_orders;
+  std::uint64_t m_lastNumber = 0;
 };
 
 } // namespace gooseberrysail
--- a/include/gooseberrysail/control/serving_control.hpp
+++ b/include/gooseberrysail/control/serving_control.hpp
@@ -87,11 +87,11 @@
                      ExchangeId exchange,
                      OrderOutcome outcome,
                      unsigned status);
-  /// \brief Whether entries may send requests to the target, or recently could.
   /// \brief Records the failure domains whose evacuation was withdrawn.
   void FollowEvacuations(const ControlContext& context);
   /// \brief Sets how many requests a target takes while it is cold.
   void SetCold(const TargetRow& row, ServedTarget& target) const;
+  /// \brief Whether entries may send requests to the target, or recently could.
   [[nodiscard]] bool TakesRequests(const TargetAnnouncement& target) const;
   [[nodiscard]] std::vector<ServedTarget> ListTargets(const ControlContext& context);
 
@@ -110,8 +110,8 @@
   std::uint64_t m_documentVersion = 0;       ///< Committed version last read.
   std::map<ExchangeId, PendingOrder> m_pendingOrders;
   std::uint64_t m_lastOrder = 0;
-  std::set<FailureDomainId> m_evacuated; ///< As of the latest tick.
-  std::map<FailureDomainId, TimePoint> m_withdrawnAt;
+  std::set<FailureDomainId> m_evacuated;              ///< As of the latest tick.
+  std::map<FailureDomainId, TimePoint> m_withdrawnAt; ///< When evacuations were withdrawn.
   TimePoint m_startedAt{};
   TimePoint m_nextReconcile{};
   TimePoint m_nextForget{};
--- a/src/control/control_state.cpp
+++ b/src/control/control_state.cpp
@@ -74,7 +74,8 @@
       return ApplyPutDocument(*body.AsPutDocument());
     case wire::CommandBody::SetEvacuation:
       applied.failureDomain = FailureDomainId(body.AsSetEvacuation()->failureDomain);
-      return ApplySetEvacuation(*body.AsSetEvacuation());
+      ApplySetEvacuation(*body.AsSetEvacuation());
+      return {};
   }
   return "a command of an unknown kind";
 }
@@ -90,13 +91,15 @@
   return {};
 }
 
-std::string ControlState::ApplySetEvacuation(const wire::SetEvacuationT& order)
+void ControlState::ApplySetEvacuation(const wire::SetEvacuationT& order)
 {
   const FailureDomainId domain(order.failureDomain);
   if (order.withdrawn) {
-    return m_evacuated.erase(domain) == 1 ? std::string() : domain.Get() + " is not evacuated";
+    m_evacuated.erase(domain);
+  } else {
+    m_evacuated.insert(domain);
   }
-  return m_evacuated.insert(domain).second ? std::string() : domain.Get() + " is evacuated already";
+  m_evacuationOrder = order.order;
 }
 
 std::vector<std::uint8_t> ControlState::TakeSnapshot() const
@@ -114,6 +117,7 @@
   for (const FailureDomainId& domain : m_evacuated) {
     snapshot.evacuated.push_back(domain.Get());
   }
+  snapshot.evacuationOrder = m_evacuationOrder;
   flatbuffers::FlatBufferBuilder builder(1024 * 1024);
   builder.Finish(wire::ControlSnapshot::Pack(builder, &snapshot));
   const std::span<const std::uint8_t> bytes(builder.GetBufferPointer(), builder.GetSize());
@@ -141,6 +145,7 @@
   for (const std::string& domain : snapshot.evacuated) {
     m_evacuated.emplace(domain);
   }
+  m_evacuationOrder = snapshot.evacuationOrder;
   m_index = LogIndex(snapshot.index);
   return outcome::success();
 }
--- a/src/control/evacuation_service.cpp
+++ b/src/control/evacuation_service.cpp
@@ -9,6 +9,9 @@
 
 namespace {
 
+/// How many order numbers are reserved for each term.
+constexpr std::uint64_t kOrdersPerTerm = 1ULL << 20U;
+
 bool IsKnown(const ControlContext& context, const FailureDomainId& domain)
 {
   const std::vector<FailureDomainId>& known = context.settings.failureDomains;
@@ -17,8 +20,8 @@
 
 } // namespace
 
-// An order that is in force already is not proposed again, but it is answered like a read: another
-// leader may have committed its withdrawal.
+// An order that seems to be in force already is written to the log, too: an opposite one may have
+// been written before it and not be committed yet.
 void EvacuationService::OnOrder(ControlContext& context,
                                 ExchangeId exchange,
                                 const EvacuateCall& call,
@@ -33,24 +36,17 @@
     respond(exchange, impl::Unavailable("too many calls at once"));
     return;
   }
-  const bool isInForce =
-    context.state.Evacuated().contains(call.failureDomain) != call.isWithdrawal;
-  if (!isInForce) {
-    wire::SetEvacuationT command;
-    command.failureDomain = call.failureDomain.Get();
-    command.withdrawn = call.isWithdrawal;
-    if (!context.proposer.Propose(std::move(command))) {
-      respond(exchange, impl::Unavailable("this process does not lead"));
-      return;
-    }
+  const std::uint64_t firstOfTerm = context.replication.term.Get() * kOrdersPerTerm;
+  m_lastNumber = std::max(m_lastNumber, firstOfTerm) + 1;
+  wire::SetEvacuationT command;
+  command.failureDomain = call.failureDomain.Get();
+  command.withdrawn = call.isWithdrawal;
+  command.order = m_lastNumber;
+  if (!context.proposer.Propose(std::move(command))) {
+    respond(exchange, impl::Unavailable("this process does not lead"));
+    return;
   }
-  m_orders.push_back({ exchange, call, TakeTicket(context) });
-}
-
-bool EvacuationService::IsInForce(const ControlContext& context, const Order& order)
-{
-  const bool isEvacuated = context.state.Evacuated().contains(order.call.failureDomain);
-  return isEvacuated != order.call.isWithdrawal && IsConfirmed(context, order.ticket);
+  m_orders.push_back({ exchange, call, m_lastNumber, context.now });
 }
 
 void EvacuationService::OnCallerGone(ExchangeId exchange)
@@ -58,11 +54,12 @@
   std::erase_if(m_orders, [&](const Order& order) { return order.exchange == exchange; });
 }
 
+// An applied order is committed: a majority has synced it to disk.
 void EvacuationService::Tick(ControlContext& context, const Respond& respond)
 {
   std::erase_if(m_orders, [&](const Order& order) {
-    const Duration age = context.now - order.ticket.asked;
-    if (IsInForce(context, order)) {
+    const Duration age = context.now - order.since;
+    if (context.state.EvacuationOrder() >= order.number) {
       context.outbox.emplace_back(
         MakeEvent(EventNumber::kEvacuationAcknowledged,
                   { { "failureDomain", order.call.failureDomain.Get() },
