--- /dev/null
+++ b/tests/support/serving_installation.hpp
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "soak/replica.hpp"
+#include "support/platform_installation.hpp"
+
+#include <gtest/gtest.h>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace gooseberrysail::test {
+
+inline constexpr const char* kServingConfig =
+  R"({"version":1,"routes":[{"name":"r1","host":"hire.example","pathPrefix":"/a/","kind":"safe",)"
+  R"("timeoutMs":3000,"service":"desk","maxAttempts":2}],)"
+  R"("services":[{"name":"desk","healthPath":"/health"}],)"
+  R"("tenants":[{"name":"t1","apiKeys":["key-of-t1"]}]})";
+
+/// \brief An installation with three replicas that serves.
+class ServingInstallation
+{
+public:
+  ServingInstallation()
+  {
+    EXPECT_EQ(site.Put(kServingConfig), 200U);
+    for (const char* name : { "a", "b", "c" }) {
+      replicas.push_back(std::make_unique<soak::Replica>(
+        name, std::vector<std::string>{ site.controlHttp }, ledger, replicas.size()));
+    }
+  }
+
+  HttpReply Ask(const std::string& body)
+  {
+    return site.CallEntry("/a/x", "key-of-t1", "r-" + std::to_string(++m_asked), body);
+  }
+
+  void WaitUntilServed()
+  {
+    EXPECT_TRUE(
+      WaitUntil([&] { return Ask("sound").status == 200; }, PlatformInstallation::kTimeout));
+  }
+
+  PlatformInstallation site;
+  soak::Ledger ledger;
+  std::vector<std::unique_ptr<soak::Replica>> replicas;
+
+private:
+  int m_asked = 0;
+};
+
+} // namespace gooseberrysail::test
