--- /dev/null
+++ b/tests/support/blocking_connection.hpp
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "gooseberrysail/net/endpoint.hpp"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <string>
+#include <string_view>
+
+namespace gooseberrysail::tests {
+
+/// \brief A TCP connection whose calls block the thread, so that no fiber runs in between.
+class BlockingConnection
+{
+public:
+  explicit BlockingConnection(const std::string& address)
+    : m_socket(m_io)
+  {
+    boost::system::error_code error;
+    m_socket.connect(ParseEndpoint(address).value(), error);
+    isConnected = !error;
+  }
+
+  bool Write(std::string_view bytes)
+  {
+    boost::system::error_code error;
+    boost::asio::write(m_socket, boost::asio::buffer(bytes), error);
+    return !error;
+  }
+
+  void Close()
+  {
+    boost::system::error_code ignored;
+    m_socket.close(ignored);
+  }
+
+  void Reset()
+  {
+    boost::system::error_code ignored;
+    m_socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+    m_socket.close(ignored);
+  }
+
+  void CloseForWriting()
+  {
+    boost::system::error_code ignored;
+    m_socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
+  }
+
+  bool isConnected = false;
+
+private:
+  boost::asio::io_context m_io;
+  boost::asio::ip::tcp::socket m_socket;
+};
+
+} // namespace gooseberrysail::tests
