Requests are read in turn, and closed unread when they wait too long

Cause: a queue that nobody sees. One connection was accepted in each round of the event loop, behind all fibers that were ready; whatever was readable was read; a request's time began when it was read. Under overload the rounds grow to seconds, each request is served after its caller has lost patience, and what comes back waits behind it.

Change: a listener accepts all that wait, at the cost of a descriptor each. A request is read when it gets a turn: after the fibers that were ready, newest first, until the round has taken maxReadTime. One that waited for limits.maxUnreadWait (at the users' platform the time for which an entry may hold an event) is closed unread, so that its caller can try another entry. When descriptors run out, the connections that were idle longest are closed. A request's age counts: its deadline begins when its bytes came (TCP_INFO where the loop was late), and one without time is refused without an attempt. Control, metrics and readiness have no limit and read the oldest first.

Lines 213 to 215 and metrics tell when an entry begins and ends to close connections unread, how late the loop is, and who left before and after being read; 315 has the time that a request waited unread.

Why it works: work that has begun goes first and new requests get the rest, so that the share let in follows the load within a round; what is read is fresh, so that it can be answered in time.

--- a/include/gooseberrysail/gateway/dispatcher.hpp
+++ b/include/gooseberrysail/gateway/dispatcher.hpp
@@ -115,6 +115,8 @@
 
 private:
   static constexpr const char* kOwnSource = "this entry"; ///< In log lines.
+  /// With less time left than this, no target can answer before the deadline.
+  static constexpr Duration kMinTimeLeft = std::chrono::milliseconds(5);
 
   struct Request
   {
@@ -129,6 +131,7 @@
     std::uint64_t targetsSequence = 0;
     Duration snapshotAge{};
     TimePoint arrived{};
+    Duration unread{}; ///< From its arrival until it was read.
     TimePoint deadline{};
     TimePoint sentAt{};           ///< The latest attempt.
     TimePoint begunAt{};          ///< The first whole event of the latest attempt.
--- a/include/gooseberrysail/http/http_server.hpp
+++ b/include/gooseberrysail/http/http_server.hpp
@@ -25,6 +25,11 @@
   Duration idleTimeout = std::chrono::seconds(60);    ///< While waiting for a request.
   Duration requestTimeout = std::chrono::seconds(30); ///< From the first byte to the last byte.
   Duration writeTimeout = std::chrono::seconds(30);   ///< For writing one part.
+  /// \brief Time in each round of the event loop after which no further request is read.
+  Duration maxReadTime = std::chrono::microseconds(12500);
+  /// \brief Connections whose requests wait longer to be read are closed unread; 0: none.
+  /// \remarks With a limit, the newest request is read first, otherwise the oldest.
+  Duration maxUnreadWait = std::chrono::milliseconds(100);
 };
 
 /// \brief Callbacks of the server. They must not block; they may call Send.
@@ -45,6 +50,8 @@
   std::uint64_t rejected = 0;          ///< Malformed or over a limit; rejected by the server.
   std::uint64_t callersGone = 0;       ///< Disconnected before the response was complete.
   std::uint64_t callersGoneUnread = 0; ///< Disconnected before their request was passed on.
+  std::uint64_t closedUnread = 0;      ///< Closed because they waited too long to be read.
+  std::uint64_t closedAtLimit = 0;     ///< Closed because too many connections were open.
   std::uint64_t aborted = 0;           ///< Responses aborted by the owner or by a limit.
 };
 
@@ -96,6 +103,9 @@
   /// \brief Number of exchanges whose response is not complete.
   [[nodiscard]] std::size_t PendingExchanges() const noexcept;
 
+  /// \brief Number of open connections.
+  [[nodiscard]] std::size_t OpenConnections() const noexcept;
+
   /// \brief Whether the caller is still connected; if not, it is handled as gone.
   [[nodiscard]] bool IsCallerConnected(ExchangeId exchange);
 
--- a/include/gooseberrysail/net/fiber_runtime.hpp
+++ b/include/gooseberrysail/net/fiber_runtime.hpp
@@ -16,6 +16,10 @@
 
 namespace gooseberrysail {
 
+namespace impl {
+struct LoopState;
+}
+
 /// \brief An auto-reset event for one waiting fiber: a notification before the wait is kept.
 /// \code
 /// Signal work;
@@ -42,6 +46,17 @@
   bool m_notified = false;
 };
 
+/// \brief When the event loop last looked for input, and how late it is.
+/// \remarks A round runs every ready fiber once and then polls the sockets and timers.
+struct LoopTimes
+{
+  /// Input that the latest poll reported arrived no earlier than this.
+  TimePoint inputSince{};
+  TimePoint polledAt{};    ///< Start of the latest poll.
+  Duration latestRound{};  ///< From the poll before it to its start.
+  Duration longestRound{}; ///< Since the previous ResetLongestRound.
+};
+
 /// \brief Runs the fibers and the I/O of one thread.
 /// \remarks Fibers are scheduled cooperatively on the thread that created the runtime; the thread
 /// sleeps in the kernel when none is ready. Runtimes of one thread share one fiber scheduler. A
@@ -67,6 +82,15 @@
   /// \remarks Call it once: with several hooks, each would be called for the signals of all.
   void OnSignals(const std::vector<int>& numbers, std::function<void(int)> hook);
 
+  /// \brief Suspends the calling fiber until no other fiber is ready, before the next poll.
+  void WaitUntilIdle();
+
+  /// \brief Suspends the calling fiber until sockets and timers have been polled.
+  void WaitForPoll();
+
+  [[nodiscard]] const LoopTimes& Times() const noexcept;
+  void ResetLongestRound() noexcept;
+
   /// \brief Runs fibers and I/O until Stop is called.
   void Run();
 
@@ -76,6 +100,7 @@
 private:
   struct State;
   std::shared_ptr<boost::asio::io_context> m_io;
+  std::shared_ptr<impl::LoopState> m_loop;
   std::shared_ptr<State> m_state;
 };
 
--- a/include/gooseberrysail/observe/metrics.hpp
+++ b/include/gooseberrysail/observe/metrics.hpp
@@ -61,6 +61,11 @@
   std::uint64_t httpRequests = 0;
   std::uint64_t httpRejected = 0;
   std::uint64_t httpInFlight = 0;
+  std::uint64_t httpConnections = 0;
+  std::uint64_t httpClosedUnread = 0;
+  std::uint64_t httpClosedAtLimit = 0;
+  std::uint64_t httpCallersGone = 0; ///< While their requests were served.
+  std::uint64_t httpCallersGoneUnread = 0;
   std::uint64_t timelineDropped = 0;
 };
 
@@ -82,10 +87,11 @@
   /// \brief Counts the event and updates the metrics derived from it: requests, gate, calls.
   void OnEvent(const EventOut& event);
 
-  /// \brief Records the duration of one tick of the role.
-  void OnTick(Duration spent);
+  /// \brief Records the duration of one tick of the role, and of the latest round of its loop.
+  void OnTick(Duration spent, Duration round);
 
-  /// \brief Starts the wait for the first byte of a caller's request; entries only.
+  /// \brief Records how long a request waited to be read, and starts the wait for the first byte
+  /// of its answer; the latter for entries only.
   void OnRequest(TimePoint now, const HttpRequestIn& request);
   /// \brief Handles a part of an answer; the first part ends the wait for the first byte.
   void OnAnswer(TimePoint now, const HttpAnswerOut& answer);
--- a/include/gooseberrysail/observe/process_observer.hpp
+++ b/include/gooseberrysail/observe/process_observer.hpp
@@ -54,7 +54,7 @@
 
   void OnAnswer(TimePoint now, const HttpAnswerOut& answer) { m_metrics.OnAnswer(now, answer); }
   void OnCallerGone(const HttpCallerGone& gone) { m_metrics.OnCallerGone(gone); }
-  void OnTick(Duration spent) { m_metrics.OnTick(spent); }
+  void OnTick(Duration spent, Duration round) { m_metrics.OnTick(spent, round); }
   void OnReplication(const ReplicationStatus& status) { m_metrics.OnReplication(status); }
 
 private:
--- a/include/gooseberrysail/roles/inputs.hpp
+++ b/include/gooseberrysail/roles/inputs.hpp
@@ -66,6 +66,8 @@
   std::vector<HttpHeader> headers;
   std::string body;
   std::string peer; ///< "ip:port" of the caller.
+  /// When its first bytes came, which may be long before it could be read; none if not known.
+  std::optional<TimePoint> receivedAt = std::nullopt;
 };
 
 /// \brief The caller closed its connection before the answer was complete.
--- a/include/gooseberrysail/settings/settings.hpp
+++ b/include/gooseberrysail/settings/settings.hpp
@@ -55,6 +55,7 @@
   std::size_t maxBodyBytes = 0;
   std::size_t maxHeaderBytes = 0;
   std::size_t maxInFlight = 0;        ///< Entry: maximum number of requests in flight.
+  Duration maxUnreadWait{};           ///< Entry: for a request that can't be read yet.
   std::size_t maxHeldOutputBytes = 0; ///< Agent: unacknowledged output of all requests together.
 };
 
--- a/src/gateway/dispatcher.cpp
+++ b/src/gateway/dispatcher.cpp
@@ -10,9 +10,6 @@
 
 using namespace std::chrono_literals;
 
-/// With less time left than this, no target can answer before the deadline.
-constexpr Duration kMinTimeLeft = 5ms;
-
 constexpr unsigned kServerFault = 500;
 
 constexpr std::size_t kMaxLoggedParts = 8;
--- a/src/gateway/dispatcher_arrival.cpp
+++ b/src/gateway/dispatcher_arrival.cpp
@@ -20,7 +20,8 @@
 {
   const ExchangeId exchange = incoming.exchange;
   Request request;
-  request.arrived = now;
+  request.arrived = incoming.receivedAt.value_or(now);
+  request.unread = now - request.arrived;
   request.call.exchange = exchange;
   Result<GatewayCall> call = m_api.decodeCall(std::move(incoming));
   if (!call) {
@@ -91,7 +92,10 @@
                                         request.workspace,
                                         request.call.body });
   const Duration timeLeft = request.call.timeLeft.value_or(request.route->timeout);
-  request.deadline = now + std::min(timeLeft, request.route->timeout);
+  request.deadline = request.arrived + std::min(timeLeft, request.route->timeout);
+  if (request.deadline - now <= kMinTimeLeft) {
+    return Refusal{ 503, "its time is over", std::nullopt };
+  }
   SelectService(request);
   for (const std::string& id : request.call.sharedPromptParts) {
     request.promptParts.push_back(FingerprintOf(PromptPart{ request.service, request.model, id }));
--- a/src/gateway/dispatcher_end.cpp
+++ b/src/gateway/dispatcher_end.cpp
@@ -136,6 +136,7 @@
                                   { "document", std::to_string(version) },
                                   { "targets", std::to_string(request.targetsSequence) },
                                   { "ageMillis", std::to_string(ToMillis(request.snapshotAge)) },
+                                  { "unreadMillis", std::to_string(ToMillis(request.unread)) },
                                   { "framing", request.framing ? ToString(*request.framing) : "" },
                                   { "bytes", std::to_string(request.answerBytes) } }));
   m_queue.Remove(request.call.exchange);
--- /dev/null
+++ b/src/http/http_listener.cpp
@@ -0,0 +1,106 @@
+#include "http/http_listener.hpp"
+
+#include "gooseberrysail/net/endpoint.hpp"
+
+#include <cerrno>
+#include <sys/socket.h>
+#include <unistd.h>
+#include <utility>
+
+namespace gooseberrysail::impl {
+
+namespace {
+
+using boost::asio::ip::tcp;
+
+Descriptor OpenSpare()
+{
+  return Descriptor(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+}
+
+bool IsNothingWaiting(int error)
+{
+  return error == EAGAIN || error == EWOULDBLOCK || error == ECONNABORTED || error == EINTR;
+}
+
+} // namespace
+
+Descriptor& Descriptor::operator=(Descriptor&& other) noexcept
+{
+  std::swap(m_number, other.m_number);
+  return *this;
+}
+
+Descriptor::~Descriptor()
+{
+  if (m_number >= 0) {
+    ::close(m_number);
+  }
+}
+
+int Descriptor::Release() noexcept
+{
+  return std::exchange(m_number, -1);
+}
+
+HttpListener::HttpListener(IoRuntime& runtime)
+  : m_runtime(runtime)
+  , m_acceptor(runtime.Io())
+{
+}
+
+Result<void> HttpListener::Open(std::string_view address)
+{
+  BOOST_OUTCOME_TRY(auto listening, Listen(m_runtime.Io(), address));
+  m_acceptor = std::move(listening);
+  boost::system::error_code error;
+  m_acceptor.non_blocking(true, error);
+  const tcp::endpoint bound = m_acceptor.local_endpoint(error);
+  if (error) {
+    return Error{ ErrorCode::kIo, "listen", std::string(address), error.message() };
+  }
+  m_address = ToAddress(bound);
+  m_spare = OpenSpare();
+  return outcome::success();
+}
+
+bool HttpListener::Wait()
+{
+  const auto [error, size] =
+    Await([&](auto done) { m_acceptor.async_wait(tcp::acceptor::wait_read, done); });
+  return !error && m_acceptor.is_open();
+}
+
+std::optional<AcceptedConnection> HttpListener::Accept(boost::system::error_code& error)
+{
+  error.clear();
+  tcp::endpoint peer;
+  auto size = static_cast<socklen_t>(peer.capacity());
+  const int number =
+    ::accept4(m_acceptor.native_handle(), peer.data(), &size, SOCK_NONBLOCK | SOCK_CLOEXEC);
+  if (number < 0) {
+    if (!IsNothingWaiting(errno)) {
+      error.assign(errno, boost::system::system_category());
+    }
+    return std::nullopt;
+  }
+  peer.resize(size);
+  return AcceptedConnection{ Descriptor(number), peer };
+}
+
+void HttpListener::CloseNext()
+{
+  m_spare = Descriptor();
+  boost::system::error_code ignored;
+  Accept(ignored).reset();
+  m_spare = OpenSpare();
+}
+
+void HttpListener::Close()
+{
+  boost::system::error_code ignored;
+  m_acceptor.close(ignored);
+  m_spare = Descriptor();
+}
+
+} // namespace gooseberrysail::impl
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -1,10 +1,15 @@
 #include "gooseberrysail/http/http_server.hpp"
 
+#include "gooseberrysail/admission/unread_queue.hpp"
 #include "gooseberrysail/net/endpoint.hpp"
 #include "gooseberrysail/observe/event.hpp"
 #include "gooseberrysail/shell/clock.hpp"
+#include "http/http_listener.hpp"
 #include "http/http_session.hpp"
 
+#include <algorithm>
+#include <optional>
+#include <span>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -15,7 +20,16 @@
 
 using boost::asio::ip::tcp;
 
-constexpr Duration kAcceptRetry = std::chrono::milliseconds(100);
+/// Bounds the time for which accepting keeps other fibers from running.
+constexpr std::size_t kMaxAcceptedAtOnce = 256;
+/// Read before the time is looked at again: a tick of the role serves them together.
+constexpr std::size_t kReadTogether = 4;
+/// An overload has ended when no connection was closed unread for this long.
+constexpr Duration kCalmTime = std::chrono::seconds(1);
+/// Between two log lines about the limit of connections.
+constexpr Duration kLimitLogInterval = std::chrono::seconds(1);
+/// At the limit, this part of the idle connections is closed, so that not each new one searches.
+constexpr std::size_t kIdleFraction = 16;
 
 // The messages come from the HTTP library and from the sessions; they need no JSON escaping.
 std::string DefaultErrorBody(unsigned status, std::string_view message)
@@ -30,11 +44,16 @@
 {
   using SessionPtr = std::shared_ptr<impl::HttpSession>;
 
+  /// \brief A session that waits for its turn to read a request.
+  struct Turn
+  {
+    Signal decided;
+    bool isGranted = false;
+  };
+
   Impl(IoRuntime& ioRuntime, HttpServerSettings serverSettings, HttpServerHooks serverHooks);
 
   Result<void> Start();
-  void Accept();
-  void Admit(tcp::socket socket);
   void Spawn(std::function<void()> work);
   void StopAccepting();
   bool WaitDrained(Duration timeout);
@@ -42,21 +61,53 @@
   void OnCallerDisconnected(ExchangeId exchange);
   void Emit(EventNumber number, std::vector<std::pair<std::string, std::string>> fields) const;
   [[nodiscard]] impl::HttpSessionHooks MakeSessionHooks();
+  [[nodiscard]] std::size_t OpenConnections() const { return sessions.size() + accepted.size(); }
+
+  // Accepting.
+  void Accept();
+  /// \returns Whether more may wait.
+  bool AcceptWaiting();
+  void Admit(impl::AcceptedConnection connection);
+  /// \brief Closes the connections that have been idle longest. \returns Whether there were any.
+  bool CloseLongestIdle();
+  void ReportLimit(const std::string& peer);
+
+  // Reading.
+  void ReadInTurn();
+  /// \returns Whether more requests may be read in this round.
+  bool GrantTurns();
+  void GrantTurn(UnreadQueue::Id id);
+  void CloseUnread();
+  void RefuseAll();
+  [[nodiscard]] bool AwaitTurn(TimePoint since);
+  void StartSession(impl::AcceptedConnection connection);
+  void ReportLoad(TimePoint now,
+                  std::size_t closedUnread,
+                  std::size_t waiting,
+                  Duration longestWait);
 
   IoRuntime& runtime;
   HttpServerSettings settings;
   HttpServerHooks hooks;
   HttpServerCounters counters;
   impl::HttpSessionHooks sessionHooks;
-  tcp::acceptor acceptor;
-  std::string listenAddress;
+  impl::HttpListener listener;
   std::unordered_map<std::uint64_t, SessionPtr> sessions;
   std::unordered_map<ExchangeId, SessionPtr> exchanges;
+  UnreadQueue unread;
+  Signal unreadAdded;
+  std::unordered_map<UnreadQueue::Id, impl::AcceptedConnection> accepted; ///< Without a session.
+  std::unordered_map<UnreadQueue::Id, Turn*> turns;
   std::uint64_t lastSession = 0;
   std::uint64_t lastExchange = 0;
+  UnreadQueue::Id lastUnread = 0;
   std::size_t fibers = 0;
   bool stopping = false;
   bool closed = false;
+  std::optional<TimePoint> overloadedSince;
+  TimePoint lastClosedUnread{};
+  HttpServerCounters countersBefore; ///< At the start of the overload.
+  TimePoint nextLimitLog{};
   Signal fiberEnded;
 };
 
@@ -66,7 +117,7 @@
   : runtime(ioRuntime)
   , settings(std::move(serverSettings))
   , hooks(std::move(serverHooks))
-  , acceptor(ioRuntime.Io())
+  , listener(ioRuntime)
 {
   if (!hooks.errorBody) {
     hooks.errorBody = DefaultErrorBody;
@@ -76,15 +127,9 @@
 
 Result<void> HttpServer::Impl::Start()
 {
-  BOOST_OUTCOME_TRY(auto listening, Listen(runtime.Io(), settings.listenAddress));
-  acceptor = std::move(listening);
-  boost::system::error_code error;
-  const tcp::endpoint bound = acceptor.local_endpoint(error);
-  if (error) {
-    return Error{ ErrorCode::kIo, "listen", settings.listenAddress, error.message() };
-  }
-  listenAddress = ToAddress(bound);
+  BOOST_OUTCOME_TRY(listener.Open(settings.listenAddress));
   Spawn([this] { Accept(); });
+  Spawn([this] { ReadInTurn(); });
   return outcome::success();
 }
 
@@ -108,39 +153,187 @@
 
 void HttpServer::Impl::Accept()
 {
-  while (!stopping) {
-    tcp::socket socket(runtime.Io());
-    const auto [error, size] = Await([&](auto done) { acceptor.async_accept(socket, done); });
-    if (!error) {
-      Admit(std::move(socket));
+  while (!stopping && listener.Wait()) {
+    if (!stopping) {
+      AcceptWaiting();
+    }
+  }
+}
+
+bool HttpServer::Impl::AcceptWaiting()
+{
+  for (std::size_t count = 0; count < kMaxAcceptedAtOnce; ++count) {
+    boost::system::error_code error;
+    std::optional<impl::AcceptedConnection> connection = listener.Accept(error);
+    if (connection) {
+      Admit(std::move(*connection));
       continue;
     }
-    if (!stopping) {
-      // Without free file descriptors, accept fails immediately; the delay prevents a busy loop.
+    if (!error) {
+      return false;
+    }
+    // No descriptor is free. A connection that nobody accepts would only wait in the kernel.
+    if (!CloseLongestIdle()) {
+      listener.CloseNext();
+      ++counters.closedAtLimit;
+    }
+    if (BootNow() >= nextLimitLog) {
+      nextLimitLog = BootNow() + kLimitLogInterval;
       Emit(EventNumber::kAcceptFailed,
-           { { "address", listenAddress }, { "reason", error.message() } });
-      runtime.SleepFor(kAcceptRetry);
+           { { "address", listener.Address() }, { "reason", error.message() } });
     }
   }
+  return true;
 }
 
-void HttpServer::Impl::Admit(tcp::socket socket)
+void HttpServer::Impl::Admit(impl::AcceptedConnection connection)
 {
-  boost::system::error_code unknown;
-  const tcp::endpoint remote = socket.remote_endpoint(unknown);
-  if (unknown || closed) {
+  if (closed) {
     return;
   }
-  if (sessions.size() >= settings.maxConnections) {
-    Emit(EventNumber::kHttpConnectionLimit,
-         { { "peer", ToAddress(remote) }, { "limit", std::to_string(settings.maxConnections) } });
+  if (OpenConnections() >= settings.maxConnections && !CloseLongestIdle()) {
+    ++counters.closedAtLimit;
+    ReportLimit(ToAddress(connection.peer));
     return;
   }
-  socket.set_option(tcp::no_delay(true), unknown);
   ++counters.connections;
+  const UnreadQueue::Id id = ++lastUnread;
+  accepted.emplace(id, std::move(connection));
+  unread.Add(id, runtime.Times().polledAt);
+  unreadAdded.Notify();
+}
+
+bool HttpServer::Impl::CloseLongestIdle()
+{
+  std::vector<std::pair<TimePoint, impl::HttpSession*>> idle;
+  for (const auto& [number, session] : sessions) {
+    if (const std::optional<TimePoint> since = session->IdleSince()) {
+      idle.emplace_back(*since, session.get());
+    }
+  }
+  const std::size_t count = (idle.size() + kIdleFraction - 1) / kIdleFraction;
+  std::ranges::partial_sort(idle, idle.begin() + static_cast<std::ptrdiff_t>(count));
+  bool hasClosed = false;
+  for (const auto& [since, session] : std::span(idle).first(count)) {
+    hasClosed = session->CloseIfIdle() || hasClosed;
+  }
+  counters.closedAtLimit += hasClosed ? count : 0;
+  return hasClosed;
+}
+
+void HttpServer::Impl::ReportLimit(const std::string& peer)
+{
+  const TimePoint now = BootNow();
+  if (now >= nextLimitLog) {
+    nextLimitLog = now + kLimitLogInterval;
+    Emit(EventNumber::kHttpConnectionLimit,
+         { { "peer", peer },
+           { "limit", std::to_string(settings.maxConnections) },
+           { "connections", std::to_string(OpenConnections()) } });
+  }
+}
+
+// Requests are read after the fibers that are ready, which serve requests that were read before:
+// under overload the work that has begun goes first, and the remaining time goes to new requests.
+void HttpServer::Impl::ReadInTurn()
+{
+  while (!closed) {
+    if (unread.IsEmpty()) {
+      unreadAdded.Wait();
+      continue;
+    }
+    runtime.WaitUntilIdle();
+    if (!closed && !GrantTurns()) {
+      runtime.WaitForPoll();
+    }
+  }
+  RefuseAll();
+}
+
+bool HttpServer::Impl::GrantTurns()
+{
+  CloseUnread();
+  for (std::size_t count = 0; count < kReadTogether; ++count) {
+    const std::optional<UnreadQueue::Id> next =
+      settings.maxUnreadWait > Duration::zero() ? unread.TakeNewest() : unread.TakeOldest();
+    if (!next) {
+      return false;
+    }
+    GrantTurn(*next);
+  }
+  return BootNow() - runtime.Times().polledAt < settings.maxReadTime;
+}
+
+void HttpServer::Impl::GrantTurn(UnreadQueue::Id id)
+{
+  if (const auto turn = turns.find(id); turn != turns.end()) {
+    turn->second->isGranted = true;
+    turn->second->decided.Notify();
+    turns.erase(turn);
+    return;
+  }
+  if (auto connection = accepted.extract(id)) {
+    StartSession(std::move(connection.mapped()));
+  }
+}
+
+void HttpServer::Impl::CloseUnread()
+{
+  if (settings.maxUnreadWait == Duration::zero()) {
+    return;
+  }
+  const TimePoint now = BootNow();
+  const Duration longest = unread.LongestWait(now);
+  const std::size_t size = unread.Size();
+  const std::vector<UnreadQueue::Id> expired = unread.TakeOlderThan(now - settings.maxUnreadWait);
+  for (const UnreadQueue::Id id : expired) {
+    if (const auto turn = turns.find(id); turn != turns.end()) {
+      turn->second->decided.Notify();
+      turns.erase(turn);
+    } else {
+      accepted.erase(id);
+    }
+  }
+  counters.closedUnread += expired.size();
+  ReportLoad(now, expired.size(), size, longest);
+}
+
+void HttpServer::Impl::RefuseAll()
+{
+  for (const auto& [id, turn] : turns) {
+    turn->decided.Notify();
+  }
+  turns.clear();
+  accepted.clear();
+}
+
+bool HttpServer::Impl::AwaitTurn(TimePoint since)
+{
+  if (closed) {
+    return false;
+  }
+  const UnreadQueue::Id id = ++lastUnread;
+  Turn turn;
+  turns.emplace(id, &turn);
+  unread.Add(id, since);
+  unreadAdded.Notify();
+  turn.decided.Wait();
+  return turn.isGranted;
+}
+
+void HttpServer::Impl::StartSession(impl::AcceptedConnection connection)
+{
+  boost::system::error_code error;
+  tcp::socket socket(runtime.Io());
+  socket.assign(connection.peer.protocol(), connection.descriptor.Get(), error);
+  if (error) {
+    return;
+  }
+  static_cast<void>(connection.descriptor.Release());
+  socket.set_option(tcp::no_delay(true), error);
   const std::uint64_t number = ++lastSession;
   const auto session = std::make_shared<impl::HttpSession>(
-    std::move(socket), ToAddress(remote), settings, sessionHooks);
+    std::move(socket), ToAddress(connection.peer), settings, sessionHooks);
   sessions.emplace(number, session);
   Spawn([this, number, session] {
     session->Serve();
@@ -148,6 +341,40 @@
   });
 }
 
+// Logs when connections begin to be closed unread, and when that has ended.
+void HttpServer::Impl::ReportLoad(TimePoint now,
+                                  std::size_t closedUnread,
+                                  std::size_t waiting,
+                                  Duration longestWait)
+{
+  const bool isOverloaded = overloadedSince.has_value();
+  if (closedUnread > 0) {
+    lastClosedUnread = now;
+  }
+  if (closedUnread > 0 && !isOverloaded) {
+    overloadedSince = now;
+    countersBefore = counters;
+    countersBefore.closedUnread -= closedUnread;
+    Emit(EventNumber::kHttpOverloadBegan,
+         { { "address", listener.Address() },
+           { "unread", std::to_string(waiting) },
+           { "longestMillis", std::to_string(ToMillis(longestWait)) },
+           { "limitMillis", std::to_string(ToMillis(settings.maxUnreadWait)) },
+           { "roundMillis", std::to_string(ToMillis(runtime.Times().latestRound)) },
+           { "connections", std::to_string(OpenConnections()) },
+           { "pending", std::to_string(exchanges.size()) } });
+  } else if (isOverloaded && now - lastClosedUnread >= kCalmTime) {
+    Emit(EventNumber::kHttpOverloadEnded,
+         { { "address", listener.Address() },
+           { "millis", std::to_string(ToMillis(lastClosedUnread - *overloadedSince)) },
+           { "closedUnread", std::to_string(counters.closedUnread - countersBefore.closedUnread) },
+           { "goneUnread",
+             std::to_string(counters.callersGoneUnread - countersBefore.callersGoneUnread) },
+           { "read", std::to_string(counters.requests - countersBefore.requests) } });
+    overloadedSince.reset();
+  }
+}
+
 impl::HttpSessionHooks HttpServer::Impl::MakeSessionHooks()
 {
   impl::HttpSessionHooks callbacks;
@@ -177,8 +404,10 @@
              { "reason", std::string(message) } });
     };
   callbacks.onGoneUnread = [this] { ++counters.callersGoneUnread; };
+  callbacks.awaitTurn = [this](TimePoint since) { return AwaitTurn(since); };
   callbacks.errorBody = hooks.errorBody;
   callbacks.isStopping = [this] { return stopping; };
+  callbacks.loopTimes = [this]() -> const LoopTimes& { return runtime.Times(); };
   return callbacks;
 }
 
@@ -201,16 +430,9 @@
   stopping = true;
   // Accepts the connections that the kernel has already completed; closing the listener would reset
   // them.
-  boost::system::error_code error;
-  acceptor.non_blocking(true, error);
-  while (!error && acceptor.is_open()) {
-    tcp::socket socket(runtime.Io());
-    acceptor.accept(socket, error);
-    if (!error) {
-      Admit(std::move(socket));
-    }
+  while (AcceptWaiting()) {
   }
-  acceptor.close(error);
+  listener.Close();
   std::vector<SessionPtr> openSessions;
   for (const auto& [number, session] : sessions) {
     openSessions.push_back(session);
@@ -223,7 +445,7 @@
 bool HttpServer::Impl::WaitDrained(Duration timeout)
 {
   const TimePoint until = BootNow() + timeout;
-  while (!sessions.empty()) {
+  while (OpenConnections() > 0) {
     const TimePoint now = BootNow();
     if (now >= until) {
       return false;
@@ -237,8 +459,9 @@
 {
   closed = true;
   stopping = true;
-  boost::system::error_code ignored;
-  acceptor.close(ignored);
+  listener.Close();
+  unreadAdded.Notify();
+  RefuseAll();
   for (const auto& [number, session] : sessions) {
     session->Close();
   }
@@ -264,7 +487,7 @@
 
 std::string HttpServer::ListenAddress() const
 {
-  return m_impl->listenAddress;
+  return m_impl->listener.Address();
 }
 
 void HttpServer::Send(HttpAnswerOut part)
@@ -307,6 +530,11 @@
   return m_impl->exchanges.size();
 }
 
+std::size_t HttpServer::OpenConnections() const noexcept
+{
+  return m_impl->OpenConnections();
+}
+
 bool HttpServer::IsCallerConnected(ExchangeId exchange)
 {
   const auto found = m_impl->exchanges.find(exchange);
--- a/src/http/http_session.hpp
+++ b/src/http/http_session.hpp
@@ -26,8 +26,12 @@
   std::function<void(const HttpSession&, ExchangeId, std::string_view reason)> onAborted;
   std::function<void(const HttpSession&, unsigned status, std::string_view message)> onRejected;
   std::function<void()> onGoneUnread; ///< The caller left before its request was passed on.
+  /// \brief Suspends the fiber until it may read a request that came at `since`.
+  /// \returns False if the connection is to be closed unread.
+  std::function<bool(TimePoint since)> awaitTurn;
   std::function<std::string(unsigned status, std::string_view message)> errorBody;
   std::function<bool()> isStopping;
+  std::function<const LoopTimes&()> loopTimes;
 };
 
 /// \brief One connection of a caller: repeatedly reads a request, passes it on and writes its
@@ -40,7 +44,8 @@
               const HttpServerSettings& settings,
               const HttpSessionHooks& hooks);
 
-  /// \brief Serves the connection until it ends; runs in a fiber of its own.
+  /// \brief Serves the connection until it ends; runs in a fiber of its own. The first request
+  /// may be read at once.
   void Serve();
 
   /// \brief Queues a part of the response of the current exchange.
@@ -51,7 +56,11 @@
   void Close();
 
   /// \brief Closes the connection if no part of a request has arrived.
-  void CloseIfIdle();
+  /// \returns Whether it did.
+  bool CloseIfIdle();
+
+  /// \brief Since when it has waited for a request; none if a request is being served.
+  [[nodiscard]] std::optional<TimePoint> IdleSince() const;
 
   /// \brief Whether the caller of the current exchange is connected; if not, it is handled as gone.
   [[nodiscard]] bool CheckCaller();
@@ -87,7 +96,10 @@
   // Reading (http_session_read.cpp).
   [[nodiscard]] std::optional<Request> ReadRequest();
   bool WaitForRequest();
+  bool WaitForInput();
   [[nodiscard]] boost::system::error_code ReadSome();
+  [[nodiscard]] bool TakeTurn();
+  [[nodiscard]] TimePoint ArrivalOfInput();
   [[nodiscard]] bool HasPendingInput();
   [[nodiscard]] bool IsCallerConnected();
   void Reject(unsigned status, std::string_view message);
@@ -122,8 +134,12 @@
   std::deque<HttpAnswerOut> m_parts;
   std::size_t m_queuedBytes = 0;
   Signal m_changed;
-  bool m_idle = false;     ///< Waiting for the first byte of a request.
-  bool m_watching = false; ///< A wait for readability is pending.
+  TimePoint m_idleSince{};
+  TimePoint m_inputAt{};    ///< When the first bytes of the current request were noticed.
+  TimePoint m_receivedAt{}; ///< When they came, as far as is known.
+  bool m_hasTurn = true;    ///< May read without waiting for a turn.
+  bool m_idle = false;      ///< Waiting for the first byte of a request.
+  bool m_watching = false;  ///< A wait for readability is pending.
   bool m_timedOut = false;
   bool m_closed = false;
   /// The response being written has no other end than that of the connection.
--- a/src/http/http_session_read.cpp
+++ b/src/http/http_session_read.cpp
@@ -1,5 +1,7 @@
+#include "gooseberrysail/shell/clock.hpp"
 #include "http/http_session.hpp"
 
+#include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/parser.hpp>
@@ -7,6 +9,8 @@
 #include <boost/beast/http/rfc7230.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <cerrno>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 #include <tuple>
 #include <utility>
@@ -25,6 +29,8 @@
 constexpr std::size_t kReadAheadBytes = 64 * 1024;
 constexpr std::size_t kMaxRetainedBufferBytes = 16 * 1024;
 constexpr std::size_t kFirstReadBytes = 4 * 1024;
+/// The loop is on time if it polls more often than this.
+constexpr Duration kLateLoop = std::chrono::milliseconds(5);
 constexpr Duration kLingerTimeout = std::chrono::seconds(1);
 constexpr std::size_t kLingerBytes = 16 * 1024 * 1024;
 // Shorter limit for connections that are accepted while the server is stopping.
@@ -119,11 +125,18 @@
   m_changed.Notify();
 }
 
-void HttpSession::CloseIfIdle()
+bool HttpSession::CloseIfIdle()
 {
-  if (m_idle && !HasPendingInput()) {
+  const bool isIdle = m_idle && !m_closed && !HasPendingInput();
+  if (isIdle) {
     Close();
   }
+  return isIdle;
+}
+
+std::optional<TimePoint> HttpSession::IdleSince() const
+{
+  return m_idle && !m_closed ? std::optional(m_idleSince) : std::nullopt;
 }
 
 // A request counts as in flight, and is answered, once its first bytes are in the kernel buffer.
@@ -140,12 +153,49 @@
   return error;
 }
 
+bool HttpSession::TakeTurn()
+{
+  return std::exchange(m_hasTurn, false) || (m_hooks.awaitTurn(m_inputAt) && !m_closed);
+}
+
+// The loop notices input only when it polls. If that was late, the kernel knows the time.
+TimePoint HttpSession::ArrivalOfInput()
+{
+  const LoopTimes& times = m_hooks.loopTimes();
+  if (times.polledAt - times.inputSince < kLateLoop) {
+    return m_inputAt;
+  }
+  tcp_info info{};
+  socklen_t size = sizeof(info);
+  if (::getsockopt(m_socket.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size) != 0) {
+    return m_inputAt;
+  }
+  const TimePoint arrival = BootNow() - std::chrono::milliseconds(info.tcpi_last_data_recv);
+  return std::clamp(arrival, times.inputSince, m_inputAt);
+}
+
 bool HttpSession::WaitForRequest()
 {
+  m_inputAt = m_hooks.loopTimes().polledAt;
+  m_receivedAt = m_inputAt;
   if (m_buffer.size() > 0) {
-    return true;
+    return TakeTurn();
   }
+  // The request of a new connection mostly came with it.
+  if (std::exchange(m_hasTurn, false)) {
+    const boost::system::error_code error = ReadSome();
+    if (error != asio::error::would_block) {
+      m_receivedAt = ArrivalOfInput();
+      return !error;
+    }
+  }
+  return WaitForInput();
+}
+
+bool HttpSession::WaitForInput()
+{
   m_idle = true;
+  m_idleSince = m_inputAt;
   const Duration timeout = m_hooks.isStopping() ? kStoppingIdleTimeout : m_settings.idleTimeout;
   m_deadline.Arm(timeout, [this] { Close(); });
   // Waits for readability before it reads: otherwise CloseIfIdle could close a connection as idle
@@ -158,8 +208,13 @@
     if (m_closed || failed) {
       return false;
     }
+    m_inputAt = m_hooks.loopTimes().polledAt;
+    if (!TakeTurn()) {
+      return false;
+    }
     error = ReadSome();
   }
+  m_receivedAt = ArrivalOfInput();
   m_idle = false;
   m_deadline.Disarm();
   return !error;
@@ -218,6 +273,7 @@
   request.message.headers = CopyHeaders(message);
   request.message.body = std::move(message.body());
   request.message.peer = m_peer;
+  request.message.receivedAt = m_receivedAt;
   return request;
 }
 
--- a/src/net/fiber_runtime.cpp
+++ b/src/net/fiber_runtime.cpp
@@ -18,16 +18,23 @@
 // an overflow into an immediate crash instead of corrupting another fiber's data.
 constexpr std::size_t kStackBytes = 256 * 1024;
 
+struct ThreadLoop
+{
+  std::shared_ptr<boost::asio::io_context> io;
+  std::shared_ptr<impl::LoopState> state;
+};
+
 // The first runtime of a thread installs the fiber scheduler and later runtimes share it: replacing
 // the scheduler would lose the fibers that wait in it.
-std::shared_ptr<boost::asio::io_context> ThreadIo()
+const ThreadLoop& LoopOfThread()
 {
-  thread_local const auto kIo = [] {
-    auto io = std::make_shared<boost::asio::io_context>(1);
-    boost::fibers::use_scheduling_algorithm<impl::FiberScheduler>(io);
-    return io;
+  thread_local const ThreadLoop kLoop = [] {
+    ThreadLoop loop{ std::make_shared<boost::asio::io_context>(1),
+                     std::make_shared<impl::LoopState>() };
+    boost::fibers::use_scheduling_algorithm<impl::FiberScheduler>(loop.io, loop.state);
+    return loop;
   }();
-  return kIo;
+  return kLoop;
 }
 
 std::chrono::steady_clock::time_point SteadyAfter(Duration duration)
@@ -76,7 +83,8 @@
 };
 
 IoRuntime::IoRuntime()
-  : m_io(ThreadIo())
+  : m_io(LoopOfThread().io)
+  , m_loop(LoopOfThread().state)
   , m_state(std::make_shared<State>(*m_io))
 {
 }
@@ -109,6 +117,30 @@
   boost::this_fiber::sleep_until(SteadyAfter(duration));
 }
 
+void IoRuntime::WaitUntilIdle()
+{
+  impl::Completion completion;
+  m_loop->waitingUntilIdle.push_back(&completion);
+  impl::Suspend(completion);
+}
+
+void IoRuntime::WaitForPoll()
+{
+  impl::Completion completion;
+  m_loop->waitingForPoll.push_back(&completion);
+  impl::Suspend(completion);
+}
+
+const LoopTimes& IoRuntime::Times() const noexcept
+{
+  return m_loop->times;
+}
+
+void IoRuntime::ResetLongestRound() noexcept
+{
+  m_loop->times.longestRound = Duration::zero();
+}
+
 void IoRuntime::OnSignals(const std::vector<int>& numbers, std::function<void(int)> hook)
 {
   for (const int number : numbers) {
--- a/src/observe/metrics.cpp
+++ b/src/observe/metrics.cpp
@@ -194,13 +194,15 @@
   }
 }
 
-void Metrics::OnTick(Duration spent)
+void Metrics::OnTick(Duration spent, Duration round)
 {
   m_impl->Observe(MetricId::kTickDuration, Seconds(spent));
+  m_impl->Observe(MetricId::kLoopRound, Seconds(round));
 }
 
 void Metrics::OnRequest(TimePoint now, const HttpRequestIn& request)
 {
+  m_impl->Observe(MetricId::kHttpUnreadWait, Seconds(now - request.receivedAt.value_or(now)));
   if (m_impl->role == ProcessRole::kEntry) {
     m_impl->awaitingFirstByte.emplace(request.exchange, now);
   }
@@ -255,6 +257,13 @@
   m_impl->IncreaseTo(MetricId::kHttpRequests, static_cast<double>(sample.httpRequests));
   m_impl->IncreaseTo(MetricId::kHttpRejected, static_cast<double>(sample.httpRejected));
   m_impl->Set(MetricId::kHttpInFlight, static_cast<double>(sample.httpInFlight));
+  m_impl->Set(MetricId::kHttpConnections, static_cast<double>(sample.httpConnections));
+  m_impl->IncreaseTo(MetricId::kHttpClosed, static_cast<double>(sample.httpClosedUnread), "unread");
+  m_impl->IncreaseTo(MetricId::kHttpClosed, static_cast<double>(sample.httpClosedAtLimit), "limit");
+  m_impl->IncreaseTo(
+    MetricId::kHttpCallersGone, static_cast<double>(sample.httpCallersGone), "served");
+  m_impl->IncreaseTo(
+    MetricId::kHttpCallersGone, static_cast<double>(sample.httpCallersGoneUnread), "unread");
   m_impl->IncreaseTo(MetricId::kTimelineDropped, static_cast<double>(sample.timelineDropped));
 }
 
--- a/src/settings/setting_key.cpp
+++ b/src/settings/setting_key.cpp
@@ -264,6 +264,17 @@
     [](ProcessSettings& settings, const SettingValue& value) {
       settings.limits.maxInFlight = static_cast<std::size_t>(value.number);
     }),
+  CountKey("limits.maxUnreadWait",
+           "milliseconds",
+           10,
+           10'000,
+           "100",
+           kEntryRole,
+           "Connections whose requests wait longer than this to be read are closed unread, so that "
+           "their callers can try another entry.",
+           [](ProcessSettings& settings, const SettingValue& value) {
+             settings.limits.maxUnreadWait = std::chrono::milliseconds(value.number);
+           }),
   CountKey(
     "limits.maxHeldOutputBytes",
     "bytes",
--- a/src/shell/gateway_shell.cpp
+++ b/src/shell/gateway_shell.cpp
@@ -70,6 +70,7 @@
   std::unique_ptr<HttpServer> ready;
   HttpServerSettings readySettings;
   readySettings.listenAddress = settings.readyListen;
+  readySettings.maxUnreadWait = Duration::zero();
   ready = std::make_unique<HttpServer>(
     shell.Runtime(),
     readySettings,
--- a/src/shell/process_shell.cpp
+++ b/src/shell/process_shell.cpp
@@ -56,6 +56,9 @@
   http.listenAddress = settings.httpListen;
   http.maxHeaderBytes = static_cast<std::uint32_t>(settings.limits.maxHeaderBytes);
   http.maxBodyBytes = settings.limits.maxBodyBytes;
+  // Only the callers of an entry have another one to try.
+  const bool isEntry = settings.role == ProcessRole::kEntry;
+  http.maxUnreadWait = isEntry ? settings.limits.maxUnreadWait : Duration::zero();
   return http;
 }
 
@@ -113,6 +116,7 @@
   }
   HttpServerSettings http;
   http.listenAddress = m_settings.observe.metricsListen;
+  http.maxUnreadWait = Duration::zero();
   m_metricsHttp = std::make_unique<HttpServer>(
     m_runtime,
     http,
@@ -200,6 +204,11 @@
   if (now >= m_nextTraffic) {
     m_nextTraffic = now + kTrafficInterval;
     Record(m_traffic.MakeReport(now, m_mesh->Counters(), m_mesh->MostQueuedBytes()));
+    if (const std::optional<EventOut> callers = m_callers.MakeReport(
+          now, m_http->Counters(), m_http->OpenConnections(), m_runtime.Times().longestRound)) {
+      Record(*callers);
+    }
+    m_runtime.ResetLongestRound();
   }
 }
 
@@ -308,6 +317,11 @@
   sample.httpRequests = m_http->Counters().requests;
   sample.httpRejected = m_http->Counters().rejected;
   sample.httpInFlight = m_http->PendingExchanges();
+  sample.httpConnections = m_http->OpenConnections();
+  sample.httpClosedUnread = m_http->Counters().closedUnread;
+  sample.httpClosedAtLimit = m_http->Counters().closedAtLimit;
+  sample.httpCallersGone = m_http->Counters().callersGone;
+  sample.httpCallersGoneUnread = m_http->Counters().callersGoneUnread;
   return sample;
 }
 
--- a/src/shell/process_shell.hpp
+++ b/src/shell/process_shell.hpp
@@ -68,7 +68,7 @@
   {
     const TimePoint before = BootNow();
     std::forward<Tick>(tick)();
-    m_observer.OnTick(BootNow() - before);
+    m_observer.OnTick(BootNow() - before, m_runtime.Times().latestRound);
   }
 
   /// \brief Updates the replication metrics; control processes only.
@@ -107,6 +107,7 @@
   bool m_finished = false;
   std::string m_settingsText; ///< As last read.
   TrafficReport m_traffic;
+  CallerReport m_callers;
   TimePoint m_nextTraffic{};
 };
 
--- a/src/shell/traffic_report.cpp
+++ b/src/shell/traffic_report.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <string>
+#include <utility>
 
 namespace gooseberrysail::impl {
 
@@ -65,6 +66,35 @@
   return event;
 }
 
+std::optional<EventOut> CallerReport::MakeReport(TimePoint now,
+                                                 const HttpServerCounters& counters,
+                                                 std::size_t connections,
+                                                 Duration longestRound)
+{
+  const HttpServerCounters before = std::exchange(m_counters, counters);
+  const Duration since = m_at == TimePoint{} ? Duration::zero() : now - m_at;
+  m_at = now;
+  const std::uint64_t requests = counters.requests - before.requests;
+  const std::uint64_t goneUnread = counters.callersGoneUnread - before.callersGoneUnread;
+  const std::uint64_t closedUnread = counters.closedUnread - before.closedUnread;
+  const std::uint64_t closedAtLimit = counters.closedAtLimit - before.closedAtLimit;
+  if (requests + goneUnread + closedUnread + closedAtLimit == 0) {
+    return std::nullopt;
+  }
+  return MakeEvent(
+    EventNumber::kHttpTraffic,
+    { { "seconds",
+        std::to_string(std::chrono::duration_cast<std::chrono::seconds>(since).count()) },
+      { "connections", std::to_string(connections) },
+      { "accepted", std::to_string(counters.connections - before.connections) },
+      { "read", std::to_string(requests) },
+      { "goneUnread", std::to_string(goneUnread) },
+      { "gone", std::to_string(counters.callersGone - before.callersGone) },
+      { "closedUnread", std::to_string(closedUnread) },
+      { "closedAtLimit", std::to_string(closedAtLimit) },
+      { "longestRoundMillis", std::to_string(ToMillis(longestRound)) } });
+}
+
 std::vector<KindTraffic> TotalsByKind(const PeerMeshCounters& counters)
 {
   std::vector<KindTraffic> kinds;
--- a/tests/unit/dispatcher_test.cpp
+++ b/tests/unit/dispatcher_test.cpp
@@ -56,9 +56,13 @@
   }
 
   /// Sends a caller's request. Exchanges are numbered from 1.
-  void Ask(const std::string& path, const std::string& key = "secret")
+  /// \param unread How long it waited to be read.
+  void Ask(const std::string& path,
+           const std::string& key = "secret",
+           Duration unread = Duration::zero())
   {
     HttpRequestIn request;
+    request.receivedAt = now - unread;
     request.exchange = ExchangeId(++m_asked);
     request.method = "POST";
     request.target = path;
@@ -167,6 +171,11 @@
   std::uint64_t m_asked = 0;
 };
 
+std::string MillisLeft(World& world)
+{
+  return std::string(FindHeader(world.Sent().headers, "Left"));
+}
+
 unsigned LastStatus(const World& world)
 {
   const auto answers = world.Answers();
@@ -826,5 +835,30 @@
   EXPECT_TRUE(world.Answers().empty());
 }
 
+// Guards against targets that work past the caller's time on a request that waited to be read.
+TEST(Dispatcher, TheTimeThatARequestWaitedUnreadIsNotLeft)
+{
+  World world;
+  SECTION("the target gets what is left of the route's timeout")
+  {
+    world.Ask("/once/x", "secret", 1s);
+    EXPECT_EQ(MillisLeft(world), "2000");
+  }
+  SECTION("it is answered at that time")
+  {
+    world.AdvanceTime(1999ms);
+    EXPECT_THAT(world.Answers(), IsEmpty());
+    world.AdvanceTime(1ms);
+    EXPECT_EQ(LastStatus(world), 504U);
+  }
+  SECTION("one that has no time left is refused without an attempt")
+  {
+    const std::size_t sent = world.CountSent();
+    world.Ask("/safe/x", "secret", 2999ms);
+    EXPECT_EQ(LastStatus(world), 503U);
+    EXPECT_EQ(world.CountSent(), sent);
+  }
+}
+
 } // namespace
 } // namespace gooseberrysail
