An eighth of the descriptors is kept for targets and other processes; requests are parsed at once

Cause: the limit of connections was a constant, whatever the process may open. Now a connection whose descriptor lies in the upper eighth makes the listener close those that have been idle longest, and takes a lower number; without idle ones it is closed. Readiness and metrics may use the reserve.

The test showed a second thing: a request whose head came slowly was refused as too old, as its age counted from its first bytes. It counts from the last ones now (HttpServer.TellsWhenARequestCame). A request that came whole is parsed in place: two rounds of the loop and a timer less each.

--- a/include/gooseberrysail/http/http_server.hpp
+++ b/include/gooseberrysail/http/http_server.hpp
@@ -20,6 +20,8 @@
   std::uint32_t maxHeaderBytes = 16 * 1024;
   std::uint64_t maxBodyBytes = 8 * 1024 * 1024;
   std::size_t maxConnections = 10000;
+  /// \brief Whether it takes connections while the process is short of descriptors.
+  bool usesReservedDescriptors = false;
   /// \brief Limit of unsent response bytes; the connection is closed when it is exceeded.
   std::size_t maxQueuedAnswerBytes = 16 * 1024 * 1024;
   Duration idleTimeout = std::chrono::seconds(60);    ///< While waiting for a request.
--- a/include/gooseberrysail/roles/inputs.hpp
+++ b/include/gooseberrysail/roles/inputs.hpp
@@ -66,7 +66,7 @@
   std::vector<HttpHeader> headers;
   std::string body;
   std::string peer; ///< "ip:port" of the caller.
-  /// When its first bytes came, which may be long before it could be read; none if not known.
+  /// When its last bytes came, which may be long before it could be read; none if not known.
   std::optional<TimePoint> receivedAt = std::nullopt;
 };
 
--- a/src/http/http_listener.cpp
+++ b/src/http/http_listener.cpp
@@ -3,6 +3,9 @@
 #include "gooseberrysail/net/endpoint.hpp"
 
 #include <cerrno>
+#include <climits>
+#include <fcntl.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
 #include <utility>
@@ -18,6 +21,18 @@
   return Descriptor(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
 }
 
+/// This part of the descriptors is reserved.
+constexpr rlim_t kReservedFraction = 8;
+
+int FirstReservedDescriptor()
+{
+  rlimit limit{};
+  if (::getrlimit(RLIMIT_NOFILE, &limit) != 0 || limit.rlim_cur > INT_MAX) {
+    return INT_MAX;
+  }
+  return static_cast<int>(limit.rlim_cur - limit.rlim_cur / kReservedFraction);
+}
+
 bool IsNothingWaiting(int error)
 {
   return error == EAGAIN || error == EWOULDBLOCK || error == ECONNABORTED || error == EINTR;
@@ -43,9 +58,16 @@
   return std::exchange(m_number, -1);
 }
 
+Descriptor Descriptor::Renumber() && noexcept
+{
+  const int lowest = ::fcntl(m_number, F_DUPFD_CLOEXEC, 0);
+  return lowest < 0 ? std::move(*this) : Descriptor(lowest);
+}
+
 HttpListener::HttpListener(IoRuntime& runtime)
   : m_runtime(runtime)
   , m_acceptor(runtime.Io())
+  , m_firstReserved(FirstReservedDescriptor())
 {
 }
 
@@ -88,6 +110,12 @@
   return AcceptedConnection{ Descriptor(number), peer };
 }
 
+// The system gives out the lowest free number.
+bool HttpListener::IsReserved(const Descriptor& descriptor) const noexcept
+{
+  return descriptor.Get() >= m_firstReserved;
+}
+
 void HttpListener::CloseNext()
 {
   m_spare = Descriptor();
--- a/src/http/http_listener.hpp
+++ b/src/http/http_listener.hpp
@@ -27,6 +27,8 @@
 
   [[nodiscard]] int Get() const noexcept { return m_number; }
   [[nodiscard]] int Release() noexcept;
+  /// \brief The same open file under the lowest number that is free.
+  [[nodiscard]] Descriptor Renumber() && noexcept;
 
 private:
   int m_number;
@@ -55,6 +57,10 @@
   /// \brief Accepts the next connection that waits; none, with an error if it failed.
   [[nodiscard]] std::optional<AcceptedConnection> Accept(boost::system::error_code& error);
 
+  /// \brief Whether so many descriptors of the process are in use that the others are reserved for
+  /// its connections to other processes and to targets.
+  [[nodiscard]] bool IsReserved(const Descriptor& descriptor) const noexcept;
+
   /// \brief Closes the next connection that waits, though no descriptor is free.
   void CloseNext();
 
@@ -64,6 +70,7 @@
   IoRuntime& m_runtime;
   boost::asio::ip::tcp::acceptor m_acceptor;
   std::string m_address;
+  int m_firstReserved;
   Descriptor m_spare; ///< Freed to accept a connection when no other descriptor is free.
 };
 
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -191,11 +191,17 @@
   if (closed) {
     return;
   }
-  if (OpenConnections() >= settings.maxConnections && !CloseLongestIdle()) {
+  const bool isReserved =
+    !settings.usesReservedDescriptors && listener.IsReserved(connection.descriptor);
+  const bool isAtLimit = isReserved || OpenConnections() >= settings.maxConnections;
+  if (isAtLimit && !CloseLongestIdle()) {
     ++counters.closedAtLimit;
     ReportLimit(ToAddress(connection.peer));
     return;
   }
+  if (isReserved) {
+    connection.descriptor = std::move(connection.descriptor).Renumber();
+  }
   ++counters.connections;
   const UnreadQueue::Id id = ++lastUnread;
   accepted.emplace(id, std::move(connection));
--- a/src/http/http_session.hpp
+++ b/src/http/http_session.hpp
@@ -5,6 +5,8 @@
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
 #include <deque>
 #include <functional>
 #include <memory>
@@ -94,7 +96,10 @@
   };
 
   // Reading (http_session_read.cpp).
+  using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
   [[nodiscard]] std::optional<Request> ReadRequest();
+  /// \brief Reads a request of which a part has been parsed.
+  [[nodiscard]] boost::system::error_code ReadRest(Parser& parser);
   bool WaitForRequest();
   bool WaitForInput();
   [[nodiscard]] boost::system::error_code ReadSome();
@@ -136,7 +141,7 @@
   Signal m_changed;
   TimePoint m_idleSince{};
   TimePoint m_inputAt{};    ///< When the first bytes of the current request were noticed.
-  TimePoint m_receivedAt{}; ///< When they came, as far as is known.
+  TimePoint m_receivedAt{}; ///< When its last bytes came, as far as is known.
   bool m_hasTurn = true;    ///< May read without waiting for a turn.
   bool m_idle = false;      ///< Waiting for the first byte of a request.
   bool m_watching = false;  ///< A wait for readability is pending.
--- a/src/http/http_session_read.cpp
+++ b/src/http/http_session_read.cpp
@@ -24,8 +24,6 @@
 namespace http = beast::http;
 using asio::ip::tcp;
 
-using Parser = http::request_parser<http::string_body>;
-
 constexpr std::size_t kReadAheadBytes = 64 * 1024;
 constexpr std::size_t kMaxRetainedBufferBytes = 16 * 1024;
 constexpr std::size_t kFirstReadBytes = 4 * 1024;
@@ -61,6 +59,19 @@
   return headers;
 }
 
+using Parser = http::request_parser<http::string_body>;
+
+// Parses what has been read; the parser isn't done if the request is longer.
+beast::error_code ParseBuffered(Parser& parser, beast::flat_buffer& buffer)
+{
+  beast::error_code error;
+  parser.eager(true);
+  while (!error && !parser.is_done() && buffer.size() > 0) {
+    buffer.consume(parser.put(buffer.cdata(), error));
+  }
+  return error == http::error::need_more ? beast::error_code() : error;
+}
+
 bool ExpectsContinue(const Parser& parser)
 {
   return !parser.is_done() && beast::iequals(parser.get()[http::field::expect], "100-continue");
@@ -220,14 +231,8 @@
   return !error;
 }
 
-std::optional<HttpSession::Request> HttpSession::ReadRequest()
+boost::system::error_code HttpSession::ReadRest(Parser& parser)
 {
-  if (m_buffer.size() == 0 && m_buffer.capacity() > kMaxRetainedBufferBytes) {
-    m_buffer.shrink_to_fit();
-  }
-  if (!WaitForRequest()) {
-    return std::nullopt;
-  }
   // Without a deadline, a caller could keep the connection open by sending single bytes.
   m_timedOut = false;
   m_deadline.Arm(m_settings.requestTimeout, [this] {
@@ -235,9 +240,6 @@
     boost::system::error_code ignored;
     m_socket.cancel(ignored);
   });
-  Parser parser;
-  parser.header_limit(m_settings.maxHeaderBytes);
-  parser.body_limit(m_settings.maxBodyBytes);
   auto [error, size] =
     Await([&](auto done) { http::async_read_header(m_socket, m_buffer, parser, done); });
   if (!error && ExpectsContinue(parser)) {
@@ -250,6 +252,29 @@
       Await([&](auto done) { http::async_read(m_socket, m_buffer, parser, done); });
   }
   m_deadline.Disarm();
+  if (!error && !m_closed) {
+    m_inputAt = m_hooks.loopTimes().polledAt;
+    m_receivedAt = ArrivalOfInput();
+  }
+  return error;
+}
+
+std::optional<HttpSession::Request> HttpSession::ReadRequest()
+{
+  m_timedOut = false;
+  if (m_buffer.size() == 0 && m_buffer.capacity() > kMaxRetainedBufferBytes) {
+    m_buffer.shrink_to_fit();
+  }
+  if (!WaitForRequest()) {
+    return std::nullopt;
+  }
+  Parser parser;
+  parser.header_limit(m_settings.maxHeaderBytes);
+  parser.body_limit(m_settings.maxBodyBytes);
+  boost::system::error_code error = ParseBuffered(parser, m_buffer);
+  if (!error && !parser.is_done()) {
+    error = ReadRest(parser);
+  }
   if (m_closed) {
     return std::nullopt;
   }
--- a/src/shell/gateway_shell.cpp
+++ b/src/shell/gateway_shell.cpp
@@ -71,6 +71,7 @@
   HttpServerSettings readySettings;
   readySettings.listenAddress = settings.readyListen;
   readySettings.maxUnreadWait = Duration::zero();
+  readySettings.usesReservedDescriptors = true;
   ready = std::make_unique<HttpServer>(
     shell.Runtime(),
     readySettings,
--- a/src/shell/process_shell.cpp
+++ b/src/shell/process_shell.cpp
@@ -117,6 +117,7 @@
   HttpServerSettings http;
   http.listenAddress = m_settings.observe.metricsListen;
   http.maxUnreadWait = Duration::zero();
+  http.usesReservedDescriptors = true;
   m_metricsHttp = std::make_unique<HttpServer>(
     m_runtime,
     http,
--- a/tests/process/descriptor_limit_test.cpp
+++ b/tests/process/descriptor_limit_test.cpp
@@ -2,6 +2,7 @@
 #include "support/serving_installation.hpp"
 
 #include <sys/resource.h>
+#include <thread>
 
 namespace gooseberrysail::test {
 namespace {
@@ -10,7 +11,9 @@
 using tests::BlockingConnection;
 
 constexpr rlim_t kDescriptors = 400;
-constexpr std::size_t kIdleConnections = 600;
+constexpr std::size_t kConnections = 600;
+/// After which the entry has closed its unused connections to targets.
+constexpr auto kIdleTimeoutOfTargets = 5s;
 
 /// \brief Limits the descriptors of this process and of those that it starts meanwhile.
 class LowDescriptorLimit
@@ -42,7 +45,7 @@
   const auto serving = StartWithFewDescriptors();
   serving->WaitUntilServed();
   std::vector<std::unique_ptr<BlockingConnection>> idle;
-  for (std::size_t number = 0; number < kIdleConnections; ++number) {
+  for (std::size_t number = 0; number < kConnections; ++number) {
     idle.push_back(std::make_unique<BlockingConnection>(serving->site.entryHttp));
   }
   for (int number = 0; number < 20; ++number) {
@@ -51,5 +54,25 @@
   EXPECT_EQ(serving->site.Readiness(), 200U);
 }
 
+// Guards against an entry that can't reach its targets once connections of callers hold all
+// descriptors.
+TEST(DescriptorLimit, SomeAreKeptForTargets)
+{
+  const auto serving = StartWithFewDescriptors();
+  serving->WaitUntilServed();
+  constexpr const char* kStart = "POST /a/x HTTP/1.1\r\n";
+  BlockingConnection early(serving->site.entryHttp);
+  ASSERT_TRUE(early.Write(kStart));
+  std::vector<std::unique_ptr<BlockingConnection>> unfinished;
+  for (std::size_t number = 0; number < kConnections; ++number) {
+    unfinished.push_back(std::make_unique<BlockingConnection>(serving->site.entryHttp));
+    unfinished.back()->Write(kStart);
+  }
+  std::this_thread::sleep_for(kIdleTimeoutOfTargets);
+  early.Write("Host: hire.example\r\nX-Request-Id: early\r\nAuthorization: Bearer key-of-t1\r\n"
+              "Content-Length: 0\r\n\r\n");
+  EXPECT_EQ(early.ReadUntil("\r\n").substr(0, 12), "HTTP/1.1 200");
+}
+
 } // namespace
 } // namespace gooseberrysail::test
--- a/tests/support/blocking_connection.hpp
+++ b/tests/support/blocking_connection.hpp
@@ -5,6 +5,7 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 #include <string>
 #include <string_view>
@@ -30,6 +31,15 @@
     return !error;
   }
 
+  /// \returns What was received up to `end`, or until the connection ended.
+  std::string ReadUntil(std::string_view end)
+  {
+    std::string received;
+    boost::system::error_code ignored;
+    boost::asio::read_until(m_socket, boost::asio::dynamic_buffer(received), end, ignored);
+    return received;
+  }
+
   void Close()
   {
     boost::system::error_code ignored;
--- a/tests/unit/http_server_test.cpp
+++ b/tests/unit/http_server_test.cpp
@@ -1,10 +1,14 @@
+#include "support/blocking_connection.hpp"
 #include "support/http_exchange.hpp"
 #include "support/raw_connection.hpp"
 #include "support/section.hpp"
 
+#include <thread>
+
 namespace gooseberrysail {
 namespace {
 
+using namespace std::chrono_literals;
 using tests::kTestTimeout;
 using tests::RawConnection;
 using tests::RecordingServer;
@@ -323,5 +327,28 @@
   EXPECT_FALSE(Contains(caller.received, "99"));
 }
 
+TEST(HttpServer, TellsWhenARequestCame)
+{
+  IoRuntime runtime;
+  RecordingServer server(runtime);
+  SECTION("before a busy loop noticed it")
+  {
+    tests::BlockingConnection caller(server.address);
+    caller.Write(kGet);
+    const TimePoint written = BootNow();
+    std::this_thread::sleep_for(200ms);
+    EXPECT_LT(*server.Request(1).receivedAt, written + 100ms);
+  }
+  SECTION("of a request in parts, the last part")
+  {
+    RawConnection caller(runtime, server.address);
+    caller.Write("GET /health HTTP/1.1\r\n");
+    runtime.SleepFor(200ms);
+    const TimePoint beforeEnd = BootNow();
+    caller.Write("Host: x\r\n\r\n");
+    EXPECT_GT(*server.Request(2).receivedAt, beforeEnd - 100ms);
+  }
+}
+
 } // namespace
 } // namespace gooseberrysail
