--- a/tests/soak/callers.cpp
+++ b/tests/soak/callers.cpp
@@ -16,6 +16,9 @@
 constexpr double kNonRepeatableShare = 0.5;
 constexpr auto kPauseBetweenRequests = 10ms;
 constexpr auto kRequestTimeout = 2500ms;
+/// The share of requests whose callers leave early, and after how long at most.
+constexpr double kLeavingShare = 0.2;
+constexpr int kLongestStayMillis = 400;
 
 } // namespace
 
@@ -57,10 +60,15 @@
                      { "X-Request-Deadline", "2000" },
                      { "Authorization", "Bearer key-of-t1" } };
     call.body = "body of " + id;
-    call.timeout = kRequestTimeout;
+    const bool leaves = std::uniform_real_distribution<>(0, 1)(random) < kLeavingShare;
+    const auto stay = std::chrono::milliseconds(random() % kLongestStayMillis + 1);
+    call.timeout = leaves ? stay : kRequestTimeout;
     m_ledger.OnRequestSent(id, !isNonRepeatable);
     const test::HttpReply reply = connection.Call(call);
     m_ledger.OnReply(id, reply.status, IsAnswerTo(id, reply));
+    if (reply.status == 0) {
+      m_ledger.OnCallerLeft(id);
+    }
     std::this_thread::sleep_for(kPauseBetweenRequests);
   }
 }
--- a/tests/soak/ledger.cpp
+++ b/tests/soak/ledger.cpp
@@ -2,6 +2,13 @@
 
 namespace gooseberrysail::soak {
 
+namespace {
+
+/// Half a second for the entry, and as much for what is on its way to a delayed replica.
+constexpr std::chrono::milliseconds kLatestRunAfterLeaving{ 1000 };
+
+} // namespace
+
 bool GuaranteesNotRun(unsigned status) noexcept
 {
   return status == 408 || status == 421 || status == 429 || status == 503;
@@ -21,6 +28,10 @@
     m_violations.push_back(replica + " ran " + id + ", which no caller sent");
     return;
   }
+  const std::optional<std::chrono::steady_clock::time_point>& leftAt = row->second.leftAt;
+  if (leftAt && std::chrono::steady_clock::now() - *leftAt > kLatestRunAfterLeaving) {
+    m_violations.push_back(id + " ran at " + replica + " long after its caller had left");
+  }
   if (++row->second.runs == 1) {
     row->second.firstReplica = replica;
   } else if (!row->second.isRepeatable) {
@@ -45,6 +56,12 @@
   }
 }
 
+void Ledger::OnCallerLeft(const std::string& id)
+{
+  const std::scoped_lock lock(m_mutex);
+  m_records[id].leftAt = std::chrono::steady_clock::now();
+}
+
 void Ledger::OnViolation(const std::string& what)
 {
   const std::scoped_lock lock(m_mutex);
--- a/tests/soak/ledger.hpp
+++ b/tests/soak/ledger.hpp
@@ -1,8 +1,10 @@
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -26,6 +28,9 @@
   /// \param isOwn Whether the reply is complete and belongs to this request.
   void OnReply(const std::string& id, unsigned status, bool isOwn);
 
+  /// \brief Records that the caller closed its connection before it had a reply.
+  void OnCallerLeft(const std::string& id);
+
   /// \brief Records a violation that was found outside the ledger.
   void OnViolation(const std::string& what);
 
@@ -50,6 +55,7 @@
     unsigned status = 0;
     bool isOwn = false;
     bool hasReply = false;
+    std::optional<std::chrono::steady_clock::time_point> leftAt; ///< None while the caller waits.
   };
 
   mutable std::mutex m_mutex;
--- a/tools/platform_days.py
+++ b/tools/platform_days.py
@@ -145,6 +145,20 @@
 CLOSINGS = [("power_off_all", ""), ("wipe_after_ack", ""), ("kill_all", "")]
 MOMENTS = (5.0, 18.0)
 
+# Most callers of two failure domains move to the entries of a third one, each time beside other troubles and
+# before another end of the day.
+CROWD = [
+    ("shift", "", 'share = 0.9, zone = "@z1", to_zone = "@z0", for_s = 8.0'),
+    ("shift", "", 'share = 0.9, zone = "@z2", to_zone = "@z0", for_s = 8.0'),
+]
+CROWDS = [
+    ("crowd", [], ""),
+    ("crowd-burst", ["burst"], ""),
+    ("crowd-burst-retry_abuse", ["burst", "retry_abuse"], ""),
+    ("crowd-give_up-retry_abuse", ["give_up", "retry_abuse"], ""),
+    ("crowd-closing-kill_all", [], "kill_all"),
+]
+
 
 def calm_day(site_text):
     """Returns the first day of a site file without its troubles."""
@@ -199,6 +213,10 @@
             entry(moment + 0.5 * place, each, service) for moment in MOMENTS for place, each in enumerate(both)
         ]
         yield name, day_text(base, name, seed, faults=faults)
+    for name, beside, closing in CROWDS:
+        troubles = CROWD + [find_trouble(each) for each in beside]
+        faults = [entry(moment, each, service) for moment in MOMENTS for each in troubles]
+        yield name, day_text(base, name, seed, faults=faults, closing=closing)
     for closing, _ in CLOSINGS:
         yield "closing-" + closing, day_text(base, "closing-" + closing, seed, closing=closing)
 
