One look at a socket's input for sessions of callers and idle connections to targets

HttpSession::IsCallerConnected repeated the MSG_PEEK of HttpClient's IsUsable, with another list of errors. Both use impl::PeekInput now; an interrupted look is repeated, where the session counted it as connected and the client as not usable. ReadInTurn refused the waiting turns a second time after the loop: Close has done so, and nothing is added once it has.

--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -2,10 +2,9 @@
 
 #include "gooseberrysail/shell/clock.hpp"
 #include "http/http_call.hpp"
+#include "http/peek_input.hpp"
 
-#include <cerrno>
 #include <deque>
-#include <sys/socket.h>
 #include <unordered_map>
 #include <utility>
 
@@ -15,15 +14,6 @@
 
 using boost::asio::ip::tcp;
 
-// An idle connection that is readable was closed by the server or received bytes that belong to no
-// call; in both cases the next call on it would fail.
-bool IsUsable(tcp::socket& socket)
-{
-  char byte = 0;
-  const ssize_t peeked = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-  return peeked < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
-}
-
 } // namespace
 
 struct HttpClient::Impl
@@ -103,10 +93,12 @@
 {
   const auto found = idle.find(call.Address());
   while (found != idle.end() && !found->second.empty()) {
-    // Prefers the most recently used connection, so that the others can expire.
+    // Prefers the most recently used connection, so that the others can expire. One that is
+    // readable was closed by the server or has bytes that belong to no call.
     Idle last = std::move(found->second.back());
     found->second.pop_back();
-    if (BootNow() - last.since < settings.idleTimeout && IsUsable(last.socket)) {
+    if (BootNow() - last.since < settings.idleTimeout &&
+        impl::PeekInput(last.socket) == impl::InputState::kNone) {
       call.Reuse(std::move(last.socket));
       return;
     }
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -253,7 +253,6 @@
       runtime.WaitForPoll();
     }
   }
-  RefuseAll();
 }
 
 bool HttpServer::Impl::GrantTurns()
--- a/src/http/http_session_read.cpp
+++ b/src/http/http_session_read.cpp
@@ -1,5 +1,6 @@
 #include "gooseberrysail/shell/clock.hpp"
 #include "http/http_session.hpp"
+#include "http/peek_input.hpp"
 
 #include <algorithm>
 #include <boost/asio/buffer.hpp>
@@ -8,7 +9,6 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/rfc7230.hpp>
 #include <boost/beast/http/string_body.hpp>
-#include <cerrno>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -358,10 +358,8 @@
 bool HttpSession::IsCallerConnected()
 {
   while (m_buffer.size() < kReadAheadBytes) {
-    char byte = 0;
-    const ssize_t peeked = ::recv(m_socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    if (peeked <= 0) {
-      return peeked < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR);
+    if (const InputState input = PeekInput(m_socket); input != InputState::kBytes) {
+      return input == InputState::kNone;
     }
     if (const auto error = ReadSome(); error) {
       return error == asio::error::would_block;
