--- a/tools/worth_means.py
+++ b/tools/worth_means.py
@@ -18,10 +18,11 @@
 def play(bench, site, day, seed, why):
     command = [bench, "run", site, day, "--seed", str(seed), "--no-cpu", "--jobs", "1", "--why", why]
     lines = subprocess.run(command, capture_output=True, text=True).stdout.splitlines()
-    head = next((line for line in lines if line.startswith(day + " ")), None)
+    name = os.path.basename(day).removesuffix(".toml")  # A day of a file bears the file's name.
+    head = next((line for line in lines if line.startswith(name + " ")), None)
     if head is None:
         return None
-    figures = re.split(r"\s+", head[len(day) :].strip())
+    figures = re.split(r"\s+", head[len(name) :].strip())
     broken = re.search(r"BROKEN: (.*)", head)
     floors = "GATE" if re.search(r"floor", head) else ""
     return {
