A retry is decided once: its target comes with its token

What callers saw: a stream that may not be repeated was cut when its head had been silent for 600 ms, or when control reported a restart, though the head went on; and of streams that may be moved, fewer than half were. Cause: MoveRequests asked whether a retry is allowed, which takes one from the allowance and doesn't count the running attempt as one that may have run; AttemptEnded stopped the attempt and asked again. The second answer was another one: not repeatable, or the allowance empty. The class: one decision is made twice, with an effect each time. Evidence: SilentHead.StreamsThatMayNotBeRepeatedStay cut 10 of 10, EachMoveUsesOneRetry moved 4 of 10 where 9 are allowed. Change: TakeRetry returns the target for which it has taken the retry, and is told whether an attempt may have run; who has it sends. The others of SilentHead fail as before: what still works is still ended.

--- a/include/gooseberrysail/gateway/dispatcher.hpp
+++ b/include/gooseberrysail/gateway/dispatcher.hpp
@@ -183,7 +183,12 @@
   bool TryEnqueue(TimePoint now, const Request& request);
   void DispatchQueued(TimePoint now, Outbox& outbox);
   void UseFreedSlots(TimePoint now, Outbox& outbox);
-  bool MayRetry(TimePoint now, const Request& request);
+  /// \brief Takes one retry of the allowance, for the returned target.
+  /// \param mayHaveRun Whether an attempt may have been executed.
+  /// \returns Null if the request may not be sent once more, or no target can take it.
+  [[nodiscard]] const ServedTarget* TakeRetry(TimePoint now,
+                                              const Request& request,
+                                              bool mayHaveRun);
   /// \brief Retries the requests that were in flight at restarted targets, where permitted.
   void RetryAfterRestart(TimePoint now,
                          std::span<const InstanceId> restarted,
--- a/src/gateway/dispatcher.cpp
+++ b/src/gateway/dispatcher.cpp
@@ -133,15 +133,15 @@
   }
 }
 
-bool Dispatcher::MayRetry(TimePoint now, const Request& request)
+const ServedTarget* Dispatcher::TakeRetry(TimePoint now, const Request& request, bool mayHaveRun)
 {
-  const bool repeatable = !request.mayHaveRun || MayRunAgain(request.route->repeat);
-  return repeatable && !m_suspects.IsQuarantined(request.fingerprint) &&
-         FindHeldPart(request) == nullptr &&
-         request.attempts - request.excusedAttempts < request.route->maxAttempts &&
-         request.deadline - now > kMinTimeLeft &&
-         m_selector.Choose(now, QueryOf(now, request)) != nullptr &&
-         m_retries.TryTake(now, request.service);
+  const bool repeatable = !mayHaveRun || MayRunAgain(request.route->repeat);
+  const bool isAllowed = repeatable && !m_suspects.IsQuarantined(request.fingerprint) &&
+                         FindHeldPart(request) == nullptr &&
+                         request.attempts - request.excusedAttempts < request.route->maxAttempts &&
+                         request.deadline - now > kMinTimeLeft;
+  const ServedTarget* target = isAllowed ? m_selector.Choose(now, QueryOf(now, request)) : nullptr;
+  return target != nullptr && m_retries.TryTake(now, request.service) ? target : nullptr;
 }
 
 void Dispatcher::StopAttempt(Request& request, Outbox& outbox, bool cancel)
@@ -172,8 +172,8 @@
   request.lastError = std::move(error);
   request.events.DiscardPartial();
   LogFailedAttempt(now, request, ran, request.lastError, retryAfter, outbox);
-  if (MayRetry(now, request)) {
-    Attempt(now, request, outbox);
+  if (const ServedTarget* target = TakeRetry(now, request, request.mayHaveRun)) {
+    Send(now, request, *target, outbox);
   } else {
     GiveUp(now, request, outbox);
   }
@@ -240,12 +240,13 @@
     AttemptEnded(now, request, outbox, true, "a success without its seal");
     return;
   }
-  if (head.status >= kServerFault && MayRunAgain(request.route->repeat) && !request.headForwarded &&
-      MayRetry(now, request)) {
+  const bool isRetried =
+    head.status >= kServerFault && MayRunAgain(request.route->repeat) && !request.headForwarded;
+  if (const ServedTarget* target = isRetried ? TakeRetry(now, request, true) : nullptr) {
     StopAttempt(request, outbox, true);
     request.mayHaveRun = true;
     request.lastError = "failed with " + std::to_string(head.status);
-    Attempt(now, request, outbox);
+    Send(now, request, *target, outbox);
     return;
   }
   request.streams = IsStream(request.route->repeat) && IsSuccess(head.status);
@@ -498,8 +499,14 @@
   }
   for (const ExchangeId exchange : waiting) {
     Request& request = *Find(exchange);
-    if (MayRetry(now, request)) {
-      AttemptEnded(now, request, outbox, true, error);
+    if (const ServedTarget* target = TakeRetry(now, request, true)) {
+      StopAttempt(request, outbox, true);
+      m_selector.OnFailure(now, request.target);
+      request.mayHaveRun = true;
+      request.lastError = error;
+      request.events.DiscardPartial();
+      LogFailedAttempt(now, request, true, error, std::nullopt, outbox);
+      Send(now, request, *target, outbox);
     }
   }
 }
