A request whose target is in doubt is sent to a second one beside it; the first that goes on serves

What callers saw: a head sent nothing for a second and went on; up to half of its callers' connections had been closed. Cause: at 600 ms, or when control reported a new process at the address, the attempt was ended, and only then another target was asked: it was full, unreachable or failed, no attempt or retry was left, and the answer was cut. The class: an action that can't be undone is taken on a doubt. Evidence: SilentHead.StreamsThatItGoesOnWithAreNotCut (1 to 10 of 20 streams cut in 48 of its cases), and StreamsStayAtATargetThatIsReportedRestartedUntilAnotherServesThem (10 of 10). Change: a hedge. The doubted attempt stays; the second one's answer is held back until its first whole event (an answer in one piece: its end). Then the first attempt is cancelled and the held parts are forwarded. Bytes of the first attempt's answer cancel the second. A second attempt that is refused, fails or can't be reached leaves the first as it is; where the first fails, the second serves. A further one is sent only when all attempts are at doubtful targets. Each uses one retry and counts towards maxAttempts. Why it works: nothing that can still answer is ended before another attempt goes on. A frozen head is left as soon as before. Cost: between the doubt and the first event two heads hold the request.

--- a/include/gooseberrysail/gateway/dispatcher.hpp
+++ b/include/gooseberrysail/gateway/dispatcher.hpp
@@ -67,11 +67,12 @@
   void OnFailed(TimePoint now, const TargetFailedIn& failed, std::vector<GatewayOutput>& outbox);
   void OnCallerGone(TimePoint now, ExchangeId exchange, std::vector<GatewayOutput>& outbox);
 
-  /// \brief Ends requests that reached their deadline and moves work away from stalled heads.
+  /// \brief Ends requests that reached their deadline, and sends those at stalled heads to other
+  /// heads as well.
   void Tick(TimePoint now, std::vector<GatewayOutput>& outbox);
 
-  /// \brief Replaces the list of targets. Requests that were in flight at a target that has
-  /// restarted are retried elsewhere where the retry rules allow it.
+  /// \brief Replaces the list of targets. Requests that are in flight at a target that has
+  /// restarted are sent to another one as well, where the retry rules allow it.
   void OnTargets(TimePoint now,
                  std::span<const ServedTarget> targets,
                  std::vector<GatewayOutput>& outbox);
@@ -115,9 +116,29 @@
 
 private:
   static constexpr const char* kOwnSource = "this entry"; ///< In log lines.
+  static constexpr unsigned kServerFault = 500;
+  [[nodiscard]] static constexpr bool IsSuccess(unsigned status) { return status / 100 == 2; }
   /// With less time left than this, no target can answer before the deadline.
   static constexpr Duration kMinTimeLeft = std::chrono::milliseconds(5);
 
+  /// \brief A call to a target for a request.
+  struct SentCall
+  {
+    ExchangeId exchange; ///< None once it has ended.
+    TargetIncarnation target;
+    TimePoint at{};
+    std::uint32_t number = 0;     ///< Among the request's attempts, from 1.
+    bool isTargetAvoided = false; ///< It was when it was chosen.
+  };
+
+  /// \brief An attempt beside one whose target is in doubt. The first of them that goes on serves.
+  struct Hedge
+  {
+    SentCall sent;
+    std::vector<TargetAnswerIn> parts; ///< Held back until it goes on.
+    EventSplitter events;
+  };
+
   struct Request
   {
     GatewayCall call;
@@ -133,16 +154,14 @@
     TimePoint arrived{};
     Duration unread{}; ///< From its arrival until it was read.
     TimePoint deadline{};
-    TimePoint sentAt{};           ///< The latest attempt.
-    TimePoint begunAt{};          ///< The first whole event of the latest attempt.
-    bool isProven = false;        ///< Its answer went on after that, so its prompt crashes nothing.
-    bool isTrial = false;         ///< The latest attempt tries a held part of the prompt.
-    TimePoint firstEventAt{};     ///< The first event went to the caller.
-    TimePoint lastEventAt{};      ///< The latest event went to the caller.
-    Duration longestPause{};      ///< Between two events to the caller.
-    ExchangeId attempt;           ///< The one in flight; none between attempts.
-    TargetIncarnation target;     ///< Of the latest attempt.
-    bool isTargetAvoided = false; ///< It was when it was chosen.
+    SentCall sent;             ///< The attempt whose answer is forwarded.
+    std::vector<Hedge> hedges; ///< In the order of sending.
+    TimePoint begunAt{};       ///< The first whole event of that attempt.
+    bool isProven = false;     ///< Its answer went on after that, so its prompt crashes nothing.
+    bool isTrial = false;      ///< The latest attempt tries a held part of the prompt.
+    TimePoint firstEventAt{};  ///< The first event went to the caller.
+    TimePoint lastEventAt{};   ///< The latest event went to the caller.
+    Duration longestPause{};   ///< Between two events to the caller.
     std::set<InstanceId> tried;
     std::uint32_t attempts = 0;
     /// Attempts that never ran and don't count towards the route's maximum.
@@ -183,25 +202,28 @@
   bool TryEnqueue(TimePoint now, const Request& request);
   void DispatchQueued(TimePoint now, Outbox& outbox);
   void UseFreedSlots(TimePoint now, Outbox& outbox);
+  /// \brief Sends a call for the request.
+  [[nodiscard]] SentCall Call(TimePoint now,
+                              Request& request,
+                              const ServedTarget& target,
+                              Outbox& outbox);
+  /// \brief The answer of this call is forwarded from now on.
+  static void Serve(Request& request, const SentCall& sent);
   /// \brief Takes one retry of the allowance, for the returned target.
   /// \param mayHaveRun Whether an attempt may have been executed.
   /// \returns Null if the request may not be sent once more, or no target can take it.
   [[nodiscard]] const ServedTarget* TakeRetry(TimePoint now,
                                               const Request& request,
                                               bool mayHaveRun);
-  /// \brief Retries the requests that were in flight at restarted targets, where permitted.
-  void RetryAfterRestart(TimePoint now,
-                         std::span<const InstanceId> restarted,
-                         std::vector<GatewayOutput>& outbox);
-  /// \brief Retries the requests at the matching targets that may be sent to another one.
-  void MoveRequests(TimePoint now,
-                    const std::function<bool(const TargetIncarnation&)>& isLost,
-                    const char* error,
-                    Outbox& outbox);
   void StopAttempt(Request& request, Outbox& outbox, bool cancel);
+  /// \brief Cancels all attempts of the request.
+  void StopAttempts(Request& request, Outbox& outbox);
+  /// \brief The call is over: its slot is free, and what arrives for it is ignored.
+  void Release(const Request& request, const SentCall& sent, Outbox& outbox, bool cancel);
   /// \param retryAfter How long the target wants no requests, where it says so.
   void LogFailedAttempt(TimePoint now,
                         const Request& request,
+                        const SentCall& sent,
                         bool ran,
                         const std::string& reason,
                         std::optional<Duration> retryAfter,
@@ -212,6 +234,10 @@
                     bool ran,
                     std::string error,
                     std::optional<Duration> retryAfter = std::nullopt);
+  /// \brief Why an answer with this head can't be forwarded; empty if it can.
+  [[nodiscard]] static std::string FaultOf(const Request& request, const TargetHead& head);
+  /// \brief A part of the answer that is forwarded.
+  void OnPart(TimePoint now, Request& request, const TargetAnswerIn& part, Outbox& outbox);
   void OnHead(TimePoint now, Request& request, const TargetAnswerIn& part, Outbox& outbox);
   void OnBody(TimePoint now, Request& request, const TargetAnswerIn& part, Outbox& outbox);
   void ForwardEvents(TimePoint now, Request& request, const TargetAnswerIn& part, Outbox& outbox);
@@ -223,6 +249,33 @@
   /// \brief The target closed the connection before its answer was whole.
   void OnClosed(TimePoint now, Request& request, std::string error, Outbox& outbox);
 
+  // Attempts beside others (dispatcher_hedges.cpp).
+  void HedgeAfterRestart(TimePoint now, std::span<const InstanceId> restarted, Outbox& outbox);
+  using IsDoubtful = std::function<bool(const TargetIncarnation&)>;
+  /// \brief Sends the requests whose attempts are all at doubtful targets to a further one, where
+  /// the retry rules allow it.
+  void HedgeRequests(TimePoint now,
+                     const IsDoubtful& isDoubtful,
+                     const char* reason,
+                     Outbox& outbox);
+  [[nodiscard]] static Hedge* FindHedge(Request& request, ExchangeId exchange);
+  void OnHedgeAnswer(TimePoint now, Request& request, const TargetAnswerIn& part, Outbox& outbox);
+  void OnHedgeFailed(TimePoint now, Request& request, const TargetFailedIn& failed, Outbox& outbox);
+  /// \brief Why the answer of a hedge with this head can't be forwarded; empty if it can.
+  [[nodiscard]] static std::string HedgeFaultOf(const Request& request, const TargetHead& head);
+  /// \brief The hedge ended without an answer that can be forwarded; the other attempts go on.
+  void DropHedge(TimePoint now,
+                 Request& request,
+                 ExchangeId exchange,
+                 bool ran,
+                 const std::string& reason,
+                 Outbox& outbox);
+  /// \brief Cancels the hedges, as the request is served without them.
+  void DropHedges(TimePoint now, Request& request, const std::string& reason, Outbox& outbox);
+  /// \brief Forwards the answer of this hedge from now on; no other attempt is in flight, but for
+  /// other hedges.
+  void ServeHedge(TimePoint now, Request& request, ExchangeId exchange, Outbox& outbox);
+
   // Answers that end with their connections (dispatcher_unconfirmed.cpp).
   /// \brief The outcome of an answer that may be whole or cut.
   static constexpr const char* kUnconfirmed = "unconfirmed";
@@ -243,16 +296,28 @@
   /// \brief Takes over what a target says of itself in its answer.
   void RecordStatements(TimePoint now,
                         const Request& request,
+                        const SentCall& sent,
                         const TargetHead& head,
                         Outbox& outbox);
-  void RecordLimit(TimePoint now, const Request& request, const TargetHead& head, Outbox& outbox);
-  void RecordBackoff(TimePoint now, const Request& request, const TargetHead& head, Outbox& outbox);
+  void RecordLimit(TimePoint now,
+                   const Request& request,
+                   const SentCall& sent,
+                   const TargetHead& head,
+                   Outbox& outbox);
+  void RecordBackoff(TimePoint now,
+                     const Request& request,
+                     const SentCall& sent,
+                     const TargetHead& head,
+                     Outbox& outbox);
   /// \brief Ends the other attempts at a target of which nothing has been sent yet.
-  void WithdrawUnsent(const Request& informed, Outbox& outbox);
+  void WithdrawUnsent(const SentCall& informed, Outbox& outbox);
   /// \brief Sends a request elsewhere whose attempt was withdrawn.
   void OnWithdrawn(TimePoint now, Request& request, Outbox& outbox);
 
   // Suspects (dispatcher_suspects.cpp).
+  /// \brief Records what the end of a call's connection says of the request and its parts.
+  /// \returns Whether the request is quarantined by that.
+  bool RecordClosed(TimePoint now, const Request& request, const SentCall& sent, Outbox& outbox);
   /// \brief The target closed the connection while it had the request.
   /// \returns Whether the request is quarantined by that.
   bool RecordCrash(TimePoint now,
@@ -275,7 +340,8 @@
   // Parts of prompts (dispatcher_parts.cpp).
   /// \brief The parts of an attempt that a crash of its target makes suspects.
   [[nodiscard]] std::span<const RequestFingerprint> UnprovenParts(TimePoint now,
-                                                                  const Request& request);
+                                                                  const Request& request,
+                                                                  const SentCall& sent);
   /// \brief A held part of the request's prompt; null when there is none.
   [[nodiscard]] const RequestFingerprint* FindHeldPart(const Request& request) const;
   /// \brief Whether the request may be sent to try its only held part.
--- a/include/gooseberrysail/gateway/target_selector.hpp
+++ b/include/gooseberrysail/gateway/target_selector.hpp
@@ -177,6 +177,12 @@
 
   [[nodiscard]] const std::map<InstanceId, Row>& Rows() const noexcept { return m_rows; }
 
+  /// \brief Null for a target without a row, and for an instance from before its restart.
+  [[nodiscard]] const Row* Find(const TargetIncarnation& life) const;
+
+  /// \brief For how long a target with requests in flight has sent no bytes.
+  [[nodiscard]] static Duration SilentFor(TimePoint now, const Row& row);
+
   /// \brief A working head sends an event of some request every 100 ms, and within 250 ms while it
   /// reads long prompts. A head that waits for a failed member sends none for seconds. After
   /// kSuspectAfter it gets no new requests; after kStalledAfter its requests are retried elsewhere
--- a/src/gateway/dispatcher.cpp
+++ b/src/gateway/dispatcher.cpp
@@ -10,8 +10,6 @@
 
 using namespace std::chrono_literals;
 
-constexpr unsigned kServerFault = 500;
-
 constexpr std::size_t kMaxLoggedParts = 8;
 
 std::string JoinParts(std::span<const RequestFingerprint> parts)
@@ -23,11 +21,6 @@
   return text;
 }
 
-bool IsSuccess(unsigned status)
-{
-  return status / 100 == 2;
-}
-
 } // namespace
 
 Dispatcher::Dispatcher(GatewayApi api,
@@ -78,28 +71,47 @@
 
 void Dispatcher::Send(TimePoint now, Request& request, const ServedTarget& target, Outbox& outbox)
 {
-  const ExchangeId attempt(++m_lastAttempt);
-  request.attempt = attempt;
-  request.target = { target.instance, target.born };
-  request.isTargetAvoided = m_selector.IsAvoided(now, target.instance);
-  request.tried.insert(target.instance);
+  Serve(request, Call(now, request, target, outbox));
+}
+
+void Dispatcher::Serve(Request& request, const SentCall& sent)
+{
+  request.sent = sent;
   request.streams = false;
   request.begunAt = TimePoint{};
   request.isProven = false;
-  if (++request.attempts == 1) {
+}
+
+Dispatcher::SentCall Dispatcher::Call(TimePoint now,
+                                      Request& request,
+                                      const ServedTarget& target,
+                                      Outbox& outbox)
+{
+  SentCall sent;
+  sent.exchange = ExchangeId(++m_lastAttempt);
+  sent.target = { target.instance, target.born };
+  sent.at = now;
+  sent.isTargetAvoided = m_selector.IsAvoided(now, target.instance);
+  sent.number = ++request.attempts;
+  request.tried.insert(target.instance);
+  if (sent.number == 1) {
     CountDemand(request, false);
   }
-  m_attempts.emplace(attempt, request.call.exchange);
+  m_attempts.emplace(sent.exchange, request.call.exchange);
   std::optional<std::string> resumeAfter;
   if (request.headForwarded && !request.events.LastId().empty()) {
     resumeAfter = request.events.LastId();
   }
-  TargetCallOut call = m_api.encodeAttempt(
-    { attempt, request.call, target, request.deadline - now, request.workspace, resumeAfter });
+  TargetCallOut call = m_api.encodeAttempt({ sent.exchange,
+                                             request.call,
+                                             target,
+                                             request.deadline - now,
+                                             request.workspace,
+                                             resumeAfter });
   call.caller = request.call.exchange;
   outbox.emplace_back(std::move(call));
-  request.sentAt = now;
-  m_selector.OnSent(now, request.target);
+  m_selector.OnSent(now, sent.target);
+  return sent;
 }
 
 // Only requests that no target has worked on are queued: a retry has no time left to wait.
@@ -146,16 +158,29 @@
 
 void Dispatcher::StopAttempt(Request& request, Outbox& outbox, bool cancel)
 {
-  if (request.attempt.IsNone()) {
-    return;
+  if (!request.sent.exchange.IsNone()) {
+    Release(request, request.sent, outbox, cancel);
+    request.sent.exchange = ExchangeId();
   }
+}
+
+void Dispatcher::StopAttempts(Request& request, Outbox& outbox)
+{
+  StopAttempt(request, outbox, true);
+  for (const Hedge& hedge : request.hedges) {
+    Release(request, hedge.sent, outbox, true);
+  }
+  request.hedges.clear();
+}
+
+void Dispatcher::Release(const Request& request, const SentCall& sent, Outbox& outbox, bool cancel)
+{
   if (cancel) {
-    outbox.emplace_back(TargetCancelOut{ request.attempt });
+    outbox.emplace_back(TargetCancelOut{ sent.exchange });
   }
-  m_attempts.erase(request.attempt);
-  m_selector.OnEnded(request.target);
+  m_attempts.erase(sent.exchange);
+  m_selector.OnEnded(sent.target);
   m_freedSlots.insert(KindOf(request));
-  request.attempt = ExchangeId();
 }
 
 /// The attempt ended without an answer that can be forwarded.
@@ -167,12 +192,14 @@
                               std::optional<Duration> retryAfter)
 {
   StopAttempt(request, outbox, true);
-  m_selector.OnFailure(now, request.target);
+  m_selector.OnFailure(now, request.sent.target);
   request.mayHaveRun = request.mayHaveRun || ran;
   request.lastError = std::move(error);
   request.events.DiscardPartial();
-  LogFailedAttempt(now, request, ran, request.lastError, retryAfter, outbox);
-  if (const ServedTarget* target = TakeRetry(now, request, request.mayHaveRun)) {
+  LogFailedAttempt(now, request, request.sent, ran, request.lastError, retryAfter, outbox);
+  if (!request.hedges.empty()) {
+    ServeHedge(now, request, request.hedges.front().sent.exchange, outbox);
+  } else if (const ServedTarget* target = TakeRetry(now, request, request.mayHaveRun)) {
     Send(now, request, *target, outbox);
   } else {
     GiveUp(now, request, outbox);
@@ -181,6 +208,7 @@
 
 void Dispatcher::LogFailedAttempt(TimePoint now,
                                   const Request& request,
+                                  const SentCall& sent,
                                   bool ran,
                                   const std::string& reason,
                                   std::optional<Duration> retryAfter,
@@ -190,12 +218,12 @@
     MakeEvent(EventNumber::kGatewayAttemptFailed,
               { { "request", request.call.requestId },
                 { "fingerprint", ToString(request.fingerprint) },
-                { "attempt", std::to_string(request.attempts) },
-                { "target", request.target.instance.Get() },
+                { "attempt", std::to_string(sent.number) },
+                { "target", sent.target.instance.Get() },
                 { "ran", ran ? "maybe" : "no" },
                 { "reason", reason },
-                { "millis", std::to_string(ToMillis(now - request.sentAt)) },
-                { "avoided", request.isTargetAvoided ? "yes" : "no" },
+                { "millis", std::to_string(ToMillis(now - sent.at)) },
+                { "avoided", sent.isTargetAvoided ? "yes" : "no" },
                 { "retryAfterMillis", retryAfter ? std::to_string(ToMillis(*retryAfter)) : "" },
                 { "begun", request.begunAt != TimePoint{} ? "yes" : "no" },
                 { "parts", JoinParts(request.promptParts) } }));
@@ -207,41 +235,59 @@
   if (request == nullptr) {
     return;
   }
-  m_selector.OnBytes(now, request->target);
-  ConfirmEnds(now, request->target, outbox);
-  request->answerBytes += part.bytes.size();
-  if (part.status) {
-    request->framing = part.framing;
-    OnHead(now, *request, part, outbox);
+  const Hedge* hedge = FindHedge(*request, part.exchange);
+  const TargetIncarnation target = hedge == nullptr ? request->sent.target : hedge->sent.target;
+  m_selector.OnBytes(now, target);
+  ConfirmEnds(now, target, outbox);
+  if (hedge == nullptr) {
+    OnPart(now, *request, part, outbox);
   } else {
-    OnBody(now, *request, part, outbox);
+    OnHedgeAnswer(now, *request, part, outbox);
   }
   UseFreedSlots(now, outbox);
 }
 
-void Dispatcher::OnHead(TimePoint now, Request& request, const TargetAnswerIn& part, Outbox& outbox)
+void Dispatcher::OnPart(TimePoint now, Request& request, const TargetAnswerIn& part, Outbox& outbox)
+{
+  request.answerBytes += part.bytes.size();
+  if (part.status) {
+    request.framing = part.framing;
+    OnHead(now, request, part, outbox);
+  } else {
+    OnBody(now, request, part, outbox);
+  }
+}
+
+std::string Dispatcher::FaultOf(const Request& request, const TargetHead& head)
 {
-  TargetHead head = m_api.decodeHead(part);
-  RecordStatements(now, request, head, outbox);
   if (head.neverRan) {
-    // Each entry learns of a backoff by a rejected request, which has still time for another
-    // target.
-    request.excusedAttempts += head.retryAfter > Duration::zero() ? 1 : 0;
-    AttemptEnded(
-      now, request, outbox, false, "refused with " + std::to_string(head.status), head.retryAfter);
-    return;
+    return "refused with " + std::to_string(head.status);
   }
   // Bytes left on the connection by an earlier exchange look like an answer to this request.
   if (head.requestId != request.call.requestId) {
-    AttemptEnded(now, request, outbox, true, "an answer to another request");
-    return;
+    return "an answer to another request";
   }
-  if (IsSuccess(head.status) && !head.isProven) {
-    AttemptEnded(now, request, outbox, true, "a success without its seal");
+  return IsSuccess(head.status) && !head.isProven ? "a success without its seal" : "";
+}
+
+void Dispatcher::OnHead(TimePoint now, Request& request, const TargetAnswerIn& part, Outbox& outbox)
+{
+  TargetHead head = m_api.decodeHead(part);
+  RecordStatements(now, request, request.sent, head, outbox);
+  if (const std::string fault = FaultOf(request, head); !fault.empty()) {
+    // Each entry learns of a backoff by a rejected request, which has still time for another
+    // target.
+    request.excusedAttempts += head.neverRan && head.retryAfter > Duration::zero() ? 1 : 0;
+    AttemptEnded(
+      now, request, outbox, !head.neverRan, fault, head.neverRan ? head.retryAfter : std::nullopt);
     return;
   }
   const bool isRetried =
     head.status >= kServerFault && MayRunAgain(request.route->repeat) && !request.headForwarded;
+  if (isRetried && !request.hedges.empty()) {
+    AttemptEnded(now, request, outbox, true, "failed with " + std::to_string(head.status));
+    return;
+  }
   if (const ServedTarget* target = isRetried ? TakeRetry(now, request, true) : nullptr) {
     StopAttempt(request, outbox, true);
     request.mayHaveRun = true;
@@ -266,6 +312,7 @@
 
 void Dispatcher::OnBody(TimePoint now, Request& request, const TargetAnswerIn& part, Outbox& outbox)
 {
+  DropHedges(now, request, "an earlier attempt goes on", outbox);
   if (request.streams) {
     ForwardEvents(now, request, part, outbox);
     return;
@@ -278,7 +325,7 @@
   request.bufferedAnswer.end = true;
   const unsigned status = request.bufferedAnswer.status.value_or(0);
   if (request.model.empty() && request.framing == AnswerFraming::kDelimited) {
-    m_selector.OnAnswerTime(now, request.target, now - request.sentAt);
+    m_selector.OnAnswerTime(now, request.sent.target, now - request.sent.at);
   }
   outbox.emplace_back(std::move(request.bufferedAnswer));
   Complete(now, request, status, outbox);
@@ -292,7 +339,7 @@
   std::string events = request.events.Take(part.bytes);
   if (request.begunAt == TimePoint{} && !events.empty()) {
     request.begunAt = now;
-    m_fastestStarts[KindOf(request)].Add(now, now - request.sentAt);
+    m_fastestStarts[KindOf(request)].Add(now, now - request.sent.at);
   }
   if (request.begunAt != TimePoint{} && now - request.begunAt >= PromptSuspects::kProofTime) {
     ProveParts(now, request, request.begunAt, outbox);
@@ -350,8 +397,8 @@
     request.headForwarded = true;
     request.firstEventAt = now;
     const ServedKind kind = KindOf(request);
-    m_queue.OnFirstEvent(kind, now - request.sentAt);
-    m_room.OnFirstEvent(now, kind, now - request.sentAt);
+    m_queue.OnFirstEvent(kind, now - request.sent.at);
+    m_room.OnFirstEvent(now, kind, now - request.sent.at);
   }
   if (request.lastEventAt != TimePoint{}) {
     request.longestPause = std::max(request.longestPause, now - request.lastEventAt);
@@ -370,19 +417,29 @@
     CompleteUnconfirmed(now, request, status, outbox);
     return;
   }
-  m_selector.OnSuccess(request.target);
+  m_selector.OnSuccess(request.sent.target);
   RecordFinished(now, request.fingerprint, outbox);
-  ProveParts(now, request, std::max(request.begunAt, request.sentAt), outbox);
+  ProveParts(now, request, std::max(request.begunAt, request.sent.at), outbox);
   End(now, request, "answered", status, outbox);
 }
 
+bool Dispatcher::RecordClosed(TimePoint now,
+                              const Request& request,
+                              const SentCall& sent,
+                              Outbox& outbox)
+{
+  m_selector.OnNoAnswer(now, sent.target);
+  const bool isQuarantined = RecordCrash(now, request.fingerprint, sent.target, outbox);
+  RecordPartCrashes(
+    UnprovenParts(now, request, sent), sent.target, { sent.at, now, request.isTrial });
+  return isQuarantined;
+}
+
 void Dispatcher::OnClosed(TimePoint now, Request& request, std::string error, Outbox& outbox)
 {
-  m_selector.OnNoAnswer(now, request.target);
   const RequestFingerprint fingerprint = request.fingerprint;
-  const TargetIncarnation target = request.target;
-  const bool isQuarantined = RecordCrash(now, fingerprint, target, outbox);
-  RecordPartCrashes(UnprovenParts(now, request), target, { request.sentAt, now, request.isTrial });
+  const TargetIncarnation target = request.sent.target;
+  const bool isQuarantined = RecordClosed(now, request, request.sent, outbox);
   request.isTrial = false;
   AttemptEnded(now, request, outbox, true, std::move(error));
   if (isQuarantined) {
@@ -394,35 +451,39 @@
 
 void Dispatcher::OnFailed(TimePoint now, const TargetFailedIn& failed, Outbox& outbox)
 {
-  if (Request* request = FindByAttempt(failed.exchange)) {
-    if (failed.isWithdrawn) {
-      OnWithdrawn(now, *request, outbox);
-      UseFreedSlots(now, outbox);
-      return;
-    }
-    const std::string error = failed.error.step + ": " + failed.error.description;
-    if (failed.neverSent) {
-      const TargetIncarnation target = request->target;
-      m_selector.OnUnreachable(now, target);
-      ++request->excusedAttempts; // The route's maximum counts targets that got the request.
-      AttemptEnded(now, *request, outbox, false, error);
-      if (failed.error.code == ErrorCode::kUnavailable) {
-        OnEndsCut(now, target, m_unconfirmed.TakeAll(target), outbox);
-      }
-    } else if (failed.error.code == ErrorCode::kUnavailable) {
-      OnClosed(now, *request, error, outbox);
-    } else {
-      m_selector.OnNoAnswer(now, request->target);
-      AttemptEnded(now, *request, outbox, true, error);
-    }
+  Request* request = FindByAttempt(failed.exchange);
+  if (request == nullptr) {
+    return;
+  }
+  if (FindHedge(*request, failed.exchange) != nullptr) {
+    OnHedgeFailed(now, *request, failed, outbox);
     UseFreedSlots(now, outbox);
+    return;
   }
+  const std::string error = failed.error.step + ": " + failed.error.description;
+  if (failed.isWithdrawn) {
+    OnWithdrawn(now, *request, outbox);
+  } else if (failed.neverSent) {
+    const TargetIncarnation target = request->sent.target;
+    m_selector.OnUnreachable(now, target);
+    ++request->excusedAttempts; // The route's maximum counts targets that got the request.
+    AttemptEnded(now, *request, outbox, false, error);
+    if (failed.error.code == ErrorCode::kUnavailable) {
+      OnEndsCut(now, target, m_unconfirmed.TakeAll(target), outbox);
+    }
+  } else if (failed.error.code == ErrorCode::kUnavailable) {
+    OnClosed(now, *request, error, outbox);
+  } else {
+    m_selector.OnNoAnswer(now, request->sent.target);
+    AttemptEnded(now, *request, outbox, true, error);
+  }
+  UseFreedSlots(now, outbox);
 }
 
 void Dispatcher::OnCallerGone(TimePoint now, ExchangeId exchange, Outbox& outbox)
 {
   if (Request* request = Find(exchange)) {
-    StopAttempt(*request, outbox, true);
+    StopAttempts(*request, outbox);
     End(now, *request, "caller-gone", 0, outbox);
     UseFreedSlots(now, outbox);
   }
@@ -433,18 +494,23 @@
   ReleaseHeldEnds(now, outbox);
   while (!m_deadlines.empty() && m_deadlines.begin()->first <= now) {
     Request& request = *Find(m_deadlines.begin()->second);
-    request.mayHaveRun = request.mayHaveRun || !request.attempt.IsNone();
+    request.mayHaveRun = request.mayHaveRun || !request.sent.exchange.IsNone();
     request.lastError = "the time for the answer is over";
-    StopAttempt(request, outbox, true);
+    StopAttempts(request, outbox);
     GiveUp(now, request, outbox);
   }
   for (const ExchangeId exchange : m_queue.TakeExpired(now)) {
     GiveUp(now, *Find(exchange), outbox);
   }
-  for (const TargetIncarnation& head : m_selector.ListStalledHeads(now)) {
+  const std::vector<TargetIncarnation> stalled = m_selector.ListStalledHeads(now);
+  for (const TargetIncarnation& head : stalled) {
     m_selector.OnNoAnswer(now, head);
-    const auto isStalled = [&](const TargetIncarnation& target) { return target == head; };
-    MoveRequests(now, isStalled, "its head stands still", outbox);
+  }
+  if (!stalled.empty()) {
+    const auto isStalled = [&](const TargetIncarnation& target) {
+      return std::ranges::find(stalled, target) != stalled.end();
+    };
+    HedgeRequests(now, isStalled, "its head stands still", outbox);
   }
   m_suspects.RemoveExpired(now);
   m_promptParts.RemoveExpired(now);
@@ -463,7 +529,7 @@
 
 void Dispatcher::OnTargets(TimePoint now, std::span<const ServedTarget> targets, Outbox& outbox)
 {
-  RetryAfterRestart(now, m_selector.Replace(now, targets), outbox);
+  HedgeAfterRestart(now, m_selector.Replace(now, targets), outbox);
 }
 
 void Dispatcher::OnTargetChanges(TimePoint now,
@@ -471,44 +537,7 @@
                                  std::span<const InstanceId> gone,
                                  Outbox& outbox)
 {
-  RetryAfterRestart(now, m_selector.Change(now, changed, gone), outbox);
-}
-
-void Dispatcher::RetryAfterRestart(TimePoint now,
-                                   std::span<const InstanceId> restarted,
-                                   Outbox& outbox)
-{
-  const auto hasRestarted = [&](const TargetIncarnation& target) {
-    return std::ranges::find(restarted, target.instance) != restarted.end();
-  };
-  MoveRequests(now, hasRestarted, "its target started again", outbox);
-  UseFreedSlots(now, outbox); // A new group may have opened.
-}
-
-// Requests that may not be retried stay: their answer may already have been sent.
-void Dispatcher::MoveRequests(TimePoint now,
-                              const std::function<bool(const TargetIncarnation&)>& isLost,
-                              const char* error,
-                              Outbox& outbox)
-{
-  std::vector<ExchangeId> waiting;
-  for (const auto& [exchange, request] : m_requests) {
-    if (!request.attempt.IsNone() && isLost(request.target)) {
-      waiting.push_back(exchange);
-    }
-  }
-  for (const ExchangeId exchange : waiting) {
-    Request& request = *Find(exchange);
-    if (const ServedTarget* target = TakeRetry(now, request, true)) {
-      StopAttempt(request, outbox, true);
-      m_selector.OnFailure(now, request.target);
-      request.mayHaveRun = true;
-      request.lastError = error;
-      request.events.DiscardPartial();
-      LogFailedAttempt(now, request, true, error, std::nullopt, outbox);
-      Send(now, request, *target, outbox);
-    }
-  }
+  HedgeAfterRestart(now, m_selector.Change(now, changed, gone), outbox);
 }
 
 std::vector<DemandRow> Dispatcher::Demand() const
--- a/src/gateway/dispatcher_parts.cpp
+++ b/src/gateway/dispatcher_parts.cpp
@@ -19,10 +19,12 @@
 
 // A target can't have begun to answer a request that it has had for less time than any other needs,
 // so that such a request did not crash it.
-std::span<const RequestFingerprint> Dispatcher::UnprovenParts(TimePoint now, const Request& request)
+std::span<const RequestFingerprint> Dispatcher::UnprovenParts(TimePoint now,
+                                                              const Request& request,
+                                                              const SentCall& sent)
 {
   const std::optional<Duration> fastest = m_fastestStarts[KindOf(request)].Get(now);
-  const bool mayHaveBegun = !fastest || static_cast<double>((now - request.sentAt).count()) >=
+  const bool mayHaveBegun = !fastest || static_cast<double>((now - sent.at).count()) >=
                                           kStartFraction * static_cast<double>(fastest->count());
   return request.isProven || !mayHaveBegun ? std::span<const RequestFingerprint>()
                                            : request.promptParts;
@@ -138,8 +140,8 @@
   for (const ExchangeId exchange : held) {
     Request& request = *Find(exchange);
     const RequestFingerprint part = *FindHeldPart(request);
-    const bool wasSent = !request.attempt.IsNone();
-    StopAttempt(request, outbox, true);
+    const bool wasSent = !request.sent.exchange.IsNone();
+    StopAttempts(request, outbox);
     request.mayHaveRun = request.mayHaveRun || wasSent;
     if (request.mayHaveRun || request.headForwarded) {
       request.lastError = "a part of its prompt (" + ToString(part) + ") crashes targets";
--- a/src/gateway/dispatcher_statements.cpp
+++ b/src/gateway/dispatcher_statements.cpp
@@ -7,32 +7,34 @@
 // An answer to another request was left on the connection by an earlier exchange, and may be old.
 void Dispatcher::RecordStatements(TimePoint now,
                                   const Request& request,
+                                  const SentCall& sent,
                                   const TargetHead& head,
                                   Outbox& outbox)
 {
   if (!head.requestId.empty() && head.requestId != request.call.requestId) {
     return;
   }
-  RecordLimit(now, request, head, outbox);
-  RecordBackoff(now, request, head, outbox);
-  if (head.isLeaving && m_selector.OnLeaving(now, request.target)) {
+  RecordLimit(now, request, sent, head, outbox);
+  RecordBackoff(now, request, sent, head, outbox);
+  if (head.isLeaving && m_selector.OnLeaving(now, sent.target)) {
     outbox.emplace_back(MakeEvent(
       EventNumber::kGatewayTargetLeaving,
-      { { "target", request.target.instance.Get() }, { "request", request.call.requestId } }));
+      { { "target", sent.target.instance.Get() }, { "request", request.call.requestId } }));
   }
 }
 
 void Dispatcher::RecordLimit(TimePoint now,
                              const Request& request,
+                             const SentCall& sent,
                              const TargetHead& head,
                              Outbox& outbox)
 {
-  const LimitChange change = m_selector.OnLimit(
-    now, request.target, request.sentAt, { head.requestLimit, head.hasInvalidLimit });
+  const LimitChange change =
+    m_selector.OnLimit(now, sent.target, sent.at, { head.requestLimit, head.hasInvalidLimit });
   if (change != LimitChange::kNone) {
     const std::string limit = head.requestLimit ? ToDecimal(*head.requestLimit) : "";
     outbox.emplace_back(MakeEvent(EventNumber::kGatewayTargetLimit,
-                                  { { "target", request.target.instance.Get() },
+                                  { { "target", sent.target.instance.Get() },
                                     { "state", ToString(change) },
                                     { "perSecond", limit },
                                     { "request", request.call.requestId } }));
@@ -41,18 +43,19 @@
 
 void Dispatcher::RecordBackoff(TimePoint now,
                                const Request& request,
+                               const SentCall& sent,
                                const TargetHead& head,
                                Outbox& outbox)
 {
   const BackoffChange change =
-    m_selector.OnBackoff(now, request.target, { head.retryAfter, head.hasInvalidRetryAfter });
+    m_selector.OnBackoff(now, sent.target, { head.retryAfter, head.hasInvalidRetryAfter });
   if (change == BackoffChange::kRequested) {
-    WithdrawUnsent(request, outbox);
+    WithdrawUnsent(sent, outbox);
   }
   if (change != BackoffChange::kNone) {
     const std::string millis = head.retryAfter ? std::to_string(ToMillis(*head.retryAfter)) : "";
     outbox.emplace_back(MakeEvent(EventNumber::kGatewayTargetBackoff,
-                                  { { "target", request.target.instance.Get() },
+                                  { { "target", sent.target.instance.Get() },
                                     { "state", ToString(change) },
                                     { "millis", millis },
                                     { "request", request.call.requestId } }));
@@ -61,12 +64,18 @@
 
 // A connection may take half a second to be made; its request would reach the target in the
 // backoff.
-void Dispatcher::WithdrawUnsent(const Request& informed, Outbox& outbox)
+void Dispatcher::WithdrawUnsent(const SentCall& informed, Outbox& outbox)
 {
+  const auto withdraw = [&](const SentCall& sent) {
+    const bool isOther = !sent.exchange.IsNone() && sent.exchange != informed.exchange;
+    if (isOther && sent.target == informed.target) {
+      outbox.emplace_back(TargetWithdrawOut{ sent.exchange });
+    }
+  };
   for (const auto& [exchange, request] : m_requests) {
-    const bool isAtTarget = !request.attempt.IsNone() && request.target == informed.target;
-    if (isAtTarget && request.attempt != informed.attempt) {
-      outbox.emplace_back(TargetWithdrawOut{ request.attempt });
+    withdraw(request.sent);
+    for (const Hedge& hedge : request.hedges) {
+      withdraw(hedge.sent);
     }
   }
 }
@@ -75,8 +84,13 @@
 {
   StopAttempt(request, outbox, false);
   ++request.excusedAttempts;
-  LogFailedAttempt(now, request, false, "withdrawn before it was sent", std::nullopt, outbox);
-  Attempt(now, request, outbox);
+  const char* reason = "withdrawn before it was sent";
+  LogFailedAttempt(now, request, request.sent, false, reason, std::nullopt, outbox);
+  if (request.hedges.empty()) {
+    Attempt(now, request, outbox);
+  } else {
+    ServeHedge(now, request, request.hedges.front().sent.exchange, outbox);
+  }
 }
 
 } // namespace gooseberrysail
--- a/src/gateway/dispatcher_suspects.cpp
+++ b/src/gateway/dispatcher_suspects.cpp
@@ -87,7 +87,7 @@
   }
   for (const ExchangeId exchange : repeats) {
     Request& request = *Find(exchange);
-    StopAttempt(request, outbox, true);
+    StopAttempts(request, outbox);
     RejectRepeat(now, request, outbox);
   }
 }
--- a/src/gateway/dispatcher_unconfirmed.cpp
+++ b/src/gateway/dispatcher_unconfirmed.cpp
@@ -9,13 +9,13 @@
                                      Outbox& outbox)
 {
   const ExchangeId exchange = request.call.exchange;
-  const auto parts = UnprovenParts(now, request);
-  m_unconfirmed.Add(request.target,
+  const auto parts = UnprovenParts(now, request, request.sent);
+  m_unconfirmed.Add(request.sent.target,
                     { exchange,
                       request.fingerprint,
                       now,
                       { parts.begin(), parts.end() },
-                      request.sentAt,
+                      request.sent.at,
                       request.isTrial });
   request.mayHaveRun = true;
   if (request.streams) {
--- a/src/gateway/target_selector.cpp
+++ b/src/gateway/target_selector.cpp
@@ -158,13 +158,18 @@
     std::ranges::count_if(m_rows, [](const auto& row) { return !row.second.gone; }));
 }
 
-TargetSelector::Row* TargetSelector::FindRow(const TargetIncarnation& life)
+const TargetSelector::Row* TargetSelector::Find(const TargetIncarnation& life) const
 {
   const auto found = m_rows.find(life.instance);
   const bool isPresent = found != m_rows.end() && found->second.target.born == life.born;
   return isPresent ? &found->second : nullptr;
 }
 
+TargetSelector::Row* TargetSelector::FindRow(const TargetIncarnation& life)
+{
+  return const_cast<Row*>(std::as_const(*this).Find(life));
+}
+
 // The slots of heads in backoff can't be used. If they counted, this entry could borrow fewer than
 // its callers need and would refuse them beside heads with room.
 TargetSelector::ShareState TargetSelector::ShareStateOf(TimePoint now,
@@ -320,7 +325,12 @@
 bool TargetSelector::IsSilent(TimePoint now, const Row& row, Duration limit)
 {
   const bool isHead = !row.target.servedModel.empty();
-  return isHead && row.inFlight > 0 && now - std::max(row.busySince, row.answeredAt) > limit;
+  return isHead && row.inFlight > 0 && SilentFor(now, row) > limit;
+}
+
+Duration TargetSelector::SilentFor(TimePoint now, const Row& row)
+{
+  return now - std::max(row.busySince, row.answeredAt);
 }
 
 bool TargetSelector::Fits(TimePoint now, const Row& row, const TargetQuery& query) const
