Test: operators' queries that are open when the lead is lost

A control process that loses its lead answers waiting reads and changes, but not the queries (requests/{id}, timeline) that wait for other processes.

control_services_test.cpp:345: Failure Value of: answer Actual: false Expected: true (exchange 5)

--- a/tests/unit/control_services_test.cpp
+++ b/tests/unit/control_services_test.cpp
@@ -328,5 +328,32 @@
   }
 }
 
+// Guards against operators' calls that wait until their connection is closed: a leader that asked
+// other processes loses its lead, and nothing answers the call from then on.
+TEST(AdminQueries, AreAnsweredWhenLeadershipIsLost)
+{
+  Claims test;
+  test.Send({ Called(5, "GET", "/admin/v1/requests/entry-1.1.9"),
+              Called(6, "GET", "/admin/v1/timeline?limit=10") });
+  test.control.leader = false;
+  test.control.leaderHint = ProcessId("control-2");
+  SECTION("with the address of the new leader")
+  {
+    const auto outbox = test.control.Tick();
+    for (const std::uint64_t exchange : { 5U, 6U }) {
+      const auto answer = AnswerOf(outbox, exchange);
+      ASSERT_TRUE(answer) << exchange;
+      EXPECT_EQ(answer->status, 421U);
+      EXPECT_EQ(answer->body.at("leader").at("process").as_string(), "control-2");
+    }
+  }
+  SECTION("and don't delay a stop")
+  {
+    const auto outbox = test.control.Tick({ StopRequested{} });
+    EXPECT_TRUE(std::ranges::any_of(
+      outbox, [](const auto& output) { return std::holds_alternative<StoppedOut>(output); }));
+  }
+}
+
 } // namespace
 } // namespace gooseberrysail::test
