Answer operators' open queries when the lead is lost

Operators that looked up a request or read the timeline saw no answer at all when the control process lost its lead meanwhile: the call stayed open until the connection was closed.

Cause: AdminApi::OnLeadershipLost answered waiting reads and writes only. AdminQueries is ticked by a leader only, so that not even its timeout applied any more.

Evidence, before: AdminQueries.AreAnsweredWhenLeadershipIsLost, control_services_test.cpp:345, 'Value of: answer, Actual: false, Expected: true' for exchange 5.

--- a/include/gooseberrysail/control/admin_api.hpp
+++ b/include/gooseberrysail/control/admin_api.hpp
@@ -39,7 +39,8 @@
     return m_reads.size() + m_writes.size() + m_queries.OpenCalls();
   }
 
-  /// \brief Answers open reads with the leader's address, and open writes with an unknown outcome.
+  /// \brief Answers open reads and queries with the leader's address, and open writes with an
+  /// unknown outcome.
   void OnLeadershipLost(ControlContext& context);
 
 private:
--- a/include/gooseberrysail/control/admin_queries.hpp
+++ b/include/gooseberrysail/control/admin_queries.hpp
@@ -8,6 +8,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace gooseberrysail {
 
@@ -29,6 +30,9 @@
   /// received so far.
   void Tick(ControlContext& context);
 
+  /// \brief Closes all open queries and returns their calls, for the caller to answer.
+  [[nodiscard]] std::vector<ExchangeId> TakeOpenCalls();
+
   [[nodiscard]] std::size_t OpenCalls() const noexcept
   {
     return m_requests.size() + m_timelines.size();
--- a/src/control/admin_api.cpp
+++ b/src/control/admin_api.cpp
@@ -296,6 +296,10 @@
     RedirectToLeader(context, read.exchange);
   }
   m_reads.clear();
+  // The answers of the other processes are ignored from now on.
+  for (const ExchangeId exchange : m_queries.TakeOpenCalls()) {
+    RedirectToLeader(context, exchange);
+  }
   for (const auto& [exchange, write] : m_writes) {
     Refuse(context,
            exchange,
--- a/src/control/admin_queries.cpp
+++ b/src/control/admin_queries.cpp
@@ -250,6 +250,20 @@
   std::erase_if(m_timelines, [&](const auto& item) { return item.second.exchange == exchange; });
 }
 
+std::vector<ExchangeId> AdminQueries::TakeOpenCalls()
+{
+  std::vector<ExchangeId> calls;
+  for (const auto& [nonce, lookup] : m_requests) {
+    calls.push_back(lookup.exchange);
+  }
+  for (const auto& [nonce, lookup] : m_timelines) {
+    calls.push_back(lookup.exchange);
+  }
+  m_requests.clear();
+  m_timelines.clear();
+  return calls;
+}
+
 void AdminQueries::Tick(ControlContext& context)
 {
   std::erase_if(m_requests, [&](const auto& item) {
