Limit waiting reads of the document by themselves

While no quorum confirmed the leader, reads of the serving document waited without limit, and the operator's changes beside more than 64 of them were refused: 'too many calls at once'.

Cause: a change is accepted while fewer than 64 calls of both kinds are open; a read was accepted always.

Each kind now has its own limit, so that neither can keep the other out.

--- a/include/gooseberrysail/control/document_service.hpp
+++ b/include/gooseberrysail/control/document_service.hpp
@@ -20,7 +20,7 @@
              std::string text,
              const DocumentReader& read,
              const Respond& respond);
-  void OnGet(const ControlContext& context, ExchangeId exchange);
+  void OnGet(const ControlContext& context, ExchangeId exchange, const Respond& respond);
   void OnCallerGone(ExchangeId exchange);
 
   /// \brief Answers the calls that are committed, confirmed or timed out.
--- a/src/control/document_service.cpp
+++ b/src/control/document_service.cpp
@@ -33,7 +33,7 @@
     respond(exchange, { OutsideStatus::kInvalid, {}, document.error().description, {}, {} });
     return;
   }
-  if (OpenCalls() >= kMaxOpenCalls) {
+  if (m_puts.size() >= kMaxOpenCalls) {
     respond(exchange, Unavailable("too many calls at once"));
     return;
   }
@@ -74,8 +74,15 @@
   return true;
 }
 
-void DocumentService::OnGet(const ControlContext& context, ExchangeId exchange)
+// Reads have a limit of their own, so that many of them refuse no change.
+void DocumentService::OnGet(const ControlContext& context,
+                            ExchangeId exchange,
+                            const Respond& respond)
 {
+  if (m_reads.size() >= kMaxOpenCalls) {
+    respond(exchange, Unavailable("too many calls at once"));
+    return;
+  }
   m_reads.push_back({ exchange, TakeTicket(context) });
 }
 
--- a/src/control/outside_calls.hpp
+++ b/src/control/outside_calls.hpp
@@ -11,7 +11,7 @@
 
 /// Callers try another process after one second without an answer.
 constexpr Duration kAnswerTimeout = std::chrono::milliseconds(950);
-/// Limits the memory that open calls take.
+/// Limits the memory that open calls of one kind take.
 constexpr std::size_t kMaxOpenCalls = 64;
 
 [[nodiscard]] inline OutsideAnswer Unavailable(std::string reason)
--- a/src/control/serving_control.cpp
+++ b/src/control/serving_control.cpp
@@ -81,7 +81,7 @@
                             const GetDocumentCall&)
 {
   if (IsForLeader(context, request)) {
-    m_documents.OnGet(context, request.exchange);
+    m_documents.OnGet(context, request.exchange, Responder(context));
   }
 }
 
