Test: a retry that no group can take costs nothing

A token is taken from the retry budget before it is known whether any other group can take the request.

entry_recovery_test.cpp, Expected equality: Sent<StartT>().size() is 1, expected 2; the caller gets 'The request was refused before it started and did not run.'

--- a/tests/unit/entry_recovery_test.cpp
+++ b/tests/unit/entry_recovery_test.cpp
@@ -161,6 +161,38 @@
   }
 }
 
+// Guards against refusals although another group has room: each refusal by the only group takes a
+// retry from the budget that no attempt uses, and none is left when a second group is added.
+TEST(EntryRecovery, ARetryThatNoGroupCanTakeCostsNothing)
+{
+  EntryFixture entry;
+  entry.Boot();
+  entry.ConnectPeer("agent-1", 3);
+  entry.Routes({ { 11, "agent-1" } });
+  wire::RefusedT refused;
+  refused.attempt = 1;
+  refused.reason = "queue full";
+  constexpr int kRefusals = 40;
+  for (int request = 0; request < kRefusals; ++request) {
+    entry.Chat();
+    refused.request = entry.Sent<wire::StartT>().back().request;
+    entry.Frame("agent-1", refused);
+  }
+  ASSERT_EQ(entry.Sent<wire::StartT>().size(), kRefusals);
+  entry.ConnectPeer("agent-2", 4);
+  entry.Routes({ { 11, "agent-1" }, { 12, "agent-2" } });
+  constexpr int kRetries = 5;
+  for (int request = 0; request < kRetries; ++request) {
+    entry.Clear();
+    const std::uint64_t chat = entry.Chat();
+    const std::string first = entry.LastReceiver<wire::StartT>();
+    refused.request = entry.Sent<wire::StartT>().back().request;
+    entry.Frame(first, refused);
+    ASSERT_EQ(entry.Sent<wire::StartT>().size(), 2U) << request << entry.Caller(chat).body;
+    EXPECT_NE(entry.LastReceiver<wire::StartT>(), first);
+  }
+}
+
 TEST(EntryRecovery, NotRunIsAnsweredOnlyAfterASeal)
 {
   // Guards against a booking that is made after the caller was answered "not run": the connection
