Take a retry from the budget only for a group that can take it

Callers were refused although another group had room: where only one group served a model, each of its refusals took a token from the entry's retry budget, and when a second group was added, none was left for the requests that it could have taken.

Cause: OnNeverStarted took the token first and chose the group after that; without another group the token was spent on no attempt.

The route is chosen first, which has no effect on the router's budgets, and its choice is used by the attempt; the token is taken once, for that attempt.

--- a/src/entry/attempt_flow.cpp
+++ b/src/entry/attempt_flow.cpp
@@ -79,29 +79,45 @@
   context.Send(attempt.head, attempt.address, std::move(start));
 }
 
-/// \returns False when no group may take the request now.
-bool TrySend(EntryContext& context, Request& request)
+/// \returns A group whose agent is known, which may take the request now; none if there is none.
+const RouteCandidate* ChooseRoute(EntryContext& context, const RouteQuery& query)
 {
-  const RouteQuery query = MakeQuery(request);
   const std::optional<GroupId> group = context.router.Choose(context.now, query);
-  if (!group ||
-      std::find(request.tried.begin(), request.tried.end(), *group) != request.tried.end()) {
-    return false;
+  if (!group || std::find(query.tried.begin(), query.tried.end(), *group) != query.tried.end()) {
+    return nullptr;
   }
   const RouteCandidate* route = context.router.Find(*group);
-  const Peer* peer = route == nullptr ? nullptr : context.peers.Find(route->head);
-  if (peer == nullptr) {
-    return false;
-  }
+  return route != nullptr && context.peers.Find(route->head) != nullptr ? route : nullptr;
+}
+
+void SendAttempt(EntryContext& context,
+                 Request& request,
+                 const RouteQuery& query,
+                 const RouteCandidate& route)
+{
+  const Peer& peer = *context.peers.Find(route.head);
   request.stage = RequestStage::kAttempting;
-  request.attempt = MakeAttempt(context, *route, *peer, ++request.attempts);
-  RecordAttempt(context, request, *route);
+  request.attempt = MakeAttempt(context, route, peer, ++request.attempts);
+  RecordAttempt(context, request, route);
   SendStart(context, request);
-  context.router.OnSent(context.now, *group, query);
+  context.router.OnSent(context.now, route.group, query);
   auto fields = AttemptFields(request);
-  fields.emplace_back("group", std::to_string(group->Get()));
-  fields.emplace_back("epoch", std::to_string(route->epoch.Get()));
+  fields.emplace_back("group", std::to_string(route.group.Get()));
+  fields.emplace_back("epoch", std::to_string(route.epoch.Get()));
   context.Emit(EventNumber::kAttemptSent, std::move(fields));
+}
+
+/// \returns False when no group may take the request now, or the retry budget is used up.
+bool TryRetry(EntryContext& context, Request& request)
+{
+  const RouteQuery query = MakeQuery(request);
+  // The route is chosen first: taken before, the budget would be spent on attempts that no group
+  // can take.
+  const RouteCandidate* route = ChooseRoute(context, query);
+  if (route == nullptr || !context.router.TakeRetry(context.now)) {
+    return false;
+  }
+  SendAttempt(context, request, query, *route);
   return true;
 }
 
@@ -174,13 +190,16 @@
 
 void StartFirstAttempt(EntryContext& context, Request& request)
 {
-  if (!TrySend(context, request)) {
-    EndNotRun(context,
-              request,
-              NotRunError(reason::kNoGroup,
-                          "No group serves " + request.entry.Get() + " at the moment.",
-                          kNoGroupRetryAfter));
+  const RouteQuery query = MakeQuery(request);
+  if (const RouteCandidate* route = ChooseRoute(context, query)) {
+    SendAttempt(context, request, query, *route);
+    return;
   }
+  EndNotRun(context,
+            request,
+            NotRunError(reason::kNoGroup,
+                        "No group serves " + request.entry.Get() + " at the moment.",
+                        kNoGroupRetryAfter));
 }
 
 void OnNeverStarted(EntryContext& context,
@@ -196,7 +215,7 @@
   CloseAttempt(context, request, AttemptResult::kRefused, "never started: " + std::string(why));
   const bool wanted = request.caller.waiting && request.start != nullptr;
   const bool inTime = context.now < request.deadline && request.attempts < kMaxAttempts;
-  if (wanted && inTime && context.router.TakeRetry(context.now) && TrySend(context, request)) {
+  if (wanted && inTime && TryRetry(context, request)) {
     return;
   }
   const Duration wait = retryAfter > Duration{} ? retryAfter : kNoGroupRetryAfter;
