--- a/tests/unit/control_membership_test.cpp
+++ b/tests/unit/control_membership_test.cpp
@@ -480,6 +480,28 @@
   }
 }
 
+// Guards against answers that are cut although their deadline is far: an operator removes a model
+// from the catalogue, and its groups get less time for their work than its requests have.
+TEST(ControlMembership, TheGroupsOfARemovedModelMayFinishTheirWork)
+{
+  Fleet fleet;
+  Fleet::Write(fleet.first,
+               Change("longer",
+                      R"({"entry":{"kind":"model","name":"hire-assist","owner":"hire-desk",)"
+                      R"("spec":{"version":"v1","replicas":1,"defaultDeadlineMs":600000}}})"));
+  const std::uint64_t group = fleet.Form();
+  fleet.AcceptAll(fleet.first, group);
+  fleet.Serve(fleet.first, group, 2);
+  fleet.first.plan = nullptr;
+  Fleet::Write(
+    fleet.first,
+    Change("removed", R"({"entry":{"kind":"model","name":"hire-assist"},"remove":true})"));
+  const auto releases = Sent<wire::ReleaseT>(fleet.Serve(fleet.first, group, 2));
+  ASSERT_FALSE(releases.empty());
+  EXPECT_EQ(releases[0].first, "agent-vm-1");
+  EXPECT_EQ(releases[0].second.graceMillis, 600000U);
+}
+
 // Guards against groups that never serve again, or serve twice, after a failed fabric domain
 // recovers. All agents of a domain disconnect, the group's lease ends, the planner dissolves the
 // group, and its VMs are free but unreachable; then the agents reconnect and announce the old
