Give the groups of a removed entry the time that its requests have

Callers of a model with a long deadline saw their answers cut two minutes after an operator had removed the model from the catalogue.

Cause: the time that a draining group gets for its remaining work was looked up in the catalogue, which no longer has the entry; the default of models, 120 s, took its place.

Evidence, before: ControlMembership.TheGroupsOfARemovedModelMayFinishTheirWork, control_membership_test.cpp:502, 'graceMillis Which is: 120000', expected 600000.

Each group keeps the time of its entry while the catalogue has it. A leader that is elected after the removal still uses the default.

--- a/include/gooseberrysail/control/membership.hpp
+++ b/include/gooseberrysail/control/membership.hpp
@@ -40,6 +40,8 @@
   std::unordered_set<VmId> released;
   TimePoint nextOrders{};
   std::optional<TimePoint> drainSince;
+  /// \brief Time limit for the remaining work of the group once it is draining.
+  Duration drainGrace = ModelSpec{}.defaultDeadline;
 };
 
 /// \brief Tracks agents and their groups, grants leases, sends orders and frees VMs.
--- a/src/control/membership.cpp
+++ b/src/control/membership.cpp
@@ -50,8 +50,8 @@
   return row != nullptr && row->record.process == peer.Get();
 }
 
-/// \brief Time limit for the remaining work of a draining group.
-Duration DrainGrace(const ControlContext& context, const EntryName& entry)
+/// \returns None when the catalogue doesn't have the entry.
+std::optional<Duration> FindDefaultDeadline(const ControlContext& context, const EntryName& entry)
 {
   if (const ModelSpec* model = context.catalogue.FindModel(entry)) {
     return model->defaultDeadline;
@@ -59,7 +59,7 @@
   if (const ServiceSpec* service = context.catalogue.FindService(entry)) {
     return service->defaultDeadline;
   }
-  return ModelSpec{}.defaultDeadline;
+  return std::nullopt;
 }
 
 } // namespace
@@ -331,6 +331,8 @@
       live.firstSeen = context.now;
     }
     UpdateBrokenSince(context, row, live);
+    // Kept when the entry is removed: its requests still have their deadlines.
+    live.drainGrace = FindDefaultDeadline(context, row.entry).value_or(live.drainGrace);
     if (!mayOrder) {
       continue;
     }
@@ -410,11 +412,10 @@
     live.drainSince = context.now;
     live.nextOrders = TimePoint{};
   }
-  const Duration grace = DrainGrace(context, row.entry);
   const bool headDone = live.released.contains(row.head);
   const bool headLost = context.now >= LeaseEnd(context, row.group) &&
                         !IsReachable(context, *context.state.GetGroups().FindVm(row.head));
-  const bool overdue = context.now - *live.drainSince > grace + kReportTimeout;
+  const bool overdue = context.now - *live.drainSince > live.drainGrace + kReportTimeout;
   if (headDone || headLost || overdue) {
     wire::DissolveGroupT command;
     command.group = row.group.Get();
@@ -424,7 +425,7 @@
   }
   if (context.now >= live.nextOrders) {
     live.nextOrders = context.now + kOrderInterval;
-    SendRelease(context, row, row.head, grace);
+    SendRelease(context, row, row.head, live.drainGrace);
   }
 }
 
