--- a/tests/unit/raft_joining_test.cpp
+++ b/tests/unit/raft_joining_test.cpp
@@ -87,6 +87,26 @@
   EXPECT_FALSE(IsVoter(cluster, now, newName));
 }
 
+// Guards against a voter that loses its vote although it goes on: it is silent for more than an
+// election timeout while a learner is ready to replace it.
+TEST(RaftJoining, AVoterThatWasSilentForAMomentKeepsItsVote)
+{
+  RaftCluster cluster = MakeCluster(3, 4);
+  const std::size_t leader = WaitForLeader(cluster);
+  cluster.RunUntil(seconds(5), [] { return false; });
+  ASSERT_EQ(cluster.Leader(), leader);
+  const std::string learner = cluster.At(3).name;
+  ASSERT_NE(cluster.At(leader).node->CurrentMembership().Find(ProcessId(learner)), nullptr);
+  const std::size_t silent = (leader + 1) % 3;
+  cluster.Freeze(silent);
+  cluster.RunUntil(std::chrono::milliseconds(1500), [] { return false; });
+  cluster.Unfreeze(silent);
+  cluster.RunUntil(seconds(5), [] { return false; });
+  EXPECT_EQ(cluster.Leader(), leader);
+  EXPECT_TRUE(IsVoter(cluster, leader, cluster.At(silent).name));
+  EXPECT_FALSE(IsVoter(cluster, leader, learner));
+}
+
 // Symptom: two clusters exist, each with its own configuration.
 // Sequence: the disks of all seeds are lost long after the first start, and all processes restart.
 // Cause: treating empty disks as a first start.
