--- a/tests/unit/agent_gate_test.cpp
+++ b/tests/unit/agent_gate_test.cpp
@@ -210,6 +210,37 @@
   EXPECT_EQ(received.cutReason, "");
 }
 
+// Guards against an answer that is cut although its group goes on: a member or the head's own
+// target is silent for one to three seconds while the answer streams.
+TEST(AgentGate, ASilenceOfSecondsCutsNoAnswer)
+{
+  for (const bool isOwnTarget : { false, true }) {
+    for (const Duration silence : { seconds(1), seconds(2), seconds(3) }) {
+      SECTION((isOwnTarget ? "own target, " : "member, ") + std::to_string(ToMillis(silence)))
+      {
+        AgentHarness agent;
+        agent.FormGroup(7);
+        agent.Start("entry-1.1.1");
+        agent.AnswerCall("entry-1.1.1", "before ", false);
+        agent.targetAlive = !isOwnTarget;
+        if (!isOwnTarget) {
+          agent.silentMembers = { "vm-2" };
+        }
+        agent.Advance(silence);
+        agent.targetAlive = true;
+        agent.silentMembers.clear();
+        agent.AnswerCall("entry-1.1.1", "after", true, false);
+        agent.Advance(seconds(2));
+        const auto received = agent.ReceivedOf("entry-1.1.1");
+        EXPECT_EQ(received.bytes, "before after");
+        EXPECT_TRUE(received.ended);
+        EXPECT_EQ(received.cutReason, "");
+        EXPECT_TRUE(agent.Serves());
+      }
+    }
+  }
+}
+
 // The VM answers the head of epoch 7 just before it accepts epoch 8, whose head sends a request at
 // once. The former head relies on the last reply for a member timeout; an answer to the new head in
 // that time would count the VM in two groups.
