A list that names a former start of a target changes nothing

What callers saw: none reported; a request in flight was forgotten by its target's row and sent to another target as well. Cause: a list from a leader that missed the latest start named the former one; the next list looked like a restart. Evidence: TargetLists.AnOutdatedStartIsNoRestart failed (a restart, 0 in flight in place of 1), and passes. 156 tests of dispatcher, targets, feed, control and entry passed.

--- a/src/gateway/target_selector.cpp
+++ b/src/gateway/target_selector.cpp
@@ -123,6 +123,10 @@
 bool TargetSelector::ApplyUpdate(TimePoint now, TimePoint openedAt, const ServedTarget& target)
 {
   Row& row = m_rows[target.instance];
+  if (target.born < row.target.born) {
+    row.gone = false; // A former incarnation: the list is older than what is known here.
+    return false;
+  }
   const bool hasRestarted = target.born > row.target.born && !row.target.instance.IsNone();
   if (hasRestarted) {
     // Its requests in flight, failures and step time belong to the instance before the restart.
