One line for each answer that is cut: why, after which silence of its target, and what was left

The lines couldn't tell a cut at a silent target from one at a target that broke off: 326 has the target's silence, its other requests, the attempts made and allowed, the time left, and the versions of document and targets.

--- a/include/gooseberrysail/gateway/dispatcher.hpp
+++ b/include/gooseberrysail/gateway/dispatcher.hpp
@@ -363,6 +363,8 @@
 
   // Ends (dispatcher_end.cpp).
   void GiveUp(TimePoint now, Request& request, Outbox& outbox);
+  /// \brief Ends an answer of which a part has gone to the caller.
+  void Cut(TimePoint now, Request& request, Outbox& outbox);
   /// \brief When a caller for whom no target can be chosen should come back.
   [[nodiscard]] Duration RetryAfter(TimePoint now, const TargetQuery& query, NoTargetReason reason);
   void Refuse(TimePoint now, Request& request, const Refusal& refusal, Outbox& outbox);
--- a/src/gateway/dispatcher_end.cpp
+++ b/src/gateway/dispatcher_end.cpp
@@ -44,12 +44,7 @@
 void Dispatcher::GiveUp(TimePoint now, Request& request, Outbox& outbox)
 {
   if (request.headForwarded) {
-    // The caller detects the incomplete answer.
-    HttpAnswerOut cut;
-    cut.exchange = request.call.exchange;
-    cut.abort = true;
-    outbox.emplace_back(std::move(cut));
-    End(now, request, "cut", 0, outbox);
+    Cut(now, request, outbox);
     return;
   }
   if (request.mayHaveRun) {
@@ -68,6 +63,31 @@
   Refuse(now, request, { 503, reason, retryAfter }, outbox);
 }
 
+// The caller detects the incomplete answer.
+void Dispatcher::Cut(TimePoint now, Request& request, Outbox& outbox)
+{
+  const TargetSelector::Row* row = m_selector.Find(request.sent.target);
+  const Duration silent = row == nullptr ? Duration::zero() : now - row->answeredAt;
+  outbox.emplace_back(
+    MakeEvent(EventNumber::kGatewayAnswerCut,
+              { { "request", request.call.requestId },
+                { "target", request.sent.target.instance.Get() },
+                { "reason", request.lastError },
+                { "attempts", std::to_string(request.attempts) },
+                { "allowed", std::to_string(request.route->maxAttempts + request.excusedAttempts) },
+                { "pauseMillis", std::to_string(ToMillis(now - request.lastEventAt)) },
+                { "silentMillis", row == nullptr ? "" : std::to_string(ToMillis(silent)) },
+                { "others", row == nullptr ? "" : std::to_string(row->inFlight) },
+                { "leftMillis", std::to_string(ToMillis(request.deadline - now)) },
+                { "document", std::to_string(request.index->Document().version) },
+                { "targets", std::to_string(request.targetsSequence) } }));
+  HttpAnswerOut cut;
+  cut.exchange = request.call.exchange;
+  cut.abort = true;
+  outbox.emplace_back(std::move(cut));
+  End(now, request, "cut", 0, outbox);
+}
+
 Duration Dispatcher::RetryAfter(TimePoint now, const TargetQuery& query, NoTargetReason reason)
 {
   const std::optional<Duration> backoffLeft = m_selector.BackoffLeft(now, query);
