An attempt in doubt and its hedge are judged alike: what goes on serves, one event or an end doesn't show that

Now the first attempt's events are held back until it has sent some for 50 ms, or ends whole; then it serves and the hedge is cancelled. Where it fails first, the held events are dropped and the hedge resumes at what the caller has. - A hedge won by ending, without a whole event, or with an end that can't be passed on to the caller. It needs a whole event now. - A reported restart was acted on once; if no target had room then, never again.

--- a/include/gooseberrysail/gateway/dispatcher.hpp
+++ b/include/gooseberrysail/gateway/dispatcher.hpp
@@ -116,8 +116,11 @@
 
 private:
   static constexpr const char* kOwnSource = "this entry"; ///< In log lines.
+  static constexpr const char* kGoesOn = "another attempt goes on";
   static constexpr unsigned kServerFault = 500;
   [[nodiscard]] static constexpr bool IsSuccess(unsigned status) { return status / 100 == 2; }
+  /// An attempt whose target was in doubt goes on when it has sent events for this long.
+  static constexpr Duration kGoesOnAfter = std::chrono::milliseconds(50);
   /// With less time left than this, no target can answer before the deadline.
   static constexpr Duration kMinTimeLeft = std::chrono::milliseconds(5);
 
@@ -131,12 +134,19 @@
     bool isTargetAvoided = false; ///< It was when it was chosen.
   };
 
+  /// \brief What an attempt has answered while another one may serve the request.
+  struct HeldAnswer
+  {
+    std::vector<TargetAnswerIn> parts;
+    EventSplitter events;
+    TimePoint firstEventAt{}; ///< The first whole event.
+  };
+
   /// \brief An attempt beside one whose target is in doubt. The first of them that goes on serves.
   struct Hedge
   {
     SentCall sent;
-    std::vector<TargetAnswerIn> parts; ///< Held back until it goes on.
-    EventSplitter events;
+    HeldAnswer held;
   };
 
   struct Request
@@ -155,7 +165,8 @@
     Duration unread{}; ///< From its arrival until it was read.
     TimePoint deadline{};
     SentCall sent;             ///< The attempt whose answer is forwarded.
-    std::vector<Hedge> hedges; ///< In the order of sending.
+    std::vector<Hedge> hedges; ///< In the order of sending; only beside an attempt in flight.
+    HeldAnswer held;           ///< Of that attempt, since there are hedges.
     TimePoint begunAt{};       ///< The first whole event of that attempt.
     bool isProven = false;     ///< Its answer went on after that, so its prompt crashes nothing.
     bool isTrial = false;      ///< The latest attempt tries a held part of the prompt.
@@ -203,15 +214,16 @@
   void DispatchQueued(TimePoint now, Outbox& outbox);
   void UseFreedSlots(TimePoint now, Outbox& outbox);
   /// \brief Sends a call for the request.
-  [[nodiscard]] SentCall Call(TimePoint now,
-                              Request& request,
-                              const ServedTarget& target,
-                              Outbox& outbox);
-  /// \brief The answer of this call is forwarded from now on.
-  static void Serve(Request& request, const SentCall& sent);
+  [[nodiscard]] SentCall StartCall(TimePoint now,
+                                   Request& request,
+                                   const ServedTarget& target,
+                                   Outbox& outbox);
+  /// \brief The answer of this call is the one to forward from now on.
+  static void ForwardFrom(Request& request, const SentCall& sent);
   /// \brief Takes one retry of the allowance, for the returned target.
   /// \param mayHaveRun Whether an attempt may have been executed.
-  /// \returns Null if the request may not be sent once more, or no target can take it.
+  /// \returns Null if the request may not be sent once more, or no target can take it. Valid until
+  /// the list of targets changes.
   [[nodiscard]] const ServedTarget* TakeRetry(TimePoint now,
                                               const Request& request,
                                               bool mayHaveRun);
@@ -219,7 +231,7 @@
   /// \brief Cancels all attempts of the request.
   void StopAttempts(Request& request, Outbox& outbox);
   /// \brief The call is over: its slot is free, and what arrives for it is ignored.
-  void Release(const Request& request, const SentCall& sent, Outbox& outbox, bool cancel);
+  void EndCall(const Request& request, const SentCall& sent, Outbox& outbox, bool cancel);
   /// \param retryAfter How long the target wants no requests, where it says so.
   void LogFailedAttempt(TimePoint now,
                         const Request& request,
@@ -250,31 +262,45 @@
   void OnClosed(TimePoint now, Request& request, std::string error, Outbox& outbox);
 
   // Attempts beside others (dispatcher_hedges.cpp).
-  void HedgeAfterRestart(TimePoint now, std::span<const InstanceId> restarted, Outbox& outbox);
-  using IsDoubtful = std::function<bool(const TargetIncarnation&)>;
   /// \brief Sends the requests whose attempts are all at doubtful targets to a further one, where
   /// the retry rules allow it.
-  void HedgeRequests(TimePoint now,
-                     const IsDoubtful& isDoubtful,
-                     const char* reason,
-                     Outbox& outbox);
+  void HedgeRequests(TimePoint now, Outbox& outbox);
+  /// \brief Whether an attempt at this target may never go on.
+  [[nodiscard]] bool IsDoubtful(const TargetIncarnation& target,
+                                std::span<const TargetIncarnation> stalled) const;
   [[nodiscard]] static Hedge* FindHedge(Request& request, ExchangeId exchange);
+  /// \brief A part of the answer of an attempt that has hedges.
+  void OnDoubtedAnswer(TimePoint now, Request& request, const TargetAnswerIn& part, Outbox& outbox);
+  /// \brief Forwards what was held back while there were hedges.
+  void ForwardHeld(TimePoint now, Request& request, Outbox& outbox);
+  /// \brief Likewise, if no hedge is left. The request may be erased.
+  void ForwardHeldAlone(TimePoint now, Request& request, Outbox& outbox);
+  /// \brief Whether an attempt that got this head doesn't count towards the route's maximum.
+  /// \remarks Each entry learns of a backoff by a rejected request, which has still time for
+  /// another target.
+  [[nodiscard]] static bool IsExcused(const TargetHead& head)
+  {
+    return head.neverRan && head.retryAfter > Duration::zero();
+  }
   void OnHedgeAnswer(TimePoint now, Request& request, const TargetAnswerIn& part, Outbox& outbox);
   void OnHedgeFailed(TimePoint now, Request& request, const TargetFailedIn& failed, Outbox& outbox);
   /// \brief Why the answer of a hedge with this head can't be forwarded; empty if it can.
-  [[nodiscard]] static std::string HedgeFaultOf(const Request& request, const TargetHead& head);
+  [[nodiscard]] static std::string HedgeFaultOf(const Request& request,
+                                                const TargetHead& head,
+                                                AnswerFraming framing);
   /// \brief The hedge ended without an answer that can be forwarded; the other attempts go on.
   void DropHedge(TimePoint now,
                  Request& request,
                  ExchangeId exchange,
                  bool ran,
                  const std::string& reason,
-                 Outbox& outbox);
+                 Outbox& outbox,
+                 std::optional<Duration> retryAfter = std::nullopt);
   /// \brief Cancels the hedges, as the request is served without them.
   void DropHedges(TimePoint now, Request& request, const std::string& reason, Outbox& outbox);
   /// \brief Forwards the answer of this hedge from now on; no other attempt is in flight, but for
   /// other hedges.
-  void ServeHedge(TimePoint now, Request& request, ExchangeId exchange, Outbox& outbox);
+  void ForwardHedge(TimePoint now, Request& request, ExchangeId exchange, Outbox& outbox);
 
   // Answers that end with their connections (dispatcher_unconfirmed.cpp).
   /// \brief The outcome of an answer that may be whole or cut.
@@ -387,7 +413,8 @@
   std::map<RequestFingerprint, TimePoint> m_trials;    ///< Granted to this entry, with their ends.
   UnconfirmedEnds m_unconfirmed;
   std::set<std::pair<TimePoint, ExchangeId>> m_heldEnds; ///< With the time of the end.
-  std::multiset<ServedKind> m_freedSlots;                ///< Freed since the queue was last served.
+  bool m_hasReplaced = false; ///< Requests may be in flight at targets that have restarted.
+  std::multiset<ServedKind> m_freedSlots; ///< Freed since the queue was last served.
   std::unordered_map<ExchangeId, Request> m_requests;
   std::unordered_map<ExchangeId, ExchangeId> m_attempts; ///< Attempt to request.
   std::set<std::pair<TimePoint, ExchangeId>> m_deadlines;
--- a/include/gooseberrysail/gateway/retry_allowance.hpp
+++ b/include/gooseberrysail/gateway/retry_allowance.hpp
@@ -33,6 +33,9 @@
   /// \brief A request for the service arrived.
   void CountRequest(TimePoint now, std::string_view service);
 
+  /// \brief Whether TryTake() would succeed.
+  [[nodiscard]] bool HasLeft(TimePoint now, std::string_view service);
+
   /// \brief Uses one retry of the allowance.
   /// \returns False when none is left.
   [[nodiscard]] bool TryTake(TimePoint now, std::string_view service);
--- a/include/gooseberrysail/gateway/target_selector.hpp
+++ b/include/gooseberrysail/gateway/target_selector.hpp
@@ -62,6 +62,7 @@
     StepTimeEstimator stepTime;
     std::uint32_t failures = 0; ///< Consecutive.
     bool gone = false;          ///< No longer listed; kept while requests are in flight.
+    bool isHead = false;        ///< It is one, or was one and may still have its requests.
   };
 
   TargetSelector(FailureDomainId ownDomain, std::function<std::uint64_t()> random);
@@ -157,6 +158,10 @@
   /// \brief An expected answer failed to arrive: like OnFailure, and reported to control.
   void OnNoAnswer(TimePoint now, const TargetIncarnation& life);
 
+  /// \brief A head with requests in flight is silent: like OnNoAnswer, once for each silence. The
+  /// reports to control are renewed for as long as it lasts.
+  void OnStalled(TimePoint now, const TargetIncarnation& life);
+
   /// \brief The connection failed: like OnNoAnswer, and the target gets no requests meanwhile.
   void OnUnreachable(TimePoint now, const TargetIncarnation& life);
 
@@ -185,8 +190,8 @@
 
   /// \brief A working head sends an event of some request every 100 ms, and within 250 ms while it
   /// reads long prompts. A head that waits for a failed member sends none for seconds. After
-  /// kSuspectAfter it gets no new requests; after kStalledAfter its requests are retried elsewhere
-  /// where permitted.
+  /// kSuspectAfter it gets no new requests; after kStalledAfter its requests are also
+  /// sent elsewhere where permitted.
   static constexpr Duration kSuspectAfter = std::chrono::milliseconds(300);
   static constexpr Duration kStalledAfter = std::chrono::milliseconds(600);
 
--- a/src/gateway/dispatcher.cpp
+++ b/src/gateway/dispatcher.cpp
@@ -71,10 +71,10 @@
 
 void Dispatcher::Send(TimePoint now, Request& request, const ServedTarget& target, Outbox& outbox)
 {
-  Serve(request, Call(now, request, target, outbox));
+  ForwardFrom(request, StartCall(now, request, target, outbox));
 }
 
-void Dispatcher::Serve(Request& request, const SentCall& sent)
+void Dispatcher::ForwardFrom(Request& request, const SentCall& sent)
 {
   request.sent = sent;
   request.streams = false;
@@ -82,10 +82,10 @@
   request.isProven = false;
 }
 
-Dispatcher::SentCall Dispatcher::Call(TimePoint now,
-                                      Request& request,
-                                      const ServedTarget& target,
-                                      Outbox& outbox)
+Dispatcher::SentCall Dispatcher::StartCall(TimePoint now,
+                                           Request& request,
+                                           const ServedTarget& target,
+                                           Outbox& outbox)
 {
   SentCall sent;
   sent.exchange = ExchangeId(++m_lastAttempt);
@@ -152,28 +152,33 @@
                          FindHeldPart(request) == nullptr &&
                          request.attempts - request.excusedAttempts < request.route->maxAttempts &&
                          request.deadline - now > kMinTimeLeft;
-  const ServedTarget* target = isAllowed ? m_selector.Choose(now, QueryOf(now, request)) : nullptr;
+  // The allowance is asked first: choosing a target looks at all of them.
+  if (!isAllowed || !m_retries.HasLeft(now, request.service)) {
+    return nullptr;
+  }
+  const ServedTarget* target = m_selector.Choose(now, QueryOf(now, request));
   return target != nullptr && m_retries.TryTake(now, request.service) ? target : nullptr;
 }
 
 void Dispatcher::StopAttempt(Request& request, Outbox& outbox, bool cancel)
 {
   if (!request.sent.exchange.IsNone()) {
-    Release(request, request.sent, outbox, cancel);
+    EndCall(request, request.sent, outbox, cancel);
     request.sent.exchange = ExchangeId();
   }
+  request.held = {};
 }
 
 void Dispatcher::StopAttempts(Request& request, Outbox& outbox)
 {
   StopAttempt(request, outbox, true);
   for (const Hedge& hedge : request.hedges) {
-    Release(request, hedge.sent, outbox, true);
+    EndCall(request, hedge.sent, outbox, true);
   }
   request.hedges.clear();
 }
 
-void Dispatcher::Release(const Request& request, const SentCall& sent, Outbox& outbox, bool cancel)
+void Dispatcher::EndCall(const Request& request, const SentCall& sent, Outbox& outbox, bool cancel)
 {
   if (cancel) {
     outbox.emplace_back(TargetCancelOut{ sent.exchange });
@@ -198,7 +203,7 @@
   request.events.DiscardPartial();
   LogFailedAttempt(now, request, request.sent, ran, request.lastError, retryAfter, outbox);
   if (!request.hedges.empty()) {
-    ServeHedge(now, request, request.hedges.front().sent.exchange, outbox);
+    ForwardHedge(now, request, request.hedges.front().sent.exchange, outbox);
   } else if (const ServedTarget* target = TakeRetry(now, request, request.mayHaveRun)) {
     Send(now, request, *target, outbox);
   } else {
@@ -214,6 +219,8 @@
                                   std::optional<Duration> retryAfter,
                                   Outbox& outbox) const
 {
+  const bool isHedge = sent.number != request.sent.number;
+  const bool hasBegun = !isHedge && request.begunAt != TimePoint{};
   outbox.emplace_back(
     MakeEvent(EventNumber::kGatewayAttemptFailed,
               { { "request", request.call.requestId },
@@ -225,7 +232,7 @@
                 { "millis", std::to_string(ToMillis(now - sent.at)) },
                 { "avoided", sent.isTargetAvoided ? "yes" : "no" },
                 { "retryAfterMillis", retryAfter ? std::to_string(ToMillis(*retryAfter)) : "" },
-                { "begun", request.begunAt != TimePoint{} ? "yes" : "no" },
+                { "begun", hasBegun ? "yes" : "no" },
                 { "parts", JoinParts(request.promptParts) } }));
 }
 
@@ -239,10 +246,12 @@
   const TargetIncarnation target = hedge == nullptr ? request->sent.target : hedge->sent.target;
   m_selector.OnBytes(now, target);
   ConfirmEnds(now, target, outbox);
-  if (hedge == nullptr) {
-    OnPart(now, *request, part, outbox);
-  } else {
+  if (hedge != nullptr) {
     OnHedgeAnswer(now, *request, part, outbox);
+  } else if (!request->hedges.empty()) {
+    OnDoubtedAnswer(now, *request, part, outbox);
+  } else {
+    OnPart(now, *request, part, outbox);
   }
   UseFreedSlots(now, outbox);
 }
@@ -275,9 +284,7 @@
   TargetHead head = m_api.decodeHead(part);
   RecordStatements(now, request, request.sent, head, outbox);
   if (const std::string fault = FaultOf(request, head); !fault.empty()) {
-    // Each entry learns of a backoff by a rejected request, which has still time for another
-    // target.
-    request.excusedAttempts += head.neverRan && head.retryAfter > Duration::zero() ? 1 : 0;
+    request.excusedAttempts += IsExcused(head) ? 1 : 0;
     AttemptEnded(
       now, request, outbox, !head.neverRan, fault, head.neverRan ? head.retryAfter : std::nullopt);
     return;
@@ -312,7 +319,6 @@
 
 void Dispatcher::OnBody(TimePoint now, Request& request, const TargetAnswerIn& part, Outbox& outbox)
 {
-  DropHedges(now, request, "an earlier attempt goes on", outbox);
   if (request.streams) {
     ForwardEvents(now, request, part, outbox);
     return;
@@ -412,6 +418,7 @@
 
 void Dispatcher::Complete(TimePoint now, Request& request, unsigned status, Outbox& outbox)
 {
+  DropHedges(now, request, kGoesOn, outbox);
   StopAttempt(request, outbox, false);
   if (request.framing == AnswerFraming::kUntilClose) {
     CompleteUnconfirmed(now, request, status, outbox);
@@ -502,16 +509,7 @@
   for (const ExchangeId exchange : m_queue.TakeExpired(now)) {
     GiveUp(now, *Find(exchange), outbox);
   }
-  const std::vector<TargetIncarnation> stalled = m_selector.ListStalledHeads(now);
-  for (const TargetIncarnation& head : stalled) {
-    m_selector.OnNoAnswer(now, head);
-  }
-  if (!stalled.empty()) {
-    const auto isStalled = [&](const TargetIncarnation& target) {
-      return std::ranges::find(stalled, target) != stalled.end();
-    };
-    HedgeRequests(now, isStalled, "its head stands still", outbox);
-  }
+  HedgeRequests(now, outbox);
   m_suspects.RemoveExpired(now);
   m_promptParts.RemoveExpired(now);
   m_unconfirmed.RemoveExpired(now);
@@ -529,7 +527,9 @@
 
 void Dispatcher::OnTargets(TimePoint now, std::span<const ServedTarget> targets, Outbox& outbox)
 {
-  HedgeAfterRestart(now, m_selector.Replace(now, targets), outbox);
+  m_hasReplaced = !m_selector.Replace(now, targets).empty() || m_hasReplaced;
+  HedgeRequests(now, outbox);
+  UseFreedSlots(now, outbox); // A new group may have opened.
 }
 
 void Dispatcher::OnTargetChanges(TimePoint now,
@@ -537,7 +537,9 @@
                                  std::span<const InstanceId> gone,
                                  Outbox& outbox)
 {
-  HedgeAfterRestart(now, m_selector.Change(now, changed, gone), outbox);
+  m_hasReplaced = !m_selector.Change(now, changed, gone).empty() || m_hasReplaced;
+  HedgeRequests(now, outbox);
+  UseFreedSlots(now, outbox);
 }
 
 std::vector<DemandRow> Dispatcher::Demand() const
--- a/src/gateway/dispatcher_hedges.cpp
+++ b/src/gateway/dispatcher_hedges.cpp
@@ -5,42 +5,45 @@
 
 namespace gooseberrysail {
 
-void Dispatcher::HedgeAfterRestart(TimePoint now,
-                                   std::span<const InstanceId> restarted,
-                                   Outbox& outbox)
+bool Dispatcher::IsDoubtful(const TargetIncarnation& target,
+                            std::span<const TargetIncarnation> stalled) const
 {
-  if (!restarted.empty()) {
-    const auto hasRestarted = [&](const TargetIncarnation& target) {
-      return std::ranges::find(restarted, target.instance) != restarted.end();
-    };
-    HedgeRequests(now, hasRestarted, "its target started again", outbox);
-  }
-  UseFreedSlots(now, outbox); // A new group may have opened.
+  const bool isReplaced = m_selector.Find(target) == nullptr;
+  return isReplaced || std::ranges::find(stalled, target) != stalled.end();
 }
 
 // A target that sends nothing may go on with all it has, so nothing there is ended before another
 // attempt goes on.
-void Dispatcher::HedgeRequests(TimePoint now,
-                               const IsDoubtful& isDoubtful,
-                               const char* reason,
-                               Outbox& outbox)
+void Dispatcher::HedgeRequests(TimePoint now, Outbox& outbox)
 {
+  const std::vector<TargetIncarnation> stalled = m_selector.ListStalledHeads(now);
+  for (const TargetIncarnation& head : stalled) {
+    m_selector.OnStalled(now, head);
+  }
+  if (stalled.empty() && !m_hasReplaced) {
+    return;
+  }
+  m_hasReplaced = false;
   for (auto& [exchange, request] : m_requests) {
-    const bool isInDoubt = !request.sent.exchange.IsNone() && isDoubtful(request.sent.target) &&
+    if (request.sent.exchange.IsNone()) {
+      continue;
+    }
+    const TargetSelector::Row* row = m_selector.Find(request.sent.target);
+    m_hasReplaced = m_hasReplaced || row == nullptr;
+    const bool isInDoubt = IsDoubtful(request.sent.target, stalled) &&
                            std::ranges::all_of(request.hedges, [&](const Hedge& hedge) {
-                             return isDoubtful(hedge.sent.target);
+                             return IsDoubtful(hedge.sent.target, stalled);
                            });
     const ServedTarget* target = isInDoubt ? TakeRetry(now, request, true) : nullptr;
     if (target == nullptr) {
       continue;
     }
-    request.hedges.push_back({ Call(now, request, *target, outbox), {}, {} });
-    const TargetSelector::Row* row = m_selector.Find(request.sent.target);
+    request.hedges.push_back({ StartCall(now, request, *target, outbox), {} });
     outbox.emplace_back(
       MakeEvent(EventNumber::kGatewayRequestHedged,
                 { { "request", request.call.requestId },
                   { "target", request.sent.target.instance.Get() },
-                  { "reason", reason },
+                  { "reason", row ? "its head stands still" : "its target started again" },
                   { "silentMillis",
                     row ? std::to_string(ToMillis(TargetSelector::SilentFor(now, *row))) : "" },
                   { "others", row ? std::to_string(std::max(row->inFlight, 1U) - 1) : "" },
@@ -49,6 +52,52 @@
   }
 }
 
+// One event may be the last that was on its way from a process that has ended. The events are held
+// back meanwhile: once one of them has gone to the caller, no hedge could resume the stream.
+void Dispatcher::OnDoubtedAnswer(TimePoint now,
+                                 Request& request,
+                                 const TargetAnswerIn& part,
+                                 Outbox& outbox)
+{
+  // A whole answer goes on when it ends; a head that can't be forwarded ends its attempt.
+  const bool beginsStream =
+    part.status && IsSuccess(*part.status) && IsStream(request.route->repeat);
+  if (!request.streams && !beginsStream && request.held.parts.empty()) {
+    OnPart(now, request, part, outbox);
+    return;
+  }
+  HeldAnswer& held = request.held;
+  held.parts.push_back(part);
+  const bool hasEvent = !held.events.Take(part.bytes).empty();
+  if (hasEvent && held.firstEventAt == TimePoint{}) {
+    held.firstEventAt = now;
+  }
+  const bool hasGoneOn = hasEvent && now - held.firstEventAt >= kGoesOnAfter;
+  if (part.end && held.events.HasPartial()) {
+    AttemptEnded(now, request, outbox, true, "the stream ended inside an event");
+  } else if (hasGoneOn || part.end) {
+    DropHedges(now, request, kGoesOn, outbox);
+    ForwardHeld(now, request, outbox);
+  }
+}
+
+void Dispatcher::ForwardHeld(TimePoint now, Request& request, Outbox& outbox)
+{
+  const HeldAnswer held = std::exchange(request.held, {});
+  for (const TargetAnswerIn& part : held.parts) {
+    if (Request* forwarded = FindByAttempt(part.exchange)) {
+      OnPart(now, *forwarded, part, outbox);
+    }
+  }
+}
+
+void Dispatcher::ForwardHeldAlone(TimePoint now, Request& request, Outbox& outbox)
+{
+  if (request.hedges.empty()) {
+    ForwardHeld(now, request, outbox);
+  }
+}
+
 Dispatcher::Hedge* Dispatcher::FindHedge(Request& request, ExchangeId exchange)
 {
   const auto found = std::ranges::find_if(
@@ -56,7 +105,10 @@
   return found == request.hedges.end() ? nullptr : &*found;
 }
 
-std::string Dispatcher::HedgeFaultOf(const Request& request, const TargetHead& head)
+// The first attempt may still succeed, so a failure of the target is no answer either.
+std::string Dispatcher::HedgeFaultOf(const Request& request,
+                                     const TargetHead& head,
+                                     AnswerFraming framing)
 {
   if (std::string fault = FaultOf(request, head); !fault.empty()) {
     return fault;
@@ -65,7 +117,12 @@
     return "failed with " + std::to_string(head.status);
   }
   const bool streams = IsStream(request.route->repeat) && IsSuccess(head.status);
-  return request.headForwarded && !streams ? "could not go on with the stream" : "";
+  if (request.headForwarded && !streams) {
+    return "could not go on with the stream";
+  }
+  const bool statesEnd =
+    framing == AnswerFraming::kDelimited || request.callerFraming == AnswerFraming::kUntilClose;
+  return request.headForwarded && !statesEnd ? "the end of the resumed stream is not certain" : "";
 }
 
 void Dispatcher::OnHedgeAnswer(TimePoint now,
@@ -76,24 +133,32 @@
   Hedge& hedge = *FindHedge(request, part.exchange);
   if (part.status) {
     const TargetHead head = m_api.decodeHead(part);
-    RecordStatements(now, request, hedge.sent, head, outbox);
-    if (const std::string fault = HedgeFaultOf(request, head); !fault.empty()) {
+    if (const std::string fault = HedgeFaultOf(request, head, part.framing); !fault.empty()) {
+      RecordStatements(now, request, hedge.sent, head, outbox);
       m_selector.OnFailure(now, hedge.sent.target);
-      request.excusedAttempts += head.neverRan && head.retryAfter > Duration::zero() ? 1 : 0;
-      DropHedge(now, request, part.exchange, !head.neverRan, fault, outbox);
+      request.excusedAttempts += IsExcused(head) ? 1 : 0;
+      DropHedge(now, request, part.exchange, !head.neverRan, fault, outbox, head.retryAfter);
+      ForwardHeldAlone(now, request, outbox);
       return;
     }
   }
-  hedge.parts.push_back(part);
-  const bool hasEvent = !hedge.events.Take(part.bytes).empty();
-  if (!part.end && !(hasEvent && IsStream(request.route->repeat))) {
+  HeldAnswer& held = hedge.held;
+  held.parts.push_back(part);
+  const bool hasEvent = !held.events.Take(part.bytes).empty();
+  const bool isStream =
+    IsStream(request.route->repeat) && IsSuccess(held.parts.front().status.value_or(0));
+  if (isStream && part.end && (!hasEvent || held.events.HasPartial())) {
+    DropHedge(now, request, part.exchange, true, "the stream ended inside an event", outbox);
+    ForwardHeldAlone(now, request, outbox);
+    return;
+  }
+  if (!(isStream ? hasEvent : part.end)) {
     return;
   }
-  const char* reason = "another attempt goes on";
   StopAttempt(request, outbox, true);
-  LogFailedAttempt(now, request, request.sent, true, reason, std::nullopt, outbox);
+  LogFailedAttempt(now, request, request.sent, true, kGoesOn, std::nullopt, outbox);
   request.mayHaveRun = true;
-  ServeHedge(now, request, part.exchange, outbox);
+  ForwardHedge(now, request, part.exchange, outbox);
 }
 
 void Dispatcher::OnHedgeFailed(TimePoint now,
@@ -114,7 +179,9 @@
   }
   request.excusedAttempts += failed.neverSent ? 1 : 0;
   const std::string error = failed.error.step + ": " + failed.error.description;
+  request.isTrial = request.isTrial && !isClosed;
   DropHedge(now, request, failed.exchange, !failed.neverSent, error, outbox);
+  ForwardHeldAlone(now, request, outbox);
   if (isQuarantined) {
     StopRepeats(now, fingerprint, outbox);
   }
@@ -132,14 +199,15 @@
                            ExchangeId exchange,
                            bool ran,
                            const std::string& reason,
-                           Outbox& outbox)
+                           Outbox& outbox,
+                           std::optional<Duration> retryAfter)
 {
   const SentCall sent = FindHedge(request, exchange)->sent;
-  Release(request, sent, outbox, true);
+  EndCall(request, sent, outbox, true);
   std::erase_if(request.hedges,
                 [&](const Hedge& hedge) { return hedge.sent.exchange == exchange; });
   request.mayHaveRun = request.mayHaveRun || ran;
-  LogFailedAttempt(now, request, sent, ran, reason, std::nullopt, outbox);
+  LogFailedAttempt(now, request, sent, ran, reason, retryAfter, outbox);
 }
 
 void Dispatcher::DropHedges(TimePoint now,
@@ -152,14 +220,14 @@
   }
 }
 
-void Dispatcher::ServeHedge(TimePoint now, Request& request, ExchangeId exchange, Outbox& outbox)
+void Dispatcher::ForwardHedge(TimePoint now, Request& request, ExchangeId exchange, Outbox& outbox)
 {
   const Hedge hedge = std::move(*FindHedge(request, exchange));
   std::erase_if(request.hedges,
                 [&](const Hedge& other) { return other.sent.exchange == exchange; });
-  Serve(request, hedge.sent);
+  ForwardFrom(request, hedge.sent);
   request.events.DiscardPartial();
-  for (const TargetAnswerIn& part : hedge.parts) {
+  for (const TargetAnswerIn& part : hedge.held.parts) {
     if (Request* served = FindByAttempt(part.exchange)) {
       OnPart(now, *served, part, outbox);
     }
--- a/src/gateway/dispatcher_statements.cpp
+++ b/src/gateway/dispatcher_statements.cpp
@@ -89,7 +89,7 @@
   if (request.hedges.empty()) {
     Attempt(now, request, outbox);
   } else {
-    ServeHedge(now, request, request.hedges.front().sent.exchange, outbox);
+    ForwardHedge(now, request, request.hedges.front().sent.exchange, outbox);
   }
 }
 
--- a/src/gateway/retry_allowance.cpp
+++ b/src/gateway/retry_allowance.cpp
@@ -37,18 +37,21 @@
   CurrentWindow(now, service).requests += 1;
 }
 
-bool RetryAllowance::TryTake(TimePoint now, std::string_view service)
+bool RetryAllowance::HasLeft(TimePoint now, std::string_view service)
 {
-  Window& window = CurrentWindow(now, service);
+  const Window& window = CurrentWindow(now, service);
   // A sliding window may contain all retries of the previous window as well as this one's.
   const double requests = std::max(window.requests, window.previousRequests);
   const double allowed =
     kUsedFraction * (m_settings.ratio * requests + m_settings.slack / m_entries);
-  if (window.retries + window.previousRetries + 1 > allowed) {
-    return false;
-  }
-  window.retries += 1;
-  return true;
+  return window.retries + window.previousRetries + 1 <= allowed;
+}
+
+bool RetryAllowance::TryTake(TimePoint now, std::string_view service)
+{
+  const bool hasLeft = HasLeft(now, service);
+  CurrentWindow(now, service).retries += hasLeft ? 1 : 0;
+  return hasLeft;
 }
 
 } // namespace gooseberrysail
--- a/src/gateway/target_selector.cpp
+++ b/src/gateway/target_selector.cpp
@@ -142,6 +142,7 @@
   }
   row.target = target;
   row.gone = false;
+  row.isHead = row.isHead || !target.servedModel.empty();
   return hasRestarted;
 }
 
@@ -328,8 +329,7 @@
 
 bool TargetSelector::IsSilent(TimePoint now, const Row& row, Duration limit)
 {
-  const bool isHead = !row.target.servedModel.empty();
-  return isHead && row.inFlight > 0 && SilentFor(now, row) > limit;
+  return row.isHead && row.inFlight > 0 && SilentFor(now, row) > limit;
 }
 
 Duration TargetSelector::SilentFor(TimePoint now, const Row& row)
@@ -580,6 +580,16 @@
   OnFailure(now, life);
 }
 
+void TargetSelector::OnStalled(TimePoint now, const TargetIncarnation& life)
+{
+  Row* row = FindRow(life);
+  if (row != nullptr && row->noAnswerAt <= std::max(row->busySince, row->answeredAt)) {
+    OnNoAnswer(now, life);
+  } else if (row != nullptr) {
+    row->noAnswerAt = now;
+  }
+}
+
 void TargetSelector::OnSuccess(const TargetIncarnation& life)
 {
   if (Row* row = FindRow(life)) {
--- a/tests/unit/silent_head_test.cpp
+++ b/tests/unit/silent_head_test.cpp
@@ -25,6 +25,8 @@
   kFailed,      ///< 500.
   kNotResumed,  ///< 200 with a body that is no stream, from another request.
   kUnanswered,  ///< Nothing, ever.
+  kCutInEvent,  ///< 200 and half an event; then the connection ends, as an answer without a length.
+  kUntilClose,  ///< The events, in an answer without a length.
 };
 
 struct Head
@@ -102,6 +104,14 @@
     TakeOutputs();
   }
 
+  /// \brief Control reports that this head is gone.
+  void ReportGone(const std::string& head)
+  {
+    std::erase_if(m_targets, [&](const auto& target) { return target.instance.Get() == head; });
+    m_dispatcher.OnTargets(now, m_targets, m_outbox);
+    TakeOutputs();
+  }
+
   /// \brief The head closes its connections.
   void BreakCallsTo(const std::string& head)
   {
@@ -247,7 +257,13 @@
     } else if (call.kind == LateCalls::kNotResumed) {
       part.headers = { { "X-Request-Id", "another" }, { "Seal", "s" } };
       part.end = true;
+    } else if (call.kind == LateCalls::kCutInEvent) {
+      part.framing = AnswerFraming::kUntilClose;
+      part.bytes = "id: " + std::to_string(call.nextEvent) + "\nda";
+      part.end = true;
     } else {
+      part.framing = call.kind == LateCalls::kUntilClose ? AnswerFraming::kUntilClose
+                                                         : AnswerFraming::kDelimited;
       part.bytes = Event(call.nextEvent);
       part.end = call.nextEvent == kEvents;
       ++call.nextEvent;
@@ -392,5 +408,78 @@
   EXPECT_EQ(world.CallsTo("h2"), kStreams);
 }
 
+// Guards against a first attempt that is ended for a second one that has not sent a whole event.
+TEST(SilentHead, StreamsAreNotCutForASecondAttemptThatEndsInsideItsFirstEvent)
+{
+  TwoHeads world = BeginStreams(RepeatPolicy::kResumableStream, 1, 1000ms);
+  world.heads["h2"].lateCalls = LateCalls::kCutInEvent;
+  world.Run(10s);
+  EXPECT_EQ(world.CountCut(), 0U);
+  EXPECT_EQ(world.CountWhole(), kStreams);
+}
+
+// Guards against a first attempt that is ended for a second one whose end can't be passed on.
+TEST(SilentHead, StreamsAreNotCutForASecondAttemptWithoutALength)
+{
+  TwoHeads world = BeginStreams(RepeatPolicy::kResumableStream, 1, 1000ms);
+  world.heads["h2"].lateCalls = LateCalls::kUntilClose;
+  world.Run(10s);
+  EXPECT_EQ(world.CountCut(), 0U);
+  EXPECT_EQ(world.CountWhole(), kStreams);
+}
+
+// Guards against a second attempt that is ended for the last bytes of a process that has ended.
+TEST(SilentHead, StreamsOfARestartedHeadAreResumedAfterItsLastBytes)
+{
+  TwoHeads world = BeginStreams(RepeatPolicy::kResumableStream, 1, 0ms);
+  world.heads["h2"].startTime = 400ms;
+  world.ReportRestart("h1");
+  world.Run(kEventInterval);
+  world.BreakCallsTo("h1");
+  world.Run(9s);
+  EXPECT_EQ(world.CountCut(), 0U);
+  EXPECT_EQ(world.CountWhole(), kStreams);
+}
+
+// Guards against a second attempt that is ended for one event of a head that then stays silent.
+TEST(SilentHead, StreamsOfAHeadThatSendsOneMoreEventAreResumedElsewhere)
+{
+  TwoHeads world = BeginStreams(RepeatPolicy::kResumableStream, 1, 700ms);
+  world.heads["h2"].startTime = 400ms;
+  world.Run(740ms);
+  world.heads["h1"].silentUntil = world.now + 1h;
+  world.Run(9s);
+  EXPECT_EQ(world.CountWhole(), kStreams);
+}
+
+// Guards against streams that are left at an ended process as no other head had room when control
+// reported its restart.
+TEST(SilentHead, StreamsOfARestartedHeadAreResumedOnceAnotherHeadHasRoom)
+{
+  for (const bool isReported : { false, true }) {
+    SECTION(isReported ? "control reports a restart" : "control reports nothing")
+    {
+      TwoHeads world = BeginStreams(RepeatPolicy::kResumableStream, 1, 1h);
+      world.heads["h2"].silentUntil = world.now + 400ms; // Gets no requests after 300 ms.
+      world.Run(380ms);
+      if (isReported) {
+        world.ReportRestart("h1");
+      }
+      world.Run(9s);
+      EXPECT_EQ(world.CountWhole(), kStreams);
+    }
+  }
+}
+
+// Guards against streams that are left at a silent head because control removed it from the list.
+TEST(SilentHead, StreamsOfASilentHeadThatIsReportedGoneAreResumedElsewhere)
+{
+  TwoHeads world = BeginStreams(RepeatPolicy::kResumableStream, 1, 1h);
+  world.Run(400ms);
+  world.ReportGone("h1");
+  world.Run(9s);
+  EXPECT_EQ(world.CountWhole(), kStreams);
+}
+
 } // namespace
 } // namespace gooseberrysail
