Soak: silent replicas, more kinds of callers, and a check of unanswered requests

Entries cut requests of callers although their replica only paused. The soak could not show it: its replicas never fell silent, its callers sent one request of HTTP/1.1 at a time, and a connection that ended without an answer counted as "unclear", whoever had ended it.

- Replicas send in two parts and can send nothing for 0.3 to 2 s, after which they continue on all connections: one, all, one beside a change of the configuration, one while all others reject.
- Callers keep a connection until it ends (before, they chose an entry anew for each request, so that half of the requests opened a connection), and some use HTTP/1.0, send two requests at once, or close their sending side.
- LostCheck: a request whose last byte the entry's kernel has acknowledged ends in a whole answer, or in one of the listed causes.
FaultLog knows whom each fault disturbs, and when.

These replicas serve a plain service, whose requests are not given up for silence.

--- a/tests/soak/callers.cpp
+++ b/tests/soak/callers.cpp
@@ -1,10 +1,12 @@
 #include "soak/callers.hpp"
 
+#include "soak/caller_connection.hpp"
 #include "soak/replica.hpp"
-#include "support/persistent_connection.hpp"
 
 #include <chrono>
 #include <random>
+#include <span>
+#include <utility>
 
 namespace gooseberrysail::soak {
 
@@ -19,6 +21,180 @@
 /// The share of requests whose callers leave early, and after how long at most.
 constexpr double kLeavingShare = 0.2;
 constexpr int kLongestStayMillis = 400;
+/// The shares of other kinds of callers; the remaining ones send one request of HTTP/1.1 at a time.
+constexpr double kHttp10Share = 0.15;
+constexpr double kPipeliningShare = 0.2;
+constexpr double kHalfClosingShare = 0.1;
+
+enum class CallerKind
+{
+  kPlain,
+  kHttp10,
+  kPipelining, ///< Two requests at once.
+  kHalfClosing,
+};
+
+const char* NameOf(CallerKind kind)
+{
+  switch (kind) {
+    case CallerKind::kPlain:
+      return "one request at a time";
+    case CallerKind::kHttp10:
+      return "HTTP/1.0";
+    case CallerKind::kPipelining:
+      return "pipelining";
+    case CallerKind::kHalfClosing:
+      return "closed its sending side";
+  }
+  return "";
+}
+
+/// One thread's caller, with a connection that it uses as long as it can.
+class Caller
+{
+public:
+  Caller(std::span<const std::string> entries,
+         Ledger& ledger,
+         std::size_t number,
+         std::uint64_t seed)
+    : m_entries(entries)
+    , m_ledger(ledger)
+    , m_prefix("c" + std::to_string(number) + "-")
+    , m_random(seed)
+  {
+  }
+
+  /// Sends one or two requests and waits for their answers.
+  void CallOnce()
+  {
+    m_kind = DrawKind();
+    const std::size_t count = m_kind == CallerKind::kPipelining ? 2 : 1;
+    std::string bytes;
+    std::vector<SentRequest> requests;
+    for (std::size_t number = 0; number < count; ++number) {
+      requests.push_back(AddRequest(bytes));
+    }
+    const bool leaves = Draw() < kLeavingShare;
+    const auto stay = std::chrono::milliseconds(m_random() % kLongestStayMillis + 1);
+    const Clock::time_point sentAt = Clock::now();
+    const bool isSent = Send(bytes);
+    if (isSent) {
+      const std::uint64_t before = m_connection.SentBytes() - bytes.size();
+      for (SentRequest& request : requests) {
+        request.endOffset += before;
+      }
+    }
+    if (m_kind == CallerKind::kHalfClosing && isSent) {
+      m_connection.CloseSendingSide();
+      m_ledger.OnCallerLeft(requests.front().id);
+    }
+    const ReplyEnd end = isSent ? ReplyEnd::kWhole : ReplyEnd::kNotSent;
+    ReceiveAnswers(requests, end, sentAt, sentAt + (leaves ? stay : kRequestTimeout));
+  }
+
+private:
+  struct SentRequest
+  {
+    std::string id;
+    std::uint64_t endOffset = 0; ///< In the bytes that are sent on the connection.
+  };
+
+  double Draw() { return std::uniform_real_distribution<>(0, 1)(m_random); }
+
+  CallerKind DrawKind()
+  {
+    double draw = Draw();
+    for (const auto& [kind, share] : { std::pair(CallerKind::kHttp10, kHttp10Share),
+                                       std::pair(CallerKind::kPipelining, kPipeliningShare),
+                                       std::pair(CallerKind::kHalfClosing, kHalfClosingShare) }) {
+      if (draw < share) {
+        return kind;
+      }
+      draw -= share;
+    }
+    return CallerKind::kPlain;
+  }
+
+  /// Records a request before it is sent, and appends its bytes.
+  SentRequest AddRequest(std::string& bytes)
+  {
+    const std::string id = m_prefix + std::to_string(++m_sent);
+    const bool isNonRepeatable = Draw() < kNonRepeatableShare;
+    m_ledger.OnRequestSent(id, !isNonRepeatable);
+    const std::string body = "body of " + id;
+    const bool isHttp10 = m_kind == CallerKind::kHttp10;
+    bytes += std::string("POST ") + (isNonRepeatable ? "/once/x" : "/safe/x") +
+             (isHttp10 ? " HTTP/1.0\r\nConnection: keep-alive" : " HTTP/1.1") +
+             "\r\nHost: desk.example\r\nX-Request-Id: " + id +
+             "\r\nX-Request-Deadline: 2000\r\nAuthorization: Bearer key-of-t1\r\nContent-Length: " +
+             std::to_string(body.size()) + "\r\n\r\n" + body;
+    return { id, bytes.size() };
+  }
+
+  /// \param end kWhole if the requests were sent; otherwise why not.
+  void ReceiveAnswers(std::span<const SentRequest> requests,
+                      ReplyEnd end,
+                      Clock::time_point sentAt,
+                      Clock::time_point until)
+  {
+    bool wasCloseAnnounced = false;
+    for (const SentRequest& request : requests) {
+      CallerConnection::Received received;
+      if (end == ReplyEnd::kWhole) {
+        received = m_connection.Receive(until);
+        end = received.end;
+      }
+      RequestEnd result;
+      result.entry = "entry-" + std::to_string(m_entry + 1);
+      result.callerKind = NameOf(m_kind);
+      result.end = end;
+      result.isAcknowledged = m_connection.AcknowledgedBytes() >= request.endOffset;
+      result.wasCloseAnnounced = wasCloseAnnounced;
+      result.status = received.reply.status;
+      result.receivedBytes = received.bytes;
+      result.sentAt = sentAt;
+      result.endedAt = Clock::now();
+      Record(request.id, received.reply, std::move(result));
+      wasCloseAnnounced = wasCloseAnnounced || received.isCloseAnnounced;
+    }
+    if (end != ReplyEnd::kWhole || wasCloseAnnounced || m_kind == CallerKind::kHalfClosing) {
+      m_connection.Close();
+    }
+  }
+
+  bool Send(const std::string& bytes)
+  {
+    if (!m_connection.IsOpen()) {
+      m_entry = m_random() % m_entries.size();
+      if (!m_connection.Open(m_entries[m_entry])) {
+        return false;
+      }
+    }
+    return m_connection.Send(bytes);
+  }
+
+  void Record(const std::string& id, const test::HttpReply& reply, RequestEnd end)
+  {
+    m_ledger.OnReply(id, reply.status, IsAnswerTo(id, reply));
+    if (end.end == ReplyEnd::kMalformed) {
+      m_ledger.OnViolation(id + " got bytes that are no answer from " + end.entry);
+    } else if (end.end != ReplyEnd::kWhole) {
+      m_ledger.OnCallerLeft(id);
+    }
+    if (m_kind != CallerKind::kHalfClosing) {
+      m_ledger.OnRequestEnd(id, std::move(end));
+    }
+  }
+
+  std::span<const std::string> m_entries;
+  Ledger& m_ledger;
+  std::string m_prefix; ///< Of request ids.
+  std::mt19937_64 m_random;
+  std::uint64_t m_sent = 0;
+  CallerKind m_kind = CallerKind::kPlain;
+  std::size_t m_entry = 0; ///< The entry of the connection.
+  CallerConnection m_connection;
+};
 
 } // namespace
 
@@ -46,29 +222,9 @@
 
 void Callers::SendRequests(std::size_t number, std::uint64_t seed)
 {
-  std::mt19937_64 random(seed);
-  std::uint64_t sent = 0;
-  test::PersistentConnection connection;
+  Caller caller(m_entries, m_ledger, number, seed);
   while (!m_stop) {
-    const std::string id = "c" + std::to_string(number) + "-" + std::to_string(++sent);
-    const bool isNonRepeatable =
-      std::uniform_real_distribution<>(0, 1)(random) < kNonRepeatableShare;
-    test::HttpCall call{ .address = m_entries[random() % m_entries.size()], .method = "POST" };
-    call.target = isNonRepeatable ? "/once/x" : "/safe/x";
-    call.headers = { { "Host", "desk.example" },
-                     { "X-Request-Id", id },
-                     { "X-Request-Deadline", "2000" },
-                     { "Authorization", "Bearer key-of-t1" } };
-    call.body = "body of " + id;
-    const bool leaves = std::uniform_real_distribution<>(0, 1)(random) < kLeavingShare;
-    const auto stay = std::chrono::milliseconds(random() % kLongestStayMillis + 1);
-    call.timeout = leaves ? stay : kRequestTimeout;
-    m_ledger.OnRequestSent(id, !isNonRepeatable);
-    const test::HttpReply reply = connection.Call(call);
-    m_ledger.OnReply(id, reply.status, IsAnswerTo(id, reply));
-    if (reply.status == 0) {
-      m_ledger.OnCallerLeft(id);
-    }
+    caller.CallOnce();
     std::this_thread::sleep_for(kPauseBetweenRequests);
   }
 }
--- a/tests/soak/callers.hpp
+++ b/tests/soak/callers.hpp
@@ -3,15 +3,20 @@
 #include "soak/ledger.hpp"
 
 #include <atomic>
+#include <string>
 #include <thread>
+#include <vector>
 
 namespace gooseberrysail::soak {
 
 /// \brief Sends requests from several threads and records their replies in the ledger.
-/// \remarks Each thread reuses its connection until an entry closes it or ends.
+/// \remarks Each thread reuses its connection until an entry closes it or ends. Among its requests
+/// are some of HTTP/1.0, some pairs that are sent at once, and some after which it closes its
+/// sending side.
 class Callers
 {
 public:
+  /// \param entries Addresses of the entries, in the order of their numbers.
   Callers(std::vector<std::string> entries, std::size_t count, Ledger& ledger, std::uint64_t seed);
   ~Callers() { Stop(); }
   Callers(const Callers&) = delete;
@@ -29,4 +34,8 @@
   std::vector<std::thread> m_threads;
 };
 
+/// \brief The time limit of the callers' requests: the routes' timeout, which is shorter than their
+/// own deadline.
+inline constexpr std::chrono::milliseconds kRequestTimeLimit{ 1500 };
+
 } // namespace gooseberrysail::soak
--- a/tests/soak/ledger.cpp
+++ b/tests/soak/ledger.cpp
@@ -28,14 +28,14 @@
     m_violations.push_back(replica + " ran " + id + ", which no caller sent");
     return;
   }
-  const std::optional<std::chrono::steady_clock::time_point>& leftAt = row->second.leftAt;
-  if (leftAt && std::chrono::steady_clock::now() - *leftAt > kLatestRunAfterLeaving) {
+  const std::optional<Clock::time_point>& leftAt = row->second.leftAt;
+  if (leftAt && Clock::now() - *leftAt > kLatestRunAfterLeaving) {
     m_violations.push_back(id + " ran at " + replica + " long after its caller had left");
   }
-  if (++row->second.runs == 1) {
-    row->second.firstReplica = replica;
-  } else if (!row->second.isRepeatable) {
-    m_violations.push_back(id + " ran at " + row->second.firstReplica + " and again at " + replica);
+  std::vector<Run>& runs = row->second.runs;
+  runs.push_back({ replica, Clock::now() });
+  if (runs.size() > 1 && !row->second.isRepeatable) {
+    m_violations.push_back(id + " ran at " + runs.front().instance + " and again at " + replica);
   }
 }
 
@@ -56,10 +56,23 @@
   }
 }
 
+void Ledger::OnReplicaBrokeOff(const std::string& id)
+{
+  const std::scoped_lock lock(m_mutex);
+  m_records[id].brokeOffAt = Clock::now();
+}
+
+void Ledger::OnRequestEnd(const std::string& id, RequestEnd end)
+{
+  const std::scoped_lock lock(m_mutex);
+  m_records[id].end = std::move(end);
+}
+
 void Ledger::OnCallerLeft(const std::string& id)
 {
   const std::scoped_lock lock(m_mutex);
-  m_records[id].leftAt = std::chrono::steady_clock::now();
+  std::optional<Clock::time_point>& leftAt = m_records[id].leftAt;
+  leftAt = leftAt.value_or(Clock::now());
 }
 
 void Ledger::OnViolation(const std::string& what)
@@ -74,17 +87,29 @@
   const std::scoped_lock lock(m_mutex);
   std::vector<std::string> violations = m_violations;
   for (const auto& [id, row] : m_records) {
-    if (row.hasReply && GuaranteesNotRun(row.status) && row.runs > 0 && !row.isRepeatable) {
+    if (row.hasReply && GuaranteesNotRun(row.status) && !row.runs.empty() && !row.isRepeatable) {
       violations.push_back(id + " was refused with " + std::to_string(row.status) + " and ran at " +
-                           row.firstReplica);
+                           row.runs.front().instance);
     }
-    if (row.hasReply && row.status / 100 == 2 && row.runs == 0) {
+    if (row.hasReply && row.status / 100 == 2 && row.runs.empty()) {
       violations.push_back(id + " got a success status and ran nowhere");
     }
   }
   return violations;
 }
 
+std::vector<UnansweredRequest> Ledger::Unanswered() const
+{
+  const std::scoped_lock lock(m_mutex);
+  std::vector<UnansweredRequest> unanswered;
+  for (const auto& [id, row] : m_records) {
+    if (row.end && row.end->end != ReplyEnd::kWhole) {
+      unanswered.push_back({ id, *row.end, row.runs, row.brokeOffAt });
+    }
+  }
+  return unanswered;
+}
+
 Ledger::Totals Ledger::Count() const
 {
   const std::scoped_lock lock(m_mutex);
--- a/tests/soak/ledger.hpp
+++ b/tests/soak/ledger.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
-#include <chrono>
+#include "soak/lost_check.hpp"
+
 #include <cstdint>
 #include <map>
 #include <mutex>
@@ -28,12 +29,22 @@
   /// \param isOwn Whether the reply is complete and belongs to this request.
   void OnReply(const std::string& id, unsigned status, bool isOwn);
 
+  /// \brief Records that a replica ends a request by itself without its whole answer. Call it
+  /// before the replica closes the connection.
+  void OnReplicaBrokeOff(const std::string& id);
+
+  /// \brief Records how a caller's wait for an answer ended.
+  void OnRequestEnd(const std::string& id, RequestEnd end);
+
   /// \brief Records that the caller closed its connection before it had a reply.
   void OnCallerLeft(const std::string& id);
 
   /// \brief Records a violation that was found outside the ledger.
   void OnViolation(const std::string& what);
 
+  /// \brief The requests that got no whole answer.
+  [[nodiscard]] std::vector<UnansweredRequest> Unanswered() const;
+
   /// \brief Runs the checks that need the final state, and returns all violations.
   [[nodiscard]] std::vector<std::string> Violations();
 
@@ -50,12 +61,13 @@
   struct RequestRecord
   {
     bool isRepeatable = false;
-    std::uint32_t runs = 0;
-    std::string firstReplica;
+    std::vector<Run> runs;
+    std::optional<Clock::time_point> brokeOffAt; ///< None unless its replica broke off.
+    std::optional<RequestEnd> end;
     unsigned status = 0;
     bool isOwn = false;
     bool hasReply = false;
-    std::optional<std::chrono::steady_clock::time_point> leftAt; ///< None while the caller waits.
+    std::optional<Clock::time_point> leftAt; ///< None while the caller waits.
   };
 
   mutable std::mutex m_mutex;
--- a/tests/soak/replica.cpp
+++ b/tests/soak/replica.cpp
@@ -12,7 +12,8 @@
 using namespace std::chrono_literals;
 
 constexpr auto kHeartbeat = 400ms;
-constexpr auto kServiceTime = 15ms;
+constexpr auto kServiceTime = 10ms;
+constexpr auto kTimeBetweenParts = 5ms;
 constexpr std::size_t kPadding = 3000;
 
 tcp::endpoint Loopback()
@@ -53,6 +54,7 @@
 Replica::~Replica()
 {
   m_stop = true;
+  m_silence.End();
   // Closing the socket doesn't interrupt a blocked accept; a connection does.
   Socket wake(m_io);
   boost::system::error_code ignored;
@@ -65,6 +67,7 @@
 void Replica::Restart()
 {
   ++m_generation;
+  m_silence.End();
   CloseConnections();
 }
 
@@ -86,6 +89,7 @@
 {
   ++m_crashes;
   ++m_generation;
+  m_silence.End();
   const std::scoped_lock lock(m_mutex);
   for (Connection& connection : m_connections) {
     boost::system::error_code ignored;
@@ -146,15 +150,11 @@
 
 bool Replica::Answer(Socket& socket, const std::string& id, bool isForOtherInstance, bool hasKey)
 {
-  http::response<http::string_body> answer;
+  Response answer;
   answer.set("X-Request-Id", id);
-  boost::system::error_code error;
   if (isForOtherInstance) {
     answer.result(http::status::misdirected_request);
-    answer.set("X-Not-Executed", "1");
-    answer.prepare_payload();
-    http::write(socket, answer, error);
-    return !error;
+    return Reject(socket, std::move(answer));
   }
   if (m_isLeaving) {
     answer.set("Server-Leaving", "1");
@@ -162,11 +162,8 @@
   if (const std::string retryAfter = RetryAfter(); !retryAfter.empty()) {
     ++m_rejections;
     answer.result(http::status::service_unavailable);
-    answer.set("X-Not-Executed", "1");
     answer.set("Retry-After", retryAfter);
-    answer.prepare_payload();
-    http::write(socket, answer, error);
-    return !error;
+    return Reject(socket, std::move(answer));
   }
   const std::string instance = Instance();
   m_ledger.OnRun(id, instance);
@@ -176,6 +173,7 @@
   }
   std::this_thread::sleep_for(kServiceTime);
   if (DrawWithProbability(m_answerLossRate)) {
+    m_ledger.OnReplicaBrokeOff(id);
     return false;
   }
   answer.set("X-Response-Seal", instance + "." + id);
@@ -188,15 +186,39 @@
   } else {
     answer.prepare_payload();
   }
-  if (DrawWithProbability(m_answerTruncationRate)) {
-    boost::beast::flat_buffer whole;
-    boost::beast::ostream(whole) << answer;
-    const auto half = boost::asio::buffer(whole.data().data(), whole.size() / 2);
-    boost::asio::write(socket, half, error);
+  const bool isTruncated = DrawWithProbability(m_answerTruncationRate);
+  const bool isSent = SendInParts(socket, answer, isTruncated);
+  if (isTruncated) {
+    m_ledger.OnReplicaBrokeOff(id);
+  }
+  return isSent && !m_isUnframed;
+}
+
+bool Replica::Reject(Socket& socket, Response response)
+{
+  response.set("X-Not-Executed", "1");
+  response.prepare_payload();
+  m_silence.Wait();
+  boost::system::error_code error;
+  http::write(socket, response, error);
+  return !error;
+}
+
+bool Replica::SendInParts(Socket& socket, const Response& response, bool isTruncated)
+{
+  boost::beast::flat_buffer whole;
+  boost::beast::ostream(whole) << response;
+  const boost::asio::const_buffer bytes = whole.cdata();
+  boost::system::error_code error;
+  m_silence.Wait();
+  boost::asio::write(socket, boost::asio::buffer(bytes, bytes.size() / 2), error);
+  if (error || isTruncated) {
     return false;
   }
-  http::write(socket, answer, error);
-  return !error && !m_isUnframed;
+  std::this_thread::sleep_for(kTimeBetweenParts);
+  m_silence.Wait();
+  boost::asio::write(socket, bytes + bytes.size() / 2, error);
+  return !error;
 }
 
 void Replica::SetRetryAfter(std::string seconds)
--- a/tests/soak/replica.hpp
+++ b/tests/soak/replica.hpp
@@ -1,12 +1,15 @@
 #pragma once
 
 #include "soak/ledger.hpp"
+#include "soak/silence.hpp"
 #include "support/http_call.hpp"
 #include "support/relay_thread.hpp"
 
 #include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/string_body.hpp>
 #include <chrono>
 #include <list>
 #include <memory>
@@ -51,9 +54,14 @@
   /// \brief How often it has crashed.
   [[nodiscard]] std::uint64_t Crashes() const { return m_crashes; }
   [[nodiscard]] test::RelayThread& Relay() { return *m_relay; }
+  [[nodiscard]] const std::string& Name() const { return m_name; }
+  /// \brief Sends no bytes to its callers for a time, and then continues on all connections. It
+  /// accepts connections and runs requests meanwhile.
+  void FallSilentFor(std::chrono::milliseconds duration) { m_silence.BeginFor(duration); }
 
 private:
   using Socket = boost::asio::ip::tcp::socket;
+  using Response = boost::beast::http::response<boost::beast::http::string_body>;
 
   struct Connection
   {
@@ -65,6 +73,12 @@
   void Serve(Socket& socket);
   /// \returns False if the connection must be closed.
   bool Answer(Socket& socket, const std::string& id, bool isForOtherInstance, bool hasKey);
+  /// \brief Sends a response that says that the request did not run.
+  /// \returns False if the connection must be closed.
+  bool Reject(Socket& socket, Response response);
+  /// \brief Sends a response in two parts, or only the first of them.
+  /// \returns Whether all of it was sent.
+  bool SendInParts(Socket& socket, const Response& response, bool isTruncated);
   void Announce();
   [[nodiscard]] std::string Instance() const;
   [[nodiscard]] std::string RetryAfter();
@@ -85,6 +99,7 @@
   std::string m_crashBody;  ///< Set before the first request; "" for none.
   std::string m_limit;      ///< Likewise.
   std::string m_retryAfter; ///< Guarded by m_mutex; "" for none.
+  Silence m_silence;
   std::atomic<bool> m_isUnframed = false;
   std::atomic<bool> m_isLeaving = false;
   std::atomic<std::uint64_t> m_rejections = 0;
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -14,12 +14,12 @@
 
 namespace {
 
-using Clock = std::chrono::steady_clock;
-
 constexpr auto kReady = 20s;
 constexpr auto kRecovery = 15s;
 constexpr std::chrono::milliseconds kShortestPause{ 100 };
 constexpr std::chrono::milliseconds kLongestPause{ 900 };
+constexpr std::chrono::milliseconds kShortestSilence{ 300 };
+constexpr std::chrono::milliseconds kLongestSilence{ 2000 };
 
 /// \brief One run: starts the processes, injects faults and checks the results.
 class Soak
@@ -58,8 +58,12 @@
       }
     }
     CheckConfig();
+    for (const std::string& lost :
+         LostCheck(m_faults, kRequestTimeLimit).Violations(m_ledger.Unanswered())) {
+      m_ledger.OnViolation(lost);
+    }
     SoakReport report;
-    report.faults = m_faults;
+    report.faults = m_faults.Lines();
     report.violations = m_ledger.Violations();
     report.totals = m_ledger.Count();
     report.outputs = report.violations.empty() ? "" : m_cluster.Outputs();
@@ -88,10 +92,14 @@
     return names[m_random() % names.size()];
   }
 
-  void RecordFault(const std::string& fault)
+  Replica& RandomReplica() { return *RandomElement(m_replicas); }
+
+  /// Injects a fault that disturbs the connections of a process at once.
+  void Disturb(const std::string& subject, const std::string& what, const Action& inject)
   {
-    const auto at = std::chrono::duration_cast<std::chrono::milliseconds>(Clock::now() - m_start);
-    m_faults.push_back(std::to_string(at.count()) + " ms " + fault);
+    const FaultLog::FaultId fault = m_faults.Begin(subject, what);
+    inject();
+    m_faults.End(fault);
   }
 
   void EndAfter(std::chrono::milliseconds duration, Action end)
@@ -112,10 +120,16 @@
   {
     using FaultMethod = void (Soak::*)();
     static constexpr FaultMethod kFaultMethods[] = {
-      &Soak::KillEntry,        &Soak::KillControl, &Soak::KillAllControl, &Soak::StopEntry,
-      &Soak::StopControl,      &Soak::PauseEntry,  &Soak::PauseControl,   &Soak::Reload,
-      &Soak::RestartReplica,   &Soak::LoseAnswers, &Soak::BreakAnswers,   &Soak::CutConnections,
-      &Soak::StallConnections, &Soak::DelayRelay,  &Soak::ChangeConfig,   &Soak::ChangeConfig,
+      &Soak::KillEntry,        &Soak::KillControl,
+      &Soak::KillAllControl,   &Soak::StopEntry,
+      &Soak::StopControl,      &Soak::PauseEntry,
+      &Soak::PauseControl,     &Soak::Reload,
+      &Soak::RestartReplica,   &Soak::LoseAnswers,
+      &Soak::BreakAnswers,     &Soak::CutConnections,
+      &Soak::StallConnections, &Soak::DelayRelay,
+      &Soak::ChangeConfig,     &Soak::ChangeConfig,
+      &Soak::SilenceOne,       &Soak::SilenceAll,
+      &Soak::SilenceAtChange,  &Soak::SilenceWhileOthersReject,
     };
     (this->*kFaultMethods[m_random() % std::size(kFaultMethods)])();
   }
@@ -130,14 +144,15 @@
   }
   void Kill(const std::string& name)
   {
-    RecordFault("kill " + name);
-    m_cluster.KillAndRestart(name);
+    Disturb(name, "kill " + name, [&] { m_cluster.KillAndRestart(name); });
+    m_faults.EndAll(name);
   }
   void StopEntry() { Stop(RandomProcess("entry")); }
   void StopControl() { Stop(RandomProcess("control")); }
   void Stop(const std::string& name)
   {
-    RecordFault("stop " + name);
+    m_faults.Add("stop " + name);
+    m_faults.EndAll(name); // It continues if it was paused.
     if (!m_cluster.StopAndRestart(name)) {
       m_ledger.OnViolation(name + " got SIGTERM and did not exit by itself");
     }
@@ -147,49 +162,57 @@
   void Pause(const std::string& name)
   {
     const auto length = RandomDuration(300ms, 3000ms);
-    RecordFault("pause " + name + " for " + std::to_string(length.count()) + " ms");
+    const FaultLog::FaultId fault =
+      m_faults.Begin(name, "pause " + name + " for " + std::to_string(length.count()) + " ms");
     m_cluster.Signal(name, SIGSTOP);
-    EndAfter(length, [this, name] { m_cluster.Signal(name, SIGCONT); });
+    EndAfter(length, [this, name, fault] {
+      m_cluster.Signal(name, SIGCONT);
+      m_faults.End(fault);
+    });
   }
   void Reload()
   {
     const std::string name = RandomProcess("entry");
-    RecordFault("reload " + name);
+    m_faults.Add("reload " + name);
     m_cluster.Signal(name, SIGHUP);
   }
   void RestartReplica()
   {
-    RecordFault("restart a replica");
-    RandomElement(m_replicas)->Restart();
+    Replica& replica = RandomReplica();
+    Disturb(replica.Name(), "restart " + replica.Name(), [&] { replica.Restart(); });
   }
   void LoseAnswers()
   {
-    RecordFault("a replica loses answers");
-    Replica* replica = RandomElement(m_replicas).get();
+    Replica* replica = &RandomReplica();
+    m_faults.Add(replica->Name() + " loses answers");
     replica->SetAnswerLossRate(0.3);
     EndAfter(2000ms, [replica] { replica->SetAnswerLossRate(0); });
   }
   void BreakAnswers()
   {
-    RecordFault("a replica truncates answers");
-    Replica* replica = RandomElement(m_replicas).get();
+    Replica* replica = &RandomReplica();
+    m_faults.Add(replica->Name() + " truncates answers");
     replica->SetAnswerTruncationRate(0.3);
     EndAfter(2000ms, [replica] { replica->SetAnswerTruncationRate(0); });
   }
   void CutConnections()
   {
-    RecordFault("connections to a replica are reset");
-    RandomElement(m_replicas)->Relay().ResetExisting();
+    Replica& replica = RandomReplica();
+    Disturb(replica.Name(), "connections to " + replica.Name() + " are reset", [&] {
+      replica.Relay().ResetExisting();
+    });
   }
   void StallConnections()
   {
-    RecordFault("open connections to a replica drop all data");
-    RandomElement(m_replicas)->Relay().BlackholeExisting();
+    Replica& replica = RandomReplica();
+    Disturb(replica.Name(), "open connections to " + replica.Name() + " drop all data", [&] {
+      replica.Relay().BlackholeExisting();
+    });
   }
   void DelayRelay()
   {
-    RecordFault("connections to a replica are delayed by 200 ms");
-    Replica* replica = RandomElement(m_replicas).get();
+    Replica* replica = &RandomReplica();
+    m_faults.Add("connections to " + replica->Name() + " are delayed by 200 ms");
     replica->Relay().SetDelay(200ms);
     EndAfter(1500ms, [replica] { replica->Relay().SetDelay(Duration::zero()); });
   }
@@ -198,8 +221,46 @@
     ++m_version;
     const bool acknowledged = m_cluster.PutConfig(m_version, m_random() % 3);
     m_acknowledged = acknowledged ? m_version : m_acknowledged;
-    RecordFault("configuration " + std::to_string(m_version) +
-                (acknowledged ? " acknowledged" : " without an answer"));
+    m_faults.Add("configuration " + std::to_string(m_version) +
+                 (acknowledged ? " acknowledged" : " without an answer"));
+  }
+  /// \returns How long the replica is silent.
+  std::chrono::milliseconds Silence(Replica& replica)
+  {
+    const auto length = RandomDuration(kShortestSilence, kLongestSilence);
+    m_faults.Add(replica.Name() + " is silent for " + std::to_string(length.count()) + " ms");
+    replica.FallSilentFor(length);
+    return length;
+  }
+  void SilenceOne() { Silence(RandomReplica()); }
+  void SilenceAll()
+  {
+    for (const auto& replica : m_replicas) {
+      Silence(*replica);
+    }
+  }
+  void SilenceAtChange()
+  {
+    const bool changesFirst = m_random() % 2 == 0;
+    if (changesFirst) {
+      ChangeConfig();
+    }
+    SilenceOne();
+    if (!changesFirst) {
+      ChangeConfig();
+    }
+  }
+  void SilenceWhileOthersReject()
+  {
+    Replica* silent = &RandomReplica();
+    const auto length = Silence(*silent);
+    for (const auto& replica : m_replicas) {
+      if (replica.get() != silent) {
+        m_faults.Add(replica->Name() + " rejects requests for as long");
+        replica->SetRetryAfter("0.2");
+        EndAfter(length, [other = replica.get()] { other->SetRetryAfter(""); });
+      }
+    }
   }
 
   /// Checks that no control process returns a version older than the last one acknowledged.
@@ -251,7 +312,7 @@
   std::vector<std::unique_ptr<Replica>> m_replicas;
   Clock::time_point m_start = Clock::now();
   std::multimap<Clock::time_point, Action> m_faultEnds; ///< Ends of lasting faults.
-  std::vector<std::string> m_faults;
+  FaultLog m_faults;
   std::uint64_t m_version = 0;
   std::uint64_t m_acknowledged = 0;
   std::uint64_t m_probes = 0;
