Cut responses name their request, cause and bytes

What operators saw: 210 HttpAnswerCut told a reason for responses that the owner or the queue limit aborted. A write timeout, a close of the server and a caller who left were one counter or nothing, the line could not be matched to 315 GatewayAnswered, and nothing told whether the caller had got a byte.

The session now notes the first decision to cut a response and reports it after its last write has ended, when the number of bytes that the socket took is known. 210 keeps its number and fields and gains request (X-Request-Id of the request, or of the response if the request had none; at most 64 characters), cause, sentBytes, queuedBytes, readAheadBytes (of further requests on the connection, lost with it) and millis since the request was read.

--- a/include/gooseberrysail/http/http_server.hpp
+++ b/include/gooseberrysail/http/http_server.hpp
@@ -5,6 +5,8 @@
 #include "gooseberrysail/net/fiber_runtime.hpp"
 #include "gooseberrysail/roles/inputs.hpp"
 
+#include <array>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -44,6 +46,19 @@
   std::function<std::string(unsigned status, std::string_view message)> errorBody;
 };
 
+/// \brief Why a request that was read got no complete response.
+enum class AnswerCutCause : std::uint8_t
+{
+  kCaller,       ///< The caller disconnected.
+  kSlowCaller,   ///< It reads more slowly than the response is produced: too much is queued.
+  kWriteTimeout, ///< It took nothing of a part within the timeout.
+  kProcess,      ///< The owner aborted the response.
+  kStop,         ///< The server was closed.
+};
+inline constexpr std::size_t kAnswerCutCauses = 5;
+
+[[nodiscard]] std::string_view ToString(AnswerCutCause cause) noexcept;
+
 /// \brief Counters since the start of the server.
 struct HttpServerCounters
 {
@@ -55,6 +70,7 @@
   std::uint64_t closedUnread = 0;      ///< Closed because they waited too long to be read.
   std::uint64_t closedAtLimit = 0;     ///< Closed because too many connections were open.
   std::uint64_t aborted = 0;           ///< Responses aborted by the owner or by a limit.
+  std::array<std::uint64_t, kAnswerCutCauses> cuts{}; ///< By AnswerCutCause.
 };
 
 /// \brief An HTTP/1.1 server that passes requests to a hook and sends responses in parts.
--- a/include/gooseberrysail/observe/metrics.hpp
+++ b/include/gooseberrysail/observe/metrics.hpp
@@ -47,6 +47,13 @@
   std::uint64_t bytesReceived = 0;
 };
 
+/// \brief Responses that were cut for one cause.
+struct CauseCount
+{
+  std::string_view cause;
+  std::uint64_t count = 0;
+};
+
 /// \brief Values that are counted outside Metrics and read on each scrape.
 struct MetricsSample
 {
@@ -66,6 +73,7 @@
   std::uint64_t httpClosedAtLimit = 0;
   std::uint64_t httpCallersGone = 0; ///< While their requests were served.
   std::uint64_t httpCallersGoneUnread = 0;
+  std::vector<CauseCount> httpCuts;
   std::uint64_t timelineDropped = 0;
 };
 
--- a/src/http/http_headers.hpp
+++ b/src/http/http_headers.hpp
@@ -6,6 +6,9 @@
 
 namespace gooseberrysail::impl {
 
+/// Names a request in the logs of callers, entries and targets.
+inline constexpr std::string_view kRequestIdHeader = "X-Request-Id";
+
 /// \brief Whether the header applies to a single connection and must not be forwarded.
 [[nodiscard]] bool IsHopByHopHeader(std::string_view name) noexcept;
 
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -8,6 +8,7 @@
 #include "http/http_session.hpp"
 
 #include <algorithm>
+#include <array>
 #include <optional>
 #include <span>
 #include <unordered_map>
@@ -31,6 +32,12 @@
 /// At the limit, this part of the idle connections is closed, so that not each new one searches.
 constexpr std::size_t kIdleFraction = 16;
 
+constexpr std::array<std::string_view, kAnswerCutCauses> kCauseNames{ "caller",
+                                                                      "slow-caller",
+                                                                      "write-timeout",
+                                                                      "process",
+                                                                      "stop" };
+
 // The messages come from the HTTP library and from the sessions; they need no JSON escaping.
 std::string DefaultErrorBody(unsigned status, std::string_view message)
 {
@@ -40,6 +47,11 @@
 
 } // namespace
 
+std::string_view ToString(AnswerCutCause cause) noexcept
+{
+  return kCauseNames.at(static_cast<std::size_t>(cause));
+}
+
 struct HttpServer::Impl
 {
   using SessionPtr = std::shared_ptr<impl::HttpSession>;
@@ -59,6 +71,7 @@
   bool WaitDrained(Duration timeout);
   void Close();
   void OnCallerDisconnected(ExchangeId exchange);
+  void OnCut(const std::string& peer, const impl::AnswerCut& cut);
   void Emit(EventNumber number, std::vector<std::pair<std::string, std::string>> fields) const;
   [[nodiscard]] impl::HttpSessionHooks MakeSessionHooks();
   [[nodiscard]] std::size_t OpenConnections() const { return sessions.size() + accepted.size(); }
@@ -392,14 +405,9 @@
   callbacks.onRequest = [this](HttpRequestIn request) { hooks.onRequest(std::move(request)); };
   callbacks.onEnd = [this](ExchangeId exchange) { exchanges.erase(exchange); };
   callbacks.onCallerGone = [this](ExchangeId exchange) { OnCallerDisconnected(exchange); };
-  callbacks.onAborted =
-    [this](const impl::HttpSession& session, ExchangeId exchange, std::string_view reason) {
-      ++counters.aborted;
-      Emit(EventNumber::kHttpAnswerCut,
-           { { "peer", session.Peer() },
-             { "exchange", std::to_string(exchange.Get()) },
-             { "reason", std::string(reason) } });
-    };
+  callbacks.onCut = [this](const impl::HttpSession& session, const impl::AnswerCut& cut) {
+    OnCut(session.Peer(), cut);
+  };
   callbacks.onRejected =
     [this](const impl::HttpSession& session, unsigned status, std::string_view message) {
       ++counters.rejected;
@@ -427,6 +435,28 @@
   }
 }
 
+// Callers who leave are counted only: they may be many, and their requests have lines of their own.
+void HttpServer::Impl::OnCut(const std::string& peer, const impl::AnswerCut& cut)
+{
+  ++counters.cuts.at(static_cast<std::size_t>(cut.cause));
+  if (cut.cause == AnswerCutCause::kProcess || cut.cause == AnswerCutCause::kSlowCaller) {
+    ++counters.aborted;
+  }
+  if (!hooks.onEvent || cut.cause == AnswerCutCause::kCaller) {
+    return;
+  }
+  hooks.onEvent(MakeEvent(EventNumber::kHttpAnswerCut,
+                          { { "peer", peer },
+                            { "exchange", std::to_string(cut.exchange.Get()) },
+                            { "reason", std::string(cut.reason) },
+                            { "request", cut.request },
+                            { "cause", std::string(ToString(cut.cause)) },
+                            { "sentBytes", std::to_string(cut.sentBytes) },
+                            { "queuedBytes", std::to_string(cut.queuedBytes) },
+                            { "readAheadBytes", std::to_string(cut.readAheadBytes) },
+                            { "millis", std::to_string(ToMillis(cut.sinceRead)) } }));
+}
+
 void HttpServer::Impl::StopAccepting()
 {
   if (stopping) {
--- a/src/http/http_session.hpp
+++ b/src/http/http_session.hpp
@@ -18,6 +18,19 @@
 
 class HttpSession;
 
+/// \brief How a response ended before it was complete.
+struct AnswerCut
+{
+  AnswerCutCause cause = AnswerCutCause::kStop;
+  std::string_view reason;
+  ExchangeId exchange = {};
+  std::string request = {};       ///< The request's id, if the caller or the owner named one.
+  std::size_t sentBytes = 0;      ///< Of the response, taken by the socket.
+  std::size_t queuedBytes = 0;    ///< Of its body, not written completely.
+  std::size_t readAheadBytes = 0; ///< Of further requests, lost with the connection.
+  Duration sinceRead{};           ///< Since the request was read.
+};
+
 /// \brief Callbacks of a session to its server.
 struct HttpSessionHooks
 {
@@ -25,7 +38,7 @@
   std::function<void(HttpRequestIn)> onRequest;
   std::function<void(ExchangeId)> onEnd;
   std::function<void(ExchangeId)> onCallerGone;
-  std::function<void(const HttpSession&, ExchangeId, std::string_view reason)> onAborted;
+  std::function<void(const HttpSession&, const AnswerCut&)> onCut;
   std::function<void(const HttpSession&, unsigned status, std::string_view message)> onRejected;
   std::function<void()> onGoneUnread; ///< The caller left before its request was passed on.
   /// \brief Suspends the fiber until it may read a request that came at `since`.
@@ -110,7 +123,7 @@
   void Reject(unsigned status, std::string_view message);
   void WatchCaller();
   void OnReadable(bool failed);
-  void OnCallerDisconnected();
+  void OnCallerDisconnected(AnswerCutCause cause, std::string_view reason);
   void Linger();
 
   // Writing (http_session_write.cpp).
@@ -125,7 +138,10 @@
   bool WriteBody(HttpAnswerOut part, BodyEncoding encoding);
   bool WriteBodyPart(std::string_view bytes, BodyEncoding encoding);
   bool WriteRejection(unsigned status, const std::string& body);
-  void Abort(std::string_view reason);
+  void Abort(AnswerCutCause cause, std::string_view reason);
+  /// \brief The first decision to cut a response is the one that is reported.
+  void SetCut(AnswerCutCause cause, std::string_view reason);
+  void ReportCut(ExchangeId exchange);
   template<class Start>
   bool Write(Start&& start);
 
@@ -138,6 +154,10 @@
   ExchangeId m_exchange; ///< None between exchanges.
   std::deque<HttpAnswerOut> m_parts;
   std::size_t m_queuedBytes = 0;
+  std::size_t m_sentBytes = 0; ///< Of the current response.
+  std::string m_requestId;
+  std::optional<AnswerCut> m_cut;
+  TimePoint m_readAt{}; ///< When the current request was passed on.
   Signal m_changed;
   TimePoint m_idleSince{};
   TimePoint m_inputAt{};    ///< When the first bytes of the current request were noticed.
--- a/src/http/http_session_read.cpp
+++ b/src/http/http_session_read.cpp
@@ -1,4 +1,5 @@
 #include "gooseberrysail/shell/clock.hpp"
+#include "http/http_headers.hpp"
 #include "http/http_session.hpp"
 #include "http/peek_input.hpp"
 
@@ -34,6 +35,7 @@
 // Shorter limit for connections that are accepted while the server is stopping.
 constexpr Duration kStoppingIdleTimeout = std::chrono::seconds(1);
 
+constexpr std::string_view kDisconnected = "the caller disconnected";
 constexpr const char* kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
 
 unsigned StatusFor(const beast::error_code& error)
@@ -102,11 +104,18 @@
       break;
     }
     m_exchange = m_hooks.onBegin(*this);
+    m_readAt = BootNow();
+    m_sentBytes = 0;
+    m_cut.reset();
+    m_requestId = FindHeader(request->message.headers, kRequestIdHeader);
     request->message.exchange = m_exchange;
     m_hooks.onRequest(std::move(request->message));
     WatchCaller();
     const WriteResult written = WriteAnswer(*request);
     const ExchangeId ended = std::exchange(m_exchange, ExchangeId());
+    if (written == WriteResult::kIncomplete) {
+      ReportCut(ended);
+    }
     m_parts.clear();
     m_queuedBytes = 0;
     m_hooks.onEnd(ended);
@@ -348,7 +357,7 @@
 void HttpSession::OnReadable(bool failed)
 {
   if (failed || !IsCallerConnected()) {
-    OnCallerDisconnected();
+    OnCallerDisconnected(AnswerCutCause::kCaller, kDisconnected);
   } else if (m_buffer.size() < kReadAheadBytes) {
     WatchCaller();
   }
@@ -375,14 +384,15 @@
   }
   const bool isConnected = IsCallerConnected();
   if (!isConnected) {
-    OnCallerDisconnected();
+    OnCallerDisconnected(AnswerCutCause::kCaller, kDisconnected);
   }
   return isConnected;
 }
 
-void HttpSession::OnCallerDisconnected()
+void HttpSession::OnCallerDisconnected(AnswerCutCause cause, std::string_view reason)
 {
   const ExchangeId exchange = m_exchange;
+  SetCut(cause, reason);
   Close();
   m_hooks.onCallerGone(exchange);
 }
--- a/src/http/http_session_write.cpp
+++ b/src/http/http_session_write.cpp
@@ -1,3 +1,4 @@
+#include "gooseberrysail/shell/clock.hpp"
 #include "http/http_headers.hpp"
 #include "http/http_session.hpp"
 
@@ -20,6 +21,7 @@
 namespace http = boost::beast::http;
 
 constexpr unsigned kDefaultStatus = 200;
+constexpr std::size_t kMaxLoggedIdLength = 64;
 
 bool HasNoBody(unsigned status)
 {
@@ -47,11 +49,14 @@
 template<class Start>
 bool HttpSession::Write(Start&& start)
 {
-  m_deadline.Arm(m_settings.writeTimeout, [this] { OnCallerDisconnected(); });
+  m_deadline.Arm(m_settings.writeTimeout, [this] {
+    OnCallerDisconnected(AnswerCutCause::kWriteTimeout, "the caller did not read in time");
+  });
   const auto [error, size] = Await(std::forward<Start>(start));
   m_deadline.Disarm();
+  m_sentBytes += size;
   if (error && !m_closed) {
-    OnCallerDisconnected();
+    OnCallerDisconnected(AnswerCutCause::kCaller, "the response could not be written");
   }
   return !error && !m_closed;
 }
@@ -64,7 +69,7 @@
   if (m_queuedBytes > 0 && m_queuedBytes + part.bytes.size() > m_settings.maxQueuedAnswerBytes) {
     // The caller reads the response more slowly than the target produces it.
     const ExchangeId exchange = m_exchange;
-    Abort("the caller reads the response too slowly");
+    Abort(AnswerCutCause::kSlowCaller, "the caller reads the response too slowly");
     m_hooks.onCallerGone(exchange);
     return;
   }
@@ -113,8 +118,11 @@
     return WriteResult::kIncomplete;
   }
   HttpAnswerOut first = JoinParts();
+  if (m_requestId.empty()) {
+    m_requestId = FindHeader(first.headers, kRequestIdHeader);
+  }
   if (first.abort && (buffered || first.bytes.empty())) {
-    Abort("aborted before any byte of the response was sent");
+    Abort(AnswerCutCause::kProcess, "aborted before any byte of the response was sent");
     return WriteResult::kIncomplete;
   }
   return first.end ? WriteWhole(request, first) : WriteStream(request, std::move(first));
@@ -188,7 +196,7 @@
     }
     m_queuedBytes -= std::min(m_queuedBytes, size);
     if (part.abort) {
-      Abort("aborted by the process during the response");
+      Abort(AnswerCutCause::kProcess, "aborted by the process during the response");
       return false;
     }
     if (part.end) {
@@ -219,11 +227,30 @@
 
 // Closes the connection without the last chunk, by a reset or without any response, so that no
 // caller can take the response for a complete one.
-void HttpSession::Abort(std::string_view reason)
+void HttpSession::Abort(AnswerCutCause cause, std::string_view reason)
 {
-  const ExchangeId exchange = m_exchange;
+  SetCut(cause, reason);
   Close();
-  m_hooks.onAborted(*this, exchange, reason);
+}
+
+void HttpSession::SetCut(AnswerCutCause cause, std::string_view reason)
+{
+  if (!m_cut) {
+    m_cut = AnswerCut{ .cause = cause, .reason = reason };
+  }
+}
+
+// Runs after the last write has ended, when the number of sent bytes is known.
+void HttpSession::ReportCut(ExchangeId exchange)
+{
+  SetCut(AnswerCutCause::kStop, "the server was closed");
+  m_cut->exchange = exchange;
+  m_cut->request = m_requestId.substr(0, kMaxLoggedIdLength);
+  m_cut->sentBytes = m_sentBytes;
+  m_cut->queuedBytes = m_queuedBytes;
+  m_cut->readAheadBytes = m_buffer.size();
+  m_cut->sinceRead = BootNow() - m_readAt;
+  m_hooks.onCut(*this, *m_cut);
 }
 
 } // namespace gooseberrysail::impl
--- a/src/observe/metric_catalog.cpp
+++ b/src/observe/metric_catalog.cpp
@@ -123,6 +123,12 @@
     kEveryRole,
     "Callers who left before their response was whole: `unread`, before their request was passed "
     "on; `served`, after it." },
+  { "gooseberrysail_http_cut_total",
+    MetricType::kCounter,
+    "cause",
+    kEveryRole,
+    "Requests that were read and got no complete response, by the cause that event 210 tells; "
+    "`caller`: the caller disconnected, without an event." },
   { "gooseberrysail_timeline_dropped_events_total",
     MetricType::kCounter,
     "",
--- a/src/observe/metric_catalog.hpp
+++ b/src/observe/metric_catalog.hpp
@@ -29,6 +29,7 @@
   kHttpUnreadWait,
   kHttpClosed,
   kHttpCallersGone,
+  kHttpCut,
   kTimelineDropped,
   kRequests,
   kRequestAttempts,
--- a/src/observe/metrics.cpp
+++ b/src/observe/metrics.cpp
@@ -264,6 +264,9 @@
     MetricId::kHttpCallersGone, static_cast<double>(sample.httpCallersGone), "served");
   m_impl->IncreaseTo(
     MetricId::kHttpCallersGone, static_cast<double>(sample.httpCallersGoneUnread), "unread");
+  for (const CauseCount& cut : sample.httpCuts) {
+    m_impl->IncreaseTo(MetricId::kHttpCut, static_cast<double>(cut.count), std::string(cut.cause));
+  }
   m_impl->IncreaseTo(MetricId::kTimelineDropped, static_cast<double>(sample.timelineDropped));
 }
 
--- a/src/shell/process_shell.cpp
+++ b/src/shell/process_shell.cpp
@@ -323,6 +323,10 @@
   sample.httpClosedAtLimit = m_http->Counters().closedAtLimit;
   sample.httpCallersGone = m_http->Counters().callersGone;
   sample.httpCallersGoneUnread = m_http->Counters().callersGoneUnread;
+  for (std::size_t cause = 0; cause < kAnswerCutCauses; ++cause) {
+    sample.httpCuts.push_back(
+      { ToString(static_cast<AnswerCutCause>(cause)), m_http->Counters().cuts.at(cause) });
+  }
   return sample;
 }
 
--- a/tests/unit/metrics_test.cpp
+++ b/tests/unit/metrics_test.cpp
@@ -44,6 +44,7 @@
       metrics.OnEvent(MakeEvent(EventNumber::kCallerAnswered, { { "outcome", "complete" } }));
       MetricsSample sample;
       sample.peerKinds.push_back({ "RaftMessage", 1, 100, 100 });
+      sample.httpCuts.push_back({ "process", 1 });
       metrics.Sample(sample);
       std::set<std::string> expected;
       for (const MetricInfo& metric : AllMetrics()) {
@@ -114,6 +115,17 @@
   EXPECT_THAT(metrics.Text(), HasSubstr("gooseberrysail_peer_frames_sent_total 12"));
 }
 
+// Guards against cut responses that can't be told from callers who leave.
+TEST(Metrics, CountCutResponsesByCause)
+{
+  Metrics metrics(ProcessRole::kEntry);
+  MetricsSample sample;
+  sample.httpCuts = { { "caller", 7 }, { "process", 2 } };
+  metrics.Sample(sample);
+  EXPECT_THAT(metrics.Text(), HasSubstr("gooseberrysail_http_cut_total{cause=\"caller\"} 7"));
+  EXPECT_THAT(metrics.Text(), HasSubstr("gooseberrysail_http_cut_total{cause=\"process\"} 2"));
+}
+
 TEST(Metrics, ShowTheGateAndTheReplicatedLog)
 {
   SECTION("an agent's gate")
