--- a/tests/unit/answer_cut_test.cpp
+++ b/tests/unit/answer_cut_test.cpp
@@ -4,11 +4,14 @@
 #include "support/section.hpp"
 
 #include <algorithm>
+#include <gmock/gmock.h>
 
 namespace gooseberrysail {
 namespace {
 
 using namespace std::chrono_literals;
+using testing::HasSubstr;
+using testing::Not;
 using tests::RawConnection;
 using tests::RecordingServer;
 
@@ -117,6 +120,80 @@
   }
 }
 
+// Guards against a connection that is closed without one byte though the caller could still be
+// told that its request failed and may have run.
+TEST(AnswerCut, BeforeItsFirstByteIsReplacedByAnError)
+{
+  IoRuntime runtime;
+  const auto expectError = [](const std::string& received) {
+    EXPECT_EQ(received.substr(9, 4), "502 ");
+    EXPECT_THAT(received, HasSubstr("\"outcome\":\"unknown\""));
+    EXPECT_THAT(received, HasSubstr("Content-Length: "));
+    EXPECT_THAT(received, HasSubstr("X-Request-Id: r-1\r\n"));
+    EXPECT_THAT(received, Not(HasSubstr("Retry-After")));
+    EXPECT_THAT(received, Not(HasSubstr("half")));
+  };
+  SECTION("aborted together with its first part; the connection can be used again")
+  {
+    RecordingServer server(runtime);
+    RawConnection caller(runtime, server.address);
+    caller.Write(kGet);
+    server.Send(server.Request(1), "half", false);
+    server.Send(server.Request(1), "", false, true);
+    ASSERT_TRUE(caller.ReadUntil("}}"));
+    expectError(caller.received);
+    EXPECT_THAT(caller.received, Not(HasSubstr("Connection: close")));
+    EXPECT_EQ(FieldOf(WaitForCut(server), "cause"), "unsent");
+    EXPECT_EQ(server.server.Counters().aborted, 1U);
+    EXPECT_TRUE(server.disconnected.empty());
+    caller.Write(kGet);
+    server.Send(server.Request(2), "next", true);
+    EXPECT_TRUE(caller.ReadUntil("next"));
+  }
+  SECTION("while the server stops: the error ends the connection")
+  {
+    RecordingServer server(runtime);
+    RawConnection caller(runtime, server.address);
+    caller.Write(kGet);
+    const HttpRequestIn request = server.Request(1);
+    server.server.StopAccepting();
+    server.Send(request, "", false, true);
+    expectError(caller.ReadToEnd());
+    EXPECT_THAT(caller.received, HasSubstr("Connection: close"));
+  }
+  SECTION("HTTP/1.0, whose response waits for its end")
+  {
+    RecordingServer server(runtime);
+    RawConnection caller(runtime, server.address);
+    caller.Write("GET / HTTP/1.0\r\nX-Request-Id: r-1\r\n\r\n");
+    server.Send(server.Request(1), "half", false);
+    runtime.SleepFor(20ms);
+    server.Send(server.Request(1), "", false, true);
+    expectError(caller.ReadToEnd());
+  }
+  SECTION("HTTP/1.0, a response that is longer than the limit of its queue")
+  {
+    RecordingServer server(
+      runtime, [](HttpServerSettings& settings) { settings.maxQueuedAnswerBytes = 1000; });
+    RawConnection caller(runtime, server.address);
+    caller.Write("GET / HTTP/1.0\r\nX-Request-Id: r-1\r\n\r\n");
+    server.Send(server.Request(1), "half" + std::string(600, 'x'), false);
+    runtime.SleepFor(20ms);
+    server.Send(server.Request(1), std::string(600, 'x'), false);
+    expectError(caller.ReadToEnd());
+    EXPECT_EQ(server.disconnected.size(), 1U);
+  }
+  SECTION("HEAD: the error has no body")
+  {
+    RecordingServer server(runtime);
+    RawConnection caller(runtime, server.address);
+    caller.Write("HEAD / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+    server.Send(server.Request(1), "", false, true);
+    EXPECT_EQ(caller.ReadToEnd().substr(9, 4), "502 ");
+    EXPECT_TRUE(caller.received.ends_with("\r\n\r\n"));
+  }
+}
+
 // Guards against lines of any length by a caller's own request id.
 TEST(AnswerCut, NamesTheRequestInABoundedLine)
 {
