A response that is aborted before its first byte becomes a 502

What callers saw: a connection that ended without one byte, though their request had been read and passed on: neither an answer nor a refusal. It befell every caller of HTTP/1.0 whose response was aborted, since that response waits for its end, also one that outgrew maxQueuedAnswerBytes while it waited; and callers of HTTP/1.1 whose abort was queued before the session had written the first part.

Cause: what the owner counts as forwarded may still be in the session's queue. An abort closed the connection either way.

An abort that finds nothing of the response written now writes a 502 with its length and the request's id: outcome "unknown", no Retry-After, since the request may have run; the connection goes on unless the request or a stop closes it. The default error body said "not-run" for every status; for 502 it says "unknown". No owner sets errorBody. Once a write has begun an abort still ends the connection without the last chunk, or by a reset. 210 tells cause=unsent, since 315 of the same request tells cut.

Before: AnswerCut.BeforeItsFirstByteIsReplacedByAnError: ReadUntil("}}") false; HttpServer.AnAbortedResponseCannotLookComplete: "" where "HTTP/1.0 502 " is expected. Now both pass, with 78 tests of the HTTP server and client, entries, platform, docs and metrics.

--- a/include/gooseberrysail/http/http_server.hpp
+++ b/include/gooseberrysail/http/http_server.hpp
@@ -46,7 +46,7 @@
   std::function<std::string(unsigned status, std::string_view message)> errorBody;
 };
 
-/// \brief Why a request that was read got no complete response.
+/// \brief Why a request that was read did not get its response, or not all of it.
 enum class AnswerCutCause : std::uint8_t
 {
   kCaller,       ///< The caller disconnected.
@@ -54,8 +54,9 @@
   kWriteTimeout, ///< It took nothing of a part within the timeout.
   kProcess,      ///< The owner aborted the response.
   kStop,         ///< The server was closed.
+  kUnsent,       ///< Aborted before its first byte; the caller got status 502 instead.
 };
-inline constexpr std::size_t kAnswerCutCauses = 5;
+inline constexpr std::size_t kAnswerCutCauses = 6;
 
 [[nodiscard]] std::string_view ToString(AnswerCutCause cause) noexcept;
 
--- a/src/http/http_headers.hpp
+++ b/src/http/http_headers.hpp
@@ -6,6 +6,9 @@
 
 namespace gooseberrysail::impl {
 
+/// Status of a response that failed behind this process; the request may have run.
+inline constexpr unsigned kBadGateway = 502;
+
 /// Names a request in the logs of callers, entries and targets.
 inline constexpr std::string_view kRequestIdHeader = "X-Request-Id";
 
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -4,6 +4,7 @@
 #include "gooseberrysail/net/endpoint.hpp"
 #include "gooseberrysail/observe/event.hpp"
 #include "gooseberrysail/shell/clock.hpp"
+#include "http/http_headers.hpp"
 #include "http/http_listener.hpp"
 #include "http/http_session.hpp"
 
@@ -32,17 +33,17 @@
 /// At the limit, this part of the idle connections is closed, so that not each new one searches.
 constexpr std::size_t kIdleFraction = 16;
 
-constexpr std::array<std::string_view, kAnswerCutCauses> kCauseNames{ "caller",
-                                                                      "slow-caller",
-                                                                      "write-timeout",
-                                                                      "process",
-                                                                      "stop" };
+constexpr std::array<std::string_view, kAnswerCutCauses> kCauseNames{
+  "caller", "slow-caller", "write-timeout", "process", "stop", "unsent"
+};
 
 // The messages come from the HTTP library and from the sessions; they need no JSON escaping.
 std::string DefaultErrorBody(unsigned status, std::string_view message)
 {
-  return "{\"error\":{\"outcome\":\"not-run\",\"reason\":\"http-" + std::to_string(status) +
-         "\",\"message\":\"" + std::string(message) + "\"}}";
+  // Only a request that was passed on can have run.
+  const char* outcome = status == impl::kBadGateway ? "unknown" : "not-run";
+  return std::string("{\"error\":{\"outcome\":\"") + outcome + "\",\"reason\":\"http-" +
+         std::to_string(status) + "\",\"message\":\"" + std::string(message) + "\"}}";
 }
 
 } // namespace
@@ -439,7 +440,8 @@
 void HttpServer::Impl::OnCut(const std::string& peer, const impl::AnswerCut& cut)
 {
   ++counters.cuts.at(static_cast<std::size_t>(cut.cause));
-  if (cut.cause == AnswerCutCause::kProcess || cut.cause == AnswerCutCause::kSlowCaller) {
+  if (cut.cause == AnswerCutCause::kProcess || cut.cause == AnswerCutCause::kSlowCaller ||
+      cut.cause == AnswerCutCause::kUnsent) {
     ++counters.aborted;
   }
   if (!hooks.onEvent || cut.cause == AnswerCutCause::kCaller) {
--- a/src/http/http_session.hpp
+++ b/src/http/http_session.hpp
@@ -133,6 +133,8 @@
   bool WaitForPart();
   bool WaitForEnd();
   [[nodiscard]] HttpAnswerOut JoinParts();
+  /// \brief Writes an error in place of a response that was aborted before its first byte.
+  WriteResult WriteFailure(const Request& request);
   WriteResult WriteWhole(const Request& request, const HttpAnswerOut& part);
   WriteResult WriteStream(const Request& request, HttpAnswerOut part);
   bool WriteBody(HttpAnswerOut part, BodyEncoding encoding);
@@ -156,6 +158,8 @@
   std::size_t m_queuedBytes = 0;
   std::size_t m_sentBytes = 0; ///< Of the current response.
   std::string m_requestId;
+  bool m_hasBegun = false; ///< Bytes of the current response may have been sent.
+  std::string_view m_failure;
   std::optional<AnswerCut> m_cut;
   TimePoint m_readAt{}; ///< When the current request was passed on.
   Signal m_changed;
--- a/src/http/http_session_read.cpp
+++ b/src/http/http_session_read.cpp
@@ -35,6 +35,7 @@
 // Shorter limit for connections that are accepted while the server is stopping.
 constexpr Duration kStoppingIdleTimeout = std::chrono::seconds(1);
 
+constexpr std::string_view kAborted = "the response was aborted before its first byte";
 constexpr std::string_view kDisconnected = "the caller disconnected";
 constexpr const char* kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
 
@@ -106,6 +107,8 @@
     m_exchange = m_hooks.onBegin(*this);
     m_readAt = BootNow();
     m_sentBytes = 0;
+    m_hasBegun = false;
+    m_failure = kAborted;
     m_cut.reset();
     m_requestId = FindHeader(request->message.headers, kRequestIdHeader);
     request->message.exchange = m_exchange;
@@ -113,7 +116,7 @@
     WatchCaller();
     const WriteResult written = WriteAnswer(*request);
     const ExchangeId ended = std::exchange(m_exchange, ExchangeId());
-    if (written == WriteResult::kIncomplete) {
+    if (m_cut || written == WriteResult::kIncomplete) {
       ReportCut(ended);
     }
     m_parts.clear();
--- a/src/http/http_session_write.cpp
+++ b/src/http/http_session_write.cpp
@@ -67,9 +67,19 @@
     return;
   }
   if (m_queuedBytes > 0 && m_queuedBytes + part.bytes.size() > m_settings.maxQueuedAnswerBytes) {
-    // The caller reads the response more slowly than the target produces it.
+    // The caller reads the response more slowly than the target produces it, or its response waits
+    // for its end.
     const ExchangeId exchange = m_exchange;
-    Abort(AnswerCutCause::kSlowCaller, "the caller reads the response too slowly");
+    if (m_hasBegun) {
+      Abort(AnswerCutCause::kSlowCaller, "the caller reads the response too slowly");
+    } else {
+      m_failure = "the response is too long to be held until its end";
+      m_parts.clear();
+      HttpAnswerOut failed;
+      failed.abort = true;
+      m_parts.push_back(std::move(failed));
+      m_changed.Notify();
+    }
     m_hooks.onCallerGone(exchange);
     return;
   }
@@ -121,13 +131,29 @@
   if (m_requestId.empty()) {
     m_requestId = FindHeader(first.headers, kRequestIdHeader);
   }
-  if (first.abort && (buffered || first.bytes.empty())) {
-    Abort(AnswerCutCause::kProcess, "aborted before any byte of the response was sent");
-    return WriteResult::kIncomplete;
+  m_hasBegun = true;
+  if (first.abort) {
+    return WriteFailure(request);
   }
   return first.end ? WriteWhole(request, first) : WriteStream(request, std::move(first));
 }
 
+HttpSession::WriteResult HttpSession::WriteFailure(const Request& request)
+{
+  HttpAnswerOut failure;
+  failure.status = kBadGateway;
+  failure.headers.push_back(HttpHeader{ "Content-Type", "application/json" });
+  if (!m_requestId.empty()) {
+    failure.headers.push_back(HttpHeader{ std::string(kRequestIdHeader), m_requestId });
+  }
+  failure.bytes = m_hooks.errorBody(kBadGateway, m_failure);
+  const WriteResult written = WriteWhole(request, failure);
+  if (written != WriteResult::kIncomplete) {
+    SetCut(AnswerCutCause::kUnsent, m_failure);
+  }
+  return written;
+}
+
 HttpSession::WriteResult HttpSession::WriteWhole(const Request& request, const HttpAnswerOut& part)
 {
   http::response<http::string_body> answer;
@@ -225,8 +251,8 @@
   return Write([&](auto done) { http::async_write(m_socket, serializer, done); });
 }
 
-// Closes the connection without the last chunk, by a reset or without any response, so that no
-// caller can take the response for a complete one.
+// Closes the connection without the last chunk or by a reset, so that no caller can take the
+// response for a complete one.
 void HttpSession::Abort(AnswerCutCause cause, std::string_view reason)
 {
   SetCut(cause, reason);
--- a/src/observe/metric_catalog.cpp
+++ b/src/observe/metric_catalog.cpp
@@ -127,7 +127,7 @@
     MetricType::kCounter,
     "cause",
     kEveryRole,
-    "Requests that were read and got no complete response, by the cause that event 210 tells; "
+    "Responses that were aborted or cut before their end, by the cause that event 210 tells; "
     "`caller`: the caller disconnected, without an event." },
   { "gooseberrysail_timeline_dropped_events_total",
     MetricType::kCounter,
