A request that was read behind another is never closed as unread

What callers saw: a pipelined request whose connection was closed without an answer while the entry was overloaded, though the entry had read it (it acknowledges and buffers what comes behind a request to see a disconnect behind it). "Closed unread" tells a caller that nothing ran and nothing was taken; of these bytes that was not true.

Cause: the session waits for a turn for a buffered request as for one in the kernel, and both are closed after maxUnreadWait.

The turn now knows whether bytes of its request were read; when it expires such a request is served, late, in place of being closed. The role refuses it with a whole answer if it has no time or room left. There is at most one for each connection, after the answer to its forerunner.

Before: PipelinedRequests.ThatWereReadAreNotClosedAsUnread: the second request does not arrive within the test's time; now it passes.

--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -61,6 +61,7 @@
   struct Turn
   {
     Signal decided;
+    bool isRead = false; ///< Bytes of the request were read.
     bool isGranted = false;
   };
 
@@ -93,7 +94,7 @@
   void GrantTurn(UnreadQueue::Id id);
   void CloseUnread();
   void RefuseAll();
-  [[nodiscard]] bool AwaitTurn(TimePoint since);
+  [[nodiscard]] bool AwaitTurn(TimePoint since, bool isRead);
   void StartSession(impl::AcceptedConnection connection);
   void ReportLoad(TimePoint now,
                   std::size_t closedUnread,
@@ -296,6 +297,8 @@
   }
 }
 
+// A request of which bytes were read is served late rather than closed: its caller could not know
+// that it did not run.
 void HttpServer::Impl::CloseUnread()
 {
   if (settings.maxUnreadWait == Duration::zero()) {
@@ -305,16 +308,23 @@
   const Duration longest = unread.LongestWait(now);
   const std::size_t size = unread.Size();
   const std::vector<UnreadQueue::Id> expired = unread.TakeOlderThan(now - settings.maxUnreadWait);
+  std::size_t closedCount = 0;
   for (const UnreadQueue::Id id : expired) {
-    if (const auto turn = turns.find(id); turn != turns.end()) {
+    const auto turn = turns.find(id);
+    if (turn != turns.end() && turn->second->isRead) {
+      GrantTurn(id);
+      continue;
+    }
+    ++closedCount;
+    if (turn != turns.end()) {
       turn->second->decided.Notify();
       turns.erase(turn);
     } else {
       accepted.erase(id);
     }
   }
-  counters.closedUnread += expired.size();
-  ReportLoad(now, expired.size(), size, longest);
+  counters.closedUnread += closedCount;
+  ReportLoad(now, closedCount, size, longest);
 }
 
 void HttpServer::Impl::RefuseAll()
@@ -326,13 +336,14 @@
   accepted.clear();
 }
 
-bool HttpServer::Impl::AwaitTurn(TimePoint since)
+bool HttpServer::Impl::AwaitTurn(TimePoint since, bool isRead)
 {
   if (closed) {
     return false;
   }
   const UnreadQueue::Id id = ++lastUnread;
   Turn turn;
+  turn.isRead = isRead;
   turns.emplace(id, &turn);
   unread.Add(id, since);
   unreadAdded.Notify();
@@ -418,7 +429,7 @@
              { "reason", std::string(message) } });
     };
   callbacks.onGoneUnread = [this] { ++counters.callersGoneUnread; };
-  callbacks.awaitTurn = [this](TimePoint since) { return AwaitTurn(since); };
+  callbacks.awaitTurn = [this](TimePoint since, bool isRead) { return AwaitTurn(since, isRead); };
   callbacks.errorBody = hooks.errorBody;
   callbacks.isStopping = [this] { return stopping; };
   callbacks.loopTimes = [this]() -> const LoopTimes& { return runtime.Times(); };
--- a/src/http/http_session.hpp
+++ b/src/http/http_session.hpp
@@ -41,9 +41,10 @@
   std::function<void(const HttpSession&, const AnswerCut&)> onCut;
   std::function<void(const HttpSession&, unsigned status, std::string_view message)> onRejected;
   std::function<void()> onGoneUnread; ///< The caller left before its request was passed on.
-  /// \brief Suspends the fiber until it may read a request that came at `since`.
-  /// \returns False if the connection is to be closed unread.
-  std::function<bool(TimePoint since)> awaitTurn;
+  /// \brief Suspends the fiber until it may serve a request that came at `since`.
+  /// \returns False if the connection is to be closed unread; if bytes of the request were read,
+  /// only when the server is closed.
+  std::function<bool(TimePoint since, bool isRead)> awaitTurn;
   std::function<std::string(unsigned status, std::string_view message)> errorBody;
   std::function<bool()> isStopping;
   std::function<const LoopTimes&()> loopTimes;
--- a/src/http/http_session_read.cpp
+++ b/src/http/http_session_read.cpp
@@ -178,7 +178,8 @@
 
 bool HttpSession::TakeTurn()
 {
-  return std::exchange(m_hasTurn, false) || (m_hooks.awaitTurn(m_inputAt) && !m_closed);
+  return std::exchange(m_hasTurn, false) ||
+         (m_hooks.awaitTurn(m_inputAt, m_buffer.size() > 0) && !m_closed);
 }
 
 // The loop notices input only when it polls. If that was late, the kernel knows the time.
