A stop answers the requests that a caller had sent ahead

What callers saw: of several requests sent ahead on one connection the first got its answer with "Connection: close" when the process was about to stop, and the others, which had been read, got nothing.

Cause: an answer that is written while the server stops says that the connection closes, whatever has been read behind it.

It now says so only if nothing more of the caller has arrived. What has arrived is answered first, and the last answer closes the connection; the limit is that of the drain.

Before: PipelinedRequests.AreAnsweredWhileTheServerStops: the second request does not arrive within the test's time, behind a complete response; now it passes, behind a stream too. PipelinedRequests 10 times in a row, HttpServer, AnswerCut, DepartedCallers and UnreadQueue pass on this commit.

--- a/src/http/http_session_write.cpp
+++ b/src/http/http_session_write.cpp
@@ -41,9 +41,11 @@
 
 } // namespace
 
-bool HttpSession::MayReuse(const Request& request) const
+// While the server stops, what the caller sent ahead is answered before the connection is closed.
+bool HttpSession::MayReuse(const Request& request)
 {
-  return request.keepAlive && !m_hooks.isStopping() && !m_endsWithConnection;
+  const bool mayHaveNext = !m_hooks.isStopping() || HasPendingInput();
+  return request.keepAlive && mayHaveNext && !m_endsWithConnection;
 }
 
 template<class Start>
