Tests: closing connections leave later requests unread, and a request that waits to be read is not idle

LeaveLaterRequestsUnread, sent after the response, and during a stream: Value of: caller.Write(kGet), Actual: true, Expected: false AreNotIdleWhileARequestWaitsToBeRead: Value of: server.WaitFor([&] { return server.requests.size() == 2 * kCallers; }), Actual: false

DeliverTheWholeResponseBeforeTheReset passes: it guards against a mending of the first that resets the connection too early.

--- /dev/null
+++ b/tests/unit/closing_connections_test.cpp
@@ -0,0 +1,104 @@
+#include "support/http_exchange.hpp"
+#include "support/raw_connection.hpp"
+#include "support/section.hpp"
+
+#include <thread>
+
+namespace gooseberrysail {
+namespace {
+
+using namespace std::chrono_literals;
+using tests::kTestTimeout;
+using tests::RawConnection;
+using tests::RecordingServer;
+
+constexpr const char* kGet = "GET /a HTTP/1.1\r\nHost: x\r\n\r\n";
+
+bool Contains(const std::string& text, const std::string& part)
+{
+  return text.find(part) != std::string::npos;
+}
+
+// Guards against a request that is read and discarded behind a response that closes the
+// connection: its caller can't know that it did not run.
+TEST(ClosingConnections, LeaveLaterRequestsUnread)
+{
+  IoRuntime runtime;
+  SECTION("sent after the response: the caller is told by a reset")
+  {
+    RecordingServer server(runtime);
+    RawConnection caller(runtime, server.address);
+    caller.Write(kGet);
+    const HttpRequestIn request = server.Request(1);
+    server.server.StopAccepting();
+    server.Send(request, "last", true);
+    ASSERT_TRUE(Contains(caller.ReadToEnd(), "last"));
+    ASSERT_TRUE(Contains(caller.received, "Connection: close"));
+    ASSERT_TRUE(caller.Write(kGet));
+    ASSERT_TRUE(server.server.WaitDrained(kTestTimeout));
+    EXPECT_FALSE(caller.Write(kGet));
+  }
+  SECTION("sent during a stream that said that it closes the connection")
+  {
+    RecordingServer server(runtime);
+    RawConnection caller(runtime, server.address);
+    caller.Write(kGet);
+    const HttpRequestIn request = server.Request(1);
+    server.server.StopAccepting();
+    server.Send(request, "begun", false);
+    ASSERT_TRUE(caller.ReadUntil("begun"));
+    ASSERT_TRUE(caller.Write(kGet));
+    runtime.SleepFor(20ms);
+    server.Send(request, "last", true);
+    ASSERT_TRUE(Contains(caller.ReadToEnd(), "0\r\n\r\n"));
+    ASSERT_TRUE(server.server.WaitDrained(kTestTimeout));
+    EXPECT_FALSE(caller.Write(kGet));
+  }
+}
+
+// Guards against the reset for an unread request destroying the response before it, on its way to
+// a caller that reads slowly.
+TEST(ClosingConnections, DeliverTheWholeResponseBeforeTheReset)
+{
+  constexpr std::size_t kBytes = 256UL * 1024;
+  IoRuntime runtime;
+  RecordingServer server(runtime);
+  RawConnection caller(runtime, server.address);
+  caller.socket.set_option(boost::asio::socket_base::receive_buffer_size(4096));
+  caller.Write(kGet);
+  const HttpRequestIn request = server.Request(1);
+  server.server.StopAccepting();
+  server.Send(request, std::string(kBytes, 'x') + "last", true);
+  runtime.SleepFor(50ms);
+  ASSERT_TRUE(caller.Write(kGet));
+  runtime.SleepFor(1500ms);
+  EXPECT_TRUE(caller.ReadToEnd().ends_with("last"));
+}
+
+// Guards against the idle timeout closing a connection whose request has arrived and waits to be
+// read.
+TEST(ClosingConnections, AreNotIdleWhileARequestWaitsToBeRead)
+{
+  constexpr std::size_t kCallers = 5;
+  IoRuntime runtime;
+  RecordingServer server(runtime, [](HttpServerSettings& settings) {
+    settings.idleTimeout = 500ms;
+    settings.maxUnreadWait = Duration::zero();
+    settings.maxReadTime = Duration::zero();
+  });
+  std::vector<std::unique_ptr<RawConnection>> callers;
+  for (std::size_t i = 0; i < kCallers; ++i) {
+    callers.push_back(std::make_unique<RawConnection>(runtime, server.address));
+    callers.back()->Write(kGet);
+    server.Send(server.Request(i + 1), "first", true);
+    ASSERT_TRUE(callers.back()->ReadUntil("first"));
+  }
+  server.onRequest = [](const HttpRequestIn&) { std::this_thread::sleep_for(150ms); };
+  for (const auto& caller : callers) {
+    ASSERT_TRUE(caller->Write(kGet));
+  }
+  EXPECT_TRUE(server.WaitFor([&] { return server.requests.size() == 2 * kCallers; }));
+}
+
+} // namespace
+} // namespace gooseberrysail
