Requests behind a closing response stay unread

What callers saw: a request that crossed the last response of a connection was read by the process, which acknowledged it, and then neither answered nor refused: after a closing response input was read and discarded for up to a second, and a stream whose head had said "Connection: close" still read ahead.

Cause: discarding is right behind the rejection of a request that is malformed or too large, whose rest may be on its way: unread bytes make the kernel send a reset, which may overtake the response. Behind an ordinary response the bytes are another request.

After such a response the session now waits without reading, until the caller closes, or for a second. If unread bytes are there it goes on, up to the write timeout, until the caller's system has acknowledged the response (TIOCOUTQ), so that the reset comes after it. While a stream that said "Connection: close" is written, a disconnect behind unread bytes is seen by POLLRDHUP when somebody asks for it or at the next write. Rejections still read and discard.

Before: ClosingConnections.LeaveLaterRequestsUnread: the caller can write on (no reset) after the response and during the stream; now both writes fail. DeliverTheWholeResponseBeforeTheReset: 256 KiB reach a caller who starts to read after 1.5 s.

--- a/src/http/http_session.hpp
+++ b/src/http/http_session.hpp
@@ -125,7 +125,11 @@
   void WatchCaller();
   void OnReadable(bool failed);
   void OnCallerDisconnected(AnswerCutCause cause, std::string_view reason);
+  /// \brief Waits until the caller has the response, without reading what it sends.
   void Linger();
+  [[nodiscard]] bool MustLinger(TimePoint since);
+  /// \brief The same, reading and discarding the rest of a request that was rejected.
+  void DiscardInput();
 
   // Writing (http_session_write.cpp).
   WriteResult WriteAnswer(const Request& request);
@@ -159,7 +163,8 @@
   std::size_t m_queuedBytes = 0;
   std::size_t m_sentBytes = 0; ///< Of the current response.
   std::string m_requestId;
-  bool m_hasBegun = false; ///< Bytes of the current response may have been sent.
+  bool m_saysClose = false; ///< A caller that may send more is told not to.
+  bool m_hasBegun = false;  ///< Bytes of the current response may have been sent.
   std::string_view m_failure;
   std::optional<AnswerCut> m_cut;
   TimePoint m_readAt{}; ///< When the current request was passed on.
--- a/src/http/http_session_read.cpp
+++ b/src/http/http_session_read.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <boost/asio/buffer.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
@@ -31,6 +32,8 @@
 /// The loop is on time if it polls more often than this.
 constexpr Duration kLateLoop = std::chrono::milliseconds(5);
 constexpr Duration kLingerTimeout = std::chrono::seconds(1);
+/// Between two looks at a connection with unread bytes.
+constexpr Duration kLingerInterval = std::chrono::milliseconds(20);
 constexpr std::size_t kLingerBytes = 16 * 1024 * 1024;
 // Shorter limit for connections that are accepted while the server is stopping.
 constexpr Duration kStoppingIdleTimeout = std::chrono::seconds(1);
@@ -107,6 +110,7 @@
     m_exchange = m_hooks.onBegin(*this);
     m_readAt = BootNow();
     m_sentBytes = 0;
+    m_saysClose = false;
     m_hasBegun = false;
     m_failure = kAborted;
     m_cut.reset();
@@ -319,13 +323,43 @@
 {
   m_hooks.onRejected(*this, status, message);
   if (WriteRejection(status, m_hooks.errorBody(status, message))) {
-    Linger();
+    DiscardInput();
   }
 }
 
-// If a socket is closed with unread input, the kernel sends a reset and the caller may lose the
-// response. Input is therefore read and discarded for a limited time first.
+// If a socket is closed with unread input, the kernel sends a reset, which tells the caller that
+// its later requests were not read. The caller may lose a response that it has not received yet.
 void HttpSession::Linger()
+{
+  const TimePoint since = BootNow();
+  boost::system::error_code failure;
+  m_socket.shutdown(tcp::socket::shutdown_send, failure);
+  m_deadline.Arm(kLingerTimeout, [this] {
+    boost::system::error_code ignored;
+    m_socket.cancel(ignored);
+  });
+  Await([&](auto done) { m_socket.async_wait(tcp::socket::wait_read, done); });
+  m_deadline.Disarm();
+  // Unread bytes would end each further wait for input at once.
+  asio::steady_timer pause(m_socket.get_executor());
+  while (!failure && !m_closed && MustLinger(since)) {
+    pause.expires_after(kLingerInterval);
+    Await([&](auto done) { pause.async_wait(done); });
+  }
+}
+
+bool HttpSession::MustLinger(TimePoint since)
+{
+  boost::system::error_code error;
+  if (HasPeerEnded(m_socket) || m_socket.available(error) == 0) {
+    return false;
+  }
+  const Duration waited = BootNow() - since;
+  return waited < kLingerTimeout ||
+         (waited < m_settings.writeTimeout && UnacknowledgedBytes(m_socket) > 0);
+}
+
+void HttpSession::DiscardInput()
 {
   boost::system::error_code failure;
   m_socket.shutdown(tcp::socket::shutdown_send, failure);
@@ -362,14 +396,18 @@
 {
   if (failed || !IsCallerConnected()) {
     OnCallerDisconnected(AnswerCutCause::kCaller, kDisconnected);
-  } else if (m_buffer.size() < kReadAheadBytes) {
+  } else if (m_buffer.size() < kReadAheadBytes && !m_saysClose) {
     WatchCaller();
   }
 }
 
-// A caller may pipeline its next request. It is buffered so that a disconnect after it is detected.
+// A caller may pipeline its next request. It is buffered so that a disconnect after it is detected,
+// unless it won't be answered.
 bool HttpSession::IsCallerConnected()
 {
+  if (m_saysClose) {
+    return !HasPeerEnded(m_socket);
+  }
   while (m_buffer.size() < kReadAheadBytes) {
     if (const InputState input = PeekInput(m_socket); input != InputState::kBytes) {
       return input == InputState::kNone;
--- a/src/http/http_session_write.cpp
+++ b/src/http/http_session_write.cpp
@@ -164,6 +164,7 @@
   const bool hasBody = !HasNoBody(answer.result_int());
   m_endsWithConnection = hasBody && part.framing == AnswerFraming::kUntilClose;
   const bool reuse = MayReuse(request);
+  m_saysClose = request.keepAlive && !reuse;
   answer.keep_alive(reuse);
   if (hasBody) {
     if (!m_endsWithConnection) {
@@ -187,6 +188,7 @@
   const bool hasBody = !HasNoBody(head.result_int());
   m_endsWithConnection = hasBody && part.framing == AnswerFraming::kUntilClose;
   const bool reuse = MayReuse(request);
+  m_saysClose = request.keepAlive && !reuse;
   head.keep_alive(reuse);
   head.chunked(hasBody && !m_endsWithConnection);
   http::response_serializer<http::empty_body> serializer(head);
--- a/src/http/peek_input.hpp
+++ b/src/http/peek_input.hpp
@@ -3,6 +3,8 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <cerrno>
 #include <cstdint>
+#include <poll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 namespace gooseberrysail::impl {
@@ -30,4 +32,19 @@
   return isNothingYet ? InputState::kNone : InputState::kEnded;
 }
 
+/// \brief Whether the peer closed or reset the connection, though unread bytes may precede that.
+[[nodiscard]] inline bool HasPeerEnded(boost::asio::ip::tcp::socket& socket)
+{
+  pollfd state{ .fd = socket.native_handle(), .events = POLLRDHUP, .revents = 0 };
+  return ::poll(&state, 1, 0) > 0;
+}
+
+/// \brief Written bytes that the peer's system has not acknowledged.
+[[nodiscard]] inline std::size_t UnacknowledgedBytes(boost::asio::ip::tcp::socket& socket)
+{
+  int size = 0;
+  const bool isKnown = ::ioctl(socket.native_handle(), TIOCOUTQ, &size) == 0;
+  return isKnown ? static_cast<std::size_t>(size) : 0;
+}
+
 } // namespace gooseberrysail::impl
