Test of idle connections: all requests arrive before the first is read

AreNotIdleWhileARequestWaitsToBeRead failed for a second reason: each write let the loop run and serve, so the last requests were written after the idle timeout. They are written without a poll in between now. It still fails on the code before the fix (server.requests.size() == 2 * kCallers: false after 20 s) and passes with it.

--- a/tests/unit/closing_connections_test.cpp
+++ b/tests/unit/closing_connections_test.cpp
@@ -94,8 +94,9 @@
     ASSERT_TRUE(callers.back()->ReadUntil("first"));
   }
   server.onRequest = [](const HttpRequestIn&) { std::this_thread::sleep_for(150ms); };
+  // Without a poll in between, so that all have arrived when the first is read.
   for (const auto& caller : callers) {
-    ASSERT_TRUE(caller->Write(kGet));
+    boost::asio::write(caller->socket, boost::asio::buffer(std::string_view(kGet)));
   }
   EXPECT_TRUE(server.WaitFor([&] { return server.requests.size() == 2 * kCallers; }));
 }
