The idle timeout closes no connection whose request has arrived

Cause: while its request waited for a turn the connection still counted as idle, and the timer of the idle timeout closed it without a look at its input, which CloseIfIdle takes.

Idle ends with the first readable byte: the timer is disarmed before the wait for a turn and armed again only if the readiness was spurious. The timer itself closes by CloseIfIdle, so that input that came in the same poll is served.

--- a/src/http/http_session_read.cpp
+++ b/src/http/http_session_read.cpp
@@ -222,20 +222,23 @@
 
 bool HttpSession::WaitForInput()
 {
-  m_idle = true;
   m_idleSince = m_inputAt;
-  const Duration timeout = m_hooks.isStopping() ? kStoppingIdleTimeout : m_settings.idleTimeout;
-  m_deadline.Arm(timeout, [this] { Close(); });
   // Waits for readability before it reads: otherwise CloseIfIdle could close a connection as idle
   // whose bytes were read but not yet processed by this fiber. It also saves the buffer of idle
   // connections.
   boost::system::error_code error = asio::error::would_block;
   while (error == asio::error::would_block) {
+    const Duration timeout = m_hooks.isStopping() ? kStoppingIdleTimeout : m_settings.idleTimeout;
+    // Input that came with the timeout is served.
+    m_deadline.Arm(timeout, [this] { CloseIfIdle(); });
+    m_idle = true;
     const auto [failed, none] =
       Await([&](auto done) { m_socket.async_wait(tcp::socket::wait_read, done); });
     if (m_closed || failed) {
       return false;
     }
+    m_idle = false;
+    m_deadline.Disarm();
     m_inputAt = m_hooks.loopTimes().polledAt;
     if (!TakeTurn()) {
       return false;
@@ -243,8 +246,6 @@
     error = ReadSome();
   }
   m_receivedAt = ArrivalOfInput();
-  m_idle = false;
-  m_deadline.Disarm();
   return !error;
 }
 
