A late event loop ends no call whose bytes have come

What callers saw: an attempt at a sound target that failed with "no byte in time" after the entry itself had been late (paused, or without processor time), although the target's bytes waited in the entry's kernel: another attempt, or a cut response.

Cause: the timer and the read complete in the same poll. The fiber runs after both and finds the call timed out and its socket closed, whatever was read.

The completion of a connect or read now disarms the timeout before its handler runs, and a timeout that finds unread bytes (a request that was just written, the read not begun) is armed again. The limit without a byte holds for the head from the end of the sending, as for each later part.

--- a/src/http/http_call.cpp
+++ b/src/http/http_call.cpp
@@ -2,6 +2,7 @@
 
 #include "gooseberrysail/net/endpoint.hpp"
 #include "http/http_headers.hpp"
+#include "http/peek_input.hpp"
 
 #include <algorithm>
 #include <array>
@@ -136,13 +137,30 @@
   if (timeout == Duration::zero()) {
     return;
   }
-  m_deadline.Arm(timeout, [this] {
+  m_deadline.Arm(timeout, [this, timeout] {
+    if (PeekInput(m_socket) == InputState::kBytes) {
+      ArmTimeout(timeout);
+      return;
+    }
     m_timedOut = true;
     boost::system::error_code ignored;
     m_socket.close(ignored);
   });
 }
 
+// A late event loop notices the timeout together with bytes that came before it. The completion
+// runs first, but the fiber only after both.
+template<class Start>
+std::pair<boost::system::error_code, std::size_t> HttpCall::AwaitInTime(Start&& start)
+{
+  return Await([&](auto done) {
+    start([this, done](boost::system::error_code error, std::size_t size = 0) mutable {
+      m_deadline.Disarm();
+      done(error, size);
+    });
+  });
+}
+
 bool HttpCall::Fail(ErrorCode code, std::string step, std::string description, bool neverSent)
 {
   m_deadline.Disarm();
@@ -198,8 +216,7 @@
   }
   ArmTimeout(m_settings.connectTimeout);
   const auto [error, size] =
-    Await([&](auto done) { m_socket.async_connect(endpoint.value(), done); });
-  m_deadline.Disarm();
+    AwaitInTime([&](auto done) { m_socket.async_connect(endpoint.value(), done); });
   if (m_isWithdrawn) {
     return true; // Its connection was closed on purpose.
   }
@@ -259,8 +276,9 @@
     parser->header_limit(m_settings.maxHeaderBytes);
     parser->body_limit(boost::none);
     parser->skip(m_call.method == "HEAD");
+    ArmTimeout(m_call.timeout);
     const auto [error, size] =
-      Await([&](auto done) { http::async_read_header(m_socket, m_buffer, *parser, done); });
+      AwaitInTime([&](auto done) { http::async_read_header(m_socket, m_buffer, *parser, done); });
     if (error || m_timedOut || m_cancelled) {
       return FailRead(error);
     }
@@ -288,7 +306,7 @@
     parser->get().body().size = bytes.size();
     parser->get().body().more = true;
     const auto [error, size] =
-      Await([&](auto done) { http::async_read_some(m_socket, m_buffer, *parser, done); });
+      AwaitInTime([&](auto done) { http::async_read_some(m_socket, m_buffer, *parser, done); });
     if (m_timedOut || m_cancelled || (error && error != http::error::need_buffer)) {
       return FailRead(error);
     }
--- a/src/http/http_call.hpp
+++ b/src/http/http_call.hpp
@@ -8,6 +8,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <utility>
 
 namespace gooseberrysail::impl {
 
@@ -56,6 +57,9 @@
   bool FailRead(const boost::system::error_code& error);
   bool Deliver(TargetAnswerIn part);
   void ArmTimeout(Duration timeout);
+  /// \brief Awaits an operation; once it has completed, the timeout has no effect.
+  template<class Start>
+  std::pair<boost::system::error_code, std::size_t> AwaitInTime(Start&& start);
 
   const HttpClientSettings& m_settings;
   std::string m_address;
