--- a/tests/unit/late_loop_test.cpp
+++ b/tests/unit/late_loop_test.cpp
@@ -1,3 +1,4 @@
+#include "support/blocking_connection.hpp"
 #include "support/http_exchange.hpp"
 
 #include <array>
@@ -12,7 +13,9 @@
 
 using namespace std::chrono_literals;
 using boost::asio::ip::tcp;
+using tests::BlockingConnection;
 using tests::RecordingClient;
+using tests::RecordingServer;
 
 constexpr Duration kCallTimeout = 200ms;
 
@@ -68,5 +71,30 @@
   EXPECT_TRUE(client.failures.empty());
 }
 
+// Guards against a caller being cut as too slow because this process was late: it has read what was
+// sent, and the rest can be written, when the write timeout is noticed.
+TEST(LateLoop, CutsNoCallerWhoHasRead)
+{
+  constexpr std::size_t kBytes = 12UL * 1024 * 1024;
+  constexpr Duration kWriteTimeout = 400ms;
+  IoRuntime runtime;
+  RecordingServer server(
+    runtime, [&](HttpServerSettings& settings) { settings.writeTimeout = kWriteTimeout; });
+  BlockingConnection caller(server.address);
+  ASSERT_TRUE(caller.Write("GET / HTTP/1.1\r\nHost: x\r\n\r\n"));
+  const HttpRequestIn request = server.Request(1);
+  server.Send(request, std::string(kBytes, 'x') + "last", true);
+  runtime.SleepFor(kWriteTimeout / 4);
+  std::string received;
+  std::thread reader([&] { received = caller.ReadUntil("last"); });
+  std::this_thread::sleep_for(2 * kWriteTimeout);
+  server.WaitFor([&] { return server.server.PendingExchanges() == 0; });
+  runtime.SleepFor(kWriteTimeout / 2);
+  server.server.Close();
+  reader.join();
+  EXPECT_TRUE(received.ends_with("last"));
+  EXPECT_TRUE(server.disconnected.empty());
+}
+
 } // namespace
 } // namespace gooseberrysail
