A late event loop cuts no caller by the write timeout

What callers saw: a response cut as write-timeout right after the process had been paused, though the caller had read all it got.

Cause: the timer and the readiness to write are noticed in the same poll, and the timer closes the connection.

If the round of the loop in which the timeout passed took a quarter of it or more, the timeout is armed again: in that time nothing could be written, however fast the caller reads. Not covered: a pause that ended in an earlier round than that of the timeout.

--- a/src/http/http_session.hpp
+++ b/src/http/http_session.hpp
@@ -151,6 +151,7 @@
   void ReportCut(ExchangeId exchange);
   template<class Start>
   bool Write(Start&& start);
+  void ArmWriteTimeout();
 
   boost::asio::ip::tcp::socket m_socket;
   std::string m_peer;
--- a/src/http/http_session_write.cpp
+++ b/src/http/http_session_write.cpp
@@ -22,6 +22,8 @@
 
 constexpr unsigned kDefaultStatus = 200;
 constexpr std::size_t kMaxLoggedIdLength = 64;
+/// A write timeout of which the event loop missed this part is not the caller's fault.
+constexpr int kLateFraction = 4;
 
 bool HasNoBody(unsigned status)
 {
@@ -48,12 +50,22 @@
   return request.keepAlive && mayHaveNext && !m_endsWithConnection;
 }
 
-template<class Start>
-bool HttpSession::Write(Start&& start)
+// While the loop did not run, nothing could be written, however fast the caller reads.
+void HttpSession::ArmWriteTimeout()
 {
   m_deadline.Arm(m_settings.writeTimeout, [this] {
+    if (m_hooks.loopTimes().latestRound >= m_settings.writeTimeout / kLateFraction) {
+      ArmWriteTimeout();
+      return;
+    }
     OnCallerDisconnected(AnswerCutCause::kWriteTimeout, "the caller did not read in time");
   });
+}
+
+template<class Start>
+bool HttpSession::Write(Start&& start)
+{
+  ArmWriteTimeout();
   const auto [error, size] = Await(std::forward<Start>(start));
   m_deadline.Disarm();
   m_sentBytes += size;
