Tests: targets of a group pause and continue

Callers of a group would see their streams break off when a target of the group made no progress for about a second and then continued, or when a draining head closed its listener before it had finished its work. FakeFleet can pause a target and reports orders that break off the work of a running head.

--- a/tests/fakes/fake_fleet.cpp
+++ b/tests/fakes/fake_fleet.cpp
@@ -16,6 +16,7 @@
 constexpr Duration kOpenTime = 300ms;
 constexpr Duration kLoadTime = 2s;
 constexpr Duration kOrderTimeout = 1500ms;
+constexpr Duration kProbeTimeout = 500ms;
 /// Step time of a head under load.
 constexpr Duration kStepTime = 40ms;
 /// After this time a new control process has a report of each target.
@@ -31,6 +32,11 @@
   return { self.membership.group, self.membership.epoch };
 }
 
+Duration TimeoutOf(const GroupOrder& order)
+{
+  return order.kind == GroupOrderKind::kProbe ? kProbeTimeout : kOrderTimeout;
+}
+
 } // namespace
 
 ServingDocument TwoModelDocument()
@@ -104,6 +110,10 @@
   if (!target.isUp) {
     return;
   }
+  if (now < target.pausedUntil) {
+    target.nextReportAt = target.pausedUntil;
+    return;
+  }
   target.nextReportAt = now + kHeartbeat;
   ++target.self.sequence;
   if (target.reachesControl) {
@@ -185,8 +195,7 @@
     return;
   }
   if (!target.isUp || !target.reachesControl) {
-    const Duration timeout = order.kind == GroupOrderKind::kProbe ? 500ms : kOrderTimeout;
-    Schedule(timeout,
+    Schedule(TimeoutOf(order),
              [this, order] { m_groups.OnOrderOutcome(now, order, OrderOutcome::kUnknown); });
     return;
   }
@@ -194,6 +203,37 @@
     m_groups.OnOrderOutcome(now, order, OrderOutcome::kNoTarget);
     return;
   }
+  if (now < target.pausedUntil) {
+    ExecuteAfterPause(target, order);
+    return;
+  }
+  if (order.kind == GroupOrderKind::kOpen && target.openDelay > Duration::zero()) {
+    Schedule(target.openDelay, [this, &target, order] { Open(target, order); });
+    Schedule(kOrderTimeout,
+             [this, order] { m_groups.OnOrderOutcome(now, order, OrderOutcome::kUnknown); });
+    return;
+  }
+  const OrderOutcome outcome = Carry(target, order);
+  m_groups.OnOrderOutcome(now, order, outcome);
+}
+
+void FakeFleet::ExecuteAfterPause(const Target& target, const GroupOrder& order)
+{
+  const Duration left = target.pausedUntil - now;
+  if (left <= TimeoutOf(order)) {
+    Schedule(left, [this, order] { Execute(order); });
+    return;
+  }
+  Schedule(TimeoutOf(order),
+           [this, order] { m_groups.OnOrderOutcome(now, order, OrderOutcome::kUnknown); });
+  if (order.kind != GroupOrderKind::kProbe) {
+    Schedule(left, [this, order] { Carry(At(order.target.Get()), order); });
+  }
+}
+
+OrderOutcome FakeFleet::Carry(Target& target, const GroupOrder& order)
+{
+  CheckWork(target, order);
   GroupMembership& membership = target.self.membership;
   const bool isCurrent = membership.group == order.group && membership.epoch == order.epoch;
   OrderOutcome outcome = OrderOutcome::kBegun;
@@ -202,12 +242,6 @@
       Join(target, order);
       break;
     case GroupOrderKind::kOpen:
-      if (target.openDelay > Duration::zero()) {
-        Schedule(target.openDelay, [this, &target, order] { Open(target, order); });
-        Schedule(kOrderTimeout,
-                 [this, order] { m_groups.OnOrderOutcome(now, order, OrderOutcome::kUnknown); });
-        return;
-      }
       if (!isCurrent || membership.state != MemberState::Ready) {
         outcome = OrderOutcome::kRefused;
         break;
@@ -243,7 +277,7 @@
       Load(target, order.model);
       break;
   }
-  m_groups.OnOrderOutcome(now, order, outcome);
+  return outcome;
 }
 
 void FakeFleet::Load(Target& target, const std::string& model)
@@ -372,6 +406,28 @@
   }
 }
 
+// A head that is open or closing may have work, for which it needs its members.
+void FakeFleet::CheckWork(const Target& target, const GroupOrder& order)
+{
+  const bool isCurrent = KeyOf(target.self) == GroupKey{ order.group, order.epoch };
+  const bool isCut = isCurrent && order.kind == GroupOrderKind::kClose && order.cut;
+  const bool isLeaving = isCurrent && order.kind == GroupOrderKind::kLeave;
+  const bool isMoving =
+    order.kind == GroupOrderKind::kJoin && target.self.membership.epoch < order.epoch;
+  if (target.members.empty() || !(isCut || isLeaving || isMoving)) {
+    return;
+  }
+  const Target& head = m_targets.at(target.members.front());
+  const MemberState state = head.self.membership.state;
+  const bool works = head.isUp && KeyOf(head.self) == KeyOf(target.self) &&
+                     (state == MemberState::Open || state == MemberState::Closing);
+  if (works) {
+    m_brokenWork.push_back(std::string(ToString(order.kind)) + " of " + order.target.Get() +
+                           " while " + head.self.instance.Get() + " works in " +
+                           head.self.membership.group);
+  }
+}
+
 void FakeFleet::ChangeLeader(bool losesState)
 {
   m_term = Term(m_term.Get() + 1);
@@ -388,6 +444,11 @@
   At(name).isUp = false;
 }
 
+void FakeFleet::Pause(const std::string& name, Duration duration)
+{
+  At(name).pausedUntil = now + duration;
+}
+
 void FakeFleet::RestartAsNewInstance(const std::string& name, const std::string& newName)
 {
   Target target;
--- a/tests/fakes/fake_fleet.hpp
+++ b/tests/fakes/fake_fleet.hpp
@@ -24,6 +24,7 @@
     bool isUp = true;
     bool reachesControl = true;
     bool isListening = true;
+    TimePoint pausedUntil{}; ///< Until then it reports nothing and executes no orders.
     Duration openDelay{}; ///< If not zero, orders to open get no answer and are executed after it.
     double pace = 1;      ///< Factor on its step time; above 1 is slower.
     Duration drainTime{}; ///< Time until its running work has ended after an order to close.
@@ -47,6 +48,10 @@
   /// \brief Stops the target's machine: it reports nothing and executes no orders.
   void Kill(const std::string& name);
 
+  /// \brief The target's process makes no progress for `duration`, then continues. It executes the
+  /// orders of that time afterwards, in their order.
+  void Pause(const std::string& name, Duration duration);
+
   /// \brief Restarts a target as another instance at the same address, with its staged weights.
   void RestartAsNewInstance(const std::string& name, const std::string& newName);
 
@@ -60,6 +65,9 @@
   }
   [[nodiscard]] std::size_t CountServing(const std::string& model) const;
   [[nodiscard]] const std::vector<std::string>& Violations() const { return m_violations; }
+  /// \brief Orders that broke off the work of a head that was running: a cut, or the removal of a
+  /// member.
+  [[nodiscard]] const std::vector<std::string>& BrokenWork() const { return m_brokenWork; }
   [[nodiscard]] const std::vector<GroupOrder>& Orders() const { return m_orders; }
   /// \brief The largest number of hosts that loaded weights at once while there was traffic.
   [[nodiscard]] std::size_t MaxConcurrentLoads() const { return m_maxConcurrentLoads; }
@@ -80,6 +88,8 @@
   void Tick();
   [[nodiscard]] std::map<InstanceId, Duration> ListSteps() const;
   void Execute(const GroupOrder& order);
+  void ExecuteAfterPause(const Target& target, const GroupOrder& order);
+  OrderOutcome Carry(Target& target, const GroupOrder& order);
   [[nodiscard]] const Target* FindSuccessorAtAddress(const Target& target) const;
   void Open(Target& target, const GroupOrder& order);
   void ScheduleBroken(const InstanceId& head);
@@ -88,6 +98,7 @@
   void Load(Target& target, const std::string& model);
   void CheckJoin(const Target& target, const std::string& newGroup);
   void CheckOpen(const Target& head);
+  void CheckWork(const Target& target, const GroupOrder& order);
   void Schedule(Duration delay, std::function<void()> action);
 
   ServingDocument m_document;
@@ -99,6 +110,7 @@
   TimePoint m_startedAt{ std::chrono::hours(1) };
   std::vector<GroupOrder> m_orders;
   std::vector<std::string> m_violations;
+  std::vector<std::string> m_brokenWork;
   std::size_t m_maxConcurrentLoads = 0;
   std::set<FailureDomainId> m_evacuated;
 };
