A serving group is ended only on certain evidence that a target is lost

What callers saw: a head or a member made no progress for about a second and then continued; meanwhile its group was ended, its members were moved to the next epoch or its work was cut, so that the streams at the head broke off.

Cause: AdvanceOpen took IsSilent as evidence. That is a doubt: for a head that entries report as failing it held with a late heartbeat alone, after 1.8 s without one, of which the target may have been silent for 0.6 s, or after one unanswered probe.

Change: IsLost is the evidence for orders that can't be undone: a refused connection, two probes in succession without an answer, or no heartbeat for the silence timeout. IsSilent still decides what can be undone: such a target joins no new group and its group is not counted.

--- a/include/gooseberrysail/control/engine_groups.hpp
+++ b/include/gooseberrysail/control/engine_groups.hpp
@@ -269,7 +269,17 @@
   [[nodiscard]] bool ShouldLeaveStragglers(const Pass& pass, const Group& group);
   void ReplaceHeads(Pass& pass, const ServiceDefinition& service);
   [[nodiscard]] std::vector<InstanceId> ListSurvivors(const Pass& pass, const Group& group) const;
+  // Silent targets (engine_groups_silence.cpp).
+  /// \brief A doubt: the target did not answer in time, and may continue a moment later.
   [[nodiscard]] bool IsSilent(const Pass& pass, const TargetRow& row) const;
+  /// \brief The evidence for orders that can't be undone: nothing listens at the target's address,
+  /// two probes in succession got no answer, or heartbeats are missing for the silence timeout.
+  [[nodiscard]] bool IsLost(const Pass& pass, const TargetRow& row) const;
+  /// \brief The head is lost and answers no entry.
+  [[nodiscard]] bool IsHeadLost(const Pass& pass, const Group& group) const;
+  void RecordSilence(TimePoint now, const GroupOrder& order, OrderOutcome outcome);
+  /// \brief Forgets the silence of targets that were heard since, and probes the others again.
+  void ProbeSilentTargets(Pass& pass);
   /// \brief Describes why the head certainly takes no work; null when it still may.
   [[nodiscard]] const char* ReleaseEvidence(const Pass& pass, const Group& group) const;
   static void ReportReleased(Pass& pass, const Group& group, const char* evidence);
@@ -309,7 +319,16 @@
     Duration loadTime{}; ///< Of the ordered model, without concurrent loads.
   };
   std::map<InstanceId, Staging> m_staging;
-  std::map<InstanceId, TimePoint> m_unanswered;     ///< When orders got no answer, by target.
+  std::map<InstanceId, TimePoint> m_unanswered; ///< When orders got no answer, by target.
+  /// \brief Probes of a target that was not heard since the first of them was sent.
+  struct Silence
+  {
+    TimePoint probedAt{};                   ///< When the first probe was sent.
+    std::optional<TimePoint> probedAgainAt; ///< When the second probe was sent.
+    bool isRefused = false;                 ///< Nothing listened at the address.
+    bool isUnanswered = false;              ///< Neither probe was answered in time.
+  };
+  std::map<InstanceId, Silence> m_silences;
   std::map<InstanceId, TimePoint> m_standbySince;   ///< When targets were ordered to stand by.
   std::map<InstanceId, Incarnation> m_incarnations; ///< Of the targets in the table.
   SlowTargets m_slow;
--- a/src/control/engine_groups.cpp
+++ b/src/control/engine_groups.cpp
@@ -16,8 +16,6 @@
 using impl::Reports;
 using wire::MemberState;
 
-/// A target whose latest heartbeat is younger than this needs no probe.
-constexpr Duration kProbeSilence = 300ms;
 /// Orders take effect within some 100 ms and targets report changes at once; an order without
 /// effect is repeated after this.
 constexpr Duration kOrderRetry = 1500ms;
@@ -63,6 +61,7 @@
   m_loads.clear();
   m_staging.clear();
   m_unanswered.clear();
+  m_silences.clear();
   m_standbySince.clear();
   m_shortageReportedAt.clear();
   m_demandSince.reset();
@@ -96,6 +95,7 @@
   QueryUnverifiedTargets(pass);
   ReportPaceChanges(pass);
   ProbeSlowTargets(pass);
+  ProbeSilentTargets(pass);
   Adopt(pass);
   for (auto& [key, group] : m_groups) {
     Advance(pass, group);
@@ -123,6 +123,7 @@
 {
   const auto isGone = [&](const auto& row) { return pass.Row(row.first) == nullptr; };
   std::erase_if(m_unanswered, isGone);
+  std::erase_if(m_silences, isGone);
   std::erase_if(m_standbySince, isGone);
   std::erase_if(m_incarnations, isGone);
 }
@@ -271,8 +272,7 @@
   }
   const TargetRow* head = pass.Row(group.members.front());
   if (!Reports(head, group.name, group.epoch) || !IsOpenState(head->latest.membership.state)) {
-    const bool isUnconfirmed =
-      head != nullptr && !IsConfirmed(pass, *head) && !IsSilent(pass, *head);
+    const bool isUnconfirmed = head != nullptr && !IsConfirmed(pass, *head) && !IsLost(pass, *head);
     if (!isUnconfirmed) {
       EndLost(pass, group, "its head no longer serves");
     }
@@ -299,7 +299,7 @@
       EndLost(pass, group, "a member is no longer in the group");
       return;
     }
-    if (isFailing && IsSilent(pass, *row)) {
+    if (isFailing && IsLost(pass, *row)) {
       // The head waits for a dead member: its work can't complete, and its callers were notified.
       group.cut = true;
       EndLost(pass, group, "a member is silent and the head is stalled");
@@ -315,37 +315,11 @@
     End(pass, group, "a member is slow");
     return;
   }
-  // A head that is cut off from control but still answers the entries keeps its group.
-  const bool isSilent = isFailing ? IsSilent(pass, *head)
-                                  : pass.input.now - head->lastSeenAt > m_settings.SilenceTimeout();
-  const bool answers = pass.input.answering.contains(instance);
-  if (isSilent && (isFailing || !answers)) {
+  if (IsHeadLost(pass, group)) {
     EndLost(pass, group, "its head is silent");
   }
 }
 
-// The last heartbeat of a target that ended recently is still valid, and a group formed with the
-// target would never complete. An unanswered probe shows the failure earlier.
-bool EngineGroups::IsSilent(const Pass& pass, const TargetRow& row) const
-{
-  const auto unanswered = m_unanswered.find(row.latest.instance);
-  const bool gaveNoAnswer =
-    unanswered != m_unanswered.end() && unanswered->second > row.lastSeenAt + kProbeSilence;
-  return gaveNoAnswer || pass.input.now - row.lastSeenAt > m_settings.SuspectTimeout();
-}
-
-// A stalled head waits for a member. Missing heartbeats would show which one only after 1.8 s, but
-// a live member answers a probe within milliseconds.
-void EngineGroups::ProbeMembers(Pass& pass, Group& group)
-{
-  for (const InstanceId& member : group.members) {
-    const TargetRow* row = pass.Row(member);
-    if (row != nullptr && pass.input.now - row->lastSeenAt > kProbeSilence) {
-      Order(pass, group, member, GroupOrderKind::kProbe);
-    }
-  }
-}
-
 void EngineGroups::Order(Pass& pass, Group& group, const InstanceId& target, GroupOrderKind kind)
 {
   TimePoint& orderedAt = group.orderedAt[{ target, kind }];
@@ -403,15 +377,10 @@
 void EngineGroups::OnOrderOutcome(TimePoint now, const GroupOrder& order, OrderOutcome outcome)
 {
   RecordIdentity(order, outcome);
+  RecordSilence(now, order, outcome);
   if (order.kind == GroupOrderKind::kProbe) {
-    if (outcome != OrderOutcome::kDone) {
-      m_unanswered[order.target] = now;
-    }
     return;
   }
-  if (outcome == OrderOutcome::kNoTarget) {
-    m_unanswered[order.target] = now;
-  }
   if (!m_leaderSince || order.givenAt < *m_leaderSince) {
     return; // Sent in an earlier term: the state recorded in this term is newer.
   }
--- a/src/control/engine_groups_learning.cpp
+++ b/src/control/engine_groups_learning.cpp
@@ -118,6 +118,7 @@
     }
     known->second = row.latest.born;
     m_unanswered.erase(instance);
+    m_silences.erase(instance);
     m_staging.erase(instance);
     m_standbySince.erase(instance);
     m_slow.Forget(instance);
