A head that finishes its work keeps its members until it is certainly lost

What callers saw: a group was being ended, because a member left or the demand had moved to another model, and its head made no progress for about a second. The members were ordered to leave or joined the next epoch, and the streams that the head went on with broke off.

Cause: AdvanceEnding removed the members when IsSilent held, on less evidence than ends an open group: 1.8 s without a heartbeat sufficed, also for a head that answers entries.

Evidence: AnEndingGroupKeepsItsWorkWhenTargetsPause failed after pauses of 1 s and 1.2 s, for example with 'leave of a10 while a1 works in g1048577'.

Change: AdvanceEnding uses IsHeadLost as AdvanceOpen does. A head that answers entries keeps its members. Targets of an ending group are probed when entries report its head as failing, or when its heartbeat is late and it answers no entry, so that a dead head is still detected in time: the bound on the removal of its members in ADeadTargetIsReplacedAtMostOneProbeLater holds.

Trade-off: a few probes more for each group whose head fails while it ends.

--- a/src/control/engine_groups_ending.cpp
+++ b/src/control/engine_groups_ending.cpp
@@ -43,8 +43,14 @@
   const bool mustLeave = isClosed && MayOpenLate(pass.input.now, group);
   Order(pass, group, head, mustLeave ? GroupOrderKind::kLeave : GroupOrderKind::kClose);
   ProbeHead(pass, group);
-  const bool silent = row == nullptr || row->latest.left || IsSilent(pass, *row);
-  if (!silent) {
+  const bool isFailing = pass.input.failing.contains(head);
+  const bool isOverdue = row != nullptr && !pass.input.answering.contains(head) &&
+                         pass.input.now - row->lastSeenAt > m_settings.heartbeat;
+  if (isFailing || isOverdue) {
+    ProbeMembers(pass, group);
+  }
+  const bool isLost = row == nullptr || row->latest.left || IsHeadLost(pass, group);
+  if (!isLost) {
     group.headSilentAt.reset(); // It finishes its work, for which it needs its members.
     return;
   }
--- a/src/control/engine_groups_silence.cpp
+++ b/src/control/engine_groups_silence.cpp
@@ -47,7 +47,10 @@
   if (pass.input.answering.contains(head)) {
     return false;
   }
-  return pass.input.now - row->lastSeenAt > m_settings.SilenceTimeout();
+  // The head of an ending group is probed when its heartbeat is late, that of an open one is not.
+  return group.phase == Phase::kEnding
+           ? IsLost(pass, *row)
+           : pass.input.now - row->lastSeenAt > m_settings.SilenceTimeout();
 }
 
 void EngineGroups::RecordSilence(TimePoint now, const GroupOrder& order, OrderOutcome outcome)
