A refused connection is no evidence that a draining head has ended

What callers saw: a head that drained had closed its listener and was finishing its streams; its members were ordered to leave, and the streams broke off.

Cause: the order to close was refused at the connection, and a refused connection counted as the end of the head, although its heartbeats went on.

Evidence: ADrainingHeadThatNoLongerListensKeepsItsMembers failed in each phase of the heartbeat.

Change: for a draining target a refused connection counts only when its heartbeat is late, too (1.8 s).

Trade-off: the members of a head that dies while it drains are removed up to 1.8 s after its last heartbeat instead of at the next refused order.

--- a/src/control/engine_groups_silence.cpp
+++ b/src/control/engine_groups_silence.cpp
@@ -29,11 +29,17 @@
 // finished its work.
 bool EngineGroups::IsLost(const Pass& pass, const TargetRow& row) const
 {
-  if (pass.input.now - row.lastSeenAt > m_settings.SilenceTimeout()) {
+  const Duration unheard = pass.input.now - row.lastSeenAt;
+  if (unheard > m_settings.SilenceTimeout()) {
     return true;
   }
-  const auto silence = m_silences.find(row.latest.instance);
-  return silence != m_silences.end() && (silence->second.isUnanswered || silence->second.isRefused);
+  const auto found = m_silences.find(row.latest.instance);
+  if (found == m_silences.end()) {
+    return false;
+  }
+  const Silence& silence = found->second;
+  const bool mayWork = row.latest.draining && unheard <= m_settings.SuspectTimeout();
+  return silence.isUnanswered || (silence.isRefused && !mayWork);
 }
 
 // A head that is cut off from control but still answers the entries keeps its group.
