--- a/include/gooseberrysail/control/engine_groups.hpp
+++ b/include/gooseberrysail/control/engine_groups.hpp
@@ -201,7 +201,6 @@
                                Group& group,
                                GroupOrderKind kind,
                                OrderOutcome outcome);
-  void ProbeMembers(Pass& pass, Group& group);
   void FormGroups(Pass& pass, const ServiceDefinition& service);
   void StartGroup(Pass& pass, const std::string& service, const PlannedGroup& planned);
   void StartTakeover(Pass& pass, const std::string& service, const PlannedTakeover& planned);
@@ -269,17 +268,6 @@
   [[nodiscard]] bool ShouldLeaveStragglers(const Pass& pass, const Group& group);
   void ReplaceHeads(Pass& pass, const ServiceDefinition& service);
   [[nodiscard]] std::vector<InstanceId> ListSurvivors(const Pass& pass, const Group& group) const;
-  // Silent targets (engine_groups_silence.cpp).
-  /// \brief A doubt: the target did not answer in time, and may continue a moment later.
-  [[nodiscard]] bool IsSilent(const Pass& pass, const TargetRow& row) const;
-  /// \brief The evidence for orders that can't be undone: nothing listens at the target's address,
-  /// two probes in succession got no answer, or heartbeats are missing for the silence timeout.
-  [[nodiscard]] bool IsLost(const Pass& pass, const TargetRow& row) const;
-  /// \brief The head is lost and answers no entry.
-  [[nodiscard]] bool IsHeadLost(const Pass& pass, const Group& group) const;
-  void RecordSilence(TimePoint now, const GroupOrder& order, OrderOutcome outcome);
-  /// \brief Forgets the silence of targets that were heard since, and probes the others again.
-  void ProbeSilentTargets(Pass& pass);
   /// \brief Describes why the head certainly takes no work; null when it still may.
   [[nodiscard]] const char* ReleaseEvidence(const Pass& pass, const Group& group) const;
   static void ReportReleased(Pass& pass, const Group& group, const char* evidence);
@@ -307,6 +295,18 @@
   [[nodiscard]] static bool HasRestarted(const Pass& pass,
                                          const Group& group,
                                          const InstanceId& member);
+  // Silent targets (engine_groups_silence.cpp).
+  /// \brief A doubt: the target did not answer in time, and may continue a moment later.
+  [[nodiscard]] bool IsSilent(const Pass& pass, const TargetRow& row) const;
+  /// \brief The evidence for orders that can't be undone: nothing listens at the target's address,
+  /// two probes in succession got no answer, or heartbeats are missing for the silence timeout.
+  [[nodiscard]] bool IsLost(const Pass& pass, const TargetRow& row) const;
+  /// \brief The head is lost and answers no entry.
+  [[nodiscard]] bool IsHeadLost(const Pass& pass, const Group& group) const;
+  void RecordSilence(TimePoint now, const GroupOrder& order, OrderOutcome outcome);
+  /// \brief Forgets the silence of targets that were heard since, and probes the others again.
+  void ProbeSilentTargets(Pass& pass);
+  void ProbeMembers(Pass& pass, Group& group);
 
   EngineGroupsSettings m_settings;
   /// \brief Each epoch of a group is a separate entry until its head certainly takes no work.
