--- a/src/control/engine_groups.cpp
+++ b/src/control/engine_groups.cpp
@@ -300,7 +300,7 @@
       return;
     }
     if (isFailing && IsLost(pass, *row)) {
-      // The head waits for a dead member: its work can't complete, and its callers were notified.
+      // The head waits for a dead member: its work can't complete there.
       group.cut = true;
       EndLost(pass, group, "a member is silent and the head is stalled");
       return;
