A second attempt stays when the first one's answer can't be forwarded

The head of an answer to another request, or without its seal, counted as going on: the hedge was cancelled, then the first attempt ended, and nothing was left. SilentHead.TheSecondAttemptServesWhenTheFirstOneAnswersAnotherRequest: 10 of 20 streams were not served, now all are.

--- a/src/gateway/dispatcher_hedges.cpp
+++ b/src/gateway/dispatcher_hedges.cpp
@@ -59,9 +59,10 @@
                                  const TargetAnswerIn& part,
                                  Outbox& outbox)
 {
-  // A whole answer goes on when it ends; a head that can't be forwarded ends its attempt.
-  const bool beginsStream =
-    part.status && IsSuccess(*part.status) && IsStream(request.route->repeat);
+  // An answer in one piece goes on when it ends; a head that can't be forwarded ends its attempt.
+  const bool beginsStream = part.status && IsSuccess(*part.status) &&
+                            IsStream(request.route->repeat) &&
+                            FaultOf(request, m_api.decodeHead(part)).empty();
   if (!request.streams && !beginsStream && request.held.parts.empty()) {
     OnPart(now, request, part, outbox);
     return;
--- a/tests/unit/silent_head_test.cpp
+++ b/tests/unit/silent_head_test.cpp
@@ -452,6 +452,22 @@
   EXPECT_EQ(world.CountWhole(), kStreams);
 }
 
+// Guards against a second attempt that is ended for an answer of the first that can't be forwarded.
+TEST(SilentHead, TheSecondAttemptServesWhenTheFirstOneAnswersAnotherRequest)
+{
+  TwoHeads world(RepeatPolicy::kResumableStream, 1);
+  world.isLate = true;
+  world.heads["h1"].lateCalls = LateCalls::kNotResumed;
+  world.heads["h1"].silentUntil = world.now + 700ms;
+  for (std::size_t stream = 0; stream < kStreams; ++stream) {
+    world.Ask();
+  }
+  world.Run(650ms);
+  world.heads["h2"].startTime = 400ms;
+  world.Run(9s);
+  EXPECT_EQ(world.CountWhole(), kStreams);
+}
+
 // Guards against streams that are left at an ended process as no other head had room when control
 // reported its restart.
 TEST(SilentHead, StreamsOfARestartedHeadAreResumedOnceAnotherHeadHasRoom)
