Dispatcher: attempts beside others end by the same paths as the first one

A failed, closed or withdrawn hedge went through a function of its own that repeated what the first attempt's does. EndAttempt and OnHedgeEnded now serve both; parts that were held back are forwarded by one function.

--- a/include/gooseberrysail/gateway/dispatcher.hpp
+++ b/include/gooseberrysail/gateway/dispatcher.hpp
@@ -259,22 +259,30 @@
   /// \brief The target's answer ended, and all of it went to the caller.
   void Complete(TimePoint now, Request& request, unsigned status, Outbox& outbox);
   /// \brief The target closed the connection before its answer was whole.
-  void OnClosed(TimePoint now, Request& request, std::string error, Outbox& outbox);
+  void OnClosed(TimePoint now,
+                Request& request,
+                const SentCall& sent,
+                const std::string& error,
+                Outbox& outbox);
+  /// \brief The attempt, a hedge or not, ended without an answer that can be forwarded.
+  void EndAttempt(TimePoint now,
+                  Request& request,
+                  const SentCall& sent,
+                  bool ran,
+                  const std::string& error,
+                  Outbox& outbox);
 
   // Attempts beside others (dispatcher_hedges.cpp).
   /// \brief Sends the requests whose attempts are all at doubtful targets to a further one, where
   /// the retry rules allow it.
   void HedgeRequests(TimePoint now, Outbox& outbox);
-  /// \brief Whether an attempt at this target may never go on.
-  [[nodiscard]] bool IsDoubtful(const TargetIncarnation& target,
-                                std::span<const TargetIncarnation> stalled) const;
   [[nodiscard]] static Hedge* FindHedge(Request& request, ExchangeId exchange);
+  /// \brief The attempt of the request, a hedge or not, that has this exchange.
+  [[nodiscard]] static const SentCall& FindCall(Request& request, ExchangeId exchange);
   /// \brief A part of the answer of an attempt that has hedges.
   void OnDoubtedAnswer(TimePoint now, Request& request, const TargetAnswerIn& part, Outbox& outbox);
-  /// \brief Forwards what was held back while there were hedges.
-  void ForwardHeld(TimePoint now, Request& request, Outbox& outbox);
-  /// \brief Likewise, if no hedge is left. The request may be erased.
-  void ForwardHeldAlone(TimePoint now, Request& request, Outbox& outbox);
+  /// \brief Forwards parts of an answer that were held back. The request may be erased.
+  void ForwardParts(TimePoint now, const std::vector<TargetAnswerIn>& parts, Outbox& outbox);
   /// \brief Whether an attempt that got this head doesn't count towards the route's maximum.
   /// \remarks Each entry learns of a backoff by a rejected request, which has still time for
   /// another target.
@@ -283,21 +291,28 @@
     return head.neverRan && head.retryAfter > Duration::zero();
   }
   void OnHedgeAnswer(TimePoint now, Request& request, const TargetAnswerIn& part, Outbox& outbox);
-  void OnHedgeFailed(TimePoint now, Request& request, const TargetFailedIn& failed, Outbox& outbox);
   /// \brief Why the answer of a hedge with this head can't be forwarded; empty if it can.
   [[nodiscard]] static std::string HedgeFaultOf(const Request& request,
                                                 const TargetHead& head,
                                                 AnswerFraming framing);
   /// \brief The hedge ended without an answer that can be forwarded; the other attempts go on.
+  /// Without another hedge, what was held back of the first one's answer is forwarded.
+  void OnHedgeEnded(TimePoint now,
+                    Request& request,
+                    ExchangeId exchange,
+                    bool ran,
+                    const std::string& reason,
+                    Outbox& outbox,
+                    std::optional<Duration> retryAfter = std::nullopt);
   void DropHedge(TimePoint now,
                  Request& request,
                  ExchangeId exchange,
                  bool ran,
                  const std::string& reason,
                  Outbox& outbox,
-                 std::optional<Duration> retryAfter = std::nullopt);
+                 std::optional<Duration> retryAfter);
   /// \brief Cancels the hedges, as the request is served without them.
-  void DropHedges(TimePoint now, Request& request, const std::string& reason, Outbox& outbox);
+  void DropHedges(TimePoint now, Request& request, Outbox& outbox);
   /// \brief Forwards the answer of this hedge from now on; no other attempt is in flight, but for
   /// other hedges.
   void ForwardHedge(TimePoint now, Request& request, ExchangeId exchange, Outbox& outbox);
@@ -338,7 +353,7 @@
   /// \brief Ends the other attempts at a target of which nothing has been sent yet.
   void WithdrawUnsent(const SentCall& informed, Outbox& outbox);
   /// \brief Sends a request elsewhere whose attempt was withdrawn.
-  void OnWithdrawn(TimePoint now, Request& request, Outbox& outbox);
+  void OnWithdrawn(TimePoint now, Request& request, const SentCall& sent, Outbox& outbox);
 
   // Suspects (dispatcher_suspects.cpp).
   /// \brief Records what the end of a call's connection says of the request and its parts.
--- a/src/gateway/dispatcher.cpp
+++ b/src/gateway/dispatcher.cpp
@@ -242,11 +242,10 @@
   if (request == nullptr) {
     return;
   }
-  const Hedge* hedge = FindHedge(*request, part.exchange);
-  const TargetIncarnation target = hedge == nullptr ? request->sent.target : hedge->sent.target;
+  const TargetIncarnation target = FindCall(*request, part.exchange).target;
   m_selector.OnBytes(now, target);
   ConfirmEnds(now, target, outbox);
-  if (hedge != nullptr) {
+  if (part.exchange != request->sent.exchange) {
     OnHedgeAnswer(now, *request, part, outbox);
   } else if (!request->hedges.empty()) {
     OnDoubtedAnswer(now, *request, part, outbox);
@@ -369,7 +368,7 @@
     if (isDelimited) {
       AttemptEnded(now, request, outbox, true, error);
     } else {
-      OnClosed(now, request, error, outbox);
+      OnClosed(now, request, request.sent, error, outbox);
     }
     return;
   }
@@ -418,7 +417,7 @@
 
 void Dispatcher::Complete(TimePoint now, Request& request, unsigned status, Outbox& outbox)
 {
-  DropHedges(now, request, kGoesOn, outbox);
+  DropHedges(now, request, outbox);
   StopAttempt(request, outbox, false);
   if (request.framing == AnswerFraming::kUntilClose) {
     CompleteUnconfirmed(now, request, status, outbox);
@@ -442,13 +441,18 @@
   return isQuarantined;
 }
 
-void Dispatcher::OnClosed(TimePoint now, Request& request, std::string error, Outbox& outbox)
+void Dispatcher::OnClosed(TimePoint now,
+                          Request& request,
+                          const SentCall& sent,
+                          const std::string& error,
+                          Outbox& outbox)
 {
+  // The request may be erased when its attempt ends.
   const RequestFingerprint fingerprint = request.fingerprint;
-  const TargetIncarnation target = request.sent.target;
-  const bool isQuarantined = RecordClosed(now, request, request.sent, outbox);
+  const TargetIncarnation target = sent.target;
+  const bool isQuarantined = RecordClosed(now, request, sent, outbox);
   request.isTrial = false;
-  AttemptEnded(now, request, outbox, true, std::move(error));
+  EndAttempt(now, request, sent, true, error, outbox);
   if (isQuarantined) {
     StopRepeats(now, fingerprint, outbox);
   }
@@ -456,33 +460,42 @@
   OnEndsCut(now, target, m_unconfirmed.TakeClosed(now, target), outbox);
 }
 
+void Dispatcher::EndAttempt(TimePoint now,
+                            Request& request,
+                            const SentCall& sent,
+                            bool ran,
+                            const std::string& error,
+                            Outbox& outbox)
+{
+  if (sent.exchange == request.sent.exchange) {
+    AttemptEnded(now, request, outbox, ran, error);
+  } else {
+    OnHedgeEnded(now, request, sent.exchange, ran, error, outbox);
+  }
+}
+
 void Dispatcher::OnFailed(TimePoint now, const TargetFailedIn& failed, Outbox& outbox)
 {
   Request* request = FindByAttempt(failed.exchange);
   if (request == nullptr) {
     return;
   }
-  if (FindHedge(*request, failed.exchange) != nullptr) {
-    OnHedgeFailed(now, *request, failed, outbox);
-    UseFreedSlots(now, outbox);
-    return;
-  }
+  const SentCall sent = FindCall(*request, failed.exchange);
   const std::string error = failed.error.step + ": " + failed.error.description;
   if (failed.isWithdrawn) {
-    OnWithdrawn(now, *request, outbox);
+    OnWithdrawn(now, *request, sent, outbox);
   } else if (failed.neverSent) {
-    const TargetIncarnation target = request->sent.target;
-    m_selector.OnUnreachable(now, target);
+    m_selector.OnUnreachable(now, sent.target);
     ++request->excusedAttempts; // The route's maximum counts targets that got the request.
-    AttemptEnded(now, *request, outbox, false, error);
+    EndAttempt(now, *request, sent, false, error, outbox);
     if (failed.error.code == ErrorCode::kUnavailable) {
-      OnEndsCut(now, target, m_unconfirmed.TakeAll(target), outbox);
+      OnEndsCut(now, sent.target, m_unconfirmed.TakeAll(sent.target), outbox);
     }
   } else if (failed.error.code == ErrorCode::kUnavailable) {
-    OnClosed(now, *request, error, outbox);
+    OnClosed(now, *request, sent, error, outbox);
   } else {
-    m_selector.OnNoAnswer(now, request->sent.target);
-    AttemptEnded(now, *request, outbox, true, error);
+    m_selector.OnNoAnswer(now, sent.target);
+    EndAttempt(now, *request, sent, true, error, outbox);
   }
   UseFreedSlots(now, outbox);
 }
--- a/src/gateway/dispatcher_hedges.cpp
+++ b/src/gateway/dispatcher_hedges.cpp
@@ -5,13 +5,6 @@
 
 namespace gooseberrysail {
 
-bool Dispatcher::IsDoubtful(const TargetIncarnation& target,
-                            std::span<const TargetIncarnation> stalled) const
-{
-  const bool isReplaced = m_selector.Find(target) == nullptr;
-  return isReplaced || std::ranges::find(stalled, target) != stalled.end();
-}
-
 // A target that sends nothing may go on with all it has, so nothing there is ended before another
 // attempt goes on.
 void Dispatcher::HedgeRequests(TimePoint now, Outbox& outbox)
@@ -23,6 +16,10 @@
   if (stalled.empty() && !m_hasReplaced) {
     return;
   }
+  const auto isDoubtful = [&](const SentCall& sent) {
+    return m_selector.Find(sent.target) == nullptr ||
+           std::ranges::find(stalled, sent.target) != stalled.end();
+  };
   m_hasReplaced = false;
   for (auto& [exchange, request] : m_requests) {
     if (request.sent.exchange.IsNone()) {
@@ -30,10 +27,10 @@
     }
     const TargetSelector::Row* row = m_selector.Find(request.sent.target);
     m_hasReplaced = m_hasReplaced || row == nullptr;
-    const bool isInDoubt = IsDoubtful(request.sent.target, stalled) &&
-                           std::ranges::all_of(request.hedges, [&](const Hedge& hedge) {
-                             return IsDoubtful(hedge.sent.target, stalled);
-                           });
+    const bool isInDoubt =
+      isDoubtful(request.sent) && std::ranges::all_of(request.hedges, [&](const Hedge& hedge) {
+        return isDoubtful(hedge.sent);
+      });
     const ServedTarget* target = isInDoubt ? TakeRetry(now, request, true) : nullptr;
     if (target == nullptr) {
       continue;
@@ -77,28 +74,22 @@
   if (part.end && held.events.HasPartial()) {
     AttemptEnded(now, request, outbox, true, "the stream ended inside an event");
   } else if (hasGoneOn || part.end) {
-    DropHedges(now, request, kGoesOn, outbox);
-    ForwardHeld(now, request, outbox);
+    DropHedges(now, request, outbox);
+    ForwardParts(now, std::exchange(request.held, {}).parts, outbox);
   }
 }
 
-void Dispatcher::ForwardHeld(TimePoint now, Request& request, Outbox& outbox)
+void Dispatcher::ForwardParts(TimePoint now,
+                              const std::vector<TargetAnswerIn>& parts,
+                              Outbox& outbox)
 {
-  const HeldAnswer held = std::exchange(request.held, {});
-  for (const TargetAnswerIn& part : held.parts) {
-    if (Request* forwarded = FindByAttempt(part.exchange)) {
-      OnPart(now, *forwarded, part, outbox);
+  for (const TargetAnswerIn& part : parts) {
+    if (Request* request = FindByAttempt(part.exchange)) {
+      OnPart(now, *request, part, outbox);
     }
   }
 }
 
-void Dispatcher::ForwardHeldAlone(TimePoint now, Request& request, Outbox& outbox)
-{
-  if (request.hedges.empty()) {
-    ForwardHeld(now, request, outbox);
-  }
-}
-
 Dispatcher::Hedge* Dispatcher::FindHedge(Request& request, ExchangeId exchange)
 {
   const auto found = std::ranges::find_if(
@@ -106,6 +97,12 @@
   return found == request.hedges.end() ? nullptr : &*found;
 }
 
+const Dispatcher::SentCall& Dispatcher::FindCall(Request& request, ExchangeId exchange)
+{
+  const Hedge* hedge = FindHedge(request, exchange);
+  return hedge == nullptr ? request.sent : hedge->sent;
+}
+
 // The first attempt may still succeed, so a failure of the target is no answer either.
 std::string Dispatcher::HedgeFaultOf(const Request& request,
                                      const TargetHead& head,
@@ -138,8 +135,7 @@
       RecordStatements(now, request, hedge.sent, head, outbox);
       m_selector.OnFailure(now, hedge.sent.target);
       request.excusedAttempts += IsExcused(head) ? 1 : 0;
-      DropHedge(now, request, part.exchange, !head.neverRan, fault, outbox, head.retryAfter);
-      ForwardHeldAlone(now, request, outbox);
+      OnHedgeEnded(now, request, part.exchange, !head.neverRan, fault, outbox, head.retryAfter);
       return;
     }
   }
@@ -149,8 +145,7 @@
   const bool isStream =
     IsStream(request.route->repeat) && IsSuccess(held.parts.front().status.value_or(0));
   if (isStream && part.end && (!hasEvent || held.events.HasPartial())) {
-    DropHedge(now, request, part.exchange, true, "the stream ended inside an event", outbox);
-    ForwardHeldAlone(now, request, outbox);
+    OnHedgeEnded(now, request, part.exchange, true, "the stream ended inside an event", outbox);
     return;
   }
   if (!(isStream ? hasEvent : part.end)) {
@@ -162,36 +157,17 @@
   ForwardHedge(now, request, part.exchange, outbox);
 }
 
-void Dispatcher::OnHedgeFailed(TimePoint now,
-                               Request& request,
-                               const TargetFailedIn& failed,
-                               Outbox& outbox)
+void Dispatcher::OnHedgeEnded(TimePoint now,
+                              Request& request,
+                              ExchangeId exchange,
+                              bool ran,
+                              const std::string& reason,
+                              Outbox& outbox,
+                              std::optional<Duration> retryAfter)
 {
-  const SentCall sent = FindHedge(request, failed.exchange)->sent;
-  const RequestFingerprint fingerprint = request.fingerprint;
-  const bool isClosed = !failed.neverSent && failed.error.code == ErrorCode::kUnavailable;
-  bool isQuarantined = false;
-  if (isClosed) {
-    isQuarantined = RecordClosed(now, request, sent, outbox);
-  } else if (failed.neverSent && !failed.isWithdrawn) {
-    m_selector.OnUnreachable(now, sent.target);
-  } else if (!failed.isWithdrawn) {
-    m_selector.OnNoAnswer(now, sent.target);
-  }
-  request.excusedAttempts += failed.neverSent ? 1 : 0;
-  const std::string error = failed.error.step + ": " + failed.error.description;
-  request.isTrial = request.isTrial && !isClosed;
-  DropHedge(now, request, failed.exchange, !failed.neverSent, error, outbox);
-  ForwardHeldAlone(now, request, outbox);
-  if (isQuarantined) {
-    StopRepeats(now, fingerprint, outbox);
-  }
-  if (isClosed) {
-    ApplyHeldParts(now, kOwnSource, outbox);
-    OnEndsCut(now, sent.target, m_unconfirmed.TakeClosed(now, sent.target), outbox);
-  } else if (failed.neverSent && failed.error.code == ErrorCode::kUnavailable &&
-             !failed.isWithdrawn) {
-    OnEndsCut(now, sent.target, m_unconfirmed.TakeAll(sent.target), outbox);
+  DropHedge(now, request, exchange, ran, reason, outbox, retryAfter);
+  if (request.hedges.empty()) {
+    ForwardParts(now, std::exchange(request.held, {}).parts, outbox);
   }
 }
 
@@ -211,13 +187,11 @@
   LogFailedAttempt(now, request, sent, ran, reason, retryAfter, outbox);
 }
 
-void Dispatcher::DropHedges(TimePoint now,
-                            Request& request,
-                            const std::string& reason,
-                            Outbox& outbox)
+void Dispatcher::DropHedges(TimePoint now, Request& request, Outbox& outbox)
 {
   while (!request.hedges.empty()) {
-    DropHedge(now, request, request.hedges.back().sent.exchange, true, reason, outbox);
+    const ExchangeId exchange = request.hedges.back().sent.exchange;
+    DropHedge(now, request, exchange, true, kGoesOn, outbox, std::nullopt);
   }
 }
 
@@ -228,11 +202,7 @@
                 [&](const Hedge& other) { return other.sent.exchange == exchange; });
   ForwardFrom(request, hedge.sent);
   request.events.DiscardPartial();
-  for (const TargetAnswerIn& part : hedge.held.parts) {
-    if (Request* served = FindByAttempt(part.exchange)) {
-      OnPart(now, *served, part, outbox);
-    }
-  }
+  ForwardParts(now, hedge.held.parts, outbox);
 }
 
 } // namespace gooseberrysail
--- a/src/gateway/dispatcher_statements.cpp
+++ b/src/gateway/dispatcher_statements.cpp
@@ -80,11 +80,15 @@
   }
 }
 
-void Dispatcher::OnWithdrawn(TimePoint now, Request& request, Outbox& outbox)
+void Dispatcher::OnWithdrawn(TimePoint now, Request& request, const SentCall& sent, Outbox& outbox)
 {
-  StopAttempt(request, outbox, false);
-  ++request.excusedAttempts;
   const char* reason = "withdrawn before it was sent";
+  ++request.excusedAttempts;
+  if (sent.exchange != request.sent.exchange) {
+    OnHedgeEnded(now, request, sent.exchange, false, reason, outbox);
+    return;
+  }
+  StopAttempt(request, outbox, false);
   LogFailedAttempt(now, request, request.sent, false, reason, std::nullopt, outbox);
   if (request.hedges.empty()) {
     Attempt(now, request, outbox);
