--- a/src/http/http_session.hpp
+++ b/src/http/http_session.hpp
@@ -109,6 +109,19 @@
     kPlain, ///< Until the connection ends.
   };
 
+  /// \brief The response to the current request.
+  struct Response
+  {
+    std::string requestId;
+    TimePoint readAt{}; ///< When the request was passed on.
+    std::size_t sentBytes = 0;
+    bool saysClose = false; ///< A caller that may send more is told not to.
+    bool hasBegun = false;  ///< Bytes of it may have been sent.
+    /// \brief What the caller is told if it is aborted before its first byte.
+    std::string_view failure = "the response was aborted before its first byte";
+    std::optional<AnswerCut> cut; ///< None unless it is cut.
+  };
+
   // Reading (http_session_read.cpp).
   using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
   [[nodiscard]] std::optional<Request> ReadRequest();
@@ -144,7 +157,7 @@
   WriteResult WriteStream(const Request& request, HttpAnswerOut part);
   bool WriteBody(HttpAnswerOut part, BodyEncoding encoding);
   bool WriteBodyPart(std::string_view bytes, BodyEncoding encoding);
-  bool WriteRejection(unsigned status, const std::string& body);
+  bool WriteRejection(unsigned status, std::string body);
   void Abort(AnswerCutCause cause, std::string_view reason);
   /// \brief The first decision to cut a response is the one that is reported.
   void SetCut(AnswerCutCause cause, std::string_view reason);
@@ -162,13 +175,7 @@
   ExchangeId m_exchange; ///< None between exchanges.
   std::deque<HttpAnswerOut> m_parts;
   std::size_t m_queuedBytes = 0;
-  std::size_t m_sentBytes = 0; ///< Of the current response.
-  std::string m_requestId;
-  bool m_saysClose = false; ///< A caller that may send more is told not to.
-  bool m_hasBegun = false;  ///< Bytes of the current response may have been sent.
-  std::string_view m_failure;
-  std::optional<AnswerCut> m_cut;
-  TimePoint m_readAt{}; ///< When the current request was passed on.
+  Response m_response;
   Signal m_changed;
   TimePoint m_idleSince{};
   TimePoint m_inputAt{};    ///< When the first bytes of the current request were noticed.
--- a/src/http/http_session_read.cpp
+++ b/src/http/http_session_read.cpp
@@ -38,7 +38,6 @@
 // Shorter limit for connections that are accepted while the server is stopping.
 constexpr Duration kStoppingIdleTimeout = std::chrono::seconds(1);
 
-constexpr std::string_view kAborted = "the response was aborted before its first byte";
 constexpr std::string_view kDisconnected = "the caller disconnected";
 constexpr const char* kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
 
@@ -108,19 +107,15 @@
       break;
     }
     m_exchange = m_hooks.onBegin(*this);
-    m_readAt = BootNow();
-    m_sentBytes = 0;
-    m_saysClose = false;
-    m_hasBegun = false;
-    m_failure = kAborted;
-    m_cut.reset();
-    m_requestId = FindHeader(request->message.headers, kRequestIdHeader);
+    m_response = {};
+    m_response.requestId = FindHeader(request->message.headers, kRequestIdHeader);
+    m_response.readAt = BootNow();
     request->message.exchange = m_exchange;
     m_hooks.onRequest(std::move(request->message));
     WatchCaller();
     const WriteResult written = WriteAnswer(*request);
     const ExchangeId ended = std::exchange(m_exchange, ExchangeId());
-    if (m_cut || written == WriteResult::kIncomplete) {
+    if (m_response.cut || written == WriteResult::kIncomplete) {
       ReportCut(ended);
     }
     m_parts.clear();
@@ -397,7 +392,7 @@
 {
   if (failed || !IsCallerConnected()) {
     OnCallerDisconnected(AnswerCutCause::kCaller, kDisconnected);
-  } else if (m_buffer.size() < kReadAheadBytes && !m_saysClose) {
+  } else if (m_buffer.size() < kReadAheadBytes && !m_response.saysClose) {
     WatchCaller();
   }
 }
@@ -406,7 +401,7 @@
 // unless it won't be answered.
 bool HttpSession::IsCallerConnected()
 {
-  if (m_saysClose) {
+  if (m_response.saysClose) {
     return !HasPeerEnded(m_socket);
   }
   while (m_buffer.size() < kReadAheadBytes) {
--- a/src/http/http_session_write.cpp
+++ b/src/http/http_session_write.cpp
@@ -41,6 +41,16 @@
   }
 }
 
+HttpAnswerOut MakeError(unsigned status, std::string body)
+{
+  HttpAnswerOut answer;
+  answer.status = status;
+  answer.headers.push_back(HttpHeader{ "Content-Type", "application/json" });
+  answer.bytes = std::move(body);
+  answer.end = true;
+  return answer;
+}
+
 } // namespace
 
 // While the server stops, what the caller sent ahead is answered before the connection is closed.
@@ -68,7 +78,7 @@
   ArmWriteTimeout();
   const auto [error, size] = Await(std::forward<Start>(start));
   m_deadline.Disarm();
-  m_sentBytes += size;
+  m_response.sentBytes += size;
   if (error && !m_closed) {
     OnCallerDisconnected(AnswerCutCause::kCaller, "the response could not be written");
   }
@@ -84,10 +94,10 @@
     // The caller reads the response more slowly than the target produces it, or its response waits
     // for its end.
     const ExchangeId exchange = m_exchange;
-    if (m_hasBegun) {
+    if (m_response.hasBegun) {
       Abort(AnswerCutCause::kSlowCaller, "the caller reads the response too slowly");
     } else {
-      m_failure = "the response is too long to be held until its end";
+      m_response.failure = "the response is too long to be held until its end";
       m_parts.clear();
       HttpAnswerOut failed;
       failed.abort = true;
@@ -142,10 +152,10 @@
     return WriteResult::kIncomplete;
   }
   HttpAnswerOut first = JoinParts();
-  if (m_requestId.empty()) {
-    m_requestId = FindHeader(first.headers, kRequestIdHeader);
+  if (m_response.requestId.empty()) {
+    m_response.requestId = FindHeader(first.headers, kRequestIdHeader);
   }
-  m_hasBegun = true;
+  m_response.hasBegun = true;
   if (first.abort) {
     return WriteFailure(request);
   }
@@ -154,16 +164,14 @@
 
 HttpSession::WriteResult HttpSession::WriteFailure(const Request& request)
 {
-  HttpAnswerOut failure;
-  failure.status = kBadGateway;
-  failure.headers.push_back(HttpHeader{ "Content-Type", "application/json" });
-  if (!m_requestId.empty()) {
-    failure.headers.push_back(HttpHeader{ std::string(kRequestIdHeader), m_requestId });
+  HttpAnswerOut failure =
+    MakeError(kBadGateway, m_hooks.errorBody(kBadGateway, m_response.failure));
+  if (!m_response.requestId.empty()) {
+    failure.headers.push_back(HttpHeader{ std::string(kRequestIdHeader), m_response.requestId });
   }
-  failure.bytes = m_hooks.errorBody(kBadGateway, m_failure);
   const WriteResult written = WriteWhole(request, failure);
   if (written != WriteResult::kIncomplete) {
-    SetCut(AnswerCutCause::kUnsent, m_failure);
+    SetCut(AnswerCutCause::kUnsent, m_response.failure);
   }
   return written;
 }
@@ -176,7 +184,7 @@
   const bool hasBody = !HasNoBody(answer.result_int());
   m_endsWithConnection = hasBody && part.framing == AnswerFraming::kUntilClose;
   const bool reuse = MayReuse(request);
-  m_saysClose = request.keepAlive && !reuse;
+  m_response.saysClose = request.keepAlive && !reuse;
   answer.keep_alive(reuse);
   if (hasBody) {
     if (!m_endsWithConnection) {
@@ -200,7 +208,7 @@
   const bool hasBody = !HasNoBody(head.result_int());
   m_endsWithConnection = hasBody && part.framing == AnswerFraming::kUntilClose;
   const bool reuse = MayReuse(request);
-  m_saysClose = request.keepAlive && !reuse;
+  m_response.saysClose = request.keepAlive && !reuse;
   head.keep_alive(reuse);
   head.chunked(hasBody && !m_endsWithConnection);
   http::response_serializer<http::empty_body> serializer(head);
@@ -254,17 +262,9 @@
          Write([&](auto done) { asio::async_write(m_socket, last, done); });
 }
 
-bool HttpSession::WriteRejection(unsigned status, const std::string& body)
+bool HttpSession::WriteRejection(unsigned status, std::string body)
 {
-  http::response<http::string_body> answer;
-  answer.version(11);
-  answer.result(status);
-  answer.set(http::field::content_type, "application/json");
-  answer.keep_alive(false);
-  answer.body() = body;
-  answer.prepare_payload();
-  http::response_serializer<http::string_body> serializer(answer);
-  return Write([&](auto done) { http::async_write(m_socket, serializer, done); });
+  return WriteWhole(Request{}, MakeError(status, std::move(body))) != WriteResult::kIncomplete;
 }
 
 // Closes the connection without the last chunk or by a reset, so that no caller can take the
@@ -277,8 +277,8 @@
 
 void HttpSession::SetCut(AnswerCutCause cause, std::string_view reason)
 {
-  if (!m_cut) {
-    m_cut = AnswerCut{ .cause = cause, .reason = reason };
+  if (!m_response.cut) {
+    m_response.cut = AnswerCut{ .cause = cause, .reason = reason };
   }
 }
 
@@ -286,13 +286,13 @@
 void HttpSession::ReportCut(ExchangeId exchange)
 {
   SetCut(AnswerCutCause::kStop, "the server was closed");
-  m_cut->exchange = exchange;
-  m_cut->request = m_requestId.substr(0, kMaxLoggedIdLength);
-  m_cut->sentBytes = m_sentBytes;
-  m_cut->queuedBytes = m_queuedBytes;
-  m_cut->readAheadBytes = m_buffer.size();
-  m_cut->sinceRead = BootNow() - m_readAt;
-  m_hooks.onCut(*this, *m_cut);
+  m_response.cut->exchange = exchange;
+  m_response.cut->request = m_response.requestId.substr(0, kMaxLoggedIdLength);
+  m_response.cut->sentBytes = m_response.sentBytes;
+  m_response.cut->queuedBytes = m_queuedBytes;
+  m_response.cut->readAheadBytes = m_buffer.size();
+  m_response.cut->sinceRead = BootNow() - m_response.readAt;
+  m_hooks.onCut(*this, *m_response.cut);
 }
 
 } // namespace gooseberrysail::impl
