Tests: a blocking caller reads in parts of 64 KiB and searches each byte once

LateLoop.CutsNoCallerWhoHasRead failed under the sanitizers: its caller read 12 MB by read_until, which reads small parts into a growing buffer, so that under the sanitizers the caller itself was slower than the write timeout of 400 ms. Two tests of second attempts become cases of the table that plays them with 1 to 50 entries and several pauses.

--- a/tests/process/soak_test.cpp
+++ b/tests/process/soak_test.cpp
@@ -209,7 +209,7 @@
   }
 }
 
-// Seeds 3 and 4 cut streams of heads that were silent for a second and then went on.
+// With seeds 3 and 4, heads fall silent while they have streams.
 INSTANTIATE_TEST_SUITE_P(Seeds, Soak, ::testing::Values(1, 2, 3, 4));
 
 } // namespace
--- a/tests/support/blocking_connection.hpp
+++ b/tests/support/blocking_connection.hpp
@@ -2,13 +2,14 @@
 
 #include "gooseberrysail/net/endpoint.hpp"
 
+#include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace gooseberrysail::tests {
 
@@ -35,8 +36,16 @@
   std::string ReadUntil(std::string_view end)
   {
     std::string received;
-    boost::system::error_code ignored;
-    boost::asio::read_until(m_socket, boost::asio::dynamic_buffer(received), end, ignored);
+    std::vector<char> bytes(64UL * 1024);
+    boost::system::error_code error;
+    while (!error) {
+      const std::size_t size = m_socket.read_some(boost::asio::buffer(bytes), error);
+      const std::size_t searched = received.size() - std::min(received.size(), end.size());
+      received.append(bytes.data(), size);
+      if (received.find(end, searched) != std::string::npos) {
+        break;
+      }
+    }
     return received;
   }
 
--- a/tests/support/http_exchange.hpp
+++ b/tests/support/http_exchange.hpp
@@ -12,6 +12,11 @@
 
 namespace gooseberrysail::tests {
 
+inline bool Contains(const std::string& text, const std::string& part)
+{
+  return text.find(part) != std::string::npos;
+}
+
 /// \brief A server that records its hook calls; the test sends the responses.
 class RecordingServer
 {
--- a/tests/unit/closing_connections_test.cpp
+++ b/tests/unit/closing_connections_test.cpp
@@ -8,17 +8,13 @@
 namespace {
 
 using namespace std::chrono_literals;
+using tests::Contains;
 using tests::kTestTimeout;
 using tests::RawConnection;
 using tests::RecordingServer;
 
 constexpr const char* kGet = "GET /a HTTP/1.1\r\nHost: x\r\n\r\n";
 
-bool Contains(const std::string& text, const std::string& part)
-{
-  return text.find(part) != std::string::npos;
-}
-
 // Guards against a request that is read and discarded behind a response that closes the
 // connection: its caller can't know that it did not run.
 TEST(ClosingConnections, LeaveLaterRequestsUnread)
--- a/tests/unit/http_server_test.cpp
+++ b/tests/unit/http_server_test.cpp
@@ -9,17 +9,13 @@
 namespace {
 
 using namespace std::chrono_literals;
+using tests::Contains;
 using tests::kTestTimeout;
 using tests::RawConnection;
 using tests::RecordingServer;
 
 constexpr const char* kGet = "GET /health HTTP/1.1\r\nHost: x\r\n\r\n";
 
-bool Contains(const std::string& text, const std::string& part)
-{
-  return text.find(part) != std::string::npos;
-}
-
 TEST(HttpServer, AnswersOneRequestAfterAnotherOnOneConnection)
 {
   IoRuntime runtime;
--- a/tests/unit/pipelined_requests_test.cpp
+++ b/tests/unit/pipelined_requests_test.cpp
@@ -8,6 +8,7 @@
 namespace {
 
 using namespace std::chrono_literals;
+using tests::Contains;
 using tests::RawConnection;
 using tests::RecordingServer;
 
@@ -16,11 +17,6 @@
 /// Time for the server to read what a caller sent ahead.
 constexpr Duration kReadAheadTime = 30ms;
 
-bool Contains(const std::string& text, const std::string& part)
-{
-  return text.find(part) != std::string::npos;
-}
-
 /// \brief Makes each round of the event loop longer than requests may wait to be read.
 class LateLoop
 {
--- a/tests/unit/silent_head_test.cpp
+++ b/tests/unit/silent_head_test.cpp
@@ -320,6 +320,8 @@
     { "the other head fails", LateCalls::kFailed, 100ms },
     { "the other head answers another request", LateCalls::kNotResumed, 100ms },
     { "the other head does not answer", LateCalls::kUnanswered, 100ms },
+    { "the other head ends inside its first event", LateCalls::kCutInEvent, 100ms },
+    { "the other head answers without a length", LateCalls::kUntilClose, 100ms },
   };
   for (const Case& testCase : cases) {
     for (const std::uint32_t entries : { 1U, 5U, 10U, 20U, 50U }) {
@@ -408,26 +410,6 @@
   EXPECT_EQ(world.CallsTo("h2"), kStreams);
 }
 
-// Guards against a first attempt that is ended for a second one that has not sent a whole event.
-TEST(SilentHead, StreamsAreNotCutForASecondAttemptThatEndsInsideItsFirstEvent)
-{
-  TwoHeads world = BeginStreams(RepeatPolicy::kResumableStream, 1, 1000ms);
-  world.heads["h2"].lateCalls = LateCalls::kCutInEvent;
-  world.Run(10s);
-  EXPECT_EQ(world.CountCut(), 0U);
-  EXPECT_EQ(world.CountWhole(), kStreams);
-}
-
-// Guards against a first attempt that is ended for a second one whose end can't be passed on.
-TEST(SilentHead, StreamsAreNotCutForASecondAttemptWithoutALength)
-{
-  TwoHeads world = BeginStreams(RepeatPolicy::kResumableStream, 1, 1000ms);
-  world.heads["h2"].lateCalls = LateCalls::kUntilClose;
-  world.Run(10s);
-  EXPECT_EQ(world.CountCut(), 0U);
-  EXPECT_EQ(world.CountWhole(), kStreams);
-}
-
 // Guards against a second attempt that is ended for the last bytes of a process that has ended.
 TEST(SilentHead, StreamsOfARestartedHeadAreResumedAfterItsLastBytes)
 {
