Callers who are refused get places, and urgency decides the order of the queue

Cause: Retry-After is 0.3 s for all callers who are refused because all targets are full, so that they come back together and are refused again; the priorities of routes and workspaces have no effect. Change: the queue is ordered by urgency (a workspace's priority before its route's), then callers' retries, then the end of the wait; one of four slots goes to a less urgent request; a request that more urgent ones have pushed beyond its time is refused at once. Targets are told the urgency where the requests of a service differ in it.

--- a/include/gooseberrysail/gateway/dispatcher.hpp
+++ b/include/gooseberrysail/gateway/dispatcher.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "gooseberrysail/admission/caller_retries.hpp"
+#include "gooseberrysail/admission/retry_places.hpp"
 #include "gooseberrysail/gateway/event_splitter.hpp"
 #include "gooseberrysail/gateway/finished_requests.hpp"
 #include "gooseberrysail/gateway/gateway_api.hpp"
@@ -106,6 +108,10 @@
                   const RequestFingerprint& part,
                   std::vector<GatewayOutput>& outbox);
 
+  /// \brief With it, callers who are refused because all targets are full are told different times
+  /// to come back, and callers' retries are preferred to first attempts.
+  void SetRetryPlaces(bool isUsed) noexcept { m_usesRetryPlaces = isUsed; }
+
   [[nodiscard]] const CrashSuspects& Suspects() const noexcept { return m_suspects; }
   [[nodiscard]] const PromptSuspects& PromptParts() const noexcept { return m_promptParts; }
   [[nodiscard]] TargetSelector& Selector() noexcept { return m_selector; }
@@ -157,6 +163,8 @@
     std::string service;
     std::string model;     ///< "" where the service has no engines.
     std::string workspace; ///< "" for a public route without a key.
+    Urgency urgency = 0;
+    bool isCallerRetry = false;
     RequestFingerprint fingerprint;
     std::vector<RequestFingerprint> promptParts; ///< That other requests may share.
     std::uint64_t targetsSequence = 0;
@@ -164,7 +172,9 @@
     TimePoint arrived{};
     Duration unread{}; ///< From its arrival until it was read.
     TimePoint deadline{};
-    SentCall sent;             ///< The attempt whose answer is forwarded.
+    std::optional<TimePoint> queuedAt; ///< When it began to wait for a slot.
+    Duration queued{};                 ///< For how long it waited.
+    SentCall sent;                     ///< The attempt whose answer is forwarded.
     std::vector<Hedge> hedges; ///< In the order of sending; only beside an attempt in flight.
     HeldAnswer held;           ///< Of that attempt, since there are hedges.
     TimePoint begunAt{};       ///< The first whole event of that attempt.
@@ -177,6 +187,7 @@
     std::uint32_t attempts = 0;
     /// Attempts that never ran and don't count towards the route's maximum.
     std::uint32_t excusedAttempts = 0;
+    bool isRejected = false;    ///< The latest attempt was, by a target that did not run it.
     bool mayHaveRun = false;    ///< At least one attempt may have been executed.
     bool headForwarded = false; ///< The head of the answer went to the caller.
     AnswerFraming callerFraming = AnswerFraming::kDelimited; ///< Of that answer; set with the head.
@@ -186,6 +197,7 @@
     HttpAnswerOut bufferedAnswer;         ///< Status and headers, and the body unless it streams.
     EventSplitter events;
     std::string lastError;
+    std::optional<Duration> toldRetryAfter; ///< What a refused caller was told.
   };
 
   using Outbox = std::vector<GatewayOutput>;
@@ -210,7 +222,7 @@
   [[nodiscard]] TargetQuery QueryOf(TimePoint now, const Request& request) const;
   void Attempt(TimePoint now, Request& request, Outbox& outbox);
   void Send(TimePoint now, Request& request, const ServedTarget& target, Outbox& outbox);
-  bool TryEnqueue(TimePoint now, const Request& request);
+  bool TryEnqueue(TimePoint now, Request& request, Outbox& outbox);
   void DispatchQueued(TimePoint now, Outbox& outbox);
   void UseFreedSlots(TimePoint now, Outbox& outbox);
   /// \brief Sends a call for the request.
@@ -406,8 +418,12 @@
   void GiveUp(TimePoint now, Request& request, Outbox& outbox);
   /// \brief Ends an answer of which a part has gone to the caller.
   void Cut(TimePoint now, Request& request, Outbox& outbox);
-  /// \brief When a caller for whom no target can be chosen should come back.
-  [[nodiscard]] Duration RetryAfter(TimePoint now, const TargetQuery& query, NoTargetReason reason);
+  /// \brief When a caller for whom no target can be chosen should come back; none if no slot is
+  /// expected before its deadline.
+  [[nodiscard]] std::optional<Duration> RetryAfter(TimePoint now,
+                                                   const Request& request,
+                                                   const TargetQuery& query,
+                                                   NoTargetReason reason);
   void Refuse(TimePoint now, Request& request, const Refusal& refusal, Outbox& outbox);
   void End(TimePoint now, Request& request, const char* outcome, unsigned status, Outbox& outbox);
 
@@ -420,6 +436,9 @@
   RetryAllowance m_retries;
   WaitQueue m_queue;
   HeadRoom m_room;
+  bool m_usesRetryPlaces = false;
+  CallerRetries m_callerRetries;
+  std::map<ServedKind, RetryPlaces> m_retryPlaces;
   CrashSuspects m_suspects;
   FinishedRequests m_finished; ///< None of them is a suspect.
   PromptSuspects m_promptParts;
--- a/include/gooseberrysail/gateway/gateway_api.hpp
+++ b/include/gooseberrysail/gateway/gateway_api.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gooseberrysail/admission/urgency.hpp"
 #include "gooseberrysail/roles/inputs.hpp"
 #include "gooseberrysail/serving/document.hpp"
 #include "gooseberrysail/serving/served_target.hpp"
@@ -43,6 +44,7 @@
   Duration timeLeft{};
   std::string_view workspace;             ///< "" for public routes without a key.
   std::optional<std::string> resumeAfter; ///< Id of the last event sent to the caller.
+  std::optional<Urgency> urgency; ///< Set where the service's requests differ in it; 0 is first.
 };
 
 /// \brief The head of a target's answer.
--- a/include/gooseberrysail/roles/gateway_role.hpp
+++ b/include/gooseberrysail/roles/gateway_role.hpp
@@ -17,6 +17,7 @@
   std::vector<EntrySettings::Control> controls;
   RetrySettings retries;
   Duration targetDrainTime = std::chrono::seconds(2); ///< Use of a target that says it leaves.
+  bool retryPlaces = false;                           ///< See Dispatcher::SetRetryPlaces.
 };
 
 /// \brief Decides how an entry forwards requests to targets and to the heads of groups, by the
--- a/include/gooseberrysail/serving/route_index.hpp
+++ b/include/gooseberrysail/serving/route_index.hpp
@@ -1,8 +1,10 @@
 #pragma once
 
+#include "gooseberrysail/admission/urgency.hpp"
 #include "gooseberrysail/serving/document.hpp"
 
 #include <memory>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -26,6 +28,12 @@
 
   [[nodiscard]] const ServiceDefinition* FindService(std::string_view name) const;
 
+  /// \brief Whether requests to the service differ in their urgency.
+  [[nodiscard]] bool HasUrgencies(std::string_view service) const
+  {
+    return m_urgencies.contains(service) && m_urgencies.find(service)->second.size() > 1;
+  }
+
   [[nodiscard]] const ServingDocument& Document() const noexcept { return m_document; }
 
 private:
@@ -44,6 +52,7 @@
   TextMap<TextMap<std::size_t>> m_routes; ///< Index of the route by host, then by path prefix.
   TextMap<std::size_t> m_keys;
   TextMap<std::size_t> m_services;
+  TextMap<std::set<Urgency>> m_urgencies; ///< By service.
 };
 
 } // namespace gooseberrysail
--- a/include/gooseberrysail/settings/settings.hpp
+++ b/include/gooseberrysail/settings/settings.hpp
@@ -59,6 +59,12 @@
   std::size_t maxHeldOutputBytes = 0; ///< Agent: unacknowledged output of all requests together.
 };
 
+/// \brief Settings of an entry's decisions under load.
+struct AdmissionSettings
+{
+  bool retryPlaces = false; ///< See Dispatcher::SetRetryPlaces.
+};
+
 /// \brief Settings of a control process.
 struct ControlStoreSettings
 {
@@ -118,6 +124,7 @@
   PeerSettings peers;
   LimitSettings limits;
   RetryLimits retries;
+  AdmissionSettings admission;
   Duration targetDrainTime{}; ///< Entry: use of a target from when it says that it leaves.
   ControlStoreSettings control;
   AgentTargetSettings agent;
--- a/src/gateway/dispatcher.cpp
+++ b/src/gateway/dispatcher.cpp
@@ -11,6 +11,8 @@
 using namespace std::chrono_literals;
 
 constexpr std::size_t kMaxLoggedParts = 8;
+/// A caller's retry, which is late anyway, waits for a slot for at most this part of its time left.
+constexpr int kRetryWaitDivisor = 4;
 
 std::string JoinParts(std::span<const RequestFingerprint> parts)
 {
@@ -61,7 +63,7 @@
 {
   const ServedTarget* target = m_selector.Choose(now, QueryOf(now, request));
   if (target == nullptr) {
-    if (!TryEnqueue(now, request)) {
+    if (!TryEnqueue(now, request, outbox)) {
       GiveUp(now, request, outbox);
     }
     return;
@@ -102,12 +104,17 @@
   if (request.headForwarded && !request.events.LastId().empty()) {
     resumeAfter = request.events.LastId();
   }
+  std::optional<Urgency> urgency;
+  if (request.index->HasUrgencies(request.service)) {
+    urgency = request.urgency;
+  }
   TargetCallOut call = m_api.encodeAttempt({ sent.exchange,
                                              request.call,
                                              target,
                                              request.deadline - now,
                                              request.workspace,
-                                             resumeAfter });
+                                             resumeAfter,
+                                             urgency });
   call.caller = request.call.exchange;
   outbox.emplace_back(std::move(call));
   m_selector.OnSent(now, sent.target);
@@ -115,18 +122,30 @@
 }
 
 // Only requests that no target has worked on are queued: a retry has no time left to wait.
-bool Dispatcher::TryEnqueue(TimePoint now, const Request& request)
+bool Dispatcher::TryEnqueue(TimePoint now, Request& request, Outbox& outbox)
 {
   const TargetQuery query = QueryOf(now, request);
   const NoTargetReason reason = m_selector.ReasonForNoTarget(now, query);
   const bool endsByItself = reason == NoTargetReason::kFull || reason == NoTargetReason::kBackoff;
   const bool wasSent = request.attempts > request.excusedAttempts;
   const bool mayWait = !wasSent && !request.model.empty() && endsByItself;
-  return mayWait && m_queue.TryEnqueue(now,
-                                       KindOf(request),
-                                       request.call.exchange,
-                                       request.route->objective,
-                                       m_selector.BackoffLeft(now, query));
+  QueueRank rank{ request.urgency };
+  if (m_usesRetryPlaces && request.isCallerRetry) {
+    rank.retryWait = (request.deadline - now) / kRetryWaitDivisor;
+  }
+  const bool isQueued = mayWait && m_queue.TryEnqueue(now,
+                                                      KindOf(request),
+                                                      request.call.exchange,
+                                                      request.route->objective,
+                                                      m_selector.BackoffLeft(now, query),
+                                                      rank);
+  if (isQueued) {
+    request.queuedAt = now;
+  }
+  for (const ExchangeId displaced : m_queue.TakeDisplaced()) {
+    GiveUp(now, *Find(displaced), outbox);
+  }
+  return isQueued;
 }
 
 /// Sends queued requests while targets have capacity.
@@ -139,7 +158,8 @@
       if (target == nullptr) {
         break;
       }
-      m_queue.Remove(first);
+      m_queue.Dequeue(first);
+      request.queued = now - request.queuedAt.value_or(now);
       Send(now, request, *target, outbox);
     }
   }
@@ -284,6 +304,7 @@
   RecordStatements(now, request, request.sent, head, outbox);
   if (const std::string fault = FaultOf(request, head); !fault.empty()) {
     request.excusedAttempts += IsExcused(head) ? 1 : 0;
+    request.isRejected = head.neverRan && !IsExcused(head);
     AttemptEnded(
       now, request, outbox, !head.neverRan, fault, head.neverRan ? head.retryAfter : std::nullopt);
     return;
@@ -403,6 +424,7 @@
     request.firstEventAt = now;
     const ServedKind kind = KindOf(request);
     m_queue.OnFirstEvent(kind, now - request.sent.at);
+    m_retryPlaces[kind].OnBegun(now);
     m_room.OnFirstEvent(now, kind, now - request.sent.at);
   }
   if (request.lastEventAt != TimePoint{}) {
--- a/src/gateway/dispatcher_arrival.cpp
+++ b/src/gateway/dispatcher_arrival.cpp
@@ -91,7 +91,10 @@
                                         request.call.target,
                                         request.workspace,
                                         request.call.body });
+  request.urgency =
+    UrgencyOf(workspace == nullptr ? std::nullopt : workspace->priority, request.route->priority);
   const Duration timeLeft = request.call.timeLeft.value_or(request.route->timeout);
+  request.isCallerRetry = m_callerRetries.Observe(now, request.route->name, timeLeft);
   request.deadline = request.arrived + std::min(timeLeft, request.route->timeout);
   if (request.deadline - now <= kMinTimeLeft) {
     return Refusal{ 503, "its time is over", std::nullopt };
--- a/src/gateway/dispatcher_end.cpp
+++ b/src/gateway/dispatcher_end.cpp
@@ -59,7 +59,7 @@
   const NoTargetReason noTargetReason = m_selector.ReasonForNoTarget(now, query);
   const bool explainsMore = noTargetReason == NoTargetReason::kBackoff || request.lastError.empty();
   const std::string reason = explainsMore ? ToString(noTargetReason) : request.lastError;
-  const Duration retryAfter = RetryAfter(now, query, noTargetReason);
+  const std::optional<Duration> retryAfter = RetryAfter(now, request, query, noTargetReason);
   Refuse(now, request, { 503, reason, retryAfter }, outbox);
 }
 
@@ -88,7 +88,10 @@
   End(now, request, "cut", 0, outbox);
 }
 
-Duration Dispatcher::RetryAfter(TimePoint now, const TargetQuery& query, NoTargetReason reason)
+std::optional<Duration> Dispatcher::RetryAfter(TimePoint now,
+                                               const Request& request,
+                                               const TargetQuery& query,
+                                               NoTargetReason reason)
 {
   const std::optional<Duration> backoffLeft = m_selector.BackoffLeft(now, query);
   if (reason == NoTargetReason::kBackoff && backoffLeft) {
@@ -98,6 +101,14 @@
     return std::max(*backoffLeft, kMinRetry) +
            Duration(static_cast<Duration::rep>(m_random() % draws));
   }
+  const ServedKind kind = KindOf(request);
+  // A target rejects what is more than its slots and its queue hold.
+  if (m_usesRetryPlaces && (reason == NoTargetReason::kFull || request.isRejected)) {
+    RetryPlaces& places = m_retryPlaces[kind];
+    if (places.IsKnown(now)) {
+      return places.Next(now, m_queue.CountWaiting(kind), request.deadline - now);
+    }
+  }
   Duration retryAfter = reason == NoTargetReason::kNone ? kNoTargetRetry : kBusyRetry;
   if (reason == NoTargetReason::kLimited) {
     retryAfter = std::max(retryAfter, m_selector.LimitInterval(now, query));
@@ -117,6 +128,7 @@
   }
   if (refusal.retryAfter) {
     answer.headers.push_back({ "Retry-After", ToSeconds(*refusal.retryAfter) });
+    request.toldRetryAfter = refusal.retryAfter;
   }
   answer.bytes = ErrorText(outcome, refusal.reason);
   answer.end = true;
@@ -136,6 +148,10 @@
   const Duration firstAfter = hasFirst ? request.firstEventAt - request.arrived : Duration::zero();
   const std::int64_t objectiveMillis =
     request.route == nullptr ? 0 : ToMillis(request.route->objective);
+  const bool isQueued = request.queuedAt && request.attempts == 0;
+  const Duration queued = isQueued ? now - *request.queuedAt : request.queued;
+  const std::string retryAfterMillis =
+    request.toldRetryAfter ? std::to_string(ToMillis(*request.toldRetryAfter)) : "";
   const std::uint64_t version = request.index ? request.index->Document().version : 0;
   outbox.emplace_back(MakeEvent(EventNumber::kGatewayAnswered,
                                 { { "request", request.call.requestId },
@@ -157,6 +173,10 @@
                                   { "targets", std::to_string(request.targetsSequence) },
                                   { "ageMillis", std::to_string(ToMillis(request.snapshotAge)) },
                                   { "unreadMillis", std::to_string(ToMillis(request.unread)) },
+                                  { "urgency", std::to_string(request.urgency) },
+                                  { "callerRetry", request.isCallerRetry ? "yes" : "no" },
+                                  { "queuedMillis", std::to_string(ToMillis(queued)) },
+                                  { "retryAfterMillis", retryAfterMillis },
                                   { "framing", request.framing ? ToString(*request.framing) : "" },
                                   { "bytes", std::to_string(request.answerBytes) } }));
   m_queue.Remove(request.call.exchange);
--- a/src/gateway/wait_queue.cpp
+++ b/src/gateway/wait_queue.cpp
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
+#include <utility>
 
 namespace gooseberrysail {
 
@@ -39,14 +41,25 @@
   known = Smooth(known, took, kLatestWeight);
 }
 
-std::optional<Duration> WaitQueue::ExpectedWait(TimePoint now, const ServedKind& kind) const
+std::size_t WaitQueue::CountWaiting(const ServedKind& kind) const
+{
+  const auto found = m_kinds.find(kind);
+  return found == m_kinds.end() ? 0 : found->second.queue.size();
+}
+
+std::optional<Duration> WaitQueue::ExpectedWait(TimePoint now,
+                                                const ServedKind& kind,
+                                                const QueueRank& rank) const
 {
   const auto found = m_kinds.find(kind);
   if (found == m_kinds.end() ||
       SlotsFreedPerSecond(now, found->second) * kMemorySeconds < kMinFreedSlots) {
     return std::nullopt;
   }
-  const double ahead = static_cast<double>(found->second.queue.size()) + 1;
+  const Place last{ rank.urgency, !rank.retryWait, TimePoint::max(), ExchangeId() };
+  const std::set<Place>& queue = found->second.queue;
+  const double ahead =
+    static_cast<double>(std::distance(queue.begin(), queue.upper_bound(last))) + 1;
   const std::chrono::duration<double> wait(ahead / SlotsFreedPerSecond(now, found->second));
   return std::chrono::duration_cast<Duration>(wait);
 }
@@ -55,9 +68,10 @@
                            const ServedKind& kind,
                            ExchangeId exchange,
                            Duration objective,
-                           std::optional<Duration> backoffLeft)
+                           std::optional<Duration> backoffLeft,
+                           const QueueRank& rank)
 {
-  std::optional<Duration> wait = ExpectedWait(now, kind);
+  std::optional<Duration> wait = ExpectedWait(now, kind, rank);
   if (backoffLeft) {
     wait = std::min(wait.value_or(*backoffLeft), *backoffLeft);
   }
@@ -65,21 +79,64 @@
     return false;
   }
   KindQueue& state = m_kinds[kind];
-  const Duration maxWait = objective - state.firstEvent;
+  const Duration maxWait =
+    std::max(objective - state.firstEvent, rank.retryWait.value_or(Duration::min()));
   if (*wait > maxWait) {
     return false;
   }
-  const TimePoint until = now + maxWait;
-  state.queue.emplace(until, exchange);
-  m_requests.emplace(exchange, QueuedRequest{ kind, until });
+  const Place place{ rank.urgency, !rank.retryWait, now + maxWait, exchange };
+  state.queue.insert(place);
+  m_requests.emplace(exchange, QueuedRequest{ kind, place, now });
+  Displace(now, state, rank.urgency);
   return true;
 }
 
+// The last ones are the least urgent. Refused at once, their callers can still go elsewhere.
+void WaitQueue::Displace(TimePoint now, KindQueue& kind, Urgency urgency)
+{
+  const double rate = SlotsFreedPerSecond(now, kind);
+  while (rate * kMemorySeconds >= kMinFreedSlots && !kind.queue.empty()) {
+    const auto [lastUrgency, isFirstAttempt, until, exchange] = *kind.queue.rbegin();
+    const double wait = static_cast<double>(kind.queue.size()) / rate;
+    if (lastUrgency <= urgency || std::chrono::duration<double>(until - now).count() >= wait) {
+      return;
+    }
+    m_displaced.push_back(exchange);
+    Remove(exchange);
+  }
+}
+
+std::vector<ExchangeId> WaitQueue::TakeDisplaced()
+{
+  return std::exchange(m_displaced, {});
+}
+
 ExchangeId WaitQueue::First(const ServedKind& kind) const
 {
   const auto found = m_kinds.find(kind);
-  const bool isEmpty = found == m_kinds.end() || found->second.queue.empty();
-  return isEmpty ? ExchangeId() : found->second.queue.begin()->second;
+  if (found == m_kinds.end() || found->second.queue.empty()) {
+    return {};
+  }
+  const std::set<Place>& queue = found->second.queue;
+  const Place& first = *queue.begin();
+  if (found->second.served % kLessUrgentTurn != kLessUrgentTurn - 1) {
+    return std::get<ExchangeId>(first);
+  }
+  const auto lessUrgent =
+    queue.upper_bound(Place{ std::get<Urgency>(first), true, TimePoint::max(), ExchangeId() });
+  const auto longest = std::min_element(lessUrgent, queue.end(), [&](const auto& a, const auto& b) {
+    return m_requests.at(std::get<ExchangeId>(a)).since <
+           m_requests.at(std::get<ExchangeId>(b)).since;
+  });
+  return std::get<ExchangeId>(longest == queue.end() ? first : *longest);
+}
+
+void WaitQueue::Dequeue(ExchangeId exchange)
+{
+  if (const auto request = m_requests.find(exchange); request != m_requests.end()) {
+    ++m_kinds[request->second.kind].served;
+  }
+  Remove(exchange);
 }
 
 void WaitQueue::Remove(ExchangeId exchange)
@@ -88,7 +145,7 @@
   if (request == m_requests.end()) {
     return;
   }
-  m_kinds[request->second.kind].queue.erase({ request->second.until, exchange });
+  m_kinds[request->second.kind].queue.erase(request->second.place);
   m_requests.erase(request);
 }
 
@@ -96,7 +153,7 @@
 {
   std::vector<ExchangeId> expired;
   for (const auto& [exchange, request] : m_requests) {
-    if (request.until <= now) {
+    if (std::get<TimePoint>(request.place) <= now) {
       expired.push_back(exchange);
     }
   }
--- a/src/observe/metric_catalog.hpp
+++ b/src/observe/metric_catalog.hpp
@@ -34,6 +34,8 @@
   kRequests,
   kRequestAttempts,
   kRequestDuration,
+  kRefusedByUrgency,
+  kCallerRetries,
   kFirstByte,
   kGateOpen,
   kOutsideCallsRefused,
--- a/src/observe/metrics.cpp
+++ b/src/observe/metrics.cpp
@@ -150,6 +150,16 @@
     Add(MetricId::kRequests, 1, outcome != nullptr ? *outcome : "unknown");
     Add(MetricId::kRequestAttempts, NumberField(event, "attempts"));
     Observe(MetricId::kRequestDuration, NumberField(event, "millis") / kMillisPerSecond);
+    const std::string* urgency = FindField(event, "urgency");
+    if (urgency == nullptr || outcome == nullptr) {
+      return;
+    }
+    if (*outcome == "not-run") {
+      Add(MetricId::kRefusedByUrgency, 1, *urgency);
+    }
+    if (const std::string* retry = FindField(event, "callerRetry"); *retry == "yes") {
+      Add(MetricId::kCallerRetries, 1, *outcome);
+    }
   }
 
   ProcessRole role;
--- a/src/serving/route_index.cpp
+++ b/src/serving/route_index.cpp
@@ -32,6 +32,15 @@
   for (std::size_t row = 0; row < m_document.services.size(); ++row) {
     m_services.emplace(m_document.services[row].name, row);
   }
+  for (const HttpRoute& route : m_document.routes) {
+    for (const RouteShare& share : route.shares) {
+      std::set<Urgency>& urgencies = m_urgencies[share.service];
+      urgencies.insert(route.priority);
+      for (const ServingWorkspace& workspace : m_document.workspaces) {
+        urgencies.insert(UrgencyOf(workspace.priority, route.priority));
+      }
+    }
+  }
 }
 
 const HttpRoute* RouteIndex::Match(std::string_view host, std::string_view target) const
--- a/src/settings/setting_key.cpp
+++ b/src/settings/setting_key.cpp
@@ -415,6 +415,19 @@
             [](ProcessSettings& settings, const SettingValue& value) {
               settings.retries.window = Times(value.decimal, std::chrono::seconds(1));
             }),
+  TextKey(
+    "admission.retryPlaces",
+    SettingType::kChoice,
+    "true|false",
+    "false",
+    kEntryRole,
+    kNoRole,
+    "Whether callers who are refused because all targets are full are told different times to "
+    "come back, at the rate at which slots come free, and are preferred when they do. Otherwise "
+    "all are told the same time.",
+    [](ProcessSettings& settings, const SettingValue& value) {
+      settings.admission.retryPlaces = value.text == "true";
+    }),
   NumberKey("targets.drainTime",
             "milliseconds",
             0,
--- a/tests/support/plain_gateway_api.hpp
+++ b/tests/support/plain_gateway_api.hpp
@@ -7,7 +7,8 @@
 namespace gooseberrysail::tests {
 
 /// \brief Hooks with simple headers: Key, Left (milliseconds), Instance, Never-Ran, Seal,
-/// Limit, Backoff (milliseconds), Leaving, After, Part (one for each shared part of the prompt).
+/// Limit, Backoff (milliseconds), Leaving, After, Urgency, Prompt and Output (tokens), Part (one
+/// for each shared part of the prompt).
 inline GatewayApi PlainApi()
 {
   GatewayApi api;
@@ -23,10 +24,18 @@
     call.host = FindHeader(in.headers, "Host");
     call.key = FindHeader(in.headers, "Key");
     call.model = FindHeader(in.headers, "Model");
-    call.promptTokens = 100;
+    if (const std::string_view left = FindHeader(in.headers, "Left"); !left.empty()) {
+      call.timeLeft = std::chrono::milliseconds(std::stoll(std::string(left)));
+    }
+    const auto number = [&](std::string_view name, std::uint32_t otherwise) {
+      const std::string text(FindHeader(in.headers, name));
+      return text.empty() ? otherwise : static_cast<std::uint32_t>(std::stoul(text));
+    };
+    call.promptTokens = number("Prompt", 100);
     call.maxOutputTokens = 365;
-    call.expectedOutputTokens = 50;
+    call.expectedOutputTokens = number("Output", 50);
     call.body = in.body;
+    call.headers = in.headers;
     for (const HttpHeader& header : in.headers) {
       if (header.name == "Part") {
         call.sharedPromptParts.push_back(header.value);
@@ -48,6 +57,14 @@
     for (const std::string& part : attempt.call.sharedPromptParts) {
       call.headers.push_back({ "Part", part });
     }
+    for (const HttpHeader& header : attempt.call.headers) {
+      if (header.name == "Prompt" || header.name == "Output") {
+        call.headers.push_back(header);
+      }
+    }
+    if (attempt.urgency) {
+      call.headers.push_back({ "Urgency", std::to_string(*attempt.urgency) });
+    }
     if (attempt.resumeAfter) {
       call.headers.push_back({ "After", *attempt.resumeAfter });
     }
