Requests are sent where their first event is predicted in time

Cause: heads are filled by the number of requests in flight, but what binds is reading prompts: a head is late with a fraction of its slots in use, and looks half free. Slow heads get as much as others. Change: with admission.predictFirstEvent an entry predicts the first event at each head from the tokens to read, the requests that run, the engine's figures and the observed pace with its deviation. A head whose upper bound is beyond the objective counts as full; among the others the earliest first event decides.

--- a/include/gooseberrysail/gateway/dispatcher.hpp
+++ b/include/gooseberrysail/gateway/dispatcher.hpp
@@ -5,6 +5,7 @@
 #include "gooseberrysail/gateway/event_splitter.hpp"
 #include "gooseberrysail/gateway/finished_requests.hpp"
 #include "gooseberrysail/gateway/gateway_api.hpp"
+#include "gooseberrysail/gateway/head_forecasts.hpp"
 #include "gooseberrysail/gateway/head_room.hpp"
 #include "gooseberrysail/gateway/recent_minimum.hpp"
 #include "gooseberrysail/gateway/retry_allowance.hpp"
@@ -112,6 +113,10 @@
   /// to come back, and callers' retries are preferred to first attempts.
   void SetRetryPlaces(bool isUsed) noexcept { m_usesRetryPlaces = isUsed; }
 
+  /// \brief With it, requests are sent where their first event is predicted in time, and the heads
+  /// are compared by that. Only for services whose engines state their figures.
+  void SetForecasts(bool isUsed) noexcept { m_usesForecasts = isUsed; }
+
   [[nodiscard]] const CrashSuspects& Suspects() const noexcept { return m_suspects; }
   [[nodiscard]] const PromptSuspects& PromptParts() const noexcept { return m_promptParts; }
   [[nodiscard]] TargetSelector& Selector() noexcept { return m_selector; }
@@ -138,6 +143,7 @@
     TimePoint at{};
     std::uint32_t number = 0;     ///< Among the request's attempts, from 1.
     bool isTargetAvoided = false; ///< It was when it was chosen.
+    Duration predicted{};         ///< Until its first event; zero for no prediction.
   };
 
   /// \brief What an attempt has answered while another one may serve the request.
@@ -183,6 +189,8 @@
     TimePoint firstEventAt{};  ///< The first event went to the caller.
     TimePoint lastEventAt{};   ///< The latest event went to the caller.
     Duration longestPause{};   ///< Between two events to the caller.
+    Duration predicted{};      ///< Until the first event of the attempt that began; zero for none.
+    Duration observed{};       ///< From sending until that event.
     std::set<InstanceId> tried;
     std::uint32_t attempts = 0;
     /// Attempts that never ran and don't count towards the route's maximum.
@@ -220,6 +228,13 @@
   [[nodiscard]] static ServedKind KindOf(const Request& request);
   /// \brief What the next attempt needs of its target.
   [[nodiscard]] TargetQuery QueryOf(TimePoint now, const Request& request) const;
+  /// \brief The engine figures by which a request's first event is predicted; null for none.
+  [[nodiscard]] const EngineSpec* ForecastEngine(const Request& request) const;
+  [[nodiscard]] EventForecast ForecastFor(TimePoint now,
+                                          const Request& request,
+                                          const ServedTarget& head,
+                                          double share,
+                                          std::uint32_t inFlight) const;
   void Attempt(TimePoint now, Request& request, Outbox& outbox);
   void Send(TimePoint now, Request& request, const ServedTarget& target, Outbox& outbox);
   bool TryEnqueue(TimePoint now, Request& request, Outbox& outbox);
@@ -436,6 +451,8 @@
   RetryAllowance m_retries;
   WaitQueue m_queue;
   HeadRoom m_room;
+  bool m_usesForecasts = false;
+  HeadForecasts m_forecasts;
   bool m_usesRetryPlaces = false;
   CallerRetries m_callerRetries;
   std::map<ServedKind, RetryPlaces> m_retryPlaces;
--- a/include/gooseberrysail/gateway/target_selector.hpp
+++ b/include/gooseberrysail/gateway/target_selector.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gooseberrysail/admission/first_event_forecast.hpp"
 #include "gooseberrysail/core/time.hpp"
 #include "gooseberrysail/gateway/step_time_estimator.hpp"
 #include "gooseberrysail/gateway/target_statements.hpp"
@@ -25,6 +26,12 @@
   /// \brief First events arrive so soon that the heads must have free slots beyond this entry's
   /// part of them.
   bool headsHaveRoom = false;
+  /// \brief Predicts the request's first event at a head of which this entry has this share; empty
+  /// where heads are compared by their requests in flight.
+  std::function<EventForecast(const ServedTarget& head, double share, std::uint32_t inFlight)>
+    forecast = {};
+  Duration firstEventLimit{}; ///< A head with a later predicted first event counts as full.
+  Duration pauseLimit{};      ///< Likewise, for a longer pause between events; 0 for none.
 };
 
 /// \brief Why no target can take a request.
@@ -100,6 +107,9 @@
   /// of slots there when its own are taken.
   void SetShares(std::map<InstanceId, double> shares) { m_shares = std::move(shares); }
 
+  /// \brief This entry's fraction of a head's slots.
+  [[nodiscard]] double ShareOf(const ServedTarget& head) const;
+
   /// \brief Selects the target for an attempt; null when none can take it now.
   [[nodiscard]] const ServedTarget* Choose(TimePoint now, const TargetQuery& query);
 
@@ -256,10 +266,14 @@
   [[nodiscard]] bool HasCapacity(const Row& row,
                                  const TargetQuery& query,
                                  const ShareState& shareState) const;
+  /// \brief The predicted first event at a head; none where nothing is predicted.
+  [[nodiscard]] std::optional<EventForecast> ForecastOf(const Row& row,
+                                                        const TargetQuery& query) const;
   /// \brief Cost of one more request, for comparison: the load, times the slowness of a slow
   /// target.
   [[nodiscard]] double CostOf(TimePoint now,
                               const Row& row,
+                              const TargetQuery& query,
                               Duration fastestStep,
                               const ShareState& shareState) const;
   [[nodiscard]] std::vector<const Row*> ListUsable(TimePoint now,
--- a/include/gooseberrysail/roles/gateway_role.hpp
+++ b/include/gooseberrysail/roles/gateway_role.hpp
@@ -17,6 +17,7 @@
   std::vector<EntrySettings::Control> controls;
   RetrySettings retries;
   Duration targetDrainTime = std::chrono::seconds(2); ///< Use of a target that says it leaves.
+  bool predictFirstEvent = false;                     ///< See Dispatcher::SetForecasts.
   bool retryPlaces = false;                           ///< See Dispatcher::SetRetryPlaces.
 };
 
--- a/include/gooseberrysail/serving/document.hpp
+++ b/include/gooseberrysail/serving/document.hpp
@@ -78,6 +78,7 @@
   Duration stepTimePerRequest{};
   std::uint32_t tokensPerEvent = 1; ///< Engine steps between two events of a stream.
   double promptTokensPerSecond = 0;
+  std::uint32_t promptTokensPerPass = 0; ///< Read at most between two events; 0: no limit.
   double loadsPerSecond = 1;     ///< Start rate of loads from the weight store, over all targets.
   std::uint32_t loadsAtOnce = 1; ///< More concurrent loads than this slow each other down.
   double usualOutputTokens = 0;  ///< Per request, over all kinds of requests; 0: unknown.
--- a/include/gooseberrysail/settings/settings.hpp
+++ b/include/gooseberrysail/settings/settings.hpp
@@ -62,7 +62,8 @@
 /// \brief Settings of an entry's decisions under load.
 struct AdmissionSettings
 {
-  bool retryPlaces = false; ///< See Dispatcher::SetRetryPlaces.
+  bool predictFirstEvent = false; ///< See Dispatcher::SetForecasts.
+  bool retryPlaces = false;       ///< See Dispatcher::SetRetryPlaces.
 };
 
 /// \brief Settings of a control process.
--- a/src/gateway/dispatcher.cpp
+++ b/src/gateway/dispatcher.cpp
@@ -56,7 +56,46 @@
 TargetQuery Dispatcher::QueryOf(TimePoint now, const Request& request) const
 {
   const bool headsHaveRoom = m_room.HasRoom(now, KindOf(request), request.route->objective);
-  return { request.service, request.model, request.tried, headsHaveRoom };
+  TargetQuery query{ request.service, request.model, request.tried, headsHaveRoom };
+  if (ForecastEngine(request) != nullptr) {
+    query.forecast =
+      [this, now, &request](const ServedTarget& head, double share, std::uint32_t own) {
+        return ForecastFor(now, request, head, share, own);
+      };
+    // A request that is late already is sent where one that has just come would be in time.
+    const Duration age = now - request.arrived;
+    const Duration objective = request.route->objective;
+    const bool isLate = age >= objective || request.isCallerRetry;
+    query.firstEventLimit = isLate ? objective : objective - age;
+    query.pauseLimit = request.route->longestPause;
+  }
+  return query;
+}
+
+const EngineSpec* Dispatcher::ForecastEngine(const Request& request) const
+{
+  const ServiceDefinition* service =
+    m_usesForecasts ? request.index->FindService(request.service) : nullptr;
+  const bool isKnown = service != nullptr && service->engine && !request.model.empty() &&
+                       service->engine->promptTokensPerSecond > 0 &&
+                       service->engine->stepTime > Duration::zero();
+  return isKnown ? &*service->engine : nullptr;
+}
+
+EventForecast Dispatcher::ForecastFor(TimePoint now,
+                                      const Request& request,
+                                      const ServedTarget& head,
+                                      double share,
+                                      std::uint32_t inFlight) const
+{
+  const EngineSpec& engine = *ForecastEngine(request);
+  const auto model = std::ranges::find(engine.models, request.model, &GroupModel::name);
+  const double pace = model == engine.models.end() ? 1 : model->pace;
+  return m_forecasts.Forecast(now,
+                              { head.instance, head.born },
+                              share,
+                              inFlight,
+                              { engine, pace, static_cast<double>(request.call.promptTokens) });
 }
 
 void Dispatcher::Attempt(TimePoint now, Request& request, Outbox& outbox)
@@ -96,6 +135,14 @@
   sent.isTargetAvoided = m_selector.IsAvoided(now, target.instance);
   sent.number = ++request.attempts;
   request.tried.insert(target.instance);
+  if (ForecastEngine(request) != nullptr) {
+    const TargetSelector::Row* row = m_selector.Find(sent.target);
+    const std::uint32_t inFlight = row == nullptr ? 0 : row->inFlight;
+    const EventForecast forecast =
+      ForecastFor(now, request, target, m_selector.ShareOf(target), inFlight);
+    sent.predicted = forecast.firstEvent;
+    m_forecasts.OnSent(now, sent.exchange, sent.target, request.call.promptTokens, forecast);
+  }
   if (sent.number == 1) {
     CountDemand(request, false);
   }
@@ -204,6 +251,7 @@
     outbox.emplace_back(TargetCancelOut{ sent.exchange });
   }
   m_attempts.erase(sent.exchange);
+  m_forecasts.OnEnded(sent.exchange);
   m_selector.OnEnded(sent.target);
   m_freedSlots.insert(KindOf(request));
 }
@@ -366,6 +414,10 @@
   if (request.begunAt == TimePoint{} && !events.empty()) {
     request.begunAt = now;
     m_fastestStarts[KindOf(request)].Add(now, now - request.sent.at);
+    if (const auto predicted = m_forecasts.OnFirstEvent(now, request.sent.exchange)) {
+      request.predicted = *predicted;
+      request.observed = now - request.sent.at;
+    }
   }
   if (request.begunAt != TimePoint{} && now - request.begunAt >= PromptSuspects::kProofTime) {
     ProveParts(now, request, request.begunAt, outbox);
@@ -548,6 +600,7 @@
   m_suspects.RemoveExpired(now);
   m_promptParts.RemoveExpired(now);
   m_unconfirmed.RemoveExpired(now);
+  m_forecasts.RemoveUnused(now);
   UseFreedSlots(now, outbox);
 }
 
--- a/src/gateway/gateway_role.cpp
+++ b/src/gateway/gateway_role.cpp
@@ -27,6 +27,7 @@
     , feed(std::move(settings.controls), settings.failureDomain, api.readDocument)
   {
     dispatcher.Selector().SetDrainTime(settings.targetDrainTime);
+    dispatcher.SetForecasts(settings.predictFirstEvent);
     dispatcher.SetRetryPlaces(settings.retryPlaces);
   }
 
--- a/src/gateway/target_selector.cpp
+++ b/src/gateway/target_selector.cpp
@@ -42,6 +42,8 @@
 constexpr double kMaxLimitLeft = 1;
 /// Moments at which entries may begin to use a cold target.
 constexpr std::uint64_t kColdPhases = 1024;
+/// Predictions that differ by less are equal: other reasons decide between the heads.
+constexpr std::chrono::duration<double> kEqualForecasts = 5ms;
 /// For targets that state no number of slots.
 constexpr std::uint32_t kDefaultSlots = 8;
 
@@ -256,7 +258,28 @@
   const bool isHead = !row.target.servedModel.empty();
   const std::uint32_t capacity =
     query.headsHaveRoom && isHead ? SlotsOf(row.target) : CapacityOf(row.target, shareState);
-  return row.inFlight < capacity;
+  if (row.inFlight >= capacity) {
+    return false;
+  }
+  const std::optional<EventForecast> forecast = ForecastOf(row, query);
+  return !forecast ||
+         (forecast->latest <= query.firstEventLimit &&
+          (query.pauseLimit == Duration::zero() || forecast->pause <= query.pauseLimit));
+}
+
+double TargetSelector::ShareOf(const ServedTarget& head) const
+{
+  const auto share = m_shares.find(head.instance);
+  return share != m_shares.end() ? share->second : CallerFraction(head.servedModel);
+}
+
+std::optional<EventForecast> TargetSelector::ForecastOf(const Row& row,
+                                                        const TargetQuery& query) const
+{
+  if (!query.forecast || row.target.servedModel.empty()) {
+    return std::nullopt;
+  }
+  return query.forecast(row.target, ShareOf(row.target), row.inFlight);
 }
 
 // The parts follow the division of the heads' slots, so that they add up to the limit and no entry
@@ -362,9 +385,15 @@
 // target above it is slow, and every request sent there is late.
 double TargetSelector::CostOf(TimePoint now,
                               const Row& row,
+                              const TargetQuery& query,
                               Duration fastestStep,
                               const ShareState& shareState) const
 {
+  if (const std::optional<EventForecast> forecast = ForecastOf(row, query)) {
+    const double ticks =
+      std::floor(std::chrono::duration<double>(forecast->firstEvent) / kEqualForecasts);
+    return ticks / WarmUpFraction(now, row);
+  }
   const double slots = std::max(CapacityOf(row.target, shareState), 1U);
   const double capacity = slots * WarmUpFraction(now, row);
   const double load = static_cast<double>(row.inFlight + 1) / capacity;
@@ -433,7 +462,7 @@
   std::pair<double, bool> bestRank;
   std::uint64_t ties = 0;
   for (const Row* row : usable) {
-    const std::pair rank(CostOf(now, *row, fastestStep, shareState),
+    const std::pair rank(CostOf(now, *row, query, fastestStep, shareState),
                          row->target.failureDomain != m_ownDomain);
     if (best == nullptr || rank < bestRank) {
       best = row;
--- a/src/observe/metric_catalog.hpp
+++ b/src/observe/metric_catalog.hpp
@@ -36,6 +36,7 @@
   kRequestDuration,
   kRefusedByUrgency,
   kCallerRetries,
+  kFirstEventError,
   kFirstByte,
   kGateOpen,
   kOutsideCallsRefused,
--- a/src/observe/metrics.cpp
+++ b/src/observe/metrics.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cmath>
 #include <map>
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
@@ -150,6 +151,10 @@
     Add(MetricId::kRequests, 1, outcome != nullptr ? *outcome : "unknown");
     Add(MetricId::kRequestAttempts, NumberField(event, "attempts"));
     Observe(MetricId::kRequestDuration, NumberField(event, "millis") / kMillisPerSecond);
+    if (const double predicted = NumberField(event, "predictedMillis"); predicted > 0) {
+      const double error = std::abs(predicted - NumberField(event, "observedMillis"));
+      Observe(MetricId::kFirstEventError, error / kMillisPerSecond);
+    }
     const std::string* urgency = FindField(event, "urgency");
     if (urgency == nullptr || outcome == nullptr) {
       return;
--- a/src/settings/setting_key.cpp
+++ b/src/settings/setting_key.cpp
@@ -415,6 +415,17 @@
             [](ProcessSettings& settings, const SettingValue& value) {
               settings.retries.window = Times(value.decimal, std::chrono::seconds(1));
             }),
+  TextKey("admission.predictFirstEvent",
+          SettingType::kChoice,
+          "true|false",
+          "false",
+          kEntryRole,
+          kNoRole,
+          "Whether requests are sent to heads where their first event is predicted in time, by the "
+          "figures of the service's engines. Otherwise heads are filled by the number of requests.",
+          [](ProcessSettings& settings, const SettingValue& value) {
+            settings.admission.predictFirstEvent = value.text == "true";
+          }),
   TextKey(
     "admission.retryPlaces",
     SettingType::kChoice,
--- a/src/shell/gateway_shell.cpp
+++ b/src/shell/gateway_shell.cpp
@@ -22,6 +22,7 @@
   gateway.controls = impl::ControlsOf(settings);
   gateway.retries = { settings.retries.ratio, settings.retries.slack, settings.retries.window };
   gateway.targetDrainTime = settings.targetDrainTime;
+  gateway.predictFirstEvent = settings.admission.predictFirstEvent;
   gateway.retryPlaces = settings.admission.retryPlaces;
   return gateway;
 }
--- a/tests/support/loaded_entries.cpp
+++ b/tests/support/loaded_entries.cpp
@@ -1,5 +1,6 @@
 #include "support/loaded_entries.hpp"
 
+#include "gooseberrysail/control/head_shares.hpp"
 #include "support/plain_gateway_api.hpp"
 
 #include <algorithm>
@@ -30,6 +31,7 @@
   engine.stepTimePerRequest = LoadedEntries::kStepTimePerRequest;
   engine.tokensPerEvent = LoadedEntries::kTokensPerEvent;
   engine.promptTokensPerSecond = LoadedEntries::kTokensPerSecond;
+  engine.promptTokensPerPass = LoadedEntries::kTokensPerPass;
   engine.models = { { "m", 1, 1.0, 1.0, 16s, 1600ms } };
   return engine;
 }
@@ -105,16 +107,26 @@
   m_snapshot.index = std::make_shared<const RouteIndex>(document);
   m_snapshot.targetsSequence = 1;
   std::vector<ServedTarget> targets;
+  std::vector<HeadCapacity> capacities;
   for (std::size_t i = 0; i < m_options.headPaces.size(); ++i) {
     const std::string name = "h" + std::to_string(i);
     targets.push_back(
       { InstanceId(name), "assist", name, FailureDomainId("a"), kSlots, false, "m" });
+    capacities.push_back({ InstanceId(name), FailureDomainId("a"), kSlots });
     m_heads.emplace(name, std::make_unique<Head>()).first->second->pace = m_options.headPaces[i];
   }
+  std::vector<EntryDemand> demands;
+  for (std::size_t i = 0; i < m_options.entries; ++i) {
+    demands.push_back({ ProcessId("e" + std::to_string(i)),
+                        FailureDomainId("a"),
+                        1.0 / static_cast<double>(m_options.entries) });
+  }
+  const std::map<ProcessId, HeadShares> shares = DivideHeads(demands, capacities);
   for (std::size_t i = 0; i < m_options.entries; ++i) {
     m_nodes.push_back(std::make_unique<Node>(m_options, i + 1));
     Node& node = *m_nodes.back();
     node.dispatcher.Selector().SetEntries(static_cast<std::uint32_t>(m_options.entries));
+    node.dispatcher.Selector().SetShares(shares.at(demands[i].entry));
     node.dispatcher.OnTargets(now, targets, node.outbox);
   }
 }
