Groups move between models by the course of the load

Cause: the pool planner compares models by their offered load at the moment. With demand that is a wave of 11 s, groups are ended at its peak and formed again in its trough; the capacity is away when it is needed. Change: with control.weighMoves a move must gain more than it loses: precedents of the shortage, or ski rental without one, over the recent loads as if the present groups had existed throughout; no move back before the first has paid off. Off by default.

--- a/include/gooseberrysail/control/engine_groups.hpp
+++ b/include/gooseberrysail/control/engine_groups.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gooseberrysail/control/capacity_moves.hpp"
 #include "gooseberrysail/control/slow_targets.hpp"
 #include "gooseberrysail/control/target_verifier.hpp"
 #include "gooseberrysail/core/time.hpp"
@@ -92,6 +93,9 @@
   /// \brief How long a head that lacks a member is stalled before it reports itself broken.
   Duration standstill = std::chrono::seconds(5);
   Duration heartbeat = std::chrono::milliseconds(1200); ///< Interval of a target's heartbeats.
+  /// \brief Groups are ended for another model only if that gains more than it loses over the
+  /// recent course of the load; otherwise the present load decides.
+  bool weighMoves = false;
 
   /// \brief Time without a heartbeat after which a target is not used for a new group, and the
   /// group of a head that fails entries and answers none is ended. One heartbeat may be half its
@@ -204,6 +208,7 @@
   void FormGroups(Pass& pass, const ServiceDefinition& service);
   void StartGroup(Pass& pass, const std::string& service, const PlannedGroup& planned);
   void StartTakeover(Pass& pass, const std::string& service, const PlannedTakeover& planned);
+  void RecordMove(Pass& pass, const std::string& service, const PlannedTakeover& planned);
   Group& AddGroup(Pass& pass, const std::string& service, const PlannedGroup& planned, Phase phase);
   void StartStage(Pass& pass, const PlannedStage& planned);
   void StartStandby(Pass& pass, const PlannedStandby& planned);
@@ -335,6 +340,7 @@
   TargetVerifier m_verifier;
   std::vector<std::pair<InstanceId, double>> m_paceChanges; ///< Not reported yet.
   TimePoint m_lostGroupAt{}; ///< When a group was last lost to a fault.
+  CapacityMoves m_moves;
   /// \brief When the shortage of a model was last reported, by model.
   std::map<std::string, TimePoint> m_shortageReportedAt;
   std::size_t m_knownTargets = 0;
--- a/include/gooseberrysail/placement/model_work.hpp
+++ b/include/gooseberrysail/placement/model_work.hpp
@@ -36,6 +36,9 @@
 /// \brief Estimated fraction of the requests that `groups` serve in time, 0 to 1.
 [[nodiscard]] double ServedFraction(double groups, double offeredLoad);
 
+/// \brief Logarithm of ServedFraction, the utility of proportional fairness; finite for no groups.
+[[nodiscard]] double LogServedFraction(double groups, double offeredLoad);
+
 /// \brief Factor of the square root in RequiredGroups.
 /// \remarks In simulated days with two models, 2 groups for a load of 1.75 gave 0.68 to 0.7 of the
 /// answers in time, 4 groups for 3.7 gave 0.75, and 5 groups for 3.7 gave 0.94. The factors that
--- a/include/gooseberrysail/placement/pool_plan.hpp
+++ b/include/gooseberrysail/placement/pool_plan.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gooseberrysail/core/ids.hpp"
+#include "gooseberrysail/placement/move_decision.hpp"
 #include "gooseberrysail/serving/document.hpp"
 #include "gooseberrysail/serving/target_table.hpp"
 
@@ -46,6 +47,23 @@
   double offeredLoad = 0;   ///< Offered load of the present requests, in groups; 0 when not known.
 };
 
+/// \brief A move of targets between models that has not paid off yet.
+struct RecentMove
+{
+  std::string donor;
+  std::string receiver;
+};
+
+/// \brief What moves are weighed by.
+struct MoveInput
+{
+  TimePoint now{};
+  const EngineSpec& engine;
+  std::span<const LoadSample> history; ///< The oldest sample first.
+  std::span<const RecentMove> recent;  ///< Their opposites aren't planned.
+  bool isAfterLoss = false;            ///< Groups were lost lately.
+};
+
 struct PoolInput
 {
   std::span<const FreeTarget> free;
@@ -66,6 +84,9 @@
   std::uint32_t secondLoads = std::numeric_limits<std::uint32_t>::max();
   /// \brief Healthy members of groups that are ending; they will be free shortly.
   std::span<const FreeTarget> returning{};
+  /// \brief A takeover must gain more than it loses over the recent course of the load. Null: by
+  /// the present load alone.
+  const MoveInput* moves = nullptr;
 };
 
 /// \brief A group to form; the first member is its head.
@@ -81,6 +102,8 @@
 {
   PlannedGroup group;
   std::vector<std::string> releases; ///< Serving groups to close, of a model with less need.
+  std::string donor;                 ///< The model of these groups.
+  MoveEstimate estimate;             ///< Only where moves are weighed.
 };
 
 /// \brief Purpose of a load.
@@ -116,6 +139,8 @@
   kLossesSettle,  ///< Losses are still being detected, or demand is not known.
   kNoCandidate,   ///< No domain has enough suitable targets.
   kTooLittleGain, ///< The total gain over all models is too small.
+  kLoadMayPass,   ///< The shortage has not cost as much yet as the move would.
+  kMovedRecently, ///< It would undo a move that has not paid off yet.
   kWaitsForLoads, ///< The members of the new group load its weights first.
   kTaken,
 };
@@ -127,7 +152,9 @@
 {
   std::string model;
   TakeoverVerdict takeover = TakeoverVerdict::kNotNeeded;
-  double gain = 0;             ///< Gain of the best takeover, in groups.
+  double gain = 0;             ///< Gain of the best takeover at the present load, in groups.
+  MoveEstimate estimate;       ///< Of the takeover closest to paying off, where moves are weighed.
+  bool isKept = false;         ///< A takeover that pays off would undo a recent one.
   FabricDomainId fabricDomain; ///< Domain of its next group; none when no domain has the targets.
   std::uint32_t loadsToBegin = 0;
   std::uint32_t loadsUnderWay = 0;
--- a/include/gooseberrysail/settings/settings.hpp
+++ b/include/gooseberrysail/settings/settings.hpp
@@ -71,6 +71,7 @@
   std::vector<FailureDomainId> failureDomains; ///< See ControlSettings.
   Duration standstill{};                       ///< See EngineGroupsSettings.
   Duration targetHeartbeat{};                  ///< See EngineGroupsSettings.
+  bool weighMoves = false;                     ///< See EngineGroupsSettings.
 };
 
 /// \brief Settings of an agent: the target VM that it serves.
--- /dev/null
+++ b/src/control/capacity_moves.cpp
@@ -0,0 +1,60 @@
+#include "gooseberrysail/control/capacity_moves.hpp"
+
+namespace gooseberrysail {
+
+namespace {
+
+/// For this many times the duration of a move a lost group counts as the reason of a shortage.
+constexpr int kMovesAfterLoss = 3;
+
+} // namespace
+
+void CapacityMoves::Clear()
+{
+  m_history.Clear();
+  m_moves.clear();
+  m_lostAt.reset();
+}
+
+void CapacityMoves::OnGroupLost(TimePoint now)
+{
+  m_moves.clear();
+  m_lostAt = now;
+}
+
+bool CapacityMoves::IsAfterLoss(TimePoint now, const EngineSpec& engine) const
+{
+  return m_lostAt && now - *m_lostAt <= LongestMove(engine) * kMovesAfterLoss;
+}
+
+void CapacityMoves::RecordLoads(TimePoint now,
+                                const EngineSpec& engine,
+                                std::span<const ModelNeed> needs)
+{
+  std::map<std::string, double, std::less<>> loads;
+  for (const ModelNeed& need : needs) {
+    if (need.offeredLoad > 0) {
+      loads.emplace(need.model->name, need.offeredLoad);
+    }
+  }
+  if (!loads.empty()) {
+    m_history.Record(now, LongestMove(engine) * kMovesInHistory, std::move(loads));
+  }
+}
+
+void CapacityMoves::RecordMove(TimePoint now, const RecentMove& move, const MoveEstimate& estimate)
+{
+  m_moves[{ move.donor, move.receiver }] = now + estimate.duration + estimate.Payback();
+}
+
+std::vector<RecentMove> CapacityMoves::ListRecent(TimePoint now)
+{
+  std::erase_if(m_moves, [&](const auto& move) { return move.second <= now; });
+  std::vector<RecentMove> recent;
+  for (const auto& [models, paidAt] : m_moves) {
+    recent.push_back({ models.first, models.second });
+  }
+  return recent;
+}
+
+} // namespace gooseberrysail
--- a/src/control/engine_groups_planning.cpp
+++ b/src/control/engine_groups_planning.cpp
@@ -122,6 +122,13 @@
   const std::vector<FreeTarget> returning = ListReturning(pass, service.name);
   const std::vector<ServingGroup> serving = ListServing(pass, service.name);
   const std::uint32_t atFullSpeed = LoadsUpTo(pass, std::max(1U, service.engine->loadsAtOnce));
+  m_moves.RecordLoads(pass.input.now, *service.engine, needs);
+  const std::vector<RecentMove> recent = m_moves.ListRecent(pass.input.now);
+  const MoveInput moves{ pass.input.now,
+                         *service.engine,
+                         m_moves.History(),
+                         recent,
+                         m_moves.IsAfterLoss(pass.input.now, *service.engine) };
   const PoolInput pool{ free,
                         needs,
                         serving,
@@ -131,7 +138,8 @@
                         MayTakeOver(pass),
                         atFullSpeed,
                         LoadsUpTo(pass, 1),
-                        returning };
+                        returning,
+                        m_settings.weighMoves ? &moves : nullptr };
   const PoolPlan plan = PlanPool(pool);
   for (const PlannedGroup& planned : plan.groups) {
     StartGroup(pass, service.name, planned);
@@ -177,7 +185,10 @@
                                       { "loadsToBegin", std::to_string(shortage.loadsToBegin) },
                                       { "loadsUnderWay", std::to_string(shortage.loadsUnderWay) },
                                       { "takeover", ToString(shortage.takeover) },
-                                      { "gain", ToDecimal(shortage.gain) } }));
+                                      { "gain", ToDecimal(shortage.gain) },
+                                      { "moveGain", ToDecimal(shortage.estimate.gain) },
+                                      { "moveLoss", ToDecimal(shortage.estimate.loss) },
+                                      { "samples", std::to_string(shortage.estimate.samples) } }));
   }
 }
 
@@ -479,6 +490,26 @@
     End(pass, FindServing(name), "another model has a larger shortage");
   }
   AddGroup(pass, service, planned.group, Phase::kGathering);
+  RecordMove(pass, service, planned);
+}
+
+void EngineGroups::RecordMove(Pass& pass,
+                              const std::string& service,
+                              const PlannedTakeover& planned)
+{
+  const MoveEstimate& estimate = planned.estimate;
+  m_moves.RecordMove(pass.input.now, { planned.donor, planned.group.model }, estimate);
+  pass.events.push_back(
+    MakeEvent(EventNumber::kTargetGroupsMoved,
+              { { "service", service },
+                { "from", planned.donor },
+                { "to", planned.group.model },
+                { "released", std::to_string(planned.releases.size()) },
+                { "gain", ToDecimal(estimate.gain) },
+                { "loss", ToDecimal(estimate.loss) },
+                { "moveMillis", std::to_string(ToMillis(estimate.duration)) },
+                { "paybackMillis", std::to_string(ToMillis(estimate.Payback())) },
+                { "samples", std::to_string(estimate.samples) } }));
 }
 
 EngineGroups::Group& EngineGroups::AddGroup(Pass& pass,
--- a/src/placement/model_work.cpp
+++ b/src/placement/model_work.cpp
@@ -5,6 +5,13 @@
 
 namespace gooseberrysail {
 
+namespace {
+
+/// Lower bound of the served fraction, as the logarithm of zero is not finite.
+constexpr double kMinServedFraction = 0.05;
+
+} // namespace
+
 double OfferedLoad(const EngineSpec& engine, const GroupModel& model, const ModelDemand& demand)
 {
   const double slots = std::max(engine.slots, 1U);
@@ -41,4 +48,9 @@
   return offeredLoad <= 0 ? 1 : std::min(1.0, groups / RequiredGroups(offeredLoad));
 }
 
+double LogServedFraction(double groups, double offeredLoad)
+{
+  return std::log(std::max(ServedFraction(groups, offeredLoad), kMinServedFraction));
+}
+
 } // namespace gooseberrysail
--- a/src/placement/pool_plan.cpp
+++ b/src/placement/pool_plan.cpp
@@ -4,7 +4,6 @@
 #include "placement/pool_candidates.hpp"
 
 #include <algorithm>
-#include <cmath>
 #include <map>
 #include <optional>
 #include <set>
@@ -19,8 +18,6 @@
 constexpr double kMinGain = 0.3;
 /// Fulfilment of a model without demand.
 constexpr double kFulfilmentWithoutDemand = 10;
-/// Lower bound of the served fraction, as the logarithm of zero is not finite.
-constexpr double kMinServedFraction = 0.05;
 
 using impl::CandidateGroup;
 using impl::CountHoldingOrLoading;
@@ -210,9 +207,8 @@
   /// reserve. The fewer groups a model has, the more it gains by a further one.
   static double Utility(const ModelNeed& need, int change)
   {
-    const double served =
-      ServedFraction(static_cast<double>(need.groups) + change, need.offeredLoad);
-    return need.offeredLoad * std::log(std::max(served, kMinServedFraction));
+    const double groups = static_cast<double>(need.groups) + change;
+    return need.offeredLoad * LogServedFraction(groups, need.offeredLoad);
   }
 
   /// \brief Total gain over both models, in groups, when `donor` releases groups for `need`.
@@ -227,6 +223,7 @@
   {
     CandidateGroup candidate;
     std::vector<const ServingGroup*> groups;
+    MoveEstimate estimate; ///< Only where moves are weighed.
   };
 
   /// \brief Which targets a takeover may use.
@@ -278,12 +275,22 @@
       }
     }
     if (!best) {
-      shortage.takeover =
-        shortage.gain != 0 ? TakeoverVerdict::kTooLittleGain : TakeoverVerdict::kNoCandidate;
+      shortage.takeover = VerdictWithoutTakeover(shortage);
     }
     return best;
   }
 
+  [[nodiscard]] TakeoverVerdict VerdictWithoutTakeover(const PlannedShortage& shortage) const
+  {
+    if (shortage.gain == 0) {
+      return TakeoverVerdict::kNoCandidate;
+    }
+    if (m_input.moves == nullptr) {
+      return TakeoverVerdict::kTooLittleGain;
+    }
+    return shortage.isKept ? TakeoverVerdict::kMovedRecently : TakeoverVerdict::kLoadMayPass;
+  }
+
   static bool IsCheaper(const Takeover& left, const Takeover& right)
   {
     return std::pair(left.groups.size(), left.candidate.toBegin) <
@@ -347,7 +354,12 @@
     const double gain = Gain(need, formed, donor, released);
     PlannedShortage& shortage = ShortageOf(need);
     shortage.gain = shortage.gain == 0 ? gain : std::max(shortage.gain, gain);
-    if (gain < kMinGain) {
+    if (m_input.moves != nullptr) {
+      takeover.estimate = Estimate(need, formed, donor, released);
+      if (!MayMove(shortage, need, donor, takeover.estimate)) {
+        return std::nullopt;
+      }
+    } else if (gain < kMinGain) {
       return std::nullopt;
     }
     takeover.candidate = MakeCandidate(domain, std::move(members), *need.model);
@@ -355,12 +367,52 @@
     return takeover;
   }
 
+  [[nodiscard]] MoveEstimate Estimate(const ModelNeed& need,
+                                      int formed,
+                                      const ModelNeed& donor,
+                                      int released) const
+  {
+    const MoveInput& moves = *m_input.moves;
+    const auto moved = [](const ModelNeed& model, int change) {
+      return MovedModel{ model.model,
+                         static_cast<double>(model.groups),
+                         static_cast<double>(change),
+                         model.offeredLoad };
+    };
+    const ProposedMove move{ moved(need, formed),
+                             moved(donor, -released),
+                             MoveDuration(moves.engine, *donor.model, *need.model),
+                             moves.isAfterLoss };
+    return EstimateMove(moves.now, move, moves.history);
+  }
+
+  /// Records the estimate that comes closest to a move in the shortage.
+  bool MayMove(PlannedShortage& shortage,
+               const ModelNeed& need,
+               const ModelNeed& donor,
+               const MoveEstimate& estimate) const
+  {
+    const bool isKept = std::ranges::any_of(m_input.moves->recent, [&](const RecentMove& recent) {
+      return recent.donor == NameOf(need) && recent.receiver == NameOf(donor);
+    });
+    const bool isCloser =
+      shortage.estimate.samples == 0 ||
+      estimate.gain - estimate.loss > shortage.estimate.gain - shortage.estimate.loss;
+    if (isCloser) {
+      shortage.estimate = estimate;
+    }
+    shortage.isKept = shortage.isKept || (isKept && estimate.PaysOff());
+    return estimate.PaysOff() && !isKept;
+  }
+
   /// Plans to close the donor's groups and to form a group of their members, which hold the
   /// weights.
   void PlanTakeover(ModelNeed& need, const Takeover& takeover)
   {
     Reserve(takeover.candidate.fabricDomain, takeover.candidate.members);
-    PlannedTakeover planned{ { need.model->name, {}, 0 }, {} };
+    PlannedTakeover planned{
+      { need.model->name, {}, 0 }, {}, takeover.groups.front()->model, takeover.estimate
+    };
     for (const FreeTarget* target : takeover.candidate.members) {
       planned.group.members.push_back(target->instance);
     }
@@ -572,6 +624,10 @@
       return "no-candidate";
     case TakeoverVerdict::kTooLittleGain:
       return "too-little-gain";
+    case TakeoverVerdict::kLoadMayPass:
+      return "load-may-pass";
+    case TakeoverVerdict::kMovedRecently:
+      return "moved-recently";
     case TakeoverVerdict::kWaitsForLoads:
       return "waits-for-loads";
     case TakeoverVerdict::kTaken:
--- a/src/settings/setting_key.cpp
+++ b/src/settings/setting_key.cpp
@@ -361,6 +361,17 @@
             [](ProcessSettings& settings, const SettingValue& value) {
               settings.control.targetHeartbeat = Times(value.decimal, std::chrono::milliseconds(1));
             }),
+  TextKey("control.weighMoves",
+          SettingType::kChoice,
+          "true|false",
+          "false",
+          kControlRole,
+          kNoRole,
+          "Whether groups are ended for another model only if that gains more than it loses over "
+          "the recent course of the load; otherwise the present load alone decides.",
+          [](ProcessSettings& settings, const SettingValue& value) {
+            settings.control.weighMoves = value.text == "true";
+          }),
   TextKey("control.failureDomains",
           SettingType::kNameList,
           "",
