The tolerance of pauses is a setting

Cause: two unanswered probes end a group some 1.3 s after a target fell silent; a pause of 1.5 s or 2 s breaks off work that would have gone on. A longer tolerance delays the replacement of dead targets by as much, so that no value serves every deployment.

--- a/src/control/engine_groups_silence.cpp
+++ b/src/control/engine_groups_silence.cpp
@@ -11,6 +11,9 @@
 /// A probe without an answer is followed by a second one after this; a live target answers within
 /// milliseconds.
 constexpr Duration kSecondProbeDelay = 200ms;
+/// Two probes without an answer take at least this long, after which a pause of the default
+/// tolerance is over: a target is probed once its heartbeat or its head is late.
+constexpr Duration kShortestProbing = 500ms;
 
 } // namespace
 
@@ -39,7 +42,9 @@
   }
   const Silence& silence = found->second;
   const bool mayWork = row.latest.draining && unheard <= m_settings.SuspectTimeout();
-  return silence.isUnanswered || (silence.isRefused && !mayWork);
+  const bool isSilentForLong =
+    pass.input.now - silence.probedAt >= m_settings.pauseTolerance - kShortestProbing;
+  return (silence.isUnanswered && isSilentForLong) || (silence.isRefused && !mayWork);
 }
 
 // A head that is cut off from control but still answers the entries keeps its group.
