Moves between models: histories by service, times without samples

Each service has a history, a sample counts for at most half a second, and a move must also gain at present. Event 535 comes only where moves are weighed.

--- a/include/gooseberrysail/control/engine_groups.hpp
+++ b/include/gooseberrysail/control/engine_groups.hpp
@@ -93,6 +93,10 @@
   /// \brief How long a head that lacks a member is stalled before it reports itself broken.
   Duration standstill = std::chrono::seconds(5);
   Duration heartbeat = std::chrono::milliseconds(1200); ///< Interval of a target's heartbeats.
+  /// \brief A target that answers no probes counts as lost once it has been silent for this long. A
+  /// process that is paused for less goes on with its work; a longer tolerance delays the
+  /// replacement of a dead target by as much.
+  Duration pauseTolerance = std::chrono::milliseconds(1200);
   /// \brief Groups are ended for another model only if that gains more than it loses over the
   /// recent course of the load; otherwise the present load decides.
   bool weighMoves = false;
@@ -340,7 +344,7 @@
   TargetVerifier m_verifier;
   std::vector<std::pair<InstanceId, double>> m_paceChanges; ///< Not reported yet.
   TimePoint m_lostGroupAt{}; ///< When a group was last lost to a fault.
-  CapacityMoves m_moves;
+  std::map<std::string, CapacityMoves> m_moves; ///< By service.
   /// \brief When the shortage of a model was last reported, by model.
   std::map<std::string, TimePoint> m_shortageReportedAt;
   std::size_t m_knownTargets = 0;
--- a/include/gooseberrysail/placement/move_decision.hpp
+++ b/include/gooseberrysail/placement/move_decision.hpp
@@ -38,7 +38,7 @@
   Duration precedent{}; ///< The longest such time that has ended; zero without one.
   std::size_t samples = 0;
 
-  [[nodiscard]] bool PaysOff() const noexcept { return gain > loss; }
+  [[nodiscard]] bool PaysOff() const noexcept { return gain > loss && gainPerSecond > 0; }
   /// \brief How long the new groups have to serve until they have made up for the loss.
   [[nodiscard]] Duration Payback() const;
 };
--- a/include/gooseberrysail/placement/pool_plan.hpp
+++ b/include/gooseberrysail/placement/pool_plan.hpp
@@ -152,9 +152,9 @@
 {
   std::string model;
   TakeoverVerdict takeover = TakeoverVerdict::kNotNeeded;
-  double gain = 0;             ///< Gain of the best takeover at the present load, in groups.
-  MoveEstimate estimate;       ///< Of the takeover closest to paying off, where moves are weighed.
-  bool isKept = false;         ///< A takeover that pays off would undo a recent one.
+  double gain = 0;       ///< Gain of the best takeover at the present load, in groups.
+  MoveEstimate estimate; ///< Of the takeover closest to paying off, where moves are weighed.
+  bool isBlockedByRecentMove = false; ///< A takeover that pays off would undo a recent one.
   FabricDomainId fabricDomain; ///< Domain of its next group; none when no domain has the targets.
   std::uint32_t loadsToBegin = 0;
   std::uint32_t loadsUnderWay = 0;
--- a/src/control/capacity_moves.cpp
+++ b/src/control/capacity_moves.cpp
@@ -1,5 +1,7 @@
 #include "gooseberrysail/control/capacity_moves.hpp"
 
+#include <algorithm>
+
 namespace gooseberrysail {
 
 namespace {
@@ -33,11 +35,11 @@
 {
   std::map<std::string, double, std::less<>> loads;
   for (const ModelNeed& need : needs) {
-    if (need.offeredLoad > 0) {
-      loads.emplace(need.model->name, need.offeredLoad);
-    }
+    loads.emplace(need.model->name, need.offeredLoad);
   }
-  if (!loads.empty()) {
+  const bool hasDemand =
+    std::ranges::any_of(needs, [](const ModelNeed& need) { return need.offeredLoad > 0; });
+  if (hasDemand || !m_history.Samples().empty()) {
     m_history.Record(now, LongestMove(engine) * kMovesInHistory, std::move(loads));
   }
 }
--- a/src/control/engine_groups.cpp
+++ b/src/control/engine_groups.cpp
@@ -65,7 +65,7 @@
   m_standbySince.clear();
   m_shortageReportedAt.clear();
   m_demandSince.reset();
-  m_moves.Clear();
+  m_moves.clear();
   m_slow.Clear();
   m_verifier.Clear();
   m_paceChanges.clear();
--- a/src/control/engine_groups_planning.cpp
+++ b/src/control/engine_groups_planning.cpp
@@ -122,13 +122,14 @@
   const std::vector<FreeTarget> returning = ListReturning(pass, service.name);
   const std::vector<ServingGroup> serving = ListServing(pass, service.name);
   const std::uint32_t atFullSpeed = LoadsUpTo(pass, std::max(1U, service.engine->loadsAtOnce));
-  m_moves.RecordLoads(pass.input.now, *service.engine, needs);
-  const std::vector<RecentMove> recent = m_moves.ListRecent(pass.input.now);
+  CapacityMoves& capacity = m_moves[service.name];
+  capacity.RecordLoads(pass.input.now, *service.engine, needs);
+  const std::vector<RecentMove> recent = capacity.ListRecent(pass.input.now);
   const MoveInput moves{ pass.input.now,
                          *service.engine,
-                         m_moves.History(),
+                         capacity.History(),
                          recent,
-                         m_moves.IsAfterLoss(pass.input.now, *service.engine) };
+                         capacity.IsAfterLoss(pass.input.now, *service.engine) };
   const PoolInput pool{ free,
                         needs,
                         serving,
@@ -490,7 +491,9 @@
     End(pass, FindServing(name), "another model has a larger shortage");
   }
   AddGroup(pass, service, planned.group, Phase::kGathering);
-  RecordMove(pass, service, planned);
+  if (m_settings.weighMoves) {
+    RecordMove(pass, service, planned);
+  }
 }
 
 void EngineGroups::RecordMove(Pass& pass,
@@ -498,7 +501,7 @@
                               const PlannedTakeover& planned)
 {
   const MoveEstimate& estimate = planned.estimate;
-  m_moves.RecordMove(pass.input.now, { planned.donor, planned.group.model }, estimate);
+  m_moves[service].RecordMove(pass.input.now, { planned.donor, planned.group.model }, estimate);
   pass.events.push_back(
     MakeEvent(EventNumber::kTargetGroupsMoved,
               { { "service", service },
--- a/src/placement/move_decision.cpp
+++ b/src/placement/move_decision.cpp
@@ -14,8 +14,10 @@
 /// A move for a shortage that ends is undone, which costs about as much again.
 constexpr double kMoveAndBack = 2;
 /// With less history than this many times a move's duration, a shortage may be a period of a load
-/// that has not shown its course yet.
+/// that has not shown its summary yet.
 constexpr int kMinMovesInHistory = kMovesInHistory / 2;
+/// A sample says nothing of a longer time, in which no plans were made.
+constexpr Duration kLongestSample = 5 * LoadHistory::kInterval;
 /// The opposite of a move isn't made for at most this many times its duration.
 constexpr int kMaxPayback = 3;
 
@@ -43,7 +45,7 @@
 }
 
 /// What the history says of a move, as if the present groups had existed throughout.
-struct Course
+struct HistorySummary
 {
   Duration length{};       ///< Of the history.
   Duration shortage{};     ///< The present time in which the move would have gained.
@@ -54,37 +56,40 @@
   double surplus = 0;      ///< Lost by the move when there was no shortage, mean by second.
 };
 
-Course ReadCourse(TimePoint now, const ProposedMove& move, std::span<const LoadSample> history)
+HistorySummary Summarize(TimePoint now,
+                         const ProposedMove& move,
+                         std::span<const LoadSample> history)
 {
-  Course course;
+  HistorySummary summary;
   double donorLoss = 0;
   double surplus = 0;
   for (std::size_t i = 0; i < history.size(); ++i) {
-    const Duration step = (i + 1 < history.size() ? history[i + 1].at : now) - history[i].at;
+    const TimePoint until = i + 1 < history.size() ? history[i + 1].at : now;
+    const Duration step = std::min(until - history[i].at, kLongestSample);
     const double donorGain = GainOf(move.donor, LoadOf(history[i], move.donor));
     const double gain = GainOf(move.receiver, LoadOf(history[i], move.receiver)) + donorGain;
-    course.length += step;
+    summary.length += step;
     donorLoss -= donorGain * Seconds(step);
     if (gain > 0) {
-      course.shortage += step;
-      course.shortageCost += gain * Seconds(step);
-      course.shortageLoss -= donorGain * Seconds(step);
+      summary.shortage += step;
+      summary.shortageCost += gain * Seconds(step);
+      summary.shortageLoss -= donorGain * Seconds(step);
     } else {
       surplus -= gain * Seconds(step);
-      course.longestEnded = std::max(course.longestEnded, course.shortage);
-      course.shortage = Duration::zero();
-      course.shortageCost = 0;
-      course.shortageLoss = 0;
+      summary.longestEnded = std::max(summary.longestEnded, summary.shortage);
+      summary.shortage = Duration::zero();
+      summary.shortageCost = 0;
+      summary.shortageLoss = 0;
     }
   }
-  if (course.length > Duration::zero()) {
-    course.donorLoss = donorLoss / Seconds(course.length);
-    course.surplus = surplus / Seconds(course.length);
+  if (summary.length > Duration::zero()) {
+    summary.donorLoss = donorLoss / Seconds(summary.length);
+    summary.surplus = surplus / Seconds(summary.length);
   }
-  if (course.shortage > Duration::zero()) {
-    course.shortageLoss /= Seconds(course.shortage);
+  if (summary.shortage > Duration::zero()) {
+    summary.shortageLoss /= Seconds(summary.shortage);
   }
-  return course;
+  return summary;
 }
 
 } // namespace
@@ -100,28 +105,28 @@
                           const ProposedMove& move,
                           std::span<const LoadSample> history)
 {
-  const Course course = ReadCourse(now, move, history);
+  const HistorySummary summary = Summarize(now, move, history);
   const double donorLoss = -GainOf(move.donor, move.donor.latestLoad);
   const double seconds = Seconds(move.duration);
   MoveEstimate estimate;
   estimate.gainPerSecond = GainOf(move.receiver, move.receiver.latestLoad) - donorLoss;
   estimate.duration = move.duration;
-  estimate.shortage = course.shortage;
-  estimate.precedent = course.longestEnded;
+  estimate.shortage = summary.shortage;
+  estimate.precedent = summary.longestEnded;
   estimate.samples = history.size();
   const bool isLikePrecedent =
-    course.longestEnded > Duration::zero() &&
-    Seconds(course.shortage) <= kUnlikePrecedent * Seconds(course.longestEnded);
+    summary.longestEnded > Duration::zero() &&
+    Seconds(summary.shortage) <= kUnlikePrecedent * Seconds(summary.longestEnded);
   if (isLikePrecedent) {
-    const Duration left = course.longestEnded - course.shortage - move.duration;
+    const Duration left = summary.longestEnded - summary.shortage - move.duration;
     estimate.gain = estimate.gainPerSecond * std::max(0.0, Seconds(left));
     // The donor's load may be in the trough of its wave. The surplus is lost until the move is
     // undone.
-    estimate.loss = (std::max({ 0.0, donorLoss, course.donorLoss }) + course.surplus) * seconds;
+    estimate.loss = (std::max({ 0.0, donorLoss, summary.donorLoss }) + summary.surplus) * seconds;
   } else {
-    estimate.loss = std::max({ 0.0, donorLoss, course.shortageLoss }) * seconds;
-    const bool isKnown = move.isAfterLoss || course.length >= move.duration * kMinMovesInHistory;
-    estimate.gain = isKnown ? course.shortageCost / kMoveAndBack : 0;
+    estimate.loss = std::max({ 0.0, donorLoss, summary.shortageLoss }) * seconds;
+    const bool isKnown = move.isAfterLoss || summary.length >= move.duration * kMinMovesInHistory;
+    estimate.gain = isKnown ? summary.shortageCost / kMoveAndBack : 0;
   }
   return estimate;
 }
--- a/src/placement/pool_plan.cpp
+++ b/src/placement/pool_plan.cpp
@@ -288,7 +288,8 @@
     if (m_input.moves == nullptr) {
       return TakeoverVerdict::kTooLittleGain;
     }
-    return shortage.isKept ? TakeoverVerdict::kMovedRecently : TakeoverVerdict::kLoadMayPass;
+    return shortage.isBlockedByRecentMove ? TakeoverVerdict::kMovedRecently
+                                          : TakeoverVerdict::kLoadMayPass;
   }
 
   static bool IsCheaper(const Takeover& left, const Takeover& right)
@@ -392,17 +393,19 @@
                const ModelNeed& donor,
                const MoveEstimate& estimate) const
   {
-    const bool isKept = std::ranges::any_of(m_input.moves->recent, [&](const RecentMove& recent) {
-      return recent.donor == NameOf(need) && recent.receiver == NameOf(donor);
-    });
+    const bool isBlockedByRecentMove =
+      std::ranges::any_of(m_input.moves->recent, [&](const RecentMove& recent) {
+        return recent.donor == NameOf(need) && recent.receiver == NameOf(donor);
+      });
     const bool isCloser =
       shortage.estimate.samples == 0 ||
       estimate.gain - estimate.loss > shortage.estimate.gain - shortage.estimate.loss;
     if (isCloser) {
       shortage.estimate = estimate;
     }
-    shortage.isKept = shortage.isKept || (isKept && estimate.PaysOff());
-    return estimate.PaysOff() && !isKept;
+    shortage.isBlockedByRecentMove =
+      shortage.isBlockedByRecentMove || (isBlockedByRecentMove && estimate.PaysOff());
+    return estimate.PaysOff() && !isBlockedByRecentMove;
   }
 
   /// Plans to close the donor's groups and to form a group of their members, which hold the
--- a/src/shell/control_shell.cpp
+++ b/src/shell/control_shell.cpp
@@ -46,6 +46,7 @@
   control.failureDomains = settings.control.failureDomains;
   control.engineGroups.standstill = settings.control.standstill;
   control.engineGroups.heartbeat = settings.control.targetHeartbeat;
+  control.engineGroups.pauseTolerance = settings.control.pauseTolerance;
   control.engineGroups.weighMoves = settings.control.weighMoves;
   return control;
 }
