--- a/include/gooseberrysail/control/capacity_moves.hpp
+++ b/include/gooseberrysail/control/capacity_moves.hpp
@@ -3,7 +3,6 @@
 #include "gooseberrysail/placement/pool_plan.hpp"
 
 #include <map>
-#include <optional>
 #include <span>
 #include <string>
 #include <utility>
@@ -26,10 +25,10 @@
   void RecordMove(TimePoint now, const RecentMove& move, const MoveEstimate& estimate);
 
   /// \brief Capacity was lost, so that the balance of earlier moves no longer holds.
-  void OnGroupLost(TimePoint now);
+  void OnGroupLost(TimePoint now, const std::string& model);
 
-  /// \brief Whether a group was lost within the time of a few moves.
-  [[nodiscard]] bool IsAfterLoss(TimePoint now, const EngineSpec& engine) const;
+  /// \brief The models that lost a group within the time of a few moves.
+  [[nodiscard]] std::vector<std::string> ListLossy(TimePoint now, const EngineSpec& engine) const;
 
   [[nodiscard]] std::span<const LoadSample> History() const noexcept { return m_history.Samples(); }
 
@@ -38,7 +37,7 @@
 
 private:
   LoadHistory m_history;
-  std::optional<TimePoint> m_lostAt;
+  std::map<std::string, TimePoint> m_lostAt;                        ///< The latest loss, by model.
   std::map<std::pair<std::string, std::string>, TimePoint> m_moves; ///< When they have paid off.
 };
 
--- a/include/gooseberrysail/placement/move_decision.hpp
+++ b/include/gooseberrysail/placement/move_decision.hpp
@@ -24,7 +24,7 @@
   MovedModel receiver;
   MovedModel donor;
   Duration duration{};      ///< From the order to end the groups until the new ones serve.
-  bool isAfterLoss = false; ///< Groups were lost lately, so that the load isn't the reason.
+  bool isAfterLoss = false; ///< Groups of the receiver were lost lately.
 };
 
 /// \brief What a move gains and loses, in target-seconds of work.
--- a/include/gooseberrysail/placement/pool_plan.hpp
+++ b/include/gooseberrysail/placement/pool_plan.hpp
@@ -61,7 +61,7 @@
   const EngineSpec& engine;
   std::span<const LoadSample> history; ///< The oldest sample first.
   std::span<const RecentMove> recent;  ///< Their opposites aren't planned.
-  bool isAfterLoss = false;            ///< Groups were lost lately.
+  std::span<const std::string> lossy;  ///< Models that lost groups lately.
 };
 
 struct PoolInput
--- a/src/control/capacity_moves.cpp
+++ b/src/control/capacity_moves.cpp
@@ -15,18 +15,24 @@
 {
   m_history.Clear();
   m_moves.clear();
-  m_lostAt.reset();
+  m_lostAt.clear();
 }
 
-void CapacityMoves::OnGroupLost(TimePoint now)
+void CapacityMoves::OnGroupLost(TimePoint now, const std::string& model)
 {
   m_moves.clear();
-  m_lostAt = now;
+  m_lostAt[model] = now;
 }
 
-bool CapacityMoves::IsAfterLoss(TimePoint now, const EngineSpec& engine) const
+std::vector<std::string> CapacityMoves::ListLossy(TimePoint now, const EngineSpec& engine) const
 {
-  return m_lostAt && now - *m_lostAt <= LongestMove(engine) * kMovesAfterLoss;
+  std::vector<std::string> models;
+  for (const auto& [model, at] : m_lostAt) {
+    if (now - at <= LongestMove(engine) * kMovesAfterLoss) {
+      models.push_back(model);
+    }
+  }
+  return models;
 }
 
 void CapacityMoves::RecordLoads(TimePoint now,
--- a/src/control/engine_groups_ending.cpp
+++ b/src/control/engine_groups_ending.cpp
@@ -187,7 +187,7 @@
 void EngineGroups::EndLost(Pass& pass, Group& group, const char* reason)
 {
   m_lostGroupAt = pass.input.now;
-  m_moves[group.service].OnGroupLost(pass.input.now);
+  m_moves[group.service].OnGroupLost(pass.input.now, group.model);
   End(pass, group, reason);
 }
 
--- a/src/control/engine_groups_planning.cpp
+++ b/src/control/engine_groups_planning.cpp
@@ -125,11 +125,8 @@
   CapacityMoves& capacity = m_moves[service.name];
   capacity.RecordLoads(pass.input.now, *service.engine, needs);
   const std::vector<RecentMove> recent = capacity.ListRecent(pass.input.now);
-  const MoveInput moves{ pass.input.now,
-                         *service.engine,
-                         capacity.History(),
-                         recent,
-                         capacity.IsAfterLoss(pass.input.now, *service.engine) };
+  const std::vector<std::string> lossy = capacity.ListLossy(pass.input.now, *service.engine);
+  const MoveInput moves{ pass.input.now, *service.engine, capacity.History(), recent, lossy };
   const PoolInput pool{ free,
                         needs,
                         serving,
--- a/src/placement/move_decision.cpp
+++ b/src/placement/move_decision.cpp
@@ -51,6 +51,7 @@
   Duration shortage{};     ///< The present time in which the move would have gained.
   double shortageCost = 0; ///< What was lost in it, in target-seconds.
   Duration longestEnded{}; ///< The longest such time that has ended.
+  double gain = 0;         ///< Mean by second.
   double donorLoss = 0;    ///< What the donor would have lost, mean by second.
   double shortageLoss = 0; ///< Likewise, in the present shortage.
   double surplus = 0;      ///< Lost by the move when there was no shortage, mean by second.
@@ -63,6 +64,7 @@
   HistorySummary summary;
   double donorLoss = 0;
   double surplus = 0;
+  double sumOfGains = 0;
   for (std::size_t i = 0; i < history.size(); ++i) {
     const TimePoint until = i + 1 < history.size() ? history[i + 1].at : now;
     const Duration step = std::min(until - history[i].at, kLongestSample);
@@ -70,6 +72,7 @@
     const double gain = GainOf(move.receiver, LoadOf(history[i], move.receiver)) + donorGain;
     summary.length += step;
     donorLoss -= donorGain * Seconds(step);
+    sumOfGains += gain * Seconds(step);
     if (gain > 0) {
       summary.shortage += step;
       summary.shortageCost += gain * Seconds(step);
@@ -83,6 +86,7 @@
     }
   }
   if (summary.length > Duration::zero()) {
+    summary.gain = sumOfGains / Seconds(summary.length);
     summary.donorLoss = donorLoss / Seconds(summary.length);
     summary.surplus = surplus / Seconds(summary.length);
   }
@@ -117,15 +121,22 @@
   const bool isLikePrecedent =
     summary.longestEnded > Duration::zero() &&
     Seconds(summary.shortage) <= kUnlikePrecedent * Seconds(summary.longestEnded);
-  if (isLikePrecedent) {
+  const double meanLoss = std::max({ 0.0, donorLoss, summary.donorLoss }) * seconds;
+  if (move.isAfterLoss) {
+    // A lost group is formed again when other targets have loaded its weights, whatever the load
+    // is.
+    const Duration left = move.receiver.model->loadTime - move.duration;
+    estimate.gain = summary.gain * std::max(0.0, Seconds(left));
+    estimate.loss = meanLoss;
+  } else if (isLikePrecedent) {
     const Duration left = summary.longestEnded - summary.shortage - move.duration;
     estimate.gain = estimate.gainPerSecond * std::max(0.0, Seconds(left));
     // The donor's load may be in the trough of its wave. The surplus is lost until the move is
     // undone.
-    estimate.loss = (std::max({ 0.0, donorLoss, summary.donorLoss }) + summary.surplus) * seconds;
+    estimate.loss = meanLoss + summary.surplus * seconds;
   } else {
     estimate.loss = std::max({ 0.0, donorLoss, summary.shortageLoss }) * seconds;
-    const bool isKnown = move.isAfterLoss || summary.length >= move.duration * kMinMovesInHistory;
+    const bool isKnown = summary.length >= move.duration * kMinMovesInHistory;
     estimate.gain = isKnown ? summary.shortageCost / kMoveAndBack : 0;
   }
   return estimate;
--- a/src/placement/pool_plan.cpp
+++ b/src/placement/pool_plan.cpp
@@ -383,7 +383,7 @@
     const ProposedMove move{ moved(need, formed),
                              moved(donor, -released),
                              MoveDuration(moves.engine, *donor.model, *need.model),
-                             moves.isAfterLoss };
+                             std::ranges::find(moves.lossy, NameOf(need)) != moves.lossy.end() };
     return EstimateMove(moves.now, move, moves.history);
   }
 
--- a/tests/unit/capacity_moves_test.cpp
+++ b/tests/unit/capacity_moves_test.cpp
@@ -80,7 +80,8 @@
     for (m_now = m_start; m_now < m_start + kDay; m_now += kStep) {
       if (m_now == m_lost.at) {
         std::erase_if(m_groups, [&](const Group& group) { return group.domain == m_lost.domain; });
-        m_moves.OnGroupLost(m_now);
+        m_moves.OnGroupLost(m_now, "large");
+        m_moves.OnGroupLost(m_now, "small");
       }
       if (m_now == m_leaderAt) {
         m_moves.Clear();
@@ -179,9 +180,8 @@
     }
     m_moves.RecordLoads(m_now, kEngine, needs);
     const std::vector<RecentMove> recent = m_moves.ListRecent(m_now);
-    const MoveInput moves{
-      m_now, kEngine, m_moves.History(), recent, m_moves.IsAfterLoss(m_now, kEngine)
-    };
+    const std::vector<std::string> lossy = m_moves.ListLossy(m_now, kEngine);
+    const MoveInput moves{ m_now, kEngine, m_moves.History(), recent, lossy };
     PoolInput input{ {}, needs, serving };
     input.mayTakeOver = m_rule != Rule::kNever && m_now - m_start > kMeanDemand;
     input.moves = m_rule == Rule::kWeighed ? &moves : nullptr;
@@ -386,7 +386,7 @@
   SECTION("unless capacity is lost meanwhile")
   {
     moves.RecordMove(start, { "large", "small" }, estimate);
-    moves.OnGroupLost(start + 1s);
+    moves.OnGroupLost(start + 1s, "small");
     EXPECT_THAT(moves.ListRecent(start + 1s), IsEmpty());
   }
 }
