--- a/include/gooseberrysail/gateway/gateway_api.hpp
+++ b/include/gooseberrysail/gateway/gateway_api.hpp
@@ -44,7 +44,8 @@
   Duration timeLeft{};
   std::string_view workspace;             ///< "" for public routes without a key.
   std::optional<std::string> resumeAfter; ///< Id of the last event sent to the caller.
-  std::optional<Urgency> urgency; ///< Set where the service's requests differ in it; 0 is first.
+  std::optional<Urgency> urgency =
+    std::nullopt; ///< Set where the service's requests differ in it; 0 is first.
 };
 
 /// \brief The head of a target's answer.
--- a/include/gooseberrysail/placement/move_decision.hpp
+++ b/include/gooseberrysail/placement/move_decision.hpp
@@ -27,7 +27,7 @@
   bool isAfterLoss = false; ///< Groups of the receiver were lost lately.
 };
 
-/// \brief What a move gains and loses, in target-seconds of work.
+/// \brief What a move gains and loses, in group-seconds of work.
 struct MoveEstimate
 {
   double gain = 0; ///< By which the move would pay off; see EstimateMove.
--- a/src/admission/retry_places.cpp
+++ b/src/admission/retry_places.cpp
@@ -44,9 +44,13 @@
   const double perSecond = BegunPerSecond(now);
   const Duration untilRoom = TimeFor(static_cast<double>(waiting) + 1, perSecond);
   const TimePoint place = std::max(m_next, now + std::max(untilRoom, kShortestWait));
-  if (place - now > timeLeft / kLongestWaitDivisor) {
+  const Duration longest = timeLeft / kLongestWaitDivisor;
+  if (longest < kShortestWait) {
     return std::nullopt;
   }
+  if (place - now > longest) {
+    return longest;
+  }
   m_next = place + TimeFor(1, perSecond * (1 - kFirstAttemptPart));
   return place - now;
 }
--- a/src/placement/move_decision.cpp
+++ b/src/placement/move_decision.cpp
@@ -32,16 +32,16 @@
   return found == sample.loads.end() ? 0 : found->second;
 }
 
-/// Proportional fairness: the logarithm of the served fraction, weighted by the work in targets. A
-/// group of a larger model does more work, so that its loss weighs more.
-double Utility(const MovedModel& moved, double load, double groups)
+/// Proportional fairness: the logarithm of the served fraction, weighted by the offered load, as in
+/// the choice of the model that gets the next group.
+double Utility(double load, double groups)
 {
-  return load * moved.model->size * LogServedFraction(groups, load);
+  return load * LogServedFraction(groups, load);
 }
 
 double GainOf(const MovedModel& moved, double load)
 {
-  return Utility(moved, load, moved.groups + moved.change) - Utility(moved, load, moved.groups);
+  return Utility(load, moved.groups + moved.change) - Utility(load, moved.groups);
 }
 
 /// What the history says of a move, as if the present groups had existed throughout.
@@ -49,7 +49,7 @@
 {
   Duration length{};       ///< Of the history.
   Duration shortage{};     ///< The present time in which the move would have gained.
-  double shortageCost = 0; ///< What was lost in it, in target-seconds.
+  double shortageCost = 0; ///< What was lost in it, in group-seconds.
   Duration longestEnded{}; ///< The longest such time that has ended.
   double gain = 0;         ///< Mean by second.
   double donorLoss = 0;    ///< What the donor would have lost, mean by second.
--- a/tests/unit/platform_test.cpp
+++ b/tests/unit/platform_test.cpp
@@ -304,6 +304,27 @@
   }
 }
 
+// Guards against requests that a target admits in another order than their urgency states.
+TEST(PlatformGateway, TargetsAreToldTheUrgency)
+{
+  const GatewayApi api = MakeGatewayApi();
+  HttpRequestIn request = Request("POST", "/a/x", "");
+  request.headers = { { "Host", "h" }, { "X-Request-Id", "r1" }, { "X-Request-Priority", "0" } };
+  const Result<GatewayCall> call = api.decodeCall(request);
+  ASSERT_TRUE(call) << call.error();
+  const ServedTarget target{ InstanceId("i-1"), "s1", "10.0.0.9:80", {}, 34, false, "m0" };
+  const auto priority = [&](std::optional<Urgency> urgency) {
+    TargetAttempt attempt{ ExchangeId(2), call.value(), target, 1s, "", std::nullopt, urgency };
+    return std::string(FindHeader(api.encodeAttempt(attempt).headers, "X-Request-Priority"));
+  };
+  EXPECT_EQ(priority(2), "2");
+  EXPECT_EQ(priority(12), "9");
+  SECTION("a caller can't choose its own")
+  {
+    EXPECT_EQ(priority(std::nullopt), "");
+  }
+}
+
 // A caller sends headers that only the entry may set. They must not reach the target, or a caller
 // could choose its workspace, and its key would be passed on.
 TEST(PlatformGateway, ReservedHeadersOfCallersAreDropped)
