The test of limits that targets state is back; its file had been replaced

tests/unit/target_limits_test.cpp held TargetLimits.AreLearnedFromAnswers; the tests of configured limits are in a file of their own now.

--- a/src/placement/move_decision.cpp
+++ b/src/placement/move_decision.cpp
@@ -14,7 +14,7 @@
 /// A move for a shortage that ends is undone, which costs about as much again.
 constexpr double kMoveAndBack = 2;
 /// With less history than this many times a move's duration, a shortage may be a period of a load
-/// that has not shown its summary yet.
+/// that has not shown its course yet.
 constexpr int kMinMovesInHistory = kMovesInHistory / 2;
 /// A sample says nothing of a longer time, in which no plans were made.
 constexpr Duration kLongestSample = 5 * LoadHistory::kInterval;
--- a/tests/unit/target_limits_test.cpp
+++ b/tests/unit/target_limits_test.cpp
@@ -1,125 +1,52 @@
-#include "gooseberrysail/gateway/dispatcher.hpp"
-#include "support/plain_gateway_api.hpp"
+#include "gooseberrysail/gateway/target_selector.hpp"
 #include "support/section.hpp"
 
-#include <gmock/gmock.h>
+#include <gtest/gtest.h>
 
 namespace gooseberrysail {
 namespace {
 
 using namespace std::chrono_literals;
-using ::testing::HasSubstr;
 
-constexpr TimePoint kNow{ 1h };
-
-/// Requests that an entry sends to one target before it counts as full.
-std::uint32_t CountSent(TargetSelector& selector, const TargetQuery& query)
-{
-  std::uint32_t sent = 0;
-  while (const ServedTarget* target = selector.Choose(kNow, query)) {
-    selector.OnSent(kNow, { target->instance, target->born }, query.tokens);
-    ++sent;
-  }
-  return sent;
-}
-
-TargetSelector SelectorOf(const std::string& model, std::uint32_t entries)
+TEST(TargetLimits, AreLearnedFromAnswers)
 {
-  TargetSelector selector(FailureDomainId("a"), [] { return std::uint64_t{ 0 }; });
-  selector.SetEntries(entries);
-  selector.Replace(
-    kNow,
-    std::vector<ServedTarget>{
-      { InstanceId("t"), "service", "t:80", FailureDomainId("a"), 48, false, model } });
-  return selector;
-}
+  TargetSelector selector{ FailureDomainId("a"), [] { return 0; } };
+  ServedTarget head{ InstanceId("h1"), "assist",      "h1:80", FailureDomainId("a"), 28, false,
+                     "large",          Incarnation(1) };
+  selector.Replace(TimePoint{}, std::vector<ServedTarget>{ head });
+  const TargetIncarnation life{ head.instance, head.born };
+  TimePoint now{ 1h };
+  const auto limitOf = [&] {
+    const TargetStatements::Row* stated = selector.Statements().Find(head.instance, head.born);
+    return stated == nullptr ? std::nullopt : stated->limit;
+  };
+  EXPECT_EQ(selector.OnLimit(now, life, now, { 3.4 }), LimitChange::kNamed);
+  EXPECT_EQ(limitOf(), 3.4);
+  EXPECT_EQ(selector.OnLimit(now, life, now, { 3.4 }), LimitChange::kNone);
 
-// Guards against entries that together open more connections than a target takes.
-TEST(TargetLimits, EntriesDivideTheConnectionsOfATarget)
-{
-  const std::set<InstanceId> none;
-  for (const std::uint32_t entries : { 1U, 14U, 200U }) {
-    TargetSelector selector = SelectorOf("", entries);
-    TargetQuery query{ "service", "", none };
-    query.maxConnections = 28;
-    const std::uint32_t sent = CountSent(selector, query);
-    EXPECT_EQ(sent, std::max(28 / entries, 1U)) << entries << " entries";
-    EXPECT_EQ(selector.ReasonForNoTarget(kNow, query), NoTargetReason::kFull);
+  SECTION("an answer to an earlier request without the limit doesn't end it")
+  {
+    EXPECT_EQ(selector.OnLimit(now, life, now - 1s, {}), LimitChange::kNone);
+    EXPECT_EQ(limitOf(), 3.4);
   }
-  SECTION("without a limit the slots decide")
+  SECTION("an invalid one changes nothing and is reported once")
   {
-    TargetSelector selector = SelectorOf("", 1);
-    EXPECT_EQ(CountSent(selector, { "service", "", none }), 48U);
+    EXPECT_EQ(selector.OnLimit(now, life, now, { std::nullopt, true }), LimitChange::kInvalid);
+    EXPECT_EQ(selector.OnLimit(now, life, now, { std::nullopt, true }), LimitChange::kNone);
+    EXPECT_EQ(limitOf(), 3.4);
   }
-}
-
-// Guards against requests that an engine interrupts because its memory is full.
-TEST(TargetLimits, RequestsFitIntoTheMemoryOfAGroup)
-{
-  const std::set<InstanceId> none;
-  TargetSelector selector = SelectorOf("m", 1);
-  TargetQuery query{ "service", "m", none };
-  query.cacheTokens = 10'000;
-  query.tokens = 1'500;
-  EXPECT_EQ(CountSent(selector, query), 6U);
-  SECTION("memory is free again when a request has ended")
+  SECTION("an answer to a later request without the limit ends it")
   {
-    selector.OnEnded({ InstanceId("t"), {} }, query.tokens);
-    EXPECT_EQ(CountSent(selector, query), 1U);
+    EXPECT_EQ(selector.OnLimit(now, life, now + 1s, {}), LimitChange::kEnded);
+    EXPECT_EQ(limitOf(), std::nullopt);
   }
-}
-
-// Guards against a request that every group rejects as if it were full, and whose caller comes back
-// in vain.
-TEST(TargetLimits, ARequestLargerThanAGroupIsRefusedAtOnce)
-{
-  Dispatcher dispatcher(
-    tests::PlainApi(), {}, FailureDomainId("a"), [] { return std::uint64_t{ 0 }; });
-  ServingDocument document;
-  document.version = 1;
-  HttpRoute route;
-  route.host = "h";
-  route.pathPrefix = "/a/";
-  route.timeout = 3s;
-  route.objective = 300ms;
-  route.isPublic = true;
-  route.shares = { { "service", 1 } };
-  document.routes = { route };
-  document.services.resize(1);
-  document.services[0].name = "service";
-  document.services[0].engine.emplace().cacheTokens = 1000;
-  ServingSnapshot snapshot;
-  snapshot.index = std::make_shared<const RouteIndex>(document);
-  std::vector<GatewayOutput> outbox;
-  dispatcher.OnTargets(
-    kNow,
-    std::vector<ServedTarget>{
-      { InstanceId("h"), "service", "h:80", FailureDomainId("a"), 48, false, "m" } },
-    outbox);
-  const auto ask = [&](const std::string& promptTokens) {
-    outbox.clear();
-    HttpRequestIn request;
-    request.exchange = ExchangeId(promptTokens.size());
-    request.method = "POST";
-    request.target = "/a/x";
-    request.headers = {
-      { "Host", "h" }, { "X-Request-Id", "r" }, { "Model", "m" }, { "Prompt", promptTokens }
-    };
-    dispatcher.OnRequest(kNow, std::move(request), snapshot, outbox);
-  };
-  ask("900"); // Its caller allows an output of 365 tokens.
-  const auto refused = std::ranges::find_if(
-    outbox, [](const auto& output) { return std::holds_alternative<HttpAnswerOut>(output); });
-  ASSERT_NE(refused, outbox.end());
-  const auto& answer = std::get<HttpAnswerOut>(*refused);
-  EXPECT_EQ(answer.status, 503U);
-  EXPECT_THAT(answer.bytes, HasSubstr("not-run"));
-  EXPECT_EQ(FindHeader(answer.headers, "Retry-After"), "");
-  SECTION("one that fits is sent")
+  SECTION("a restart of the target ends it")
   {
-    ask("63");
-    EXPECT_TRUE(std::ranges::any_of(
-      outbox, [](const auto& output) { return std::holds_alternative<TargetCallOut>(output); }));
+    selector.OnLimit(now, life, now, { 2.0 });
+    head.born = Incarnation(2);
+    selector.Replace(TimePoint{}, std::vector<ServedTarget>{ head });
+    EXPECT_EQ(limitOf(), std::nullopt);
+    EXPECT_EQ(selector.OnLimit(now, life, now, { 2.0 }), LimitChange::kNone);
   }
 }
 
