--- a/tools/lost_worth.py
+++ b/tools/lost_worth.py
@@ -7,7 +7,8 @@
 event. A number before the line is used as its time in seconds, otherwise the timestamp of the line. Prints, by
 interval and model, the requests sent, answered in time, late and refused, and the serving groups; for each lost
 group the time until the next group of its model was formed and open; and the reasons of refused and late
-requests with their share of all requests. Needs no packages but the standard library.
+requests with their share of all requests; and the outcomes by workspace, route, urgency, callers' retries and
+entry. Needs no packages but the standard library.
 """
 
 import argparse
@@ -156,6 +157,19 @@
         file.write("\n".join(parts) + "\n")
 
 
+def print_breakdown(answers, field):
+    """Prints the outcomes by the values of a field, the most frequent value first."""
+    outcomes = ("in time", "late", "refused", "failed", "gone")
+    counts = collections.defaultdict(collections.Counter)
+    for event in answers:
+        counts[event.fields.get(field) or "-"][outcome_of(event)] += 1
+    print("\nby %s: requests, then the percentage %s" % (field, ", ".join(outcomes)))
+    for value, row in sorted(counts.items(), key=lambda item: -sum(item[1].values())):
+        total = sum(row.values())
+        shares = "".join("%8.1f" % (100 * row[outcome] / total) for outcome in outcomes)
+        print("%6d %s  %s" % (total, shares, value))
+
+
 def main():
     parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
     parser.add_argument("log")
@@ -167,6 +181,8 @@
     groups = Groups(events)
     spans = print_spans(answers, groups, options.seconds)
     print_reasons(answers)
+    for field in ("workspace", "route", "urgency", "callerRetry", "process"):
+        print_breakdown(answers, field)
     print_chains(groups.chains)
     if options.plot:
         write_plot(options.plot, spans, options.seconds)
