Header timeout only where stated, bounded work in the queue, events of the new metrics in their test

DescriptorLimit.SomeAreKeptForTargets found that a document without limits got a header timeout of three seconds. With predictions a freed slot looked at all waiting requests: FirstEventForecast.MoreIsServedAndInTimeThanByCount took 175 s; at most four are passed over now. Metrics.OfEachRoleMatchTheTable plays the events of the new metrics.

--- a/include/gooseberrysail/serving/document.hpp
+++ b/include/gooseberrysail/serving/document.hpp
@@ -110,7 +110,7 @@
 {
   std::uint32_t maxHeaderBytes = 16 * 1024;
   std::uint64_t maxBodyBytes = 4 * 1024 * 1024;
-  Duration headerTimeout = std::chrono::seconds(3);
+  Duration headerTimeout{}; ///< Zero where the document states none.
   Duration idleTimeout = std::chrono::seconds(15);
 };
 
--- a/src/gateway/dispatcher.cpp
+++ b/src/gateway/dispatcher.cpp
@@ -11,6 +11,8 @@
 using namespace std::chrono_literals;
 
 constexpr std::size_t kMaxLoggedParts = 8;
+/// Requests without room that are passed over in a queue: each costs a prediction for each head.
+constexpr std::size_t kMaxSkipped = 4;
 /// A caller's retry, which is late anyway, waits for a slot for at most this part of its time left.
 constexpr int kRetryWaitDivisor = 4;
 
@@ -233,13 +235,14 @@
 void Dispatcher::DispatchQueued(TimePoint now, Outbox& outbox)
 {
   for (const ServedKind& kind : m_queue.ListWaiting()) {
+    std::size_t skipped = 0;
     for (const ExchangeId waiting : m_queue.ListInOrder(kind)) {
       Request& request = *Find(waiting);
       if (const ServedTarget* target = m_selector.Choose(now, QueryOf(now, request))) {
         m_queue.Dequeue(waiting);
         request.queued = now - std::exchange(request.queuedAt, std::nullopt).value_or(now);
         Send(now, request, *target, outbox);
-      } else if (!m_usesForecasts) {
+      } else if (!m_usesForecasts || ++skipped > kMaxSkipped) {
         break;
       }
     }
--- a/tests/unit/metrics_test.cpp
+++ b/tests/unit/metrics_test.cpp
@@ -42,6 +42,13 @@
       Metrics metrics(role);
       metrics.OnEvent(MakeEvent(EventNumber::kProcessStarted));
       metrics.OnEvent(MakeEvent(EventNumber::kCallerAnswered, { { "outcome", "complete" } }));
+      metrics.OnEvent(MakeEvent(EventNumber::kGatewayAnswered,
+                                { { "outcome", "not-run" },
+                                  { "urgency", "1" },
+                                  { "callerRetry", "yes" },
+                                  { "predictedMillis", "100" },
+                                  { "observedMillis", "120" } }));
+      metrics.OnEvent(MakeEvent(EventNumber::kGatewayAnswerUnbounded, { { "bound", "body" } }));
       MetricsSample sample;
       sample.peerKinds.push_back({ "RaftMessage", 1, 100, 100 });
       sample.httpCuts.push_back({ "process", 1 });
