--- a/tests/unit/engine_groups_silence_test.cpp
+++ b/tests/unit/engine_groups_silence_test.cpp
@@ -171,11 +171,10 @@
 }
 
 /// The groups are ended because a member of each leaves; the heads finish their work.
-void CheckLeavingGroups(std::span<const Duration> durations,
-                        const EngineGroupsSettings& settings = {})
+void CheckLeavingGroups(std::span<const Duration> durations)
 {
   for (const PauseCase& each : PauseCases(durations)) {
-    FakeFleet fleet = ServingFleet(fakes::TwoModelDocument(), settings);
+    FakeFleet fleet = ServingFleet();
     fleet.Run(5s + each.phase * kPhaseStep);
     const std::vector<std::string> silent =
       SilentTargets(fleet, each.silent, AnyHead(fleet, "large"));
@@ -213,11 +212,10 @@
   return {};
 }
 
-void CheckTakenOverGroups(std::span<const Duration> durations,
-                          const EngineGroupsSettings& settings = {})
+void CheckTakenOverGroups(std::span<const Duration> durations)
 {
   for (const PauseCase& each : PauseCases(durations)) {
-    FakeFleet fleet = ServingFleet(fakes::TwoModelDocument(), settings);
+    FakeFleet fleet = ServingFleet();
     fleet.Run(5s + each.phase * kPhaseStep);
     const std::string head = MoveDemand(fleet);
     ASSERT_NE(head, "");
@@ -249,22 +247,28 @@
   }
 }
 
-// Guards against the same for pauses of up to two seconds, where the settings ask for it.
+// Guards against the same for pauses of up to two seconds.
 TEST(EngineGroupsSilence, NoWorkIsBrokenOffByAPauseOfTwoSeconds)
 {
-  EngineGroupsSettings settings;
-  settings.pauseTolerance = 2s;
   SECTION("serving groups")
   {
-    CheckServingGroups(kLongPauses, settings);
+    CheckServingGroups(kLongPauses);
   }
   SECTION("groups that are being ended")
   {
-    CheckLeavingGroups(kLongPauses, settings);
-    CheckTakenOverGroups(kLongPauses, settings);
+    CheckLeavingGroups(kLongPauses);
+    CheckTakenOverGroups(kLongPauses);
   }
 }
 
+// Guards against a tolerance of pauses that is set and does not count.
+TEST(EngineGroupsSilence, AServingGroupKeepsItsWorkForTheToleranceThatIsSet)
+{
+  EngineGroupsSettings settings;
+  settings.pauseTolerance = 2s;
+  CheckServingGroups(kLongPauses, settings);
+}
+
 // Guards against treating a refused connection as evidence that a draining head has ended. It no
 // longer listens, but finishes its work, for which it needs its members.
 TEST(EngineGroupsSilence, ADrainingHeadThatNoLongerListensKeepsItsMembers)
