An answer without a length is reset when its entry is killed

Callers saw a 200 without length or chunks, a part of its events, and the orderly end of the connection, which is how such an answer ends when it is complete. The entry that passed it on had been killed.

Cause: the session resets such a connection itself (HttpSession::Close). A process that is killed or crashes doesn't come there, and the kernel closes its connections in order.

Change: SO_LINGER with a time of zero is set before the head of such an answer is written and taken off once all of it is with the kernel and its end is settled. It works because the kernel acts on it, whatever ends the process. Chunks to the caller would state an end that the target didn't state.

An orderly end, also by SIGTERM, still delivers all bytes.

--- a/src/http/http_session.hpp
+++ b/src/http/http_session.hpp
@@ -155,6 +155,10 @@
   WriteResult WriteFailure(const Request& request);
   WriteResult WriteWhole(const Request& request, const HttpAnswerOut& part);
   WriteResult WriteStream(const Request& request, HttpAnswerOut part);
+  /// \brief Notes whether the response ends with the connection, which is reset then unless the
+  /// response is whole, also if the process is killed.
+  /// \returns False if the connection is closed.
+  bool SetEndsWithConnection(bool endsWithConnection);
   bool WriteBody(HttpAnswerOut part, BodyEncoding encoding);
   bool WriteBodyPart(std::string_view bytes, BodyEncoding encoding);
   bool WriteRejection(unsigned status, std::string body);
--- a/src/http/http_session_read.cpp
+++ b/src/http/http_session_read.cpp
@@ -140,9 +140,6 @@
   m_closed = true;
   m_deadline.Disarm();
   boost::system::error_code ignored;
-  if (m_endsWithConnection) {
-    m_socket.set_option(asio::socket_base::linger(true, 0), ignored);
-  }
   m_socket.close(ignored);
   m_changed.Notify();
 }
--- a/src/http/http_session_write.cpp
+++ b/src/http/http_session_write.cpp
@@ -60,6 +60,22 @@
   return request.keepAlive && mayHaveNext && !m_endsWithConnection;
 }
 
+// A process that is killed doesn't close its connections itself. The kernel then closes them in
+// order, like that of a complete response, unless it has been told to reset them.
+bool HttpSession::SetEndsWithConnection(bool endsWithConnection)
+{
+  if (m_endsWithConnection == endsWithConnection) {
+    return true;
+  }
+  m_endsWithConnection = endsWithConnection;
+  boost::system::error_code error;
+  m_socket.set_option(asio::socket_base::linger(endsWithConnection, 0), error);
+  if (error && !m_closed) {
+    OnCallerDisconnected(AnswerCutCause::kCaller, "the end of the response could not be marked");
+  }
+  return !error;
+}
+
 // While the loop did not run, nothing could be written, however fast the caller reads.
 void HttpSession::ArmWriteTimeout()
 {
@@ -182,7 +198,9 @@
   answer.version(request.version);
   FillHead(answer, part);
   const bool hasBody = !HasNoBody(answer.result_int());
-  m_endsWithConnection = hasBody && part.framing == AnswerFraming::kUntilClose;
+  if (!SetEndsWithConnection(hasBody && part.framing == AnswerFraming::kUntilClose)) {
+    return WriteResult::kIncomplete;
+  }
   const bool reuse = MayReuse(request);
   m_response.saysClose = request.keepAlive && !reuse;
   answer.keep_alive(reuse);
@@ -196,7 +214,9 @@
   if (!Write([&](auto done) { http::async_write(m_socket, serializer, done); })) {
     return WriteResult::kIncomplete;
   }
-  m_endsWithConnection = false;
+  if (!SetEndsWithConnection(false)) {
+    return WriteResult::kIncomplete;
+  }
   return reuse ? WriteResult::kReusable : WriteResult::kClosing;
 }
 
@@ -206,7 +226,9 @@
   head.version(request.version);
   FillHead(head, part);
   const bool hasBody = !HasNoBody(head.result_int());
-  m_endsWithConnection = hasBody && part.framing == AnswerFraming::kUntilClose;
+  if (!SetEndsWithConnection(hasBody && part.framing == AnswerFraming::kUntilClose)) {
+    return WriteResult::kIncomplete;
+  }
   const bool reuse = MayReuse(request);
   m_response.saysClose = request.keepAlive && !reuse;
   head.keep_alive(reuse);
@@ -220,7 +242,9 @@
   if (!WriteBody(std::move(part), hasBody && !request.head ? encoding : BodyEncoding::kNone)) {
     return WriteResult::kIncomplete;
   }
-  m_endsWithConnection = false;
+  if (!SetEndsWithConnection(false)) {
+    return WriteResult::kIncomplete;
+  }
   return reuse ? WriteResult::kReusable : WriteResult::kClosing;
 }
 
--- a/tests/soak/replica.cpp
+++ b/tests/soak/replica.cpp
@@ -255,10 +255,10 @@
   }
   const bool isTruncated = DrawWithProbability(m_answerTruncationRate);
   bool isSent = false;
-  if (m_member) {
+  if (m_member || m_isStreaming) {
     isSent = SendEvents(socket, answer, id, FirstEvent(request["Last-Event-Id"]), isTruncated);
   } else {
-    answer.body() = AnswerTo(id);
+    answer.body() = request.target() == m_answeredPath ? m_answer : AnswerTo(id);
     if (m_isUnframed) {
       answer.keep_alive(false);
     } else {
@@ -299,6 +299,20 @@
   return !error;
 }
 
+bool Replica::SendEvent(Socket& socket, const std::string& event)
+{
+  boost::system::error_code error;
+  if (!m_isUnframed) {
+    boost::asio::write(socket, http::make_chunk(boost::asio::buffer(event)), error);
+    return !error;
+  }
+  const boost::asio::const_buffer bytes = boost::asio::buffer(event);
+  boost::asio::write(socket, boost::asio::buffer(bytes, bytes.size() / 2), error);
+  std::this_thread::sleep_for(kTimeBetweenParts);
+  boost::asio::write(socket, bytes + bytes.size() / 2, error);
+  return !error;
+}
+
 bool Replica::SendEvents(Socket& socket,
                          const Response& response,
                          const std::string& id,
@@ -307,22 +321,23 @@
 {
   http::response<http::empty_body> head(response.base());
   head.set(http::field::content_type, kEventStream);
-  head.chunked(true);
+  head.chunked(!m_isUnframed);
+  head.keep_alive(!m_isUnframed);
   http::response_serializer<http::empty_body> serializer(head);
   boost::system::error_code error;
   m_silence.Wait();
   http::write_header(socket, serializer, error);
   const std::size_t last = isTruncated ? (first + kEvents) / 2 : kEvents;
-  for (std::size_t number = first; number <= last && !error; ++number) {
+  bool isSent = !error;
+  for (std::size_t number = first; number <= last && isSent; ++number) {
     std::this_thread::sleep_for(kTimeBetweenEvents);
     m_silence.Wait();
-    const std::string event = EventFor(id, number);
-    boost::asio::write(socket, http::make_chunk(boost::asio::buffer(event)), error);
+    isSent = SendEvent(socket, EventFor(id, number));
   }
-  if (!error && !isTruncated) {
+  if (isSent && !isTruncated && !m_isUnframed) {
     boost::asio::write(socket, http::make_chunk_last(), error);
   }
-  return !error && !isTruncated;
+  return isSent && !error && !isTruncated;
 }
 
 void Replica::SetRetryAfter(std::string seconds)
--- a/tests/soak/replica.hpp
+++ b/tests/soak/replica.hpp
@@ -44,6 +44,14 @@
   void SetAnswerTruncationRate(double rate) { m_answerTruncationRate = rate; }
   /// \brief Lets its answers have neither length nor chunks, and end with their connections.
   void SetUnframed() { m_isUnframed = true; }
+  /// \brief Lets a replica of a plain service stream its answers, as one of a model does.
+  void SetStreaming() { m_isStreaming = true; }
+  /// \brief Sets the body of its answers to requests for a path, which are no streams.
+  void SetAnswer(std::string path, std::string body)
+  {
+    m_answeredPath = std::move(path);
+    m_answer = std::move(body);
+  }
   /// \brief Sets the body of requests that crash the replica when it runs them.
   void SetCrashBody(std::string body) { m_crashBody = std::move(body); }
   /// \brief Sets the requests a second that its answers name as its limit; "" for none.
@@ -92,6 +100,9 @@
   /// \brief Sends a response in two parts, or only the first of them.
   /// \returns Whether all of it was sent.
   bool SendInParts(Socket& socket, const Response& response, bool isTruncated);
+  /// \brief Sends an event as a chunk, or in two parts if its answers are unframed.
+  /// \returns Whether all of it was sent.
+  bool SendEvent(Socket& socket, const std::string& event);
   /// \brief Sends a response as a series of events, or only the first half of them.
   /// \param first The number of the first event.
   /// \returns Whether all of it was sent.
@@ -118,11 +129,14 @@
   std::atomic<std::uint64_t> m_generation = 1;
   std::atomic<double> m_answerLossRate = 0;
   std::atomic<double> m_answerTruncationRate = 0;
-  std::string m_crashBody;  ///< Set before the first request; "" for none.
-  std::string m_limit;      ///< Likewise.
-  std::string m_retryAfter; ///< Guarded by m_mutex; "" for none.
+  std::string m_crashBody;    ///< Set before the first request; "" for none.
+  std::string m_limit;        ///< Likewise.
+  std::string m_answeredPath; ///< Likewise.
+  std::string m_answer;       ///< Likewise.
+  std::string m_retryAfter;   ///< Guarded by m_mutex; "" for none.
   Silence m_silence;
   std::atomic<bool> m_isUnframed = false;
+  std::atomic<bool> m_isStreaming = false;
   std::atomic<bool> m_isLeaving = false;
   std::atomic<std::uint64_t> m_rejections = 0;
   std::atomic<std::uint64_t> m_runs = 0;
--- a/tests/support/blocking_connection.hpp
+++ b/tests/support/blocking_connection.hpp
@@ -17,11 +17,17 @@
 class BlockingConnection
 {
 public:
-  explicit BlockingConnection(const std::string& address)
+  /// \param receiveBuffer Its size in bytes; 0 for the system's.
+  explicit BlockingConnection(const std::string& address, int receiveBuffer = 0)
     : m_socket(m_io)
   {
+    const auto endpoint = ParseEndpoint(address).value();
     boost::system::error_code error;
-    m_socket.connect(ParseEndpoint(address).value(), error);
+    m_socket.open(endpoint.protocol(), error);
+    if (receiveBuffer != 0) {
+      m_socket.set_option(boost::asio::socket_base::receive_buffer_size(receiveBuffer), error);
+    }
+    m_socket.connect(endpoint, error);
     isConnected = !error;
   }
 
@@ -32,6 +38,19 @@
     return !error;
   }
 
+  /// \returns What was received until the connection ended.
+  std::string ReadToEnd()
+  {
+    std::string received;
+    std::vector<char> bytes(64UL * 1024);
+    readError = {};
+    while (!readError) {
+      const std::size_t size = m_socket.read_some(boost::asio::buffer(bytes), readError);
+      received.append(bytes.data(), size);
+    }
+    return received;
+  }
+
   /// \returns What was received up to `end`, or until the connection ended.
   std::string ReadUntil(std::string_view end)
   {
@@ -69,6 +88,7 @@
   }
 
   bool isConnected = false;
+  boost::system::error_code readError; ///< Of ReadToEnd: how the connection ended.
 
 private:
   boost::asio::io_context m_io;
--- a/tests/support/serving_installation.hpp
+++ b/tests/support/serving_installation.hpp
@@ -20,9 +20,9 @@
 class ServingInstallation
 {
 public:
-  ServingInstallation()
+  explicit ServingInstallation(const std::string& config = kServingConfig)
   {
-    EXPECT_EQ(site.Put(kServingConfig), 200U);
+    EXPECT_EQ(site.Put(config), 200U);
     for (const char* name : { "a", "b", "c" }) {
       replicas.push_back(std::make_unique<soak::Replica>(
         name, std::vector<std::string>{ site.controlHttp }, ledger, replicas.size()));
