An answer to another request says nothing of this one

A late second copy of a refusal comes as the answer to the next request on its connection. An unsafe request then ran at two targets (TWICE), or its caller was told 503 although it had run (REFUSED).

Cause: FaultOf believed 'not run' before it compared the ids, and the heads of hedges and a target's statements were judged apart.

Change: the dispatcher compares the id once, where the head arrives, for attempts and hedges. Of another answer, or one without an id, nothing is used: no status, no 'not run', no limit, backoff or leaving, no sign of life, no proof of earlier ends. The attempt counts as one that may have run.

A refusal without an id is no proof any more.

--- a/include/gooseberrysail/gateway/dispatcher.hpp
+++ b/include/gooseberrysail/gateway/dispatcher.hpp
@@ -292,8 +292,14 @@
                     bool ran,
                     std::string error,
                     std::optional<Duration> retryAfter = std::nullopt);
-  /// \brief Why an answer with this head can't be forwarded; empty if it can.
-  [[nodiscard]] static std::string FaultOf(const Request& request, const TargetHead& head);
+  /// \brief The target sent an answer to another request, or one without an id.
+  void OnOtherAnswer(TimePoint now,
+                     Request& request,
+                     const SentCall& sent,
+                     const std::string& answeredId,
+                     Outbox& outbox);
+  /// \brief Why an answer to the request with this head can't be forwarded; empty if it can.
+  [[nodiscard]] static std::string FaultOf(const TargetHead& head);
   /// \brief A part of the answer that is forwarded.
   void OnPart(TimePoint now, Request& request, const TargetAnswerIn& part, Outbox& outbox);
   void OnHead(TimePoint now, Request& request, const TargetAnswerIn& part, Outbox& outbox);
--- a/src/gateway/dispatcher.cpp
+++ b/src/gateway/dispatcher.cpp
@@ -11,6 +11,7 @@
 using namespace std::chrono_literals;
 
 constexpr std::size_t kMaxLoggedParts = 8;
+constexpr std::size_t kMaxLoggedIdLength = 64;
 /// Requests without room that are passed over in a queue: each costs a prediction for each head.
 constexpr std::size_t kMaxSkipped = 4;
 /// A caller's retry, which is late anyway, waits for a slot for at most this part of its time left.
@@ -347,9 +348,17 @@
   if (request == nullptr) {
     return;
   }
-  const TargetIncarnation target = FindCall(*request, part.exchange).target;
-  m_selector.OnBytes(now, target);
-  ConfirmEnds(now, target, outbox);
+  const SentCall sent = FindCall(*request, part.exchange);
+  if (part.status) {
+    const std::string answeredId = m_api.decodeHead(part).requestId;
+    if (answeredId != request->call.requestId) {
+      OnOtherAnswer(now, *request, sent, answeredId, outbox);
+      UseFreedSlots(now, outbox);
+      return;
+    }
+  }
+  m_selector.OnBytes(now, sent.target);
+  ConfirmEnds(now, sent.target, outbox);
   if (part.exchange != request->sent.exchange) {
     OnHedgeAnswer(now, *request, part, outbox);
   } else if (!request->hedges.empty()) {
@@ -360,6 +369,23 @@
   UseFreedSlots(now, outbox);
 }
 
+// An answer that an earlier exchange left on the connection may be old, and the target may run this
+// request none the less: neither its status nor what it says of the target is used.
+void Dispatcher::OnOtherAnswer(TimePoint now,
+                               Request& request,
+                               const SentCall& sent,
+                               const std::string& answeredId,
+                               Outbox& outbox)
+{
+  const bool isHedge = sent.exchange != request.sent.exchange;
+  if (isHedge) {
+    m_selector.OnFailure(now, sent.target);
+  }
+  const std::string id =
+    answeredId.empty() ? "without an id" : "id " + answeredId.substr(0, kMaxLoggedIdLength);
+  EndAttempt(now, request, sent, true, "an answer to another request (" + id + ")", outbox);
+}
+
 void Dispatcher::OnPart(TimePoint now, Request& request, const TargetAnswerIn& part, Outbox& outbox)
 {
   request.answerBytes += part.bytes.size();
@@ -371,15 +397,11 @@
   }
 }
 
-std::string Dispatcher::FaultOf(const Request& request, const TargetHead& head)
+std::string Dispatcher::FaultOf(const TargetHead& head)
 {
   if (head.neverRan) {
     return "refused with " + std::to_string(head.status);
   }
-  // Bytes left on the connection by an earlier exchange look like an answer to this request.
-  if (head.requestId != request.call.requestId) {
-    return "an answer to another request";
-  }
   return IsSuccess(head.status) && !head.isProven ? "a success without its seal" : "";
 }
 
@@ -387,7 +409,7 @@
 {
   TargetHead head = m_api.decodeHead(part);
   RecordStatements(now, request, request.sent, head, outbox);
-  if (const std::string fault = FaultOf(request, head); !fault.empty()) {
+  if (const std::string fault = FaultOf(head); !fault.empty()) {
     request.excusedAttempts += IsExcused(head) ? 1 : 0;
     request.isRejected = head.neverRan && !IsExcused(head);
     AttemptEnded(
--- a/src/gateway/dispatcher_hedges.cpp
+++ b/src/gateway/dispatcher_hedges.cpp
@@ -59,7 +59,7 @@
   // An answer in one piece goes on when it ends; a head that can't be forwarded ends its attempt.
   const bool beginsStream = part.status && IsSuccess(*part.status) &&
                             IsStream(request.route->repeat) &&
-                            FaultOf(request, m_api.decodeHead(part)).empty();
+                            FaultOf(m_api.decodeHead(part)).empty();
   if (!request.streams && !beginsStream && request.held.parts.empty()) {
     OnPart(now, request, part, outbox);
     return;
@@ -113,7 +113,7 @@
                                      const TargetHead& head,
                                      AnswerFraming framing)
 {
-  if (std::string fault = FaultOf(request, head); !fault.empty()) {
+  if (std::string fault = FaultOf(head); !fault.empty()) {
     return fault;
   }
   if (head.status >= kServerFault) {
--- a/src/gateway/dispatcher_statements.cpp
+++ b/src/gateway/dispatcher_statements.cpp
@@ -4,16 +4,12 @@
 
 namespace gooseberrysail {
 
-// An answer to another request was left on the connection by an earlier exchange, and may be old.
 void Dispatcher::RecordStatements(TimePoint now,
                                   const Request& request,
                                   const SentCall& sent,
                                   const TargetHead& head,
                                   Outbox& outbox)
 {
-  if (!head.requestId.empty() && head.requestId != request.call.requestId) {
-    return;
-  }
   RecordLimit(now, request, sent, head, outbox);
   RecordBackoff(now, request, sent, head, outbox);
   if (head.isLeaving && m_selector.OnLeaving(now, sent.target)) {
--- a/tests/unit/dispatcher_test.cpp
+++ b/tests/unit/dispatcher_test.cpp
@@ -262,11 +262,25 @@
   {
     World world;
     world.Ask("/once/x");
-    world.AnswerHead(503, { { "Never-Ran", "1" } }, "", true);
-    world.AnswerHead(503, { { "Never-Ran", "1" } }, "", true);
+    world.AnswerHead(503, { { "X-Request-Id", "r1" }, { "Never-Ran", "1" } }, "", true);
+    world.AnswerHead(503, { { "X-Request-Id", "r1" }, { "Never-Ran", "1" } }, "", true);
     EXPECT_EQ(LastStatus(world), 503U);
     EXPECT_THAT(world.Body(), HasSubstr("not-run"));
   }
+  SECTION("a refusal of another request, or of an unnamed one: outcome unknown")
+  {
+    for (const std::vector<HttpHeader>& id :
+         { std::vector<HttpHeader>{ { "X-Request-Id", "r0" } }, std::vector<HttpHeader>{} }) {
+      World world;
+      world.Ask("/once/x");
+      std::vector<HttpHeader> headers = id;
+      headers.push_back({ "Never-Ran", "1" });
+      world.AnswerHead(503, headers, "", true);
+      EXPECT_EQ(world.CountSent(), 1U);
+      EXPECT_EQ(LastStatus(world), 502U);
+      EXPECT_THAT(world.Body(), HasSubstr("unknown"));
+    }
+  }
   SECTION("an error answer of the target is forwarded, not retried")
   {
     World world;
