Connections are reused only where a late answer can be told

A connection on which an answer to another request was read was kept, and the answer to the request itself then met the next one. Control's orders and probes bear no id, so that on a kept connection a late copy of the answer to one order is the answer to the next; an agent's orders and probes likewise. A caller may also use an id twice, on one connection.

Change: ConnectionReuse::kIdentified, set by entries, control and agents: a connection is used again only if its last answer bore the id of its request, and never for an id that it has carried. It remembers 256 ids, then another connection is opened. Calls without an id have a connection each.

--- a/include/gooseberrysail/http/http_client.hpp
+++ b/include/gooseberrysail/http/http_client.hpp
@@ -14,12 +14,23 @@
 
 namespace gooseberrysail {
 
+/// \brief Which connections are used for a further call.
+enum class ConnectionReuse : std::uint8_t
+{
+  kWhole, ///< Those on which a whole response came last.
+  /// \brief Those on which a whole response came last that bears the id of its request, unless they
+  /// have carried a request with the id of the call.
+  /// \remarks A late second copy of an earlier response can thus be told from the response.
+  kIdentified,
+};
+
 /// \brief Timeouts and limits of an HttpClient.
 struct HttpClientSettings
 {
   Duration connectTimeout = std::chrono::seconds(2);
   Duration idleTimeout = std::chrono::seconds(15); ///< For unused connections.
   std::size_t maxIdlePerAddress = 64;
+  ConnectionReuse reuse = ConnectionReuse::kWhole;
   std::uint32_t maxHeaderBytes = 64 * 1024;
   std::uint64_t maxFetchedBytes = 64 * 1024 * 1024; ///< Largest body that Fetch accepts.
   /// \brief Whether to accept a response whose end is marked only by closing the connection.
--- a/src/http/http_call.cpp
+++ b/src/http/http_call.cpp
@@ -16,6 +16,7 @@
 #include <boost/beast/http/write.hpp>
 #include <optional>
 #include <utility>
+#include <xxhash.h>
 
 namespace gooseberrysail::impl {
 
@@ -29,6 +30,11 @@
 
 constexpr std::size_t kPartBytes = 16 * 1024;
 
+std::uint64_t HashOf(std::string_view id)
+{
+  return XXH3_64bits(id.data(), id.size());
+}
+
 bool IsSafe(const TargetCallOut& call)
 {
   return IsSafeToken(call.method) && IsSafeToken(call.path) &&
@@ -97,16 +103,37 @@
   , m_call(std::move(call))
   , m_hooks(std::move(hooks))
   , m_socket(io)
+  , m_requestId(FindHeader(m_call.headers, kRequestIdHeader))
   , m_deadline(io.get_executor())
 {
 }
 
-void HttpCall::Reuse(tcp::socket socket)
+bool HttpCall::IsAmbiguousOn(const KeptConnection& connection) const
 {
-  m_socket = std::move(socket);
+  return m_settings.reuse == ConnectionReuse::kIdentified &&
+         std::ranges::find(connection.carried, HashOf(m_requestId)) != connection.carried.end();
+}
+
+void HttpCall::Reuse(KeptConnection connection)
+{
+  m_socket = std::move(connection.socket);
+  m_carried = std::move(connection.carried);
   m_reused = true;
 }
 
+KeptConnection HttpCall::TakeConnection()
+{
+  if (m_settings.reuse == ConnectionReuse::kIdentified) {
+    m_carried.push_back(HashOf(m_requestId));
+  }
+  return { std::move(m_socket), std::move(m_carried) };
+}
+
+bool HttpCall::IsIdentified(std::string_view answeredId) const
+{
+  return !m_requestId.empty() && answeredId == m_requestId;
+}
+
 bool HttpCall::Run()
 {
   const bool reusable = BeginSending() && SendRequest() && ReadAnswer();
@@ -323,7 +350,9 @@
   }
   m_deadline.Disarm();
   part.end = true;
-  const bool reusable = parser->keep_alive() && m_buffer.size() == 0;
+  const bool isKnown = m_settings.reuse == ConnectionReuse::kWhole ||
+                       IsIdentified(parser->get()[std::string_view(kRequestIdHeader)]);
+  const bool reusable = parser->keep_alive() && m_buffer.size() == 0 && isKnown;
   return Deliver(std::move(part)) && reusable;
 }
 
--- a/src/http/http_call.hpp
+++ b/src/http/http_call.hpp
@@ -5,10 +5,13 @@
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <utility>
+#include <vector>
 
 namespace gooseberrysail::impl {
 
@@ -20,6 +23,13 @@
   std::function<bool(ExchangeId caller)> isCallerConnected = {}; ///< May be empty.
 };
 
+/// \brief A connection that can be used for further calls.
+struct KeptConnection
+{
+  boost::asio::ip::tcp::socket socket;
+  std::vector<std::uint64_t> carried; ///< Hashes of the ids of the requests that it has carried.
+};
+
 /// \brief One HTTP request and its response, over one connection.
 class HttpCall : public std::enable_shared_from_this<HttpCall>
 {
@@ -30,8 +40,11 @@
            TargetCallOut call,
            HttpCallHooks hooks);
 
+  /// \brief Whether a late response to an earlier request could not be told from one to this call.
+  [[nodiscard]] bool IsAmbiguousOn(const KeptConnection& connection) const;
+
   /// \brief Uses an idle connection instead of opening a new one.
-  void Reuse(boost::asio::ip::tcp::socket socket);
+  void Reuse(KeptConnection connection);
 
   /// \brief Makes the call; runs in a fiber of its own.
   /// \returns Whether the connection can be reused for another call.
@@ -45,7 +58,8 @@
 
   [[nodiscard]] const std::string& Address() const noexcept { return m_address; }
   [[nodiscard]] const ExchangeId& Exchange() const noexcept { return m_call.exchange; }
-  [[nodiscard]] boost::asio::ip::tcp::socket TakeSocket() noexcept { return std::move(m_socket); }
+  /// \brief The connection, for further calls.
+  [[nodiscard]] KeptConnection TakeConnection();
 
 private:
   bool BeginSending();
@@ -55,6 +69,8 @@
   bool ReadAnswer();
   bool Fail(ErrorCode code, std::string step, std::string description, bool neverSent);
   bool FailRead(const boost::system::error_code& error);
+  /// \param answeredId The id of the request that the response names; "" for none.
+  [[nodiscard]] bool IsIdentified(std::string_view answeredId) const;
   bool Deliver(TargetAnswerIn part);
   void ArmTimeout(Duration timeout);
   /// \brief Awaits an operation; once it has completed, the timeout has no effect.
@@ -66,6 +82,8 @@
   TargetCallOut m_call;
   HttpCallHooks m_hooks;
   boost::asio::ip::tcp::socket m_socket;
+  std::string m_requestId;              ///< "" if the call bears none.
+  std::vector<std::uint64_t> m_carried; ///< By the connection before this call.
   boost::beast::flat_buffer m_buffer;
   Deadline m_deadline;
   bool m_reused = false;
--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -12,7 +12,8 @@
 
 namespace {
 
-using boost::asio::ip::tcp;
+/// Bounds the memory of a connection that is kept for long.
+constexpr std::size_t kMaxCarried = 256;
 
 } // namespace
 
@@ -22,7 +23,7 @@
 
   struct Idle
   {
-    tcp::socket socket;
+    impl::KeptConnection connection;
     TimePoint since;
   };
 
@@ -41,6 +42,7 @@
   void Cancel(std::uint64_t number);
   void Close();
   void TakeIdle(impl::HttpCall& call);
+  [[nodiscard]] bool IsUsable(Idle& idleConnection) const;
   void KeepIdle(impl::HttpCall& call);
   void ExpireIdle();
 
@@ -89,17 +91,28 @@
   }
 }
 
+// One that is readable was closed by the server or has bytes that belong to no call.
+bool HttpClient::Impl::IsUsable(Idle& idleConnection) const
+{
+  return BootNow() - idleConnection.since < settings.idleTimeout &&
+         impl::PeekInput(idleConnection.connection.socket) == impl::InputState::kNone;
+}
+
+// Prefers the most recently used connection, so that the others can expire.
 void HttpClient::Impl::TakeIdle(impl::HttpCall& call)
 {
   const auto found = idle.find(call.Address());
-  while (found != idle.end() && !found->second.empty()) {
-    // Prefers the most recently used connection, so that the others can expire. One that is
-    // readable was closed by the server or has bytes that belong to no call.
-    Idle last = std::move(found->second.back());
-    found->second.pop_back();
-    if (BootNow() - last.since < settings.idleTimeout &&
-        impl::PeekInput(last.socket) == impl::InputState::kNone) {
-      call.Reuse(std::move(last.socket));
+  if (found == idle.end()) {
+    return;
+  }
+  std::deque<Idle>& connections = found->second;
+  for (std::size_t number = connections.size(); number > 0; --number) {
+    const auto candidate = connections.begin() + static_cast<std::ptrdiff_t>(number) - 1;
+    if (!IsUsable(*candidate)) {
+      connections.erase(candidate);
+    } else if (!call.IsAmbiguousOn(candidate->connection)) {
+      call.Reuse(std::move(candidate->connection));
+      connections.erase(candidate);
       return;
     }
   }
@@ -107,11 +120,15 @@
 
 void HttpClient::Impl::KeepIdle(impl::HttpCall& call)
 {
-  std::deque<Idle>& idleSockets = idle[call.Address()];
-  if (idleSockets.size() >= settings.maxIdlePerAddress) {
-    idleSockets.pop_front();
+  impl::KeptConnection connection = call.TakeConnection();
+  if (connection.carried.size() >= kMaxCarried) {
+    return;
+  }
+  std::deque<Idle>& connections = idle[call.Address()];
+  if (connections.size() >= settings.maxIdlePerAddress) {
+    connections.pop_front();
   }
-  idleSockets.push_back(Idle{ call.TakeSocket(), BootNow() });
+  connections.push_back(Idle{ std::move(connection), BootNow() });
   if (!expiry.IsArmed()) {
     expiry.Arm(settings.idleTimeout, [this] { ExpireIdle(); });
   }
--- a/src/shell/agent_shell.cpp
+++ b/src/shell/agent_shell.cpp
@@ -25,6 +25,13 @@
   return agent;
 }
 
+HttpClientSettings TargetClientSettings()
+{
+  HttpClientSettings client;
+  client.reuse = ConnectionReuse::kIdentified;
+  return client;
+}
+
 } // namespace
 
 DaemonExit RunAgent(const ProcessSettings& settings)
@@ -34,7 +41,7 @@
   using Loop = RoleLoop<AgentInput, AgentOutput>;
   std::unique_ptr<Loop> loop;
   HttpClient target(shell.Runtime(),
-                    {},
+                    TargetClientSettings(),
                     { .onAnswer = [&](TargetAnswerIn answer) { loop->Post(std::move(answer)); },
                       .onFailed = [&](TargetFailedIn failed) { loop->Post(std::move(failed)); } });
   const auto handle = impl::Overloaded{
--- a/src/shell/control_shell.cpp
+++ b/src/shell/control_shell.cpp
@@ -71,6 +71,9 @@
 {
   HttpClientSettings client;
   client.connectTimeout = kTargetConnectTimeout;
+  // Orders and probes bear no id, so that each has a connection of its own: a late copy of the
+  // answer to one order would be taken for the answer to the next.
+  client.reuse = ConnectionReuse::kIdentified;
   return client;
 }
 
--- a/src/shell/gateway_shell.cpp
+++ b/src/shell/gateway_shell.cpp
@@ -33,6 +33,7 @@
   HttpClientSettings client;
   client.connectTimeout = kConnectTimeout;
   client.idleTimeout = kIdleFor;
+  client.reuse = ConnectionReuse::kIdentified;
   // Some targets end a response by closing the connection; a reset is still reported as a failure.
   client.acceptCloseDelimited = true;
   return client;
--- a/tests/unit/http_client_test.cpp
+++ b/tests/unit/http_client_test.cpp
@@ -49,6 +49,96 @@
   EXPECT_EQ(target.server.Counters().connections, 1U);
 }
 
+/// \brief A server that sends the given id with each answer, and a client that only reuses
+/// connections whose answers were identified.
+class IdentifiedCalls
+{
+public:
+  explicit IdentifiedCalls(IoRuntime& runtime)
+    : m_target(runtime)
+    , m_client(runtime, { .reuse = ConnectionReuse::kIdentified })
+  {
+    m_target.onRequest = [this](const HttpRequestIn& request) {
+      HttpAnswerOut answer;
+      answer.exchange = request.exchange;
+      answer.status = 200;
+      if (!m_answeredId.empty()) {
+        answer.headers.push_back({ "X-Request-Id", m_answeredId });
+      }
+      answer.end = true;
+      m_target.server.Send(std::move(answer));
+    };
+  }
+
+  /// \returns How many connections the server has accepted so far.
+  std::uint64_t Call(const std::string& id, const std::string& answeredId)
+  {
+    m_answeredId = answeredId;
+    std::vector<HttpHeader> headers;
+    if (!id.empty()) {
+      headers.push_back({ "X-Request-Id", id });
+    }
+    EXPECT_TRUE(m_client.Fetch(m_target.address, "POST", "/", headers, "", kTestTimeout));
+    return m_target.server.Counters().connections;
+  }
+
+private:
+  RecordingServer m_target;
+  HttpClient m_client;
+  std::string m_answeredId;
+};
+
+// Guards against a late second copy of an answer that is taken for the answer to the next call.
+TEST(HttpClient, ReusesAConnectionOnlyWhereALateAnswerCanBeTold)
+{
+  IoRuntime runtime;
+  SECTION("answers that bear the ids of their requests: one connection for all")
+  {
+    IdentifiedCalls calls(runtime);
+    EXPECT_EQ(calls.Call("r1", "r1"), 1U);
+    EXPECT_EQ(calls.Call("r2", "r2"), 1U);
+    EXPECT_EQ(calls.Call("r3", "r3"), 1U);
+  }
+  SECTION("an answer to another request: its connection is not used again")
+  {
+    IdentifiedCalls calls(runtime);
+    EXPECT_EQ(calls.Call("r1", "r0"), 1U);
+    EXPECT_EQ(calls.Call("r2", "r2"), 2U);
+    EXPECT_EQ(calls.Call("r3", "r3"), 2U);
+  }
+  SECTION("an answer without an id")
+  {
+    IdentifiedCalls calls(runtime);
+    EXPECT_EQ(calls.Call("r1", ""), 1U);
+    EXPECT_EQ(calls.Call("r2", "r2"), 2U);
+  }
+  SECTION("calls without an id, such as orders")
+  {
+    IdentifiedCalls calls(runtime);
+    EXPECT_EQ(calls.Call("", ""), 1U);
+    EXPECT_EQ(calls.Call("", ""), 2U);
+  }
+  SECTION("an id that the connection has carried")
+  {
+    IdentifiedCalls calls(runtime);
+    EXPECT_EQ(calls.Call("r1", "r1"), 1U);
+    EXPECT_EQ(calls.Call("r2", "r2"), 1U);
+    EXPECT_EQ(calls.Call("r1", "r1"), 2U);
+    EXPECT_EQ(calls.Call("r2", "r2"), 2U);
+    EXPECT_EQ(calls.Call("r3", "r3"), 2U);
+  }
+  SECTION("a connection remembers a bounded number of ids, then another one is opened")
+  {
+    IdentifiedCalls calls(runtime);
+    std::uint64_t connections = 0;
+    for (int number = 0; number < 600; ++number) {
+      const std::string id = "r" + std::to_string(number);
+      connections = calls.Call(id, id);
+    }
+    EXPECT_EQ(connections, 3U);
+  }
+}
+
 // Guards against passing on an incomplete response as a complete one.
 TEST(HttpClient, AnAnswerThatEndsTooEarlyFails)
 {
