An agent cuts a request whose answer bears another id

RequestSystem passed on whatever came on the connection. An answer that names another request was left there by an earlier call; whether this one ran is not known, so it is cut, not refused.

--- a/src/agent/request_output.cpp
+++ b/src/agent/request_output.cpp
@@ -27,6 +27,13 @@
   return packed;
 }
 
+/// Targets need not return the id of a request.
+bool AnswersAnother(const TargetAnswerIn& answer, const RequestId& request)
+{
+  const std::string_view id = FindHeader(answer.headers, "X-Request-Id");
+  return !id.empty() && id != request.Get();
+}
+
 } // namespace
 
 void RequestSystem::OnPeerUp(impl::AgentContext& context,
@@ -134,6 +141,12 @@
   }
   const AttemptKey key = exchange->second;
   Attempt& attempt = m_attempts.at(key);
+  // Left on the connection by an earlier exchange: the target may run this request none the less.
+  if (answer.status && AnswersAnother(answer, key.request)) {
+    Cut(context, key, attempt, "target failed: an answer to another request");
+    StartQueued(context);
+    return true;
+  }
   if (answer.status) {
     attempt.output.Begin(*answer.status, answer.headers);
   }
--- a/tests/unit/agent_requests_test.cpp
+++ b/tests/unit/agent_requests_test.cpp
@@ -329,6 +329,36 @@
   EXPECT_EQ(SealOf(agent, "entry-1.1.2"), wire::SealResult::Started);
 }
 
+// Guards against an answer that an earlier call left on the connection and that is passed on as the
+// answer to this one.
+TEST(AgentRequests, AnAnswerToAnotherRequestCutsTheRequest)
+{
+  AgentHarness agent({ .maxConcurrent = 1 });
+  agent.FormGroup(7);
+  const auto answer = [&](const std::string& request, const std::string& answeredId) {
+    TargetAnswerIn part;
+    part.exchange = agent.CallOf(request)->exchange;
+    part.status = 200;
+    part.headers = { { "x-request-id", answeredId } };
+    part.bytes = "answer to " + answeredId;
+    part.end = true;
+    agent.Deliver(part);
+    agent.Settle();
+  };
+  agent.Start("entry-1.1.1");
+  agent.Start("entry-1.1.2");
+  answer("entry-1.1.1", "entry-1.1.0");
+  EXPECT_EQ(agent.ReceivedOf("entry-1.1.1").bytes, "");
+  EXPECT_TRUE(agent.ReceivedOf("entry-1.1.1").cutReason.starts_with("target failed"));
+  EXPECT_EQ(SealOf(agent, "entry-1.1.1"), wire::SealResult::Started);
+  SECTION("the next request takes its slot, and its own answer is passed on")
+  {
+    answer("entry-1.1.2", "entry-1.1.2");
+    EXPECT_EQ(agent.ReceivedOf("entry-1.1.2").bytes, "answer to entry-1.1.2");
+    EXPECT_EQ(agent.ReceivedOf("entry-1.1.2").cutReason, "");
+  }
+}
+
 // An answer completes while the group is intact and its entry is disconnected; then a new epoch is
 // assigned. The entry must still get the answer, because the group was intact when it was produced.
 TEST(AgentRequests, AnAnswerOfAnIntactGroupIsKeptAfterTheGroupEnds)
