--- a/include/gooseberrysail/consensus/raft_node.hpp
+++ b/include/gooseberrysail/consensus/raft_node.hpp
@@ -5,6 +5,7 @@
 #include "gooseberrysail/roles/control_role.hpp"
 #include "gooseberrysail/roles/inputs.hpp"
 
+#include <algorithm>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -37,10 +38,24 @@
   std::size_t maxInFlight = 32;                   ///< Unacknowledged appends to one peer.
   std::size_t maxBacklogBytes = 16 * 1024 * 1024; ///< Proposed but uncommitted entries.
   std::size_t snapshotChunkBytes = 256 * 1024;
-  std::uint64_t snapshotEvery = 256; ///< Applied entries between snapshots.
-  std::uint64_t keepEntries = 256;   ///< Entries kept before a snapshot, for lagging followers.
+  /// \brief A snapshot is due after this many applied entries, or after as many bytes of them as
+  /// SnapshotDueBytes says.
+  std::uint64_t snapshotEvery = 256;
+  std::size_t snapshotLogBytes = 8 * 1024 * 1024;
+  std::size_t snapshotLogFactor = 4; ///< Bounds what snapshots add to the bytes that are written.
+  /// \brief Entries kept before a snapshot, for lagging followers; as bytes, at most `keepBytes` or
+  /// those of the snapshot, which is sent in their place.
+  std::uint64_t keepEntries = 256;
+  std::size_t keepBytes = 1024 * 1024;
 };
 
+/// \brief The bytes of entries after which a snapshot is due that replaces one of this size.
+[[nodiscard]] constexpr std::size_t SnapshotDueBytes(const RaftSettings& settings,
+                                                     std::size_t snapshotBytes) noexcept
+{
+  return std::max(settings.snapshotLogBytes, settings.snapshotLogFactor * snapshotBytes);
+}
+
 struct RaftHooks
 {
   std::function<std::uint64_t()> random; ///< Uniform 64-bit numbers.
@@ -108,8 +123,8 @@
   /// \brief Reports that the work of the last ReadyOutput is done.
   void Advance();
 
-  /// \brief Whether a snapshot is due: at least RaftSettings::snapshotEvery entries were applied
-  /// since the last one.
+  /// \brief Whether a snapshot is due, by the number of the entries that were applied since the
+  /// last one or by their bytes.
   [[nodiscard]] bool WantsSnapshot() const;
 
   /// \brief Stores a snapshot of the applied state at `index`, which is at most the applied index.
--- a/src/consensus/raft_log.hpp
+++ b/src/consensus/raft_log.hpp
@@ -2,6 +2,7 @@
 
 #include "gooseberrysail/consensus/log_types.hpp"
 
+#include <algorithm>
 #include <cstdint>
 #include <optional>
 #include <span>
@@ -40,6 +41,12 @@
   /// \brief Payload bytes of the entries after `index`.
   [[nodiscard]] std::size_t BytesAfter(std::uint64_t index) const noexcept;
 
+  /// \brief Payload bytes of the entries after `first` up to `last`, as far as they are in memory.
+  [[nodiscard]] std::size_t BytesBetween(std::uint64_t first, std::uint64_t last) const noexcept
+  {
+    return BytesAfter(first) - BytesAfter(std::max(first, last));
+  }
+
 private:
   std::uint64_t m_base = 0;
   std::uint64_t m_baseTerm = 0;
--- a/src/consensus/raft_node.cpp
+++ b/src/consensus/raft_node.cpp
@@ -324,7 +324,10 @@
 bool RaftNode::WantsSnapshot() const
 {
   const std::uint64_t last = m_impl->snapshot ? m_impl->snapshot->index.Get() : 0;
-  return m_impl->applied >= last + m_impl->settings.snapshotEvery;
+  const std::size_t snapshotBytes = m_impl->snapshot ? m_impl->snapshot->state.size() : 0;
+  return m_impl->applied >= last + m_impl->settings.snapshotEvery ||
+         m_impl->log.BytesBetween(last, m_impl->applied) >=
+           SnapshotDueBytes(m_impl->settings, snapshotBytes);
 }
 
 void RaftNode::OnSnapshotTaken(LogIndex index, std::vector<std::uint8_t> state)
--- a/src/consensus/raft_replication.cpp
+++ b/src/consensus/raft_replication.cpp
@@ -442,9 +442,13 @@
   taken.state = std::move(state);
   snapshot = std::make_shared<const RaftSnapshot>(std::move(taken));
   persistSnapshot = snapshot;
-  if (index > settings.keepEntries) {
-    log.CompactTo(std::min(index, index - settings.keepEntries));
+  // A follower that lacks more than the snapshot's bytes gets it sooner than the entries.
+  const std::size_t keptBytes = std::max(settings.keepBytes, snapshot->state.size());
+  std::uint64_t base = index - std::min(index, settings.keepEntries);
+  while (log.BytesBetween(base, index) > keptBytes) {
+    ++base;
   }
+  log.CompactTo(base);
 }
 
 } // namespace gooseberrysail
