--- a/include/gooseberrysail/consensus/raft_node.hpp
+++ b/include/gooseberrysail/consensus/raft_node.hpp
@@ -44,7 +44,8 @@
   std::size_t snapshotLogBytes = 8 * 1024 * 1024;
   std::size_t snapshotLogFactor = 4; ///< Bounds what snapshots add to the bytes that are written.
   /// \brief Entries kept before a snapshot, for lagging followers; as bytes, at most `keepBytes` or
-  /// those of the snapshot, which is sent in their place.
+  /// those of the snapshot, which is sent in their place. While one is sent, those after it are
+  /// kept too, as bytes at most SnapshotDueBytes.
   std::uint64_t keepEntries = 256;
   std::size_t keepBytes = 1024 * 1024;
 };
--- a/src/consensus/raft_replication.cpp
+++ b/src/consensus/raft_replication.cpp
@@ -380,6 +380,9 @@
   }
   peer->snapshotOffset = message.snapshotOffset;
   peer->chunkSent = false;
+  if (peer->image->index < log.Base()) {
+    peer->image = nullptr; // The entries after it are gone; the newest one is sent instead.
+  }
   SendSnapshotChunk(message.from, *peer);
 }
 
@@ -442,13 +445,30 @@
   taken.state = std::move(state);
   snapshot = std::make_shared<const RaftSnapshot>(std::move(taken));
   persistSnapshot = snapshot;
-  // A follower that lacks more than the snapshot's bytes gets it sooner than the entries.
-  const std::size_t keptBytes = std::max(settings.keepBytes, snapshot->state.size());
-  std::uint64_t base = index - std::min(index, settings.keepEntries);
-  while (log.BytesBetween(base, index) > keptBytes) {
-    ++base;
+  log.CompactTo(FirstKept(index) - 1);
+}
+
+// A follower that lacks more than the snapshot's bytes gets it sooner than the entries. One that is
+// being sent an image needs the entries after it, or it would be sent the next one in turn.
+std::uint64_t RaftNode::Impl::FirstKept(std::uint64_t index) const
+{
+  const auto within = [&](std::uint64_t before, std::size_t bytes) {
+    while (log.BytesBetween(before, index) > bytes) {
+      ++before;
+    }
+    return before;
+  };
+  const std::size_t snapshotBytes = snapshot->state.size();
+  std::uint64_t before = within(index - std::min(index, settings.keepEntries),
+                                std::max(settings.keepBytes, snapshotBytes));
+  for (const auto& [process, peer] : peers) {
+    const bool isReceiving = peer.image && now - peer.repliedAt < settings.electionTimeout;
+    if (isReceiving) {
+      before =
+        std::min(before, within(peer.image->index, SnapshotDueBytes(settings, snapshotBytes)));
+    }
   }
-  log.CompactTo(base);
+  return before + 1;
 }
 
 } // namespace gooseberrysail
--- a/tests/unit/raft_log_bytes_test.cpp
+++ b/tests/unit/raft_log_bytes_test.cpp
@@ -193,6 +193,38 @@
   EXPECT_EQ(cluster.Violation(), "");
 }
 
+// Guards against a follower that is sent one snapshot after the other while changes come in.
+TEST(RaftLogBytes, AFollowerIsSentOneSnapshotAlsoUnderChanges)
+{
+  for (std::uint64_t seed = 1; seed <= 50; ++seed) {
+    SECTION("seed " + std::to_string(seed))
+    {
+      RaftCluster::Options options = ByBytes(seed);
+      options.settings.snapshotLogBytes = 512;
+      options.settings.snapshotChunkBytes = 256;
+      RaftCluster cluster(options);
+      ASSERT_TRUE(cluster.RunUntil(seconds(20), [&] { return cluster.Leader().has_value(); }));
+      const std::size_t leader = *cluster.Leader();
+      const std::size_t down = (leader + 1) % 3;
+      std::uint64_t value = 0;
+      const auto change = [&](int count) {
+        for (; count > 0; --count) {
+          cluster.Propose(leader, ++value);
+          cluster.Advance(milliseconds(5));
+        }
+      };
+      cluster.Crash(down);
+      change(150);
+      cluster.SetNetwork(0, 0, milliseconds(40));
+      cluster.Restart(down);
+      change(300);
+      EXPECT_LE(cluster.At(down).restores, 2U); // Its own one and the one that it was sent.
+      EXPECT_TRUE(cluster.RunUntil(seconds(20), [&] { return cluster.Converged(); }));
+      EXPECT_EQ(cluster.Violation(), "");
+    }
+  }
+}
+
 /// \brief Loses the disk of each process in turn, under changes, with the leader cut off at times.
 /// \returns What went wrong, or "".
 std::string LoseDisksInTurn(std::uint64_t seed)
