--- a/tests/process/killed_entry_test.cpp
+++ b/tests/process/killed_entry_test.cpp
@@ -51,20 +51,12 @@
       "entry.ini",
       m_serving.site.EntrySettings("[limits]\nmaxAnswerBytes = " + std::to_string(2 * kLargeBody)));
     m_serving.site.entry->Kill();
-    m_serving.site.entry = m_serving.site.Start("entry");
-    m_serving.WaitUntilServed();
+    RestartEntry();
   }
 
   [[nodiscard]] const std::string& EntryAddress() const { return m_serving.site.entryHttp; }
 
-  [[nodiscard]] std::uint64_t Runs() const
-  {
-    std::uint64_t runs = 0;
-    for (const auto& replica : m_serving.replicas) {
-      runs += replica->Runs();
-    }
-    return runs;
-  }
+  [[nodiscard]] std::uint64_t Runs() const { return m_serving.Runs(); }
 
   void EndEntry(int signal) const
   {
--- a/tests/process/paused_entry_test.cpp
+++ b/tests/process/paused_entry_test.cpp
@@ -18,21 +18,12 @@
          "Content-Length: 5\r\n\r\nsound";
 }
 
-std::uint64_t RunsOf(const ServingInstallation& serving)
-{
-  std::uint64_t runs = 0;
-  for (const auto& replica : serving.replicas) {
-    runs += replica->Runs();
-  }
-  return runs;
-}
-
 // Guards against an entry that works for callers who left while it was paused.
 TEST(PausedEntry, ServesNobodyWhoLeft)
 {
   ServingInstallation serving;
   serving.WaitUntilServed();
-  const std::uint64_t before = RunsOf(serving);
+  const std::uint64_t before = serving.Runs();
 
   serving.site.entry->Signal(SIGSTOP);
   for (int number = 0; number < kCallers; ++number) {
@@ -44,7 +35,7 @@
 
   EXPECT_EQ(serving.Ask("sound").status, 200U);
   std::this_thread::sleep_for(500ms);
-  EXPECT_EQ(RunsOf(serving), before + 1);
+  EXPECT_EQ(serving.Runs(), before + 1);
 }
 
 } // namespace
--- a/tests/support/blocking_connection.hpp
+++ b/tests/support/blocking_connection.hpp
@@ -42,11 +42,7 @@
   std::string ReadToEnd()
   {
     std::string received;
-    std::vector<char> bytes(64UL * 1024);
-    readError = {};
-    while (!readError) {
-      const std::size_t size = m_socket.read_some(boost::asio::buffer(bytes), readError);
-      received.append(bytes.data(), size);
+    while (ReadSome(received)) {
     }
     return received;
   }
@@ -55,13 +51,10 @@
   std::string ReadUntil(std::string_view end)
   {
     std::string received;
-    std::vector<char> bytes(64UL * 1024);
-    boost::system::error_code error;
-    while (!error) {
-      const std::size_t size = m_socket.read_some(boost::asio::buffer(bytes), error);
-      const std::size_t searched = received.size() - std::min(received.size(), end.size());
-      received.append(bytes.data(), size);
-      if (received.find(end, searched) != std::string::npos) {
+    std::size_t searched = 0;
+    while (received.find(end, searched) == std::string::npos) {
+      searched = received.size() - std::min(received.size(), end.size());
+      if (!ReadSome(received)) {
         break;
       }
     }
@@ -88,9 +81,17 @@
   }
 
   bool isConnected = false;
-  boost::system::error_code readError; ///< Of ReadToEnd: how the connection ended.
+  boost::system::error_code readError; ///< Of the latest read.
 
 private:
+  bool ReadSome(std::string& received)
+  {
+    std::vector<char> bytes(64UL * 1024);
+    const std::size_t size = m_socket.read_some(boost::asio::buffer(bytes), readError);
+    received.append(bytes.data(), size);
+    return !readError;
+  }
+
   boost::asio::io_context m_io;
   boost::asio::ip::tcp::socket m_socket;
 };
--- a/tests/support/serving_installation.hpp
+++ b/tests/support/serving_installation.hpp
@@ -34,6 +34,16 @@
     return site.CallEntry("/a/x", "key-of-t1", "r-" + std::to_string(++m_asked), body);
   }
 
+  /// \brief How many requests all replicas have run.
+  [[nodiscard]] std::uint64_t Runs() const
+  {
+    std::uint64_t runs = 0;
+    for (const auto& replica : replicas) {
+      runs += replica->Runs();
+    }
+    return runs;
+  }
+
   void WaitUntilServed()
   {
     EXPECT_TRUE(
--- a/tests/unit/raft_log_bytes_test.cpp
+++ b/tests/unit/raft_log_bytes_test.cpp
@@ -59,7 +59,7 @@
     HandleReady();
   }
 
-  /// \brief The most that the folder held after any write, sync or rename.
+  /// \brief The most that the folder held after any write.
   [[nodiscard]] std::uint64_t MostStored() const { return m_mostStored; }
 
   /// \brief The most payload bytes of the entries in memory.
