The id of an answer is read without decoding its head

To compare the ids, the dispatcher decoded the head of each answer a second time, with a copy of its headers. GatewayApi::answeredId reads the id alone; TargetHead::requestId, which only that comparison read, is gone. And LastUnneeded replaces FirstKept, whose caller took off the one that it added. Behaviour stays as it was.

--- a/include/gooseberrysail/gateway/dispatcher.hpp
+++ b/include/gooseberrysail/gateway/dispatcher.hpp
@@ -296,7 +296,7 @@
   void OnOtherAnswer(TimePoint now,
                      Request& request,
                      const SentCall& sent,
-                     const std::string& answeredId,
+                     std::string_view answeredId,
                      Outbox& outbox);
   /// \brief Why an answer to the request with this head can't be forwarded; empty if it can.
   [[nodiscard]] static std::string FaultOf(const TargetHead& head);
--- a/include/gooseberrysail/gateway/gateway_api.hpp
+++ b/include/gooseberrysail/gateway/gateway_api.hpp
@@ -8,6 +8,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 /// \file The parts of a caller's request and of a target's answer that a gateway uses, and the
@@ -52,7 +53,6 @@
 struct TargetHead
 {
   unsigned status = 0;
-  std::string requestId; ///< Of the request that it answers.
   bool neverRan = false; ///< The target states that it did not run the request.
   bool isProven = false; ///< Has the target's seal.
   /// The requests a second that the target takes from all entries together.
@@ -70,6 +70,9 @@
 {
   std::function<Result<GatewayCall>(HttpRequestIn)> decodeCall;
   std::function<TargetCallOut(const TargetAttempt&)> encodeAttempt;
+  /// \brief The id of the request that the first part of an answer names; "" for none. The view is
+  /// valid as long as the part.
+  std::function<std::string_view(const TargetAnswerIn&)> answeredId;
   std::function<TargetHead(const TargetAnswerIn&)> decodeHead;
   DocumentReader readDocument;
 };
--- a/src/consensus/raft_core.hpp
+++ b/src/consensus/raft_core.hpp
@@ -125,8 +125,8 @@
   void AdvanceCommit();
   void SetCommit(std::uint64_t index);
   void OnLocalSnapshot(std::uint64_t index, std::vector<std::uint8_t> state);
-  /// \brief The first entry that followers may need when a snapshot is taken at `index`.
-  [[nodiscard]] std::uint64_t FirstKept(std::uint64_t index) const;
+  /// \brief The last entry that no follower needs once a snapshot is taken at `index`.
+  [[nodiscard]] std::uint64_t LastUnneeded(std::uint64_t index) const;
 
   // ---- raft_membership.cpp ----
   void SendJoinQueries();
--- a/src/consensus/raft_replication.cpp
+++ b/src/consensus/raft_replication.cpp
@@ -445,12 +445,12 @@
   taken.state = std::move(state);
   snapshot = std::make_shared<const RaftSnapshot>(std::move(taken));
   persistSnapshot = snapshot;
-  log.CompactTo(FirstKept(index) - 1);
+  log.CompactTo(LastUnneeded(index));
 }
 
 // A follower that lacks more than the snapshot's bytes gets it sooner than the entries. One that is
 // being sent an image needs the entries after it, or it would be sent the next one in turn.
-std::uint64_t RaftNode::Impl::FirstKept(std::uint64_t index) const
+std::uint64_t RaftNode::Impl::LastUnneeded(std::uint64_t index) const
 {
   const auto within = [&](std::uint64_t before, std::size_t bytes) {
     while (log.BytesBetween(before, index) > bytes) {
@@ -468,7 +468,7 @@
         std::min(before, within(peer.image->index, SnapshotDueBytes(settings, snapshotBytes)));
     }
   }
-  return before + 1;
+  return before;
 }
 
 } // namespace gooseberrysail
--- a/src/gateway/dispatcher.cpp
+++ b/src/gateway/dispatcher.cpp
@@ -350,7 +350,7 @@
   }
   const SentCall sent = FindCall(*request, part.exchange);
   if (part.status) {
-    const std::string answeredId = m_api.decodeHead(part).requestId;
+    const std::string_view answeredId = m_api.answeredId(part);
     if (answeredId != request->call.requestId) {
       OnOtherAnswer(now, *request, sent, answeredId, outbox);
       UseFreedSlots(now, outbox);
@@ -374,15 +374,16 @@
 void Dispatcher::OnOtherAnswer(TimePoint now,
                                Request& request,
                                const SentCall& sent,
-                               const std::string& answeredId,
+                               std::string_view answeredId,
                                Outbox& outbox)
 {
   const bool isHedge = sent.exchange != request.sent.exchange;
   if (isHedge) {
     m_selector.OnFailure(now, sent.target);
   }
-  const std::string id =
-    answeredId.empty() ? "without an id" : "id " + answeredId.substr(0, kMaxLoggedIdLength);
+  const std::string id = answeredId.empty()
+                           ? "without an id"
+                           : "id " + std::string(answeredId.substr(0, kMaxLoggedIdLength));
   EndAttempt(now, request, sent, true, "an answer to another request (" + id + ")", outbox);
 }
 
--- a/tests/support/plain_gateway_api.hpp
+++ b/tests/support/plain_gateway_api.hpp
@@ -70,10 +70,12 @@
     }
     return call;
   };
+  api.answeredId = [](const TargetAnswerIn& part) {
+    return FindHeader(part.headers, "X-Request-Id");
+  };
   api.decodeHead = [](const TargetAnswerIn& part) {
     TargetHead head;
     head.status = *part.status;
-    head.requestId = FindHeader(part.headers, "X-Request-Id");
     head.neverRan = !FindHeader(part.headers, "Never-Ran").empty();
     head.isProven = !FindHeader(part.headers, "Seal").empty();
     if (const std::string_view limit = FindHeader(part.headers, "Limit"); !limit.empty()) {
