Log and metrics tell whose answer a caller got, and what its target stated

- 315 gets origin (entry or target), targetStatus, statement and the fingerprint; 316 gets targetStatus and statement.
- 316 is written for each attempt whose answer is not forwarded: also for one that is repeated after a status of 500 or more, and for those in flight when a request ends by its deadline, its caller or a quarantine.
One query by a request's id now gives all its attempts.
- gooseberrysail_answers_total counts answers by origin, status and statement.
Statuses other than 408, 421, 429 and 503 are counted by class, since a target may send any.

Metrics.CountAnswersByOriginStatusAndStatement. No decision is changed.

--- a/include/gooseberrysail/gateway/dispatcher.hpp
+++ b/include/gooseberrysail/gateway/dispatcher.hpp
@@ -131,6 +131,8 @@
 private:
   static constexpr const char* kOwnSource = "this entry"; ///< In log lines.
   static constexpr const char* kGoesOn = "another attempt goes on";
+  static constexpr const char* kOwnAnswer = "entry";
+  static constexpr const char* kTargetAnswer = "target";
   static constexpr unsigned kServerFault = 500;
   [[nodiscard]] static constexpr bool IsSuccess(unsigned status) { return status / 100 == 2; }
   /// An attempt whose target was in doubt goes on when it has sent events for this long.
@@ -154,6 +156,8 @@
     TimePoint at{};
     std::uint32_t number = 0;     ///< Among the request's attempts, from 1.
     bool isTargetAvoided = false; ///< It was when it was chosen.
+    unsigned status = 0;          ///< Of its answer; 0 before its head has come.
+    bool statesNotRun = false;    ///< Its answer states that the target did not run it.
   };
 
   /// \brief What an attempt has answered while another one may serve the request.
@@ -217,6 +221,7 @@
     EventSplitter events;
     std::string lastError;
     std::optional<Duration> toldRetryAfter; ///< What a refused caller was told.
+    const char* answerOrigin = "";          ///< Whose answer the caller gets; "" while none.
   };
 
   using Outbox = std::vector<GatewayOutput>;
@@ -275,7 +280,7 @@
                                               bool mayHaveRun);
   void StopAttempt(Request& request, Outbox& outbox, bool cancel);
   /// \brief Cancels all attempts of the request.
-  void StopAttempts(Request& request, Outbox& outbox);
+  void StopAttempts(TimePoint now, Request& request, const std::string& reason, Outbox& outbox);
   /// \brief The call is over: its slot is free, and what arrives for it is ignored.
   void EndCall(const Request& request, const SentCall& sent, Outbox& outbox, bool cancel);
   /// \param retryAfter How long the target wants no requests, where it says so.
@@ -300,6 +305,11 @@
                      Outbox& outbox);
   /// \brief Why an answer to the request with this head can't be forwarded; empty if it can.
   [[nodiscard]] static std::string FaultOf(const TargetHead& head);
+  static void NoteHead(SentCall& sent, const TargetHead& head);
+  /// \brief For log lines: the status of a call's answer; "" while there is none.
+  [[nodiscard]] static std::string StatusText(unsigned status);
+  /// \brief For log lines: whether the answer states that the call did not run; "" without answer.
+  [[nodiscard]] static const char* StatementOf(const SentCall& sent);
   /// \brief A part of the answer that is forwarded.
   void OnPart(TimePoint now, Request& request, const TargetAnswerIn& part, Outbox& outbox);
   void OnHead(TimePoint now, Request& request, const TargetAnswerIn& part, Outbox& outbox);
--- a/src/gateway/dispatcher.cpp
+++ b/src/gateway/dispatcher.cpp
@@ -274,10 +274,17 @@
   request.held = {};
 }
 
-void Dispatcher::StopAttempts(Request& request, Outbox& outbox)
+void Dispatcher::StopAttempts(TimePoint now,
+                              Request& request,
+                              const std::string& reason,
+                              Outbox& outbox)
 {
+  if (!request.sent.exchange.IsNone()) {
+    LogFailedAttempt(now, request, request.sent, true, reason, std::nullopt, outbox);
+  }
   StopAttempt(request, outbox, true);
   for (const Hedge& hedge : request.hedges) {
+    LogFailedAttempt(now, request, hedge.sent, true, reason, std::nullopt, outbox);
     EndCall(request, hedge.sent, outbox, true);
   }
   request.hedges.clear();
@@ -317,6 +324,19 @@
   }
 }
 
+std::string Dispatcher::StatusText(unsigned status)
+{
+  return status == 0 ? "" : std::to_string(status);
+}
+
+const char* Dispatcher::StatementOf(const SentCall& sent)
+{
+  if (sent.status == 0) {
+    return "";
+  }
+  return sent.statesNotRun ? "not-run" : "none";
+}
+
 void Dispatcher::LogFailedAttempt(TimePoint now,
                                   const Request& request,
                                   const SentCall& sent,
@@ -339,7 +359,9 @@
                 { "avoided", sent.isTargetAvoided ? "yes" : "no" },
                 { "retryAfterMillis", retryAfter ? std::to_string(ToMillis(*retryAfter)) : "" },
                 { "begun", hasBegun ? "yes" : "no" },
-                { "parts", JoinParts(request.promptParts) } }));
+                { "parts", JoinParts(request.promptParts) },
+                { "targetStatus", StatusText(sent.status) },
+                { "statement", StatementOf(sent) } }));
 }
 
 void Dispatcher::OnAnswer(TimePoint now, const TargetAnswerIn& part, Outbox& outbox)
@@ -406,9 +428,16 @@
   return IsSuccess(head.status) && !head.isProven ? "a success without its seal" : "";
 }
 
+void Dispatcher::NoteHead(SentCall& sent, const TargetHead& head)
+{
+  sent.status = head.status;
+  sent.statesNotRun = head.neverRan;
+}
+
 void Dispatcher::OnHead(TimePoint now, Request& request, const TargetAnswerIn& part, Outbox& outbox)
 {
   TargetHead head = m_api.decodeHead(part);
+  NoteHead(request.sent, head);
   RecordStatements(now, request, request.sent, head, outbox);
   if (const std::string fault = FaultOf(head); !fault.empty()) {
     request.excusedAttempts += IsExcused(head) ? 1 : 0;
@@ -427,6 +456,7 @@
     StopAttempt(request, outbox, true);
     request.mayHaveRun = true;
     request.lastError = "failed with " + std::to_string(head.status);
+    LogFailedAttempt(now, request, request.sent, true, request.lastError, std::nullopt, outbox);
     Send(now, request, *target, outbox);
     return;
   }
@@ -465,6 +495,7 @@
   if (request.model.empty() && request.framing == AnswerFraming::kDelimited) {
     m_selector.OnAnswerTime(now, request.sent.target, now - request.sent.at);
   }
+  request.answerOrigin = kTargetAnswer;
   outbox.emplace_back(std::move(request.bufferedAnswer));
   Complete(now, request, status, outbox);
 }
@@ -568,6 +599,7 @@
     out = std::move(request.bufferedAnswer);
     request.callerFraming = out.framing;
     request.headForwarded = true;
+    request.answerOrigin = kTargetAnswer;
     request.firstEventAt = now;
     const ServedKind kind = KindOf(request);
     m_queue.OnFirstEvent(kind, now - request.sent.at);
@@ -679,7 +711,7 @@
 void Dispatcher::OnCallerGone(TimePoint now, ExchangeId exchange, Outbox& outbox)
 {
   if (Request* request = Find(exchange)) {
-    StopAttempts(*request, outbox);
+    StopAttempts(now, *request, "the caller has left", outbox);
     End(now, *request, "caller-gone", 0, outbox);
     UseFreedSlots(now, outbox);
   }
@@ -692,7 +724,7 @@
     Request& request = *Find(m_deadlines.begin()->second);
     request.mayHaveRun = request.mayHaveRun || !request.sent.exchange.IsNone();
     request.lastError = "the time for the answer is over";
-    StopAttempts(request, outbox);
+    StopAttempts(now, request, request.lastError, outbox);
     GiveUp(now, request, outbox);
   }
   for (const ExchangeId exchange : m_queue.TakeExpired(now)) {
--- a/src/gateway/dispatcher_end.cpp
+++ b/src/gateway/dispatcher_end.cpp
@@ -132,6 +132,7 @@
     request.toldRetryAfter = refusal.retryAfter;
   }
   answer.bytes = ErrorText(outcome, refusal.reason);
+  request.answerOrigin = kOwnAnswer;
   answer.end = true;
   outbox.emplace_back(std::move(answer));
   request.lastError = refusal.reason;
@@ -181,7 +182,11 @@
                 { "queuedMillis", std::to_string(ToMillis(queued)) },
                 { "retryAfterMillis", retryAfterMillis },
                 { "framing", request.framing ? ToString(*request.framing) : "" },
-                { "bytes", std::to_string(request.answerBytes) } }));
+                { "bytes", std::to_string(request.answerBytes) },
+                { "fingerprint", ToString(request.fingerprint) },
+                { "origin", request.answerOrigin },
+                { "targetStatus", StatusText(request.sent.status) },
+                { "statement", StatementOf(request.sent) } }));
   m_queue.Remove(request.call.exchange);
   m_deadlines.erase({ request.deadline, request.call.exchange });
   m_requests.erase(request.call.exchange);
--- a/src/gateway/dispatcher_hedges.cpp
+++ b/src/gateway/dispatcher_hedges.cpp
@@ -136,6 +136,7 @@
   Hedge& hedge = *FindHedge(request, part.exchange);
   if (part.status) {
     const TargetHead head = m_api.decodeHead(part);
+    NoteHead(hedge.sent, head);
     if (const std::string fault = HedgeFaultOf(request, head, part.framing); !fault.empty()) {
       RecordStatements(now, request, hedge.sent, head, outbox);
       m_selector.OnFailure(now, hedge.sent.target);
--- a/src/gateway/dispatcher_parts.cpp
+++ b/src/gateway/dispatcher_parts.cpp
@@ -141,7 +141,8 @@
     Request& request = *Find(exchange);
     const RequestFingerprint part = *FindHeldPart(request);
     const bool wasSent = !request.sent.exchange.IsNone();
-    StopAttempts(request, outbox);
+    StopAttempts(
+      now, request, "a part of its prompt (" + ToString(part) + ") crashes targets", outbox);
     request.mayHaveRun = request.mayHaveRun || wasSent;
     if (request.mayHaveRun || request.headForwarded) {
       request.lastError = "a part of its prompt (" + ToString(part) + ") crashes targets";
--- a/src/gateway/dispatcher_suspects.cpp
+++ b/src/gateway/dispatcher_suspects.cpp
@@ -87,7 +87,7 @@
   }
   for (const ExchangeId exchange : repeats) {
     Request& request = *Find(exchange);
-    StopAttempts(request, outbox);
+    StopAttempts(now, request, "the same request crashed other targets", outbox);
     RejectRepeat(now, request, outbox);
   }
 }
--- a/src/observe/metric_catalog.cpp
+++ b/src/observe/metric_catalog.cpp
@@ -139,6 +139,13 @@
     "outcome",
     "entry",
     "Requests answered, by outcome." },
+  { "gooseberrysail_answers_total",
+    MetricType::kCounter,
+    "origin,status,statement",
+    "entry",
+    "Answers to callers on routes: whose answer it is (`entry` or `target`), its status (408, 421, "
+    "429 and 503 by themselves, others by class) and whether whoever made it states that the "
+    "request did not run (`not-run` or `none`)." },
   { "gooseberrysail_request_attempts_total",
     MetricType::kCounter,
     "",
--- a/src/observe/metric_catalog.hpp
+++ b/src/observe/metric_catalog.hpp
@@ -32,6 +32,7 @@
   kHttpCut,
   kTimelineDropped,
   kRequests,
+  kRequestAnswers,
   kRequestAttempts,
   kRequestDuration,
   kRefusedByUrgency,
--- a/src/observe/metrics.cpp
+++ b/src/observe/metrics.cpp
@@ -1,9 +1,11 @@
 #include "gooseberrysail/observe/metrics.hpp"
 
+#include "gooseberrysail/core/http_status.hpp"
 #include "gooseberrysail/observe/event_catalog.hpp"
 #include "observe/metric_catalog.hpp"
 
 #include <algorithm>
+#include <array>
 #include <charconv>
 #include <cmath>
 #include <map>
@@ -12,6 +14,7 @@
 #include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 #include <prometheus/text_serializer.h>
+#include <span>
 #include <unordered_map>
 
 namespace gooseberrysail {
@@ -61,6 +64,16 @@
   return number;
 }
 
+/// A target may send any status, so that most are counted by class.
+std::string StatusLabel(unsigned status)
+{
+  constexpr unsigned kPerClass = 100;
+  if (PromisesNotRun(status)) {
+    return std::to_string(status);
+  }
+  return status == 0 ? "cut" : std::to_string(status / kPerClass) + "xx";
+}
+
 } // namespace
 
 struct Metrics::Impl
@@ -108,6 +121,18 @@
     }
   }
 
+  static Labels LabelsOf(MetricId id, std::span<const std::string> values)
+  {
+    Labels labels;
+    std::string_view names = InfoOf(id).label;
+    for (const std::string& value : values) {
+      const std::size_t comma = names.find(',');
+      labels.emplace(names.substr(0, comma), value);
+      names.remove_prefix(comma == std::string_view::npos ? names.size() : comma + 1);
+    }
+    return labels;
+  }
+
   static Labels LabelsOf(MetricId id, const std::string& value)
   {
     const std::string_view label = InfoOf(id).label;
@@ -121,6 +146,23 @@
     }
   }
 
+  void CountAnswer(const EventOut& event)
+  {
+    const std::string* origin = FindField(event, "origin");
+    if (origin == nullptr || origin->empty()) {
+      return;
+    }
+    const bool isTargets = *origin == "target";
+    const std::string* statement = FindField(event, isTargets ? "statement" : "outcome");
+    const bool statesNotRun = statement != nullptr && *statement == "not-run";
+    const std::array values{ *origin,
+                             StatusLabel(static_cast<unsigned>(NumberField(event, "status"))),
+                             std::string(statesNotRun ? "not-run" : "none") };
+    if (const auto family = counters.find(MetricId::kRequestAnswers); family != counters.end()) {
+      family->second->Add(LabelsOf(MetricId::kRequestAnswers, values)).Increment();
+    }
+  }
+
   void Set(MetricId id, double value, const std::string& label = {})
   {
     if (const auto family = gauges.find(id); family != gauges.end()) {
@@ -149,6 +191,7 @@
     constexpr double kMillisPerSecond = 1000;
     const std::string* outcome = FindField(event, "outcome");
     Add(MetricId::kRequests, 1, outcome != nullptr ? *outcome : "unknown");
+    CountAnswer(event);
     Add(MetricId::kRequestAttempts, NumberField(event, "attempts"));
     Observe(MetricId::kRequestDuration, NumberField(event, "millis") / kMillisPerSecond);
     if (const double predicted = NumberField(event, "predictedMillis"); predicted > 0) {
--- a/tests/unit/metrics_test.cpp
+++ b/tests/unit/metrics_test.cpp
@@ -44,6 +44,7 @@
       metrics.OnEvent(MakeEvent(EventNumber::kCallerAnswered, { { "outcome", "complete" } }));
       metrics.OnEvent(MakeEvent(EventNumber::kGatewayAnswered,
                                 { { "outcome", "not-run" },
+                                  { "origin", "entry" },
                                   { "urgency", "1" },
                                   { "callerRetry", "yes" },
                                   { "predictedMillis", "100" },
@@ -108,6 +109,35 @@
   EXPECT_THAT(text, HasSubstr("gooseberrysail_events_total{event=\"CallerAnswered\"} 1"));
 }
 
+// Guards against answers of targets that can't be told from own ones where a promise is broken.
+TEST(Metrics, CountAnswersByOriginStatusAndStatement)
+{
+  Metrics metrics(ProcessRole::kEntry);
+  const auto answer =
+    [&](const char* origin, const char* status, const char* outcome, const char* statement) {
+      metrics.OnEvent(MakeEvent(EventNumber::kGatewayAnswered,
+                                { { "outcome", outcome },
+                                  { "status", status },
+                                  { "origin", origin },
+                                  { "statement", statement } }));
+    };
+  answer("target", "503", "answered", "none");
+  answer("entry", "503", "not-run", "not-run");
+  answer("entry", "502", "unknown", "not-run");
+  answer("target", "200", "answered", "none");
+  answer("", "0", "caller-gone", "");
+  const std::string text = metrics.Text();
+  const auto series = [](const char* origin, const char* statement, const char* status) {
+    return "gooseberrysail_answers_total{origin=\"" + std::string(origin) + "\",statement=\"" +
+           statement + "\",status=\"" + status + "\"} 1";
+  };
+  EXPECT_THAT(text, HasSubstr(series("target", "none", "503")));
+  EXPECT_THAT(text, HasSubstr(series("entry", "not-run", "503")));
+  EXPECT_THAT(text, HasSubstr(series("entry", "none", "5xx")));
+  EXPECT_THAT(text, HasSubstr(series("target", "none", "2xx")));
+  EXPECT_THAT(text, Not(HasSubstr("origin=\"\"")));
+}
+
 // Guards against a rate with a spike or a negative value at each scrape: a total that is counted
 // elsewhere must not be added to the counter again on each scrape.
 TEST(Metrics, DoNotAddExternalTotalsAgainOnEachScrape)
