A status that promises "not run" is passed on only with the target's statement

A caller who honours the promise sends the request again, and it is done twice in the real world.

Cause: the dispatcher asked whether a target states that it did not run a request, and forwarded every other answer with its status. A target may run a request and then answer 503 without the statement; the status, which means "not run" to callers, was copied from someone who doesn't mean it. The other way round, a success that bears the statement was taken for a refusal, and its caller was told 503.

Change: an answer with one of the four statuses and without the statement is no answer to forward. The request may have run, so that it is sent again only where that is allowed, for 408 and 429 as for 503; else its caller gets 502, which promises nothing. A statement beside a status below 400 contradicts itself and states nothing. In the platform's header, an empty value, a denial and values that disagree state nothing; 421 stays a statement, since no other process at an address runs a request for this one.

The target of such an answer is avoided for a moment like one that refused, and its Retry-After counts as a backoff, as of each 503; the attempt counts towards the route's maximum.

--- a/include/gooseberrysail/gateway/dispatcher.hpp
+++ b/include/gooseberrysail/gateway/dispatcher.hpp
@@ -358,7 +358,7 @@
   /// another target.
   [[nodiscard]] static bool IsExcused(const TargetHead& head)
   {
-    return head.neverRan && head.retryAfter > Duration::zero();
+    return head.HasNotRun() && head.retryAfter > Duration::zero();
   }
   void OnHedgeAnswer(TimePoint now, Request& request, const TargetAnswerIn& part, Outbox& outbox);
   /// \brief Why the answer of a hedge with this head can't be forwarded; empty if it can.
--- a/include/gooseberrysail/gateway/gateway_api.hpp
+++ b/include/gooseberrysail/gateway/gateway_api.hpp
@@ -53,8 +53,8 @@
 struct TargetHead
 {
   unsigned status = 0;
-  bool neverRan = false; ///< The target states that it did not run the request.
-  bool isProven = false; ///< Has the target's seal.
+  bool statesNotRun = false; ///< The target states that it did not run the request.
+  bool isProven = false;     ///< Has the target's seal.
   /// The requests a second that the target takes from all entries together.
   std::optional<double> requestLimit;
   bool hasInvalidLimit = false; ///< It names a limit that is no such number.
@@ -63,6 +63,14 @@
   bool hasInvalidRetryAfter = false; ///< It names a time that is no such number.
   bool isLeaving = false;            ///< The target says that it is about to shut down.
   std::vector<HttpHeader> headers;   ///< To forward to the caller.
+
+  /// \brief Whether the request is certain not to have run.
+  /// \remarks A success that states it contradicts itself.
+  [[nodiscard]] bool HasNotRun() const noexcept
+  {
+    constexpr unsigned kFirstFailure = 400;
+    return statesNotRun && status >= kFirstFailure;
+  }
 };
 
 /// \brief Hooks that convert between HTTP and the types above; all must be set.
--- a/src/gateway/dispatcher.cpp
+++ b/src/gateway/dispatcher.cpp
@@ -1,5 +1,6 @@
 #include "gooseberrysail/gateway/dispatcher.hpp"
 
+#include "gooseberrysail/core/http_status.hpp"
 #include "gooseberrysail/observe/event.hpp"
 
 #include <algorithm>
@@ -422,8 +423,15 @@
 
 std::string Dispatcher::FaultOf(const TargetHead& head)
 {
-  if (head.neverRan) {
-    return "refused with " + std::to_string(head.status);
+  const std::string status = std::to_string(head.status);
+  if (head.HasNotRun()) {
+    return "refused with " + status;
+  }
+  if (head.statesNotRun) {
+    return "answered " + status + ", stating that it did not run the request";
+  }
+  if (PromisesNotRun(head.status)) {
+    return "answered " + status + " without stating that it did not run the request";
   }
   return IsSuccess(head.status) && !head.isProven ? "a success without its seal" : "";
 }
@@ -431,7 +439,7 @@
 void Dispatcher::NoteHead(SentCall& sent, const TargetHead& head)
 {
   sent.status = head.status;
-  sent.statesNotRun = head.neverRan;
+  sent.statesNotRun = head.statesNotRun;
 }
 
 void Dispatcher::OnHead(TimePoint now, Request& request, const TargetAnswerIn& part, Outbox& outbox)
@@ -441,9 +449,8 @@
   RecordStatements(now, request, request.sent, head, outbox);
   if (const std::string fault = FaultOf(head); !fault.empty()) {
     request.excusedAttempts += IsExcused(head) ? 1 : 0;
-    request.isRejected = head.neverRan && !IsExcused(head);
-    AttemptEnded(
-      now, request, outbox, !head.neverRan, fault, head.neverRan ? head.retryAfter : std::nullopt);
+    request.isRejected = head.HasNotRun() && !IsExcused(head);
+    AttemptEnded(now, request, outbox, !head.HasNotRun(), fault, head.retryAfter);
     return;
   }
   const bool isRetried =
--- a/src/gateway/dispatcher_hedges.cpp
+++ b/src/gateway/dispatcher_hedges.cpp
@@ -141,7 +141,7 @@
       RecordStatements(now, request, hedge.sent, head, outbox);
       m_selector.OnFailure(now, hedge.sent.target);
       request.excusedAttempts += IsExcused(head) ? 1 : 0;
-      OnHedgeEnded(now, request, part.exchange, !head.neverRan, fault, outbox, head.retryAfter);
+      OnHedgeEnded(now, request, part.exchange, !head.HasNotRun(), fault, outbox, head.retryAfter);
       return;
     }
   }
--- a/tests/support/plain_gateway_api.hpp
+++ b/tests/support/plain_gateway_api.hpp
@@ -76,7 +76,7 @@
   api.decodeHead = [](const TargetAnswerIn& part) {
     TargetHead head;
     head.status = *part.status;
-    head.neverRan = !FindHeader(part.headers, "Never-Ran").empty();
+    head.statesNotRun = !FindHeader(part.headers, "Never-Ran").empty();
     head.isProven = !FindHeader(part.headers, "Seal").empty();
     if (const std::string_view limit = FindHeader(part.headers, "Limit"); !limit.empty()) {
       head.requestLimit = std::stod(std::string(limit));
--- a/tests/unit/platform_test.cpp
+++ b/tests/unit/platform_test.cpp
@@ -400,14 +400,36 @@
 TEST(PlatformGateway, ReadsWhetherATargetExecutedTheRequest)
 {
   const GatewayApi api = MakeGatewayApi();
-  TargetAnswerIn part;
-  part.status = 503;
-  part.headers = { { "X-Not-Executed", "1" } };
-  EXPECT_TRUE(api.decodeHead(part).neverRan);
-  part.headers.clear();
-  EXPECT_FALSE(api.decodeHead(part).neverRan);
-  part.status = 421;
-  EXPECT_TRUE(api.decodeHead(part).neverRan);
+  const auto hasNotRun = [&](unsigned status, const std::vector<std::string>& values) {
+    TargetAnswerIn part;
+    part.status = status;
+    for (const std::string& value : values) {
+      part.headers.push_back({ "X-Not-Executed", value });
+    }
+    return api.decodeHead(part).HasNotRun();
+  };
+  SECTION("by its statement")
+  {
+    for (const unsigned status : { 400U, 408U, 429U, 500U, 503U }) {
+      EXPECT_TRUE(hasNotRun(status, { "1" }));
+      EXPECT_FALSE(hasNotRun(status, {}));
+    }
+    EXPECT_TRUE(hasNotRun(503, { "true" }));
+    EXPECT_TRUE(hasNotRun(503, { "1", "1" }));
+  }
+  SECTION("another process at its address has not run it either")
+  {
+    EXPECT_TRUE(hasNotRun(421, {}));
+  }
+  SECTION("not by a statement that is empty, denied or contradicted")
+  {
+    EXPECT_FALSE(hasNotRun(503, { "" }));
+    EXPECT_FALSE(hasNotRun(503, { "0" }));
+    EXPECT_FALSE(hasNotRun(503, { "false" }));
+    EXPECT_FALSE(hasNotRun(503, { "1", "0" }));
+    EXPECT_FALSE(hasNotRun(200, { "1" }));
+    EXPECT_FALSE(hasNotRun(304, { "1" }));
+  }
 }
 
 TEST(PlatformGateway, ReadsTheLimitThatATargetNames)
