A request whose time is over is not sent once more

What callers saw: nothing but a later answer; a target worked for a caller whose deadline had passed, and was handed at least a millisecond that the caller no longer had.

Cause: only retries asked how much time is left. An attempt that was withdrawn before it was sent, and a request that had waited for a slot, were sent whatever the time; where the process is late, the deadline's own tick comes after that.

Dispatcher.ARequestWhoseTimeIsOverIsNotSentAgainWhenItIsWithdrawn failed before (sent twice, no answer); now the caller is told 503, which is true.

Change: one check of the time left before each way to send.

--- a/include/gooseberrysail/gateway/dispatcher.hpp
+++ b/include/gooseberrysail/gateway/dispatcher.hpp
@@ -139,6 +139,7 @@
   static constexpr Duration kGoesOnAfter = std::chrono::milliseconds(50);
   /// With less time left than this, no target can answer before the deadline.
   static constexpr Duration kMinTimeLeft = std::chrono::milliseconds(5);
+  static constexpr const char* kTimeIsOver = "the time for the answer is over";
 
   /// \brief A bound on what is held of an answer.
   enum class AnswerBound
@@ -257,6 +258,11 @@
                                           std::uint32_t inFlight) const;
   /// \brief Limits the predicted first event and pause at the heads for a request.
   void SetForecastLimits(TimePoint now, const Request& request, TargetQuery& query) const;
+  /// rief Whether a target could still answer before the deadline.
+  [[nodiscard]] static bool HasTime(TimePoint now, const Request& request)
+  {
+    return request.deadline - now > kMinTimeLeft;
+  }
   void Attempt(TimePoint now, Request& request, Outbox& outbox);
   /// \brief Sends a request that may wait no longer, if a target has capacity now.
   void SendOrGiveUp(TimePoint now, Request& request, Outbox& outbox);
--- a/src/gateway/dispatcher.cpp
+++ b/src/gateway/dispatcher.cpp
@@ -127,19 +127,21 @@
 
 void Dispatcher::Attempt(TimePoint now, Request& request, Outbox& outbox)
 {
-  const ServedTarget* target = m_selector.Choose(now, QueryOf(now, request));
-  if (target == nullptr) {
-    if (!TryEnqueue(now, request, outbox)) {
-      GiveUp(now, request, outbox);
-    }
-    return;
+  if (!HasTime(now, request)) {
+    request.lastError = kTimeIsOver;
+    GiveUp(now, request, outbox);
+  } else if (const ServedTarget* target = m_selector.Choose(now, QueryOf(now, request))) {
+    Send(now, request, *target, outbox);
+  } else if (!TryEnqueue(now, request, outbox)) {
+    GiveUp(now, request, outbox);
   }
-  Send(now, request, *target, outbox);
 }
 
 void Dispatcher::SendOrGiveUp(TimePoint now, Request& request, Outbox& outbox)
 {
-  if (const ServedTarget* target = m_selector.Choose(now, QueryOf(now, request))) {
+  const ServedTarget* target =
+    HasTime(now, request) ? m_selector.Choose(now, QueryOf(now, request)) : nullptr;
+  if (target != nullptr) {
     request.queued = now - std::exchange(request.queuedAt, std::nullopt).value_or(now);
     Send(now, request, *target, outbox);
   } else {
@@ -240,6 +242,9 @@
     std::size_t skipped = 0;
     for (const ExchangeId waiting : m_queue.ListInOrder(kind)) {
       Request& request = *Find(waiting);
+      if (!HasTime(now, request)) {
+        continue; // The next tick ends it.
+      }
       if (const ServedTarget* target = m_selector.Choose(now, QueryOf(now, request))) {
         m_queue.Dequeue(waiting);
         request.queued = now - std::exchange(request.queuedAt, std::nullopt).value_or(now);
@@ -257,7 +262,7 @@
   const bool isAllowed = repeatable && !m_suspects.IsQuarantined(request.fingerprint) &&
                          FindHeldPart(request) == nullptr &&
                          request.attempts - request.excusedAttempts < request.route->maxAttempts &&
-                         request.deadline - now > kMinTimeLeft;
+                         HasTime(now, request);
   // The allowance is asked first: choosing a target looks at all of them.
   if (!isAllowed || !m_retries.HasLeft(now, request.service)) {
     return nullptr;
@@ -730,7 +735,7 @@
   while (!m_deadlines.empty() && m_deadlines.begin()->first <= now) {
     Request& request = *Find(m_deadlines.begin()->second);
     request.mayHaveRun = request.mayHaveRun || !request.sent.exchange.IsNone();
-    request.lastError = "the time for the answer is over";
+    request.lastError = kTimeIsOver;
     StopAttempts(now, request, request.lastError, outbox);
     GiveUp(now, request, outbox);
   }
--- a/src/gateway/dispatcher_arrival.cpp
+++ b/src/gateway/dispatcher_arrival.cpp
@@ -97,7 +97,7 @@
   request.isCallerRetry =
     m_callerRetries.Observe(now, request.route->name, std::min(timeLeft, request.route->timeout));
   request.deadline = request.arrived + std::min(timeLeft, request.route->timeout);
-  if (request.deadline - now <= kMinTimeLeft) {
+  if (!HasTime(now, request)) {
     return Refusal{ 503, "its time is over", std::nullopt };
   }
   SelectService(request);
--- a/tests/unit/dispatcher_test.cpp
+++ b/tests/unit/dispatcher_test.cpp
@@ -318,6 +318,22 @@
   }
 }
 
+// Guards against a target that works for a caller whose time is over.
+TEST(Dispatcher, ARequestWhoseTimeIsOverIsNotSentAgainWhenItIsWithdrawn)
+{
+  World world;
+  world.Ask("/once/x");
+  world.now += 3s;
+  TargetFailedIn withdrawn;
+  withdrawn.exchange = world.Sent().exchange;
+  withdrawn.neverSent = true;
+  withdrawn.isWithdrawn = true;
+  world.dispatcher.OnFailed(world.now, withdrawn, world.outbox);
+  EXPECT_EQ(world.CountSent(), 1U);
+  EXPECT_EQ(LastStatus(world), 503U);
+  EXPECT_THAT(world.Body(), HasSubstr("not-run"));
+}
+
 // When the head of a group fails in the middle of an event, the stream must continue without a gap
 // or a repeated event, and must not appear complete if it broke off.
 TEST(Dispatcher, ABrokenStreamResumesAfterItsLastCompleteEvent)
