Only one of several hedges serves a stream

Cause: when a hedge goes on, its events go to the caller, but hedges beside it stayed. They had been asked for the stream from where it stood before, so that the next one in line, taken when the serving one failed, sent the same events again.

Evidence: a generated schedule; Dispatcher.AStreamIsServedByOneOfSeveralHedgesOnly failed before: event 1, 1, 2. Now the other hedges are cancelled when one goes on, as they are when the first attempt goes on, and a broken stream is resumed after its last event.

--- a/include/gooseberrysail/gateway/dispatcher.hpp
+++ b/include/gooseberrysail/gateway/dispatcher.hpp
@@ -387,10 +387,10 @@
                  const std::string& reason,
                  Outbox& outbox,
                  std::optional<Duration> retryAfter);
-  /// \brief Cancels the hedges, as the request is served without them.
-  void DropHedges(TimePoint now, Request& request, Outbox& outbox);
-  /// \brief Forwards the answer of this hedge from now on; no other attempt is in flight, but for
-  /// other hedges.
+  /// \brief Cancels the hedges but for `kept`, as the request is served without them.
+  void DropHedges(TimePoint now, Request& request, ExchangeId kept, Outbox& outbox);
+  /// \brief Forwards the answer of this hedge from now on. Other attempts may be in flight only
+  /// while it has no events.
   void ForwardHedge(TimePoint now, Request& request, ExchangeId exchange, Outbox& outbox);
 
   // Answers that end with their connections (dispatcher_unconfirmed.cpp).
--- a/src/gateway/dispatcher.cpp
+++ b/src/gateway/dispatcher.cpp
@@ -630,7 +630,7 @@
 
 void Dispatcher::Complete(TimePoint now, Request& request, unsigned status, Outbox& outbox)
 {
-  DropHedges(now, request, outbox);
+  DropHedges(now, request, ExchangeId(), outbox);
   StopAttempt(request, outbox, false);
   if (request.framing == AnswerFraming::kUntilClose) {
     CompleteUnconfirmed(now, request, status, outbox);
--- a/src/gateway/dispatcher_hedges.cpp
+++ b/src/gateway/dispatcher_hedges.cpp
@@ -79,7 +79,7 @@
   if (part.end && held.events.HasPartial()) {
     AttemptEnded(now, request, outbox, true, "the stream ended inside an event");
   } else if (hasGoneOn || part.end) {
-    DropHedges(now, request, outbox);
+    DropHedges(now, request, ExchangeId(), outbox);
     ForwardParts(now, std::exchange(request.held, {}).parts, outbox);
   }
 }
@@ -165,6 +165,8 @@
   StopAttempt(request, outbox, true);
   LogFailedAttempt(now, request, request.sent, true, kGoesOn, std::nullopt, outbox);
   request.mayHaveRun = true;
+  // The others began where this one did: none of them could resume the stream after its events.
+  DropHedges(now, request, part.exchange, outbox);
   ForwardHedge(now, request, part.exchange, outbox);
 }
 
@@ -198,10 +200,15 @@
   LogFailedAttempt(now, request, sent, ran, reason, retryAfter, outbox);
 }
 
-void Dispatcher::DropHedges(TimePoint now, Request& request, Outbox& outbox)
+void Dispatcher::DropHedges(TimePoint now, Request& request, ExchangeId kept, Outbox& outbox)
 {
-  while (!request.hedges.empty()) {
-    const ExchangeId exchange = request.hedges.back().sent.exchange;
+  std::vector<ExchangeId> dropped;
+  for (const Hedge& hedge : request.hedges) {
+    if (hedge.sent.exchange != kept) {
+      dropped.push_back(hedge.sent.exchange);
+    }
+  }
+  for (const ExchangeId exchange : dropped) {
     DropHedge(now, request, exchange, true, kGoesOn, outbox, std::nullopt);
   }
 }
--- a/tests/unit/dispatcher_test.cpp
+++ b/tests/unit/dispatcher_test.cpp
@@ -334,6 +334,41 @@
   EXPECT_THAT(world.Body(), HasSubstr("not-run"));
 }
 
+// Guards against events that come twice: a second attempt that began beside the one that serves the
+// caller can't go on after the events of that one.
+TEST(Dispatcher, AStreamIsServedByOneOfSeveralHedgesOnly)
+{
+  World world;
+  ServingDocument document;
+  document.version = 8;
+  document.routes = { Route("/stream/", RepeatPolicy::kResumableStream, 4) };
+  document.services.resize(1);
+  document.services[0].name = "assist";
+  document.services[0].engine.emplace();
+  world.snapshot.index = std::make_shared<const RouteIndex>(document);
+  std::vector<ServedTarget> heads;
+  for (const char* name : { "h1", "h2", "h3" }) {
+    heads.push_back({ InstanceId(name), "assist", name, FailureDomainId("a"), 34, false, "large" });
+  }
+  world.dispatcher.Selector().Replace(world.now, heads);
+  world.Ask("/stream/x", "");
+  world.AdvanceTime(700ms);
+  ASSERT_EQ(world.CountSent(), 2U);
+  const ExchangeId second = world.Sent().exchange;
+  world.AdvanceTime(700ms);
+  ASSERT_EQ(world.CountSent(), 3U);
+  world.AnswerOk("id: 1\ndata: a\n\n", false);
+  world.Fail(false);
+  TargetAnswerIn late;
+  late.exchange = second;
+  late.status = 200;
+  late.headers = { { "X-Request-Id", "r1" }, { "Seal", "s" } };
+  late.bytes = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+  late.end = true;
+  world.dispatcher.OnAnswer(world.now, late, world.outbox);
+  EXPECT_EQ(world.Body(), "id: 1\ndata: a\n\n");
+}
+
 // When the head of a group fails in the middle of an event, the stream must continue without a gap
 // or a repeated event, and must not appear complete if it broke off.
 TEST(Dispatcher, ABrokenStreamResumesAfterItsLastCompleteEvent)
