A resumed stream that is answered without a body is cut

What callers saw: a stream that ended as complete before its last event.

Cause: any success was taken for the rest of a resumed stream, also 204, which has no body, so that the end of that answer became the end of the stream.

Now only 200 goes on with a stream; otherwise the attempt has failed, and the caller sees a cut.

--- a/include/gooseberrysail/gateway/dispatcher.hpp
+++ b/include/gooseberrysail/gateway/dispatcher.hpp
@@ -316,6 +316,13 @@
   [[nodiscard]] static std::string StatusText(unsigned status);
   /// \brief For log lines: whether the answer states that the call did not run; "" without answer.
   [[nodiscard]] static const char* StatementOf(const SentCall& sent);
+  /// \brief Whether an answer with this status may go on with a stream that the caller has begun to
+  /// get. One without a body would only end it.
+  [[nodiscard]] static bool Resumes(const Request& request, unsigned status)
+  {
+    constexpr unsigned kOk = 200;
+    return IsStream(request.route->repeat) && status == kOk;
+  }
   /// \brief A part of the answer that is forwarded.
   void OnPart(TimePoint now, Request& request, const TargetAnswerIn& part, Outbox& outbox);
   void OnHead(TimePoint now, Request& request, const TargetAnswerIn& part, Outbox& outbox);
--- a/src/gateway/dispatcher.cpp
+++ b/src/gateway/dispatcher.cpp
@@ -473,7 +473,7 @@
     return;
   }
   request.streams = IsStream(request.route->repeat) && IsSuccess(head.status);
-  if (request.headForwarded && !request.streams) {
+  if (request.headForwarded && !Resumes(request, head.status)) {
     AttemptEnded(now, request, outbox, true, "could not go on with the stream");
     return;
   }
--- a/src/gateway/dispatcher_hedges.cpp
+++ b/src/gateway/dispatcher_hedges.cpp
@@ -119,8 +119,7 @@
   if (head.status >= kServerFault) {
     return "failed with " + std::to_string(head.status);
   }
-  const bool streams = IsStream(request.route->repeat) && IsSuccess(head.status);
-  if (request.headForwarded && !streams) {
+  if (request.headForwarded && !Resumes(request, head.status)) {
     return "could not go on with the stream";
   }
   const bool statesEnd =
--- a/tests/unit/dispatcher_test.cpp
+++ b/tests/unit/dispatcher_test.cpp
@@ -369,6 +369,18 @@
   EXPECT_EQ(world.Body(), "id: 1\ndata: a\n\n");
 }
 
+// Guards against a stream that looks complete though its last events are missing.
+TEST(Dispatcher, AResumedStreamThatIsAnsweredWithoutABodyIsCut)
+{
+  World world;
+  world.Ask("/stream/x");
+  world.AnswerOk("id: 1\ndata: a\n\n", false);
+  world.Fail(false);
+  world.AnswerHead(204, { { "X-Request-Id", "r1" }, { "Seal", "s" } }, "", true);
+  EXPECT_FALSE(world.Answers().back().end);
+  EXPECT_TRUE(world.Answers().back().abort);
+}
+
 // When the head of a group fails in the middle of an event, the stream must continue without a gap
 // or a repeated event, and must not appear complete if it broke off.
 TEST(Dispatcher, ABrokenStreamResumesAfterItsLastCompleteEvent)
