--- a/tests/unit/review_refused_test.cpp
+++ b/tests/unit/review_refused_test.cpp
@@ -456,5 +456,30 @@
   ExpectNone(PlayAll({}, 40));
 }
 
+// Guards against a request that ran at a target which answers 421 without a statement.
+TEST(ReviewRefused, AMisdirectedStatusAloneStatesNothing)
+{
+  ExpectNone(PlayAll({ .misdirects = true, .hasTrouble = false }, 10));
+}
+
+// Guards against a denied statement that is taken for a statement as its letters are capital.
+TEST(ReviewRefused, ADeniedStatementIsNotBelieved)
+{
+  const Tally tally = PlayAll({ .denial = "False", .hasTrouble = false }, 10);
+  EXPECT_EQ(tally.refusedAndRan, 0) << tally.refusedAndRanOnce << " of them may run once\n"
+                                    << tally.first;
+  EXPECT_EQ(tally.ranTwice, 0) << tally.first;
+}
+
+// Guards against an answer that hands on the header of a statement that its entry didn't believe.
+TEST(ReviewRefused, ADeniedStatementIsNotHandedOn)
+{
+  const Tally tally = PlayAll({ .denial = "0", .hasTrouble = false }, 10);
+  EXPECT_EQ(tally.refusedAndRan, 0) << tally.refusedAndRanOnce << " of them may run once\n"
+                                    << tally.first;
+  EXPECT_EQ(tally.ranTwice, 0) << tally.first;
+  EXPECT_EQ(tally.headerAndRan, 0) << tally.first;
+}
+
 } // namespace
 } // namespace gooseberrysail
