An answer that is not passed on costs nobody else a retry

And a repeatable request that was answered 503 with Retry-After got 502 without any time to return.

Cause: the answer was treated like a refusal: any status repeated, its target avoided.

Change: as with other failures of a target, only a status of 500 or more is repeated, and a target that answers is not avoided. The caller of a request that may be repeated is told when to return.

--- a/include/gooseberrysail/gateway/dispatcher.hpp
+++ b/include/gooseberrysail/gateway/dispatcher.hpp
@@ -2,6 +2,7 @@
 
 #include "gooseberrysail/admission/caller_retries.hpp"
 #include "gooseberrysail/admission/retry_places.hpp"
+#include "gooseberrysail/core/http_status.hpp"
 #include "gooseberrysail/gateway/answer_limits.hpp"
 #include "gooseberrysail/gateway/event_splitter.hpp"
 #include "gooseberrysail/gateway/finished_requests.hpp"
@@ -323,6 +324,15 @@
     constexpr unsigned kOk = 200;
     return IsStream(request.route->repeat) && status == kOk;
   }
+  /// \brief Whether the status says that the request has not run, but its target doesn't state so.
+  [[nodiscard]] static bool IsUnstatedRefusal(const TargetHead& head)
+  {
+    return PromisesNotRun(head.status) && !head.HasNotRun();
+  }
+  /// \brief Why an attempt with this head has failed at its target.
+  [[nodiscard]] static std::string FailureOf(const TargetHead& head);
+  /// \brief Ends a request whose target's status must not be passed on.
+  void ReplaceAnswer(TimePoint now, Request& request, const TargetHead& head, Outbox& outbox);
   /// \brief A part of the answer that is forwarded.
   void OnPart(TimePoint now, Request& request, const TargetAnswerIn& part, Outbox& outbox);
   void OnHead(TimePoint now, Request& request, const TargetAnswerIn& part, Outbox& outbox);
--- a/src/gateway/dispatcher.cpp
+++ b/src/gateway/dispatcher.cpp
@@ -1,6 +1,5 @@
 #include "gooseberrysail/gateway/dispatcher.hpp"
 
-#include "gooseberrysail/core/http_status.hpp"
 #include "gooseberrysail/observe/event.hpp"
 
 #include <algorithm>
@@ -435,9 +434,6 @@
   if (head.statesNotRun) {
     return "answered " + status + ", stating that it did not run the request";
   }
-  if (PromisesNotRun(head.status)) {
-    return "answered " + status + " without stating that it did not run the request";
-  }
   return IsSuccess(head.status) && !head.isProven ? "a success without its seal" : "";
 }
 
@@ -458,20 +454,25 @@
     AttemptEnded(now, request, outbox, !head.HasNotRun(), fault, head.retryAfter);
     return;
   }
+  const bool isUnstated = IsUnstatedRefusal(head);
   const bool isRetried =
     head.status >= kServerFault && MayRunAgain(request.route->repeat) && !request.headForwarded;
-  if (isRetried && !request.hedges.empty()) {
-    AttemptEnded(now, request, outbox, true, "failed with " + std::to_string(head.status));
+  if ((isRetried || isUnstated) && !request.hedges.empty()) {
+    AttemptEnded(now, request, outbox, true, FailureOf(head));
     return;
   }
   if (const ServedTarget* target = isRetried ? TakeRetry(now, request, true) : nullptr) {
     StopAttempt(request, outbox, true);
     request.mayHaveRun = true;
-    request.lastError = "failed with " + std::to_string(head.status);
-    LogFailedAttempt(now, request, request.sent, true, request.lastError, std::nullopt, outbox);
+    request.lastError = FailureOf(head);
+    LogFailedAttempt(now, request, request.sent, true, request.lastError, head.retryAfter, outbox);
     Send(now, request, *target, outbox);
     return;
   }
+  if (isUnstated && !request.headForwarded) {
+    ReplaceAnswer(now, request, head, outbox);
+    return;
+  }
   request.streams = IsStream(request.route->repeat) && IsSuccess(head.status);
   if (request.headForwarded && !Resumes(request, head.status)) {
     AttemptEnded(now, request, outbox, true, "could not go on with the stream");
@@ -487,6 +488,33 @@
   OnBody(now, request, part, outbox);
 }
 
+std::string Dispatcher::FailureOf(const TargetHead& head)
+{
+  const std::string status = std::to_string(head.status);
+  return IsUnstatedRefusal(head)
+           ? "answered " + status + " without stating that it did not run the request"
+           : "failed with " + status;
+}
+
+// Its target is at work, and may answer all requests of one workspace like that: it isn't avoided.
+void Dispatcher::ReplaceAnswer(TimePoint now,
+                               Request& request,
+                               const TargetHead& head,
+                               Outbox& outbox)
+{
+  StopAttempt(request, outbox, true);
+  request.mayHaveRun = true;
+  request.lastError = FailureOf(head);
+  LogFailedAttempt(now, request, request.sent, true, request.lastError, head.retryAfter, outbox);
+  const TargetQuery query = QueryOf(now, request);
+  std::optional<Duration> retryAfter;
+  if (MayRunAgain(request.route->repeat)) {
+    retryAfter = RetryAfter(now, request, query, m_selector.ReasonForNoTarget(now, query));
+  }
+  const unsigned status = now >= request.deadline ? 504 : 502;
+  Refuse(now, request, { status, request.lastError, retryAfter }, outbox);
+}
+
 void Dispatcher::OnBody(TimePoint now, Request& request, const TargetAnswerIn& part, Outbox& outbox)
 {
   if (request.streams) {
--- a/src/gateway/dispatcher_hedges.cpp
+++ b/src/gateway/dispatcher_hedges.cpp
@@ -116,8 +116,8 @@
   if (std::string fault = FaultOf(head); !fault.empty()) {
     return fault;
   }
-  if (head.status >= kServerFault) {
-    return "failed with " + std::to_string(head.status);
+  if (head.status >= kServerFault || IsUnstatedRefusal(head)) {
+    return FailureOf(head);
   }
   if (request.headForwarded && !Resumes(request, head.status)) {
     return "could not go on with the stream";
