An engine's 408, 421, 429 or 503 is not passed on as "not run"

What callers saw: 408, 421, 429 or 503 from an entry for a request that an engine or a service had run. Callers take these statuses for "not run, and never will", and send the request again. With an Idempotency-Key such an answer was kept with the claim and replayed: every retry was told "not run" of work that had run.

Cause: the entry forwards whatever status a target answers and records the request as completed. The target's HTTP on this path has no way to state that it did not run a request; only its agent states it, by Refused or a seal. So the status meant something to the caller that nobody had stated.

Change: where an answer begins with one of these statuses, the request ends as cut: the caller gets 502 with the entry's own error body, without the target's Retry-After. It may have run, so that there is no second attempt. A repeatable call whose answer goes on is cancelled at its agent, any other one runs to its end; a claim is kept as cut. What the router is told stays as it was. No byte has left before: the status comes with the head.

--- a/src/entry/attempt_flow.cpp
+++ b/src/entry/attempt_flow.cpp
@@ -1,5 +1,6 @@
 #include "gooseberrysail/entry/attempt_flow.hpp"
 
+#include "gooseberrysail/core/http_status.hpp"
 #include "gooseberrysail/entry/caller_stream.hpp"
 #include "gooseberrysail/entry/reassembled_output.hpp"
 #include "gooseberrysail/entry/request_end.hpp"
@@ -170,12 +171,33 @@
   context.router.OnFirstByte(context.now, attempt.group, context.now - attempt.sentAt);
 }
 
+AttemptResult ResultOf(unsigned status)
+{
+  return status < kServerError ? AttemptResult::kCompleted : AttemptResult::kFailed;
+}
+
+/// Ends a request whose target answered with a status that callers take for "not run". A target
+/// doesn't state whether it ran a request: only its agent does, by a refusal before the start.
+void EndUnproven(EntryContext& context,
+                 const ProcessId& from,
+                 Request& request,
+                 const wire::OutputT& output)
+{
+  AckUnmatchedOutput(context, from, output);
+  const std::string why = "target failed: answered " + std::to_string(output.status) +
+                          ", which does not prove that the request did not run";
+  if (!output.end && request.repeatable) {
+    SendCancel(context, request, why);
+  }
+  CloseAttempt(context, request, ResultOf(output.status), "cut: " + why);
+  EndCut(context, request, why);
+}
+
 void OnEnd(EntryContext& context, Request& request, const wire::OutputT& output)
 {
   SendAck(context, request, true);
   if (output.cutReason.empty()) {
-    const bool served = request.caller.status < kServerError;
-    const AttemptResult endResult = served ? AttemptResult::kCompleted : AttemptResult::kFailed;
+    const AttemptResult endResult = ResultOf(request.caller.status);
     CloseAttempt(context, request, endResult, ToString(Outcome::kCompleted));
     EndCompleted(context, request);
     return;
@@ -256,6 +278,10 @@
   }
   if (reassembled.startsAnswer) {
     MarkTargetStarted(context, *request);
+    if (PromisesNotRun(output.status) && output.cutReason.empty()) {
+      EndUnproven(context, from, *request, output);
+      return;
+    }
   }
   request->attempt->state = AttemptState::kConnected;
   request->attempt->nextProbeAt = context.now + kProbeInterval;
