The record of a keyed retry doesn't say "not run" of work that ran

What callers saw: a retry with an Idempotency-Key was answered 200 with the first answer, or 409 with outcome running, cut or completed; `GET /requests/ID` of that retry said `"outcome":"not-run"`, which the pages call certain and safe to send again. A caller who then sends it with a new key has it done twice.

Cause: EndAsDuplicate recorded each retry as not-run: the entry knew that it had not sent this one request, and the reader is told of the work under the key, which control had just said runs, ran or may have run.

Change: the record bears the outcome that the caller was told: completed for a replayed answer and for one that is no longer kept, cut for an unknown outcome, not-run for a key that belongs to another request (422). A record is final, so that a holder that still runs is recorded as cut: it may run. Event 300 says the same.

Two readers of the old outcome: a claim that is granted late is given back if its request was sent to no agent, as the record's attempts show (EntryClaims.TheClaimOfARequestThatNeverRanIsReleased has a section for it; it fails without this), and a request that was not sent still counts no service time for admission.

--- a/include/gooseberrysail/entry/request_end.hpp
+++ b/include/gooseberrysail/entry/request_end.hpp
@@ -23,9 +23,13 @@
 /// is known or a time limit passes.
 void AnswerCutAndResolve(EntryContext& context, Request& request, std::string_view why);
 
-/// \brief Ends a request that never ran because another request holds its idempotency key; the
+/// \brief Ends a request that was not sent because another request holds its idempotency key; the
 /// caller was answered with the state or the answer of that one.
-void EndAsDuplicate(EntryContext& context, Request& request, std::string_view why);
+/// \param ofHolder What the caller was told; recorded, as the key's work may have run.
+void EndAsDuplicate(EntryContext& context,
+                    Request& request,
+                    Outcome ofHolder,
+                    std::string_view why);
 
 /// \brief Records the end of the current attempt and reports its result to the router.
 void CloseAttempt(EntryContext& context,
--- a/src/entry/claim_flow.cpp
+++ b/src/entry/claim_flow.cpp
@@ -29,7 +29,7 @@
 {
   request.caller.status = error.status;
   SendError(context, request, error);
-  EndAsDuplicate(context, request, error.reason);
+  EndAsDuplicate(context, request, error.outcome, error.reason);
 }
 
 void AnswerRunning(EntryContext& context, Request& request, const wire::ClaimReplyT& reply)
@@ -77,7 +77,7 @@
   request.caller.status = reply.status;
   context.Answer(std::move(answer));
   context.requests.DetachCaller(request);
-  EndAsDuplicate(context, request, "answered by " + reply.holder);
+  EndAsDuplicate(context, request, Outcome::kCompleted, "answered by " + reply.holder);
 }
 
 void AnswerFinished(EntryContext& context, Request& request, const wire::ClaimReplyT& reply)
@@ -111,7 +111,8 @@
 void ReleaseLateGrant(EntryContext& context, const wire::ClaimReplyT& reply)
 {
   const wire::RequestRecordT* record = context.records.Find(reply.request);
-  const bool neverRan = record != nullptr && record->outcome == ToString(Outcome::kNotRun);
+  const bool neverRan = record != nullptr &&
+                        (record->attempts.empty() || record->outcome == ToString(Outcome::kNotRun));
   if (reply.state != wire::ClaimState::Granted || !neverRan) {
     return;
   }
--- a/src/entry/request_end.cpp
+++ b/src/entry/request_end.cpp
@@ -28,7 +28,8 @@
     context.now, request.id.Get(), outcome, why, status, context.hooks.wallMillis());
   // A request that did not run has no service time; counting it would make admission underestimate
   // waits.
-  const Duration served = outcome == Outcome::kNotRun ? Duration{} : took;
+  const bool isServed = outcome != Outcome::kNotRun && request.attempts > 0;
+  const Duration served = isServed ? took : Duration{};
   context.admission.OnFinished(
     context.now, request.workspace, request.entry, served, request.tokens);
   context.Emit(EventNumber::kCallerAnswered,
@@ -157,9 +158,11 @@
     context.now + (request.key.empty() ? kResolveTimeout : kKeyedResolveTimeout);
 }
 
-void EndAsDuplicate(EntryContext& context, Request& request, std::string_view why)
+void EndAsDuplicate(EntryContext& context, Request& request, Outcome ofHolder, std::string_view why)
 {
-  CloseForCaller(context, request, Outcome::kNotRun, why, request.caller.status);
+  // The record is final: the holder may run to its end, which isn't known here.
+  const Outcome outcome = ofHolder == Outcome::kRunning ? Outcome::kCut : ofHolder;
+  CloseForCaller(context, request, outcome, why, request.caller.status);
   context.requests.Erase(request.id);
 }
 
--- a/tests/unit/engine_promise_test.cpp
+++ b/tests/unit/engine_promise_test.cpp
@@ -272,6 +272,30 @@
   }
 }
 
+// Guards against a record that says "not run" of work that ran.
+TEST(EnginePromise, IsNeverThatOfARecordOfWorkThatRan)
+{
+  for (const wire::TargetKind kind : { wire::TargetKind::Engine, wire::TargetKind::Service }) {
+    std::size_t records = 0;
+    for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+      AnyEngine world(kind, seed);
+      world.Play();
+      for (const auto& [id, fate] : world.fates) {
+        SECTION("seed " + std::to_string(seed) + ": " + fate.key + " status " +
+                std::to_string(fate.status) + " " + fate.body + " record " + fate.record)
+        {
+          const bool isRefused = fate.record.find(kNotRunText) != std::string::npos;
+          EXPECT_FALSE(isRefused && fate.ran) << "recorded as not run, and ran";
+          EXPECT_FALSE(isRefused && fate.keyHadRun)
+            << "recorded as not run, and the request with its key had run";
+          records += fate.record.empty() ? 0 : 1;
+        }
+      }
+    }
+    EXPECT_GT(records, 0U);
+  }
+}
+
 // Guards against an answer of a target that is changed or withheld though its status promises
 // nothing, and against what is left of one whose status does: its Retry-After, its slot, its claim.
 TEST(EnginePromise, OnlyAStatusThatMeansNotRunIsReplaced)
--- a/tests/unit/entry_claims_test.cpp
+++ b/tests/unit/entry_claims_test.cpp
@@ -177,6 +177,17 @@
     ASSERT_EQ(entry.Sent<wire::ClaimOutcomeT>().size(), 1U);
     EXPECT_FALSE(entry.Sent<wire::ClaimOutcomeT>()[0].ran);
   }
+  SECTION("granted after the caller was told that another request held the key")
+  {
+    EntryFixture entry;
+    Prepare(entry);
+    entry.Book(kKeyed);
+    entry.Frame("control-1", Reply(wire::ClaimState::Running, "entry-2.5.8"));
+    entry.Frame("control-1", Reply(wire::ClaimState::Granted));
+    EXPECT_TRUE(entry.Sent<wire::StartT>().empty());
+    ASSERT_EQ(entry.Sent<wire::ClaimOutcomeT>().size(), 1U);
+    EXPECT_FALSE(entry.Sent<wire::ClaimOutcomeT>()[0].ran);
+  }
 }
 
 TEST(EntryClaims, AKeyedRequestKeepsItsClaimWithoutCallerOrAgent)
