A kept answer with 408, 421, 429 or 503 is not replayed to a retry

What callers saw: after an update of the entries, a retry with the Idempotency-Key of a request that a target had answered 503 got that 503 again, which means "not run" to callers.

Cause: claims outlive the entry that reported them. Entries of an earlier version reported such answers as completed; control keeps them, and the entry replays whatever status is kept.

Evidence: EntryClaims.AKeptAnswerThatMeansNotRunIsNotReplayed fails on the code before, for each of the four statuses.

Change: such a kept answer is told as what it is, an earlier run of unknown outcome: 409, `cut`, `same-key-unknown`, without the target's Retry-After. The work isn't run again.

--- a/src/entry/claim_flow.cpp
+++ b/src/entry/claim_flow.cpp
@@ -1,5 +1,6 @@
 #include "gooseberrysail/entry/claim_flow.hpp"
 
+#include "gooseberrysail/core/http_status.hpp"
 #include "gooseberrysail/entry/attempt_flow.hpp"
 #include "gooseberrysail/entry/caller_stream.hpp"
 #include "gooseberrysail/entry/request_end.hpp"
@@ -82,6 +83,11 @@
 
 void AnswerFinished(EntryContext& context, Request& request, const wire::ClaimReplyT& reply)
 {
+  if (PromisesNotRun(reply.status)) {
+    // A target's answer, kept by an entry of an earlier version: the target may have run it.
+    AnswerUnknown(context, request, reply);
+    return;
+  }
   if (reply.status != 0) {
     Replay(context, request, reply);
     return;
--- a/tests/unit/entry_claims_test.cpp
+++ b/tests/unit/entry_claims_test.cpp
@@ -140,6 +140,30 @@
   }
 }
 
+// Guards against a kept answer whose status tells a retry that the request of its key has not run.
+TEST(EntryClaims, AKeptAnswerThatMeansNotRunIsNotReplayed)
+{
+  for (const unsigned status : { 408U, 421U, 429U, 503U }) {
+    SECTION(std::to_string(status))
+    {
+      EntryFixture entry;
+      Prepare(entry);
+      const std::uint64_t booking = entry.Book(kKeyed);
+      wire::ClaimReplyT reply = Reply(wire::ClaimState::Finished, "entry-2.5.8");
+      reply.outcome = "completed";
+      reply.status = status;
+      reply.headers.push_back(MakeWireHeader("Retry-After", "77"));
+      entry.Frame("control-1", std::move(reply));
+      EXPECT_EQ(entry.Caller(booking).status, 409U);
+      EXPECT_EQ(entry.Caller(booking).Header("Retry-After"), "");
+      EXPECT_THAT(entry.Caller(booking).body, HasSubstr(R"("outcome":"cut")"));
+      EXPECT_THAT(entry.Caller(booking).body, HasSubstr("same-key-unknown"));
+      EXPECT_TRUE(entry.Sent<wire::StartT>().empty());
+      EXPECT_TRUE(entry.Sent<wire::ClaimOutcomeT>().empty());
+    }
+  }
+}
+
 TEST(EntryClaims, TheClaimOfARequestThatNeverRanIsReleased)
 {
   // Guards against a retry with the same key that is refused for good after "not run": the claim is
