A failed look-up of a request doesn't answer "not run"

What callers saw: `GET /requests/ID` of a request whose record had expired, or whose entry could not be asked, was answered 404 or 503 with `"outcome":"not-run"` in the error. Whoever asks what became of a request reads that it did not run; it may have.

Cause: an error of an entry says not-run unless told otherwise, which is true of a call that was refused, and not of the request that a look-up asks about.

Evidence: EntryLookup.AFailedLookupSaysNothingOfTheRequest fails on the code before in each of its three sections: no record left, no record at the entry asked, no answer from it.

Change: these errors say `"outcome":"unknown"`. Status and the other fields stay.

--- a/include/gooseberrysail/entry/outcome.hpp
+++ b/include/gooseberrysail/entry/outcome.hpp
@@ -8,12 +8,14 @@
 enum class Outcome
 {
   kRunning,   ///< Not finished yet.
-  kCompleted, ///< The target's complete answer arrived, with any status.
+  kCompleted, ///< The target's complete answer arrived, with a status that doesn't mean `kNotRun`.
   kNotRun,    ///< Certain never to have run and never to run.
   kCut,       ///< It ran or may have run, and its answer is incomplete.
+  kUnknown,   ///< Nothing is known here of the request that was asked about.
 };
 
-/// \brief The name used in answers and records: `running`, `completed`, `not-run`, `cut`.
+/// \brief The name used in answers and records: `running`, `completed`, `not-run`, `cut`,
+/// `unknown`.
 [[nodiscard]] std::string_view ToString(Outcome outcome) noexcept;
 
 /// \brief Reasons given with an outcome; docs/operators/requests.md explains each.
--- a/src/entry/outcome.cpp
+++ b/src/entry/outcome.cpp
@@ -13,6 +13,8 @@
       return "not-run";
     case Outcome::kCut:
       return "cut";
+    case Outcome::kUnknown:
+      break;
   }
   return "unknown";
 }
--- a/src/entry/request_lookups.cpp
+++ b/src/entry/request_lookups.cpp
@@ -13,6 +13,7 @@
 {
   CallerError error;
   error.status = 404;
+  error.outcome = Outcome::kUnknown;
   error.type = "not_found";
   error.reason = reason::kNotFound;
   error.message = "No request " + wanted.Get() + " is known for this workspace.";
@@ -96,6 +97,7 @@
     const PendingLookup& pending = m_pending.begin()->second;
     CallerError error;
     error.status = 503;
+    error.outcome = Outcome::kUnknown;
     error.type = "unavailable";
     error.reason = "entry-unreachable";
     error.message = "The entry " + EntryOf(pending.wanted).Get() + " can't be asked at the moment.";
--- a/tests/unit/entry_lookup_test.cpp
+++ b/tests/unit/entry_lookup_test.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 using ::testing::HasSubstr;
+using ::testing::Not;
 
 constexpr const char* kRequestOfOtherEntry = "entry-2.5.8";
 
@@ -61,6 +62,37 @@
   }
 }
 
+// Guards against "not run" in the answer to a question about a request of which nothing is known.
+TEST(EntryLookup, AFailedLookupSaysNothingOfTheRequest)
+{
+  EntryFixture entry;
+  entry.Boot();
+  const auto expectUnknown = [&](std::uint64_t asked, unsigned status) {
+    EXPECT_EQ(entry.Caller(asked).status, status);
+    EXPECT_THAT(entry.Caller(asked).body, HasSubstr(R"("outcome":"unknown")"));
+    EXPECT_THAT(entry.Caller(asked).body, Not(HasSubstr("not-run")));
+  };
+  SECTION("no record of this entry's own request is left")
+  {
+    expectUnknown(entry.Call("GET", "/requests/entry-1.6.1"), 404);
+  }
+  const std::string target = std::string("/requests/") + kRequestOfOtherEntry;
+  SECTION("the entry that was asked has no record")
+  {
+    const std::uint64_t asked = entry.Call("GET", target);
+    wire::RequestAnswerT answer;
+    answer.nonce = entry.Sent<wire::RequestQueryT>().back().nonce;
+    entry.Frame("control-1", std::move(answer));
+    expectUnknown(asked, 404);
+  }
+  SECTION("that entry doesn't answer")
+  {
+    const std::uint64_t asked = entry.Call("GET", target);
+    entry.Advance(std::chrono::milliseconds(2100));
+    expectUnknown(asked, 503);
+  }
+}
+
 TEST(EntryLookup, QueriesOfOtherProcessesAreFilteredByWorkspace)
 {
   EntryFixture entry;
