An order that an engine answered with an error may have been executed

What was seen: an engine answers an order to unload weights with an error, such as 503 or 504 by something that gave up waiting, and goes on unloading. The weights are assigned again. The agent opens the gate on its last probe, which predates the order: requests reach an engine that drops its weights.

Cause: the agent took each status but 200 for "not executed". Of an order whose connection failed it already waits for a later probe.

Evidence: AgentOrders.AfterAnOrderAnsweredWithAnErrorOnlyALaterProbeCounts fails on the code before for each of 408, 409, 429, 500, 503 and 504.

Change: after an error, too, only a probe that was sent later shows what the engine has loaded, and no order is sent before it. An engine that did refuse costs one probe more.

--- a/src/agent/engine_orders.cpp
+++ b/src/agent/engine_orders.cpp
@@ -103,6 +103,8 @@
     return true;
   }
   m_retryAt = context.Now() + kRetryAfter;
+  // An error doesn't prove that the engine did not begin the order.
+  m_outcomeUnknownSince = context.Now();
   context.Emit(
     EventNumber::kEngineOrderRefused,
     { { "status", std::to_string(order.status) }, { "epoch", std::to_string(order.epoch.Get()) } });
--- a/tests/unit/agent_orders_test.cpp
+++ b/tests/unit/agent_orders_test.cpp
@@ -97,6 +97,40 @@
   EXPECT_TRUE(agent.Serves()) << agent.LastRefusal();
 }
 
+// Guards against an order that is taken for not executed because the engine answered it with an
+// error.
+TEST(AgentOrders, AfterAnOrderAnsweredWithAnErrorOnlyALaterProbeCounts)
+{
+  for (const unsigned status : { 408U, 409U, 429U, 500U, 503U, 504U }) {
+    SECTION(std::to_string(status))
+    {
+      AgentHarness agent;
+      agent.engineModel = "hire-assist";
+      agent.engineVersion = "2026-10";
+      agent.engineAnswersOrders = false;
+      agent.Advance(milliseconds(500));
+      agent.Assign(7);
+      agent.Settle();
+      ASSERT_TRUE(agent.OpenOrder().has_value());
+      agent.targetAlive = false;
+      TargetAnswerIn refusal;
+      refusal.exchange = *agent.OpenOrder();
+      refusal.status = status;
+      refusal.end = true;
+      agent.Deliver(std::move(refusal));
+      agent.assignedVersion = "2026-10";
+      agent.Assign(8);
+      agent.Advance(milliseconds(300));
+      EXPECT_FALSE(agent.Serves()) << "the engine may be unloading the weights";
+      EXPECT_EQ(agent.LastRefusal(), "weights not loaded: vm-1");
+      agent.targetAlive = true;
+      agent.engineLoading = false;
+      agent.Advance(seconds(1));
+      EXPECT_TRUE(agent.Serves()) << agent.LastRefusal();
+    }
+  }
+}
+
 TEST(AgentOrders, ARestartedAgentWaitsForAnEarlierOrder)
 {
   AgentHarness agent;
