Test: "not run" behind lost connections; the oracle notes each step

EnginePromise.IsNeverThatOfARequestThatRanOutOfReach plays what the first two don't: an agent out of reach for longer than an entry keeps its callers waiting, and callers who leave, so that outcomes are found out later and records change from cut to not-run.

The oracle of all three was wrong in one way: it read what callers were told after reconnects, which take 100 ms, so that the time of an answer was noted late. The harness now calls the test after each step, and what the target got before a restart of its agent is noted as well, which was missed.

--- a/tests/support/request_harness.cpp
+++ b/tests/support/request_harness.cpp
@@ -118,17 +118,29 @@
   m_agent->Deliver(PeerUp{ ProcessId(name), "entry", Incarnation(entry.incarnation), "" });
 }
 
-void RequestHarness::Reconnect(const std::string& name)
+void RequestHarness::Disconnect(const std::string& name)
 {
   EntryProcess& entry = m_entries.at(name);
-  entry.dropFrames = false;
+  entry.dropFrames = true;
   entry.inbox.push_back(
     PeerDown{ ProcessId(kAgent), Incarnation(m_agentIncarnation), "no heartbeat" });
   m_agent->Deliver(PeerDown{ ProcessId(name), Incarnation(entry.incarnation), "no heartbeat" });
+}
+
+void RequestHarness::Reconnect(const std::string& name)
+{
+  Disconnect(name);
+  EntryProcess& entry = m_entries.at(name);
+  entry.dropFrames = false;
   ConnectAgent(name, entry);
   Settle();
 }
 
+void RequestHarness::Leave(const std::string& name, std::uint64_t exchange)
+{
+  m_entries.at(name).inbox.emplace_back(HttpCallerGone{ ExchangeId(exchange) });
+}
+
 void RequestHarness::RestartEntry(const std::string& name)
 {
   StartEntry(name);
@@ -173,6 +185,9 @@
     for (auto& [name, entry] : m_entries) {
       TickEntry(name, entry);
     }
+    if (afterStep) {
+      afterStep();
+    }
   }
 }
 
--- a/tests/support/request_harness.hpp
+++ b/tests/support/request_harness.hpp
@@ -51,8 +51,13 @@
   {
     m_entries.at(entry).dropFrames = dropFrames;
   }
+  /// \brief Ends the connection at both ends by missing heartbeats; frames are dropped until
+  /// Reconnect.
+  void Disconnect(const std::string& entry);
   /// \brief Ends the connection at both ends by missing heartbeats, and opens a new one.
   void Reconnect(const std::string& entry);
+  /// \brief The caller closes its connection before it is answered.
+  void Leave(const std::string& entry, std::uint64_t exchange);
   /// \brief Replaces the process by a new incarnation without state, as after kill -9.
   void RestartEntry(const std::string& entry);
   void RestartAgent();
@@ -60,6 +65,8 @@
   /// \brief Changes the frames from the agent before an entry receives them; empty leaves them as
   /// they are.
   std::function<void(std::vector<FrameIn>&)> rewriteAgentFrames;
+  /// \brief Called after each step of the time, the agent's and then the entries'.
+  std::function<void()> afterStep;
   /// \brief Holds back Start frames from entries to the agent until ReleaseHeld.
   bool holdStarts = false;
   void ReleaseHeld();
--- a/tests/unit/engine_promise_test.cpp
+++ b/tests/unit/engine_promise_test.cpp
@@ -39,11 +39,13 @@
 class AnyEngine
 {
 public:
-  AnyEngine(wire::TargetKind kind, std::uint64_t seed)
+  AnyEngine(wire::TargetKind kind, std::uint64_t seed, bool isUnreachableAtTimes = false)
     : m_random(seed)
+    , m_isUnreachableAtTimes(isUnreachableAtTimes)
     , m_kind(kind)
     , m_world({ .kind = kind, .entries = { "entry-1", "entry-2" } })
   {
+    m_world.afterStep = [this] { Observe(); };
   }
 
   void Play()
@@ -130,21 +132,39 @@
     } else if (Draw(0.1)) {
       m_world.ReleaseHeld();
     } else if (Draw(0.01)) {
+      Observe();
       m_calls.clear();
-      m_world.RestartAgent();
       m_received = 0;
+      m_world.RestartAgent();
     } else if (Draw(0.01)) {
       ++m_incarnations[entry];
       m_sequences[entry] = 0;
       m_world.RestartEntry(entry);
     }
+    if (m_isUnreachableAtTimes) {
+      LoseContact(entry);
+    }
     Observe();
   }
 
+  /// For longer than an entry keeps its callers waiting, at times; some callers don't wait.
+  void LoseContact(const std::string& entry)
+  {
+    if (Draw(0.04)) {
+      m_world.Disconnect(entry);
+    }
+    const auto left = std::ranges::find_if(fates, [&](const auto& row) {
+      const Fate& fate = row.second;
+      return fate.entry == entry && fate.incarnation == m_incarnations[entry] && fate.status == 0;
+    });
+    if (left != fates.end() && Draw(0.1)) {
+      m_world.Leave(entry, left->second.exchange);
+    }
+  }
+
   void Advance()
   {
     m_world.Advance(kStep);
-    Observe();
     std::vector<Call> due;
     std::erase_if(m_calls, [&](const Call& call) {
       const bool isDue = call.answeredAt <= m_world.Agent().Now();
@@ -233,6 +253,7 @@
   }
 
   std::mt19937_64 m_random;
+  bool m_isUnreachableAtTimes;
   wire::TargetKind m_kind;
   RequestHarness m_world;
   std::map<std::string, std::uint64_t> m_incarnations; ///< Restarts of the entries.
@@ -296,6 +317,31 @@
   }
 }
 
+// Guards against "not run", told at once or found out later, of a request that ran behind a lost
+// connection.
+TEST(EnginePromise, IsNeverThatOfARequestThatRanOutOfReach)
+{
+  for (const wire::TargetKind kind : { wire::TargetKind::Engine, wire::TargetKind::Service }) {
+    std::size_t amended = 0;
+    for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+      AnyEngine world(kind, seed, true);
+      world.Play();
+      for (const auto& [id, fate] : world.fates) {
+        SECTION("seed " + std::to_string(seed) + ": " + id + " " + fate.key + " status " +
+                std::to_string(fate.status) + " " + fate.body + " record " + fate.record)
+        {
+          const bool isRefused = SaysNotRun(fate.status, fate.body);
+          const bool isRecorded = fate.record.find(kNotRunText) != std::string::npos;
+          EXPECT_FALSE((isRefused || isRecorded) && fate.ran);
+          EXPECT_FALSE((isRefused || isRecorded) && fate.keyHadRun);
+          amended += isRecorded && !isRefused ? 1 : 0;
+        }
+      }
+    }
+    EXPECT_GT(amended, 0U);
+  }
+}
+
 // Guards against an answer of a target that is changed or withheld though its status promises
 // nothing, and against what is left of one whose status does: its Retry-After, its slot, its claim.
 TEST(EnginePromise, OnlyAStatusThatMeansNotRunIsReplaced)
