An order that may still be committed is answered 504 instead of 503

What operators saw: 503 for a document or an evacuation that came into force afterwards. 503 promises that a call has not been carried out and will not be.

Cause: "not committed in time; it may still be" and "leadership was lost; ... may still be committed" had the same status as calls that were never proposed. The process that answered knew that it did not know.

Change: a status of its own, kUnconfirmed, for orders that were proposed and are not known to be committed; 504 at the platform, which promises nothing. Operators go on to another process after it, as after 503.

--- a/include/gooseberrysail/control/outside_api.hpp
+++ b/include/gooseberrysail/control/outside_api.hpp
@@ -60,8 +60,9 @@
   kDone,
   kInvalid,     ///< Invalid; a retry fails too.
   kConflict,    ///< Another document has this version.
-  kUnavailable, ///< Outcome unknown or not possible now; retry with this or another process.
+  kUnavailable, ///< Not carried out, as it is not possible now; retry with any process.
   kNotLeader,   ///< Only the leader answers this call.
+  kUnconfirmed, ///< May be carried out, or have been; retry with any process.
 };
 
 struct OutsideAnswer
--- a/src/control/document_service.cpp
+++ b/src/control/document_service.cpp
@@ -12,6 +12,7 @@
 using impl::kAnswerTimeout;
 using impl::kMaxOpenCalls;
 using impl::Unavailable;
+using impl::Unconfirmed;
 
 EventOut RefusedEvent(std::uint64_t version, const std::string& reason)
 {
@@ -100,7 +101,7 @@
     }
     const bool late = context.now - put.since > kAnswerTimeout;
     if (late) {
-      respond(put.exchange, Unavailable("not committed in time; it may still be"));
+      respond(put.exchange, Unconfirmed("not committed in time; it may still be"));
     }
     return late;
   });
@@ -123,7 +124,7 @@
 void DocumentService::OnLeadershipLost(const Respond& respond)
 {
   for (const Put& put : m_puts) {
-    respond(put.exchange, Unavailable("leadership was lost; the change may still be committed"));
+    respond(put.exchange, Unconfirmed("leadership was lost; the change may still be committed"));
   }
   for (const Read& read : m_reads) {
     respond(read.exchange, Unavailable("leadership was lost"));
--- a/src/control/evacuation_service.cpp
+++ b/src/control/evacuation_service.cpp
@@ -70,7 +70,7 @@
     }
     const bool isLate = age > impl::kAnswerTimeout;
     if (isLate) {
-      respond(order.exchange, impl::Unavailable("not committed in time; it may still be"));
+      respond(order.exchange, impl::Unconfirmed("not committed in time; it may still be"));
     }
     return isLate;
   });
@@ -80,7 +80,7 @@
 {
   for (const Order& order : m_orders) {
     respond(order.exchange,
-            impl::Unavailable("leadership was lost; the order may still be committed"));
+            impl::Unconfirmed("leadership was lost; the order may still be committed"));
   }
   m_orders.clear();
 }
--- a/src/control/outside_calls.hpp
+++ b/src/control/outside_calls.hpp
@@ -19,4 +19,10 @@
   return { OutsideStatus::kUnavailable, {}, std::move(reason), {}, {} };
 }
 
+/// \brief The answer to an order that may be carried out, or have been.
+[[nodiscard]] inline OutsideAnswer Unconfirmed(std::string reason)
+{
+  return { OutsideStatus::kUnconfirmed, {}, std::move(reason), {}, {} };
+}
+
 } // namespace gooseberrysail::impl
--- a/tests/unit/document_calls_test.cpp
+++ b/tests/unit/document_calls_test.cpp
@@ -81,7 +81,7 @@
   const auto outbox = test.control.Tick();
   ASSERT_TRUE(AnswerOf(outbox, 1));
   ASSERT_TRUE(AnswerOf(outbox, 2));
-  EXPECT_EQ(DocumentCalls::StatusOf(*AnswerOf(outbox, 1)), OutsideStatus::kUnavailable);
+  EXPECT_EQ(DocumentCalls::StatusOf(*AnswerOf(outbox, 1)), OutsideStatus::kUnconfirmed);
   EXPECT_THAT(std::string(AnswerOf(outbox, 1)->body.at("reason").as_string()),
               HasSubstr("may still be committed"));
   EXPECT_EQ(DocumentCalls::StatusOf(*AnswerOf(outbox, 2)), OutsideStatus::kUnavailable);
@@ -121,7 +121,7 @@
     test.control.Tick({ DocumentCalls::Put(2, "8") });
     const auto outbox = test.control.Run(seconds(1));
     ASSERT_TRUE(AnswerOf(outbox, 2));
-    EXPECT_EQ(DocumentCalls::StatusOf(*AnswerOf(outbox, 2)), OutsideStatus::kUnavailable);
+    EXPECT_EQ(DocumentCalls::StatusOf(*AnswerOf(outbox, 2)), OutsideStatus::kUnconfirmed);
   }
 }
 
--- a/tests/unit/evacuation_test.cpp
+++ b/tests/unit/evacuation_test.cpp
@@ -122,7 +122,7 @@
 {
   EvacuationWorld world;
   world.log->holdBack = true;
-  EXPECT_EQ(world.Order(world.control, "EVACUATE"), OutsideStatus::kUnavailable)
+  EXPECT_EQ(world.Order(world.control, "EVACUATE"), OutsideStatus::kUnconfirmed)
     << "nothing is committed";
   world.log->holdBack = false;
   world.log->Commit();
@@ -136,8 +136,8 @@
   {
     world.control.cutOff = true;
     world.control.Run(milliseconds(100));
-    EXPECT_EQ(world.Order(world.control, "EVACUATE"), OutsideStatus::kUnavailable);
-    EXPECT_EQ(world.Order(world.control, "WITHDRAW"), OutsideStatus::kUnavailable);
+    EXPECT_EQ(world.Order(world.control, "EVACUATE"), OutsideStatus::kUnconfirmed);
+    EXPECT_EQ(world.Order(world.control, "WITHDRAW"), OutsideStatus::kUnconfirmed);
   }
 }
 
@@ -147,8 +147,8 @@
 {
   EvacuationWorld world;
   world.log->holdBack = true;
-  EXPECT_EQ(world.Order(world.control, "EVACUATE"), OutsideStatus::kUnavailable);
-  EXPECT_EQ(world.Order(world.control, "WITHDRAW"), OutsideStatus::kUnavailable)
+  EXPECT_EQ(world.Order(world.control, "EVACUATE"), OutsideStatus::kUnconfirmed);
+  EXPECT_EQ(world.Order(world.control, "WITHDRAW"), OutsideStatus::kUnconfirmed)
     << "its turn comes after that of the evacuation";
   world.log->holdBack = false;
   world.log->Commit();
--- a/tests/unit/platform_test.cpp
+++ b/tests/unit/platform_test.cpp
@@ -261,6 +261,16 @@
   }
 }
 
+// Guards against a refusal (503) of a change that may take effect.
+TEST(PlatformControl, AnUnconfirmedChangeIsAnsweredWithoutAPromise)
+{
+  const OutsideApi api = MakeOutsideApi("10.0.0.1:8229");
+  EXPECT_EQ(api.encode(ExchangeId(1), { OutsideStatus::kUnconfirmed, {}, "", {}, {} }).status,
+            504U);
+  EXPECT_EQ(api.encode(ExchangeId(1), { OutsideStatus::kUnavailable, {}, "", {}, {} }).status,
+            503U);
+}
+
 TEST(PlatformControl, OrdersNameTheirTarget)
 {
   const OutsideApi api = MakeOutsideApi("10.0.0.1:8229");
