An order of an operator is never refused by a process that can not know its fate

What operators saw: 503 for a document or an evacuation that was sent again and is in force or comes into force, since an earlier call of it was accepted and its answer was lost. The platform asks that an accepted order is acknowledged again or left without a clear response.

Cause: a process that knows no leader, can not propose or has too many open calls knows only that this call was not proposed. An earlier call of the same order may have been accepted by any process, and an order has no id that would tell. Besides, a document in force was refused, not acknowledged, while 64 calls were open.

OperatorOrders.AreNotRefusedForOtherCallsOnceTheyWereAccepted fails on the code before with 503 for a document and for an evacuation, and for a document in force.

Change: such calls are answered 504, after which operators go on to another process as after 503. Whether a document is in force is looked up before the limit on open calls. 503 stays for reads, which have no effect, and for announcements of targets, which were not taken.

--- a/include/gooseberrysail/control/serving_control.hpp
+++ b/include/gooseberrysail/control/serving_control.hpp
@@ -64,8 +64,13 @@
   void Handle(ControlContext& context, const HttpRequestIn& request, const EvacuateCall& call);
   void Handle(ControlContext& context, const HttpRequestIn& request, const MalformedCall& call);
 
-  /// \returns False when another process leads or no leader is known; responds to the caller then.
-  bool IsForLeader(ControlContext& context, const HttpRequestIn& request);
+  /// \brief Responds to the caller unless this process leads.
+  /// \param withoutLeader The status of the response when no leader is known. An order that is sent
+  /// again may have been accepted by an earlier leader, a read has no effect.
+  /// \returns Whether this process leads.
+  bool IsForLeader(ControlContext& context,
+                   const HttpRequestIn& request,
+                   OutsideStatus withoutLeader);
   void Respond(ControlContext& context, ExchangeId exchange, const OutsideAnswer& answer);
   [[nodiscard]] DocumentService::Respond Responder(ControlContext& context);
   [[nodiscard]] bool IsServiceKnown(const TargetAnnouncement& announcement) const;
--- a/src/control/document_service.cpp
+++ b/src/control/document_service.cpp
@@ -34,19 +34,20 @@
     respond(exchange, { OutsideStatus::kInvalid, {}, document.error().description, {}, {} });
     return;
   }
-  if (m_puts.size() >= kMaxOpenCalls) {
-    respond(exchange, Unavailable("too many calls at once"));
-    return;
-  }
   Put put{ exchange, document.value().version, std::move(text), context.now };
   if (TryAnswer(context, put, respond)) {
     return;
   }
+  // An earlier call with the same document may have been accepted by this or another process.
+  if (m_puts.size() >= kMaxOpenCalls) {
+    respond(exchange, Unconfirmed("too many calls at once"));
+    return;
+  }
   wire::PutDocumentT command;
   command.version = put.version;
   command.text = put.text;
   if (!context.proposer.Propose(std::move(command))) {
-    respond(exchange, Unavailable("this process does not lead"));
+    respond(exchange, Unconfirmed("the document could not be proposed"));
     return;
   }
   m_puts.push_back(std::move(put));
--- a/src/control/evacuation_service.cpp
+++ b/src/control/evacuation_service.cpp
@@ -32,8 +32,9 @@
     respond(exchange, { OutsideStatus::kInvalid, {}, reason, {}, {} });
     return;
   }
+  // An earlier call with the same order may have been accepted by this or another process.
   if (OpenCalls() >= impl::kMaxOpenCalls) {
-    respond(exchange, impl::Unavailable("too many calls at once"));
+    respond(exchange, impl::Unconfirmed("too many calls at once"));
     return;
   }
   const std::uint64_t firstOfTerm = context.replication.term.Get() * kOrdersPerTerm;
@@ -43,7 +44,7 @@
   command.withdrawn = call.isWithdrawal;
   command.order = m_lastNumber;
   if (!context.proposer.Propose(std::move(command))) {
-    respond(exchange, impl::Unavailable("this process does not lead"));
+    respond(exchange, impl::Unconfirmed("the order could not be proposed"));
     return;
   }
   m_orders.push_back({ exchange, call, m_lastNumber, context.now });
--- a/src/control/serving_control.cpp
+++ b/src/control/serving_control.cpp
@@ -71,7 +71,7 @@
                             const HttpRequestIn& request,
                             const PutDocumentCall& call)
 {
-  if (IsForLeader(context, request)) {
+  if (IsForLeader(context, request, OutsideStatus::kUnconfirmed)) {
     m_documents.OnPut(context, request.exchange, call.text, m_api.readDocument, Responder(context));
   }
 }
@@ -80,7 +80,7 @@
                             const HttpRequestIn& request,
                             const GetDocumentCall&)
 {
-  if (IsForLeader(context, request)) {
+  if (IsForLeader(context, request, OutsideStatus::kUnavailable)) {
     m_documents.OnGet(context, request.exchange, Responder(context));
   }
 }
@@ -147,7 +147,7 @@
                             const HttpRequestIn& request,
                             const EvacuateCall& call)
 {
-  if (IsForLeader(context, request)) {
+  if (IsForLeader(context, request, OutsideStatus::kUnconfirmed)) {
     m_evacuations.OnOrder(context, request.exchange, call, Responder(context));
   }
 }
@@ -160,12 +160,14 @@
   Respond(context, request.exchange, { OutsideStatus::kInvalid, {}, call.reason, {}, {} });
 }
 
-bool ServingControl::IsForLeader(ControlContext& context, const HttpRequestIn& request)
+bool ServingControl::IsForLeader(ControlContext& context,
+                                 const HttpRequestIn& request,
+                                 OutsideStatus withoutLeader)
 {
   if (context.ready) {
     return true;
   }
-  OutsideAnswer answer{ OutsideStatus::kUnavailable, {}, "no leader is known", {}, {} };
+  OutsideAnswer answer{ withoutLeader, {}, "no leader is known", {}, {} };
   for (const EntrySettings::Control& control : context.controls) {
     const bool leads = control.process == context.replication.leaderHint;
     if (leads && control.process != context.settings.process) {
--- a/tests/unit/operator_orders_test.cpp
+++ b/tests/unit/operator_orders_test.cpp
@@ -1,5 +1,6 @@
 #include "platform/control_adapter.hpp"
 #include "support/control_cluster.hpp"
+#include "support/section.hpp"
 
 #include <algorithm>
 #include <array>
@@ -313,5 +314,74 @@
   EXPECT_GT(conflicts, kSeeds / 10);
 }
 
+/// \brief One leader whose proposals stay uncommitted, with the platform's API.
+struct UncommittedOrders
+{
+  UncommittedOrders()
+  {
+    control.outside = platform::MakeOutsideApi("127.0.0.1:7340");
+    control.Restart();
+    control.Lead(1);
+    log->holdBack = true;
+  }
+
+  static std::string Document(std::uint64_t version)
+  {
+    return R"({"version":)" + std::to_string(version) + R"(,"routes":[],"services":[]})";
+  }
+
+  std::optional<unsigned> Call(std::uint64_t exchange,
+                               const std::string& method,
+                               const std::string& path,
+                               const std::string& body)
+  {
+    const auto answer = AnswerOf(control.Tick({ Called(exchange, method, path, body) }), exchange);
+    return answer ? std::optional(answer->status) : std::nullopt;
+  }
+
+  std::shared_ptr<ScriptedLog> log = std::make_shared<ScriptedLog>();
+  ControlNode control{ "control-1", log, MakeControlSettings("control-1") };
+};
+
+// Guards against a refusal of an order that is sent again while too many calls are open, although
+// its earlier call was accepted or the order is in force.
+TEST(OperatorOrders, AreNotRefusedForOtherCallsOnceTheyWereAccepted)
+{
+  constexpr std::uint64_t kCalls = 100; // More than may be open at once.
+  struct Case
+  {
+    const char* method;
+    const char* path;
+    std::string body;
+    std::function<std::string(std::uint64_t)> other;
+  };
+  const std::vector<Case> cases{
+    { "PUT", "/api/config", UncommittedOrders::Document(7), UncommittedOrders::Document },
+    { "POST", "/api/evacuations/portmore", "", [](std::uint64_t) { return ""; } },
+  };
+  for (const Case& each : cases) {
+    UncommittedOrders test;
+    EXPECT_FALSE(test.Call(1, each.method, each.path, each.body)) << "waits for its commit";
+    test.control.Tick({ HttpCallerGone{ ExchangeId(1) } });
+    for (std::uint64_t exchange = 2; exchange <= kCalls; ++exchange) {
+      test.Call(exchange, each.method, each.path, each.other(100 + exchange));
+    }
+    const auto again = test.Call(kCalls + 1, each.method, each.path, each.body);
+    ASSERT_TRUE(again) << "too many calls are open";
+    EXPECT_FALSE(IsRefusal(*again)) << *again << " " << each.path;
+  }
+  SECTION("a document in force is acknowledged beside any number of open calls")
+  {
+    UncommittedOrders test;
+    test.Call(1, "PUT", "/api/config", UncommittedOrders::Document(7));
+    test.log->Commit();
+    test.control.Tick();
+    for (std::uint64_t exchange = 2; exchange <= kCalls; ++exchange) {
+      test.Call(exchange, "PUT", "/api/config", UncommittedOrders::Document(100 + exchange));
+    }
+    EXPECT_EQ(test.Call(kCalls + 1, "PUT", "/api/config", UncommittedOrders::Document(7)), kOk);
+  }
+}
+
 } // namespace
 } // namespace gooseberrysail::test
