A document is compared with the one in force by content, not by its text

What operators saw: 409 "another document has this version", which ends a call at once, for the document that is in force, sent again with other spaces or another order of fields.

Cause: the texts were compared. A client that writes the JSON anew for each call, or an intermediary that does, changes the text and not the document.

Evidence: OperatorOrders.AreComparedByContent fails on the code before with 409 for the stored document in another encoding.

Change: a hook of the outside API compares two texts that differ and have one version; the platform compares the parsed JSON. Fields that are not read and the order of lists count as content, so that no other document is acknowledged.

--- a/include/gooseberrysail/control/document_service.hpp
+++ b/include/gooseberrysail/control/document_service.hpp
@@ -5,6 +5,7 @@
 
 #include <deque>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace gooseberrysail {
@@ -15,6 +16,8 @@
 public:
   using Respond = std::function<void(ExchangeId, const OutsideAnswer&)>;
 
+  explicit DocumentService(DocumentComparer isSameDocument);
+
   void OnPut(ControlContext& context,
              ExchangeId exchange,
              std::string text,
@@ -45,9 +48,12 @@
     ReadTicket ticket;
   };
 
-  [[nodiscard]] static bool TryAnswer(ControlContext& context,
-                                      const Put& put,
-                                      const Respond& respond);
+  [[nodiscard]] bool TryAnswer(ControlContext& context,
+                               const Put& put,
+                               const Respond& respond) const;
+  [[nodiscard]] bool IsSame(std::string_view left, std::string_view right) const;
+
+  DocumentComparer m_isSameDocument;
 
   std::vector<Put> m_puts;
   std::deque<Read> m_reads;
--- a/include/gooseberrysail/control/outside_api.hpp
+++ b/include/gooseberrysail/control/outside_api.hpp
@@ -8,6 +8,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <variant>
 
 /// \file The API of control for targets and operators outside the system: typed calls and answers,
@@ -74,6 +75,9 @@
   std::string callTarget;    ///< The target of the call's HTTP request, for kNotLeader.
 };
 
+/// \brief Compares the content of two texts of documents.
+using DocumentComparer = std::function<bool(std::string_view left, std::string_view right)>;
+
 /// \brief Hooks that translate between HTTP and the types above; either all are set or none.
 struct OutsideApi
 {
@@ -85,6 +89,8 @@
   /// \brief Parses a target's answer to a probe; empty where it can't be parsed.
   std::function<TargetReport(std::string_view body)> decodeReport;
   DocumentReader readDocument;
+  /// \brief Whether two texts encode the same document; unset where only equal texts do.
+  DocumentComparer isSameDocument;
 
   [[nodiscard]] bool IsSet() const noexcept { return static_cast<bool>(decode); }
 };
--- a/src/control/document_service.cpp
+++ b/src/control/document_service.cpp
@@ -4,6 +4,7 @@
 #include "gooseberrysail/observe/event.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace gooseberrysail {
 
@@ -22,6 +23,11 @@
 
 } // namespace
 
+DocumentService::DocumentService(DocumentComparer isSameDocument)
+  : m_isSameDocument(std::move(isSameDocument))
+{
+}
+
 void DocumentService::OnPut(ControlContext& context,
                             ExchangeId exchange,
                             std::string text,
@@ -55,13 +61,15 @@
 
 // An applied document is committed: a majority has synced it to disk, so it survives every failure
 // that the installation tolerates. The applied state alone is enough to acknowledge it.
-bool DocumentService::TryAnswer(ControlContext& context, const Put& put, const Respond& respond)
+bool DocumentService::TryAnswer(ControlContext& context,
+                                const Put& put,
+                                const Respond& respond) const
 {
   const StoredDocument& stored = context.state.GetDocument();
   if (stored.version < put.version) {
     return false;
   }
-  if (stored.version == put.version && stored.text != put.text) {
+  if (stored.version == put.version && !IsSame(stored.text, put.text)) {
     const std::string reason = "another document has this version";
     context.outbox.emplace_back(RefusedEvent(put.version, reason));
     respond(put.exchange, { OutsideStatus::kConflict, {}, reason, {}, {} });
@@ -76,6 +84,11 @@
   return true;
 }
 
+bool DocumentService::IsSame(std::string_view left, std::string_view right) const
+{
+  return left == right || (m_isSameDocument && m_isSameDocument(left, right));
+}
+
 // Reads have a limit of their own, so that many of them refuse no change.
 void DocumentService::OnGet(const ControlContext& context,
                             ExchangeId exchange,
--- a/src/control/serving_control.cpp
+++ b/src/control/serving_control.cpp
@@ -49,6 +49,7 @@
 
 ServingControl::ServingControl(OutsideApi api, EngineGroupsSettings groups)
   : m_api(std::move(api))
+  , m_documents(m_api.isSameDocument)
   , m_groups(groups)
   , m_discoveryTime(groups.DiscoveryTime())
 {
--- a/tests/unit/operator_orders_test.cpp
+++ b/tests/unit/operator_orders_test.cpp
@@ -383,5 +383,49 @@
   }
 }
 
+// Guards against a conflict with itself: a document in force that is sent again with other spaces
+// or another order of its fields.
+TEST(OperatorOrders, AreComparedByContent)
+{
+  UncommittedOrders test;
+  test.log->holdBack = false;
+  const std::string path = "/api/config";
+  const std::string stored =
+    R"({"version":7,"routes":[],"services":[{"name":"a","maxConns":5},{"name":"b"}]})";
+  test.Call(1, "PUT", path, stored);
+  EXPECT_EQ(test.Call(2, "PUT", path, stored), kOk);
+  EXPECT_EQ(
+    test.Call(
+      3,
+      "PUT",
+      path,
+      R"({ "services": [{"maxConns": 5, "name": "a"}, {"name": "b"}], "routes": [], "version": 7 })"),
+    kOk);
+  SECTION("another content under the same version is a conflict")
+  {
+    EXPECT_EQ(
+      test.Call(4,
+                "PUT",
+                path,
+                R"({"version":7,"routes":[],"services":[{"name":"a","maxConns":6},{"name":"b"}]})"),
+      409U);
+    EXPECT_EQ(
+      test.Call(5,
+                "PUT",
+                path,
+                R"({"version":7,"routes":[],"services":[{"name":"b"},{"name":"a","maxConns":5}]})"),
+      409U)
+      << "the order of a list counts";
+    EXPECT_EQ(
+      test.Call(
+        6,
+        "PUT",
+        path,
+        R"({"version":7,"routes":[],"services":[{"name":"a","maxConns":5,"x":1},{"name":"b"}]})"),
+      409U)
+      << "a field that is not read counts";
+  }
+}
+
 } // namespace
 } // namespace gooseberrysail::test
