A head that may have begun to close is not taken for closed

Cause: a head answers 200 to an order to close whose state already holds, and does so while it is still closing. Control took 200 for "closed" unless it had read the 202 to an earlier order. Where that answer was lost, or went to an earlier leader, the repeated order released the members at once; or, for an adopted group, the head was ordered to leave, which takes effect at once. A status was read as more than its sender states.

Evidence: EngineGroupsSafety.AHeadThatMayHaveBegunToCloseIsNotTakenForClosed (the answer to the first order to close is lost, the work lasts 6 s): before, "a1 joined g1048592 while g1048577 was open", and broken work in all four cases (both models, with and without another leader); none after.

Change: orders to close whose answer is missing are counted like those to open. While one may have been accepted, or the group is of an earlier leader, 200 means closing or closed, and a report of the head decides, as after a 202. An adopted head that is joining is ordered to leave as one that is ready.

--- a/include/gooseberrysail/control/engine_groups.hpp
+++ b/include/gooseberrysail/control/engine_groups.hpp
@@ -172,9 +172,10 @@
     bool reportsOpen = false; ///< While adopted: the latest report of its head says that it serves.
     std::map<std::pair<InstanceId, GroupOrderKind>, TimePoint> orderedAt;
     bool cut = false;                      ///< A member is lost: work in progress can't complete.
-    bool closeBegun = false;               ///< The head accepted the order to close.
-    bool reportedClosed = false;           ///< The head answered that it is not open.
+    bool closeBegun = false;               ///< The head is closing or closed.
+    bool reportedClosed = false;           ///< The head answered that it is closed.
     std::uint32_t opensUnanswered = 0;     ///< Orders to open that may still be executed.
+    std::uint32_t closesUnanswered = 0;    ///< Orders to close that may have been accepted.
     bool headIsDead = false;               ///< The head's incarnation certainly ended.
     bool headIsClosed = false;             ///< The head reported that it takes no work.
     TimePoint paceProbedAt{};              ///< When the members were last probed for their pace.
--- a/src/control/engine_groups.cpp
+++ b/src/control/engine_groups.cpp
@@ -333,6 +333,7 @@
   }
   orderedAt = pass.input.now;
   group.opensUnanswered += kind == GroupOrderKind::kOpen ? 1 : 0;
+  group.closesUnanswered += kind == GroupOrderKind::kClose ? 1 : 0;
   GroupOrder order = impl::MakeOrder(*row, kind);
   order.group = group.name;
   order.epoch = group.epoch;
--- a/src/control/engine_groups_ending.cpp
+++ b/src/control/engine_groups_ending.cpp
@@ -37,9 +37,10 @@
   }
   // A head that has left its group rejects all later orders for it, such as a delayed order to
   // open.
-  const bool isClosed =
-    group.reportedClosed || (group.closeBegun && Reports(row, group.name, group.epoch) &&
-                             row->latest.membership.state == MemberState::Ready);
+  const bool reportsNoWork =
+    Reports(row, group.name, group.epoch) && (row->latest.membership.state == MemberState::Ready ||
+                                              row->latest.membership.state == MemberState::Joining);
+  const bool isClosed = group.reportedClosed || (group.closeBegun && reportsNoWork);
   const bool mustLeave = isClosed && MayOpenLate(pass.input.now, group);
   Order(pass, group, head, mustLeave ? GroupOrderKind::kLeave : GroupOrderKind::kClose);
   ProbeHead(pass, group);
@@ -212,9 +213,12 @@
   if (kind != GroupOrderKind::kClose) {
     return;
   }
-  group.closeBegun = group.closeBegun || isBegun;
-  // A repeated order to close may find the head closing; then only a later report is conclusive.
-  group.reportedClosed = group.reportedClosed || (isDone && !group.closeBegun);
+  group.closesUnanswered -= outcome == OrderOutcome::kUnknown ? 0 : 1;
+  // An order to close may find the head closing because of an earlier one, whose answer was lost or
+  // went to another leader; then only a later report is conclusive.
+  const bool mayBeClosing = group.closeBegun || group.closesUnanswered > 0 || group.wasAdopted;
+  group.reportedClosed = group.reportedClosed || (isDone && !mayBeClosing);
+  group.closeBegun = group.closeBegun || isBegun || (isDone && mayBeClosing);
   group.headIsClosed = group.headIsClosed || (group.reportedClosed && !MayOpenLate(now, group));
 }
 
--- a/tests/fakes/fake_fleet.cpp
+++ b/tests/fakes/fake_fleet.cpp
@@ -215,6 +215,12 @@
     return;
   }
   const OrderOutcome outcome = Carry(target, order);
+  if (order.kind != GroupOrderKind::kProbe && target.answersToLose > 0) {
+    --target.answersToLose;
+    Schedule(kOrderTimeout,
+             [this, order] { m_groups.OnOrderOutcome(now, order, OrderOutcome::kUnknown); });
+    return;
+  }
   m_groups.OnOrderOutcome(now, order, outcome);
 }
 
--- a/tests/fakes/fake_fleet.hpp
+++ b/tests/fakes/fake_fleet.hpp
@@ -26,8 +26,9 @@
     bool isListening = true;
     TimePoint pausedUntil{}; ///< Until then it reports nothing and executes no orders.
     Duration openDelay{}; ///< If not zero, orders to open get no answer and are executed after it.
-    double pace = 1;      ///< Factor on its step time; above 1 is slower.
-    Duration drainTime{}; ///< Time until its running work has ended after an order to close.
+    std::size_t answersToLose = 0; ///< Of orders that it executes; they get no answer.
+    double pace = 1;               ///< Factor on its step time; above 1 is slower.
+    Duration drainTime{};   ///< Time until its running work has ended after an order to close.
     bool isLoading = false; ///< Its host loads weights and refuses other loads until it is done.
     std::vector<InstanceId> members; ///< Members of its group, the head first.
     TimePoint nextReportAt{};
--- a/tests/unit/engine_groups_safety_test.cpp
+++ b/tests/unit/engine_groups_safety_test.cpp
@@ -256,6 +256,31 @@
   }
 }
 
+// Guards against releasing the members of a head that still works: its answer to the order to close
+// was lost, and it answers the repeated one that the order is done, while it is closing.
+TEST(EngineGroupsSafety, AHeadThatMayHaveBegunToCloseIsNotTakenForClosed)
+{
+  for (const std::string model : { "large", "small" }) {
+    for (const bool leaderChanges : { false, true }) {
+      FakeFleet fleet = ServingFleet();
+      const std::string head = AnyHead(fleet, model);
+      const std::string member = fleet.At(head).members.back().Get();
+      fleet.At(head).drainTime = 6s;
+      fleet.At(head).answersToLose = 1;
+      fleet.At(member).self.draining = true;
+      fleet.At(member).nextReportAt = fleet.now;
+      fleet.Run(1s);
+      ASSERT_EQ(fleet.At(head).self.membership.state, wire::MemberState::Closing);
+      if (leaderChanges) {
+        fleet.ChangeLeader(false);
+      }
+      fleet.Run(15s);
+      EXPECT_THAT(fleet.Violations(), IsEmpty()) << model << " " << leaderChanges;
+      EXPECT_THAT(fleet.BrokenWork(), IsEmpty()) << model << " " << leaderChanges;
+    }
+  }
+}
+
 // Guards against releasing a group because its members were ordered to leave, whether or not any of
 // them received the order. A whole group is cut off from control and has no callers for longer than
 // the time in which a stalled head breaks; then it reports again and is open. Its members were
