The tool says "nothing was changed" only where it knows

Cause: the tool judged by the last call alone. Calls of an earlier run with the same id, and earlier calls of this run, may have taken effect.

After a call that may have arrived only 200 and 409, which report what became of the change, are final.

--- a/include/gooseberrysail/cli/control_client.hpp
+++ b/include/gooseberrysail/cli/control_client.hpp
@@ -62,7 +62,8 @@
   /// for changes: control applies each change id once and answers a repeated call with the outcome
   /// of the first.
   /// \returns An error after the total timeout: kTimeout if any of the calls may have taken
-  /// effect, else kUnavailable.
+  /// effect, else kUnavailable. Also kTimeout if a call may have changed something and a later one
+  /// is refused for another reason than the change.
   [[nodiscard]] Result<AdminReply> Call(std::string_view method,
                                         std::string_view path,
                                         const std::string& body = {});
--- a/src/cli/change_commands.cpp
+++ b/src/cli/change_commands.cpp
@@ -94,6 +94,10 @@
         return earlier;
       }
     }
+    if (m_missing != nullptr) {
+      return Fail(
+        m_context, ExitCode::kNotFound, "no " + m_missing->kind + " named " + m_missing->name);
+    }
     return Post(client.value());
   }
 
@@ -114,7 +118,7 @@
     for (CatalogueWrite& write : m_writes) {
       const json::object* entry = FindEntry(AsObject(answer), "entries", write);
       if (write.remove && entry == nullptr) {
-        return Fail(m_context, ExitCode::kNotFound, "no " + write.kind + " named " + write.name);
+        m_missing = &write; // An earlier call with this id may have removed it.
       }
       write.expectedRevision = write.expectedRevision.value_or(RevisionOf(entry));
     }
@@ -153,8 +157,10 @@
   {
     const Result<AdminReply> reply = client.Call("GET", path);
     if (!reply) {
-      return Fail(
-        m_context, ExitCode::kUnavailable, ToString(reply.error()) + "; nothing was changed");
+      return ReportNoAnswer({ ErrorCode::kUnavailable,
+                              reply.error().step,
+                              reply.error().peer,
+                              reply.error().description });
     }
     if (reply.value().status != kOk) {
       return Fail(m_context, ExitCodeOf(reply.value().status), ReasonOf(reply.value()));
@@ -182,7 +188,8 @@
 
   ExitCode ReportNoAnswer(const Error& error)
   {
-    if (error.code == ErrorCode::kTimeout) {
+    // An earlier run with this id may have changed something.
+    if (error.code == ErrorCode::kTimeout || m_resent) {
       return Fail(m_context,
                   ExitCode::kUnknown,
                   ToString(error) +
@@ -285,6 +292,7 @@
   bool m_resent;
   std::string m_changeId;
   std::string m_operator;
+  const CatalogueWrite* m_missing = nullptr; ///< Removes an entry that does not exist.
   bool m_reported = false; ///< The outcome of an earlier attempt was found and reported.
 };
 
--- a/src/cli/control_client.cpp
+++ b/src/cli/control_client.cpp
@@ -12,6 +12,8 @@
 
 namespace json = boost::json;
 
+constexpr unsigned kOk = 200;
+constexpr unsigned kConflict = 409;
 constexpr unsigned kMisdirected = 421;
 constexpr unsigned kBadGateway = 502;
 constexpr unsigned kUnavailable = 503;
@@ -133,6 +135,15 @@
   for (;;) {
     Attempt attempt = Try(method, path, body);
     if (attempt.reply) {
+      // Only these two report what became of the change; any other status is about the last call.
+      const unsigned status = attempt.reply->status;
+      const bool reportsChange = status == kOk || status == kConflict;
+      if (mayHaveTakenEffect && method != "GET" && !reportsChange) {
+        return Error{ ErrorCode::kTimeout,
+                      "ask control",
+                      attempt.reply->address,
+                      "status " + std::to_string(status) + " after a call that may have arrived" };
+      }
       return std::move(*attempt.reply);
     }
     mayHaveTakenEffect = mayHaveTakenEffect || attempt.mayHaveTakenEffect;
--- a/tests/unit/cli_test.cpp
+++ b/tests/unit/cli_test.cpp
@@ -68,6 +68,68 @@
   }
 }
 
+// Guards against "nothing was changed" where an earlier run of the command, or an earlier call of
+// this one, may have changed it.
+TEST(CliChange, IsNotReportedAsWithoutEffectWhileAnEarlierCallMayTakeEffect)
+{
+  const auto expectUnknown = [](const CliRunner::Outcome& outcome) {
+    EXPECT_EQ(outcome.code, ExitCode::kUnknown);
+    EXPECT_THAT(outcome.err,
+                AllOf(HasSubstr("--change-id"), Not(HasSubstr("nothing was changed"))));
+  };
+  constexpr const char* kCatalogue = R"({"version":90,"entries":[]})";
+  SECTION("a repeated id, and the catalogue can't be read")
+  {
+    CliRunner cli;
+    cli.files["drain.json"] = R"({"kind":"target","name":"vm-1","owner":"ops"})";
+    expectUnknown(cli.Run({ "catalogue", "apply", "drain.json", "--change-id", "x" }));
+  }
+  SECTION("a repeated id, and the history can't be read")
+  {
+    CliRunner cli;
+    cli.files["drain.json"] = kTargetFile;
+    expectUnknown(cli.Run({ "catalogue", "apply", "drain.json", "--change-id", "x" }));
+  }
+  SECTION("a repeated id, and no call arrives")
+  {
+    CliRunner cli;
+    cli.files["drain.json"] = R"({"kind":"target","name":"vm-1","owner":"ops"})";
+    cli.Answer(200, kCatalogue);
+    cli.Answer(200, R"({"changes":[]})");
+    expectUnknown(cli.Run({ "catalogue", "apply", "drain.json", "--change-id", "x" }));
+  }
+  SECTION("the answer to a call is lost, and the next process denies the token")
+  {
+    CliRunner cli;
+    cli.files["drain.json"] = kTargetFile;
+    cli.FailWith(AnswerLost());
+    cli.Answer(401, R"({"error":{"code":"denied","reason":"wrong bearer token"}})");
+    expectUnknown(cli.Run({ "catalogue", "apply", "drain.json" }));
+  }
+  SECTION("the entry that a repeated removal names is gone")
+  {
+    CliRunner cli;
+    cli.Answer(200, kCatalogue);
+    cli.Answer(200,
+               R"({"changes":[{"changeId":"x","version":90,"ok":true,"entries":[
+                 {"kind":"target","name":"vm-1","revision":4,"deleted":true}]}]})");
+    const auto outcome = cli.Run({ "catalogue", "delete", "target", "vm-1", "--change-id", "x" });
+    EXPECT_EQ(outcome.code, ExitCode::kDone) << outcome.err;
+    cli.Answer(200, kCatalogue);
+    cli.Answer(200, R"({"changes":[]})");
+    EXPECT_EQ(cli.Run({ "catalogue", "delete", "target", "vm-1", "--change-id", "x" }).code,
+              ExitCode::kNotFound)
+      << "no earlier call took effect";
+  }
+  SECTION("a refusal of the only call is final")
+  {
+    CliRunner cli;
+    cli.files["drain.json"] = kTargetFile;
+    cli.Answer(401, R"({"error":{"code":"denied","reason":"wrong bearer token"}})");
+    EXPECT_EQ(cli.Run({ "catalogue", "apply", "drain.json" }).code, ExitCode::kDenied);
+  }
+}
+
 // Guards against the error "change id was used before" when an operator repeats a command with
 // --change-id: the first attempt took effect, so the entry has a new revision, and the second run
 // would send a different body with the same id. The outcome must be read from the history instead.
