The admin API answers 504 to a change that may take effect

What operators saw: 503 for a change that was committed after its leader had lost the lead, and "the change was not taken and has no effect" for a change whose earlier call, with the same change id, was committed.

Cause: the status of calls that were not proposed was used for one that was; and the reason spoke of the change where only this call is known.

Evidence: ControlCatalogue.AChangeThatMayBeCommittedIsNeverCalledWithoutEffect fails on the code before: 503, and the words "no effect"; both changes were committed.

Change: 504 when the lead is lost, with the same error code as before, which the tool reads. 503 stays for a call that was not proposed, and says so of the call alone.

--- a/src/control/admin_api.cpp
+++ b/src/control/admin_api.cpp
@@ -170,12 +170,13 @@
   const bool accepted =
     m_writes.size() < kMaxWaiting && context.proposer.Propose(std::move(change.value()));
   if (!accepted) {
-    Refuse(context,
-           request.exchange,
-           kUnavailable,
-           ErrorCode::kUnavailable,
-           "change catalogue",
-           "the change was not taken and has no effect; try again");
+    Refuse(
+      context,
+      request.exchange,
+      kUnavailable,
+      ErrorCode::kUnavailable,
+      "change catalogue",
+      "this call was not taken; an earlier call with the same change id may still take effect");
     return;
   }
   m_writes.emplace(request.exchange, std::move(waiting));
@@ -303,7 +304,7 @@
   for (const auto& [exchange, write] : m_writes) {
     Refuse(context,
            exchange,
-           kUnavailable,
+           kGatewayTimeout,
            ErrorCode::kTimeout,
            "commit catalogue change",
            "this control process lost its lead; whether the change takes effect is not known; send "
--- a/tests/unit/control_catalogue_test.cpp
+++ b/tests/unit/control_catalogue_test.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 using ::testing::HasSubstr;
+using ::testing::Not;
 
 struct OneControl
 {
@@ -239,6 +240,41 @@
   }
 }
 
+// Guards against a refusal (503), or a statement that it has no effect, of a change that was
+// proposed and is committed later.
+TEST(ControlCatalogue, AChangeThatMayBeCommittedIsNeverCalledWithoutEffect)
+{
+  OneControl test;
+  test.log->holdBack = true;
+  const std::string body = Change("a", ModelWrite("one", "v1", "0"));
+  test.control.Tick({ Called(901, "POST", "/admin/v1/catalogue", body) });
+  SECTION("it is sent again, and can't be proposed again")
+  {
+    test.control.Tick({ HttpCallerGone{ ExchangeId(901) } });
+    test.control.refuseProposals = true;
+    const Answer again = test.Post(body);
+    EXPECT_EQ(again.status, 503U);
+    EXPECT_THAT(Text(again.body), Not(HasSubstr("no effect")));
+    EXPECT_THAT(Text(again.body), HasSubstr("earlier call"));
+    test.control.refuseProposals = false;
+  }
+  SECTION("its leader loses the lead")
+  {
+    test.control.Tick({ Called(902, "POST", "/admin/v1/catalogue", body) });
+    test.control.leader = false;
+    test.control.leaderHint = ProcessId("control-2");
+    const auto outbox = test.control.Tick();
+    ASSERT_TRUE(AnswerOf(outbox, 902));
+    EXPECT_EQ(AnswerOf(outbox, 902)->status, 504U);
+    EXPECT_EQ(AnswerOf(outbox, 902)->body.at("error").at("code").as_string(), "timeout");
+    test.control.Lead(2);
+  }
+  test.log->holdBack = false;
+  test.log->Commit();
+  test.control.Tick();
+  EXPECT_EQ(test.Post(body).status, 200U) << "the first call was committed";
+}
+
 // Guards against the confirmation of an outdated catalogue: the leader is partitioned from the
 // other control processes without noticing, a new leader commits a change, and the old leader
 // confirms the old version. This happens if a leader answers from its own state without a quorum.
