Only a confirmed leader calls the service of a target unknown

What targets saw: 400, which is final, for an announcement of a service that a document adds which the answering process has not got, as it is behind or cut off.

Cause: each process judged by the document that it holds, and a refusal for good was written by one that does not know the newest.

Evidence: TargetAnnouncements.AreNotInvalidForAProcessThatMayLackADocument fails on the code before: 400 from a follower that is cut off, and from a leader that no quorum confirms.

--- a/src/control/serving_control.cpp
+++ b/src/control/serving_control.cpp
@@ -100,7 +100,12 @@
   }
   const InstanceId& instance = call.announcement.instance;
   if (!IsServiceKnown(call.announcement)) {
-    Handle(context, request, MalformedCall{ instance.Get(), "no document names its service" });
+    // Only a confirmed leader certainly has the newest document.
+    const std::string reason = "no document names its service";
+    const OutsideStatus status =
+      context.HasFreshQuorum() ? OutsideStatus::kInvalid : OutsideStatus::kUnavailable;
+    m_refused.Note(instance.Get(), reason);
+    Respond(context, request.exchange, { status, {}, reason, {}, {} });
     return;
   }
   const TargetTable::Change change = m_targets.Update(context.now, call.announcement);
