--- a/tests/unit/http_client_test.cpp
+++ b/tests/unit/http_client_test.cpp
@@ -3,6 +3,7 @@
 #include "support/section.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
+#include <sys/resource.h>
 
 namespace gooseberrysail {
 namespace {
@@ -202,6 +203,38 @@
   }
 }
 
+// Guards against taking the lack of a descriptor in this process for the death of a target.
+TEST(HttpClient, ReportsATargetAsGoneOnlyIfItsHostRefusesTheConnection)
+{
+  IoRuntime runtime;
+  std::string address;
+  {
+    RawServer closed(runtime, "");
+    address = closed.address;
+  }
+  const auto codeFor = [&] {
+    RecordingClient agent(runtime);
+    agent.Start(address, 1);
+    EXPECT_TRUE(agent.WaitFor([&] { return !agent.failures.empty(); }));
+    EXPECT_TRUE(agent.failures[0].neverSent);
+    return agent.failures[0].error.code;
+  };
+  SECTION("nobody listens")
+  {
+    EXPECT_EQ(codeFor(), ErrorCode::kUnavailable);
+  }
+  SECTION("no descriptor is left")
+  {
+    rlimit usual{};
+    ASSERT_EQ(getrlimit(RLIMIT_NOFILE, &usual), 0);
+    const rlimit none{ 0, usual.rlim_max };
+    ASSERT_EQ(setrlimit(RLIMIT_NOFILE, &none), 0);
+    const ErrorCode code = codeFor();
+    ASSERT_EQ(setrlimit(RLIMIT_NOFILE, &usual), 0);
+    EXPECT_EQ(code, ErrorCode::kIo);
+  }
+}
+
 TEST(HttpClient, ReportsNeverSentOnlyWhenNoByteWasSent)
 {
   IoRuntime runtime;
