Test: no target works for two groups while answers to orders are lost

Seeded: any order may be carried out without an answer, work of closing heads lasts up to 6 s, members leave or restart, and leaders change.

--- a/tests/unit/engine_groups_safety_test.cpp
+++ b/tests/unit/engine_groups_safety_test.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <gmock/gmock.h>
+#include <random>
 #include <set>
 #include <span>
 #include <string>
@@ -281,6 +282,37 @@
   }
 }
 
+// Guards against conclusions from missing answers: any order may be carried out without one, while
+// members leave or restart, and leaders change.
+TEST(EngineGroupsSafety, InvariantsHoldWhileAnswersAreLost)
+{
+  for (unsigned seed = 1; seed <= 40; ++seed) {
+    std::mt19937 random(seed);
+    FakeFleet fleet = ServingFleet();
+    for (int step = 0; step < 14; ++step) {
+      for (const auto& [instance, row] : fleet.Table().Rows()) {
+        fleet.At(instance.Get()).answersToLose = random() % 3;
+        fleet.At(instance.Get()).drainTime = std::chrono::milliseconds(random() % 6000);
+      }
+      const std::string domain(1, static_cast<char>('a' + random() % 3));
+      const std::string name = domain + std::to_string(1 + random() % 10);
+      switch (random() % 4) {
+        case 0:
+          fleet.ChangeLeader(random() % 2 == 0);
+          break;
+        case 1:
+          fleet.Restart(name);
+          break;
+        default:
+          fleet.At(name).self.draining = !fleet.At(name).self.draining;
+          fleet.At(name).nextReportAt = fleet.now;
+      }
+      fleet.Run(std::chrono::milliseconds(300 + random() % 4000));
+    }
+    EXPECT_THAT(fleet.Violations(), IsEmpty()) << "seed " << seed;
+  }
+}
+
 // Guards against releasing a group because its members were ordered to leave, whether or not any of
 // them received the order. A whole group is cut off from control and has no callers for longer than
 // the time in which a stalled head breaks; then it reports again and is open. Its members were
