--- a/include/gooseberrysail/control/outside_api.hpp
+++ b/include/gooseberrysail/control/outside_api.hpp
@@ -8,6 +8,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <variant>
 
 /// \file The API of control for targets and operators outside the system: typed calls and answers,
@@ -60,8 +61,9 @@
   kDone,
   kInvalid,     ///< Invalid; a retry fails too.
   kConflict,    ///< Another document has this version.
-  kUnavailable, ///< Outcome unknown or not possible now; retry with this or another process.
+  kUnavailable, ///< Not carried out, as it is not possible now; retry with any process.
   kNotLeader,   ///< Only the leader answers this call.
+  kUnconfirmed, ///< May be carried out, or have been; retry with any process.
 };
 
 struct OutsideAnswer
@@ -73,6 +75,9 @@
   std::string callTarget;    ///< The target of the call's HTTP request, for kNotLeader.
 };
 
+/// \brief Compares the content of two texts of documents.
+using DocumentComparer = std::function<bool(std::string_view left, std::string_view right)>;
+
 /// \brief Hooks that translate between HTTP and the types above; either all are set or none.
 struct OutsideApi
 {
@@ -84,6 +89,8 @@
   /// \brief Parses a target's answer to a probe; empty where it can't be parsed.
   std::function<TargetReport(std::string_view body)> decodeReport;
   DocumentReader readDocument;
+  /// \brief Whether two texts encode the same document; unset where only equal texts do.
+  DocumentComparer isSameDocument;
 
   [[nodiscard]] bool IsSet() const noexcept { return static_cast<bool>(decode); }
 };
