Client: only a final status is handed on as an answer

What callers saw: status 000 or 099, which HTTP does not have, where a target sent one; and the status that came after a switch of protocols that nobody had asked for, such as 503 with the statement "not run", which was believed.

Cause: the client skipped every status from 100 to 199, also 101, after which the bytes are no HTTP, and handed every other status on.

Evidence: HttpClient.OnlyTheStatusOfAFinalResponseIsHandedOn failed before in three of its cases (101, 000, 099; 6 checks). Several interim responses, whose ids and statements are not handed on, an interim response with a body and a status of two digits were handled rightly before.

Change: such an answer fails as corrupt. The request may have run: the dispatcher sends it again only where that is allowed, else its caller gets 502. Statuses from 600 on are still handed on, and count as failures of the target.

--- a/src/http/http_call.cpp
+++ b/src/http/http_call.cpp
@@ -29,6 +29,9 @@
 using Parser = http::response_parser<http::buffer_body>;
 
 constexpr std::size_t kPartBytes = 16 * 1024;
+/// No request asks for it, and what follows it is not HTTP.
+constexpr unsigned kSwitchingProtocols = 101;
+constexpr unsigned kFirstFinalStatus = 200;
 
 std::uint64_t HashOf(std::string_view id)
 {
@@ -70,6 +73,25 @@
   return request;
 }
 
+/// Whether another response to the same request follows.
+bool IsInterim(unsigned status)
+{
+  return status / 100 == 1 && status != kSwitchingProtocols;
+}
+
+/// Why a response can't be the answer to a request; empty if it can.
+std::string_view DefectOf(const Parser& parser, bool acceptCloseDelimited)
+{
+  const unsigned status = parser.get().result_int();
+  if (status < kFirstFinalStatus) {
+    return "its status is not that of an answer";
+  }
+  if (parser.need_eof() && !acceptCloseDelimited) {
+    return "neither length nor chunks: a cut answer would look whole";
+  }
+  return "";
+}
+
 TargetAnswerIn MakePart(ExchangeId exchange)
 {
   TargetAnswerIn part;
@@ -299,7 +321,7 @@
   std::optional<Parser> parser;
   std::size_t headBytes = 0;
   do {
-    // An informational (1xx) response precedes the final one.
+    // Interim responses precede the final one.
     parser.emplace();
     const std::size_t left = m_settings.maxHeaderBytes - headBytes;
     parser->header_limit(static_cast<std::uint32_t>(left));
@@ -318,13 +340,11 @@
     if (error || m_timedOut || m_cancelled) {
       return FailRead(error);
     }
-  } while (parser->get().result_int() / 100 == 1);
+  } while (IsInterim(parser->get().result_int()));
 
-  if (parser->need_eof() && !m_settings.acceptCloseDelimited) {
-    return Fail(ErrorCode::kCorrupt,
-                "read answer",
-                "neither length nor chunks: a cut answer would look whole",
-                false);
+  if (const std::string_view defect = DefectOf(*parser, m_settings.acceptCloseDelimited);
+      !defect.empty()) {
+    return Fail(ErrorCode::kCorrupt, "read answer", std::string(defect), false);
   }
   TargetAnswerIn part = MakeFirstPart(m_call.exchange, *parser);
   std::array<char, kPartBytes> bytes;
--- a/tests/unit/http_client_test.cpp
+++ b/tests/unit/http_client_test.cpp
@@ -2,6 +2,7 @@
 #include "support/raw_connection.hpp"
 #include "support/section.hpp"
 
+#include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
 
 namespace gooseberrysail {
@@ -179,6 +180,50 @@
   EXPECT_EQ(reply.value().status, 201U);
 }
 
+// Guards against the status or a header of an interim response, or a status that HTTP does not
+// have, being passed on as the answer.
+TEST(HttpClient, OnlyTheStatusOfAFinalResponseIsHandedOn)
+{
+  const std::string final = "HTTP/1.1 201 Created\r\nContent-Length: 2\r\n\r\nok";
+  const std::string refusal = "HTTP/1.1 503 Busy\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+  IoRuntime runtime;
+  SECTION("several interim responses")
+  {
+    RawServer target(runtime,
+                     "HTTP/1.1 100 Continue\r\nX-Not-Executed: 1\r\n\r\n"
+                     "HTTP/1.1 103 Early Hints\r\nX-Request-Id: other\r\n\r\n"
+                     "HTTP/1.1 199 Unknown\r\n\r\n" +
+                       final);
+    RecordingClient agent(runtime);
+    agent.Start(target.address, 1);
+    ASSERT_TRUE(agent.WaitFor([&] { return agent.IsWhole(); }));
+    EXPECT_EQ(agent.parts[0].status, 201U);
+    EXPECT_TRUE(agent.parts[0].headers.empty());
+    EXPECT_EQ(agent.Body(), "ok");
+  }
+  const std::vector<std::pair<std::string, std::string>> cases{
+    { "a switch to another protocol, which was not asked for",
+      "HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n" + refusal },
+    { "an interim response with a body",
+      "HTTP/1.1 103 X\r\nContent-Length: 2\r\n\r\nab" + refusal },
+    { "status 0", "HTTP/1.1 000 X\r\nContent-Length: 2\r\n\r\nok" },
+    { "a status below 100", "HTTP/1.1 099 X\r\nContent-Length: 2\r\n\r\nok" },
+    { "a status of two digits", "HTTP/1.1 50 X\r\nContent-Length: 2\r\n\r\nok" },
+  };
+  for (const auto& [name, bytes] : cases) {
+    SECTION(name)
+    {
+      RawServer target(runtime, bytes);
+      RecordingClient agent(runtime);
+      agent.Start(target.address, 1);
+      ASSERT_TRUE(agent.WaitFor([&] { return agent.IsWhole() || !agent.failures.empty(); }));
+      EXPECT_TRUE(agent.parts.empty());
+      EXPECT_EQ(agent.failures.size(), 1U);
+      EXPECT_TRUE(std::ranges::none_of(agent.failures, &TargetFailedIn::neverSent));
+    }
+  }
+}
+
 // Guards against a target that crashes with unread bytes, and so resets its connections, being
 // taken for a path that failed.
 TEST(HttpClient, ReportsAClosedAndAResetConnectionAlike)
