Server: a caller of HTTP/1.0 is not told to continue

What callers saw: a caller of HTTP/1.0 that sends "Expect: 100-continue" got "100 Continue" first. HTTP/1.0 has no interim responses, so that such a caller takes it for its answer, and the answer for that to its next request.

Cause: the expectation was obeyed whatever the version; RFC 9110, 10.1.1, says that it must be ignored in HTTP/1.0.

Evidence: HttpServer.TellsNoCallerOfHttp10ToContinue failed before ("HTTP/1.1 100 " in place of "HTTP/1.0 200 "). The body is read as before; callers of HTTP/1.1 are still told (RejectsMalformedOrOversizedRequestsWithAJsonError).

--- a/src/http/http_session_read.cpp
+++ b/src/http/http_session_read.cpp
@@ -79,7 +79,9 @@
 
 bool ExpectsContinue(const Parser& parser)
 {
-  return !parser.is_done() && beast::iequals(parser.get()[http::field::expect], "100-continue");
+  constexpr unsigned kHttp11 = 11;
+  return !parser.is_done() && parser.get().version() >= kHttp11 &&
+         beast::iequals(parser.get()[http::field::expect], "100-continue");
 }
 
 } // namespace
--- a/tests/unit/http_server_test.cpp
+++ b/tests/unit/http_server_test.cpp
@@ -173,6 +173,21 @@
   }
 }
 
+// Guards against a caller of HTTP/1.0, which has no interim responses, that takes one for its
+// answer.
+TEST(HttpServer, TellsNoCallerOfHttp10ToContinue)
+{
+  IoRuntime runtime;
+  RecordingServer server(runtime);
+  RawConnection caller(runtime, server.address);
+  caller.Write("POST / HTTP/1.0\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n");
+  runtime.SleepFor(std::chrono::milliseconds(50));
+  caller.Write("ab");
+  EXPECT_EQ(server.Request(1).body, "ab");
+  server.Send(server.Request(1), "done", true);
+  EXPECT_EQ(caller.ReadToEnd().substr(0, 13), "HTTP/1.0 200 ");
+}
+
 // Guards against engines that keep working for callers that have disconnected.
 TEST(HttpServer, DetectsADisconnectWhileTheResponseIsPending)
 {
