Server: requests with another transfer coding than chunks are rejected

Cause: the HTTP library takes a request whose Transfer-Encoding does not end in "chunked" as one without a body, and what follows as the next request. With "gzip, chunked" it undoes the chunks only, and the header that names the other coding is one of those that are not passed on.

Change: such a request is answered with 501, as RFC 9112, 6.1, says, and its connection is closed; the rest is read and discarded. It was not passed on, and 501 promises nothing.

--- a/src/http/http_headers.cpp
+++ b/src/http/http_headers.cpp
@@ -41,6 +41,11 @@
   });
 }
 
+bool IsReadableCoding(std::string_view transferEncoding) noexcept
+{
+  return SameHeaderName(transferEncoding, "chunked");
+}
+
 bool IsSafeHeader(const HttpHeader& header) noexcept
 {
   return !header.name.empty() &&
--- a/src/http/http_headers.hpp
+++ b/src/http/http_headers.hpp
@@ -15,6 +15,9 @@
 /// \brief Whether the header applies to a single connection and must not be forwarded.
 [[nodiscard]] bool IsHopByHopHeader(std::string_view name) noexcept;
 
+/// \brief Whether a body with this Transfer-Encoding is read as it was before it was encoded.
+[[nodiscard]] bool IsReadableCoding(std::string_view transferEncoding) noexcept;
+
 /// \brief Whether name and value are free of characters that allow header injection.
 [[nodiscard]] bool IsSafeHeader(const HttpHeader& header) noexcept;
 
--- a/src/http/http_session_read.cpp
+++ b/src/http/http_session_read.cpp
@@ -38,6 +38,7 @@
 // Shorter limit for connections that are accepted while the server is stopping.
 constexpr Duration kStoppingIdleTimeout = std::chrono::seconds(1);
 
+constexpr unsigned kNotImplemented = 501;
 constexpr std::string_view kDisconnected = "the caller disconnected";
 constexpr const char* kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
 
@@ -77,6 +78,16 @@
   return error == http::error::need_more ? beast::error_code() : error;
 }
 
+// With another coding, the end of the body may not be known; the rest of the body would be read as
+// a further request.
+bool HasReadableBody(const Parser& parser)
+{
+  const auto [first, last] = parser.get().equal_range(http::field::transfer_encoding);
+  return std::all_of(first, last, [](const auto& field) {
+    return IsReadableCoding(std::string_view(field.value().data(), field.value().size()));
+  });
+}
+
 bool ExpectsContinue(const Parser& parser)
 {
   constexpr unsigned kHttp11 = 11;
@@ -308,6 +319,10 @@
     }
     return std::nullopt;
   }
+  if (!HasReadableBody(parser)) {
+    Reject(kNotImplemented, "the transfer coding is not supported");
+    return std::nullopt;
+  }
   auto message = parser.release();
   Request request;
   request.version = message.version();
--- a/tests/unit/http_server_test.cpp
+++ b/tests/unit/http_server_test.cpp
@@ -173,6 +173,51 @@
   }
 }
 
+// Guards against a body whose end is not known being read as a further request, and against one
+// that is encoded being passed on without its encoding.
+TEST(HttpServer, RejectsRequestsWithOtherTransferCodingsThanChunks)
+{
+  const std::vector<std::string> codings{
+    "Transfer-Encoding: gzip\r\n",
+    "Transfer-Encoding: gzip, chunked\r\n",
+    "Transfer-Encoding: chunked, gzip\r\n",
+    "Transfer-Encoding: identity\r\n",
+    "Transfer-Encoding: xchunked\r\n",
+    "Transfer-Encoding:\r\n",
+    "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n",
+    "Transfer-Encoding: gzip\r\nContent-Length: 12\r\n",
+  };
+  const std::vector<std::string> bodies{
+    "POST /inside HTTP/1.1\r\nContent-Length: 0\r\n\r\n",
+    "2\r\nab\r\n0\r\n\r\n",
+  };
+  IoRuntime runtime;
+  for (const std::string& coding : codings) {
+    for (const std::string& body : bodies) {
+      SECTION(coding + body)
+      {
+        RecordingServer server(runtime);
+        server.onRequest = [&](const HttpRequestIn& request) { server.Send(request, "ok", true); };
+        RawConnection caller(runtime, server.address);
+        caller.Write("POST / HTTP/1.1\r\n" + coding + "\r\n" + body);
+        runtime.SleepFor(std::chrono::milliseconds(20));
+        boost::system::error_code ignored;
+        caller.socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
+        const std::string status = caller.ReadToEnd().substr(0, 13);
+        EXPECT_TRUE(status == "HTTP/1.1 501 " || status == "HTTP/1.1 400 ") << status;
+        EXPECT_EQ(server.requests.size(), 0U);
+      }
+    }
+  }
+  SECTION("chunks alone, in any case of letters")
+  {
+    RecordingServer server(runtime);
+    RawConnection caller(runtime, server.address);
+    caller.Write("POST / HTTP/1.1\r\nTransfer-Encoding: Chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n");
+    EXPECT_EQ(server.Request(1).body, "ab");
+  }
+}
+
 // Guards against a caller of HTTP/1.0, which has no interim responses, that takes one for its
 // answer.
 TEST(HttpServer, TellsNoCallerOfHttp10ToContinue)
