Client: an answer with another transfer coding than chunks fails

Cause: the HTTP library undoes chunks only. The client handed the rest on, and Transfer-Encoding is one of the headers that are not passed on. With a coding that does not end in "chunked" the answer was taken for one that lasts until its connection is closed, even if it names a length.

Evidence: HttpClient.AnAnswerWithAnotherTransferCodingThanChunksFails failed before in all 5 codings (10 checks). No call asks for such a coding (TE is not passed on).

Change: the answer fails as corrupt: the request may have run, and is sent again only where that is allowed. One check serves server and client.

--- a/src/http/http_call.cpp
+++ b/src/http/http_call.cpp
@@ -86,6 +86,9 @@
   if (status < kFirstFinalStatus) {
     return "its status is not that of an answer";
   }
+  if (!HasReadableCoding(parser.get())) {
+    return "its transfer coding is not supported";
+  }
   if (parser.need_eof() && !acceptCloseDelimited) {
     return "neither length nor chunks: a cut answer would look whole";
   }
--- a/src/http/http_headers.cpp
+++ b/src/http/http_headers.cpp
@@ -41,9 +41,11 @@
   });
 }
 
-bool IsReadableCoding(std::string_view transferEncoding) noexcept
+bool HasReadableCoding(const boost::beast::http::fields& head)
 {
-  return SameHeaderName(transferEncoding, "chunked");
+  const auto [first, last] = head.equal_range(boost::beast::http::field::transfer_encoding);
+  return std::all_of(
+    first, last, [](const auto& field) { return SameHeaderName(field.value(), "chunked"); });
 }
 
 bool IsSafeHeader(const HttpHeader& header) noexcept
--- a/src/http/http_headers.hpp
+++ b/src/http/http_headers.hpp
@@ -2,6 +2,7 @@
 
 #include "gooseberrysail/roles/inputs.hpp"
 
+#include <boost/beast/http/fields.hpp>
 #include <string_view>
 
 namespace gooseberrysail::impl {
@@ -15,8 +16,8 @@
 /// \brief Whether the header applies to a single connection and must not be forwarded.
 [[nodiscard]] bool IsHopByHopHeader(std::string_view name) noexcept;
 
-/// \brief Whether a body with this Transfer-Encoding is read as it was before it was encoded.
-[[nodiscard]] bool IsReadableCoding(std::string_view transferEncoding) noexcept;
+/// \brief Whether the transfer coding of a message's body is undone when it is read.
+[[nodiscard]] bool HasReadableCoding(const boost::beast::http::fields& head);
 
 /// \brief Whether name and value are free of characters that allow header injection.
 [[nodiscard]] bool IsSafeHeader(const HttpHeader& header) noexcept;
--- a/src/http/http_session_read.cpp
+++ b/src/http/http_session_read.cpp
@@ -78,16 +78,6 @@
   return error == http::error::need_more ? beast::error_code() : error;
 }
 
-// With another coding, the end of the body may not be known; the rest of the body would be read as
-// a further request.
-bool HasReadableBody(const Parser& parser)
-{
-  const auto [first, last] = parser.get().equal_range(http::field::transfer_encoding);
-  return std::all_of(first, last, [](const auto& field) {
-    return IsReadableCoding(std::string_view(field.value().data(), field.value().size()));
-  });
-}
-
 bool ExpectsContinue(const Parser& parser)
 {
   constexpr unsigned kHttp11 = 11;
@@ -319,7 +309,9 @@
     }
     return std::nullopt;
   }
-  if (!HasReadableBody(parser)) {
+  // With another coding, the end of the body may not be known; the rest of the body would be read
+  // as a further request.
+  if (!HasReadableCoding(parser.get())) {
     Reject(kNotImplemented, "the transfer coding is not supported");
     return std::nullopt;
   }
--- a/tests/unit/http_client_test.cpp
+++ b/tests/unit/http_client_test.cpp
@@ -224,6 +224,40 @@
   }
 }
 
+// Guards against a body that is still encoded being handed on as the body of the answer.
+TEST(HttpClient, AnAnswerWithAnotherTransferCodingThanChunksFails)
+{
+  const std::vector<std::string> codings{
+    "Transfer-Encoding: gzip\r\n",
+    "Transfer-Encoding: gzip, chunked\r\n",
+    "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n",
+    "Transfer-Encoding: chunked, gzip\r\n",
+    "Transfer-Encoding: gzip\r\nContent-Length: 2\r\n",
+  };
+  IoRuntime runtime;
+  const auto answerWith = [&](const std::string& coding, RecordingClient& agent) {
+    RawServer target(runtime, "HTTP/1.1 200 OK\r\n" + coding + "\r\n2\r\nab\r\n0\r\n\r\n");
+    agent.Start(target.address, 1);
+    EXPECT_TRUE(agent.WaitFor([&] { return agent.IsWhole() || !agent.failures.empty(); }));
+  };
+  for (const std::string& coding : codings) {
+    SECTION(coding)
+    {
+      RecordingClient agent(runtime, { .acceptCloseDelimited = true });
+      answerWith(coding, agent);
+      EXPECT_TRUE(agent.parts.empty());
+      EXPECT_EQ(agent.failures.size(), 1U);
+    }
+  }
+  SECTION("chunks alone, in any case of letters")
+  {
+    RecordingClient agent(runtime);
+    answerWith("Transfer-Encoding: Chunked\r\n", agent);
+    EXPECT_EQ(agent.Body(), "ab");
+    EXPECT_TRUE(agent.IsWhole());
+  }
+}
+
 // Guards against a target that crashes with unread bytes, and so resets its connections, being
 // taken for a path that failed.
 TEST(HttpClient, ReportsAClosedAndAResetConnectionAlike)
