Server: no length is stated for a body that is not known

What callers saw: "Content-Length: 0" in each answer to HEAD that was passed on from a target, whatever length the target had stated.

Cause: the length of what a target sends is counted anew, and in answer to HEAD it sends no body. A statement that means something to the next reader was written by one that doesn't know it.

Evidence: HttpServer.StatesTheLengthOfABodyThatIsNotSentOnlyIfItIsKnown failed before ("Content-Length: 0"). The length may be left out in answer to HEAD (RFC 9110, 9.3.2); own answers, whose body is known, state it as before, and the connection is kept.

--- a/src/http/http_session_write.cpp
+++ b/src/http/http_session_write.cpp
@@ -205,7 +205,9 @@
   m_response.saysClose = request.keepAlive && !reuse;
   answer.keep_alive(reuse);
   if (hasBody) {
-    if (!m_endsWithConnection) {
+    // A target sends no body in answer to HEAD, so that its length is not known here.
+    const bool isLengthKnown = !request.head || !part.bytes.empty();
+    if (!m_endsWithConnection && isLengthKnown) {
       answer.content_length(part.bytes.size());
     }
     answer.body() = request.head ? std::string() : part.bytes;
--- a/tests/unit/http_server_test.cpp
+++ b/tests/unit/http_server_test.cpp
@@ -173,6 +173,44 @@
   }
 }
 
+// Guards against a length of 0 being stated for a body whose length is not known.
+TEST(HttpServer, StatesTheLengthOfABodyThatIsNotSentOnlyIfItIsKnown)
+{
+  IoRuntime runtime;
+  RecordingServer server(runtime);
+  const auto headOf = [&](const std::string& body) {
+    const std::size_t count = server.requests.size() + 1;
+    RawConnection caller(runtime, server.address);
+    caller.Write("HEAD / HTTP/1.1\r\nConnection: close\r\n\r\n");
+    server.Send(server.Request(count), body, true);
+    return caller.ReadToEnd();
+  };
+  SECTION("an answer passed on from a target, which sent no body either")
+  {
+    const std::string answer = headOf("");
+    EXPECT_TRUE(Contains(answer, "HTTP/1.1 200 OK\r\n"));
+    EXPECT_FALSE(Contains(answer, "Content-Length")) << answer;
+  }
+  SECTION("the connection is kept none the less")
+  {
+    const std::string request = "HEAD / HTTP/1.1\r\n\r\n";
+    const std::size_t count = server.requests.size();
+    RawConnection caller(runtime, server.address);
+    caller.Write(request);
+    server.Send(server.Request(count + 1), "", true);
+    EXPECT_TRUE(caller.ReadUntil("\r\n\r\n"));
+    caller.Write(request);
+    server.Send(server.Request(count + 2), "", true);
+    EXPECT_EQ(server.server.Counters().connections, 2U);
+  }
+  SECTION("an answer whose body is known")
+  {
+    const std::string answer = headOf("whole");
+    EXPECT_TRUE(Contains(answer, "Content-Length: 5\r\n")) << answer;
+    EXPECT_FALSE(Contains(answer, "whole"));
+  }
+}
+
 // Guards against a body whose end is not known being read as a further request, and against one
 // that is encoded being passed on without its encoding.
 TEST(HttpServer, RejectsRequestsWithOtherTransferCodingsThanChunks)
