Client: a target is said to be gone only if it refused the connection

What others were told: control took each error of a connection attempt for "nothing listens at the address: the target is dead" (kNoTarget), after which a silent head is lost without a second probe; an entry took it for a crash of the target, cut the answers whose end was not certain yet, and counted their requests as suspects of it.

Cause: the client reported every error of a connection attempt but its own time-out as kUnavailable: also that this process has no free descriptor or port, or that there is no way to the address. A statement about the target was made by one that knows only its own shortage.

Evidence: HttpClient.SaysThatNobodyListensOnlyIfTheConnectionIsRefused failed before without a free descriptor and without a way to the address (kUnavailable in place of kIo). The consequences in control and dispatcher are read, not played.

Change: kUnavailable only for a refused connection, else kIo, which both readers take as unknown. In all cases the call was never sent.

--- a/include/gooseberrysail/roles/inputs.hpp
+++ b/include/gooseberrysail/roles/inputs.hpp
@@ -142,6 +142,7 @@
 struct TargetFailedIn
 {
   ExchangeId exchange;
+  /// kUnavailable if the target closed the connection or, of a call never sent, refused it.
   Error error;
   bool neverSent = false;   ///< No byte of the call was sent to the target.
   bool isWithdrawn = false; ///< By TargetWithdrawOut, so it says nothing of the target.
--- a/src/http/http_call.cpp
+++ b/src/http/http_call.cpp
@@ -273,7 +273,12 @@
     return true; // Its connection was closed on purpose.
   }
   if (error || m_timedOut || m_cancelled) {
-    return Fail(ErrorCode::kUnavailable, "connect to target", error.message(), true);
+    // Any other error may be a shortage of this process or a path that fails.
+    const bool isRefused = error == asio::error::connection_refused;
+    return Fail(isRefused ? ErrorCode::kUnavailable : ErrorCode::kIo,
+                "connect to target",
+                error.message(),
+                true);
   }
   boost::system::error_code ignored;
   m_socket.set_option(tcp::no_delay(true), ignored);
--- a/tests/unit/http_client_test.cpp
+++ b/tests/unit/http_client_test.cpp
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
+#include <sys/resource.h>
+#include <unistd.h>
 
 namespace gooseberrysail {
 namespace {
@@ -322,6 +324,60 @@
   }
 }
 
+/// \brief Leaves the process no free file descriptor.
+class NoFreeDescriptor
+{
+public:
+  NoFreeDescriptor()
+  {
+    getrlimit(RLIMIT_NOFILE, &m_before);
+    rlimit used = m_before;
+    const int lowest = dup(STDERR_FILENO);
+    close(lowest);
+    used.rlim_cur = static_cast<rlim_t>(lowest);
+    setrlimit(RLIMIT_NOFILE, &used);
+  }
+  ~NoFreeDescriptor() { setrlimit(RLIMIT_NOFILE, &m_before); }
+  NoFreeDescriptor(const NoFreeDescriptor&) = delete;
+  NoFreeDescriptor& operator=(const NoFreeDescriptor&) = delete;
+
+private:
+  rlimit m_before{};
+};
+
+// Guards against a shortage of this process, or a path that fails, being taken for a target that is
+// gone.
+TEST(HttpClient, SaysThatNobodyListensOnlyIfTheConnectionIsRefused)
+{
+  IoRuntime runtime;
+  std::string address;
+  {
+    RawServer closed(runtime, "");
+    address = closed.address;
+  }
+  const auto codeFor = [&](const std::string& target) {
+    RecordingClient agent(runtime);
+    agent.Start(target, 1);
+    EXPECT_TRUE(agent.WaitFor([&] { return !agent.failures.empty(); }));
+    EXPECT_TRUE(agent.failures[0].neverSent);
+    EXPECT_EQ(agent.failures[0].error.step, "connect to target");
+    return agent.failures[0].error.code;
+  };
+  SECTION("nobody listens")
+  {
+    EXPECT_EQ(codeFor(address), ErrorCode::kUnavailable);
+  }
+  SECTION("there is no way to the address")
+  {
+    EXPECT_EQ(codeFor("127.255.255.255:9"), ErrorCode::kIo);
+  }
+  SECTION("no file descriptor is free")
+  {
+    const NoFreeDescriptor none;
+    EXPECT_EQ(codeFor(address), ErrorCode::kIo);
+  }
+}
+
 TEST(HttpClient, ACancelledCallIsSeenByTheTargetAndNoHookIsCalled)
 {
   IoRuntime runtime;
