--- a/tests/unit/http_server_test.cpp
+++ b/tests/unit/http_server_test.cpp
@@ -173,6 +173,104 @@
   }
 }
 
+// Guards against a length of 0 being stated for a body whose length is not known.
+TEST(HttpServer, StatesTheLengthOfABodyThatIsNotSentOnlyIfItIsKnown)
+{
+  IoRuntime runtime;
+  RecordingServer server(runtime);
+  const auto headOf = [&](const std::string& body) {
+    const std::size_t count = server.requests.size() + 1;
+    RawConnection caller(runtime, server.address);
+    caller.Write("HEAD / HTTP/1.1\r\nConnection: close\r\n\r\n");
+    server.Send(server.Request(count), body, true);
+    return caller.ReadToEnd();
+  };
+  SECTION("an answer passed on from a target, which sent no body either")
+  {
+    const std::string answer = headOf("");
+    EXPECT_TRUE(Contains(answer, "HTTP/1.1 200 OK\r\n"));
+    EXPECT_FALSE(Contains(answer, "Content-Length")) << answer;
+  }
+  SECTION("the connection is kept none the less")
+  {
+    const std::string request = "HEAD / HTTP/1.1\r\n\r\n";
+    const std::size_t count = server.requests.size();
+    RawConnection caller(runtime, server.address);
+    caller.Write(request);
+    server.Send(server.Request(count + 1), "", true);
+    EXPECT_TRUE(caller.ReadUntil("\r\n\r\n"));
+    caller.Write(request);
+    server.Send(server.Request(count + 2), "", true);
+    EXPECT_EQ(server.server.Counters().connections, 2U);
+  }
+  SECTION("an answer whose body is known")
+  {
+    const std::string answer = headOf("whole");
+    EXPECT_TRUE(Contains(answer, "Content-Length: 5\r\n")) << answer;
+    EXPECT_FALSE(Contains(answer, "whole"));
+  }
+}
+
+// Guards against a body whose end is not known being read as a further request, and against one
+// that is encoded being passed on without its encoding.
+TEST(HttpServer, RejectsRequestsWithOtherTransferCodingsThanChunks)
+{
+  const std::vector<std::string> codings{
+    "Transfer-Encoding: gzip\r\n",
+    "Transfer-Encoding: gzip, chunked\r\n",
+    "Transfer-Encoding: chunked, gzip\r\n",
+    "Transfer-Encoding: identity\r\n",
+    "Transfer-Encoding: xchunked\r\n",
+    "Transfer-Encoding:\r\n",
+    "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n",
+    "Transfer-Encoding: gzip\r\nContent-Length: 12\r\n",
+  };
+  const std::vector<std::string> bodies{
+    "POST /inside HTTP/1.1\r\nContent-Length: 0\r\n\r\n",
+    "2\r\nab\r\n0\r\n\r\n",
+  };
+  IoRuntime runtime;
+  for (const std::string& coding : codings) {
+    for (const std::string& body : bodies) {
+      SECTION(coding + body)
+      {
+        RecordingServer server(runtime);
+        server.onRequest = [&](const HttpRequestIn& request) { server.Send(request, "ok", true); };
+        RawConnection caller(runtime, server.address);
+        caller.Write("POST / HTTP/1.1\r\n" + coding + "\r\n" + body);
+        runtime.SleepFor(std::chrono::milliseconds(20));
+        boost::system::error_code ignored;
+        caller.socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
+        const std::string status = caller.ReadToEnd().substr(0, 13);
+        EXPECT_TRUE(status == "HTTP/1.1 501 " || status == "HTTP/1.1 400 ") << status;
+        EXPECT_EQ(server.requests.size(), 0U);
+      }
+    }
+  }
+  SECTION("chunks alone, in any case of letters")
+  {
+    RecordingServer server(runtime);
+    RawConnection caller(runtime, server.address);
+    caller.Write("POST / HTTP/1.1\r\nTransfer-Encoding: Chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n");
+    EXPECT_EQ(server.Request(1).body, "ab");
+  }
+}
+
+// Guards against a caller of HTTP/1.0, which has no interim responses, that takes one for its
+// answer.
+TEST(HttpServer, TellsNoCallerOfHttp10ToContinue)
+{
+  IoRuntime runtime;
+  RecordingServer server(runtime);
+  RawConnection caller(runtime, server.address);
+  caller.Write("POST / HTTP/1.0\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n");
+  runtime.SleepFor(std::chrono::milliseconds(50));
+  caller.Write("ab");
+  EXPECT_EQ(server.Request(1).body, "ab");
+  server.Send(server.Request(1), "done", true);
+  EXPECT_EQ(caller.ReadToEnd().substr(0, 13), "HTTP/1.0 200 ");
+}
+
 // Guards against engines that keep working for callers that have disconnected.
 TEST(HttpServer, DetectsADisconnectWhileTheResponseIsPending)
 {
