Test: real targets that run requests and answer with a promise (failing)

What callers saw: 408, 429 or 503, each of which promises that the request has not run, for requests that a target had run.

A stand-in replica runs a share of its requests and answers with such a status, with id and seal and without the statement that the request did not run; another gives successes that state the contrary, or states it twice in a rejection.

--- a/tests/soak/replica.cpp
+++ b/tests/soak/replica.cpp
@@ -17,6 +17,7 @@
 constexpr std::size_t kEvents = 10;
 constexpr auto kTimeBetweenEvents = 25ms;
 constexpr const char* kEventStream = "text/event-stream";
+constexpr const char* kNotExecuted = "X-Not-Executed";
 constexpr auto kServiceTime = 10ms;
 constexpr auto kTimeBetweenParts = 5ms;
 constexpr std::size_t kPadding = 3000;
@@ -253,6 +254,16 @@
   if (!m_limit.empty()) {
     answer.set("Server-Limit", m_limit);
   }
+  if (DrawWithProbability(m_unstatedRefusalRate)) {
+    ++m_untrueAnswers;
+    answer.result(m_unstatedRefusalStatus);
+    answer.prepare_payload();
+    return SendInParts(socket, answer, false);
+  }
+  if (DrawWithProbability(m_contradictionRate)) {
+    ++m_untrueAnswers;
+    answer.set(kNotExecuted, "1");
+  }
   const bool isTruncated = DrawWithProbability(m_answerTruncationRate);
   bool isSent = false;
   if (m_member || m_isStreaming) {
@@ -274,7 +285,10 @@
 
 bool Replica::Reject(Socket& socket, Response response)
 {
-  response.set("X-Not-Executed", "1");
+  response.set(kNotExecuted, "1");
+  if (DrawWithProbability(m_repeatedStatementRate)) {
+    response.insert(kNotExecuted, "1");
+  }
   response.prepare_payload();
   m_silence.Wait();
   boost::system::error_code error;
--- a/tests/soak/replica.hpp
+++ b/tests/soak/replica.hpp
@@ -42,6 +42,17 @@
   void SetAnswerLossRate(double rate) { m_answerLossRate = rate; }
   /// \brief Sets the share of answers that are truncated, 0 to 1.
   void SetAnswerTruncationRate(double rate) { m_answerTruncationRate = rate; }
+  /// \brief Sets the share of requests that it runs and answers with a status that promises the
+  /// contrary, 0 to 1. The answers bear id and seal, and don't state that the request did not run.
+  void SetUnstatedRefusals(double rate, unsigned status)
+  {
+    m_unstatedRefusalStatus = status;
+    m_unstatedRefusalRate = rate;
+  }
+  /// \brief Sets the share of successful answers that state that the request did not run, 0 to 1.
+  void SetContradictionRate(double rate) { m_contradictionRate = rate; }
+  /// \brief Sets the share of rejections that state twice that the request did not run, 0 to 1.
+  void SetRepeatedStatementRate(double rate) { m_repeatedStatementRate = rate; }
   /// \brief Lets its answers have neither length nor chunks, and end with their connections.
   void SetUnframed() { m_isUnframed = true; }
   /// \brief Lets a replica of a plain service stream its answers, as one of a model does.
@@ -66,6 +77,9 @@
   [[nodiscard]] std::uint64_t Rejections() const { return m_rejections; }
   /// \brief How many requests it has run.
   [[nodiscard]] std::uint64_t Runs() const { return m_runs; }
+  /// \brief How many requests it has run and answered with a promise or a statement that they did
+  /// not run.
+  [[nodiscard]] std::uint64_t UntrueAnswers() const { return m_untrueAnswers; }
   /// \brief How often it has crashed.
   [[nodiscard]] std::uint64_t Crashes() const { return m_crashes; }
   [[nodiscard]] test::RelayThread& Relay() { return *m_relay; }
@@ -129,6 +143,10 @@
   std::atomic<std::uint64_t> m_generation = 1;
   std::atomic<double> m_answerLossRate = 0;
   std::atomic<double> m_answerTruncationRate = 0;
+  std::atomic<double> m_unstatedRefusalRate = 0;
+  std::atomic<unsigned> m_unstatedRefusalStatus = 503;
+  std::atomic<double> m_contradictionRate = 0;
+  std::atomic<double> m_repeatedStatementRate = 0;
   std::string m_crashBody;    ///< Set before the first request; "" for none.
   std::string m_limit;        ///< Likewise.
   std::string m_answeredPath; ///< Likewise.
@@ -140,6 +158,7 @@
   std::atomic<bool> m_isLeaving = false;
   std::atomic<std::uint64_t> m_rejections = 0;
   std::atomic<std::uint64_t> m_runs = 0;
+  std::atomic<std::uint64_t> m_untrueAnswers = 0;
   std::atomic<std::uint64_t> m_crashes = 0;
   std::atomic<bool> m_stop = false;
   std::mutex m_mutex; ///< Guards m_random, m_retryAfter and m_connections.
--- a/tests/support/serving_installation.hpp
+++ b/tests/support/serving_installation.hpp
@@ -31,7 +31,11 @@
 
   HttpReply Ask(const std::string& body)
   {
-    return site.CallEntry("/a/x", "key-of-t1", "r-" + std::to_string(++m_asked), body);
+    const std::string id = "r-" + std::to_string(++m_asked);
+    ledger.OnRequestSent(id, true);
+    const HttpReply reply = site.CallEntry("/a/x", "key-of-t1", id, body);
+    ledger.OnReply(id, reply.status, soak::IsAnswerTo(id, reply));
+    return reply;
   }
 
   /// \brief How many requests all replicas have run.
