Test: a target that runs a request and calls it misdirected (failing)

A target that runs a request and answers 421, without stating that the request did not run, is taken at its word: the request is sent to another target, or its caller is told 503.

--- a/tests/process/target_trouble_test.cpp
+++ b/tests/process/target_trouble_test.cpp
@@ -203,6 +203,14 @@
   }
 }
 
+// Guards against a request that is refused, or sent once more, because its target ran it and said
+// that it is misdirected.
+TEST(TargetTrouble, ARequestThatRanIsNotCalledMisdirected)
+{
+  ExpectPromisesKeptBeside("421",
+                           [](soak::Replica& replica) { replica.SetUnstatedRefusals(0.3, 421); });
+}
+
 // Guards against a success that states that the request did not run, taken for a refusal.
 TEST(TargetTrouble, ASuccessThatDeniesItselfIsNoRefusal)
 {
