Soak: a promise holds for requests that may be repeated, too

The ledger judged 408, 421, 429 and 503 for requests that had run only where these may run once at most. The protocol makes no such distinction: "Status codes 429 and 503 are a promise, and so are 408 and 421: each means that the request has not run and never will run." A caller may act on it for any request, and an entry that tells one kind the truth does so for all.

--- a/tests/soak/ledger.cpp
+++ b/tests/soak/ledger.cpp
@@ -89,7 +89,7 @@
   const std::scoped_lock lock(m_mutex);
   std::vector<std::string> violations = m_violations;
   for (const auto& [id, row] : m_records) {
-    if (row.hasReply && GuaranteesNotRun(row.status) && !row.runs.empty() && !row.isRepeatable) {
+    if (row.hasReply && GuaranteesNotRun(row.status) && !row.runs.empty()) {
       violations.push_back(id + " was refused with " + std::to_string(row.status) + " and ran at " +
                            row.runs.front().instance);
     }
