Soak: replicas that give untrue answers

For some seconds, beside the other faults, a replica runs requests and answers 0.3 of them with 408, 429 or 503, with id and seal and without the statement that they did not run, or with a success that states so; rejections state it twice half of the time. The ledger judges them by what callers read and replicas ran.

--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -20,6 +20,11 @@
 constexpr std::chrono::milliseconds kLongestPause{ 900 };
 constexpr std::chrono::milliseconds kShortestSilence{ 300 };
 constexpr std::chrono::milliseconds kLongestSilence{ 2000 };
+/// One in so many faults comes with a replica that gives untrue answers.
+constexpr std::uint64_t kFaultsPerUntruth = 4;
+constexpr double kUntrueShare = 0.3;
+constexpr double kRepeatedStatementShare = 0.5;
+constexpr std::uint64_t kUntruthSeed = 0x9E3779B97F4A7C15;
 
 /// \brief One run: starts the processes, injects faults and checks the results.
 class Soak
@@ -28,6 +33,7 @@
   explicit Soak(const SoakSettings& settings)
     : m_settings(settings)
     , m_random(settings.seed)
+    , m_untruthRandom(settings.seed ^ kUntruthSeed)
     , m_cluster(settings.daemon, settings.entries)
   {
     for (std::size_t number = 0; number < settings.replicas; ++number) {
@@ -39,6 +45,9 @@
       m_replicas.push_back(std::make_unique<Replica>(
         "h" + std::to_string(number + 1), m_cluster.Controls(), m_ledger, m_random(), "m"));
     }
+    for (const auto& replica : m_replicas) {
+      replica->SetRepeatedStatementRate(kRepeatedStatementShare);
+    }
   }
 
   SoakReport Run()
@@ -51,6 +60,7 @@
       Callers callers(m_cluster.Entries(), m_settings.callers, m_ledger, m_random());
       while (Clock::now() - m_start < m_settings.length && !m_settings.shouldStop()) {
         InjectFault();
+        InjectUntrueAnswers();
         EndExpiredFaults(Clock::now());
         CheckConfig();
         std::this_thread::sleep_for(RandomDuration(kShortestPause, kLongestPause));
@@ -267,6 +277,28 @@
     }
   }
 
+  /// Drawn apart from the other faults, so that those of a seed stay the same.
+  void InjectUntrueAnswers()
+  {
+    if (m_untruthRandom() % kFaultsPerUntruth != 0) {
+      return;
+    }
+    Replica* replica = m_replicas[m_untruthRandom() % m_replicas.size()].get();
+    const std::chrono::milliseconds length{ 1000 + m_untruthRandom() % 2000 };
+    // 0: a success that states that the request did not run.
+    static constexpr unsigned kStatuses[] = { 0, 408, 429, 503 };
+    const unsigned status = kStatuses[m_untruthRandom() % std::size(kStatuses)];
+    if (status == 0) {
+      m_faults.Add(replica->Name() + " denies runs in successful answers");
+      replica->SetContradictionRate(kUntrueShare);
+      EndAfter(length, [replica] { replica->SetContradictionRate(0); });
+    } else {
+      m_faults.Add(replica->Name() + " answers runs with " + std::to_string(status));
+      replica->SetUnstatedRefusals(kUntrueShare, status);
+      EndAfter(length, [replica] { replica->SetUnstatedRefusals(0, 503); });
+    }
+  }
+
   /// Checks that no control process returns a version older than the last one acknowledged.
   void CheckConfig()
   {
@@ -311,6 +343,7 @@
 
   SoakSettings m_settings;
   std::mt19937_64 m_random;
+  std::mt19937_64 m_untruthRandom;
   Ledger m_ledger;
   Cluster m_cluster;
   std::vector<std::unique_ptr<Replica>> m_replicas;
