--- a/include/gooseberrysail/gateway/dispatcher.hpp
+++ b/include/gooseberrysail/gateway/dispatcher.hpp
@@ -2,6 +2,7 @@
 
 #include "gooseberrysail/admission/caller_retries.hpp"
 #include "gooseberrysail/admission/retry_places.hpp"
+#include "gooseberrysail/core/http_status.hpp"
 #include "gooseberrysail/gateway/answer_limits.hpp"
 #include "gooseberrysail/gateway/event_splitter.hpp"
 #include "gooseberrysail/gateway/finished_requests.hpp"
@@ -139,6 +140,7 @@
   static constexpr Duration kGoesOnAfter = std::chrono::milliseconds(50);
   /// With less time left than this, no target can answer before the deadline.
   static constexpr Duration kMinTimeLeft = std::chrono::milliseconds(5);
+  static constexpr const char* kTimeIsOver = "the time for the answer is over";
 
   /// \brief A bound on what is held of an answer.
   enum class AnswerBound
@@ -257,6 +259,11 @@
                                           std::uint32_t inFlight) const;
   /// \brief Limits the predicted first event and pause at the heads for a request.
   void SetForecastLimits(TimePoint now, const Request& request, TargetQuery& query) const;
+  /// rief Whether a target could still answer before the deadline.
+  [[nodiscard]] static bool HasTime(TimePoint now, const Request& request)
+  {
+    return request.deadline - now > kMinTimeLeft;
+  }
   void Attempt(TimePoint now, Request& request, Outbox& outbox);
   /// \brief Sends a request that may wait no longer, if a target has capacity now.
   void SendOrGiveUp(TimePoint now, Request& request, Outbox& outbox);
@@ -310,6 +317,22 @@
   [[nodiscard]] static std::string StatusText(unsigned status);
   /// \brief For log lines: whether the answer states that the call did not run; "" without answer.
   [[nodiscard]] static const char* StatementOf(const SentCall& sent);
+  /// \brief Whether an answer with this status may go on with a stream that the caller has begun to
+  /// get. One without a body would only end it.
+  [[nodiscard]] static bool Resumes(const Request& request, unsigned status)
+  {
+    constexpr unsigned kOk = 200;
+    return IsStream(request.route->repeat) && status == kOk;
+  }
+  /// \brief Whether the status says that the request has not run, but its target doesn't state so.
+  [[nodiscard]] static bool IsUnstatedRefusal(const TargetHead& head)
+  {
+    return PromisesNotRun(head.status) && !head.HasNotRun();
+  }
+  /// \brief Why an attempt with this head has failed at its target.
+  [[nodiscard]] static std::string FailureOf(const TargetHead& head);
+  /// \brief Ends a request whose target's status must not be passed on.
+  void ReplaceAnswer(TimePoint now, Request& request, const TargetHead& head, Outbox& outbox);
   /// \brief A part of the answer that is forwarded.
   void OnPart(TimePoint now, Request& request, const TargetAnswerIn& part, Outbox& outbox);
   void OnHead(TimePoint now, Request& request, const TargetAnswerIn& part, Outbox& outbox);
@@ -381,10 +404,10 @@
                  const std::string& reason,
                  Outbox& outbox,
                  std::optional<Duration> retryAfter);
-  /// \brief Cancels the hedges, as the request is served without them.
-  void DropHedges(TimePoint now, Request& request, Outbox& outbox);
-  /// \brief Forwards the answer of this hedge from now on; no other attempt is in flight, but for
-  /// other hedges.
+  /// \brief Cancels the hedges but for `kept`, as the request is served without them.
+  void DropHedges(TimePoint now, Request& request, ExchangeId kept, Outbox& outbox);
+  /// \brief Forwards the answer of this hedge from now on. Other attempts may be in flight only
+  /// while it has no events.
   void ForwardHedge(TimePoint now, Request& request, ExchangeId exchange, Outbox& outbox);
 
   // Answers that end with their connections (dispatcher_unconfirmed.cpp).
--- a/src/gateway/dispatcher.cpp
+++ b/src/gateway/dispatcher.cpp
@@ -1,6 +1,5 @@
 #include "gooseberrysail/gateway/dispatcher.hpp"
 
-#include "gooseberrysail/core/http_status.hpp"
 #include "gooseberrysail/observe/event.hpp"
 
 #include <algorithm>
@@ -127,19 +126,21 @@
 
 void Dispatcher::Attempt(TimePoint now, Request& request, Outbox& outbox)
 {
-  const ServedTarget* target = m_selector.Choose(now, QueryOf(now, request));
-  if (target == nullptr) {
-    if (!TryEnqueue(now, request, outbox)) {
-      GiveUp(now, request, outbox);
-    }
-    return;
+  if (!HasTime(now, request)) {
+    request.lastError = kTimeIsOver;
+    GiveUp(now, request, outbox);
+  } else if (const ServedTarget* target = m_selector.Choose(now, QueryOf(now, request))) {
+    Send(now, request, *target, outbox);
+  } else if (!TryEnqueue(now, request, outbox)) {
+    GiveUp(now, request, outbox);
   }
-  Send(now, request, *target, outbox);
 }
 
 void Dispatcher::SendOrGiveUp(TimePoint now, Request& request, Outbox& outbox)
 {
-  if (const ServedTarget* target = m_selector.Choose(now, QueryOf(now, request))) {
+  const ServedTarget* target =
+    HasTime(now, request) ? m_selector.Choose(now, QueryOf(now, request)) : nullptr;
+  if (target != nullptr) {
     request.queued = now - std::exchange(request.queuedAt, std::nullopt).value_or(now);
     Send(now, request, *target, outbox);
   } else {
@@ -240,6 +241,9 @@
     std::size_t skipped = 0;
     for (const ExchangeId waiting : m_queue.ListInOrder(kind)) {
       Request& request = *Find(waiting);
+      if (!HasTime(now, request)) {
+        continue; // The next tick ends it.
+      }
       if (const ServedTarget* target = m_selector.Choose(now, QueryOf(now, request))) {
         m_queue.Dequeue(waiting);
         request.queued = now - std::exchange(request.queuedAt, std::nullopt).value_or(now);
@@ -257,7 +261,7 @@
   const bool isAllowed = repeatable && !m_suspects.IsQuarantined(request.fingerprint) &&
                          FindHeldPart(request) == nullptr &&
                          request.attempts - request.excusedAttempts < request.route->maxAttempts &&
-                         request.deadline - now > kMinTimeLeft;
+                         HasTime(now, request);
   // The allowance is asked first: choosing a target looks at all of them.
   if (!isAllowed || !m_retries.HasLeft(now, request.service)) {
     return nullptr;
@@ -430,9 +434,6 @@
   if (head.statesNotRun) {
     return "answered " + status + ", stating that it did not run the request";
   }
-  if (PromisesNotRun(head.status)) {
-    return "answered " + status + " without stating that it did not run the request";
-  }
   return IsSuccess(head.status) && !head.isProven ? "a success without its seal" : "";
 }
 
@@ -453,22 +454,27 @@
     AttemptEnded(now, request, outbox, !head.HasNotRun(), fault, head.retryAfter);
     return;
   }
+  const bool isUnstated = IsUnstatedRefusal(head);
   const bool isRetried =
     head.status >= kServerFault && MayRunAgain(request.route->repeat) && !request.headForwarded;
-  if (isRetried && !request.hedges.empty()) {
-    AttemptEnded(now, request, outbox, true, "failed with " + std::to_string(head.status));
+  if ((isRetried || isUnstated) && !request.hedges.empty()) {
+    AttemptEnded(now, request, outbox, true, FailureOf(head));
     return;
   }
   if (const ServedTarget* target = isRetried ? TakeRetry(now, request, true) : nullptr) {
     StopAttempt(request, outbox, true);
     request.mayHaveRun = true;
-    request.lastError = "failed with " + std::to_string(head.status);
-    LogFailedAttempt(now, request, request.sent, true, request.lastError, std::nullopt, outbox);
+    request.lastError = FailureOf(head);
+    LogFailedAttempt(now, request, request.sent, true, request.lastError, head.retryAfter, outbox);
     Send(now, request, *target, outbox);
     return;
   }
+  if (isUnstated && !request.headForwarded) {
+    ReplaceAnswer(now, request, head, outbox);
+    return;
+  }
   request.streams = IsStream(request.route->repeat) && IsSuccess(head.status);
-  if (request.headForwarded && !request.streams) {
+  if (request.headForwarded && !Resumes(request, head.status)) {
     AttemptEnded(now, request, outbox, true, "could not go on with the stream");
     return;
   }
@@ -482,6 +488,33 @@
   OnBody(now, request, part, outbox);
 }
 
+std::string Dispatcher::FailureOf(const TargetHead& head)
+{
+  const std::string status = std::to_string(head.status);
+  return IsUnstatedRefusal(head)
+           ? "answered " + status + " without stating that it did not run the request"
+           : "failed with " + status;
+}
+
+// Its target is at work, and may answer all requests of one workspace like that: it isn't avoided.
+void Dispatcher::ReplaceAnswer(TimePoint now,
+                               Request& request,
+                               const TargetHead& head,
+                               Outbox& outbox)
+{
+  StopAttempt(request, outbox, true);
+  request.mayHaveRun = true;
+  request.lastError = FailureOf(head);
+  LogFailedAttempt(now, request, request.sent, true, request.lastError, head.retryAfter, outbox);
+  const TargetQuery query = QueryOf(now, request);
+  std::optional<Duration> retryAfter;
+  if (MayRunAgain(request.route->repeat)) {
+    retryAfter = RetryAfter(now, request, query, m_selector.ReasonForNoTarget(now, query));
+  }
+  const unsigned status = now >= request.deadline ? 504 : 502;
+  Refuse(now, request, { status, request.lastError, retryAfter }, outbox);
+}
+
 void Dispatcher::OnBody(TimePoint now, Request& request, const TargetAnswerIn& part, Outbox& outbox)
 {
   if (request.streams) {
@@ -625,7 +658,7 @@
 
 void Dispatcher::Complete(TimePoint now, Request& request, unsigned status, Outbox& outbox)
 {
-  DropHedges(now, request, outbox);
+  DropHedges(now, request, ExchangeId(), outbox);
   StopAttempt(request, outbox, false);
   if (request.framing == AnswerFraming::kUntilClose) {
     CompleteUnconfirmed(now, request, status, outbox);
@@ -730,7 +763,7 @@
   while (!m_deadlines.empty() && m_deadlines.begin()->first <= now) {
     Request& request = *Find(m_deadlines.begin()->second);
     request.mayHaveRun = request.mayHaveRun || !request.sent.exchange.IsNone();
-    request.lastError = "the time for the answer is over";
+    request.lastError = kTimeIsOver;
     StopAttempts(now, request, request.lastError, outbox);
     GiveUp(now, request, outbox);
   }
