--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -286,7 +286,7 @@
     Replica* replica = m_replicas[m_untruthRandom() % m_replicas.size()].get();
     const std::chrono::milliseconds length{ 1000 + m_untruthRandom() % 2000 };
     // 0: a success that states that the request did not run.
-    static constexpr unsigned kStatuses[] = { 0, 408, 429, 503 };
+    static constexpr unsigned kStatuses[] = { 0, 408, 421, 429, 503 };
     const unsigned status = kStatuses[m_untruthRandom() % std::size(kStatuses)];
     if (status == 0) {
       m_faults.Add(replica->Name() + " denies runs in successful answers");
