--- a/tests/unit/adversary_test.cpp
+++ b/tests/unit/adversary_test.cpp
@@ -1,10 +1,17 @@
 #include "adversary/dispatcher_schedule.hpp"
+#include "gooseberrysail/cli/read_file.hpp"
 #include "support/section.hpp"
 
+#include <algorithm>
+#include <array>
 #include <chrono>
 #include <gtest/gtest.h>
 #include <iostream>
 #include <set>
+#include <sstream>
+#include <string>
+#include <utility>
+#include <vector>
 
 namespace gooseberrysail::adversary {
 namespace {
@@ -76,5 +83,72 @@
   }
 }
 
+constexpr std::array kElementNames{ "status",      "statement",    "answered id",  "seal",
+                                    "framing",     "pieces",       "end",          "delay",
+                                    "connection",  "retry after",  "limit",        "leaving",
+                                    "second copy", "repeat",       "max attempts", "deadline",
+                                    "patience",    "request body", "list",         "clock" };
+
+std::vector<std::vector<std::string>> RowsOfPage()
+{
+  constexpr std::string_view kLine = "|---";
+  const auto page = ReadWholeFile(GOOSEBERRYSAIL_SOURCE_DIR "/docs/design/adversary.md");
+  if (!page) {
+    return {};
+  }
+  std::istringstream lines(page.value());
+  std::string line;
+  while (std::getline(lines, line) && !line.starts_with(kLine)) {
+  }
+  std::vector<std::vector<std::string>> rows;
+  while (std::getline(lines, line) && line.starts_with("| ")) {
+    std::vector<std::string> cells;
+    for (std::size_t from = 2, bar = line.find(" |", from); bar != std::string::npos;
+         from = bar + 3, bar = line.find(" |", std::min(from, line.size()))) {
+      cells.push_back(line.substr(from, bar - from));
+    }
+    rows.push_back(std::move(cells));
+  }
+  return rows;
+}
+
+bool IsTest(const std::string& name)
+{
+  const testing::UnitTest& tests = *testing::UnitTest::GetInstance();
+  for (int suite = 0; suite < tests.total_test_suite_count(); ++suite) {
+    const testing::TestSuite& known = *tests.GetTestSuite(suite);
+    for (int test = 0; test < known.total_test_count(); ++test) {
+      if (known.name() + ("." + std::string(known.GetTestInfo(test)->name())) == name) {
+        return true;
+      }
+    }
+  }
+  return false;
+}
+
+// Guards against a page that describes other rows than those that schedules draw.
+TEST(Adversary, ItsPageHasTheRowsOfItsTable)
+{
+  const std::vector<std::vector<std::string>> written = RowsOfPage();
+  ASSERT_EQ(written.size(), AllRows().size());
+  for (std::size_t number = 0; number < written.size(); ++number) {
+    const Row& row = AllRows()[number];
+    const std::vector<std::string>& cells = written[number];
+    SECTION(std::string(row.peer) + ": " + row.conduct)
+    {
+      ASSERT_EQ(cells.size(), 6U);
+      EXPECT_EQ(cells[0], kElementNames.at(static_cast<std::size_t>(row.element)));
+      EXPECT_EQ(cells[1], std::to_string(row.value));
+      EXPECT_EQ(cells[2], row.peer);
+      EXPECT_EQ(cells[3], row.conduct);
+      EXPECT_FALSE(cells[4].empty());
+      const std::string& shown = cells[5];
+      const std::string name =
+        shown.substr(std::min<std::size_t>(1, shown.size()), shown.find('`', 1) - 1);
+      EXPECT_TRUE(shown == "no" || shown == "soak" || IsTest(name)) << shown;
+    }
+  }
+}
+
 } // namespace
 } // namespace gooseberrysail::adversary
