Test: the adversary's schedules can be counted, and say which promise broke first

GOOSEBERRYSAIL_SCHEDULES sets how many schedules are drawn; anything but a positive number fails the test. For each broken promise the first seed is printed.

--- a/tests/unit/adversary_test.cpp
+++ b/tests/unit/adversary_test.cpp
@@ -4,9 +4,12 @@
 
 #include <algorithm>
 #include <array>
+#include <charconv>
 #include <chrono>
+#include <cstdlib>
 #include <gtest/gtest.h>
 #include <iostream>
+#include <map>
 #include <set>
 #include <sstream>
 #include <string>
@@ -24,6 +27,19 @@
 constexpr std::uint64_t kFirstSeed = 1;
 constexpr std::size_t kMostReported = 5;
 
+/// \brief The number of schedules in GOOSEBERRYSAIL_SCHEDULES, or kSchedules; 0 if it is invalid.
+std::uint64_t CountSchedules()
+{
+  const char* given = std::getenv("GOOSEBERRYSAIL_SCHEDULES");
+  if (given == nullptr) {
+    return kSchedules;
+  }
+  const std::string_view text = given;
+  std::uint64_t count = 0;
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), count);
+  return error == std::errc() && end == text.data() + text.size() ? count : 0;
+}
+
 void Report(std::uint64_t seed, const std::vector<std::uint32_t>& recorded)
 {
   Choices shortest(Shorten(recorded));
@@ -42,16 +58,22 @@
 // allows.
 TEST(Adversary, FindsNoBrokenPromiseOfADispatcher)
 {
+  const std::uint64_t schedules = CountSchedules();
+  ASSERT_GT(schedules, 0U) << "GOOSEBERRYSAIL_SCHEDULES is no number of schedules";
   std::set<const Row*> drawn;
+  std::map<std::string, std::uint64_t> firstSeeds; ///< By promise.
   std::size_t reported = 0;
   std::uint64_t broken = 0;
   std::chrono::duration<double> took{};
-  for (std::uint64_t seed = kFirstSeed; seed < kFirstSeed + kSchedules; ++seed) {
+  for (std::uint64_t seed = kFirstSeed; seed < kFirstSeed + schedules; ++seed) {
     Choices choices(seed);
     const auto begin = std::chrono::steady_clock::now();
     const Outcome outcome = PlayDispatcher(choices);
     took += std::chrono::steady_clock::now() - begin;
     drawn.insert(choices.DrawnRows().begin(), choices.DrawnRows().end());
+    for (const std::string& violation : outcome.violations) {
+      firstSeeds.emplace(violation.substr(violation.find(": ") + 2), seed);
+    }
     if (!outcome.violations.empty()) {
       ++broken;
       if (reported++ < kMostReported) {
@@ -59,10 +81,13 @@
       }
     }
   }
-  std::cout << kSchedules << " schedules from seed " << kFirstSeed << ", " << broken
+  std::cout << schedules << " schedules from seed " << kFirstSeed << ", " << broken
             << " broken; rows drawn: " << drawn.size() << " of " << AllRows().size() << "; "
-            << static_cast<std::uint64_t>(static_cast<double>(kSchedules) / took.count())
+            << static_cast<std::uint64_t>(static_cast<double>(schedules) / took.count())
             << " schedules a second\n";
+  for (const auto& [promise, seed] : firstSeeds) {
+    std::cout << "first broken by seed " << seed << ": " << promise << "\n";
+  }
   EXPECT_EQ(broken, 0U);
   for (const Row& row : AllRows()) {
     EXPECT_TRUE(drawn.contains(&row)) << row.peer << ": " << row.conduct;
