Tests: calls to control are sent again after 504 as after 503

Control answers 504 where an order may take effect, also while no leader is known. Operators go on after any 5xx; the harnesses wait for the same final answers as before.

--- a/tests/support/platform_installation.hpp
+++ b/tests/support/platform_installation.hpp
@@ -60,14 +60,14 @@
       m_folder.Path() + "/" + name + ".out");
   }
 
-  /// Sends a configuration until control answers with anything but 503.
+  /// Sends a configuration until control answers with anything but 503 and 504.
   [[nodiscard]] unsigned Put(const std::string& config) const
   {
     unsigned status = 0;
     EXPECT_TRUE(WaitUntil(
       [&] {
         status = CallControl("PUT", config).status;
-        return status != 0 && status != 503;
+        return status != 0 && status != 503 && status != 504;
       },
       kTimeout));
     return status;
--- a/tests/support/test_cluster.cpp
+++ b/tests/support/test_cluster.cpp
@@ -168,8 +168,11 @@
         call.body = body;
         call.timeout = std::chrono::seconds(5);
         reply = Call(call);
-        // 421: another process leads; 503: no leader yet; 0: no answer, as of a stopped process.
-        if (reply.status != 0 && reply.status != 421 && reply.status != 503) {
+        // 421: another process leads; 503: no leader yet; 504: the outcome is not known; 0: no
+        // answer, as of a stopped process. The same change may be sent again.
+        const bool isFinal =
+          reply.status != 0 && reply.status != 421 && reply.status != 503 && reply.status != 504;
+        if (isFinal) {
           return true;
         }
       }
