--- a/tests/unit/dispatcher_test.cpp
+++ b/tests/unit/dispatcher_test.cpp
@@ -318,6 +318,69 @@
   }
 }
 
+// Guards against a target that works for a caller whose time is over.
+TEST(Dispatcher, ARequestWhoseTimeIsOverIsNotSentAgainWhenItIsWithdrawn)
+{
+  World world;
+  world.Ask("/once/x");
+  world.now += 3s;
+  TargetFailedIn withdrawn;
+  withdrawn.exchange = world.Sent().exchange;
+  withdrawn.neverSent = true;
+  withdrawn.isWithdrawn = true;
+  world.dispatcher.OnFailed(world.now, withdrawn, world.outbox);
+  EXPECT_EQ(world.CountSent(), 1U);
+  EXPECT_EQ(LastStatus(world), 503U);
+  EXPECT_THAT(world.Body(), HasSubstr("not-run"));
+}
+
+// Guards against events that come twice: a second attempt that began beside the one that serves the
+// caller can't go on after the events of that one.
+TEST(Dispatcher, AStreamIsServedByOneOfSeveralHedgesOnly)
+{
+  World world;
+  ServingDocument document;
+  document.version = 8;
+  document.routes = { Route("/stream/", RepeatPolicy::kResumableStream, 4) };
+  document.services.resize(1);
+  document.services[0].name = "assist";
+  document.services[0].engine.emplace();
+  world.snapshot.index = std::make_shared<const RouteIndex>(document);
+  std::vector<ServedTarget> heads;
+  for (const char* name : { "h1", "h2", "h3" }) {
+    heads.push_back({ InstanceId(name), "assist", name, FailureDomainId("a"), 34, false, "large" });
+  }
+  world.dispatcher.Selector().Replace(world.now, heads);
+  world.Ask("/stream/x", "");
+  world.AdvanceTime(700ms);
+  ASSERT_EQ(world.CountSent(), 2U);
+  const ExchangeId second = world.Sent().exchange;
+  world.AdvanceTime(700ms);
+  ASSERT_EQ(world.CountSent(), 3U);
+  world.AnswerOk("id: 1\ndata: a\n\n", false);
+  world.Fail(false);
+  TargetAnswerIn late;
+  late.exchange = second;
+  late.status = 200;
+  late.headers = { { "X-Request-Id", "r1" }, { "Seal", "s" } };
+  late.bytes = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+  late.end = true;
+  world.dispatcher.OnAnswer(world.now, late, world.outbox);
+  EXPECT_EQ(world.Body(), "id: 1\ndata: a\n\n");
+}
+
+// Guards against a stream that looks complete though its last events are missing.
+TEST(Dispatcher, AResumedStreamThatIsAnsweredWithoutABodyIsCut)
+{
+  World world;
+  world.Ask("/stream/x");
+  world.AnswerOk("id: 1\ndata: a\n\n", false);
+  world.Fail(false);
+  world.AnswerHead(204, { { "X-Request-Id", "r1" }, { "Seal", "s" } }, "", true);
+  EXPECT_FALSE(world.Answers().back().end);
+  EXPECT_TRUE(world.Answers().back().abort);
+}
+
 // When the head of a group fails in the middle of an event, the stream must continue without a gap
 // or a repeated event, and must not appear complete if it broke off.
 TEST(Dispatcher, ABrokenStreamResumesAfterItsLastCompleteEvent)
