--- a/src/control/document_service.cpp
+++ b/src/control/document_service.cpp
@@ -4,6 +4,7 @@
 #include "gooseberrysail/observe/event.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace gooseberrysail {
 
@@ -12,6 +13,7 @@
 using impl::kAnswerTimeout;
 using impl::kMaxOpenCalls;
 using impl::Unavailable;
+using impl::Unconfirmed;
 
 EventOut RefusedEvent(std::uint64_t version, const std::string& reason)
 {
@@ -21,6 +23,11 @@
 
 } // namespace
 
+DocumentService::DocumentService(DocumentComparer isSameDocument)
+  : m_isSameDocument(std::move(isSameDocument))
+{
+}
+
 void DocumentService::OnPut(ControlContext& context,
                             ExchangeId exchange,
                             std::string text,
@@ -33,19 +40,20 @@
     respond(exchange, { OutsideStatus::kInvalid, {}, document.error().description, {}, {} });
     return;
   }
-  if (m_puts.size() >= kMaxOpenCalls) {
-    respond(exchange, Unavailable("too many calls at once"));
-    return;
-  }
   Put put{ exchange, document.value().version, std::move(text), context.now };
   if (TryAnswer(context, put, respond)) {
     return;
   }
+  // An earlier call with the same document may have been accepted by this or another process.
+  if (m_puts.size() >= kMaxOpenCalls) {
+    respond(exchange, Unconfirmed("too many calls at once"));
+    return;
+  }
   wire::PutDocumentT command;
   command.version = put.version;
   command.text = put.text;
   if (!context.proposer.Propose(std::move(command))) {
-    respond(exchange, Unavailable("this process does not lead"));
+    respond(exchange, Unconfirmed("the document could not be proposed"));
     return;
   }
   m_puts.push_back(std::move(put));
@@ -53,13 +61,15 @@
 
 // An applied document is committed: a majority has synced it to disk, so it survives every failure
 // that the installation tolerates. The applied state alone is enough to acknowledge it.
-bool DocumentService::TryAnswer(ControlContext& context, const Put& put, const Respond& respond)
+bool DocumentService::TryAnswer(ControlContext& context,
+                                const Put& put,
+                                const Respond& respond) const
 {
   const StoredDocument& stored = context.state.GetDocument();
   if (stored.version < put.version) {
     return false;
   }
-  if (stored.version == put.version && stored.text != put.text) {
+  if (stored.version == put.version && !IsSame(stored.text, put.text)) {
     const std::string reason = "another document has this version";
     context.outbox.emplace_back(RefusedEvent(put.version, reason));
     respond(put.exchange, { OutsideStatus::kConflict, {}, reason, {}, {} });
@@ -74,6 +84,11 @@
   return true;
 }
 
+bool DocumentService::IsSame(std::string_view left, std::string_view right) const
+{
+  return left == right || (m_isSameDocument && m_isSameDocument(left, right));
+}
+
 // Reads have a limit of their own, so that many of them refuse no change.
 void DocumentService::OnGet(const ControlContext& context,
                             ExchangeId exchange,
@@ -100,7 +115,7 @@
     }
     const bool late = context.now - put.since > kAnswerTimeout;
     if (late) {
-      respond(put.exchange, Unavailable("not committed in time; it may still be"));
+      respond(put.exchange, Unconfirmed("not committed in time; it may still be"));
     }
     return late;
   });
@@ -123,7 +138,7 @@
 void DocumentService::OnLeadershipLost(const Respond& respond)
 {
   for (const Put& put : m_puts) {
-    respond(put.exchange, Unavailable("leadership was lost; the change may still be committed"));
+    respond(put.exchange, Unconfirmed("leadership was lost; the change may still be committed"));
   }
   for (const Read& read : m_reads) {
     respond(read.exchange, Unavailable("leadership was lost"));
--- a/src/control/serving_control.cpp
+++ b/src/control/serving_control.cpp
@@ -49,6 +49,7 @@
 
 ServingControl::ServingControl(OutsideApi api, EngineGroupsSettings groups)
   : m_api(std::move(api))
+  , m_documents(m_api.isSameDocument)
   , m_groups(groups)
   , m_discoveryTime(groups.DiscoveryTime())
 {
@@ -71,7 +72,7 @@
                             const HttpRequestIn& request,
                             const PutDocumentCall& call)
 {
-  if (IsForLeader(context, request)) {
+  if (IsForLeader(context, request, OutsideStatus::kUnconfirmed)) {
     m_documents.OnPut(context, request.exchange, call.text, m_api.readDocument, Responder(context));
   }
 }
@@ -80,7 +81,7 @@
                             const HttpRequestIn& request,
                             const GetDocumentCall&)
 {
-  if (IsForLeader(context, request)) {
+  if (IsForLeader(context, request, OutsideStatus::kUnavailable)) {
     m_documents.OnGet(context, request.exchange, Responder(context));
   }
 }
@@ -99,7 +100,12 @@
   }
   const InstanceId& instance = call.announcement.instance;
   if (!IsServiceKnown(call.announcement)) {
-    Handle(context, request, MalformedCall{ instance.Get(), "no document names its service" });
+    // Only a confirmed leader certainly has the newest document.
+    const std::string reason = "no document names its service";
+    const OutsideStatus status =
+      context.HasFreshQuorum() ? OutsideStatus::kInvalid : OutsideStatus::kUnavailable;
+    m_refused.Note(instance.Get(), reason);
+    Respond(context, request.exchange, { status, {}, reason, {}, {} });
     return;
   }
   const TargetTable::Change change = m_targets.Update(context.now, call.announcement);
@@ -147,7 +153,7 @@
                             const HttpRequestIn& request,
                             const EvacuateCall& call)
 {
-  if (IsForLeader(context, request)) {
+  if (IsForLeader(context, request, OutsideStatus::kUnconfirmed)) {
     m_evacuations.OnOrder(context, request.exchange, call, Responder(context));
   }
 }
@@ -160,12 +166,14 @@
   Respond(context, request.exchange, { OutsideStatus::kInvalid, {}, call.reason, {}, {} });
 }
 
-bool ServingControl::IsForLeader(ControlContext& context, const HttpRequestIn& request)
+bool ServingControl::IsForLeader(ControlContext& context,
+                                 const HttpRequestIn& request,
+                                 OutsideStatus withoutLeader)
 {
   if (context.ready) {
     return true;
   }
-  OutsideAnswer answer{ OutsideStatus::kUnavailable, {}, "no leader is known", {}, {} };
+  OutsideAnswer answer{ withoutLeader, {}, "no leader is known", {}, {} };
   for (const EntrySettings::Control& control : context.controls) {
     const bool leads = control.process == context.replication.leaderHint;
     if (leads && control.process != context.settings.process) {
--- a/src/http/http_call.cpp
+++ b/src/http/http_call.cpp
@@ -29,6 +29,9 @@
 using Parser = http::response_parser<http::buffer_body>;
 
 constexpr std::size_t kPartBytes = 16 * 1024;
+/// No request asks for it, and what follows it is not HTTP.
+constexpr unsigned kSwitchingProtocols = 101;
+constexpr unsigned kFirstFinalStatus = 200;
 
 std::uint64_t HashOf(std::string_view id)
 {
@@ -70,6 +73,28 @@
   return request;
 }
 
+/// Whether another response to the same request follows.
+bool IsInterim(unsigned status)
+{
+  return status / 100 == 1 && status != kSwitchingProtocols;
+}
+
+/// Why a response can't be the answer to a request; empty if it can.
+std::string_view DefectOf(const Parser& parser, bool acceptCloseDelimited)
+{
+  const unsigned status = parser.get().result_int();
+  if (status < kFirstFinalStatus) {
+    return "its status is not that of an answer";
+  }
+  if (!HasReadableCoding(parser.get())) {
+    return "its transfer coding is not supported";
+  }
+  if (parser.need_eof() && !acceptCloseDelimited) {
+    return "neither length nor chunks: a cut answer would look whole";
+  }
+  return "";
+}
+
 TargetAnswerIn MakePart(ExchangeId exchange)
 {
   TargetAnswerIn part;
@@ -248,7 +273,12 @@
     return true; // Its connection was closed on purpose.
   }
   if (error || m_timedOut || m_cancelled) {
-    return Fail(ErrorCode::kUnavailable, "connect to target", error.message(), true);
+    // Any other error may be a shortage of this process or a path that fails.
+    const bool isRefused = error == asio::error::connection_refused;
+    return Fail(isRefused ? ErrorCode::kUnavailable : ErrorCode::kIo,
+                "connect to target",
+                error.message(),
+                true);
   }
   boost::system::error_code ignored;
   m_socket.set_option(tcp::no_delay(true), ignored);
@@ -299,7 +329,7 @@
   std::optional<Parser> parser;
   std::size_t headBytes = 0;
   do {
-    // An informational (1xx) response precedes the final one.
+    // Interim responses precede the final one.
     parser.emplace();
     const std::size_t left = m_settings.maxHeaderBytes - headBytes;
     parser->header_limit(static_cast<std::uint32_t>(left));
@@ -318,13 +348,11 @@
     if (error || m_timedOut || m_cancelled) {
       return FailRead(error);
     }
-  } while (parser->get().result_int() / 100 == 1);
+  } while (IsInterim(parser->get().result_int()));
 
-  if (parser->need_eof() && !m_settings.acceptCloseDelimited) {
-    return Fail(ErrorCode::kCorrupt,
-                "read answer",
-                "neither length nor chunks: a cut answer would look whole",
-                false);
+  if (const std::string_view defect = DefectOf(*parser, m_settings.acceptCloseDelimited);
+      !defect.empty()) {
+    return Fail(ErrorCode::kCorrupt, "read answer", std::string(defect), false);
   }
   TargetAnswerIn part = MakeFirstPart(m_call.exchange, *parser);
   std::array<char, kPartBytes> bytes;
--- a/src/http/http_headers.cpp
+++ b/src/http/http_headers.cpp
@@ -41,6 +41,13 @@
   });
 }
 
+bool HasReadableCoding(const boost::beast::http::fields& head)
+{
+  const auto [first, last] = head.equal_range(boost::beast::http::field::transfer_encoding);
+  return std::all_of(
+    first, last, [](const auto& field) { return SameHeaderName(field.value(), "chunked"); });
+}
+
 bool IsSafeHeader(const HttpHeader& header) noexcept
 {
   return !header.name.empty() &&
--- a/src/http/http_session_read.cpp
+++ b/src/http/http_session_read.cpp
@@ -38,6 +38,7 @@
 // Shorter limit for connections that are accepted while the server is stopping.
 constexpr Duration kStoppingIdleTimeout = std::chrono::seconds(1);
 
+constexpr unsigned kNotImplemented = 501;
 constexpr std::string_view kDisconnected = "the caller disconnected";
 constexpr const char* kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
 
@@ -79,7 +80,9 @@
 
 bool ExpectsContinue(const Parser& parser)
 {
-  return !parser.is_done() && beast::iequals(parser.get()[http::field::expect], "100-continue");
+  constexpr unsigned kHttp11 = 11;
+  return !parser.is_done() && parser.get().version() >= kHttp11 &&
+         beast::iequals(parser.get()[http::field::expect], "100-continue");
 }
 
 } // namespace
@@ -306,6 +309,12 @@
     }
     return std::nullopt;
   }
+  // With another coding, the end of the body may not be known; the rest of the body would be read
+  // as a further request.
+  if (!HasReadableCoding(parser.get())) {
+    Reject(kNotImplemented, "the transfer coding is not supported");
+    return std::nullopt;
+  }
   auto message = parser.release();
   Request request;
   request.version = message.version();
--- a/tests/unit/http_client_test.cpp
+++ b/tests/unit/http_client_test.cpp
@@ -2,7 +2,10 @@
 #include "support/raw_connection.hpp"
 #include "support/section.hpp"
 
+#include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
+#include <sys/resource.h>
+#include <unistd.h>
 
 namespace gooseberrysail {
 namespace {
@@ -179,6 +182,84 @@
   EXPECT_EQ(reply.value().status, 201U);
 }
 
+// Guards against the status or a header of an interim response, or a status that HTTP does not
+// have, being passed on as the answer.
+TEST(HttpClient, OnlyTheStatusOfAFinalResponseIsHandedOn)
+{
+  const std::string final = "HTTP/1.1 201 Created\r\nContent-Length: 2\r\n\r\nok";
+  const std::string refusal = "HTTP/1.1 503 Busy\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+  IoRuntime runtime;
+  SECTION("several interim responses")
+  {
+    RawServer target(runtime,
+                     "HTTP/1.1 100 Continue\r\nX-Not-Executed: 1\r\n\r\n"
+                     "HTTP/1.1 103 Early Hints\r\nX-Request-Id: other\r\n\r\n"
+                     "HTTP/1.1 199 Unknown\r\n\r\n" +
+                       final);
+    RecordingClient agent(runtime);
+    agent.Start(target.address, 1);
+    ASSERT_TRUE(agent.WaitFor([&] { return agent.IsWhole(); }));
+    EXPECT_EQ(agent.parts[0].status, 201U);
+    EXPECT_TRUE(agent.parts[0].headers.empty());
+    EXPECT_EQ(agent.Body(), "ok");
+  }
+  const std::vector<std::pair<std::string, std::string>> cases{
+    { "a switch to another protocol, which was not asked for",
+      "HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n" + refusal },
+    { "an interim response with a body",
+      "HTTP/1.1 103 X\r\nContent-Length: 2\r\n\r\nab" + refusal },
+    { "status 0", "HTTP/1.1 000 X\r\nContent-Length: 2\r\n\r\nok" },
+    { "a status below 100", "HTTP/1.1 099 X\r\nContent-Length: 2\r\n\r\nok" },
+    { "a status of two digits", "HTTP/1.1 50 X\r\nContent-Length: 2\r\n\r\nok" },
+  };
+  for (const auto& [name, bytes] : cases) {
+    SECTION(name)
+    {
+      RawServer target(runtime, bytes);
+      RecordingClient agent(runtime);
+      agent.Start(target.address, 1);
+      ASSERT_TRUE(agent.WaitFor([&] { return agent.IsWhole() || !agent.failures.empty(); }));
+      EXPECT_TRUE(agent.parts.empty());
+      EXPECT_EQ(agent.failures.size(), 1U);
+      EXPECT_TRUE(std::ranges::none_of(agent.failures, &TargetFailedIn::neverSent));
+    }
+  }
+}
+
+// Guards against a body that is still encoded being handed on as the body of the answer.
+TEST(HttpClient, AnAnswerWithAnotherTransferCodingThanChunksFails)
+{
+  const std::vector<std::string> codings{
+    "Transfer-Encoding: gzip\r\n",
+    "Transfer-Encoding: gzip, chunked\r\n",
+    "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n",
+    "Transfer-Encoding: chunked, gzip\r\n",
+    "Transfer-Encoding: gzip\r\nContent-Length: 2\r\n",
+  };
+  IoRuntime runtime;
+  const auto answerWith = [&](const std::string& coding, RecordingClient& agent) {
+    RawServer target(runtime, "HTTP/1.1 200 OK\r\n" + coding + "\r\n2\r\nab\r\n0\r\n\r\n");
+    agent.Start(target.address, 1);
+    EXPECT_TRUE(agent.WaitFor([&] { return agent.IsWhole() || !agent.failures.empty(); }));
+  };
+  for (const std::string& coding : codings) {
+    SECTION(coding)
+    {
+      RecordingClient agent(runtime, { .acceptCloseDelimited = true });
+      answerWith(coding, agent);
+      EXPECT_TRUE(agent.parts.empty());
+      EXPECT_EQ(agent.failures.size(), 1U);
+    }
+  }
+  SECTION("chunks alone, in any case of letters")
+  {
+    RecordingClient agent(runtime);
+    answerWith("Transfer-Encoding: Chunked\r\n", agent);
+    EXPECT_EQ(agent.Body(), "ab");
+    EXPECT_TRUE(agent.IsWhole());
+  }
+}
+
 // Guards against a target that crashes with unread bytes, and so resets its connections, being
 // taken for a path that failed.
 TEST(HttpClient, ReportsAClosedAndAResetConnectionAlike)
@@ -202,6 +283,38 @@
   }
 }
 
+// Guards against taking the lack of a descriptor in this process for the death of a target.
+TEST(HttpClient, ReportsATargetAsGoneOnlyIfItsHostRefusesTheConnection)
+{
+  IoRuntime runtime;
+  std::string address;
+  {
+    RawServer closed(runtime, "");
+    address = closed.address;
+  }
+  const auto codeFor = [&] {
+    RecordingClient agent(runtime);
+    agent.Start(address, 1);
+    EXPECT_TRUE(agent.WaitFor([&] { return !agent.failures.empty(); }));
+    EXPECT_TRUE(agent.failures[0].neverSent);
+    return agent.failures[0].error.code;
+  };
+  SECTION("nobody listens")
+  {
+    EXPECT_EQ(codeFor(), ErrorCode::kUnavailable);
+  }
+  SECTION("no descriptor is left")
+  {
+    rlimit usual{};
+    ASSERT_EQ(getrlimit(RLIMIT_NOFILE, &usual), 0);
+    const rlimit none{ 0, usual.rlim_max };
+    ASSERT_EQ(setrlimit(RLIMIT_NOFILE, &none), 0);
+    const ErrorCode code = codeFor();
+    ASSERT_EQ(setrlimit(RLIMIT_NOFILE, &usual), 0);
+    EXPECT_EQ(code, ErrorCode::kIo);
+  }
+}
+
 TEST(HttpClient, ReportsNeverSentOnlyWhenNoByteWasSent)
 {
   IoRuntime runtime;
@@ -243,6 +356,60 @@
   }
 }
 
+/// \brief Leaves the process no free file descriptor.
+class NoFreeDescriptor
+{
+public:
+  NoFreeDescriptor()
+  {
+    getrlimit(RLIMIT_NOFILE, &m_before);
+    rlimit used = m_before;
+    const int lowest = dup(STDERR_FILENO);
+    close(lowest);
+    used.rlim_cur = static_cast<rlim_t>(lowest);
+    setrlimit(RLIMIT_NOFILE, &used);
+  }
+  ~NoFreeDescriptor() { setrlimit(RLIMIT_NOFILE, &m_before); }
+  NoFreeDescriptor(const NoFreeDescriptor&) = delete;
+  NoFreeDescriptor& operator=(const NoFreeDescriptor&) = delete;
+
+private:
+  rlimit m_before{};
+};
+
+// Guards against a shortage of this process, or a path that fails, being taken for a target that is
+// gone.
+TEST(HttpClient, SaysThatNobodyListensOnlyIfTheConnectionIsRefused)
+{
+  IoRuntime runtime;
+  std::string address;
+  {
+    RawServer closed(runtime, "");
+    address = closed.address;
+  }
+  const auto codeFor = [&](const std::string& target) {
+    RecordingClient agent(runtime);
+    agent.Start(target, 1);
+    EXPECT_TRUE(agent.WaitFor([&] { return !agent.failures.empty(); }));
+    EXPECT_TRUE(agent.failures[0].neverSent);
+    EXPECT_EQ(agent.failures[0].error.step, "connect to target");
+    return agent.failures[0].error.code;
+  };
+  SECTION("nobody listens")
+  {
+    EXPECT_EQ(codeFor(address), ErrorCode::kUnavailable);
+  }
+  SECTION("there is no way to the address")
+  {
+    EXPECT_EQ(codeFor("127.255.255.255:9"), ErrorCode::kIo);
+  }
+  SECTION("no file descriptor is free")
+  {
+    const NoFreeDescriptor none;
+    EXPECT_EQ(codeFor(address), ErrorCode::kIo);
+  }
+}
+
 TEST(HttpClient, ACancelledCallIsSeenByTheTargetAndNoHookIsCalled)
 {
   IoRuntime runtime;
