A brief of the dispatcher's header lost its command to a control character

Cause: a backspace stood in place of the backslash and b of \brief before HasTime, written by a script that edited the header. Change: the comment alone.

--- a/include/gooseberrysail/gateway/dispatcher.hpp
+++ b/include/gooseberrysail/gateway/dispatcher.hpp
@@ -259,7 +259,7 @@
                                           std::uint32_t inFlight) const;
   /// \brief Limits the predicted first event and pause at the heads for a request.
   void SetForecastLimits(TimePoint now, const Request& request, TargetQuery& query) const;
-  /// rief Whether a target could still answer before the deadline.
+  /// \brief Whether a target could still answer before the deadline.
   [[nodiscard]] static bool HasTime(TimePoint now, const Request& request)
   {
     return request.deadline - now > kMinTimeLeft;
