An answer that is not passed on ends its attempt in one place

The end of an attempt that is repeated after a status of 500 or more, and that of one whose status promises too much, were written twice; so was the choice between 502 and 504. ReplaceAnswer and RefuseUnknown serve both, and targets are looked at only where a time to return is told.

--- a/include/gooseberrysail/gateway/dispatcher.hpp
+++ b/include/gooseberrysail/gateway/dispatcher.hpp
@@ -331,8 +331,13 @@
   }
   /// \brief Why an attempt with this head has failed at its target.
   [[nodiscard]] static std::string FailureOf(const TargetHead& head);
-  /// \brief Ends a request whose target's status must not be passed on.
-  void ReplaceAnswer(TimePoint now, Request& request, const TargetHead& head, Outbox& outbox);
+  /// \brief Ends an attempt whose answer is not passed on, and sends the request to `next`; without
+  /// one, answers the caller.
+  void ReplaceAnswer(TimePoint now,
+                     Request& request,
+                     const TargetHead& head,
+                     const ServedTarget* next,
+                     Outbox& outbox);
   /// \brief A part of the answer that is forwarded.
   void OnPart(TimePoint now, Request& request, const TargetAnswerIn& part, Outbox& outbox);
   void OnHead(TimePoint now, Request& request, const TargetAnswerIn& part, Outbox& outbox);
@@ -505,6 +510,11 @@
                                                    const Request& request,
                                                    const TargetQuery& query,
                                                    NoTargetReason reason);
+  /// \brief Answers the caller of a request that may have run, by a status that promises nothing.
+  void RefuseUnknown(TimePoint now,
+                     Request& request,
+                     std::optional<Duration> retryAfter,
+                     Outbox& outbox);
   void Refuse(TimePoint now, Request& request, const Refusal& refusal, Outbox& outbox);
   void End(TimePoint now, Request& request, const char* outcome, unsigned status, Outbox& outbox);
 
--- a/src/gateway/dispatcher.cpp
+++ b/src/gateway/dispatcher.cpp
@@ -461,16 +461,9 @@
     AttemptEnded(now, request, outbox, true, FailureOf(head));
     return;
   }
-  if (const ServedTarget* target = isRetried ? TakeRetry(now, request, true) : nullptr) {
-    StopAttempt(request, outbox, true);
-    request.mayHaveRun = true;
-    request.lastError = FailureOf(head);
-    LogFailedAttempt(now, request, request.sent, true, request.lastError, head.retryAfter, outbox);
-    Send(now, request, *target, outbox);
-    return;
-  }
-  if (isUnstated && !request.headForwarded) {
-    ReplaceAnswer(now, request, head, outbox);
+  const ServedTarget* target = isRetried ? TakeRetry(now, request, true) : nullptr;
+  if (target != nullptr || (isUnstated && !request.headForwarded)) {
+    ReplaceAnswer(now, request, head, target, outbox);
     return;
   }
   request.streams = IsStream(request.route->repeat) && IsSuccess(head.status);
@@ -500,19 +493,23 @@
 void Dispatcher::ReplaceAnswer(TimePoint now,
                                Request& request,
                                const TargetHead& head,
+                               const ServedTarget* next,
                                Outbox& outbox)
 {
   StopAttempt(request, outbox, true);
   request.mayHaveRun = true;
   request.lastError = FailureOf(head);
   LogFailedAttempt(now, request, request.sent, true, request.lastError, head.retryAfter, outbox);
-  const TargetQuery query = QueryOf(now, request);
+  if (next != nullptr) {
+    Send(now, request, *next, outbox);
+    return;
+  }
   std::optional<Duration> retryAfter;
   if (MayRunAgain(request.route->repeat)) {
+    const TargetQuery query = QueryOf(now, request);
     retryAfter = RetryAfter(now, request, query, m_selector.ReasonForNoTarget(now, query));
   }
-  const unsigned status = now >= request.deadline ? 504 : 502;
-  Refuse(now, request, { status, request.lastError, retryAfter }, outbox);
+  RefuseUnknown(now, request, retryAfter, outbox);
 }
 
 void Dispatcher::OnBody(TimePoint now, Request& request, const TargetAnswerIn& part, Outbox& outbox)
--- a/src/gateway/dispatcher_end.cpp
+++ b/src/gateway/dispatcher_end.cpp
@@ -48,8 +48,7 @@
     return;
   }
   if (request.mayHaveRun) {
-    const unsigned status = now >= request.deadline ? 504 : 502;
-    Refuse(now, request, { status, request.lastError, std::nullopt }, outbox);
+    RefuseUnknown(now, request, std::nullopt, outbox);
     return;
   }
   if (request.attempts == 0) {
@@ -117,6 +116,15 @@
   return backoffLeft ? std::max(std::min(retryAfter, *backoffLeft), kMinRetry) : retryAfter;
 }
 
+void Dispatcher::RefuseUnknown(TimePoint now,
+                               Request& request,
+                               std::optional<Duration> retryAfter,
+                               Outbox& outbox)
+{
+  const unsigned status = now >= request.deadline ? 504 : 502;
+  Refuse(now, request, { status, request.lastError, retryAfter }, outbox);
+}
+
 void Dispatcher::Refuse(TimePoint now, Request& request, const Refusal& refusal, Outbox& outbox)
 {
   const char* outcome = request.mayHaveRun ? "unknown" : "not-run";
