--- a/tests/process/descriptor_limit_test.cpp
+++ b/tests/process/descriptor_limit_test.cpp
@@ -1,7 +1,7 @@
 #include "support/blocking_connection.hpp"
+#include "support/descriptor_limit.hpp"
 #include "support/serving_installation.hpp"
 
-#include <sys/resource.h>
 #include <thread>
 
 namespace gooseberrysail::test {
@@ -15,27 +15,9 @@
 /// After which the entry has closed its unused connections to targets.
 constexpr auto kIdleTimeoutOfTargets = 5s;
 
-/// \brief Limits the descriptors of this process and of those that it starts meanwhile.
-class LowDescriptorLimit
-{
-public:
-  LowDescriptorLimit()
-  {
-    getrlimit(RLIMIT_NOFILE, &m_before);
-    const rlimit low{ kDescriptors, m_before.rlim_max };
-    setrlimit(RLIMIT_NOFILE, &low);
-  }
-  ~LowDescriptorLimit() { setrlimit(RLIMIT_NOFILE, &m_before); }
-  LowDescriptorLimit(const LowDescriptorLimit&) = delete;
-  LowDescriptorLimit& operator=(const LowDescriptorLimit&) = delete;
-
-private:
-  rlimit m_before{};
-};
-
 std::unique_ptr<ServingInstallation> StartWithFewDescriptors()
 {
-  const LowDescriptorLimit low;
+  const DescriptorLimit low(kDescriptors);
   return std::make_unique<ServingInstallation>();
 }
 
--- a/tests/soak/replica.cpp
+++ b/tests/soak/replica.cpp
@@ -201,12 +201,14 @@
   const std::uint64_t generation = m_generation;
   boost::beast::flat_buffer buffer;
   while (!m_stop && m_generation == generation) {
-    Request request;
+    http::request_parser<http::string_body> parser;
+    parser.body_limit(boost::none);
     boost::system::error_code error;
-    http::read(socket, buffer, request, error);
+    http::read(socket, buffer, parser, error);
     if (error) {
       break;
     }
+    const Request request = parser.release();
     const bool isForThis = std::string(request["X-Expect-Instance"]) == Instance();
     if (isForThis && !m_crashBody.empty() && request.body() == m_crashBody) {
       Crash();
@@ -422,9 +424,9 @@
       call.target = "/api/instances/" + Instance();
       call.headers = { { "Content-Type", "application/json" } };
       call.body = R"({"service":")" + m_service + R"(","address":")" + m_relay->Address() +
-                  R"(","zone":"a","version":"v1","slots":6,"state":")" +
-                  (m_isDraining ? "draining" : "ready") + R"(","seq":)" + std::to_string(sequence) +
-                  (m_member ? "," + m_member->ReportFields() : "") + "}";
+                  R"(","zone":"a","version":"v1","slots":)" + std::to_string(m_slots) +
+                  R"(,"state":")" + (m_isDraining ? "draining" : "ready") + R"(","seq":)" +
+                  std::to_string(sequence) + (m_member ? "," + m_member->ReportFields() : "") + "}";
       call.timeout = 500ms;
       if (test::Call(call).status == 200) {
         break;
--- a/tests/soak/replica.hpp
+++ b/tests/soak/replica.hpp
@@ -78,6 +78,8 @@
   /// requests;
   /// "" while it runs them.
   void SetRetryAfter(std::string seconds);
+  /// \brief Sets the number of requests that it announces to run at a time.
+  void SetSlots(std::size_t slots) { m_slots = slots; }
   /// \brief Lets its announcements say that it drains.
   void SetDraining(bool isDraining) { m_isDraining = isDraining; }
   /// \brief Whether its group's head takes work or has some.
@@ -172,6 +174,7 @@
   std::atomic<bool> m_isStreaming = false;
   std::atomic<bool> m_isLeaving = false;
   std::atomic<bool> m_isDraining = false;
+  std::atomic<std::size_t> m_slots = 6;
   std::atomic<std::uint64_t> m_rejections = 0;
   std::atomic<std::uint64_t> m_runs = 0;
   std::atomic<std::uint64_t> m_untrueAnswers = 0;
--- a/tests/support/platform_installation.hpp
+++ b/tests/support/platform_installation.hpp
@@ -13,6 +13,13 @@
 
 namespace gooseberrysail::test {
 
+/// \brief Sections that a test adds to the settings of the processes.
+struct ExtraSettings
+{
+  std::string control;
+  std::string entry;
+};
+
 /// \brief One control process and one entry on loopback; the entry discovers control through a
 /// seed.
 class PlatformInstallation
@@ -21,7 +28,8 @@
   static constexpr auto kTimeout = std::chrono::seconds(20);
   static constexpr auto kCallTimeout = std::chrono::seconds(5);
 
-  PlatformInstallation()
+  /// \param extra Further sections of the settings files.
+  explicit PlatformInstallation(const ExtraSettings& extra = {})
     : controlHttp(FreeAddress())
     , entryHttp(FreeAddress())
     , ready(FreeAddress())
@@ -34,8 +42,8 @@
             m_peerPort + "\nhttpListen = " + controlHttp + Cluster() +
             "[control]\ndataFolder = data\nelectionTimeout = 200\ntoleratedLosses = 0\n"
             "operatorTokenHash = " +
-            std::string(64, '0') + "\n");
-    Write("entry.ini", EntrySettings(""));
+            std::string(64, '0') + "\n" + extra.control);
+    Write("entry.ini", EntrySettings(extra.entry));
     control = Start("control");
     entry = Start("entry");
   }
--- a/tests/support/serving_installation.hpp
+++ b/tests/support/serving_installation.hpp
@@ -20,7 +20,9 @@
 class ServingInstallation
 {
 public:
-  explicit ServingInstallation(const std::string& config = kServingConfig)
+  explicit ServingInstallation(const std::string& config = kServingConfig,
+                               const ExtraSettings& extra = {})
+    : site(extra)
   {
     EXPECT_EQ(site.Put(config), 200U);
     for (const char* name : { "a", "b", "c" }) {
