Trailers and extensions of chunks are held up to the limit of headers

What callers saw: a process that ended for lack of memory. Connections that send trailers, or the extensions of a chunk, without end took 274 to 365 MB at the callers' port and 677 to 808 MB at control's, the readiness and the metrics ports, for as long as a request may take (30 s).

Cause: the parser takes the extensions of a chunk and a trailer section only as a whole, and its limit of the header doesn't apply to them. The buffer from which it parses had no limit, on the side of callers and on that of targets.

Change: a session reads by itself and parses after each read, so that what the parser has not taken is known between two reads: beyond limits.maxHeaderBytes the request is rejected with status 431. Reads of a long body grow to 32 KiB, from 4 KiB; a connection without a request keeps 4 KiB in place of 16.

--- a/src/http/http_call.cpp
+++ b/src/http/http_call.cpp
@@ -129,6 +129,7 @@
   , m_hooks(std::move(hooks))
   , m_socket(io)
   , m_requestId(FindHeader(m_call.headers, kRequestIdHeader))
+  , m_buffer(m_settings.maxHeaderBytes + kPartBytes)
   , m_deadline(io.get_executor())
 {
 }
@@ -309,6 +310,13 @@
 
 bool HttpCall::FailRead(const boost::system::error_code& error)
 {
+  if (error == http::error::buffer_overflow) {
+    return Fail(ErrorCode::kTooLarge,
+                "read answer",
+                "the extensions of a chunk or the trailer section exceed " +
+                  std::to_string(m_buffer.max_size()) + " bytes",
+                false);
+  }
   const bool ended = error == http::error::end_of_stream || error == http::error::partial_message;
   return Fail(ended || IsClosedByPeer(error) ? ErrorCode::kUnavailable : ErrorCode::kIo,
               "read answer",
--- a/src/http/http_session.hpp
+++ b/src/http/http_session.hpp
@@ -163,6 +163,11 @@
   [[nodiscard]] std::optional<Request> ReadRequest();
   /// \brief Reads a request of which a part has been parsed.
   [[nodiscard]] boost::system::error_code ReadRest(Parser& parser);
+  /// \brief Reads and parses as long as a condition holds.
+  template<class Condition>
+  [[nodiscard]] boost::system::error_code ReadWhile(Parser& parser, const Condition& isUnfinished);
+  /// \brief Returns the memory of an empty buffer.
+  void ReleaseBuffer();
   bool WaitForRequest();
   bool WaitForInput();
   [[nodiscard]] boost::system::error_code ReadSome();
--- a/src/http/http_session_read.cpp
+++ b/src/http/http_session_read.cpp
@@ -8,13 +8,11 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/rfc7230.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
-#include <tuple>
 #include <utility>
 
 namespace gooseberrysail::impl {
@@ -27,8 +25,10 @@
 using asio::ip::tcp;
 
 constexpr std::size_t kReadAheadBytes = 64 * 1024;
-constexpr std::size_t kMaxRetainedBufferBytes = 16 * 1024;
 constexpr std::size_t kFirstReadBytes = 4 * 1024;
+constexpr std::size_t kMaxReadBytes = 32 * 1024;
+/// Kept by a connection that has no request.
+constexpr std::size_t kMaxRetainedBufferBytes = kFirstReadBytes;
 /// The loop is on time if it polls more often than this.
 constexpr Duration kLateLoop = std::chrono::milliseconds(5);
 constexpr Duration kLingerTimeout = std::chrono::seconds(1);
@@ -43,6 +43,8 @@
 constexpr std::string_view kLate = "the request waited too long to be read";
 /// In seconds. The caller's next connection can reach another process.
 constexpr const char* kLateRetryAfter = "0.05";
+constexpr std::string_view kLongChunkHead =
+  "the extensions of a chunk or the trailer section are too long";
 constexpr std::string_view kDisconnected = "the caller disconnected";
 constexpr const char* kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
 
@@ -225,6 +227,13 @@
   return m_buffer.size() > 0 || m_socket.available(error) > 0;
 }
 
+void HttpSession::ReleaseBuffer()
+{
+  if (m_buffer.size() == 0 && m_buffer.capacity() > kMaxRetainedBufferBytes) {
+    m_buffer.shrink_to_fit();
+  }
+}
+
 boost::system::error_code HttpSession::ReadSome()
 {
   boost::system::error_code error;
@@ -309,6 +318,25 @@
   return !error;
 }
 
+// What a parser takes only as a whole (a head, the extensions of a chunk, a trailer section) stays
+// in the buffer until its end. The parser limits the head alone.
+template<class Condition>
+boost::system::error_code HttpSession::ReadWhile(Parser& parser, const Condition& isUnfinished)
+{
+  boost::system::error_code error;
+  while (!error && isUnfinished()) {
+    const std::size_t most = std::clamp(parser.get().body().size(), kFirstReadBytes, kMaxReadBytes);
+    const auto [failure, size] =
+      Await([&](auto done) { m_socket.async_read_some(m_buffer.prepare(most), done); });
+    m_buffer.commit(size);
+    error = failure ? failure : ParseBuffered(parser, m_buffer);
+    if (!error && !parser.is_done() && m_buffer.size() > m_settings.maxHeaderBytes) {
+      error = http::error::buffer_overflow;
+    }
+  }
+  return error;
+}
+
 boost::system::error_code HttpSession::ReadRest(Parser& parser)
 {
   // Without a deadline, a caller could keep the connection open by sending single bytes.
@@ -323,19 +351,17 @@
   const bool hasHeadTimeout = m_settings.headTimeout > Duration::zero();
   limit(hasHeadTimeout ? std::min(m_settings.headTimeout, m_settings.requestTimeout)
                        : m_settings.requestTimeout);
-  auto [error, size] =
-    Await([&](auto done) { http::async_read_header(m_socket, m_buffer, parser, done); });
+  auto error = ReadWhile(parser, [&] { return !parser.is_header_done(); });
   if (!error && hasHeadTimeout) {
     limit(m_settings.requestTimeout);
   }
   if (!error && ExpectsContinue(parser)) {
-    std::tie(error, size) = Await([&](auto done) {
-      asio::async_write(m_socket, asio::buffer(std::string_view(kContinue)), done);
-    });
+    error = Await([&](auto done) {
+              asio::async_write(m_socket, asio::buffer(std::string_view(kContinue)), done);
+            }).first;
   }
-  if (!error && !parser.is_done()) {
-    std::tie(error, size) =
-      Await([&](auto done) { http::async_read(m_socket, m_buffer, parser, done); });
+  if (!error) {
+    error = ReadWhile(parser, [&] { return !parser.is_done(); });
   }
   m_deadline.Disarm();
   if (!error && !m_closed) {
@@ -350,9 +376,7 @@
   m_timedOut = false;
   m_isLate = false;
   m_phase = Phase::kReading;
-  if (m_buffer.size() == 0 && m_buffer.capacity() > kMaxRetainedBufferBytes) {
-    m_buffer.shrink_to_fit();
-  }
+  ReleaseBuffer();
   if (!WaitForRequest()) {
     return std::nullopt;
   }
@@ -373,7 +397,8 @@
   }
   if (error) {
     if (IsMalformed(error)) {
-      Reject(StatusFor(error), error.message());
+      const bool isLongChunkHead = error == http::error::buffer_overflow;
+      Reject(StatusFor(error), isLongChunkHead ? std::string(kLongChunkHead) : error.message());
     } else {
       m_end = HttpEndCause::kIncomplete;
     }
