What all callers of a process send is held up to one limit

What callers saw: a process that ended for lack of memory. 48 connections, each with a body of the largest size that stops one byte short of its end and stays open, took 213 to 234 MB at an entry's callers' port (machine: 160 MB) and 415 to 435 MB at each other port, for 30 s.

Cause: each request has a limit, all of them together had none: limits.maxBodyBytes times 10,000 connections. An announced length was reserved at once. A rejected body was kept while the rejection was delivered. Ports of probes and scrapes took bodies of 8 MiB.

Change: CallerMemory counts the bytes of requests that have not arrived completely, over all servers of a process, with a cost for each connection. Beyond that, of the requests that hold at least half of what the largest holds, the oldest is answered with status 503 and Retry-After before it runs: a caller who goes on holds its bytes for a short time, and a small request is never the one. Bodies take memory as they arrive, and return it before a rejection is written. Readiness and metrics take 16 KiB and 64 connections. Event 219 (one line a second), two metrics.

CallerMemory.* tests the order and what the caller is told.

--- a/include/gooseberrysail/http/http_server.hpp
+++ b/include/gooseberrysail/http/http_server.hpp
@@ -15,6 +15,8 @@
 
 namespace gooseberrysail {
 
+class CallerMemory;
+
 /// \brief Address, limits and timeouts of an HttpServer.
 struct HttpServerSettings
 {
@@ -22,6 +24,9 @@
   std::uint32_t maxHeaderBytes = 16 * 1024;
   std::uint64_t maxBodyBytes = 8 * 1024 * 1024;
   std::size_t maxConnections = 10000;
+  /// \brief What the connections may hold, together with those of other servers that share it; null
+  /// for a limit of its own.
+  std::shared_ptr<CallerMemory> memory = nullptr;
   /// \brief Whether it takes connections while the process is short of descriptors.
   bool usesReservedDescriptors = false;
   /// \brief Limit of unsent response bytes; the connection is closed when it is exceeded.
@@ -98,6 +103,7 @@
   std::uint64_t callersGoneUnread = 0; ///< Disconnected before their request was passed on.
   std::uint64_t closedUnread = 0;      ///< Closed because they waited too long to be read.
   std::uint64_t refusedLate = 0;       ///< Answered with 503 because they waited too long.
+  std::uint64_t refusedForMemory = 0;  ///< Answered with 503 because too much was held.
   std::uint64_t closedAtLimit = 0;     ///< Closed because too many connections were open.
   std::uint64_t aborted = 0;           ///< Responses aborted by the owner or by a limit.
   std::array<std::uint64_t, kAnswerCutCauses> cuts{}; ///< By AnswerCutCause.
--- a/include/gooseberrysail/observe/metrics.hpp
+++ b/include/gooseberrysail/observe/metrics.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gooseberrysail/admission/caller_memory.hpp"
 #include "gooseberrysail/core/ids.hpp"
 #include "gooseberrysail/core/time.hpp"
 #include "gooseberrysail/roles/control_role.hpp"
@@ -69,6 +70,8 @@
   std::uint64_t httpRejected = 0;
   std::uint64_t httpInFlight = 0;
   std::uint64_t httpConnections = 0;
+  std::uint64_t callerMemoryBytes = 0;
+  CallerMemoryCounters callerMemory;
   std::uint64_t httpClosedUnread = 0;
   std::uint64_t httpClosedAtLimit = 0;
   std::uint64_t httpCallersGone = 0; ///< While their requests were served.
--- a/include/gooseberrysail/settings/settings.hpp
+++ b/include/gooseberrysail/settings/settings.hpp
@@ -54,6 +54,7 @@
 {
   std::size_t maxBodyBytes = 0;
   std::size_t maxHeaderBytes = 0;
+  std::size_t memoryBytes = 0;        ///< Of the whole process.
   std::size_t maxAnswerBytes = 0;     ///< Entry: see AnswerLimits.
   std::size_t maxEventBytes = 0;      ///< Entry: see AnswerLimits.
   std::size_t maxInFlight = 0;        ///< Entry: maximum number of requests in flight.
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -1,5 +1,6 @@
 #include "gooseberrysail/http/http_server.hpp"
 
+#include "gooseberrysail/admission/caller_memory.hpp"
 #include "gooseberrysail/admission/unread_queue.hpp"
 #include "gooseberrysail/net/endpoint.hpp"
 #include "gooseberrysail/observe/event.hpp"
@@ -37,6 +38,8 @@
 /// Between two log lines about the limit of connections.
 constexpr Duration kLimitLogInterval = std::chrono::seconds(1);
 constexpr std::size_t kMaxLoggedIdLength = 64;
+/// Of a server that shares it with no other.
+constexpr std::size_t kDefaultMemory = std::size_t{ 64 } * 1024 * 1024;
 /// At the limit, this part of the idle connections is closed, so that not each new one searches.
 constexpr std::size_t kIdleFraction = 16;
 
@@ -83,6 +86,7 @@
   void OnCut(const std::string& peer, const impl::AnswerCut& cut);
   void OnEnded(const impl::ConnectionEnd& end, const std::function<std::string()>& peer);
   void OnEnded(HttpEndCause cause, const impl::AcceptedConnection& connection);
+  void OnRefusedForMemory(const std::string& peer, std::string_view requestId);
   void Emit(EventNumber number, std::vector<std::pair<std::string, std::string>> fields) const;
   [[nodiscard]] impl::HttpSessionHooks MakeSessionHooks();
   [[nodiscard]] std::size_t OpenConnections() const { return sessions.size() + accepted.size(); }
@@ -112,6 +116,7 @@
   IoRuntime& runtime;
   HttpServerSettings settings;
   HttpServerHooks hooks;
+  std::shared_ptr<CallerMemory> memory; ///< Outlives the sessions.
   HttpServerCounters counters;
   impl::ConnectionEnds ends;
   impl::HttpSessionHooks sessionHooks;
@@ -133,6 +138,8 @@
   TimePoint lastTurnedAway{};
   HttpServerCounters countersBefore; ///< At the start of the overload.
   TimePoint nextLimitLog{};
+  TimePoint nextMemoryLog{};
+  std::uint64_t loggedMemoryRefusals = 0;
   Signal fiberEnded;
 };
 
@@ -142,6 +149,7 @@
   : runtime(ioRuntime)
   , settings(std::move(serverSettings))
   , hooks(std::move(serverHooks))
+  , memory(settings.memory ? settings.memory : std::make_shared<CallerMemory>(kDefaultMemory))
   , ends(ioRuntime, counters)
   , listener(ioRuntime)
 {
@@ -226,7 +234,8 @@
   }
   const bool isReserved =
     !settings.usesReservedDescriptors && listener.IsReserved(connection.descriptor);
-  const bool isAtLimit = isReserved || OpenConnections() >= settings.maxConnections;
+  const bool isAtLimit = isReserved || OpenConnections() >= settings.maxConnections ||
+                         !memory->HasRoomForConnection(accepted.size());
   const HttpEndCause limit =
     isReserved ? HttpEndCause::kDescriptorLimit : HttpEndCause::kConnectionLimit;
   if (isAtLimit && !CloseLongestIdle(limit)) {
@@ -412,7 +421,7 @@
   socket.set_option(tcp::no_delay(true), error);
   const std::uint64_t number = ++lastSession;
   const auto session = std::make_shared<impl::HttpSession>(
-    std::move(socket), ToAddress(connection.peer), settings, sessionHooks);
+    std::move(socket), ToAddress(connection.peer), settings, sessionHooks, *memory);
   sessions.emplace(number, session);
   Spawn([this, number, session] {
     session->Serve();
@@ -491,6 +500,10 @@
            { "roundMillis", std::to_string(ToMillis(runtime.Times().latestRound)) },
            { "stopping", stopping ? "yes" : "no" } });
   };
+  callbacks.onRefusedForMemory = [this](const impl::HttpSession& session,
+                                        std::string_view requestId) {
+    OnRefusedForMemory(session.Peer(), requestId);
+  };
   callbacks.awaitTurn = [this](const impl::WaitingRequest& request) { return AwaitTurn(request); };
   callbacks.errorBody = hooks.errorBody;
   callbacks.isStopping = [this] { return stopping; };
@@ -549,6 +562,25 @@
           [&connection] { return ToAddress(connection.peer); });
 }
 
+void HttpServer::Impl::OnRefusedForMemory(const std::string& peer, std::string_view requestId)
+{
+  ++counters.refusedForMemory;
+  const TimePoint now = BootNow();
+  if (now < nextMemoryLog) {
+    return;
+  }
+  nextMemoryLog = now + kLimitLogInterval;
+  const std::uint64_t since =
+    counters.refusedForMemory - std::exchange(loggedMemoryRefusals, counters.refusedForMemory);
+  Emit(EventNumber::kHttpMemoryLimit,
+       { { "peer", peer },
+         { "request", std::string(requestId.substr(0, kMaxLoggedIdLength)) },
+         { "heldBytes", std::to_string(memory->UsedBytes()) },
+         { "limitBytes", std::to_string(memory->Limit()) },
+         { "connections", std::to_string(OpenConnections()) },
+         { "refused", std::to_string(since) } });
+}
+
 void HttpServer::Impl::StopAccepting()
 {
   if (stopping) {
--- a/src/http/http_session.hpp
+++ b/src/http/http_session.hpp
@@ -1,13 +1,14 @@
 #pragma once
 
+#include "gooseberrysail/admission/caller_memory.hpp"
 #include "gooseberrysail/http/http_server.hpp"
 #include "http/connection_ends.hpp"
+#include "http/request_body.hpp"
 #include "net/deadline.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 #include <deque>
 #include <functional>
 #include <memory>
@@ -60,6 +61,8 @@
   std::function<void(const HttpSession&, const ConnectionEnd&)> onEnded;
   std::function<void()> onGoneUnread; ///< The caller left before its request was passed on.
   std::function<void(const HttpSession&, std::string_view requestId)> onRefusedLate;
+  /// \brief A request is refused because the process holds too much for its callers.
+  std::function<void(const HttpSession&, std::string_view requestId)> onRefusedForMemory;
   /// \brief Suspends the fiber until the request is to be read or the connection to be closed.
   std::function<ReadTurn(const WaitingRequest&)> awaitTurn;
   std::function<std::string(unsigned status, std::string_view message)> errorBody;
@@ -78,8 +81,8 @@
   HttpSession(boost::asio::ip::tcp::socket socket,
               std::string peer,
               const HttpServerSettings& settings,
-              const HttpSessionHooks& hooks);
-
+              const HttpSessionHooks& hooks,
+              CallerMemory& memory);
   /// \brief Serves the connection until it ends; runs in a fiber of its own. The first request
   /// may be read at once.
   void Serve();
@@ -159,7 +162,7 @@
   };
 
   // Reading (http_session_read.cpp).
-  using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
+  using Parser = boost::beast::http::request_parser<RequestBody>;
   [[nodiscard]] std::optional<Request> ReadRequest();
   /// \brief Reads a request of which a part has been parsed.
   [[nodiscard]] boost::system::error_code ReadRest(Parser& parser);
@@ -173,12 +176,18 @@
   [[nodiscard]] boost::system::error_code ReadSome();
   /// \returns Whether input may be read.
   [[nodiscard]] bool TakeTurn();
-  /// \brief Answers a request that waited too long, of which the head has been parsed.
-  void RefuseLate(const Parser& parser);
+  /// \brief States what is held of a request that has not arrived completely.
+  void CountArriving(const Parser& parser);
+  /// \brief Answers that a request did not run, and ends the connection.
+  void Refuse(Parser& parser, std::string_view reason);
+  /// \brief Returns the memory of a request that is not passed on.
+  void Discard(Parser& parser);
   [[nodiscard]] TimePoint ArrivalOfInput();
   [[nodiscard]] bool HasPendingInput();
   [[nodiscard]] bool IsCallerConnected();
   void Reject(unsigned status, std::string_view message);
+  /// \brief Gives up the request that arrives, or the response.
+  void OnShed();
   void WatchCaller();
   void OnReadable(bool failed);
   void OnCallerDisconnected(AnswerCutCause cause, std::string_view reason);
@@ -225,6 +234,8 @@
   std::string m_peer;
   const HttpServerSettings& m_settings;
   const HttpSessionHooks& m_hooks;
+  CallerMemory& m_memory;
+  CallerMemory::Id m_memoryId;
   boost::beast::flat_buffer m_buffer;
   Deadline m_deadline;
   ExchangeId m_exchange; ///< None between exchanges.
@@ -243,6 +254,7 @@
   bool m_idle = false;               ///< Waiting for the first byte of a request.
   bool m_watching = false;           ///< A wait for readability is pending.
   bool m_timedOut = false;
+  bool m_isShed = false; ///< The current request is given up, as too much is held.
   bool m_closed = false;
   /// The response being written has no other end than that of the connection.
   bool m_endsWithConnection = false;
--- a/src/http/http_session_read.cpp
+++ b/src/http/http_session_read.cpp
@@ -9,7 +9,6 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/rfc7230.hpp>
-#include <boost/beast/http/string_body.hpp>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -41,8 +40,9 @@
 constexpr unsigned kNotImplemented = 501;
 constexpr unsigned kUnavailable = 503;
 constexpr std::string_view kLate = "the request waited too long to be read";
+constexpr std::string_view kNoMemory = "the process holds too much for its callers";
 /// In seconds. The caller's next connection can reach another process.
-constexpr const char* kLateRetryAfter = "0.05";
+constexpr const char* kRetryAfter = "0.05";
 constexpr std::string_view kLongChunkHead =
   "the extensions of a chunk or the trailer section are too long";
 constexpr std::string_view kDisconnected = "the caller disconnected";
@@ -71,7 +71,7 @@
   return headers;
 }
 
-using Parser = http::request_parser<http::string_body>;
+using Parser = http::request_parser<RequestBody>;
 
 // Parses what has been read; the parser isn't done if the request is longer.
 beast::error_code ParseBuffered(Parser& parser, beast::flat_buffer& buffer)
@@ -96,11 +96,14 @@
 HttpSession::HttpSession(tcp::socket socket,
                          std::string peer,
                          const HttpServerSettings& settings,
-                         const HttpSessionHooks& hooks)
+                         const HttpSessionHooks& hooks,
+                         CallerMemory& memory)
   : m_socket(std::move(socket))
   , m_peer(std::move(peer))
   , m_settings(settings)
   , m_hooks(hooks)
+  , m_memory(memory)
+  , m_memoryId(memory.Add([this] { OnShed(); }))
   , m_deadline(m_socket.get_executor())
 {
   // A read after a spurious readiness notification must return instead of blocking the thread.
@@ -148,6 +151,7 @@
     }
   }
   Close();
+  m_memory.Remove(m_memoryId);
 }
 
 void HttpSession::Close()
@@ -333,10 +337,29 @@
     if (!error && !parser.is_done() && m_buffer.size() > m_settings.maxHeaderBytes) {
       error = http::error::buffer_overflow;
     }
+    CountArriving(parser);
+    if (m_isShed) {
+      error = asio::error::operation_aborted;
+    }
   }
   return error;
 }
 
+void HttpSession::CountArriving(const Parser& parser)
+{
+  if (!parser.is_done()) {
+    m_memory.SetArriving(
+      m_memoryId, BootNow(), m_buffer.capacity() + parser.get().body().capacity());
+  }
+}
+
+void HttpSession::OnShed()
+{
+  m_isShed = true;
+  boost::system::error_code ignored;
+  m_socket.cancel(ignored);
+}
+
 boost::system::error_code HttpSession::ReadRest(Parser& parser)
 {
   // Without a deadline, a caller could keep the connection open by sending single bytes.
@@ -374,6 +397,7 @@
 std::optional<HttpSession::Request> HttpSession::ReadRequest()
 {
   m_timedOut = false;
+  m_isShed = false;
   m_isLate = false;
   m_phase = Phase::kReading;
   ReleaseBuffer();
@@ -391,6 +415,14 @@
   if (m_closed) {
     return std::nullopt;
   }
+  if (m_isShed) {
+    m_hooks.onRefusedForMemory(*this, parser.get()[kRequestIdHeader]);
+    Refuse(parser, kNoMemory);
+    return std::nullopt;
+  }
+  if (m_timedOut || error) {
+    Discard(parser);
+  }
   if (m_timedOut) {
     Reject(408, "the request did not arrive in time");
     return std::nullopt;
@@ -405,15 +437,19 @@
     return std::nullopt;
   }
   if (m_isLate) {
-    RefuseLate(parser);
+    m_hooks.onRefusedLate(*this, parser.get()[kRequestIdHeader]);
+    Refuse(parser, kLate);
     return std::nullopt;
   }
   // With another coding, the end of the body may not be known; the rest of the body would be read
   // as a further request.
   if (!HasReadableCoding(parser.get())) {
+    Discard(parser);
     Reject(kNotImplemented, "the transfer coding is not supported");
     return std::nullopt;
   }
+  m_memory.EndRequest(m_memoryId);
+  ReleaseBuffer();
   auto message = parser.release();
   Request request;
   request.version = message.version();
@@ -437,14 +473,21 @@
   }
 }
 
-void HttpSession::RefuseLate(const Parser& parser)
+void HttpSession::Discard(Parser& parser)
+{
+  parser.get().body() = std::string();
+  ReleaseBuffer();
+  m_memory.EndRequest(m_memoryId);
+}
+
+void HttpSession::Refuse(Parser& parser, std::string_view reason)
 {
   m_phase = Phase::kRejected;
+  Discard(parser);
   const auto& head = parser.get();
   const std::string_view requestId = head[kRequestIdHeader];
-  m_hooks.onRefusedLate(*this, requestId);
-  HttpAnswerOut answer = MakeError(kUnavailable, m_hooks.errorBody(kUnavailable, kLate));
-  answer.headers.push_back(HttpHeader{ "Retry-After", kLateRetryAfter });
+  HttpAnswerOut answer = MakeError(kUnavailable, m_hooks.errorBody(kUnavailable, reason));
+  answer.headers.push_back(HttpHeader{ "Retry-After", kRetryAfter });
   if (!requestId.empty()) {
     answer.headers.push_back(HttpHeader{ std::string(kRequestIdHeader), std::string(requestId) });
   }
@@ -516,6 +559,8 @@
   m_socket.shutdown(tcp::socket::shutdown_send, failure);
   m_deadline.Arm(kLingerTimeout, [this] { Close(); });
   std::size_t dropped = 0;
+  m_buffer.clear();
+  ReleaseBuffer();
   while (!failure && !m_closed && dropped < kLingerBytes) {
     m_buffer.clear();
     const auto [error, size] =
--- a/src/observe/metric_catalog.cpp
+++ b/src/observe/metric_catalog.cpp
@@ -111,6 +111,19 @@
     "",
     kEveryRole,
     "From the arrival of a request's first bytes until it was passed on." },
+  { "gooseberrysail_caller_memory_bytes",
+    MetricType::kGauge,
+    "",
+    kEveryRole,
+    "What callers have sent and what waits for them, on all ports, with the cost of their "
+    "connections; at most half of limits.memory." },
+  { "gooseberrysail_caller_memory_shed_total",
+    MetricType::kCounter,
+    "what",
+    kEveryRole,
+    "Given up because that limit was reached: `arriving`, requests that had not arrived "
+    "completely; "
+    "`request`, whole requests that were refused; `answer`, answers that were cut." },
   { "gooseberrysail_http_closed_total",
     MetricType::kCounter,
     "reason",
--- a/src/observe/metric_catalog.hpp
+++ b/src/observe/metric_catalog.hpp
@@ -27,6 +27,8 @@
   kHttpInFlight,
   kHttpConnections,
   kHttpUnreadWait,
+  kCallerMemory,
+  kCallerMemoryShed,
   kHttpClosed,
   kHttpCallersGone,
   kHttpCut,
--- a/src/observe/metrics.cpp
+++ b/src/observe/metrics.cpp
@@ -320,6 +320,13 @@
   m_impl->IncreaseTo(MetricId::kHttpRejected, static_cast<double>(sample.httpRejected));
   m_impl->Set(MetricId::kHttpInFlight, static_cast<double>(sample.httpInFlight));
   m_impl->Set(MetricId::kHttpConnections, static_cast<double>(sample.httpConnections));
+  m_impl->Set(MetricId::kCallerMemory, static_cast<double>(sample.callerMemoryBytes));
+  const CallerMemoryCounters& shed = sample.callerMemory;
+  m_impl->IncreaseTo(
+    MetricId::kCallerMemoryShed, static_cast<double>(shed.shedRequests), "arriving");
+  m_impl->IncreaseTo(
+    MetricId::kCallerMemoryShed, static_cast<double>(shed.refusedRequests), "request");
+  m_impl->IncreaseTo(MetricId::kCallerMemoryShed, static_cast<double>(shed.shedAnswers), "answer");
   m_impl->IncreaseTo(MetricId::kHttpClosed, static_cast<double>(sample.httpClosedUnread), "unread");
   m_impl->IncreaseTo(MetricId::kHttpClosed, static_cast<double>(sample.httpClosedAtLimit), "limit");
   m_impl->IncreaseTo(
--- a/src/settings/setting_key.cpp
+++ b/src/settings/setting_key.cpp
@@ -10,6 +10,7 @@
 
 constexpr std::int64_t kKibi = 1024;
 constexpr std::int64_t kMebi = 1024 * kKibi;
+constexpr std::int64_t kMega = 1000 * 1000;
 
 EventLevel ParseLevel(std::string_view text)
 {
@@ -264,6 +265,19 @@
            [](ProcessSettings& settings, const SettingValue& value) {
              settings.limits.maxHeaderBytes = static_cast<std::size_t>(value.number);
            }),
+  CountKey("limits.memory",
+           "megabytes",
+           64,
+           1024 * 1024,
+           "160",
+           kEveryRole,
+           "Memory that the process may use, at least ten times limits.maxBodyBytes. What callers "
+           "send and what waits for them may take half of it, on all ports together. Beyond that, "
+           "requests are answered with status 503 before they run, and answers that callers don't "
+           "read are cut, the largest and oldest first.",
+           [](ProcessSettings& settings, const SettingValue& value) {
+             settings.limits.memoryBytes = static_cast<std::size_t>(value.number) * kMega;
+           }),
   CountKey("limits.maxAnswerBytes",
            "bytes",
            kKibi,
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -15,6 +15,9 @@
 
 namespace {
 
+/// A request of the largest size needs four of them where half of the memory is for callers.
+constexpr std::size_t kBodiesInMemory = 10;
+
 namespace po = boost::program_options;
 using impl::SettingKey;
 using impl::SettingValue;
@@ -252,6 +255,10 @@
                "peers.silenceTimeout",
                "must be at least twice peers.heartbeatInterval");
     }
+    if (m_settings.limits.memoryBytes < kBodiesInMemory * m_settings.limits.maxBodyBytes) {
+      AddFault(
+        LineOf("limits.memory"), "limits.memory", "must be at least ten times limits.maxBodyBytes");
+    }
     CheckControls();
     if (m_roleKnown && m_settings.role == ProcessRole::kAgent) {
       CheckTarget();
--- a/src/shell/gateway_shell.cpp
+++ b/src/shell/gateway_shell.cpp
@@ -77,13 +77,9 @@
     },
     [&](GatewayOutput& output) { std::visit(handle, output); });
   std::unique_ptr<HttpServer> ready;
-  HttpServerSettings readySettings;
-  readySettings.listenAddress = settings.readyListen;
-  readySettings.maxUnreadWait = Duration::zero();
-  readySettings.usesReservedDescriptors = true;
   ready = std::make_unique<HttpServer>(
     shell.Runtime(),
-    readySettings,
+    shell.ProbeSettings(settings.readyListen),
     HttpServerHooks{ .onRequest =
                        [&](const HttpRequestIn& request) {
                          ready->Send(adapter.answerReadiness(request, role.IsReady()));
--- a/src/shell/process_shell.cpp
+++ b/src/shell/process_shell.cpp
@@ -20,6 +20,12 @@
 /// Short enough to show bursts of traffic; writing one line takes about 20 us.
 constexpr Duration kTrafficInterval = std::chrono::seconds(5);
 
+/// Callers may use this part of the memory.
+constexpr std::size_t kCallersFraction = 2;
+/// Probes and scrapes need no body, and come from a few monitors.
+constexpr std::uint64_t kMaxProbeBodyBytes = std::uint64_t{ 16 } * 1024;
+constexpr std::size_t kMaxProbeConnections = 64;
+
 /// Increases with each start unless the wall clock is set back; in that case the random part makes
 /// a duplicate unlikely.
 Incarnation MakeIncarnation(std::mt19937_64& random)
@@ -50,10 +56,12 @@
   return text ? std::move(text).value() : std::string();
 }
 
-HttpServerSettings HttpSettings(const ProcessSettings& settings)
+HttpServerSettings HttpSettings(const ProcessSettings& settings,
+                                std::shared_ptr<CallerMemory> memory)
 {
   HttpServerSettings http;
   http.listenAddress = settings.httpListen;
+  http.memory = std::move(memory);
   http.maxHeaderBytes = static_cast<std::uint32_t>(settings.limits.maxHeaderBytes);
   http.maxBodyBytes = settings.limits.maxBodyBytes;
   // Only the callers of an entry have another one to try.
@@ -69,6 +77,7 @@
   , m_random(std::random_device{}())
   , m_incarnation(MakeIncarnation(m_random))
   , m_logger(settings.process, settings.observe.logLevel, WallNow)
+  , m_memory(std::make_shared<CallerMemory>(settings.limits.memoryBytes / kCallersFraction))
   , m_observer(settings, m_incarnation, { .wallMillis = WallNow, .sample = [this] {
                                            return SampleMetrics();
                                          } })
@@ -89,7 +98,7 @@
   BOOST_OUTCOME_TRY(m_mesh->Start());
   m_http = std::make_unique<HttpServer>(
     m_runtime,
-    HttpSettings(m_settings),
+    HttpSettings(m_settings, m_memory),
     HttpServerHooks{ .onRequest = [this](HttpRequestIn request) { OnRequest(std::move(request)); },
                      .onCallerGone = [this](HttpCallerGone gone) { OnCallerGone(gone); },
                      .onEvent = record,
@@ -114,13 +123,9 @@
   if (m_settings.observe.metricsListen.empty()) {
     return outcome::success();
   }
-  HttpServerSettings http;
-  http.listenAddress = m_settings.observe.metricsListen;
-  http.maxUnreadWait = Duration::zero();
-  http.usesReservedDescriptors = true;
   m_metricsHttp = std::make_unique<HttpServer>(
     m_runtime,
-    http,
+    ProbeSettings(m_settings.observe.metricsListen),
     HttpServerHooks{ .onRequest = [this](const HttpRequestIn& in) { OnMetricsRequest(in); },
                      .onCallerGone = [](HttpCallerGone) {},
                      .onEvent = {},
@@ -128,6 +133,18 @@
   return m_metricsHttp->Start();
 }
 
+HttpServerSettings ProcessShell::ProbeSettings(std::string address) const
+{
+  HttpServerSettings http;
+  http.listenAddress = std::move(address);
+  http.maxBodyBytes = kMaxProbeBodyBytes;
+  http.maxConnections = kMaxProbeConnections;
+  http.memory = m_memory;
+  http.maxUnreadWait = Duration::zero();
+  http.usesReservedDescriptors = true;
+  return http;
+}
+
 void ProcessShell::OnMetricsRequest(const HttpRequestIn& request)
 {
   if (std::optional<HttpAnswerOut> page = m_observer.OnRequest(BootNow(), request)) {
@@ -328,6 +345,8 @@
   sample.httpRejected = m_http->Counters().rejected;
   sample.httpInFlight = m_http->PendingExchanges();
   sample.httpConnections = m_http->OpenConnections();
+  sample.callerMemoryBytes = m_memory->UsedBytes();
+  sample.callerMemory = m_memory->Counters();
   sample.httpClosedUnread = m_http->Counters().closedUnread;
   sample.httpClosedAtLimit = m_http->Counters().closedAtLimit;
   sample.httpCallersGone = m_http->Counters().callersGone;
--- a/src/shell/process_shell.hpp
+++ b/src/shell/process_shell.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gooseberrysail/admission/caller_memory.hpp"
 #include "gooseberrysail/http/http_server.hpp"
 #include "gooseberrysail/logging/logger.hpp"
 #include "gooseberrysail/net/fiber_runtime.hpp"
@@ -59,6 +60,9 @@
 
   /// \brief Whether the caller of an exchange is connected; if not, onCallerGone is called.
   [[nodiscard]] bool IsCallerConnected(ExchangeId exchange);
+  /// \brief Settings of a server for probes and scrapes, which shares the memory for callers and is
+  /// served while descriptors are short.
+  [[nodiscard]] HttpServerSettings ProbeSettings(std::string address) const;
   void SetHeadTimeout(Duration timeout) { m_http->SetHeadTimeout(timeout); }
 
   /// \brief Number of unsent bytes queued for the peer.
@@ -99,6 +103,7 @@
   std::mt19937_64 m_random;
   Incarnation m_incarnation;
   Logger m_logger;
+  std::shared_ptr<CallerMemory> m_memory;
   ProcessObserver m_observer;
   IoRuntime m_runtime;
   ShellHooks m_hooks;
--- /dev/null
+++ b/tests/unit/caller_memory_test.cpp
@@ -0,0 +1,128 @@
+#include "gooseberrysail/admission/caller_memory.hpp"
+#include "support/http_exchange.hpp"
+#include "support/raw_connection.hpp"
+#include "support/section.hpp"
+
+#include <gmock/gmock.h>
+
+namespace gooseberrysail {
+namespace {
+
+using namespace std::chrono_literals;
+using ::testing::ElementsAre;
+using ::testing::HasSubstr;
+using ::testing::IsEmpty;
+using tests::RawConnection;
+using tests::RecordingServer;
+
+constexpr std::size_t kKibi = 1024;
+constexpr std::size_t kMebi = 1024 * kKibi;
+constexpr std::size_t kLimit = 16 * kMebi;
+constexpr TimePoint kNow{ 1h };
+
+/// \brief Connections that note when they must give up what they hold.
+struct Connections
+{
+  explicit Connections(std::size_t count)
+  {
+    for (std::size_t number = 0; number < count; ++number) {
+      ids.push_back(memory.Add([this, number] { shed.push_back(number); }));
+    }
+  }
+
+  CallerMemory memory{ kLimit };
+  std::vector<CallerMemory::Id> ids;
+  std::vector<std::size_t> shed;
+};
+
+// Guards against requests that stop short of their end and keep out those that go on.
+TEST(CallerMemory, TheOldestOfTheLargestRequestsIsGivenUp)
+{
+  Connections connections(8);
+  CallerMemory& memory = connections.memory;
+  memory.SetArriving(connections.ids[0], kNow, 4 * kKibi);
+  for (std::size_t number = 1; number < 5; ++number) {
+    memory.SetArriving(connections.ids[number], kNow + number * 1s, 3 * kMebi);
+  }
+  EXPECT_THAT(connections.shed, IsEmpty());
+  SECTION("a further large request")
+  {
+    memory.SetArriving(connections.ids[5], kNow + 6s, 4 * kMebi);
+    EXPECT_THAT(connections.shed, ElementsAre(1));
+    EXPECT_EQ(memory.Counters().shedRequests, 1U);
+  }
+  SECTION("what was given up counts no more, whatever its connection states")
+  {
+    memory.SetArriving(connections.ids[1], kNow + 7s, 4 * kMebi);
+    EXPECT_THAT(connections.shed, ElementsAre(1));
+    EXPECT_LE(memory.UsedBytes(), kLimit);
+  }
+  SECTION("a small request, though it is the oldest, goes on")
+  {
+    memory.SetArriving(connections.ids[6], kNow + 8s, 3 * kMebi);
+    memory.SetArriving(connections.ids[0], kNow + 8s, 8 * kKibi);
+    EXPECT_THAT(connections.shed, ElementsAre(1, 2));
+  }
+  SECTION("one that is larger than the limit by itself")
+  {
+    memory.SetArriving(connections.ids[7], kNow + 9s, 2 * kLimit);
+    EXPECT_THAT(connections.shed, ElementsAre(1, 2, 7));
+  }
+}
+
+// Guards against totals that differ from what is held once connections have ended.
+TEST(CallerMemory, CountsNothingOfConnectionsThatEnded)
+{
+  Connections connections(3);
+  CallerMemory& memory = connections.memory;
+  memory.SetArriving(connections.ids[0], kNow, kMebi);
+  memory.SetArriving(connections.ids[1], kNow, 2 * kLimit);
+  EXPECT_THAT(connections.shed, ElementsAre(1));
+  for (const CallerMemory::Id id : connections.ids) {
+    memory.Remove(id);
+  }
+  EXPECT_EQ(memory.UsedBytes(), 0U);
+}
+
+// Guards against connections without number, each of which costs memory though it sends nothing.
+TEST(CallerMemory, ConnectionsLeaveHalfOfIt)
+{
+  Connections connections(kLimit / 2 / CallerMemory::kConnectionBytes - 10);
+  EXPECT_TRUE(connections.memory.HasRoomForConnection(9));
+  EXPECT_FALSE(connections.memory.HasRoomForConnection(10));
+}
+
+std::string HeadOf(const std::string& id, std::size_t body)
+{
+  return "POST /a HTTP/1.1\r\nHost: x\r\nX-Request-Id: " + id +
+         "\r\nContent-Length: " + std::to_string(body) + "\r\n\r\n";
+}
+
+// Guards against a request that is given up without a word, so that its caller can't know that it
+// did not run.
+TEST(CallerMemory, ARequestThatIsGivenUpIsAnsweredAsNotRun)
+{
+  constexpr std::size_t kBody = 3 * kMebi;
+  IoRuntime runtime;
+  const auto memory = std::make_shared<CallerMemory>(5 * kMebi);
+  RecordingServer server(runtime, [&](HttpServerSettings& settings) { settings.memory = memory; });
+  RawConnection stalled(runtime, server.address);
+  ASSERT_TRUE(stalled.Write(HeadOf("stalled", kBody) + std::string(kBody - 1, 'x')));
+  const TimePoint until = BootNow() + tests::kTestTimeout;
+  while (memory->UsedBytes() < kBody && BootNow() < until) {
+    runtime.SleepFor(5ms);
+  }
+  RawConnection sound(runtime, server.address);
+  ASSERT_TRUE(sound.Write(HeadOf("sound", kBody) + std::string(kBody - 1, 'x')));
+  const std::string& answer = stalled.ReadToEnd();
+  EXPECT_THAT(answer, HasSubstr("HTTP/1.1 503"));
+  EXPECT_THAT(answer, HasSubstr("Retry-After: "));
+  EXPECT_THAT(answer, HasSubstr("X-Request-Id: stalled"));
+  EXPECT_THAT(answer, HasSubstr("not-run"));
+  EXPECT_EQ(server.server.Counters().refusedForMemory, 1U);
+  ASSERT_EQ(server.events.size(), 1U);
+  EXPECT_EQ(server.events[0].number, static_cast<std::uint32_t>(EventNumber::kHttpMemoryLimit));
+}
+
+} // namespace
+} // namespace gooseberrysail
