Whole requests are refused when the bodies of those that run leave no place

What callers saw: an entry that ended for lack of memory while 96 whole bodies of 4 MiB ran or waited at silent targets: 430 MB.

Cause: once a request had arrived, its body was held by the dispatcher and by the calls made for it, and counted nowhere.

Change: a request is passed on if its body, held twice, takes at most half of what is left of the memory for callers; otherwise it is answered with status 503 and Retry-After at once. Large requests so leave room for small ones, and one of the largest size passes while little else is held; a request without a body always passes. The room that a body's buffer has too much is returned.

CallerMemory.RequestsThatRunLeaveAPartForOthers and AWholeRequestWithoutAPlaceIsAnsweredAsNotRun are new.

--- a/src/http/http_session_read.cpp
+++ b/src/http/http_session_read.cpp
@@ -135,6 +135,7 @@
     }
     m_parts.clear();
     m_queuedBytes = 0;
+    m_memory.EndRequest(m_memoryId);
     m_hooks.onEnd(ended);
     if (written == WriteResult::kClosing) {
       Linger();
@@ -448,8 +449,12 @@
     Reject(kNotImplemented, "the transfer coding is not supported");
     return std::nullopt;
   }
-  m_memory.EndRequest(m_memoryId);
   ReleaseBuffer();
+  if (!m_memory.Hold(m_memoryId, parser.get().body().size())) {
+    m_hooks.onRefusedForMemory(*this, parser.get()[kRequestIdHeader]);
+    Refuse(parser, kNoMemory);
+    return std::nullopt;
+  }
   auto message = parser.release();
   Request request;
   request.version = message.version();
@@ -459,6 +464,9 @@
   request.message.target = std::string(message.target());
   request.message.headers = CopyHeaders(message);
   request.message.body = std::move(message.body());
+  if (request.message.body.capacity() - request.message.body.size() > kFirstReadBytes) {
+    request.message.body.shrink_to_fit();
+  }
   request.message.peer = m_peer;
   request.message.receivedAt = m_receivedAt;
   return request;
--- a/tests/unit/caller_memory_test.cpp
+++ b/tests/unit/caller_memory_test.cpp
@@ -70,6 +70,33 @@
   }
 }
 
+// Guards against large requests that leave no memory for small ones while they run.
+TEST(CallerMemory, RequestsThatRunLeaveAPartForOthers)
+{
+  constexpr std::size_t kBody = kLimit / 5;
+  Connections connections(4);
+  CallerMemory& memory = connections.memory;
+  SECTION("one of the largest size passes in calm")
+  {
+    EXPECT_TRUE(memory.Hold(connections.ids[0], kBody));
+  }
+  SECTION("a further one is refused, and a small one passes")
+  {
+    EXPECT_FALSE(memory.Hold(connections.ids[1], kBody));
+    EXPECT_EQ(memory.Counters().refusedRequests, 1U);
+    EXPECT_TRUE(memory.Hold(connections.ids[2], 4 * kKibi));
+    EXPECT_TRUE(memory.Hold(connections.ids[3], 0));
+  }
+  SECTION("what arrives does not keep out what has arrived")
+  {
+    memory.EndRequest(connections.ids[0]);
+    memory.SetArriving(connections.ids[0], kNow, kLimit - kMebi);
+    EXPECT_TRUE(memory.Hold(connections.ids[1], kBody));
+    EXPECT_THAT(connections.shed, ElementsAre(0));
+  }
+  EXPECT_LE(memory.UsedBytes(), kLimit);
+}
+
 // Guards against totals that differ from what is held once connections have ended.
 TEST(CallerMemory, CountsNothingOfConnectionsThatEnded)
 {
@@ -124,5 +151,39 @@
   EXPECT_EQ(server.events[0].number, static_cast<std::uint32_t>(EventNumber::kHttpMemoryLimit));
 }
 
+// Guards against a whole request that is refused without a word, or passed on although it has no
+// place.
+TEST(CallerMemory, AWholeRequestWithoutAPlaceIsAnsweredAsNotRun)
+{
+  constexpr std::size_t kBody = kMebi;
+  IoRuntime runtime;
+  RecordingServer server(runtime, [&](HttpServerSettings& settings) {
+    settings.memory = std::make_shared<CallerMemory>(5 * kMebi);
+  });
+  RawConnection first(runtime, server.address);
+  ASSERT_TRUE(first.Write(HeadOf("first", kBody) + std::string(kBody, 'x')));
+  server.Request(1);
+  RawConnection second(runtime, server.address);
+  ASSERT_TRUE(second.Write(HeadOf("second", kBody) + std::string(kBody, 'x')));
+  const std::string& answer = second.ReadToEnd();
+  EXPECT_THAT(answer, HasSubstr("HTTP/1.1 503"));
+  EXPECT_THAT(answer, HasSubstr("Retry-After: "));
+  EXPECT_THAT(answer, HasSubstr("X-Request-Id: second"));
+  SECTION("a small one is passed on")
+  {
+    RawConnection small(runtime, server.address);
+    ASSERT_TRUE(small.Write(HeadOf("small", 5) + "small"));
+    EXPECT_EQ(server.Request(2).body, "small");
+  }
+  SECTION("so is a large one once the first has ended")
+  {
+    server.Send(server.requests[0], "done", true);
+    EXPECT_TRUE(first.ReadUntil("done"));
+    RawConnection third(runtime, server.address);
+    ASSERT_TRUE(third.Write(HeadOf("third", kBody) + std::string(kBody, 'x')));
+    EXPECT_EQ(server.Request(3).body.size(), kBody);
+  }
+}
+
 } // namespace
 } // namespace gooseberrysail
