Unfinished requests that arrive most slowly make room for new connections

What callers saw: an entry that served nobody for up to 30 s. 320 connections one byte short of their end, at a process with 300 descriptors: none of 20 ordinary requests was answered.

Cause: at the limit of connections or descriptors only idle connections were closed, and a connection in the middle of a request isn't idle.

Change: without an idle one, those whose requests have arrived at the lowest rate are closed, a sixteenth at a time, and only after their first second. A slow but honest caller sends faster than one who has stopped.

ConnectionLimit.TheSlowestUnfinishedRequestMakesRoom is new.

--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -40,8 +40,9 @@
 constexpr std::size_t kMaxLoggedIdLength = 64;
 /// Of a server that shares it with no other.
 constexpr std::size_t kDefaultMemory = std::size_t{ 64 } * 1024 * 1024;
-/// At the limit, this part of the idle connections is closed, so that not each new one searches.
-constexpr std::size_t kIdleFraction = 16;
+/// At the limit, this part of the idle or slow connections is closed, so that not each new one
+/// searches.
+constexpr std::size_t kClosedFraction = 16;
 
 constexpr std::array<std::string_view, kAnswerCutCauses> kCauseNames{
   "caller", "slow-caller", "write-timeout", "process", "stop", "unsent"
@@ -96,8 +97,11 @@
   /// \returns Whether more may wait.
   bool AcceptWaiting();
   void Admit(impl::AcceptedConnection connection);
-  /// \brief Closes the connections that have been idle longest. \returns Whether there were any.
-  bool CloseLongestIdle(HttpEndCause cause);
+  /// \brief Closes the connections that have been idle longest or, if there are none, those whose
+  /// requests arrive most slowly. \returns Whether there were any.
+  bool MakeRoom(HttpEndCause cause);
+  template<class Key, class KeyOf, class CloseOne>
+  bool CloseFirst(const KeyOf& keyOf, const CloseOne& close);
   void ReportLimit(const std::string& peer);
 
   // Reading.
@@ -207,7 +211,7 @@
       return false;
     }
     // No descriptor is free. A connection that nobody accepts would only wait in the kernel.
-    if (!CloseLongestIdle(HttpEndCause::kDescriptorLimit)) {
+    if (!MakeRoom(HttpEndCause::kDescriptorLimit)) {
       const std::optional<tcp::endpoint> peer = listener.CloseNext();
       if (!peer) {
         return false;
@@ -238,7 +242,7 @@
                          !memory->HasRoomForConnection(accepted.size());
   const HttpEndCause limit =
     isReserved ? HttpEndCause::kDescriptorLimit : HttpEndCause::kConnectionLimit;
-  if (isAtLimit && !CloseLongestIdle(limit)) {
+  if (isAtLimit && !MakeRoom(limit)) {
     ++counters.closedAtLimit;
     OnEnded(limit, connection);
     ReportLimit(ToAddress(connection.peer));
@@ -254,24 +258,37 @@
   unreadAdded.Notify();
 }
 
-bool HttpServer::Impl::CloseLongestIdle(HttpEndCause cause)
+template<class Key, class KeyOf, class CloseOne>
+bool HttpServer::Impl::CloseFirst(const KeyOf& keyOf, const CloseOne& close)
 {
-  std::vector<std::pair<TimePoint, impl::HttpSession*>> idle;
+  std::vector<std::pair<Key, impl::HttpSession*>> candidates;
   for (const auto& [number, session] : sessions) {
-    if (const std::optional<TimePoint> since = session->IdleSince()) {
-      idle.emplace_back(*since, session.get());
+    if (const std::optional<Key> key = keyOf(*session)) {
+      candidates.emplace_back(*key, session.get());
     }
   }
-  const std::size_t count = (idle.size() + kIdleFraction - 1) / kIdleFraction;
-  std::ranges::partial_sort(idle, idle.begin() + static_cast<std::ptrdiff_t>(count));
+  const std::size_t count = (candidates.size() + kClosedFraction - 1) / kClosedFraction;
+  std::ranges::partial_sort(candidates, candidates.begin() + static_cast<std::ptrdiff_t>(count));
   bool hasClosed = false;
-  for (const auto& [since, session] : std::span(idle).first(count)) {
-    hasClosed = session->CloseIfIdle(cause) || hasClosed;
+  for (const auto& [key, session] : std::span(candidates).first(count)) {
+    hasClosed = close(*session) || hasClosed;
   }
   counters.closedAtLimit += hasClosed ? count : 0;
   return hasClosed;
 }
 
+// Without an idle connection, new callers would be kept out for as long as a request may take.
+bool HttpServer::Impl::MakeRoom(HttpEndCause cause)
+{
+  const TimePoint now = BootNow();
+  return CloseFirst<TimePoint>(
+           [](const impl::HttpSession& session) { return session.IdleSince(); },
+           [cause](impl::HttpSession& session) { return session.CloseIfIdle(cause); }) ||
+         CloseFirst<double>(
+           [now](const impl::HttpSession& session) { return session.ArrivalRate(now); },
+           [cause](impl::HttpSession& session) { return session.CloseUnfinished(cause); });
+}
+
 void HttpServer::Impl::ReportLimit(const std::string& peer)
 {
   const TimePoint now = BootNow();
--- a/src/http/http_session.hpp
+++ b/src/http/http_session.hpp
@@ -102,6 +102,10 @@
   /// \returns Whether it did.
   bool CloseIfIdle(HttpEndCause cause);
 
+  /// \brief Closes the connection in the middle of a request that has not arrived completely.
+  /// \returns True.
+  bool CloseUnfinished(HttpEndCause cause);
+
   /// \brief Closes an idle connection of a server that stops; a new one gets a moment for its first
   /// request, which is mostly on its way.
   void OnStopping();
@@ -109,6 +113,10 @@
   /// \brief Since when it has waited for a request; none if a request is being served.
   [[nodiscard]] std::optional<TimePoint> IdleSince() const;
 
+  /// \brief Bytes a second of the request that arrives; none if there is none, or only for a
+  /// moment.
+  [[nodiscard]] std::optional<double> ArrivalRate(TimePoint now) const;
+
   /// \brief Whether the caller of the current exchange is connected; if not, it is handled as gone.
   [[nodiscard]] bool CheckCaller();
 
@@ -246,6 +254,7 @@
   TimePoint m_idleSince{};
   TimePoint m_inputAt{};    ///< When the first bytes of the current request were noticed.
   TimePoint m_receivedAt{}; ///< When its last bytes came, as far as is known.
+  std::optional<std::size_t> m_arrivedBytes; ///< Of a request that has not arrived completely.
   Phase m_phase = Phase::kReading;
   std::uint64_t m_served = 0;        ///< Requests that were passed on.
   std::optional<HttpEndCause> m_end; ///< Why it ends, if a request may get no response.
--- a/src/http/http_session_read.cpp
+++ b/src/http/http_session_read.cpp
@@ -28,6 +28,8 @@
 constexpr std::size_t kMaxReadBytes = 32 * 1024;
 /// Kept by a connection that has no request.
 constexpr std::size_t kMaxRetainedBufferBytes = kFirstReadBytes;
+/// The rate at which a request arrives is known after this time.
+constexpr Duration kMinArrivalTime = std::chrono::seconds(1);
 /// The loop is on time if it polls more often than this.
 constexpr Duration kLateLoop = std::chrono::milliseconds(5);
 constexpr Duration kLingerTimeout = std::chrono::seconds(1);
@@ -186,6 +188,13 @@
   return isIdle;
 }
 
+bool HttpSession::CloseUnfinished(HttpEndCause cause)
+{
+  m_end = cause;
+  Close();
+  return true;
+}
+
 void HttpSession::ReportEnd()
 {
   if (m_closed) {
@@ -225,6 +234,15 @@
   return m_idle && !m_closed ? std::optional(m_idleSince) : std::nullopt;
 }
 
+std::optional<double> HttpSession::ArrivalRate(TimePoint now) const
+{
+  const Duration since = now - m_inputAt;
+  if (!m_arrivedBytes || m_closed || since < kMinArrivalTime) {
+    return std::nullopt;
+  }
+  return static_cast<double>(*m_arrivedBytes) / std::chrono::duration<double>(since).count();
+}
+
 // A request counts as in flight, and is answered, once its first bytes are in the kernel buffer.
 bool HttpSession::HasPendingInput()
 {
@@ -334,6 +352,7 @@
     const auto [failure, size] =
       Await([&](auto done) { m_socket.async_read_some(m_buffer.prepare(most), done); });
     m_buffer.commit(size);
+    *m_arrivedBytes += size;
     error = failure ? failure : ParseBuffered(parser, m_buffer);
     if (!error && !parser.is_done() && m_buffer.size() > m_settings.maxHeaderBytes) {
       error = http::error::buffer_overflow;
@@ -363,6 +382,7 @@
 
 boost::system::error_code HttpSession::ReadRest(Parser& parser)
 {
+  m_arrivedBytes = m_buffer.size() + parser.get().body().size();
   // Without a deadline, a caller could keep the connection open by sending single bytes.
   m_timedOut = false;
   const auto limit = [this](Duration timeout) {
@@ -388,6 +408,7 @@
     error = ReadWhile(parser, [&] { return !parser.is_done(); });
   }
   m_deadline.Disarm();
+  m_arrivedBytes.reset();
   if (!error && !m_closed) {
     m_inputAt = m_hooks.loopTimes().polledAt;
     m_receivedAt = ArrivalOfInput();
--- a/tests/unit/caller_memory_test.cpp
+++ b/tests/unit/caller_memory_test.cpp
@@ -185,5 +185,24 @@
   }
 }
 
+// Guards against new callers who are kept out while unfinished requests use all connections.
+TEST(ConnectionLimit, TheSlowestUnfinishedRequestMakesRoom)
+{
+  IoRuntime runtime;
+  RecordingServer server(runtime,
+                         [](HttpServerSettings& settings) { settings.maxConnections = 2; });
+  RawConnection slow(runtime, server.address);
+  ASSERT_TRUE(slow.Write(HeadOf("slow", 2000) + "x"));
+  RawConnection fast(runtime, server.address);
+  ASSERT_TRUE(fast.Write(HeadOf("fast", 2000) + std::string(1000, 'x')));
+  runtime.SleepFor(1100ms);
+  RawConnection late(runtime, server.address);
+  ASSERT_TRUE(late.Write(HeadOf("late", 0)));
+  server.Request(1);
+  EXPECT_EQ(slow.ReadToEnd(), "");
+  ASSERT_TRUE(fast.Write(std::string(1000, 'x')));
+  EXPECT_EQ(server.Request(2).body.size(), 2000U);
+}
+
 } // namespace
 } // namespace gooseberrysail
