Answers that wait for their callers count as memory held for callers

What callers saw: an entry that ended for lack of memory: 48 answers of 3.9 MiB that their callers don't read took 381 to 423 MB of its own memory, where the machine has 160.

Cause: each connection may queue 16 MiB, each request may have 4 MiB buffered in the dispatcher until its answer is whole, all of them together had no limit; an answer was copied when it was written.

Change: what the dispatcher holds of answers, what is queued for a caller and what was read ahead behind his request count in CallerMemory, beside the requests that arrive. Beyond the limit, the oldest of those that hold at least half of what the largest holds gives way: a request that arrives is refused, an answer that has begun is cut, so that it does not look whole, and one that has not begun is replaced by status 502, as its request may have run. Answers are written without a copy. Buffers of 1 MiB and more are returned to the system when they are freed: by default the C library keeps them once it has seen one.

CallerMemory.TheOldestOfTheLargestAnswersIsGivenUp and AnAnswerThatIsGivenUpIsCutOrReplaced are new.

--- a/apps/gooseberrysaild.cpp
+++ b/apps/gooseberrysaild.cpp
@@ -8,12 +8,16 @@
 
 #include <boost/program_options.hpp>
 #include <iostream>
+#include <malloc.h>
 #include <string>
 
 namespace {
 
 using gooseberrysail::DaemonExit;
 
+/// Buffers from this size on are returned to the system when they are freed.
+constexpr int kReturnedBufferBytes = 1024 * 1024;
+
 int ToExitStatus(DaemonExit result)
 {
   return static_cast<int>(result);
@@ -62,6 +66,9 @@
 
 int main(int count, char** arguments)
 {
+  // By default the C library raises this size once such a buffer was freed, and keeps the next
+  // ones.
+  mallopt(M_MMAP_THRESHOLD, kReturnedBufferBytes);
   namespace options = boost::program_options;
   options::options_description description("gooseberrysaild --settings FILE");
   description.add_options()(
--- a/include/gooseberrysail/gateway/answer_limits.hpp
+++ b/include/gooseberrysail/gateway/answer_limits.hpp
@@ -1,6 +1,9 @@
 #pragma once
 
+#include "gooseberrysail/roles/inputs.hpp"
+
 #include <cstddef>
+#include <functional>
 
 namespace gooseberrysail {
 
@@ -12,4 +15,7 @@
   std::size_t maxEventBytes = std::size_t{ 1024 } * 1024;    ///< Of one event of a stream.
 };
 
+/// \brief Is told how many bytes of answers are held for an exchange, before they are passed on.
+using HeldAnswerHook = std::function<void(ExchangeId exchange, std::size_t bytes)>;
+
 } // namespace gooseberrysail
--- a/include/gooseberrysail/gateway/dispatcher.hpp
+++ b/include/gooseberrysail/gateway/dispatcher.hpp
@@ -125,6 +125,10 @@
 
   void SetAnswerLimits(const AnswerLimits& limits) noexcept { m_limits = limits; }
 
+  /// \brief Sets what is told how many bytes of answers are held for an exchange. A caller whose
+  /// bytes can't be held is reported as gone.
+  void SetHeldAnswerHook(HeldAnswerHook hook) { m_onHeldAnswer = std::move(hook); }
+
   /// \brief With it, requests are sent where their first event is predicted in time, and the heads
   /// are compared by that. Only for services whose engines state their figures.
   void SetForecasts(bool isUsed) noexcept { m_usesForecasts = isUsed; }
@@ -227,6 +231,7 @@
     bool streams = false;                 ///< The current answer is forwarded event by event.
     std::optional<AnswerFraming> framing; ///< Of the latest answer; none before a head.
     std::uint64_t answerBytes = 0;        ///< Of all bodies that targets sent.
+    std::size_t reportedBytes = 0;        ///< To the hook of held answers.
     HttpAnswerOut bufferedAnswer;         ///< Status and headers, and the body unless it streams.
     EventSplitter events;
     std::string lastError;
@@ -356,6 +361,8 @@
   void SendEvents(TimePoint now, Request& request, std::string events, bool end, Outbox& outbox);
   /// \brief The bound that a held answer exceeds; kNone for none.
   [[nodiscard]] AnswerBound ExceededBy(const HeldAnswer& held) const;
+  /// \brief Tells how much of answers is held for the request.
+  void ReportHeldAnswer(Request& request) const;
   /// \brief Ends an attempt whose answer exceeds a bound. The request may be erased.
   void EndUnbounded(TimePoint now,
                     Request& request,
@@ -531,6 +538,7 @@
 
   GatewayApi m_api;
   AnswerLimits m_limits;
+  HeldAnswerHook m_onHeldAnswer; ///< May be empty.
   std::function<std::uint64_t()> m_random;
   TargetSelector m_selector;
   RetryAllowance m_retries;
--- a/include/gooseberrysail/http/http_server.hpp
+++ b/include/gooseberrysail/http/http_server.hpp
@@ -167,6 +167,10 @@
   /// \brief Changes HttpServerSettings::headTimeout for the requests that are read from now on.
   void SetHeadTimeout(Duration timeout);
 
+  /// \brief Counts bytes that the owner holds for a caller. If they are too many, the response is
+  /// ended and the caller reported as gone.
+  void SetHeldBytes(ExchangeId exchange, std::size_t bytes);
+
 private:
   struct Impl;
   std::shared_ptr<Impl> m_impl;
--- a/include/gooseberrysail/roles/gateway_role.hpp
+++ b/include/gooseberrysail/roles/gateway_role.hpp
@@ -49,6 +49,9 @@
   /// while none is known.
   [[nodiscard]] Duration HeadTimeout() const;
 
+  /// \brief See Dispatcher::SetHeldAnswerHook.
+  void SetHeldAnswerHook(HeldAnswerHook hook);
+
   static constexpr Duration kTickInterval = std::chrono::milliseconds(50);
 
 private:
--- a/src/gateway/dispatcher.cpp
+++ b/src/gateway/dispatcher.cpp
@@ -525,6 +525,7 @@
     return;
   }
   if (!part.end) {
+    ReportHeldAnswer(request);
     return;
   }
   request.bufferedAnswer.end = true;
@@ -561,6 +562,22 @@
     EndStream(now, request, std::move(events), outbox);
   } else {
     SendEvents(now, request, std::move(events), false, outbox);
+    ReportHeldAnswer(request);
+  }
+}
+
+void Dispatcher::ReportHeldAnswer(Request& request) const
+{
+  std::size_t bytes = request.bufferedAnswer.bytes.capacity() + request.events.PartialBytes();
+  if (!request.hedges.empty()) {
+    bytes += request.held.bytes;
+  }
+  for (const Hedge& hedge : request.hedges) {
+    bytes += hedge.held.bytes;
+  }
+  if (m_onHeldAnswer && bytes != request.reportedBytes) {
+    request.reportedBytes = bytes;
+    m_onHeldAnswer(request.call.exchange, bytes);
   }
 }
 
--- a/src/gateway/dispatcher_hedges.cpp
+++ b/src/gateway/dispatcher_hedges.cpp
@@ -71,6 +71,7 @@
   if (hasEvent && held.firstEventAt == TimePoint{}) {
     held.firstEventAt = now;
   }
+  ReportHeldAnswer(request);
   if (const AnswerBound bound = ExceededBy(held); bound != AnswerBound::kNone) {
     EndUnbounded(now, request, request.sent, bound, outbox);
     return;
@@ -148,6 +149,7 @@
   held.parts.push_back(part);
   held.bytes += part.bytes.size();
   const bool hasEvent = !held.events.Take(part.bytes).empty();
+  ReportHeldAnswer(request);
   if (const AnswerBound bound = ExceededBy(held); bound != AnswerBound::kNone) {
     EndUnbounded(now, request, SentCall(hedge.sent), bound, outbox);
     return;
--- a/src/gateway/gateway_role.cpp
+++ b/src/gateway/gateway_role.cpp
@@ -134,6 +134,11 @@
   return snapshot.index ? snapshot.index->Document().limits.headerTimeout : Duration::zero();
 }
 
+void GatewayRole::SetHeldAnswerHook(HeldAnswerHook hook)
+{
+  m_impl->dispatcher.SetHeldAnswerHook(std::move(hook));
+}
+
 bool GatewayRole::IsReady() const noexcept
 {
   return m_impl->IsReady();
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -720,6 +720,15 @@
   m_impl->settings.headTimeout = timeout;
 }
 
+void HttpServer::SetHeldBytes(ExchangeId exchange, std::size_t bytes)
+{
+  const auto found = m_impl->exchanges.find(exchange);
+  if (found != m_impl->exchanges.end()) {
+    const auto session = found->second;
+    session->SetHeldBytes(bytes);
+  }
+}
+
 bool HttpServer::IsCallerConnected(ExchangeId exchange)
 {
   const auto found = m_impl->exchanges.find(exchange);
--- a/src/http/http_session.hpp
+++ b/src/http/http_session.hpp
@@ -70,6 +70,8 @@
   std::function<const LoopTimes&()> loopTimes;
 };
 
+inline constexpr std::string_view kNoMemory = "the process holds too much for its callers";
+
 /// \brief A response that the server makes itself.
 [[nodiscard]] HttpAnswerOut MakeError(unsigned status, std::string body);
 
@@ -117,6 +119,9 @@
   /// moment.
   [[nodiscard]] std::optional<double> ArrivalRate(TimePoint now) const;
 
+  /// \brief Counts what the owner holds of the response to the current exchange.
+  void SetHeldBytes(std::size_t bytes);
+
   /// \brief Whether the caller of the current exchange is connected; if not, it is handled as gone.
   [[nodiscard]] bool CheckCaller();
 
@@ -218,7 +223,7 @@
   [[nodiscard]] HttpAnswerOut JoinParts();
   /// \brief Writes an error in place of a response that was aborted before its first byte.
   WriteResult WriteFailure(const Request& request);
-  WriteResult WriteWhole(const Request& request, const HttpAnswerOut& part);
+  WriteResult WriteWhole(const Request& request, HttpAnswerOut part);
   WriteResult WriteStream(const Request& request, HttpAnswerOut part);
   /// \brief Notes whether the response ends with the connection, which is reset then unless the
   /// response is whole, also if the process is killed.
@@ -226,10 +231,14 @@
   bool SetEndsWithConnection(bool endsWithConnection);
   bool WriteBody(HttpAnswerOut part, BodyEncoding encoding);
   bool WriteBodyPart(std::string_view bytes, BodyEncoding encoding);
-  bool WriteRejection(const Request& request, const HttpAnswerOut& answer);
+  bool WriteRejection(const Request& request, HttpAnswerOut answer);
   void Abort(AnswerCutCause cause, std::string_view reason);
   /// \brief The first decision to cut a response is the one that is reported.
   void SetCut(AnswerCutCause cause, std::string_view reason);
+  /// \brief Cuts the response or, before its first byte, replaces it by an error.
+  void EndResponse(std::string_view cutReason, std::string_view failure);
+  /// \brief States what is held of the response and of requests that were read ahead.
+  void CountResponse();
   void ReportCut(ExchangeId exchange);
   /// \brief Tells the server, before the socket is closed, why a request may get no response.
   void ReportEnd();
@@ -249,6 +258,8 @@
   ExchangeId m_exchange; ///< None between exchanges.
   std::deque<HttpAnswerOut> m_parts;
   std::size_t m_queuedBytes = 0;
+  std::size_t m_heldBytes = 0;    ///< By the owner, of the response.
+  std::size_t m_countedBytes = 0; ///< Of the response, as last stated.
   Response m_response;
   Signal m_changed;
   TimePoint m_idleSince{};
--- a/src/http/http_session_read.cpp
+++ b/src/http/http_session_read.cpp
@@ -42,7 +42,6 @@
 constexpr unsigned kNotImplemented = 501;
 constexpr unsigned kUnavailable = 503;
 constexpr std::string_view kLate = "the request waited too long to be read";
-constexpr std::string_view kNoMemory = "the process holds too much for its callers";
 /// In seconds. The caller's next connection can reach another process.
 constexpr const char* kRetryAfter = "0.05";
 constexpr std::string_view kLongChunkHead =
@@ -137,6 +136,8 @@
     }
     m_parts.clear();
     m_queuedBytes = 0;
+    m_heldBytes = 0;
+    m_countedBytes = 0;
     m_memory.EndRequest(m_memoryId);
     m_hooks.onEnd(ended);
     if (written == WriteResult::kClosing) {
@@ -375,6 +376,10 @@
 
 void HttpSession::OnShed()
 {
+  if (!m_exchange.IsNone()) {
+    EndResponse(kNoMemory, kNoMemory);
+    return;
+  }
   m_isShed = true;
   boost::system::error_code ignored;
   m_socket.cancel(ignored);
@@ -523,7 +528,7 @@
   Request request;
   request.version = head.version();
   request.head = head.method() == http::verb::head;
-  if (!WriteRejection(request, answer)) {
+  if (!WriteRejection(request, std::move(answer))) {
     return;
   }
   if (parser.is_done()) {
@@ -640,6 +645,10 @@
     if (const auto error = ReadSome(); error) {
       return error == asio::error::would_block;
     }
+    CountResponse();
+    if (m_closed) {
+      return true; // Handled already.
+    }
   }
   return true;
 }
--- a/src/http/http_session_write.cpp
+++ b/src/http/http_session_write.cpp
@@ -21,6 +21,8 @@
 namespace http = boost::beast::http;
 
 constexpr unsigned kDefaultStatus = 200;
+/// Responses and read-ahead input below this are covered by the cost of a connection.
+constexpr std::size_t kMinCountedBytes = 4 * 1024;
 constexpr std::size_t kMaxLoggedIdLength = 64;
 /// A write timeout of which the event loop missed this part is not the caller's fault.
 constexpr int kLateFraction = 4;
@@ -109,23 +111,54 @@
   if (m_queuedBytes > 0 && m_queuedBytes + part.bytes.size() > m_settings.maxQueuedAnswerBytes) {
     // The caller reads the response more slowly than the target produces it, or its response waits
     // for its end.
-    const ExchangeId exchange = m_exchange;
-    if (m_response.hasBegun) {
-      Abort(AnswerCutCause::kSlowCaller, "the caller reads the response too slowly");
-    } else {
-      m_response.failure = "the response is too long to be held until its end";
-      m_parts.clear();
-      HttpAnswerOut failed;
-      failed.abort = true;
-      m_parts.push_back(std::move(failed));
-      m_changed.Notify();
-    }
-    m_hooks.onCallerGone(exchange);
+    EndResponse("the caller reads the response too slowly",
+                "the response is too long to be held until its end");
     return;
   }
+  if (part.bytes.capacity() - part.bytes.size() > kMinCountedBytes) {
+    part.bytes.shrink_to_fit();
+  }
   m_queuedBytes += part.bytes.size();
+  m_heldBytes = part.end ? 0 : m_heldBytes;
   m_parts.push_back(std::move(part));
   m_changed.Notify();
+  CountResponse();
+}
+
+void HttpSession::EndResponse(std::string_view cutReason, std::string_view failure)
+{
+  const ExchangeId exchange = m_exchange;
+  if (m_response.hasBegun) {
+    Abort(AnswerCutCause::kSlowCaller, cutReason);
+  } else {
+    m_response.failure = failure;
+    m_parts.clear();
+    m_queuedBytes = 0;
+    HttpAnswerOut failed;
+    failed.abort = true;
+    m_parts.push_back(std::move(failed));
+    m_changed.Notify();
+  }
+  m_hooks.onCallerGone(exchange);
+}
+
+void HttpSession::SetHeldBytes(std::size_t bytes)
+{
+  if (!m_closed) {
+    m_heldBytes = bytes;
+    CountResponse();
+  }
+}
+
+void HttpSession::CountResponse()
+{
+  const std::size_t buffered = m_buffer.size() > 0 ? m_buffer.capacity() : 0;
+  const std::size_t bytes = m_queuedBytes + m_heldBytes + buffered;
+  const bool isCounted = bytes > kMinCountedBytes || m_countedBytes > 0;
+  if (isCounted && bytes != m_countedBytes && !m_exchange.IsNone()) {
+    m_countedBytes = bytes;
+    m_memory.SetAnswer(m_memoryId, BootNow(), bytes);
+  }
 }
 
 bool HttpSession::WaitForPart()
@@ -175,7 +208,7 @@
   if (first.abort) {
     return WriteFailure(request);
   }
-  return first.end ? WriteWhole(request, first) : WriteStream(request, std::move(first));
+  return first.end ? WriteWhole(request, std::move(first)) : WriteStream(request, std::move(first));
 }
 
 HttpSession::WriteResult HttpSession::WriteFailure(const Request& request)
@@ -185,14 +218,14 @@
   if (!m_response.requestId.empty()) {
     failure.headers.push_back(HttpHeader{ std::string(kRequestIdHeader), m_response.requestId });
   }
-  const WriteResult written = WriteWhole(request, failure);
+  const WriteResult written = WriteWhole(request, std::move(failure));
   if (written != WriteResult::kIncomplete) {
     SetCut(AnswerCutCause::kUnsent, m_response.failure);
   }
   return written;
 }
 
-HttpSession::WriteResult HttpSession::WriteWhole(const Request& request, const HttpAnswerOut& part)
+HttpSession::WriteResult HttpSession::WriteWhole(const Request& request, HttpAnswerOut part)
 {
   http::response<http::string_body> answer;
   answer.version(request.version);
@@ -210,7 +243,7 @@
     if (!m_endsWithConnection && isLengthKnown) {
       answer.content_length(part.bytes.size());
     }
-    answer.body() = request.head ? std::string() : part.bytes;
+    answer.body() = request.head ? std::string() : std::move(part.bytes);
   }
   http::response_serializer<http::string_body> serializer(answer);
   if (!Write([&](auto done) { http::async_write(m_socket, serializer, done); })) {
@@ -271,6 +304,7 @@
       return false;
     }
     m_queuedBytes -= std::min(m_queuedBytes, size);
+    CountResponse();
     if (part.abort) {
       SetCut(AnswerCutCause::kProcess, "aborted by the process during the response");
       if (m_buffer.size() > 0) {
@@ -292,9 +326,9 @@
          Write([&](auto done) { asio::async_write(m_socket, last, done); });
 }
 
-bool HttpSession::WriteRejection(const Request& request, const HttpAnswerOut& answer)
+bool HttpSession::WriteRejection(const Request& request, HttpAnswerOut answer)
 {
-  return WriteWhole(request, answer) != WriteResult::kIncomplete;
+  return WriteWhole(request, std::move(answer)) != WriteResult::kIncomplete;
 }
 
 // Closes the connection without the last chunk or by a reset, so that no caller can take the
--- a/src/shell/gateway_shell.cpp
+++ b/src/shell/gateway_shell.cpp
@@ -47,6 +47,8 @@
 {
   impl::ProcessShell shell(settings);
   GatewayRole role(ToGatewaySettings(settings), shell.MakeRoleHooks(), adapter.api);
+  role.SetHeldAnswerHook(
+    [&](ExchangeId exchange, std::size_t bytes) { shell.SetHeldBytes(exchange, bytes); });
   using Loop = RoleLoop<GatewayInput, GatewayOutput>;
   std::unique_ptr<Loop> loop;
   HttpClient targets(
--- a/src/shell/process_shell.cpp
+++ b/src/shell/process_shell.cpp
@@ -316,6 +316,11 @@
   return m_http->IsCallerConnected(exchange);
 }
 
+void ProcessShell::SetHeldBytes(ExchangeId exchange, std::size_t bytes)
+{
+  m_http->SetHeldBytes(exchange, bytes);
+}
+
 std::size_t ProcessShell::QueuedBytes(const ProcessId& peer) const
 {
   return m_mesh->QueuedBytes(peer);
--- a/src/shell/process_shell.hpp
+++ b/src/shell/process_shell.hpp
@@ -64,6 +64,8 @@
   /// served while descriptors are short.
   [[nodiscard]] HttpServerSettings ProbeSettings(std::string address) const;
   void SetHeadTimeout(Duration timeout) { m_http->SetHeadTimeout(timeout); }
+  /// \brief See HttpServer::SetHeldBytes.
+  void SetHeldBytes(ExchangeId exchange, std::size_t bytes);
 
   /// \brief Number of unsent bytes queued for the peer.
   [[nodiscard]] std::size_t QueuedBytes(const ProcessId& peer) const;
--- a/tests/unit/caller_memory_test.cpp
+++ b/tests/unit/caller_memory_test.cpp
@@ -97,6 +97,28 @@
   EXPECT_LE(memory.UsedBytes(), kLimit);
 }
 
+// Guards against answers that nobody reads and that fill the memory.
+TEST(CallerMemory, TheOldestOfTheLargestAnswersIsGivenUp)
+{
+  Connections connections(6);
+  CallerMemory& memory = connections.memory;
+  for (std::size_t number = 0; number < 5; ++number) {
+    memory.SetAnswer(connections.ids[number], kNow + number * 1s, 3 * kMebi);
+  }
+  SECTION("a small request that arrives is not the one")
+  {
+    memory.SetArriving(connections.ids[5], kNow + 5s, 2 * kMebi);
+    EXPECT_THAT(connections.shed, ElementsAre(0));
+    EXPECT_EQ(memory.Counters().shedAnswers, 1U);
+  }
+  SECTION("a caller who reads holds less and less")
+  {
+    memory.SetAnswer(connections.ids[1], kNow + 6s, kMebi);
+    memory.SetAnswer(connections.ids[2], kNow + 7s, 8 * kMebi);
+    EXPECT_THAT(connections.shed, ElementsAre(0, 2));
+  }
+}
+
 // Guards against totals that differ from what is held once connections have ended.
 TEST(CallerMemory, CountsNothingOfConnectionsThatEnded)
 {
@@ -185,6 +207,42 @@
   }
 }
 
+// Guards against an answer that is given up and looks whole to its caller, or whose work goes on.
+TEST(CallerMemory, AnAnswerThatIsGivenUpIsCutOrReplaced)
+{
+  constexpr std::size_t kAnswer = 3 * kMebi;
+  IoRuntime runtime;
+  RecordingServer server(runtime, [&](HttpServerSettings& settings) {
+    settings.memory = std::make_shared<CallerMemory>(5 * kMebi);
+  });
+  RawConnection first(runtime, server.address);
+  ASSERT_TRUE(first.Write(HeadOf("first", 0)));
+  const ExchangeId exchange = server.Request(1).exchange;
+  RawConnection second(runtime, server.address);
+  ASSERT_TRUE(second.Write(HeadOf("second", 0)));
+  server.Request(2);
+  SECTION("held by the owner, before its first byte")
+  {
+    server.server.SetHeldBytes(exchange, kAnswer);
+    server.server.SetHeldBytes(server.requests[1].exchange, kAnswer);
+    EXPECT_THAT(server.disconnected, ElementsAre(exchange));
+    EXPECT_TRUE(first.ReadUntil("HTTP/1.1 502"));
+    EXPECT_TRUE(first.ReadUntil("unknown"));
+  }
+  SECTION("while it is sent")
+  {
+    RawConnection third(runtime, server.address);
+    ASSERT_TRUE(third.Write(HeadOf("third", 0)));
+    const HttpRequestIn request = server.Request(3);
+    server.Send(server.requests[1], std::string(kAnswer, 'x'), true);
+    EXPECT_TRUE(second.ReadUntil("x"));
+    server.Send(request, std::string(kAnswer, 'x'), true);
+    EXPECT_THAT(server.disconnected, ElementsAre(exchange, server.requests[1].exchange));
+    EXPECT_LT(second.ReadToEnd().size(), kAnswer);
+    EXPECT_TRUE(third.ReadSize(kAnswer));
+  }
+}
+
 // Guards against new callers who are kept out while unfinished requests use all connections.
 TEST(ConnectionLimit, TheSlowestUnfinishedRequestMakesRoom)
 {
