The limits on callers in the operators' configuration take effect

What operators saw: a configuration that raises or lowers maxBodyBytes, maxHeaderBytes or idleTimeoutMs changed nothing: bodies were held to the settings file, idle connections to 60 s.

Cause: the fields were decoded, and only the time for headers was read. DocumentFields.EachHasAReader passed, because other structures have fields of the same names.

Change: an entry takes all four from the document in force for the next request it reads; what the document doesn't state stays as in the settings file. A header or a body may have a fifth of the memory for callers, whatever the configuration says, so that one of the largest size still passes.

Tests: LimitsOnCallers.TakeEffectForTheNextRequest is new.

--- a/include/gooseberrysail/http/http_server.hpp
+++ b/include/gooseberrysail/http/http_server.hpp
@@ -164,8 +164,10 @@
   /// \brief Whether the caller is still connected; if not, it is handled as gone.
   [[nodiscard]] bool IsCallerConnected(ExchangeId exchange);
 
-  /// \brief Changes HttpServerSettings::headTimeout for the requests that are read from now on.
-  void SetHeadTimeout(Duration timeout);
+  /// \brief Takes maxHeaderBytes, maxBodyBytes, headTimeout and idleTimeout for the requests that
+  /// are read from now on.
+  /// \remarks A header or a body may be a fifth of what all callers may hold, at most.
+  void SetLimits(const HttpServerSettings& limits);
 
   /// \brief Counts bytes that the owner holds for a caller. If they are too many, the response is
   /// ended and the caller reported as gone.
--- a/include/gooseberrysail/roles/gateway_role.hpp
+++ b/include/gooseberrysail/roles/gateway_role.hpp
@@ -5,8 +5,10 @@
 #include "gooseberrysail/gateway/retry_allowance.hpp"
 #include "gooseberrysail/roles/entry_role.hpp"
 #include "gooseberrysail/roles/inputs.hpp"
+#include "gooseberrysail/serving/document.hpp"
 
 #include <memory>
+#include <optional>
 #include <span>
 #include <vector>
 
@@ -45,9 +47,8 @@
   /// \brief Whether a load balancer should send callers to this entry.
   [[nodiscard]] bool IsReady() const noexcept;
 
-  /// \brief How long a caller may take to send a request's headers, by the document in force; zero
-  /// while none is known.
-  [[nodiscard]] Duration HeadTimeout() const;
+  /// \brief The limits on callers of the document in force; none while no document is known.
+  [[nodiscard]] std::optional<CallerLimits> LimitsOnCallers() const;
 
   /// \brief See Dispatcher::SetHeldAnswerHook.
   void SetHeldAnswerHook(HeldAnswerHook hook);
--- a/include/gooseberrysail/serving/document.hpp
+++ b/include/gooseberrysail/serving/document.hpp
@@ -105,13 +105,13 @@
   std::optional<std::uint32_t> priority; ///< Overrides the route's priority.
 };
 
-/// \brief Limits on requests of callers.
+/// \brief Limits on requests of callers; zero for those that the document doesn't state.
 struct CallerLimits
 {
-  std::uint32_t maxHeaderBytes = 16 * 1024;
-  std::uint64_t maxBodyBytes = 4 * 1024 * 1024;
-  Duration headerTimeout{}; ///< Zero where the document states none.
-  Duration idleTimeout = std::chrono::seconds(15);
+  std::uint32_t maxHeaderBytes = 0;
+  std::uint64_t maxBodyBytes = 0;
+  Duration headerTimeout{};
+  Duration idleTimeout{};
 };
 
 struct ServingDocument
--- a/src/gateway/gateway_role.cpp
+++ b/src/gateway/gateway_role.cpp
@@ -128,10 +128,10 @@
   m_impl->feed.AddControls(std::move(controls));
 }
 
-Duration GatewayRole::HeadTimeout() const
+std::optional<CallerLimits> GatewayRole::LimitsOnCallers() const
 {
   const ServingSnapshot snapshot = m_impl->feed.Snapshot();
-  return snapshot.index ? snapshot.index->Document().limits.headerTimeout : Duration::zero();
+  return snapshot.index ? std::optional(snapshot.index->Document().limits) : std::nullopt;
 }
 
 void GatewayRole::SetHeldAnswerHook(HeldAnswerHook hook)
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -40,6 +40,8 @@
 constexpr std::size_t kMaxLoggedIdLength = 64;
 /// Of a server that shares it with no other.
 constexpr std::size_t kDefaultMemory = std::size_t{ 64 } * 1024 * 1024;
+/// A header or a body may have this part of the memory for all callers.
+constexpr std::size_t kRequestsInMemory = 5;
 /// At the limit, this part of the idle or slow connections is closed, so that not each new one
 /// searches.
 constexpr std::size_t kClosedFraction = 16;
@@ -715,9 +717,15 @@
   return m_impl->OpenConnections();
 }
 
-void HttpServer::SetHeadTimeout(Duration timeout)
+void HttpServer::SetLimits(const HttpServerSettings& limits)
 {
-  m_impl->settings.headTimeout = timeout;
+  HttpServerSettings& settings = m_impl->settings;
+  const std::size_t most = m_impl->memory->Limit() / kRequestsInMemory;
+  settings.maxHeaderBytes =
+    static_cast<std::uint32_t>(std::min<std::size_t>(limits.maxHeaderBytes, most));
+  settings.maxBodyBytes = std::min<std::uint64_t>(limits.maxBodyBytes, most);
+  settings.headTimeout = limits.headTimeout;
+  settings.idleTimeout = limits.idleTimeout;
 }
 
 void HttpServer::SetHeldBytes(ExchangeId exchange, std::size_t bytes)
--- a/src/shell/gateway_shell.cpp
+++ b/src/shell/gateway_shell.cpp
@@ -75,7 +75,9 @@
     GatewayRole::kTickInterval,
     [&](TimePoint now, std::span<const GatewayInput> inbox, std::vector<GatewayOutput>& outbox) {
       shell.RunTick([&] { role.Tick(now, inbox, outbox); });
-      shell.SetHeadTimeout(role.HeadTimeout());
+      if (const std::optional<CallerLimits> limits = role.LimitsOnCallers()) {
+        shell.SetLimits(*limits);
+      }
     },
     [&](GatewayOutput& output) { std::visit(handle, output); });
   std::unique_ptr<HttpServer> ready;
--- a/src/shell/process_shell.cpp
+++ b/src/shell/process_shell.cpp
@@ -7,6 +7,7 @@
 
 #include <csignal>
 #include <cstdlib>
+#include <tuple>
 
 namespace gooseberrysail::impl {
 
@@ -316,6 +317,29 @@
   return m_http->IsCallerConnected(exchange);
 }
 
+void ProcessShell::SetLimits(const CallerLimits& limits)
+{
+  const auto fieldsOf = [](const CallerLimits& each) {
+    return std::tie(each.maxHeaderBytes, each.maxBodyBytes, each.headerTimeout, each.idleTimeout);
+  };
+  if (fieldsOf(limits) == fieldsOf(m_callerLimits)) {
+    return;
+  }
+  m_callerLimits = limits;
+  HttpServerSettings http = HttpSettings(m_settings, m_memory);
+  http.headTimeout = limits.headerTimeout;
+  if (limits.maxHeaderBytes != 0) {
+    http.maxHeaderBytes = limits.maxHeaderBytes;
+  }
+  if (limits.maxBodyBytes != 0) {
+    http.maxBodyBytes = limits.maxBodyBytes;
+  }
+  if (limits.idleTimeout > Duration::zero()) {
+    http.idleTimeout = limits.idleTimeout;
+  }
+  m_http->SetLimits(http);
+}
+
 void ProcessShell::SetHeldBytes(ExchangeId exchange, std::size_t bytes)
 {
   m_http->SetHeldBytes(exchange, bytes);
--- a/src/shell/process_shell.hpp
+++ b/src/shell/process_shell.hpp
@@ -7,6 +7,7 @@
 #include "gooseberrysail/net/peer_mesh.hpp"
 #include "gooseberrysail/observe/process_observer.hpp"
 #include "gooseberrysail/roles/entry_role.hpp"
+#include "gooseberrysail/serving/document.hpp"
 #include "gooseberrysail/settings/settings.hpp"
 #include "gooseberrysail/shell/clock.hpp"
 #include "shell/traffic_report.hpp"
@@ -63,7 +64,7 @@
   /// \brief Settings of a server for probes and scrapes, which shares the memory for callers and is
   /// served while descriptors are short.
   [[nodiscard]] HttpServerSettings ProbeSettings(std::string address) const;
-  void SetHeadTimeout(Duration timeout) { m_http->SetHeadTimeout(timeout); }
+  void SetLimits(const CallerLimits& limits);
   /// \brief See HttpServer::SetHeldBytes.
   void SetHeldBytes(ExchangeId exchange, std::size_t bytes);
 
@@ -106,6 +107,7 @@
   Incarnation m_incarnation;
   Logger m_logger;
   std::shared_ptr<CallerMemory> m_memory;
+  CallerLimits m_callerLimits; ///< In force.
   ProcessObserver m_observer;
   IoRuntime m_runtime;
   ShellHooks m_hooks;
--- a/tests/unit/caller_memory_test.cpp
+++ b/tests/unit/caller_memory_test.cpp
@@ -262,5 +262,48 @@
   EXPECT_EQ(server.Request(2).body.size(), 2000U);
 }
 
+// Guards against limits of the operators' configuration that have no effect.
+TEST(LimitsOnCallers, TakeEffectForTheNextRequest)
+{
+  IoRuntime runtime;
+  RecordingServer server(runtime, [](HttpServerSettings& settings) {
+    settings.maxBodyBytes = 100;
+    settings.memory = std::make_shared<CallerMemory>(5 * kMebi);
+  });
+  const auto statusOf = [&](std::size_t body) {
+    RawConnection caller(runtime, server.address);
+    caller.Write(HeadOf("r", body) + std::string(body, 'x'));
+    caller.ReadUntil("\r\n");
+    return caller.received.substr(0, std::string_view("HTTP/1.1 200").size());
+  };
+  server.onRequest = [&](const HttpRequestIn& request) { server.Send(request, "ok", true); };
+  EXPECT_EQ(statusOf(1000), "HTTP/1.1 413");
+  HttpServerSettings limits;
+  SECTION("raised")
+  {
+    limits.maxBodyBytes = 2000;
+    server.server.SetLimits(limits);
+    EXPECT_EQ(statusOf(2000), "HTTP/1.1 200");
+    EXPECT_EQ(statusOf(2001), "HTTP/1.1 413");
+  }
+  SECTION("raised beyond what the process can bear")
+  {
+    limits.maxBodyBytes = 100 * kMebi;
+    server.server.SetLimits(limits);
+    EXPECT_EQ(statusOf(kMebi), "HTTP/1.1 200");
+    EXPECT_EQ(statusOf(kMebi + 1), "HTTP/1.1 413");
+  }
+  SECTION("lowered")
+  {
+    limits.maxBodyBytes = 10;
+    limits.maxHeaderBytes = 200;
+    server.server.SetLimits(limits);
+    EXPECT_EQ(statusOf(11), "HTTP/1.1 413");
+    RawConnection caller(runtime, server.address);
+    caller.Write("GET / HTTP/1.1\r\nHost: x\r\nX-Long: " + std::string(200, 'x') + "\r\n\r\n");
+    EXPECT_TRUE(caller.ReadUntil("HTTP/1.1 431"));
+  }
+}
+
 } // namespace
 } // namespace gooseberrysail
--- a/tests/unit/http_server_test.cpp
+++ b/tests/unit/http_server_test.cpp
@@ -432,7 +432,9 @@
 {
   IoRuntime runtime;
   RecordingServer server(runtime);
-  server.server.SetHeadTimeout(50ms);
+  HttpServerSettings limits;
+  limits.headTimeout = 50ms;
+  server.server.SetLimits(limits);
   RawConnection slow(runtime, server.address);
   const TimePoint start = BootNow();
   slow.Write("GET / HTTP/1.1\r\nHost");
