--- a/review/common/cluster.hpp
+++ b/review/common/cluster.hpp
@@ -170,6 +170,8 @@
   int budgetSlack = 158;
   int budgetWindowS = 10;
   int toleratedMachines = 1;
+  int graceS = 8;
+  int memoryMb = 260;
 };
 
 inline bool IsFree(const Address& address)
@@ -354,6 +356,8 @@
              { "bootstrap", "true" },
              { "heartbeatMs", std::to_string(m_site.heartbeatMs) },
              { "faultTolerance.machines", std::to_string(m_site.toleratedMachines) },
+             { "limits.memoryMb", std::to_string(m_site.memoryMb) },
+             { "bounds.graceS", std::to_string(m_site.graceS) },
              { "bounds.passMs", std::to_string(m_site.passMs) },
              { "bounds.stallMs", std::to_string(m_site.stallMs) },
              { "bounds.drainMs", std::to_string(m_site.drainMs) },
