--- a/src/http/http_listener.cpp
+++ b/src/http/http_listener.cpp
@@ -21,7 +21,7 @@
   return Descriptor(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
 }
 
-/// Of each direction of a connection. At 10 ms between its ends it carries 6 MB a second.
+/// Of each direction of a connection.
 constexpr int kSocketBufferBytes = 64 * 1024;
 
 /// This part of the descriptors is reserved.
