--- a/tests/soak/replica.cpp
+++ b/tests/soak/replica.cpp
@@ -230,6 +230,10 @@
     answer.result(http::status::misdirected_request);
   } else if (request.target() == "/api/order") {
     answer.result(m_member->OnOrder(request.body(), Instance()));
+  } else if (const ReportFault fault = m_reportFault; fault != ReportFault::kNone) {
+    ++m_faultyReports;
+    SendFaultyReport(socket, fault);
+    return false;
   } else {
     answer.set(http::field::content_type, "application/json");
     answer.body() = R"({"busy":false,"pace":1.0,"seq":1,"queued":0,"running":0,"kvUsed":0,)"
@@ -243,6 +247,28 @@
   return !error;
 }
 
+void Replica::SendFaultyReport(Socket& socket, ReportFault fault)
+{
+  constexpr std::size_t kChunk = std::size_t{ 64 } * 1024;
+  const std::string framing = fault == ReportFault::kEndlessChunks
+                                ? "Transfer-Encoding: chunked"
+                                : "Content-Length: 1000000000000";
+  std::string bytes =
+    "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n" + framing + "\r\n\r\n";
+  boost::system::error_code error;
+  while (!error && !m_stop) {
+    boost::asio::write(socket, boost::asio::buffer(bytes), error);
+    if (fault == ReportFault::kEndlessChunks) {
+      bytes = "10000\r\n" + std::string(kChunk, ' ') + "\r\n";
+    } else if (fault == ReportFault::kEndlessBody) {
+      bytes.assign(kChunk, ' ');
+    } else {
+      bytes = " ";
+      std::this_thread::sleep_for(100ms);
+    }
+  }
+}
+
 Replica::Response Replica::Check(const Request& request)
 {
   Response answer;
--- a/tests/soak/replica.hpp
+++ b/tests/soak/replica.hpp
@@ -19,6 +19,15 @@
 
 namespace gooseberrysail::soak {
 
+/// \brief How a replica answers control's questions for its report.
+enum class ReportFault : std::uint8_t
+{
+  kNone,
+  kEndlessChunks, ///< Chunks without end, until the connection is closed.
+  kEndlessBody,   ///< The same, of a body of an announced length.
+  kSlow,          ///< One byte each 100 ms.
+};
+
 /// \brief A replica of a plain service, or of a model, that announces itself to control, behind a
 /// relay.
 /// \remarks Implements the documented protocol of the platform: refuses requests that expect
@@ -80,6 +89,9 @@
   void SetRetryAfter(std::string seconds);
   /// \brief Sets the number of requests that it announces to run at a time.
   void SetSlots(std::size_t slots) { m_slots = slots; }
+  void SetReportFault(ReportFault fault) { m_reportFault = fault; }
+  /// \brief How many questions it has begun to answer by a fault.
+  [[nodiscard]] std::uint64_t FaultyReports() const { return m_faultyReports; }
   /// \brief Lets its announcements say that it drains.
   void SetDraining(bool isDraining) { m_isDraining = isDraining; }
   /// \brief Whether its group's head takes work or has some.
@@ -122,6 +134,8 @@
   /// \brief Answers an order or a question of control.
   /// \returns False if the connection must be closed.
   bool AnswerControl(Socket& socket, const Request& request);
+  /// \brief Sends the beginning of a report until the connection is closed.
+  void SendFaultyReport(Socket& socket, ReportFault fault);
   /// \brief Why the request can't run, as a response; its status is 200 if it can.
   [[nodiscard]] Response Check(const Request& request);
   /// \brief Sends a response that says that the request did not run.
@@ -175,6 +189,8 @@
   std::atomic<bool> m_isLeaving = false;
   std::atomic<bool> m_isDraining = false;
   std::atomic<std::size_t> m_slots = 6;
+  std::atomic<ReportFault> m_reportFault = ReportFault::kNone;
+  std::atomic<std::uint64_t> m_faultyReports = 0;
   std::atomic<std::uint64_t> m_rejections = 0;
   std::atomic<std::uint64_t> m_runs = 0;
   std::atomic<std::uint64_t> m_untrueAnswers = 0;
