No hook of a shell is called when what it captures is gone

Callers saw an entry or a control process end by SIGSEGV or SIGABRT while it stopped, with all that it still had. The shell is the first local of each role, so that it is destroyed last: its destructor waited for the periodic tasks and for the fiber of the signals, which called hooks of a role, a loop and clients that were gone. A start that failed half way did the same for peers and calls.

ProcessShell::Run now returns when all fibers have ended, before anything is destroyed; Abandon does so for a failed start; the periodic tasks are woken. A signal that was received when the runtime stopped calls no hook.

--- a/include/gooseberrysail/net/fiber_runtime.hpp
+++ b/include/gooseberrysail/net/fiber_runtime.hpp
@@ -68,7 +68,7 @@
 {
 public:
   IoRuntime();
-  /// \brief Waits for the spawned fibers to end; close the objects that they serve first.
+  /// \brief Calls Join.
   ~IoRuntime();
   IoRuntime(const IoRuntime&) = delete;
   IoRuntime& operator=(const IoRuntime&) = delete;
@@ -81,7 +81,7 @@
   /// \brief Suspends the calling fiber; other fibers keep running.
   void SleepFor(Duration duration);
 
-  /// \brief Calls `hook` in a fiber for each of these POSIX signals until the runtime stops.
+  /// \brief Calls `hook` in a fiber for each of these POSIX signals until Stop is called.
   /// \remarks Call it once: with several hooks, each would be called for the signals of all.
   void OnSignals(const std::vector<int>& numbers, std::function<void(int)> hook);
 
@@ -97,9 +97,13 @@
   /// \brief Runs fibers and I/O until Stop is called.
   void Run();
 
-  /// \brief Makes Run return.
+  /// \brief Makes Run return. No hook of OnSignals is called any more.
   void Stop();
 
+  /// \brief Calls Stop and waits for the spawned fibers to end; close the objects that they serve
+  /// first. What their functions refer to may be destroyed afterwards.
+  void Join();
+
 private:
   struct State;
   std::shared_ptr<boost::asio::io_context> m_io;
--- a/src/net/fiber_runtime.cpp
+++ b/src/net/fiber_runtime.cpp
@@ -119,10 +119,7 @@
 
 IoRuntime::~IoRuntime()
 {
-  Stop();
-  while (m_state->fibers > 0) {
-    m_state->fiberEnded.Wait();
-  }
+  Join();
 }
 
 void IoRuntime::Spawn(std::function<void()> work)
@@ -184,7 +181,8 @@
           done(failure);
         });
       });
-      if (error) {
+      // A signal may have come before the wait was cancelled.
+      if (error || state->stopped) {
         return;
       }
       hook(number);
@@ -207,6 +205,14 @@
   m_state->stop.Notify();
 }
 
+void IoRuntime::Join()
+{
+  Stop();
+  while (m_state->fibers > 0) {
+    m_state->fiberEnded.Wait();
+  }
+}
+
 namespace impl {
 
 void Suspend(Completion& completion)
--- a/src/shell/agent_shell.cpp
+++ b/src/shell/agent_shell.cpp
@@ -66,7 +66,7 @@
       .onCallerGone = [](HttpCallerGone) {},
       .onStop = [&] { loop->Post(StopRequested{}); } });
   if (!started) {
-    shell.RecordFailure(started.error());
+    shell.Abandon(started.error());
     return DaemonExit::kFailed;
   }
   shell.Runtime().Spawn([&] {
@@ -74,7 +74,7 @@
     target.Close();
     shell.Finish();
   });
-  shell.Runtime().Run();
+  shell.Run();
   return DaemonExit::kStopped;
 }
 
--- a/src/shell/control_shell.cpp
+++ b/src/shell/control_shell.cpp
@@ -130,7 +130,7 @@
   RunResult Run()
   {
     if (const Result<void> started = Start(); !started) {
-      m_shell.RecordFailure(started.error());
+      m_shell.Abandon(started.error());
       return RunResult::kNotStarted;
     }
     for (const EventOut& event : m_store.OpenEvents()) {
@@ -141,7 +141,7 @@
       m_targets.Close();
       m_shell.Finish();
     });
-    m_shell.Runtime().Run();
+    m_shell.Run();
     return m_failed ? RunResult::kStorageFailed : RunResult::kStopped;
   }
 
--- a/src/shell/entry_shell.cpp
+++ b/src/shell/entry_shell.cpp
@@ -51,14 +51,14 @@
                   .onCallerGone = [&](HttpCallerGone gone) { loop->Post(gone); },
                   .onStop = [&] { loop->Post(StopRequested{}); } });
   if (!started) {
-    shell.RecordFailure(started.error());
+    shell.Abandon(started.error());
     return DaemonExit::kFailed;
   }
   shell.Runtime().Spawn([&] {
     loop->Run();
     shell.Finish();
   });
-  shell.Runtime().Run();
+  shell.Run();
   return DaemonExit::kStopped;
 }
 
--- a/src/shell/gateway_shell.cpp
+++ b/src/shell/gateway_shell.cpp
@@ -104,7 +104,7 @@
     return ready->Start();
   };
   if (const Result<void> started = start(); !started) {
-    shell.RecordFailure(started.error());
+    shell.Abandon(started.error());
     return DaemonExit::kFailed;
   }
   shell.Runtime().Spawn([&] {
@@ -113,7 +113,7 @@
     targets.Close();
     shell.Finish();
   });
-  shell.Runtime().Run();
+  shell.Run();
   return DaemonExit::kStopped;
 }
 
--- a/src/shell/process_shell.cpp
+++ b/src/shell/process_shell.cpp
@@ -165,19 +165,43 @@
   });
 }
 
+void ProcessShell::Run()
+{
+  m_runtime.Run();
+  m_runtime.Join();
+}
+
 void ProcessShell::Finish()
 {
-  m_finished = true;
-  m_http->Close();
-  if (m_metricsHttp) {
-    m_metricsHttp->Close();
-  }
+  CloseServers();
   m_mesh->Flush(kFlushTimeout);
   m_mesh->Close();
   Record(MakeEvent(EventNumber::kProcessStopped));
   m_runtime.Stop();
 }
 
+void ProcessShell::Abandon(const Error& error)
+{
+  RecordFailure(error);
+  CloseServers();
+  if (m_mesh) {
+    m_mesh->Close();
+  }
+  m_runtime.Join();
+}
+
+void ProcessShell::CloseServers()
+{
+  m_finished = true;
+  m_finishing.Notify();
+  if (m_http) {
+    m_http->Close();
+  }
+  if (m_metricsHttp) {
+    m_metricsHttp->Close();
+  }
+}
+
 void ProcessShell::Record(const EventOut& event)
 {
   m_logger.Write(event);
@@ -202,7 +226,7 @@
 void ProcessShell::RunPeriodicTasks()
 {
   while (!m_finished) {
-    m_runtime.SleepFor(kSettingsWatchInterval);
+    m_finishing.WaitFor(kSettingsWatchInterval);
     if (!m_finished) {
       WatchSettings();
       ReportTraffic();
--- a/src/shell/process_shell.hpp
+++ b/src/shell/process_shell.hpp
@@ -47,13 +47,21 @@
   /// \remarks The role's loop must keep running to answer requests that have already arrived.
   void DrainCallers(std::function<void()> drained, Duration closeAfter = Duration::zero());
 
+  /// \brief Runs the fibers until Finish was called and all of them have ended, so that none of the
+  /// hooks is called afterwards.
+  void Run();
+
   /// \brief Flushes the queues of peers, closes all connections and ends Run.
   void Finish();
 
+  /// \brief Logs why the process can't start, and closes what has been started. No hook is called
+  /// afterwards.
+  void Abandon(const Error& error);
+
   /// \brief Logs an event and passes it to the observer.
   void Record(const EventOut& event);
 
-  /// \brief Logs a failure that ends the process.
+  /// \brief Logs a failure that ends the process or this run of its role.
   void RecordFailure(const Error& error);
 
   void Send(const FrameOut& frame);
@@ -90,6 +98,7 @@
   [[nodiscard]] std::uint64_t Random() { return m_random(); }
 
 private:
+  void CloseServers();
   void OnSignal(int number);
   void RunPeriodicTasks();
   void WatchSettings();
@@ -117,6 +126,7 @@
   bool m_stopping = false;
   TimePoint m_stoppingSince{};
   bool m_finished = false;
+  Signal m_finishing;         ///< Wakes the periodic tasks.
   std::string m_settingsText; ///< As last read.
   TrafficReport m_traffic;
   CallerReport m_callers;
--- /dev/null
+++ b/tests/unit/runtime_signals_test.cpp
@@ -0,0 +1,58 @@
+#include "gooseberrysail/net/fiber_runtime.hpp"
+#include "support/section.hpp"
+
+#include <csignal>
+#include <gtest/gtest.h>
+#include <pthread.h>
+
+namespace gooseberrysail {
+namespace {
+
+using namespace std::chrono_literals;
+
+/// \brief Restores the signals that were blocked before.
+class SignalMask
+{
+public:
+  SignalMask() { pthread_sigmask(SIG_BLOCK, nullptr, &m_former); }
+  ~SignalMask() { pthread_sigmask(SIG_SETMASK, &m_former, nullptr); }
+  SignalMask(const SignalMask&) = delete;
+  SignalMask& operator=(const SignalMask&) = delete;
+
+private:
+  sigset_t m_former{};
+};
+
+// Guards against a signal whose hook is called when what it refers to is gone.
+TEST(RuntimeSignals, CallNoHookOnceTheRuntimeHasStopped)
+{
+  const SignalMask mask;
+  int calls = 0;
+  IoRuntime runtime;
+  runtime.OnSignals({ SIGHUP }, [&](int) { ++calls; });
+  std::raise(SIGHUP);
+  runtime.SleepFor(10ms);
+  EXPECT_EQ(calls, 1);
+  std::raise(SIGHUP);
+  runtime.Stop();
+  runtime.SleepFor(10ms);
+  std::raise(SIGHUP);
+  runtime.Join();
+  EXPECT_EQ(calls, 1);
+}
+
+// Guards against a runtime that is destroyed while a fiber still uses what surrounds it.
+TEST(RuntimeSignals, JoinWaitsForAllFibers)
+{
+  bool isEnded = false;
+  IoRuntime runtime;
+  runtime.Spawn([&] {
+    runtime.SleepFor(20ms);
+    isEnded = true;
+  });
+  runtime.Join();
+  EXPECT_TRUE(isEnded);
+}
+
+} // namespace
+} // namespace gooseberrysail
