Signals have no default action from main until the process has exited

Callers saw a control process end by SIGHUP or SIGTERM in the last moments of a stop, and one whose disk had failed end by SIGHUP where it should go on. The signal set restores the default action when it is destroyed; ignoring SIGHUP again came later, and not at all at an exit.

The daemon blocks SIGHUP, SIGTERM and SIGINT first thing in main; a runtime unblocks them once it handles them, and blocks them before it ceases to. What comes meanwhile stays pending for the next run of the role. A control process that waits for its disk handles them too, and exits with status 0.

--- a/apps/gooseberrysaild.cpp
+++ b/apps/gooseberrysaild.cpp
@@ -66,6 +66,7 @@
 
 int main(int count, char** arguments)
 {
+  gooseberrysail::PrepareSignals();
   // By default the C library raises this size once such a buffer was freed, and keeps the next
   // ones.
   mallopt(M_MMAP_THRESHOLD, kReturnedBufferBytes);
@@ -89,6 +90,5 @@
     std::cout << description;
     return values.contains("help") ? 0 : ToExitStatus(DaemonExit::kSettings);
   }
-  gooseberrysail::IgnoreHangupAndBrokenPipe();
   return ToExitStatus(RunFile(values["settings"].as<std::string>()));
 }
--- a/include/gooseberrysail/net/fiber_runtime.hpp
+++ b/include/gooseberrysail/net/fiber_runtime.hpp
@@ -82,7 +82,9 @@
   void SleepFor(Duration duration);
 
   /// \brief Calls `hook` in a fiber for each of these POSIX signals until Stop is called.
-  /// \remarks Call it once: with several hooks, each would be called for the signals of all.
+  /// \remarks Call it once: with several hooks, each would be called for the signals of all. The
+  /// signals are unblocked here and blocked by Join. Those that come later stay pending, for the
+  /// next runtime or until the process exits.
   void OnSignals(const std::vector<int>& numbers, std::function<void(int)> hook);
 
   /// \brief Suspends the calling fiber until no other fiber is ready, before the next poll.
--- a/include/gooseberrysail/shell/daemon.hpp
+++ b/include/gooseberrysail/shell/daemon.hpp
@@ -16,8 +16,9 @@
   kSettings = 2, ///< The settings file is invalid.
 };
 
-/// \brief Ignores SIGPIPE, and SIGHUP while no role handles it. Called before a role is run.
-void IgnoreHangupAndBrokenPipe() noexcept;
+/// \brief Ignores SIGPIPE, and blocks SIGHUP, SIGTERM and SIGINT until a role handles them. Called
+/// before anything else.
+void PrepareSignals() noexcept;
 
 /// \brief Runs an entry process until it is signalled to stop.
 [[nodiscard]] DaemonExit RunEntry(const ProcessSettings& settings);
--- a/src/net/fiber_runtime.cpp
+++ b/src/net/fiber_runtime.cpp
@@ -7,6 +7,7 @@
 #include <boost/fiber/operations.hpp>
 #include <boost/fiber/protected_fixedsize_stack.hpp>
 #include <chrono>
+#include <csignal>
 #include <mutex>
 #include <utility>
 #ifdef __SANITIZE_ADDRESS__
@@ -65,6 +66,17 @@
   return kLoop;
 }
 
+/// \param how SIG_BLOCK or SIG_UNBLOCK.
+void SetSignalMask(int how, const std::vector<int>& numbers)
+{
+  sigset_t set;
+  sigemptyset(&set);
+  for (const int number : numbers) {
+    sigaddset(&set, number);
+  }
+  pthread_sigmask(how, &set, nullptr);
+}
+
 std::chrono::steady_clock::time_point SteadyAfter(Duration duration)
 {
   return std::chrono::steady_clock::now() +
@@ -104,6 +116,9 @@
   }
 
   boost::asio::signal_set signals;
+  std::vector<int> handledSignals;
+  std::vector<int> lateSignals; ///< Received after Stop.
+  bool isJoining = false;
   std::size_t fibers = 0;
   bool stopped = false;
   Signal stop;
@@ -117,9 +132,16 @@
 {
 }
 
+// The signal set restores the default action of its signals when it is cleared, so they stay
+// blocked. One that was received too late for this runtime is kept for the next one.
 IoRuntime::~IoRuntime()
 {
   Join();
+  boost::system::error_code ignored;
+  m_state->signals.clear(ignored);
+  for (const int number : m_state->lateSignals) {
+    std::raise(number);
+  }
 }
 
 void IoRuntime::Spawn(std::function<void()> work)
@@ -172,8 +194,10 @@
   for (const int number : numbers) {
     m_state->signals.add(number);
   }
+  m_state->handledSignals = numbers;
+  SetSignalMask(SIG_UNBLOCK, numbers);
   Spawn([state = m_state, hook = std::move(hook)] {
-    while (!state->stopped) {
+    while (!state->isJoining) {
       int number = 0;
       const auto [error, size] = Await([&](auto done) {
         state->signals.async_wait([&number, done](boost::system::error_code failure, int received) {
@@ -181,11 +205,14 @@
           done(failure);
         });
       });
-      // A signal may have come before the wait was cancelled.
-      if (error || state->stopped) {
+      if (error) {
         return;
       }
-      hook(number);
+      if (state->stopped) {
+        state->lateSignals.push_back(number);
+      } else {
+        hook(number);
+      }
     }
   });
 }
@@ -200,14 +227,19 @@
 void IoRuntime::Stop()
 {
   m_state->stopped = true;
-  boost::system::error_code ignored;
-  m_state->signals.cancel(ignored);
   m_state->stop.Notify();
 }
 
 void IoRuntime::Join()
 {
   Stop();
+  if (!m_state->isJoining && !m_state->handledSignals.empty()) {
+    SetSignalMask(SIG_BLOCK, m_state->handledSignals);
+    WaitForPoll(); // Takes what has been received.
+    m_state->isJoining = true;
+    boost::system::error_code ignored;
+    m_state->signals.cancel(ignored);
+  }
   while (m_state->fibers > 0) {
     m_state->fiberEnded.Wait();
   }
--- a/src/shell/control_shell.cpp
+++ b/src/shell/control_shell.cpp
@@ -8,9 +8,9 @@
 #include "logging/line_output.hpp"
 #include "shell/process_shell.hpp"
 
+#include <csignal>
 #include <map>
 #include <sstream>
-#include <thread>
 #include <unistd.h>
 
 namespace gooseberrysail {
@@ -142,7 +142,8 @@
       m_shell.Finish();
     });
     m_shell.Run();
-    return m_failed ? RunResult::kStorageFailed : RunResult::kStopped;
+    const bool isRetried = m_failed && !m_shell.IsStopping();
+    return isRetried ? RunResult::kStorageFailed : RunResult::kStopped;
   }
 
 private:
@@ -312,6 +313,27 @@
   return shell.Run();
 }
 
+/// Waits before the storage is opened again.
+/// \returns False if the process was told to stop meanwhile.
+bool WaitForStorage()
+{
+  Signal wake;
+  bool isStopping = false;
+  IoRuntime runtime;
+  runtime.OnSignals({ SIGTERM, SIGINT, SIGHUP }, [&](int number) {
+    if (number != SIGHUP) {
+      isStopping = true;
+      wake.Notify();
+    }
+  });
+  runtime.Spawn([&] {
+    wake.WaitFor(kStorageRetry);
+    runtime.Stop();
+  });
+  runtime.Run();
+  return !isStopping;
+}
+
 } // namespace
 
 // A storage failure such as a full disk does not end the process. All acknowledged state is on the
@@ -320,9 +342,9 @@
 {
   RunResult result = RunControlOnce(settings, outside);
   while (result == RunResult::kStorageFailed) {
-    // The runtime of the role that ended has restored the default action of these signals.
-    IgnoreHangupAndBrokenPipe();
-    std::this_thread::sleep_for(kStorageRetry);
+    if (!WaitForStorage()) {
+      return DaemonExit::kStopped;
+    }
     result = RunControlOnce(settings, outside);
   }
   return result == RunResult::kStopped ? DaemonExit::kStopped : DaemonExit::kFailed;
--- a/src/shell/process_shell.hpp
+++ b/src/shell/process_shell.hpp
@@ -91,6 +91,8 @@
   /// \brief Updates the replication metrics; control processes only.
   void OnReplication(const ReplicationStatus& status) { m_observer.OnReplication(status); }
 
+  /// \brief Whether a signal to stop was received.
+  [[nodiscard]] bool IsStopping() const noexcept { return m_stopping; }
   [[nodiscard]] IoRuntime& Runtime() noexcept { return m_runtime; }
   [[nodiscard]] Incarnation OwnIncarnation() const noexcept { return m_incarnation; }
   [[nodiscard]] std::string PeerAddress() const { return m_mesh->ListenAddress(); }
--- a/tests/unit/runtime_signals_test.cpp
+++ b/tests/unit/runtime_signals_test.cpp
@@ -41,6 +41,40 @@
   EXPECT_EQ(calls, 1);
 }
 
+// Guards against a process that a signal ends, or that loses it, between two runs of its role.
+TEST(RuntimeSignals, AreKeptForTheNextRuntime)
+{
+  const SignalMask mask;
+  int calls = 0;
+  const auto run = [&] {
+    IoRuntime runtime;
+    runtime.OnSignals({ SIGHUP, SIGTERM }, [&](int) { ++calls; });
+    runtime.SleepFor(10ms);
+    runtime.Stop();
+    runtime.Join();
+  };
+  run();
+  EXPECT_EQ(calls, 0);
+  SECTION("received while none runs")
+  {
+    std::raise(SIGTERM);
+    run();
+    EXPECT_EQ(calls, 1);
+  }
+  SECTION("received when the last one had stopped")
+  {
+    {
+      IoRuntime runtime;
+      runtime.OnSignals({ SIGHUP, SIGTERM }, [&](int) { ++calls; });
+      runtime.SleepFor(10ms);
+      runtime.Stop();
+      std::raise(SIGTERM);
+    }
+    run();
+    EXPECT_EQ(calls, 2);
+  }
+}
+
 // Guards against a runtime that is destroyed while a fiber still uses what surrounds it.
 TEST(RuntimeSignals, JoinWaitsForAllFibers)
 {
