Calls for reports and orders end by bytes and by time

Callers lost all that a control process served when it ran out of memory: it kept the answers to its questions without a limit, and a call lasted as long as a byte came now and then, since each read armed its time-out again. Control asks again meanwhile, so that the calls became more and more.

A call may now limit the bytes of its answer's body and the time until its end; what announces more is ended at its head. Control's questions and orders, and the agents' probes, feeds and orders, set both. Line 519 tells the error of an order that failed: before, an answer without end and a silent target left the same line, or none.

--- a/include/gooseberrysail/agent/context.hpp
+++ b/include/gooseberrysail/agent/context.hpp
@@ -44,16 +44,26 @@
   }
 
   /// \brief Starts a call to the agent's own target.
+  /// \param maxAnswerBytes Of its body; 0: no limit.
+  /// \param timeout Of the call without a byte, and of one with a limit of bytes until its end.
   ExchangeId Call(std::string method,
                   std::string path,
                   std::vector<HttpHeader> headers,
                   std::string body,
-                  Duration timeout)
+                  Duration timeout,
+                  std::uint64_t maxAnswerBytes = 0)
   {
-    const ExchangeId exchange(++m_lastExchange);
-    m_outbox.emplace_back(TargetCallOut{
-      exchange, std::move(method), std::move(path), std::move(headers), std::move(body), timeout });
-    return exchange;
+    TargetCallOut call;
+    call.exchange = ExchangeId(++m_lastExchange);
+    call.method = std::move(method);
+    call.path = std::move(path);
+    call.headers = std::move(headers);
+    call.body = std::move(body);
+    call.timeout = timeout;
+    call.totalTimeout = maxAnswerBytes == 0 ? Duration::zero() : timeout;
+    call.maxAnswerBytes = maxAnswerBytes;
+    m_outbox.emplace_back(std::move(call));
+    return ExchangeId(m_lastExchange);
   }
 
   void CancelCall(ExchangeId exchange) { m_outbox.emplace_back(TargetCancelOut{ exchange }); }
--- a/include/gooseberrysail/control/serving_control.hpp
+++ b/include/gooseberrysail/control/serving_control.hpp
@@ -91,7 +91,8 @@
   void CompleteOrder(ControlContext& context,
                      ExchangeId exchange,
                      OrderOutcome outcome,
-                     unsigned status);
+                     unsigned status,
+                     const std::string& error);
   /// \brief Records the failure domains whose evacuation was withdrawn.
   void FollowEvacuations(const ControlContext& context);
   /// \brief Sets how many requests a target takes while it is cold.
--- a/include/gooseberrysail/roles/inputs.hpp
+++ b/include/gooseberrysail/roles/inputs.hpp
@@ -115,6 +115,9 @@
   Duration timeout{};       ///< The call fails after this long without a byte; 0: no limit.
   std::string address = {}; ///< "ip:port"; "" for the process's own target.
   ExchangeId caller = {};   ///< It is not sent once this exchange's caller has left; none: always.
+  Duration totalTimeout{};  ///< The call fails unless its answer is whole by then; 0: no limit.
+  std::uint64_t maxAnswerBytes =
+    0; ///< The call fails if the body of its answer is longer; 0: none.
 };
 
 /// \brief Cancels a call by closing its connection.
--- a/src/agent/cache_feed.cpp
+++ b/src/agent/cache_feed.cpp
@@ -32,8 +32,12 @@
   if (!enabled || m_exchange || context.Now() < m_nextPollAt) {
     return;
   }
-  m_exchange = context.Call(
-    "GET", "/cache_events?after=" + std::to_string(m_latestSequence), {}, "", kTimeout);
+  m_exchange = context.Call("GET",
+                            "/cache_events?after=" + std::to_string(m_latestSequence),
+                            {},
+                            "",
+                            kTimeout,
+                            kMaxBodyBytes);
   m_nextPollAt = context.Now() + kInterval;
   m_status = 0;
   m_body.clear();
@@ -48,9 +52,7 @@
     return false;
   }
   m_status = answer.status.value_or(m_status);
-  if (m_body.size() + answer.bytes.size() <= kMaxBodyBytes) {
-    m_body += answer.bytes;
-  }
+  m_body += answer.bytes;
   if (!answer.end) {
     return true;
   }
--- a/src/agent/engine_orders.cpp
+++ b/src/agent/engine_orders.cpp
@@ -8,6 +8,7 @@
 namespace {
 
 constexpr unsigned kHttpOk = 200;
+constexpr std::uint64_t kMaxAnswerBytes = std::uint64_t{ 64 } * 1024;
 
 std::vector<HttpHeader> JsonHeaders()
 {
@@ -61,8 +62,12 @@
   const boost::json::object body{ { "model", m_desired->model },
                                   { "version", m_desired->version },
                                   { "fencing", m_desired->epoch.Get() } };
-  const ExchangeId exchange = context.Call(
-    "POST", "/orders/load", JsonHeaders(), boost::json::serialize(body), kOrderTimeout);
+  const ExchangeId exchange = context.Call("POST",
+                                           "/orders/load",
+                                           JsonHeaders(),
+                                           boost::json::serialize(body),
+                                           kOrderTimeout,
+                                           kMaxAnswerBytes);
   m_order = Order{ exchange, m_desired->model, m_desired->version, m_desired->epoch };
   context.Emit(EventNumber::kEngineOrderSent,
                { { "order", "load" },
@@ -74,8 +79,12 @@
 void EngineOrders::SendUnload(impl::AgentContext& context)
 {
   const boost::json::object body{ { "fencing", m_desired->epoch.Get() } };
-  const ExchangeId exchange = context.Call(
-    "POST", "/orders/unload", JsonHeaders(), boost::json::serialize(body), kOrderTimeout);
+  const ExchangeId exchange = context.Call("POST",
+                                           "/orders/unload",
+                                           JsonHeaders(),
+                                           boost::json::serialize(body),
+                                           kOrderTimeout,
+                                           kMaxAnswerBytes);
   m_order = Order{ exchange, "", "", m_desired->epoch };
   context.Emit(EventNumber::kEngineOrderSent,
                { { "order", "unload" },
--- a/src/agent/target_probe.cpp
+++ b/src/agent/target_probe.cpp
@@ -8,7 +8,9 @@
 
 namespace {
 
-constexpr std::size_t kMaxProbeBytes = 64 * 1024;
+constexpr std::size_t kMaxStatusBytes = 64 * 1024;
+/// Plain services may answer with any page, of which only the status code matters.
+constexpr std::uint64_t kMaxProbeBytes = 4 * 1024 * 1024;
 constexpr unsigned kHttpOk = 200;
 
 std::string TextField(const boost::json::object& object, std::string_view name)
@@ -32,7 +34,7 @@
   if (m_exchange || (m_lastProbeAt && now - *m_lastProbeAt < kInterval)) {
     return;
   }
-  m_exchange = context.Call("GET", "/health", {}, "", kTimeout);
+  m_exchange = context.Call("GET", "/health", {}, "", kTimeout, kMaxProbeBytes);
   m_probeSentAt = now;
   m_lastProbeAt = now;
   m_predatesOrder = false;
@@ -48,7 +50,7 @@
   if (answer.status) {
     m_httpStatus = *answer.status;
   }
-  if (m_body.size() + answer.bytes.size() <= kMaxProbeBytes) {
+  if (m_body.size() + answer.bytes.size() <= kMaxStatusBytes) {
     m_body += answer.bytes;
   }
   if (!answer.end) {
--- a/src/control/serving_control.cpp
+++ b/src/control/serving_control.cpp
@@ -14,6 +14,8 @@
 /// Interval of reconciling the groups, which is also done at once when a target's state changes.
 constexpr Duration kReconcileInterval = 200ms;
 constexpr Duration kForgetInterval = 5s;
+/// Targets answer orders and probes with a few hundred bytes.
+constexpr std::uint64_t kMaxOrderAnswerBytes = std::uint64_t{ 64 } * 1024;
 /// How long entries are sent a former head after it stopped leading a group. Its answers in
 /// progress can last about as long as callers wait at most.
 constexpr Duration kFormerHeadRetention = 15s;
@@ -404,7 +406,10 @@
   }
   for (GroupOrder& order : orders) {
     const ExchangeId exchange(++m_lastOrder);
-    context.outbox.emplace_back(m_api.encodeOrder(exchange, order));
+    TargetCallOut call = m_api.encodeOrder(exchange, order);
+    call.totalTimeout = call.timeout;
+    call.maxAnswerBytes = kMaxOrderAnswerBytes;
+    context.outbox.emplace_back(std::move(call));
     m_pendingOrders.emplace(exchange, PendingOrder{ std::move(order), context.now, 0, {} });
   }
 }
@@ -425,7 +430,8 @@
     }
     HandleReport(context, pending);
   }
-  CompleteOrder(context, answer.exchange, m_api.decodeOrderStatus(pending.status), pending.status);
+  CompleteOrder(
+    context, answer.exchange, m_api.decodeOrderStatus(pending.status), pending.status, "");
 }
 
 void ServingControl::HandleReport(ControlContext& context, const PendingOrder& pending)
@@ -440,14 +446,18 @@
 void ServingControl::OnOrderFailed(ControlContext& context, const TargetFailedIn& failed)
 {
   const bool nobodyThere = failed.neverSent && failed.error.code == ErrorCode::kUnavailable;
-  CompleteOrder(
-    context, failed.exchange, nobodyThere ? OrderOutcome::kNoTarget : OrderOutcome::kUnknown, 0);
+  CompleteOrder(context,
+                failed.exchange,
+                nobodyThere ? OrderOutcome::kNoTarget : OrderOutcome::kUnknown,
+                0,
+                ToString(failed.error));
 }
 
 void ServingControl::CompleteOrder(ControlContext& context,
                                    ExchangeId exchange,
                                    OrderOutcome outcome,
-                                   unsigned status)
+                                   unsigned status,
+                                   const std::string& error)
 {
   const auto found = m_pendingOrders.find(exchange);
   if (found == m_pendingOrders.end()) {
@@ -462,7 +472,8 @@
                 { "group", pending.order.group },
                 { "outcome", ToString(outcome) },
                 { "status", std::to_string(status) },
-                { "millis", std::to_string(ToMillis(context.now - pending.since)) } }));
+                { "millis", std::to_string(ToMillis(context.now - pending.since)) },
+                { "error", error } }));
   // The outcome for a former incarnation of a target is irrelevant for the current one.
   const TargetRow* row = m_targets.Find(pending.order.target);
   if (row == nullptr || row->latest.born == pending.order.born) {
--- a/src/http/http_call.cpp
+++ b/src/http/http_call.cpp
@@ -131,6 +131,7 @@
   , m_requestId(FindHeader(m_call.headers, kRequestIdHeader))
   , m_buffer(m_settings.maxHeaderBytes + kPartBytes)
   , m_deadline(io.get_executor())
+  , m_totalDeadline(io.get_executor())
 {
 }
 
@@ -164,6 +165,7 @@
 {
   const bool reusable = BeginSending() && SendRequest() && ReadAnswer();
   m_deadline.Disarm();
+  m_totalDeadline.Disarm();
   return reusable && !m_cancelled;
 }
 
@@ -171,6 +173,7 @@
 {
   m_cancelled = true;
   m_deadline.Disarm();
+  m_totalDeadline.Disarm();
   boost::system::error_code ignored;
   m_socket.close(ignored);
 }
@@ -201,6 +204,28 @@
   });
 }
 
+// Bytes that came in time wait in the socket if the event loop is late: they get the same time
+// again.
+void HttpCall::ArmTotalTimeout()
+{
+  if (m_call.totalTimeout == Duration::zero()) {
+    return;
+  }
+  const auto end = [this] {
+    m_timedOut = true;
+    m_isOverdue = true;
+    boost::system::error_code ignored;
+    m_socket.close(ignored);
+  };
+  m_totalDeadline.Arm(m_call.totalTimeout, [this, end] {
+    if (PeekInput(m_socket) == InputState::kBytes) {
+      m_totalDeadline.Arm(m_call.totalTimeout, end);
+    } else {
+      end();
+    }
+  });
+}
+
 // A late event loop notices the timeout together with bytes that came before it. The completion
 // runs first, but the fiber only after both.
 template<class Start>
@@ -217,6 +242,7 @@
 bool HttpCall::Fail(ErrorCode code, std::string step, std::string description, bool neverSent)
 {
   m_deadline.Disarm();
+  m_totalDeadline.Disarm();
   if (m_cancelled) {
     return false;
   }
@@ -224,7 +250,7 @@
   m_socket.close(ignored);
   if (m_timedOut) {
     code = ErrorCode::kTimeout;
-    description = "no byte in time";
+    description = m_isOverdue ? "not whole in time" : "no byte in time";
   }
   m_cancelled = true;
   m_hooks.onFailed(
@@ -294,6 +320,7 @@
                 "the method, the path or a header holds a letter that HTTP does not allow there",
                 true);
   }
+  ArmTotalTimeout();
   ArmTimeout(m_call.timeout);
   const auto request = MakeRequest(m_address, m_call);
   http::request_serializer<http::string_body> serializer(request);
@@ -324,6 +351,14 @@
               false);
 }
 
+bool HttpCall::FailTooLong()
+{
+  return Fail(ErrorCode::kTooLarge,
+              "read answer",
+              "the body exceeds " + std::to_string(m_call.maxAnswerBytes) + " bytes",
+              false);
+}
+
 bool HttpCall::Deliver(TargetAnswerIn part)
 {
   if (!m_cancelled) {
@@ -362,7 +397,11 @@
       !defect.empty()) {
     return Fail(ErrorCode::kCorrupt, "read answer", std::string(defect), false);
   }
+  if (IsTooLong(parser->content_length().value_or(0))) {
+    return FailTooLong();
+  }
   TargetAnswerIn part = MakeFirstPart(m_call.exchange, *parser);
+  std::uint64_t bodyBytes = 0;
   std::array<char, kPartBytes> bytes;
   while (!parser->is_done()) {
     // Delivers the bytes already read before waiting for more. With a Content-Length, the rest of
@@ -382,7 +421,12 @@
     if (m_timedOut || m_cancelled || (error && error != http::error::need_buffer)) {
       return FailRead(error);
     }
-    part.bytes.append(bytes.data(), bytes.size() - parser->get().body().size);
+    const std::size_t read = bytes.size() - parser->get().body().size;
+    bodyBytes += read;
+    if (IsTooLong(bodyBytes)) {
+      return FailTooLong();
+    }
+    part.bytes.append(bytes.data(), read);
   }
   m_deadline.Disarm();
   part.end = true;
--- a/src/http/http_call.hpp
+++ b/src/http/http_call.hpp
@@ -73,6 +73,12 @@
   [[nodiscard]] bool IsIdentified(std::string_view answeredId) const;
   bool Deliver(TargetAnswerIn part);
   void ArmTimeout(Duration timeout);
+  void ArmTotalTimeout();
+  [[nodiscard]] bool IsTooLong(std::uint64_t bodyBytes) const
+  {
+    return m_call.maxAnswerBytes != 0 && bodyBytes > m_call.maxAnswerBytes;
+  }
+  bool FailTooLong();
   /// \brief Awaits an operation; once it has completed, the timeout has no effect.
   template<class Start>
   std::pair<boost::system::error_code, std::size_t> AwaitInTime(Start&& start);
@@ -86,8 +92,10 @@
   std::vector<std::uint64_t> m_carried; ///< By the connection before this call.
   boost::beast::flat_buffer m_buffer;
   Deadline m_deadline;
+  Deadline m_totalDeadline;
   bool m_reused = false;
   bool m_timedOut = false;
+  bool m_isOverdue = false; ///< Timed out although bytes came.
   bool m_cancelled = false;
   bool m_isSending = false;   ///< The target may have bytes of the request.
   bool m_isWithdrawn = false; ///< Ended before that by the caller of Withdraw.
--- a/tests/unit/http_client_test.cpp
+++ b/tests/unit/http_client_test.cpp
@@ -498,6 +498,77 @@
   EXPECT_EQ(reply.error().code, ErrorCode::kTooLarge);
 }
 
+TargetCallOut CallWithin(Duration totalTimeout, std::uint64_t maxAnswerBytes)
+{
+  TargetCallOut call;
+  call.exchange = ExchangeId(7);
+  call.method = "GET";
+  call.path = "/";
+  call.timeout = kTestTimeout;
+  call.totalTimeout = totalTimeout;
+  call.maxAnswerBytes = maxAnswerBytes;
+  return call;
+}
+
+// Guards against a call that lasts as long as its target sends a byte now and then.
+TEST(HttpClient, ACallWhoseAnswerIsNotWholeInTimeFails)
+{
+  IoRuntime runtime;
+  RecordingServer target(runtime);
+  RecordingClient agent(runtime);
+  agent.client.Start(target.address, CallWithin(std::chrono::milliseconds(100), 0));
+  const HttpRequestIn request = target.Request(1);
+  bool isEnded = false;
+  runtime.Spawn([&] {
+    while (!isEnded) {
+      target.Send(request, "x", false);
+      runtime.SleepFor(std::chrono::milliseconds(10));
+    }
+  });
+  EXPECT_TRUE(agent.WaitFor([&] { return !agent.failures.empty(); }));
+  isEnded = true;
+  ASSERT_FALSE(agent.failures.empty());
+  EXPECT_EQ(agent.failures[0].error.code, ErrorCode::kTimeout);
+  EXPECT_FALSE(agent.failures[0].neverSent);
+}
+
+// Guards against a target that decides how much its caller keeps.
+TEST(HttpClient, ACallWhoseAnswerIsTooLongFails)
+{
+  constexpr std::size_t kMost = 4000;
+  const auto failureAfter = [&](const std::string& answer) {
+    IoRuntime runtime;
+    RawServer target(runtime, { answer });
+    RecordingClient agent(runtime);
+    agent.client.Start(target.address, CallWithin(kTestTimeout, kMost));
+    EXPECT_TRUE(agent.WaitFor([&] { return !agent.failures.empty() || agent.IsWhole(); }));
+    EXPECT_LE(agent.Body().size(), kMost);
+    return agent.failures.empty() ? ErrorCode::kIo : agent.failures[0].error.code;
+  };
+  SECTION("by its announced length, before its body has come")
+  {
+    EXPECT_EQ(failureAfter("HTTP/1.1 200 OK\r\nContent-Length: 1000000000000\r\n\r\n"),
+              ErrorCode::kTooLarge);
+  }
+  SECTION("in chunks")
+  {
+    EXPECT_EQ(failureAfter("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nfa1\r\n" +
+                           std::string(kMost + 1, 'x') + "\r\n"),
+              ErrorCode::kTooLarge);
+  }
+  SECTION("a body of the largest length is taken")
+  {
+    IoRuntime runtime;
+    RecordingServer target(runtime);
+    target.onRequest = [&](const HttpRequestIn& request) {
+      target.Send(request, std::string(kMost, 'x'), true);
+    };
+    RecordingClient agent(runtime);
+    agent.client.Start(target.address, CallWithin(kTestTimeout, kMost));
+    EXPECT_TRUE(agent.WaitFor([&] { return agent.IsWhole(); }));
+  }
+}
+
 TEST(HttpClient, CarriesALargeBodyAndAnswerWhole)
 {
   IoRuntime runtime;
