A stopping entry refuses what it can't finish

Callers got a stream that was cut, or a 502 with an unknown outcome, for requests that came after the entry had been told to stop: it took everything for 2.5 s, although it knew that it ends all requests at the end of its stop.

An entry remembers how long the latest answers of each route took. From SIGTERM on it compares that with the time that is left. What is not expected to end is refused at once, as not run, with Retry-After, on a connection that it closes; so is what waits for a slot, and nothing is sent again that would not end. For requests that may be sent again the time of nine in ten answers counts, for others the longest, as their outcome would stay unknown. A route without answers is judged by the time that its caller gives it.

--- a/include/gooseberrysail/gateway/dispatcher.hpp
+++ b/include/gooseberrysail/gateway/dispatcher.hpp
@@ -4,6 +4,7 @@
 #include "gooseberrysail/admission/retry_places.hpp"
 #include "gooseberrysail/core/http_status.hpp"
 #include "gooseberrysail/gateway/answer_limits.hpp"
+#include "gooseberrysail/gateway/answer_times.hpp"
 #include "gooseberrysail/gateway/event_splitter.hpp"
 #include "gooseberrysail/gateway/finished_requests.hpp"
 #include "gooseberrysail/gateway/gateway_api.hpp"
@@ -80,6 +81,11 @@
               Duration retryAfter,
               std::vector<GatewayOutput>& outbox);
 
+  /// \brief From now on, refuses requests whose answers are not expected to be complete at `end`,
+  /// when EndAll will be called.
+  /// \param retryAfter For their callers.
+  void EndBy(TimePoint end, Duration retryAfter);
+
   /// \brief Ends requests that reached their deadline, and sends those at stalled heads to other
   /// heads as well.
   void Tick(TimePoint now, std::vector<GatewayOutput>& outbox);
@@ -207,6 +213,7 @@
     TimePoint arrived{};
     Duration unread{}; ///< From its arrival until it was read.
     TimePoint deadline{};
+    TimePoint firstSentAt{};           ///< The first attempt.
     std::optional<TimePoint> queuedAt; ///< While it waits for a slot: since when.
     Duration queued{};                 ///< For how long it waited.
     SentCall sent;                     ///< The attempt whose answer is forwarded.
@@ -247,6 +254,7 @@
     unsigned status = 0;
     std::string reason;
     std::optional<Duration> retryAfter;
+    bool endsConnection = false; ///< The caller should come back on another connection.
   };
   [[nodiscard]] std::optional<Refusal> Admit(TimePoint now,
                                              const ServingSnapshot& snapshot,
@@ -515,6 +523,22 @@
   /// \brief Answers a request with a held part that has not been sent.
   void RefuseHeld(TimePoint now, Request& request, const RequestFingerprint& part, Outbox& outbox);
 
+  // Requests during a stop (dispatcher_stop.cpp).
+  struct StopPlan
+  {
+    TimePoint at;        ///< All requests are ended.
+    Duration retryAfter; ///< For callers who are refused until then.
+  };
+  void RecordAnswerTime(TimePoint now, const Request& request);
+  void ForgetFormerRoutes(const ServingSnapshot& snapshot);
+  /// \brief How long an attempt that is sent now is expected to last.
+  [[nodiscard]] Duration ExpectedTime(TimePoint now, const Request& request) const;
+  /// \brief Whether an attempt that is sent now is expected to end before the process stops.
+  [[nodiscard]] bool EndsInTime(TimePoint now, const Request& request) const;
+  /// \brief Refuses a request that has not run and would not end before the process stops.
+  void RefuseTooLong(TimePoint now, Request& request, Outbox& outbox);
+  void RefuseQueuedTooLong(TimePoint now, Outbox& outbox);
+
   // Ends (dispatcher_end.cpp).
   void GiveUp(TimePoint now, Request& request, Outbox& outbox);
   /// \brief Ends an answer of which a part has gone to the caller.
@@ -564,6 +588,9 @@
   std::set<std::pair<TimePoint, ExchangeId>> m_deadlines;
   std::map<std::pair<std::string, std::string>, DemandRow> m_demand; ///< By service and model.
   std::uint64_t m_lastAttempt = 0;
+  AnswerTimes m_answerTimes;
+  std::uint64_t m_answerTimesVersion = 0; ///< Of the document whose routes they are of.
+  std::optional<StopPlan> m_end;          ///< Set once the process stops.
 };
 
 } // namespace gooseberrysail
--- a/include/gooseberrysail/roles/inputs.hpp
+++ b/include/gooseberrysail/roles/inputs.hpp
@@ -101,6 +101,9 @@
   std::string bytes;
   bool end = false;
   bool abort = false;
+  /// Of the first part: the connection is closed after the answer, unless the caller has already
+  /// sent another request on it.
+  bool endsConnection = false;
 };
 
 // ---- HTTP calls made to targets ----
--- a/src/gateway/dispatcher.cpp
+++ b/src/gateway/dispatcher.cpp
@@ -129,6 +129,8 @@
   if (!HasTime(now, request)) {
     request.lastError = kTimeIsOver;
     GiveUp(now, request, outbox);
+  } else if (!request.mayHaveRun && !EndsInTime(now, request)) {
+    RefuseTooLong(now, request, outbox);
   } else if (const ServedTarget* target = m_selector.Choose(now, QueryOf(now, request))) {
     Send(now, request, *target, outbox);
   } else if (!TryEnqueue(now, request, outbox)) {
@@ -182,6 +184,7 @@
     m_forecasts.OnSent(now, sent.exchange, sent.target, request.call.promptTokens, forecast);
   }
   if (sent.number == 1) {
+    request.firstSentAt = now;
     CountDemand(request, false);
   }
   m_attempts.emplace(sent.exchange, request.call.exchange);
@@ -261,7 +264,7 @@
   const bool isAllowed = repeatable && !m_suspects.IsQuarantined(request.fingerprint) &&
                          FindHeldPart(request) == nullptr &&
                          request.attempts - request.excusedAttempts < request.route->maxAttempts &&
-                         HasTime(now, request);
+                         HasTime(now, request) && EndsInTime(now, request);
   // The allowance is asked first: choosing a target looks at all of them.
   if (!isAllowed || !m_retries.HasLeft(now, request.service)) {
     return nullptr;
@@ -674,6 +677,7 @@
 {
   DropHedges(now, request, ExchangeId(), outbox);
   StopAttempt(request, outbox, false);
+  RecordAnswerTime(now, request);
   if (request.framing == AnswerFraming::kUntilClose) {
     CompleteUnconfirmed(now, request, status, outbox);
     return;
@@ -778,12 +782,14 @@
     Request& request = *Find(m_deadlines.begin()->second);
     request.mayHaveRun = request.mayHaveRun || !request.sent.exchange.IsNone();
     request.lastError = kTimeIsOver;
+    RecordAnswerTime(now, request); // It would have taken longer.
     StopAttempts(now, request, request.lastError, outbox);
     GiveUp(now, request, outbox);
   }
   for (const ExchangeId exchange : m_queue.TakeExpired(now)) {
     SendOrGiveUp(now, *Find(exchange), outbox);
   }
+  RefuseQueuedTooLong(now, outbox);
   HedgeRequests(now, outbox);
   m_suspects.RemoveExpired(now);
   m_promptParts.RemoveExpired(now);
--- a/src/gateway/dispatcher_arrival.cpp
+++ b/src/gateway/dispatcher_arrival.cpp
@@ -29,6 +29,7 @@
     return;
   }
   request.call = std::move(call).value();
+  ForgetFormerRoutes(snapshot);
   if (const std::optional<Refusal> refusal = Admit(now, snapshot, request)) {
     Refuse(now, request, *refusal, outbox);
     return;
--- a/src/gateway/dispatcher_end.cpp
+++ b/src/gateway/dispatcher_end.cpp
@@ -172,6 +172,7 @@
     answer.headers.push_back({ "Retry-After", ToSeconds(*refusal.retryAfter) });
     request.toldRetryAfter = refusal.retryAfter;
   }
+  answer.endsConnection = refusal.endsConnection;
   answer.bytes = ErrorText(outcome, refusal.reason);
   request.answerOrigin = kOwnAnswer;
   answer.end = true;
--- a/src/gateway/gateway_role.cpp
+++ b/src/gateway/gateway_role.cpp
@@ -66,6 +66,7 @@
   void Handle(TimePoint now, const StopRequested&, Outbox& outbox)
   {
     stopSince = now;
+    dispatcher.EndBy(now + stopTimes.endRequests, kStoppingRetry);
     outbox.emplace_back(MakeEvent(EventNumber::kProcessStopping,
                                   { { "inFlight", std::to_string(dispatcher.InFlight()) } }));
   }
--- a/src/http/http_session.hpp
+++ b/src/http/http_session.hpp
@@ -217,7 +217,7 @@
   // Writing (http_session_write.cpp).
   WriteResult WriteAnswer(const Request& request);
   /// \brief Whether the connection can be reused after the response that is being written.
-  [[nodiscard]] bool MayReuse(const Request& request);
+  [[nodiscard]] bool MayReuse(const Request& request, bool endsConnection);
   bool WaitForPart();
   bool WaitForEnd();
   [[nodiscard]] HttpAnswerOut JoinParts();
--- a/src/http/http_session_write.cpp
+++ b/src/http/http_session_write.cpp
@@ -56,9 +56,10 @@
 }
 
 // While the server stops, what the caller sent ahead is answered before the connection is closed.
-bool HttpSession::MayReuse(const Request& request)
+bool HttpSession::MayReuse(const Request& request, bool endsConnection)
 {
-  const bool mayHaveNext = !m_hooks.isStopping() || HasPendingInput();
+  const bool isLast = endsConnection || m_hooks.isStopping();
+  const bool mayHaveNext = !isLast || HasPendingInput();
   return request.keepAlive && mayHaveNext && !m_endsWithConnection;
 }
 
@@ -234,7 +235,7 @@
   if (!SetEndsWithConnection(hasBody && part.framing == AnswerFraming::kUntilClose)) {
     return WriteResult::kIncomplete;
   }
-  const bool reuse = MayReuse(request);
+  const bool reuse = MayReuse(request, part.endsConnection);
   m_response.saysClose = request.keepAlive && !reuse;
   answer.keep_alive(reuse);
   if (hasBody) {
@@ -264,7 +265,7 @@
   if (!SetEndsWithConnection(hasBody && part.framing == AnswerFraming::kUntilClose)) {
     return WriteResult::kIncomplete;
   }
-  const bool reuse = MayReuse(request);
+  const bool reuse = MayReuse(request, part.endsConnection);
   m_response.saysClose = request.keepAlive && !reuse;
   head.keep_alive(reuse);
   head.chunked(hasBody && !m_endsWithConnection);
--- a/tests/unit/dispatcher_test.cpp
+++ b/tests/unit/dispatcher_test.cpp
@@ -586,6 +586,74 @@
   }
 }
 
+// Guards against late requests that a stopping entry passes on and ends without their answers.
+TEST(Dispatcher, SendsNothingThatIsExpectedToOutlastAStop)
+{
+  constexpr Duration kUsual = 500ms;
+  World world;
+  for (const char* path : { "/safe/x", "/once/x" }) {
+    for (int answer = 0; answer < 20; ++answer) {
+      world.Ask(path);
+      world.now += answer == 0 ? 2 * kUsual : kUsual;
+      world.AnswerOk();
+    }
+  }
+  const std::size_t sent = world.CountSent();
+  const auto isSent = [&](const std::string& path) {
+    const std::size_t before = world.CountSent();
+    world.Ask(path);
+    return world.CountSent() > before;
+  };
+  SECTION("nothing that takes longer than is left, by the usual time of its route")
+  {
+    world.dispatcher.EndBy(world.now + kUsual - 1ms, 50ms);
+    EXPECT_FALSE(isSent("/safe/x"));
+    EXPECT_EQ(LastStatus(world), 503U);
+    EXPECT_EQ(FindHeader(world.Answers().back().headers, "Retry-After"), "0.05");
+    EXPECT_TRUE(world.Answers().back().endsConnection);
+    EXPECT_THAT(world.Answers().back().bytes, HasSubstr("not-run"));
+  }
+  SECTION("what has the usual time, but nothing whose outcome could stay unknown")
+  {
+    world.dispatcher.EndBy(world.now + kUsual, 50ms);
+    EXPECT_TRUE(isSent("/safe/x"));
+    EXPECT_FALSE(isSent("/once/x"));
+    world.dispatcher.EndBy(world.now + 2 * kUsual, 50ms);
+    EXPECT_TRUE(isSent("/once/x"));
+  }
+  SECTION("a route without answers is taken by the time that its caller gives it")
+  {
+    world.dispatcher.EndBy(world.now + 2999ms, 50ms);
+    EXPECT_FALSE(isSent("/stream/x"));
+    world.dispatcher.EndBy(world.now + 3s, 50ms);
+    EXPECT_TRUE(isSent("/stream/x"));
+  }
+  SECTION("no retry that takes longer than is left")
+  {
+    world.dispatcher.EndBy(world.now + kUsual, 50ms);
+    EXPECT_TRUE(isSent("/safe/x"));
+    const std::size_t before = world.CountSent();
+    world.now += 100ms;
+    world.Fail(false);
+    EXPECT_EQ(world.CountSent(), before);
+    EXPECT_EQ(LastStatus(world), 502U);
+  }
+  EXPECT_GT(world.CountSent(), sent);
+}
+
+// Guards against requests that wait for a slot until a stop ends them.
+TEST(Dispatcher, RefusesWaitingRequestsOnceTheyWouldOutlastAStop)
+{
+  BusyHead busy;
+  busy.world.Ask("/stream/x");
+  const std::size_t answered = busy.world.Answers().size();
+  busy.world.dispatcher.EndBy(busy.world.now + 100ms, 50ms);
+  busy.world.AdvanceTime(1ms);
+  ASSERT_EQ(busy.world.Answers().size(), answered + 1);
+  EXPECT_EQ(LastStatus(busy.world), 503U);
+  EXPECT_EQ(busy.world.CountSent(), busy.sent);
+}
+
 // A target that crashes with requests in flight and restarts under its old name has none of them
 // any more. If its state were kept by name alone, it would count as full and failing, and the
 // callers would wait until it is detected as silent.
