A stopping process says so with each answer

Callers on open connections learned of a stop only when their connection was closed while it was idle; a request that crossed the close met a reset. Each answer since SIGTERM has "Connection: close" now, so that the next request goes to another process. What was sent ahead is still answered.

Evidence: StoppedEntry.AsksCallersToLeaveWithTheNextAnswer failed before.

--- a/src/shell/process_shell.cpp
+++ b/src/shell/process_shell.cpp
@@ -377,6 +377,7 @@
 void ProcessShell::Send(HttpAnswerOut answer)
 {
   m_observer.OnAnswer(BootNow(), answer);
+  answer.endsConnection = answer.endsConnection || m_stopping;
   m_http->Send(std::move(answer));
 }
 
