--- a/tests/unit/dispatcher_test.cpp
+++ b/tests/unit/dispatcher_test.cpp
@@ -647,7 +647,7 @@
   BusyHead busy;
   busy.world.Ask("/stream/x");
   const std::size_t answered = busy.world.Answers().size();
-  busy.world.dispatcher.EndBy(busy.world.now + 100ms, 50ms);
+  busy.world.dispatcher.EndBy(busy.world.now + 20ms, 50ms);
   busy.world.AdvanceTime(1ms);
   ASSERT_EQ(busy.world.Answers().size(), answered + 1);
   EXPECT_EQ(LastStatus(busy.world), 503U);
