--- a/tests/unit/runtime_signals_test.cpp
+++ b/tests/unit/runtime_signals_test.cpp
@@ -10,12 +10,25 @@
 
 using namespace std::chrono_literals;
 
-/// \brief Restores the signals that were blocked before.
+/// \brief Restores the signals that were blocked before, and takes those that a runtime has kept:
+/// they would end the process.
 class SignalMask
 {
 public:
   SignalMask() { pthread_sigmask(SIG_BLOCK, nullptr, &m_former); }
-  ~SignalMask() { pthread_sigmask(SIG_SETMASK, &m_former, nullptr); }
+  ~SignalMask()
+  {
+    sigset_t kept;
+    sigemptyset(&kept);
+    for (const int number : { SIGHUP, SIGTERM, SIGINT }) {
+      sigaddset(&kept, number);
+    }
+    pthread_sigmask(SIG_BLOCK, &kept, nullptr);
+    constexpr timespec kNoWait{};
+    while (sigtimedwait(&kept, nullptr, &kNoWait) > 0) {
+    }
+    pthread_sigmask(SIG_SETMASK, &m_former, nullptr);
+  }
   SignalMask(const SignalMask&) = delete;
   SignalMask& operator=(const SignalMask&) = delete;
 
