Signals: all late ones are kept for the next runtime, not only the first

With several signals between Stop and Join, the fiber took one, saw that the runtime joins, and ended; the signal set then dropped the others. A control process that waits for its storage could so lose its SIGTERM to a SIGHUP.

Before: of SIGHUP, SIGTERM and SIGINT, the next runtime got SIGHUP and SIGINT. The fiber now waits until its wait is cancelled; one that has been received completes the wait before that.

--- a/src/net/fiber_runtime.cpp
+++ b/src/net/fiber_runtime.cpp
@@ -197,13 +197,18 @@
   m_state->handledSignals = numbers;
   SetSignalMask(SIG_UNBLOCK, numbers);
   Spawn([state = m_state, hook = std::move(hook)] {
-    while (!state->isJoining) {
+    while (true) {
       int number = 0;
       const auto [error, size] = Await([&](auto done) {
         state->signals.async_wait([&number, done](boost::system::error_code failure, int received) {
           number = received;
           done(failure);
         });
+        if (state->isJoining) {
+          // A signal that was received before completes the wait none the less.
+          boost::system::error_code ignored;
+          state->signals.cancel(ignored);
+        }
       });
       if (error) {
         return;
--- a/tests/unit/runtime_signals_test.cpp
+++ b/tests/unit/runtime_signals_test.cpp
@@ -2,8 +2,9 @@
 #include "support/section.hpp"
 
 #include <csignal>
-#include <gtest/gtest.h>
+#include <gmock/gmock.h>
 #include <pthread.h>
+#include <vector>
 
 namespace gooseberrysail {
 namespace {
@@ -88,6 +89,26 @@
   }
 }
 
+// Guards against a signal to stop that is lost because another one came just before it.
+TEST(RuntimeSignals, AreAllKeptWhereSeveralAreLate)
+{
+  const SignalMask mask;
+  std::vector<int> received;
+  const auto run = [&](const std::vector<int>& late) {
+    IoRuntime runtime;
+    runtime.OnSignals({ SIGHUP, SIGTERM, SIGINT }, [&](int number) { received.push_back(number); });
+    runtime.SleepFor(10ms);
+    runtime.Stop();
+    for (const int number : late) {
+      std::raise(number);
+    }
+  };
+  run({ SIGHUP, SIGTERM, SIGINT });
+  EXPECT_THAT(received, ::testing::IsEmpty());
+  run({});
+  EXPECT_THAT(received, ::testing::UnorderedElementsAre(SIGHUP, SIGTERM, SIGINT));
+}
+
 // Guards against a runtime that is destroyed while a fiber still uses what surrounds it.
 TEST(RuntimeSignals, JoinWaitsForAllFibers)
 {
