Calls: an answer that came in time is taken by a late event loop

The limit of the whole time looked only at the socket. A late loop had just read the answer from there, so that the call failed as "not whole in time": after a pause, control may count probes of sound targets as unanswered. The limit of silence is disarmed once bytes were read.

Before: with a limit of 200 ms and a loop 400 ms late, a whole answer and the end of a begun one failed; a call with a limit of silence only succeeded. Now the limit grants its time once more if the fiber hasn't run since bytes were read.

--- a/src/http/http_call.cpp
+++ b/src/http/http_call.cpp
@@ -204,8 +204,8 @@
   });
 }
 
-// Bytes that came in time wait in the socket if the event loop is late: they get the same time
-// again.
+// If the event loop is late, bytes that came in time wait in the socket, or the fiber hasn't run
+// since they were read: they get the same time again.
 void HttpCall::ArmTotalTimeout()
 {
   if (m_call.totalTimeout == Duration::zero()) {
@@ -218,7 +218,7 @@
     m_socket.close(ignored);
   };
   m_totalDeadline.Arm(m_call.totalTimeout, [this, end] {
-    if (PeekInput(m_socket) == InputState::kBytes) {
+    if (!m_isReading || PeekInput(m_socket) == InputState::kBytes) {
       m_totalDeadline.Arm(m_call.totalTimeout, end);
     } else {
       end();
@@ -232,7 +232,9 @@
 std::pair<boost::system::error_code, std::size_t> HttpCall::AwaitInTime(Start&& start)
 {
   return Await([&](auto done) {
+    m_isReading = true;
     start([this, done](boost::system::error_code error, std::size_t size = 0) mutable {
+      m_isReading = false;
       m_deadline.Disarm();
       done(error, size);
     });
--- a/src/http/http_call.hpp
+++ b/src/http/http_call.hpp
@@ -96,6 +96,7 @@
   bool m_reused = false;
   bool m_timedOut = false;
   bool m_isOverdue = false; ///< Timed out although bytes came.
+  bool m_isReading = false; ///< Waits for bytes that have not been taken from the socket.
   bool m_cancelled = false;
   bool m_isSending = false;   ///< The target may have bytes of the request.
   bool m_isWithdrawn = false; ///< Ended before that by the caller of Withdraw.
--- a/tests/unit/http_client_test.cpp
+++ b/tests/unit/http_client_test.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
 #include <sys/resource.h>
+#include <thread>
 #include <unistd.h>
 
 namespace gooseberrysail {
@@ -532,6 +533,44 @@
   EXPECT_FALSE(agent.failures[0].neverSent);
 }
 
+// Guards against a sound target that counts as silent because its caller's event loop was late.
+TEST(HttpClient, AnAnswerThatCameInTimeIsTakenByALateLoop)
+{
+  constexpr Duration kTotal = std::chrono::milliseconds(200);
+  const auto answerLate = [&](bool hasTotal, const std::string& begun, const std::string& rest) {
+    IoRuntime runtime;
+    RecordingServer target(runtime);
+    RecordingClient agent(runtime);
+    TargetCallOut call = CallWithin(hasTotal ? kTotal : Duration::zero(), 0);
+    call.timeout = kTotal;
+    agent.client.Start(target.address, std::move(call));
+    const HttpRequestIn request = target.Request(1);
+    runtime.SleepFor(kTotal / 10); // The target waits for its answer.
+    if (!begun.empty()) {
+      target.Send(request, begun, false);
+      EXPECT_TRUE(agent.WaitFor([&] { return agent.Body() == begun; }));
+    }
+    target.Send(request, rest, true);
+    runtime.WaitUntilIdle(); // The target has written.
+    std::this_thread::sleep_for(2 * kTotal);
+    EXPECT_TRUE(agent.WaitFor([&] { return !agent.failures.empty() || agent.IsWhole(); }));
+    EXPECT_TRUE(agent.failures.empty());
+    EXPECT_EQ(agent.Body(), begun + rest);
+  };
+  SECTION("at once")
+  {
+    answerLate(true, "", "whole");
+  }
+  SECTION("in parts")
+  {
+    answerLate(true, "who", "le");
+  }
+  SECTION("by a call with a limit of silence only")
+  {
+    answerLate(false, "who", "le");
+  }
+}
+
 // Guards against a target that decides how much its caller keeps.
 TEST(HttpClient, ACallWhoseAnswerIsTooLongFails)
 {
