Stop: failures do not tell how long a route's answers take

The usual time counted all answers. 64 failures at once made a route whose answers take 1 s seem to take 1 ms, so that a stopping entry passed on a request that may run once, and cut it. Before: sent with 500 ms left; now refused. Only successes count.

--- a/src/gateway/dispatcher.cpp
+++ b/src/gateway/dispatcher.cpp
@@ -677,7 +677,9 @@
 {
   DropHedges(now, request, ExchangeId(), outbox);
   StopAttempt(request, outbox, false);
-  RecordAnswerTime(now, request);
+  if (IsSuccess(status)) {
+    RecordAnswerTime(now, request);
+  }
   if (request.framing == AnswerFraming::kUntilClose) {
     CompleteUnconfirmed(now, request, status, outbox);
     return;
--- a/tests/unit/dispatcher_test.cpp
+++ b/tests/unit/dispatcher_test.cpp
@@ -137,6 +137,15 @@
       200, { { "X-Request-Id", "r" + std::to_string(m_asked) }, { "Seal", "s" } }, bytes, end);
   }
 
+  /// \brief A whole answer of the target.
+  void Answer(unsigned status)
+  {
+    AnswerHead(status,
+               { { "X-Request-Id", "r" + std::to_string(m_asked) }, { "Seal", "s" } },
+               "whole",
+               true);
+  }
+
   void AnswerMore(std::string bytes, bool end = false)
   {
     TargetAnswerIn part;
@@ -641,6 +650,28 @@
   EXPECT_GT(world.CountSent(), sent);
 }
 
+// Guards against an answer that a stop cuts because failures made the route seem fast.
+TEST(Dispatcher, FailuresDoNotTellHowLongAnAnswerTakes)
+{
+  World world;
+  const auto ask = [&](Duration time, unsigned status) {
+    world.Ask("/once/x");
+    world.now += time;
+    world.Answer(status);
+  };
+  for (int answer = 0; answer < 20; ++answer) {
+    ask(1s, 200);
+  }
+  for (std::size_t answer = 0; answer < AnswerTimes::kAnswers; ++answer) {
+    ask(1ms, 500);
+  }
+  world.dispatcher.EndBy(world.now + 500ms, 50ms);
+  const std::size_t sent = world.CountSent();
+  world.Ask("/once/x");
+  EXPECT_EQ(world.CountSent(), sent);
+  EXPECT_EQ(LastStatus(world), 503U);
+}
+
 // Guards against requests that wait for a slot until a stop ends them.
 TEST(Dispatcher, RefusesWaitingRequestsOnceTheyWouldOutlastAStop)
 {
