Stop: a broken stream goes on at another target as before

A stream that had begun needed the time of a whole answer to be resumed. With 1 s left, one that usually lasts 2 s was cut after 1.5 s, 0.5 s before its end, where it was resumed before. A retry of a begun stream can only gain: it is cut otherwise.

--- a/src/gateway/dispatcher.cpp
+++ b/src/gateway/dispatcher.cpp
@@ -258,13 +258,15 @@
   }
 }
 
+// A stream that has begun needs only the time for the rest of it, and is cut without that.
 const ServedTarget* Dispatcher::TakeRetry(TimePoint now, const Request& request, bool mayHaveRun)
 {
   const bool repeatable = !mayHaveRun || MayRunAgain(request.route->repeat);
   const bool isAllowed = repeatable && !m_suspects.IsQuarantined(request.fingerprint) &&
                          FindHeldPart(request) == nullptr &&
                          request.attempts - request.excusedAttempts < request.route->maxAttempts &&
-                         HasTime(now, request) && EndsInTime(now, request);
+                         HasTime(now, request) &&
+                         (request.headForwarded || EndsInTime(now, request));
   // The allowance is asked first: choosing a target looks at all of them.
   if (!isAllowed || !m_retries.HasLeft(now, request.service)) {
     return nullptr;
--- a/tests/unit/dispatcher_test.cpp
+++ b/tests/unit/dispatcher_test.cpp
@@ -672,6 +672,24 @@
   EXPECT_EQ(LastStatus(world), 503U);
 }
 
+// Guards against a stream that a stopping entry cuts although only its last events are missing.
+TEST(Dispatcher, GoesOnWithABrokenStreamDuringAStop)
+{
+  World world;
+  world.Ask("/stream/x");
+  world.AnswerOk("id: 1\ndata: a\n\n", false);
+  world.now += 2s;
+  world.AnswerMore("id: 2\ndata: b\n\n", true);
+  world.Ask("/stream/x");
+  world.AnswerOk("id: 1\ndata: a\n\n", false);
+  world.now += 1500ms;
+  world.dispatcher.EndBy(world.now + 1s, 50ms);
+  const std::size_t sent = world.CountSent();
+  world.Fail(false);
+  EXPECT_EQ(world.CountSent(), sent + 1);
+  EXPECT_FALSE(world.Answers().back().abort);
+}
+
 // Guards against requests that wait for a slot until a stop ends them.
 TEST(Dispatcher, RefusesWaitingRequestsOnceTheyWouldOutlastAStop)
 {
