--- a/tests/unit/runtime_signals_test.cpp
+++ b/tests/unit/runtime_signals_test.cpp
@@ -2,20 +2,34 @@
 #include "support/section.hpp"
 
 #include <csignal>
-#include <gtest/gtest.h>
+#include <gmock/gmock.h>
 #include <pthread.h>
+#include <vector>
 
 namespace gooseberrysail {
 namespace {
 
 using namespace std::chrono_literals;
 
-/// \brief Restores the signals that were blocked before.
+/// \brief Restores the signals that were blocked before, and takes those that a runtime has kept:
+/// they would end the process.
 class SignalMask
 {
 public:
   SignalMask() { pthread_sigmask(SIG_BLOCK, nullptr, &m_former); }
-  ~SignalMask() { pthread_sigmask(SIG_SETMASK, &m_former, nullptr); }
+  ~SignalMask()
+  {
+    sigset_t kept;
+    sigemptyset(&kept);
+    for (const int number : { SIGHUP, SIGTERM, SIGINT }) {
+      sigaddset(&kept, number);
+    }
+    pthread_sigmask(SIG_BLOCK, &kept, nullptr);
+    constexpr timespec kNoWait{};
+    while (sigtimedwait(&kept, nullptr, &kNoWait) > 0) {
+    }
+    pthread_sigmask(SIG_SETMASK, &m_former, nullptr);
+  }
   SignalMask(const SignalMask&) = delete;
   SignalMask& operator=(const SignalMask&) = delete;
 
@@ -75,6 +89,26 @@
   }
 }
 
+// Guards against a signal to stop that is lost because another one came just before it.
+TEST(RuntimeSignals, AreAllKeptWhereSeveralAreLate)
+{
+  const SignalMask mask;
+  std::vector<int> received;
+  const auto run = [&](const std::vector<int>& late) {
+    IoRuntime runtime;
+    runtime.OnSignals({ SIGHUP, SIGTERM, SIGINT }, [&](int number) { received.push_back(number); });
+    runtime.SleepFor(10ms);
+    runtime.Stop();
+    for (const int number : late) {
+      std::raise(number);
+    }
+  };
+  run({ SIGHUP, SIGTERM, SIGINT });
+  EXPECT_THAT(received, ::testing::IsEmpty());
+  run({});
+  EXPECT_THAT(received, ::testing::UnorderedElementsAre(SIGHUP, SIGTERM, SIGINT));
+}
+
 // Guards against a runtime that is destroyed while a fiber still uses what surrounds it.
 TEST(RuntimeSignals, JoinWaitsForAllFibers)
 {
