A server can be closed while another fiber waits until it is drained

Callers would see a control process that doesn't end until it is killed: when its disk fails while its stop waits for callers, the role's fiber closes the server at the same time. Found in the code and shown by a unit test only. Both waited for one signal, which wakes one waiter; where the wait for the callers took the last notification, Close waited for ever.

Each of the two now has a signal of its own.

--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -147,6 +147,7 @@
   TimePoint nextMemoryLog{};
   std::uint64_t loggedMemoryRefusals = 0;
   Signal fiberEnded;
+  Signal drained; ///< Notified with fiberEnded: a signal wakes only one of those who wait for it.
 };
 
 HttpServer::Impl::Impl(IoRuntime& ioRuntime,
@@ -180,6 +181,7 @@
     work();
     --fibers;
     fiberEnded.Notify();
+    drained.Notify();
   });
 }
 
@@ -628,7 +630,7 @@
     if (now >= until) {
       return false;
     }
-    fiberEnded.WaitFor(until - now);
+    drained.WaitFor(until - now);
   }
   return true;
 }
--- a/tests/unit/http_server_test.cpp
+++ b/tests/unit/http_server_test.cpp
@@ -411,6 +411,32 @@
   }
 }
 
+// Guards against a stop that waits for ever: a server that is closed while another fiber waits
+// until its callers are gone, as when the disk of a control process fails during its stop.
+TEST(HttpServer, CanBeClosedWhileItDrains)
+{
+  IoRuntime runtime;
+  RecordingServer server(runtime);
+  RawConnection caller(runtime, server.address);
+  caller.Write(kGet);
+  server.Request(1);
+  server.server.StopAccepting();
+  bool isDrained = false;
+  bool isClosed = false;
+  Signal changed;
+  runtime.Spawn([&] {
+    isDrained = server.server.WaitDrained(kTestTimeout);
+    changed.Notify();
+  });
+  runtime.SleepFor(10ms);
+  runtime.Spawn([&] {
+    server.server.Close();
+    isClosed = true;
+    changed.Notify();
+  });
+  EXPECT_TRUE(tests::WaitUntil(changed, [&] { return isDrained && isClosed; }));
+}
+
 TEST(HttpServer, ClosesCallersWhoSendTooSlowly)
 {
   IoRuntime runtime;
