A runtime that ends keeps all signals that it has received

Callers would see a control process that goes on after SIGTERM: when its disk fails and the signal comes behind SIGHUPs, between the stop of its role's runtime and the time when signals are blocked. Found in the code and shown by a unit test only. Join took what one poll of the signals reports, which is one of them; it now polls until no more come.

--- a/src/net/fiber_runtime.cpp
+++ b/src/net/fiber_runtime.cpp
@@ -235,7 +235,12 @@
   Stop();
   if (!m_state->isJoining && !m_state->handledSignals.empty()) {
     SetSignalMask(SIG_BLOCK, m_state->handledSignals);
-    WaitForPoll(); // Takes what has been received.
+    // Takes what has been received, one signal in each round.
+    std::size_t taken = 0;
+    do {
+      taken = m_state->lateSignals.size();
+      WaitForPoll();
+    } while (m_state->lateSignals.size() > taken);
     m_state->isJoining = true;
     boost::system::error_code ignored;
     m_state->signals.cancel(ignored);
--- a/tests/unit/runtime_signals_test.cpp
+++ b/tests/unit/runtime_signals_test.cpp
@@ -10,12 +10,21 @@
 
 using namespace std::chrono_literals;
 
-/// \brief Restores the signals that were blocked before.
+/// \brief Restores the signals that were blocked before. Those that are kept for a next runtime are
+/// discarded, as their default action would end the test.
 class SignalMask
 {
 public:
   SignalMask() { pthread_sigmask(SIG_BLOCK, nullptr, &m_former); }
-  ~SignalMask() { pthread_sigmask(SIG_SETMASK, &m_former, nullptr); }
+  ~SignalMask()
+  {
+    sigset_t kept;
+    sigpending(&kept);
+    const timespec noWait{};
+    while (sigtimedwait(&kept, nullptr, &noWait) > 0) {
+    }
+    pthread_sigmask(SIG_SETMASK, &m_former, nullptr);
+  }
   SignalMask(const SignalMask&) = delete;
   SignalMask& operator=(const SignalMask&) = delete;
 
@@ -73,6 +82,25 @@
     run();
     EXPECT_EQ(calls, 2);
   }
+  SECTION("received after others, when the last one had stopped")
+  {
+    int stops = 0;
+    const auto count = [&](int number) { stops += number == SIGTERM ? 1 : 0; };
+    {
+      IoRuntime runtime;
+      runtime.OnSignals({ SIGHUP, SIGTERM }, count);
+      runtime.SleepFor(10ms);
+      runtime.Stop();
+      for (int reload = 0; reload < 5; ++reload) {
+        std::raise(SIGHUP);
+      }
+      std::raise(SIGTERM);
+    }
+    IoRuntime runtime;
+    runtime.OnSignals({ SIGHUP, SIGTERM }, count);
+    runtime.SleepFor(10ms);
+    EXPECT_EQ(stops, 1);
+  }
 }
 
 // Guards against a runtime that is destroyed while a fiber still uses what surrounds it.
