--- a/tests/unit/runtime_signals_test.cpp
+++ b/tests/unit/runtime_signals_test.cpp
@@ -87,6 +87,25 @@
     run();
     EXPECT_EQ(calls, 2);
   }
+  SECTION("received after others, when the last one had stopped")
+  {
+    int stops = 0;
+    const auto count = [&](int number) { stops += number == SIGTERM ? 1 : 0; };
+    {
+      IoRuntime runtime;
+      runtime.OnSignals({ SIGHUP, SIGTERM }, count);
+      runtime.SleepFor(10ms);
+      runtime.Stop();
+      for (int reload = 0; reload < 5; ++reload) {
+        std::raise(SIGHUP);
+      }
+      std::raise(SIGTERM);
+    }
+    IoRuntime runtime;
+    runtime.OnSignals({ SIGHUP, SIGTERM }, count);
+    runtime.SleepFor(10ms);
+    EXPECT_EQ(stops, 1);
+  }
 }
 
 // Guards against a signal to stop that is lost because another one came just before it.
