What a stop ends may go to another entry at once

Callers of requests that may be sent again got a 502 without Retry-After when the stop of an entry ended them, or kept it from sending them again after a failure, and waited as long as after any other failure, although other entries could serve them at once.

Such an answer names the time for which a stopping entry sends all callers away. It still says that the outcome is unknown; requests that may run once get no time.

Evidence: two tests failed before, with Retry-After "" in place of "0.05": Dispatcher.EndsEachRequestWithATrueAnswer (/safe/x and /stream/x) and Dispatcher.SendsNothingThatIsExpectedToOutlastAStop (a retry that would outlast the stop).

--- a/include/gooseberrysail/gateway/dispatcher.hpp
+++ b/include/gooseberrysail/gateway/dispatcher.hpp
@@ -75,7 +75,7 @@
 
   /// \brief Ends all requests: refuses those that have not been sent, answers that the outcome of
   /// the others is unknown, and cuts answers that have begun.
-  /// \param retryAfter For the callers of those that have not been sent.
+  /// \param retryAfter For the callers of those that have not been sent or may run again.
   void EndAll(TimePoint now,
               const std::string& reason,
               Duration retryAfter,
@@ -538,6 +538,9 @@
   /// \brief Refuses a request that has not run and would not end before the process stops.
   void RefuseTooLong(TimePoint now, Request& request, Outbox& outbox);
   void RefuseQueuedTooLong(TimePoint now, Outbox& outbox);
+  /// \brief When the caller of a request that may have run should come back to another entry; none
+  /// unless the stop is what keeps it from being sent again.
+  [[nodiscard]] std::optional<Duration> RetryElsewhere(TimePoint now, const Request& request) const;
 
   // Ends (dispatcher_end.cpp).
   void GiveUp(TimePoint now, Request& request, Outbox& outbox);
--- a/src/gateway/dispatcher_end.cpp
+++ b/src/gateway/dispatcher_end.cpp
@@ -48,7 +48,7 @@
     return;
   }
   if (request.mayHaveRun) {
-    RefuseUnknown(now, request, std::nullopt, outbox);
+    RefuseUnknown(now, request, RetryElsewhere(now, request), outbox);
     return;
   }
   if (request.attempts == 0) {
@@ -84,8 +84,11 @@
       request.mayHaveRun || !request.sent.exchange.IsNone() || !request.hedges.empty();
     request.lastError = reason;
     StopAttempts(now, request, reason, outbox);
-    if (request.headForwarded || request.mayHaveRun) {
-      GiveUp(now, request, outbox);
+    if (request.headForwarded) {
+      Cut(now, request, outbox);
+    } else if (request.mayHaveRun) {
+      const bool mayRunAgain = MayRunAgain(request.route->repeat);
+      RefuseUnknown(now, request, mayRunAgain ? std::optional(retryAfter) : std::nullopt, outbox);
     } else {
       if (request.attempts == 0) {
         CountDemand(request, true);
--- a/src/gateway/dispatcher_stop.cpp
+++ b/src/gateway/dispatcher_stop.cpp
@@ -53,6 +53,15 @@
   return !m_end || now + ExpectedTime(now, request) <= m_end->at;
 }
 
+std::optional<Duration> Dispatcher::RetryElsewhere(TimePoint now, const Request& request) const
+{
+  const bool mayRunAgain = MayRunAgain(request.route->repeat) && HasTime(now, request);
+  if (!m_end || !mayRunAgain || EndsInTime(now, request)) {
+    return std::nullopt;
+  }
+  return m_end->retryAfter;
+}
+
 void Dispatcher::RefuseTooLong(TimePoint now, Request& request, Outbox& outbox)
 {
   outbox.emplace_back(
--- a/tests/unit/dispatcher_test.cpp
+++ b/tests/unit/dispatcher_test.cpp
@@ -584,6 +584,21 @@
     EXPECT_NE(world.Answers().back().bytes.find("unknown"), std::string::npos);
     EXPECT_EQ(world.CountCancelled(), 1U);
   }
+  SECTION("one that was sent and may run again has a time at which another entry serves it")
+  {
+    for (const char* path : { "/safe/x", "/stream/x" }) {
+      World world;
+      world.Ask(path);
+      world.dispatcher.EndAll(world.now, kReason, 50ms, world.outbox);
+      ASSERT_EQ(world.Answers().size(), 1U);
+      EXPECT_EQ(world.Answers().back().status, 502U);
+      EXPECT_EQ(FindHeader(world.Answers().back().headers, "Retry-After"), "0.05") << path;
+    }
+    World world;
+    world.Ask("/once/x");
+    world.dispatcher.EndAll(world.now, kReason, 50ms, world.outbox);
+    EXPECT_EQ(FindHeader(world.Answers().back().headers, "Retry-After"), "");
+  }
 }
 
 // Guards against late requests that a stopping entry passes on and ends without their answers.
@@ -637,6 +652,15 @@
     world.Fail(false);
     EXPECT_EQ(world.CountSent(), before);
     EXPECT_EQ(LastStatus(world), 502U);
+    EXPECT_EQ(FindHeader(world.Answers().back().headers, "Retry-After"), "0.05");
+  }
+  SECTION("a failed request that may not run again has no such time")
+  {
+    world.dispatcher.EndBy(world.now + 2 * kUsual, 50ms);
+    EXPECT_TRUE(isSent("/once/x"));
+    world.Fail(false);
+    EXPECT_EQ(LastStatus(world), 502U);
+    EXPECT_EQ(FindHeader(world.Answers().back().headers, "Retry-After"), "");
   }
   EXPECT_GT(world.CountSent(), sent);
 }
