--- a/src/gateway/dispatcher.cpp
+++ b/src/gateway/dispatcher.cpp
@@ -244,7 +244,7 @@
     std::size_t skipped = 0;
     for (const ExchangeId waiting : m_queue.ListInOrder(kind)) {
       Request& request = *Find(waiting);
-      if (!HasTime(now, request)) {
+      if (!HasTime(now, request) || !EndsInTime(now, request)) {
         continue; // The next tick ends it.
       }
       if (const ServedTarget* target = m_selector.Choose(now, QueryOf(now, request))) {
@@ -790,10 +790,10 @@
     StopAttempts(now, request, request.lastError, outbox);
     GiveUp(now, request, outbox);
   }
+  RefuseQueuedTooLong(now, outbox);
   for (const ExchangeId exchange : m_queue.TakeExpired(now)) {
     SendOrGiveUp(now, *Find(exchange), outbox);
   }
-  RefuseQueuedTooLong(now, outbox);
   HedgeRequests(now, outbox);
   m_suspects.RemoveExpired(now);
   m_promptParts.RemoveExpired(now);
--- a/tests/unit/dispatcher_test.cpp
+++ b/tests/unit/dispatcher_test.cpp
@@ -719,8 +719,9 @@
 {
   BusyHead busy;
   busy.world.Ask("/stream/x");
-  const std::size_t answered = busy.world.Answers().size();
   busy.world.dispatcher.EndBy(busy.world.now + 20ms, 50ms);
+  busy.world.Fail(false); // Ends one of the running requests.
+  const std::size_t answered = busy.world.Answers().size();
   busy.world.AdvanceTime(1ms);
   ASSERT_EQ(busy.world.Answers().size(), answered + 1);
   EXPECT_EQ(LastStatus(busy.world), 503U);
