Soak: signals until a process is gone, reports without end, ends by themselves

The soak stopped processes with at most one or two further signals, its replicas answered control's questions well, and a process that ended without SIGTERM wasn't looked at; one that ended by a signal after SIGTERM was reported without it. So it found none of: processes that end by SIGSEGV, SIGHUP or SIGTERM behind their last log line, and control that holds what a replica sends without end.

Now, from a generator of its own: beside one in two stops SIGHUP, or SIGHUP and SIGTERM in turn, each 0.2 to 5 ms until the process is gone; beside one in four faults model replicas answer reports without end or byte by byte for 1 to 5 s. Any end but exit 0 after SIGTERM counts, with its signal; so does control with 256 MB resident or more. Processes that ended by themselves start again, as a supervisor has it.

--- a/tests/soak/cluster.cpp
+++ b/tests/soak/cluster.cpp
@@ -1,9 +1,11 @@
 #include "soak/cluster.hpp"
 
 #include "support/http_call.hpp"
+#include "support/memory_watch.hpp"
 
 #include <boost/json.hpp>
 #include <csignal>
+#include <cstring>
 #include <filesystem>
 #include <fstream>
 #include <sys/wait.h>
@@ -105,6 +107,28 @@
          (hasOtherTenant ? R"(,{"name":"t2","apiKeys":["key-of-t2"]})" : "") + "]}";
 }
 
+/// Leaves the process unreaped, so that its id isn't used again.
+bool HasEnded(pid_t process)
+{
+  siginfo_t info{};
+  const bool isKnown =
+    waitid(P_PID, static_cast<id_t>(process), &info, WEXITED | WNOHANG | WNOWAIT) == 0;
+  return !isKnown || info.si_pid == process;
+}
+
+/// \param status As of waitpid; -1 for a process that still runs.
+std::string DescribeEnd(int status)
+{
+  if (status == -1) {
+    return "still runs after its grace";
+  }
+  if (WIFSIGNALED(status)) {
+    const int signal = WTERMSIG(status);
+    return "was ended by signal " + std::to_string(signal) + " (" + strsignal(signal) + ")";
+  }
+  return "exited with status " + std::to_string(WEXITSTATUS(status));
+}
+
 } // namespace
 
 Cluster::Cluster(std::string daemon, std::size_t entries)
@@ -186,6 +210,7 @@
 void Cluster::KillAndRestart(const std::string& name)
 {
   m_stops.erase(name);
+  m_signalSeries.erase(name);
   m_processes.at(name)->Kill();
   Start(name);
 }
@@ -202,27 +227,53 @@
   m_stops.try_emplace(name, std::chrono::steady_clock::now());
 }
 
-std::vector<std::string> Cluster::AdvanceStops()
+void Cluster::BeginSignalSeries(const std::string& name,
+                                std::chrono::microseconds interval,
+                                bool repeatsTerm)
+{
+  const pid_t process = m_processes.at(name)->Pid();
+  m_signalSeries.try_emplace(name, [process, interval, repeatsTerm](const std::stop_token& stop) {
+    for (bool isOdd = false; !stop.stop_requested() && !HasEnded(process); isOdd = !isOdd) {
+      kill(process, repeatsTerm && isOdd ? SIGTERM : SIGHUP);
+      std::this_thread::sleep_for(interval);
+    }
+  });
+}
+
+std::vector<std::string> Cluster::RestartEnded()
 {
   std::vector<std::string> failed;
-  std::erase_if(m_stops, [&](const auto& stop) {
-    const auto& [name, since] = stop;
-    test::ChildProcess& process = *m_processes.at(name);
-    const bool isOverdue = std::chrono::steady_clock::now() - since >= kStopGrace;
-    const int status = process.WaitForExit(0ms);
-    if (status == -1 && !isOverdue) {
-      return false;
+  for (auto& [name, process] : m_processes) {
+    const auto stop = m_stops.find(name);
+    const bool isStopping = stop != m_stops.end();
+    const bool isOverdue =
+      isStopping && std::chrono::steady_clock::now() - stop->second >= kStopGrace;
+    if (!isOverdue && !HasEnded(process->Pid())) {
+      continue;
     }
-    if (status == -1 || !WIFEXITED(status) || WEXITSTATUS(status) != 0) {
-      failed.push_back(name);
+    m_signalSeries.erase(name); // Before the process is reaped and its id is free.
+    const int status = process->WaitForExit(0ms);
+    if (!isStopping || status != 0) {
+      failed.push_back(name + (isStopping ? " got SIGTERM and " : " got no signal to end and ") +
+                       DescribeEnd(status));
     }
-    process.Kill();
+    if (isStopping) {
+      m_stops.erase(stop);
+    }
+    process->Kill();
     Start(name);
-    return true;
-  });
+  }
   return failed;
 }
 
+void Cluster::MeasureControls()
+{
+  for (const std::string& name : Names("control")) {
+    const std::size_t bytes = test::MeasureMemory(m_processes.at(name)->Pid(), {}).residentBytes;
+    m_controlBytes[name] = std::max(m_controlBytes[name], bytes);
+  }
+}
+
 bool Cluster::PutConfig(std::uint64_t version, std::size_t first, std::uint64_t variant) const
 {
   for (std::size_t tried = 0; tried < m_controls.size(); ++tried) {
--- a/tests/soak/cluster.hpp
+++ b/tests/soak/cluster.hpp
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <thread>
 #include <vector>
 
 namespace gooseberrysail::soak {
@@ -25,12 +26,24 @@
   void Signal(const std::string& name, int signal);
   /// \brief Sends SIGKILL and starts the process again.
   void KillAndRestart(const std::string& name);
-  /// \brief Sends SIGTERM; AdvanceStops starts the process again once it has ended.
+  /// \brief Sends SIGTERM; RestartEnded starts the process again once it has ended.
   void BeginStop(const std::string& name);
-  /// \brief Starts stopped processes that have ended, and kills those that still run kStopGrace
-  /// after SIGTERM.
-  /// \returns The names of those that did not exit by themselves with status 0.
-  [[nodiscard]] std::vector<std::string> AdvanceStops();
+  /// \brief Sends SIGHUP at this interval until the process is gone.
+  /// \param repeatsTerm Whether each other signal is SIGTERM.
+  void BeginSignalSeries(const std::string& name,
+                         std::chrono::microseconds interval,
+                         bool repeatsTerm);
+  /// \brief Starts processes that have ended, and kills those that still run kStopGrace after
+  /// SIGTERM.
+  /// \returns How those ended that did not exit with status 0 after SIGTERM.
+  [[nodiscard]] std::vector<std::string> RestartEnded();
+  /// \brief Records the resident memory of the control processes.
+  void MeasureControls();
+  /// \brief The largest recorded resident memory by the names of the control processes.
+  [[nodiscard]] const std::map<std::string, std::size_t>& ControlBytes() const
+  {
+    return m_controlBytes;
+  }
   /// \brief Whether SIGTERM may reach the process before it can handle it.
   [[nodiscard]] bool HasJustStarted(const std::string& name) const;
   [[nodiscard]] bool IsStopping(const std::string& name) const { return m_stops.contains(name); }
@@ -62,6 +75,8 @@
   std::map<std::string, std::unique_ptr<test::ChildProcess>> m_processes;
   std::map<std::string, std::chrono::steady_clock::time_point> m_startedAt;
   std::map<std::string, std::chrono::steady_clock::time_point> m_stops; ///< Times of SIGTERM.
+  std::map<std::string, std::size_t> m_controlBytes;
+  std::map<std::string, std::jthread> m_signalSeries; ///< By the name of the process.
 };
 
 } // namespace gooseberrysail::soak
--- a/tests/soak/ledger.cpp
+++ b/tests/soak/ledger.cpp
@@ -30,7 +30,10 @@
   }
   const std::optional<Clock::time_point>& leftAt = row->second.leftAt;
   if (leftAt && Clock::now() - *leftAt > kLatestRunAfterLeaving) {
-    m_violations.push_back(id + " ran at " + replica + " long after its caller had left");
+    const auto delay =
+      std::chrono::duration_cast<std::chrono::milliseconds>(Clock::now() - *leftAt);
+    m_violations.push_back(id + " ran at " + replica + " " + std::to_string(delay.count()) +
+                           " ms after its caller had left");
   }
   std::vector<Run>& runs = row->second.runs;
   runs.push_back({ replica, Clock::now() });
--- a/tests/soak/replica.cpp
+++ b/tests/soak/replica.cpp
@@ -256,7 +256,7 @@
   std::string bytes =
     "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n" + framing + "\r\n\r\n";
   boost::system::error_code error;
-  while (!error && !m_stop) {
+  while (!error && !m_stop && m_reportFault == fault) {
     boost::asio::write(socket, boost::asio::buffer(bytes), error);
     if (fault == ReportFault::kEndlessChunks) {
       bytes = "10000\r\n" + std::string(kChunk, ' ') + "\r\n";
--- a/tests/soak/replica.hpp
+++ b/tests/soak/replica.hpp
@@ -134,7 +134,7 @@
   /// \brief Answers an order or a question of control.
   /// \returns False if the connection must be closed.
   bool AnswerControl(Socket& socket, const Request& request);
-  /// \brief Sends the beginning of a report until the connection is closed.
+  /// \brief Sends the beginning of a report until the connection is closed or the fault ends.
   void SendFaultyReport(Socket& socket, ReportFault fault);
   /// \brief Why the request can't run, as a response; its status is 200 if it can.
   [[nodiscard]] Response Check(const Request& request);
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -27,6 +27,13 @@
 constexpr double kRepeatedStatementShare = 0.5;
 constexpr std::uint64_t kUntruthSeed = 0x9E3779B97F4A7C15;
 constexpr std::uint64_t kPlannedSeed = 0xD1B54A32D192ED03;
+constexpr std::uint64_t kHostileSeed = 0x8CB92BA72F3D8DD7;
+/// One in so many stops comes with signals until the process is gone.
+constexpr std::uint64_t kStopsPerSignalSeries = 2;
+/// One in so many faults comes with reports that don't end.
+constexpr std::uint64_t kFaultsPerEndlessReport = 4;
+constexpr std::size_t kControlMemory = std::size_t{ 256 } * 1000 * 1000;
+constexpr auto kMeasureInterval = 100ms;
 /// One in so many faults comes with a series of planned changes.
 constexpr std::uint64_t kFaultsPerSeries = 3;
 /// A replica that drains ends this long after it said so, at the earliest.
@@ -43,6 +50,7 @@
     , m_random(settings.seed)
     , m_untruthRandom(settings.seed ^ kUntruthSeed)
     , m_plannedRandom(settings.seed ^ kPlannedSeed)
+    , m_hostileRandom(settings.seed ^ kHostileSeed)
     , m_cluster(settings.daemon, settings.entries)
   {
     for (std::size_t number = 0; number < settings.replicas; ++number) {
@@ -88,6 +96,7 @@
         InjectFault();
         InjectUntrueAnswers();
         InjectPlannedChanges();
+        InjectEndlessReports();
         CheckConfig();
         RunEvents(RandomDuration(kShortestPause, kLongestPause));
       }
@@ -98,7 +107,13 @@
                              " s after the last fault");
       }
     }
+    CheckProcesses();
     CheckConfig();
+    for (const auto& [name, bytes] : m_cluster.ControlBytes()) {
+      if (bytes >= kControlMemory) {
+        m_ledger.OnViolation(name + " held " + std::to_string(bytes / 1000 / 1000) + " MB");
+      }
+    }
     for (const std::string& lost :
          LostCheck(m_faults, kRequestTimeLimit).Violations(m_ledger.Unanswered())) {
       m_ledger.OnViolation(lost);
@@ -107,6 +122,9 @@
     report.faults = m_faults.Lines();
     report.violations = m_ledger.Violations();
     report.totals = m_ledger.Count();
+    for (const auto& [name, bytes] : m_cluster.ControlBytes()) {
+      report.controlBytes = std::max(report.controlBytes, bytes);
+    }
     report.outputs = report.violations.empty() ? "" : m_cluster.Outputs();
     return report;
   }
@@ -163,15 +181,25 @@
     const Clock::time_point until = Clock::now() + duration;
     do {
       EndExpiredFaults(Clock::now());
-      for (const std::string& name : m_cluster.AdvanceStops()) {
-        m_ledger.OnViolation(name + " got SIGTERM and did not exit by itself");
-        m_faults.Add(name + " was killed after its grace or did not exit with 0");
-      }
+      CheckProcesses();
       EndDrained();
       std::this_thread::sleep_for(10ms);
     } while (Clock::now() < until);
   }
 
+  /// Starts ended processes again; none ends by itself or by a signal that it handles.
+  void CheckProcesses()
+  {
+    for (const std::string& end : m_cluster.RestartEnded()) {
+      m_ledger.OnViolation(end + " at " + m_faults.Format(Clock::now()));
+      m_faults.Add(end);
+    }
+    if (Clock::now() - m_measuredAt >= kMeasureInterval) {
+      m_measuredAt = Clock::now();
+      m_cluster.MeasureControls();
+    }
+  }
+
   void FinishPlannedChanges()
   {
     const Clock::time_point until = Clock::now() + kLongestDrain;
@@ -226,6 +254,13 @@
     m_faults.Add((m_cluster.IsStopping(name) ? "stop again " : "stop ") + name);
     m_faults.EndAll(name); // It continues if it was paused.
     m_cluster.BeginStop(name);
+    if (m_hostileRandom() % kStopsPerSignalSeries == 0) {
+      const std::chrono::microseconds interval{ 200 + m_hostileRandom() % 4800 };
+      const bool repeatsTerm = m_hostileRandom() % 2 == 0;
+      m_faults.Add(std::string(repeatsTerm ? "SIGHUP and SIGTERM" : "SIGHUP") + " each " +
+                   std::to_string(interval.count()) + " us until " + name + " is gone");
+      m_cluster.BeginSignalSeries(name, interval, repeatsTerm);
+    }
   }
   void PauseEntry() { Pause(RandomProcess("entry")); }
   void PauseControl() { Pause(RandomProcess("control")); }
@@ -360,6 +395,31 @@
     }
   }
 
+  /// Drawn apart from the other faults, so that those of a seed stay the same.
+  void InjectEndlessReports()
+  {
+    if (m_hostileRandom() % kFaultsPerEndlessReport != 0 ||
+        m_settings.heads + m_members.size() == 0) {
+      return;
+    }
+    static constexpr std::pair<ReportFault, const char*> kFaults[] = {
+      { ReportFault::kEndlessChunks, "chunks without end" },
+      { ReportFault::kEndlessBody, "a body without end" },
+      { ReportFault::kSlow, "a byte each 100 ms" },
+    };
+    const auto& [fault, what] = kFaults[m_hostileRandom() % std::size(kFaults)];
+    const std::chrono::milliseconds length{ 1000 + m_hostileRandom() % 4000 };
+    for (std::uint64_t count = 1 + m_hostileRandom() % 4; count > 0; --count) {
+      const std::size_t number = m_hostileRandom() % (m_settings.heads + m_members.size());
+      Replica* replica = number < m_settings.heads ? m_replicas[m_settings.replicas + number].get()
+                                                   : m_members[number - m_settings.heads].get();
+      m_faults.Add(replica->Name() + " answers control with " + what + " for " +
+                   std::to_string(length.count()) + " ms");
+      replica->SetReportFault(fault);
+      EndAfter(length, [replica] { replica->SetReportFault(ReportFault::kNone); });
+    }
+  }
+
   std::uint64_t DrawPlanned(std::uint64_t count) { return m_plannedRandom() % count; }
 
   /// Drawn apart from the other faults, so that those of a seed stay the same.
@@ -493,6 +553,7 @@
   std::mt19937_64 m_random;
   std::mt19937_64 m_untruthRandom;
   std::mt19937_64 m_plannedRandom;
+  std::mt19937_64 m_hostileRandom;
   Ledger m_ledger;
   Cluster m_cluster;
   std::vector<std::unique_ptr<Replica>> m_replicas;
@@ -500,6 +561,7 @@
   std::map<Replica*, Clock::time_point> m_drainingSince;
   Callers* m_poolCallers = nullptr; ///< Set while there are callers.
   Clock::time_point m_start = Clock::now();
+  Clock::time_point m_measuredAt;
   std::multimap<Clock::time_point, Action> m_faultEnds; ///< Ends of lasting faults.
   FaultLog m_faults;
   std::uint64_t m_version = 0;
--- a/tests/soak/soak_main.cpp
+++ b/tests/soak/soak_main.cpp
@@ -43,7 +43,8 @@
   std::cout << "seed " << settings.seed << ": " << report.faults.size() << " faults, asked "
             << report.totals.asked << ", answered " << report.totals.answered << " ("
             << report.totals.longStreams << " long streams), refused " << report.totals.refused
-            << ", unclear " << report.totals.unclear << ", violations " << report.violations.size()
+            << ", unclear " << report.totals.unclear << ", control held "
+            << (report.controlBytes / 1000 / 1000) << " MB, violations " << report.violations.size()
             << std::endl;
   for (const std::string& violation : report.violations) {
     std::cout << "  " << violation << "\n";
