Test: a control process that waits for its disk ends only at a stop

SIGHUPs in series of 0.2 to 20 ms leave it waiting, and it starts once the folder for its data is there.

--- a/tests/support/platform_installation.hpp
+++ b/tests/support/platform_installation.hpp
@@ -77,6 +77,13 @@
     Write("data", "");
   }
 
+  /// \brief Gives control a folder for its data again.
+  void UnblockData() const
+  {
+    std::filesystem::remove(m_folder.Path() + "/data");
+    std::filesystem::create_directories(m_folder.Path() + "/data");
+  }
+
   /// Sends a configuration until control answers with anything but 503 and 504.
   [[nodiscard]] unsigned Put(const std::string& config) const
   {
