Control ends in time beside a caller that stands still

Operators and supervisors saw a control process killed in a planned stop, without the line ProcessStopped: a caller that had sent a part of a request, and no more, held up the end for 10 s, longer than the 8 s that the supervisor waited.

Connections that are still open half a second before its end are closed.

Evidence: StoppedControl.EndsBeforeItIsKilled failed before (still running 8 s after SIGTERM, with the 10 s of the time, which no setting changed); now control ends by itself at 7.5 s.

--- a/include/gooseberrysail/settings/settings.hpp
+++ b/include/gooseberrysail/settings/settings.hpp
@@ -132,7 +132,7 @@
   RetryLimits retries;
   AdmissionSettings admission;
   Duration targetDrainTime{}; ///< Entry: use of a target from when it says that it leaves.
-  Duration stopTimeout{};     ///< Entry: from SIGTERM to SIGKILL.
+  Duration stopTimeout{};     ///< Entry, control: from SIGTERM to SIGKILL.
   ControlStoreSettings control;
   AgentTargetSettings agent;
   ObserveSettings observe;
--- a/src/settings/setting_key.cpp
+++ b/src/settings/setting_key.cpp
@@ -116,7 +116,7 @@
             1,
             3600,
             "13",
-            kEntryRole,
+            kEntryRole | kControlRole,
             "How long a supervisor waits between SIGTERM and SIGKILL. Shortly before, requests in "
             "flight are ended.",
             [](ProcessSettings& settings, const SettingValue& value) {
--- a/src/shell/control_shell.cpp
+++ b/src/shell/control_shell.cpp
@@ -1,4 +1,5 @@
 #include "gooseberrysail/consensus/raft_node.hpp"
+#include "gooseberrysail/gateway/stop_times.hpp"
 #include "gooseberrysail/http/http_client.hpp"
 #include "gooseberrysail/roles/control_role.hpp"
 #include "gooseberrysail/shell/daemon.hpp"
@@ -95,6 +96,7 @@
 public:
   ControlShell(const ProcessSettings& settings, ControlStore store, OutsideApi outside)
     : m_shell(settings)
+    , m_closeAfter(StopTimesFor(settings.stopTimeout).endRequests)
     , m_addressOf(AddressHook(settings))
     , m_store(std::move(store))
     , m_raft(ToRaftSettings(settings),
@@ -268,12 +270,13 @@
         m_targets.Start(address, std::move(call));
       },
       [this](EventOut& event) { m_shell.Record(event); },
-      [this](StoppedOut&) { m_shell.DrainCallers([this] { m_loop.Stop(); }); },
+      [this](StoppedOut&) { m_shell.DrainCallers([this] { m_loop.Stop(); }, m_closeAfter); },
     };
     std::visit(handle, output);
   }
 
   impl::ProcessShell m_shell;
+  Duration m_closeAfter; ///< After SIGTERM; callers that send or read nothing more are left.
   std::function<std::string(const ProcessId&)>
     m_addressOf; ///< Unset if the settings list all controls.
   ControlStore m_store;
