--- a/tests/soak/replica.cpp
+++ b/tests/soak/replica.cpp
@@ -17,6 +17,7 @@
 constexpr std::size_t kEvents = 10;
 constexpr std::size_t kEventsOfLong = 29;
 constexpr std::size_t kEventsOfLongest = 80;
+constexpr std::size_t kEventsOfLasting = 116;
 constexpr auto kTimeBetweenEvents = 25ms;
 constexpr auto kTimeBetweenPooledEvents = 50ms;
 constexpr const char* kEventStream = "text/event-stream";
@@ -40,6 +41,9 @@
   if (id.ends_with(kLongStreamSuffix)) {
     return kEventsOfLong;
   }
+  if (id.ends_with(kLastingStreamSuffix)) {
+    return kEventsOfLasting;
+  }
   return id.ends_with(kLongestStreamSuffix) ? kEventsOfLongest : kEvents;
 }
 
--- a/tests/soak/replica.hpp
+++ b/tests/soak/replica.hpp
@@ -203,9 +203,10 @@
   std::thread m_announceThread;
 };
 
-/// \brief Ends of the ids of requests whose streams have 29 and 80 events, 50 ms apart.
+/// \brief Ends of the ids of requests whose streams have 29, 80 and 116 events, 50 ms apart.
 inline constexpr const char* kLongStreamSuffix = "-long";
 inline constexpr const char* kLongestStreamSuffix = "-longest";
+inline constexpr const char* kLastingStreamSuffix = "-lasting";
 
 /// \brief The complete answer of a model, a series of events.
 [[nodiscard]] std::string EventsFor(const std::string& id);
