Control keeps a bounded number of targets, with bounded names

A process knows 8,192 targets, each with 4,096 bytes of names. Known targets are always heard; a new one gets 503 while there is no room, and one whose names are too long 400.

--- a/include/gooseberrysail/control/serving_control.hpp
+++ b/include/gooseberrysail/control/serving_control.hpp
@@ -74,6 +74,12 @@
   void Respond(ControlContext& context, ExchangeId exchange, const OutsideAnswer& answer);
   [[nodiscard]] DocumentService::Respond Responder(ControlContext& context);
   [[nodiscard]] bool IsServiceKnown(const TargetAnnouncement& announcement) const;
+  /// \brief Refuses a call of a target that the table did not record.
+  /// \returns False if it was recorded.
+  bool RefuseUnrecorded(ControlContext& context,
+                        const HttpRequestIn& request,
+                        const InstanceId& instance,
+                        TargetTable::Change change);
   void ReportTargetChange(ControlContext& context, const InstanceId& instance);
   void OnTargetReport(ControlContext& context, const wire::TargetHeardT& report);
   /// \brief Applies what another control process heard from targets.
--- a/include/gooseberrysail/serving/target_table.hpp
+++ b/include/gooseberrysail/serving/target_table.hpp
@@ -3,6 +3,7 @@
 #include "gooseberrysail/core/ids.hpp"
 #include "gooseberrysail/core/time.hpp"
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -88,6 +89,8 @@
     kNone,    ///< Nothing changed: the announcement was out of date.
     kRefresh, ///< Same state as before, received again.
     kState,   ///< A change that must be passed on to others.
+    kFull,    ///< Not recorded: an unknown target, and there is no room for it.
+    kTooLong, ///< Not recorded: its names are longer than kMaxNameBytes.
   };
 
   /// \brief Applies a heartbeat, whichever control process received it.
@@ -119,10 +122,21 @@
   /// heartbeats are recognised.
   static constexpr Duration kDepartedRetention = std::chrono::seconds(60);
 
+  /// \brief Anyone can send heartbeats under any number of names. Together with kMaxNameBytes, this
+  /// limits the memory of the table.
+  static constexpr std::size_t kMaxTargets = 8192;
+  /// \brief Limits the names in one heartbeat; each staged model counts as a string object too.
+  /// Those of a replica take some 300 bytes.
+  static constexpr std::size_t kMaxNameBytes = 4096;
+
 private:
+  [[nodiscard]] bool HasRoomFor(const InstanceId& instance) const;
+
   std::map<InstanceId, TargetRow> m_rows;
 };
 
+/// \brief The bytes that the names in a heartbeat take.
+[[nodiscard]] std::size_t NameBytes(const TargetAnnouncement& announcement);
 [[nodiscard]] wire::TargetHeardT ToWire(const TargetAnnouncement& announcement);
 /// \brief The heartbeat of a target whose state the receiver knows.
 [[nodiscard]] wire::TargetAliveT ToAlive(const TargetAnnouncement& announcement);
--- a/src/control/serving_control.cpp
+++ b/src/control/serving_control.cpp
@@ -16,6 +16,8 @@
 constexpr Duration kForgetInterval = 5s;
 /// Targets answer orders and probes with a few hundred bytes.
 constexpr std::uint64_t kMaxOrderAnswerBytes = std::uint64_t{ 64 } * 1024;
+/// Bytes of a refused caller's name that are logged.
+constexpr std::size_t kMaxReportedName = 256;
 /// How long entries are sent a former head after it stopped leading a group. Its answers in
 /// progress can last about as long as callers wait at most.
 constexpr Duration kFormerHeadRetention = 15s;
@@ -111,6 +113,9 @@
     return;
   }
   const TargetTable::Change change = m_targets.Update(context.now, call.announcement);
+  if (RefuseUnrecorded(context, request, instance, change)) {
+    return;
+  }
   const bool stateChanged = change == TargetTable::Change::kState;
   if (change != TargetTable::Change::kNone) {
     m_relay.Enqueue(context, instance, stateChanged);
@@ -144,13 +149,37 @@
       context, request.exchange, { OutsideStatus::kUnavailable, {}, "no leader is known", {}, {} });
     return;
   }
-  if (m_targets.MarkLeft(context.now, call.instance) == TargetTable::Change::kState) {
+  const TargetTable::Change change = m_targets.MarkLeft(context.now, call.instance);
+  if (RefuseUnrecorded(context, request, call.instance, change)) {
+    return;
+  }
+  if (change == TargetTable::Change::kState) {
     ReportTargetChange(context, call.instance);
   }
   m_relay.Enqueue(context, call.instance, true);
   Respond(context, request.exchange, {});
 }
 
+bool ServingControl::RefuseUnrecorded(ControlContext& context,
+                                      const HttpRequestIn& request,
+                                      const InstanceId& instance,
+                                      TargetTable::Change change)
+{
+  const bool isTooLong = change == TargetTable::Change::kTooLong;
+  if (!isTooLong && change != TargetTable::Change::kFull) {
+    return false;
+  }
+  const std::string reason =
+    isTooLong ? "its names exceed " + std::to_string(TargetTable::kMaxNameBytes) + " bytes"
+              : "no room: " + std::to_string(TargetTable::kMaxTargets) + " targets are known";
+  m_refused.Note(instance.Get().substr(0, kMaxReportedName), reason);
+  Respond(
+    context,
+    request.exchange,
+    { isTooLong ? OutsideStatus::kInvalid : OutsideStatus::kUnavailable, {}, reason, {}, {} });
+  return true;
+}
+
 void ServingControl::Handle(ControlContext& context,
                             const HttpRequestIn& request,
                             const EvacuateCall& call)
--- a/src/serving/target_table.cpp
+++ b/src/serving/target_table.cpp
@@ -95,6 +95,12 @@
 
 TargetTable::Change TargetTable::Update(TimePoint now, TargetAnnouncement announcement)
 {
+  if (NameBytes(announcement) > kMaxNameBytes) {
+    return Change::kTooLong;
+  }
+  if (!HasRoomFor(announcement.instance)) {
+    return Change::kFull;
+  }
   const auto [found, isNew] = m_rows.try_emplace(announcement.instance);
   TargetRow& row = found->second;
   // Heartbeats reach different control processes and may arrive out of order: an older state that
@@ -150,6 +156,12 @@
                                           const InstanceId& instance,
                                           Incarnation born)
 {
+  if (instance.Get().size() > kMaxNameBytes) {
+    return Change::kTooLong;
+  }
+  if (!HasRoomFor(instance)) {
+    return Change::kFull;
+  }
   TargetRow& row = m_rows[instance];
   if (!born.IsNone() && born < row.latest.born) {
     return Change::kNone;
@@ -170,12 +182,30 @@
     m_rows, [now](const auto& row) { return now - row.second.lastSeenAt > kDepartedRetention; });
 }
 
+// Known targets are never removed for others, so that strangers can't take the place of a replica.
+bool TargetTable::HasRoomFor(const InstanceId& instance) const
+{
+  return m_rows.size() < kMaxTargets || m_rows.contains(instance);
+}
+
 const TargetRow* TargetTable::Find(const InstanceId& instance) const
 {
   const auto found = m_rows.find(instance);
   return found == m_rows.end() ? nullptr : &found->second;
 }
 
+std::size_t NameBytes(const TargetAnnouncement& announcement)
+{
+  std::size_t bytes = announcement.instance.Get().size() + announcement.service.size() +
+                      announcement.address.size() + announcement.failureDomain.Get().size() +
+                      announcement.fabricDomain.Get().size() + announcement.softwareVersion.size() +
+                      announcement.loadedModel.size() + announcement.membership.group.size();
+  for (const std::string& model : announcement.stagedModels) {
+    bytes += sizeof(model) + model.size();
+  }
+  return bytes;
+}
+
 wire::TargetHeardT ToWire(const TargetAnnouncement& announcement)
 {
   wire::TargetHeardT heard;
