The relay of heartbeats sends frames that fit

A control process that connects was told nothing where 6,000 rows of 3,000 bytes made one frame of 18 MB: the mesh drops what exceeds 16 MiB, and the queue was empty by then. Frames have about 1 MiB now, one in each tick, and each goes on where the last one ended.

Evidence: TargetRelay.ManyLongRowsAreSentInSeveralFrames failed before and passes, with the 18 other tests of targets and relays.

--- a/include/gooseberrysail/control/target_relay.hpp
+++ b/include/gooseberrysail/control/target_relay.hpp
@@ -3,6 +3,7 @@
 #include "gooseberrysail/control/context.hpp"
 #include "gooseberrysail/serving/target_table.hpp"
 
+#include <cstddef>
 #include <map>
 #include <set>
 
@@ -43,7 +44,8 @@
   /// \brief A connection ended; frames sent on it may be lost.
   void OnPeerDown(const ProcessId& process) { m_pending.erase(process); }
 
-  /// \brief Sends one frame to each process whose queue is due.
+  /// \brief Sends one frame to each process whose queue is due. What exceeds kMaxStateBytes is sent
+  /// in the next ticks.
   void Tick(ControlContext& context, const TargetTable& targets);
 
   /// \brief Heartbeats are delayed by this long, so that one frame carries those of many targets.
@@ -51,11 +53,15 @@
   /// longer.
   static constexpr Duration kBatchDelay = std::chrono::milliseconds(100);
 
+  /// \brief Rows are added to a frame until it has about this size, far below kMaxFrameBytes.
+  static constexpr std::size_t kMaxStateBytes = std::size_t{ 1024 } * 1024;
+
 private:
   struct Pending
   {
     std::map<InstanceId, bool> targets; ///< With whether the receiver needs the whole state.
     std::set<InstanceId> wanted;        ///< Whose whole state this process needs.
+    InstanceId resumeAt;                ///< The first target of the next frame.
     TimePoint due{};                    ///< Of the target that is due first.
   };
 
@@ -63,6 +69,8 @@
                const ProcessId& process,
                const InstanceId& instance,
                bool isUrgent);
+  /// \brief Moves queued targets into a frame until it is full.
+  static void TakeTargets(Pending& pending, const TargetTable& targets, wire::TargetsHeardT& heard);
 
   std::map<ProcessId, Pending> m_pending;
 };
--- a/src/control/target_relay.cpp
+++ b/src/control/target_relay.cpp
@@ -8,6 +8,8 @@
 
 /// Maximum age of a heartbeat that is forwarded to a new peer: a few heartbeat intervals.
 constexpr Duration kRecentlyHeard = std::chrono::seconds(2);
+/// Of a row's numbers and offsets in a frame.
+constexpr std::size_t kRowOverheadBytes = 128;
 
 } // namespace
 
@@ -63,24 +65,38 @@
       continue;
     }
     wire::TargetsHeardT heard;
-    for (const auto& [instance, needsState] : pending.targets) {
-      const TargetRow* row = targets.Find(instance);
-      if (row == nullptr) {
-        continue;
-      }
-      if (needsState) {
-        heard.heard.push_back(std::make_unique<wire::TargetHeardT>(ToWire(row->latest)));
-      } else {
-        heard.alive.push_back(std::make_unique<wire::TargetAliveT>(ToAlive(row->latest)));
-      }
-    }
+    TakeTargets(pending, targets, heard);
     for (const InstanceId& instance : pending.wanted) {
       heard.wanted.push_back(instance.Get());
     }
-    pending.targets.clear();
     pending.wanted.clear();
     context.SendMessage(process, std::move(heard));
   }
 }
 
+// A frame that exceeds the largest size is dropped, with all the rows in it. Each frame goes on
+// where the last one ended: targets that change all the time must not hold back those behind them.
+void TargetRelay::TakeTargets(Pending& pending,
+                              const TargetTable& targets,
+                              wire::TargetsHeardT& heard)
+{
+  std::size_t bytes = 0;
+  auto next = pending.targets.lower_bound(pending.resumeAt);
+  while (!pending.targets.empty() && bytes < kMaxStateBytes) {
+    next = next == pending.targets.end() ? pending.targets.begin() : next;
+    const auto& [instance, needsState] = *next;
+    const TargetRow* row = targets.Find(instance);
+    if (row != nullptr && needsState) {
+      heard.heard.push_back(std::make_unique<wire::TargetHeardT>(ToWire(row->latest)));
+      bytes += NameBytes(row->latest);
+    } else if (row != nullptr) {
+      heard.alive.push_back(std::make_unique<wire::TargetAliveT>(ToAlive(row->latest)));
+      bytes += instance.Get().size();
+    }
+    bytes += kRowOverheadBytes;
+    next = pending.targets.erase(next);
+  }
+  pending.resumeAt = next == pending.targets.end() ? InstanceId() : next->first;
+}
+
 } // namespace gooseberrysail
--- a/tests/unit/target_relay_test.cpp
+++ b/tests/unit/target_relay_test.cpp
@@ -1,4 +1,6 @@
 #include "gooseberrysail/control/target_relay.hpp"
+#include "gooseberrysail/wire/envelope.hpp"
+#include "net/frame_codec.hpp"
 #include "support/control_world.hpp"
 #include "support/section.hpp"
 
@@ -74,6 +76,7 @@
 
   TargetRelay relay;
   TargetTable targets;
+  std::uint64_t random = 4; ///< State of a generator.
 };
 
 // Guards against sending each announcement to each other control process in a frame of its own.
@@ -154,15 +157,24 @@
       if (frame.peer.Get() != "control-2") {
         continue;
       }
-      const wire::TargetsHeardT& heard = *frame.envelope->body.AsTargetsHeard();
-      whole += heard.heard.size();
-      for (const auto& row : heard.heard) {
-        targets.Update(world.now, FromWire(*row));
-      }
-      for (const auto& row : heard.alive) {
-        if (targets.Update(world.now, *row) == TargetTable::Refresh::kUnknownState) {
-          lacking.push_back(row->instance);
-        }
+      const std::vector<std::string> unknown = Apply(world, frame);
+      lacking.insert(lacking.end(), unknown.begin(), unknown.end());
+    }
+    return lacking;
+  }
+
+  /// \returns The targets in the frame whose whole state it lacks.
+  std::vector<std::string> Apply(const RelayWorld& world, const FrameOut& frame)
+  {
+    std::vector<std::string> lacking;
+    const wire::TargetsHeardT& heard = *frame.envelope->body.AsTargetsHeard();
+    whole += heard.heard.size();
+    for (const auto& row : heard.heard) {
+      targets.Update(world.now, FromWire(*row));
+    }
+    for (const auto& row : heard.alive) {
+      if (targets.Update(world.now, *row) == TargetTable::Refresh::kUnknownState) {
+        lacking.push_back(row->instance);
       }
     }
     return lacking;
@@ -242,5 +254,40 @@
   }
 }
 
+// Guards against a process that connects and is told nothing: the rows of all targets together
+// exceed the largest frame, which is dropped.
+TEST(TargetRelay, ManyLongRowsAreSentInSeveralFrames)
+{
+  constexpr int kTargets = 6000;
+  constexpr std::size_t kModelBytes = 3000;
+  constexpr int kTicks = 100;
+  RelayWorld world;
+  Receiver receiver;
+  for (int target = 0; target < kTargets; ++target) {
+    TargetAnnouncement announcement;
+    announcement.instance = InstanceId("i-" + std::to_string(target));
+    announcement.sequence = 1;
+    // Not compressible, so that the frame is as large as its rows.
+    for (std::size_t byte = 0; byte < kModelBytes; ++byte) {
+      world.random = world.random * 6364136223846793005U + 1442695040888963407U;
+      announcement.loadedModel.push_back(static_cast<char>(world.random >> 56U));
+    }
+    world.targets.Update(world.now, announcement);
+  }
+  world.SetUp("control-2", true);
+  std::size_t largest = 0;
+  for (int tick = 0; tick < kTicks; ++tick) {
+    ControlContext context = world.Context();
+    world.relay.Tick(context, world.targets);
+    for (const FrameOut& frame : world.TakeFrames()) {
+      largest = std::max(largest, impl::EncodeFrame(*frame.envelope).size());
+      receiver.Apply(world, frame);
+    }
+  }
+  EXPECT_LE(largest, kMaxFrameBytes);
+  EXPECT_EQ(receiver.targets.Rows().size(), static_cast<std::size_t>(kTargets));
+  EXPECT_EQ(receiver.whole, static_cast<std::size_t>(kTargets));
+}
+
 } // namespace
 } // namespace gooseberrysail
