--- a/src/serving/target_table.cpp
+++ b/src/serving/target_table.cpp
@@ -201,7 +201,7 @@
                       announcement.fabricDomain.Get().size() + announcement.softwareVersion.size() +
                       announcement.loadedModel.size() + announcement.membership.group.size();
   for (const std::string& model : announcement.stagedModels) {
-    bytes += sizeof(model) + model.size();
+    bytes += sizeof(std::string) + model.size();
   }
   return bytes;
 }
