--- a/tests/process/failed_start_test.cpp
+++ b/tests/process/failed_start_test.cpp
@@ -1,4 +1,5 @@
 #include "support/platform_installation.hpp"
+#include "support/process_checks.hpp"
 #include "support/section.hpp"
 
 #include <csignal>
@@ -64,14 +65,7 @@
 private:
   [[nodiscard]] std::size_t CountFailures() const
   {
-    constexpr std::string_view kFailed = "ProcessFailed";
-    const std::string output = site.entry->Output();
-    std::size_t count = 0;
-    for (std::size_t at = output.find(kFailed); at != std::string::npos;
-         at = output.find(kFailed, at + 1)) {
-      ++count;
-    }
-    return count;
+    return CountOccurrences(site.entry->Output(), "ProcessFailed");
   }
 
   std::string m_peer;
--- a/tests/process/stop_signals_test.cpp
+++ b/tests/process/stop_signals_test.cpp
@@ -1,3 +1,4 @@
+#include "support/process_checks.hpp"
 #include "support/section.hpp"
 #include "support/serving_installation.hpp"
 #include "support/test_cluster.hpp"
@@ -5,8 +6,6 @@
 #include <array>
 #include <csignal>
 #include <functional>
-#include <string_view>
-#include <sys/wait.h>
 #include <thread>
 
 namespace gooseberrysail::test {
@@ -29,21 +28,9 @@
   return process.WaitForExit(0ms);
 }
 
-bool IsOrderlyExit(int status)
-{
-  return status != -1 && WIFEXITED(status) && WEXITSTATUS(status) == 0;
-}
-
 std::size_t CountStarts(const ChildProcess& process)
 {
-  constexpr std::string_view kStarted = "ProcessStarted";
-  const std::string output = process.Output();
-  std::size_t count = 0;
-  for (std::size_t at = output.find(kStarted); at != std::string::npos;
-       at = output.find(kStarted, at + 1)) {
-    ++count;
-  }
-  return count;
+  return CountOccurrences(process.Output(), "ProcessStarted");
 }
 
 /// \brief Starts a process again and again, and stops it with SIGTERM while `signal` comes in a
--- a/tests/process/storage_wait_test.cpp
+++ b/tests/process/storage_wait_test.cpp
@@ -1,10 +1,9 @@
+#include "support/process_checks.hpp"
 #include "support/section.hpp"
 #include "support/serving_installation.hpp"
 
 #include <csignal>
 #include <string>
-#include <string_view>
-#include <sys/wait.h>
 #include <thread>
 
 namespace gooseberrysail::test {
@@ -15,11 +14,6 @@
 /// Longer than the pause before control opens its storage again.
 constexpr auto kSeveralTries = 2500ms;
 
-bool IsOrderlyExit(int status)
-{
-  return status != -1 && WIFEXITED(status) && WEXITSTATUS(status) == 0;
-}
-
 /// \brief An installation whose control process waits for its disk.
 class BlockedInstallation
 {
@@ -55,14 +49,7 @@
   /// \brief How often control could not open its storage, in all starts.
   [[nodiscard]] std::size_t CountFailures() const
   {
-    constexpr std::string_view kFailed = "gooseberrysaild: ";
-    const std::string output = site.control->Output();
-    std::size_t count = 0;
-    for (std::size_t at = output.find(kFailed); at != std::string::npos;
-         at = output.find(kFailed, at + 1)) {
-      ++count;
-    }
-    return count;
+    return CountOccurrences(site.control->Output(), "gooseberrysaild: ");
   }
 };
 
