--- a/review/common-2/stand.py
+++ b/review/common-2/stand.py
@@ -290,15 +290,6 @@
                 await asyncio.sleep(0.1)
         return True
 
-    def leader(self):
-        """The control process that took the leadership last, by its log; for aiming a disruption only."""
-        latest, found = "", None
-        for process in self.controls:
-            for line in process.log_text().splitlines():
-                if "LeadershipTaken" in line and line[:24] >= latest:
-                    latest, found = line[:24], process
-        return found
-
 
 def plain_route(name, service, kind="safe", timeout_ms=3000, attempts=2, prefix=None, **more):
     return {"name": name, "host": "desk.example", "pathPrefix": prefix or f"/{name}/", "kind": kind,
