--- a/include/gooseberrysail/control/control_state.hpp
+++ b/include/gooseberrysail/control/control_state.hpp
@@ -2,6 +2,7 @@
 
 #include "gooseberrysail/control/catalogue_table.hpp"
 #include "gooseberrysail/control/claim_table.hpp"
+#include "gooseberrysail/control/departure_table.hpp"
 #include "gooseberrysail/control/group_table.hpp"
 #include "gooseberrysail/core/result.hpp"
 
@@ -33,6 +34,8 @@
     VmId vm;             ///< The VM that the command concerns; none for other commands.
     FailureDomainId failureDomain; ///< That the command concerns; none for other commands.
     std::string reason;            ///< As given in the command.
+    std::size_t recorded = 0;      ///< Departures in the command.
+    std::size_t forgotten = 0;     ///< Departures in the command that need not be kept.
   };
 
   /// \brief Applies one committed command.
@@ -50,6 +53,8 @@
   [[nodiscard]] const std::set<FailureDomainId>& Evacuated() const noexcept { return m_evacuated; }
   /// \brief The number of the latest applied order to evacuate a domain or to withdraw that.
   [[nodiscard]] std::uint64_t EvacuationOrder() const noexcept { return m_evacuationOrder; }
+  /// \brief Targets that said that they leave or have left.
+  [[nodiscard]] const DepartureTable& Departures() const noexcept { return m_departures; }
   [[nodiscard]] LogIndex Index() const noexcept { return m_index; }
   /// \brief The latest term whose LeaderStart command is applied; everything that earlier leaders
   /// committed is applied too.
@@ -68,6 +73,7 @@
   StoredDocument m_document;
   std::set<FailureDomainId> m_evacuated;
   std::uint64_t m_evacuationOrder = 0;
+  DepartureTable m_departures;
 };
 
 /// \brief Serializes a command for the log.
--- a/include/gooseberrysail/control/serving_control.hpp
+++ b/include/gooseberrysail/control/serving_control.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gooseberrysail/control/control_list_feed.hpp"
+#include "gooseberrysail/control/departure_service.hpp"
 #include "gooseberrysail/control/document_service.hpp"
 #include "gooseberrysail/control/engine_groups.hpp"
 #include "gooseberrysail/control/evacuation_service.hpp"
@@ -45,7 +46,7 @@
 
   [[nodiscard]] std::size_t OpenCalls() const noexcept
   {
-    return m_documents.OpenCalls() + m_evacuations.OpenCalls();
+    return m_documents.OpenCalls() + m_evacuations.OpenCalls() + m_departures.OpenCalls();
   }
 
 private:
@@ -80,6 +81,10 @@
                         const HttpRequestIn& request,
                         const InstanceId& instance,
                         TargetTable::Change change);
+  /// \brief Answers a target whose heartbeat or departure was recorded in the table.
+  void AnswerTarget(ControlContext& context,
+                    const HttpRequestIn& request,
+                    const InstanceId& instance);
   void ReportTargetChange(ControlContext& context, const InstanceId& instance);
   void OnTargetReport(ControlContext& context, const wire::TargetHeardT& report);
   /// \brief Applies what another control process heard from targets.
@@ -113,6 +118,7 @@
   std::map<InstanceId, TimePoint> m_lastLedAt; ///< When heads last led a serving group.
   DocumentService m_documents;
   EvacuationService m_evacuations;
+  DepartureService m_departures;
   RefusedCalls m_refused;
   EngineGroups m_groups;
   Duration m_discoveryTime; ///< From the process's start until every target has reported.
--- a/include/gooseberrysail/serving/target_table.hpp
+++ b/include/gooseberrysail/serving/target_table.hpp
@@ -68,9 +68,24 @@
   std::optional<GroupMembership> membership;
 };
 
+/// \brief A target's statement that it leaves or has left.
+struct Departure
+{
+  TargetIncarnation target;
+  std::uint64_t sequence = 0; ///< While it drains: of the first heartbeat that says so.
+  bool left = false;
+
+  /// \brief Whether a process that knows this departure ignores all heartbeats which contradict
+  /// the other one.
+  [[nodiscard]] bool Covers(const Departure& other) const noexcept;
+
+  friend bool operator==(const Departure&, const Departure&) = default;
+};
+
 struct TargetRow
 {
   TargetAnnouncement latest;
+  std::uint64_t drainingFrom = 0; ///< The first heartbeat that says so without interruption.
   /// \brief The model of the last group in which the target was ready; "" for none. The target
   /// still has those weights loaded, so that it joins another group of that model quickly.
   std::string lastModel;
@@ -90,7 +105,7 @@
     kRefresh, ///< Same state as before, received again.
     kState,   ///< A change that must be passed on to others.
     kFull,    ///< Not recorded: an unknown target, and there is no room for it.
-    kTooLong, ///< Not recorded: its names are longer than kMaxNameBytes.
+    kTooLong, ///< Not recorded: its names exceed kMaxNameBytes or kMaxInstanceBytes.
   };
 
   /// \brief Applies a heartbeat, whichever control process received it.
@@ -112,11 +127,20 @@
   /// passes on may arrive after the first heartbeat of the next incarnation.
   Change MarkLeft(TimePoint now, const InstanceId& instance, Incarnation born = {});
 
+  /// \brief Applies a departure from the log. Later heartbeats complete the row of a target that
+  /// drains.
+  Change Apply(TimePoint now, const Departure& departure);
+
+  /// \brief None for a target without a row, and for one that has not said that it leaves.
+  [[nodiscard]] std::optional<Departure> DepartureOf(const InstanceId& instance) const;
+
   /// \brief Removes the rows of targets that left or sent nothing for kDepartedRetention.
   void RemoveExpired(TimePoint now);
 
   [[nodiscard]] const std::map<InstanceId, TargetRow>& Rows() const noexcept { return m_rows; }
   [[nodiscard]] const TargetRow* Find(const InstanceId& instance) const;
+  /// \brief Whether there is no room for unknown targets.
+  [[nodiscard]] bool IsFull() const noexcept { return m_rows.size() >= kMaxTargets; }
 
   /// \brief How long rows of targets that left or stopped sending are kept, so that their late
   /// heartbeats are recognised.
@@ -128,6 +152,8 @@
   /// \brief Limits the names in one heartbeat; each staged model counts as a string object too.
   /// Those of a replica take some 300 bytes.
   static constexpr std::size_t kMaxNameBytes = 4096;
+  /// \brief Limits the name of a target, which is kept in the log when it leaves.
+  static constexpr std::size_t kMaxInstanceBytes = 256;
 
 private:
   [[nodiscard]] bool HasRoomFor(const InstanceId& instance) const;
--- a/src/control/control_role.cpp
+++ b/src/control/control_role.cpp
@@ -137,6 +137,12 @@
                                    { "index", at } }));
       break;
     }
+    case wire::CommandBody::RecordDepartures:
+      events.push_back(MakeEvent(EventNumber::kDeparturesRecorded,
+                                 { { "recorded", std::to_string(applied.recorded) },
+                                   { "forgotten", std::to_string(applied.forgotten) },
+                                   { "index", at } }));
+      break;
     default:
       break;
   }
--- a/src/control/control_state.cpp
+++ b/src/control/control_state.cpp
@@ -76,6 +76,11 @@
       applied.failureDomain = FailureDomainId(body.AsSetEvacuation()->failureDomain);
       ApplySetEvacuation(*body.AsSetEvacuation());
       return {};
+    case wire::CommandBody::RecordDepartures:
+      applied.recorded = body.AsRecordDepartures()->departures.size();
+      applied.forgotten = body.AsRecordDepartures()->forgotten.size();
+      m_departures.Apply(index, *body.AsRecordDepartures());
+      return {};
   }
   return "a command of an unknown kind";
 }
@@ -118,6 +123,7 @@
     snapshot.evacuated.push_back(domain.Get());
   }
   snapshot.evacuationOrder = m_evacuationOrder;
+  m_departures.SaveTo(snapshot);
   flatbuffers::FlatBufferBuilder builder(1024 * 1024);
   builder.Finish(wire::ControlSnapshot::Pack(builder, &snapshot));
   const std::span<const std::uint8_t> bytes(builder.GetBufferPointer(), builder.GetSize());
@@ -147,6 +153,7 @@
   }
   m_evacuationOrder = snapshot.evacuationOrder;
   m_index = LogIndex(snapshot.index);
+  m_departures.LoadFrom(snapshot);
   return outcome::success();
 }
 
--- a/src/control/serving_control.cpp
+++ b/src/control/serving_control.cpp
@@ -123,7 +123,11 @@
   if (stateChanged) {
     ReportTargetChange(context, instance);
   }
-  Respond(context, request.exchange, {});
+  if (call.announcement.draining) {
+    AnswerTarget(context, request, instance);
+  } else {
+    Respond(context, request.exchange, {});
+  }
 }
 
 // An announcement with a wrong service under a target's name would remove the target from its
@@ -157,7 +161,19 @@
     ReportTargetChange(context, call.instance);
   }
   m_relay.Enqueue(context, call.instance, true);
-  Respond(context, request.exchange, {});
+  AnswerTarget(context, request, call.instance);
+}
+
+// A late message may contradict the table: then it states nothing that must be kept.
+void ServingControl::AnswerTarget(ControlContext& context,
+                                  const HttpRequestIn& request,
+                                  const InstanceId& instance)
+{
+  if (const std::optional<Departure> departure = m_targets.DepartureOf(instance)) {
+    m_departures.OnCall(context, request.exchange, *departure, Responder(context));
+  } else {
+    Respond(context, request.exchange, {});
+  }
 }
 
 bool ServingControl::RefuseUnrecorded(ControlContext& context,
@@ -170,7 +186,8 @@
     return false;
   }
   const std::string reason =
-    isTooLong ? "its names exceed " + std::to_string(TargetTable::kMaxNameBytes) + " bytes"
+    isTooLong ? "its name exceeds " + std::to_string(TargetTable::kMaxInstanceBytes) +
+                  " bytes, or all its names " + std::to_string(TargetTable::kMaxNameBytes)
               : "no room: " + std::to_string(TargetTable::kMaxTargets) + " targets are known";
   m_refused.Note(instance.Get().substr(0, kMaxReportedName), reason);
   Respond(
@@ -234,6 +251,7 @@
 void ServingControl::ReportTargetChange(ControlContext& context, const InstanceId& instance)
 {
   m_nextReconcile = context.now;
+  m_departures.OnChange(instance);
   const TargetAnnouncement& target = m_targets.Find(instance)->latest;
   context.outbox.emplace_back(
     MakeEvent(EventNumber::kTargetChanged,
@@ -258,6 +276,7 @@
       : m_targets.Update(context.now, FromWire(report));
   if (change == TargetTable::Change::kState) {
     m_nextReconcile = context.now;
+    m_departures.OnChange(InstanceId(report.instance));
   }
 }
 
@@ -316,12 +335,14 @@
 {
   m_documents.OnCallerGone(exchange);
   m_evacuations.OnCallerGone(exchange);
+  m_departures.OnCallerGone(exchange);
 }
 
 void ServingControl::OnLeaderStart()
 {
   m_groups.OnLeaderStart();
   m_feed.OnLeaderStart();
+  m_departures.OnLeaderStart();
   m_nextReconcile = TimePoint{};
 }
 
@@ -329,6 +350,7 @@
 {
   m_documents.OnLeadershipLost(Responder(context));
   m_evacuations.OnLeadershipLost(Responder(context));
+  m_departures.OnLeadershipLost(Responder(context));
 }
 
 void ServingControl::Tick(ControlContext& context)
@@ -346,9 +368,11 @@
   if (std::optional<EventOut> report = m_refused.TakeReport(context.now)) {
     context.outbox.emplace_back(std::move(*report));
   }
+  m_departures.ApplyCommitted(context, m_targets);
   m_relay.Tick(context, m_targets);
   ApplyStoredDocument(context);
   FollowEvacuations(context);
+  m_departures.Tick(context, m_targets, Responder(context));
   if (!context.ready) {
     return;
   }
--- a/src/serving/target_table.cpp
+++ b/src/serving/target_table.cpp
@@ -93,9 +93,18 @@
 
 } // namespace
 
+bool Departure::Covers(const Departure& other) const noexcept
+{
+  if (target.born != other.target.born) {
+    return target.born > other.target.born;
+  }
+  return left || (!other.left && sequence >= other.sequence);
+}
+
 TargetTable::Change TargetTable::Update(TimePoint now, TargetAnnouncement announcement)
 {
-  if (NameBytes(announcement) > kMaxNameBytes) {
+  if (announcement.instance.Get().size() > kMaxInstanceBytes ||
+      NameBytes(announcement) > kMaxNameBytes) {
     return Change::kTooLong;
   }
   if (!HasRoomFor(announcement.instance)) {
@@ -123,6 +132,10 @@
   if (isNew || isRestarted) {
     row.firstSeenAt = now;
   }
+  const bool wasDraining = !isNew && !isRestarted && row.latest.draining;
+  if (announcement.draining && !wasDraining) {
+    row.drainingFrom = announcement.sequence;
+  }
   const bool isSame = !isNew && ReplicatedFields(row.latest) == ReplicatedFields(announcement);
   row.latest = std::move(announcement);
   row.lastSeenAt = now;
@@ -156,7 +169,7 @@
                                           const InstanceId& instance,
                                           Incarnation born)
 {
-  if (instance.Get().size() > kMaxNameBytes) {
+  if (instance.Get().size() > kMaxInstanceBytes) {
     return Change::kTooLong;
   }
   if (!HasRoomFor(instance)) {
@@ -176,6 +189,46 @@
   return Change::kState;
 }
 
+TargetTable::Change TargetTable::Apply(TimePoint now, const Departure& departure)
+{
+  const auto& [instance, born] = departure.target;
+  if (departure.left) {
+    return MarkLeft(now, instance, born);
+  }
+  if (!HasRoomFor(instance)) {
+    return Change::kFull;
+  }
+  const auto [found, isNew] = m_rows.try_emplace(instance);
+  TargetRow& row = found->second;
+  const bool isKnown =
+    !isNew && std::tie(born, departure.sequence) <= std::tie(row.latest.born, row.latest.sequence);
+  if (isKnown || (row.latest.left && born <= row.latest.born)) {
+    return Change::kNone;
+  }
+  if (born > row.latest.born) {
+    row = TargetRow{};
+  }
+  if (row.firstSeenAt == TimePoint{}) {
+    row.firstSeenAt = now;
+  }
+  row.latest.instance = instance;
+  row.latest.born = born;
+  row.latest.sequence = departure.sequence;
+  row.latest.draining = true;
+  row.drainingFrom = departure.sequence;
+  row.lastSeenAt = now;
+  return Change::kState;
+}
+
+std::optional<Departure> TargetTable::DepartureOf(const InstanceId& instance) const
+{
+  const TargetRow* row = Find(instance);
+  if (row == nullptr || (!row->latest.left && !row->latest.draining)) {
+    return std::nullopt;
+  }
+  return Departure{ { instance, row->latest.born }, row->drainingFrom, row->latest.left };
+}
+
 void TargetTable::RemoveExpired(TimePoint now)
 {
   std::erase_if(
@@ -185,7 +238,7 @@
 // Known targets are never removed for others, so that strangers can't take the place of a replica.
 bool TargetTable::HasRoomFor(const InstanceId& instance) const
 {
-  return m_rows.size() < kMaxTargets || m_rows.contains(instance);
+  return !IsFull() || m_rows.contains(instance);
 }
 
 const TargetRow* TargetTable::Find(const InstanceId& instance) const
--- a/tests/unit/leave_calls_test.cpp
+++ b/tests/unit/leave_calls_test.cpp
@@ -45,11 +45,20 @@
   return told;
 }
 
+void CommitDeparture(ScriptedLog& log, const std::string& target)
+{
+  wire::RecordDeparturesT command;
+  command.departures.push_back(std::make_unique<wire::DepartureT>());
+  command.departures.back()->instance = target;
+  command.departures.back()->left = true;
+  log.entries.push_back({ Term(1), EncodeCommand(std::move(command)) });
+}
+
 // Guards against an acknowledgement of a departure that only the process which gave it knows of.
-TEST(LeaveCalls, AreToldToAllControlProcessesWithTheirAcknowledgement)
+TEST(LeaveCalls, AreToldToAllControlProcessesBeforeTheirAcknowledgement)
 {
-  ControlNode follower(
-    "control-2", std::make_shared<ScriptedLog>(), MakeControlSettings("control-2"));
+  const auto log = std::make_shared<ScriptedLog>();
+  ControlNode follower("control-2", log, MakeControlSettings("control-2"));
   follower.outside = PlainLeaveApi();
   follower.Restart();
   SECTION("without a leader, a departure is not acknowledged")
@@ -61,13 +70,24 @@
   }
   follower.leaderHint = ProcessId("control-1");
   follower.Tick({ Up("control-1", "control"), Up("control-3", "control") });
-  SECTION("in the same tick")
+  SECTION("they are told in the same tick")
   {
     const auto outbox = follower.Tick({ Called(2, "DELETE", "i-2") });
-    ASSERT_TRUE(AnswerOf(outbox, 2));
-    EXPECT_EQ(static_cast<OutsideStatus>(AnswerOf(outbox, 2)->status), OutsideStatus::kDone);
+    EXPECT_FALSE(AnswerOf(outbox, 2));
     EXPECT_THAT(ToldThatItLeft(outbox, "i-2"), UnorderedElementsAre("control-1", "control-3"));
   }
+  SECTION("a departure of another target acknowledges nothing")
+  {
+    CommitDeparture(*log, "i-7");
+    EXPECT_FALSE(AnswerOf(follower.Tick(), 2));
+  }
+  SECTION("and are acknowledged once a majority has them on disk")
+  {
+    CommitDeparture(*log, "i-2");
+    const std::optional<Answer> answer = AnswerOf(follower.Tick(), 2);
+    ASSERT_TRUE(answer);
+    EXPECT_EQ(static_cast<OutsideStatus>(answer->status), OutsideStatus::kDone);
+  }
   SECTION("a process that connects later is told then")
   {
     follower.Tick({ Down("control-1") });
--- a/tests/unit/target_bounds_test.cpp
+++ b/tests/unit/target_bounds_test.cpp
@@ -6,6 +6,7 @@
 
 #include <map>
 #include <unistd.h>
+#include <utility>
 
 namespace gooseberrysail::test {
 namespace {
@@ -31,7 +32,10 @@
          std::to_string(sequence) + R"(,"staged":[)" + staged + "]}";
 }
 
-/// \brief A control process that accepts registrations, as a follower.
+/// Enough to commit the departures of all targets that were named in one tick.
+constexpr int kTicksPerCalls = 40;
+
+/// \brief A control process that accepts registrations, as the leader.
 class Registrar
 {
 public:
@@ -40,11 +44,10 @@
   {
     node.outside = platform::MakeOutsideApi("127.0.0.1:7340");
     node.Restart();
-    node.leaderHint = ProcessId("control-2");
-    node.Tick();
+    node.Lead(1);
   }
 
-  /// \brief Makes one call for each target in a range, all in one tick.
+  /// \brief Makes one call for each target in a range, all in one tick, and awaits the answers.
   /// \returns The answers, by status.
   std::map<unsigned, std::uint64_t> CallForEach(std::uint64_t first,
                                                 std::uint64_t count,
@@ -56,9 +59,11 @@
       calls.push_back(Called(++m_exchange, method, PathOf(target), body));
     }
     std::map<unsigned, std::uint64_t> answers;
-    for (const ControlOutput& output : node.Tick(std::move(calls))) {
-      if (const auto* answer = std::get_if<HttpAnswerOut>(&output)) {
-        ++answers[answer->status.value_or(0)];
+    for (int tick = 0; tick < kTicksPerCalls; ++tick) {
+      for (const ControlOutput& output : node.Tick(std::exchange(calls, {}))) {
+        if (const auto* answer = std::get_if<HttpAnswerOut>(&output)) {
+          ++answers[answer->status.value_or(0)];
+        }
       }
     }
     return answers;
