--- a/include/gooseberrysail/control/engine_groups.hpp
+++ b/include/gooseberrysail/control/engine_groups.hpp
@@ -171,11 +171,15 @@
     bool wasAdopted = false;
     bool reportsOpen = false; ///< While adopted: the latest report of its head says that it serves.
     std::map<std::pair<InstanceId, GroupOrderKind>, TimePoint> orderedAt;
-    bool cut = false;                      ///< A member is lost: work in progress can't complete.
-    bool closeBegun = false;               ///< The head is closing or closed.
-    bool reportedClosed = false;           ///< The head answered that it is closed.
-    std::uint32_t opensUnanswered = 0;     ///< Orders to open that may still be executed.
-    std::uint32_t closesUnanswered = 0;    ///< Orders to close that may have been accepted.
+    bool cut = false;                   ///< A member is lost: work in progress can't complete.
+    bool closeBegun = false;            ///< The head is closing or closed.
+    bool reportedClosed = false;        ///< The head answered that it is closed.
+    std::uint32_t opensUnanswered = 0;  ///< Orders to open that may still be executed.
+    std::uint32_t closesUnanswered = 0; ///< Orders to close that may have been accepted.
+    /// \brief Orders to members to join that may still be executed.
+    std::map<InstanceId, std::uint32_t> joinsUnanswered;
+    Epoch fence;                           ///< The epoch that takes members out for good.
+    std::set<InstanceId> refusedFence;     ///< Members that can't join another epoch.
     bool headIsDead = false;               ///< The head's incarnation certainly ended.
     bool headIsClosed = false;             ///< The head reported that it takes no work.
     TimePoint paceProbedAt{};              ///< When the members were last probed for their pace.
@@ -218,6 +222,8 @@
   void StartStage(Pass& pass, const PlannedStage& planned);
   void StartStandby(Pass& pass, const PlannedStandby& planned);
   [[nodiscard]] Epoch NextEpoch(const Pass& pass);
+  /// \brief An epoch above all that the group's head may still be ordered to join.
+  [[nodiscard]] static Epoch FenceOf(const Pass& pass, const Group& group);
   /// \brief The highest epoch that an earlier leader can have used.
   [[nodiscard]] static Epoch FormerEpoch(const Pass& pass);
   [[nodiscard]] std::vector<ModelNeed> ListNeeds(const Pass& pass,
@@ -277,6 +283,8 @@
   [[nodiscard]] double PaceOf(const Group& group) const;
   [[nodiscard]] bool ShouldLeaveStragglers(const Pass& pass, const Group& group);
   void ReplaceHeads(Pass& pass, const ServiceDefinition& service);
+  /// \brief Another group has the target, or has ordered it to join.
+  [[nodiscard]] bool IsInAnother(const Group& group, const InstanceId& target) const;
   [[nodiscard]] std::vector<InstanceId> ListSurvivors(const Pass& pass, const Group& group) const;
   /// \brief Describes why the head certainly takes no work; null when it still may.
   [[nodiscard]] const char* ReleaseEvidence(const Pass& pass, const Group& group) const;
@@ -285,11 +293,49 @@
   /// again.
   [[nodiscard]] bool IsUnreachable(const Pass& pass, const Group& group) const;
   [[nodiscard]] bool LacksMember(const Pass& pass, const Group& group) const;
+  /// \brief A member other than the head was heard recently and says that it is in the group.
+  [[nodiscard]] bool IsMemberHeard(const Pass& pass, const Group& group) const;
+  /// \brief The target was heard recently and says that it is in the group.
+  [[nodiscard]] bool IsHeardMember(const Pass& pass,
+                                   const Group& group,
+                                   const InstanceId& member) const;
   /// \brief The target's latest report names a group that was released, and does not make the
   /// leader adopt it again.
-  [[nodiscard]] bool HasReleasedMembership(const TargetRow& row) const;
+  [[nodiscard]] bool HasReleasedMembership(const Pass& pass, const TargetRow& row) const;
+  /// \brief The epoch was assigned by this leader in this term.
+  [[nodiscard]] bool IsOwnEpoch(const Pass& pass, Epoch epoch) const;
+  /// \brief The group was released because its head certainly takes no work.
+  [[nodiscard]] bool IsCertainlyReleased(const Pass& pass, const GroupMembership& membership) const;
+  /// \brief The target's latest report names no group, or one that was certainly released.
+  [[nodiscard]] bool IsInNoGroup(const Pass& pass, const TargetRow& row) const;
   /// \brief A head that is closed may still open because of an earlier order.
   [[nodiscard]] static bool MayOpenLate(TimePoint now, const Group& group);
+  /// \brief A member that has left may join the group again because of earlier orders.
+  [[nodiscard]] static bool MayRejoin(const Pass& pass,
+                                      const Group& group,
+                                      const InstanceId& member);
+  /// \brief A head that is closed, broken or has left may join the group again and open.
+  [[nodiscard]] static bool MayReturn(const Pass& pass, const Group& group);
+  /// \brief The target is in a later epoch of any group.
+  [[nodiscard]] static bool IsPast(const Group& group, const TargetRow* row);
+  /// \brief The head lacked a member for so long that it has broken, if it was open.
+  [[nodiscard]] bool HasStoodStill(const Pass& pass, const Group& group) const;
+  void OrderHeadOut(Pass& pass, Group& group);
+  /// \brief Orders a member to leave for good.
+  void OrderOut(Pass& pass, Group& group, const InstanceId& member);
+  /// \brief Orders a member into an epoch of its own, after which it refuses all orders to join
+  /// earlier ones.
+  void OrderFence(Pass& pass, Group& group, const InstanceId& member);
+  void RecordFenceOutcome(const GroupOrder& order, OrderOutcome outcome);
+  /// \brief Whether an order is not a repetition that comes too early; records it then.
+  [[nodiscard]] static bool TakeDue(const Pass& pass,
+                                    Group& group,
+                                    const InstanceId& target,
+                                    GroupOrderKind kind);
+  /// \brief Continues a group that an earlier leader was forming, in an epoch of this leader.
+  void Renew(Pass& pass, Group& group);
+  /// \brief All members are known, confirmed and in no other group.
+  [[nodiscard]] bool MayRenew(const Pass& pass, const Group& group) const;
   [[nodiscard]] bool IsHealthy(const Pass& pass, const Group& group) const;
   /// \brief The membership in the target's latest report is certain to be current.
   [[nodiscard]] bool IsConfirmed(const Pass& pass, const TargetRow& row) const;
@@ -357,7 +403,7 @@
     bool isCertain = false; ///< The head takes no work; else the group was unreachable.
   };
 
-  /// \brief Released groups that members still report.
+  /// \brief Released groups that members still report, and all of this term that were unreachable.
   std::map<GroupKey, Release> m_released;
   std::optional<TimePoint> m_leaderSince;
   Duration m_reportLag{};                 ///< Maximum age of a report over all services.
--- a/src/control/engine_groups.cpp
+++ b/src/control/engine_groups.cpp
@@ -323,18 +323,15 @@
 
 void EngineGroups::Order(Pass& pass, Group& group, const InstanceId& target, GroupOrderKind kind)
 {
-  TimePoint& orderedAt = group.orderedAt[{ target, kind }];
-  if (orderedAt != TimePoint{} && pass.input.now - orderedAt < kOrderRetry) {
+  if (!TakeDue(pass, group, target, kind)) {
     return;
   }
-  const TargetRow* row = pass.Row(target);
-  if (row == nullptr || row->latest.address.empty()) {
-    return;
+  if (kind == GroupOrderKind::kJoin) {
+    ++group.joinsUnanswered[target];
   }
-  orderedAt = pass.input.now;
   group.opensUnanswered += kind == GroupOrderKind::kOpen ? 1 : 0;
   group.closesUnanswered += kind == GroupOrderKind::kClose ? 1 : 0;
-  GroupOrder order = impl::MakeOrder(*row, kind);
+  GroupOrder order = impl::MakeOrder(*pass.Row(target), kind);
   order.group = group.name;
   order.epoch = group.epoch;
   if (kind == GroupOrderKind::kJoin) {
@@ -345,6 +342,21 @@
   pass.orders.push_back(std::move(order));
 }
 
+bool EngineGroups::TakeDue(const Pass& pass,
+                           Group& group,
+                           const InstanceId& target,
+                           GroupOrderKind kind)
+{
+  TimePoint& orderedAt = group.orderedAt[{ target, kind }];
+  const bool isEarly = orderedAt != TimePoint{} && pass.input.now - orderedAt < kOrderRetry;
+  const TargetRow* row = pass.Row(target);
+  if (isEarly || row == nullptr || row->latest.address.empty()) {
+    return false;
+  }
+  orderedAt = pass.input.now;
+  return true;
+}
+
 // A group that is about to be lost must not be chosen to release its targets.
 bool EngineGroups::IsHealthy(const Pass& pass, const Group& group) const
 {
@@ -391,10 +403,17 @@
     return;
   }
   const auto found = m_groups.find({ order.group, order.epoch });
-  if (found == m_groups.end() || found->second.members.front() != order.target) {
+  if (found == m_groups.end()) {
+    RecordFenceOutcome(order, outcome);
     return;
   }
   Group& group = found->second;
+  if (order.kind == GroupOrderKind::kJoin && outcome != OrderOutcome::kUnknown) {
+    --group.joinsUnanswered[order.target];
+  }
+  if (group.members.front() != order.target) {
+    return;
+  }
   if (order.kind == GroupOrderKind::kOpen) {
     group.opensUnanswered -= outcome == OrderOutcome::kUnknown ? 0 : 1;
     group.openedAt = now;
--- a/src/control/engine_groups_ending.cpp
+++ b/src/control/engine_groups_ending.cpp
@@ -28,6 +28,14 @@
     return;
   }
   const InstanceId& head = group.members.front();
+  if (HasStoodStill(pass, group) && !IsHeardMember(pass, group, head)) {
+    ReportReleased(pass, group, "none: its head was stalled, and may open late");
+    pass.unreachable.push_back(group.Key());
+    return;
+  }
+  if (IsMemberOfSuccessor(group, head)) {
+    return; // It leaves this epoch for the next one.
+  }
   const TargetRow* row = pass.Row(head);
   const bool isOver =
     row != nullptr && (m_verifier.IsReplaced(*row) || HasRestarted(pass, group, head));
@@ -35,14 +43,7 @@
     group.headIsDead = true;
     return;
   }
-  // A head that has left its group rejects all later orders for it, such as a delayed order to
-  // open.
-  const bool reportsNoWork =
-    Reports(row, group.name, group.epoch) && (row->latest.membership.state == MemberState::Ready ||
-                                              row->latest.membership.state == MemberState::Joining);
-  const bool isClosed = group.reportedClosed || (group.closeBegun && reportsNoWork);
-  const bool mustLeave = isClosed && MayOpenLate(pass.input.now, group);
-  Order(pass, group, head, mustLeave ? GroupOrderKind::kLeave : GroupOrderKind::kClose);
+  OrderHeadOut(pass, group);
   ProbeHead(pass, group);
   const bool isFailing = pass.input.failing.contains(head);
   const bool isOverdue = row != nullptr && !pass.input.answering.contains(head) &&
@@ -62,16 +63,17 @@
   // The head is unreachable but may still serve: a network fault can separate it from control and
   // from all entries. Without its members it stalls and eventually becomes broken.
   for (const auto& [instance, member] : pass.input.targets.Rows()) {
-    const bool isHeard = pass.input.now - member.lastSeenAt <= m_settings.SilenceTimeout();
-    const bool isMember = instance != head && Reports(&member, group.name, group.epoch);
-    if (isHeard && isMember && !IsMemberOfSuccessor(group, instance)) {
-      Order(pass, group, instance, GroupOrderKind::kLeave);
+    if (instance != head && IsHeardMember(pass, group, instance) &&
+        !IsMemberOfSuccessor(group, instance)) {
+      OrderOut(pass, group, instance);
     }
   }
   if (!group.leftAt) {
     group.leftAt = pass.input.now;
   }
-  if (!group.incompleteAt && LacksMember(pass, group)) {
+  if (!LacksMember(pass, group)) {
+    group.incompleteAt.reset(); // A member that joins again ends the stall.
+  } else if (!group.incompleteAt) {
     group.incompleteAt = pass.input.now;
   }
   if (IsUnreachable(pass, group)) {
@@ -80,6 +82,63 @@
   }
 }
 
+// A head that has left its group rejects all later orders for it, such as a delayed order to open.
+// A delayed order to join would take it back into the group, unless it has joined a later epoch.
+void EngineGroups::OrderHeadOut(Pass& pass, Group& group)
+{
+  const InstanceId& head = group.members.front();
+  const TargetRow* row = pass.Row(head);
+  const bool isMember = Reports(row, group.name, group.epoch);
+  const bool reportsNoWork = isMember && (row->latest.membership.state == MemberState::Ready ||
+                                          row->latest.membership.state == MemberState::Joining);
+  const bool isClosed = group.reportedClosed || (group.closeBegun && reportsNoWork);
+  const bool isOut = row != nullptr && !isMember && row->latest.membership.group.empty();
+  if (MayReturn(pass, group) && (isClosed || isOut || group.headIsClosed)) {
+    OrderFence(pass, group, head);
+    return;
+  }
+  const bool mustLeave = isClosed && MayOpenLate(pass.input.now, group);
+  Order(pass, group, head, mustLeave ? GroupOrderKind::kLeave : GroupOrderKind::kClose);
+}
+
+void EngineGroups::OrderOut(Pass& pass, Group& group, const InstanceId& member)
+{
+  if (MayRejoin(pass, group, member)) {
+    OrderFence(pass, group, member);
+  } else {
+    Order(pass, group, member, GroupOrderKind::kLeave);
+  }
+}
+
+// The fence is an epoch of the same group, so that the member doesn't work for two groups, whenever
+// it carries out the order.
+void EngineGroups::OrderFence(Pass& pass, Group& group, const InstanceId& member)
+{
+  if (!TakeDue(pass, group, member, GroupOrderKind::kJoin)) {
+    return;
+  }
+  group.fence = FenceOf(pass, group);
+  GroupOrder order = impl::MakeOrder(*pass.Row(member), GroupOrderKind::kJoin);
+  order.group = group.name;
+  order.epoch = group.fence;
+  order.model = group.model;
+  order.members = { member };
+  pass.orders.push_back(std::move(order));
+}
+
+void EngineGroups::RecordFenceOutcome(const GroupOrder& order, OrderOutcome outcome)
+{
+  for (auto& [key, group] : m_groups) {
+    const bool isFence = order.kind == GroupOrderKind::kJoin && group.name == order.group &&
+                         group.fence == order.epoch;
+    if (isFence && outcome == OrderOutcome::kRefused) {
+      group.refusedFence.insert(order.target);
+    }
+    const bool isOfHead = isFence && group.members.front() == order.target;
+    group.headIsDead = group.headIsDead || (isOfHead && outcome == OrderOutcome::kReplaced);
+  }
+}
+
 // An order to leave does not show that the member left: a group that is cut off from control as a
 // whole receives none of the orders and continues to serve, so that its members must not be
 // assigned to other groups after the time in which a head without a member breaks. A member must
@@ -92,8 +151,9 @@
       return false;
     }
     const bool isDead = m_verifier.IsReplaced(*row) || HasRestarted(pass, group, member);
-    const bool hasMoved = !Reports(row, group.name, group.epoch) && IsConfirmed(pass, *row);
-    return isDead || hasMoved;
+    const bool hasMoved = !Reports(row, group.name, group.epoch) && IsConfirmed(pass, *row) &&
+                          !MayRejoin(pass, group, member);
+    return isDead || hasMoved || IsPast(group, row);
   };
   return std::any_of(group.members.begin() + 1, group.members.end(), isLost) ||
          std::ranges::any_of(group.successors, isLost);
@@ -101,10 +161,28 @@
 
 bool EngineGroups::IsUnreachable(const Pass& pass, const Group& group) const
 {
-  return group.leftAt && !group.incompleteAt &&
+  return group.leftAt && !group.incompleteAt && !IsMemberHeard(pass, group) &&
          pass.input.now - *group.leftAt > m_settings.standstill + kStandstillSlack;
 }
 
+// Such a member is not cut off: it has not carried out its order to leave yet.
+bool EngineGroups::IsMemberHeard(const Pass& pass, const Group& group) const
+{
+  return std::ranges::any_of(pass.input.targets.Rows(), [&](const auto& row) {
+    return row.first != group.members.front() && !row.second.latest.left &&
+           IsHeardMember(pass, group, row.first);
+  });
+}
+
+bool EngineGroups::IsHeardMember(const Pass& pass,
+                                 const Group& group,
+                                 const InstanceId& member) const
+{
+  const TargetRow* row = pass.Row(member);
+  return Reports(row, group.name, group.epoch) && !m_verifier.IsReplaced(*row) &&
+         pass.input.now - row->lastSeenAt <= m_settings.SilenceTimeout();
+}
+
 // An order to open that got no answer, or one of an earlier leader, may be executed after the order
 // to close, and a head takes some time to open. A head that was closed once can therefore open
 // again; joined to another group it would still be reachable for callers in this one.
@@ -114,6 +192,35 @@
   return group.wasAdopted || group.opensUnanswered > 0 || isOpening;
 }
 
+// Each order without an answer may be executed once more. A target that leaves may join nothing,
+// and one that refuses the fence knows a later epoch.
+bool EngineGroups::MayRejoin(const Pass& pass, const Group& group, const InstanceId& member)
+{
+  const auto joins = group.joinsUnanswered.find(member);
+  const bool isOrdered =
+    group.wasAdopted || (joins != group.joinsUnanswered.end() && joins->second > 0);
+  return isOrdered && !group.model.empty() && !group.refusedFence.contains(member) &&
+         !impl::IsLeaving(pass.Row(member));
+}
+
+bool EngineGroups::MayReturn(const Pass& pass, const Group& group)
+{
+  return MayOpenLate(pass.input.now, group) && MayRejoin(pass, group, group.members.front());
+}
+
+// A target refuses orders to join epochs before one that it has joined.
+bool EngineGroups::IsPast(const Group& group, const TargetRow* row)
+{
+  return row != nullptr && row->latest.membership.epoch > group.epoch &&
+         !row->latest.membership.group.empty();
+}
+
+bool EngineGroups::HasStoodStill(const Pass& pass, const Group& group) const
+{
+  return group.incompleteAt &&
+         pass.input.now - *group.incompleteAt > m_settings.standstill + kStandstillSlack;
+}
+
 // A report that names another group or none may be older than this group, in which case the head is
 // still open. Only the answer to a probe decides.
 void EngineGroups::ProbeHead(Pass& pass, Group& group)
@@ -133,15 +240,19 @@
   if (group.headIsDead) {
     return "its head is dead";
   }
+  const TargetRow* head = pass.Row(group.members.front());
+  if (IsPast(group, head)) {
+    return "its head is in a later epoch";
+  }
+  if (MayReturn(pass, group)) {
+    return nullptr;
+  }
   if (group.headIsClosed) {
     return "its head reported that it takes no work";
   }
-  const bool stoodStill = group.incompleteAt && pass.input.now - *group.incompleteAt >
-                                                  m_settings.standstill + kStandstillSlack;
-  if (stoodStill) {
+  if (HasStoodStill(pass, group) && !MayOpenLate(pass.input.now, group)) {
     return "its head was stalled without a member";
   }
-  const TargetRow* head = pass.Row(group.members.front());
   if (head == nullptr) {
     return nullptr;
   }
--- a/src/control/engine_groups_learning.cpp
+++ b/src/control/engine_groups_learning.cpp
@@ -22,7 +22,7 @@
     const GroupMembership& membership = row.latest.membership;
     const GroupKey key{ membership.group, membership.epoch };
     const bool isStandby = membership.group.starts_with(impl::kStandbyPrefix);
-    if (membership.group.empty() || isStandby || HasReleasedMembership(row)) {
+    if (membership.group.empty() || isStandby || HasReleasedMembership(pass, row)) {
       continue;
     }
     const auto [found, fresh] = m_groups.try_emplace(key);
@@ -38,26 +38,48 @@
       group.model = group.model.empty() ? row.latest.loadedModel : group.model;
     }
   }
+  // That a group of this leader was given up without evidence must be known when a member reports
+  // it again, however long that takes.
   std::erase_if(m_released, [&](const auto& released) {
-    return std::ranges::none_of(pass.input.targets.Rows(), [&](const auto& row) {
+    const bool isOwnDoubt = !released.second.isCertain && IsOwnEpoch(pass, released.first.epoch);
+    return !isOwnDoubt && std::ranges::none_of(pass.input.targets.Rows(), [&](const auto& row) {
       const GroupMembership& membership = row.second.latest.membership;
       return GroupKey{ membership.group, membership.epoch } == released.first;
     });
   });
 }
 
+// A group of this leader that is neither tracked nor in doubt was dropped, so that its head takes
+// no work: a member that reports it has carried out an order late.
+bool EngineGroups::IsCertainlyReleased(const Pass& pass, const GroupMembership& membership) const
+{
+  const auto released = m_released.find({ membership.group, membership.epoch });
+  const bool isKnown = released != m_released.end();
+  return isKnown ? released->second.isCertain
+                 : IsOwnEpoch(pass, membership.epoch) && !IsTracked(membership);
+}
+
+// What a target says of itself counts: it may work for a group that this leader has forgotten.
+bool EngineGroups::IsInNoGroup(const Pass& pass, const TargetRow& row) const
+{
+  const GroupMembership& membership = row.latest.membership;
+  return membership.group.empty() || membership.group.starts_with(impl::kStandbyPrefix) ||
+         (!IsTracked(membership) && IsCertainlyReleased(pass, membership));
+}
+
 // An unreachable group may still serve; it is adopted again with the first report of it. A head
 // that reports itself open after it was released is adopted too, so that it is closed again.
-bool EngineGroups::HasReleasedMembership(const TargetRow& row) const
+bool EngineGroups::HasReleasedMembership(const Pass& pass, const TargetRow& row) const
 {
   const GroupMembership& membership = row.latest.membership;
   const auto released = m_released.find({ membership.group, membership.epoch });
+  const bool isOpenHead = membership.rank == 0 && IsOpenState(membership.state);
+  const bool isCertain = IsCertainlyReleased(pass, membership);
   if (released == m_released.end()) {
-    return false;
+    return isCertain && !isOpenHead;
   }
-  const bool isOpenHead = membership.rank == 0 && IsOpenState(membership.state);
   const bool isNewer = row.lastSeenAt > released->second.at && !m_verifier.IsReplaced(row);
-  return !isNewer || (released->second.isCertain && !isOpenHead);
+  return !isNewer || (isCertain && !isOpenHead);
 }
 
 EngineGroups::Group EngineGroups::MakeAdopted(const Pass& pass, const TargetRow& row)
@@ -100,13 +122,37 @@
     group.phase = Phase::kOpen;
     return;
   }
-  if (isForming && IsComplete(pass, group)) {
-    group.phase = Phase::kJoining;
+  if (isForming && MayRenew(pass, group)) {
+    Renew(pass, group);
     return;
   }
   End(pass, group, "incomplete group of an earlier leader");
 }
 
+bool EngineGroups::MayRenew(const Pass& pass, const Group& group) const
+{
+  return IsComplete(pass, group) &&
+         std::ranges::all_of(group.members, [&](const InstanceId& member) {
+           const TargetRow* row = pass.Row(member);
+           return !HasFailed(pass, row) && IsConfirmed(pass, *row) &&
+                  !m_verifier.IsContested(member) && !IsInAnother(group, member);
+         });
+}
+
+// Orders of the earlier leader may still take members into groups of higher epochs. In an epoch of
+// this leader they refuse them.
+void EngineGroups::Renew(Pass& pass, Group& group)
+{
+  Group next = MakeGroup(pass, group.service, { group.model, group.members, 0 });
+  next.name = group.name;
+  ReportFormed(pass, next, 0);
+  group.successors.assign(group.members.begin() + 1, group.members.end());
+  group.members.resize(1);
+  End(pass, group, "it continues in an epoch of this leader");
+  const GroupKey key = next.Key();
+  AdvanceJoining(pass, m_groups.emplace(key, std::move(next)).first->second);
+}
+
 // A restarted target has neither the weights that its former incarnation was ordered to load nor
 // its pace, and orders to the former incarnation are never answered.
 void EngineGroups::ForgetFormerIncarnations(const Pass& pass)
--- a/src/control/engine_groups_planning.cpp
+++ b/src/control/engine_groups_planning.cpp
@@ -39,6 +39,8 @@
 constexpr Duration kDemandSettleTime = 3s;
 /// Interval at which a model's shortage of groups is reported.
 constexpr Duration kShortageReportInterval = 1s;
+/// The epoch after each that is assigned to a group is its fence.
+constexpr std::uint64_t kEpochStep = 2;
 /// The number of epochs reserved for each term.
 constexpr std::uint64_t kEpochsPerTerm = 1ULL << 20U;
 
@@ -268,6 +270,17 @@
     ->second;
 }
 
+// Two groups have a member if it carried out a late order of one that was dropped.
+bool EngineGroups::IsInAnother(const Group& group, const InstanceId& target) const
+{
+  return std::ranges::any_of(m_groups, [&](const auto& row) {
+    const auto& [key, other] = row;
+    const bool mayOrder = other.phase != Phase::kGathering && other.phase != Phase::kEnding;
+    return key != group.Key() && mayOrder &&
+           std::ranges::find(other.members, target) != other.members.end();
+  });
+}
+
 /// Fills `members` up to the model's size with free targets of their domain that hold its weights.
 void EngineGroups::AddWarmTargets(const Pass& pass,
                                   const std::string& service,
@@ -292,7 +305,7 @@
   for (std::size_t rank = 1; rank < group.members.size(); ++rank) {
     const TargetRow* row = pass.Row(group.members[rank]);
     const bool isLost = HasFailed(pass, row) || HasRestarted(pass, group, group.members[rank]);
-    if (isLost || !IsConfirmed(pass, *row)) {
+    if (isLost || !IsConfirmed(pass, *row) || IsInAnother(group, group.members[rank])) {
       continue;
     }
     const GroupMembership& membership = row->latest.membership;
@@ -387,7 +400,7 @@
   for (const auto& [instance, row] : pass.input.targets.Rows()) {
     const bool usable = row.latest.service == service && IsConfirmed(pass, row) &&
                         !taken.contains(instance) && !m_slow.IsSlow(instance) &&
-                        !IsTracked(row.latest.membership) && !HasFailed(pass, &row) &&
+                        IsInNoGroup(pass, row) && !HasFailed(pass, &row) &&
                         !m_verifier.IsContested(instance) && !pass.IsEvacuated(row);
     if (!usable) {
       continue;
@@ -573,7 +586,18 @@
 
 Epoch EngineGroups::NextEpoch(const Pass& pass)
 {
-  return Epoch(FormerEpoch(pass).Get() + ++m_formed);
+  return Epoch(FormerEpoch(pass).Get() + kEpochStep * ++m_formed);
+}
+
+bool EngineGroups::IsOwnEpoch(const Pass& pass, Epoch epoch) const
+{
+  const Epoch former = FormerEpoch(pass);
+  return epoch > former && epoch.Get() <= former.Get() + kEpochStep * m_formed + 1;
+}
+
+Epoch EngineGroups::FenceOf(const Pass& pass, const Group& group)
+{
+  return Epoch(std::max(group.epoch, FormerEpoch(pass)).Get() + 1);
 }
 
 Epoch EngineGroups::FormerEpoch(const Pass& pass)
--- a/tests/fakes/fake_fleet.cpp
+++ b/tests/fakes/fake_fleet.cpp
@@ -15,6 +15,7 @@
 constexpr Duration kJoinTime = 200ms;
 constexpr Duration kOpenTime = 300ms;
 constexpr Duration kLoadTime = 2s;
+constexpr Duration kStallTime = 5s;
 constexpr Duration kOrderTimeout = 1500ms;
 constexpr Duration kProbeTimeout = 500ms;
 /// Step time of a head under load.
@@ -222,6 +223,12 @@
              [this, order] { m_groups.OnOrderOutcome(now, order, OrderOutcome::kUnknown); });
     return;
   }
+  if (const auto late = target.lateOrders.find(order.kind); late != target.lateOrders.end()) {
+    Schedule(late->second, [this, order] { CarryLate(order); });
+    Schedule(kOrderTimeout,
+             [this, order] { m_groups.OnOrderOutcome(now, order, OrderOutcome::kUnknown); });
+    return;
+  }
   const OrderOutcome outcome = Carry(target, order);
   if (order.kind != GroupOrderKind::kProbe && target.answersToLose > 0) {
     --target.answersToLose;
@@ -246,6 +253,14 @@
   }
 }
 
+void FakeFleet::CarryLate(const GroupOrder& order)
+{
+  Target& target = m_targets.at(order.target);
+  if (target.isUp && target.self.born == order.born) {
+    Carry(target, order);
+  }
+}
+
 OrderOutcome FakeFleet::Carry(Target& target, const GroupOrder& order)
 {
   CheckWork(target, order);
@@ -272,7 +287,7 @@
       break;
     case GroupOrderKind::kLeave:
       if (isCurrent) {
-        ScheduleBroken(target.members.front());
+        ScheduleBroken(target);
         membership = {};
         Report(target);
       }
@@ -340,18 +355,36 @@
 }
 
 // A head that lacks a member makes no progress, and reports its group as broken after five seconds.
-void FakeFleet::ScheduleBroken(const InstanceId& head)
+void FakeFleet::ScheduleBroken(const Target& formerMember)
 {
-  const Epoch epoch = At(head.Get()).self.membership.epoch;
-  Schedule(5s, [this, head, epoch] {
+  const InstanceId head = formerMember.members.front();
+  const GroupKey key = KeyOf(formerMember.self);
+  Target& stalled = At(head.Get());
+  if (KeyOf(stalled.self) != key) {
+    return;
+  }
+  stalled.stalledSince = stalled.stalledSince.value_or(now);
+  Schedule(kStallTime, [this, head, key] {
     Target& target = At(head.Get());
-    if (target.self.membership.epoch == epoch) {
+    if (KeyOf(target.self) == key && target.stalledSince &&
+        now - *target.stalledSince >= kStallTime) {
       target.self.membership.state = MemberState::Broken;
       Report(target);
     }
   });
 }
 
+void FakeFleet::EndStall(const Target& member)
+{
+  const GroupKey key = KeyOf(member.self);
+  Target& head = At(member.members.front().Get());
+  const bool isComplete = std::ranges::all_of(
+    member.members, [&](const InstanceId& each) { return KeyOf(At(each.Get()).self) == key; });
+  if (isComplete) {
+    head.stalledSince.reset();
+  }
+}
+
 void FakeFleet::Close(Target& target)
 {
   target.self.membership.state = MemberState::Closing;
@@ -366,18 +399,22 @@
 
 void FakeFleet::Join(Target& target, const GroupOrder& order)
 {
-  if (target.self.membership.epoch >= order.epoch) {
+  const bool isJoined = KeyOf(target.self) == GroupKey{ order.group, order.epoch };
+  if (isJoined || order.epoch < target.highestEpoch) {
     return;
   }
+  target.highestEpoch = order.epoch;
   CheckJoin(target, order.group);
   if (!target.self.membership.group.empty() && target.members.front() != order.target) {
-    ScheduleBroken(target.members.front());
+    ScheduleBroken(target);
   }
+  target.stalledSince.reset();
   target.members = order.members;
   const auto rank = std::ranges::find(order.members, order.target) - order.members.begin();
   target.self.membership = {
     order.group, order.epoch, static_cast<std::uint32_t>(rank), MemberState::Joining
   };
+  EndStall(target);
   const bool isWarm =
     HoldsModel(target.self, order.model) || target.self.loadedModel == order.model;
   const Duration load = isWarm ? Duration() : Duration(kLoadTime);
@@ -485,14 +522,16 @@
 {
   Target& target = At(name);
   if (!target.members.empty()) {
-    ScheduleBroken(target.members.front());
+    ScheduleBroken(target);
   }
+  target.stalledSince.reset();
   target.self.born = Incarnation(target.self.born.Get() + 1);
   target.self.sequence = 0;
   target.self.membership = {};
   target.self.loadedModel.clear();
   target.self.stagedModels.clear();
   target.members.clear();
+  target.highestEpoch = {};
   target.isLoading = false;
   target.isUp = true;
   Report(target);
--- a/tests/fakes/fake_fleet.hpp
+++ b/tests/fakes/fake_fleet.hpp
@@ -4,6 +4,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -26,12 +27,16 @@
     bool isListening = true;
     TimePoint pausedUntil{}; ///< Until then it reports nothing and executes no orders.
     Duration openDelay{}; ///< If not zero, orders to open get no answer and are executed after it.
-    Duration reportLag{}; ///< Time until its heartbeats reach control.
+    /// \brief Orders of these kinds get no answer and are executed after the given time.
+    std::map<GroupOrderKind, Duration> lateOrders;
+    Duration reportLag{};          ///< Time until its heartbeats reach control.
     std::size_t answersToLose = 0; ///< Of orders that it executes; they get no answer.
     double pace = 1;               ///< Factor on its step time; above 1 is slower.
     Duration drainTime{};   ///< Time until its running work has ended after an order to close.
     bool isLoading = false; ///< Its host loads weights and refuses other loads until it is done.
-    std::vector<InstanceId> members; ///< Members of its group, the head first.
+    std::vector<InstanceId> members;       ///< Members of its group, the head first.
+    std::optional<TimePoint> stalledSince; ///< While it heads a group that lacks a member.
+    Epoch highestEpoch;                    ///< That it was ordered to join in this incarnation.
     TimePoint nextReportAt{};
     std::set<GroupKey> wasReadyIn;
   };
@@ -94,10 +99,13 @@
   [[nodiscard]] std::map<InstanceId, Duration> ListSteps() const;
   void Execute(const GroupOrder& order);
   void ExecuteAfterPause(const Target& target, const GroupOrder& order);
+  void CarryLate(const GroupOrder& order);
   OrderOutcome Carry(Target& target, const GroupOrder& order);
   [[nodiscard]] const Target* FindSuccessorAtAddress(const Target& target) const;
   void Open(Target& target, const GroupOrder& order);
-  void ScheduleBroken(const InstanceId& head);
+  void ScheduleBroken(const Target& formerMember);
+  /// \brief A member that joins again ends the stall of its head.
+  void EndStall(const Target& member);
   void Close(Target& target);
   void Join(Target& target, const GroupOrder& order);
   void Load(Target& target, const std::string& model);
--- a/tests/unit/engine_groups_safety_test.cpp
+++ b/tests/unit/engine_groups_safety_test.cpp
@@ -185,7 +185,7 @@
     late.membership = reportsNoGroup ? GroupMembership() : late.membership;
     fleet.RestartAsNewInstance(former, "newcomer");
     // The demand exceeds the capacity of all targets, so that the newcomer is used.
-    fleet.demand["small"] = { 300, 300 * 714.0, 300 * 146.0 };
+    fleet.demand["small"] = { 400, 400 * 714.0, 400 * 146.0 };
     fleet.Run(25s);
     ASSERT_FALSE(fleet.At("newcomer").members.empty());
     const InstanceId head = fleet.At("newcomer").members.front();
