--- a/include/gooseberrysail/control/document_service.hpp
+++ b/include/gooseberrysail/control/document_service.hpp
@@ -48,6 +48,10 @@
     ReadTicket ticket;
   };
 
+  static void Refuse(ControlContext& context,
+                     ExchangeId exchange,
+                     const Error& error,
+                     const Respond& respond);
   [[nodiscard]] bool TryAnswer(ControlContext& context,
                                const Put& put,
                                const Respond& respond) const;
--- a/include/gooseberrysail/serving/document.hpp
+++ b/include/gooseberrysail/serving/document.hpp
@@ -46,7 +46,7 @@
 struct HttpRoute
 {
   std::string name;
-  std::string host;       ///< Lower case, without port.
+  std::string host;       ///< As written; see ReadHostName().
   std::string pathPrefix; ///< Begins and ends with '/'.
   RepeatPolicy repeat = RepeatPolicy::kAtMostOnce;
   Duration timeout{};         ///< Maximum time until the answer is complete.
@@ -136,4 +136,10 @@
 /// one host and prefix, weights that add up to 0, a timeout of 0, a key of two workspaces.
 [[nodiscard]] Result<void> ValidateDocument(const ServingDocument& document);
 
+/// \brief Checks what a document must fulfil to be accepted, but not to be loaded again: the log
+/// may contain documents that were accepted by earlier versions. \returns kInvalid, naming the
+/// offending part: a host that can't be read, two routes with one prefix and two spellings of one
+/// host.
+[[nodiscard]] Result<void> ValidateNewDocument(const ServingDocument& document);
+
 } // namespace gooseberrysail
--- a/include/gooseberrysail/serving/route_index.hpp
+++ b/include/gooseberrysail/serving/route_index.hpp
@@ -19,7 +19,7 @@
   explicit RouteIndex(ServingDocument document);
 
   /// \brief The route of `host` with the longest matching path prefix; null when there is none.
-  /// \param host Value of the Host header; port and letter case are ignored.
+  /// \param host Value of the Host header; see ReadHostName().
   /// \param target Path and query.
   [[nodiscard]] const HttpRoute* Match(std::string_view host, std::string_view target) const;
 
@@ -48,6 +48,8 @@
   template<class Value>
   using TextMap = std::unordered_map<std::string, Value, TextHash, std::equal_to<>>;
 
+  void AddRoute(std::size_t row);
+
   ServingDocument m_document;
   TextMap<TextMap<std::size_t>> m_routes; ///< Index of the route by host, then by path prefix.
   TextMap<std::size_t> m_keys;
--- a/src/control/document_service.cpp
+++ b/src/control/document_service.cpp
@@ -36,8 +36,14 @@
 {
   const Result<ServingDocument> document = read(text);
   if (!document) {
-    context.outbox.emplace_back(RefusedEvent(0, document.error().description));
-    respond(exchange, { OutsideStatus::kInvalid, {}, document.error().description, {}, {} });
+    Refuse(context, exchange, document.error(), respond);
+    return;
+  }
+  // The stored document may be one that an earlier version accepted, sent again.
+  const StoredDocument& stored = context.state.GetDocument();
+  const bool isStored = stored.version == document.value().version && IsSame(stored.text, text);
+  if (const Result<void> valid = ValidateNewDocument(document.value()); !isStored && !valid) {
+    Refuse(context, exchange, valid.error(), respond);
     return;
   }
   Put put{ exchange, document.value().version, std::move(text), context.now };
@@ -59,6 +65,15 @@
   m_puts.push_back(std::move(put));
 }
 
+void DocumentService::Refuse(ControlContext& context,
+                             ExchangeId exchange,
+                             const Error& error,
+                             const Respond& respond)
+{
+  context.outbox.emplace_back(RefusedEvent(0, error.description));
+  respond(exchange, { OutsideStatus::kInvalid, {}, error.description, {}, {} });
+}
+
 // An applied document is committed: a majority has synced it to disk, so it survives every failure
 // that the installation tolerates. The applied state alone is enough to acknowledge it.
 bool DocumentService::TryAnswer(ControlContext& context,
--- a/src/serving/document.cpp
+++ b/src/serving/document.cpp
@@ -1,5 +1,7 @@
 #include "gooseberrysail/serving/document.hpp"
 
+#include "gooseberrysail/serving/host_name.hpp"
+
 #include <algorithm>
 #include <set>
 #include <unordered_map>
@@ -69,6 +71,23 @@
   return outcome::success();
 }
 
+Result<void> CheckHosts(const ServingDocument& document)
+{
+  std::set<std::pair<std::string, std::string_view>> hostPrefixes;
+  for (const HttpRoute& route : document.routes) {
+    std::optional<std::string> host = ReadHostName(route.host);
+    if (!host) {
+      return Invalid("route '" + route.name + "': its host '" + route.host +
+                     "' is no host name or address");
+    }
+    if (!hostPrefixes.emplace(std::move(*host), route.pathPrefix).second) {
+      return Invalid("route '" + route.name +
+                     "' has the host, spelled differently, and the prefix of another route");
+    }
+  }
+  return outcome::success();
+}
+
 Result<void> CheckWorkspaces(const ServingDocument& document)
 {
   std::unordered_map<std::string_view, std::string_view> owners;
@@ -103,4 +122,9 @@
   return CheckWorkspaces(document);
 }
 
+Result<void> ValidateNewDocument(const ServingDocument& document)
+{
+  return CheckHosts(document);
+}
+
 } // namespace gooseberrysail
--- a/src/serving/route_index.cpp
+++ b/src/serving/route_index.cpp
@@ -1,28 +1,14 @@
 #include "gooseberrysail/serving/route_index.hpp"
 
-#include <algorithm>
-#include <cctype>
+#include "gooseberrysail/serving/host_name.hpp"
 
 namespace gooseberrysail {
 
-namespace {
-
-std::string ToHostName(std::string_view header)
-{
-  std::string name(header.substr(0, header.find(':')));
-  std::ranges::transform(
-    name, name.begin(), [](unsigned char letter) { return std::tolower(letter); });
-  return name;
-}
-
-} // namespace
-
 RouteIndex::RouteIndex(ServingDocument document)
   : m_document(std::move(document))
 {
   for (std::size_t row = 0; row < m_document.routes.size(); ++row) {
-    const HttpRoute& route = m_document.routes[row];
-    m_routes[route.host].emplace(route.pathPrefix, row);
+    AddRoute(row);
   }
   for (std::size_t row = 0; row < m_document.workspaces.size(); ++row) {
     for (const std::string& key : m_document.workspaces[row].keys) {
@@ -43,9 +29,25 @@
   }
 }
 
+// Documents of earlier versions may have hosts that can't be read, and several spellings of one
+// host. Then the normal spelling counts, which was the one that matched.
+void RouteIndex::AddRoute(std::size_t row)
+{
+  const HttpRoute& route = m_document.routes[row];
+  const std::optional<std::string> host = ReadHostName(route.host);
+  if (!host) {
+    return;
+  }
+  const auto [found, isNew] = m_routes[*host].emplace(route.pathPrefix, row);
+  if (!isNew && *host == route.host) {
+    found->second = row;
+  }
+}
+
 const HttpRoute* RouteIndex::Match(std::string_view host, std::string_view target) const
 {
-  const auto routes = m_routes.find(ToHostName(host));
+  const std::optional<std::string> name = ReadHostName(host);
+  const auto routes = name ? m_routes.find(*name) : m_routes.end();
   if (routes == m_routes.end()) {
     return nullptr;
   }
