--- a/src/http/http_call.cpp
+++ b/src/http/http_call.cpp
@@ -32,6 +32,7 @@
 /// No request asks for it, and what follows it is not HTTP.
 constexpr unsigned kSwitchingProtocols = 101;
 constexpr unsigned kFirstFinalStatus = 200;
+constexpr unsigned kLastStatus = 599;
 
 std::uint64_t HashOf(std::string_view id)
 {
@@ -83,7 +84,7 @@
 std::string_view DefectOf(const Parser& parser, bool acceptCloseDelimited)
 {
   const unsigned status = parser.get().result_int();
-  if (status < kFirstFinalStatus) {
+  if (status < kFirstFinalStatus || status > kLastStatus) {
     return "its status is not that of an answer";
   }
   if (!HasReadableCoding(parser.get())) {
