--- a/include/gooseberrysail/serving/document.hpp
+++ b/include/gooseberrysail/serving/document.hpp
@@ -47,7 +47,7 @@
 {
   std::string name;
   std::string host;       ///< As written; see ReadHostName().
-  std::string pathPrefix; ///< Begins and ends with '/'.
+  std::string pathPrefix; ///< As written; begins and ends with '/'. See ReadUrlPath().
   RepeatPolicy repeat = RepeatPolicy::kAtMostOnce;
   Duration timeout{};         ///< Maximum time until the answer is complete.
   Duration objective{};       ///< Time to the first part of the answer that counts as on time.
@@ -136,10 +136,10 @@
 /// one host and prefix, weights that add up to 0, a timeout of 0, a key of two workspaces.
 [[nodiscard]] Result<void> ValidateDocument(const ServingDocument& document);
 
-/// \brief Checks what a document must fulfil to be accepted, but not to be loaded again: the log
-/// may contain documents that were accepted by earlier versions. \returns kInvalid, naming the
-/// offending part: a host that can't be read, two routes with one prefix and two spellings of one
-/// host.
+/// \brief Checks what a new document must fulfil besides. A stored one may have been accepted by an
+/// earlier version without it.
+/// \returns kInvalid, naming the offending part: a host or a prefix that no request can have, two
+/// routes with two spellings of one host and prefix.
 [[nodiscard]] Result<void> ValidateNewDocument(const ServingDocument& document);
 
 } // namespace gooseberrysail
--- a/src/serving/document.cpp
+++ b/src/serving/document.cpp
@@ -1,6 +1,7 @@
 #include "gooseberrysail/serving/document.hpp"
 
 #include "gooseberrysail/serving/host_name.hpp"
+#include "gooseberrysail/serving/url_path.hpp"
 
 #include <algorithm>
 #include <set>
@@ -71,18 +72,23 @@
   return outcome::success();
 }
 
-Result<void> CheckHosts(const ServingDocument& document)
+Result<void> CheckPlaces(const ServingDocument& document)
 {
-  std::set<std::pair<std::string, std::string_view>> hostPrefixes;
+  std::set<std::pair<std::string, std::string>> places;
   for (const HttpRoute& route : document.routes) {
     std::optional<std::string> host = ReadHostName(route.host);
     if (!host) {
       return Invalid("route '" + route.name + "': its host '" + route.host +
                      "' is no host name or address");
     }
-    if (!hostPrefixes.emplace(std::move(*host), route.pathPrefix).second) {
+    std::optional<std::string> prefix = ReadUrlPath(route.pathPrefix);
+    if (!prefix) {
+      return Invalid("route '" + route.name + "': its prefix '" + route.pathPrefix +
+                     "' can't be the path of a request");
+    }
+    if (!places.emplace(std::move(*host), std::move(*prefix)).second) {
       return Invalid("route '" + route.name +
-                     "' has the host, spelled differently, and the prefix of another route");
+                     "' has the host and prefix of another route, spelled differently");
     }
   }
   return outcome::success();
@@ -124,7 +130,7 @@
 
 Result<void> ValidateNewDocument(const ServingDocument& document)
 {
-  return CheckHosts(document);
+  return CheckPlaces(document);
 }
 
 } // namespace gooseberrysail
--- a/src/serving/route_index.cpp
+++ b/src/serving/route_index.cpp
@@ -1,6 +1,7 @@
 #include "gooseberrysail/serving/route_index.hpp"
 
 #include "gooseberrysail/serving/host_name.hpp"
+#include "gooseberrysail/serving/url_path.hpp"
 
 namespace gooseberrysail {
 
@@ -29,8 +30,8 @@
   }
 }
 
-// Documents of earlier versions may have hosts that can't be read, and several spellings of one
-// host. Then the normal spelling counts, which was the one that matched.
+// Documents of earlier versions may have hosts and prefixes that can't be read, and several
+// spellings of one. Then the normal spelling counts, which was the one that matched.
 void RouteIndex::AddRoute(std::size_t row)
 {
   const HttpRoute& route = m_document.routes[row];
@@ -38,8 +39,9 @@
   if (!host) {
     return;
   }
-  const auto [found, isNew] = m_routes[*host].emplace(route.pathPrefix, row);
-  if (!isNew && *host == route.host) {
+  const std::string prefix = ReadUrlPath(route.pathPrefix).value_or(route.pathPrefix);
+  const auto [found, isNew] = m_routes[*host].emplace(prefix, row);
+  if (!isNew && *host == route.host && prefix == route.pathPrefix) {
     found->second = row;
   }
 }
@@ -53,6 +55,11 @@
   }
   // Prefixes end with a slash, so that each slash of the path ends one candidate; longest first.
   std::string_view path = target.substr(0, target.find('?'));
+  std::optional<std::string> normalPath;
+  if (path.find('%') != std::string_view::npos) {
+    normalPath = ReadUrlPath(path);
+    path = normalPath ? std::string_view(*normalPath) : path;
+  }
   while (!path.empty()) {
     const std::size_t slash = path.rfind('/');
     if (slash == std::string_view::npos) {
--- a/tests/unit/route_hosts_test.cpp
+++ b/tests/unit/route_hosts_test.cpp
@@ -211,5 +211,64 @@
   }
 }
 
+std::string ConfigOfPrefixes(std::uint64_t version, const std::vector<std::string>& prefixes)
+{
+  boost::json::array routes;
+  for (const std::string& prefix : prefixes) {
+    boost::json::object route = Route("r" + std::to_string(routes.size()), "depot.example");
+    route["pathPrefix"] = prefix;
+    routes.push_back(route);
+  }
+  return boost::json::serialize(boost::json::object{
+    { "version", version }, { "routes", routes }, { "services", { { { "name", "registry" } } } } });
+}
+
+bool IsPathServed(const std::string& config, std::string_view path)
+{
+  const Result<ServingDocument> document = platform::ReadConfig(config);
+  return document && RouteIndex(document.value()).Match("depot.example", path) != nullptr;
+}
+
+// Guards against a prefix that is acknowledged and not served, as a request may write the same
+// segments with other percent-encodings.
+TEST(RoutePrefixes, AllEncodingsNameOnePath)
+{
+  Operators operators;
+  std::uint64_t version = 0;
+  const std::vector<std::vector<std::string>> samePaths{
+    { "/caf%C3%A9/", "/caf%c3%a9/" },
+    { "/depot/", "/%64epot/", "/dep%6Ft/" },
+    { "/a%20b/", "/a%20%62/" },
+    { "/a%2Fb/", "/a%2fb/" },
+    { "/a%25b/" },
+  };
+  for (const std::vector<std::string>& spellings : samePaths) {
+    for (const std::string& written : spellings) {
+      const std::string config = ConfigOfPrefixes(++version, { written });
+      EXPECT_EQ(operators.Put(config), kOk) << written;
+      for (const std::string& asked : spellings) {
+        EXPECT_TRUE(IsPathServed(config, asked + "7?x=%zz")) << written << " " << asked;
+      }
+    }
+    if (spellings.size() > 1) {
+      EXPECT_EQ(operators.Put(ConfigOfPrefixes(++version, { spellings[0], spellings[1] })),
+                kInvalid);
+    }
+  }
+  EXPECT_FALSE(IsPathServed(ConfigOfPrefixes(1, { "/a/b/" }), "/a%2Fb/7"));
+  EXPECT_FALSE(IsPathServed(ConfigOfPrefixes(1, { "/a/" }), "/%zz/a/7"));
+}
+
+// Guards against a change that is acknowledged and can never be served.
+TEST(RoutePrefixes, APrefixThatNoRequestCanHaveIsRefused)
+{
+  Operators operators;
+  std::uint64_t version = 0;
+  for (const char* prefix :
+       { "/a b/", "/a?b/", "/a#b/", "/a%zz/", "/a%2/", "/caf\xc3\xa9/", "/a\n/" }) {
+    EXPECT_EQ(operators.Put(ConfigOfPrefixes(++version, { prefix })), kInvalid) << prefix;
+  }
+}
+
 } // namespace
 } // namespace gooseberrysail::test
