--- a/include/gooseberrysail/serving/document.hpp
+++ b/include/gooseberrysail/serving/document.hpp
@@ -138,8 +138,8 @@
 
 /// \brief Checks what a new document must fulfil besides. A stored one may have been accepted by an
 /// earlier version without it.
-/// \returns kInvalid, naming the offending part: a host or a prefix that no request can have, two
-/// routes with two spellings of one host and prefix.
+/// \returns kInvalid, naming the offending part: a host, a prefix or a key that no request can
+/// have, two routes with two spellings of one host and prefix.
 [[nodiscard]] Result<void> ValidateNewDocument(const ServingDocument& document);
 
 } // namespace gooseberrysail
--- a/src/serving/document.cpp
+++ b/src/serving/document.cpp
@@ -94,6 +94,24 @@
   return outcome::success();
 }
 
+/// Whether the credentials of a request can consist of the key.
+bool IsSendable(std::string_view key)
+{
+  const auto isControl = [](unsigned char letter) { return letter < ' ' || letter == 0x7f; };
+  return !key.empty() && key.front() != ' ' && key.back() != ' ' &&
+         std::ranges::none_of(key, isControl);
+}
+
+Result<void> CheckKeys(const ServingDocument& document)
+{
+  for (const ServingWorkspace& workspace : document.workspaces) {
+    if (!std::ranges::all_of(workspace.keys, IsSendable)) {
+      return Invalid("workspace '" + workspace.name + "' has a key that no request can have");
+    }
+  }
+  return outcome::success();
+}
+
 Result<void> CheckWorkspaces(const ServingDocument& document)
 {
   std::unordered_map<std::string_view, std::string_view> owners;
@@ -130,7 +148,8 @@
 
 Result<void> ValidateNewDocument(const ServingDocument& document)
 {
-  return CheckPlaces(document);
+  BOOST_OUTCOME_TRY(CheckPlaces(document));
+  return CheckKeys(document);
 }
 
 } // namespace gooseberrysail
--- a/src/serving/route_index.cpp
+++ b/src/serving/route_index.cpp
@@ -13,7 +13,9 @@
   }
   for (std::size_t row = 0; row < m_document.workspaces.size(); ++row) {
     for (const std::string& key : m_document.workspaces[row].keys) {
-      m_keys.emplace(key, row);
+      if (!key.empty()) { // A request without a key has the empty one.
+        m_keys.emplace(key, row);
+      }
     }
   }
   for (std::size_t row = 0; row < m_document.services.size(); ++row) {
--- a/tests/unit/route_hosts_test.cpp
+++ b/tests/unit/route_hosts_test.cpp
@@ -1,5 +1,6 @@
 #include "gooseberrysail/serving/route_index.hpp"
 #include "platform/control_adapter.hpp"
+#include "platform/gateway_adapter.hpp"
 #include "platform/operator_config.hpp"
 #include "support/control_cluster.hpp"
 #include "support/section.hpp"
@@ -270,5 +271,60 @@
   }
 }
 
+std::string ConfigOfKeys(std::uint64_t version, const boost::json::array& keys)
+{
+  return boost::json::serialize(
+    boost::json::object{ { "version", version },
+                         { "routes", { Route("r0", "depot.example") } },
+                         { "services", { { { "name", "registry" } } } },
+                         { "tenants", { { { "name", "parish" }, { "apiKeys", keys } } } } });
+}
+
+/// \brief The workspace of a request with these credentials; "" for none.
+std::string WorkspaceOf(const std::string& config, const std::string& authorization)
+{
+  HttpRequestIn request;
+  request.headers = { { "X-Request-Id", "r1" } };
+  if (!authorization.empty()) {
+    request.headers.push_back({ "Authorization", authorization });
+  }
+  const RouteIndex index(platform::ReadConfig(config).value());
+  const std::string key = platform::MakeGatewayApi().decodeCall(request).value().key;
+  const ServingWorkspace* workspace = index.FindByKey(key);
+  return workspace == nullptr ? "" : workspace->name;
+}
+
+// Guards against a key that is acknowledged and refused, as its request writes the scheme of the
+// credentials in another case or with more spaces.
+TEST(RouteKeys, AreFoundHoweverTheSchemeIsWritten)
+{
+  const std::string config = ConfigOfKeys(1, { "Key-1" });
+  for (const char* value : { "Bearer Key-1", "bearer Key-1", "BEARER Key-1", "Bearer  Key-1" }) {
+    EXPECT_EQ(WorkspaceOf(config, value), "parish") << value;
+  }
+  for (const char* value : { "", "Bearer", "Bearer ", "Bearer key-1", "Basic Key-1", "Key-1" }) {
+    EXPECT_EQ(WorkspaceOf(config, value), "") << value;
+  }
+}
+
+// Guards against a workspace that every request without a key belongs to, and against keys that
+// are acknowledged and can't be sent.
+TEST(RouteKeys, AKeyThatNoRequestCanHaveIsRefused)
+{
+  Operators operators;
+  std::uint64_t version = 0;
+  for (const boost::json::string& key : { boost::json::string(""),
+                                          boost::json::string(" k"),
+                                          boost::json::string("k "),
+                                          boost::json::string("a\nb"),
+                                          boost::json::string("a\0b", 3) }) {
+    EXPECT_EQ(operators.Put(ConfigOfKeys(++version, { key })), kInvalid) << key;
+  }
+  SECTION("in a stored document an empty key is nobody's")
+  {
+    EXPECT_EQ(WorkspaceOf(ConfigOfKeys(1, { "" }), ""), "");
+  }
+}
+
 } // namespace
 } // namespace gooseberrysail::test
