--- a/include/gooseberrysail/control/engine_groups.hpp
+++ b/include/gooseberrysail/control/engine_groups.hpp
@@ -222,7 +222,7 @@
   void StartStage(Pass& pass, const PlannedStage& planned);
   void StartStandby(Pass& pass, const PlannedStandby& planned);
   [[nodiscard]] Epoch NextEpoch(const Pass& pass);
-  /// \brief An epoch above all that the group's head may still be ordered to join.
+  /// \brief An epoch above all that members of the group may still carry out orders to join.
   [[nodiscard]] static Epoch FenceOf(const Pass& pass, const Group& group);
   /// \brief The highest epoch that an earlier leader can have used.
   [[nodiscard]] static Epoch FormerEpoch(const Pass& pass);
@@ -320,6 +320,7 @@
   [[nodiscard]] static bool IsPast(const Group& group, const TargetRow* row);
   /// \brief The head lacked a member for so long that it has broken, if it was open.
   [[nodiscard]] bool HasStoodStill(const Pass& pass, const Group& group) const;
+  /// \brief Orders the head to close, and to leave for good if it may open late.
   void OrderHeadOut(Pass& pass, Group& group);
   /// \brief Orders a member to leave for good.
   void OrderOut(Pass& pass, Group& group, const InstanceId& member);
--- a/src/control/engine_groups.cpp
+++ b/src/control/engine_groups.cpp
@@ -408,8 +408,9 @@
     return;
   }
   Group& group = found->second;
-  if (order.kind == GroupOrderKind::kJoin && outcome != OrderOutcome::kUnknown) {
-    --group.joinsUnanswered[order.target];
+  std::uint32_t& joins = group.joinsUnanswered[order.target];
+  if (order.kind == GroupOrderKind::kJoin && outcome != OrderOutcome::kUnknown && joins > 0) {
+    --joins; // The order may be of a group of this key that was dropped and adopted again.
   }
   if (group.members.front() != order.target) {
     return;
