--- a/src/control/engine_groups_learning.cpp
+++ b/src/control/engine_groups_learning.cpp
@@ -21,8 +21,9 @@
   for (const auto& [instance, row] : pass.input.targets.Rows()) {
     const GroupMembership& membership = row.latest.membership;
     const GroupKey key{ membership.group, membership.epoch };
-    const bool isStandby = membership.group.starts_with(impl::kStandbyPrefix);
-    if (membership.group.empty() || isStandby || HasReleasedMembership(pass, row)) {
+    const bool isAlone =
+      membership.group.starts_with(impl::kStandbyPrefix) || impl::IsFence(membership);
+    if (membership.group.empty() || isAlone || HasReleasedMembership(pass, row)) {
       continue;
     }
     const auto [found, fresh] = m_groups.try_emplace(key);
@@ -63,6 +64,9 @@
 bool EngineGroups::IsInNoGroup(const Pass& pass, const TargetRow& row) const
 {
   const GroupMembership& membership = row.latest.membership;
+  if (impl::IsFence(membership)) {
+    return membership.state == MemberState::Ready; // Its weights are known then.
+  }
   return membership.group.empty() || membership.group.starts_with(impl::kStandbyPrefix) ||
          (!IsTracked(membership) && IsCertainlyReleased(pass, membership));
 }
--- a/src/control/engine_groups_pass.hpp
+++ b/src/control/engine_groups_pass.hpp
@@ -3,6 +3,7 @@
 #include "gooseberrysail/control/engine_groups.hpp"
 
 #include <algorithm>
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -46,6 +47,17 @@
 /// Name prefix of the groups of one standby target that holds weights; they are never opened.
 inline const std::string kStandbyPrefix = "standby-";
 
+/// The epochs of groups are even, and the one after each is its fence: an epoch of single targets,
+/// which is never opened.
+constexpr std::uint64_t kEpochStep = 2;
+
+[[nodiscard]] inline bool IsFence(const GroupMembership& membership) noexcept
+{
+  return membership.epoch.Get() % kEpochStep != 0 && membership.rank == 0 &&
+         (membership.state == wire::MemberState::Joining ||
+          membership.state == wire::MemberState::Ready);
+}
+
 [[nodiscard]] inline bool Reports(const TargetRow* row, const std::string& group, Epoch epoch)
 {
   return row != nullptr && row->latest.membership.group == group &&
--- a/src/control/engine_groups_planning.cpp
+++ b/src/control/engine_groups_planning.cpp
@@ -39,8 +39,6 @@
 constexpr Duration kDemandSettleTime = 3s;
 /// Interval at which a model's shortage of groups is reported.
 constexpr Duration kShortageReportInterval = 1s;
-/// The epoch after each that is assigned to a group is its fence.
-constexpr std::uint64_t kEpochStep = 2;
 /// The number of epochs reserved for each term.
 constexpr std::uint64_t kEpochsPerTerm = 1ULL << 20U;
 
@@ -586,13 +584,13 @@
 
 Epoch EngineGroups::NextEpoch(const Pass& pass)
 {
-  return Epoch(FormerEpoch(pass).Get() + kEpochStep * ++m_formed);
+  return Epoch(FormerEpoch(pass).Get() + impl::kEpochStep * ++m_formed);
 }
 
 bool EngineGroups::IsOwnEpoch(const Pass& pass, Epoch epoch) const
 {
   const Epoch former = FormerEpoch(pass);
-  return epoch > former && epoch.Get() <= former.Get() + kEpochStep * m_formed + 1;
+  return epoch > former && epoch.Get() <= former.Get() + impl::kEpochStep * m_formed + 1;
 }
 
 Epoch EngineGroups::FenceOf(const Pass& pass, const Group& group)
