--- a/include/gooseberrysail/control/engine_groups.hpp
+++ b/include/gooseberrysail/control/engine_groups.hpp
@@ -298,7 +298,7 @@
   /// \brief The target was heard recently and says that it is in the group.
   [[nodiscard]] bool IsHeardMember(const Pass& pass,
                                    const Group& group,
-                                   const InstanceId& member) const;
+                                   const TargetRow* row) const;
   /// \brief The target's latest report names a group that was released, and does not make the
   /// leader adopt it again.
   [[nodiscard]] bool HasReleasedMembership(const Pass& pass, const TargetRow& row) const;
@@ -333,6 +333,8 @@
                                     Group& group,
                                     const InstanceId& target,
                                     GroupOrderKind kind);
+  /// \brief Continues a group in a later epoch; only its head stays in this one.
+  void StartSuccessor(Pass& pass, Group& group, Group successor);
   /// \brief Continues a group that an earlier leader was forming, in an epoch of this leader.
   void Renew(Pass& pass, Group& group);
   /// \brief All members are known, confirmed and in no other group.
--- a/src/control/engine_groups.cpp
+++ b/src/control/engine_groups.cpp
@@ -404,13 +404,18 @@
   }
   const auto found = m_groups.find({ order.group, order.epoch });
   if (found == m_groups.end()) {
-    RecordFenceOutcome(order, outcome);
+    if (order.kind == GroupOrderKind::kJoin) {
+      RecordFenceOutcome(order, outcome);
+    }
     return;
   }
   Group& group = found->second;
-  std::uint32_t& joins = group.joinsUnanswered[order.target];
-  if (order.kind == GroupOrderKind::kJoin && outcome != OrderOutcome::kUnknown && joins > 0) {
-    --joins; // The order may be of a group of this key that was dropped and adopted again.
+  const auto joins = group.joinsUnanswered.find(order.target);
+  const bool isAnsweredJoin =
+    order.kind == GroupOrderKind::kJoin && outcome != OrderOutcome::kUnknown;
+  // The order may be of a group of this key that was dropped and adopted again.
+  if (isAnsweredJoin && joins != group.joinsUnanswered.end() && joins->second > 0) {
+    --joins->second;
   }
   if (group.members.front() != order.target) {
     return;
--- a/src/control/engine_groups_ending.cpp
+++ b/src/control/engine_groups_ending.cpp
@@ -28,7 +28,8 @@
     return;
   }
   const InstanceId& head = group.members.front();
-  if (HasStoodStill(pass, group) && !IsHeardMember(pass, group, head)) {
+  const TargetRow* row = pass.Row(head);
+  if (HasStoodStill(pass, group) && !IsHeardMember(pass, group, row)) {
     ReportReleased(pass, group, "none: its head was stalled, and may open late");
     pass.unreachable.push_back(group.Key());
     return;
@@ -36,7 +37,6 @@
   if (IsMemberOfSuccessor(group, head)) {
     return; // It leaves this epoch for the next one.
   }
-  const TargetRow* row = pass.Row(head);
   const bool isOver =
     row != nullptr && (m_verifier.IsReplaced(*row) || HasRestarted(pass, group, head));
   if (isOver) {
@@ -63,7 +63,7 @@
   // The head is unreachable but may still serve: a network fault can separate it from control and
   // from all entries. Without its members it stalls and eventually becomes broken.
   for (const auto& [instance, member] : pass.input.targets.Rows()) {
-    if (instance != head && IsHeardMember(pass, group, instance) &&
+    if (instance != head && IsHeardMember(pass, group, &member) &&
         !IsMemberOfSuccessor(group, instance)) {
       OrderOut(pass, group, instance);
     }
@@ -129,8 +129,7 @@
 void EngineGroups::RecordFenceOutcome(const GroupOrder& order, OrderOutcome outcome)
 {
   for (auto& [key, group] : m_groups) {
-    const bool isFence = order.kind == GroupOrderKind::kJoin && group.name == order.group &&
-                         group.fence == order.epoch;
+    const bool isFence = group.name == order.group && group.fence == order.epoch;
     if (isFence && outcome == OrderOutcome::kRefused) {
       group.refusedFence.insert(order.target);
     }
@@ -170,15 +169,12 @@
 {
   return std::ranges::any_of(pass.input.targets.Rows(), [&](const auto& row) {
     return row.first != group.members.front() && !row.second.latest.left &&
-           IsHeardMember(pass, group, row.first);
+           IsHeardMember(pass, group, &row.second);
   });
 }
 
-bool EngineGroups::IsHeardMember(const Pass& pass,
-                                 const Group& group,
-                                 const InstanceId& member) const
+bool EngineGroups::IsHeardMember(const Pass& pass, const Group& group, const TargetRow* row) const
 {
-  const TargetRow* row = pass.Row(member);
   return Reports(row, group.name, group.epoch) && !m_verifier.IsReplaced(*row) &&
          pass.input.now - row->lastSeenAt <= m_settings.SilenceTimeout();
 }
--- a/src/control/engine_groups_learning.cpp
+++ b/src/control/engine_groups_learning.cpp
@@ -149,12 +149,8 @@
 {
   Group next = MakeGroup(pass, group.service, { group.model, group.members, 0 });
   next.name = group.name;
-  ReportFormed(pass, next, 0);
-  group.successors.assign(group.members.begin() + 1, group.members.end());
-  group.members.resize(1);
   End(pass, group, "it continues in an epoch of this leader");
-  const GroupKey key = next.Key();
-  AdvanceJoining(pass, m_groups.emplace(key, std::move(next)).first->second);
+  StartSuccessor(pass, group, std::move(next));
 }
 
 // A restarted target has neither the weights that its former incarnation was ordered to load nor
--- a/src/control/engine_groups_planning.cpp
+++ b/src/control/engine_groups_planning.cpp
@@ -202,16 +202,21 @@
       continue;
     }
     if (std::optional<Group> made = MakeSuccessor(pass, service, group)) {
-      // The former head stays reserved until it certainly takes no work; the others are reassigned.
-      group.successors.assign(group.members.begin() + 1, group.members.end());
-      group.members.resize(1);
-      ReportFormed(pass, *made, 0);
-      const GroupKey next = made->Key();
-      AdvanceJoining(pass, m_groups.emplace(next, std::move(*made)).first->second);
+      StartSuccessor(pass, group, std::move(*made));
     }
   }
 }
 
+// The former head stays reserved until it certainly takes no work; the others are reassigned.
+void EngineGroups::StartSuccessor(Pass& pass, Group& group, Group successor)
+{
+  group.successors.assign(group.members.begin() + 1, group.members.end());
+  group.members.resize(1);
+  ReportFormed(pass, successor, 0);
+  const GroupKey key = successor.Key();
+  AdvanceJoining(pass, m_groups.emplace(key, std::move(successor)).first->second);
+}
+
 // A successor that is not needed would take warm targets from a model that lacks them.
 bool EngineGroups::LacksGroups(const Pass& pass,
                                const ServiceDefinition& service,
--- a/src/serving/host_name.cpp
+++ b/src/serving/host_name.cpp
@@ -52,10 +52,7 @@
 std::optional<std::string> ReadHostName(std::string_view text)
 {
   const auto authority = urls::parse_authority(urls::string_view(text.data(), text.size()));
-  if (!authority || authority->has_userinfo()) {
-    return std::nullopt;
-  }
-  if (!IsPort(authority->port())) {
+  if (!authority || authority->has_userinfo() || !IsPort(authority->port())) {
     return std::nullopt;
   }
   switch (authority->host_type()) {
--- a/tests/unit/route_hosts_test.cpp
+++ b/tests/unit/route_hosts_test.cpp
@@ -23,14 +23,19 @@
            { "public", true } };
 }
 
+std::string ConfigOf(std::uint64_t version, const boost::json::array& routes)
+{
+  return boost::json::serialize(boost::json::object{
+    { "version", version }, { "routes", routes }, { "services", { { { "name", "registry" } } } } });
+}
+
 std::string Config(std::uint64_t version, const std::vector<std::string>& hosts)
 {
   boost::json::array routes;
   for (const std::string& host : hosts) {
     routes.push_back(Route("r" + std::to_string(routes.size()), host));
   }
-  return boost::json::serialize(boost::json::object{
-    { "version", version }, { "routes", routes }, { "services", { { { "name", "registry" } } } } });
+  return ConfigOf(version, routes);
 }
 
 /// \brief One control process, called by operators.
@@ -220,8 +225,7 @@
     route["pathPrefix"] = prefix;
     routes.push_back(route);
   }
-  return boost::json::serialize(boost::json::object{
-    { "version", version }, { "routes", routes }, { "services", { { { "name", "registry" } } } } });
+  return ConfigOf(version, routes);
 }
 
 bool IsPathServed(const std::string& config, std::string_view path)
